--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 SAN ?=
 WARN := -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
         -Wmissing-prototypes -Wno-unused-parameter
-CPPFLAGS += -D_GNU_SOURCE -Iinclude -Isrc -Istandins -Itests \
+CPPFLAGS += -D_GNU_SOURCE -Iinclude -Isrc -I. -Istandins -Itests \
             $(shell pkg-config --cflags $(PACKAGES))
 CFLAGS += -std=gnu11 $(OPT) $(SAN) -pthread
 LDLIBS += $(shell pkg-config --libs $(PACKAGES)) -lck -lm
@@ -21,10 +21,12 @@
 
 GENERATED := src/proto/cw_proto_xdr.c
 CORE := $(filter-out $(GENERATED),$(wildcard src/base/*.c src/bundle/*.c \
+        src/work/*.c src/routing/*.c src/replica/*.c src/entry/*.c \
+        src/owner/*.c \
         src/sched/*.c src/ledger/*.c src/journal/*.c src/member/*.c \
         src/decider/*.c src/gate/*.c src/node/*.c src/worker/*.c))
-NET := $(wildcard src/http/*.c src/peer/*.c)
-PROGRAM := $(wildcard src/settings/*.c src/daemon/*.c src/cli/*.c)
+NET := $(wildcard src/http/*.c src/peer/*.c platform/*.c)
+PROGRAM := $(wildcard src/settings/*.c src/daemon/*.c src/vm/*.c src/cli/*.c)
 FAKES := standins/fake_worker.c standins/fake_log.c
 TESTS := $(patsubst tests/%.c,%,$(wildcard tests/test_*.c))
 
@@ -86,10 +88,10 @@
 	@clang $(CPPFLAGS) -std=gnu11 -O1 -g -w \
 	    -fsanitize=fuzzer,address,undefined $^ $(LDLIBS) -o $@
 
-SOURCES := $(filter-out $(GENERATED),$(wildcard src/*/*.c src/*/*/*.c \
+SOURCES := $(filter-out $(GENERATED),$(wildcard src/*/*.c src/*/*/*.c platform/*.c \
            standins/*.c tests/*.c tools/*/*.c))
 HEADERS := $(filter-out src/proto/%,$(wildcard include/curlewcart/*.h \
-           src/*/internal/*.h standins/*.h tests/*.h tools/*/*.h))
+           src/*/internal/*.h platform/*.h platform/internal/*.h standins/*.h tests/*.h tools/*/*.h))
 
 format:
 	clang-format -i $(SOURCES) $(HEADERS)
--- /dev/null
+++ b/include/curlewcart/cw_codec.h
@@ -0,0 +1,29 @@
+/* How the platform writes down what the product reads from its store. */
+#ifndef CURLEWCART_CW_CODEC_H
+#define CURLEWCART_CW_CODEC_H
+
+#include <stdbool.h>
+#include <stddef.h>
+
+#include "curlewcart/cw_routing.h"
+#include "curlewcart/cw_target.h"
+
+struct cw_codec {
+    const char *routing_topic; /* keyed; written by operators */
+    const char *routing_key;   /* of the newest configuration */
+    const char *targets_topic; /* keyed; written by workers */
+
+    /* A new configuration owned by the caller, or NULL if `text` is not
+     * one; then `problem` says why. */
+    struct cw_routing *(*decode_routing)(const void *text, size_t length,
+                                         char *problem, size_t size);
+
+    /* Decodes a worker's report and hands it to `take`, which borrows it.
+     * False if `text` is not a report. */
+    bool (*decode_target)(const char *id, const void *text, size_t length,
+                          void (*take)(void *context,
+                                       const struct cw_target_report *report),
+                          void *context);
+};
+
+#endif
--- a/include/curlewcart/cw_http_client.h
+++ b/include/curlewcart/cw_http_client.h
@@ -2,6 +2,7 @@
 #ifndef CURLEWCART_CW_HTTP_CLIENT_H
 #define CURLEWCART_CW_HTTP_CLIENT_H
 
+#include <stdbool.h>
 #include <stddef.h>
 
 struct cw_http_client;
@@ -9,6 +10,7 @@
 /* Result of a request.  status 0: no answer came. */
 struct cw_http_result {
     long status;
+    bool unsent; /* no connection was made: the request was never sent */
     const char *body; /* borrowed during the callback */
     size_t length;
     size_t bytes; /* on the wire, headers included, both ways */
@@ -24,13 +26,28 @@
     const void *body; /* NULL: GET, else POST */
     size_t length;
     const char *content_type;
+    const char *const *headers; /* "Name: value" each, NULL at the end; may
+                                   be NULL itself */
     long timeout_ms;
     cw_http_done done;
     void *context;
 };
 
-/* Starts the thread.  NULL on failure. */
-struct cw_http_client *cw_http_client_create(void);
+/* What a client does besides requests. */
+struct cw_http_client_options {
+    /* Called on the client's thread whenever it wakes; returns after how
+     * many milliseconds it wants to be called again at the latest.  NULL:
+     * none. */
+    unsigned (*tick)(void *context);
+    void *context;
+};
+
+/* Starts the thread; `options` may be NULL.  NULL on failure. */
+struct cw_http_client *
+cw_http_client_create(const struct cw_http_client_options *options);
+
+/* Makes the thread call its tick soon.  Safe from any thread. */
+void cw_http_client_wake(struct cw_http_client *client);
 
 /* Stops the thread; requests under way are given up without a callback. */
 void cw_http_client_free(struct cw_http_client *client);
--- a/include/curlewcart/cw_http_server.h
+++ b/include/curlewcart/cw_http_server.h
@@ -32,6 +32,12 @@
  * answered before. */
 void cw_http_server_free(struct cw_http_server *server);
 
+/* From now on every answer asks the caller to close its connection. */
+void cw_http_server_leave(struct cw_http_server *server);
+
+/* Accepts no more connections; those that are open go on. */
+void cw_http_server_quiesce(struct cw_http_server *server);
+
 /* Port listened on. */
 uint16_t cw_http_server_port(const struct cw_http_server *server);
 
@@ -45,6 +51,9 @@
 /* True if the body exceeded the limit (it was not kept). */
 bool cw_http_call_too_large(const struct cw_http_call *call);
 
+/* Adds a Retry-After header to the answer to come. */
+void cw_http_call_retry_after(struct cw_http_call *call, unsigned seconds);
+
 /* Answers and ends the call; `body` is copied.  `close` ends the
  * connection afterwards.  Safe from any thread. */
 void cw_http_answer(struct cw_http_call *call, unsigned status,
--- a/include/curlewcart/cw_log.h
+++ b/include/curlewcart/cw_log.h
@@ -9,6 +9,12 @@
  * name that stands in each line.  Call once, before threads start. */
 void cw_log_setup(const char *level, const char *vm);
 
+/* Changes the least level; safe from any thread. */
+void cw_log_set_level(const char *level);
+
+/* Writes out what is held back. */
+void cw_log_flush(void);
+
 /* True if lines of `level` are written; spares the caller the work. */
 bool cw_log_wants(GLogLevelFlags level);
 
--- /dev/null
+++ b/include/curlewcart/cw_owner.h
@@ -0,0 +1,64 @@
+/* The owner of a shard: it decides which task runs where, and keeps the
+ * workers' leases.
+ *
+ * Which VM owns a shard is decided by the store: a group deals the shard's
+ * partition to one member, and an append under a higher epoch shuts out
+ * every earlier owner.  The epoch is also the fencing token at the workers.
+ *
+ * All functions are called with the engine's lock held.
+ */
+#ifndef CURLEWCART_CW_OWNER_H
+#define CURLEWCART_CW_OWNER_H
+
+#include <stdbool.h>
+#include <time.h>
+
+#include "curlewcart/cw_codec.h"
+#include "curlewcart/cw_count.h"
+#include "curlewcart/cw_replica.h"
+#include "curlewcart/cw_routing.h"
+#include "curlewcart/cw_store.h"
+#include "curlewcart/cw_target.h"
+
+struct cw_owner_options {
+    struct cw_store *store;
+    struct cw_targets *targets;
+    const struct cw_codec *codec;
+    struct cw_clock *clock;
+    struct cw_replica *replica;
+    struct cw_counters *counters;
+    const char *member;     /* of this process's life; copied */
+    unsigned partition;     /* the shard */
+    unsigned member_ttl_ms; /* the store forgets a silent member after it */
+    unsigned lease_ms;      /* longest lease that workers grant */
+    unsigned retain_ms;     /* ended jobs are known at least so long */
+};
+
+struct cw_owner;
+
+struct cw_owner *cw_owner_create(const struct cw_owner_options *options);
+void cw_owner_free(struct cw_owner *owner);
+
+/* Another configuration is in force; takes a reference. */
+void cw_owner_configure(struct cw_owner *owner, struct cw_routing *routing);
+
+/* Gives the shard up for good: decides no more and leaves the group. */
+void cw_owner_leave(struct cw_owner *owner);
+
+/* Does what is due; returns when it wants to be called next. */
+struct timespec cw_owner_tick(struct cw_owner *owner, struct timespec now);
+
+/* True while this VM decides. */
+bool cw_owner_active(const struct cw_owner *owner);
+
+/* What the owner holds, for metrics. */
+struct cw_owner_stats {
+    unsigned jobs;
+    unsigned targets;
+    unsigned runs;
+    unsigned waiting_tasks;
+};
+void
+cw_owner_stats(const struct cw_owner *owner, struct cw_owner_stats *out);
+
+#endif
--- /dev/null
+++ b/include/curlewcart/cw_replica.h
@@ -0,0 +1,84 @@
+/* Every VM's copy of the jobs that the store holds, folded from its log.
+ *
+ * Three kinds of records make a job: its specification (any VM), a mark that
+ * it was cancelled (any VM), and its state (the owner of the shard, fenced).
+ * Their order in the log decides: a cancellation counts if it stands before
+ * the record that ends the job.
+ */
+#ifndef CURLEWCART_CW_REPLICA_H
+#define CURLEWCART_CW_REPLICA_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <glib.h>
+
+#include "curlewcart/cw_follower.h"
+#include "curlewcart/cw_work.h"
+
+/* The topic that jobs are kept in; a shard is one partition of it. */
+#define CW_WORK_TOPIC "keyed.jobs"
+
+/* Least time between two reads of it: an owner starts work soon, a standby
+ * shows states within a fifth of a second at a few reads a second. */
+#define CW_OWNER_PACE_MS 5
+#define CW_STANDBY_PACE_MS 150
+
+/* What is known of a job. */
+struct cw_replica_job {
+    char *id;
+    struct cw_work_spec *spec; /* NULL while only other records are known */
+    GBytes *record;            /* struct cw_work_record, encoded; or NULL */
+    unsigned recorded_phase;   /* of `record` */
+    bool started;              /* of `record` */
+    int64_t ended_ms;          /* of `record`: wall time of its end, or 0 */
+    bool cancelled;
+    uint64_t spec_offset;
+    uint64_t record_offset;
+    uint64_t cancel_offset;
+};
+
+/* Who hears of changes; members may be NULL. */
+struct cw_replica_listener {
+    /* A job's specification or cancellation was read. */
+    void (*changed)(void *context, struct cw_replica_job *job);
+    /* A read was answered: everything up to the position is folded. */
+    void (*advanced)(void *context);
+    void *context;
+};
+
+struct cw_replica_options {
+    struct cw_store *store;
+    struct cw_clock *clock;
+    unsigned partition;
+    unsigned pace_ms;
+};
+
+struct cw_replica;
+
+struct cw_replica *cw_replica_create(const struct cw_replica_options *options);
+void cw_replica_free(struct cw_replica *replica);
+void cw_replica_set_listener(struct cw_replica *replica,
+                             const struct cw_replica_listener *listener);
+
+struct cw_follower *cw_replica_follower(struct cw_replica *replica);
+
+/* A job by id, or NULL.  Borrowed until its records are dropped. */
+struct cw_replica_job *
+cw_replica_find(const struct cw_replica *replica, const char *id);
+
+/* All jobs: id -> struct cw_replica_job.  Borrowed. */
+GHashTable *cw_replica_jobs(const struct cw_replica *replica);
+
+/* Where the job stands in log order (enum cw_work_phase). */
+unsigned cw_replica_phase(const struct cw_replica_job *job);
+
+/* Folds a record; also called for what this VM appended itself. */
+void cw_replica_apply(struct cw_replica *replica,
+                      const struct cw_store_record *record);
+
+/* Jobs of a queue without occurrences in time of which no task has been
+ * started. */
+unsigned
+cw_replica_waiting(const struct cw_replica *replica, const char *queue);
+
+#endif
--- /dev/null
+++ b/include/curlewcart/cw_work.h
@@ -0,0 +1,53 @@
+/* A job of steps: its phase, its codec and its place in the store. */
+#ifndef CURLEWCART_CW_WORK_H
+#define CURLEWCART_CW_WORK_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <glib.h>
+
+#include "proto/cw_proto.h"
+#include "curlewcart/cw_result.h"
+
+/* Where a job stands. */
+enum cw_work_phase {
+    CW_WORK_WAITING = 0,
+    CW_WORK_RUNNING = 1,
+    CW_WORK_COMPLETED = 2,
+    CW_WORK_FAILED = 3,
+    CW_WORK_CANCELLED = 4
+};
+
+/* True if the phase is final. */
+static inline bool
+cw_work_is_over(unsigned phase)
+{
+    return phase >= CW_WORK_COMPLETED;
+}
+
+/* Name of a phase.  Borrowed, static. */
+const char *cw_work_phase_name(unsigned phase);
+
+/* What a record in the store is about; the first byte of its key.  The rest
+ * of the key is the job's id. */
+enum cw_work_key {
+    CW_WORK_KEY_SPEC = 's',   /* struct cw_work_spec, by any VM */
+    CW_WORK_KEY_CANCEL = 'c', /* empty mark, by any VM */
+    CW_WORK_KEY_RECORD = 'r'  /* struct cw_work_record, by the owner */
+};
+
+/* Key of a job's record.  Owned by the caller. */
+char *cw_work_key(enum cw_work_key kind, const char *id);
+
+/* True if `id` has the form of a job's id: 16 hexadecimal digits. */
+bool cw_work_id_valid(const char *id);
+
+/* Why a job can never be run as it was handed in, or CW_OK; in `detail`
+ * which part. */
+enum cw_result
+cw_work_check(const struct cw_work_spec *spec, char *detail, size_t size);
+
+/* Milliseconds of the longest chain of steps by the declared estimates. */
+unsigned cw_work_chain_ms(const struct cw_work_spec *spec);
+
+#endif
--- a/src/base/cw_log.c
+++ b/src/base/cw_log.c
@@ -1,4 +1,4 @@
-/* Structured lines on standard error, through GLib's writer. */
+/* Structured lines on standard output, through GLib's writer. */
 #include "curlewcart/cw_log.h"
 
 #include <stdio.h>
@@ -42,13 +42,14 @@
     clock_gettime(CLOCK_REALTIME, &now);
     gmtime_r(&now.tv_sec, &utc);
     strftime(stamp, sizeof(stamp), "%Y-%m-%dT%H:%M:%S", &utc);
-    fprintf(stderr, "ts=%s.%03ldZ level=%s vm=%s %s\n", stamp,
+    fprintf(stdout, "ts=%s.%03ldZ level=%s vm=%s %s\n", stamp,
             now.tv_nsec / 1000000, level_name(level), vm_name, message);
+    fflush(stdout);
     return G_LOG_WRITER_HANDLED;
 }
 
 void
-cw_log_setup(const char *level, const char *vm)
+cw_log_set_level(const char *level)
 {
     if (strcmp(level, "error") == 0) {
         least_level = G_LOG_LEVEL_CRITICAL;
@@ -59,6 +60,21 @@
     else if (strcmp(level, "debug") == 0) {
         least_level = G_LOG_LEVEL_DEBUG;
     }
+    else {
+        least_level = G_LOG_LEVEL_INFO;
+    }
+}
+
+void
+cw_log_flush(void)
+{
+    fflush(stdout);
+}
+
+void
+cw_log_setup(const char *level, const char *vm)
+{
+    cw_log_set_level(level);
     g_strlcpy(vm_name, vm, sizeof(vm_name));
     g_log_set_writer_func(write_line, NULL, NULL);
 }
--- a/src/cli/cli_serve.c
+++ b/src/cli/cli_serve.c
@@ -1,8 +1,10 @@
 /* Commands that concern the daemon on this VM. */
 #include <stdio.h>
+#include <stdlib.h>
 
 #include "cli/internal/cli_private.h"
 #include "curlewcart/cw_daemon.h"
+#include "curlewcart/cw_vm.h"
 
 static struct cw_settings *
 load(const char *path)
@@ -33,6 +35,35 @@
     return cw_daemon_run(settings);
 }
 
+int
+cli_vm(struct cli *cli)
+{
+    const char *path = cli->settings;
+    GString *problems = g_string_new(NULL);
+    struct cw_vm_settings *settings = NULL;
+    int status = EXIT_NOT_STARTED;
+
+    if (path == NULL) {
+        path = getenv("CURLEWCART_CONFIG");
+    }
+    if (path == NULL) {
+        fprintf(stderr, "curlewcart: --settings or CURLEWCART_CONFIG names "
+                        "the settings file\n");
+        status = EXIT_USAGE;
+        goto done;
+    }
+    settings = cw_vm_settings_load(path, problems);
+    if (settings == NULL) {
+        fprintf(stderr, "%s", problems->str);
+        goto done;
+    }
+    status = cw_vm_run(settings, path);
+
+done:
+    g_string_free(problems, TRUE);
+    return status;
+}
+
 int
 cli_settings_check(struct cli *cli)
 {
--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -151,7 +151,7 @@
 {
     randombytes_buf(&daemon->incarnation, sizeof(daemon->incarnation));
     daemon->incarnation &= G_MAXINT64;
-    daemon->client = cw_http_client_create();
+    daemon->client = cw_http_client_create(NULL);
     if (daemon->client == NULL) {
         return false;
     }
--- /dev/null
+++ b/src/entry/entry.c
@@ -0,0 +1,442 @@
+/* Calls of callers: admission, and changes until the store has them. */
+#include "curlewcart/cw_entry.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#include "curlewcart/cw_log.h"
+#include "curlewcart/cw_xdr.h"
+
+enum {
+    /* What was read longer ago no longer tells that a job does not exist,
+     * nor how many wait; callers accept 2 s. */
+    FRESH_MS = 2000,
+    /* Not read for so long: another VM serves callers better. */
+    READY_MS = 2500,
+    APPEND_TIMEOUT_MS = 700,
+    RETRY_FIRST_MS = 60,
+    RETRY_MOST_MS = 400,
+    PENDING_MAX = 2000
+};
+
+/* A change on its way into the store. */
+struct change {
+    struct cw_entry *entry;
+    enum cw_work_key kind;
+    char *id;
+    GByteArray *value;
+    char *queue;
+    cw_entry_done done;
+    void *context;
+    struct timespec began;
+    struct timespec give_up;
+    struct timespec due;
+    unsigned tries;
+    unsigned retry_ms;
+    bool in_flight;
+    bool unsure;    /* an append had no answer: it may be stored */
+    bool look_first; /* waits until the replica has read on */
+    struct timespec look_since;
+    enum cw_store_status last;
+};
+
+struct cw_entry {
+    struct cw_entry_options options;
+    struct cw_routing *routing;
+    GPtrArray *changes; /* struct change */
+    bool leaving;
+};
+
+struct cw_entry *
+cw_entry_create(const struct cw_entry_options *options)
+{
+    struct cw_entry *entry = g_new0(struct cw_entry, 1);
+
+    entry->options = *options;
+    entry->changes = g_ptr_array_new();
+    return entry;
+}
+
+void
+cw_entry_free(struct cw_entry *entry)
+{
+    if (entry != NULL) {
+        g_ptr_array_unref(entry->changes);
+        cw_routing_unref(entry->routing);
+        g_free(entry);
+    }
+}
+
+void
+cw_entry_configure(struct cw_entry *entry, struct cw_routing *routing)
+{
+    cw_routing_unref(entry->routing);
+    entry->routing = cw_routing_ref(routing);
+}
+
+struct cw_routing *
+cw_entry_routing(const struct cw_entry *entry)
+{
+    return entry->routing;
+}
+
+enum cw_result
+cw_entry_locate(struct cw_entry *entry, const char *host, const char *path,
+                const char *key, struct cw_entry_place *place)
+{
+    if (entry->routing == NULL) {
+        return CW_REF_NO_BUNDLE;
+    }
+    place->queue =
+        cw_routing_match(entry->routing, host != NULL ? host : "", path);
+    if (place->queue == NULL) {
+        return CW_E_NOT_FOUND;
+    }
+    place->account =
+        key != NULL ? cw_routing_account(entry->routing, key) : NULL;
+    if (place->account == NULL && !place->queue->open) {
+        return CW_REF_TOKEN;
+    }
+    place->id = path + strlen(place->queue->prefix);
+    return CW_OK;
+}
+
+/* ---- changes ---- */
+
+static void
+change_free(struct change *change)
+{
+    g_free(change->id);
+    g_free(change->queue);
+    g_byte_array_unref(change->value);
+    g_free(change);
+}
+
+/* Answers the caller and forgets the change. */
+static void
+conclude(struct change *change, enum cw_entry_outcome outcome)
+{
+    static const char *const names[] = {"stored", "not_done", "unsure",
+                                        "no_job", "other_job"};
+    struct cw_entry *entry = change->entry;
+    struct timespec now = cw_clock_now(entry->options.clock);
+
+    cw_log_info(change->kind == CW_WORK_KEY_SPEC ? "submit" : "cancel",
+                "id=%s queue=%s outcome=%s tries=%u took_ms=%" PRId64
+                " config=%" PRIu64 " store=%s",
+                change->id, change->queue, names[outcome], change->tries,
+                cw_time_diff_ms(change->began, now),
+                entry->routing != NULL ? entry->routing->version : 0,
+                cw_store_status_name(change->last));
+    if (outcome == CW_ENTRY_NOT_DONE) {
+        cw_count_code(entry->options.counters, CW_REF_LOG_AWAY);
+    }
+    else if (outcome == CW_ENTRY_UNSURE) {
+        cw_count_code(entry->options.counters, CW_REF_UNSURE);
+    }
+    g_ptr_array_remove_fast(entry->changes, change);
+    change->done(change->context, outcome);
+    change_free(change);
+}
+
+static void
+give_up(struct change *change)
+{
+    conclude(change, change->unsure ? CW_ENTRY_UNSURE : CW_ENTRY_NOT_DONE);
+}
+
+static void
+fold_own(struct change *change, uint64_t offset)
+{
+    char *key = cw_work_key(change->kind, change->id);
+    struct cw_store_record record = {
+        .key = key,
+        .value = change->value->data,
+        .length = change->value->len,
+        .offset = offset,
+    };
+
+    cw_replica_apply(change->entry->options.replica, &record);
+    g_free(key);
+}
+
+static void
+on_appended(void *context, const struct cw_store_appended *result)
+{
+    struct change *change = context;
+    struct timespec now = cw_clock_now(change->entry->options.clock);
+
+    change->in_flight = false;
+    change->last = result->status;
+    if (result->status == CW_STORE_OK) {
+        fold_own(change, result->first);
+        conclude(change, CW_ENTRY_STORED);
+        return;
+    }
+    if (result->status == CW_STORE_UNKNOWN) {
+        change->unsure = true;
+    }
+    cw_count_code(change->entry->options.counters, CW_RETRY_APPEND);
+    change->retry_ms =
+        CLAMP(change->retry_ms * 2, RETRY_FIRST_MS, RETRY_MOST_MS);
+    change->due = cw_time_add_ms(now, change->retry_ms);
+    if (!cw_time_before(change->due, change->give_up)) {
+        give_up(change);
+    }
+}
+
+static void
+send_change(struct change *change, struct timespec now)
+{
+    struct cw_store *store = change->entry->options.store;
+    int64_t left = cw_time_diff_ms(now, change->give_up);
+    char *key = cw_work_key(change->kind, change->id);
+    struct cw_store_record record = {
+        .key = key,
+        .value = change->value->data,
+        .length = change->value->len,
+    };
+    struct cw_store_append call = {
+        .topic = CW_WORK_TOPIC,
+        .records = &record,
+        .count = 1,
+        .timeout_ms = (unsigned)CLAMP(left, 1, APPEND_TIMEOUT_MS),
+        .done = on_appended,
+        .context = change,
+    };
+
+    change->in_flight = true;
+    change->tries++;
+    store->ops->append(store, &call);
+    g_free(key);
+}
+
+static struct change *
+change_new(struct cw_entry *entry, enum cw_work_key kind, const char *id,
+           const char *queue, unsigned budget_ms)
+{
+    struct change *change = g_new0(struct change, 1);
+
+    change->entry = entry;
+    change->kind = kind;
+    change->id = g_strdup(id);
+    change->queue = g_strdup(queue);
+    change->began = cw_clock_now(entry->options.clock);
+    change->give_up = cw_time_add_ms(change->began, budget_ms);
+    change->due = change->began;
+    g_ptr_array_add(entry->changes, change);
+    return change;
+}
+
+static void
+spec_release(struct cw_work_spec *spec)
+{
+    xdr_free((xdrproc_t)xdr_cw_work_spec, (char *)spec);
+    g_free(spec);
+}
+
+void
+cw_entry_submit(struct cw_entry *entry, struct cw_work_spec *spec,
+                unsigned budget_ms, cw_entry_done done, void *context)
+{
+    const struct cw_replica_job *known =
+        cw_replica_find(entry->options.replica, spec->id);
+    struct change *change;
+
+    cw_count_add(entry->options.counters, CW_COUNT_SUBMITTED, 1);
+    if (known != NULL && known->spec != NULL) {
+        bool same = known->spec->body_hash == spec->body_hash;
+
+        cw_log_info("submit", "id=%s queue=%s outcome=%s known_at=%" PRIu64,
+                    spec->id, spec->queue, same ? "known" : "other_job",
+                    known->spec_offset);
+        spec_release(spec);
+        done(context, same ? CW_ENTRY_STORED : CW_ENTRY_OTHER_JOB);
+        return;
+    }
+    if (entry->changes->len >= PENDING_MAX) {
+        cw_count_code(entry->options.counters, CW_REF_GATE);
+        cw_log_info("submit", "id=%s queue=%s outcome=not_done pending=%u",
+                    spec->id, spec->queue, entry->changes->len);
+        spec_release(spec);
+        done(context, CW_ENTRY_NOT_DONE);
+        return;
+    }
+    change = change_new(entry, CW_WORK_KEY_SPEC, spec->id, spec->queue,
+                        budget_ms);
+    change->value = cw_xdr_encode((xdrproc_t)xdr_cw_work_spec, spec);
+    change->done = done;
+    change->context = context;
+    spec_release(spec);
+    send_change(change, change->began);
+}
+
+/* ---- cancellation ---- */
+
+/* The job of a place if it belongs there, or NULL. */
+static const struct cw_replica_job *
+find_job(const struct cw_entry *entry, const struct cw_entry_place *place)
+{
+    const struct cw_replica_job *job =
+        cw_replica_find(entry->options.replica, place->id);
+
+    if (job == NULL || job->spec == NULL ||
+        strcmp(job->spec->queue, place->queue->name) != 0) {
+        return NULL;
+    }
+    if (place->account != NULL &&
+        strcmp(job->spec->account, place->account->name) != 0) {
+        return NULL;
+    }
+    return job;
+}
+
+/* Answers a cancellation that needs no append; true if it did. */
+static bool
+cancel_settled(struct change *change, const struct cw_replica_job *job)
+{
+    unsigned phase = cw_replica_phase(job);
+
+    if (phase == CW_WORK_CANCELLED) {
+        conclude(change, CW_ENTRY_STORED);
+        return true;
+    }
+    if (cw_work_is_over(phase)) {
+        conclude(change, CW_ENTRY_NO_JOB);
+        return true;
+    }
+    return false;
+}
+
+void
+cw_entry_cancel(struct cw_entry *entry, const struct cw_entry_place *place,
+                unsigned budget_ms, cw_entry_done done, void *context)
+{
+    const struct cw_replica_job *job = find_job(entry, place);
+    struct change *change = change_new(entry, CW_WORK_KEY_CANCEL, place->id,
+                                       place->queue->name, budget_ms);
+
+    change->value = g_byte_array_new();
+    g_byte_array_append(change->value, (const guint8 *)"1", 1);
+    change->done = done;
+    change->context = context;
+    if (job == NULL) {
+        /* Another VM may have taken it a moment ago. */
+        change->look_first = true;
+        change->look_since = change->began;
+        cw_follower_hurry(cw_replica_follower(entry->options.replica));
+        return;
+    }
+    if (!cancel_settled(change, job)) {
+        send_change(change, change->began);
+    }
+}
+
+/* The replica has read on since a cancellation of an unknown job came. */
+static void
+look_again(struct change *change, struct timespec now)
+{
+    struct cw_replica *replica = change->entry->options.replica;
+    const struct cw_replica_job *job = cw_replica_find(replica, change->id);
+    struct timespec fresh = cw_follower_fresh(cw_replica_follower(replica));
+
+    if (job != NULL && job->spec != NULL) {
+        change->look_first = false;
+        if (!cancel_settled(change, job)) {
+            send_change(change, now);
+        }
+    }
+    else if (!cw_time_before(fresh, change->look_since)) {
+        conclude(change, CW_ENTRY_NO_JOB);
+    }
+    else if (!cw_time_before(now, change->give_up)) {
+        give_up(change);
+    }
+}
+
+/* ---- questions ---- */
+
+static bool
+is_fresh(const struct cw_entry *entry, int64_t within_ms)
+{
+    const struct cw_follower *follower =
+        cw_replica_follower(entry->options.replica);
+    struct timespec now = cw_clock_now(entry->options.clock);
+
+    return cw_follower_loaded(follower) &&
+           cw_time_diff_ms(cw_follower_fresh(follower), now) <= within_ms;
+}
+
+enum cw_result
+cw_entry_query(struct cw_entry *entry, const struct cw_entry_place *place,
+               unsigned *phase)
+{
+    const struct cw_replica_job *job = find_job(entry, place);
+
+    if (job != NULL) {
+        *phase = cw_replica_phase(job);
+        return CW_OK;
+    }
+    return is_fresh(entry, FRESH_MS) ? CW_E_NOT_FOUND : CW_REF_NO_LEDGER;
+}
+
+enum cw_result
+cw_entry_waiting(struct cw_entry *entry, const struct cw_queue *queue,
+                 unsigned *count)
+{
+    if (!is_fresh(entry, FRESH_MS)) {
+        return CW_REF_NO_LEDGER;
+    }
+    *count = cw_replica_waiting(entry->options.replica, queue->name);
+    return CW_OK;
+}
+
+bool
+cw_entry_ready(struct cw_entry *entry)
+{
+    return !entry->leaving && entry->routing != NULL &&
+           is_fresh(entry, READY_MS);
+}
+
+void
+cw_entry_leave(struct cw_entry *entry)
+{
+    entry->leaving = true;
+}
+
+bool
+cw_entry_leaving(const struct cw_entry *entry)
+{
+    return entry->leaving;
+}
+
+unsigned
+cw_entry_pending(const struct cw_entry *entry)
+{
+    return entry->changes->len;
+}
+
+struct timespec
+cw_entry_tick(struct cw_entry *entry, struct timespec now)
+{
+    struct timespec next = cw_time_from_ms(INT32_MAX);
+
+    /* Backwards: concluding a change takes it out of the array. */
+    for (guint i = entry->changes->len; i > 0; i--) {
+        struct change *change = entry->changes->pdata[i - 1];
+
+        if (change->look_first) {
+            next = cw_time_add_ms(now, RETRY_FIRST_MS);
+            look_again(change, now);
+        }
+        else if (!change->in_flight) {
+            if (!cw_time_before(now, change->due)) {
+                send_change(change, now);
+            }
+            else if (cw_time_before(change->due, next)) {
+                next = change->due;
+            }
+        }
+    }
+    return next;
+}
--- a/src/http/http_client.c
+++ b/src/http/http_client.c
@@ -26,6 +26,7 @@
     size_t length;
     bool post;
     char *content_type;
+    char **extra_headers; /* may be NULL */
     long timeout_ms;
     cw_http_done done;
     void *context;
@@ -35,6 +36,7 @@
 };
 
 struct cw_http_client {
+    struct cw_http_client_options options;
     ck_stack_t queue CK_CC_CACHELINE;
     CURLM *multi;
     pthread_t thread;
@@ -51,6 +53,7 @@
     g_free(transfer->url);
     g_free(transfer->body);
     g_free(transfer->content_type);
+    g_strfreev(transfer->extra_headers);
     g_free(transfer);
 }
 
@@ -90,10 +93,14 @@
         transfer->headers = curl_slist_append(transfer->headers, type);
         transfer->headers = curl_slist_append(transfer->headers, "Expect:");
         curl_easy_setopt(easy, CURLOPT_POST, 1L);
-        curl_easy_setopt(easy, CURLOPT_POSTFIELDS, transfer->body);
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDS,
+                         transfer->body != NULL ? transfer->body : "");
         curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, (long)transfer->length);
     }
     transfer->headers = curl_slist_append(transfer->headers, "Accept:");
+    for (char **h = transfer->extra_headers; h != NULL && *h != NULL; h++) {
+        transfer->headers = curl_slist_append(transfer->headers, *h);
+    }
     curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer->headers);
 }
 
@@ -162,6 +169,9 @@
                           &result.status);
         result.bytes = wire_bytes(transfer);
     }
+    else {
+        result.unsent = code == CURLE_COULDNT_CONNECT;
+    }
     curl_multi_remove_handle(client->multi, transfer->easy);
     g_ptr_array_add(client->idle, transfer->easy);
     g_hash_table_remove(client->busy, transfer);
@@ -169,10 +179,12 @@
     transfer_free(transfer);
 }
 
-static void
+/* Returns true if any transfer ended. */
+static bool
 take_ended(struct cw_http_client *client)
 {
     CURLMsg *message;
+    bool any = false;
     int left;
 
     while ((message = curl_multi_info_read(client->multi, &left)) != NULL) {
@@ -184,7 +196,20 @@
         curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE,
                           (char **)&transfer);
         end_transfer(client, transfer, message->data.result);
+        any = true;
+    }
+    return any;
+}
+
+static unsigned
+run_tick(struct cw_http_client *client)
+{
+    unsigned wait_ms = POLL_MS;
+
+    if (client->options.tick != NULL) {
+        wait_ms = client->options.tick(client->options.context);
     }
+    return MIN(wait_ms, (unsigned)POLL_MS);
 }
 
 static void *
@@ -193,22 +218,27 @@
     struct cw_http_client *client = argument;
 
     while (ck_pr_load_uint(&client->stop) == 0) {
+        unsigned wait_ms = run_tick(client);
         int running;
 
         take_queue(client);
         curl_multi_perform(client->multi, &running);
-        take_ended(client);
-        curl_multi_poll(client->multi, NULL, 0, POLL_MS, NULL);
+        if (!take_ended(client)) {
+            curl_multi_poll(client->multi, NULL, 0, (int)wait_ms, NULL);
+        }
     }
     return NULL;
 }
 
 struct cw_http_client *
-cw_http_client_create(void)
+cw_http_client_create(const struct cw_http_client_options *options)
 {
     struct cw_http_client *client = g_new0(struct cw_http_client, 1);
 
     curl_global_init(CURL_GLOBAL_DEFAULT);
+    if (options != NULL) {
+        client->options = *options;
+    }
     ck_stack_init(&client->queue);
     client->multi = curl_multi_init();
     if (client->multi == NULL) {
@@ -288,11 +318,21 @@
     transfer->content_type =
         g_strdup(request->content_type != NULL ? request->content_type
                                                : "application/json");
+    transfer->extra_headers = g_strdupv((char **)request->headers);
     transfer->timeout_ms = request->timeout_ms;
     transfer->done = request->done;
     transfer->context = request->context;
     transfer->answer = g_byte_array_new();
     CW_TSAN_RELEASE(&client->queue);
     ck_stack_push_upmc(&client->queue, &transfer->entry);
-    curl_multi_wakeup(client->multi);
+    cw_http_client_wake(client);
+}
+
+void
+cw_http_client_wake(struct cw_http_client *client)
+{
+    /* On its own thread the client looks at the queue before it waits. */
+    if (!pthread_equal(pthread_self(), client->thread)) {
+        curl_multi_wakeup(client->multi);
+    }
 }
--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -5,6 +5,8 @@
 #include <netinet/in.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <unistd.h>
+#include <ck_pr.h>
 #include <glib.h>
 #include <microhttpd.h>
 
@@ -14,6 +16,7 @@
     struct cw_http_server_options options;
     struct MHD_Daemon *daemon;
     uint16_t port;
+    int leaving; /* read and written with ck_pr */
 };
 
 /* A call, from its headers until its answer was sent. */
@@ -26,6 +29,7 @@
     bool too_large;
     bool handled;
     unsigned status;
+    unsigned retry_after_s; /* 0: no such header */
     struct MHD_Response *response;
 };
 
@@ -68,6 +72,12 @@
     return call->too_large;
 }
 
+void
+cw_http_call_retry_after(struct cw_http_call *call, unsigned seconds)
+{
+    call->retry_after_s = seconds;
+}
+
 void
 cw_http_answer(struct cw_http_call *call, unsigned status,
                const char *content_type, const char *body, size_t length,
@@ -81,7 +91,14 @@
     g_assert(call->response != NULL);
     MHD_add_response_header(call->response, MHD_HTTP_HEADER_CONTENT_TYPE,
                             content_type);
-    if (close) {
+    if (call->retry_after_s > 0) {
+        char seconds[16];
+
+        g_snprintf(seconds, sizeof(seconds), "%u", call->retry_after_s);
+        MHD_add_response_header(call->response, MHD_HTTP_HEADER_RETRY_AFTER,
+                                seconds);
+    }
+    if (close || ck_pr_load_int(&call->server->leaving) != 0) {
         MHD_add_response_header(call->response, MHD_HTTP_HEADER_CONNECTION,
                                 "close");
     }
@@ -232,6 +249,22 @@
     }
 }
 
+void
+cw_http_server_leave(struct cw_http_server *server)
+{
+    ck_pr_store_int(&server->leaving, 1);
+}
+
+void
+cw_http_server_quiesce(struct cw_http_server *server)
+{
+    MHD_socket listener = MHD_quiesce_daemon(server->daemon);
+
+    if (listener != MHD_INVALID_SOCKET) {
+        (void)close(listener);
+    }
+}
+
 uint16_t
 cw_http_server_port(const struct cw_http_server *server)
 {
--- /dev/null
+++ b/src/owner/internal/owner_private.h
@@ -0,0 +1,390 @@
+/* Inside the owner: jobs with their tasks, workers with their runs. */
+#ifndef CURLEWCART_OWNER_PRIVATE_H
+#define CURLEWCART_OWNER_PRIVATE_H
+
+#include <inttypes.h>
+#include <stdbool.h>
+#include <stdint.h>
+#include <glib.h>
+
+#include "curlewcart/cw_log.h"
+#include "curlewcart/cw_owner.h"
+#include "curlewcart/cw_time.h"
+#include "curlewcart/cw_xdr.h"
+
+struct owner_job;
+struct owner_step;
+struct owner_target;
+
+/* A run of a task on a worker, from its placement until it is known that
+ * the worker does not run it and never will. */
+enum run_phase {
+    RUN_RESERVED,   /* waits until others have left its place */
+    RUN_NEW,        /* placed; not in the store yet */
+    RUN_COMMITTING, /* in the batch under way to the store */
+    RUN_READY,      /* durable; its start waits to be sent */
+    RUN_STARTING,   /* the start was sent */
+    RUN_RUNNING,    /* the worker has confirmed it */
+    RUN_UNSURE      /* an earlier owner's; the worker was not asked yet */
+};
+
+struct owner_run {
+    struct owner_target *target;
+    struct owner_task *task;
+    unsigned number;
+    enum run_phase phase;
+    bool stopping;     /* is to end, by order */
+    bool stop_queued;  /* an order to stop waits or is under way */
+    bool stop_confirmed;
+    bool finished; /* its gang is done; only its own end is outstanding */
+    struct timespec stop_confirmed_at;
+    struct timespec created_at;
+    struct timespec started_at; /* when its start was confirmed */
+    struct timespec progress_at;
+    struct timespec saved_at; /* newest checkpoint, as far as known */
+    unsigned percent;
+    unsigned unanswered; /* starts without an answer */
+};
+
+struct owner_task {
+    struct owner_step *step;
+    unsigned index;
+    unsigned last_run; /* highest number used */
+    unsigned failures;
+    bool done;
+    char *saved;           /* newest checkpoint, or NULL */
+    struct owner_run *run; /* or NULL */
+    char *failed_on;       /* worker of its last failure, or NULL */
+};
+
+struct owner_step {
+    struct owner_occurrence *occurrence;
+    unsigned number;
+    const struct cw_step_spec *spec; /* borrowed from the job's */
+    bool done;
+    unsigned failures;   /* of the gang */
+    unsigned failed_run; /* the gang's run that was counted last */
+    unsigned runs;       /* tasks that have a run */
+    struct owner_task *tasks;
+    unsigned count;
+    unsigned left; /* tasks that are not done */
+    struct timespec ready_at;
+    bool ready;
+    uint64_t tried_at; /* the owner's room version when it did not fit */
+};
+
+struct owner_occurrence {
+    struct owner_job *job;
+    unsigned number;
+    struct owner_step *steps;
+    unsigned count;
+};
+
+struct owner_job {
+    const struct cw_replica_job *entry; /* borrowed from the replica */
+    const struct cw_work_spec *spec;    /* borrowed */
+    unsigned phase;                     /* enum cw_work_phase */
+    bool started;
+    bool dirty; /* differs from what the store has, or will have */
+    int64_t ended_ms;
+    unsigned next_occurrence;
+    GPtrArray *open;           /* struct owner_occurrence */
+    struct timespec known_at;  /* when this owner learnt of it */
+    struct timespec objective; /* when it is late, as far as known */
+    unsigned runs;
+};
+
+/* A worker as the owner knows it; see owner_targets.c. */
+struct owner_target {
+    struct cw_owner *owner;
+    char *id;
+    char *address; /* "" while no report was seen */
+    char *service;
+    char *dc;
+    char *rack;
+    char *kind;
+    struct cw_resources capacity;
+    struct cw_resources used;     /* by runs that may be there */
+    struct cw_resources leaving;  /* part of used: runs told to stop */
+    struct cw_resources reserved; /* by runs that wait for their place */
+    bool listed;                  /* the store has its report */
+    bool draining;
+    bool gone;      /* another life answers at its address */
+    bool seen_mark; /* while the reports are loaded anew */
+    bool clock_known;
+    int64_t clock_offset_ms; /* its clock less ours */
+    int64_t lease_sent_ms;   /* latest end of lease ever sent, its clock */
+    struct timespec lease_end; /* same in our time, with its drift */
+    bool fenced;               /* it has answered under our fencing token */
+    bool hold_in_flight;
+    struct timespec hold_sent;
+    struct timespec hold_due;
+    unsigned silent; /* holds in a row without an answer */
+    uint64_t ends_applied;
+    uint64_t ends_in_batch;
+    uint64_t ends_durable;
+    GQueue orders; /* struct owner_order */
+    unsigned orders_in_flight;
+    GPtrArray *runs; /* struct owner_run */
+    unsigned failures; /* in a row */
+    struct timespec avoid_until;
+    struct timespec suspect_until; /* it failed or stalled work */
+};
+
+enum owner_state {
+    OWNER_IDLE,     /* another VM owns the shard, or none */
+    OWNER_FENCING,  /* shutting out earlier owners */
+    OWNER_CATCHING, /* reading what they have written */
+    OWNER_ACTIVE
+};
+
+struct owner_batch; /* owner_commit.c */
+
+struct cw_owner {
+    struct cw_owner_options options;
+    char *member;
+    struct cw_routing *routing;
+    enum owner_state state;
+    bool leaving;
+    bool holds_partition;
+    uint64_t generation; /* of the group, last received */
+    bool join_in_flight;
+    struct timespec join_sent;
+    struct timespec join_due;
+    struct timespec proof_at; /* the store confirmed ownership; when asked */
+    uint64_t epoch;
+    uint64_t epoch_generation;
+    unsigned epoch_count; /* epochs made in that generation */
+    unsigned term;        /* grows whenever all below is dropped */
+    bool fence_in_flight;
+    struct timespec fence_due;
+    uint64_t fence_end; /* end of the log when the epoch was set */
+    struct timespec began;
+    struct cw_follower *reports;
+    GHashTable *jobs;    /* id -> struct owner_job */
+    GHashTable *targets; /* id -> struct owner_target */
+    GPtrArray *dirty;    /* struct owner_job */
+    struct owner_batch *batch;
+    uint64_t sequence;
+    struct timespec flush_due;
+    bool place_wanted;
+    struct timespec place_due;
+    uint64_t room_version; /* grows whenever room may have come free */
+    struct timespec sweep_due;
+    struct timespec check_due;
+};
+
+/* ---- owner.c ---- */
+
+/* True if the store confirmed lately enough that this VM is the owner; what
+ * changes anything at a worker needs it. */
+bool owner_may_order(const struct cw_owner *owner, struct timespec now);
+
+/* True if leases may still be extended. */
+bool owner_may_extend(const struct cw_owner *owner, struct timespec now);
+
+/* Another owner was seen: drops everything and asks the store. */
+void owner_depose(struct cw_owner *owner, const char *reason);
+
+static inline struct timespec
+owner_now(const struct cw_owner *owner)
+{
+    return cw_clock_now(owner->options.clock);
+}
+
+static inline void
+owner_earlier(struct timespec *due, struct timespec other)
+{
+    if (cw_time_before(other, *due)) {
+        *due = other;
+    }
+}
+
+/* ---- owner_jobs.c ---- */
+
+/* Takes a job of the replica over; does nothing if it is known or over. */
+void owner_job_adopt(struct cw_owner *owner, struct cw_replica_job *entry);
+void owner_job_free(gpointer job);
+
+/* State for the store.  Owned by the caller. */
+GByteArray *owner_job_encode(const struct owner_job *job);
+
+/* Marks a job for the next batch. */
+void owner_job_touch(struct cw_owner *owner, struct owner_job *job);
+
+/* Ends a job as failed or cancelled, and stops its runs. */
+void owner_job_end(struct cw_owner *owner, struct owner_job *job,
+                   enum cw_work_phase phase, const char *reason);
+
+/* A step's tasks are all done: later steps, the occurrence, the job. */
+void owner_step_done(struct cw_owner *owner, struct owner_step *step);
+
+/* Opens occurrences that are due; returns when the next one is. */
+struct timespec
+owner_job_open_due(struct cw_owner *owner, struct owner_job *job,
+                   struct timespec now);
+
+/* Forgets a job that is over, durable and runs nowhere. */
+void owner_job_maybe_forget(struct cw_owner *owner, struct owner_job *job);
+
+/* Task by name, or NULL if this owner has no such task. */
+struct owner_task *owner_task_find(const struct cw_owner *owner,
+                                   const struct cw_task_name *name);
+
+struct cw_task_name owner_task_name(const struct owner_task *task);
+
+static inline struct owner_job *
+owner_task_job(const struct owner_task *task)
+{
+    return task->step->occurrence->job;
+}
+
+/* What a task takes. */
+static inline struct cw_resources
+owner_need(const struct cw_step_spec *spec)
+{
+    struct cw_resources need = {
+        .cpu_milli = spec->fills ? 0 : spec->cpu_milli,
+        .memory_mb = spec->memory_mb,
+        .accelerators = spec->accelerators,
+    };
+
+    return need;
+}
+
+/* ---- owner_runs.c ---- */
+
+struct owner_run *owner_run_create(struct cw_owner *owner,
+                                   struct owner_task *task,
+                                   struct owner_target *target,
+                                   enum run_phase phase, unsigned number);
+
+/* The worker does not run it and never will. */
+void owner_run_drop(struct cw_owner *owner, struct owner_run *run);
+
+/* Makes a run end; it is dropped once it has. */
+void owner_run_stop(struct cw_owner *owner, struct owner_run *run);
+
+/* The run is lost without an end of its own. */
+void owner_run_lost(struct cw_owner *owner, struct owner_run *run,
+                    const char *reason);
+
+/* Stops all runs of a step. */
+void owner_step_stop(struct cw_owner *owner, struct owner_step *step);
+
+/* Turns reserved runs whose place is free into new ones. */
+void owner_runs_settle(struct cw_owner *owner, struct owner_target *target);
+
+/* Applies an end that a worker has listed. */
+void owner_run_ended(struct cw_owner *owner, struct owner_target *target,
+                     const struct cw_ended *ended);
+
+/* ---- owner_targets.c ---- */
+
+void owner_target_free(gpointer target);
+struct owner_target *owner_target_get(struct cw_owner *owner, const char *id);
+
+/* A record of the workers' topic. */
+void owner_target_record(void *context, const struct cw_store_record *record);
+void owner_targets_reset(void *context);
+void owner_targets_loaded(void *context);
+
+/* Notes the clock in an answer. */
+void owner_target_clock(struct owner_target *target, int64_t clock_ms,
+                        struct timespec now);
+
+/* End of lease to send with an order now, on the worker's clock. */
+int64_t owner_target_lease(struct owner_target *target, struct timespec now);
+
+/* All its runs are lost. */
+void owner_target_lost(struct cw_owner *owner, struct owner_target *target,
+                       const char *reason);
+
+/* True if new tasks may be placed there. */
+bool
+owner_target_usable(const struct owner_target *target, struct timespec now);
+
+/* Work failed there by itself, or went well. */
+void owner_target_blame(struct owner_target *target, struct timespec now);
+void owner_target_praise(struct owner_target *target);
+
+/* ---- owner_orders.c ---- */
+
+struct owner_order {
+    struct cw_owner *owner;
+    unsigned term;
+    struct owner_target *target;
+    enum cw_order_kind kind;
+    char *job;
+    struct cw_task_name task; /* its job is the text above */
+    unsigned run;
+};
+
+void owner_order_free(struct owner_order *order);
+
+/* Queues an order that concerns a task. */
+void owner_order_queue(struct cw_owner *owner, struct owner_target *target,
+                       enum cw_order_kind kind,
+                       const struct cw_task_name *task, unsigned run);
+
+/* Sends what may be sent. */
+void owner_orders_send(struct cw_owner *owner, struct owner_target *target,
+                       struct timespec now);
+
+/* ---- owner_holds.c ---- */
+
+/* Extends leases and looks at runs where it is due; returns when next. */
+struct timespec
+owner_hold_tick(struct cw_owner *owner, struct owner_target *target,
+                struct timespec now);
+
+/* ---- owner_commit.c ---- */
+
+/* Sends the batch that is due; returns when the next may be. */
+struct timespec owner_commit_tick(struct cw_owner *owner, struct timespec now);
+void owner_batch_free(struct owner_batch *batch);
+
+/* Drops the records of jobs that ended long ago. */
+void owner_sweep(struct cw_owner *owner);
+
+/* ---- owner_place.c ---- */
+
+void owner_place(struct cw_owner *owner, struct timespec now);
+
+/* How many tasks that take `need` fit into `room`. */
+unsigned
+owner_fits(const struct cw_resources *room, const struct cw_resources *need);
+
+/* Room of a worker for new runs. */
+struct cw_resources owner_room(const struct owner_target *target);
+
+/* True if the step's queue and labels allow the worker. */
+bool owner_may_run(const struct owner_step *step,
+                   const struct owner_target *target);
+
+/* `fits`, cut to what the step allows on one worker. */
+unsigned owner_most_there(const struct owner_step *step,
+                          const struct owner_target *target, unsigned fits);
+
+/* Starts `step`'s tasks without a run on the workers given, in order; with
+ * RUN_RESERVED they wait for others to leave. */
+struct owner_choice {
+    struct owner_target *target;
+    unsigned tasks;
+};
+void owner_assign(struct cw_owner *owner, struct owner_step *step,
+                  const GArray *choices, enum run_phase phase);
+
+/* ---- owner_reclaim.c ---- */
+
+/* Makes others leave so that the gang or the tasks of `step` can run.
+ * Returns false if no set of them is worth it. */
+bool owner_reclaim(struct cw_owner *owner, struct owner_step *step,
+                   struct timespec now);
+
+/* True if the job's account is within its guarantee with all its most
+ * urgent jobs that have not ended. */
+bool
+owner_guaranteed(const struct cw_owner *owner, const struct owner_job *job);
+
+#endif
--- /dev/null
+++ b/src/owner/owner.c
@@ -0,0 +1,515 @@
+/* How a VM becomes the owner of a shard, and how it stops being it. */
+#include "owner/internal/owner_private.h"
+
+#include <string.h>
+
+enum {
+    /* A fifth of the member's time to live: several lost calls in a row do
+     * not lose the shard. */
+    JOIN_PARTS = 5,
+    JOIN_TIMEOUT_MS = 900,
+    FENCE_TIMEOUT_MS = 900,
+    FENCE_RETRY_MS = 150,
+    /* Starts and stops need a confirmation by the store that is younger. */
+    ORDER_PROOF_MS = 1800,
+    /* Leases go on being extended so long without one, to carry work over
+     * an outage of the store.  A new owner waits for it (see adopt_runs). */
+    EXTEND_PROOF_MS = 6000,
+    REPORTS_PACE_MS = 500,
+    PLACE_EVERY_MS = 10,
+    CHECK_EVERY_MS = 100,
+    SWEEP_EVERY_MS = 5000,
+    EPOCHS_PER_GENERATION = 256,
+    /* Rate at which a worker's clock may be slow, in percent. */
+    DRIFT_PERCENT = 2,
+    TAKEOVER_SLACK_MS = 500
+};
+
+#define OWNER_GROUP "owners"
+
+static void
+drop_state(struct cw_owner *owner)
+{
+    owner->term++;
+    g_hash_table_remove_all(owner->targets);
+    g_hash_table_remove_all(owner->jobs);
+    g_ptr_array_set_size(owner->dirty, 0);
+    owner_batch_free(owner->batch);
+    owner->batch = NULL;
+    cw_follower_free(owner->reports);
+    owner->reports = NULL;
+    owner->state = OWNER_IDLE;
+}
+
+void
+owner_depose(struct cw_owner *owner, const char *reason)
+{
+    cw_log_info("owner_ends", "shard=%u epoch=%" PRIu64 " reason=%s jobs=%u",
+                owner->options.partition, owner->epoch, reason,
+                g_hash_table_size(owner->jobs));
+    cw_count_add(owner->options.counters, CW_COUNT_YIELDS, 1);
+    drop_state(owner);
+    owner->holds_partition = false;
+    owner->join_due = cw_time_from_ms(0);
+    cw_follower_set_pace(cw_replica_follower(owner->options.replica),
+                         CW_STANDBY_PACE_MS);
+}
+
+bool
+owner_may_order(const struct cw_owner *owner, struct timespec now)
+{
+    return owner->state == OWNER_ACTIVE &&
+           cw_time_diff_ms(owner->proof_at, now) < ORDER_PROOF_MS;
+}
+
+bool
+owner_may_extend(const struct cw_owner *owner, struct timespec now)
+{
+    return owner->state == OWNER_ACTIVE &&
+           cw_time_diff_ms(owner->proof_at, now) < EXTEND_PROOF_MS;
+}
+
+/* ---- becoming the owner ---- */
+
+/* Runs that earlier owners have ordered are over at the latest when a lease
+ * that they could still extend has passed. */
+static void
+bound_earlier_leases(struct cw_owner *owner, struct timespec now)
+{
+    int64_t lease_ms = owner->options.lease_ms;
+    int64_t most_ms = EXTEND_PROOF_MS + lease_ms +
+                      lease_ms * DRIFT_PERCENT / 100 + TAKEOVER_SLACK_MS;
+    GHashTableIter iterator;
+    gpointer value;
+
+    g_hash_table_iter_init(&iterator, owner->targets);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        struct owner_target *target = value;
+
+        if (target->runs->len > 0) {
+            target->lease_end = cw_time_add_ms(now, most_ms);
+            target->hold_due = now;
+        }
+    }
+}
+
+static void
+begin_deciding(struct cw_owner *owner, struct timespec now)
+{
+    GHashTable *jobs = cw_replica_jobs(owner->options.replica);
+    GHashTableIter iterator;
+    gpointer value;
+
+    owner->state = OWNER_ACTIVE;
+    owner->sequence = 1;
+    owner->place_wanted = true;
+    owner->sweep_due = cw_time_add_ms(now, SWEEP_EVERY_MS);
+    g_hash_table_iter_init(&iterator, jobs);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        owner_job_adopt(owner, value);
+    }
+    bound_earlier_leases(owner, now);
+    cw_count_add(owner->options.counters, CW_COUNT_TAKEOVERS, 1);
+    cw_log_info("owner_begins",
+                "shard=%u epoch=%" PRIu64 " generation=%" PRIu64
+                " jobs=%u targets=%u took_ms=%" PRId64,
+                owner->options.partition, owner->epoch,
+                owner->epoch_generation, g_hash_table_size(owner->jobs),
+                g_hash_table_size(owner->targets),
+                cw_time_diff_ms(owner->began, now));
+}
+
+static void
+follow_reports(struct cw_owner *owner)
+{
+    struct cw_follower_options options = {
+        .name = "workers",
+        .store = owner->options.store,
+        .clock = owner->options.clock,
+        .topic = owner->options.codec->targets_topic,
+        .pace_ms = REPORTS_PACE_MS,
+        .handler = {.reset = owner_targets_reset,
+                    .loaded = owner_targets_loaded,
+                    .record = owner_target_record,
+                    .context = owner},
+    };
+
+    owner->reports = cw_follower_create(&options);
+}
+
+static void
+begin_fencing(struct cw_owner *owner, struct timespec now)
+{
+    if (owner->generation != owner->epoch_generation) {
+        owner->epoch_generation = owner->generation;
+        owner->epoch_count = 0;
+    }
+    owner->epoch = owner->epoch_generation * EPOCHS_PER_GENERATION +
+                   MIN(owner->epoch_count, EPOCHS_PER_GENERATION - 1);
+    owner->epoch_count++;
+    owner->state = OWNER_FENCING;
+    owner->began = now;
+    owner->fence_due = now;
+    cw_follower_set_pace(cw_replica_follower(owner->options.replica),
+                         CW_OWNER_PACE_MS);
+    follow_reports(owner);
+}
+
+/* Context of a call that a later term must ignore. */
+struct term_call {
+    struct cw_owner *owner;
+    unsigned term;
+    struct timespec sent;
+};
+
+static struct term_call *
+term_call_new(struct cw_owner *owner, struct timespec now)
+{
+    struct term_call *call = g_new0(struct term_call, 1);
+
+    call->owner = owner;
+    call->term = owner->term;
+    call->sent = now;
+    return call;
+}
+
+static void
+on_fenced(void *context, const struct cw_store_appended *result)
+{
+    struct term_call *call = context;
+    struct cw_owner *owner = call->owner;
+    struct timespec sent = call->sent;
+    bool current = call->term == owner->term;
+
+    g_free(call);
+    owner->fence_in_flight = false;
+    if (!current || owner->state != OWNER_FENCING) {
+        return;
+    }
+    if (result->status == CW_STORE_FENCED) {
+        owner_depose(owner, "higher_epoch");
+        return;
+    }
+    if (result->status != CW_STORE_OK) {
+        owner->fence_due = cw_time_add_ms(owner_now(owner), FENCE_RETRY_MS);
+        return;
+    }
+    owner->proof_at = sent;
+    owner->fence_end = result->end;
+    owner->state = OWNER_CATCHING;
+    cw_follower_hurry(cw_replica_follower(owner->options.replica));
+}
+
+static void
+send_fence(struct cw_owner *owner, struct timespec now)
+{
+    struct cw_store_append call = {
+        .topic = CW_WORK_TOPIC,
+        .partition = owner->options.partition,
+        .writer = "owner",
+        .epoch = owner->epoch,
+        .timeout_ms = FENCE_TIMEOUT_MS,
+        .done = on_fenced,
+    };
+
+    if (owner->fence_in_flight || cw_time_before(now, owner->fence_due)) {
+        return;
+    }
+    owner->fence_in_flight = true;
+    call.context = term_call_new(owner, now);
+    owner->options.store->ops->append(owner->options.store, &call);
+}
+
+static bool
+caught_up(struct cw_owner *owner)
+{
+    struct cw_follower *jobs = cw_replica_follower(owner->options.replica);
+
+    return cw_follower_loaded(jobs) && cw_follower_loaded(owner->reports) &&
+           cw_follower_position(jobs) >= owner->fence_end;
+}
+
+/* ---- the group ---- */
+
+static bool
+has_partition(const struct cw_store_joined *result, unsigned partition)
+{
+    for (size_t i = 0; i < result->count; i++) {
+        if (result->partitions[i] == partition) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+take_join(struct cw_owner *owner, const struct cw_store_joined *result,
+          struct timespec now)
+{
+    bool has = has_partition(result, owner->options.partition);
+
+    owner->generation = result->generation;
+    if (has) {
+        owner->proof_at = owner->join_sent;
+    }
+    if (has && !owner->holds_partition && !owner->leaving) {
+        owner->holds_partition = true;
+        cw_log_info("shard_gained", "shard=%u generation=%" PRIu64,
+                    owner->options.partition, owner->generation);
+        begin_fencing(owner, now);
+    }
+    else if (!has && owner->holds_partition) {
+        owner_depose(owner, "reassigned");
+    }
+}
+
+static void
+on_joined(void *context, const struct cw_store_joined *result)
+{
+    struct cw_owner *owner = context;
+    struct timespec now = owner_now(owner);
+
+    owner->join_in_flight = false;
+    owner->join_due = cw_time_add_ms(
+        owner->join_sent, owner->options.member_ttl_ms / JOIN_PARTS);
+    if (result->status == CW_STORE_OK && !owner->leaving) {
+        take_join(owner, result, now);
+    }
+}
+
+static void
+send_join(struct cw_owner *owner, struct timespec now)
+{
+    struct cw_store_join call = {
+        .group = OWNER_GROUP,
+        .member = owner->member,
+        .topic = CW_WORK_TOPIC,
+        .ttl_ms = owner->options.member_ttl_ms,
+        .generation = owner->generation,
+        .timeout_ms = JOIN_TIMEOUT_MS,
+        .done = on_joined,
+        .context = owner,
+    };
+
+    if (owner->join_in_flight || owner->leaving ||
+        cw_time_before(now, owner->join_due)) {
+        return;
+    }
+    owner->join_in_flight = true;
+    owner->join_sent = now;
+    owner->options.store->ops->join(owner->options.store, &call);
+}
+
+static void
+on_left(void *context, enum cw_store_status status)
+{
+    (void)context;
+    cw_log_info("group_left", "status=%s", cw_store_status_name(status));
+}
+
+void
+cw_owner_leave(struct cw_owner *owner)
+{
+    struct cw_store_leave call = {
+        .group = OWNER_GROUP,
+        .member = owner->member,
+        .timeout_ms = JOIN_TIMEOUT_MS,
+        .done = on_left,
+        .context = owner,
+    };
+
+    if (owner->leaving) {
+        return;
+    }
+    owner->leaving = true;
+    if (owner->state != OWNER_IDLE) {
+        owner_depose(owner, "leaving");
+    }
+    owner->options.store->ops->leave(owner->options.store, &call);
+}
+
+/* ---- what the replica tells ---- */
+
+static void
+on_changed(void *context, struct cw_replica_job *entry)
+{
+    struct cw_owner *owner = context;
+    struct owner_job *job;
+
+    if (owner->state != OWNER_ACTIVE) {
+        return;
+    }
+    job = g_hash_table_lookup(owner->jobs, entry->id);
+    if (job == NULL) {
+        owner_job_adopt(owner, entry);
+        return;
+    }
+    if (entry->cancelled && !cw_work_is_over(job->phase)) {
+        owner_job_end(owner, job, CW_WORK_CANCELLED, "asked");
+    }
+}
+
+/* ---- public ---- */
+
+struct cw_owner *
+cw_owner_create(const struct cw_owner_options *options)
+{
+    struct cw_owner *owner = g_new0(struct cw_owner, 1);
+    struct cw_replica_listener listener = {.changed = on_changed,
+                                           .context = owner};
+
+    owner->options = *options;
+    owner->member = g_strdup(options->member);
+    owner->jobs =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, owner_job_free);
+    owner->targets = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+                                           owner_target_free);
+    owner->dirty = g_ptr_array_new();
+    cw_replica_set_listener(options->replica, &listener);
+    return owner;
+}
+
+void
+cw_owner_free(struct cw_owner *owner)
+{
+    if (owner == NULL) {
+        return;
+    }
+    drop_state(owner);
+    g_hash_table_unref(owner->targets);
+    g_hash_table_unref(owner->jobs);
+    g_ptr_array_unref(owner->dirty);
+    cw_routing_unref(owner->routing);
+    g_free(owner->member);
+    g_free(owner);
+}
+
+void
+cw_owner_configure(struct cw_owner *owner, struct cw_routing *routing)
+{
+    cw_routing_unref(owner->routing);
+    owner->routing = cw_routing_ref(routing);
+    owner->place_wanted = true;
+}
+
+bool
+cw_owner_active(const struct cw_owner *owner)
+{
+    return owner->state == OWNER_ACTIVE;
+}
+
+/* ---- ticking ---- */
+
+static struct timespec
+tick_targets(struct cw_owner *owner, struct timespec now)
+{
+    struct timespec next = cw_time_add_ms(now, CHECK_EVERY_MS);
+    GPtrArray *targets = g_ptr_array_new();
+    GHashTableIter iterator;
+    gpointer value;
+
+    /* Ends of leases change the table of runs, not that of targets. */
+    g_hash_table_iter_init(&iterator, owner->targets);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        g_ptr_array_add(targets, value);
+    }
+    for (guint i = 0; i < targets->len && owner->state == OWNER_ACTIVE; i++) {
+        struct owner_target *target = targets->pdata[i];
+
+        owner_orders_send(owner, target, now);
+        owner_earlier(&next, owner_hold_tick(owner, target, now));
+    }
+    g_ptr_array_unref(targets);
+    return next;
+}
+
+static void
+tick_jobs(struct cw_owner *owner, struct timespec now)
+{
+    GHashTableIter iterator;
+    gpointer value;
+
+    if (cw_time_before(now, owner->check_due)) {
+        return;
+    }
+    owner->check_due = cw_time_add_ms(now, CHECK_EVERY_MS);
+    owner->place_wanted = true;
+    g_hash_table_iter_init(&iterator, owner->jobs);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        owner_job_open_due(owner, value, now);
+    }
+}
+
+static struct timespec
+tick_active(struct cw_owner *owner, struct timespec now)
+{
+    struct timespec next = cw_time_add_ms(now, CHECK_EVERY_MS);
+
+    cw_follower_tick(owner->reports, now);
+    owner_earlier(&next, cw_follower_due(owner->reports));
+    tick_jobs(owner, now);
+    if (owner->place_wanted && owner_may_order(owner, now)) {
+        if (!cw_time_before(now, owner->place_due)) {
+            owner->place_wanted = false;
+            owner->place_due = cw_time_add_ms(now, PLACE_EVERY_MS);
+            owner_place(owner, now);
+        }
+        else {
+            owner_earlier(&next, owner->place_due);
+        }
+    }
+    owner_earlier(&next, owner_commit_tick(owner, now));
+    if (owner->state != OWNER_ACTIVE) {
+        return now;
+    }
+    owner_earlier(&next, tick_targets(owner, now));
+    if (!cw_time_before(now, owner->sweep_due)) {
+        owner->sweep_due = cw_time_add_ms(now, SWEEP_EVERY_MS);
+        owner_sweep(owner);
+    }
+    return next;
+}
+
+struct timespec
+cw_owner_tick(struct cw_owner *owner, struct timespec now)
+{
+    struct timespec next;
+
+    send_join(owner, now);
+    next = owner->join_in_flight || owner->leaving
+               ? cw_time_add_ms(now, CW_MS_PER_S)
+               : owner->join_due;
+    if (owner->state == OWNER_FENCING || owner->state == OWNER_CATCHING) {
+        cw_follower_tick(owner->reports, now);
+        owner_earlier(&next, cw_follower_due(owner->reports));
+    }
+    if (owner->state == OWNER_FENCING) {
+        send_fence(owner, now);
+        owner_earlier(&next, cw_time_add_ms(now, FENCE_RETRY_MS));
+    }
+    else if (owner->state == OWNER_CATCHING) {
+        owner_earlier(&next, cw_time_add_ms(now, PLACE_EVERY_MS));
+        if (caught_up(owner)) {
+            begin_deciding(owner, now);
+        }
+    }
+    if (owner->state == OWNER_ACTIVE) {
+        owner_earlier(&next, tick_active(owner, now));
+    }
+    return next;
+}
+
+void
+cw_owner_stats(const struct cw_owner *owner, struct cw_owner_stats *out)
+{
+    GHashTableIter iterator;
+    gpointer value;
+
+    memset(out, 0, sizeof(*out));
+    out->jobs = g_hash_table_size(owner->jobs);
+    out->targets = g_hash_table_size(owner->targets);
+    g_hash_table_iter_init(&iterator, owner->targets);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        out->runs += ((struct owner_target *)value)->runs->len;
+    }
+}
--- /dev/null
+++ b/src/owner/owner_holds.c
@@ -0,0 +1,356 @@
+/* Leases kept up, and what the workers list of runs and ends. */
+#include "owner/internal/owner_private.h"
+
+#include <string.h>
+
+enum {
+    /* How long a hold waits at the worker for news.  Longer is cheaper; a
+     * lost answer costs this time and the timeout. */
+    HOLD_WAIT_MS = 1000,
+    HOLD_TIMEOUT_MS = 900,
+    HOLD_PACE_MS = 40,
+    HOLD_RETRY_MS = 300,
+    /* Ends are not durable yet: the lease is kept up at this pace. */
+    HOLD_BLOCKED_MS = 700,
+    ENDS_LISTED_MAX = 500,
+    /* No progress for so long: the task stands still.  A percent of the
+     * longest tasks (11 s, three times as long across racks, on a worker
+     * six times slower) takes 2 s. */
+    STALL_MS = 4500
+};
+
+struct hold_call {
+    struct cw_owner *owner;
+    unsigned term;
+    struct owner_target *target;
+    struct timespec sent;
+};
+
+/* ---- runs that are listed ---- */
+
+static void
+note_progress(struct owner_run *run, const struct cw_running *listed,
+              struct timespec now)
+{
+    if (run->phase == RUN_STARTING || run->phase == RUN_UNSURE) {
+        run->phase = RUN_RUNNING;
+        run->started_at = now;
+        run->progress_at = now;
+        run->saved_at = now;
+    }
+    if (listed->percent != run->percent) {
+        run->percent = listed->percent;
+        run->progress_at = now;
+    }
+    if (listed->saved[0] != '\0') {
+        run->saved_at = now;
+    }
+}
+
+static struct owner_run *
+listed_run(struct cw_owner *owner, struct owner_target *target,
+           const struct cw_running *listed)
+{
+    struct owner_task *task = owner_task_find(owner, &listed->task);
+
+    if (task == NULL || task->run == NULL ||
+        task->run->number != listed->run || task->run->target != target) {
+        return NULL;
+    }
+    return task->run;
+}
+
+/* Stops what runs there without being wanted: an order that was carried out
+ * late, or a run that was given up on. */
+static void
+stop_stray(struct cw_owner *owner, struct owner_target *target,
+           const struct cw_running *listed)
+{
+    cw_log_info("stray", "id=%s task=%u.%u.%u run=%u worker=%s",
+                listed->task.job, listed->task.occurrence, listed->task.step,
+                listed->task.index, listed->run, target->id);
+    owner_order_queue(owner, target, CW_ORDER_STOP, &listed->task,
+                      listed->run);
+}
+
+static bool
+is_listed(const struct owner_run *run, const struct cw_target_answer *answer)
+{
+    struct cw_task_name name = owner_task_name(run->task);
+
+    for (size_t i = 0; i < answer->running_count; i++) {
+        const struct cw_running *listed = &answer->running[i];
+
+        if (listed->run == run->number && listed->task.step == name.step &&
+            listed->task.index == name.index &&
+            listed->task.occurrence == name.occurrence &&
+            strcmp(listed->task.job, name.job) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* True if a run that the worker does not list cannot be there any more and
+ * cannot come: it was confirmed, or stopped, or shut out, before the look. */
+static bool
+absence_counts(const struct owner_run *run, struct timespec sent)
+{
+    switch (run->phase) {
+    case RUN_UNSURE:
+        return true;
+    case RUN_RUNNING:
+        return cw_time_before(run->started_at, sent);
+    case RUN_STARTING:
+        return run->stop_confirmed &&
+               cw_time_before(run->stop_confirmed_at, sent);
+    default:
+        return false;
+    }
+}
+
+static void
+drop_absent(struct cw_owner *owner, struct owner_target *target,
+            const struct cw_target_answer *answer, struct timespec sent)
+{
+    GPtrArray *absent = g_ptr_array_new();
+
+    for (guint i = 0; i < target->runs->len; i++) {
+        struct owner_run *run = target->runs->pdata[i];
+
+        if (absence_counts(run, sent) && !is_listed(run, answer)) {
+            g_ptr_array_add(absent, run);
+        }
+    }
+    for (guint i = 0; i < absent->len; i++) {
+        struct owner_run *run = absent->pdata[i];
+
+        /* Losing one member of a gang may have dropped another. */
+        if (g_ptr_array_find(target->runs, run, NULL)) {
+            owner_run_lost(owner, run, "not_listed");
+        }
+    }
+    g_ptr_array_unref(absent);
+}
+
+static void
+take_lists(struct cw_owner *owner, struct owner_target *target,
+           const struct cw_target_answer *answer, struct timespec sent,
+           struct timespec now)
+{
+    for (size_t i = 0; i < answer->running_count; i++) {
+        struct owner_run *run =
+            listed_run(owner, target, &answer->running[i]);
+
+        if (run != NULL) {
+            note_progress(run, &answer->running[i], now);
+        }
+        else {
+            stop_stray(owner, target, &answer->running[i]);
+        }
+    }
+    for (size_t i = 0; i < answer->ended_count; i++) {
+        const struct cw_ended *ended = &answer->ended[i];
+
+        if (ended->number > target->ends_applied) {
+            target->ends_applied = ended->number;
+            owner_run_ended(owner, target, ended);
+        }
+    }
+    if (answer->ended_count < ENDS_LISTED_MAX) {
+        drop_absent(owner, target, answer, sent);
+    }
+}
+
+/* ---- stalled runs ---- */
+
+static bool
+gang_is_whole(const struct owner_step *step)
+{
+    for (unsigned i = 0; i < step->count; i++) {
+        const struct owner_run *run = step->tasks[i].run;
+
+        if (run == NULL || run->phase != RUN_RUNNING) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static void
+check_stalls(struct cw_owner *owner, struct owner_target *target,
+             struct timespec now)
+{
+    for (guint i = 0; i < target->runs->len; i++) {
+        struct owner_run *run = target->runs->pdata[i];
+        struct owner_step *step = run->task->step;
+
+        if (run->phase != RUN_RUNNING || run->stopping || run->finished ||
+            step->spec->endless ||
+            cw_time_diff_ms(run->progress_at, now) < STALL_MS ||
+            (step->spec->gang && !gang_is_whole(step))) {
+            continue;
+        }
+        cw_log_info("run_stalled",
+                    "id=%s task=%u.%u.%u run=%u worker=%s percent=%u",
+                    owner_task_job(run->task)->spec->id,
+                    step->occurrence->number, step->number, run->task->index,
+                    run->number, target->id, run->percent);
+        owner_target_blame(target, now);
+        if (step->spec->gang) {
+            owner_step_stop(owner, step);
+        }
+        else {
+            owner_run_stop(owner, run);
+        }
+        return; /* the table of runs may have changed */
+    }
+}
+
+/* ---- holds ---- */
+
+static void
+hold_failed(struct owner_target *target, enum cw_target_status status,
+            struct timespec now)
+{
+    if (target->silent == 0) {
+        cw_log_info("worker_silent", "worker=%s status=%s runs=%u",
+                    target->id, cw_target_status_name(status),
+                    target->runs->len);
+    }
+    target->silent++;
+    target->hold_due = cw_time_add_ms(now, HOLD_RETRY_MS);
+}
+
+static void
+hold_answered(struct cw_owner *owner, struct hold_call *call,
+              const struct cw_target_answer *answer, struct timespec now)
+{
+    struct owner_target *target = call->target;
+
+    if (target->silent > 0) {
+        cw_log_info("worker_back", "worker=%s silent=%u", target->id,
+                    target->silent);
+        target->silent = 0;
+        owner->place_wanted = true;
+    }
+    target->fenced = true;
+    target->hold_due = cw_time_add_ms(now, HOLD_PACE_MS);
+    take_lists(owner, target, answer, call->sent, now);
+    check_stalls(owner, target, now);
+}
+
+static void
+on_hold(void *context, const struct cw_target_answer *answer)
+{
+    struct hold_call *call = context;
+    struct cw_owner *owner = call->owner;
+    struct owner_target *target = call->target;
+    struct timespec now = owner_now(owner);
+
+    if (call->term != owner->term) {
+        g_free(call);
+        return;
+    }
+    target->hold_in_flight = false;
+    owner_target_clock(target, answer->clock_ms, now);
+    switch (answer->status) {
+    case CW_TARGET_OK:
+        hold_answered(owner, call, answer, now);
+        break;
+    case CW_TARGET_FENCED:
+        owner_depose(owner, "fenced_by_worker");
+        break;
+    case CW_TARGET_OTHER_LIFE:
+        target->gone = true;
+        owner_target_lost(owner, target, "other_life");
+        break;
+    default:
+        hold_failed(target, answer->status, now);
+        break;
+    }
+    g_free(call);
+}
+
+static void
+send_hold(struct cw_owner *owner, struct owner_target *target,
+          struct timespec now)
+{
+    struct hold_call *call = g_new0(struct hold_call, 1);
+    bool blocked = target->ends_applied > target->ends_durable;
+    /* A first look, and one that waits for a stop, wants an answer now. */
+    unsigned wait_ms = blocked || !target->fenced ? 0 : HOLD_WAIT_MS;
+    struct cw_target_order order = {
+        .kind = CW_ORDER_HOLD,
+        .address = target->address,
+        .id = target->id,
+        .fence = owner->epoch,
+        .lease_until_ms = owner_target_lease(target, now),
+        .acked = target->ends_durable,
+        .wait_ms = wait_ms,
+        .timeout_ms = wait_ms + HOLD_TIMEOUT_MS,
+        .done = on_hold,
+        .context = call,
+    };
+
+    call->owner = owner;
+    call->term = owner->term;
+    call->target = target;
+    call->sent = now;
+    target->hold_in_flight = true;
+    target->hold_sent = now;
+    owner->options.targets->ops->order(owner->options.targets, &order);
+}
+
+static bool
+wants_hold(const struct owner_target *target)
+{
+    if (target->gone || target->address[0] == '\0') {
+        return false;
+    }
+    if (!target->clock_known && target->listed) {
+        return true;
+    }
+    return target->runs->len > 0 ||
+           target->ends_applied > target->ends_in_batch ||
+           target->ends_in_batch > target->ends_durable ||
+           (target->silent > 0 && target->listed);
+}
+
+/* True if a run was sent there, by this owner or an earlier one. */
+static bool
+has_ordered_run(const struct owner_target *target)
+{
+    for (guint i = 0; i < target->runs->len; i++) {
+        const struct owner_run *run = target->runs->pdata[i];
+
+        if (run->phase >= RUN_STARTING) {
+            return true;
+        }
+    }
+    return false;
+}
+
+struct timespec
+owner_hold_tick(struct cw_owner *owner, struct owner_target *target,
+                struct timespec now)
+{
+    struct timespec due = target->hold_due;
+
+    if (cw_time_before(target->lease_end, now) && has_ordered_run(target)) {
+        owner_target_lost(owner, target, "lease_over");
+    }
+    if (target->hold_in_flight || !wants_hold(target) ||
+        !owner_may_extend(owner, now)) {
+        return cw_time_from_ms(INT32_MAX);
+    }
+    if (target->ends_applied > target->ends_durable) {
+        /* Without it the worker would answer at once with the same ends. */
+        due = cw_time_add_ms(target->hold_sent, HOLD_BLOCKED_MS);
+    }
+    if (!cw_time_before(now, due)) {
+        send_hold(owner, target, now);
+        return cw_time_from_ms(INT32_MAX);
+    }
+    return due;
+}
--- /dev/null
+++ b/src/owner/owner_jobs.c
@@ -0,0 +1,474 @@
+/* Jobs in the owner's hands: made from what the store has, encoded for it,
+ * moved on as their tasks end. */
+#include "owner/internal/owner_private.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum {
+    /* A due time is met a little late rather than early: the clocks of two
+     * VMs differ by some milliseconds. */
+    DUE_SLACK_MS = 30,
+    MILLI = 1000
+};
+
+/* ---- making and freeing ---- */
+
+static void
+step_clear(struct owner_step *step)
+{
+    for (unsigned i = 0; i < step->count; i++) {
+        g_free(step->tasks[i].saved);
+        g_free(step->tasks[i].failed_on);
+    }
+    g_free(step->tasks);
+}
+
+static void
+occurrence_free(gpointer data)
+{
+    struct owner_occurrence *occurrence = data;
+
+    for (unsigned i = 0; i < occurrence->count; i++) {
+        step_clear(&occurrence->steps[i]);
+    }
+    g_free(occurrence->steps);
+    g_free(occurrence);
+}
+
+void
+owner_job_free(gpointer data)
+{
+    struct owner_job *job = data;
+
+    g_ptr_array_unref(job->open);
+    g_free(job);
+}
+
+static void
+step_init(struct owner_occurrence *occurrence, unsigned number)
+{
+    struct owner_step *step = &occurrence->steps[number];
+
+    step->occurrence = occurrence;
+    step->number = number;
+    step->spec = &occurrence->job->spec->steps.steps_val[number];
+    step->count = step->spec->tasks;
+    step->left = step->count;
+    step->tasks = g_new0(struct owner_task, step->count);
+    for (unsigned i = 0; i < step->count; i++) {
+        step->tasks[i].step = step;
+        step->tasks[i].index = i;
+    }
+}
+
+static struct owner_occurrence *
+occurrence_open(struct owner_job *job, unsigned number)
+{
+    struct owner_occurrence *occurrence = g_new0(struct owner_occurrence, 1);
+
+    occurrence->job = job;
+    occurrence->number = number;
+    occurrence->count = job->spec->steps.steps_len;
+    occurrence->steps = g_new0(struct owner_step, occurrence->count);
+    for (unsigned i = 0; i < occurrence->count; i++) {
+        step_init(occurrence, i);
+    }
+    g_ptr_array_add(job->open, occurrence);
+    return occurrence;
+}
+
+/* ---- from the store ---- */
+
+static void
+restore_task(struct cw_owner *owner, const struct cw_work_record *record,
+             struct owner_task *task, const struct cw_task_record *stored)
+{
+    task->last_run = stored->run;
+    task->failures = stored->failures;
+    if (stored->saved[0] != '\0') {
+        task->saved = g_strdup(stored->saved);
+    }
+    if (stored->done) {
+        task->done = true;
+        task->step->left--;
+    }
+    if (stored->worker > 0 && stored->worker <= record->workers.workers_len) {
+        const char *id = record->workers.workers_val[stored->worker - 1];
+
+        owner_run_create(owner, task, owner_target_get(owner, id), RUN_UNSURE,
+                         stored->run);
+    }
+}
+
+static void
+restore_step(struct cw_owner *owner, const struct cw_work_record *record,
+             struct owner_step *step, const struct cw_step_record *stored)
+{
+    u_int count = MIN(stored->tasks.tasks_len, step->count);
+
+    step->failures = stored->failures;
+    for (u_int i = 0; i < count; i++) {
+        restore_task(owner, record, &step->tasks[i],
+                     &stored->tasks.tasks_val[i]);
+    }
+    if (stored->done) {
+        step->done = true;
+        step->left = 0;
+    }
+}
+
+static void
+restore(struct cw_owner *owner, struct owner_job *job,
+        const struct cw_work_record *record)
+{
+    job->phase = record->phase;
+    job->started = record->started;
+    job->ended_ms = record->ended_ms;
+    job->next_occurrence = record->next_occurrence;
+    for (u_int i = 0; i < record->open.open_len; i++) {
+        const struct cw_occurrence_record *stored = &record->open.open_val[i];
+        struct owner_occurrence *occurrence =
+            occurrence_open(job, stored->number);
+        u_int count = MIN(stored->steps.steps_len, occurrence->count);
+
+        for (u_int k = 0; k < count; k++) {
+            restore_step(owner, record, &occurrence->steps[k],
+                         &stored->steps.steps_val[k]);
+        }
+    }
+}
+
+static bool
+restore_entry(struct cw_owner *owner, struct owner_job *job)
+{
+    struct cw_work_record record = {0};
+    gsize length = 0;
+    const void *bytes = g_bytes_get_data(job->entry->record, &length);
+
+    if (!cw_xdr_decode((xdrproc_t)xdr_cw_work_record, &record, bytes,
+                       length)) {
+        cw_log_error("record_invalid", "id=%s kind=state offset=%" PRIu64,
+                     job->spec->id, job->entry->record_offset);
+        return false;
+    }
+    restore(owner, job, &record);
+    xdr_free((xdrproc_t)xdr_cw_work_record, (char *)&record);
+    return true;
+}
+
+/* When the job's work should be over: its latency target, and its longest
+ * chain as declared times the queue's stretch. */
+static struct timespec
+objective_of(const struct cw_work_spec *spec, struct timespec accepted)
+{
+    int64_t chain = cw_work_chain_ms(spec);
+
+    return cw_time_add_ms(accepted, chain * spec->stretch_milli / MILLI +
+                                        spec->target_latency_ms);
+}
+
+void
+owner_job_adopt(struct cw_owner *owner, struct cw_replica_job *entry)
+{
+    struct timespec now = owner_now(owner);
+    int64_t age_ms;
+    struct owner_job *job;
+
+    if (entry->spec == NULL || g_hash_table_contains(owner->jobs, entry->id)) {
+        return;
+    }
+    if (entry->record != NULL && cw_work_is_over(entry->recorded_phase)) {
+        return;
+    }
+    job = g_new0(struct owner_job, 1);
+    job->entry = entry;
+    job->spec = entry->spec;
+    job->open = g_ptr_array_new_with_free_func(occurrence_free);
+    age_ms = cw_clock_wall_ms(owner->options.clock) - entry->spec->accepted_ms;
+    job->known_at = cw_time_add_ms(now, -CLAMP(age_ms, 0, G_MAXINT));
+    job->objective = objective_of(job->spec, job->known_at);
+    g_hash_table_insert(owner->jobs, entry->id, job);
+    if (entry->record != NULL && !restore_entry(owner, job)) {
+        g_hash_table_remove(owner->jobs, entry->id);
+        return;
+    }
+    cw_log_info("job_taken",
+                "id=%s queue=%s account=%s steps=%u offset=%" PRIu64
+                " record=%" PRIu64 " cancelled=%d age_ms=%" PRId64,
+                entry->id, job->spec->queue, job->spec->account,
+                job->spec->steps.steps_len, entry->spec_offset,
+                entry->record_offset, entry->cancelled, age_ms);
+    if (entry->cancelled) {
+        owner_job_end(owner, job, CW_WORK_CANCELLED, "asked");
+        return;
+    }
+    owner_job_open_due(owner, job, now);
+    owner->place_wanted = true;
+}
+
+/* ---- to the store ---- */
+
+/* Index of a worker's name in the record, from 1. */
+static unsigned
+name_index(GHashTable *index, GPtrArray *names, char *id)
+{
+    gpointer found = g_hash_table_lookup(index, id);
+
+    if (found == NULL) {
+        g_ptr_array_add(names, id);
+        found = GUINT_TO_POINTER(names->len);
+        g_hash_table_insert(index, id, found);
+    }
+    return GPOINTER_TO_UINT(found);
+}
+
+static void
+encode_task(const struct owner_task *task, struct cw_task_record *out,
+            GHashTable *index, GPtrArray *names)
+{
+    const struct owner_run *run = task->run;
+
+    out->run = task->last_run;
+    out->failures = task->failures;
+    out->done = task->done;
+    out->saved = task->saved != NULL ? task->saved : (char *)"";
+    if (run != NULL && run->phase != RUN_RESERVED) {
+        out->worker = name_index(index, names, run->target->id);
+    }
+}
+
+static void
+encode_step(const struct owner_step *step, struct cw_step_record *out,
+            GHashTable *index, GPtrArray *names)
+{
+    out->done = step->done;
+    out->failures = step->failures;
+    if (step->done && step->runs == 0) {
+        return;
+    }
+    out->tasks.tasks_len = step->count;
+    out->tasks.tasks_val = g_new0(struct cw_task_record, step->count);
+    for (unsigned i = 0; i < step->count; i++) {
+        encode_task(&step->tasks[i], &out->tasks.tasks_val[i], index, names);
+    }
+}
+
+static void
+encode_occurrence(const struct owner_occurrence *occurrence,
+                  struct cw_occurrence_record *out, GHashTable *index,
+                  GPtrArray *names)
+{
+    out->number = occurrence->number;
+    out->steps.steps_len = occurrence->count;
+    out->steps.steps_val = g_new0(struct cw_step_record, occurrence->count);
+    for (unsigned i = 0; i < occurrence->count; i++) {
+        encode_step(&occurrence->steps[i], &out->steps.steps_val[i], index,
+                    names);
+    }
+}
+
+/* Frees the arrays of a record whose texts are borrowed. */
+static void
+record_clear(struct cw_work_record *record)
+{
+    for (u_int i = 0; i < record->open.open_len; i++) {
+        struct cw_occurrence_record *occurrence = &record->open.open_val[i];
+
+        for (u_int k = 0; k < occurrence->steps.steps_len; k++) {
+            g_free(occurrence->steps.steps_val[k].tasks.tasks_val);
+        }
+        g_free(occurrence->steps.steps_val);
+    }
+    g_free(record->open.open_val);
+}
+
+GByteArray *
+owner_job_encode(const struct owner_job *job)
+{
+    GHashTable *index = g_hash_table_new(g_str_hash, g_str_equal);
+    GPtrArray *names = g_ptr_array_new();
+    struct cw_work_record record = {
+        .phase = job->phase,
+        .started = job->started,
+        .ended_ms = job->ended_ms,
+        .next_occurrence = job->next_occurrence,
+    };
+    GByteArray *bytes;
+
+    record.open.open_len = job->open->len;
+    record.open.open_val = g_new0(struct cw_occurrence_record, job->open->len);
+    for (guint i = 0; i < job->open->len; i++) {
+        encode_occurrence(job->open->pdata[i], &record.open.open_val[i], index,
+                          names);
+    }
+    record.workers.workers_len = names->len;
+    record.workers.workers_val = (cw_name *)names->pdata;
+    bytes = cw_xdr_encode((xdrproc_t)xdr_cw_work_record, &record);
+    g_assert(bytes != NULL);
+    record_clear(&record);
+    g_ptr_array_unref(names);
+    g_hash_table_unref(index);
+    return bytes;
+}
+
+void
+owner_job_touch(struct cw_owner *owner, struct owner_job *job)
+{
+    if (!job->dirty) {
+        job->dirty = true;
+        g_ptr_array_add(owner->dirty, job);
+    }
+}
+
+/* ---- moving on ---- */
+
+static void
+stop_all(struct cw_owner *owner, struct owner_job *job)
+{
+    for (guint i = 0; i < job->open->len; i++) {
+        struct owner_occurrence *occurrence = job->open->pdata[i];
+
+        for (unsigned k = 0; k < occurrence->count; k++) {
+            owner_step_stop(owner, &occurrence->steps[k]);
+        }
+    }
+}
+
+static void
+job_over(struct cw_owner *owner, struct owner_job *job,
+         enum cw_work_phase phase, const char *reason)
+{
+    struct timespec now = owner_now(owner);
+
+    job->phase = phase;
+    job->ended_ms = cw_clock_wall_ms(owner->options.clock);
+    owner_job_touch(owner, job);
+    cw_log_info("job_over",
+                "id=%s queue=%s outcome=%s reason=%s age_ms=%" PRId64
+                " late_ms=%" PRId64,
+                job->spec->id, job->spec->queue, cw_work_phase_name(phase),
+                reason, cw_time_diff_ms(job->known_at, now),
+                cw_time_diff_ms(job->objective, now));
+}
+
+void
+owner_job_end(struct cw_owner *owner, struct owner_job *job,
+              enum cw_work_phase phase, const char *reason)
+{
+    job_over(owner, job, phase, reason);
+    stop_all(owner, job);
+}
+
+static bool
+occurrence_done(const struct owner_occurrence *occurrence)
+{
+    for (unsigned i = 0; i < occurrence->count; i++) {
+        if (!occurrence->steps[i].done) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static unsigned
+occurrences_of(const struct owner_job *job)
+{
+    return MAX(1, job->spec->repeats);
+}
+
+static bool
+job_done(const struct owner_job *job)
+{
+    if (job->next_occurrence < occurrences_of(job)) {
+        return false;
+    }
+    for (guint i = 0; i < job->open->len; i++) {
+        if (!occurrence_done(job->open->pdata[i])) {
+            return false;
+        }
+    }
+    return true;
+}
+
+void
+owner_step_done(struct cw_owner *owner, struct owner_step *step)
+{
+    struct owner_job *job = step->occurrence->job;
+
+    step->done = true;
+    step->left = 0;
+    owner_job_touch(owner, job);
+    owner->place_wanted = true;
+    if (!cw_work_is_over(job->phase) && job_done(job)) {
+        job_over(owner, job, CW_WORK_COMPLETED, "all_done");
+    }
+}
+
+struct timespec
+owner_job_open_due(struct cw_owner *owner, struct owner_job *job,
+                   struct timespec now)
+{
+    int64_t wall_ms = cw_clock_wall_ms(owner->options.clock);
+    unsigned all = occurrences_of(job);
+
+    while (!cw_work_is_over(job->phase) && job->next_occurrence < all) {
+        int64_t due_ms = job->spec->first_due_ms + DUE_SLACK_MS +
+                         job->next_occurrence * job->spec->interval_ms;
+
+        if (job->spec->repeats > 0 && due_ms > wall_ms) {
+            return cw_time_add_ms(now, due_ms - wall_ms);
+        }
+        occurrence_open(job, job->next_occurrence++);
+        owner->place_wanted = true;
+    }
+    return cw_time_from_ms(INT32_MAX);
+}
+
+static gboolean
+job_runs_somewhere(const struct owner_job *job)
+{
+    return job->runs > 0;
+}
+
+void
+owner_job_maybe_forget(struct cw_owner *owner, struct owner_job *job)
+{
+    if (!cw_work_is_over(job->phase) || job->dirty ||
+        job_runs_somewhere(job)) {
+        return;
+    }
+    g_hash_table_remove(owner->jobs, job->spec->id);
+}
+
+/* ---- finding ---- */
+
+struct owner_task *
+owner_task_find(const struct cw_owner *owner, const struct cw_task_name *name)
+{
+    struct owner_job *job = g_hash_table_lookup(owner->jobs, name->job);
+
+    for (guint i = 0; job != NULL && i < job->open->len; i++) {
+        struct owner_occurrence *occurrence = job->open->pdata[i];
+
+        if (occurrence->number == name->occurrence &&
+            name->step < occurrence->count &&
+            name->index < occurrence->steps[name->step].count) {
+            return &occurrence->steps[name->step].tasks[name->index];
+        }
+    }
+    return NULL;
+}
+
+struct cw_task_name
+owner_task_name(const struct owner_task *task)
+{
+    struct cw_task_name name = {
+        .job = owner_task_job(task)->spec->id,
+        .occurrence = task->step->occurrence->number,
+        .step = task->step->number,
+        .index = task->index,
+    };
+
+    return name;
+}
--- /dev/null
+++ b/src/owner/owner_orders.c
@@ -0,0 +1,285 @@
+/* Starts and stops on their way to the workers. */
+#include "owner/internal/owner_private.h"
+
+#include <string.h>
+
+enum {
+    /* Two at a time: a lost answer does not hold up the rest, and a worker
+     * sees few connections. */
+    ORDERS_IN_FLIGHT = 2,
+    ORDER_TIMEOUT_MS = 900,
+    STARTS_UNANSWERED = 3,
+    AVOID_FULL_MS = 300,
+    AVOID_UNHEALTHY_MS = 1500
+};
+
+void
+owner_order_free(struct owner_order *order)
+{
+    g_free(order->job);
+    g_free(order);
+}
+
+void
+owner_order_queue(struct cw_owner *owner, struct owner_target *target,
+                  enum cw_order_kind kind, const struct cw_task_name *task,
+                  unsigned run)
+{
+    struct owner_order *order = g_new0(struct owner_order, 1);
+
+    order->owner = owner;
+    order->term = owner->term;
+    order->target = target;
+    order->kind = kind;
+    order->job = g_strdup(task->job);
+    order->task = *task;
+    order->task.job = order->job;
+    order->run = run;
+    /* Stops free the room that starts wait for. */
+    if (kind == CW_ORDER_STOP) {
+        g_queue_push_head(&target->orders, order);
+    }
+    else {
+        g_queue_push_tail(&target->orders, order);
+    }
+}
+
+/* The run that an order is about, or NULL if it is no longer there. */
+static struct owner_run *
+order_run(const struct owner_order *order)
+{
+    struct owner_task *task = owner_task_find(order->owner, &order->task);
+
+    if (task == NULL || task->run == NULL ||
+        task->run->number != order->run ||
+        task->run->target != order->target) {
+        return NULL;
+    }
+    return task->run;
+}
+
+/* ---- answers to starts ---- */
+
+static void
+fall_back(struct cw_owner *owner, struct owner_run *run)
+{
+    struct owner_step *step = run->task->step;
+
+    owner_run_drop(owner, run);
+    if (step->spec->gang) {
+        owner_step_stop(owner, step);
+    }
+}
+
+static void
+avoid(struct owner_target *target, int64_t ms)
+{
+    target->avoid_until = cw_time_add_ms(owner_now(target->owner), ms);
+}
+
+static void
+start_again(struct owner_order *order, struct owner_run *run)
+{
+    struct cw_owner *owner = order->owner;
+
+    run->unanswered++;
+    cw_count_code(owner->options.counters, CW_RETRY_SILENT);
+    if (run->unanswered < STARTS_UNANSWERED && !run->stopping) {
+        owner_order_queue(owner, order->target, CW_ORDER_START, &order->task,
+                          order->run);
+        return;
+    }
+    if (run->task->step->spec->gang) {
+        owner_step_stop(owner, run->task->step);
+    }
+    else {
+        owner_run_stop(owner, run);
+    }
+}
+
+static void
+start_confirmed(struct owner_run *run)
+{
+    if (run->phase == RUN_STARTING) {
+        run->phase = RUN_RUNNING;
+        run->started_at = owner_now(run->target->owner);
+        run->progress_at = run->started_at;
+        run->saved_at = run->started_at;
+    }
+}
+
+static void
+start_answered(struct owner_order *order, enum cw_target_status status)
+{
+    struct cw_owner *owner = order->owner;
+    struct owner_target *target = order->target;
+    struct owner_run *run = order_run(order);
+
+    if (run == NULL) {
+        return;
+    }
+    switch (status) {
+    case CW_TARGET_OK:
+    case CW_TARGET_OLD_RUN: /* it ran, or was stopped: its end is listed */
+        start_confirmed(run);
+        break;
+    case CW_TARGET_LATE:
+    case CW_TARGET_UNKNOWN:
+    case CW_TARGET_UNREACHABLE:
+        start_again(order, run);
+        break;
+    case CW_TARGET_NO_ROOM:
+        cw_count_code(owner->options.counters, CW_RETRY_REFUSED);
+        avoid(target, AVOID_FULL_MS);
+        fall_back(owner, run);
+        break;
+    case CW_TARGET_UNHEALTHY:
+        cw_count_code(owner->options.counters, CW_RETRY_REFUSED);
+        avoid(target, AVOID_UNHEALTHY_MS);
+        fall_back(owner, run);
+        break;
+    case CW_TARGET_NO_TICKET:
+    case CW_TARGET_INVALID:
+        cw_count_code(owner->options.counters, CW_RETRY_REFUSED);
+        avoid(target, AVOID_UNHEALTHY_MS);
+        fall_back(owner, run);
+        break;
+    default:
+        break;
+    }
+}
+
+/* ---- answers to stops ---- */
+
+static void
+stop_answered(struct owner_order *order, enum cw_target_status status,
+              struct timespec now)
+{
+    struct owner_run *run = order_run(order);
+
+    if (run == NULL) {
+        return;
+    }
+    run->stop_queued = false;
+    if (status == CW_TARGET_OK || status == CW_TARGET_OLD_RUN) {
+        run->stop_confirmed = true;
+        run->stop_confirmed_at = now;
+        order->target->hold_due = now;
+    }
+    else {
+        owner_run_stop(order->owner, run);
+    }
+}
+
+static void
+log_answer(const struct owner_order *order, enum cw_target_status status)
+{
+    cw_log_info(order->kind == CW_ORDER_START ? "start" : "stop",
+                "id=%s task=%u.%u.%u run=%u worker=%s fence=%" PRIu64
+                " outcome=%s",
+                order->job, order->task.occurrence, order->task.step,
+                order->task.index, order->run, order->target->id,
+                order->owner->epoch, cw_target_status_name(status));
+}
+
+static void
+on_answer(void *context, const struct cw_target_answer *answer)
+{
+    struct owner_order *order = context;
+    struct cw_owner *owner = order->owner;
+    struct owner_target *target = order->target;
+    struct timespec now = owner_now(owner);
+
+    if (order->term != owner->term) {
+        owner_order_free(order);
+        return;
+    }
+    target->orders_in_flight--;
+    log_answer(order, answer->status);
+    owner_target_clock(target, answer->clock_ms, now);
+    if (answer->status == CW_TARGET_FENCED) {
+        owner_order_free(order);
+        owner_depose(owner, "fenced_by_worker");
+        return;
+    }
+    if (answer->status == CW_TARGET_OTHER_LIFE) {
+        target->gone = true;
+        owner_target_lost(owner, target, "other_life");
+    }
+    else if (order->kind == CW_ORDER_START) {
+        start_answered(order, answer->status);
+    }
+    else {
+        stop_answered(order, answer->status, now);
+    }
+    owner_order_free(order);
+}
+
+/* ---- sending ---- */
+
+/* False if there is no more need for the order. */
+static bool
+still_wanted(struct owner_order *order)
+{
+    struct owner_run *run = order_run(order);
+
+    if (order->kind == CW_ORDER_STOP) {
+        return true; /* strays have no run here */
+    }
+    if (run == NULL) {
+        return false;
+    }
+    if (run->stopping && run->phase == RUN_READY) {
+        owner_run_drop(order->owner, run);
+        return false;
+    }
+    return !run->stopping;
+}
+
+static void
+send_order(struct cw_owner *owner, struct owner_order *order,
+           struct timespec now)
+{
+    struct owner_target *target = order->target;
+    struct owner_run *run = order_run(order);
+    struct cw_target_order out = {
+        .kind = order->kind,
+        .address = target->address,
+        .id = target->id,
+        .fence = owner->epoch,
+        .task = order->task,
+        .run = order->run,
+        .timeout_ms = ORDER_TIMEOUT_MS,
+        .done = on_answer,
+        .context = order,
+    };
+
+    if (order->kind == CW_ORDER_START) {
+        out.lease_until_ms = owner_target_lease(target, now);
+        out.payload = owner_task_job(run->task)->spec->payload;
+        out.saved = run->task->saved;
+        run->phase = RUN_STARTING;
+        cw_count_add(owner->options.counters, CW_COUNT_STARTS, 1);
+        owner_earlier(&target->hold_due, now);
+    }
+    target->orders_in_flight++;
+    owner->options.targets->ops->order(owner->options.targets, &out);
+}
+
+void
+owner_orders_send(struct cw_owner *owner, struct owner_target *target,
+                  struct timespec now)
+{
+    while (target->orders_in_flight < ORDERS_IN_FLIGHT &&
+           !g_queue_is_empty(&target->orders) &&
+           owner_may_order(owner, now)) {
+        struct owner_order *order = g_queue_pop_head(&target->orders);
+
+        if (target->gone || target->address[0] == '\0' ||
+            !still_wanted(order)) {
+            owner_order_free(order);
+            continue;
+        }
+        send_order(owner, order, now);
+    }
+}
--- /dev/null
+++ b/src/owner/owner_runs.c
@@ -0,0 +1,315 @@
+/* The life of runs: placed, ordered, ended, lost. */
+#include "owner/internal/owner_private.h"
+
+#include <string.h>
+
+static void
+add_resources(struct cw_resources *sum, const struct cw_resources *part,
+              int sign)
+{
+    sum->cpu_milli += sign * part->cpu_milli;
+    sum->memory_mb += sign * part->memory_mb;
+    sum->accelerators += sign * part->accelerators;
+}
+
+/* The sum that a run's need stands in. */
+static struct cw_resources *
+account_of(struct owner_run *run)
+{
+    return run->phase == RUN_RESERVED ? &run->target->reserved
+                                      : &run->target->used;
+}
+
+struct owner_run *
+owner_run_create(struct cw_owner *owner, struct owner_task *task,
+                 struct owner_target *target, enum run_phase phase,
+                 unsigned number)
+{
+    struct owner_run *run = g_new0(struct owner_run, 1);
+    struct cw_resources need = owner_need(task->step->spec);
+
+    g_assert(task->run == NULL);
+    run->target = target;
+    run->task = task;
+    run->number = number;
+    run->phase = phase;
+    run->created_at = owner_now(owner);
+    run->saved_at = run->created_at;
+    task->run = run;
+    task->last_run = MAX(task->last_run, number);
+    task->step->runs++;
+    owner_task_job(task)->runs++;
+    g_ptr_array_add(target->runs, run);
+    add_resources(account_of(run), &need, 1);
+    return run;
+}
+
+void
+owner_run_drop(struct cw_owner *owner, struct owner_run *run)
+{
+    struct owner_target *target = run->target;
+    struct owner_task *task = run->task;
+    struct owner_job *job = owner_task_job(task);
+    struct cw_resources need = owner_need(task->step->spec);
+
+    add_resources(account_of(run), &need, -1);
+    if (run->stopping) {
+        add_resources(&target->leaving, &need, -1);
+    }
+    g_ptr_array_remove_fast(target->runs, run);
+    task->run = NULL;
+    task->step->runs--;
+    job->runs--;
+    g_free(run);
+    owner->room_version++;
+    owner->place_wanted = true;
+    owner_job_touch(owner, job);
+    owner_runs_settle(owner, target);
+}
+
+void
+owner_run_stop(struct cw_owner *owner, struct owner_run *run)
+{
+    struct cw_task_name name = owner_task_name(run->task);
+
+    switch (run->phase) {
+    case RUN_RESERVED:
+    case RUN_NEW:
+        owner_run_drop(owner, run);
+        return;
+    default:
+        break;
+    }
+    if (!run->stopping) {
+        struct cw_resources need = owner_need(run->task->step->spec);
+
+        run->stopping = true;
+        add_resources(&run->target->leaving, &need, 1);
+    }
+    if ((run->phase == RUN_STARTING || run->phase == RUN_RUNNING ||
+         run->phase == RUN_UNSURE) &&
+        !run->stop_queued && !run->stop_confirmed) {
+        run->stop_queued = true;
+        owner_order_queue(owner, run->target, CW_ORDER_STOP, &name,
+                          run->number);
+    }
+}
+
+void
+owner_step_stop(struct cw_owner *owner, struct owner_step *step)
+{
+    for (unsigned i = 0; i < step->count; i++) {
+        struct owner_run *run = step->tasks[i].run;
+
+        if (run != NULL && !run->finished) {
+            owner_run_stop(owner, run);
+        }
+    }
+}
+
+void
+owner_run_lost(struct cw_owner *owner, struct owner_run *run,
+               const char *reason)
+{
+    struct owner_task *task = run->task;
+    struct owner_step *step = task->step;
+    bool finished = run->finished;
+    struct cw_task_name name = owner_task_name(task);
+
+    cw_log_info("run_lost", "id=%s task=%u.%u.%u run=%u worker=%s reason=%s",
+                name.job, name.occurrence, name.step, name.index, run->number,
+                run->target->id, reason);
+    cw_count_code(owner->options.counters, CW_RETRY_SILENT);
+    owner_run_drop(owner, run);
+    if (step->spec->gang && !finished && !step->done) {
+        owner_step_stop(owner, step);
+    }
+}
+
+/* ---- reserved runs ---- */
+
+/* True if the worker can take the run now, beside what is still there. */
+static bool
+place_is_free(const struct owner_run *run)
+{
+    const struct owner_target *target = run->target;
+    struct cw_resources need = owner_need(run->task->step->spec);
+    struct cw_resources room = target->capacity;
+
+    add_resources(&room, &target->used, -1);
+    return room.cpu_milli >= need.cpu_milli &&
+           room.memory_mb >= need.memory_mb &&
+           room.accelerators >= need.accelerators;
+}
+
+static void
+promote(struct cw_owner *owner, struct owner_run *run)
+{
+    struct cw_resources need = owner_need(run->task->step->spec);
+
+    add_resources(&run->target->reserved, &need, -1);
+    add_resources(&run->target->used, &need, 1);
+    run->phase = RUN_NEW;
+    owner_job_touch(owner, owner_task_job(run->task));
+}
+
+/* A gang starts only once every member's place is free.  Members on one
+ * worker are tried together: each promotion takes room from the next. */
+static void
+settle_gang(struct cw_owner *owner, struct owner_step *step)
+{
+    GPtrArray *promoted = g_ptr_array_new();
+    bool all = true;
+
+    for (unsigned i = 0; i < step->count && all; i++) {
+        struct owner_run *run = step->tasks[i].run;
+
+        if (run == NULL || run->phase != RUN_RESERVED) {
+            continue;
+        }
+        all = place_is_free(run);
+        if (all) {
+            promote(owner, run);
+            g_ptr_array_add(promoted, run);
+        }
+    }
+    for (guint i = 0; !all && i < promoted->len; i++) {
+        struct owner_run *run = promoted->pdata[i];
+        struct cw_resources need = owner_need(step->spec);
+
+        add_resources(&run->target->used, &need, -1);
+        add_resources(&run->target->reserved, &need, 1);
+        run->phase = RUN_RESERVED;
+    }
+    g_ptr_array_unref(promoted);
+}
+
+void
+owner_runs_settle(struct cw_owner *owner, struct owner_target *target)
+{
+    for (guint i = 0; i < target->runs->len; i++) {
+        struct owner_run *run = target->runs->pdata[i];
+
+        if (run->phase != RUN_RESERVED) {
+            continue;
+        }
+        if (run->task->step->spec->gang) {
+            settle_gang(owner, run->task->step);
+        }
+        else if (place_is_free(run)) {
+            promote(owner, run);
+        }
+    }
+}
+
+/* ---- ends ---- */
+
+static void
+keep_saved(struct owner_step *step, struct owner_task *task, const char *saved)
+{
+    if (saved[0] == '\0') {
+        return;
+    }
+    if (!step->spec->gang) {
+        g_free(task->saved);
+        task->saved = g_strdup(saved);
+        return;
+    }
+    /* Any member's checkpoint is good for the gang; all must use one. */
+    for (unsigned i = 0; i < step->count; i++) {
+        g_free(step->tasks[i].saved);
+        step->tasks[i].saved = g_strdup(saved);
+    }
+}
+
+static void
+task_done(struct cw_owner *owner, struct owner_task *task)
+{
+    struct owner_step *step = task->step;
+
+    if (step->done) {
+        return;
+    }
+    if (step->spec->gang) {
+        for (unsigned i = 0; i < step->count; i++) {
+            step->tasks[i].done = true;
+            if (step->tasks[i].run != NULL) {
+                step->tasks[i].run->finished = true;
+            }
+        }
+        owner_step_done(owner, step);
+        return;
+    }
+    if (!task->done) {
+        task->done = true;
+        step->left--;
+    }
+    if (step->left == 0) {
+        owner_step_done(owner, step);
+    }
+}
+
+static void
+task_failed(struct cw_owner *owner, struct owner_task *task,
+            const struct cw_ended *ended, const char *worker)
+{
+    struct owner_step *step = task->step;
+    struct owner_job *job = owner_task_job(task);
+    unsigned failures;
+
+    g_free(task->failed_on);
+    task->failed_on = g_strdup(worker);
+    if (!step->spec->gang) {
+        failures = ++task->failures;
+    }
+    else if (step->failed_run != ended->run) {
+        step->failed_run = ended->run;
+        failures = ++step->failures;
+    }
+    else {
+        failures = step->failures;
+    }
+    cw_count_code(owner->options.counters, CW_RETRY_FAILED);
+    if (!step->spec->endless && failures >= job->spec->max_attempts &&
+        !cw_work_is_over(job->phase)) {
+        owner_job_end(owner, job, CW_WORK_FAILED, "attempts_spent");
+    }
+}
+
+void
+owner_run_ended(struct cw_owner *owner, struct owner_target *target,
+                const struct cw_ended *ended)
+{
+    struct owner_task *task = owner_task_find(owner, &ended->task);
+    struct owner_run *run = task != NULL ? task->run : NULL;
+    struct owner_step *step;
+    bool known = run != NULL && run->number == ended->run &&
+                 run->target == target;
+
+    cw_log_info("run_ended",
+                "id=%s task=%u.%u.%u run=%u worker=%s how=%s number=%" PRIu64
+                " known=%d",
+                ended->task.job, ended->task.occurrence, ended->task.step,
+                ended->task.index, ended->run, target->id,
+                cw_end_kind_name(ended->how), ended->number, known);
+    if (!known) {
+        cw_count_code(owner->options.counters, CW_DROP_ATTEMPT);
+        return;
+    }
+    step = task->step;
+    keep_saved(step, task, ended->saved);
+    if (ended->how == CW_END_KIND_DONE) {
+        owner_target_praise(target);
+        if (!step->spec->endless) {
+            task_done(owner, task);
+        }
+    }
+    else if (ended->how == CW_END_KIND_FAILED) {
+        owner_target_blame(target, owner_now(owner));
+        task_failed(owner, task, ended, target->id);
+    }
+    owner_run_drop(owner, run);
+    if (step->spec->gang && !step->done) {
+        owner_step_stop(owner, step);
+    }
+}
--- /dev/null
+++ b/src/owner/owner_targets.c
@@ -0,0 +1,245 @@
+/* Workers: what they report, their clocks and leases, and whom to avoid. */
+#include "owner/internal/owner_private.h"
+
+#include <string.h>
+
+enum {
+    /* A worker's clock may run slow by so many percent. */
+    DRIFT_PERCENT = 2,
+    LEASE_SLACK_MS = 200,
+    /* Two failures in a row: it may fail all that it starts. */
+    BLAME_FIRST_MS = 2500,
+    BLAME_MORE_MS = 7000
+};
+
+static void
+orders_clear(GQueue *orders)
+{
+    struct owner_order *order;
+
+    while ((order = g_queue_pop_head(orders)) != NULL) {
+        owner_order_free(order);
+    }
+}
+
+void
+owner_target_free(gpointer data)
+{
+    struct owner_target *target = data;
+
+    for (guint i = 0; i < target->runs->len; i++) {
+        g_free(target->runs->pdata[i]);
+    }
+    g_ptr_array_unref(target->runs);
+    orders_clear(&target->orders);
+    g_free(target->id);
+    g_free(target->address);
+    g_free(target->service);
+    g_free(target->dc);
+    g_free(target->rack);
+    g_free(target->kind);
+    g_free(target);
+}
+
+struct owner_target *
+owner_target_get(struct cw_owner *owner, const char *id)
+{
+    struct owner_target *target = g_hash_table_lookup(owner->targets, id);
+
+    if (target == NULL) {
+        target = g_new0(struct owner_target, 1);
+        target->owner = owner;
+        target->id = g_strdup(id);
+        target->address = g_strdup("");
+        target->service = g_strdup("");
+        target->dc = g_strdup("");
+        target->rack = g_strdup("");
+        target->kind = g_strdup("");
+        target->runs = g_ptr_array_new();
+        g_queue_init(&target->orders);
+        g_hash_table_insert(owner->targets, target->id, target);
+    }
+    return target;
+}
+
+/* ---- reports ---- */
+
+static void
+set_text(char **member, const char *text)
+{
+    if (strcmp(*member, text) != 0) {
+        g_free(*member);
+        *member = g_strdup(text);
+    }
+}
+
+static void
+take_report(void *context, const struct cw_target_report *report)
+{
+    struct cw_owner *owner = context;
+    struct owner_target *target = owner_target_get(owner, report->id);
+    bool draining = report->draining;
+
+    set_text(&target->address, report->address);
+    set_text(&target->service, report->service);
+    set_text(&target->dc, report->dc);
+    set_text(&target->rack, report->rack);
+    set_text(&target->kind, report->kind);
+    if (!target->listed || target->draining != draining) {
+        cw_log_info("worker", "worker=%s state=%s address=%s rack=%s",
+                    target->id, draining ? "draining" : "ready",
+                    target->address, target->rack);
+        owner->room_version++;
+        owner->place_wanted = true;
+    }
+    target->capacity = report->capacity;
+    target->listed = true;
+    target->seen_mark = true;
+    target->draining = draining;
+    if (!target->clock_known && report->clock_ms > 0) {
+        owner_target_clock(target, report->clock_ms, owner_now(owner));
+    }
+}
+
+static void
+unlist(struct owner_target *target)
+{
+    if (target->listed) {
+        target->listed = false;
+        cw_log_info("worker", "worker=%s state=unlisted runs=%u", target->id,
+                    target->runs->len);
+    }
+}
+
+void
+owner_target_record(void *context, const struct cw_store_record *record)
+{
+    struct cw_owner *owner = context;
+
+    if (record->value == NULL || record->length == 0) {
+        struct owner_target *target =
+            g_hash_table_lookup(owner->targets, record->key);
+
+        if (target != NULL) {
+            unlist(target);
+        }
+        return;
+    }
+    if (!owner->options.codec->decode_target(record->key, record->value,
+                                             record->length, take_report,
+                                             owner)) {
+        cw_log_warning("report_invalid", "worker=%s offset=%" PRIu64,
+                       record->key, record->offset);
+    }
+}
+
+void
+owner_targets_reset(void *context)
+{
+    struct cw_owner *owner = context;
+    GHashTableIter iterator;
+    gpointer value;
+
+    g_hash_table_iter_init(&iterator, owner->targets);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        ((struct owner_target *)value)->seen_mark = false;
+    }
+}
+
+void
+owner_targets_loaded(void *context)
+{
+    struct cw_owner *owner = context;
+    GHashTableIter iterator;
+    gpointer value;
+
+    g_hash_table_iter_init(&iterator, owner->targets);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        struct owner_target *target = value;
+
+        if (!target->seen_mark) {
+            unlist(target);
+        }
+    }
+}
+
+/* ---- clocks and leases ---- */
+
+void
+owner_target_clock(struct owner_target *target, int64_t clock_ms,
+                   struct timespec now)
+{
+    if (clock_ms > 0) {
+        target->clock_known = true;
+        target->clock_offset_ms =
+            clock_ms - cw_time_diff_ms(cw_time_from_ms(0), now);
+    }
+}
+
+int64_t
+owner_target_lease(struct owner_target *target, struct timespec now)
+{
+    struct cw_owner *owner = target->owner;
+    int64_t lease_ms = owner->options.lease_ms;
+    int64_t until_ms = cw_time_diff_ms(cw_time_from_ms(0), now) +
+                       target->clock_offset_ms + lease_ms;
+    struct timespec end = cw_time_add_ms(
+        now, lease_ms + lease_ms * DRIFT_PERCENT / 100 + LEASE_SLACK_MS);
+
+    /* While it is silent its lease is not extended, so that the tasks there
+     * can be started elsewhere once the last one has passed. */
+    if (!target->clock_known ||
+        (target->silent > 0 && target->lease_sent_ms > 0) ||
+        !owner_may_extend(owner, now)) {
+        return target->lease_sent_ms;
+    }
+    if (until_ms > target->lease_sent_ms) {
+        target->lease_sent_ms = until_ms;
+    }
+    if (cw_time_before(target->lease_end, end)) {
+        target->lease_end = end;
+    }
+    return target->lease_sent_ms;
+}
+
+void
+owner_target_lost(struct cw_owner *owner, struct owner_target *target,
+                  const char *reason)
+{
+    cw_log_info("worker_lost", "worker=%s reason=%s runs=%u silent=%u",
+                target->id, reason, target->runs->len, target->silent);
+    while (target->runs->len > 0) {
+        owner_run_lost(owner, target->runs->pdata[target->runs->len - 1],
+                       reason);
+    }
+    orders_clear(&target->orders);
+    owner->place_wanted = true;
+}
+
+/* ---- trust ---- */
+
+bool
+owner_target_usable(const struct owner_target *target, struct timespec now)
+{
+    return target->listed && !target->draining && !target->gone &&
+           target->silent == 0 && target->clock_known &&
+           target->address[0] != '\0' &&
+           !cw_time_before(now, target->avoid_until) &&
+           !cw_time_before(now, target->suspect_until);
+}
+
+void
+owner_target_blame(struct owner_target *target, struct timespec now)
+{
+    target->failures++;
+    target->suspect_until = cw_time_add_ms(
+        now, target->failures > 1 ? BLAME_MORE_MS : BLAME_FIRST_MS);
+    cw_log_info("worker_suspect", "worker=%s failures=%u", target->id,
+                target->failures);
+}
+
+void
+owner_target_praise(struct owner_target *target)
+{
+    target->failures = 0;
+}
--- a/src/proto/cw_proto.h
+++ b/src/proto/cw_proto.h
@@ -273,6 +273,102 @@
 	} cw_msg_body_u;
 };
 typedef struct cw_msg_body cw_msg_body;
+#define CW_STEPS_MAX 64
+#define CW_TASKS_MAX 4096
+#define CW_OCCURRENCES_MAX 4096
+#define CW_SAVED_MAX 1024
+
+struct cw_step_spec {
+	u_int tasks;
+	u_int cpu_milli;
+	u_int memory_mb;
+	u_int accelerators;
+	u_int estimate_ms;
+	struct {
+		u_int after_len;
+		u_int *after_val;
+	} after;
+	bool_t gang;
+	bool_t same_rack;
+	bool_t checkpoints;
+	bool_t duplicates_allowed;
+	bool_t endless;
+	bool_t fills;
+	u_int most_per_worker;
+	u_int tail_target_ms;
+	u_int may_miss;
+	cw_name label;
+	cw_name data_rack;
+	cw_name image;
+};
+typedef struct cw_step_spec cw_step_spec;
+
+struct cw_work_spec {
+	cw_name id;
+	cw_name queue;
+	cw_name account;
+	cw_name service;
+	u_int priority;
+	u_int max_attempts;
+	u_int stretch_milli;
+	u_int target_latency_ms;
+	quad_t accepted_ms;
+	u_quad_t body_hash;
+	char *payload;
+	struct {
+		u_int steps_len;
+		cw_step_spec *steps_val;
+	} steps;
+	u_int repeats;
+	quad_t first_due_ms;
+	quad_t interval_ms;
+	bool_t advised;
+};
+typedef struct cw_work_spec cw_work_spec;
+
+struct cw_task_record {
+	u_int worker;
+	u_int run;
+	u_int failures;
+	bool_t done;
+	char *saved;
+};
+typedef struct cw_task_record cw_task_record;
+
+struct cw_step_record {
+	bool_t done;
+	u_int failures;
+	struct {
+		u_int tasks_len;
+		cw_task_record *tasks_val;
+	} tasks;
+};
+typedef struct cw_step_record cw_step_record;
+
+struct cw_occurrence_record {
+	u_int number;
+	struct {
+		u_int steps_len;
+		cw_step_record *steps_val;
+	} steps;
+};
+typedef struct cw_occurrence_record cw_occurrence_record;
+
+struct cw_work_record {
+	u_int phase;
+	bool_t started;
+	quad_t ended_ms;
+	u_int next_occurrence;
+	struct {
+		u_int workers_len;
+		cw_name *workers_val;
+	} workers;
+	struct {
+		u_int open_len;
+		cw_occurrence_record *open_val;
+	} open;
+};
+typedef struct cw_work_record cw_work_record;
 
 struct cw_envelope {
 	cw_name from_vm;
@@ -340,6 +436,12 @@
 extern  bool_t xdr_cw_msg_sync_ask (XDR *, cw_msg_sync_ask*);
 extern  bool_t xdr_cw_msg_sync (XDR *, cw_msg_sync*);
 extern  bool_t xdr_cw_msg_body (XDR *, cw_msg_body*);
+extern  bool_t xdr_cw_step_spec (XDR *, cw_step_spec*);
+extern  bool_t xdr_cw_work_spec (XDR *, cw_work_spec*);
+extern  bool_t xdr_cw_task_record (XDR *, cw_task_record*);
+extern  bool_t xdr_cw_step_record (XDR *, cw_step_record*);
+extern  bool_t xdr_cw_occurrence_record (XDR *, cw_occurrence_record*);
+extern  bool_t xdr_cw_work_record (XDR *, cw_work_record*);
 extern  bool_t xdr_cw_envelope (XDR *, cw_envelope*);
 extern  bool_t xdr_cw_messages (XDR *, cw_messages*);
 
@@ -369,6 +471,12 @@
 extern bool_t xdr_cw_msg_sync_ask ();
 extern bool_t xdr_cw_msg_sync ();
 extern bool_t xdr_cw_msg_body ();
+extern bool_t xdr_cw_step_spec ();
+extern bool_t xdr_cw_work_spec ();
+extern bool_t xdr_cw_task_record ();
+extern bool_t xdr_cw_step_record ();
+extern bool_t xdr_cw_occurrence_record ();
+extern bool_t xdr_cw_work_record ();
 extern bool_t xdr_cw_envelope ();
 extern bool_t xdr_cw_messages ();
 
--- a/src/proto/cw_proto.x
+++ b/src/proto/cw_proto.x
@@ -246,6 +246,88 @@
     cw_msg_refusal_ack refusal_ack;
 };
 
+/* ---- jobs of steps: what is kept in the platform's store ---- */
+
+const CW_STEPS_MAX = 64;
+const CW_TASKS_MAX = 4096;
+const CW_OCCURRENCES_MAX = 4096;
+const CW_SAVED_MAX = 1024;
+
+/* One step of a job: `tasks` equal tasks that may start once the steps in
+ * `after` are done. */
+struct cw_step_spec {
+    unsigned int tasks;
+    unsigned int cpu_milli;          /* per task, thousandths of a core */
+    unsigned int memory_mb;          /* per task */
+    unsigned int accelerators;       /* per task */
+    unsigned int estimate_ms;        /* rough; 0 unknown */
+    unsigned int after<CW_STEPS_MAX>;
+    bool gang;                       /* all tasks run together or not at all */
+    bool same_rack;                  /* slower across racks */
+    bool checkpoints;
+    bool duplicates_allowed;
+    bool endless;                    /* runs until its job is cancelled */
+    bool fills;                      /* runs on what others leave unused */
+    unsigned int most_per_worker;    /* 0: any number */
+    unsigned int tail_target_ms;     /* 0: none */
+    unsigned int may_miss;           /* 0: no such promise */
+    cw_name label;                   /* the worker must have it; "" any */
+    cw_name data_rack;               /* faster there; "" none */
+    cw_name image;
+};
+
+/* A job as its caller handed it in.  Immutable once stored. */
+struct cw_work_spec {
+    cw_name id;
+    cw_name queue;
+    cw_name account;
+    cw_name service;                 /* pool of workers that runs it */
+    unsigned int priority;           /* 0 is the most urgent */
+    unsigned int max_attempts;
+    unsigned int stretch_milli;      /* objective: stretch x longest chain */
+    unsigned int target_latency_ms;  /* ... plus this */
+    hyper accepted_ms;               /* wall time */
+    unsigned hyper body_hash;
+    string payload<CW_PAYLOAD_MAX>;
+    cw_step_spec steps<CW_STEPS_MAX>;
+    unsigned int repeats;            /* 0: once, now */
+    hyper first_due_ms;              /* wall time */
+    hyper interval_ms;
+    bool advised;                    /* a policy service names its workers */
+};
+
+/* A task: what a new owner has to know to go on. */
+struct cw_task_record {
+    unsigned int worker;             /* 1 + index into the record's names;
+                                        0: no run may be under way */
+    unsigned int run;                /* highest run number used */
+    unsigned int failures;
+    bool done;
+    string saved<CW_SAVED_MAX>;
+};
+
+struct cw_step_record {
+    bool done;
+    unsigned int failures;           /* of the gang */
+    cw_task_record tasks<CW_TASKS_MAX>;
+};
+
+struct cw_occurrence_record {
+    unsigned int number;
+    cw_step_record steps<CW_STEPS_MAX>;
+};
+
+/* The state of a job.  `phase` and `started` come first: every VM reads
+ * them, only an owner reads the rest. */
+struct cw_work_record {
+    unsigned int phase;              /* enum cw_work_phase */
+    bool started;                    /* a task of it has been started */
+    hyper ended_ms;                  /* wall time of its end; 0 */
+    unsigned int next_occurrence;    /* occurrences below it have begun */
+    cw_name workers<CW_TASKS_MAX>;
+    cw_occurrence_record open<CW_OCCURRENCES_MAX>;
+};
+
 /* Messages from one VM to another, with proof of the deployment's key. */
 struct cw_envelope {
     cw_name from_vm;
--- a/src/proto/cw_proto_xdr.c
+++ b/src/proto/cw_proto_xdr.c
@@ -749,6 +749,425 @@
 	return TRUE;
 }
 
+bool_t
+xdr_cw_step_spec (XDR *xdrs, cw_step_spec *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->tasks))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->cpu_milli))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->memory_mb))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->accelerators))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->estimate_ms))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->tasks);
+		IXDR_PUT_U_LONG(buf, objp->cpu_milli);
+		IXDR_PUT_U_LONG(buf, objp->memory_mb);
+		IXDR_PUT_U_LONG(buf, objp->accelerators);
+		IXDR_PUT_U_LONG(buf, objp->estimate_ms);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->after.after_val, (u_int *) &objp->after.after_len, CW_STEPS_MAX,
+			sizeof (u_int), (xdrproc_t) xdr_u_int))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 9 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_bool (xdrs, &objp->gang))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->same_rack))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->checkpoints))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->duplicates_allowed))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->endless))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->fills))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->most_per_worker))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->tail_target_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->may_miss))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_BOOL(buf, objp->gang);
+		IXDR_PUT_BOOL(buf, objp->same_rack);
+		IXDR_PUT_BOOL(buf, objp->checkpoints);
+		IXDR_PUT_BOOL(buf, objp->duplicates_allowed);
+		IXDR_PUT_BOOL(buf, objp->endless);
+		IXDR_PUT_BOOL(buf, objp->fills);
+		IXDR_PUT_U_LONG(buf, objp->most_per_worker);
+		IXDR_PUT_U_LONG(buf, objp->tail_target_ms);
+		IXDR_PUT_U_LONG(buf, objp->may_miss);
+		}
+		 if (!xdr_cw_name (xdrs, &objp->label))
+			 return FALSE;
+		 if (!xdr_cw_name (xdrs, &objp->data_rack))
+			 return FALSE;
+		 if (!xdr_cw_name (xdrs, &objp->image))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->tasks))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->cpu_milli))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->memory_mb))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->accelerators))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->estimate_ms))
+				 return FALSE;
+
+		} else {
+		objp->tasks = IXDR_GET_U_LONG(buf);
+		objp->cpu_milli = IXDR_GET_U_LONG(buf);
+		objp->memory_mb = IXDR_GET_U_LONG(buf);
+		objp->accelerators = IXDR_GET_U_LONG(buf);
+		objp->estimate_ms = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->after.after_val, (u_int *) &objp->after.after_len, CW_STEPS_MAX,
+			sizeof (u_int), (xdrproc_t) xdr_u_int))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 9 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_bool (xdrs, &objp->gang))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->same_rack))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->checkpoints))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->duplicates_allowed))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->endless))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->fills))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->most_per_worker))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->tail_target_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->may_miss))
+				 return FALSE;
+
+		} else {
+		objp->gang = IXDR_GET_BOOL(buf);
+		objp->same_rack = IXDR_GET_BOOL(buf);
+		objp->checkpoints = IXDR_GET_BOOL(buf);
+		objp->duplicates_allowed = IXDR_GET_BOOL(buf);
+		objp->endless = IXDR_GET_BOOL(buf);
+		objp->fills = IXDR_GET_BOOL(buf);
+		objp->most_per_worker = IXDR_GET_U_LONG(buf);
+		objp->tail_target_ms = IXDR_GET_U_LONG(buf);
+		objp->may_miss = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_cw_name (xdrs, &objp->label))
+			 return FALSE;
+		 if (!xdr_cw_name (xdrs, &objp->data_rack))
+			 return FALSE;
+		 if (!xdr_cw_name (xdrs, &objp->image))
+			 return FALSE;
+	 return TRUE;
+	}
+
+	 if (!xdr_u_int (xdrs, &objp->tasks))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->cpu_milli))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->memory_mb))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->accelerators))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->estimate_ms))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->after.after_val, (u_int *) &objp->after.after_len, CW_STEPS_MAX,
+		sizeof (u_int), (xdrproc_t) xdr_u_int))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->gang))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->same_rack))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->checkpoints))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->duplicates_allowed))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->endless))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->fills))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->most_per_worker))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->tail_target_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->may_miss))
+		 return FALSE;
+	 if (!xdr_cw_name (xdrs, &objp->label))
+		 return FALSE;
+	 if (!xdr_cw_name (xdrs, &objp->data_rack))
+		 return FALSE;
+	 if (!xdr_cw_name (xdrs, &objp->image))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_cw_work_spec (XDR *xdrs, cw_work_spec *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_cw_name (xdrs, &objp->id))
+			 return FALSE;
+		 if (!xdr_cw_name (xdrs, &objp->queue))
+			 return FALSE;
+		 if (!xdr_cw_name (xdrs, &objp->account))
+			 return FALSE;
+		 if (!xdr_cw_name (xdrs, &objp->service))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->priority))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->max_attempts))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->stretch_milli))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->target_latency_ms))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->priority);
+		IXDR_PUT_U_LONG(buf, objp->max_attempts);
+		IXDR_PUT_U_LONG(buf, objp->stretch_milli);
+		IXDR_PUT_U_LONG(buf, objp->target_latency_ms);
+		}
+		 if (!xdr_quad_t (xdrs, &objp->accepted_ms))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->body_hash))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->payload, CW_PAYLOAD_MAX))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->steps.steps_val, (u_int *) &objp->steps.steps_len, CW_STEPS_MAX,
+			sizeof (cw_step_spec), (xdrproc_t) xdr_cw_step_spec))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->repeats))
+			 return FALSE;
+		 if (!xdr_quad_t (xdrs, &objp->first_due_ms))
+			 return FALSE;
+		 if (!xdr_quad_t (xdrs, &objp->interval_ms))
+			 return FALSE;
+		 if (!xdr_bool (xdrs, &objp->advised))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_cw_name (xdrs, &objp->id))
+			 return FALSE;
+		 if (!xdr_cw_name (xdrs, &objp->queue))
+			 return FALSE;
+		 if (!xdr_cw_name (xdrs, &objp->account))
+			 return FALSE;
+		 if (!xdr_cw_name (xdrs, &objp->service))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->priority))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->max_attempts))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->stretch_milli))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->target_latency_ms))
+				 return FALSE;
+
+		} else {
+		objp->priority = IXDR_GET_U_LONG(buf);
+		objp->max_attempts = IXDR_GET_U_LONG(buf);
+		objp->stretch_milli = IXDR_GET_U_LONG(buf);
+		objp->target_latency_ms = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_quad_t (xdrs, &objp->accepted_ms))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->body_hash))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->payload, CW_PAYLOAD_MAX))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->steps.steps_val, (u_int *) &objp->steps.steps_len, CW_STEPS_MAX,
+			sizeof (cw_step_spec), (xdrproc_t) xdr_cw_step_spec))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->repeats))
+			 return FALSE;
+		 if (!xdr_quad_t (xdrs, &objp->first_due_ms))
+			 return FALSE;
+		 if (!xdr_quad_t (xdrs, &objp->interval_ms))
+			 return FALSE;
+		 if (!xdr_bool (xdrs, &objp->advised))
+			 return FALSE;
+	 return TRUE;
+	}
+
+	 if (!xdr_cw_name (xdrs, &objp->id))
+		 return FALSE;
+	 if (!xdr_cw_name (xdrs, &objp->queue))
+		 return FALSE;
+	 if (!xdr_cw_name (xdrs, &objp->account))
+		 return FALSE;
+	 if (!xdr_cw_name (xdrs, &objp->service))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->priority))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->max_attempts))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->stretch_milli))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->target_latency_ms))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->accepted_ms))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->body_hash))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->payload, CW_PAYLOAD_MAX))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->steps.steps_val, (u_int *) &objp->steps.steps_len, CW_STEPS_MAX,
+		sizeof (cw_step_spec), (xdrproc_t) xdr_cw_step_spec))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->repeats))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->first_due_ms))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->interval_ms))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->advised))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_cw_task_record (XDR *xdrs, cw_task_record *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->worker))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->run))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->failures))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->done))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->worker);
+		IXDR_PUT_U_LONG(buf, objp->run);
+		IXDR_PUT_U_LONG(buf, objp->failures);
+		IXDR_PUT_BOOL(buf, objp->done);
+		}
+		 if (!xdr_string (xdrs, &objp->saved, CW_SAVED_MAX))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->worker))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->run))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->failures))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->done))
+				 return FALSE;
+
+		} else {
+		objp->worker = IXDR_GET_U_LONG(buf);
+		objp->run = IXDR_GET_U_LONG(buf);
+		objp->failures = IXDR_GET_U_LONG(buf);
+		objp->done = IXDR_GET_BOOL(buf);
+		}
+		 if (!xdr_string (xdrs, &objp->saved, CW_SAVED_MAX))
+			 return FALSE;
+	 return TRUE;
+	}
+
+	 if (!xdr_u_int (xdrs, &objp->worker))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->run))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->failures))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->done))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->saved, CW_SAVED_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_cw_step_record (XDR *xdrs, cw_step_record *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bool (xdrs, &objp->done))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->failures))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->tasks.tasks_val, (u_int *) &objp->tasks.tasks_len, CW_TASKS_MAX,
+		sizeof (cw_task_record), (xdrproc_t) xdr_cw_task_record))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_cw_occurrence_record (XDR *xdrs, cw_occurrence_record *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->number))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->steps.steps_val, (u_int *) &objp->steps.steps_len, CW_STEPS_MAX,
+		sizeof (cw_step_record), (xdrproc_t) xdr_cw_step_record))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_cw_work_record (XDR *xdrs, cw_work_record *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->phase))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->started))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->ended_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->next_occurrence))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->workers.workers_val, (u_int *) &objp->workers.workers_len, CW_TASKS_MAX,
+		sizeof (cw_name), (xdrproc_t) xdr_cw_name))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->open.open_val, (u_int *) &objp->open.open_len, CW_OCCURRENCES_MAX,
+		sizeof (cw_occurrence_record), (xdrproc_t) xdr_cw_occurrence_record))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_cw_envelope (XDR *xdrs, cw_envelope *objp)
 {
--- /dev/null
+++ b/src/replica/follower.c
@@ -0,0 +1,277 @@
+/* Following a keyed partition: load, read on, load again when needed. */
+#include "curlewcart/cw_follower.h"
+
+#include <inttypes.h>
+#include <glib.h>
+
+#include "curlewcart/cw_log.h"
+
+enum {
+    /* An answer takes a few ms, and up to about a quarter second while the
+     * store is slow; a cut shows within this. */
+    CALL_TIMEOUT_MS = 900,
+    RETRY_FIRST_MS = 100,
+    RETRY_MOST_MS = 800
+};
+
+struct cw_follower {
+    struct cw_follower_options options;
+    bool loading; /* pages of newest records are being read */
+    bool loaded;
+    bool in_flight;
+    bool hurry;
+    bool freed;
+    bool away; /* the last call failed; was logged */
+    char *after;
+    bool have_start;
+    uint64_t start; /* end of the partition at the first page */
+    uint64_t position;
+    unsigned retry_ms;
+    struct timespec due;
+    struct timespec sent;
+    struct timespec fresh;
+};
+
+struct cw_follower *
+cw_follower_create(const struct cw_follower_options *options)
+{
+    struct cw_follower *follower = g_new0(struct cw_follower, 1);
+
+    follower->options = *options;
+    follower->loading = true;
+    return follower;
+}
+
+static void
+release(struct cw_follower *follower)
+{
+    g_free(follower->after);
+    g_free(follower);
+}
+
+void
+cw_follower_free(struct cw_follower *follower)
+{
+    if (follower == NULL) {
+        return;
+    }
+    follower->freed = true;
+    if (!follower->in_flight) {
+        release(follower);
+    }
+}
+
+static void
+note_failure(struct cw_follower *follower, enum cw_store_status status,
+             struct timespec now)
+{
+    if (!follower->away) {
+        follower->away = true;
+        cw_log_warning("dependency_lost", "what=%s status=%s position=%"
+                       G_GUINT64_FORMAT, follower->options.name,
+                       cw_store_status_name(status), follower->position);
+    }
+    follower->retry_ms = CLAMP(follower->retry_ms * 2, RETRY_FIRST_MS,
+                               RETRY_MOST_MS);
+    follower->due = cw_time_add_ms(now, follower->retry_ms);
+}
+
+static void
+note_success(struct cw_follower *follower, struct timespec now)
+{
+    if (follower->away) {
+        follower->away = false;
+        cw_log_info("dependency_regained", "what=%s away_ms=%" PRId64,
+                    follower->options.name,
+                    cw_time_diff_ms(follower->fresh, now));
+    }
+    follower->retry_ms = 0;
+    follower->fresh = follower->sent;
+}
+
+static void
+begin_load(struct cw_follower *follower, struct timespec now)
+{
+    follower->loading = true;
+    follower->have_start = false;
+    g_clear_pointer(&follower->after, g_free);
+    follower->due = now;
+}
+
+static void
+give_records(struct cw_follower *follower, const struct cw_store_page *page)
+{
+    const struct cw_follower_handler *handler = &follower->options.handler;
+
+    for (size_t i = 0; i < page->count; i++) {
+        handler->record(handler->context, &page->records[i]);
+    }
+}
+
+static void
+end_load(struct cw_follower *follower)
+{
+    const struct cw_follower_handler *handler = &follower->options.handler;
+
+    follower->loading = false;
+    follower->loaded = true;
+    follower->position = follower->start;
+    if (handler->loaded != NULL) {
+        handler->loaded(handler->context);
+    }
+}
+
+static void
+on_newest(void *context, const struct cw_store_page *page)
+{
+    struct cw_follower *follower = context;
+    struct timespec now = cw_clock_now(follower->options.clock);
+
+    follower->in_flight = false;
+    if (follower->freed) {
+        release(follower);
+        return;
+    }
+    if (page->status != CW_STORE_OK) {
+        note_failure(follower, page->status, now);
+        return;
+    }
+    note_success(follower, now);
+    if (!follower->have_start) {
+        follower->have_start = true;
+        follower->start = page->end;
+        if (follower->options.handler.reset != NULL) {
+            follower->options.handler.reset(follower->options.handler.context);
+        }
+    }
+    give_records(follower, page);
+    follower->due = now;
+    if (page->more && page->count > 0) {
+        g_free(follower->after);
+        follower->after = g_strdup(page->records[page->count - 1].key);
+        return;
+    }
+    end_load(follower);
+}
+
+static void
+on_read(void *context, const struct cw_store_page *page)
+{
+    struct cw_follower *follower = context;
+    const struct cw_follower_handler *handler = &follower->options.handler;
+    struct timespec now = cw_clock_now(follower->options.clock);
+
+    follower->in_flight = false;
+    if (follower->freed) {
+        release(follower);
+        return;
+    }
+    if (page->status == CW_STORE_EXPIRED) {
+        cw_log_info("history_dropped", "what=%s position=%" G_GUINT64_FORMAT
+                    " first=%" G_GUINT64_FORMAT,
+                    follower->options.name, follower->position, page->first);
+        begin_load(follower, now);
+        return;
+    }
+    if (page->status != CW_STORE_OK) {
+        note_failure(follower, page->status, now);
+        return;
+    }
+    note_success(follower, now);
+    give_records(follower, page);
+    if (page->count > 0) {
+        follower->position = page->records[page->count - 1].offset + 1;
+    }
+    follower->due = cw_time_add_ms(now, follower->hurry
+                                            ? 0
+                                            : follower->options.pace_ms);
+    if (handler->advanced != NULL) {
+        handler->advanced(handler->context);
+    }
+}
+
+static void
+send_newest(struct cw_follower *follower)
+{
+    struct cw_store_newest call = {
+        .topic = follower->options.topic,
+        .partition = follower->options.partition,
+        .after = follower->after,
+        .timeout_ms = CALL_TIMEOUT_MS,
+        .done = on_newest,
+        .context = follower,
+    };
+
+    follower->options.store->ops->newest(follower->options.store, &call);
+}
+
+static void
+send_read(struct cw_follower *follower)
+{
+    unsigned wait_ms = follower->hurry ? 0 : follower->options.wait_ms;
+    struct cw_store_read call = {
+        .topic = follower->options.topic,
+        .partition = follower->options.partition,
+        .from = follower->position,
+        .wait_ms = wait_ms,
+        .timeout_ms = wait_ms + CALL_TIMEOUT_MS,
+        .done = on_read,
+        .context = follower,
+    };
+
+    follower->hurry = false;
+    follower->options.store->ops->read(follower->options.store, &call);
+}
+
+void
+cw_follower_tick(struct cw_follower *follower, struct timespec now)
+{
+    if (follower->in_flight || cw_time_before(now, follower->due)) {
+        return;
+    }
+    follower->in_flight = true;
+    follower->sent = now;
+    if (follower->loading) {
+        send_newest(follower);
+    }
+    else {
+        send_read(follower);
+    }
+}
+
+struct timespec
+cw_follower_due(const struct cw_follower *follower)
+{
+    return follower->in_flight ? cw_time_from_ms(INT32_MAX) : follower->due;
+}
+
+bool
+cw_follower_loaded(const struct cw_follower *follower)
+{
+    return follower->loaded;
+}
+
+uint64_t
+cw_follower_position(const struct cw_follower *follower)
+{
+    return follower->position;
+}
+
+struct timespec
+cw_follower_fresh(const struct cw_follower *follower)
+{
+    return follower->fresh;
+}
+
+void
+cw_follower_set_pace(struct cw_follower *follower, unsigned pace_ms)
+{
+    follower->options.pace_ms = pace_ms;
+}
+
+void
+cw_follower_hurry(struct cw_follower *follower)
+{
+    follower->hurry = true;
+    follower->due = cw_time_from_ms(0);
+}
--- /dev/null
+++ b/src/replica/replica.c
@@ -0,0 +1,270 @@
+/* The fold of a shard's log into its jobs. */
+#include "curlewcart/cw_replica.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#include "curlewcart/cw_log.h"
+#include "curlewcart/cw_xdr.h"
+
+enum { READ_WAIT_MS = 1000, RECORD_HEAD_BYTES = 16 };
+
+struct cw_replica {
+    struct cw_follower *follower;
+    struct cw_replica_listener listener;
+    GHashTable *jobs;
+};
+
+static void
+spec_free(struct cw_work_spec *spec)
+{
+    if (spec != NULL) {
+        xdr_free((xdrproc_t)xdr_cw_work_spec, (char *)spec);
+        g_free(spec);
+    }
+}
+
+static void
+job_free(gpointer data)
+{
+    struct cw_replica_job *job = data;
+
+    spec_free(job->spec);
+    g_clear_pointer(&job->record, g_bytes_unref);
+    g_free(job->id);
+    g_free(job);
+}
+
+static struct cw_replica_job *
+find_or_add(struct cw_replica *replica, const char *id)
+{
+    struct cw_replica_job *job = g_hash_table_lookup(replica->jobs, id);
+
+    if (job == NULL) {
+        job = g_new0(struct cw_replica_job, 1);
+        job->id = g_strdup(id);
+        g_hash_table_insert(replica->jobs, job->id, job);
+    }
+    return job;
+}
+
+static void
+tell_changed(struct cw_replica *replica, struct cw_replica_job *job)
+{
+    if (replica->listener.changed != NULL && job->spec != NULL) {
+        replica->listener.changed(replica->listener.context, job);
+    }
+}
+
+static void
+apply_spec(struct cw_replica *replica, const char *id,
+           const struct cw_store_record *record)
+{
+    struct cw_replica_job *job;
+    struct cw_work_spec *spec;
+
+    job = find_or_add(replica, id);
+    if (job->spec != NULL) {
+        return; /* the first one stands; this is a repeated submission */
+    }
+    spec = g_new0(struct cw_work_spec, 1);
+    if (!cw_xdr_decode((xdrproc_t)xdr_cw_work_spec, spec, record->value,
+                       record->length)) {
+        cw_log_error("record_invalid", "id=%s kind=spec offset=%" PRIu64, id,
+                     record->offset);
+        g_free(spec);
+        return;
+    }
+    job->spec = spec;
+    job->spec_offset = record->offset;
+    tell_changed(replica, job);
+}
+
+static void
+apply_cancel(struct cw_replica *replica, const char *id,
+             const struct cw_store_record *record)
+{
+    struct cw_replica_job *job = find_or_add(replica, id);
+
+    if (job->cancelled) {
+        return;
+    }
+    job->cancelled = true;
+    job->cancel_offset = record->offset;
+    tell_changed(replica, job);
+}
+
+/* The beginning of the encoded record: phase, started, time of its end. */
+static void
+read_head(struct cw_replica_job *job, const unsigned char *bytes)
+{
+    uint64_t ended = 0;
+
+    for (unsigned i = 8; i < RECORD_HEAD_BYTES; i++) {
+        ended = ended << 8 | bytes[i];
+    }
+    job->recorded_phase = bytes[3];
+    job->started = bytes[7] != 0;
+    job->ended_ms = (int64_t)ended;
+}
+
+static void
+apply_record(struct cw_replica *replica, const char *id,
+             const struct cw_store_record *record)
+{
+    struct cw_replica_job *job = find_or_add(replica, id);
+
+    if (job->record != NULL && record->offset <= job->record_offset) {
+        return;
+    }
+    if (record->length < RECORD_HEAD_BYTES) {
+        cw_log_error("record_invalid", "id=%s kind=state offset=%" PRIu64, id,
+                     record->offset);
+        return;
+    }
+    g_clear_pointer(&job->record, g_bytes_unref);
+    job->record = g_bytes_new(record->value, record->length);
+    job->record_offset = record->offset;
+    read_head(job, record->value);
+}
+
+void
+cw_replica_apply(struct cw_replica *replica,
+                 const struct cw_store_record *record)
+{
+    const char *id = record->key + 1;
+
+    if (record->key[0] == '\0') {
+        return;
+    }
+    if (record->value == NULL || record->length == 0) {
+        /* The owner drops a job's keys together, its state last. */
+        if (record->key[0] == CW_WORK_KEY_RECORD) {
+            g_hash_table_remove(replica->jobs, id);
+        }
+        return;
+    }
+    switch (record->key[0]) {
+    case CW_WORK_KEY_SPEC:
+        apply_spec(replica, id, record);
+        break;
+    case CW_WORK_KEY_CANCEL:
+        apply_cancel(replica, id, record);
+        break;
+    case CW_WORK_KEY_RECORD:
+        apply_record(replica, id, record);
+        break;
+    default:
+        cw_log_warning("record_unknown", "offset=%" PRIu64, record->offset);
+        break;
+    }
+}
+
+static void
+on_record(void *context, const struct cw_store_record *record)
+{
+    cw_replica_apply(context, record);
+}
+
+static void
+on_advanced(void *context)
+{
+    struct cw_replica *replica = context;
+
+    if (replica->listener.advanced != NULL) {
+        replica->listener.advanced(replica->listener.context);
+    }
+}
+
+struct cw_replica *
+cw_replica_create(const struct cw_replica_options *options)
+{
+    struct cw_replica *replica = g_new0(struct cw_replica, 1);
+    struct cw_follower_options follow = {
+        .name = "jobs",
+        .store = options->store,
+        .clock = options->clock,
+        .topic = CW_WORK_TOPIC,
+        .partition = options->partition,
+        .wait_ms = READ_WAIT_MS,
+        .pace_ms = options->pace_ms,
+        .handler = {.loaded = on_advanced,
+                    .record = on_record,
+                    .advanced = on_advanced,
+                    .context = replica},
+    };
+
+    replica->jobs =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, job_free);
+    replica->follower = cw_follower_create(&follow);
+    return replica;
+}
+
+void
+cw_replica_free(struct cw_replica *replica)
+{
+    if (replica != NULL) {
+        cw_follower_free(replica->follower);
+        g_hash_table_unref(replica->jobs);
+        g_free(replica);
+    }
+}
+
+void
+cw_replica_set_listener(struct cw_replica *replica,
+                        const struct cw_replica_listener *listener)
+{
+    replica->listener = *listener;
+}
+
+struct cw_follower *
+cw_replica_follower(struct cw_replica *replica)
+{
+    return replica->follower;
+}
+
+struct cw_replica_job *
+cw_replica_find(const struct cw_replica *replica, const char *id)
+{
+    return g_hash_table_lookup(replica->jobs, id);
+}
+
+GHashTable *
+cw_replica_jobs(const struct cw_replica *replica)
+{
+    return replica->jobs;
+}
+
+unsigned
+cw_replica_phase(const struct cw_replica_job *job)
+{
+    bool over = job->record != NULL && cw_work_is_over(job->recorded_phase);
+
+    if (over && !(job->cancelled && job->cancel_offset < job->record_offset)) {
+        return job->recorded_phase;
+    }
+    if (job->cancelled) {
+        return CW_WORK_CANCELLED;
+    }
+    return job->record != NULL ? job->recorded_phase : CW_WORK_WAITING;
+}
+
+unsigned
+cw_replica_waiting(const struct cw_replica *replica, const char *queue)
+{
+    GHashTableIter iterator;
+    gpointer value;
+    unsigned count = 0;
+
+    g_hash_table_iter_init(&iterator, replica->jobs);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const struct cw_replica_job *job = value;
+
+        if (job->spec != NULL && !job->started &&
+            strcmp(job->spec->queue, queue) == 0 &&
+            !cw_work_is_over(cw_replica_phase(job))) {
+            count++;
+        }
+    }
+    return count;
+}
--- /dev/null
+++ b/src/vm/vm.c
@@ -0,0 +1,394 @@
+/* Wires a VM's parts together: threads, listeners, signals. */
+#include "curlewcart/cw_vm.h"
+
+#include <inttypes.h>
+#include <pthread.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+#include <ck_pr.h>
+#include <sodium.h>
+
+#include "curlewcart/cw_count.h"
+#include "curlewcart/cw_entry.h"
+#include "curlewcart/cw_http_client.h"
+#include "curlewcart/cw_http_server.h"
+#include "curlewcart/cw_log.h"
+#include "curlewcart/cw_owner.h"
+#include "curlewcart/cw_replica.h"
+#include "curlewcart/cw_time.h"
+#include "platform/platform.h"
+
+enum {
+    EXIT_START = 1,
+    /* Configurations are rare and must be in force within 2 s. */
+    ROUTING_WAIT_MS = 1000,
+    /* Twice the least that the store takes: a member that lost one call of
+     * five is not forgotten. */
+    MEMBER_TTL_FACTOR = 2,
+    CALLER_CONNECTIONS = 2000,
+    CALLER_IDLE_S = 60,
+    CALLER_BODY_BYTES = 1024 * 1024,
+    READY_CONNECTIONS = 64,
+    /* The balancer asks every second and needs two misses. */
+    LEAVE_LEAST_MS = 2600,
+    LEAVE_RESERVE_MS = 900,
+    LEAVE_STEP_MS = 50,
+    /* Ended jobs are kept beyond what is promised, for repeated calls. */
+    RETAIN_EXTRA_S = 60
+};
+
+struct cw_vm {
+    struct cw_vm_settings *settings;
+    const char *settings_path;
+    pthread_mutex_t engine;
+    bool running; /* under the lock: all parts exist */
+    struct cw_clock *clock;
+    struct cw_http_client *client;
+    struct cw_http_server *callers;
+    struct cw_http_server *ready;
+    struct cw_http_server *metrics;
+    struct cw_store *store;
+    struct cw_targets *targets;
+    struct cw_replica *replica;
+    struct cw_follower *routing;
+    struct cw_entry *entry;
+    struct cw_owner *owner;
+    struct cw_counters counters;
+    struct platform_callers handler;
+};
+
+/* ---- configuration ---- */
+
+static void
+on_routing(void *context, const struct cw_store_record *record)
+{
+    struct cw_vm *vm = context;
+    const struct cw_codec *codec = platform_codec();
+    const struct cw_routing *current = cw_entry_routing(vm->entry);
+    struct cw_routing *routing;
+    char problem[128] = "";
+
+    if (strcmp(record->key, codec->routing_key) != 0 ||
+        record->value == NULL) {
+        return;
+    }
+    routing = codec->decode_routing(record->value, record->length, problem,
+                                    sizeof(problem));
+    if (routing == NULL) {
+        cw_log_error("config_invalid", "offset=%" PRIu64 " reason=\"%s\"",
+                     record->offset, problem);
+        return;
+    }
+    if (current == NULL || routing->version > current->version) {
+        cw_log_info("config",
+                    "version=%" PRIu64 " before=%" PRIu64 " offset=%" PRIu64
+                    " queues=%u accounts=%u",
+                    routing->version, current != NULL ? current->version : 0,
+                    record->offset, routing->queues->len,
+                    routing->accounts->len);
+        cw_entry_configure(vm->entry, routing);
+        cw_owner_configure(vm->owner, routing);
+    }
+    cw_routing_unref(routing);
+}
+
+/* ---- ticking ---- */
+
+static unsigned
+on_tick(void *context)
+{
+    struct cw_vm *vm = context;
+    struct timespec now;
+    struct timespec next;
+    int64_t wait_ms = CW_MS_PER_S;
+
+    pthread_mutex_lock(&vm->engine);
+    if (vm->running) {
+        struct cw_follower *jobs = cw_replica_follower(vm->replica);
+
+        now = cw_clock_now(vm->clock);
+        cw_follower_tick(vm->routing, now);
+        cw_follower_tick(jobs, now);
+        next = cw_follower_due(vm->routing);
+        if (cw_time_before(cw_follower_due(jobs), next)) {
+            next = cw_follower_due(jobs);
+        }
+        for (int part = 0; part < 2; part++) {
+            struct timespec due = part == 0 ? cw_entry_tick(vm->entry, now)
+                                            : cw_owner_tick(vm->owner, now);
+
+            if (cw_time_before(due, next)) {
+                next = due;
+            }
+        }
+        /* Rounded up: waking a little early would only cost another turn. */
+        wait_ms = cw_time_diff_ms(cw_clock_now(vm->clock), next) + 1;
+    }
+    pthread_mutex_unlock(&vm->engine);
+    return (unsigned)CLAMP(wait_ms, 0, CW_MS_PER_S);
+}
+
+/* ---- listeners ---- */
+
+static void
+handle_caller(void *context, struct cw_http_call *call)
+{
+    struct cw_vm *vm = context;
+
+    platform_handle_call(&vm->handler, call);
+    /* What the call queued is sent by the client's thread. */
+    cw_http_client_wake(vm->client);
+}
+
+static void
+handle_ready(void *context, struct cw_http_call *call)
+{
+    struct cw_vm *vm = context;
+    bool ready;
+
+    pthread_mutex_lock(&vm->engine);
+    ready = vm->running && cw_entry_ready(vm->entry);
+    pthread_mutex_unlock(&vm->engine);
+    cw_http_answer(call, ready ? 200 : 503, "text/plain", "", 0, false);
+}
+
+static void
+handle_metrics(void *context, struct cw_http_call *call)
+{
+    struct cw_vm *vm = context;
+    GString *out = g_string_new(NULL);
+    struct cw_owner_stats stats;
+
+    pthread_mutex_lock(&vm->engine);
+    cw_owner_stats(vm->owner, &stats);
+    pthread_mutex_unlock(&vm->engine);
+    cw_count_print(&vm->counters, out);
+    g_string_append_printf(out,
+                           "curlewcart_owner_jobs %u\n"
+                           "curlewcart_owner_runs %u\n",
+                           stats.jobs, stats.runs);
+    cw_http_answer(call, 200, "text/plain; version=0.0.4", out->str, out->len,
+                   false);
+    g_string_free(out, TRUE);
+}
+
+static struct cw_http_server *
+listen_at(struct cw_vm *vm, const char *address, unsigned connections,
+          void (*handle)(void *, struct cw_http_call *))
+{
+    char *host = g_strdup(address);
+    char *colon = strrchr(host, ':');
+    struct cw_http_server_options options = {
+        .address = host,
+        .port = (uint16_t)strtoul(colon + 1, NULL, 10),
+        .threads = 1,
+        .connections = connections,
+        .idle_s = CALLER_IDLE_S,
+        .body_max = CALLER_BODY_BYTES,
+        .handle = handle,
+        .context = vm,
+    };
+    struct cw_http_server *server;
+
+    *colon = '\0';
+    server = cw_http_server_create(&options);
+    if (server == NULL) {
+        cw_log_error("listen", "address=%s reason=failed", address);
+    }
+    g_free(host);
+    return server;
+}
+
+/* ---- start and stop ---- */
+
+static void
+create_engine(struct cw_vm *vm)
+{
+    const struct cw_vm_settings *settings = vm->settings;
+    uint64_t life = 0;
+    char *member;
+    struct platform_options platform = {.client = vm->client,
+                                        .engine = &vm->engine,
+                                        .store_address = settings->store};
+    struct cw_replica_options replica = {.clock = vm->clock,
+                                         .pace_ms = CW_STANDBY_PACE_MS};
+    struct cw_entry_options entry = {.clock = vm->clock,
+                                     .counters = &vm->counters};
+    struct cw_owner_options owner = {
+        .codec = platform_codec(),
+        .clock = vm->clock,
+        .counters = &vm->counters,
+        .member_ttl_ms = settings->bounds.member_ttl_ms * MEMBER_TTL_FACTOR,
+        .lease_ms = settings->bounds.lease_ms,
+        .retain_ms =
+            (settings->bounds.retain_s + RETAIN_EXTRA_S) * CW_MS_PER_S,
+    };
+    struct cw_follower_options routing = {
+        .name = "config",
+        .clock = vm->clock,
+        .topic = platform_codec()->routing_topic,
+        .wait_ms = ROUTING_WAIT_MS,
+        .handler = {.record = on_routing, .context = vm},
+    };
+
+    vm->store = platform_store_new(&platform);
+    vm->targets = platform_targets_new(&platform);
+    replica.store = vm->store;
+    vm->replica = cw_replica_create(&replica);
+    entry.store = vm->store;
+    entry.replica = vm->replica;
+    vm->entry = cw_entry_create(&entry);
+    /* A name for this life of the process: a restarted one is another
+     * member, so that no two share a generation and with it an epoch. */
+    randombytes_buf(&life, sizeof(life));
+    member = g_strdup_printf("%s/%016" PRIx64, settings->vm, life);
+    owner.store = vm->store;
+    owner.targets = vm->targets;
+    owner.replica = vm->replica;
+    owner.member = member;
+    vm->owner = cw_owner_create(&owner);
+    g_free(member);
+    routing.store = vm->store;
+    vm->routing = cw_follower_create(&routing);
+    vm->handler.entry = vm->entry;
+    vm->handler.engine = &vm->engine;
+}
+
+static bool
+start(struct cw_vm *vm)
+{
+    struct cw_http_client_options client = {.tick = on_tick, .context = vm};
+    const struct cw_vm_settings_listen *listen = &vm->settings->listen;
+
+    vm->client = cw_http_client_create(&client);
+    if (vm->client == NULL) {
+        return false;
+    }
+    pthread_mutex_lock(&vm->engine);
+    create_engine(vm);
+    vm->running = true;
+    pthread_mutex_unlock(&vm->engine);
+    cw_http_client_wake(vm->client);
+    vm->ready = listen_at(vm, listen->ready, READY_CONNECTIONS, handle_ready);
+    vm->callers =
+        listen_at(vm, listen->callers, CALLER_CONNECTIONS, handle_caller);
+    if (listen->metrics != NULL) {
+        vm->metrics =
+            listen_at(vm, listen->metrics, READY_CONNECTIONS, handle_metrics);
+    }
+    return vm->ready != NULL && vm->callers != NULL;
+}
+
+static void
+nap(unsigned ms)
+{
+    struct timespec step = cw_time_from_ms(ms);
+
+    nanosleep(&step, NULL);
+}
+
+static unsigned
+pending(struct cw_vm *vm)
+{
+    unsigned count;
+
+    pthread_mutex_lock(&vm->engine);
+    count = cw_entry_pending(vm->entry);
+    pthread_mutex_unlock(&vm->engine);
+    return count;
+}
+
+/* Gives up the shard at once and serves on until the balancer has noticed
+ * and what is held is answered. */
+static void
+leave(struct cw_vm *vm)
+{
+    struct timespec began = cw_clock_now(vm->clock);
+    int64_t most = (int64_t)vm->settings->bounds.grace_s * CW_MS_PER_S -
+                   LEAVE_RESERVE_MS;
+    int64_t passed;
+
+    pthread_mutex_lock(&vm->engine);
+    cw_entry_leave(vm->entry);
+    cw_owner_leave(vm->owner);
+    pthread_mutex_unlock(&vm->engine);
+    cw_http_client_wake(vm->client);
+    cw_http_server_leave(vm->callers);
+    cw_log_info("leaving", "pending=%u", pending(vm));
+    do {
+        nap(LEAVE_STEP_MS);
+        passed = cw_time_diff_ms(began, cw_clock_now(vm->clock));
+    } while (passed < most && (passed < LEAVE_LEAST_MS || pending(vm) > 0));
+    cw_http_server_quiesce(vm->callers);
+    nap(LEAVE_STEP_MS);
+}
+
+static void
+reload(struct cw_vm *vm)
+{
+    GString *problems = g_string_new(NULL);
+    struct cw_vm_settings *settings =
+        cw_vm_settings_load(vm->settings_path, problems);
+
+    if (settings == NULL) {
+        cw_log_error("reload", "outcome=rejected reason=\"%s\"",
+                     g_strdelimit(problems->str, "\n\"", ' '));
+    }
+    else {
+        cw_log_set_level(settings->log_level != NULL ? settings->log_level
+                                                     : "info");
+        cw_log_info("reload", "outcome=applied level=%s",
+                    settings->log_level != NULL ? settings->log_level
+                                                : "info");
+    }
+    cw_vm_settings_free(settings);
+    g_string_free(problems, TRUE);
+}
+
+static int
+wait_for_end(struct cw_vm *vm, const sigset_t *signals)
+{
+    int received = 0;
+
+    while (sigwait(signals, &received) == 0 && received == SIGHUP) {
+        reload(vm);
+    }
+    return received;
+}
+
+int
+cw_vm_run(struct cw_vm_settings *settings, const char *path)
+{
+    struct cw_vm *vm = g_new0(struct cw_vm, 1);
+    const char *level = settings->log_level;
+    sigset_t signals;
+    int received;
+
+    cw_log_setup(level != NULL ? level : "info", settings->vm);
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGHUP);
+    pthread_sigmask(SIG_BLOCK, &signals, NULL);
+    signal(SIGPIPE, SIG_IGN);
+    vm->settings = settings;
+    vm->settings_path = path;
+    vm->clock = cw_clock_system();
+    pthread_mutex_init(&vm->engine, NULL);
+    if (!start(vm)) {
+        cw_log_error("stopped", "reason=not_started");
+        return EXIT_START;
+    }
+    cw_log_info("started", "dc=%s store=%s callers=%s lease_ms=%u",
+                settings->dc, settings->store, settings->listen.callers,
+                settings->bounds.lease_ms);
+    received = wait_for_end(vm, &signals);
+    leave(vm);
+    cw_log_info("stopped", "signal=%d", received);
+    cw_log_flush();
+    /* Threads of the libraries may still hold what a tidy end would free;
+     * the process keeps nothing that has to be written. */
+    _exit(0);
+}
--- /dev/null
+++ b/src/work/work.c
@@ -0,0 +1,83 @@
+/* Names, keys and checks of jobs. */
+#include "curlewcart/cw_work.h"
+
+#include <string.h>
+
+enum { ID_LENGTH = 16 };
+
+const char *
+cw_work_phase_name(unsigned phase)
+{
+    static const char *const names[] = {"waiting", "running", "completed",
+                                        "failed", "cancelled"};
+
+    return phase < G_N_ELEMENTS(names) ? names[phase] : "unknown";
+}
+
+char *
+cw_work_key(enum cw_work_key kind, const char *id)
+{
+    return g_strdup_printf("%c%s", (char)kind, id);
+}
+
+bool
+cw_work_id_valid(const char *id)
+{
+    size_t length = 0;
+
+    while (g_ascii_isxdigit(id[length])) {
+        length++;
+    }
+    return length == ID_LENGTH && id[length] == '\0';
+}
+
+static enum cw_result
+check_step(const struct cw_step_spec *step, unsigned number, char *detail,
+           size_t size)
+{
+    if (step->tasks == 0 || step->tasks > CW_TASKS_MAX) {
+        g_snprintf(detail, size, "step %u: count of tasks", number);
+        return CW_REF_MALFORMED;
+    }
+    for (u_int i = 0; i < step->after.after_len; i++) {
+        if (step->after.after_val[i] >= number) {
+            g_snprintf(detail, size, "step %u waits for a later step", number);
+            return CW_REF_MALFORMED;
+        }
+    }
+    return CW_OK;
+}
+
+enum cw_result
+cw_work_check(const struct cw_work_spec *spec, char *detail, size_t size)
+{
+    enum cw_result result = CW_OK;
+
+    if (spec->steps.steps_len == 0) {
+        g_snprintf(detail, size, "no steps");
+        return CW_REF_MALFORMED;
+    }
+    for (u_int i = 0; i < spec->steps.steps_len && result == CW_OK; i++) {
+        result = check_step(&spec->steps.steps_val[i], i, detail, size);
+    }
+    return result;
+}
+
+unsigned
+cw_work_chain_ms(const struct cw_work_spec *spec)
+{
+    unsigned finish[CW_STEPS_MAX] = {0};
+    unsigned longest = 0;
+
+    for (u_int i = 0; i < spec->steps.steps_len; i++) {
+        const struct cw_step_spec *step = &spec->steps.steps_val[i];
+        unsigned begin = 0;
+
+        for (u_int k = 0; k < step->after.after_len; k++) {
+            begin = MAX(begin, finish[step->after.after_val[k]]);
+        }
+        finish[i] = begin + step->estimate_ms;
+        longest = MAX(longest, finish[i]);
+    }
+    return longest;
+}
