--- a/src/owner/owner_jobs.c
+++ b/src/owner/owner_jobs.c
@@ -168,6 +168,25 @@
                                         spec->target_latency_ms);
 }
 
+static void
+log_taken(const struct owner_job *job, int64_t age_ms)
+{
+    const struct cw_replica_job *entry = job->entry;
+    const struct cw_step_spec *first = &job->spec->steps.steps_val[0];
+
+    cw_log_info("job_taken",
+                "id=%s queue=%s account=%s priority=%u steps=%u tasks=%u "
+                "accelerators=%u cpu=%u memory=%u gang=%d same_rack=%d "
+                "checkpoints=%d estimate_ms=%u offset=%" PRIu64
+                " record=%" PRIu64 " cancelled=%d age_ms=%" PRId64,
+                entry->id, job->spec->queue, job->spec->account,
+                job->spec->priority, job->spec->steps.steps_len, first->tasks,
+                first->accelerators, first->cpu_milli, first->memory_mb,
+                first->gang, first->same_rack, first->checkpoints,
+                first->estimate_ms, entry->spec_offset, entry->record_offset,
+                entry->cancelled, age_ms);
+}
+
 void
 owner_job_adopt(struct cw_owner *owner, struct cw_replica_job *entry)
 {
@@ -193,12 +212,7 @@
         g_hash_table_remove(owner->jobs, entry->id);
         return;
     }
-    cw_log_info("job_taken",
-                "id=%s queue=%s account=%s steps=%u offset=%" PRIu64
-                " record=%" PRIu64 " cancelled=%d age_ms=%" PRId64,
-                entry->id, job->spec->queue, job->spec->account,
-                job->spec->steps.steps_len, entry->spec_offset,
-                entry->record_offset, entry->cancelled, age_ms);
+    log_taken(job, age_ms);
     if (entry->cancelled) {
         owner_job_end(owner, job, CW_WORK_CANCELLED, "asked");
         return;
