--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -126,11 +126,23 @@
     GQueue orders; /* struct owner_order */
     unsigned orders_in_flight;
     GPtrArray *runs; /* struct owner_run */
+    unsigned lower_runs; /* of them, of work that is not the most urgent */
     unsigned failures; /* in a row */
     struct timespec avoid_until;
     struct timespec suspect_until; /* it failed or stalled work */
 };
 
+/* Room that a service's workers keep for urgent work. */
+struct owner_headroom {
+    double peak; /* accelerators that urgent work held lately */
+    struct timespec at;
+    unsigned most_hosts; /* workers that lower work may be on */
+    unsigned hosts;      /* workers that it is on */
+    unsigned idle;       /* workers without any run */
+    unsigned spare;      /* workers that should be idle */
+    struct timespec evict_due;
+};
+
 enum owner_state {
     OWNER_IDLE,     /* another VM owns the shard, or none */
     OWNER_FENCING,  /* shutting out earlier owners */
@@ -163,6 +175,7 @@
     struct cw_follower *reports;
     GHashTable *jobs;    /* id -> struct owner_job */
     GHashTable *targets; /* id -> struct owner_target */
+    GHashTable *headroom; /* service -> struct owner_headroom */
     GPtrArray *dirty;    /* struct owner_job */
     struct owner_batch *batch;
     uint64_t sequence;
@@ -375,8 +388,27 @@
 void owner_assign(struct cw_owner *owner, struct owner_step *step,
                   const GArray *choices, enum run_phase phase);
 
+/* ---- owner_headroom.c ---- */
+
+/* Counts anew what urgent work holds and how far lower work may spread. */
+void owner_headroom_update(struct cw_owner *owner, struct timespec now);
+
+/* True if lower work may be placed on the worker. */
+bool owner_headroom_allows(struct cw_owner *owner,
+                           const struct owner_target *target);
+
+/* A run of lower work was placed on the worker. */
+void owner_headroom_took(struct cw_owner *owner,
+                         const struct owner_target *target);
+
+/* Makes lower work that loses little leave before its place is needed. */
+void owner_headroom_restore(struct cw_owner *owner, struct timespec now);
+
 /* ---- owner_reclaim.c ---- */
 
+/* Core-seconds that stopping the run now throws away. */
+double owner_run_cost(const struct owner_run *run, struct timespec now);
+
 /* Makes others leave so that the gang or the tasks of `step` can run.
  * Returns false if no set of them is worth it. */
 bool owner_reclaim(struct cw_owner *owner, struct owner_step *step,
--- a/src/owner/owner.c
+++ b/src/owner/owner.c
@@ -364,6 +364,8 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, owner_job_free);
     owner->targets = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
                                            owner_target_free);
+    owner->headroom =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     owner->dirty = g_ptr_array_new();
     cw_replica_set_listener(options->replica, &listener);
     return owner;
@@ -378,6 +380,7 @@
     drop_state(owner);
     g_hash_table_unref(owner->targets);
     g_hash_table_unref(owner->jobs);
+    g_hash_table_unref(owner->headroom);
     g_ptr_array_unref(owner->dirty);
     cw_routing_unref(owner->routing);
     g_free(owner->member);
--- /dev/null
+++ b/src/owner/owner_headroom.c
@@ -0,0 +1,247 @@
+/* Room kept for urgent work.
+ *
+ * Urgent tasks last seconds; waiting until others have left their place
+ * costs as much as the objective allows.  So lower work is packed onto as
+ * few workers as it needs, and onto no more than leave room for what urgent
+ * work took lately and for what may arrive before a place can be freed. */
+#include "owner/internal/owner_private.h"
+
+#include <string.h>
+
+enum {
+    /* Share of the accelerators that stay free for arrivals, beside what
+     * urgent work has taken lately. */
+    SPARE_PERCENT = 12,
+    /* How fast the peak of urgent work is forgotten, a second. */
+    FORGET_PERCENT_PER_S = 8,
+    /* Lower work that leaves ahead of need, at most at a time. */
+    EVICTIONS_MOST = 2,
+    EVICT_EVERY_MS = 250,
+    PERCENT = 100
+};
+
+/* A service's workers as they are now. */
+struct census {
+    struct owner_headroom *room;
+    unsigned workers;
+    unsigned hosts; /* of lower work */
+    unsigned idle;  /* without any run */
+    int64_t accelerators;
+    int64_t urgent; /* accelerators that urgent runs hold */
+};
+
+static struct owner_headroom *
+headroom_of(struct cw_owner *owner, const char *service)
+{
+    struct owner_headroom *room =
+        g_hash_table_lookup(owner->headroom, service);
+
+    if (room == NULL) {
+        room = g_new0(struct owner_headroom, 1);
+        g_hash_table_insert(owner->headroom, g_strdup(service), room);
+    }
+    return room;
+}
+
+static void
+count_target(struct census *census, const struct owner_target *target)
+{
+    census->workers++;
+    census->accelerators += target->capacity.accelerators;
+    census->hosts += target->lower_runs > 0;
+    census->idle += target->runs->len == 0;
+    for (guint i = 0; i < target->runs->len; i++) {
+        const struct owner_run *run = target->runs->pdata[i];
+
+        if (owner_task_job(run->task)->spec->priority == 0) {
+            census->urgent += run->task->step->spec->accelerators;
+        }
+    }
+}
+
+/* How many workers lower work may be on. */
+static void
+set_limit(const struct census *census, struct timespec now)
+{
+    struct owner_headroom *room = census->room;
+    double passed_s =
+        (double)cw_time_diff_ms(room->at, now) / CW_MS_PER_S;
+    double per_worker =
+        (double)census->accelerators / MAX(1, census->workers);
+    double kept;
+
+    room->peak -= room->peak * MIN(1.0, passed_s * FORGET_PERCENT_PER_S /
+                                            PERCENT);
+    room->peak = MAX(room->peak, (double)census->urgent);
+    room->at = now;
+    kept = room->peak +
+           (double)census->accelerators * SPARE_PERCENT / PERCENT;
+    if (per_worker <= 0) {
+        room->most_hosts = census->workers; /* nothing to measure by */
+        return;
+    }
+    kept = kept / per_worker;
+    room->most_hosts =
+        kept < census->workers ? census->workers - (unsigned)kept : 0;
+    room->hosts = census->hosts;
+    room->idle = census->idle;
+    room->spare =
+        census->workers * SPARE_PERCENT / PERCENT;
+}
+
+static bool
+counts(const struct owner_target *target)
+{
+    return target->listed && !target->draining && !target->gone;
+}
+
+void
+owner_headroom_update(struct cw_owner *owner, struct timespec now)
+{
+    GHashTable *services = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+                                                 g_free);
+    GHashTableIter iterator;
+    gpointer value;
+
+    g_hash_table_iter_init(&iterator, owner->targets);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const struct owner_target *target = value;
+        struct census *census;
+
+        if (!counts(target)) {
+            continue;
+        }
+        census = g_hash_table_lookup(services, target->service);
+        if (census == NULL) {
+            census = g_new0(struct census, 1);
+            census->room = headroom_of(owner, target->service);
+            g_hash_table_insert(services, target->service, census);
+        }
+        count_target(census, target);
+    }
+    g_hash_table_iter_init(&iterator, services);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        set_limit(value, now);
+    }
+    g_hash_table_unref(services);
+}
+
+bool
+owner_headroom_allows(struct cw_owner *owner,
+                      const struct owner_target *target)
+{
+    const struct owner_headroom *room = headroom_of(owner, target->service);
+
+    return target->lower_runs > 0 || room->hosts < room->most_hosts;
+}
+
+void
+owner_headroom_took(struct cw_owner *owner, const struct owner_target *target)
+{
+    if (target->lower_runs == 1) {
+        headroom_of(owner, target->service)->hosts++;
+    }
+}
+
+/* ---- leaving ahead of need ---- */
+
+/* Core-milliseconds lost if the worker is emptied of lower work, or -1 if
+ * something there would lose more than a checkpoint's interval. */
+static double
+eviction_cost(const struct owner_target *target, struct timespec now)
+{
+    double cost = 0;
+
+    for (guint i = 0; i < target->runs->len; i++) {
+        const struct owner_run *run = target->runs->pdata[i];
+        const struct cw_step_spec *spec = run->task->step->spec;
+
+        if (owner_task_job(run->task)->spec->priority == 0) {
+            return -1; /* it will not be idle soon */
+        }
+        if (run->stopping || !spec->checkpoints) {
+            return -1;
+        }
+        cost += owner_run_cost(run, now);
+    }
+    return cost;
+}
+
+static struct owner_target *
+cheapest_host(struct cw_owner *owner, const char *service,
+              struct timespec now)
+{
+    struct owner_target *best = NULL;
+    double best_cost = 0;
+    GHashTableIter iterator;
+    gpointer value;
+
+    g_hash_table_iter_init(&iterator, owner->targets);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        struct owner_target *target = value;
+        double cost;
+
+        if (target->lower_runs == 0 || !counts(target) ||
+            strcmp(target->service, service) != 0) {
+            continue;
+        }
+        cost = eviction_cost(target, now);
+        if (cost >= 0 && (best == NULL || cost < best_cost)) {
+            best = target;
+            best_cost = cost;
+        }
+    }
+    return best;
+}
+
+static void
+evict(struct cw_owner *owner, struct owner_target *target)
+{
+    cw_log_info("evict", "worker=%s runs=%u", target->id, target->runs->len);
+    for (guint i = target->runs->len; i > 0; i--) {
+        struct owner_run *run;
+        struct owner_step *step;
+
+        if (i > target->runs->len) {
+            continue; /* stopping a gang may have dropped several */
+        }
+        run = target->runs->pdata[i - 1];
+        step = run->task->step;
+        if (step->spec->gang) {
+            owner_step_stop(owner, step);
+        }
+        else {
+            owner_run_stop(owner, run);
+        }
+    }
+}
+
+void
+owner_headroom_restore(struct cw_owner *owner, struct timespec now)
+{
+    GHashTableIter iterator;
+    gpointer key;
+    gpointer value;
+
+    g_hash_table_iter_init(&iterator, owner->headroom);
+    while (g_hash_table_iter_next(&iterator, &key, &value)) {
+        struct owner_headroom *room = value;
+        unsigned evicted = 0;
+
+        if (cw_time_before(now, room->evict_due)) {
+            continue;
+        }
+        while (room->idle + evicted < room->spare / 2 &&
+               room->hosts > room->most_hosts + evicted &&
+               evicted < EVICTIONS_MOST) {
+            struct owner_target *target = cheapest_host(owner, key, now);
+
+            if (target == NULL) {
+                break;
+            }
+            evict(owner, target);
+            evicted++;
+            room->evict_due = cw_time_add_ms(now, EVICT_EVERY_MS);
+        }
+    }
+}
--- a/src/owner/owner_place.c
+++ b/src/owner/owner_place.c
@@ -8,6 +8,7 @@
     struct owner_target *target;
     struct cw_resources room;
     unsigned fits;
+    unsigned rack_hosts; /* workers of its rack that lower work is on */
 };
 
 unsigned
@@ -103,6 +104,50 @@
     return strcmp(x->target->id, y->target->id);
 }
 
+/* For lower work: racks and workers that have some already, so that it
+ * spreads no further than it must. */
+static gint
+by_lower_work(gconstpointer a, gconstpointer b)
+{
+    const struct candidate *x = a;
+    const struct candidate *y = b;
+
+    if (x->rack_hosts != y->rack_hosts) {
+        return x->rack_hosts > y->rack_hosts ? -1 : 1;
+    }
+    if ((x->target->lower_runs > 0) != (y->target->lower_runs > 0)) {
+        return x->target->lower_runs > 0 ? -1 : 1;
+    }
+    return by_room(a, b);
+}
+
+static void
+count_rack_hosts(struct cw_owner *owner, GArray *candidates)
+{
+    GHashTable *hosts = g_hash_table_new(g_str_hash, g_str_equal);
+    GHashTableIter iterator;
+    gpointer value;
+
+    g_hash_table_iter_init(&iterator, owner->targets);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        struct owner_target *target = value;
+        gpointer count = g_hash_table_lookup(hosts, target->rack);
+
+        if (target->lower_runs > 0) {
+            g_hash_table_insert(
+                hosts, target->rack,
+                GUINT_TO_POINTER(GPOINTER_TO_UINT(count) + 1));
+        }
+    }
+    for (guint i = 0; i < candidates->len; i++) {
+        struct candidate *c = &g_array_index(candidates, struct candidate, i);
+
+        c->rack_hosts = GPOINTER_TO_UINT(
+            g_hash_table_lookup(hosts, c->target->rack));
+    }
+    g_hash_table_unref(hosts);
+}
+
 /* Workers with room for a task of the step, fullest first. */
 static GArray *
 candidates_of(struct cw_owner *owner, const struct owner_step *step,
@@ -110,6 +155,7 @@
 {
     GArray *out = g_array_new(FALSE, FALSE, sizeof(struct candidate));
     struct cw_resources need = owner_need(step->spec);
+    bool lower = step->occurrence->job->spec->priority > 0;
     GHashTableIter iterator;
     gpointer value;
 
@@ -117,7 +163,8 @@
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         struct candidate candidate = {.target = value};
 
-        if (!owner_target_usable(value, now) || !owner_may_run(step, value)) {
+        if (!owner_target_usable(value, now) || !owner_may_run(step, value) ||
+            (lower && !owner_headroom_allows(owner, value))) {
             continue;
         }
         candidate.room = owner_room(value);
@@ -127,7 +174,10 @@
             g_array_append_val(out, candidate);
         }
     }
-    g_array_sort(out, by_room);
+    if (lower) {
+        count_rack_hosts(owner, out);
+    }
+    g_array_sort(out, lower ? by_lower_work : by_room);
     return out;
 }
 
@@ -455,8 +505,10 @@
         collect_steps(value, steps, now);
     }
     g_ptr_array_sort(steps, by_urgency);
+    owner_headroom_update(owner, now);
     for (guint i = 0; i < steps->len; i++) {
         place_step(owner, steps->pdata[i], now);
     }
+    owner_headroom_restore(owner, now);
     g_ptr_array_unref(steps);
 }
--- a/src/owner/owner_reclaim.c
+++ b/src/owner/owner_reclaim.c
@@ -71,9 +71,8 @@
     return !run->stopping && !run->finished && job->spec->priority > priority;
 }
 
-/* Core-seconds that stopping the run throws away. */
-static double
-run_cost(const struct owner_run *run, struct timespec now)
+double
+owner_run_cost(const struct owner_run *run, struct timespec now)
 {
     const struct cw_step_spec *spec = run->task->step->spec;
     double cores = (double)spec->cpu_milli / MILLI +
@@ -94,11 +93,11 @@
     double cost = 0;
 
     if (!step->spec->gang) {
-        return run_cost(run, now);
+        return owner_run_cost(run, now);
     }
     for (unsigned i = 0; i < step->count; i++) {
         if (step->tasks[i].run != NULL) {
-            cost += run_cost(step->tasks[i].run, now);
+            cost += owner_run_cost(step->tasks[i].run, now);
         }
     }
     return cost;
--- a/src/owner/owner_runs.c
+++ b/src/owner/owner_runs.c
@@ -40,6 +40,10 @@
     task->step->runs++;
     owner_task_job(task)->runs++;
     g_ptr_array_add(target->runs, run);
+    if (owner_task_job(task)->spec->priority > 0) {
+        target->lower_runs++;
+        owner_headroom_took(owner, target);
+    }
     add_resources(account_of(run), &need, 1);
     return run;
 }
@@ -57,6 +61,9 @@
         add_resources(&target->leaving, &need, -1);
     }
     g_ptr_array_remove_fast(target->runs, run);
+    if (job->spec->priority > 0) {
+        target->lower_runs--;
+    }
     task->run = NULL;
     task->step->runs--;
     job->runs--;
