Keep room by arrivals and a decaying peak; look again for room in time

Change: what arrives in 1.5 s and a peak forgotten at 12% a second are kept; a job with nothing running may use any room below 60% use. Failed try, reverted: waiting for the rest of a failed gang to end by itself.

--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -71,6 +71,7 @@
     struct timespec ready_at;
     bool ready;
     uint64_t tried_at; /* the owner's room version when it did not fit */
+    struct timespec tried_time;
 };
 
 struct owner_occurrence {
@@ -135,6 +136,8 @@
 /* Room that a service's workers keep for urgent work. */
 struct owner_headroom {
     double peak; /* accelerators that urgent work held lately */
+    double arrived; /* accelerators that urgent jobs asked for lately */
+    bool mostly_idle;
     struct timespec at;
     unsigned most_hosts; /* workers that lower work may be on */
     unsigned hosts;      /* workers that it is on */
@@ -395,7 +398,13 @@
 
 /* True if lower work may be placed on the worker. */
 bool owner_headroom_allows(struct cw_owner *owner,
-                           const struct owner_target *target);
+                           const struct owner_step *step,
+                           const struct owner_target *target,
+                           struct timespec now);
+
+/* A job was taken on. */
+void owner_headroom_arrived(struct cw_owner *owner,
+                            const struct owner_job *job);
 
 /* A run of lower work was placed on the worker. */
 void owner_headroom_took(struct cw_owner *owner,
--- a/src/owner/owner_headroom.c
+++ b/src/owner/owner_headroom.c
@@ -9,11 +9,17 @@
 #include <string.h>
 
 enum {
-    /* Share of the accelerators that stay free for arrivals, beside what
-     * urgent work has taken lately. */
-    SPARE_PERCENT = 12,
+    /* What arrives in so long is kept free: about what it takes to stop
+     * others, and as much again since arrivals are uneven. */
+    SPARE_MS = 1500,
+    /* Arrivals are averaged over about so long. */
+    ARRIVALS_MS = 4000,
     /* How fast the peak of urgent work is forgotten, a second. */
-    FORGET_PERCENT_PER_S = 8,
+    FORGET_PERCENT_PER_S = 12,
+    /* Below this use of the accelerators nothing is kept free from a job
+     * that has no task running and has waited for WAITED_MS. */
+    IDLE_PERCENT = 60,
+    WAITED_MS = 1500,
     /* Lower work that leaves ahead of need, at most at a time. */
     EVICTIONS_MOST = 2,
     EVICT_EVERY_MS = 250,
@@ -28,6 +34,7 @@
     unsigned idle;  /* without any run */
     int64_t accelerators;
     int64_t urgent; /* accelerators that urgent runs hold */
+    int64_t used;   /* accelerators that any runs hold */
 };
 
 static struct owner_headroom *
@@ -53,40 +60,65 @@
     for (guint i = 0; i < target->runs->len; i++) {
         const struct owner_run *run = target->runs->pdata[i];
 
+        census->used += run->task->step->spec->accelerators;
         if (owner_task_job(run->task)->spec->priority == 0) {
             census->urgent += run->task->step->spec->accelerators;
         }
     }
 }
 
+/* The peak and the arrivals are forgotten as time passes. */
+static void
+forget(struct owner_headroom *room, struct timespec now)
+{
+    int64_t passed_ms = cw_time_diff_ms(room->at, now);
+    double passed_s = (double)passed_ms / CW_MS_PER_S;
+
+    room->peak *= MAX(0, 1 - passed_s * FORGET_PERCENT_PER_S / PERCENT);
+    room->arrived *= MAX(0, 1 - (double)passed_ms / ARRIVALS_MS);
+    room->at = now;
+}
+
 /* How many workers lower work may be on. */
 static void
 set_limit(const struct census *census, struct timespec now)
 {
     struct owner_headroom *room = census->room;
-    double passed_s =
-        (double)cw_time_diff_ms(room->at, now) / CW_MS_PER_S;
     double per_worker =
         (double)census->accelerators / MAX(1, census->workers);
+    double spare;
     double kept;
 
-    room->peak -= room->peak * MIN(1.0, passed_s * FORGET_PERCENT_PER_S /
-                                            PERCENT);
+    forget(room, now);
     room->peak = MAX(room->peak, (double)census->urgent);
-    room->at = now;
-    kept = room->peak +
-           (double)census->accelerators * SPARE_PERCENT / PERCENT;
+    room->hosts = census->hosts;
+    room->idle = census->idle;
+    room->mostly_idle = census->used * PERCENT <
+                        census->accelerators * IDLE_PERCENT;
     if (per_worker <= 0) {
         room->most_hosts = census->workers; /* nothing to measure by */
         return;
     }
-    kept = kept / per_worker;
+    spare = room->arrived * SPARE_MS / ARRIVALS_MS;
+    kept = (room->peak + spare) / per_worker;
     room->most_hosts =
         kept < census->workers ? census->workers - (unsigned)kept : 0;
-    room->hosts = census->hosts;
-    room->idle = census->idle;
-    room->spare =
-        census->workers * SPARE_PERCENT / PERCENT;
+    room->spare = (unsigned)(spare / per_worker);
+}
+
+void
+owner_headroom_arrived(struct cw_owner *owner, const struct owner_job *job)
+{
+    struct owner_headroom *room = headroom_of(owner, job->spec->service);
+
+    if (job->spec->priority != 0) {
+        return;
+    }
+    for (u_int i = 0; i < job->spec->steps.steps_len; i++) {
+        const struct cw_step_spec *step = &job->spec->steps.steps_val[i];
+
+        room->arrived += (double)step->tasks * step->accelerators;
+    }
 }
 
 static bool
@@ -127,12 +159,16 @@
 }
 
 bool
-owner_headroom_allows(struct cw_owner *owner,
-                      const struct owner_target *target)
+owner_headroom_allows(struct cw_owner *owner, const struct owner_step *step,
+                      const struct owner_target *target, struct timespec now)
 {
     const struct owner_headroom *room = headroom_of(owner, target->service);
 
-    return target->lower_runs > 0 || room->hosts < room->most_hosts;
+    if (target->lower_runs > 0 || room->hosts < room->most_hosts) {
+        return true;
+    }
+    return room->mostly_idle && step->occurrence->job->runs == 0 &&
+           cw_time_diff_ms(step->ready_at, now) > WAITED_MS;
 }
 
 void
--- a/src/owner/owner_jobs.c
+++ b/src/owner/owner_jobs.c
@@ -217,6 +217,7 @@
         owner_job_end(owner, job, CW_WORK_CANCELLED, "asked");
         return;
     }
+    owner_headroom_arrived(owner, job);
     owner_job_open_due(owner, job, now);
     owner->place_wanted = true;
 }
--- a/src/owner/owner_place.c
+++ b/src/owner/owner_place.c
@@ -3,6 +3,12 @@
 
 #include <string.h>
 
+enum {
+    /* A step that found no room looks again when some came free, and after
+     * this: what is kept for urgent work shrinks with time. */
+    TRY_AGAIN_MS = 250
+};
+
 /* A worker with room, while a step is placed. */
 struct candidate {
     struct owner_target *target;
@@ -164,7 +170,7 @@
         struct candidate candidate = {.target = value};
 
         if (!owner_target_usable(value, now) || !owner_may_run(step, value) ||
-            (lower && !owner_headroom_allows(owner, value))) {
+            (lower && !owner_headroom_allows(owner, step, value, now))) {
             continue;
         }
         candidate.room = owner_room(value);
@@ -480,7 +486,8 @@
 {
     bool urgent = step->occurrence->job->spec->priority == 0;
 
-    if (step->tried_at == owner->room_version && !urgent) {
+    if (step->tried_at == owner->room_version && !urgent &&
+        cw_time_diff_ms(step->tried_time, now) < TRY_AGAIN_MS) {
         return; /* nothing has come free since */
     }
     if (step->spec->gang ? place_gang(owner, step, now)
@@ -488,6 +495,7 @@
         return;
     }
     step->tried_at = owner->room_version;
+    step->tried_time = now;
     if (urgent) {
         owner_reclaim(owner, step, now);
     }
