Reach the store through another VM when it turns this one away

Ways weighed: gossip of states and configurations between VMs (a second way to know each thing); answering 503 there (loses the jobs); a store that goes through another VM, which changes nothing above it: taken. Change: src/relay, ONC RPC over UDP without a thread of its own, sealed with a key that the VMs keep in the store.

--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,7 @@
 GENERATED := src/proto/cw_proto_xdr.c
 CORE := $(filter-out $(GENERATED),$(wildcard src/base/*.c src/bundle/*.c \
         src/work/*.c src/routing/*.c src/replica/*.c src/entry/*.c \
-        src/owner/*.c \
+        src/owner/*.c src/relay/*.c \
         src/sched/*.c src/ledger/*.c src/journal/*.c src/member/*.c \
         src/decider/*.c src/gate/*.c src/node/*.c src/worker/*.c))
 NET := $(wildcard src/http/*.c src/peer/*.c platform/*.c)
--- a/include/curlewcart/cw_count.h
+++ b/include/curlewcart/cw_count.h
@@ -29,6 +29,7 @@
     X(WORKER_BYTES, "worker_bytes", "bytes exchanged with workers")           \
     X(LOG_BYTES, "log_bytes", "bytes exchanged with the log")                 \
     X(PREEMPTIONS, "preemptions", "gangs told to give way")                   \
+    X(RELAYED, "relayed", "calls to the store through another VM")            \
     X(PROVISIONAL, "provisional", "outcomes told before the log had them")
 
 enum cw_counter {
--- a/include/curlewcart/cw_http_client.h
+++ b/include/curlewcart/cw_http_client.h
@@ -39,6 +39,10 @@
      * many milliseconds it wants to be called again at the latest.  NULL:
      * none. */
     unsigned (*tick)(void *context);
+    /* A descriptor that the thread also waits for, and what it then calls;
+     * `readable` NULL: none. */
+    int descriptor;
+    void (*readable)(void *context);
     void *context;
 };
 
--- a/include/curlewcart/cw_owner.h
+++ b/include/curlewcart/cw_owner.h
@@ -20,6 +20,9 @@
 #include "curlewcart/cw_store.h"
 #include "curlewcart/cw_target.h"
 
+/* The group that deals the shards. */
+#define CW_OWNER_GROUP "owners"
+
 struct cw_owner_options {
     struct cw_store *store;
     struct cw_targets *targets;
--- a/include/curlewcart/cw_store.h
+++ b/include/curlewcart/cw_store.h
@@ -48,6 +48,8 @@
     const char *writer;                    /* NULL: not fenced */
     uint64_t epoch;
     uint64_t sequence;
+    bool conditional; /* only if the partition ends at `expected_end` */
+    uint64_t expected_end;
     unsigned timeout_ms;
     void (*done)(void *context, const struct cw_store_appended *result);
     void *context;
@@ -107,6 +109,20 @@
     void *context;
 };
 
+/* Who holds the partitions of a group. */
+struct cw_store_members {
+    enum cw_store_status status;
+    const char *const *members; /* may repeat */
+    size_t count;
+};
+
+struct cw_store_list_members {
+    const char *group;
+    unsigned timeout_ms;
+    void (*done)(void *context, const struct cw_store_members *result);
+    void *context;
+};
+
 struct cw_store;
 struct cw_store_ops {
     void (*append)(struct cw_store *store, const struct cw_store_append *call);
@@ -114,6 +130,8 @@
     void (*newest)(struct cw_store *store, const struct cw_store_newest *call);
     void (*join)(struct cw_store *store, const struct cw_store_join *call);
     void (*leave)(struct cw_store *store, const struct cw_store_leave *call);
+    void (*members)(struct cw_store *store,
+                    const struct cw_store_list_members *call);
 };
 
 /* A store.  Embed as the first member of an implementation. */
--- a/include/curlewcart/cw_vm_settings.h
+++ b/include/curlewcart/cw_vm_settings.h
@@ -7,6 +7,7 @@
 struct cw_vm_settings_listen {
     char *callers; /* HOST:PORT */
     char *ready;   /* HOST:PORT; answers whether callers are wanted */
+    char *inner;   /* HOST:PORT, UDP; for the other VMs */
     char *metrics; /* HOST:PORT, or NULL */
 };
 
--- a/src/http/http_client.c
+++ b/src/http/http_client.c
@@ -212,6 +212,19 @@
     return MIN(wait_ms, (unsigned)POLL_MS);
 }
 
+static void
+wait_for_news(struct cw_http_client *client, unsigned wait_ms)
+{
+    struct curl_waitfd extra = {.fd = client->options.descriptor,
+                                .events = CURL_WAIT_POLLIN};
+    unsigned count = client->options.readable != NULL ? 1 : 0;
+
+    curl_multi_poll(client->multi, &extra, count, (int)wait_ms, NULL);
+    if (extra.revents != 0) {
+        client->options.readable(client->options.context);
+    }
+}
+
 static void *
 client_main(void *argument)
 {
@@ -224,7 +237,7 @@
         take_queue(client);
         curl_multi_perform(client->multi, &running);
         if (!take_ended(client)) {
-            curl_multi_poll(client->multi, NULL, 0, (int)wait_ms, NULL);
+            wait_for_news(client, wait_ms);
         }
     }
     return NULL;
--- a/src/owner/owner.c
+++ b/src/owner/owner.c
@@ -25,8 +25,6 @@
     TAKEOVER_SLACK_MS = 500
 };
 
-#define OWNER_GROUP "owners"
-
 static void
 drop_state(struct cw_owner *owner)
 {
@@ -281,7 +279,7 @@
 send_join(struct cw_owner *owner, struct timespec now)
 {
     struct cw_store_join call = {
-        .group = OWNER_GROUP,
+        .group = CW_OWNER_GROUP,
         .member = owner->member,
         .topic = CW_WORK_TOPIC,
         .ttl_ms = owner->options.member_ttl_ms,
@@ -311,7 +309,7 @@
 cw_owner_leave(struct cw_owner *owner)
 {
     struct cw_store_leave call = {
-        .group = OWNER_GROUP,
+        .group = CW_OWNER_GROUP,
         .member = owner->member,
         .timeout_ms = JOIN_TIMEOUT_MS,
         .done = on_left,
--- a/src/proto/cw_proto.h
+++ b/src/proto/cw_proto.h
@@ -391,6 +391,76 @@
 	} items;
 };
 typedef struct cw_messages cw_messages;
+#define CW_RELAY_BYTES_MAX 60000
+#define CW_RELAY_RECORDS_MAX 4096
+
+enum cw_relay_kind {
+	CW_RELAY_APPEND = 1,
+	CW_RELAY_READ = 2,
+	CW_RELAY_NEWEST = 3,
+	CW_RELAY_JOIN = 4,
+};
+typedef enum cw_relay_kind cw_relay_kind;
+
+struct cw_relay_record {
+	char *key;
+	struct {
+		u_int value_len;
+		char *value_val;
+	} value;
+	u_quad_t offset;
+};
+typedef struct cw_relay_record cw_relay_record;
+
+struct cw_relay_request {
+	cw_relay_kind kind;
+	cw_name topic;
+	u_int partition;
+	struct {
+		u_int records_len;
+		cw_relay_record *records_val;
+	} records;
+	cw_name writer;
+	u_quad_t epoch;
+	u_quad_t sequence;
+	bool_t conditional;
+	u_quad_t expected_end;
+	u_quad_t from;
+	u_int wait_ms;
+	char *after;
+	cw_name group;
+	char *member;
+	u_int ttl_ms;
+	u_quad_t generation;
+};
+typedef struct cw_relay_request cw_relay_request;
+
+struct cw_relay_answer {
+	u_int status;
+	u_quad_t first;
+	u_quad_t end;
+	u_quad_t expected_sequence;
+	bool_t more;
+	struct {
+		u_int records_len;
+		cw_relay_record *records_val;
+	} records;
+	u_quad_t generation;
+	struct {
+		u_int partitions_len;
+		u_int *partitions_val;
+	} partitions;
+};
+typedef struct cw_relay_answer cw_relay_answer;
+
+struct cw_relay_sealed {
+	struct {
+		u_int body_len;
+		char *body_val;
+	} body;
+	char mac[CW_MAC_BYTES];
+};
+typedef struct cw_relay_sealed cw_relay_sealed;
 
 #define CW_PEER_PROGRAM 0x20C0CA47
 #define CW_PEER_V1 1
@@ -408,6 +478,22 @@
 extern int cw_peer_program_1_freeresult ();
 #endif /* K&R C */
 
+#define CW_RELAY_PROGRAM 0x20C0CA48
+#define CW_RELAY_V1 1
+
+#if defined(__STDC__) || defined(__cplusplus)
+#define CW_RELAY_CALL 1
+extern  enum clnt_stat cw_relay_call_1(cw_relay_sealed , cw_relay_sealed *, CLIENT *);
+extern  bool_t cw_relay_call_1_svc(cw_relay_sealed , cw_relay_sealed *, struct svc_req *);
+extern int cw_relay_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
+
+#else /* K&R C */
+#define CW_RELAY_CALL 1
+extern  enum clnt_stat cw_relay_call_1();
+extern  bool_t cw_relay_call_1_svc();
+extern int cw_relay_program_1_freeresult ();
+#endif /* K&R C */
+
 /* the xdr functions */
 
 #if defined(__STDC__) || defined(__cplusplus)
@@ -444,6 +530,11 @@
 extern  bool_t xdr_cw_work_record (XDR *, cw_work_record*);
 extern  bool_t xdr_cw_envelope (XDR *, cw_envelope*);
 extern  bool_t xdr_cw_messages (XDR *, cw_messages*);
+extern  bool_t xdr_cw_relay_kind (XDR *, cw_relay_kind*);
+extern  bool_t xdr_cw_relay_record (XDR *, cw_relay_record*);
+extern  bool_t xdr_cw_relay_request (XDR *, cw_relay_request*);
+extern  bool_t xdr_cw_relay_answer (XDR *, cw_relay_answer*);
+extern  bool_t xdr_cw_relay_sealed (XDR *, cw_relay_sealed*);
 
 #else /* K&R C */
 extern bool_t xdr_cw_name ();
@@ -479,6 +570,11 @@
 extern bool_t xdr_cw_work_record ();
 extern bool_t xdr_cw_envelope ();
 extern bool_t xdr_cw_messages ();
+extern bool_t xdr_cw_relay_kind ();
+extern bool_t xdr_cw_relay_record ();
+extern bool_t xdr_cw_relay_request ();
+extern bool_t xdr_cw_relay_answer ();
+extern bool_t xdr_cw_relay_sealed ();
 
 #endif /* K&R C */
 
--- a/src/proto/cw_proto.x
+++ b/src/proto/cw_proto.x
@@ -348,3 +348,64 @@
         unsigned int CW_DELIVER(cw_envelope) = 1;
     } = 1;
 } = 0x20C0CA47;
+
+/* ---- calls to the store through another VM ---- */
+
+const CW_RELAY_BYTES_MAX = 60000;
+const CW_RELAY_RECORDS_MAX = 4096;
+
+enum cw_relay_kind {
+    CW_RELAY_APPEND = 1,
+    CW_RELAY_READ = 2,
+    CW_RELAY_NEWEST = 3,
+    CW_RELAY_JOIN = 4
+};
+
+struct cw_relay_record {
+    string key<255>;
+    opaque value<CW_RELAY_BYTES_MAX>; /* empty: the key is dropped */
+    unsigned hyper offset;
+};
+
+/* A call as in cw_store.h; what its kind does not need is empty. */
+struct cw_relay_request {
+    cw_relay_kind kind;
+    cw_name topic;
+    unsigned int partition;
+    cw_relay_record records<CW_RELAY_RECORDS_MAX>;
+    cw_name writer;
+    unsigned hyper epoch;
+    unsigned hyper sequence;
+    bool conditional;
+    unsigned hyper expected_end;
+    unsigned hyper from;
+    unsigned int wait_ms;
+    string after<255>;
+    cw_name group;
+    string member<255>;
+    unsigned int ttl_ms;
+    unsigned hyper generation;
+};
+
+struct cw_relay_answer {
+    unsigned int status;          /* enum cw_store_status */
+    unsigned hyper first;
+    unsigned hyper end;
+    unsigned hyper expected_sequence;
+    bool more;
+    cw_relay_record records<CW_RELAY_RECORDS_MAX>;
+    unsigned hyper generation;
+    unsigned int partitions<1024>;
+};
+
+/* A request or an answer, sealed with the key that the store keeps. */
+struct cw_relay_sealed {
+    opaque body<CW_RELAY_BYTES_MAX>;
+    opaque mac[CW_MAC_BYTES];
+};
+
+program CW_RELAY_PROGRAM {
+    version CW_RELAY_V1 {
+        cw_relay_sealed CW_RELAY_CALL(cw_relay_sealed) = 1;
+    } = 1;
+} = 0x20C0CA48;
--- a/src/proto/cw_proto_xdr.c
+++ b/src/proto/cw_proto_xdr.c
@@ -1201,3 +1201,107 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_cw_relay_kind (XDR *xdrs, cw_relay_kind *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_cw_relay_record (XDR *xdrs, cw_relay_record *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->key, 255))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->value.value_val, (u_int *) &objp->value.value_len, CW_RELAY_BYTES_MAX))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->offset))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_cw_relay_request (XDR *xdrs, cw_relay_request *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_cw_relay_kind (xdrs, &objp->kind))
+		 return FALSE;
+	 if (!xdr_cw_name (xdrs, &objp->topic))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->partition))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->records.records_val, (u_int *) &objp->records.records_len, CW_RELAY_RECORDS_MAX,
+		sizeof (cw_relay_record), (xdrproc_t) xdr_cw_relay_record))
+		 return FALSE;
+	 if (!xdr_cw_name (xdrs, &objp->writer))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->sequence))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->conditional))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->expected_end))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->from))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->wait_ms))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->after, 255))
+		 return FALSE;
+	 if (!xdr_cw_name (xdrs, &objp->group))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->member, 255))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->ttl_ms))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->generation))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_cw_relay_answer (XDR *xdrs, cw_relay_answer *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->status))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->first))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->end))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->expected_sequence))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->more))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->records.records_val, (u_int *) &objp->records.records_len, CW_RELAY_RECORDS_MAX,
+		sizeof (cw_relay_record), (xdrproc_t) xdr_cw_relay_record))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->generation))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->partitions.partitions_val, (u_int *) &objp->partitions.partitions_len, 1024,
+		sizeof (u_int), (xdrproc_t) xdr_u_int))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_cw_relay_sealed (XDR *xdrs, cw_relay_sealed *objp)
+{
+	register int32_t *buf;
+
+	int i;
+	 if (!xdr_bytes (xdrs, (char **)&objp->body.body_val, (u_int *) &objp->body.body_len, CW_RELAY_BYTES_MAX))
+		 return FALSE;
+	 if (!xdr_opaque (xdrs, objp->mac, CW_MAC_BYTES))
+		 return FALSE;
+	return TRUE;
+}
--- a/src/settings/vm_settings.c
+++ b/src/settings/vm_settings.c
@@ -18,6 +18,7 @@
 static const cyaml_schema_field_t listen_fields[] = {
     TEXT("callers", 0, struct cw_vm_settings_listen, callers),
     TEXT("ready", 0, struct cw_vm_settings_listen, ready),
+    TEXT("inner", 0, struct cw_vm_settings_listen, inner),
     TEXT("metrics", CYAML_FLAG_OPTIONAL, struct cw_vm_settings_listen,
          metrics),
     CYAML_FIELD_END,
@@ -73,6 +74,7 @@
 
     check_address("listen.callers", settings->listen.callers, problems);
     check_address("listen.ready", settings->listen.ready, problems);
+    check_address("listen.inner", settings->listen.inner, problems);
     check_address("listen.metrics", settings->listen.metrics, problems);
     check_address("store", settings->store, problems);
     if (settings->bounds.lease_ms == 0) {
--- a/src/vm/vm.c
+++ b/src/vm/vm.c
@@ -16,6 +16,7 @@
 #include "curlewcart/cw_http_server.h"
 #include "curlewcart/cw_log.h"
 #include "curlewcart/cw_owner.h"
+#include "curlewcart/cw_relay.h"
 #include "curlewcart/cw_replica.h"
 #include "curlewcart/cw_time.h"
 #include "platform/platform.h"
@@ -49,7 +50,8 @@
     struct cw_http_server *callers;
     struct cw_http_server *ready;
     struct cw_http_server *metrics;
-    struct cw_store *store;
+    struct cw_store *platform_store;
+    struct cw_relay *relay;
     struct cw_targets *targets;
     struct cw_replica *replica;
     struct cw_follower *routing;
@@ -96,6 +98,22 @@
 
 /* ---- ticking ---- */
 
+static void
+sooner(struct timespec *next, struct timespec due)
+{
+    if (cw_time_before(due, *next)) {
+        *next = due;
+    }
+}
+
+static void
+on_message(void *context)
+{
+    struct cw_vm *vm = context;
+
+    cw_relay_readable(vm->relay);
+}
+
 static unsigned
 on_tick(void *context)
 {
@@ -112,17 +130,10 @@
         cw_follower_tick(vm->routing, now);
         cw_follower_tick(jobs, now);
         next = cw_follower_due(vm->routing);
-        if (cw_time_before(cw_follower_due(jobs), next)) {
-            next = cw_follower_due(jobs);
-        }
-        for (int part = 0; part < 2; part++) {
-            struct timespec due = part == 0 ? cw_entry_tick(vm->entry, now)
-                                            : cw_owner_tick(vm->owner, now);
-
-            if (cw_time_before(due, next)) {
-                next = due;
-            }
-        }
+        sooner(&next, cw_follower_due(jobs));
+        sooner(&next, cw_entry_tick(vm->entry, now));
+        sooner(&next, cw_owner_tick(vm->owner, now));
+        sooner(&next, cw_relay_tick(vm->relay, now));
         /* Rounded up: waking a little early would only cost another turn. */
         wait_ms = cw_time_diff_ms(cw_clock_now(vm->clock), next) + 1;
     }
@@ -149,7 +160,8 @@
     bool ready;
 
     pthread_mutex_lock(&vm->engine);
-    ready = vm->running && cw_entry_ready(vm->entry);
+    ready = vm->running && cw_entry_ready(vm->entry) &&
+            !cw_relay_isolated(vm->relay);
     pthread_mutex_unlock(&vm->engine);
     cw_http_answer(call, ready ? 200 : 503, "text/plain", "", 0, false);
 }
@@ -209,9 +221,9 @@
     const struct cw_vm_settings *settings = vm->settings;
     uint64_t life = 0;
     char *member;
+    struct cw_store *store;
     struct platform_options platform = {.client = vm->client,
-                                        .engine = &vm->engine,
-                                        .store_address = settings->store};
+                                        .engine = &vm->engine};
     struct cw_replica_options replica = {.clock = vm->clock,
                                          .pace_ms = CW_STANDBY_PACE_MS};
     struct cw_entry_options entry = {.clock = vm->clock,
@@ -233,40 +245,72 @@
         .handler = {.record = on_routing, .context = vm},
     };
 
-    vm->store = platform_store_new(&platform);
+    store = cw_relay_store(vm->relay);
     vm->targets = platform_targets_new(&platform);
-    replica.store = vm->store;
+    replica.store = store;
     vm->replica = cw_replica_create(&replica);
-    entry.store = vm->store;
+    entry.store = store;
     entry.replica = vm->replica;
     vm->entry = cw_entry_create(&entry);
     /* A name for this life of the process: a restarted one is another
      * member, so that no two share a generation and with it an epoch. */
     randombytes_buf(&life, sizeof(life));
-    member = g_strdup_printf("%s/%016" PRIx64, settings->vm, life);
-    owner.store = vm->store;
+    member = cw_relay_member(settings->vm, settings->listen.inner, life);
+    owner.store = store;
     owner.targets = vm->targets;
     owner.replica = vm->replica;
     owner.member = member;
     vm->owner = cw_owner_create(&owner);
     g_free(member);
-    routing.store = vm->store;
+    routing.store = store;
     vm->routing = cw_follower_create(&routing);
     vm->handler.entry = vm->entry;
     vm->handler.engine = &vm->engine;
 }
 
+/* The relay's socket has to exist before the thread that waits for it; its
+ * calls only begin with the first tick. */
+static bool
+create_relay(struct cw_vm *vm)
+{
+    struct cw_relay_options options = {
+        .direct = vm->platform_store,
+        .clock = vm->clock,
+        .counters = &vm->counters,
+        .engine = &vm->engine,
+        .address = vm->settings->listen.inner,
+        .group = CW_OWNER_GROUP,
+    };
+
+    vm->relay = cw_relay_create(&options);
+    if (vm->relay == NULL) {
+        cw_log_error("listen", "address=%s reason=failed",
+                     vm->settings->listen.inner);
+    }
+    return vm->relay != NULL;
+}
+
 static bool
 start(struct cw_vm *vm)
 {
-    struct cw_http_client_options client = {.tick = on_tick, .context = vm};
+    struct platform_options platform = {.engine = &vm->engine,
+                                        .store_address = vm->settings->store};
+    struct cw_http_client_options client = {
+        .tick = on_tick, .readable = on_message, .context = vm};
     const struct cw_vm_settings_listen *listen = &vm->settings->listen;
 
+    vm->platform_store = platform_store_new(&platform);
+    if (!create_relay(vm)) {
+        return false;
+    }
+    client.descriptor = cw_relay_descriptor(vm->relay);
+    pthread_mutex_lock(&vm->engine);
     vm->client = cw_http_client_create(&client);
     if (vm->client == NULL) {
+        pthread_mutex_unlock(&vm->engine);
         return false;
     }
-    pthread_mutex_lock(&vm->engine);
+    platform_store_set_client(vm->platform_store, vm->client);
     create_engine(vm);
     vm->running = true;
     pthread_mutex_unlock(&vm->engine);
