Tell a cut-off VM from an outage of the store; replace a dead owner sooner

Change: pings between VMs while the store does not answer; a VM that hears nobody says so within a second, refuses at once and is not ready; members live 1.3 s, not 2 s.

--- a/include/curlewcart/cw_entry.h
+++ b/include/curlewcart/cw_entry.h
@@ -64,7 +64,8 @@
                      unsigned budget_ms, cw_entry_done done, void *context);
 
 /* Where a job stands: CW_OK, CW_E_NOT_FOUND, or CW_REF_NO_LEDGER if this VM
- * has not read the store lately and does not know the job. */
+ * cannot tell: it has not read the store lately and does not know the job,
+ * or it is cut off and the job was not over. */
 enum cw_result
 cw_entry_query(struct cw_entry *entry, const struct cw_entry_place *place,
                unsigned *phase);
@@ -77,6 +78,11 @@
 /* True if callers should be sent here. */
 bool cw_entry_ready(struct cw_entry *entry);
 
+/* Whether this VM is cut off from the store and all other VMs: changes are
+ * then given up on at once, and questions not answered from memory, so that
+ * callers turn to another VM. */
+void cw_entry_set_isolated(struct cw_entry *entry, bool isolated);
+
 /* No new connections are wanted; what is held goes on. */
 void cw_entry_leave(struct cw_entry *entry);
 bool cw_entry_leaving(const struct cw_entry *entry);
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -45,6 +45,7 @@
     struct cw_routing *routing;
     GPtrArray *changes; /* struct change */
     bool leaving;
+    bool isolated;
 };
 
 struct cw_entry *
@@ -254,10 +255,13 @@
         done(context, same ? CW_ENTRY_STORED : CW_ENTRY_OTHER_JOB);
         return;
     }
-    if (entry->changes->len >= PENDING_MAX) {
-        cw_count_code(entry->options.counters, CW_REF_GATE);
-        cw_log_info("submit", "id=%s queue=%s outcome=not_done pending=%u",
-                    spec->id, spec->queue, entry->changes->len);
+    if (entry->changes->len >= PENDING_MAX || entry->isolated) {
+        cw_count_code(entry->options.counters,
+                      entry->isolated ? CW_REF_LOG_AWAY : CW_REF_GATE);
+        cw_log_info("submit",
+                    "id=%s queue=%s outcome=not_done pending=%u isolated=%d",
+                    spec->id, spec->queue, entry->changes->len,
+                    entry->isolated);
         spec_release(spec);
         done(context, CW_ENTRY_NOT_DONE);
         return;
@@ -375,7 +379,8 @@
 
     if (job != NULL) {
         *phase = cw_replica_phase(job);
-        return CW_OK;
+        return entry->isolated && !cw_work_is_over(*phase) ? CW_REF_NO_LEDGER
+                                                           : CW_OK;
     }
     return is_fresh(entry, FRESH_MS) ? CW_E_NOT_FOUND : CW_REF_NO_LEDGER;
 }
@@ -394,10 +399,16 @@
 bool
 cw_entry_ready(struct cw_entry *entry)
 {
-    return !entry->leaving && entry->routing != NULL &&
+    return !entry->leaving && !entry->isolated && entry->routing != NULL &&
            is_fresh(entry, READY_MS);
 }
 
+void
+cw_entry_set_isolated(struct cw_entry *entry, bool isolated)
+{
+    entry->isolated = isolated;
+}
+
 void
 cw_entry_leave(struct cw_entry *entry)
 {
@@ -425,7 +436,10 @@
     for (guint i = entry->changes->len; i > 0; i--) {
         struct change *change = entry->changes->pdata[i - 1];
 
-        if (change->look_first) {
+        if (entry->isolated && !change->in_flight) {
+            give_up(change);
+        }
+        else if (change->look_first) {
             next = cw_time_add_ms(now, RETRY_FIRST_MS);
             look_again(change, now);
         }
--- a/src/owner/owner.c
+++ b/src/owner/owner.c
@@ -7,11 +7,12 @@
     /* A fifth of the member's time to live: several lost calls in a row do
      * not lose the shard. */
     JOIN_PARTS = 5,
-    JOIN_TIMEOUT_MS = 900,
+    JOIN_TIMEOUT_MS = 700,
     FENCE_TIMEOUT_MS = 900,
     FENCE_RETRY_MS = 150,
-    /* Starts and stops need a confirmation by the store that is younger. */
-    ORDER_PROOF_MS = 1800,
+    /* Starts and stops need a confirmation by the store that is younger than
+     * the member's time to live, by this. */
+    ORDER_PROOF_SLACK_MS = 150,
     /* Leases go on being extended so long without one, to carry work over
      * an outage of the store.  A new owner waits for it (see adopt_runs). */
     EXTEND_PROOF_MS = 6000,
@@ -57,7 +58,8 @@
 owner_may_order(const struct cw_owner *owner, struct timespec now)
 {
     return owner->state == OWNER_ACTIVE &&
-           cw_time_diff_ms(owner->proof_at, now) < ORDER_PROOF_MS;
+           cw_time_diff_ms(owner->proof_at, now) <
+               (int64_t)owner->options.member_ttl_ms - ORDER_PROOF_SLACK_MS;
 }
 
 bool
--- a/src/proto/cw_proto.h
+++ b/src/proto/cw_proto.h
@@ -399,6 +399,7 @@
 	CW_RELAY_READ = 2,
 	CW_RELAY_NEWEST = 3,
 	CW_RELAY_JOIN = 4,
+	CW_RELAY_PING = 5,
 };
 typedef enum cw_relay_kind cw_relay_kind;
 
--- a/src/proto/cw_proto.x
+++ b/src/proto/cw_proto.x
@@ -358,7 +358,8 @@
     CW_RELAY_APPEND = 1,
     CW_RELAY_READ = 2,
     CW_RELAY_NEWEST = 3,
-    CW_RELAY_JOIN = 4
+    CW_RELAY_JOIN = 4,
+    CW_RELAY_PING = 5             /* is anybody there? */
 };
 
 struct cw_relay_record {
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -22,7 +22,13 @@
     MEMBERS_FIRST_MS = 1500,
     MEMBERS_EVERY_MS = 10000,
     KEY_RETRY_MS = 400,
-    HEARD_MS = 1500
+    /* A join takes a few ms, a quarter second while the store is slow. */
+    SUSPECT_MS = 350,
+    PING_EVERY_MS = 200,
+    PING_TIMEOUT_MS = 300,
+    PINGS_AT_ONCE = 3,
+    /* With no answer from anywhere for so long the VM is cut off. */
+    ISOLATED_MS = 500
 };
 
 #define SECRET_TOPIC "keyed.secret"
@@ -46,7 +52,13 @@
     unsigned failures; /* of the store, in a row */
     bool reaches;      /* the store answers this VM */
     struct timespec lost_at;
+    bool join_in_flight;
+    struct timespec join_sent;
+    bool suspect; /* the store has not answered well since */
+    struct timespec suspect_since;
     struct timespec heard_at; /* another VM answered */
+    struct timespec ping_due;
+    bool isolated;
     bool members_in_flight;
     struct timespec members_due;
     bool key_in_flight;
@@ -176,6 +188,16 @@
 
 /* ---- the store itself ---- */
 
+static void
+suspect(struct cw_relay *relay)
+{
+    if (!relay->suspect) {
+        relay->suspect = true;
+        relay->suspect_since = relay_now(relay);
+        relay->ping_due = relay->suspect_since;
+    }
+}
+
 static void
 note_direct(struct cw_relay *relay, enum cw_store_status status)
 {
@@ -186,9 +208,11 @@
         }
         relay->failures = 0;
         relay->reaches = true;
+        relay->suspect = false;
         return;
     }
     relay->failures++;
+    suspect(relay);
     if (relay->reaches && relay->failures >= FAILURES_MOST) {
         relay->reaches = false;
         relay->lost_at = relay_now(relay);
@@ -240,6 +264,7 @@
 {
     struct relay_call *call = context;
 
+    call->relay->join_in_flight = false;
     if (!direct_failed(call, result->status)) {
         call->joined(call->context, result);
         call_free(call);
@@ -327,6 +352,8 @@
         .context = call,
     };
 
+    call->relay->join_in_flight = true;
+    call->relay->join_sent = relay_now(call->relay);
     call->relay->options.direct->ops->join(call->relay->options.direct, &join);
 }
 
@@ -633,6 +660,66 @@
     relay->options.direct->ops->members(relay->options.direct, &list);
 }
 
+/* ---- is anybody there? ---- */
+
+static void
+on_pong(void *context, const struct cw_relay_answer *answer)
+{
+    struct cw_relay *relay = context;
+
+    if (answer != NULL) {
+        relay->heard_at = relay_now(relay);
+    }
+}
+
+static void
+send_pings(struct cw_relay *relay, struct timespec now)
+{
+    struct cw_relay_request request = {
+        .kind = CW_RELAY_PING,
+        .topic = (char *)"",
+        .writer = (char *)"",
+        .after = (char *)"",
+        .group = (char *)"",
+        .member = (char *)"",
+    };
+    struct timespec give_up = cw_time_add_ms(now, PING_TIMEOUT_MS);
+
+    relay->ping_due = cw_time_add_ms(now, PING_EVERY_MS);
+    for (guint i = 0; i < PINGS_AT_ONCE && i < relay->peers->len; i++) {
+        guint index = randombytes_uniform(relay->peers->len);
+        struct peer *peer = relay->peers->pdata[index];
+
+        relay_rpc_send(relay->rpc, &peer->socket, &request, give_up, on_pong,
+                       relay);
+    }
+}
+
+/* Asks other VMs while the store does not answer, and judges whether this
+ * VM is cut off from all. */
+static void
+check_isolation(struct cw_relay *relay, struct timespec now)
+{
+    bool isolated;
+
+    if (relay->join_in_flight &&
+        cw_time_diff_ms(relay->join_sent, now) > SUSPECT_MS) {
+        suspect(relay);
+    }
+    if (relay->suspect && !cw_time_before(now, relay->ping_due)) {
+        send_pings(relay, now);
+    }
+    isolated = relay->suspect && relay->peers->len > 0 &&
+               cw_time_diff_ms(relay->suspect_since, now) > ISOLATED_MS &&
+               cw_time_diff_ms(relay->heard_at, now) > ISOLATED_MS;
+    if (isolated != relay->isolated) {
+        relay->isolated = isolated;
+        cw_log_info("isolated", "now=%d peers=%u heard_ms=%" PRId64, isolated,
+                    relay->peers->len,
+                    cw_time_diff_ms(relay->heard_at, now));
+    }
+}
+
 /* ---- the key ---- */
 
 static void
@@ -787,6 +874,10 @@
 {
     struct timespec next = relay_rpc_expire(relay->rpc, now);
 
+    check_isolation(relay, now);
+    if (relay->suspect && cw_time_before(relay->ping_due, next)) {
+        next = relay->ping_due;
+    }
     if (!relay_rpc_has_key(relay->rpc) && !relay->key_in_flight) {
         if (!cw_time_before(now, relay->key_due)) {
             ask_key(relay);
@@ -809,9 +900,5 @@
 bool
 cw_relay_isolated(const struct cw_relay *relay)
 {
-    struct timespec now = relay_now(relay);
-
-    return !relay->reaches && relay->peers->len > 0 &&
-           cw_time_diff_ms(relay->heard_at, now) > HEARD_MS &&
-           cw_time_diff_ms(relay->lost_at, now) > HEARD_MS;
+    return relay->isolated;
 }
--- a/src/relay/relay_serve.c
+++ b/src/relay/relay_serve.c
@@ -180,6 +180,14 @@
     server->direct->ops->join(server->direct, &call);
 }
 
+static void
+serve_ping(struct relay_server *server, const struct relay_caller *caller)
+{
+    struct cw_relay_answer answer = {.status = CW_STORE_OK};
+
+    relay_rpc_answer(server->rpc, caller, &answer);
+}
+
 void
 relay_serve_refuse(struct relay_server *server,
                    const struct relay_caller *caller)
@@ -206,5 +214,8 @@
     case CW_RELAY_JOIN:
         serve_join(server, caller, request);
         break;
+    case CW_RELAY_PING:
+        serve_ping(server, caller);
+        break;
     }
 }
--- a/src/vm/vm.c
+++ b/src/vm/vm.c
@@ -25,9 +25,10 @@
     EXIT_START = 1,
     /* Configurations are rare and must be in force within 2 s. */
     ROUTING_WAIT_MS = 1000,
-    /* Twice the least that the store takes: a member that lost one call of
-     * five is not forgotten. */
-    MEMBER_TTL_FACTOR = 2,
+    /* Above the least that the store takes by so much: five calls fit in, and
+     * a dead owner is replaced soon. */
+    MEMBER_TTL_PERCENT = 130,
+    PERCENT = 100,
     CALLER_CONNECTIONS = 2000,
     CALLER_IDLE_S = 60,
     CALLER_BODY_BYTES = 1024 * 1024,
@@ -131,6 +132,7 @@
         cw_follower_tick(jobs, now);
         next = cw_follower_due(vm->routing);
         sooner(&next, cw_follower_due(jobs));
+        cw_entry_set_isolated(vm->entry, cw_relay_isolated(vm->relay));
         sooner(&next, cw_entry_tick(vm->entry, now));
         sooner(&next, cw_owner_tick(vm->owner, now));
         sooner(&next, cw_relay_tick(vm->relay, now));
@@ -160,8 +162,7 @@
     bool ready;
 
     pthread_mutex_lock(&vm->engine);
-    ready = vm->running && cw_entry_ready(vm->entry) &&
-            !cw_relay_isolated(vm->relay);
+    ready = vm->running && cw_entry_ready(vm->entry);
     pthread_mutex_unlock(&vm->engine);
     cw_http_answer(call, ready ? 200 : 503, "text/plain", "", 0, false);
 }
@@ -232,7 +233,8 @@
         .codec = platform_codec(),
         .clock = vm->clock,
         .counters = &vm->counters,
-        .member_ttl_ms = settings->bounds.member_ttl_ms * MEMBER_TTL_FACTOR,
+        .member_ttl_ms = settings->bounds.member_ttl_ms * MEMBER_TTL_PERCENT /
+                         PERCENT,
         .lease_ms = settings->bounds.lease_ms,
         .retain_ms =
             (settings->bounds.retain_s + RETAIN_EXTRA_S) * CW_MS_PER_S,
