An emulator of the platform: many VMs, their store and workers, one clock

Pure models of the store and of workers, the VMs' own objects between them, a judge of the promises written apart from the product.

--- a/Makefile
+++ b/Makefile
@@ -30,6 +30,8 @@
 FAKES := standins/fake_worker.c standins/fake_log.c
 TESTS := $(patsubst tests/%.c,%,$(wildcard tests/test_*.c))
 
+MODELS := $(filter-out emulator/emulator_main.c,$(wildcard emulator/*.c))
+
 obj = $(patsubst %.c,$(BUILD)/obj/%.o,$(1))
 CORE_OBJ := $(call obj,$(CORE) $(GENERATED))
 NET_OBJ := $(call obj,$(NET))
@@ -40,7 +42,8 @@
 BENCH_OBJ := $(call obj,$(wildcard tools/bench/*.c))
 
 all: $(BUILD)/curlewcart $(BUILD)/curlewcart-standin \
-     $(BUILD)/curlewcart-fuzz $(BUILD)/curlewcart-bench
+     $(BUILD)/curlewcart-fuzz $(BUILD)/curlewcart-bench \
+     $(BUILD)/curlewcart-emulator
 
 $(BUILD)/obj/src/proto/%.o: src/proto/%.c
 	@mkdir -p $(dir $@)
@@ -60,11 +63,16 @@
 $(BUILD)/curlewcart-fuzz: $(CORE_OBJ) $(FAKES_OBJ) $(FUZZ_OBJ)
 	@$(CC) $(LDFLAGS) $^ $(LDLIBS) -o $@
 
+$(BUILD)/curlewcart-emulator: $(CORE_OBJ) $(call obj,$(MODELS)) \
+                              $(BUILD)/obj/emulator/emulator_main.o
+	@$(CC) $(LDFLAGS) $^ $(LDLIBS) -o $@
+
 $(BUILD)/curlewcart-bench: $(CORE_OBJ) $(NET_OBJ) $(FAKES_OBJ) $(BENCH_OBJ)
 	@$(CC) $(LDFLAGS) $^ $(LDLIBS) -o $@
 
 $(BUILD)/tests/%: $(BUILD)/obj/tests/%.o $(CORE_OBJ) $(NET_OBJ) \
                   $(call obj,$(wildcard src/settings/*.c)) $(FAKES_OBJ) \
+                  $(call obj,$(MODELS)) \
                   $(filter-out $(BUILD)/obj/tools/fuzz/fuzz_main.o,$(FUZZ_OBJ))
 	@mkdir -p $(dir $@)
 	@$(CC) $(LDFLAGS) $^ $(LDLIBS) -lcunit -o $@
@@ -89,9 +97,9 @@
 	    -fsanitize=fuzzer,address,undefined $^ $(LDLIBS) -o $@
 
 SOURCES := $(filter-out $(GENERATED),$(wildcard src/*/*.c src/*/*/*.c platform/*.c \
-           standins/*.c tests/*.c tools/*/*.c))
+           standins/*.c tests/*.c tools/*/*.c emulator/*.c))
 HEADERS := $(filter-out src/proto/%,$(wildcard include/curlewcart/*.h \
-           src/*/internal/*.h platform/*.h platform/internal/*.h standins/*.h tests/*.h tools/*/*.h))
+           src/*/internal/*.h platform/*.h platform/internal/*.h standins/*.h tests/*.h tools/*/*.h emulator/*.h))
 
 format:
 	clang-format -i $(SOURCES) $(HEADERS)
--- /dev/null
+++ b/emulator/emulator_main.c
@@ -0,0 +1,201 @@
+/* curlewcart-emulator: days of a deployment in one process, from seeds. */
+#include <argp.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+#include <ck_pr.h>
+
+#include "curlewcart/cw_log.h"
+#include "emulator/world.h"
+
+enum {
+    DEFAULT_DAYS = 1000,
+    DEFAULT_JOBS = 8,
+    PROGRESS_EVERY = 100,
+    EXIT_VIOLATION = 1,
+    EXIT_USAGE = 2
+};
+
+struct arguments {
+    const char *verb;
+    unsigned seed;
+    unsigned days;
+    unsigned jobs;
+};
+
+static const struct argp_option options[] = {
+    {"seed", 's', "N", 0, "First seed (or the one to replay)", 0},
+    {"days", 'd', "N", 0, "How many days to play", 0},
+    {"jobs", 'j', "N", 0, "How many at a time", 0},
+    {0},
+};
+
+static error_t
+parse(int key, char *value, struct argp_state *state)
+{
+    struct arguments *arguments = state->input;
+
+    switch (key) {
+    case 's':
+        arguments->seed = (unsigned)strtoul(value, NULL, 10);
+        break;
+    case 'd':
+        arguments->days = (unsigned)strtoul(value, NULL, 10);
+        break;
+    case 'j':
+        arguments->jobs = (unsigned)strtoul(value, NULL, 10);
+        break;
+    case ARGP_KEY_ARG:
+        if (arguments->verb != NULL) {
+            argp_usage(state);
+        }
+        arguments->verb = value;
+        break;
+    case ARGP_KEY_END:
+        if (arguments->verb == NULL) {
+            argp_usage(state);
+        }
+        break;
+    default:
+        return ARGP_ERR_UNKNOWN;
+    }
+    return 0;
+}
+
+/* The standard day: small, so that faults meet. */
+static struct world_options
+standard_day(unsigned seed)
+{
+    struct world_options day = {.seed = seed,
+                                .vms = 4,
+                                .workers = 12,
+                                .jobs = 40,
+                                .day_ms = 30000,
+                                .quiet_ms = 60000,
+                                .faults = 7};
+
+    return day;
+}
+
+/* Days shared out among threads. */
+struct share {
+    const struct arguments *arguments;
+    unsigned next; /* with ck_pr */
+    unsigned bad;
+    struct judge_counts counts;
+    unsigned takeovers;
+    pthread_mutex_t lock;
+};
+
+static void
+add_counts(struct share *share, const struct world_result *result)
+{
+    share->counts.jobs += result->counts.jobs;
+    share->counts.accepted += result->counts.accepted;
+    share->counts.completed += result->counts.completed;
+    share->counts.failed += result->counts.failed;
+    share->counts.cancelled += result->counts.cancelled;
+    share->counts.starts += result->counts.starts;
+    share->takeovers += result->takeovers;
+}
+
+static void *
+play_share(void *argument)
+{
+    struct share *share = argument;
+    bool shows = isatty(STDERR_FILENO) != 0;
+
+    for (;;) {
+        unsigned day = ck_pr_faa_uint(&share->next, 1);
+        struct world_options world =
+            standard_day(share->arguments->seed + day);
+        struct world_result result;
+
+        if (day >= share->arguments->days) {
+            return NULL;
+        }
+        world_play(&world, &result);
+        pthread_mutex_lock(&share->lock);
+        add_counts(share, &result);
+        if (result.violation != NULL) {
+            share->bad++;
+            printf("seed %u: %s\n  faults: %s\n", world.seed,
+                   result.violation, result.faults);
+            fflush(stdout);
+        }
+        if (shows && day % PROGRESS_EVERY == 0) {
+            fprintf(stderr, "\r%u days", day);
+        }
+        pthread_mutex_unlock(&share->lock);
+        g_free(result.violation);
+        g_free(result.faults);
+    }
+}
+
+static int
+fuzz(const struct arguments *arguments)
+{
+    struct share share = {.arguments = arguments,
+                          .lock = PTHREAD_MUTEX_INITIALIZER};
+    pthread_t *threads = g_new0(pthread_t, arguments->jobs);
+
+    for (unsigned i = 0; i < arguments->jobs; i++) {
+        if (pthread_create(&threads[i], NULL, play_share, &share) != 0) {
+            fprintf(stderr, "curlewcart-emulator: no thread\n");
+            exit(EXIT_USAGE);
+        }
+    }
+    for (unsigned i = 0; i < arguments->jobs; i++) {
+        pthread_join(threads[i], NULL);
+    }
+    g_free(threads);
+    printf("%u days from seed %u: %u violations; %u jobs, %u accepted, %u "
+           "completed, %u failed, %u cancelled, %u starts, %u takeovers\n",
+           arguments->days, arguments->seed, share.bad, share.counts.jobs,
+           share.counts.accepted, share.counts.completed,
+           share.counts.failed, share.counts.cancelled, share.counts.starts,
+           share.takeovers);
+    return share.bad > 0 ? EXIT_VIOLATION : 0;
+}
+
+static int
+replay(const struct arguments *arguments)
+{
+    struct world_options world = standard_day(arguments->seed);
+    struct world_result result;
+    int status = 0;
+
+    world.trace = true;
+    cw_log_set_level("info");
+    world_play(&world, &result);
+    printf("seed %u: %s\n", world.seed,
+           result.violation != NULL ? result.violation : "no violation");
+    status = result.violation != NULL ? EXIT_VIOLATION : 0;
+    g_free(result.violation);
+    g_free(result.faults);
+    return status;
+}
+
+int
+main(int argc, char **argv)
+{
+    static const struct argp argp = {
+        options, parse, "fuzz|replay",
+        "Plays days of a deployment under faults and judges the promises.",
+        NULL, NULL, NULL};
+    struct arguments arguments = {
+        .seed = 1, .days = DEFAULT_DAYS, .jobs = DEFAULT_JOBS};
+
+    argp_parse(&argp, argc, argv, 0, NULL, &arguments);
+    cw_log_setup("error", "emulator");
+    if (strcmp(arguments.verb, "fuzz") == 0) {
+        return fuzz(&arguments);
+    }
+    if (strcmp(arguments.verb, "replay") == 0) {
+        return replay(&arguments);
+    }
+    fprintf(stderr, "curlewcart-emulator: no verb \"%s\"\n", arguments.verb);
+    return EXIT_USAGE;
+}
--- /dev/null
+++ b/emulator/judge.c
@@ -0,0 +1,326 @@
+/* The judge's books. */
+#include "emulator/judge.h"
+
+#include <string.h>
+
+enum { CANCEL_MS = 3000 };
+
+/* What has happened to a task. */
+struct task_truth {
+    unsigned running; /* runs on workers that live */
+    unsigned done;    /* ends that were listed as done */
+    bool done_confirmed;
+    unsigned last_run; /* highest that was started */
+    unsigned failed_confirmed;
+    GHashTable *failed_runs; /* of a gang: runs that were counted */
+};
+
+struct judge {
+    GPtrArray *jobs;     /* struct judge_job */
+    GHashTable *by_id;   /* borrowed */
+    GHashTable *tasks;   /* name -> struct task_truth */
+    char *violation;
+    struct judge_counts counts;
+};
+
+static void
+job_free(gpointer data)
+{
+    struct judge_job *job = data;
+
+    xdr_free((xdrproc_t)xdr_cw_work_spec, (char *)job->spec);
+    g_free(job->spec);
+    g_free(job->id);
+    g_free(job);
+}
+
+static void
+truth_free(gpointer data)
+{
+    struct task_truth *truth = data;
+
+    g_hash_table_unref(truth->failed_runs);
+    g_free(truth);
+}
+
+struct judge *
+judge_create(void)
+{
+    struct judge *judge = g_new0(struct judge, 1);
+
+    judge->jobs = g_ptr_array_new_with_free_func(job_free);
+    judge->by_id = g_hash_table_new(g_str_hash, g_str_equal);
+    judge->tasks =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, truth_free);
+    return judge;
+}
+
+void
+judge_free(struct judge *judge)
+{
+    g_hash_table_unref(judge->tasks);
+    g_hash_table_unref(judge->by_id);
+    g_ptr_array_unref(judge->jobs);
+    g_free(judge->violation);
+    g_free(judge);
+}
+
+static void
+violate(struct judge *judge, const char *rule, const char *what)
+{
+    if (judge->violation == NULL) {
+        judge->violation = g_strdup_printf("%s: %s", rule, what);
+    }
+}
+
+static void
+violate_task(struct judge *judge, const char *rule,
+             const struct cw_task_name *task, unsigned run)
+{
+    char *what = g_strdup_printf("%s.%u.%u.%u run %u", task->job,
+                                 task->occurrence, task->step, task->index,
+                                 run);
+
+    violate(judge, rule, what);
+    g_free(what);
+}
+
+struct judge_job *
+judge_add(struct judge *judge, struct cw_work_spec *spec, unsigned work_ms,
+          unsigned fails)
+{
+    struct judge_job *job = g_new0(struct judge_job, 1);
+
+    job->id = g_strdup(spec->id);
+    job->spec = spec;
+    job->plan_work_ms = work_ms;
+    job->plan_fails = fails;
+    job->refused = true;
+    g_ptr_array_add(judge->jobs, job);
+    g_hash_table_insert(judge->by_id, job->id, job);
+    judge->counts.jobs++;
+    return job;
+}
+
+struct judge_job *
+judge_find(struct judge *judge, const char *id)
+{
+    return g_hash_table_lookup(judge->by_id, id);
+}
+
+GPtrArray *
+judge_jobs(struct judge *judge)
+{
+    return judge->jobs;
+}
+
+static struct task_truth *
+truth_of(struct judge *judge, const struct cw_task_name *task)
+{
+    char *name = g_strdup_printf("%s.%u.%u.%u", task->job, task->occurrence,
+                                 task->step, task->index);
+    struct task_truth *truth = g_hash_table_lookup(judge->tasks, name);
+
+    if (truth == NULL) {
+        truth = g_new0(struct task_truth, 1);
+        truth->failed_runs = g_hash_table_new(NULL, NULL);
+        g_hash_table_insert(judge->tasks, name, truth);
+    }
+    else {
+        g_free(name);
+    }
+    return truth;
+}
+
+static const struct cw_step_spec *
+step_of(struct judge *judge, const struct cw_task_name *task)
+{
+    const struct judge_job *job = judge_find(judge, task->job);
+
+    if (job == NULL || task->step >= job->spec->steps.steps_len ||
+        task->index >= job->spec->steps.steps_val[task->step].tasks) {
+        return NULL;
+    }
+    return &job->spec->steps.steps_val[task->step];
+}
+
+bool
+judge_plan(struct judge *judge, const struct cw_task_name *task,
+           struct task_plan *out)
+{
+    const struct cw_step_spec *step = step_of(judge, task);
+    const struct judge_job *job = judge_find(judge, task->job);
+
+    if (step == NULL) {
+        violate_task(judge, "UNASKED", task, 0);
+        return false;
+    }
+    out->work_ms = job->plan_work_ms;
+    out->fails = job->plan_fails;
+    out->members = step->gang ? step->tasks : 0;
+    out->checkpoints = step->checkpoints;
+    out->need.cpu_milli = step->cpu_milli;
+    out->need.memory_mb = step->memory_mb;
+    out->need.accelerators = step->accelerators;
+    return true;
+}
+
+/* True if the step's tasks have ended as done; one end stands for a whole
+ * gang. */
+static bool
+step_done(struct judge *judge, const struct judge_job *job,
+          unsigned occurrence, unsigned number)
+{
+    const struct cw_step_spec *step = &job->spec->steps.steps_val[number];
+    struct cw_task_name name = {
+        .job = job->id, .occurrence = occurrence, .step = number};
+    unsigned done = 0;
+
+    for (name.index = 0; name.index < step->tasks; name.index++) {
+        done += truth_of(judge, &name)->done > 0;
+    }
+    return step->gang ? done > 0 : done == step->tasks;
+}
+
+/* True if the steps before are done. */
+static bool
+earlier_done(struct judge *judge, const struct cw_task_name *task)
+{
+    const struct judge_job *job = judge_find(judge, task->job);
+    const struct cw_step_spec *step = step_of(judge, task);
+
+    for (u_int i = 0; i < step->after.after_len; i++) {
+        if (!step_done(judge, job, task->occurrence,
+                       step->after.after_val[i])) {
+            return false;
+        }
+    }
+    return true;
+}
+
+void
+judge_started(struct judge *judge, const struct cw_task_name *task,
+              unsigned run, int64_t now_ms, bool calm)
+{
+    struct task_truth *truth = truth_of(judge, task);
+    struct judge_job *job = judge_find(judge, task->job);
+
+    judge->counts.starts++;
+    job->started++;
+    if (truth->running > 0) {
+        violate_task(judge, "TWICE at the same time", task, run);
+    }
+    truth->running++;
+    if (truth->done_confirmed) {
+        violate_task(judge, "TWICE after its confirmed end", task, run);
+    }
+    truth->last_run = MAX(truth->last_run, run);
+    if (truth->failed_confirmed >= job->spec->max_attempts) {
+        violate_task(judge, "BUDGET", task, run);
+    }
+    if (!earlier_done(judge, task)) {
+        violate_task(judge, "ORDER", task, run);
+    }
+    if (calm && job->cancel_done && now_ms > job->cancel_ms + CANCEL_MS) {
+        violate_task(judge, "UNASKED after its cancellation", task, run);
+    }
+}
+
+void
+judge_ended(struct judge *judge, const struct cw_task_name *task,
+            unsigned run, enum cw_end_kind how, bool calm)
+{
+    struct task_truth *truth = truth_of(judge, task);
+
+    truth->running--;
+    if (how == CW_END_KIND_DONE) {
+        truth->done++;
+    }
+    if (how == CW_END_KIND_ALONE && calm) {
+        violate_task(judge, "GANG", task, run);
+    }
+}
+
+void
+judge_confirmed(struct judge *judge, const struct cw_task_name *task,
+                unsigned run, enum cw_end_kind how, bool lapsed)
+{
+    struct task_truth *truth = truth_of(judge, task);
+
+    if (how == CW_END_KIND_DONE && !lapsed) {
+        truth->done_confirmed = true;
+        if (truth->last_run > run) {
+            violate_task(judge, "TWICE before its end was confirmed", task,
+                         run);
+        }
+    }
+    if (how == CW_END_KIND_FAILED && !lapsed) {
+        truth->failed_confirmed++;
+    }
+}
+
+/* True if every step of the job is done. */
+static bool
+all_done(struct judge *judge, const struct judge_job *job)
+{
+    for (unsigned i = 0; i < job->spec->steps.steps_len; i++) {
+        if (!step_done(judge, job, 0, i)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+void
+judge_shown(struct judge *judge, const char *id, unsigned phase)
+{
+    const struct judge_job *job = judge_find(judge, id);
+
+    if (job == NULL) {
+        violate(judge, "MIXED a job that nobody handed in", id);
+        return;
+    }
+    if (phase == CW_WORK_COMPLETED && !all_done(judge, job)) {
+        violate(judge, "MIXED completed too early", id);
+    }
+    if (phase == CW_WORK_CANCELLED && !job->cancel_sent) {
+        violate(judge, "LOST cancelled without cause", id);
+    }
+    if (phase == CW_WORK_FAILED && job->plan_fails < job->spec->max_attempts) {
+        violate(judge, "LOST failed without cause", id);
+    }
+}
+
+void
+judge_final(struct judge *judge, const struct judge_job *job, int phase)
+{
+    if (job->refused && !job->possible && !job->accepted && job->started > 0)
+    {
+        violate(judge, "REFUSED", job->id);
+    }
+    if (job->accepted && phase < 0) {
+        violate(judge, "LOST not known", job->id);
+    }
+    if (job->accepted && phase >= 0 && !cw_work_is_over((unsigned)phase)) {
+        violate(judge, "LOST not over in quiet time", job->id);
+    }
+    if (job->cancel_done && phase >= 0 && !cw_work_is_over((unsigned)phase)) {
+        violate(judge, "UNASKED cancelled and not over", job->id);
+    }
+    judge->counts.accepted += job->accepted;
+    judge->counts.completed += phase == CW_WORK_COMPLETED;
+    judge->counts.failed += phase == CW_WORK_FAILED;
+    judge->counts.cancelled += phase == CW_WORK_CANCELLED;
+}
+
+const char *
+judge_violation(const struct judge *judge)
+{
+    return judge->violation;
+}
+
+struct judge_counts
+judge_counts(const struct judge *judge)
+{
+    return judge->counts;
+}
--- /dev/null
+++ b/emulator/judge.h
@@ -0,0 +1,70 @@
+/* Judges the promises from what workers and callers saw, and from nothing
+ * that the product believes. */
+#ifndef CURLEWCART_EMULATOR_JUDGE_H
+#define CURLEWCART_EMULATOR_JUDGE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <glib.h>
+
+#include "curlewcart/cw_target.h"
+#include "curlewcart/cw_work.h"
+#include "emulator/worker_model.h"
+
+struct judge;
+
+/* What callers know of a job. */
+struct judge_job {
+    char *id;
+    struct cw_work_spec *spec; /* owned */
+    unsigned plan_work_ms;
+    unsigned plan_fails; /* runs of each task that fail */
+    bool accepted;  /* a caller was told so */
+    bool possible;  /* an attempt ended without a sure answer */
+    bool refused;   /* every attempt was told that nothing was done */
+    bool cancel_sent;
+    bool cancel_done; /* acknowledged */
+    int64_t cancel_ms;
+    unsigned started;
+};
+
+struct judge *judge_create(void);
+void judge_free(struct judge *judge);
+
+/* Adds a job; takes `spec` over.  Borrowed. */
+struct judge_job *judge_add(struct judge *judge, struct cw_work_spec *spec,
+                            unsigned work_ms, unsigned fails);
+struct judge_job *judge_find(struct judge *judge, const char *id);
+GPtrArray *judge_jobs(struct judge *judge);
+
+/* What workers do; `calm`: nothing has disturbed anything lately. */
+bool judge_plan(struct judge *judge, const struct cw_task_name *task,
+                struct task_plan *out);
+void judge_started(struct judge *judge, const struct cw_task_name *task,
+                   unsigned run, int64_t now_ms, bool calm);
+void judge_ended(struct judge *judge, const struct cw_task_name *task,
+                 unsigned run, enum cw_end_kind how, bool calm);
+void judge_confirmed(struct judge *judge, const struct cw_task_name *task,
+                     unsigned run, enum cw_end_kind how, bool lapsed);
+
+/* A VM shows a job in a phase. */
+void judge_shown(struct judge *judge, const char *id, unsigned phase);
+
+/* At the end: every VM's answer for the job; -1 if it knows none. */
+void judge_final(struct judge *judge, const struct judge_job *job, int phase);
+
+/* The first violation found, or NULL.  Borrowed. */
+const char *judge_violation(const struct judge *judge);
+
+/* Counts, for a summary. */
+struct judge_counts {
+    unsigned jobs;
+    unsigned accepted;
+    unsigned completed;
+    unsigned failed;
+    unsigned cancelled;
+    unsigned starts;
+};
+struct judge_counts judge_counts(const struct judge *judge);
+
+#endif
--- /dev/null
+++ b/emulator/worker_model.c
@@ -0,0 +1,591 @@
+/* The workers' state machine. */
+#include "emulator/worker_model.h"
+
+#include <string.h>
+
+enum {
+    STOP_MS = 150,
+    GANG_WAIT_MS = 3000,
+    CHECKPOINT_MS = 500,
+    LEASE_MOST_MS = 6000,
+    ENDS_LISTED_MAX = 500,
+    PERCENT = 100
+};
+
+struct model_run {
+    char *job;
+    struct cw_task_name task;
+    unsigned run;
+    struct task_plan plan;
+    int64_t started_ms;
+    double done_ms;    /* work done, of plan.work_ms */
+    int64_t stop_ms;   /* when a stop takes effect; 0 none */
+    bool whole;        /* its gang is complete */
+};
+
+struct model_end {
+    uint64_t number;
+    char *job;
+    struct cw_task_name task;
+    unsigned run;
+    enum cw_end_kind how;
+    char *saved;
+    unsigned lapses; /* of the worker's lease before it */
+};
+
+struct worker_model {
+    struct worker_fleet *fleet;
+    char *id;
+    char *rack;
+    struct cw_resources capacity;
+    int64_t clock_ms; /* its clock at time 0 of the fleet's */
+    bool dead;
+    double speed;
+    uint64_t fence;
+    int64_t lease_end_ms; /* fleet's time */
+    bool lease_live;
+    unsigned lapses; /* times that its lease was over */
+    GPtrArray *runs;      /* struct model_run */
+    GPtrArray *ends;      /* struct model_end */
+    uint64_t next_end;
+    GHashTable *highest; /* task's name -> highest run ended or stopped */
+};
+
+struct worker_fleet {
+    struct worker_listener listener;
+    GPtrArray *workers;
+    int64_t now_ms;
+};
+
+static char *
+name_text(const struct cw_task_name *task)
+{
+    return g_strdup_printf("%s.%u.%u.%u", task->job, task->occurrence,
+                           task->step, task->index);
+}
+
+static void
+run_free(gpointer data)
+{
+    struct model_run *run = data;
+
+    g_free(run->job);
+    g_free(run);
+}
+
+static void
+end_free(gpointer data)
+{
+    struct model_end *end = data;
+
+    g_free(end->job);
+    g_free(end->saved);
+    g_free(end);
+}
+
+static void
+worker_free(gpointer data)
+{
+    struct worker_model *worker = data;
+
+    g_ptr_array_unref(worker->runs);
+    g_ptr_array_unref(worker->ends);
+    g_hash_table_unref(worker->highest);
+    g_free(worker->id);
+    g_free(worker->rack);
+    g_free(worker);
+}
+
+struct worker_fleet *
+worker_fleet_create(const struct worker_listener *listener)
+{
+    struct worker_fleet *fleet = g_new0(struct worker_fleet, 1);
+
+    fleet->listener = *listener;
+    fleet->workers = g_ptr_array_new_with_free_func(worker_free);
+    return fleet;
+}
+
+void
+worker_fleet_free(struct worker_fleet *fleet)
+{
+    g_ptr_array_unref(fleet->workers);
+    g_free(fleet);
+}
+
+struct worker_model *
+worker_fleet_add(struct worker_fleet *fleet, const char *id, const char *rack,
+                 const struct cw_resources *capacity, int64_t clock_ms)
+{
+    struct worker_model *worker = g_new0(struct worker_model, 1);
+
+    worker->fleet = fleet;
+    worker->id = g_strdup(id);
+    worker->rack = g_strdup(rack);
+    worker->capacity = *capacity;
+    worker->clock_ms = clock_ms;
+    worker->speed = 1;
+    worker->runs = g_ptr_array_new_with_free_func(run_free);
+    worker->ends = g_ptr_array_new_with_free_func(end_free);
+    worker->highest =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    g_ptr_array_add(fleet->workers, worker);
+    return worker;
+}
+
+unsigned
+worker_fleet_size(const struct worker_fleet *fleet)
+{
+    return fleet->workers->len;
+}
+
+struct worker_model *
+worker_fleet_at(struct worker_fleet *fleet, unsigned i)
+{
+    return fleet->workers->pdata[i];
+}
+
+struct worker_model *
+worker_fleet_find(struct worker_fleet *fleet, const char *id)
+{
+    for (guint i = 0; i < fleet->workers->len; i++) {
+        struct worker_model *worker = fleet->workers->pdata[i];
+
+        if (strcmp(worker->id, id) == 0) {
+            return worker;
+        }
+    }
+    return NULL;
+}
+
+const char *
+worker_model_id(const struct worker_model *worker)
+{
+    return worker->id;
+}
+
+const char *
+worker_model_rack(const struct worker_model *worker)
+{
+    return worker->rack;
+}
+
+const struct cw_resources *
+worker_model_capacity(const struct worker_model *worker)
+{
+    return &worker->capacity;
+}
+
+unsigned
+worker_model_running(const struct worker_model *worker)
+{
+    return worker->runs->len;
+}
+
+bool
+worker_model_dead(const struct worker_model *worker)
+{
+    return worker->dead;
+}
+
+void
+worker_model_set_speed(struct worker_model *worker, double speed)
+{
+    worker->speed = speed;
+}
+
+/* ---- ends ---- */
+
+static char *
+saved_of(const struct model_run *run)
+{
+    int64_t done = (int64_t)run->done_ms;
+
+    if (!run->plan.checkpoints || done < CHECKPOINT_MS) {
+        return g_strdup("");
+    }
+    return g_strdup_printf("ck-%" G_GINT64_FORMAT,
+                           done / CHECKPOINT_MS * CHECKPOINT_MS);
+}
+
+static void
+note_highest(struct worker_model *worker, const struct cw_task_name *task,
+             unsigned run)
+{
+    char *name = name_text(task);
+    unsigned before =
+        GPOINTER_TO_UINT(g_hash_table_lookup(worker->highest, name));
+
+    g_hash_table_insert(worker->highest, name,
+                        GUINT_TO_POINTER(MAX(before, run)));
+}
+
+static void
+end_run(struct worker_model *worker, struct model_run *run,
+        enum cw_end_kind how)
+{
+    struct worker_listener *listener = &worker->fleet->listener;
+    struct model_end *end = g_new0(struct model_end, 1);
+
+    end->number = ++worker->next_end;
+    end->job = g_strdup(run->job);
+    end->task = run->task;
+    end->task.job = end->job;
+    end->run = run->run;
+    end->how = how;
+    end->saved = saved_of(run);
+    end->lapses = worker->lapses;
+    note_highest(worker, &end->task, end->run);
+    g_ptr_array_remove(worker->runs, run);
+    g_ptr_array_add(worker->ends, end);
+    listener->ended(listener->context, worker->id, &end->task, end->run, how);
+}
+
+static void
+lapse_all(struct worker_model *worker)
+{
+    while (worker->runs->len > 0) {
+        end_run(worker, worker->runs->pdata[0], CW_END_KIND_LAPSED);
+    }
+}
+
+void
+worker_model_crash(struct worker_model *worker)
+{
+    worker->dead = true;
+    lapse_all(worker);
+}
+
+/* ---- gangs ---- */
+
+static bool
+same_gang(const struct model_run *a, const struct model_run *b)
+{
+    return a->run == b->run && a->task.step == b->task.step &&
+           a->task.occurrence == b->task.occurrence &&
+           strcmp(a->job, b->job) == 0;
+}
+
+static unsigned
+gang_present(struct worker_fleet *fleet, const struct model_run *run)
+{
+    unsigned present = 0;
+
+    for (guint w = 0; w < fleet->workers->len; w++) {
+        struct worker_model *worker = fleet->workers->pdata[w];
+
+        for (guint i = 0; i < worker->runs->len; i++) {
+            present += same_gang(worker->runs->pdata[i], run);
+        }
+    }
+    return present;
+}
+
+/* Ends every other member of the gang. */
+static void
+end_gang(struct worker_fleet *fleet, const struct model_run *ended,
+         enum cw_end_kind how)
+{
+    struct model_run key = *ended;
+    char *job = g_strdup(ended->job);
+
+    key.job = job;
+    for (guint w = 0; w < fleet->workers->len; w++) {
+        struct worker_model *worker = fleet->workers->pdata[w];
+
+        for (guint i = worker->runs->len; i > 0; i--) {
+            if (same_gang(worker->runs->pdata[i - 1], &key)) {
+                end_run(worker, worker->runs->pdata[i - 1], how);
+            }
+        }
+    }
+    g_free(job);
+}
+
+/* ---- time ---- */
+
+/* Ends the run if its time has come; true if it did. */
+static bool
+advance_run(struct worker_model *worker, struct model_run *run,
+            int64_t passed_ms)
+{
+    struct worker_fleet *fleet = worker->fleet;
+    bool gang = run->plan.members > 0;
+    struct model_run copy = *run;
+    enum cw_end_kind how = run->run <= run->plan.fails ? CW_END_KIND_FAILED
+                                                       : CW_END_KIND_DONE;
+
+    if (run->stop_ms > 0 && fleet->now_ms >= run->stop_ms) {
+        char *job = g_strdup(run->job);
+
+        copy.job = job;
+        end_run(worker, run, CW_END_KIND_STOPPED);
+        if (gang) {
+            end_gang(fleet, &copy, CW_END_KIND_BROKEN);
+        }
+        g_free(job);
+        return true;
+    }
+    if (gang && !run->whole) {
+        run->whole = gang_present(fleet, run) == run->plan.members;
+        if (!run->whole && fleet->now_ms - run->started_ms > GANG_WAIT_MS) {
+            end_run(worker, run, CW_END_KIND_ALONE);
+            return true;
+        }
+        return false;
+    }
+    run->done_ms += (double)passed_ms * worker->speed;
+    if (run->done_ms < run->plan.work_ms) {
+        return false;
+    }
+    if (gang && how == CW_END_KIND_DONE) {
+        end_gang(fleet, run, CW_END_KIND_DONE);
+    }
+    else if (gang) {
+        char *job = g_strdup(run->job);
+
+        copy.job = job;
+        end_run(worker, run, how);
+        end_gang(fleet, &copy, CW_END_KIND_BROKEN);
+        g_free(job);
+    }
+    else {
+        end_run(worker, run, how);
+    }
+    return true;
+}
+
+static void
+advance_worker(struct worker_model *worker, int64_t passed_ms)
+{
+    guint i = 0;
+
+    if (worker->lease_live && worker->fleet->now_ms > worker->lease_end_ms) {
+        lapse_all(worker);
+        worker->lease_live = false;
+        worker->lapses++;
+    }
+    while (i < worker->runs->len) {
+        if (!advance_run(worker, worker->runs->pdata[i], passed_ms)) {
+            i++;
+        }
+        else {
+            i = 0; /* a gang's end may have taken others */
+            passed_ms = 0;
+        }
+    }
+}
+
+void
+worker_fleet_advance(struct worker_fleet *fleet, int64_t now_ms)
+{
+    int64_t passed_ms = now_ms - fleet->now_ms;
+
+    if (passed_ms <= 0) {
+        return;
+    }
+    fleet->now_ms = now_ms;
+    for (guint i = 0; i < fleet->workers->len; i++) {
+        struct worker_model *worker = fleet->workers->pdata[i];
+
+        if (!worker->dead) {
+            advance_worker(worker, passed_ms);
+        }
+    }
+}
+
+/* ---- orders ---- */
+
+static int64_t
+worker_clock(const struct worker_model *worker)
+{
+    return worker->clock_ms + worker->fleet->now_ms;
+}
+
+/* Extends the lease, which never shortens; false if it is over already. */
+static bool
+take_lease(struct worker_model *worker, int64_t until_ms)
+{
+    int64_t end_ms = until_ms - worker->clock_ms;
+
+    end_ms = MIN(end_ms, worker->fleet->now_ms + LEASE_MOST_MS);
+    worker->lease_end_ms = MAX(worker->lease_end_ms, end_ms);
+    worker->lease_live = worker->lease_end_ms > worker->fleet->now_ms;
+    return worker->lease_end_ms > worker->fleet->now_ms;
+}
+
+static struct model_run *
+find_run(struct worker_model *worker, const struct cw_task_name *task)
+{
+    for (guint i = 0; i < worker->runs->len; i++) {
+        struct model_run *run = worker->runs->pdata[i];
+
+        if (run->task.index == task->index && run->task.step == task->step &&
+            run->task.occurrence == task->occurrence &&
+            strcmp(run->job, task->job) == 0) {
+            return run;
+        }
+    }
+    return NULL;
+}
+
+static bool
+has_room(const struct worker_model *worker, const struct cw_resources *need)
+{
+    struct cw_resources used = *need;
+
+    for (guint i = 0; i < worker->runs->len; i++) {
+        const struct model_run *run = worker->runs->pdata[i];
+
+        used.cpu_milli += run->plan.need.cpu_milli;
+        used.memory_mb += run->plan.need.memory_mb;
+        used.accelerators += run->plan.need.accelerators;
+    }
+    return used.cpu_milli <= worker->capacity.cpu_milli &&
+           used.memory_mb <= worker->capacity.memory_mb &&
+           used.accelerators <= worker->capacity.accelerators;
+}
+
+static enum cw_target_status
+order_start(struct worker_model *worker, const struct cw_target_order *order)
+{
+    struct worker_listener *listener = &worker->fleet->listener;
+    struct model_run *run = find_run(worker, &order->task);
+    struct task_plan plan = {0};
+    char *name = name_text(&order->task);
+    unsigned highest =
+        GPOINTER_TO_UINT(g_hash_table_lookup(worker->highest, name));
+
+    g_free(name);
+    if (run != NULL && run->run == order->run) {
+        return CW_TARGET_OK;
+    }
+    if (order->run <= highest || run != NULL) {
+        return CW_TARGET_OLD_RUN;
+    }
+    if (!listener->plan(listener->context, &order->task, &plan)) {
+        return CW_TARGET_INVALID;
+    }
+    if (!take_lease(worker, order->lease_until_ms)) {
+        return CW_TARGET_LATE;
+    }
+    if (!has_room(worker, &plan.need)) {
+        return CW_TARGET_NO_ROOM;
+    }
+    run = g_new0(struct model_run, 1);
+    run->job = g_strdup(order->task.job);
+    run->task = order->task;
+    run->task.job = run->job;
+    run->run = order->run;
+    run->plan = plan;
+    run->started_ms = worker->fleet->now_ms;
+    if (order->saved != NULL && g_str_has_prefix(order->saved, "ck-")) {
+        run->done_ms = (double)g_ascii_strtoll(order->saved + 3, NULL, 10);
+    }
+    g_ptr_array_add(worker->runs, run);
+    listener->started(listener->context, worker->id, &run->task, run->run);
+    return CW_TARGET_OK;
+}
+
+static enum cw_target_status
+order_stop(struct worker_model *worker, const struct cw_target_order *order)
+{
+    struct model_run *run = find_run(worker, &order->task);
+
+    note_highest(worker, &order->task, order->run);
+    if (run != NULL && run->run <= order->run && run->stop_ms == 0) {
+        run->stop_ms = worker->fleet->now_ms + STOP_MS;
+    }
+    return CW_TARGET_OK;
+}
+
+static void
+confirm_ends(struct worker_model *worker, uint64_t acked)
+{
+    struct worker_listener *listener = &worker->fleet->listener;
+
+    while (worker->ends->len > 0) {
+        struct model_end *end = worker->ends->pdata[0];
+
+        if (end->number > acked) {
+            return;
+        }
+        listener->confirmed(listener->context, worker->id, &end->task,
+                            end->run, end->how,
+                            end->lapses != worker->lapses);
+        g_ptr_array_remove_index(worker->ends, 0);
+    }
+}
+
+static void
+list_runs(struct worker_model *worker, GArray *running, GArray *ended,
+          GPtrArray *texts)
+{
+    for (guint i = 0; i < worker->runs->len; i++) {
+        struct model_run *run = worker->runs->pdata[i];
+        struct cw_running row = {.task = run->task, .run = run->run};
+        char *job = g_strdup(run->job);
+        char *saved = saved_of(run);
+
+        g_ptr_array_add(texts, job);
+        g_ptr_array_add(texts, saved);
+        row.task.job = job;
+        row.saved = saved;
+        row.percent =
+            (unsigned)(run->done_ms * PERCENT / MAX(1, run->plan.work_ms));
+        g_array_append_val(running, row);
+    }
+    for (guint i = 0; i < worker->ends->len && i < ENDS_LISTED_MAX; i++) {
+        struct model_end *end = worker->ends->pdata[i];
+        struct cw_ended row = {.number = end->number,
+                               .task = end->task,
+                               .run = end->run,
+                               .how = end->how};
+        char *job = g_strdup(end->job);
+        char *saved = g_strdup(end->saved);
+
+        g_ptr_array_add(texts, job);
+        g_ptr_array_add(texts, saved);
+        row.task.job = job;
+        row.saved = saved;
+        g_array_append_val(ended, row);
+    }
+}
+
+void
+worker_model_order(struct worker_model *worker,
+                   const struct cw_target_order *order, int64_t now_ms,
+                   struct cw_target_answer *answer, GArray *running,
+                   GArray *ended, GPtrArray *texts)
+{
+    worker_fleet_advance(worker->fleet, now_ms);
+    memset(answer, 0, sizeof(*answer));
+    answer->clock_ms = worker_clock(worker);
+    if (strcmp(order->id, worker->id) != 0) {
+        answer->status = CW_TARGET_OTHER_LIFE;
+        return;
+    }
+    if (order->fence < worker->fence) {
+        answer->status = CW_TARGET_FENCED;
+        return;
+    }
+    worker->fence = order->fence;
+    if (order->kind == CW_ORDER_START) {
+        answer->status = order_start(worker, order);
+        return;
+    }
+    if (order->kind == CW_ORDER_STOP) {
+        answer->status = order_stop(worker, order);
+        return;
+    }
+    if (order->lease_until_ms > 0) {
+        (void)take_lease(worker, order->lease_until_ms);
+    }
+    confirm_ends(worker, order->acked);
+    list_runs(worker, running, ended, texts);
+    answer->status = CW_TARGET_OK;
+    answer->running = (const struct cw_running *)running->data;
+    answer->running_count = running->len;
+    answer->ended = (const struct cw_ended *)ended->data;
+    answer->ended_count = ended->len;
+}
--- /dev/null
+++ b/emulator/worker_model.h
@@ -0,0 +1,81 @@
+/* Workers as a pure state machine: runs under leases and fencing tokens,
+ * gangs, checkpoints, lists of ends that stay until they are confirmed.
+ *
+ * What a run does is in its task's plan: how long it takes and how many of
+ * its runs fail first. */
+#ifndef CURLEWCART_EMULATOR_WORKER_MODEL_H
+#define CURLEWCART_EMULATOR_WORKER_MODEL_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <glib.h>
+
+#include "curlewcart/cw_target.h"
+
+struct worker_fleet;
+struct worker_model;
+
+/* What a task is, as the model has to know it. */
+struct task_plan {
+    unsigned work_ms;
+    unsigned fails;   /* so many of its runs fail */
+    unsigned members; /* of its gang; 0: no gang */
+    bool checkpoints;
+    struct cw_resources need;
+};
+
+/* Who hears of what happens in workers. */
+struct worker_listener {
+    /* Plan of a task; false if nobody asked for it. */
+    bool (*plan)(void *context, const struct cw_task_name *task,
+                 struct task_plan *out);
+    void (*started)(void *context, const char *worker,
+                    const struct cw_task_name *task, unsigned run);
+    void (*ended)(void *context, const char *worker,
+                  const struct cw_task_name *task, unsigned run,
+                  enum cw_end_kind how);
+    /* The end was confirmed by the system; `lapsed`: the worker's lease was
+     * over at some time in between. */
+    void (*confirmed)(void *context, const char *worker,
+                      const struct cw_task_name *task, unsigned run,
+                      enum cw_end_kind how, bool lapsed);
+    void *context;
+};
+
+struct worker_fleet *
+worker_fleet_create(const struct worker_listener *listener);
+void worker_fleet_free(struct worker_fleet *fleet);
+
+/* A worker's life.  Borrowed. */
+struct worker_model *
+worker_fleet_add(struct worker_fleet *fleet, const char *id, const char *rack,
+                 const struct cw_resources *capacity, int64_t clock_ms);
+unsigned worker_fleet_size(const struct worker_fleet *fleet);
+struct worker_model *worker_fleet_at(struct worker_fleet *fleet, unsigned i);
+struct worker_model *
+worker_fleet_find(struct worker_fleet *fleet, const char *id);
+
+const char *worker_model_id(const struct worker_model *worker);
+const char *worker_model_rack(const struct worker_model *worker);
+const struct cw_resources *
+worker_model_capacity(const struct worker_model *worker);
+unsigned worker_model_running(const struct worker_model *worker);
+
+/* It crashes: everything there is gone, and it answers no more. */
+void worker_model_crash(struct worker_model *worker);
+bool worker_model_dead(const struct worker_model *worker);
+
+/* Slows its work by so much, or stops it (0). */
+void worker_model_set_speed(struct worker_model *worker, double speed);
+
+/* Carries out an order at `now_ms`.  The lists are copied into `texts` and
+ * the arrays. */
+void worker_model_order(struct worker_model *worker,
+                        const struct cw_target_order *order, int64_t now_ms,
+                        struct cw_target_answer *answer, GArray *running,
+                        GArray *ended, GPtrArray *texts);
+
+/* Moves everything on to `now_ms`. */
+void worker_fleet_advance(struct worker_fleet *fleet, int64_t now_ms);
+
+#endif
--- /dev/null
+++ b/emulator/world.h
@@ -0,0 +1,34 @@
+/* A deployment in one process under one virtual clock: the store's and the
+ * workers' models, VMs made of the objects that ship, and a network between
+ * them that delays, loses and cuts.  Same seed, same day. */
+#ifndef CURLEWCART_EMULATOR_WORLD_H
+#define CURLEWCART_EMULATOR_WORLD_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "emulator/judge.h"
+
+struct world_options {
+    uint32_t seed;
+    unsigned vms;
+    unsigned workers;
+    unsigned jobs;      /* handed in over the day */
+    unsigned day_ms;    /* in which jobs come and faults strike */
+    unsigned quiet_ms;  /* after it, for everything to end */
+    unsigned faults;    /* at most */
+    bool trace;         /* prints faults and answers with their time */
+};
+
+struct world_result {
+    char *violation; /* or NULL; owned by the caller */
+    char *faults;    /* what struck; owned by the caller */
+    struct judge_counts counts;
+    unsigned takeovers;
+};
+
+/* Plays a day. */
+void world_play(const struct world_options *options,
+                struct world_result *result);
+
+#endif
--- a/include/curlewcart/cw_log.h
+++ b/include/curlewcart/cw_log.h
@@ -5,6 +5,8 @@
 #include <stdbool.h>
 #include <glib.h>
 
+#include "curlewcart/cw_time.h"
+
 /* Sets the least level ("error", "warning", "info", "debug") and the VM's
  * name that stands in each line.  Call once, before threads start. */
 void cw_log_setup(const char *level, const char *vm);
@@ -12,6 +14,9 @@
 /* Changes the least level; safe from any thread. */
 void cw_log_set_level(const char *level);
 
+/* Clock of the lines' time; NULL: the system's.  For emulated runs. */
+void cw_log_set_clock(struct cw_clock *clock);
+
 /* Writes out what is held back. */
 void cw_log_flush(void);
 
--- a/src/base/cw_log.c
+++ b/src/base/cw_log.c
@@ -7,6 +7,7 @@
 
 static GLogLevelFlags least_level = G_LOG_LEVEL_INFO;
 static char vm_name[80];
+static struct cw_clock *log_clock; /* NULL: the system's */
 
 static const char *
 level_name(GLogLevelFlags level)
@@ -39,7 +40,12 @@
             message = fields[i].value;
         }
     }
-    clock_gettime(CLOCK_REALTIME, &now);
+    if (log_clock != NULL) {
+        now = cw_time_from_ms(cw_clock_wall_ms(log_clock));
+    }
+    else {
+        clock_gettime(CLOCK_REALTIME, &now);
+    }
     gmtime_r(&now.tv_sec, &utc);
     strftime(stamp, sizeof(stamp), "%Y-%m-%dT%H:%M:%S", &utc);
     fprintf(stdout, "ts=%s.%03ldZ level=%s vm=%s %s\n", stamp,
@@ -65,6 +71,12 @@
     }
 }
 
+void
+cw_log_set_clock(struct cw_clock *clock)
+{
+    log_clock = clock;
+}
+
 void
 cw_log_flush(void)
 {
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -58,10 +58,16 @@
     return entry;
 }
 
+static void change_free(struct change *change);
+
 void
 cw_entry_free(struct cw_entry *entry)
 {
     if (entry != NULL) {
+        /* No answer: the callers' connections end with the process. */
+        for (guint i = 0; i < entry->changes->len; i++) {
+            change_free(entry->changes->pdata[i]);
+        }
         g_ptr_array_unref(entry->changes);
         cw_routing_unref(entry->routing);
         g_free(entry);
