--- a/emulator/emulator_main.c
+++ b/emulator/emulator_main.c
@@ -121,8 +121,8 @@
         add_counts(share, &result);
         if (result.violation != NULL) {
             share->bad++;
-            printf("seed %u: %s\n  faults: %s\n", world.seed,
-                   result.violation, result.faults);
+            printf("seed %u: %s\n  faults: %s\n", world.seed, result.violation,
+                   result.faults);
             fflush(stdout);
         }
         if (shows && day % PROGRESS_EVERY == 0) {
@@ -154,9 +154,8 @@
     printf("%u days from seed %u: %u violations; %u jobs, %u accepted, %u "
            "completed, %u failed, %u cancelled, %u starts, %u takeovers\n",
            arguments->days, arguments->seed, share.bad, share.counts.jobs,
-           share.counts.accepted, share.counts.completed,
-           share.counts.failed, share.counts.cancelled, share.counts.starts,
-           share.takeovers);
+           share.counts.accepted, share.counts.completed, share.counts.failed,
+           share.counts.cancelled, share.counts.starts, share.takeovers);
     return share.bad > 0 ? EXIT_VIOLATION : 0;
 }
 
@@ -182,9 +181,13 @@
 main(int argc, char **argv)
 {
     static const struct argp argp = {
-        options, parse, "fuzz|replay",
+        options,
+        parse,
+        "fuzz|replay",
         "Plays days of a deployment under faults and judges the promises.",
-        NULL, NULL, NULL};
+        NULL,
+        NULL,
+        NULL};
     struct arguments arguments = {
         .seed = 1, .days = DEFAULT_DAYS, .jobs = DEFAULT_JOBS};
 
--- a/emulator/judge.c
+++ b/emulator/judge.c
@@ -16,9 +16,9 @@
 };
 
 struct judge {
-    GPtrArray *jobs;     /* struct judge_job */
-    GHashTable *by_id;   /* borrowed */
-    GHashTable *tasks;   /* name -> struct task_truth */
+    GPtrArray *jobs;   /* struct judge_job */
+    GHashTable *by_id; /* borrowed */
+    GHashTable *tasks; /* name -> struct task_truth */
     char *violation;
     struct judge_counts counts;
 };
@@ -77,9 +77,9 @@
 violate_task(struct judge *judge, const char *rule,
              const struct cw_task_name *task, unsigned run)
 {
-    char *what = g_strdup_printf("%s.%u.%u.%u run %u", task->job,
-                                 task->occurrence, task->step, task->index,
-                                 run);
+    char *what =
+        g_strdup_printf("%s.%u.%u.%u run %u", task->job, task->occurrence,
+                        task->step, task->index, run);
 
     violate(judge, rule, what);
     g_free(what);
@@ -138,7 +138,8 @@
     const struct judge_job *job = judge_find(judge, task->job);
 
     if (job == NULL || task->step >= job->spec->steps.steps_len ||
-        task->index >= job->spec->steps.steps_val[task->step].tasks) {
+        task->index >= job->spec->steps.steps_val[task->step].tasks)
+    {
         return NULL;
     }
     return &job->spec->steps.steps_val[task->step];
@@ -190,8 +191,8 @@
     const struct cw_step_spec *step = step_of(judge, task);
 
     for (u_int i = 0; i < step->after.after_len; i++) {
-        if (!step_done(judge, job, task->occurrence,
-                       step->after.after_val[i])) {
+        if (!step_done(judge, job, task->occurrence, step->after.after_val[i]))
+        {
             return false;
         }
     }
@@ -227,8 +228,8 @@
 }
 
 void
-judge_ended(struct judge *judge, const struct cw_task_name *task,
-            unsigned run, enum cw_end_kind how, bool calm)
+judge_ended(struct judge *judge, const struct cw_task_name *task, unsigned run,
+            enum cw_end_kind how, bool calm)
 {
     struct task_truth *truth = truth_of(judge, task);
 
@@ -294,8 +295,7 @@
 void
 judge_final(struct judge *judge, const struct judge_job *job, int phase)
 {
-    if (job->refused && !job->possible && !job->accepted && job->started > 0)
-    {
+    if (job->refused && !job->possible && !job->accepted && job->started > 0) {
         violate(judge, "REFUSED", job->id);
     }
     if (job->accepted && phase < 0) {
--- a/emulator/judge.h
+++ b/emulator/judge.h
@@ -19,9 +19,9 @@
     struct cw_work_spec *spec; /* owned */
     unsigned plan_work_ms;
     unsigned plan_fails; /* runs of each task that fail */
-    bool accepted;  /* a caller was told so */
-    bool possible;  /* an attempt ended without a sure answer */
-    bool refused;   /* every attempt was told that nothing was done */
+    bool accepted;       /* a caller was told so */
+    bool possible;       /* an attempt ended without a sure answer */
+    bool refused;        /* every attempt was told that nothing was done */
     bool cancel_sent;
     bool cancel_done; /* acknowledged */
     int64_t cancel_ms;
--- a/emulator/store_model.c
+++ b/emulator/store_model.c
@@ -55,7 +55,9 @@
     struct stored *stored = data;
 
     g_free(stored->key);
-    g_clear_pointer(&stored->value, g_bytes_unref);
+    if (stored->value != NULL) {
+        g_bytes_unref(stored->value);
+    }
     g_free(stored);
 }
 
@@ -136,10 +138,10 @@
     if (topic == NULL) {
         topic = g_new0(struct topic, 1);
         topic->records = g_ptr_array_new_with_free_func(stored_free);
-        topic->newest = g_tree_new_full(compare_keys, NULL, g_free,
-                                        stored_free);
-        topic->writers = g_hash_table_new_full(g_str_hash, g_str_equal,
-                                               g_free, writer_free);
+        topic->newest =
+            g_tree_new_full(compare_keys, NULL, g_free, stored_free);
+        topic->writers = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+                                               writer_free);
         g_hash_table_insert(model->topics, g_strdup(name), topic);
     }
     return topic;
@@ -409,8 +411,8 @@
     if (model->holder == NULL && model->members->len > 0) {
         const struct member *first = model->members->pdata[0];
 
-        model->holder = g_strdup(model->wanted != NULL ? model->wanted
-                                                       : first->name);
+        model->holder =
+            g_strdup(model->wanted != NULL ? model->wanted : first->name);
         model->holder_since = ++model->generation;
         g_clear_pointer(&model->wanted, g_free);
     }
@@ -432,7 +434,8 @@
     }
     member->expires = cw_time_add_ms(now, ttl_ms);
     if (model->holder != NULL && strcmp(model->holder, name) == 0 &&
-        model->wanted != NULL && strcmp(model->wanted, name) != 0) {
+        model->wanted != NULL && strcmp(model->wanted, name) != 0)
+    {
         g_clear_pointer(&model->holder, g_free);
     }
     settle(model);
--- a/emulator/worker_model.c
+++ b/emulator/worker_model.c
@@ -18,9 +18,9 @@
     unsigned run;
     struct task_plan plan;
     int64_t started_ms;
-    double done_ms;    /* work done, of plan.work_ms */
-    int64_t stop_ms;   /* when a stop takes effect; 0 none */
-    bool whole;        /* its gang is complete */
+    double done_ms;  /* work done, of plan.work_ms */
+    int64_t stop_ms; /* when a stop takes effect; 0 none */
+    bool whole;      /* its gang is complete */
 };
 
 struct model_end {
@@ -45,8 +45,8 @@
     int64_t lease_end_ms; /* fleet's time */
     bool lease_live;
     unsigned lapses; /* times that its lease was over */
-    GPtrArray *runs;      /* struct model_run */
-    GPtrArray *ends;      /* struct model_end */
+    GPtrArray *runs; /* struct model_run */
+    GPtrArray *ends; /* struct model_end */
     uint64_t next_end;
     GHashTable *highest; /* task's name -> highest run ended or stopped */
 };
@@ -312,8 +312,8 @@
     struct worker_fleet *fleet = worker->fleet;
     bool gang = run->plan.members > 0;
     struct model_run copy = *run;
-    enum cw_end_kind how = run->run <= run->plan.fails ? CW_END_KIND_FAILED
-                                                       : CW_END_KIND_DONE;
+    enum cw_end_kind how =
+        run->run <= run->plan.fails ? CW_END_KIND_FAILED : CW_END_KIND_DONE;
 
     if (run->stop_ms > 0 && fleet->now_ms >= run->stop_ms) {
         char *job = g_strdup(run->job);
@@ -422,7 +422,8 @@
 
         if (run->task.index == task->index && run->task.step == task->step &&
             run->task.occurrence == task->occurrence &&
-            strcmp(run->job, task->job) == 0) {
+            strcmp(run->job, task->job) == 0)
+        {
             return run;
         }
     }
@@ -511,8 +512,7 @@
             return;
         }
         listener->confirmed(listener->context, worker->id, &end->task,
-                            end->run, end->how,
-                            end->lapses != worker->lapses);
+                            end->run, end->how, end->lapses != worker->lapses);
         g_ptr_array_remove_index(worker->ends, 0);
     }
 }
--- a/emulator/world.c
+++ b/emulator/world.c
@@ -20,9 +20,9 @@
     MEMBER_TTL_MS = 1300,
     LEASE_MS = 6000,
     CALM_MS = 4000,
-    STORE_MS = 2,      /* one way, as a rule */
+    STORE_MS = 2, /* one way, as a rule */
     SLOW_STORE_MS = 120,
-    WORKER_MS = 1,     /* one way */
+    WORKER_MS = 1, /* one way */
     READ_POLL_MS = 25,
     CLIENT_TRIES = 4,
     CLIENT_BUDGET_MS = 1300,
@@ -56,7 +56,7 @@
     bool alive;
     bool leaving;
     int64_t frozen_until_ms;
-    int64_t cut_until_ms;   /* from the store */
+    int64_t cut_until_ms; /* from the store */
     int64_t due_ms;
     struct cw_replica *replica;
     struct cw_entry *entry;
@@ -316,8 +316,7 @@
         call->read.done(call->read.context, ok ? &call->page.page : &page);
         break;
     case CALL_NEWEST:
-        call->newest.done(call->newest.context,
-                          ok ? &call->page.page : &page);
+        call->newest.done(call->newest.context, ok ? &call->page.page : &page);
         break;
     case CALL_JOIN:
         call->join.done(call->join.context, ok ? &call->joined : &joined);
@@ -403,9 +402,8 @@
     bool held = false;
 
     call->joined.status = CW_STORE_OK;
-    call->joined.generation =
-        store_model_join(world->store, call->text, call->join.ttl_ms,
-                         world->clock.now, &held);
+    call->joined.generation = store_model_join(
+        world->store, call->text, call->join.ttl_ms, world->clock.now, &held);
     call->joined.partitions = &call->partition;
     call->joined.count = held ? 1 : 0;
 }
@@ -422,8 +420,7 @@
                          &call->page);
     }
     else {
-        store_model_newest(world->store, call->topic, call->text,
-                           &call->page);
+        store_model_newest(world->store, call->topic, call->text, &call->page);
     }
 }
 
@@ -474,7 +471,8 @@
         return;
     }
     if (writes && world->lost_until_ms > world->now_ms &&
-        chance(world, world->lost_percent)) {
+        chance(world, world->lost_percent))
+    {
         if (world->lost_late) {
             hold_event(world, call, between(world, 1000, 6000), apply_late);
         }
@@ -487,7 +485,8 @@
     apply(world, call);
     if (call->kind == CALL_READ && call->page.page.count == 0 &&
         call->page.page.status == CW_STORE_OK &&
-        world->now_ms < call->wait_until_ms && !call->ended) {
+        world->now_ms < call->wait_until_ms && !call->ended)
+    {
         hold_event(world, call, READ_POLL_MS, arrive);
         call_release(call);
         return;
@@ -609,7 +608,8 @@
     struct worker_model *worker = worker_fleet_find(world->fleet, call->text);
 
     if (worker == NULL || worker_model_dead(worker) ||
-        worker_cut(world, call->text)) {
+        worker_cut(world, call->text))
+    {
         call_release(call);
         return;
     }
@@ -619,7 +619,8 @@
                        call->running, call->ended_rows, call->bytes);
     if (call->kind == CALL_ORDER && call->order.kind == CW_ORDER_HOLD &&
         call->answer.status == CW_TARGET_OK && call->answer.ended_count == 0 &&
-        world->now_ms < call->wait_until_ms && !call->ended) {
+        world->now_ms < call->wait_until_ms && !call->ended)
+    {
         hold_event(world, call, READ_POLL_MS, arrive_order);
         call_release(call);
         return;
@@ -691,8 +692,8 @@
         next = due;
     }
     vm->takeovers += !active && cw_owner_active(vm->owner);
-    vm->due_ms = MAX(vm->world->now_ms + 1,
-                     cw_time_diff_ms(cw_time_from_ms(0), next));
+    vm->due_ms =
+        MAX(vm->world->now_ms + 1, cw_time_diff_ms(cw_time_from_ms(0), next));
 }
 
 static void
@@ -755,7 +756,13 @@
      * the dying VM still sends goes nowhere. */
     vm->cut_until_ms = INT64_MAX;
     while (vm->calls->len > 0) {
-        call_answer(vm->calls->pdata[0], CW_STORE_UNKNOWN);
+        struct call *call = vm->calls->pdata[vm->calls->len - 1];
+
+        call->holds++;
+        call_answer(call, CW_STORE_UNKNOWN);
+        /* `holds` keeps it until here; the analyser does not see that.
+         * NOLINTNEXTLINE(clang-analyzer-unix.Malloc) */
+        call_release(call);
     }
     break_clients(vm);
     cw_owner_free(vm->owner);
@@ -902,8 +909,8 @@
         return;
     }
     call->job->cancel_sent = true;
-    path = g_strdup_printf("/q%u/%s", call->job->spec->priority,
-                           call->job->id);
+    path =
+        g_strdup_printf("/q%u/%s", call->job->spec->priority, call->job->id);
     cw_entry_locate(call->vm->entry, "h", path, "key", &place);
     cw_entry_cancel(call->vm->entry, &place, CLIENT_BUDGET_MS,
                     on_client_answer, call);
@@ -1204,11 +1211,11 @@
     int draining = 0;
     struct cw_target_report report = {
         .id = id, .service = "s", .address = id, .dc = "d", .kind = "k"};
-    bool ok = sscanf(copy, "%31s %" SCNd64 " %" SCNd64 " %" SCNd64 " %d %"
-                     SCNd64, rack, &report.capacity.cpu_milli,
-                     &report.capacity.memory_mb,
-                     &report.capacity.accelerators, &draining,
-                     &report.clock_ms) == 6;
+    bool ok =
+        sscanf(copy, "%31s %" SCNd64 " %" SCNd64 " %" SCNd64 " %d %" SCNd64,
+               rack, &report.capacity.cpu_milli, &report.capacity.memory_mb,
+               &report.capacity.accelerators, &draining,
+               &report.clock_ms) == 6;
 
     report.rack = rack;
     report.draining = draining != 0;
@@ -1243,11 +1250,10 @@
         struct cw_store_append append = {
             .topic = TARGETS_TOPIC, .records = &record, .count = 1};
 
-        g_snprintf(text, sizeof(text),
-                   "%s %" PRId64 " %" PRId64 " %" PRId64 " %d 0",
-                   worker_model_rack(worker), has->cpu_milli, has->memory_mb,
-                   has->accelerators,
-                   g_hash_table_contains(world->draining, id));
+        g_snprintf(
+            text, sizeof(text), "%s %" PRId64 " %" PRId64 " %" PRId64 " %d 0",
+            worker_model_rack(worker), has->cpu_milli, has->memory_mb,
+            has->accelerators, g_hash_table_contains(world->draining, id));
         record.length = strlen(text);
         if (worker_model_dead(worker)) {
             record.value = NULL;
@@ -1509,7 +1515,8 @@
         /* Only what owns its context needs to run once more. */
         if (event->run == deliver || event->run == time_out ||
             event->run == refuse || event->run == arrive ||
-            event->run == arrive_order || event->run == apply_late) {
+            event->run == arrive_order || event->run == apply_late)
+        {
             call_release(event->context);
         }
         else if (event->run == submit || event->run == cancel) {
--- a/emulator/world.h
+++ b/emulator/world.h
@@ -13,11 +13,11 @@
     uint32_t seed;
     unsigned vms;
     unsigned workers;
-    unsigned jobs;      /* handed in over the day */
-    unsigned day_ms;    /* in which jobs come and faults strike */
-    unsigned quiet_ms;  /* after it, for everything to end */
-    unsigned faults;    /* at most */
-    bool trace;         /* prints faults and answers with their time */
+    unsigned jobs;     /* handed in over the day */
+    unsigned day_ms;   /* in which jobs come and faults strike */
+    unsigned quiet_ms; /* after it, for everything to end */
+    unsigned faults;   /* at most */
+    bool trace;        /* prints faults and answers with their time */
 };
 
 struct world_result {
@@ -28,7 +28,7 @@
 };
 
 /* Plays a day. */
-void world_play(const struct world_options *options,
-                struct world_result *result);
+void
+world_play(const struct world_options *options, struct world_result *result);
 
 #endif
--- a/include/curlewcart/cw_entry.h
+++ b/include/curlewcart/cw_entry.h
@@ -60,8 +60,9 @@
                      unsigned budget_ms, cw_entry_done done, void *context);
 
 /* Stores that a job is cancelled. */
-void cw_entry_cancel(struct cw_entry *entry, const struct cw_entry_place *place,
-                     unsigned budget_ms, cw_entry_done done, void *context);
+void
+cw_entry_cancel(struct cw_entry *entry, const struct cw_entry_place *place,
+                unsigned budget_ms, cw_entry_done done, void *context);
 
 /* Where a job stands: CW_OK, CW_E_NOT_FOUND, or CW_REF_NO_LEDGER if this VM
  * cannot tell: it has not read the store lately and does not know the job,
@@ -71,9 +72,8 @@
                unsigned *phase);
 
 /* Jobs of the queue that have not begun: CW_OK or CW_REF_NO_LEDGER. */
-enum cw_result
-cw_entry_waiting(struct cw_entry *entry, const struct cw_queue *queue,
-                 unsigned *count);
+enum cw_result cw_entry_waiting(struct cw_entry *entry,
+                                const struct cw_queue *queue, unsigned *count);
 
 /* True if callers should be sent here. */
 bool cw_entry_ready(struct cw_entry *entry);
--- a/include/curlewcart/cw_http_client.h
+++ b/include/curlewcart/cw_http_client.h
@@ -10,7 +10,7 @@
 /* Result of a request.  status 0: no answer came. */
 struct cw_http_result {
     long status;
-    bool unsent; /* no connection was made: the request was never sent */
+    bool unsent;      /* no connection was made: the request was never sent */
     const char *body; /* borrowed during the callback */
     size_t length;
     size_t bytes; /* on the wire, headers included, both ways */
--- a/include/curlewcart/cw_owner.h
+++ b/include/curlewcart/cw_owner.h
@@ -61,7 +61,6 @@
     unsigned runs;
     unsigned waiting_tasks;
 };
-void
-cw_owner_stats(const struct cw_owner *owner, struct cw_owner_stats *out);
+void cw_owner_stats(const struct cw_owner *owner, struct cw_owner_stats *out);
 
 #endif
--- a/include/curlewcart/cw_relay.h
+++ b/include/curlewcart/cw_relay.h
@@ -28,8 +28,8 @@
     struct cw_clock *clock;
     struct cw_counters *counters;
     pthread_mutex_t *engine;
-    const char *address;       /* HOST:PORT to listen on */
-    const char *group;         /* whose members are the VMs */
+    const char *address; /* HOST:PORT to listen on */
+    const char *group;   /* whose members are the VMs */
 };
 
 struct cw_relay;
@@ -41,6 +41,10 @@
 /* The store to use. */
 struct cw_store *cw_relay_store(struct cw_relay *relay);
 
+/* HOST:PORT that it listens on; a port given as 0 was chosen by the kernel.
+ * Borrowed. */
+const char *cw_relay_address(const struct cw_relay *relay);
+
 /* Descriptor that becomes readable when messages have come. */
 int cw_relay_descriptor(const struct cw_relay *relay);
 
--- a/include/curlewcart/cw_routing.h
+++ b/include/curlewcart/cw_routing.h
@@ -26,7 +26,7 @@
 
 struct cw_account {
     char *name;
-    GPtrArray *keys;                   /* char * */
+    GPtrArray *keys; /* char * */
     unsigned guaranteed_accelerators;
 };
 
@@ -61,9 +61,8 @@
 
 /* Queue of a host (a port after it is ignored) and path, or NULL.
  * Borrowed. */
-const struct cw_queue *
-cw_routing_match(const struct cw_routing *routing, const char *host,
-                 const char *path);
+const struct cw_queue *cw_routing_match(const struct cw_routing *routing,
+                                        const char *host, const char *path);
 
 /* Account of a credential, or NULL.  Borrowed. */
 const struct cw_account *
--- a/src/cli/cli.c
+++ b/src/cli/cli.c
@@ -12,9 +12,8 @@
 
 const struct cli_command cli_commands[] = {
     {"serve", "", "Runs the daemon of this VM.", 0, 0, cli_serve},
-    {"vm", "",
-     "Runs the daemon of this VM on a platform that has a store.", 0, 0,
-     cli_vm},
+    {"vm", "", "Runs the daemon of this VM on a platform that has a store.", 0,
+     0, cli_vm},
     {"settings check", "FILE",
      "Finds all that would keep 'serve' from starting.", 1, 1,
      cli_settings_check},
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -34,7 +34,7 @@
     unsigned tries;
     unsigned retry_ms;
     bool in_flight;
-    bool unsure;    /* an append had no answer: it may be stored */
+    bool unsure;     /* an append had no answer: it may be stored */
     bool look_first; /* waits until the replica has read on */
     struct timespec look_since;
     enum cw_store_status last;
@@ -264,16 +264,15 @@
     if (entry->changes->len >= PENDING_MAX || entry->isolated) {
         cw_count_code(entry->options.counters,
                       entry->isolated ? CW_REF_LOG_AWAY : CW_REF_GATE);
-        cw_log_info("submit",
-                    "id=%s queue=%s outcome=not_done pending=%u isolated=%d",
-                    spec->id, spec->queue, entry->changes->len,
-                    entry->isolated);
+        cw_log_info(
+            "submit", "id=%s queue=%s outcome=not_done pending=%u isolated=%d",
+            spec->id, spec->queue, entry->changes->len, entry->isolated);
         spec_release(spec);
         done(context, CW_ENTRY_NOT_DONE);
         return;
     }
-    change = change_new(entry, CW_WORK_KEY_SPEC, spec->id, spec->queue,
-                        budget_ms);
+    change =
+        change_new(entry, CW_WORK_KEY_SPEC, spec->id, spec->queue, budget_ms);
     change->value = cw_xdr_encode((xdrproc_t)xdr_cw_work_spec, spec);
     change->done = done;
     change->context = context;
@@ -291,11 +290,13 @@
         cw_replica_find(entry->options.replica, place->id);
 
     if (job == NULL || job->spec == NULL ||
-        strcmp(job->spec->queue, place->queue->name) != 0) {
+        strcmp(job->spec->queue, place->queue->name) != 0)
+    {
         return NULL;
     }
     if (place->account != NULL &&
-        strcmp(job->spec->account, place->account->name) != 0) {
+        strcmp(job->spec->account, place->account->name) != 0)
+    {
         return NULL;
     }
     return job;
--- a/src/http/http_client.c
+++ b/src/http/http_client.c
@@ -220,7 +220,7 @@
     unsigned count = client->options.readable != NULL ? 1 : 0;
 
     curl_multi_poll(client->multi, &extra, count, (int)wait_ms, NULL);
-    if (extra.revents != 0) {
+    if (extra.revents != 0 && client->options.readable != NULL) {
         client->options.readable(client->options.context);
     }
 }
--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -33,8 +33,8 @@
     struct owner_task *task;
     unsigned number;
     enum run_phase phase;
-    bool stopping;     /* is to end, by order */
-    bool stop_queued;  /* an order to stop waits or is under way */
+    bool stopping;    /* is to end, by order */
+    bool stop_queued; /* an order to stop waits or is under way */
     bool stop_confirmed;
     bool finished; /* its gang is done; only its own end is outstanding */
     struct timespec stop_confirmed_at;
@@ -113,8 +113,8 @@
     bool gone;      /* another life answers at its address */
     bool seen_mark; /* while the reports are loaded anew */
     bool clock_known;
-    int64_t clock_offset_ms; /* its clock less ours */
-    int64_t lease_sent_ms;   /* latest end of lease ever sent, its clock */
+    int64_t clock_offset_ms;   /* its clock less ours */
+    int64_t lease_sent_ms;     /* latest end of lease ever sent, its clock */
     struct timespec lease_end; /* same in our time, with its drift */
     bool fenced;               /* it has answered under our fencing token */
     bool hold_in_flight;
@@ -126,16 +126,16 @@
     uint64_t ends_durable;
     GQueue orders; /* struct owner_order */
     unsigned orders_in_flight;
-    GPtrArray *runs; /* struct owner_run */
+    GPtrArray *runs;     /* struct owner_run */
     unsigned lower_runs; /* of them, of work that is not the most urgent */
-    unsigned failures; /* in a row */
+    unsigned failures;   /* in a row */
     struct timespec avoid_until;
     struct timespec suspect_until; /* it failed or stalled work */
 };
 
 /* Room that a service's workers keep for urgent work. */
 struct owner_headroom {
-    double peak; /* accelerators that urgent work held lately */
+    double peak;    /* accelerators that urgent work held lately */
     double arrived; /* accelerators that urgent jobs asked for lately */
     bool mostly_idle;
     struct timespec at;
@@ -176,10 +176,10 @@
     uint64_t fence_end; /* end of the log when the epoch was set */
     struct timespec began;
     struct cw_follower *reports;
-    GHashTable *jobs;    /* id -> struct owner_job */
-    GHashTable *targets; /* id -> struct owner_target */
+    GHashTable *jobs;     /* id -> struct owner_job */
+    GHashTable *targets;  /* id -> struct owner_target */
     GHashTable *headroom; /* service -> struct owner_headroom */
-    GPtrArray *dirty;    /* struct owner_job */
+    GPtrArray *dirty;     /* struct owner_job */
     struct owner_batch *batch;
     uint64_t sequence;
     struct timespec flush_due;
@@ -236,16 +236,15 @@
 void owner_step_done(struct cw_owner *owner, struct owner_step *step);
 
 /* Opens occurrences that are due; returns when the next one is. */
-struct timespec
-owner_job_open_due(struct cw_owner *owner, struct owner_job *job,
-                   struct timespec now);
+struct timespec owner_job_open_due(struct cw_owner *owner,
+                                   struct owner_job *job, struct timespec now);
 
 /* Forgets a job that is over, durable and runs nowhere. */
 void owner_job_maybe_forget(struct cw_owner *owner, struct owner_job *job);
 
 /* Task by name, or NULL if this owner has no such task. */
-struct owner_task *owner_task_find(const struct cw_owner *owner,
-                                   const struct cw_task_name *name);
+struct owner_task *
+owner_task_find(const struct cw_owner *owner, const struct cw_task_name *name);
 
 struct cw_task_name owner_task_name(const struct owner_task *task);
 
@@ -270,10 +269,10 @@
 
 /* ---- owner_runs.c ---- */
 
-struct owner_run *owner_run_create(struct cw_owner *owner,
-                                   struct owner_task *task,
-                                   struct owner_target *target,
-                                   enum run_phase phase, unsigned number);
+struct owner_run *
+owner_run_create(struct cw_owner *owner, struct owner_task *task,
+                 struct owner_target *target, enum run_phase phase,
+                 unsigned number);
 
 /* The worker does not run it and never will. */
 void owner_run_drop(struct cw_owner *owner, struct owner_run *run);
@@ -397,18 +396,17 @@
 void owner_headroom_update(struct cw_owner *owner, struct timespec now);
 
 /* True if lower work may be placed on the worker. */
-bool owner_headroom_allows(struct cw_owner *owner,
-                           const struct owner_step *step,
-                           const struct owner_target *target,
-                           struct timespec now);
+bool
+owner_headroom_allows(struct cw_owner *owner, const struct owner_step *step,
+                      const struct owner_target *target, struct timespec now);
 
 /* A job was taken on. */
-void owner_headroom_arrived(struct cw_owner *owner,
-                            const struct owner_job *job);
+void
+owner_headroom_arrived(struct cw_owner *owner, const struct owner_job *job);
 
 /* A run of lower work was placed on the worker. */
-void owner_headroom_took(struct cw_owner *owner,
-                         const struct owner_target *target);
+void
+owner_headroom_took(struct cw_owner *owner, const struct owner_target *target);
 
 /* Makes lower work that loses little leave before its place is needed. */
 void owner_headroom_restore(struct cw_owner *owner, struct timespec now);
--- a/src/owner/owner.c
+++ b/src/owner/owner.c
@@ -292,7 +292,8 @@
     };
 
     if (owner->join_in_flight || owner->leaving ||
-        cw_time_before(now, owner->join_due)) {
+        cw_time_before(now, owner->join_due))
+    {
         return;
     }
     owner->join_in_flight = true;
--- a/src/owner/owner_commit.c
+++ b/src/owner/owner_commit.c
@@ -22,7 +22,7 @@
     GPtrArray *values; /* GByteArray *, NULL: the key is dropped */
     uint64_t sequence;
     bool in_flight;
-    bool unsure; /* an attempt had no answer */
+    bool unsure;   /* an attempt had no answer */
     bool orphaned; /* its owner dropped it while a call was under way */
     struct timespec sent;
     struct timespec due;
@@ -217,8 +217,8 @@
         owner_depose(owner, "higher_epoch");
         return;
     case CW_STORE_SEQUENCE:
-        if (batch->unsure &&
-            result->expected_sequence == batch->sequence + 1) {
+        if (batch->unsure && result->expected_sequence == batch->sequence + 1)
+        {
             batch_durable(owner, batch);
             batch_release(batch);
             return;
@@ -342,7 +342,8 @@
     batch = batch_new(owner);
     g_hash_table_iter_init(&iterator, jobs);
     while (g_hash_table_iter_next(&iterator, NULL, &value) &&
-           count < SWEEP_JOBS_MAX) {
+           count < SWEEP_JOBS_MAX)
+    {
         const struct cw_replica_job *job = value;
 
         if (job->ended_ms == 0 || job->ended_ms > before_ms) {
--- a/src/owner/owner_headroom.c
+++ b/src/owner/owner_headroom.c
@@ -84,8 +84,7 @@
 set_limit(const struct census *census, struct timespec now)
 {
     struct owner_headroom *room = census->room;
-    double per_worker =
-        (double)census->accelerators / MAX(1, census->workers);
+    double per_worker = (double)census->accelerators / MAX(1, census->workers);
     double spare;
     double kept;
 
@@ -93,8 +92,8 @@
     room->peak = MAX(room->peak, (double)census->urgent);
     room->hosts = census->hosts;
     room->idle = census->idle;
-    room->mostly_idle = census->used * PERCENT <
-                        census->accelerators * IDLE_PERCENT;
+    room->mostly_idle =
+        census->used * PERCENT < census->accelerators * IDLE_PERCENT;
     if (per_worker <= 0) {
         room->most_hosts = census->workers; /* nothing to measure by */
         return;
@@ -130,8 +129,8 @@
 void
 owner_headroom_update(struct cw_owner *owner, struct timespec now)
 {
-    GHashTable *services = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
-                                                 g_free);
+    GHashTable *services =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
     GHashTableIter iterator;
     gpointer value;
 
@@ -204,8 +203,7 @@
 }
 
 static struct owner_target *
-cheapest_host(struct cw_owner *owner, const char *service,
-              struct timespec now)
+cheapest_host(struct cw_owner *owner, const char *service, struct timespec now)
 {
     struct owner_target *best = NULL;
     double best_cost = 0;
@@ -218,7 +216,8 @@
         double cost;
 
         if (target->lower_runs == 0 || !counts(target) ||
-            strcmp(target->service, service) != 0) {
+            strcmp(target->service, service) != 0)
+        {
             continue;
         }
         cost = eviction_cost(target, now);
@@ -269,7 +268,8 @@
         }
         while (room->idle + evicted < room->spare / 2 &&
                room->hosts > room->most_hosts + evicted &&
-               evicted < EVICTIONS_MOST) {
+               evicted < EVICTIONS_MOST)
+        {
             struct owner_target *target = cheapest_host(owner, key, now);
 
             if (target == NULL) {
--- a/src/owner/owner_holds.c
+++ b/src/owner/owner_holds.c
@@ -54,7 +54,8 @@
     struct owner_task *task = owner_task_find(owner, &listed->task);
 
     if (task == NULL || task->run == NULL ||
-        task->run->number != listed->run || task->run->target != target) {
+        task->run->number != listed->run || task->run->target != target)
+    {
         return NULL;
     }
     return task->run;
@@ -84,7 +85,8 @@
         if (listed->run == run->number && listed->task.step == name.step &&
             listed->task.index == name.index &&
             listed->task.occurrence == name.occurrence &&
-            strcmp(listed->task.job, name.job) == 0) {
+            strcmp(listed->task.job, name.job) == 0)
+        {
             return true;
         }
     }
@@ -139,8 +141,7 @@
            struct timespec now)
 {
     for (size_t i = 0; i < answer->running_count; i++) {
-        struct owner_run *run =
-            listed_run(owner, target, &answer->running[i]);
+        struct owner_run *run = listed_run(owner, target, &answer->running[i]);
 
         if (run != NULL) {
             note_progress(run, &answer->running[i], now);
@@ -188,7 +189,8 @@
         if (run->phase != RUN_RUNNING || run->stopping || run->finished ||
             step->spec->endless ||
             cw_time_diff_ms(run->progress_at, now) < STALL_MS ||
-            (step->spec->gang && !gang_is_whole(step))) {
+            (step->spec->gang && !gang_is_whole(step)))
+        {
             continue;
         }
         cw_log_info("run_stalled",
@@ -214,9 +216,8 @@
             struct timespec now)
 {
     if (target->silent == 0) {
-        cw_log_info("worker_silent", "worker=%s status=%s runs=%u",
-                    target->id, cw_target_status_name(status),
-                    target->runs->len);
+        cw_log_info("worker_silent", "worker=%s status=%s runs=%u", target->id,
+                    cw_target_status_name(status), target->runs->len);
     }
     target->silent++;
     target->hold_due = cw_time_add_ms(now, HOLD_RETRY_MS);
@@ -341,7 +342,8 @@
         owner_target_lost(owner, target, "lease_over");
     }
     if (target->hold_in_flight || !wants_hold(target) ||
-        !owner_may_extend(owner, now)) {
+        !owner_may_extend(owner, now))
+    {
         return cw_time_from_ms(INT32_MAX);
     }
     if (target->ends_applied > target->ends_durable) {
--- a/src/owner/owner_jobs.c
+++ b/src/owner/owner_jobs.c
@@ -146,8 +146,8 @@
     gsize length = 0;
     const void *bytes = g_bytes_get_data(job->entry->record, &length);
 
-    if (!cw_xdr_decode((xdrproc_t)xdr_cw_work_record, &record, bytes,
-                       length)) {
+    if (!cw_xdr_decode((xdrproc_t)xdr_cw_work_record, &record, bytes, length))
+    {
         cw_log_error("record_invalid", "id=%s kind=state offset=%" PRIu64,
                      job->spec->id, job->entry->record_offset);
         return false;
@@ -449,8 +449,8 @@
 void
 owner_job_maybe_forget(struct cw_owner *owner, struct owner_job *job)
 {
-    if (!cw_work_is_over(job->phase) || job->dirty ||
-        job_runs_somewhere(job)) {
+    if (!cw_work_is_over(job->phase) || job->dirty || job_runs_somewhere(job))
+    {
         return;
     }
     g_hash_table_remove(owner->jobs, job->spec->id);
@@ -468,7 +468,8 @@
 
         if (occurrence->number == name->occurrence &&
             name->step < occurrence->count &&
-            name->index < occurrence->steps[name->step].count) {
+            name->index < occurrence->steps[name->step].count)
+        {
             return &occurrence->steps[name->step].tasks[name->index];
         }
     }
--- a/src/owner/owner_orders.c
+++ b/src/owner/owner_orders.c
@@ -50,9 +50,9 @@
 {
     struct owner_task *task = owner_task_find(order->owner, &order->task);
 
-    if (task == NULL || task->run == NULL ||
-        task->run->number != order->run ||
-        task->run->target != order->target) {
+    if (task == NULL || task->run == NULL || task->run->number != order->run ||
+        task->run->target != order->target)
+    {
         return NULL;
     }
     return task->run;
@@ -271,12 +271,12 @@
                   struct timespec now)
 {
     while (target->orders_in_flight < ORDERS_IN_FLIGHT &&
-           !g_queue_is_empty(&target->orders) &&
-           owner_may_order(owner, now)) {
+           !g_queue_is_empty(&target->orders) && owner_may_order(owner, now))
+    {
         struct owner_order *order = g_queue_pop_head(&target->orders);
 
-        if (target->gone || target->address[0] == '\0' ||
-            !still_wanted(order)) {
+        if (target->gone || target->address[0] == '\0' || !still_wanted(order))
+        {
             owner_order_free(order);
             continue;
         }
--- a/src/owner/owner_place.c
+++ b/src/owner/owner_place.c
@@ -59,8 +59,8 @@
     unsigned count = 0;
 
     for (unsigned i = 0; i < step->count; i++) {
-        if (step->tasks[i].run != NULL &&
-            step->tasks[i].run->target == target) {
+        if (step->tasks[i].run != NULL && step->tasks[i].run->target == target)
+        {
             count++;
         }
     }
@@ -140,16 +140,15 @@
         gpointer count = g_hash_table_lookup(hosts, target->rack);
 
         if (target->lower_runs > 0) {
-            g_hash_table_insert(
-                hosts, target->rack,
-                GUINT_TO_POINTER(GPOINTER_TO_UINT(count) + 1));
+            g_hash_table_insert(hosts, target->rack,
+                                GUINT_TO_POINTER(GPOINTER_TO_UINT(count) + 1));
         }
     }
     for (guint i = 0; i < candidates->len; i++) {
         struct candidate *c = &g_array_index(candidates, struct candidate, i);
 
-        c->rack_hosts = GPOINTER_TO_UINT(
-            g_hash_table_lookup(hosts, c->target->rack));
+        c->rack_hosts =
+            GPOINTER_TO_UINT(g_hash_table_lookup(hosts, c->target->rack));
     }
     g_hash_table_unref(hosts);
 }
@@ -170,12 +169,13 @@
         struct candidate candidate = {.target = value};
 
         if (!owner_target_usable(value, now) || !owner_may_run(step, value) ||
-            (lower && !owner_headroom_allows(owner, step, value, now))) {
+            (lower && !owner_headroom_allows(owner, step, value, now)))
+        {
             continue;
         }
         candidate.room = owner_room(value);
-        candidate.fits = owner_most_there(
-            step, value, owner_fits(&candidate.room, &need));
+        candidate.fits =
+            owner_most_there(step, value, owner_fits(&candidate.room, &need));
         if (candidate.fits > 0) {
             g_array_append_val(out, candidate);
         }
@@ -256,11 +256,10 @@
 {
     struct cw_task_name name = owner_task_name(task);
 
-    cw_log_info("placed",
-                "id=%s task=%u.%u.%u run=%u worker=%s rack=%s reserved=%d",
-                name.job, name.occurrence, name.step, name.index, run->number,
-                run->target->id, run->target->rack,
-                run->phase == RUN_RESERVED);
+    cw_log_info(
+        "placed", "id=%s task=%u.%u.%u run=%u worker=%s rack=%s reserved=%d",
+        name.job, name.occurrence, name.step, name.index, run->number,
+        run->target->id, run->target->rack, run->phase == RUN_RESERVED);
 }
 
 void
@@ -277,8 +276,7 @@
 
         for (; left > 0 && index < step->count; index++) {
             struct owner_task *task = &step->tasks[index];
-            unsigned number =
-                step->spec->gang ? gang_run : task->last_run + 1;
+            unsigned number = step->spec->gang ? gang_run : task->last_run + 1;
 
             if (task->run != NULL || task->done) {
                 continue;
@@ -340,7 +338,8 @@
         struct owner_target *target = value;
         unsigned fits;
 
-        if (!target->listed || target->draining || !owner_may_run(step, target)) {
+        if (!target->listed || target->draining ||
+            !owner_may_run(step, target)) {
             continue;
         }
         fits = owner_fits(&target->capacity, &need);
@@ -487,11 +486,13 @@
     bool urgent = step->occurrence->job->spec->priority == 0;
 
     if (step->tried_at == owner->room_version && !urgent &&
-        cw_time_diff_ms(step->tried_time, now) < TRY_AGAIN_MS) {
+        cw_time_diff_ms(step->tried_time, now) < TRY_AGAIN_MS)
+    {
         return; /* nothing has come free since */
     }
     if (step->spec->gang ? place_gang(owner, step, now)
-                         : place_tasks(owner, step, now)) {
+                         : place_tasks(owner, step, now))
+    {
         return;
     }
     step->tried_at = owner->room_version;
--- a/src/owner/owner_reclaim.c
+++ b/src/owner/owner_reclaim.c
@@ -23,8 +23,8 @@
     struct cw_owner *owner;
     const struct owner_step *step;
     struct cw_resources need;
-    GHashTable *gone;  /* struct owner_run, a set */
-    GPtrArray *gangs;  /* struct owner_step to stop whole */
+    GHashTable *gone;   /* struct owner_run, a set */
+    GPtrArray *gangs;   /* struct owner_step to stop whole */
     GPtrArray *singles; /* struct owner_run */
     double cost;
 };
@@ -50,7 +50,8 @@
         const struct owner_job *other = value;
 
         if (other->spec->priority != 0 || cw_work_is_over(other->phase) ||
-            strcmp(other->spec->account, job->spec->account) != 0) {
+            strcmp(other->spec->account, job->spec->account) != 0)
+        {
             continue;
         }
         for (u_int i = 0; i < other->spec->steps.steps_len; i++) {
@@ -208,7 +209,8 @@
         add_need(&room, v->run);
         cost += v->cost;
         if (owner_most_there(plan->step, target,
-                             owner_fits(&room, &plan->need)) > before) {
+                             owner_fits(&room, &plan->need)) > before)
+        {
             *taken = i + 1;
             return cost;
         }
@@ -250,8 +252,7 @@
 
 /* Adds the cheapest victims for one more task; false if there are none. */
 static bool
-make_one_more(struct plan *plan, const GPtrArray *targets,
-              struct timespec now)
+make_one_more(struct plan *plan, const GPtrArray *targets, struct timespec now)
 {
     GArray *best = NULL;
     unsigned best_taken = 0;
@@ -263,7 +264,9 @@
         double cost = price_of_one(plan, targets->pdata[i], victims, &taken);
 
         if (cost >= 0 && (best == NULL || cost < best_cost)) {
-            g_clear_pointer(&best, g_array_unref);
+            if (best != NULL) {
+                g_array_unref(best);
+            }
             best = g_array_ref(victims);
             best_cost = cost;
             best_taken = taken;
@@ -356,7 +359,8 @@
         struct owner_target *target = value;
         GPtrArray *rack;
 
-        if (!owner_target_usable(target, now) || !owner_may_run(step, target)) {
+        if (!owner_target_usable(target, now) || !owner_may_run(step, target))
+        {
             continue;
         }
         g_ptr_array_add(all, target);
@@ -393,7 +397,8 @@
         }
         plan_init(&plan, owner, step);
         if (make_plan(&plan, value, tasks, now) &&
-            (best == NULL || plan.cost < best_cost)) {
+            (best == NULL || plan.cost < best_cost))
+        {
             best = value;
             best_cost = plan.cost;
         }
--- a/src/owner/owner_runs.c
+++ b/src/owner/owner_runs.c
@@ -95,7 +95,8 @@
     }
     if ((run->phase == RUN_STARTING || run->phase == RUN_RUNNING ||
          run->phase == RUN_UNSURE) &&
-        !run->stop_queued && !run->stop_confirmed) {
+        !run->stop_queued && !run->stop_confirmed)
+    {
         run->stop_queued = true;
         owner_order_queue(owner, run->target, CW_ORDER_STOP, &name,
                           run->number);
@@ -278,7 +279,8 @@
     }
     cw_count_code(owner->options.counters, CW_RETRY_FAILED);
     if (!step->spec->endless && failures >= job->spec->max_attempts &&
-        !cw_work_is_over(job->phase)) {
+        !cw_work_is_over(job->phase))
+    {
         owner_job_end(owner, job, CW_WORK_FAILED, "attempts_spent");
     }
 }
@@ -290,8 +292,8 @@
     struct owner_task *task = owner_task_find(owner, &ended->task);
     struct owner_run *run = task != NULL ? task->run : NULL;
     struct owner_step *step;
-    bool known = run != NULL && run->number == ended->run &&
-                 run->target == target;
+    bool known =
+        run != NULL && run->number == ended->run && run->target == target;
 
     cw_log_info("run_ended",
                 "id=%s task=%u.%u.%u run=%u worker=%s how=%s number=%" PRIu64
--- a/src/owner/owner_targets.c
+++ b/src/owner/owner_targets.c
@@ -125,9 +125,9 @@
         }
         return;
     }
-    if (!owner->options.codec->decode_target(record->key, record->value,
-                                             record->length, take_report,
-                                             owner)) {
+    if (!owner->options.codec->decode_target(
+            record->key, record->value, record->length, take_report, owner))
+    {
         cw_log_warning("report_invalid", "worker=%s offset=%" PRIu64,
                        record->key, record->offset);
     }
@@ -190,7 +190,8 @@
      * can be started elsewhere once the last one has passed. */
     if (!target->clock_known ||
         (target->silent > 0 && target->lease_sent_ms > 0) ||
-        !owner_may_extend(owner, now)) {
+        !owner_may_extend(owner, now))
+    {
         return target->lease_sent_ms;
     }
     if (until_ms > target->lease_sent_ms) {
--- a/src/relay/internal/relay_private.h
+++ b/src/relay/internal/relay_private.h
@@ -33,6 +33,9 @@
 
 struct relay_rpc *relay_rpc_create(const struct relay_rpc_options *options);
 void relay_rpc_free(struct relay_rpc *rpc);
+
+/* HOST:PORT listened on.  Owned by the caller. */
+char *relay_rpc_address(const struct relay_rpc *rpc);
 int relay_rpc_descriptor(const struct relay_rpc *rpc);
 
 /* Key that seals messages; before it is set nothing is sent or taken. */
@@ -41,13 +44,12 @@
 
 /* Sends a request.  `answered` is called once: with NULL when none has come
  * at `give_up`. */
-void relay_rpc_send(struct relay_rpc *rpc, const struct sockaddr_in *to,
-                    const struct cw_relay_request *request,
-                    struct timespec give_up, relay_answered answered,
-                    void *context);
+void
+relay_rpc_send(struct relay_rpc *rpc, const struct sockaddr_in *to,
+               const struct cw_relay_request *request, struct timespec give_up,
+               relay_answered answered, void *context);
 
-void relay_rpc_answer(struct relay_rpc *rpc,
-                      const struct relay_caller *caller,
+void relay_rpc_answer(struct relay_rpc *rpc, const struct relay_caller *caller,
                       const struct cw_relay_answer *answer);
 
 /* Takes datagrams that have come. */
@@ -68,9 +70,9 @@
     struct cw_store *direct; /* borrowed */
 };
 
-void relay_serve(struct relay_server *server,
-                 const struct relay_caller *caller,
-                 const struct cw_relay_request *request);
+void
+relay_serve(struct relay_server *server, const struct relay_caller *caller,
+            const struct cw_relay_request *request);
 
 /* Answers that the store is out of this VM's reach too. */
 void relay_serve_refuse(struct relay_server *server,
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -195,6 +195,7 @@
         relay->suspect = true;
         relay->suspect_since = relay_now(relay);
         relay->ping_due = relay->suspect_since;
+        relay->members_due = relay->suspect_since;
     }
 }
 
@@ -217,10 +218,9 @@
         relay->reaches = false;
         relay->lost_at = relay_now(relay);
         relay->members_due = relay->lost_at;
-        cw_log_warning("dependency_lost",
-                       "what=store status=%s failures=%u peers=%u",
-                       cw_store_status_name(status), relay->failures,
-                       relay->peers->len);
+        cw_log_warning(
+            "dependency_lost", "what=store status=%s failures=%u peers=%u",
+            cw_store_status_name(status), relay->failures, relay->peers->len);
     }
 }
 
@@ -415,7 +415,8 @@
         relay->heard_at = now;
     }
     if (answer != NULL && answer->status != CW_STORE_REFUSED &&
-        answer->status != CW_STORE_UNKNOWN) {
+        answer->status != CW_STORE_UNKNOWN)
+    {
         cw_count_add(relay->options.counters, CW_COUNT_RELAYED, 1);
         deliver(call, answer);
         return;
@@ -627,8 +628,8 @@
 
     relay->members_in_flight = false;
     note_direct(relay, result->status);
-    relay->members_due = cw_time_add_ms(
-        now, relay->reaches ? MEMBERS_EVERY_MS : PROBE_EVERY_MS);
+    relay->members_due = cw_time_add_ms(now, relay->reaches ? MEMBERS_EVERY_MS
+                                                            : PROBE_EVERY_MS);
     if (result->status != CW_STORE_OK) {
         return;
     }
@@ -703,7 +704,8 @@
     bool isolated;
 
     if (relay->join_in_flight &&
-        cw_time_diff_ms(relay->join_sent, now) > SUSPECT_MS) {
+        cw_time_diff_ms(relay->join_sent, now) > SUSPECT_MS)
+    {
         suspect(relay);
     }
     if (relay->suspect && !cw_time_before(now, relay->ping_due)) {
@@ -715,8 +717,7 @@
     if (isolated != relay->isolated) {
         relay->isolated = isolated;
         cw_log_info("isolated", "now=%d peers=%u heard_ms=%" PRId64, isolated,
-                    relay->peers->len,
-                    cw_time_diff_ms(relay->heard_at, now));
+                    relay->peers->len, cw_time_diff_ms(relay->heard_at, now));
     }
 }
 
@@ -761,7 +762,8 @@
 
     for (size_t i = 0; i < page->count; i++) {
         if (strcmp(page->records[i].key, SECRET_KEY) == 0 &&
-            page->records[i].length == CW_MAC_BYTES) {
+            page->records[i].length == CW_MAC_BYTES)
+        {
             relay_rpc_set_key(relay->rpc, page->records[i].value);
             relay->key_in_flight = false;
             return;
@@ -823,7 +825,6 @@
 
     relay->base.ops = &ops;
     relay->options = *options;
-    relay->address = g_strdup(options->address);
     relay->peers = g_ptr_array_new_with_free_func(peer_free);
     relay->reaches = true;
     relay->members_due = cw_time_add_ms(now, MEMBERS_FIRST_MS);
@@ -833,6 +834,7 @@
         cw_relay_free(relay);
         return NULL;
     }
+    relay->address = relay_rpc_address(relay->rpc);
     relay->server.rpc = relay->rpc;
     relay->server.direct = options->direct;
     return relay;
@@ -855,6 +857,12 @@
     return &relay->base;
 }
 
+const char *
+cw_relay_address(const struct cw_relay *relay)
+{
+    return relay->address;
+}
+
 int
 cw_relay_descriptor(const struct cw_relay *relay)
 {
--- a/src/relay/relay_rpc.c
+++ b/src/relay/relay_rpc.c
@@ -59,7 +59,8 @@
     rpc->next_xid = randombytes_random();
     rpc->fd = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
     if (rpc->fd < 0 || !relay_parse_address(options->address, &address) ||
-        bind(rpc->fd, (struct sockaddr *)&address, sizeof(address)) != 0) {
+        bind(rpc->fd, (struct sockaddr *)&address, sizeof(address)) != 0)
+    {
         relay_rpc_free(rpc);
         return NULL;
     }
@@ -79,6 +80,18 @@
     g_free(rpc);
 }
 
+char *
+relay_rpc_address(const struct relay_rpc *rpc)
+{
+    struct sockaddr_in address = {0};
+    socklen_t size = sizeof(address);
+    char host[INET_ADDRSTRLEN] = "";
+
+    (void)getsockname(rpc->fd, (struct sockaddr *)&address, &size);
+    (void)inet_ntop(AF_INET, &address.sin_addr, host, sizeof(host));
+    return g_strdup_printf("%s:%u", host, ntohs(address.sin_port));
+}
+
 int
 relay_rpc_descriptor(const struct relay_rpc *rpc)
 {
@@ -142,7 +155,9 @@
     bool ok;
 
     if (body == NULL || body->len > CW_RELAY_BYTES_MAX) {
-        g_clear_pointer(&body, g_byte_array_unref);
+        if (body != NULL) {
+            g_byte_array_unref(body);
+        }
         return false;
     }
     sealed.body.body_val = (char *)body->data;
@@ -157,8 +172,7 @@
     }
     else {
         message->acpted_rply.ar_results.where = (caddr_t)&sealed;
-        message->acpted_rply.ar_results.proc =
-            (xdrproc_t)xdr_cw_relay_sealed;
+        message->acpted_rply.ar_results.proc = (xdrproc_t)xdr_cw_relay_sealed;
         ok = xdr_replymsg(&stream, message);
     }
     if (ok) {
@@ -173,9 +187,8 @@
 
 void
 relay_rpc_send(struct relay_rpc *rpc, const struct sockaddr_in *to,
-               const struct cw_relay_request *request,
-               struct timespec give_up, relay_answered answered,
-               void *context)
+               const struct cw_relay_request *request, struct timespec give_up,
+               relay_answered answered, void *context)
 {
     struct waiting_call *call = g_new0(struct waiting_call, 1);
     struct rpc_msg message = {0};
@@ -195,7 +208,8 @@
     message.rm_call.cb_verf = _null_auth;
     if (!rpc->has_key ||
         !send_message(rpc, to, &message, (xdrproc_t)xdr_cw_relay_request,
-                      request)) {
+                      request))
+    {
         call->give_up = cw_time_from_ms(0); /* told at the next tick */
     }
 }
@@ -212,7 +226,8 @@
     message.acpted_rply.ar_verf = _null_auth;
     message.acpted_rply.ar_stat = SUCCESS;
     if (!send_message(rpc, &caller->address, &message,
-                      (xdrproc_t)xdr_cw_relay_answer, answer)) {
+                      (xdrproc_t)xdr_cw_relay_answer, answer))
+    {
         cw_log_warning("relay_answer", "outcome=not_sent records=%u",
                        answer->records.records_len);
     }
@@ -230,13 +245,15 @@
 
     if (message->rm_call.cb_prog != CW_RELAY_PROGRAM ||
         message->rm_call.cb_proc != CW_RELAY_CALL ||
-        !xdr_cw_relay_sealed(stream, &sealed)) {
+        !xdr_cw_relay_sealed(stream, &sealed))
+    {
         xdr_free((xdrproc_t)xdr_cw_relay_sealed, (char *)&sealed);
         return;
     }
     if (mac_is_good(rpc, caller.xid, CALL, &sealed) &&
         cw_xdr_decode((xdrproc_t)xdr_cw_relay_request, &request,
-                      sealed.body.body_val, sealed.body.body_len)) {
+                      sealed.body.body_val, sealed.body.body_len))
+    {
         rpc->options.request(rpc->options.context, &caller, &request);
         xdr_free((xdrproc_t)xdr_cw_relay_request, (char *)&request);
     }
@@ -253,7 +270,8 @@
 
     if (call == NULL || !mac_is_good(rpc, xid, REPLY, sealed) ||
         !cw_xdr_decode((xdrproc_t)xdr_cw_relay_answer, &answer,
-                       sealed->body.body_val, sealed->body.body_len)) {
+                       sealed->body.body_val, sealed->body.body_len))
+    {
         return;
     }
     g_hash_table_steal(rpc->waiting, GUINT_TO_POINTER(xid));
--- a/src/replica/follower.c
+++ b/src/replica/follower.c
@@ -67,12 +67,13 @@
 {
     if (!follower->away) {
         follower->away = true;
-        cw_log_warning("dependency_lost", "what=%s status=%s position=%"
-                       G_GUINT64_FORMAT, follower->options.name,
-                       cw_store_status_name(status), follower->position);
+        cw_log_warning("dependency_lost",
+                       "what=%s status=%s position=%" G_GUINT64_FORMAT,
+                       follower->options.name, cw_store_status_name(status),
+                       follower->position);
     }
-    follower->retry_ms = CLAMP(follower->retry_ms * 2, RETRY_FIRST_MS,
-                               RETRY_MOST_MS);
+    follower->retry_ms =
+        CLAMP(follower->retry_ms * 2, RETRY_FIRST_MS, RETRY_MOST_MS);
     follower->due = cw_time_add_ms(now, follower->retry_ms);
 }
 
@@ -167,7 +168,8 @@
         return;
     }
     if (page->status == CW_STORE_EXPIRED) {
-        cw_log_info("history_dropped", "what=%s position=%" G_GUINT64_FORMAT
+        cw_log_info("history_dropped",
+                    "what=%s position=%" G_GUINT64_FORMAT
                     " first=%" G_GUINT64_FORMAT,
                     follower->options.name, follower->position, page->first);
         begin_load(follower, now);
@@ -182,9 +184,8 @@
     if (page->count > 0) {
         follower->position = page->records[page->count - 1].offset + 1;
     }
-    follower->due = cw_time_add_ms(now, follower->hurry
-                                            ? 0
-                                            : follower->options.pace_ms);
+    follower->due =
+        cw_time_add_ms(now, follower->hurry ? 0 : follower->options.pace_ms);
     if (handler->advanced != NULL) {
         handler->advanced(handler->context);
     }
--- a/src/replica/replica.c
+++ b/src/replica/replica.c
@@ -30,7 +30,9 @@
     struct cw_replica_job *job = data;
 
     spec_free(job->spec);
-    g_clear_pointer(&job->record, g_bytes_unref);
+    if (job->record != NULL) {
+        g_bytes_unref(job->record);
+    }
     g_free(job->id);
     g_free(job);
 }
@@ -69,7 +71,8 @@
     }
     spec = g_new0(struct cw_work_spec, 1);
     if (!cw_xdr_decode((xdrproc_t)xdr_cw_work_spec, spec, record->value,
-                       record->length)) {
+                       record->length))
+    {
         cw_log_error("record_invalid", "id=%s kind=spec offset=%" PRIu64, id,
                      record->offset);
         g_free(spec);
@@ -122,7 +125,9 @@
                      record->offset);
         return;
     }
-    g_clear_pointer(&job->record, g_bytes_unref);
+    if (job->record != NULL) {
+        g_bytes_unref(job->record);
+    }
     job->record = g_bytes_new(record->value, record->length);
     job->record_offset = record->offset;
     read_head(job, record->value);
@@ -262,7 +267,8 @@
 
         if (job->spec != NULL && !job->started &&
             strcmp(job->spec->queue, queue) == 0 &&
-            !cw_work_is_over(cw_replica_phase(job))) {
+            !cw_work_is_over(cw_replica_phase(job)))
+        {
             count++;
         }
     }
--- a/src/routing/routing.c
+++ b/src/routing/routing.c
@@ -133,7 +133,8 @@
         size_t length = strlen(queue->prefix);
 
         if (length >= best_length && g_str_has_prefix(path, queue->prefix) &&
-            host_matches(queue->host, host)) {
+            host_matches(queue->host, host))
+        {
             best = queue;
             best_length = length;
         }
--- a/src/settings/vm_settings.c
+++ b/src/settings/vm_settings.c
@@ -61,7 +61,8 @@
     }
     if (colon == NULL || colon == address || port > PORT_MAX ||
         strspn(colon + 1, "0123456789") != strlen(colon + 1) ||
-        colon[1] == '\0') {
+        colon[1] == '\0')
+    {
         g_string_append_printf(problems, "%s: \"%s\" is not HOST:PORT\n",
                                field, address);
     }
@@ -82,7 +83,8 @@
     }
     if (level != NULL && strcmp(level, "error") != 0 &&
         strcmp(level, "warning") != 0 && strcmp(level, "info") != 0 &&
-        strcmp(level, "debug") != 0) {
+        strcmp(level, "debug") != 0)
+    {
         g_string_append_printf(problems, "log_level: \"%s\" is not a level\n",
                                level);
     }
--- a/src/vm/vm.c
+++ b/src/vm/vm.c
@@ -73,8 +73,8 @@
     struct cw_routing *routing;
     char problem[128] = "";
 
-    if (strcmp(record->key, codec->routing_key) != 0 ||
-        record->value == NULL) {
+    if (strcmp(record->key, codec->routing_key) != 0 || record->value == NULL)
+    {
         return;
     }
     routing = codec->decode_routing(record->value, record->length, problem,
@@ -233,8 +233,8 @@
         .codec = platform_codec(),
         .clock = vm->clock,
         .counters = &vm->counters,
-        .member_ttl_ms = settings->bounds.member_ttl_ms * MEMBER_TTL_PERCENT /
-                         PERCENT,
+        .member_ttl_ms =
+            settings->bounds.member_ttl_ms * MEMBER_TTL_PERCENT / PERCENT,
         .lease_ms = settings->bounds.lease_ms,
         .retain_ms =
             (settings->bounds.retain_s + RETAIN_EXTRA_S) * CW_MS_PER_S,
@@ -352,8 +352,8 @@
 leave(struct cw_vm *vm)
 {
     struct timespec began = cw_clock_now(vm->clock);
-    int64_t most = (int64_t)vm->settings->bounds.grace_s * CW_MS_PER_S -
-                   LEAVE_RESERVE_MS;
+    int64_t most =
+        (int64_t)vm->settings->bounds.grace_s * CW_MS_PER_S - LEAVE_RESERVE_MS;
     int64_t passed;
 
     pthread_mutex_lock(&vm->engine);
--- /dev/null
+++ b/tests/test_platform.c
@@ -0,0 +1,164 @@
+/* The adapter: the platform's records and bodies into the product's types. */
+#include "test_main.h"
+
+#include <string.h>
+
+#include "platform/platform.h"
+
+static const char config[] =
+    "{\"version\":7,\"routes\":[{\"name\":\"r1\",\"host\":\"h.example\","
+    "\"path_prefix\":\"/p/\",\"kind\":\"non_idempotent\",\"timeout_ms\":3000,"
+    "\"target_latency_ms\":250,\"priority\":0,\"service\":\"s1\","
+    "\"max_attempts\":4,\"stretch\":1.5,\"public\":false}],"
+    "\"services\":[{\"name\":\"s1\",\"enforces_capacity\":true}],"
+    "\"limits\":{\"max_body_bytes\":1000},\"tenants\":[{\"name\":\"t\","
+    "\"api_keys\":[\"k\"],\"guaranteed\":{\"gpus\":72}}],\"unknown\":1}";
+
+static void
+test_a_configuration_is_read_whole(void)
+{
+    char problem[64] = "";
+    struct cw_routing *routing = platform_codec()->decode_routing(
+        config, strlen(config), problem, sizeof(problem));
+    const struct cw_queue *queue;
+
+    CU_ASSERT_PTR_NOT_NULL_FATAL(routing);
+    queue = cw_routing_match(routing, "h.example", "/p/1");
+    CU_ASSERT_PTR_NOT_NULL_FATAL(queue);
+    CU_ASSERT_EQUAL(routing->version, 7);
+    CU_ASSERT_EQUAL(routing->body_bytes_max, 1000);
+    CU_ASSERT_EQUAL(queue->stretch_milli, 1500);
+    CU_ASSERT_EQUAL(queue->max_attempts, 4);
+    CU_ASSERT_EQUAL(cw_routing_account(routing, "k")->guaranteed_accelerators,
+                    72);
+    CU_ASSERT_TRUE(cw_routing_service(routing, "s1")->guards_capacity);
+    cw_routing_unref(routing);
+}
+
+static void
+test_what_is_no_configuration_is_refused(void)
+{
+    static const char *const bad[] = {
+        "", "[]", "{", "{\"version\":0}", "{\"version\":\"x\"}", "null"};
+    char problem[64] = "";
+
+    for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+        CU_ASSERT_PTR_NULL(platform_codec()->decode_routing(
+            bad[i], strlen(bad[i]), problem, sizeof(problem)));
+        CU_ASSERT_NOT_EQUAL(problem[0], '\0');
+    }
+}
+
+static void
+check_report(void *context, const struct cw_target_report *report)
+{
+    bool *seen = context;
+
+    *seen = true;
+    CU_ASSERT_STRING_EQUAL(report->id, "i-1");
+    CU_ASSERT_STRING_EQUAL(report->rack, "r1-3");
+    CU_ASSERT_STRING_EQUAL(report->kind, "a");
+    CU_ASSERT_EQUAL(report->capacity.accelerators, 8);
+    CU_ASSERT_TRUE(report->draining);
+    CU_ASSERT_EQUAL(report->remaining_ms, 1500);
+    CU_ASSERT_EQUAL(report->clock_ms, 482113);
+}
+
+static void
+test_a_worker_s_report_is_read(void)
+{
+    static const char text[] =
+        "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+        "\"state\":\"draining\",\"remaining_ms\":1500,\"capacity\":{\"cpu\":"
+        "32000,\"mem_mb\":1024,\"gpus\":8},\"labels\":[\"a\",\"r1-3\"],"
+        "\"clock_ms\":482113,\"seq\":4}";
+    bool seen = false;
+
+    CU_ASSERT_TRUE(platform_codec()->decode_target("i-1", text, strlen(text),
+                                                   check_report, &seen));
+    CU_ASSERT_TRUE(seen);
+    CU_ASSERT_FALSE(
+        platform_codec()->decode_target("i-1", "[]", 2, check_report, &seen));
+}
+
+static bool
+decode(const char *text, struct cw_work_spec *spec)
+{
+    char problem[128] = "";
+
+    memset(spec, 0, sizeof(*spec));
+    return platform_decode_job(text, strlen(text), spec, problem,
+                               sizeof(problem));
+}
+
+static void
+clear(struct cw_work_spec *spec)
+{
+    xdr_free((xdrproc_t)xdr_cw_work_spec, (char *)spec);
+}
+
+static void
+test_a_job_is_read_with_its_steps(void)
+{
+    struct cw_work_spec spec;
+    const struct cw_step_spec *step;
+
+    CU_ASSERT_TRUE_FATAL(decode(
+        "{\"spec\":\"x\",\"steps\":[{\"count\":4,\"cpu\":500,\"mem_mb\":256,"
+        "\"estimate_ms\":900,\"data_rack\":\"r1-3\"},{\"count\":20,\"gpus\":2,"
+        "\"after\":[0],\"gang\":true,\"same_rack\":true,\"checkpoints\":true,"
+        "\"anti_affinity\":2,\"required_labels\":\"a\"}],\"repeat_count\":3,"
+        "\"start_at_ms\":1000,\"interval_ms\":2000}",
+        &spec));
+    CU_ASSERT_EQUAL(spec.steps.steps_len, 2);
+    CU_ASSERT_EQUAL(spec.repeats, 3);
+    CU_ASSERT_STRING_EQUAL(spec.steps.steps_val[0].data_rack, "r1-3");
+    step = &spec.steps.steps_val[1];
+    CU_ASSERT_TRUE(step->gang && step->same_rack && step->checkpoints);
+    CU_ASSERT_EQUAL(step->after.after_len, 1);
+    CU_ASSERT_EQUAL(step->most_per_worker, 2);
+    CU_ASSERT_STRING_EQUAL(step->label, "a");
+    clear(&spec);
+}
+
+static void
+test_what_is_no_job_is_refused(void)
+{
+    static const char *const bad[] = {"",
+                                      "{}",
+                                      "[]",
+                                      "{\"steps\":[]}",
+                                      "{\"steps\":{}}",
+                                      "{\"steps\":[1]}",
+                                      "{\"steps\":[{\"count\":1}]"};
+    struct cw_work_spec spec;
+
+    for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+        CU_ASSERT_FALSE(decode(bad[i], &spec));
+        clear(&spec);
+    }
+}
+
+static void
+test_numbers_out_of_range_are_none(void)
+{
+    struct cw_work_spec spec;
+
+    CU_ASSERT_TRUE(decode("{\"steps\":[{\"count\":-3,\"cpu\":1e30,"
+                          "\"after\":\"x\"}]}",
+                          &spec));
+    CU_ASSERT_EQUAL(spec.steps.steps_val[0].tasks, 0);
+    CU_ASSERT_EQUAL(spec.steps.steps_val[0].cpu_milli, 0);
+    clear(&spec);
+}
+
+static const struct test tests[] = {
+    {"configuration", test_a_configuration_is_read_whole},
+    {"no configuration", test_what_is_no_configuration_is_refused},
+    {"report", test_a_worker_s_report_is_read},
+    {"job", test_a_job_is_read_with_its_steps},
+    {"no job", test_what_is_no_job_is_refused},
+    {"numbers", test_numbers_out_of_range_are_none},
+};
+
+TEST_MAIN("platform", tests)
--- /dev/null
+++ b/tests/test_relay.c
@@ -0,0 +1,249 @@
+/* Calls to the store through another VM, over real sockets on loopback. */
+#include "test_main.h"
+
+#include <poll.h>
+#include <string.h>
+
+#include "curlewcart/cw_log.h"
+#include "curlewcart/cw_relay.h"
+#include "emulator/store_model.h"
+
+enum { TURNS_MOST = 400, TURN_MS = 10 };
+
+/* A store that a VM reaches or not. */
+struct port {
+    struct cw_store base;
+    struct store_model *model;
+    enum cw_store_status refuses; /* CW_STORE_OK: it serves */
+    const char *member;           /* of the other VM */
+};
+
+static void
+port_append(struct cw_store *store, const struct cw_store_append *call)
+{
+    struct port *port = (struct port *)store;
+    struct cw_store_appended result = {.status = port->refuses};
+
+    if (port->refuses == CW_STORE_OK) {
+        result = store_model_append(port->model, call);
+    }
+    call->done(call->context, &result);
+}
+
+static void
+port_newest(struct cw_store *store, const struct cw_store_newest *call)
+{
+    struct port *port = (struct port *)store;
+    struct cw_store_page refused = {.status = port->refuses};
+    struct store_model_page page;
+
+    if (port->refuses != CW_STORE_OK) {
+        call->done(call->context, &refused);
+        return;
+    }
+    store_model_newest(port->model, call->topic, call->after, &page);
+    call->done(call->context, &page.page);
+    store_model_page_clear(&page);
+}
+
+static void
+port_read(struct cw_store *store, const struct cw_store_read *call)
+{
+    struct port *port = (struct port *)store;
+    struct cw_store_page refused = {.status = port->refuses};
+    struct store_model_page page;
+
+    if (port->refuses != CW_STORE_OK) {
+        call->done(call->context, &refused);
+        return;
+    }
+    store_model_read(port->model, call->topic, call->from, &page);
+    call->done(call->context, &page.page);
+    store_model_page_clear(&page);
+}
+
+static void
+port_members(struct cw_store *store, const struct cw_store_list_members *call)
+{
+    struct port *port = (struct port *)store;
+    struct cw_store_members result = {
+        .status = port->refuses, .members = &port->member, .count = 1};
+
+    call->done(call->context, &result);
+}
+
+static const struct cw_store_ops port_ops = {.append = port_append,
+                                             .newest = port_newest,
+                                             .read = port_read,
+                                             .members = port_members};
+
+/* Two VMs with one store between them. */
+struct pair {
+    pthread_mutex_t engine;
+    struct cw_clock_manual clock;
+    struct cw_counters counters;
+    struct store_model *model;
+    struct port ports[2];
+    struct cw_relay *relays[2];
+    char *members[2];
+};
+
+static void
+turn(struct pair *pair)
+{
+    struct pollfd wait[2];
+
+    for (int i = 0; i < 2; i++) {
+        wait[i].fd = cw_relay_descriptor(pair->relays[i]);
+        wait[i].events = POLLIN;
+    }
+    pair->clock.now = cw_time_add_ms(pair->clock.now, TURN_MS);
+    for (int i = 0; i < 2; i++) {
+        pthread_mutex_lock(&pair->engine);
+        cw_relay_tick(pair->relays[i], pair->clock.now);
+        pthread_mutex_unlock(&pair->engine);
+    }
+    if (poll(wait, 2, 1) > 0) {
+        for (int i = 0; i < 2; i++) {
+            cw_relay_readable(pair->relays[i]);
+        }
+    }
+}
+
+static void
+pair_begin(struct pair *pair)
+{
+    memset(pair, 0, sizeof(*pair));
+    pthread_mutex_init(&pair->engine, NULL);
+    cw_clock_manual_init(&pair->clock);
+    pair->clock.now = cw_time_from_ms(10000);
+    pair->model = store_model_create(1);
+    for (int i = 0; i < 2; i++) {
+        struct cw_relay_options options = {
+            .direct = &pair->ports[i].base,
+            .clock = &pair->clock.base,
+            .counters = &pair->counters,
+            .engine = &pair->engine,
+            .address = "127.0.0.1:0",
+            .group = "g",
+        };
+
+        pair->ports[i].base.ops = &port_ops;
+        pair->ports[i].model = pair->model;
+        pair->relays[i] = cw_relay_create(&options);
+        CU_ASSERT_PTR_NOT_NULL_FATAL(pair->relays[i]);
+        pair->members[i] =
+            cw_relay_member("vm", cw_relay_address(pair->relays[i]), 1);
+    }
+    pair->ports[0].member = pair->members[1];
+    pair->ports[1].member = pair->members[0];
+    /* Long enough for the key and the list of members. */
+    for (int i = 0; i < TURNS_MOST / 2; i++) {
+        turn(pair);
+    }
+}
+
+static void
+pair_end(struct pair *pair)
+{
+    for (int i = 0; i < 2; i++) {
+        cw_relay_free(pair->relays[i]);
+        g_free(pair->members[i]);
+    }
+    store_model_free(pair->model);
+    pthread_mutex_destroy(&pair->engine);
+}
+
+static void
+take_status(void *context, const struct cw_store_appended *result)
+{
+    *(int *)context = (int)result->status;
+}
+
+/* Appends at VM 0 and waits for what becomes of it. */
+static int
+append(struct pair *pair)
+{
+    struct cw_store_record record = {.key = "k", .value = "v", .length = 1};
+    struct cw_store *store = cw_relay_store(pair->relays[0]);
+    int status = -1;
+    struct cw_store_append call = {.topic = "t",
+                                   .records = &record,
+                                   .count = 1,
+                                   .timeout_ms = 100,
+                                   .done = take_status,
+                                   .context = &status};
+
+    store->ops->append(store, &call);
+    for (int i = 0; i < TURNS_MOST && status < 0; i++) {
+        turn(pair);
+    }
+    return status;
+}
+
+static void
+test_a_vm_that_is_turned_away_goes_through_another(void)
+{
+    struct pair pair;
+
+    pair_begin(&pair);
+    CU_ASSERT_EQUAL(append(&pair), CW_STORE_OK);
+    pair.ports[0].refuses = CW_STORE_REFUSED;
+    CU_ASSERT_EQUAL(append(&pair), CW_STORE_OK);
+    pair.ports[0].refuses = CW_STORE_UNKNOWN;
+    CU_ASSERT_EQUAL(append(&pair), CW_STORE_OK);
+    CU_ASSERT_EQUAL(store_model_end(pair.model, "t"), 3);
+    CU_ASSERT_EQUAL(pair.counters.named[CW_COUNT_RELAYED], 2);
+    CU_ASSERT_FALSE(cw_relay_isolated(pair.relays[0]));
+    pair_end(&pair);
+}
+
+static void
+test_an_outage_for_all_is_told_as_it_is(void)
+{
+    struct pair pair;
+
+    pair_begin(&pair);
+    pair.ports[0].refuses = CW_STORE_REFUSED;
+    pair.ports[1].refuses = CW_STORE_REFUSED;
+    CU_ASSERT_EQUAL(append(&pair), CW_STORE_REFUSED);
+    pair.ports[0].refuses = CW_STORE_UNKNOWN;
+    CU_ASSERT_EQUAL(append(&pair), CW_STORE_UNKNOWN);
+    for (int i = 0; i < TURNS_MOST / 2; i++) {
+        turn(&pair);
+    }
+    CU_ASSERT_FALSE(cw_relay_isolated(pair.relays[0]));
+    pair_end(&pair);
+}
+
+static void
+test_a_vm_that_hears_nobody_is_isolated(void)
+{
+    struct pair pair;
+
+    pair_begin(&pair);
+    pair.ports[0].refuses = CW_STORE_UNKNOWN;
+    /* The other VM is gone; its port answers nothing. */
+    cw_relay_free(pair.relays[1]);
+    pair.relays[1] = pair.relays[0];
+    (void)append(&pair);
+    for (int i = 0; i < TURNS_MOST / 2; i++) {
+        turn(&pair);
+    }
+    CU_ASSERT_TRUE(cw_relay_isolated(pair.relays[0]));
+    pair.ports[0].refuses = CW_STORE_OK;
+    for (int i = 0; i < TURNS_MOST / 2; i++) {
+        turn(&pair);
+    }
+    CU_ASSERT_FALSE(cw_relay_isolated(pair.relays[0]));
+    pair.relays[1] = NULL;
+    pair_end(&pair);
+}
+
+static const struct test tests[] = {
+    {"turned away", test_a_vm_that_is_turned_away_goes_through_another},
+    {"outage", test_an_outage_for_all_is_told_as_it_is},
+    {"isolated", test_a_vm_that_hears_nobody_is_isolated},
+};
+
+TEST_MAIN("relay", tests)
--- /dev/null
+++ b/tests/test_replica.c
@@ -0,0 +1,175 @@
+/* The fold of a shard's log: order of records decides. */
+#include "test_main.h"
+
+#include <string.h>
+
+#include "curlewcart/cw_log.h"
+#include "curlewcart/cw_replica.h"
+#include "curlewcart/cw_xdr.h"
+
+#define ID "5c0e7a21d94b36f8"
+
+static struct cw_replica *
+new_replica(void)
+{
+    static struct cw_clock_manual clock;
+    struct cw_replica_options options = {.clock = &clock.base};
+
+    cw_clock_manual_init(&clock);
+    return cw_replica_create(&options);
+}
+
+static void
+apply(struct cw_replica *replica, const char *key, const GByteArray *value,
+      uint64_t offset)
+{
+    struct cw_store_record record = {
+        .key = key,
+        .value = value != NULL ? value->data : NULL,
+        .length = value != NULL ? value->len : 0,
+        .offset = offset,
+    };
+
+    cw_replica_apply(replica, &record);
+}
+
+static void
+apply_spec(struct cw_replica *replica, uint64_t offset, uint64_t hash)
+{
+    struct cw_step_spec step = {.tasks = 1,
+                                .label = (char *)"",
+                                .data_rack = (char *)"",
+                                .image = (char *)""};
+    struct cw_work_spec spec = {.id = (char *)ID,
+                                .queue = (char *)"q",
+                                .account = (char *)"a",
+                                .service = (char *)"s",
+                                .payload = (char *)"",
+                                .body_hash = hash};
+    GByteArray *bytes;
+
+    spec.steps.steps_len = 1;
+    spec.steps.steps_val = &step;
+    bytes = cw_xdr_encode((xdrproc_t)xdr_cw_work_spec, &spec);
+    apply(replica, "s" ID, bytes, offset);
+    g_byte_array_unref(bytes);
+}
+
+static void
+apply_record(struct cw_replica *replica, unsigned phase, bool started,
+             uint64_t offset)
+{
+    struct cw_work_record record = {
+        .phase = phase, .started = started, .ended_ms = 5};
+    GByteArray *bytes = cw_xdr_encode((xdrproc_t)xdr_cw_work_record, &record);
+
+    apply(replica, "r" ID, bytes, offset);
+    g_byte_array_unref(bytes);
+}
+
+static void
+apply_cancel(struct cw_replica *replica, uint64_t offset)
+{
+    GByteArray *bytes = g_byte_array_new();
+
+    g_byte_array_append(bytes, (const guint8 *)"1", 1);
+    apply(replica, "c" ID, bytes, offset);
+    g_byte_array_unref(bytes);
+}
+
+static unsigned
+phase_of(struct cw_replica *replica)
+{
+    return cw_replica_phase(cw_replica_find(replica, ID));
+}
+
+static void
+test_the_first_specification_stands(void)
+{
+    struct cw_replica *replica = new_replica();
+
+    apply_spec(replica, 1, 11);
+    apply_spec(replica, 2, 22);
+    CU_ASSERT_EQUAL(cw_replica_find(replica, ID)->spec->body_hash, 11);
+    CU_ASSERT_EQUAL(phase_of(replica), CW_WORK_WAITING);
+    CU_ASSERT_EQUAL(cw_replica_waiting(replica, "q"), 1);
+    apply_record(replica, CW_WORK_RUNNING, true, 3);
+    CU_ASSERT_EQUAL(cw_replica_waiting(replica, "q"), 0);
+    CU_ASSERT_EQUAL(cw_replica_waiting(replica, "other"), 0);
+    cw_replica_free(replica);
+}
+
+static void
+test_a_cancellation_counts_before_the_end_only(void)
+{
+    struct cw_replica *replica = new_replica();
+
+    apply_spec(replica, 1, 1);
+    apply_record(replica, CW_WORK_COMPLETED, true, 2);
+    apply_cancel(replica, 3);
+    CU_ASSERT_EQUAL(phase_of(replica), CW_WORK_COMPLETED);
+    cw_replica_free(replica);
+
+    replica = new_replica();
+    apply_spec(replica, 1, 1);
+    apply_cancel(replica, 2);
+    CU_ASSERT_EQUAL(phase_of(replica), CW_WORK_CANCELLED);
+    apply_record(replica, CW_WORK_COMPLETED, true, 3);
+    CU_ASSERT_EQUAL(phase_of(replica), CW_WORK_CANCELLED);
+    cw_replica_free(replica);
+}
+
+static void
+test_an_older_record_changes_nothing(void)
+{
+    struct cw_replica *replica = new_replica();
+
+    apply_spec(replica, 1, 1);
+    apply_record(replica, CW_WORK_COMPLETED, true, 9);
+    apply_record(replica, CW_WORK_RUNNING, true, 5);
+    CU_ASSERT_EQUAL(phase_of(replica), CW_WORK_COMPLETED);
+    CU_ASSERT_EQUAL(cw_replica_find(replica, ID)->ended_ms, 5);
+    cw_replica_free(replica);
+}
+
+static void
+test_dropping_the_state_forgets_the_job(void)
+{
+    struct cw_replica *replica = new_replica();
+
+    apply_spec(replica, 1, 1);
+    apply_record(replica, CW_WORK_COMPLETED, true, 2);
+    apply(replica, "s" ID, NULL, 3);
+    CU_ASSERT_PTR_NOT_NULL(cw_replica_find(replica, ID));
+    apply(replica, "r" ID, NULL, 4);
+    CU_ASSERT_PTR_NULL(cw_replica_find(replica, ID));
+    cw_replica_free(replica);
+}
+
+static void
+test_garbage_is_dropped(void)
+{
+    struct cw_replica *replica = new_replica();
+    GByteArray *bytes = g_byte_array_new();
+
+    g_byte_array_append(bytes, (const guint8 *)"xyz", 3);
+    cw_log_setup("error", "test");
+    apply(replica, "s" ID, bytes, 1);
+    apply(replica, "r" ID, bytes, 2);
+    apply(replica, "?" ID, bytes, 3);
+    apply(replica, "", bytes, 4);
+    CU_ASSERT_PTR_NULL(cw_replica_find(replica, ID)->spec);
+    CU_ASSERT_PTR_NULL(cw_replica_find(replica, ID)->record);
+    g_byte_array_unref(bytes);
+    cw_replica_free(replica);
+}
+
+static const struct test tests[] = {
+    {"first specification", test_the_first_specification_stands},
+    {"cancellation", test_a_cancellation_counts_before_the_end_only},
+    {"older record", test_an_older_record_changes_nothing},
+    {"dropping", test_dropping_the_state_forgets_the_job},
+    {"garbage", test_garbage_is_dropped},
+};
+
+TEST_MAIN("replica", tests)
--- /dev/null
+++ b/tests/test_world.c
@@ -0,0 +1,111 @@
+/* Whole days of a deployment under faults, from fixed seeds. */
+#include "test_main.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "curlewcart/cw_log.h"
+#include "emulator/world.h"
+
+enum { FIXED_SEED = 500000, FIXED_DAYS = 250 };
+
+static struct world_options
+day(uint32_t seed)
+{
+    struct world_options options = {.seed = seed,
+                                    .vms = 4,
+                                    .workers = 12,
+                                    .jobs = 40,
+                                    .day_ms = 30000,
+                                    .quiet_ms = 60000,
+                                    .faults = 7};
+
+    cw_log_set_level("error");
+    return options;
+}
+
+/* Plays a seed; prints what was violated. */
+static bool
+plays_clean(uint32_t seed)
+{
+    struct world_options options = day(seed);
+    struct world_result result;
+    bool clean;
+
+    world_play(&options, &result);
+    clean = result.violation == NULL;
+    if (!clean) {
+        printf("seed %u: %s\n", seed, result.violation);
+    }
+    g_free(result.violation);
+    g_free(result.faults);
+    return clean;
+}
+
+static void
+test_days_of_fixed_seeds_keep_every_promise(void)
+{
+    for (uint32_t i = 0; i < FIXED_DAYS; i++) {
+        CU_ASSERT_TRUE(plays_clean(FIXED_SEED + i));
+    }
+}
+
+static void
+test_the_same_seed_is_the_same_day(void)
+{
+    struct world_options options = day(4711);
+    struct world_result first;
+    struct world_result second;
+
+    world_play(&options, &first);
+    world_play(&options, &second);
+    CU_ASSERT_STRING_EQUAL(first.faults, second.faults);
+    CU_ASSERT_EQUAL(
+        memcmp(&first.counts, &second.counts, sizeof(first.counts)), 0);
+    g_free(first.violation);
+    g_free(first.faults);
+    g_free(second.violation);
+    g_free(second.faults);
+}
+
+static void
+test_a_calm_day_completes_all_that_can_be(void)
+{
+    struct world_options options = day(7);
+    struct world_result result;
+
+    options.faults = 0;
+    world_play(&options, &result);
+    CU_ASSERT_PTR_NULL(result.violation);
+    CU_ASSERT_EQUAL(result.counts.accepted, result.counts.jobs);
+    CU_ASSERT_EQUAL(result.counts.completed + result.counts.failed +
+                        result.counts.cancelled,
+                    result.counts.jobs);
+    CU_ASSERT_EQUAL(result.takeovers, 1);
+    g_free(result.violation);
+    g_free(result.faults);
+}
+
+/* Seeds that once ended with a violation, each with its cause. */
+static void
+test_seeds_that_once_failed(void)
+{
+    static const uint32_t seeds[] = {
+        11,  /* judge: a lapsed lease between two runs was not seen */
+        29,  /* judge: refused before its caller had any answer */
+        364, /* judge: a gang whose member's worker had crashed */
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(seeds); i++) {
+        CU_ASSERT_TRUE(plays_clean(seeds[i]));
+    }
+}
+
+static const struct test tests[] = {
+    {"fixed seeds", test_days_of_fixed_seeds_keep_every_promise},
+    {"same seed, same day", test_the_same_seed_is_the_same_day},
+    {"calm day", test_a_calm_day_completes_all_that_can_be},
+    {"seeds that once failed", test_seeds_that_once_failed},
+};
+
+TEST_MAIN("world", tests)
