Learn how fast workers are from gangs; leave slow ones; keep idle workers whole

Change: rates of gang members compared; fast workers for urgent work, slow ones for the rest, those at under 40% avoided and left where that pays; urgent tasks go to workers in use before idle ones.

--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -44,6 +44,13 @@
     struct timespec saved_at; /* newest checkpoint, as far as known */
     unsigned percent;
     unsigned unanswered; /* starts without an answer */
+    /* owner_speed.c: percent a second, over the last window */
+    struct timespec window_at;
+    unsigned window_percent;
+    struct timespec rate_at;
+    bool rate_known;
+    double rate;
+    double best_rate;
 };
 
 struct owner_task {
@@ -72,6 +79,7 @@
     bool ready;
     uint64_t tried_at; /* the owner's room version when it did not fit */
     struct timespec tried_time;
+    unsigned moves; /* restarts because of slow workers */
 };
 
 struct owner_occurrence {
@@ -131,6 +139,8 @@
     unsigned failures;   /* in a row */
     struct timespec avoid_until;
     struct timespec suspect_until; /* it failed or stalled work */
+    struct timespec slow_until;    /* its tasks come on slowly */
+    double speed; /* against the others'; 1 while nothing is known */
 };
 
 /* Room that a service's workers keep for urgent work. */
@@ -353,6 +363,12 @@
 owner_hold_tick(struct cw_owner *owner, struct owner_target *target,
                 struct timespec now);
 
+/* ---- owner_speed.c ---- */
+
+/* A worker listed how far a run has come. */
+void owner_speed_note(struct cw_owner *owner, struct owner_run *run,
+                      unsigned percent, struct timespec now);
+
 /* ---- owner_commit.c ---- */
 
 /* Sends the batch that is due; returns when the next may be. */
--- a/src/owner/owner_holds.c
+++ b/src/owner/owner_holds.c
@@ -145,6 +145,8 @@
 
         if (run != NULL) {
             note_progress(run, &answer->running[i], now);
+            /* May stop the run's gang, but drops nothing that was sent. */
+            owner_speed_note(owner, run, answer->running[i].percent, now);
         }
         else {
             stop_stray(owner, target, &answer->running[i]);
--- a/src/owner/owner_place.c
+++ b/src/owner/owner_place.c
@@ -94,6 +94,19 @@
     return there >= most ? 0 : MIN(fits, most - there);
 }
 
+/* Speeds that differ by less count as the same. */
+#define SPEED_STEP 0.12
+
+/* Negative if `x` is faster, by enough to matter. */
+static int
+compare_speed(const struct owner_target *x, const struct owner_target *y)
+{
+    int a = (int)(x->speed / SPEED_STEP);
+    int b = (int)(y->speed / SPEED_STEP);
+
+    return b - a;
+}
+
 /* Fullest first: whole workers stay whole for tasks that need them. */
 static gint
 by_room(gconstpointer a, gconstpointer b)
@@ -110,6 +123,27 @@
     return strcmp(x->target->id, y->target->id);
 }
 
+static bool
+is_idle(const struct candidate *candidate)
+{
+    return candidate->target->runs->len == 0;
+}
+
+/* For urgent work: workers in use first, so that idle ones stay for tasks
+ * that need them whole; then what is fast, then what is full. */
+static gint
+by_speed(gconstpointer a, gconstpointer b)
+{
+    const struct candidate *x = a;
+    const struct candidate *y = b;
+    int speed = compare_speed(x->target, y->target);
+
+    if (is_idle(x) != is_idle(y)) {
+        return is_idle(x) ? 1 : -1;
+    }
+    return speed != 0 ? speed : by_room(a, b);
+}
+
 /* For lower work: racks and workers that have some already, so that it
  * spreads no further than it must. */
 static gint
@@ -124,6 +158,9 @@
     if ((x->target->lower_runs > 0) != (y->target->lower_runs > 0)) {
         return x->target->lower_runs > 0 ? -1 : 1;
     }
+    if (compare_speed(x->target, y->target) != 0) {
+        return -compare_speed(x->target, y->target);
+    }
     return by_room(a, b);
 }
 
@@ -183,7 +220,7 @@
     if (lower) {
         count_rack_hosts(owner, out);
     }
-    g_array_sort(out, lower ? by_lower_work : by_room);
+    g_array_sort(out, lower ? by_lower_work : by_speed);
     return out;
 }
 
@@ -206,36 +243,79 @@
     return fits;
 }
 
-/* The rack that holds `tasks` with least to spare, or NULL.  The rack of
- * the step's data goes first. */
+/* What a rack would give a gang. */
+struct rack_offer {
+    const char *rack;
+    unsigned fits; /* tasks */
+    unsigned idle; /* idle workers that the gang would take */
+    int speed;     /* of the slowest worker, in steps: the gang's own */
+};
+
+/* What the rack's first candidates for `tasks` come to. */
+static struct rack_offer
+offer_of(const GArray *candidates, const char *rack, unsigned tasks)
+{
+    struct rack_offer offer = {.rack = rack,
+                               .fits = rack_fits(candidates, rack),
+                               .speed = G_MAXINT};
+
+    for (guint i = 0; i < candidates->len && tasks > 0; i++) {
+        const struct candidate *c =
+            &g_array_index(candidates, struct candidate, i);
+
+        if (strcmp(c->target->rack, rack) == 0) {
+            offer.speed =
+                MIN(offer.speed, (int)(c->target->speed / SPEED_STEP));
+            offer.idle += is_idle(c);
+            tasks -= MIN(tasks, c->fits);
+        }
+    }
+    return offer;
+}
+
+static bool
+offer_is_better(const struct rack_offer *x, const struct rack_offer *y,
+                bool urgent)
+{
+    if (urgent && x->idle != y->idle) {
+        return x->idle < y->idle;
+    }
+    if (urgent && x->speed != y->speed) {
+        return x->speed > y->speed;
+    }
+    return x->fits < y->fits;
+}
+
+/* The rack that holds `tasks`: for urgent work the one that loses the fewest
+ * idle workers, then the fastest; then the one with least to spare.  NULL if
+ * there is none.  The rack of the step's data goes first. */
 static const char *
 best_rack(const GArray *candidates, const struct owner_step *step,
           unsigned tasks)
 {
-    const char *best = NULL;
-    unsigned best_fits = 0;
+    struct rack_offer best = {0};
+    bool urgent = step->occurrence->job->spec->priority == 0;
 
     for (guint i = 0; i < candidates->len; i++) {
         const char *rack =
             g_array_index(candidates, struct candidate, i).target->rack;
-        unsigned fits;
+        struct rack_offer offer;
 
-        if (best != NULL && strcmp(best, rack) == 0) {
+        if (best.rack != NULL && strcmp(best.rack, rack) == 0) {
             continue;
         }
-        fits = rack_fits(candidates, rack);
-        if (fits < tasks) {
+        offer = offer_of(candidates, rack, tasks);
+        if (offer.fits < tasks) {
             continue;
         }
         if (strcmp(rack, step->spec->data_rack) == 0) {
             return rack;
         }
-        if (best == NULL || fits < best_fits) {
-            best = rack;
-            best_fits = fits;
+        if (best.rack == NULL || offer_is_better(&offer, &best, urgent)) {
+            best = offer;
         }
     }
-    return best;
+    return best.rack;
 }
 
 /* ---- assigning ---- */
--- a/src/owner/owner_targets.c
+++ b/src/owner/owner_targets.c
@@ -49,6 +49,7 @@
     if (target == NULL) {
         target = g_new0(struct owner_target, 1);
         target->owner = owner;
+        target->speed = 1;
         target->id = g_strdup(id);
         target->address = g_strdup("");
         target->service = g_strdup("");
@@ -226,7 +227,8 @@
            target->silent == 0 && target->clock_known &&
            target->address[0] != '\0' &&
            !cw_time_before(now, target->avoid_until) &&
-           !cw_time_before(now, target->suspect_until);
+           !cw_time_before(now, target->suspect_until) &&
+           !cw_time_before(now, target->slow_until);
 }
 
 void
