Hand the shard over without a gap; tell a cut-off data centre; keep the unguaranteed share open

Change: an owner goes on until it is shut out; isolation needs fewer than half of the VMs to answer; one refusal is told, not relayed; workers that no guarantee covers stay open to lower work.

--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -172,6 +172,7 @@
     enum owner_state state;
     bool leaving;
     bool holds_partition;
+    bool yielding;       /* the group has dealt the partition to another VM */
     uint64_t generation; /* of the group, last received */
     bool join_in_flight;
     struct timespec join_sent;
--- a/src/owner/owner.c
+++ b/src/owner/owner.c
@@ -49,6 +49,7 @@
     cw_count_add(owner->options.counters, CW_COUNT_YIELDS, 1);
     drop_state(owner);
     owner->holds_partition = false;
+    owner->yielding = false;
     owner->join_due = cw_time_from_ms(0);
     cw_follower_set_pace(cw_replica_follower(owner->options.replica),
                          CW_STANDBY_PACE_MS);
@@ -242,6 +243,20 @@
     return false;
 }
 
+/* Another VM is to own the shard.  This one goes on until the other has
+ * shut it out, so that there is no gap, or until its last proof is old. */
+static void
+yield(struct cw_owner *owner, const char *reason)
+{
+    if (owner->state != OWNER_ACTIVE) {
+        owner_depose(owner, reason);
+        return;
+    }
+    owner->yielding = true;
+    cw_log_info("owner_yields", "shard=%u epoch=%" PRIu64 " reason=%s",
+                owner->options.partition, owner->epoch, reason);
+}
+
 static void
 take_join(struct cw_owner *owner, const struct cw_store_joined *result,
           struct timespec now)
@@ -258,8 +273,11 @@
                     owner->options.partition, owner->generation);
         begin_fencing(owner, now);
     }
-    else if (!has && owner->holds_partition) {
-        owner_depose(owner, "reassigned");
+    else if (!has && owner->holds_partition && !owner->yielding) {
+        yield(owner, "reassigned");
+    }
+    else if (has) {
+        owner->yielding = false;
     }
 }
 
@@ -324,7 +342,7 @@
     }
     owner->leaving = true;
     if (owner->state != OWNER_IDLE) {
-        owner_depose(owner, "leaving");
+        yield(owner, "leaving");
     }
     owner->options.store->ops->leave(owner->options.store, &call);
 }
@@ -449,6 +467,10 @@
 {
     struct timespec next = cw_time_add_ms(now, CHECK_EVERY_MS);
 
+    if (owner->yielding && !owner_may_order(owner, now)) {
+        owner_depose(owner, "yielded");
+        return now;
+    }
     cw_follower_tick(owner->reports, now);
     owner_earlier(&next, cw_follower_due(owner->reports));
     tick_jobs(owner, now);
--- a/src/owner/owner_headroom.c
+++ b/src/owner/owner_headroom.c
@@ -79,9 +79,31 @@
     room->at = now;
 }
 
+/* Workers that no guarantee covers: they are open to lower work whatever
+ * urgent work asks for. */
+static unsigned
+open_workers(const struct cw_owner *owner, const struct census *census,
+             double per_worker)
+{
+    double guaranteed = 0;
+
+    for (guint i = 0;
+         owner->routing != NULL && i < owner->routing->accounts->len; i++)
+    {
+        const struct cw_account *account = owner->routing->accounts->pdata[i];
+
+        guaranteed += account->guaranteed_accelerators;
+    }
+    guaranteed /= per_worker;
+    return guaranteed < census->workers
+               ? census->workers - (unsigned)guaranteed
+               : 0;
+}
+
 /* How many workers lower work may be on. */
 static void
-set_limit(const struct census *census, struct timespec now)
+set_limit(const struct cw_owner *owner, const struct census *census,
+          struct timespec now)
 {
     struct owner_headroom *room = census->room;
     double per_worker = (double)census->accelerators / MAX(1, census->workers);
@@ -102,6 +124,8 @@
     kept = (room->peak + spare) / per_worker;
     room->most_hosts =
         kept < census->workers ? census->workers - (unsigned)kept : 0;
+    room->most_hosts =
+        MAX(room->most_hosts, open_workers(owner, census, per_worker));
     room->spare = (unsigned)(spare / per_worker);
 }
 
@@ -152,7 +176,7 @@
     }
     g_hash_table_iter_init(&iterator, services);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        set_limit(value, now);
+        set_limit(owner, value, now);
     }
     g_hash_table_unref(services);
 }
--- a/src/owner/owner_place.c
+++ b/src/owner/owner_place.c
@@ -255,9 +255,8 @@
 static struct rack_offer
 offer_of(const GArray *candidates, const char *rack, unsigned tasks)
 {
-    struct rack_offer offer = {.rack = rack,
-                               .fits = rack_fits(candidates, rack),
-                               .speed = G_MAXINT};
+    struct rack_offer offer = {
+        .rack = rack, .fits = rack_fits(candidates, rack), .speed = G_MAXINT};
 
     for (guint i = 0; i < candidates->len && tasks > 0; i++) {
         const struct candidate *c =
--- a/src/owner/owner_speed.c
+++ b/src/owner/owner_speed.c
@@ -59,7 +59,8 @@
         const struct owner_run *other = step->tasks[i].run;
 
         if (other != NULL && other != run && other->target != run->target &&
-            rate_is_fresh(other, now)) {
+            rate_is_fresh(other, now))
+        {
             double rate = other->rate / other->target->speed;
 
             g_array_append_val(rates, rate);
@@ -105,7 +106,8 @@
     struct owner_step *step = run->task->step;
 
     if (run->stopping || run->finished || step->spec->endless ||
-        step->moves >= MOVES_MOST || !restart_pays(run, expected)) {
+        step->moves >= MOVES_MOST || !restart_pays(run, expected))
+    {
         return;
     }
     step->moves++;
@@ -127,8 +129,7 @@
 {
     struct owner_target *target = run->target;
     double compared = run->task->step->spec->gang ? gang_rate(run, now) : 0;
-    double expected = compared > 0 ? compared * target->speed
-                                   : run->best_rate;
+    double expected = compared > 0 ? compared * target->speed : run->best_rate;
 
     run->best_rate = MAX(run->best_rate, run->rate);
     if (expected <= 0) {
@@ -137,8 +138,8 @@
     if (run->rate * PERCENT < expected * SLOW_PERCENT) {
         if (cw_time_before(target->slow_until, now)) {
             cw_log_info("worker_slow",
-                        "worker=%s rate=%.1f expected=%.1f id=%s",
-                        target->id, run->rate, expected,
+                        "worker=%s rate=%.1f expected=%.1f id=%s", target->id,
+                        run->rate, expected,
                         owner_task_job(run->task)->spec->id);
         }
         target->slow_until = cw_time_add_ms(now, SLOW_AVOID_MS);
--- a/src/owner/owner_targets.c
+++ b/src/owner/owner_targets.c
@@ -87,9 +87,11 @@
     set_text(&target->rack, report->rack);
     set_text(&target->kind, report->kind);
     if (!target->listed || target->draining != draining) {
-        cw_log_info("worker", "worker=%s state=%s address=%s rack=%s",
-                    target->id, draining ? "draining" : "ready",
-                    target->address, target->rack);
+        /* A new owner counts them in one line when it begins. */
+        cw_log(owner->state == OWNER_ACTIVE ? G_LOG_LEVEL_INFO
+                                            : G_LOG_LEVEL_DEBUG,
+               "worker", "worker=%s state=%s address=%s rack=%s", target->id,
+               draining ? "draining" : "ready", target->address, target->rack);
         owner->room_version++;
         owner->place_wanted = true;
     }
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -13,7 +13,7 @@
     /* Calls in a row that the store did not answer well. */
     FAILURES_MOST = 2,
     PEERS_TRIED_MOST = 3,
-    PEER_TIMEOUT_MS = 700,
+    PEER_TIMEOUT_MS = 350,
     /* A VM that did not answer, or is turned away itself. */
     PEER_AVOID_MS = 1500,
     READ_WAIT_MS = 250,
@@ -26,8 +26,9 @@
     SUSPECT_MS = 350,
     PING_EVERY_MS = 200,
     PING_TIMEOUT_MS = 300,
-    PINGS_AT_ONCE = 3,
-    /* With no answer from anywhere for so long the VM is cut off. */
+    /* Of the other VMs; with fewer than half of them answering for so long
+     * this VM is cut off, alone or with its data centre. */
+    PINGS_AT_ONCE = 12,
     ISOLATED_MS = 500
 };
 
@@ -39,6 +40,7 @@
     char *address; /* HOST:PORT */
     struct sockaddr_in socket;
     struct timespec avoid_until;
+    struct timespec heard_at;
 };
 
 struct cw_relay {
@@ -56,7 +58,6 @@
     struct timespec join_sent;
     bool suspect; /* the store has not answered well since */
     struct timespec suspect_since;
-    struct timespec heard_at; /* another VM answered */
     struct timespec ping_due;
     bool isolated;
     bool members_in_flight;
@@ -233,7 +234,12 @@
         return false;
     }
     call->unsure = call->unsure || status == CW_STORE_UNKNOWN;
-    try_next(call);
+    if (status == CW_STORE_REFUSED && call->relay->reaches) {
+        deliver_failure(call); /* once may be chance: the caller asks again */
+    }
+    else {
+        try_next(call);
+    }
     return true;
 }
 
@@ -411,8 +417,8 @@
     struct peer *peer = find_peer(relay, call->peer_address);
     struct timespec now = relay_now(relay);
 
-    if (answer != NULL) {
-        relay->heard_at = now;
+    if (answer != NULL && peer != NULL) {
+        peer->heard_at = now;
     }
     if (answer != NULL && answer->status != CW_STORE_REFUSED &&
         answer->status != CW_STORE_UNKNOWN)
@@ -611,6 +617,7 @@
     known = find_peer(relay, at + 1);
     if (known != NULL) {
         peer->avoid_until = known->avoid_until;
+        peer->heard_at = known->heard_at;
     }
     if (!relay_parse_address(peer->address, &peer->socket)) {
         peer_free(peer);
@@ -663,18 +670,28 @@
 
 /* ---- is anybody there? ---- */
 
+/* A question whether another VM is there. */
+struct ping {
+    struct cw_relay *relay;
+    char *address;
+};
+
 static void
 on_pong(void *context, const struct cw_relay_answer *answer)
 {
-    struct cw_relay *relay = context;
+    struct ping *ping = context;
+    struct peer *peer = find_peer(ping->relay, ping->address);
 
-    if (answer != NULL) {
-        relay->heard_at = relay_now(relay);
+    if (answer != NULL && peer != NULL) {
+        peer->heard_at = relay_now(ping->relay);
     }
+    g_free(ping->address);
+    g_free(ping);
 }
 
 static void
-send_pings(struct cw_relay *relay, struct timespec now)
+send_ping(struct cw_relay *relay, const struct peer *peer,
+          struct timespec give_up)
 {
     struct cw_relay_request request = {
         .kind = CW_RELAY_PING,
@@ -684,16 +701,37 @@
         .group = (char *)"",
         .member = (char *)"",
     };
+    struct ping *ping = g_new0(struct ping, 1);
+
+    ping->relay = relay;
+    ping->address = g_strdup(peer->address);
+    relay_rpc_send(relay->rpc, &peer->socket, &request, give_up, on_pong,
+                   ping);
+}
+
+static void
+send_pings(struct cw_relay *relay, struct timespec now)
+{
     struct timespec give_up = cw_time_add_ms(now, PING_TIMEOUT_MS);
 
     relay->ping_due = cw_time_add_ms(now, PING_EVERY_MS);
     for (guint i = 0; i < PINGS_AT_ONCE && i < relay->peers->len; i++) {
-        guint index = randombytes_uniform(relay->peers->len);
-        struct peer *peer = relay->peers->pdata[index];
+        send_ping(relay, relay->peers->pdata[i], give_up);
+    }
+}
+
+/* Of the VMs that are asked, how many have answered lately. */
+static unsigned
+peers_heard(const struct cw_relay *relay, struct timespec now)
+{
+    unsigned heard = 0;
+
+    for (guint i = 0; i < PINGS_AT_ONCE && i < relay->peers->len; i++) {
+        const struct peer *peer = relay->peers->pdata[i];
 
-        relay_rpc_send(relay->rpc, &peer->socket, &request, give_up, on_pong,
-                       relay);
+        heard += cw_time_diff_ms(peer->heard_at, now) <= ISOLATED_MS;
     }
+    return heard;
 }
 
 /* Asks other VMs while the store does not answer, and judges whether this
@@ -701,6 +739,8 @@
 static void
 check_isolation(struct cw_relay *relay, struct timespec now)
 {
+    unsigned asked = MIN(relay->peers->len, (guint)PINGS_AT_ONCE);
+    unsigned heard = peers_heard(relay, now);
     bool isolated;
 
     if (relay->join_in_flight &&
@@ -711,13 +751,12 @@
     if (relay->suspect && !cw_time_before(now, relay->ping_due)) {
         send_pings(relay, now);
     }
-    isolated = relay->suspect && relay->peers->len > 0 &&
-               cw_time_diff_ms(relay->suspect_since, now) > ISOLATED_MS &&
-               cw_time_diff_ms(relay->heard_at, now) > ISOLATED_MS;
+    isolated = relay->suspect && asked > 0 && 2 * heard < asked &&
+               cw_time_diff_ms(relay->suspect_since, now) > ISOLATED_MS;
     if (isolated != relay->isolated) {
         relay->isolated = isolated;
-        cw_log_info("isolated", "now=%d peers=%u heard_ms=%" PRId64, isolated,
-                    relay->peers->len, cw_time_diff_ms(relay->heard_at, now));
+        cw_log_info("isolated", "now=%d asked=%u heard=%u", isolated, asked,
+                    heard);
     }
 }
 
@@ -828,7 +867,6 @@
     relay->peers = g_ptr_array_new_with_free_func(peer_free);
     relay->reaches = true;
     relay->members_due = cw_time_add_ms(now, MEMBERS_FIRST_MS);
-    relay->heard_at = now;
     relay->rpc = relay_rpc_create(&rpc);
     if (relay->rpc == NULL) {
         cw_relay_free(relay);
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -189,6 +189,7 @@
     pair_begin(&pair);
     CU_ASSERT_EQUAL(append(&pair), CW_STORE_OK);
     pair.ports[0].refuses = CW_STORE_REFUSED;
+    CU_ASSERT_EQUAL(append(&pair), CW_STORE_REFUSED); /* once is chance */
     CU_ASSERT_EQUAL(append(&pair), CW_STORE_OK);
     pair.ports[0].refuses = CW_STORE_UNKNOWN;
     CU_ASSERT_EQUAL(append(&pair), CW_STORE_OK);
