A wide step spreads no further than headroom allows; a rack kept clear for gangs

Change: the candidates of a step are cut to the workers left; a gang that has waited 1.5 s gets the rack that will be free first.

--- a/src/base/cw_log.c
+++ b/src/base/cw_log.c
@@ -7,6 +7,7 @@
 
 static GLogLevelFlags least_level = G_LOG_LEVEL_INFO;
 static char vm_name[80];
+static bool is_set_up;
 static struct cw_clock *log_clock; /* NULL: the system's */
 
 static const char *
@@ -88,7 +89,10 @@
 {
     cw_log_set_level(level);
     g_strlcpy(vm_name, vm, sizeof(vm_name));
-    g_log_set_writer_func(write_line, NULL, NULL);
+    if (!is_set_up) { /* GLib takes it once only */
+        is_set_up = true;
+        g_log_set_writer_func(write_line, NULL, NULL);
+    }
 }
 
 bool
--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -140,6 +140,10 @@
     struct timespec avoid_until;
     struct timespec suspect_until; /* it failed or stalled work */
     struct timespec slow_until;    /* its tasks come on slowly */
+    const void *held_for;   /* step that waits for the rack; not followed,
+                               as it may be gone */
+    unsigned held_priority; /* of that step */
+    struct timespec held_until;
     double speed; /* against the others'; 1 while nothing is known */
 };
 
@@ -199,6 +203,7 @@
     uint64_t room_version; /* grows whenever room may have come free */
     struct timespec sweep_due;
     struct timespec check_due;
+    unsigned holds; /* racks held back in this pass of placement */
 };
 
 /* ---- owner.c ---- */
@@ -417,6 +422,11 @@
 owner_headroom_allows(struct cw_owner *owner, const struct owner_step *step,
                       const struct owner_target *target, struct timespec now);
 
+/* How many more workers of the service lower work may be put on. */
+unsigned
+owner_headroom_left(struct cw_owner *owner, const struct owner_step *step,
+                    const char *service, struct timespec now);
+
 /* A job was taken on. */
 void
 owner_headroom_arrived(struct cw_owner *owner, const struct owner_job *job);
--- a/src/owner/owner_headroom.c
+++ b/src/owner/owner_headroom.c
@@ -185,13 +185,22 @@
 owner_headroom_allows(struct cw_owner *owner, const struct owner_step *step,
                       const struct owner_target *target, struct timespec now)
 {
-    const struct owner_headroom *room = headroom_of(owner, target->service);
+    return target->lower_runs > 0 ||
+           owner_headroom_left(owner, step, target->service, now) > 0;
+}
+
+unsigned
+owner_headroom_left(struct cw_owner *owner, const struct owner_step *step,
+                    const char *service, struct timespec now)
+{
+    const struct owner_headroom *room = headroom_of(owner, service);
 
-    if (target->lower_runs > 0 || room->hosts < room->most_hosts) {
-        return true;
+    if (room->mostly_idle && step->occurrence->job->runs == 0 &&
+        cw_time_diff_ms(step->ready_at, now) > WAITED_MS)
+    {
+        return G_MAXUINT;
     }
-    return room->mostly_idle && step->occurrence->job->runs == 0 &&
-           cw_time_diff_ms(step->ready_at, now) > WAITED_MS;
+    return room->hosts < room->most_hosts ? room->most_hosts - room->hosts : 0;
 }
 
 void
--- a/src/owner/owner_place.c
+++ b/src/owner/owner_place.c
@@ -6,7 +6,12 @@
 enum {
     /* A step that found no room looks again when some came free, and after
      * this: what is kept for urgent work shrinks with time. */
-    TRY_AGAIN_MS = 250
+    TRY_AGAIN_MS = 250,
+    /* A gang that has waited so long gets a rack kept clear of work with a
+     * lower priority, as small tasks would fill every gap before it. */
+    HOLD_AFTER_MS = 1500,
+    HOLD_MS = 400,
+    HOLDS_MOST = 2
 };
 
 /* A worker with room, while a step is placed. */
@@ -190,6 +195,43 @@
     g_hash_table_unref(hosts);
 }
 
+/* True if the worker is kept clear for a more urgent gang. */
+static bool
+is_held(const struct owner_target *target, const struct owner_step *step,
+        struct timespec now)
+{
+    return target->held_for != NULL && target->held_for != step &&
+           cw_time_before(now, target->held_until) &&
+           target->held_priority < step->occurrence->job->spec->priority;
+}
+
+/* Drops the workers by which lower work would spread too far: each of them
+ * may be taken alone, but not all by one wide step. */
+static void
+keep_headroom(struct cw_owner *owner, const struct owner_step *step,
+              GArray *candidates, struct timespec now)
+{
+    unsigned left = owner_headroom_left(
+        owner, step, step->occurrence->job->spec->service, now);
+    guint i = 0;
+
+    while (i < candidates->len) {
+        const struct candidate *c =
+            &g_array_index(candidates, struct candidate, i);
+
+        if (c->target->lower_runs > 0) {
+            i++;
+        }
+        else if (left > 0) {
+            left--;
+            i++;
+        }
+        else {
+            g_array_remove_index(candidates, i);
+        }
+    }
+}
+
 /* Workers with room for a task of the step, fullest first. */
 static GArray *
 candidates_of(struct cw_owner *owner, const struct owner_step *step,
@@ -206,6 +248,7 @@
         struct candidate candidate = {.target = value};
 
         if (!owner_target_usable(value, now) || !owner_may_run(step, value) ||
+            is_held(value, step, now) ||
             (lower && !owner_headroom_allows(owner, step, value, now)))
         {
             continue;
@@ -217,10 +260,13 @@
             g_array_append_val(out, candidate);
         }
     }
-    if (lower) {
-        count_rack_hosts(owner, out);
+    if (!lower) {
+        g_array_sort(out, by_speed);
+        return out;
     }
-    g_array_sort(out, lower ? by_lower_work : by_speed);
+    count_rack_hosts(owner, out);
+    g_array_sort(out, by_lower_work);
+    keep_headroom(owner, step, out, now);
     return out;
 }
 
@@ -558,6 +604,85 @@
                : strcmp(x->spec->id, y->spec->id);
 }
 
+/* Room for the gang once work of a lower priority has left. */
+static unsigned
+fits_later(const struct owner_step *step, const struct owner_target *target)
+{
+    struct cw_resources need = owner_need(step->spec);
+    struct cw_resources room = owner_room(target);
+    unsigned priority = step->occurrence->job->spec->priority;
+
+    for (guint i = 0; i < target->runs->len; i++) {
+        const struct owner_run *run = target->runs->pdata[i];
+        struct cw_resources taken = owner_need(run->task->step->spec);
+
+        if (owner_task_job(run->task)->spec->priority > priority) {
+            room.cpu_milli += taken.cpu_milli;
+            room.memory_mb += taken.memory_mb;
+            room.accelerators += taken.accelerators;
+        }
+    }
+    return owner_most_there(step, target, owner_fits(&room, &need));
+}
+
+/* The rack that will have most room for the gang, or NULL if none will have
+ * enough. */
+static const char *
+rack_to_hold(struct cw_owner *owner, const struct owner_step *step,
+             struct timespec now)
+{
+    GHashTable *racks = g_hash_table_new(g_str_hash, g_str_equal);
+    const char *best = NULL;
+    unsigned best_fits = step->count - 1;
+    GHashTableIter iterator;
+    gpointer value;
+
+    g_hash_table_iter_init(&iterator, owner->targets);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        struct owner_target *target = value;
+        unsigned fits;
+
+        if (!owner_target_usable(target, now) ||
+            !owner_may_run(step, target) || is_held(target, step, now) ||
+            !owner_headroom_allows(owner, step, target, now))
+        {
+            continue;
+        }
+        fits = fits_later(step, target);
+        fits += GPOINTER_TO_UINT(g_hash_table_lookup(racks, target->rack));
+        g_hash_table_insert(racks, target->rack, GUINT_TO_POINTER(fits));
+        if (fits > best_fits) {
+            best = target->rack;
+            best_fits = fits;
+        }
+    }
+    g_hash_table_unref(racks);
+    return best;
+}
+
+static void
+hold_rack(struct cw_owner *owner, struct owner_step *step, struct timespec now)
+{
+    const char *rack = rack_to_hold(owner, step, now);
+    GHashTableIter iterator;
+    gpointer value;
+
+    if (rack == NULL) {
+        return;
+    }
+    owner->holds++;
+    g_hash_table_iter_init(&iterator, owner->targets);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        struct owner_target *target = value;
+
+        if (strcmp(target->rack, rack) == 0) {
+            target->held_for = step;
+            target->held_priority = step->occurrence->job->spec->priority;
+            target->held_until = cw_time_add_ms(now, HOLD_MS);
+        }
+    }
+}
+
 static void
 place_step(struct cw_owner *owner, struct owner_step *step,
            struct timespec now)
@@ -579,6 +704,11 @@
     if (urgent) {
         owner_reclaim(owner, step, now);
     }
+    else if (step->spec->gang && owner->holds < HOLDS_MOST &&
+             cw_time_diff_ms(step->ready_at, now) > HOLD_AFTER_MS)
+    {
+        hold_rack(owner, step, now);
+    }
 }
 
 void
@@ -593,6 +723,7 @@
         collect_steps(value, steps, now);
     }
     g_ptr_array_sort(steps, by_urgency);
+    owner->holds = 0;
     owner_headroom_update(owner, now);
     for (guint i = 0; i < steps->len; i++) {
         place_step(owner, steps->pdata[i], now);
