Bounded logs that never wait, latency histograms, a metrics address

Causes: a log line could block on standard output; latencies were in no metric; a reserved place whose user hung was kept for ever.

--- a/include/curlewcart/cw_count.h
+++ b/include/curlewcart/cw_count.h
@@ -1,4 +1,4 @@
-/* Counters: one for each result code, and some named ones.
+/* Counters: one for each result code, some named ones, and latencies.
  *
  * Safe from any thread.  A counter only grows while its process lives.
  */
@@ -8,6 +8,7 @@
 #include <stdint.h>
 #include <glib.h>
 
+#include "curlewcart/cw_histogram.h"
 #include "curlewcart/cw_result.h"
 
 /* X(symbol, name, what it counts) */
@@ -32,6 +33,21 @@
     X(RELAYED, "relayed", "calls to the store through another VM")            \
     X(PROVISIONAL, "provisional", "outcomes told before the log had them")
 
+/* X(symbol, name with its unit, what it measures) */
+#define CW_LATENCY_TABLE(X)                                                   \
+    X(STORED, "stored_ms", "from a caller's change to the store's word")      \
+    X(BEGUN, "begun_ms", "from taking a job to its first confirmed start")    \
+    X(COMMIT, "commit_ms", "from sending a batch to its being durable")       \
+    X(ORDER, "order_ms", "from sending an order to a worker to its answer")   \
+    X(TAKEOVER, "takeover_ms", "from gaining a shard to deciding")
+
+enum cw_latency {
+#define CW_LATENCY_SYMBOL(symbol, name, text) CW_LATENCY_##symbol,
+    CW_LATENCY_TABLE(CW_LATENCY_SYMBOL)
+#undef CW_LATENCY_SYMBOL
+        CW_LATENCY_TOTAL
+};
+
 enum cw_counter {
 #define CW_COUNTER_SYMBOL(symbol, name, text) CW_COUNT_##symbol,
     CW_COUNTER_TABLE(CW_COUNTER_SYMBOL)
@@ -45,6 +61,7 @@
 struct cw_counters {
     uint64_t named[CW_COUNT_TOTAL];
     uint64_t by_code[CW_COUNT_CODES_MAX];
+    struct cw_histogram latency[CW_LATENCY_TOTAL];
 };
 
 /* Adds `n` to a named counter. */
@@ -54,6 +71,10 @@
 /* Adds one to the counter of a result code. */
 void cw_count_code(struct cw_counters *counters, enum cw_result code);
 
+/* Adds a measured latency. */
+void cw_count_latency(struct cw_counters *counters, enum cw_latency which,
+                      int64_t ms);
+
 /* Value of a result code's counter. */
 uint64_t
 cw_count_get_code(const struct cw_counters *counters, enum cw_result code);
--- a/include/curlewcart/cw_log.h
+++ b/include/curlewcart/cw_log.h
@@ -3,6 +3,7 @@
 #define CURLEWCART_CW_LOG_H
 
 #include <stdbool.h>
+#include <stdint.h>
 #include <glib.h>
 
 #include "curlewcart/cw_time.h"
@@ -17,9 +18,17 @@
 /* Clock of the lines' time; NULL: the system's.  For emulated runs. */
 void cw_log_set_clock(struct cw_clock *clock);
 
-/* Writes out what is held back. */
+/* Makes standard output never block: a reader that stops reading costs
+ * lines, which are counted, and no time.  For daemons; the descriptor's mode
+ * is shared with whoever else has it. */
+void cw_log_never_wait(void);
+
+/* Writes out what is held back, as far as it is taken. */
 void cw_log_flush(void);
 
+/* Bytes held back. */
+uint64_t cw_log_held_bytes(void);
+
 /* True if lines of `level` are written; spares the caller the work. */
 bool cw_log_wants(GLogLevelFlags level);
 
--- a/include/curlewcart/cw_owner.h
+++ b/include/curlewcart/cw_owner.h
@@ -59,7 +59,6 @@
     unsigned jobs;
     unsigned targets;
     unsigned runs;
-    unsigned waiting_tasks;
 };
 void cw_owner_stats(const struct cw_owner *owner, struct cw_owner_stats *out);
 
--- a/src/base/cw_count.c
+++ b/src/base/cw_count.c
@@ -12,6 +12,22 @@
 #undef CW_COUNTER_ROW
 };
 
+static const struct {
+    const char *name;
+    const char *text;
+} latency_table[] = {
+#define CW_LATENCY_ROW(symbol, name, text) {name, text},
+    CW_LATENCY_TABLE(CW_LATENCY_ROW)
+#undef CW_LATENCY_ROW
+};
+
+void
+cw_count_latency(struct cw_counters *counters, enum cw_latency which,
+                 int64_t ms)
+{
+    cw_histogram_add(&counters->latency[which], ms);
+}
+
 void
 cw_count_add(struct cw_counters *counters, enum cw_counter which, uint64_t n)
 {
@@ -48,6 +64,10 @@
             counter_table[i].name, counter_table[i].name,
             ck_pr_load_64(&counters->named[i]));
     }
+    for (size_t i = 0; i < CW_LATENCY_TOTAL; i++) {
+        cw_histogram_print(&counters->latency[i], latency_table[i].name,
+                           latency_table[i].text, out);
+    }
     g_string_append(out, "# HELP curlewcart_reason_total events by result "
                          "code\n# TYPE curlewcart_reason_total counter\n");
     for (size_t i = 0; i < cw_result_count(); i++) {
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -135,6 +135,8 @@
                 cw_time_diff_ms(change->began, now),
                 entry->routing != NULL ? entry->routing->version : 0,
                 cw_store_status_name(change->last));
+    cw_count_latency(entry->options.counters, CW_LATENCY_STORED,
+                     cw_time_diff_ms(change->began, now));
     if (outcome == CW_ENTRY_NOT_DONE) {
         cw_count_code(entry->options.counters, CW_REF_LOG_AWAY);
     }
--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -94,6 +94,7 @@
     const struct cw_work_spec *spec;    /* borrowed */
     unsigned phase;                     /* enum cw_work_phase */
     bool started;
+    bool begun; /* a start was confirmed to this owner */
     bool dirty; /* differs from what the store has, or will have */
     int64_t ended_ms;
     unsigned next_occurrence;
@@ -349,6 +350,7 @@
     char *job;
     struct cw_task_name task; /* its job is the text above */
     unsigned run;
+    struct timespec sent;
 };
 
 void owner_order_free(struct owner_order *order);
--- a/src/owner/owner.c
+++ b/src/owner/owner.c
@@ -111,6 +111,8 @@
     }
     bound_earlier_leases(owner, now);
     cw_count_add(owner->options.counters, CW_COUNT_TAKEOVERS, 1);
+    cw_count_latency(owner->options.counters, CW_LATENCY_TAKEOVER,
+                     cw_time_diff_ms(owner->began, now));
     cw_log_info("owner_begins",
                 "shard=%u epoch=%" PRIu64 " generation=%" PRIu64
                 " jobs=%u targets=%u took_ms=%" PRId64,
--- a/src/owner/owner_commit.c
+++ b/src/owner/owner_commit.c
@@ -182,6 +182,8 @@
 static void
 batch_durable(struct cw_owner *owner, struct owner_batch *batch)
 {
+    cw_count_latency(owner->options.counters, CW_LATENCY_COMMIT,
+                     cw_time_diff_ms(batch->sent, owner_now(owner)));
     owner->sequence = batch->sequence + 1;
     owner->proof_at = batch->sent;
     owner->batch = NULL;
--- a/src/owner/owner_headroom.c
+++ b/src/owner/owner_headroom.c
@@ -45,6 +45,7 @@
 
     if (room == NULL) {
         room = g_new0(struct owner_headroom, 1);
+        room->at = owner_now(owner);
         g_hash_table_insert(owner->headroom, g_strdup(service), room);
     }
     return room;
--- a/src/owner/owner_orders.c
+++ b/src/owner/owner_orders.c
@@ -100,9 +100,17 @@
 static void
 start_confirmed(struct owner_run *run)
 {
+    struct cw_owner *owner = run->target->owner;
+    struct owner_job *job = owner_task_job(run->task);
+
+    if (!job->begun) {
+        job->begun = true;
+        cw_count_latency(owner->options.counters, CW_LATENCY_BEGUN,
+                         cw_time_diff_ms(job->known_at, owner_now(owner)));
+    }
     if (run->phase == RUN_STARTING) {
         run->phase = RUN_RUNNING;
-        run->started_at = owner_now(run->target->owner);
+        run->started_at = owner_now(owner);
         run->progress_at = run->started_at;
         run->saved_at = run->started_at;
     }
@@ -195,6 +203,8 @@
         return;
     }
     target->orders_in_flight--;
+    cw_count_latency(owner->options.counters, CW_LATENCY_ORDER,
+                     cw_time_diff_ms(order->sent, now));
     log_answer(order, answer->status);
     owner_target_clock(target, answer->clock_ms, now);
     if (answer->status == CW_TARGET_FENCED) {
@@ -263,6 +273,7 @@
         owner_earlier(&target->hold_due, now);
     }
     target->orders_in_flight++;
+    order->sent = now;
     owner->options.targets->ops->order(owner->options.targets, &out);
 }
 
--- a/src/owner/owner_place.c
+++ b/src/owner/owner_place.c
@@ -10,6 +10,8 @@
     /* A gang that has waited so long gets a rack kept clear of work with a
      * lower priority, as small tasks would fill every gap before it. */
     HOLD_AFTER_MS = 1500,
+    /* Longer than any stop takes, shorter than reclaiming may. */
+    RESERVED_MS = 1500,
     HOLD_MS = 400,
     HOLDS_MOST = 2
 };
@@ -561,8 +563,29 @@
     return step->spec->gang ? step->runs == 0 : tasks_waiting(step) > 0;
 }
 
+/* Gives up places whose present users do not leave: the step is placed anew
+ * among what is free then. */
 static void
-collect_steps(struct owner_job *job, GPtrArray *out, struct timespec now)
+drop_stale_reservations(struct cw_owner *owner, struct owner_step *step,
+                        struct timespec now)
+{
+    for (unsigned i = 0; step->runs > 0 && i < step->count; i++) {
+        struct owner_run *run = step->tasks[i].run;
+
+        if (run != NULL && run->phase == RUN_RESERVED &&
+            cw_time_diff_ms(run->created_at, now) > RESERVED_MS)
+        {
+            cw_log_info("reservation_dropped", "id=%s step=%u worker=%s",
+                        step->occurrence->job->spec->id, step->number,
+                        run->target->id);
+            owner_run_drop(owner, run);
+        }
+    }
+}
+
+static void
+collect_steps(struct cw_owner *owner, struct owner_job *job, GPtrArray *out,
+              struct timespec now)
 {
     if (cw_work_is_over(job->phase)) {
         return;
@@ -573,6 +596,7 @@
         for (unsigned k = 0; k < occurrence->count; k++) {
             struct owner_step *step = &occurrence->steps[k];
 
+            drop_stale_reservations(owner, step, now);
             if (wants_place(step)) {
                 if (!step->ready) {
                     step->ready = true;
@@ -720,7 +744,7 @@
 
     g_hash_table_iter_init(&iterator, owner->jobs);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        collect_steps(value, steps, now);
+        collect_steps(owner, value, steps, now);
     }
     g_ptr_array_sort(steps, by_urgency);
     owner->holds = 0;
--- a/src/vm/vm.c
+++ b/src/vm/vm.c
@@ -173,15 +173,21 @@
     struct cw_vm *vm = context;
     GString *out = g_string_new(NULL);
     struct cw_owner_stats stats;
+    unsigned waiting;
 
     pthread_mutex_lock(&vm->engine);
     cw_owner_stats(vm->owner, &stats);
+    waiting = cw_entry_pending(vm->entry);
     pthread_mutex_unlock(&vm->engine);
     cw_count_print(&vm->counters, out);
     g_string_append_printf(out,
                            "curlewcart_owner_jobs %u\n"
-                           "curlewcart_owner_runs %u\n",
-                           stats.jobs, stats.runs);
+                           "curlewcart_owner_runs %u\n"
+                           "curlewcart_owner_workers %u\n"
+                           "curlewcart_calls_pending %u\n"
+                           "curlewcart_log_held_bytes %" PRIu64 "\n",
+                           stats.jobs, stats.runs, stats.targets, waiting,
+                           cw_log_held_bytes());
     cw_http_answer(call, 200, "text/plain; version=0.0.4", out->str, out->len,
                    false);
     g_string_free(out, TRUE);
@@ -320,7 +326,7 @@
     vm->ready = listen_at(vm, listen->ready, READY_CONNECTIONS, handle_ready);
     vm->callers =
         listen_at(vm, listen->callers, CALLER_CONNECTIONS, handle_caller);
-    if (listen->metrics != NULL) {
+    if (listen->metrics != NULL) { /* its failure is logged, no more */
         vm->metrics =
             listen_at(vm, listen->metrics, READY_CONNECTIONS, handle_metrics);
     }
@@ -413,6 +419,7 @@
     int received;
 
     cw_log_setup(level != NULL ? level : "info", settings->vm);
+    cw_log_never_wait();
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
