Explain requests from logs; the whole path with real processes; answer in time

Change: 'logs explain' and 'logs timeline'; a stand-in of the platform over the emulator's models, and a path through three daemons of which one is killed and one stopped; a caller is answered when its budget ends, whatever the store does.

--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,7 @@
 GENERATED := src/proto/cw_proto_xdr.c
 CORE := $(filter-out $(GENERATED),$(wildcard src/base/*.c src/bundle/*.c \
         src/work/*.c src/routing/*.c src/replica/*.c src/entry/*.c \
-        src/owner/*.c src/relay/*.c \
+        src/owner/*.c src/relay/*.c src/story/*.c \
         src/sched/*.c src/ledger/*.c src/journal/*.c src/member/*.c \
         src/decider/*.c src/gate/*.c src/node/*.c src/worker/*.c))
 NET := $(wildcard src/http/*.c src/peer/*.c platform/*.c)
@@ -43,7 +43,7 @@
 
 all: $(BUILD)/curlewcart $(BUILD)/curlewcart-standin \
      $(BUILD)/curlewcart-fuzz $(BUILD)/curlewcart-bench \
-     $(BUILD)/curlewcart-emulator
+     $(BUILD)/curlewcart-emulator $(BUILD)/curlewcart-platform
 
 $(BUILD)/obj/src/proto/%.o: src/proto/%.c
 	@mkdir -p $(dir $@)
@@ -63,6 +63,11 @@
 $(BUILD)/curlewcart-fuzz: $(CORE_OBJ) $(FAKES_OBJ) $(FUZZ_OBJ)
 	@$(CC) $(LDFLAGS) $^ $(LDLIBS) -o $@
 
+$(BUILD)/curlewcart-platform: $(CORE_OBJ) $(NET_OBJ) \
+                              $(call obj,$(MODELS)) \
+                              $(BUILD)/obj/standins/platform_standin.o
+	@$(CC) $(LDFLAGS) $^ $(LDLIBS) -o $@
+
 $(BUILD)/curlewcart-emulator: $(CORE_OBJ) $(call obj,$(MODELS)) \
                               $(BUILD)/obj/emulator/emulator_main.o
 	@$(CC) $(LDFLAGS) $^ $(LDLIBS) -o $@
--- a/src/cli/internal/cli_private.h
+++ b/src/cli/internal/cli_private.h
@@ -20,7 +20,7 @@
     EXIT_INVALID = 7
 };
 
-enum { CLI_ARGS_MOST = 8 };
+enum { CLI_ARGS_MOST = 64 };
 
 /* What was given on the command line. */
 struct cli {
@@ -100,6 +100,10 @@
 int cli_settings_check(struct cli *cli);
 int cli_completion(struct cli *cli);
 
+/* cli_logs.c */
+int cli_logs_explain(struct cli *cli);
+int cli_logs_timeline(struct cli *cli);
+
 /* cli.c: all commands, ended by a NULL name. */
 extern const struct cli_command cli_commands[];
 
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -34,6 +34,7 @@
     unsigned tries;
     unsigned retry_ms;
     bool in_flight;
+    bool answered;   /* its caller was; an append is still under way */
     bool unsure;     /* an append had no answer: it may be stored */
     bool look_first; /* waits until the replica has read on */
     struct timespec look_since;
@@ -143,9 +144,12 @@
     else if (outcome == CW_ENTRY_UNSURE) {
         cw_count_code(entry->options.counters, CW_REF_UNSURE);
     }
-    g_ptr_array_remove_fast(entry->changes, change);
     change->done(change->context, outcome);
-    change_free(change);
+    change->answered = true;
+    if (!change->in_flight) {
+        g_ptr_array_remove_fast(entry->changes, change);
+        change_free(change);
+    }
 }
 
 static void
@@ -179,6 +183,13 @@
     change->last = result->status;
     if (result->status == CW_STORE_OK) {
         fold_own(change, result->first);
+    }
+    if (change->answered) {
+        g_ptr_array_remove_fast(change->entry->changes, change);
+        change_free(change);
+        return;
+    }
+    if (result->status == CW_STORE_OK) {
         conclude(change, CW_ENTRY_STORED);
         return;
     }
@@ -445,20 +456,32 @@
     for (guint i = entry->changes->len; i > 0; i--) {
         struct change *change = entry->changes->pdata[i - 1];
 
-        if (entry->isolated && !change->in_flight) {
+        if (change->answered) {
+            continue;
+        }
+        if (change->in_flight) {
+            /* The caller is answered in time, whatever the store does. */
+            if (!cw_time_before(now, change->give_up)) {
+                change->unsure = true;
+                give_up(change);
+            }
+            else {
+                next = cw_time_before(change->give_up, next) ? change->give_up
+                                                             : next;
+            }
+        }
+        else if (entry->isolated) {
             give_up(change);
         }
         else if (change->look_first) {
             next = cw_time_add_ms(now, RETRY_FIRST_MS);
             look_again(change, now);
         }
-        else if (!change->in_flight) {
-            if (!cw_time_before(now, change->due)) {
-                send_change(change, now);
-            }
-            else if (cw_time_before(change->due, next)) {
-                next = change->due;
-            }
+        else if (!cw_time_before(now, change->due)) {
+            send_change(change, now);
+        }
+        else if (cw_time_before(change->due, next)) {
+            next = change->due;
         }
     }
     return next;
--- /dev/null
+++ b/tests/test_story.c
@@ -0,0 +1,119 @@
+/* Causes told from log lines alone; the test alone knows them. */
+#include "test_main.h"
+
+#include <string.h>
+
+#include "curlewcart/cw_story.h"
+
+#define AT(ms) "ts=2026-12-02T10:00:0" ms "Z level=info vm=v1 "
+
+static char *
+explain(const char *const *lines, const char *id)
+{
+    struct cw_story *story = cw_story_create();
+    GString *out = g_string_new(NULL);
+
+    for (size_t i = 0; lines[i] != NULL; i++) {
+        cw_story_add(story, lines[i]);
+    }
+    cw_story_explain(story, id, out);
+    cw_story_free(story);
+    return g_string_free(out, FALSE);
+}
+
+static void
+check_cause(const char *const *lines, const char *cause)
+{
+    char *out = explain(lines, "a1");
+
+    CU_ASSERT_PTR_NOT_NULL(strstr(out, cause));
+    g_free(out);
+}
+
+static void
+test_refused_while_the_store_is_away(void)
+{
+    static const char *const lines[] = {
+        AT("0.000") "event=dependency_lost what=store status=refused",
+        AT("1.300") "event=submit id=a1 queue=q outcome=not_done tries=6 "
+                    "took_ms=1263 config=11 store=refused",
+        NULL};
+
+    check_cause(lines, "cause: v1 could not have it stored (not_done after "
+                       "6 tries, store refused)");
+}
+
+static void
+test_late_because_no_owner_took_it(void)
+{
+    static const char *const lines[] = {
+        AT("4.000") "event=job_over id=a1 outcome=completed reason=all_done "
+                    "age_ms=4000 late_ms=500",
+        AT("0.010") "event=submit id=a1 queue=q outcome=stored tries=1",
+        AT("1.900") "event=owner_begins shard=0 epoch=5",
+        AT("1.910") "event=job_taken id=a1 queue=q",
+        AT("1.920") "event=placed id=a1 task=0.0.0 run=1 worker=w reserved=0",
+        NULL};
+
+    check_cause(lines, "cause: no owner took it for 1900 ms");
+}
+
+static void
+test_failed_because_its_attempts_are_spent(void)
+{
+    static const char *const lines[] = {
+        AT("0.010") "event=submit id=a1 queue=q outcome=stored tries=1",
+        AT("0.020") "event=job_taken id=a1 queue=q",
+        AT("1.000") "event=run_ended id=a1 task=0.0.0 run=1 worker=w1 "
+                    "how=failed",
+        AT("2.000") "event=run_ended id=a1 task=0.0.0 run=2 worker=w2 "
+                    "how=failed",
+        AT("2.000") "event=job_over id=a1 outcome=failed "
+                    "reason=attempts_spent late_ms=-5",
+        NULL};
+
+    check_cause(lines, "2 runs failed, the last task 0.0.0 on worker w2");
+}
+
+static void
+test_late_because_others_had_to_leave(void)
+{
+    static const char *const lines[] = {
+        AT("0.010") "event=submit id=a1 queue=q outcome=stored tries=1",
+        AT("0.020") "event=job_taken id=a1 queue=q",
+        AT("0.030") "event=placed id=a1 task=0.0.0 run=1 worker=w reserved=1",
+        AT("5.000") "event=job_over id=a1 outcome=completed late_ms=10", NULL};
+
+    check_cause(lines, "cause: others had to leave its place first");
+}
+
+static void
+test_lines_of_other_requests_stay_out(void)
+{
+    static const char *const lines[] = {
+        "   3.1 front-1 " AT("0.010") "event=submit id=a1 outcome=stored",
+        AT("0.011") "event=submit id=b2 outcome=stored",
+        "garbage",
+        "",
+        "ts=",
+        AT("0.012") "no event here",
+        NULL};
+    char *out = explain(lines, "a1");
+    char *none = explain(lines, "c3");
+
+    CU_ASSERT_PTR_NULL(strstr(out, "b2"));
+    CU_ASSERT_PTR_NOT_NULL(strstr(out, "no owner has taken it"));
+    CU_ASSERT_STRING_EQUAL(none, "");
+    g_free(out);
+    g_free(none);
+}
+
+static const struct test tests[] = {
+    {"refused", test_refused_while_the_store_is_away},
+    {"no owner", test_late_because_no_owner_took_it},
+    {"failed", test_failed_because_its_attempts_are_spent},
+    {"had to leave", test_late_because_others_had_to_leave},
+    {"other requests", test_lines_of_other_requests_stay_out},
+};
+
+TEST_MAIN("story", tests)
