One end for a job, wherever it is read

(2) The record of an end was written again when other runs ended, and so came to stand behind a later cancellation; it is written once. (3) A second attempt to cancel replaced the first in the newest records; each has a key of its own, the earliest counts. (4) An owner forgot an ended job before its replica had read the end, and could take it up again from an older record.

--- a/emulator/emulator_main.c
+++ b/emulator/emulator_main.c
@@ -1,6 +1,7 @@
 /* curlewcart-emulator: days of a deployment in one process, from seeds. */
 #include <argp.h>
 #include <pthread.h>
+#include <stdbool.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -23,11 +24,13 @@
     unsigned seed;
     unsigned days;
     unsigned jobs;
+    bool first; /* stop at the first violation */
 };
 
 static const struct argp_option options[] = {
     {"seed", 's', "N", 0, "First seed (or the one to replay)", 0},
     {"days", 'd', "N", 0, "How many days to play", 0},
+    {"first", 'f', NULL, 0, "Stop at the first violation", 0},
     {"jobs", 'j', "N", 0, "How many at a time", 0},
     {0},
 };
@@ -44,6 +47,9 @@
     case 'd':
         arguments->days = (unsigned)strtoul(value, NULL, 10);
         break;
+    case 'f':
+        arguments->first = true;
+        break;
     case 'j':
         arguments->jobs = (unsigned)strtoul(value, NULL, 10);
         break;
@@ -113,14 +119,16 @@
             standard_day(share->arguments->seed + day);
         struct world_result result;
 
-        if (day >= share->arguments->days) {
+        if (day >= share->arguments->days ||
+            (share->arguments->first && ck_pr_load_uint(&share->bad) > 0))
+        {
             return NULL;
         }
         world_play(&world, &result);
         pthread_mutex_lock(&share->lock);
         add_counts(share, &result);
         if (result.violation != NULL) {
-            share->bad++;
+            ck_pr_inc_uint(&share->bad);
             printf("seed %u: %s\n  faults: %s\n", world.seed, result.violation,
                    result.faults);
             fflush(stdout);
--- a/emulator/judge.c
+++ b/emulator/judge.c
@@ -275,12 +275,18 @@
 void
 judge_shown(struct judge *judge, const char *id, unsigned phase)
 {
-    const struct judge_job *job = judge_find(judge, id);
+    struct judge_job *job = judge_find(judge, id);
 
     if (job == NULL) {
         violate(judge, "MIXED a job that nobody handed in", id);
         return;
     }
+    if (cw_work_is_over(phase)) {
+        if (job->shown_over != 0 && job->shown_over != phase) {
+            violate(judge, "MIXED two different ends", id);
+        }
+        job->shown_over = phase;
+    }
     if (phase == CW_WORK_COMPLETED && !all_done(judge, job)) {
         violate(judge, "MIXED completed too early", id);
     }
--- a/emulator/judge.h
+++ b/emulator/judge.h
@@ -26,6 +26,7 @@
     bool cancel_done; /* acknowledged */
     int64_t cancel_ms;
     unsigned started;
+    unsigned shown_over; /* final phase that a VM has shown; 0: none */
 };
 
 struct judge *judge_create(void);
--- a/include/curlewcart/cw_replica.h
+++ b/include/curlewcart/cw_replica.h
@@ -34,7 +34,8 @@
     bool cancelled;
     uint64_t spec_offset;
     uint64_t record_offset;
-    uint64_t cancel_offset;
+    uint64_t cancel_offset; /* of the earliest attempt */
+    GPtrArray *cancel_keys; /* char *, of all attempts */
 };
 
 /* Who hears of changes; members may be NULL. */
--- a/include/curlewcart/cw_work.h
+++ b/include/curlewcart/cw_work.h
@@ -32,7 +32,8 @@
  * of the key is the job's id. */
 enum cw_work_key {
     CW_WORK_KEY_SPEC = 's',   /* struct cw_work_spec, by any VM */
-    CW_WORK_KEY_CANCEL = 'c', /* empty mark, by any VM */
+    CW_WORK_KEY_CANCEL = 'c', /* a mark, by any VM; after the id "." and a
+                                 name of the attempt */
     CW_WORK_KEY_RECORD = 'r'  /* struct cw_work_record, by the owner */
 };
 
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -34,8 +34,11 @@
     unsigned tries;
     unsigned retry_ms;
     bool in_flight;
-    bool answered;   /* its caller was; an append is still under way */
-    bool unsure;     /* an append had no answer: it may be stored */
+    bool answered; /* its caller was; an append is still under way */
+    bool unsure;   /* an append had no answer: it may be stored */
+    bool stored;   /* in the log at `stored_at`; a cancellation then
+                      waits until the replica has read so far */
+    uint64_t stored_at;
     bool look_first; /* waits until the replica has read on */
     struct timespec look_since;
     enum cw_store_status last;
@@ -158,19 +161,44 @@
     conclude(change, change->unsure ? CW_ENTRY_UNSURE : CW_ENTRY_NOT_DONE);
 }
 
+/* A mark of cancellation is in the log.  Whether it counts shows only once
+ * the log is read up to it: the job may have ended before. */
 static void
-fold_own(struct change *change, uint64_t offset)
+judge_cancel(struct change *change)
 {
-    char *key = cw_work_key(change->kind, change->id);
-    struct cw_store_record record = {
-        .key = key,
-        .value = change->value->data,
-        .length = change->value->len,
-        .offset = offset,
-    };
+    struct cw_replica *replica = change->entry->options.replica;
+    const struct cw_replica_job *job;
 
-    cw_replica_apply(change->entry->options.replica, &record);
-    g_free(key);
+    if (cw_follower_position(cw_replica_follower(replica)) <=
+        change->stored_at) {
+        return;
+    }
+    job = cw_replica_find(replica, change->id);
+    if (job != NULL && cw_replica_phase(job) == CW_WORK_CANCELLED) {
+        conclude(change, CW_ENTRY_STORED);
+    }
+    else {
+        conclude(change, CW_ENTRY_NO_JOB);
+    }
+}
+
+static void
+change_stored(struct change *change, uint64_t offset)
+{
+    /* This VM shows it as soon as it has read it, in log order. */
+    cw_follower_hurry(cw_replica_follower(change->entry->options.replica));
+    if (change->answered) {
+        g_ptr_array_remove_fast(change->entry->changes, change);
+        change_free(change);
+    }
+    else if (change->kind == CW_WORK_KEY_CANCEL) {
+        change->stored = true;
+        change->stored_at = offset;
+        judge_cancel(change);
+    }
+    else {
+        conclude(change, CW_ENTRY_STORED);
+    }
 }
 
 static void
@@ -182,17 +210,14 @@
     change->in_flight = false;
     change->last = result->status;
     if (result->status == CW_STORE_OK) {
-        fold_own(change, result->first);
+        change_stored(change, result->first);
+        return;
     }
     if (change->answered) {
         g_ptr_array_remove_fast(change->entry->changes, change);
         change_free(change);
         return;
     }
-    if (result->status == CW_STORE_OK) {
-        conclude(change, CW_ENTRY_STORED);
-        return;
-    }
     if (result->status == CW_STORE_UNKNOWN) {
         change->unsure = true;
     }
@@ -205,12 +230,28 @@
     }
 }
 
+/* An attempt to cancel must not replace an earlier one, whose place in the
+ * log may be what decides. */
+static char *
+change_key(const struct change *change)
+{
+    char *key = cw_work_key(change->kind, change->id);
+    char *attempt;
+
+    if (change->kind != CW_WORK_KEY_CANCEL) {
+        return key;
+    }
+    attempt = g_strdup_printf("%s.%08x", key, g_random_int());
+    g_free(key);
+    return attempt;
+}
+
 static void
 send_change(struct change *change, struct timespec now)
 {
     struct cw_store *store = change->entry->options.store;
     int64_t left = cw_time_diff_ms(now, change->give_up);
-    char *key = cw_work_key(change->kind, change->id);
+    char *key = change_key(change);
     struct cw_store_record record = {
         .key = key,
         .value = change->value->data,
@@ -470,6 +511,17 @@
                                                              : next;
             }
         }
+        else if (change->stored) {
+            next = cw_time_add_ms(now, RETRY_FIRST_MS);
+            if (!cw_time_before(now, change->give_up)) {
+                change->unsure = true; /* stored; whether it counts is not
+                                          known here yet */
+                give_up(change);
+            }
+            else {
+                judge_cancel(change);
+            }
+        }
         else if (entry->isolated) {
             give_up(change);
         }
--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -94,8 +94,10 @@
     const struct cw_work_spec *spec;    /* borrowed */
     unsigned phase;                     /* enum cw_work_phase */
     bool started;
-    bool begun; /* a start was confirmed to this owner */
-    bool dirty; /* differs from what the store has, or will have */
+    bool begun;         /* a start was confirmed to this owner */
+    bool final;         /* its end is in a batch: its record stays as it is */
+    bool final_durable; /* ... and that batch is stored */
+    bool dirty;         /* differs from what the store has, or will have */
     int64_t ended_ms;
     unsigned next_occurrence;
     GPtrArray *open;           /* struct owner_occurrence */
@@ -256,8 +258,8 @@
 struct timespec owner_job_open_due(struct cw_owner *owner,
                                    struct owner_job *job, struct timespec now);
 
-/* Forgets a job that is over, durable and runs nowhere. */
-void owner_job_maybe_forget(struct cw_owner *owner, struct owner_job *job);
+/* True if the job is over, stored, and runs nowhere: it can be forgotten. */
+bool owner_job_is_past(const struct owner_job *job);
 
 /* Task by name, or NULL if this owner has no such task. */
 struct owner_task *
--- a/src/owner/owner.c
+++ b/src/owner/owner.c
@@ -460,6 +460,10 @@
     owner->place_wanted = true;
     g_hash_table_iter_init(&iterator, owner->jobs);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        if (owner_job_is_past(value)) {
+            g_hash_table_iter_remove(&iterator);
+            continue;
+        }
         owner_job_open_due(owner, value, now);
     }
 }
--- a/src/owner/owner_commit.c
+++ b/src/owner/owner_commit.c
@@ -104,6 +104,7 @@
 
     mark_runs(job);
     job->dirty = false;
+    job->final = cw_work_is_over(job->phase);
     value = owner_job_encode(job);
     g_ptr_array_add(batch->jobs, g_strdup(job->spec->id));
     g_ptr_array_add(batch->keys,
@@ -194,7 +195,7 @@
 
         if (job != NULL) {
             release_runs(owner, job);
-            owner_job_maybe_forget(owner, job);
+            job->final_durable = job->final;
         }
     }
 }
@@ -325,11 +326,27 @@
 
 /* ---- old jobs ---- */
 
+static void
+drop_key(struct owner_batch *batch, char *key)
+{
+    g_ptr_array_add(batch->keys, key);
+    g_ptr_array_add(batch->values, NULL);
+}
+
+/* The state goes last: its end is what makes the VMs forget the job. */
+static void
+drop_keys(struct owner_batch *batch, const struct cw_replica_job *job)
+{
+    drop_key(batch, cw_work_key(CW_WORK_KEY_SPEC, job->id));
+    for (guint i = 0; i < job->cancel_keys->len; i++) {
+        drop_key(batch, g_strdup(job->cancel_keys->pdata[i]));
+    }
+    drop_key(batch, cw_work_key(CW_WORK_KEY_RECORD, job->id));
+}
+
 void
 owner_sweep(struct cw_owner *owner)
 {
-    static const enum cw_work_key kinds[] = {
-        CW_WORK_KEY_SPEC, CW_WORK_KEY_CANCEL, CW_WORK_KEY_RECORD};
     int64_t before_ms = cw_clock_wall_ms(owner->options.clock) -
                         (int64_t)owner->options.retain_ms;
     GHashTable *jobs = cw_replica_jobs(owner->options.replica);
@@ -351,10 +368,7 @@
         if (job->ended_ms == 0 || job->ended_ms > before_ms) {
             continue;
         }
-        for (size_t k = 0; k < G_N_ELEMENTS(kinds); k++) {
-            g_ptr_array_add(batch->keys, cw_work_key(kinds[k], job->id));
-            g_ptr_array_add(batch->values, NULL);
-        }
+        drop_keys(batch, job);
         count++;
     }
     if (count == 0) {
--- a/src/owner/owner_jobs.c
+++ b/src/owner/owner_jobs.c
@@ -187,6 +187,41 @@
                 entry->cancelled, age_ms);
 }
 
+/* True if runs of an ended job may still be on their workers. */
+static bool
+ended_lately(const struct cw_owner *owner, const struct cw_replica_job *entry)
+{
+    int64_t ago_ms = cw_clock_wall_ms(owner->options.clock) - entry->ended_ms;
+
+    return ago_ms < 2 * (int64_t)owner->options.lease_ms;
+}
+
+static void
+stop_all(struct cw_owner *owner, struct owner_job *job)
+{
+    for (guint i = 0; i < job->open->len; i++) {
+        struct owner_occurrence *occurrence = job->open->pdata[i];
+
+        for (unsigned k = 0; k < occurrence->count; k++) {
+            owner_step_stop(owner, &occurrence->steps[k]);
+        }
+    }
+}
+
+/* The job has ended under an earlier owner; what still runs is stopped. */
+static void
+adopt_ended(struct cw_owner *owner, struct owner_job *job)
+{
+    job->final = true;
+    job->final_durable = true;
+    if (job->runs == 0) {
+        g_hash_table_remove(owner->jobs, job->spec->id);
+        return;
+    }
+    cw_log_info("ended_job_runs", "id=%s runs=%u", job->spec->id, job->runs);
+    stop_all(owner, job);
+}
+
 void
 owner_job_adopt(struct cw_owner *owner, struct cw_replica_job *entry)
 {
@@ -197,7 +232,9 @@
     if (entry->spec == NULL || g_hash_table_contains(owner->jobs, entry->id)) {
         return;
     }
-    if (entry->record != NULL && cw_work_is_over(entry->recorded_phase)) {
+    if (entry->record != NULL && cw_work_is_over(entry->recorded_phase) &&
+        !ended_lately(owner, entry))
+    {
         return;
     }
     job = g_new0(struct owner_job, 1);
@@ -212,6 +249,10 @@
         g_hash_table_remove(owner->jobs, entry->id);
         return;
     }
+    if (entry->record != NULL && cw_work_is_over(entry->recorded_phase)) {
+        adopt_ended(owner, job);
+        return;
+    }
     log_taken(job, age_ms);
     if (entry->cancelled) {
         owner_job_end(owner, job, CW_WORK_CANCELLED, "asked");
@@ -330,7 +371,9 @@
 void
 owner_job_touch(struct cw_owner *owner, struct owner_job *job)
 {
-    if (!job->dirty) {
+    /* The record of an end is written once: its place in the log, before or
+     * after a cancellation, is what decides between the two. */
+    if (!job->dirty && !job->final) {
         job->dirty = true;
         g_ptr_array_add(owner->dirty, job);
     }
@@ -338,18 +381,6 @@
 
 /* ---- moving on ---- */
 
-static void
-stop_all(struct cw_owner *owner, struct owner_job *job)
-{
-    for (guint i = 0; i < job->open->len; i++) {
-        struct owner_occurrence *occurrence = job->open->pdata[i];
-
-        for (unsigned k = 0; k < occurrence->count; k++) {
-            owner_step_stop(owner, &occurrence->steps[k]);
-        }
-    }
-}
-
 static void
 job_over(struct cw_owner *owner, struct owner_job *job,
          enum cw_work_phase phase, const char *reason)
@@ -440,20 +471,12 @@
     return cw_time_from_ms(INT32_MAX);
 }
 
-static gboolean
-job_runs_somewhere(const struct owner_job *job)
-{
-    return job->runs > 0;
-}
-
-void
-owner_job_maybe_forget(struct cw_owner *owner, struct owner_job *job)
+bool
+owner_job_is_past(const struct owner_job *job)
 {
-    if (!cw_work_is_over(job->phase) || job->dirty || job_runs_somewhere(job))
-    {
-        return;
-    }
-    g_hash_table_remove(owner->jobs, job->spec->id);
+    /* Until the replica has read the end it would hand the job in again. */
+    return job->final_durable && job->runs == 0 &&
+           cw_work_is_over(job->entry->recorded_phase);
 }
 
 /* ---- finding ---- */
--- a/src/replica/replica.c
+++ b/src/replica/replica.c
@@ -33,6 +33,7 @@
     if (job->record != NULL) {
         g_bytes_unref(job->record);
     }
+    g_ptr_array_unref(job->cancel_keys);
     g_free(job->id);
     g_free(job);
 }
@@ -45,6 +46,7 @@
     if (job == NULL) {
         job = g_new0(struct cw_replica_job, 1);
         job->id = g_strdup(id);
+        job->cancel_keys = g_ptr_array_new_with_free_func(g_free);
         g_hash_table_insert(replica->jobs, job->id, job);
     }
     return job;
@@ -83,18 +85,24 @@
     tell_changed(replica, job);
 }
 
+/* Each attempt to cancel has a key of its own, so that the newest records
+ * keep all of them; the earliest one counts. */
 static void
 apply_cancel(struct cw_replica *replica, const char *id,
              const struct cw_store_record *record)
 {
     struct cw_replica_job *job = find_or_add(replica, id);
 
-    if (job->cancelled) {
-        return;
+    if (!g_ptr_array_find_with_equal_func(job->cancel_keys, record->key,
+                                          g_str_equal, NULL))
+    {
+        g_ptr_array_add(job->cancel_keys, g_strdup(record->key));
+    }
+    if (!job->cancelled || record->offset < job->cancel_offset) {
+        job->cancelled = true;
+        job->cancel_offset = record->offset;
+        tell_changed(replica, job);
     }
-    job->cancelled = true;
-    job->cancel_offset = record->offset;
-    tell_changed(replica, job);
 }
 
 /* The beginning of the encoded record: phase, started, time of its end. */
@@ -133,15 +141,11 @@
     read_head(job, record->value);
 }
 
-void
-cw_replica_apply(struct cw_replica *replica,
-                 const struct cw_store_record *record)
+/* Folds a record of the job `id`. */
+static void
+apply(struct cw_replica *replica, const char *id,
+      const struct cw_store_record *record)
 {
-    const char *id = record->key + 1;
-
-    if (record->key[0] == '\0') {
-        return;
-    }
     if (record->value == NULL || record->length == 0) {
         /* The owner drops a job's keys together, its state last. */
         if (record->key[0] == CW_WORK_KEY_RECORD) {
@@ -165,6 +169,20 @@
     }
 }
 
+void
+cw_replica_apply(struct cw_replica *replica,
+                 const struct cw_store_record *record)
+{
+    char *id;
+
+    if (record->key[0] == '\0') {
+        return;
+    }
+    id = g_strndup(record->key + 1, strcspn(record->key + 1, "."));
+    apply(replica, id, record);
+    g_free(id);
+}
+
 static void
 on_record(void *context, const struct cw_store_record *record)
 {
--- a/tests/test_world.c
+++ b/tests/test_world.c
@@ -91,9 +91,13 @@
 test_seeds_that_once_failed(void)
 {
     static const uint32_t seeds[] = {
-        11,  /* judge: a lapsed lease between two runs was not seen */
-        29,  /* judge: refused before its caller had any answer */
-        364, /* judge: a gang whose member's worker had crashed */
+        11,   /* judge: a lapsed lease between two runs was not seen */
+        29,   /* judge: refused before its caller had any answer */
+        364,  /* judge: a gang whose member's worker had crashed */
+        6494, /* a VM showed a job as cancelled before it had read its end */
+        5770, /* the end's record was written again, after a cancellation */
+        5663, /* an owner forgot a job before its replica had read its end */
+        6005, /* a second attempt to cancel replaced the first one's place */
     };
 
     for (size_t i = 0; i < G_N_ELEMENTS(seeds); i++) {
