--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -137,9 +137,7 @@
     uint64_t ends_durable;
     GQueue orders; /* struct owner_order */
     unsigned orders_in_flight;
-    GPtrArray *runs;          /* struct owner_run */
-    unsigned rack_lower_runs; /* on its rack; owner_headroom.c */
-    bool sheds;               /* takes no more lower work */
+    GPtrArray *runs;     /* struct owner_run */
     unsigned lower_runs; /* of them, of work that is not the most urgent */
     unsigned failures;   /* in a row */
     struct timespec avoid_until;
--- a/src/owner/owner_headroom.c
+++ b/src/owner/owner_headroom.c
@@ -61,9 +61,6 @@
     for (guint i = 0; i < target->runs->len; i++) {
         const struct owner_run *run = target->runs->pdata[i];
 
-        if (run->phase == RUN_RESERVED) {
-            continue; /* its place is still counted for who holds it */
-        }
         census->used += run->task->step->spec->accelerators;
         if (owner_task_job(run->task)->spec->priority == 0) {
             census->urgent += run->task->step->spec->accelerators;
@@ -154,72 +151,12 @@
     return target->listed && !target->draining && !target->gone;
 }
 
-/* ---- which workers lower work keeps ---- */
-
-/* Racks and workers with most lower work first. */
-static gint
-by_lower_load(gconstpointer a, gconstpointer b)
-{
-    const struct owner_target *x = *(struct owner_target *const *)a;
-    const struct owner_target *y = *(struct owner_target *const *)b;
-
-    if (x->rack_lower_runs != y->rack_lower_runs) {
-        return x->rack_lower_runs > y->rack_lower_runs ? -1 : 1;
-    }
-    if (x->lower_runs != y->lower_runs) {
-        return x->lower_runs > y->lower_runs ? -1 : 1;
-    }
-    return strcmp(x->id, y->id);
-}
-
-/* Hosts beyond the limit take no more lower work, so that they empty while
- * the others fill. */
-static void
-mark_shedding(struct cw_owner *owner, const char *service)
-{
-    const struct owner_headroom *room = headroom_of(owner, service);
-    GPtrArray *hosts = g_ptr_array_new();
-    GHashTable *racks = g_hash_table_new(g_str_hash, g_str_equal);
-    GHashTableIter iterator;
-    gpointer value;
-
-    g_hash_table_iter_init(&iterator, owner->targets);
-    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        struct owner_target *target = value;
-        guint runs =
-            GPOINTER_TO_UINT(g_hash_table_lookup(racks, target->rack));
-
-        if (strcmp(target->service, service) != 0) {
-            continue;
-        }
-        target->sheds = false;
-        if (target->lower_runs > 0) {
-            g_ptr_array_add(hosts, target);
-            g_hash_table_insert(racks, target->rack,
-                                GUINT_TO_POINTER(runs + target->lower_runs));
-        }
-    }
-    for (guint i = 0; i < hosts->len; i++) {
-        struct owner_target *target = hosts->pdata[i];
-
-        target->rack_lower_runs =
-            GPOINTER_TO_UINT(g_hash_table_lookup(racks, target->rack));
-    }
-    g_ptr_array_sort(hosts, by_lower_load);
-    for (guint i = room->most_hosts; i < hosts->len; i++) {
-        ((struct owner_target *)hosts->pdata[i])->sheds = !room->mostly_idle;
-    }
-    g_ptr_array_unref(hosts);
-    g_hash_table_unref(racks);
-}
-
 void
 owner_headroom_update(struct cw_owner *owner, struct timespec now)
 {
     GHashTable *services =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
     GHashTableIter iterator;
-    gpointer key;
     gpointer value;
 
     g_hash_table_iter_init(&iterator, owner->targets);
@@ -239,9 +176,8 @@
         count_target(census, target);
     }
     g_hash_table_iter_init(&iterator, services);
-    while (g_hash_table_iter_next(&iterator, &key, &value)) {
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         set_limit(owner, value, now);
-        mark_shedding(owner, key);
     }
     g_hash_table_unref(services);
 }
@@ -250,10 +186,8 @@
 owner_headroom_allows(struct cw_owner *owner, const struct owner_step *step,
                       const struct owner_target *target, struct timespec now)
 {
-    if (target->lower_runs > 0) {
-        return !target->sheds;
-    }
-    return owner_headroom_left(owner, step, target->service, now) > 0;
+    return target->lower_runs > 0 ||
+           owner_headroom_left(owner, step, target->service, now) > 0;
 }
 
 unsigned
