--- a/emulator/emulator_main.c
+++ b/emulator/emulator_main.c
@@ -70,21 +70,6 @@
     return 0;
 }
 
-/* The standard day: small, so that faults meet. */
-static struct world_options
-standard_day(unsigned seed)
-{
-    struct world_options day = {.seed = seed,
-                                .vms = 4,
-                                .workers = 12,
-                                .jobs = 40,
-                                .day_ms = 30000,
-                                .quiet_ms = 60000,
-                                .faults = 7};
-
-    return day;
-}
-
 /* Days shared out among threads. */
 struct share {
     const struct arguments *arguments;
@@ -116,7 +101,7 @@
     for (;;) {
         unsigned day = ck_pr_faa_uint(&share->next, 1);
         struct world_options world =
-            standard_day(share->arguments->seed + day);
+            world_standard_day(share->arguments->seed + day);
         struct world_result result;
 
         if (day >= share->arguments->days ||
@@ -170,7 +155,7 @@
 static int
 replay(const struct arguments *arguments)
 {
-    struct world_options world = standard_day(arguments->seed);
+    struct world_options world = world_standard_day(arguments->seed);
     struct world_result result;
     int status = 0;
 
--- a/emulator/world.c
+++ b/emulator/world.c
@@ -1535,6 +1535,20 @@
     g_rand_free(world->random);
 }
 
+struct world_options
+world_standard_day(uint32_t seed)
+{
+    struct world_options day = {.seed = seed,
+                                .vms = 4,
+                                .workers = 12,
+                                .jobs = 40,
+                                .day_ms = 30000,
+                                .quiet_ms = 60000,
+                                .faults = 7};
+
+    return day;
+}
+
 void
 world_play(const struct world_options *options, struct world_result *result)
 {
--- a/emulator/world.h
+++ b/emulator/world.h
@@ -27,6 +27,9 @@
     unsigned takeovers;
 };
 
+/* The standard day: small, so that faults meet. */
+struct world_options world_standard_day(uint32_t seed);
+
 /* Plays a day. */
 void
 world_play(const struct world_options *options, struct world_result *result);
--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -261,6 +261,10 @@
 /* True if the job is over, stored, and runs nowhere: it can be forgotten. */
 bool owner_job_is_past(const struct owner_job *job);
 
+/* The job's runs in a phase, as struct owner_run.  The array is the
+ * caller's, the runs are borrowed. */
+GPtrArray *owner_job_runs(const struct owner_job *job, enum run_phase phase);
+
 /* Task by name, or NULL if this owner has no such task. */
 struct owner_task *
 owner_task_find(const struct cw_owner *owner, const struct cw_task_name *name);
--- a/src/owner/owner_commit.c
+++ b/src/owner/owner_commit.c
@@ -76,22 +76,13 @@
 static void
 mark_runs(struct owner_job *job)
 {
-    for (guint i = 0; i < job->open->len; i++) {
-        struct owner_occurrence *occurrence = job->open->pdata[i];
+    GPtrArray *runs = owner_job_runs(job, RUN_NEW);
 
-        for (unsigned k = 0; k < occurrence->count; k++) {
-            struct owner_step *step = &occurrence->steps[k];
-
-            for (unsigned t = 0; step->runs > 0 && t < step->count; t++) {
-                struct owner_run *run = step->tasks[t].run;
-
-                if (run != NULL && run->phase == RUN_NEW) {
-                    run->phase = RUN_COMMITTING;
-                    job->started = true;
-                }
-            }
-        }
+    for (guint i = 0; i < runs->len; i++) {
+        ((struct owner_run *)runs->pdata[i])->phase = RUN_COMMITTING;
+        job->started = true;
     }
+    g_ptr_array_unref(runs);
     if (job->started && job->phase == CW_WORK_WAITING) {
         job->phase = CW_WORK_RUNNING;
     }
@@ -117,23 +108,8 @@
 static void
 release_runs(struct cw_owner *owner, struct owner_job *job)
 {
-    GPtrArray *runs = g_ptr_array_new();
+    GPtrArray *runs = owner_job_runs(job, RUN_COMMITTING);
 
-    for (guint i = 0; i < job->open->len; i++) {
-        struct owner_occurrence *occurrence = job->open->pdata[i];
-
-        for (unsigned k = 0; k < occurrence->count; k++) {
-            struct owner_step *step = &occurrence->steps[k];
-
-            for (unsigned t = 0; step->runs > 0 && t < step->count; t++) {
-                struct owner_run *run = step->tasks[t].run;
-
-                if (run != NULL && run->phase == RUN_COMMITTING) {
-                    g_ptr_array_add(runs, run);
-                }
-            }
-        }
-    }
     for (guint i = 0; i < runs->len; i++) {
         struct owner_run *run = runs->pdata[i];
         struct cw_task_name name = owner_task_name(run->task);
--- a/src/owner/owner_jobs.c
+++ b/src/owner/owner_jobs.c
@@ -481,6 +481,34 @@
 
 /* ---- finding ---- */
 
+static void
+collect_runs(const struct owner_step *step, enum run_phase phase,
+             GPtrArray *out)
+{
+    for (unsigned i = 0; step->runs > 0 && i < step->count; i++) {
+        struct owner_run *run = step->tasks[i].run;
+
+        if (run != NULL && run->phase == phase) {
+            g_ptr_array_add(out, run);
+        }
+    }
+}
+
+GPtrArray *
+owner_job_runs(const struct owner_job *job, enum run_phase phase)
+{
+    GPtrArray *runs = g_ptr_array_new();
+
+    for (guint i = 0; i < job->open->len; i++) {
+        const struct owner_occurrence *occurrence = job->open->pdata[i];
+
+        for (unsigned k = 0; k < occurrence->count; k++) {
+            collect_runs(&occurrence->steps[k], phase, runs);
+        }
+    }
+    return runs;
+}
+
 struct owner_task *
 owner_task_find(const struct cw_owner *owner, const struct cw_task_name *name)
 {
--- a/src/peer/peer_client.c
+++ b/src/peer/peer_client.c
@@ -9,6 +9,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "curlewcart/cw_address.h"
 #include "curlewcart/cw_xdr.h"
 #include "peer/internal/peer_private.h"
 
@@ -38,23 +39,6 @@
     uint64_t seq;
 };
 
-static bool
-parse_address(const char *text, struct sockaddr_in *out)
-{
-    const char *colon = strrchr(text, ':');
-    char host[INET_ADDRSTRLEN];
-
-    memset(out, 0, sizeof(*out));
-    out->sin_family = AF_INET;
-    if (colon == NULL || (size_t)(colon - text) >= sizeof(host)) {
-        return false;
-    }
-    memcpy(host, text, (size_t)(colon - text));
-    host[colon - text] = '\0';
-    out->sin_port = htons((uint16_t)atoi(colon + 1));
-    return inet_pton(AF_INET, host, &out->sin_addr) == 1;
-}
-
 /* Connects within CONNECT_MS; returns a blocking socket or -1. */
 static int
 connect_soon(const struct sockaddr_in *address)
@@ -105,7 +89,7 @@
         return true;
     }
     disconnect(link);
-    if (!parse_address(address, &in)) {
+    if (!cw_address_parse(address, &in)) {
         return false;
     }
     fd = connect_soon(&in);
--- /dev/null
+++ b/src/relay/relay_peers.c
@@ -0,0 +1,347 @@
+/* The other VMs: who they are, whether they are there, and the key that
+ * proves them to each other. */
+#include <inttypes.h>
+#include <string.h>
+#include <sodium.h>
+
+#include "curlewcart/cw_address.h"
+#include "curlewcart/cw_log.h"
+#include "relay/internal/relay_private.h"
+
+enum {
+    /* Calls in a row that the store did not answer well. */
+    FAILURES_MOST = 2,
+    PROBE_EVERY_MS = 600,
+    PROBE_TIMEOUT_MS = 500,
+    MEMBERS_EVERY_MS = 10000,
+    KEY_RETRY_MS = 400,
+    /* A join takes a few ms, a quarter second while the store is slow. */
+    SUSPECT_MS = 350,
+    PING_EVERY_MS = 200,
+    PING_TIMEOUT_MS = 300,
+    /* Of the other VMs; with fewer than half of them answering for so long
+     * this VM is cut off, alone or with its data centre. */
+    PINGS_AT_ONCE = 12,
+    ISOLATED_MS = 500
+};
+
+#define SECRET_TOPIC "keyed.secret"
+#define SECRET_KEY "relay"
+
+/* ---- whether the store answers ---- */
+
+static void
+suspect(struct cw_relay *relay)
+{
+    if (!relay->suspect) {
+        relay->suspect = true;
+        relay->suspect_since = relay_now(relay);
+        relay->ping_due = relay->suspect_since;
+        relay->members_due = relay->suspect_since;
+    }
+}
+
+void
+relay_note_direct(struct cw_relay *relay, enum cw_store_status status)
+{
+    if (status != CW_STORE_REFUSED && status != CW_STORE_UNKNOWN) {
+        if (!relay->reaches) {
+            cw_log_info("dependency_regained", "what=store away_ms=%" PRId64,
+                        cw_time_diff_ms(relay->lost_at, relay_now(relay)));
+        }
+        relay->failures = 0;
+        relay->reaches = true;
+        relay->suspect = false;
+        return;
+    }
+    relay->failures++;
+    suspect(relay);
+    if (relay->reaches && relay->failures >= FAILURES_MOST) {
+        relay->reaches = false;
+        relay->lost_at = relay_now(relay);
+        relay->members_due = relay->lost_at;
+        cw_log_warning(
+            "dependency_lost", "what=store status=%s failures=%u peers=%u",
+            cw_store_status_name(status), relay->failures, relay->peers->len);
+    }
+}
+
+/* ---- who they are ---- */
+
+struct peer *
+relay_find_peer(const struct cw_relay *relay, const char *address)
+{
+    for (guint i = 0; i < relay->peers->len; i++) {
+        struct peer *peer = relay->peers->pdata[i];
+
+        if (strcmp(peer->address, address) == 0) {
+            return peer;
+        }
+    }
+    return NULL;
+}
+
+/* The VM that served last, or the next one that is not avoided. */
+struct peer *
+relay_choose_peer(struct cw_relay *relay, struct timespec now)
+{
+    for (guint i = 0; i < relay->peers->len; i++) {
+        guint index = (relay->next_peer + i) % relay->peers->len;
+        struct peer *peer = relay->peers->pdata[index];
+
+        if (!cw_time_before(now, peer->avoid_until)) {
+            relay->next_peer = index;
+            return peer;
+        }
+    }
+    return NULL;
+}
+
+char *
+cw_relay_member(const char *vm, const char *address, uint64_t life)
+{
+    return g_strdup_printf("%s/%016" PRIx64 "@%s", vm, life, address);
+}
+
+void
+relay_peer_free(gpointer data)
+{
+    struct peer *peer = data;
+
+    g_free(peer->address);
+    g_free(peer);
+}
+
+/* Adds the VM of a member's name to `peers`, unless it is there. */
+static void
+add_member(struct cw_relay *relay, GPtrArray *peers, const char *member)
+{
+    const char *at = strrchr(member, '@');
+    struct peer *known;
+    struct peer *peer;
+
+    if (at == NULL || strcmp(at + 1, relay->address) == 0) {
+        return;
+    }
+    for (guint i = 0; i < peers->len; i++) {
+        if (strcmp(((struct peer *)peers->pdata[i])->address, at + 1) == 0) {
+            return;
+        }
+    }
+    peer = g_new0(struct peer, 1);
+    peer->address = g_strdup(at + 1);
+    known = relay_find_peer(relay, at + 1);
+    if (known != NULL) {
+        peer->avoid_until = known->avoid_until;
+        peer->heard_at = known->heard_at;
+    }
+    if (!cw_address_parse(peer->address, &peer->socket)) {
+        relay_peer_free(peer);
+        return;
+    }
+    g_ptr_array_add(peers, peer);
+}
+
+static void
+on_members(void *context, const struct cw_store_members *result)
+{
+    struct cw_relay *relay = context;
+    struct timespec now = relay_now(relay);
+    GPtrArray *peers;
+
+    relay->members_in_flight = false;
+    relay_note_direct(relay, result->status);
+    relay->members_due = cw_time_add_ms(now, relay->reaches ? MEMBERS_EVERY_MS
+                                                            : PROBE_EVERY_MS);
+    if (result->status != CW_STORE_OK) {
+        return;
+    }
+    peers = g_ptr_array_new_with_free_func(relay_peer_free);
+    for (size_t i = 0; i < result->count; i++) {
+        add_member(relay, peers, result->members[i]);
+    }
+    if (peers->len == 0) {
+        relay->members_due = cw_time_add_ms(now, RELAY_MEMBERS_FIRST_MS);
+        g_ptr_array_unref(peers);
+        return;
+    }
+    g_ptr_array_unref(relay->peers);
+    relay->peers = peers;
+}
+
+/* Asks who the members are; that also shows whether the store answers. */
+void
+relay_ask_members(struct cw_relay *relay)
+{
+    struct cw_store_list_members list = {
+        .group = relay->options.group,
+        .timeout_ms = PROBE_TIMEOUT_MS,
+        .done = on_members,
+        .context = relay,
+    };
+
+    relay->members_in_flight = true;
+    relay->options.direct->ops->members(relay->options.direct, &list);
+}
+
+/* ---- is anybody there? ---- */
+
+/* A question whether another VM is there. */
+struct ping {
+    struct cw_relay *relay;
+    char *address;
+};
+
+static void
+on_pong(void *context, const struct cw_relay_answer *answer)
+{
+    struct ping *ping = context;
+    struct peer *peer = relay_find_peer(ping->relay, ping->address);
+
+    if (answer != NULL && peer != NULL) {
+        peer->heard_at = relay_now(ping->relay);
+    }
+    g_free(ping->address);
+    g_free(ping);
+}
+
+static void
+send_ping(struct cw_relay *relay, const struct peer *peer,
+          struct timespec give_up)
+{
+    struct cw_relay_request request = {
+        .kind = CW_RELAY_PING,
+        .topic = (char *)"",
+        .writer = (char *)"",
+        .after = (char *)"",
+        .group = (char *)"",
+        .member = (char *)"",
+    };
+    struct ping *ping = g_new0(struct ping, 1);
+
+    ping->relay = relay;
+    ping->address = g_strdup(peer->address);
+    relay_rpc_send(relay->rpc, &peer->socket, &request, give_up, on_pong,
+                   ping);
+}
+
+static void
+send_pings(struct cw_relay *relay, struct timespec now)
+{
+    struct timespec give_up = cw_time_add_ms(now, PING_TIMEOUT_MS);
+
+    relay->ping_due = cw_time_add_ms(now, PING_EVERY_MS);
+    for (guint i = 0; i < PINGS_AT_ONCE && i < relay->peers->len; i++) {
+        send_ping(relay, relay->peers->pdata[i], give_up);
+    }
+}
+
+/* Of the VMs that are asked, how many have answered lately. */
+static unsigned
+peers_heard(const struct cw_relay *relay, struct timespec now)
+{
+    unsigned heard = 0;
+
+    for (guint i = 0; i < PINGS_AT_ONCE && i < relay->peers->len; i++) {
+        const struct peer *peer = relay->peers->pdata[i];
+
+        heard += cw_time_diff_ms(peer->heard_at, now) <= ISOLATED_MS;
+    }
+    return heard;
+}
+
+/* Asks other VMs while the store does not answer, and judges whether this
+ * VM is cut off from all. */
+void
+relay_check_isolation(struct cw_relay *relay, struct timespec now)
+{
+    unsigned asked = MIN(relay->peers->len, (guint)PINGS_AT_ONCE);
+    unsigned heard = peers_heard(relay, now);
+    bool isolated;
+
+    if (relay->join_in_flight &&
+        cw_time_diff_ms(relay->join_sent, now) > SUSPECT_MS)
+    {
+        suspect(relay);
+    }
+    if (relay->suspect && !cw_time_before(now, relay->ping_due)) {
+        send_pings(relay, now);
+    }
+    isolated = relay->suspect && asked > 0 && 2 * heard < asked &&
+               cw_time_diff_ms(relay->suspect_since, now) > ISOLATED_MS;
+    if (isolated != relay->isolated) {
+        relay->isolated = isolated;
+        cw_log_info("isolated", "now=%d asked=%u heard=%u", isolated, asked,
+                    heard);
+    }
+}
+
+/* ---- the key ---- */
+
+static void
+on_key_stored(void *context, const struct cw_store_appended *result)
+{
+    struct cw_relay *relay = context;
+
+    /* Whoever was first: the next look finds the key. */
+    cw_log_info("relay_key", "append=%s",
+                cw_store_status_name(result->status));
+    relay->key_in_flight = false;
+    relay->key_due = relay_now(relay);
+}
+
+static void
+store_new_key(struct cw_relay *relay)
+{
+    unsigned char key[CW_MAC_BYTES];
+    struct cw_store_record record = {
+        .key = SECRET_KEY, .value = key, .length = sizeof(key)};
+    struct cw_store_append append = {
+        .topic = SECRET_TOPIC,
+        .records = &record,
+        .count = 1,
+        .conditional = true,
+        .timeout_ms = PROBE_TIMEOUT_MS,
+        .done = on_key_stored,
+        .context = relay,
+    };
+
+    randombytes_buf(key, sizeof(key));
+    relay->options.direct->ops->append(relay->options.direct, &append);
+}
+
+static void
+on_key(void *context, const struct cw_store_page *page)
+{
+    struct cw_relay *relay = context;
+
+    for (size_t i = 0; i < page->count; i++) {
+        if (strcmp(page->records[i].key, SECRET_KEY) == 0 &&
+            page->records[i].length == CW_MAC_BYTES)
+        {
+            relay_rpc_set_key(relay->rpc, page->records[i].value);
+            relay->key_in_flight = false;
+            return;
+        }
+    }
+    if (page->status == CW_STORE_OK) {
+        store_new_key(relay);
+        return;
+    }
+    relay->key_in_flight = false;
+    relay->key_due = cw_time_add_ms(relay_now(relay), KEY_RETRY_MS);
+}
+
+void
+relay_ask_key(struct cw_relay *relay)
+{
+    struct cw_store_newest newest = {
+        .topic = SECRET_TOPIC,
+        .timeout_ms = PROBE_TIMEOUT_MS,
+        .done = on_key,
+        .context = relay,
+    };
+
+    relay->key_in_flight = true;
+    relay->options.direct->ops->newest(relay->options.direct, &newest);
+}
--- a/src/relay/relay_rpc.c
+++ b/src/relay/relay_rpc.c
@@ -8,6 +8,7 @@
 #include <unistd.h>
 #include <sodium.h>
 
+#include "curlewcart/cw_address.h"
 #include "curlewcart/cw_log.h"
 #include "curlewcart/cw_time.h"
 #include "curlewcart/cw_xdr.h"
@@ -31,23 +32,6 @@
     GHashTable *waiting; /* xid -> struct waiting_call */
 };
 
-bool
-relay_parse_address(const char *text, struct sockaddr_in *out)
-{
-    const char *colon = strrchr(text, ':');
-    char host[INET_ADDRSTRLEN];
-
-    memset(out, 0, sizeof(*out));
-    out->sin_family = AF_INET;
-    if (colon == NULL || (size_t)(colon - text) >= sizeof(host)) {
-        return false;
-    }
-    memcpy(host, text, (size_t)(colon - text));
-    host[colon - text] = '\0';
-    out->sin_port = htons((uint16_t)strtoul(colon + 1, NULL, 10));
-    return inet_pton(AF_INET, host, &out->sin_addr) == 1;
-}
-
 struct relay_rpc *
 relay_rpc_create(const struct relay_rpc_options *options)
 {
@@ -58,7 +42,7 @@
     rpc->waiting = g_hash_table_new_full(NULL, NULL, NULL, g_free);
     rpc->next_xid = randombytes_random();
     rpc->fd = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
-    if (rpc->fd < 0 || !relay_parse_address(options->address, &address) ||
+    if (rpc->fd < 0 || !cw_address_parse(options->address, &address) ||
         bind(rpc->fd, (struct sockaddr *)&address, sizeof(address)) != 0)
     {
         relay_rpc_free(rpc);
--- a/src/relay/relay_serve.c
+++ b/src/relay/relay_serve.c
@@ -96,90 +96,6 @@
     finish(context, &answer);
 }
 
-static void
-serve_append(struct relay_server *server, const struct relay_caller *caller,
-             const struct cw_relay_request *request)
-{
-    u_int count = request->records.records_len;
-    struct cw_store_record *records = g_new0(struct cw_store_record, count);
-    struct cw_store_append call = {
-        .topic = request->topic,
-        .partition = request->partition,
-        .records = records,
-        .count = count,
-        .writer = request->writer[0] != '\0' ? request->writer : NULL,
-        .epoch = request->epoch,
-        .sequence = request->sequence,
-        .conditional = request->conditional,
-        .expected_end = request->expected_end,
-        .timeout_ms = SERVE_TIMEOUT_MS,
-        .done = on_appended,
-        .context = served_new(server, caller),
-    };
-
-    for (u_int i = 0; i < count; i++) {
-        const struct cw_relay_record *given = &request->records.records_val[i];
-
-        records[i].key = given->key;
-        records[i].value =
-            given->value.value_len > 0 ? given->value.value_val : NULL;
-        records[i].length = given->value.value_len;
-    }
-    server->direct->ops->append(server->direct, &call);
-    g_free(records);
-}
-
-static void
-serve_read(struct relay_server *server, const struct relay_caller *caller,
-           const struct cw_relay_request *request)
-{
-    struct cw_store_read call = {
-        .topic = request->topic,
-        .partition = request->partition,
-        .from = request->from,
-        .wait_ms = request->wait_ms,
-        .timeout_ms = request->wait_ms + SERVE_TIMEOUT_MS,
-        .done = on_page,
-        .context = served_new(server, caller),
-    };
-
-    server->direct->ops->read(server->direct, &call);
-}
-
-static void
-serve_newest(struct relay_server *server, const struct relay_caller *caller,
-             const struct cw_relay_request *request)
-{
-    struct cw_store_newest call = {
-        .topic = request->topic,
-        .partition = request->partition,
-        .after = request->after[0] != '\0' ? request->after : NULL,
-        .timeout_ms = SERVE_TIMEOUT_MS,
-        .done = on_page,
-        .context = served_new(server, caller),
-    };
-
-    server->direct->ops->newest(server->direct, &call);
-}
-
-static void
-serve_join(struct relay_server *server, const struct relay_caller *caller,
-           const struct cw_relay_request *request)
-{
-    struct cw_store_join call = {
-        .group = request->group,
-        .member = request->member,
-        .topic = request->topic,
-        .ttl_ms = request->ttl_ms,
-        .generation = request->generation,
-        .timeout_ms = SERVE_TIMEOUT_MS,
-        .done = on_joined,
-        .context = served_new(server, caller),
-    };
-
-    server->direct->ops->join(server->direct, &call);
-}
-
 static void
 serve_ping(struct relay_server *server, const struct relay_caller *caller)
 {
@@ -201,21 +117,14 @@
 relay_serve(struct relay_server *server, const struct relay_caller *caller,
             const struct cw_relay_request *request)
 {
-    switch (request->kind) {
-    case CW_RELAY_APPEND:
-        serve_append(server, caller, request);
-        break;
-    case CW_RELAY_READ:
-        serve_read(server, caller, request);
-        break;
-    case CW_RELAY_NEWEST:
-        serve_newest(server, caller, request);
-        break;
-    case CW_RELAY_JOIN:
-        serve_join(server, caller, request);
-        break;
-    case CW_RELAY_PING:
+    struct relay_handlers handlers = {
+        .appended = on_appended, .page = on_page, .joined = on_joined};
+
+    if (request->kind == CW_RELAY_PING) {
         serve_ping(server, caller);
-        break;
+        return;
     }
+    handlers.context = served_new(server, caller);
+    relay_issue(server->direct, request, SERVE_TIMEOUT_MS + request->wait_ms,
+                &handlers);
 }
--- a/tests/test_world.c
+++ b/tests/test_world.c
@@ -12,16 +12,8 @@
 static struct world_options
 day(uint32_t seed)
 {
-    struct world_options options = {.seed = seed,
-                                    .vms = 4,
-                                    .workers = 12,
-                                    .jobs = 40,
-                                    .day_ms = 30000,
-                                    .quiet_ms = 60000,
-                                    .faults = 7};
-
     cw_log_set_level("error");
-    return options;
+    return world_standard_day(seed);
 }
 
 /* Plays a seed; prints what was violated. */
