--- /dev/null
+++ b/src/owner/internal/owner_candidates.h
@@ -0,0 +1,41 @@
+/* Workers with room for a step, and the racks they make up. */
+#ifndef CURLEWCART_OWNER_CANDIDATES_H
+#define CURLEWCART_OWNER_CANDIDATES_H
+
+#include "owner/internal/owner_private.h"
+
+/* Speeds that differ by less count as the same. */
+#define SPEED_STEP 0.12
+
+/* A worker with room, while a step is placed. */
+struct owner_candidate {
+    struct owner_target *target;
+    struct cw_resources room;
+    unsigned fits;
+    unsigned rack_hosts; /* workers of its rack that lower work is on */
+};
+
+/* Workers with room for a task of the step, as struct owner_candidate, the
+ * one to be taken first at the front.  Owned by the caller. */
+GArray *owner_candidates(struct cw_owner *owner, const struct owner_step *step,
+                         struct timespec now);
+
+/* True if the worker is kept clear for a more urgent gang. */
+bool owner_is_held(const struct owner_target *target,
+                   const struct owner_step *step, struct timespec now);
+
+/* True if nothing runs on the worker. */
+bool owner_candidate_idle(const struct owner_candidate *candidate);
+
+/* The rack that holds `tasks`: for urgent work the one that loses the fewest
+ * idle workers, then the fastest; then the one with least to spare.  NULL if
+ * there is none.  The rack of the step's data goes first. */
+const char *owner_best_rack(const GArray *candidates,
+                            const struct owner_step *step, unsigned tasks);
+
+/* Keeps the rack that will be free first clear of work with a lower priority
+ * than the gang's. */
+void owner_hold_rack(struct cw_owner *owner, struct owner_step *step,
+                     struct timespec now);
+
+#endif
--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -313,6 +313,9 @@
 /* Turns reserved runs whose place is free into new ones. */
 void owner_runs_settle(struct cw_owner *owner, struct owner_target *target);
 
+/* Keeps a checkpoint that a worker has listed; "" is none. */
+void owner_task_keep(struct owner_task *task, const char *saved);
+
 /* Applies an end that a worker has listed. */
 void owner_run_ended(struct cw_owner *owner, struct owner_target *target,
                      const struct cw_ended *ended);
--- /dev/null
+++ b/src/owner/owner_candidates.c
@@ -0,0 +1,248 @@
+/* Which workers may take a step, and in which order. */
+#include "owner/internal/owner_candidates.h"
+
+#include <string.h>
+
+unsigned
+owner_fits(const struct cw_resources *room, const struct cw_resources *need)
+{
+    int64_t fits = G_MAXUINT16;
+
+    if (need->cpu_milli > 0) {
+        fits = MIN(fits, room->cpu_milli / need->cpu_milli);
+    }
+    if (need->memory_mb > 0) {
+        fits = MIN(fits, room->memory_mb / need->memory_mb);
+    }
+    if (need->accelerators > 0) {
+        fits = MIN(fits, room->accelerators / need->accelerators);
+    }
+    return fits > 0 ? (unsigned)fits : 0;
+}
+
+struct cw_resources
+owner_room(const struct owner_target *target)
+{
+    struct cw_resources room = {
+        .cpu_milli = target->capacity.cpu_milli - target->used.cpu_milli -
+                     target->reserved.cpu_milli,
+        .memory_mb = target->capacity.memory_mb - target->used.memory_mb -
+                     target->reserved.memory_mb,
+        .accelerators = target->capacity.accelerators -
+                        target->used.accelerators -
+                        target->reserved.accelerators,
+    };
+
+    return room;
+}
+
+/* ---- which workers may take a step ---- */
+
+/* Runs of the step's occurrence on the worker. */
+static unsigned
+runs_there(const struct owner_step *step, const struct owner_target *target)
+{
+    unsigned count = 0;
+
+    for (unsigned i = 0; i < step->count; i++) {
+        if (step->tasks[i].run != NULL && step->tasks[i].run->target == target)
+        {
+            count++;
+        }
+    }
+    return count;
+}
+
+bool
+owner_may_run(const struct owner_step *step, const struct owner_target *target)
+{
+    const struct cw_work_spec *spec = step->occurrence->job->spec;
+    const char *label = step->spec->label;
+
+    if (strcmp(target->service, spec->service) != 0) {
+        return false;
+    }
+    return label[0] == '\0' || strcmp(label, target->kind) == 0 ||
+           strcmp(label, target->rack) == 0;
+}
+
+unsigned
+owner_most_there(const struct owner_step *step,
+                 const struct owner_target *target, unsigned fits)
+{
+    unsigned most = step->spec->most_per_worker;
+    unsigned there;
+
+    if (most == 0) {
+        return fits;
+    }
+    there = runs_there(step, target);
+    return there >= most ? 0 : MIN(fits, most - there);
+}
+
+/* Negative if `x` is faster, by enough to matter. */
+static int
+owner_compare_speed(const struct owner_target *x, const struct owner_target *y)
+{
+    int a = (int)(x->speed / SPEED_STEP);
+    int b = (int)(y->speed / SPEED_STEP);
+
+    return b - a;
+}
+
+/* Fullest first: whole workers stay whole for tasks that need them. */
+static gint
+by_room(gconstpointer a, gconstpointer b)
+{
+    const struct owner_candidate *x = a;
+    const struct owner_candidate *y = b;
+
+    if (x->room.accelerators != y->room.accelerators) {
+        return x->room.accelerators < y->room.accelerators ? -1 : 1;
+    }
+    if (x->room.memory_mb != y->room.memory_mb) {
+        return x->room.memory_mb < y->room.memory_mb ? -1 : 1;
+    }
+    return strcmp(x->target->id, y->target->id);
+}
+
+bool
+owner_candidate_idle(const struct owner_candidate *candidate)
+{
+    return candidate->target->runs->len == 0;
+}
+
+/* For urgent work: workers in use first, so that idle ones stay for tasks
+ * that need them whole; then what is fast, then what is full. */
+static gint
+by_speed(gconstpointer a, gconstpointer b)
+{
+    const struct owner_candidate *x = a;
+    const struct owner_candidate *y = b;
+    int speed = owner_compare_speed(x->target, y->target);
+
+    if (owner_candidate_idle(x) != owner_candidate_idle(y)) {
+        return owner_candidate_idle(x) ? 1 : -1;
+    }
+    return speed != 0 ? speed : by_room(a, b);
+}
+
+/* For lower work: racks and workers that have some already, so that it
+ * spreads no further than it must. */
+static gint
+by_lower_work(gconstpointer a, gconstpointer b)
+{
+    const struct owner_candidate *x = a;
+    const struct owner_candidate *y = b;
+
+    if (x->rack_hosts != y->rack_hosts) {
+        return x->rack_hosts > y->rack_hosts ? -1 : 1;
+    }
+    if ((x->target->lower_runs > 0) != (y->target->lower_runs > 0)) {
+        return x->target->lower_runs > 0 ? -1 : 1;
+    }
+    if (owner_compare_speed(x->target, y->target) != 0) {
+        return -owner_compare_speed(x->target, y->target);
+    }
+    return by_room(a, b);
+}
+
+static void
+count_rack_hosts(struct cw_owner *owner, GArray *candidates)
+{
+    GHashTable *hosts = g_hash_table_new(g_str_hash, g_str_equal);
+    GHashTableIter iterator;
+    gpointer value;
+
+    g_hash_table_iter_init(&iterator, owner->targets);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        struct owner_target *target = value;
+        gpointer count = g_hash_table_lookup(hosts, target->rack);
+
+        if (target->lower_runs > 0) {
+            g_hash_table_insert(hosts, target->rack,
+                                GUINT_TO_POINTER(GPOINTER_TO_UINT(count) + 1));
+        }
+    }
+    for (guint i = 0; i < candidates->len; i++) {
+        struct owner_candidate *c =
+            &g_array_index(candidates, struct owner_candidate, i);
+
+        c->rack_hosts =
+            GPOINTER_TO_UINT(g_hash_table_lookup(hosts, c->target->rack));
+    }
+    g_hash_table_unref(hosts);
+}
+
+bool
+owner_is_held(const struct owner_target *target, const struct owner_step *step,
+              struct timespec now)
+{
+    return target->held_for != NULL && target->held_for != step &&
+           cw_time_before(now, target->held_until) &&
+           target->held_priority < step->occurrence->job->spec->priority;
+}
+
+/* Drops the workers by which lower work would spread too far: each of them
+ * may be taken alone, but not all by one wide step. */
+static void
+keep_headroom(struct cw_owner *owner, const struct owner_step *step,
+              GArray *candidates, struct timespec now)
+{
+    unsigned left = owner_headroom_left(
+        owner, step, step->occurrence->job->spec->service, now);
+    guint i = 0;
+
+    while (i < candidates->len) {
+        const struct owner_candidate *c =
+            &g_array_index(candidates, struct owner_candidate, i);
+
+        if (c->target->lower_runs > 0) {
+            i++;
+        }
+        else if (left > 0) {
+            left--;
+            i++;
+        }
+        else {
+            g_array_remove_index(candidates, i);
+        }
+    }
+}
+
+GArray *
+owner_candidates(struct cw_owner *owner, const struct owner_step *step,
+                 struct timespec now)
+{
+    GArray *out = g_array_new(FALSE, FALSE, sizeof(struct owner_candidate));
+    struct cw_resources need = owner_need(step->spec);
+    bool lower = step->occurrence->job->spec->priority > 0;
+    GHashTableIter iterator;
+    gpointer value;
+
+    g_hash_table_iter_init(&iterator, owner->targets);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        struct owner_candidate candidate = {.target = value};
+
+        if (!owner_target_usable(value, now) || !owner_may_run(step, value) ||
+            owner_is_held(value, step, now) ||
+            (lower && !owner_headroom_allows(owner, step, value, now)))
+        {
+            continue;
+        }
+        candidate.room = owner_room(value);
+        candidate.fits =
+            owner_most_there(step, value, owner_fits(&candidate.room, &need));
+        if (candidate.fits > 0) {
+            g_array_append_val(out, candidate);
+        }
+    }
+    if (!lower) {
+        g_array_sort(out, by_speed);
+        return out;
+    }
+    count_rack_hosts(owner, out);
+    g_array_sort(out, by_lower_work);
+    keep_headroom(owner, step, out, now);
+    return out;
+}
--- a/src/owner/owner_holds.c
+++ b/src/owner/owner_holds.c
@@ -44,6 +44,8 @@
     }
     if (listed->saved[0] != '\0') {
         run->saved_at = now;
+        /* For a worker that is lost without another word. */
+        owner_task_keep(run->task, listed->saved);
     }
 }
 
--- a/src/owner/owner_place.c
+++ b/src/owner/owner_place.c
@@ -1,5 +1,5 @@
 /* Which waiting task goes where. */
-#include "owner/internal/owner_private.h"
+#include "owner/internal/owner_candidates.h"
 
 #include <string.h>
 
@@ -12,359 +12,9 @@
     HOLD_AFTER_MS = 1500,
     /* Longer than any stop takes, shorter than reclaiming may. */
     RESERVED_MS = 1500,
-    HOLD_MS = 400,
     HOLDS_MOST = 2
 };
 
-/* A worker with room, while a step is placed. */
-struct candidate {
-    struct owner_target *target;
-    struct cw_resources room;
-    unsigned fits;
-    unsigned rack_hosts; /* workers of its rack that lower work is on */
-};
-
-unsigned
-owner_fits(const struct cw_resources *room, const struct cw_resources *need)
-{
-    int64_t fits = G_MAXUINT16;
-
-    if (need->cpu_milli > 0) {
-        fits = MIN(fits, room->cpu_milli / need->cpu_milli);
-    }
-    if (need->memory_mb > 0) {
-        fits = MIN(fits, room->memory_mb / need->memory_mb);
-    }
-    if (need->accelerators > 0) {
-        fits = MIN(fits, room->accelerators / need->accelerators);
-    }
-    return fits > 0 ? (unsigned)fits : 0;
-}
-
-struct cw_resources
-owner_room(const struct owner_target *target)
-{
-    struct cw_resources room = {
-        .cpu_milli = target->capacity.cpu_milli - target->used.cpu_milli -
-                     target->reserved.cpu_milli,
-        .memory_mb = target->capacity.memory_mb - target->used.memory_mb -
-                     target->reserved.memory_mb,
-        .accelerators = target->capacity.accelerators -
-                        target->used.accelerators -
-                        target->reserved.accelerators,
-    };
-
-    return room;
-}
-
-/* ---- which workers may take a step ---- */
-
-/* Runs of the step's occurrence on the worker. */
-static unsigned
-runs_there(const struct owner_step *step, const struct owner_target *target)
-{
-    unsigned count = 0;
-
-    for (unsigned i = 0; i < step->count; i++) {
-        if (step->tasks[i].run != NULL && step->tasks[i].run->target == target)
-        {
-            count++;
-        }
-    }
-    return count;
-}
-
-bool
-owner_may_run(const struct owner_step *step, const struct owner_target *target)
-{
-    const struct cw_work_spec *spec = step->occurrence->job->spec;
-    const char *label = step->spec->label;
-
-    if (strcmp(target->service, spec->service) != 0) {
-        return false;
-    }
-    return label[0] == '\0' || strcmp(label, target->kind) == 0 ||
-           strcmp(label, target->rack) == 0;
-}
-
-unsigned
-owner_most_there(const struct owner_step *step,
-                 const struct owner_target *target, unsigned fits)
-{
-    unsigned most = step->spec->most_per_worker;
-    unsigned there;
-
-    if (most == 0) {
-        return fits;
-    }
-    there = runs_there(step, target);
-    return there >= most ? 0 : MIN(fits, most - there);
-}
-
-/* Speeds that differ by less count as the same. */
-#define SPEED_STEP 0.12
-
-/* Negative if `x` is faster, by enough to matter. */
-static int
-compare_speed(const struct owner_target *x, const struct owner_target *y)
-{
-    int a = (int)(x->speed / SPEED_STEP);
-    int b = (int)(y->speed / SPEED_STEP);
-
-    return b - a;
-}
-
-/* Fullest first: whole workers stay whole for tasks that need them. */
-static gint
-by_room(gconstpointer a, gconstpointer b)
-{
-    const struct candidate *x = a;
-    const struct candidate *y = b;
-
-    if (x->room.accelerators != y->room.accelerators) {
-        return x->room.accelerators < y->room.accelerators ? -1 : 1;
-    }
-    if (x->room.memory_mb != y->room.memory_mb) {
-        return x->room.memory_mb < y->room.memory_mb ? -1 : 1;
-    }
-    return strcmp(x->target->id, y->target->id);
-}
-
-static bool
-is_idle(const struct candidate *candidate)
-{
-    return candidate->target->runs->len == 0;
-}
-
-/* For urgent work: workers in use first, so that idle ones stay for tasks
- * that need them whole; then what is fast, then what is full. */
-static gint
-by_speed(gconstpointer a, gconstpointer b)
-{
-    const struct candidate *x = a;
-    const struct candidate *y = b;
-    int speed = compare_speed(x->target, y->target);
-
-    if (is_idle(x) != is_idle(y)) {
-        return is_idle(x) ? 1 : -1;
-    }
-    return speed != 0 ? speed : by_room(a, b);
-}
-
-/* For lower work: racks and workers that have some already, so that it
- * spreads no further than it must. */
-static gint
-by_lower_work(gconstpointer a, gconstpointer b)
-{
-    const struct candidate *x = a;
-    const struct candidate *y = b;
-
-    if (x->rack_hosts != y->rack_hosts) {
-        return x->rack_hosts > y->rack_hosts ? -1 : 1;
-    }
-    if ((x->target->lower_runs > 0) != (y->target->lower_runs > 0)) {
-        return x->target->lower_runs > 0 ? -1 : 1;
-    }
-    if (compare_speed(x->target, y->target) != 0) {
-        return -compare_speed(x->target, y->target);
-    }
-    return by_room(a, b);
-}
-
-static void
-count_rack_hosts(struct cw_owner *owner, GArray *candidates)
-{
-    GHashTable *hosts = g_hash_table_new(g_str_hash, g_str_equal);
-    GHashTableIter iterator;
-    gpointer value;
-
-    g_hash_table_iter_init(&iterator, owner->targets);
-    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        struct owner_target *target = value;
-        gpointer count = g_hash_table_lookup(hosts, target->rack);
-
-        if (target->lower_runs > 0) {
-            g_hash_table_insert(hosts, target->rack,
-                                GUINT_TO_POINTER(GPOINTER_TO_UINT(count) + 1));
-        }
-    }
-    for (guint i = 0; i < candidates->len; i++) {
-        struct candidate *c = &g_array_index(candidates, struct candidate, i);
-
-        c->rack_hosts =
-            GPOINTER_TO_UINT(g_hash_table_lookup(hosts, c->target->rack));
-    }
-    g_hash_table_unref(hosts);
-}
-
-/* True if the worker is kept clear for a more urgent gang. */
-static bool
-is_held(const struct owner_target *target, const struct owner_step *step,
-        struct timespec now)
-{
-    return target->held_for != NULL && target->held_for != step &&
-           cw_time_before(now, target->held_until) &&
-           target->held_priority < step->occurrence->job->spec->priority;
-}
-
-/* Drops the workers by which lower work would spread too far: each of them
- * may be taken alone, but not all by one wide step. */
-static void
-keep_headroom(struct cw_owner *owner, const struct owner_step *step,
-              GArray *candidates, struct timespec now)
-{
-    unsigned left = owner_headroom_left(
-        owner, step, step->occurrence->job->spec->service, now);
-    guint i = 0;
-
-    while (i < candidates->len) {
-        const struct candidate *c =
-            &g_array_index(candidates, struct candidate, i);
-
-        if (c->target->lower_runs > 0) {
-            i++;
-        }
-        else if (left > 0) {
-            left--;
-            i++;
-        }
-        else {
-            g_array_remove_index(candidates, i);
-        }
-    }
-}
-
-/* Workers with room for a task of the step, fullest first. */
-static GArray *
-candidates_of(struct cw_owner *owner, const struct owner_step *step,
-              struct timespec now)
-{
-    GArray *out = g_array_new(FALSE, FALSE, sizeof(struct candidate));
-    struct cw_resources need = owner_need(step->spec);
-    bool lower = step->occurrence->job->spec->priority > 0;
-    GHashTableIter iterator;
-    gpointer value;
-
-    g_hash_table_iter_init(&iterator, owner->targets);
-    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        struct candidate candidate = {.target = value};
-
-        if (!owner_target_usable(value, now) || !owner_may_run(step, value) ||
-            is_held(value, step, now) ||
-            (lower && !owner_headroom_allows(owner, step, value, now)))
-        {
-            continue;
-        }
-        candidate.room = owner_room(value);
-        candidate.fits =
-            owner_most_there(step, value, owner_fits(&candidate.room, &need));
-        if (candidate.fits > 0) {
-            g_array_append_val(out, candidate);
-        }
-    }
-    if (!lower) {
-        g_array_sort(out, by_speed);
-        return out;
-    }
-    count_rack_hosts(owner, out);
-    g_array_sort(out, by_lower_work);
-    keep_headroom(owner, step, out, now);
-    return out;
-}
-
-/* ---- racks ---- */
-
-/* Tasks that fit into the candidates of a rack. */
-static unsigned
-rack_fits(const GArray *candidates, const char *rack)
-{
-    unsigned fits = 0;
-
-    for (guint i = 0; i < candidates->len; i++) {
-        const struct candidate *c =
-            &g_array_index(candidates, struct candidate, i);
-
-        if (strcmp(c->target->rack, rack) == 0) {
-            fits += c->fits;
-        }
-    }
-    return fits;
-}
-
-/* What a rack would give a gang. */
-struct rack_offer {
-    const char *rack;
-    unsigned fits; /* tasks */
-    unsigned idle; /* idle workers that the gang would take */
-    int speed;     /* of the slowest worker, in steps: the gang's own */
-};
-
-/* What the rack's first candidates for `tasks` come to. */
-static struct rack_offer
-offer_of(const GArray *candidates, const char *rack, unsigned tasks)
-{
-    struct rack_offer offer = {
-        .rack = rack, .fits = rack_fits(candidates, rack), .speed = G_MAXINT};
-
-    for (guint i = 0; i < candidates->len && tasks > 0; i++) {
-        const struct candidate *c =
-            &g_array_index(candidates, struct candidate, i);
-
-        if (strcmp(c->target->rack, rack) == 0) {
-            offer.speed =
-                MIN(offer.speed, (int)(c->target->speed / SPEED_STEP));
-            offer.idle += is_idle(c);
-            tasks -= MIN(tasks, c->fits);
-        }
-    }
-    return offer;
-}
-
-static bool
-offer_is_better(const struct rack_offer *x, const struct rack_offer *y,
-                bool urgent)
-{
-    if (urgent && x->idle != y->idle) {
-        return x->idle < y->idle;
-    }
-    if (urgent && x->speed != y->speed) {
-        return x->speed > y->speed;
-    }
-    return x->fits < y->fits;
-}
-
-/* The rack that holds `tasks`: for urgent work the one that loses the fewest
- * idle workers, then the fastest; then the one with least to spare.  NULL if
- * there is none.  The rack of the step's data goes first. */
-static const char *
-best_rack(const GArray *candidates, const struct owner_step *step,
-          unsigned tasks)
-{
-    struct rack_offer best = {0};
-    bool urgent = step->occurrence->job->spec->priority == 0;
-
-    for (guint i = 0; i < candidates->len; i++) {
-        const char *rack =
-            g_array_index(candidates, struct candidate, i).target->rack;
-        struct rack_offer offer;
-
-        if (best.rack != NULL && strcmp(best.rack, rack) == 0) {
-            continue;
-        }
-        offer = offer_of(candidates, rack, tasks);
-        if (offer.fits < tasks) {
-            continue;
-        }
-        if (strcmp(rack, step->spec->data_rack) == 0) {
-            return rack;
-        }
-        if (best.rack == NULL || offer_is_better(&offer, &best, urgent)) {
-            best = offer;
-        }
-    }
-    return best.rack;
-}
-
 /* ---- assigning ---- */
 
 static unsigned
@@ -423,8 +73,8 @@
     GArray *choices = g_array_new(FALSE, FALSE, sizeof(struct owner_choice));
 
     for (guint i = 0; i < candidates->len && tasks > 0; i++) {
-        const struct candidate *c =
-            &g_array_index(candidates, struct candidate, i);
+        const struct owner_candidate *c =
+            &g_array_index(candidates, struct owner_candidate, i);
         struct owner_choice choice = {.target = c->target,
                                       .tasks = MIN(tasks, c->fits)};
 
@@ -445,7 +95,7 @@
     unsigned fits = 0;
 
     for (guint i = 0; i < candidates->len; i++) {
-        fits += g_array_index(candidates, struct candidate, i).fits;
+        fits += g_array_index(candidates, struct owner_candidate, i).fits;
     }
     return fits;
 }
@@ -482,8 +132,8 @@
 place_gang(struct cw_owner *owner, struct owner_step *step,
            struct timespec now)
 {
-    GArray *candidates = candidates_of(owner, step, now);
-    const char *rack = best_rack(candidates, step, step->count);
+    GArray *candidates = owner_candidates(owner, step, now);
+    const char *rack = owner_best_rack(candidates, step, step->count);
     GArray *choices = NULL;
     bool spread = !step->spec->same_rack || !rack_could_hold(owner, step);
 
@@ -512,7 +162,7 @@
 place_tasks(struct cw_owner *owner, struct owner_step *step,
             struct timespec now)
 {
-    GArray *candidates = candidates_of(owner, step, now);
+    GArray *candidates = owner_candidates(owner, step, now);
     unsigned waiting = tasks_waiting(step);
     GArray *choices;
     unsigned placed = 0;
@@ -527,7 +177,7 @@
         if (waiting == 0) {
             return true;
         }
-        candidates = candidates_of(owner, step, now);
+        candidates = owner_candidates(owner, step, now);
     }
     choices = choose(candidates, NULL, waiting);
     for (guint i = 0; i < choices->len; i++) {
@@ -628,85 +278,6 @@
                : strcmp(x->spec->id, y->spec->id);
 }
 
-/* Room for the gang once work of a lower priority has left. */
-static unsigned
-fits_later(const struct owner_step *step, const struct owner_target *target)
-{
-    struct cw_resources need = owner_need(step->spec);
-    struct cw_resources room = owner_room(target);
-    unsigned priority = step->occurrence->job->spec->priority;
-
-    for (guint i = 0; i < target->runs->len; i++) {
-        const struct owner_run *run = target->runs->pdata[i];
-        struct cw_resources taken = owner_need(run->task->step->spec);
-
-        if (owner_task_job(run->task)->spec->priority > priority) {
-            room.cpu_milli += taken.cpu_milli;
-            room.memory_mb += taken.memory_mb;
-            room.accelerators += taken.accelerators;
-        }
-    }
-    return owner_most_there(step, target, owner_fits(&room, &need));
-}
-
-/* The rack that will have most room for the gang, or NULL if none will have
- * enough. */
-static const char *
-rack_to_hold(struct cw_owner *owner, const struct owner_step *step,
-             struct timespec now)
-{
-    GHashTable *racks = g_hash_table_new(g_str_hash, g_str_equal);
-    const char *best = NULL;
-    unsigned best_fits = step->count - 1;
-    GHashTableIter iterator;
-    gpointer value;
-
-    g_hash_table_iter_init(&iterator, owner->targets);
-    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        struct owner_target *target = value;
-        unsigned fits;
-
-        if (!owner_target_usable(target, now) ||
-            !owner_may_run(step, target) || is_held(target, step, now) ||
-            !owner_headroom_allows(owner, step, target, now))
-        {
-            continue;
-        }
-        fits = fits_later(step, target);
-        fits += GPOINTER_TO_UINT(g_hash_table_lookup(racks, target->rack));
-        g_hash_table_insert(racks, target->rack, GUINT_TO_POINTER(fits));
-        if (fits > best_fits) {
-            best = target->rack;
-            best_fits = fits;
-        }
-    }
-    g_hash_table_unref(racks);
-    return best;
-}
-
-static void
-hold_rack(struct cw_owner *owner, struct owner_step *step, struct timespec now)
-{
-    const char *rack = rack_to_hold(owner, step, now);
-    GHashTableIter iterator;
-    gpointer value;
-
-    if (rack == NULL) {
-        return;
-    }
-    owner->holds++;
-    g_hash_table_iter_init(&iterator, owner->targets);
-    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        struct owner_target *target = value;
-
-        if (strcmp(target->rack, rack) == 0) {
-            target->held_for = step;
-            target->held_priority = step->occurrence->job->spec->priority;
-            target->held_until = cw_time_add_ms(now, HOLD_MS);
-        }
-    }
-}
-
 static void
 place_step(struct cw_owner *owner, struct owner_step *step,
            struct timespec now)
@@ -731,7 +302,7 @@
     else if (step->spec->gang && owner->holds < HOLDS_MOST &&
              cw_time_diff_ms(step->ready_at, now) > HOLD_AFTER_MS)
     {
-        hold_rack(owner, step, now);
+        owner_hold_rack(owner, step, now);
     }
 }
 
--- /dev/null
+++ b/src/owner/owner_racks.c
@@ -0,0 +1,175 @@
+/* Racks for gangs: the best one now, and one kept clear for later. */
+#include "owner/internal/owner_candidates.h"
+
+#include <string.h>
+
+/* How long a rack is kept clear; renewed while the gang waits. */
+enum { HOLD_MS = 400 };
+
+/* Tasks that fit into the candidates of a rack. */
+static unsigned
+rack_fits(const GArray *candidates, const char *rack)
+{
+    unsigned fits = 0;
+
+    for (guint i = 0; i < candidates->len; i++) {
+        const struct owner_candidate *c =
+            &g_array_index(candidates, struct owner_candidate, i);
+
+        if (strcmp(c->target->rack, rack) == 0) {
+            fits += c->fits;
+        }
+    }
+    return fits;
+}
+
+/* What a rack would give a gang. */
+struct rack_offer {
+    const char *rack;
+    unsigned fits; /* tasks */
+    unsigned idle; /* idle workers that the gang would take */
+    int speed;     /* of the slowest worker, in steps: the gang's own */
+};
+
+/* What the rack's first candidates for `tasks` come to. */
+static struct rack_offer
+offer_of(const GArray *candidates, const char *rack, unsigned tasks)
+{
+    struct rack_offer offer = {
+        .rack = rack, .fits = rack_fits(candidates, rack), .speed = G_MAXINT};
+
+    for (guint i = 0; i < candidates->len && tasks > 0; i++) {
+        const struct owner_candidate *c =
+            &g_array_index(candidates, struct owner_candidate, i);
+
+        if (strcmp(c->target->rack, rack) == 0) {
+            offer.speed =
+                MIN(offer.speed, (int)(c->target->speed / SPEED_STEP));
+            offer.idle += owner_candidate_idle(c);
+            tasks -= MIN(tasks, c->fits);
+        }
+    }
+    return offer;
+}
+
+static bool
+offer_is_better(const struct rack_offer *x, const struct rack_offer *y,
+                bool urgent)
+{
+    if (urgent && x->idle != y->idle) {
+        return x->idle < y->idle;
+    }
+    if (urgent && x->speed != y->speed) {
+        return x->speed > y->speed;
+    }
+    return x->fits < y->fits;
+}
+
+const char *
+owner_best_rack(const GArray *candidates, const struct owner_step *step,
+                unsigned tasks)
+{
+    struct rack_offer best = {0};
+    bool urgent = step->occurrence->job->spec->priority == 0;
+
+    for (guint i = 0; i < candidates->len; i++) {
+        const char *rack =
+            g_array_index(candidates, struct owner_candidate, i).target->rack;
+        struct rack_offer offer;
+
+        if (best.rack != NULL && strcmp(best.rack, rack) == 0) {
+            continue;
+        }
+        offer = offer_of(candidates, rack, tasks);
+        if (offer.fits < tasks) {
+            continue;
+        }
+        if (strcmp(rack, step->spec->data_rack) == 0) {
+            return rack;
+        }
+        if (best.rack == NULL || offer_is_better(&offer, &best, urgent)) {
+            best = offer;
+        }
+    }
+    return best.rack;
+}
+
+/* Room for the gang once work of a lower priority has left. */
+static unsigned
+fits_later(const struct owner_step *step, const struct owner_target *target)
+{
+    struct cw_resources need = owner_need(step->spec);
+    struct cw_resources room = owner_room(target);
+    unsigned priority = step->occurrence->job->spec->priority;
+
+    for (guint i = 0; i < target->runs->len; i++) {
+        const struct owner_run *run = target->runs->pdata[i];
+        struct cw_resources taken = owner_need(run->task->step->spec);
+
+        if (owner_task_job(run->task)->spec->priority > priority) {
+            room.cpu_milli += taken.cpu_milli;
+            room.memory_mb += taken.memory_mb;
+            room.accelerators += taken.accelerators;
+        }
+    }
+    return owner_most_there(step, target, owner_fits(&room, &need));
+}
+
+/* The rack that will have most room for the gang, or NULL if none will have
+ * enough. */
+static const char *
+rack_to_hold(struct cw_owner *owner, const struct owner_step *step,
+             struct timespec now)
+{
+    GHashTable *racks = g_hash_table_new(g_str_hash, g_str_equal);
+    const char *best = NULL;
+    unsigned best_fits = step->count - 1;
+    GHashTableIter iterator;
+    gpointer value;
+
+    g_hash_table_iter_init(&iterator, owner->targets);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        struct owner_target *target = value;
+        unsigned fits;
+
+        if (!owner_target_usable(target, now) ||
+            !owner_may_run(step, target) || owner_is_held(target, step, now) ||
+            !owner_headroom_allows(owner, step, target, now))
+        {
+            continue;
+        }
+        fits = fits_later(step, target);
+        fits += GPOINTER_TO_UINT(g_hash_table_lookup(racks, target->rack));
+        g_hash_table_insert(racks, target->rack, GUINT_TO_POINTER(fits));
+        if (fits > best_fits) {
+            best = target->rack;
+            best_fits = fits;
+        }
+    }
+    g_hash_table_unref(racks);
+    return best;
+}
+
+void
+owner_hold_rack(struct cw_owner *owner, struct owner_step *step,
+                struct timespec now)
+{
+    const char *rack = rack_to_hold(owner, step, now);
+    GHashTableIter iterator;
+    gpointer value;
+
+    if (rack == NULL) {
+        return;
+    }
+    owner->holds++;
+    g_hash_table_iter_init(&iterator, owner->targets);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        struct owner_target *target = value;
+
+        if (strcmp(target->rack, rack) == 0) {
+            target->held_for = step;
+            target->held_priority = step->occurrence->job->spec->priority;
+            target->held_until = cw_time_add_ms(now, HOLD_MS);
+        }
+    }
+}
--- a/src/owner/owner_runs.c
+++ b/src/owner/owner_runs.c
@@ -213,20 +213,29 @@
 /* ---- ends ---- */
 
 static void
-keep_saved(struct owner_step *step, struct owner_task *task, const char *saved)
+set_saved(struct owner_task *task, const char *saved)
 {
+    if (g_strcmp0(task->saved, saved) != 0) {
+        g_free(task->saved);
+        task->saved = g_strdup(saved);
+    }
+}
+
+void
+owner_task_keep(struct owner_task *task, const char *saved)
+{
+    struct owner_step *step = task->step;
+
     if (saved[0] == '\0') {
         return;
     }
     if (!step->spec->gang) {
-        g_free(task->saved);
-        task->saved = g_strdup(saved);
+        set_saved(task, saved);
         return;
     }
     /* Any member's checkpoint is good for the gang; all must use one. */
     for (unsigned i = 0; i < step->count; i++) {
-        g_free(step->tasks[i].saved);
-        step->tasks[i].saved = g_strdup(saved);
+        set_saved(&step->tasks[i], saved);
     }
 }
 
@@ -306,7 +315,7 @@
         return;
     }
     step = task->step;
-    keep_saved(step, task, ended->saved);
+    owner_task_keep(task, ended->saved);
     if (ended->how == CW_END_KIND_DONE) {
         owner_target_praise(target);
         if (!step->spec->endless) {
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -412,7 +412,58 @@
     site_end(&site);
 }
 
+static void
+test_a_lost_run_resumes_from_its_last_checkpoint(void)
+{
+    const struct cw_step_spec gang = {
+        .tasks = 2, .accelerators = 8, .gang = true, .checkpoints = true};
+    struct site site;
+    struct owner_job *job;
+
+    site_begin(&site);
+    set_guarantee(&site, 0);
+    job = run_job(&site, 1, &gang);
+    owner_task_keep(&step_of(job)->tasks[0], "ck-1");
+    owner_task_keep(&step_of(job)->tasks[0], "");
+    CU_ASSERT_STRING_EQUAL(step_of(job)->tasks[1].saved, "ck-1");
+    owner_run_lost(site.owner, step_of(job)->tasks[0].run, "test");
+    CU_ASSERT_STRING_EQUAL(step_of(job)->tasks[0].saved, "ck-1");
+    CU_ASSERT_TRUE(step_of(job)->tasks[1].run->stopping);
+    site_end(&site);
+}
+
+static void
+test_occurrences_open_when_they_are_due(void)
+{
+    const struct cw_step_spec one = {.tasks = 1, .accelerators = 1};
+    struct site site;
+    struct owner_job *job;
+    struct cw_work_spec *spec;
+
+    site_begin(&site);
+    job = add_job(&site, 1, &one);
+    /* As if it had been handed in with three times to run. */
+    spec = (struct cw_work_spec *)job->spec;
+    spec->repeats = 3;
+    spec->first_due_ms = START_MS;
+    spec->interval_ms = 2000;
+    CU_ASSERT_EQUAL(job->open->len, 1);
+    site.clock.now = cw_time_add_ms(site.clock.now, 1900);
+    owner_job_open_due(site.owner, job, site.clock.now);
+    CU_ASSERT_EQUAL(job->open->len, 1); /* the second is not due yet */
+    site.clock.now = cw_time_add_ms(site.clock.now, 200);
+    owner_job_open_due(site.owner, job, site.clock.now);
+    CU_ASSERT_EQUAL(job->open->len, 2); /* it may overlap the first */
+    site.clock.now = cw_time_add_ms(site.clock.now, 9000);
+    owner_job_open_due(site.owner, job, site.clock.now);
+    CU_ASSERT_EQUAL(job->open->len, 3);
+    CU_ASSERT_EQUAL(job->next_occurrence, 3);
+    site_end(&site);
+}
+
 static const struct test tests[] = {
+    {"checkpoint", test_a_lost_run_resumes_from_its_last_checkpoint},
+    {"occurrences", test_occurrences_open_when_they_are_due},
     {"one rack", test_a_gang_takes_one_rack_or_waits},
     {"guarantee", test_urgent_work_within_its_guarantee_makes_others_leave},
     {"cheapest", test_the_cheapest_work_gives_way},
