--- a/src/relay/internal/relay_private.h
+++ b/src/relay/internal/relay_private.h
@@ -113,6 +113,7 @@
     unsigned failures; /* of the store, in a row */
     bool reaches;      /* the store answers this VM */
     struct timespec lost_at;
+    struct timespec closed_until; /* to all VMs, as it seems */
     bool join_in_flight;
     struct timespec join_sent;
     bool suspect; /* the store has not answered well since */
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -14,7 +14,10 @@
     PEER_TIMEOUT_MS = 350,
     /* A VM that did not answer, or is turned away itself. */
     PEER_AVOID_MS = 1500,
-    READ_WAIT_MS = 250
+    READ_WAIT_MS = 250,
+    /* Refused by the store and by as many VMs as are tried, the store is
+     * closed to all, or over its rate: for so long nobody else is asked. */
+    CLOSED_MS = 2000
 };
 
 /* A call under way; `request` holds what it is about. */
@@ -23,6 +26,7 @@
     struct cw_relay_request request;
     unsigned timeout_ms;
     unsigned peers_tried;
+    unsigned refused; /* by other VMs */
     bool direct_tried;
     bool unsure; /* it may have been carried out */
     char *peer_address;
@@ -229,6 +233,10 @@
     if (peer != NULL) {
         peer->avoid_until = cw_time_add_ms(now, PEER_AVOID_MS);
     }
+    call->refused += answer != NULL && answer->status == CW_STORE_REFUSED;
+    if (call->refused == PEERS_TRIED_MOST) {
+        relay->closed_until = cw_time_add_ms(now, CLOSED_MS);
+    }
     try_next(call);
 }
 
@@ -254,7 +262,9 @@
     struct cw_relay *relay = call->relay;
     struct peer *peer = NULL;
 
-    if (call->peers_tried < PEERS_TRIED_MOST && relay_rpc_has_key(relay->rpc))
+    if (call->peers_tried < PEERS_TRIED_MOST &&
+        relay_rpc_has_key(relay->rpc) &&
+        !cw_time_before(relay_now(relay), relay->closed_until))
     {
         peer = relay_choose_peer(relay, relay_now(relay));
     }
--- a/src/replica/follower.c
+++ b/src/replica/follower.c
@@ -11,7 +11,12 @@
      * store is slow; a cut shows within this. */
     CALL_TIMEOUT_MS = 900,
     RETRY_FIRST_MS = 100,
-    RETRY_MOST_MS = 800
+    RETRY_MOST_MS = 800,
+    /* Many VMs share the store's rate of reads.  Refused, a follower reads
+     * less often, and only slowly as often as before again. */
+    SLOW_FIRST_MS = 200,
+    SLOW_MOST_MS = 3000,
+    SLOW_DECAY = 16
 };
 
 struct cw_follower {
@@ -27,6 +32,7 @@
     uint64_t start; /* end of the partition at the first page */
     uint64_t position;
     unsigned retry_ms;
+    unsigned slow_ms; /* least time between reads since the last refusal */
     struct timespec due;
     struct timespec sent;
     struct timespec fresh;
@@ -72,6 +78,10 @@
                        follower->options.name, cw_store_status_name(status),
                        follower->position);
     }
+    if (status == CW_STORE_REFUSED) {
+        follower->slow_ms =
+            CLAMP(follower->slow_ms * 2, SLOW_FIRST_MS, SLOW_MOST_MS);
+    }
     follower->retry_ms =
         CLAMP(follower->retry_ms * 2, RETRY_FIRST_MS, RETRY_MOST_MS);
     follower->due = cw_time_add_ms(now, follower->retry_ms);
@@ -87,6 +97,7 @@
                     cw_time_diff_ms(follower->fresh, now));
     }
     follower->retry_ms = 0;
+    follower->slow_ms -= (follower->slow_ms + SLOW_DECAY - 1) / SLOW_DECAY;
     follower->fresh = follower->sent;
 }
 
@@ -185,7 +196,9 @@
         follower->position = page->records[page->count - 1].offset + 1;
     }
     follower->due =
-        cw_time_add_ms(now, follower->hurry ? 0 : follower->options.pace_ms);
+        cw_time_add_ms(now, follower->hurry ? 0
+                                            : MAX(follower->options.pace_ms,
+                                                  follower->slow_ms));
     if (handler->advanced != NULL) {
         handler->advanced(handler->context);
     }
