--- a/src/replica/follower.c
+++ b/src/replica/follower.c
@@ -13,10 +13,10 @@
     RETRY_FIRST_MS = 100,
     RETRY_MOST_MS = 800,
     /* Many VMs share the store's rate of reads.  Refused, a follower reads
-     * less often, and only slowly as often as before again. */
+     * less often; each answer halves that again, so that an outage is soon
+     * forgotten. */
     SLOW_FIRST_MS = 200,
-    SLOW_MOST_MS = 3000,
-    SLOW_DECAY = 16
+    SLOW_MOST_MS = 1000
 };
 
 struct cw_follower {
@@ -97,7 +97,7 @@
                     cw_time_diff_ms(follower->fresh, now));
     }
     follower->retry_ms = 0;
-    follower->slow_ms -= (follower->slow_ms + SLOW_DECAY - 1) / SLOW_DECAY;
+    follower->slow_ms /= 2;
     follower->fresh = follower->sent;
 }
 
--- /dev/null
+++ b/tests/test_follower.c
@@ -0,0 +1,200 @@
+/* Following a partition: load, read on, load again, slow down when refused. */
+#include "test_main.h"
+
+#include <string.h>
+
+#include "curlewcart/cw_follower.h"
+#include "curlewcart/cw_log.h"
+#include "emulator/store_model.h"
+
+/* A store that answers at once, or not at all. */
+struct port {
+    struct cw_store base;
+    struct store_model *model;
+    enum cw_store_status refuses;
+    unsigned reads;
+    unsigned loads;
+    unsigned waited_ms; /* asked for by the last read */
+};
+
+static void
+port_read(struct cw_store *store, const struct cw_store_read *call)
+{
+    struct port *port = (struct port *)store;
+    struct cw_store_page refused = {.status = port->refuses};
+    struct store_model_page page;
+
+    port->reads++;
+    port->waited_ms = call->wait_ms;
+    if (port->refuses != CW_STORE_OK) {
+        call->done(call->context, &refused);
+        return;
+    }
+    store_model_read(port->model, call->topic, call->from, &page);
+    call->done(call->context, &page.page);
+    store_model_page_clear(&page);
+}
+
+static void
+port_newest(struct cw_store *store, const struct cw_store_newest *call)
+{
+    struct port *port = (struct port *)store;
+    struct store_model_page page;
+
+    port->loads++;
+    store_model_newest(port->model, call->topic, call->after, &page);
+    call->done(call->context, &page.page);
+    store_model_page_clear(&page);
+}
+
+static const struct cw_store_ops port_ops = {.read = port_read,
+                                             .newest = port_newest};
+
+struct bed {
+    struct port port;
+    struct cw_clock_manual clock;
+    struct cw_follower *follower;
+    GString *seen; /* keys, in the order given */
+};
+
+static void
+on_record(void *context, const struct cw_store_record *record)
+{
+    struct bed *bed = context;
+
+    g_string_append(bed->seen, record->key);
+}
+
+static void
+put(struct bed *bed, const char *key)
+{
+    struct cw_store_record record = {.key = key, .value = "v", .length = 1};
+    struct cw_store_append append = {
+        .topic = "t", .records = &record, .count = 1};
+
+    store_model_append(bed->port.model, &append);
+}
+
+/* Ticks every ms for so long. */
+static void
+pass(struct bed *bed, unsigned ms)
+{
+    for (unsigned i = 0; i < ms; i++) {
+        bed->clock.now = cw_time_add_ms(bed->clock.now, 1);
+        cw_follower_tick(bed->follower, bed->clock.now);
+    }
+}
+
+static void
+bed_begin(struct bed *bed)
+{
+    struct cw_follower_options options = {
+        .name = "test",
+        .store = &bed->port.base,
+        .clock = &bed->clock.base,
+        .topic = "t",
+        .wait_ms = 500,
+        .pace_ms = 100,
+        .handler = {.record = on_record, .context = bed}};
+
+    memset(bed, 0, sizeof(*bed));
+    cw_log_setup("error", "test");
+    cw_clock_manual_init(&bed->clock);
+    bed->port.base.ops = &port_ops;
+    bed->port.model = store_model_create(1);
+    bed->seen = g_string_new(NULL);
+    bed->follower = cw_follower_create(&options);
+}
+
+static void
+bed_end(struct bed *bed)
+{
+    cw_follower_free(bed->follower);
+    store_model_free(bed->port.model);
+    g_string_free(bed->seen, TRUE);
+}
+
+static void
+test_it_loads_and_reads_on(void)
+{
+    struct bed bed;
+
+    bed_begin(&bed);
+    put(&bed, "a");
+    put(&bed, "b");
+    pass(&bed, 5);
+    CU_ASSERT_TRUE(cw_follower_loaded(bed.follower));
+    CU_ASSERT_STRING_EQUAL(bed.seen->str, "ab");
+    put(&bed, "c");
+    pass(&bed, 110);
+    CU_ASSERT_STRING_EQUAL(bed.seen->str, "abc");
+    CU_ASSERT_EQUAL(cw_follower_position(bed.follower), 3);
+    bed_end(&bed);
+}
+
+static void
+test_dropped_history_makes_it_load_again(void)
+{
+    struct bed bed;
+
+    bed_begin(&bed);
+    put(&bed, "a");
+    pass(&bed, 5);
+    put(&bed, "b");
+    store_model_compact(bed.port.model, "t");
+    pass(&bed, 250);
+    CU_ASSERT_EQUAL(bed.port.loads, 2);
+    CU_ASSERT_STRING_EQUAL(bed.seen->str, "aab");
+    CU_ASSERT_EQUAL(cw_follower_position(bed.follower), 2);
+    bed_end(&bed);
+}
+
+static void
+test_refused_it_reads_less_often_for_a_while(void)
+{
+    struct bed bed;
+    unsigned before;
+    unsigned slow;
+
+    bed_begin(&bed);
+    pass(&bed, 1000);
+    before = bed.port.reads; /* ten a second */
+    bed.port.refuses = CW_STORE_REFUSED;
+    pass(&bed, 2000);
+    bed.port.refuses = CW_STORE_OK;
+    pass(&bed, 1000);
+    slow = bed.port.reads;
+    pass(&bed, 1000);
+    CU_ASSERT_TRUE(bed.port.reads - slow > 0);
+    CU_ASSERT_TRUE(slow - before < 12); /* three seconds' worth: thirty */
+    pass(&bed, 3000);
+    slow = bed.port.reads;
+    pass(&bed, 1000);
+    CU_ASSERT_TRUE(bed.port.reads - slow >= 9); /* forgotten */
+    bed_end(&bed);
+}
+
+static void
+test_in_a_hurry_it_does_not_wait(void)
+{
+    struct bed bed;
+    unsigned before;
+
+    bed_begin(&bed);
+    pass(&bed, 50);
+    before = bed.port.reads;
+    cw_follower_hurry(bed.follower);
+    pass(&bed, 1);
+    CU_ASSERT_EQUAL(bed.port.reads, before + 1);
+    CU_ASSERT_EQUAL(bed.port.waited_ms, 0);
+    bed_end(&bed);
+}
+
+static const struct test tests[] = {
+    {"load and read on", test_it_loads_and_reads_on},
+    {"dropped history", test_dropped_history_makes_it_load_again},
+    {"refused", test_refused_it_reads_less_often_for_a_while},
+    {"hurry", test_in_a_hurry_it_does_not_wait},
+};
+
+TEST_MAIN("follower", tests)
