Stop a refused run whose earlier start had no answer; look at workers for strays

Two ways to it were found by reading: a start without an answer, tried again and refused, was given up although the first could still be carried out (a test now fails without the change); and a worker without known runs was never looked at, so a stray there was not seen.

--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -131,7 +131,8 @@
     bool hold_in_flight;
     struct timespec hold_sent;
     struct timespec hold_due;
-    unsigned silent; /* holds in a row without an answer */
+    struct timespec busy_at; /* when it last had a run, as far as known */
+    unsigned silent;         /* holds in a row without an answer */
     uint64_t ends_applied;
     uint64_t ends_in_batch;
     uint64_t ends_durable;
--- a/src/owner/owner_holds.c
+++ b/src/owner/owner_holds.c
@@ -13,6 +13,11 @@
     /* Ends are not durable yet: the lease is kept up at this pace. */
     HOLD_BLOCKED_MS = 700,
     ENDS_LISTED_MAX = 500,
+    /* Workers that had runs lately, or may have had under an earlier owner,
+     * are looked at now and then: an order that was carried out late shows
+     * only there.  Orders are late by up to 12 s. */
+    IDLE_LOOK_MS = 2500,
+    IDLE_LOOKS_MS = 14000,
     /* No progress for so long: the task stands still.  A percent of the
      * longest tasks (11 s, three times as long across racks, on a worker
      * six times slower) takes 2 s. */
@@ -284,7 +289,9 @@
     struct hold_call *call = g_new0(struct hold_call, 1);
     bool blocked = target->ends_applied > target->ends_durable;
     /* A first look, and one that waits for a stop, wants an answer now. */
-    unsigned wait_ms = blocked || !target->fenced ? 0 : HOLD_WAIT_MS;
+    unsigned wait_ms = blocked || !target->fenced || target->runs->len == 0
+                           ? 0
+                           : HOLD_WAIT_MS;
     struct cw_target_order order = {
         .kind = CW_ORDER_HOLD,
         .address = target->address,
@@ -308,7 +315,15 @@
 }
 
 static bool
-wants_hold(const struct owner_target *target)
+may_have_strays(const struct owner_target *target, struct timespec now)
+{
+    return cw_time_diff_ms(target->owner->began, now) < IDLE_LOOKS_MS ||
+           (target->busy_at.tv_sec > 0 &&
+            cw_time_diff_ms(target->busy_at, now) < IDLE_LOOKS_MS);
+}
+
+static bool
+wants_hold(const struct owner_target *target, struct timespec now)
 {
     if (target->gone || target->address[0] == '\0') {
         return false;
@@ -316,6 +331,9 @@
     if (!target->clock_known && target->listed) {
         return true;
     }
+    if (target->listed && may_have_strays(target, now)) {
+        return true;
+    }
     return target->runs->len > 0 ||
            target->ends_applied > target->ends_in_batch ||
            target->ends_in_batch > target->ends_durable ||
@@ -345,11 +363,14 @@
     if (cw_time_before(target->lease_end, now) && has_ordered_run(target)) {
         owner_target_lost(owner, target, "lease_over");
     }
-    if (target->hold_in_flight || !wants_hold(target) ||
+    if (target->hold_in_flight || !wants_hold(target, now) ||
         !owner_may_extend(owner, now))
     {
         return cw_time_from_ms(INT32_MAX);
     }
+    if (target->runs->len == 0 && target->silent == 0 && target->fenced) {
+        due = cw_time_add_ms(target->hold_sent, IDLE_LOOK_MS);
+    }
     if (target->ends_applied > target->ends_durable) {
         /* Without it the worker would answer at once with the same ends. */
         due = cw_time_add_ms(target->hold_sent, HOLD_BLOCKED_MS);
--- a/src/owner/owner_orders.c
+++ b/src/owner/owner_orders.c
@@ -60,12 +60,19 @@
 
 /* ---- answers to starts ---- */
 
+/* The worker did not take the run.  An earlier attempt without an answer may
+ * still be carried out: then the run has to be stopped there first. */
 static void
 fall_back(struct cw_owner *owner, struct owner_run *run)
 {
     struct owner_step *step = run->task->step;
 
-    owner_run_drop(owner, run);
+    if (run->unanswered > 0) {
+        owner_run_stop(owner, run);
+    }
+    else {
+        owner_run_drop(owner, run);
+    }
     if (step->spec->gang) {
         owner_step_stop(owner, step);
     }
--- a/src/owner/owner_runs.c
+++ b/src/owner/owner_runs.c
@@ -61,6 +61,7 @@
         add_resources(&target->leaving, &need, -1);
     }
     g_ptr_array_remove_fast(target->runs, run);
+    target->busy_at = owner_now(owner);
     if (job->spec->priority > 0) {
         target->lower_runs--;
     }
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -17,11 +17,22 @@
     unsigned jobs;
 };
 
+/* The last order, for a test to answer. */
+static struct cw_target_order last_order;
+
 static void
-no_order(struct cw_targets *targets, const struct cw_target_order *order)
+keep_order(struct cw_targets *targets, const struct cw_target_order *order)
 {
     (void)targets;
-    (void)order;
+    last_order = *order;
+}
+
+static void
+answer_last(enum cw_target_status status)
+{
+    const struct cw_target_answer answer = {.status = status};
+
+    last_order.done(last_order.context, &answer);
 }
 
 static void
@@ -63,7 +74,7 @@
 static void
 site_begin(struct site *site)
 {
-    static const struct cw_targets_ops ops = {.order = no_order};
+    static const struct cw_targets_ops ops = {.order = keep_order};
     static struct cw_targets targets = {.ops = &ops};
     struct cw_replica_options replica = {.clock = &site->clock.base};
     struct cw_owner_options options = {.targets = &targets,
@@ -461,7 +472,54 @@
     site_end(&site);
 }
 
+/* Makes the job's only run ready and sends its start. */
+static struct owner_run *
+send_start(struct site *site, struct owner_job *job)
+{
+    struct owner_run *run = step_of(job)->tasks[0].run;
+    struct cw_task_name name = owner_task_name(run->task);
+
+    run->phase = RUN_READY;
+    site->owner->proof_at = site->clock.now;
+    owner_order_queue(site->owner, run->target, CW_ORDER_START, &name,
+                      run->number);
+    owner_orders_send(site->owner, run->target, site->clock.now);
+    return run;
+}
+
+static void
+test_a_refused_start_is_stopped_if_an_earlier_one_had_no_answer(void)
+{
+    const struct cw_step_spec one = {.tasks = 1, .accelerators = 1};
+    struct site site;
+    struct owner_job *job;
+    struct owner_run *run;
+
+    site_begin(&site);
+    set_guarantee(&site, 0);
+    job = add_job(&site, 1, &one);
+    pass(&site, 10);
+    run = send_start(&site, job);
+    answer_last(CW_TARGET_UNKNOWN);
+    owner_orders_send(site.owner, run->target, site.clock.now);
+    answer_last(CW_TARGET_NO_ROOM);
+    CU_ASSERT_EQUAL(placed(job), 1); /* the first may still be carried out */
+    CU_ASSERT_TRUE(step_of(job)->tasks[0].run->stopping);
+    site_end(&site);
+
+    site_begin(&site);
+    set_guarantee(&site, 0);
+    job = add_job(&site, 1, &one);
+    pass(&site, 10);
+    send_start(&site, job);
+    answer_last(CW_TARGET_NO_ROOM);
+    CU_ASSERT_EQUAL(placed(job), 0); /* nothing can come any more */
+    site_end(&site);
+}
+
 static const struct test tests[] = {
+    {"refused start",
+     test_a_refused_start_is_stopped_if_an_earlier_one_had_no_answer},
     {"checkpoint", test_a_lost_run_resumes_from_its_last_checkpoint},
     {"occurrences", test_occurrences_open_when_they_are_due},
     {"one rack", test_a_gang_takes_one_rack_or_waits},
