--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -52,6 +52,15 @@
     bool isolated;
 };
 
+static void
+change_free(struct change *change)
+{
+    g_free(change->id);
+    g_free(change->queue);
+    g_byte_array_unref(change->value);
+    g_free(change);
+}
+
 struct cw_entry *
 cw_entry_create(const struct cw_entry_options *options)
 {
@@ -62,8 +71,6 @@
     return entry;
 }
 
-static void change_free(struct change *change);
-
 void
 cw_entry_free(struct cw_entry *entry)
 {
@@ -114,15 +121,6 @@
 
 /* ---- changes ---- */
 
-static void
-change_free(struct change *change)
-{
-    g_free(change->id);
-    g_free(change->queue);
-    g_byte_array_unref(change->value);
-    g_free(change);
-}
-
 /* Answers the caller and forgets the change. */
 static void
 conclude(struct change *change, enum cw_entry_outcome outcome)
