A job is cancelled only by its own account, through its own queue

Cause: a cancellation whose job is not found at first waits until the replica has read on, and then looked the job up by its id alone. A job of another account or queue counts as not found, so it took this way and was cancelled. Ruled out: queries and cancellations that find the job at once check both. Change: one find_job for all three; a change keeps the account it is for.

--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -26,6 +26,7 @@
     char *id;
     GByteArray *value;
     char *queue;
+    char *account; /* that may cancel; NULL: the queue is open */
     cw_entry_done done;
     void *context;
     struct timespec began;
@@ -57,6 +58,7 @@
 {
     g_free(change->id);
     g_free(change->queue);
+    g_free(change->account);
     g_byte_array_unref(change->value);
     g_free(change);
 }
@@ -334,26 +336,30 @@
 
 /* ---- cancellation ---- */
 
-/* The job of a place if it belongs there, or NULL. */
+/* The job if it is of that queue and account (NULL: of any), or NULL. */
 static const struct cw_replica_job *
-find_job(const struct cw_entry *entry, const struct cw_entry_place *place)
+find_job(const struct cw_entry *entry, const char *id, const char *queue,
+         const char *account)
 {
     const struct cw_replica_job *job =
-        cw_replica_find(entry->options.replica, place->id);
+        cw_replica_find(entry->options.replica, id);
 
     if (job == NULL || job->spec == NULL ||
-        strcmp(job->spec->queue, place->queue->name) != 0)
-    {
+        strcmp(job->spec->queue, queue) != 0) {
         return NULL;
     }
-    if (place->account != NULL &&
-        strcmp(job->spec->account, place->account->name) != 0)
-    {
+    if (account != NULL && strcmp(job->spec->account, account) != 0) {
         return NULL;
     }
     return job;
 }
 
+static const char *
+account_name(const struct cw_entry_place *place)
+{
+    return place->account != NULL ? place->account->name : NULL;
+}
+
 /* Answers a cancellation that needs no append; true if it did. */
 static bool
 cancel_settled(struct change *change, const struct cw_replica_job *job)
@@ -375,14 +381,16 @@
 cw_entry_cancel(struct cw_entry *entry, const struct cw_entry_place *place,
                 unsigned budget_ms, cw_entry_done done, void *context)
 {
-    const struct cw_replica_job *job = find_job(entry, place);
     struct change *change = change_new(entry, CW_WORK_KEY_CANCEL, place->id,
                                        place->queue->name, budget_ms);
+    const struct cw_replica_job *job;
 
     change->value = g_byte_array_new();
     g_byte_array_append(change->value, (const guint8 *)"1", 1);
     change->done = done;
     change->context = context;
+    change->account = g_strdup(account_name(place));
+    job = find_job(entry, change->id, change->queue, change->account);
     if (job == NULL) {
         /* Another VM may have taken it a moment ago. */
         change->look_first = true;
@@ -400,10 +408,11 @@
 look_again(struct change *change, struct timespec now)
 {
     struct cw_replica *replica = change->entry->options.replica;
-    const struct cw_replica_job *job = cw_replica_find(replica, change->id);
+    const struct cw_replica_job *job =
+        find_job(change->entry, change->id, change->queue, change->account);
     struct timespec fresh = cw_follower_fresh(cw_replica_follower(replica));
 
-    if (job != NULL && job->spec != NULL) {
+    if (job != NULL) {
         change->look_first = false;
         if (!cancel_settled(change, job)) {
             send_change(change, now);
@@ -434,7 +443,8 @@
 cw_entry_query(struct cw_entry *entry, const struct cw_entry_place *place,
                unsigned *phase)
 {
-    const struct cw_replica_job *job = find_job(entry, place);
+    const struct cw_replica_job *job =
+        find_job(entry, place->id, place->queue->name, account_name(place));
 
     if (job != NULL) {
         *phase = cw_replica_phase(job);
--- /dev/null
+++ b/tests/test_entry.c
@@ -0,0 +1,243 @@
+/* Who may cancel a job. */
+#include "test_main.h"
+
+#include <string.h>
+
+#include "curlewcart/cw_entry.h"
+#include "curlewcart/cw_log.h"
+#include "curlewcart/cw_xdr.h"
+#include "emulator/store_model.h"
+
+#define ID "5c0e7a21d94b36f8"
+
+enum { STEP_MS = 10, BUDGET_MS = 900, TURNS = 200 };
+
+/* A store that answers at once and counts what is written. */
+struct port {
+    struct cw_store base;
+    struct store_model *model;
+    unsigned appends;
+};
+
+static void
+port_append(struct cw_store *store, const struct cw_store_append *call)
+{
+    struct port *port = (struct port *)store;
+    struct cw_store_appended result = store_model_append(port->model, call);
+
+    port->appends++;
+    call->done(call->context, &result);
+}
+
+static void
+port_newest(struct cw_store *store, const struct cw_store_newest *call)
+{
+    struct store_model_page page;
+
+    store_model_newest(((struct port *)store)->model, call->topic, call->after,
+                       &page);
+    call->done(call->context, &page.page);
+    store_model_page_clear(&page);
+}
+
+static void
+port_read(struct cw_store *store, const struct cw_store_read *call)
+{
+    struct store_model_page page;
+
+    store_model_read(((struct port *)store)->model, call->topic, call->from,
+                     &page);
+    call->done(call->context, &page.page);
+    store_model_page_clear(&page);
+}
+
+static const struct cw_store_ops port_ops = {
+    .append = port_append, .newest = port_newest, .read = port_read};
+
+/* A VM with one queue, two accounts, and a job of the first account. */
+struct bed {
+    struct port port;
+    struct cw_clock_manual clock;
+    struct cw_counters counters;
+    struct cw_replica *replica;
+    struct cw_routing *routing;
+    struct cw_entry *entry;
+    int outcome; /* -1: no answer yet */
+};
+
+static void
+add_account(struct cw_routing *routing, const char *name, const char *key)
+{
+    struct cw_account *account = cw_routing_add_account(routing);
+
+    account->name = g_strdup(name);
+    g_ptr_array_add(account->keys, g_strdup(key));
+}
+
+static void
+add_queue(struct cw_routing *routing, const char *name, const char *prefix)
+{
+    struct cw_queue *queue = cw_routing_add_queue(routing);
+
+    queue->name = g_strdup(name);
+    queue->host = g_strdup("a.example");
+    queue->prefix = g_strdup(prefix);
+    queue->service = g_strdup("s");
+}
+
+static void
+put_job(struct bed *bed)
+{
+    struct cw_step_spec step = {.tasks = 1,
+                                .label = (char *)"",
+                                .data_rack = (char *)"",
+                                .image = (char *)""};
+    struct cw_work_spec spec = {.id = (char *)ID,
+                                .queue = (char *)"q",
+                                .account = (char *)"desk",
+                                .service = (char *)"s",
+                                .payload = (char *)""};
+    struct cw_store_record record = {.key = "s" ID};
+    struct cw_store_append append = {
+        .topic = CW_WORK_TOPIC, .records = &record, .count = 1};
+    GByteArray *bytes;
+
+    spec.steps.steps_len = 1;
+    spec.steps.steps_val = &step;
+    bytes = cw_xdr_encode((xdrproc_t)xdr_cw_work_spec, &spec);
+    record.value = bytes->data;
+    record.length = bytes->len;
+    store_model_append(bed->port.model, &append);
+    g_byte_array_unref(bytes);
+}
+
+static void
+pass(struct bed *bed)
+{
+    for (unsigned i = 0; i < TURNS; i++) {
+        bed->clock.now = cw_time_add_ms(bed->clock.now, STEP_MS);
+        cw_follower_tick(cw_replica_follower(bed->replica), bed->clock.now);
+        cw_entry_tick(bed->entry, bed->clock.now);
+    }
+}
+
+static void
+bed_begin(struct bed *bed)
+{
+    struct cw_replica_options replica = {.store = &bed->port.base,
+                                         .clock = &bed->clock.base};
+    struct cw_entry_options entry = {.store = &bed->port.base,
+                                     .clock = &bed->clock.base};
+
+    memset(bed, 0, sizeof(*bed));
+    cw_log_setup("error", "test");
+    cw_clock_manual_init(&bed->clock);
+    bed->port.base.ops = &port_ops;
+    bed->port.model = store_model_create(1);
+    bed->replica = cw_replica_create(&replica);
+    bed->routing = cw_routing_new();
+    add_account(bed->routing, "desk", "k1");
+    add_account(bed->routing, "other", "k2");
+    add_queue(bed->routing, "q", "/jobs/");
+    add_queue(bed->routing, "r", "/rest/");
+    cw_routing_seal(bed->routing);
+    entry.replica = bed->replica;
+    entry.counters = &bed->counters;
+    bed->entry = cw_entry_create(&entry);
+    cw_entry_configure(bed->entry, bed->routing);
+    bed->outcome = -1;
+}
+
+static void
+bed_end(struct bed *bed)
+{
+    cw_entry_free(bed->entry);
+    cw_routing_unref(bed->routing);
+    cw_replica_free(bed->replica);
+    store_model_free(bed->port.model);
+}
+
+static void
+on_done(void *context, enum cw_entry_outcome outcome)
+{
+    ((struct bed *)context)->outcome = (int)outcome;
+}
+
+static void
+cancel(struct bed *bed, const char *path, const char *key)
+{
+    struct cw_entry_place place;
+
+    CU_ASSERT_EQUAL_FATAL(
+        cw_entry_locate(bed->entry, "a.example", path, key, &place), CW_OK);
+    cw_entry_cancel(bed->entry, &place, BUDGET_MS, on_done, bed);
+}
+
+static void
+test_another_accounts_job_is_not_cancelled(void)
+{
+    struct bed bed;
+
+    bed_begin(&bed);
+    put_job(&bed);
+    pass(&bed);
+    cancel(&bed, "/jobs/" ID, "k2");
+    pass(&bed);
+    CU_ASSERT_EQUAL(bed.outcome, CW_ENTRY_NO_JOB);
+    CU_ASSERT_EQUAL(bed.port.appends, 0);
+    bed_end(&bed);
+}
+
+/* The job shows only after the cancellation came. */
+static void
+test_another_accounts_new_job_is_not_cancelled(void)
+{
+    struct bed bed;
+
+    bed_begin(&bed);
+    cancel(&bed, "/jobs/" ID, "k2");
+    put_job(&bed);
+    pass(&bed);
+    CU_ASSERT_EQUAL(bed.outcome, CW_ENTRY_NO_JOB);
+    CU_ASSERT_EQUAL(bed.port.appends, 0);
+    bed_end(&bed);
+}
+
+static void
+test_another_queues_job_is_not_cancelled(void)
+{
+    struct bed bed;
+
+    bed_begin(&bed);
+    put_job(&bed);
+    pass(&bed);
+    cancel(&bed, "/rest/" ID, "k1");
+    pass(&bed);
+    CU_ASSERT_EQUAL(bed.outcome, CW_ENTRY_NO_JOB);
+    CU_ASSERT_EQUAL(bed.port.appends, 0);
+    bed_end(&bed);
+}
+
+static void
+test_its_own_new_job_is_cancelled(void)
+{
+    struct bed bed;
+
+    bed_begin(&bed);
+    cancel(&bed, "/jobs/" ID, "k1");
+    put_job(&bed);
+    pass(&bed);
+    CU_ASSERT_EQUAL(bed.outcome, CW_ENTRY_STORED);
+    CU_ASSERT_EQUAL(bed.port.appends, 1);
+    bed_end(&bed);
+}
+
+static const struct test tests[] = {
+    {"another account's job", test_another_accounts_job_is_not_cancelled},
+    {"another account's new job",
+     test_another_accounts_new_job_is_not_cancelled},
+    {"another queue's job", test_another_queues_job_is_not_cancelled},
+    {"its own new job", test_its_own_new_job_is_cancelled},
+};
+
+TEST_MAIN("entry", tests)
