--- a/emulator/world_vms.c
+++ b/emulator/world_vms.c
@@ -16,18 +16,11 @@
 {
     struct timespec now = vm->world->clock.now;
     struct timespec next = cw_entry_tick(vm->entry, now);
-    struct timespec due;
     bool active = cw_owner_active(vm->owner);
 
     cw_follower_tick(cw_replica_follower(vm->replica), now);
-    due = cw_owner_tick(vm->owner, now);
-    if (cw_time_before(due, next)) {
-        next = due;
-    }
-    due = cw_follower_due(cw_replica_follower(vm->replica));
-    if (cw_time_before(due, next)) {
-        next = due;
-    }
+    cw_time_earlier(&next, cw_owner_tick(vm->owner, now));
+    cw_time_earlier(&next, cw_follower_due(cw_replica_follower(vm->replica)));
     vm->takeovers += !active && cw_owner_active(vm->owner);
     vm->due_ms =
         MAX(vm->world->now_ms + 1, cw_time_diff_ms(cw_time_from_ms(0), next));
--- a/include/curlewcart/cw_time.h
+++ b/include/curlewcart/cw_time.h
@@ -100,4 +100,13 @@
            (a.tv_sec == b.tv_sec && a.tv_nsec < b.tv_nsec);
 }
 
+/* Brings `due` forward to `other` if that is before it. */
+static inline void
+cw_time_earlier(struct timespec *due, struct timespec other)
+{
+    if (cw_time_before(other, *due)) {
+        *due = other;
+    }
+}
+
 #endif
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -515,12 +515,11 @@
                 give_up(change);
             }
             else {
-                next = cw_time_before(change->give_up, next) ? change->give_up
-                                                             : next;
+                cw_time_earlier(&next, change->give_up);
             }
         }
         else if (change->stored) {
-            next = cw_time_add_ms(now, RETRY_FIRST_MS);
+            cw_time_earlier(&next, cw_time_add_ms(now, RETRY_FIRST_MS));
             if (!cw_time_before(now, change->give_up)) {
                 change->unsure = true; /* stored; whether it counts is not
                                           known here yet */
@@ -534,14 +533,14 @@
             give_up(change);
         }
         else if (change->look_first) {
-            next = cw_time_add_ms(now, RETRY_FIRST_MS);
+            cw_time_earlier(&next, cw_time_add_ms(now, RETRY_FIRST_MS));
             look_again(change, now);
         }
         else if (!cw_time_before(now, change->due)) {
             send_change(change, now);
         }
-        else if (cw_time_before(change->due, next)) {
-            next = change->due;
+        else {
+            cw_time_earlier(&next, change->due);
         }
     }
     return next;
--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -16,6 +16,10 @@
 struct owner_step;
 struct owner_target;
 
+/* A worker's clock may run slow by so many percent: by so much longer than
+ * told a lease may last there. */
+enum { OWNER_DRIFT_PERCENT = 2 };
+
 /* A run of a task on a worker, from its placement until it is known that
  * the worker does not run it and never will. */
 enum run_phase {
@@ -228,14 +232,6 @@
     return cw_clock_now(owner->options.clock);
 }
 
-static inline void
-owner_earlier(struct timespec *due, struct timespec other)
-{
-    if (cw_time_before(other, *due)) {
-        *due = other;
-    }
-}
-
 /* ---- owner_jobs.c ---- */
 
 /* Takes a job of the replica over; does nothing if it is known or over. */
@@ -291,6 +287,29 @@
     return need;
 }
 
+static inline void
+owner_resources_add(struct cw_resources *sum, const struct cw_resources *part)
+{
+    sum->cpu_milli += part->cpu_milli;
+    sum->memory_mb += part->memory_mb;
+    sum->accelerators += part->accelerators;
+}
+
+static inline void
+owner_resources_take(struct cw_resources *sum, const struct cw_resources *part)
+{
+    sum->cpu_milli -= part->cpu_milli;
+    sum->memory_mb -= part->memory_mb;
+    sum->accelerators -= part->accelerators;
+}
+
+/* Tasks of the step that are neither done nor have a run. */
+static inline unsigned
+owner_step_waiting(const struct owner_step *step)
+{
+    return step->left - MIN(step->left, step->runs);
+}
+
 /* ---- owner_runs.c ---- */
 
 struct owner_run *
--- a/src/owner/owner.c
+++ b/src/owner/owner.c
@@ -21,8 +21,6 @@
     CHECK_EVERY_MS = 100,
     SWEEP_EVERY_MS = 5000,
     EPOCHS_PER_GENERATION = 256,
-    /* Rate at which a worker's clock may be slow, in percent. */
-    DRIFT_PERCENT = 2,
     TAKEOVER_SLACK_MS = 500
 };
 
@@ -79,7 +77,7 @@
 {
     int64_t lease_ms = owner->options.lease_ms;
     int64_t most_ms = EXTEND_PROOF_MS + lease_ms +
-                      lease_ms * DRIFT_PERCENT / 100 + TAKEOVER_SLACK_MS;
+                      lease_ms * OWNER_DRIFT_PERCENT / 100 + TAKEOVER_SLACK_MS;
     GHashTableIter iterator;
     gpointer value;
 
@@ -441,7 +439,7 @@
         struct owner_target *target = targets->pdata[i];
 
         owner_orders_send(owner, target, now);
-        owner_earlier(&next, owner_hold_tick(owner, target, now));
+        cw_time_earlier(&next, owner_hold_tick(owner, target, now));
     }
     g_ptr_array_unref(targets);
     return next;
@@ -478,7 +476,7 @@
         return now;
     }
     cw_follower_tick(owner->reports, now);
-    owner_earlier(&next, cw_follower_due(owner->reports));
+    cw_time_earlier(&next, cw_follower_due(owner->reports));
     tick_jobs(owner, now);
     if (owner->place_wanted && owner_may_order(owner, now)) {
         if (!cw_time_before(now, owner->place_due)) {
@@ -487,14 +485,14 @@
             owner_place(owner, now);
         }
         else {
-            owner_earlier(&next, owner->place_due);
+            cw_time_earlier(&next, owner->place_due);
         }
     }
-    owner_earlier(&next, owner_commit_tick(owner, now));
+    cw_time_earlier(&next, owner_commit_tick(owner, now));
     if (owner->state != OWNER_ACTIVE) {
         return now;
     }
-    owner_earlier(&next, tick_targets(owner, now));
+    cw_time_earlier(&next, tick_targets(owner, now));
     if (!cw_time_before(now, owner->sweep_due)) {
         owner->sweep_due = cw_time_add_ms(now, SWEEP_EVERY_MS);
         owner_sweep(owner);
@@ -513,20 +511,20 @@
                : owner->join_due;
     if (owner->state == OWNER_FENCING || owner->state == OWNER_CATCHING) {
         cw_follower_tick(owner->reports, now);
-        owner_earlier(&next, cw_follower_due(owner->reports));
+        cw_time_earlier(&next, cw_follower_due(owner->reports));
     }
     if (owner->state == OWNER_FENCING) {
         send_fence(owner, now);
-        owner_earlier(&next, cw_time_add_ms(now, FENCE_RETRY_MS));
+        cw_time_earlier(&next, cw_time_add_ms(now, FENCE_RETRY_MS));
     }
     else if (owner->state == OWNER_CATCHING) {
-        owner_earlier(&next, cw_time_add_ms(now, PLACE_EVERY_MS));
+        cw_time_earlier(&next, cw_time_add_ms(now, PLACE_EVERY_MS));
         if (caught_up(owner)) {
             begin_deciding(owner, now);
         }
     }
     if (owner->state == OWNER_ACTIVE) {
-        owner_earlier(&next, tick_active(owner, now));
+        cw_time_earlier(&next, tick_active(owner, now));
     }
     return next;
 }
--- a/src/owner/owner_candidates.c
+++ b/src/owner/owner_candidates.c
@@ -23,16 +23,10 @@
 struct cw_resources
 owner_room(const struct owner_target *target)
 {
-    struct cw_resources room = {
-        .cpu_milli = target->capacity.cpu_milli - target->used.cpu_milli -
-                     target->reserved.cpu_milli,
-        .memory_mb = target->capacity.memory_mb - target->used.memory_mb -
-                     target->reserved.memory_mb,
-        .accelerators = target->capacity.accelerators -
-                        target->used.accelerators -
-                        target->reserved.accelerators,
-    };
+    struct cw_resources room = target->capacity;
 
+    owner_resources_take(&room, &target->used);
+    owner_resources_take(&room, &target->reserved);
     return room;
 }
 
--- a/src/owner/owner_orders.c
+++ b/src/owner/owner_orders.c
@@ -277,7 +277,7 @@
         out.saved = run->task->saved;
         run->phase = RUN_STARTING;
         cw_count_add(owner->options.counters, CW_COUNT_STARTS, 1);
-        owner_earlier(&target->hold_due, now);
+        cw_time_earlier(&target->hold_due, now);
     }
     target->orders_in_flight++;
     order->sent = now;
--- a/src/owner/owner_place.c
+++ b/src/owner/owner_place.c
@@ -151,19 +151,13 @@
     return choices != NULL;
 }
 
-static unsigned
-tasks_waiting(const struct owner_step *step)
-{
-    return step->left - MIN(step->left, step->runs);
-}
-
 /* True if all waiting tasks were placed. */
 static bool
 place_tasks(struct cw_owner *owner, struct owner_step *step,
             struct timespec now)
 {
     GArray *candidates = owner_candidates(owner, step, now);
-    unsigned waiting = tasks_waiting(step);
+    unsigned waiting = owner_step_waiting(step);
     GArray *choices;
     unsigned placed = 0;
 
@@ -173,7 +167,7 @@
         owner_assign(owner, step, near, RUN_NEW);
         g_array_unref(near);
         g_array_unref(candidates);
-        waiting = tasks_waiting(step);
+        waiting = owner_step_waiting(step);
         if (waiting == 0) {
             return true;
         }
@@ -210,7 +204,7 @@
     if (step->done || !after_are_done(step)) {
         return false;
     }
-    return step->spec->gang ? step->runs == 0 : tasks_waiting(step) > 0;
+    return step->spec->gang ? step->runs == 0 : owner_step_waiting(step) > 0;
 }
 
 /* Gives up places whose present users do not leave: the step is placed anew
--- a/src/owner/owner_racks.c
+++ b/src/owner/owner_racks.c
@@ -107,9 +107,7 @@
         struct cw_resources taken = owner_need(run->task->step->spec);
 
         if (owner_task_job(run->task)->spec->priority > priority) {
-            room.cpu_milli += taken.cpu_milli;
-            room.memory_mb += taken.memory_mb;
-            room.accelerators += taken.accelerators;
+            owner_resources_add(&room, &taken);
         }
     }
     return owner_most_there(step, target, owner_fits(&room, &need));
--- a/src/owner/owner_reclaim.c
+++ b/src/owner/owner_reclaim.c
@@ -132,9 +132,7 @@
 {
     struct cw_resources need = owner_need(run->task->step->spec);
 
-    sum->cpu_milli += need.cpu_milli;
-    sum->memory_mb += need.memory_mb;
-    sum->accelerators += need.accelerators;
+    owner_resources_add(sum, &need);
 }
 
 /* Room once all that is stopping, or planned to be, has left. */
@@ -143,9 +141,7 @@
 {
     struct cw_resources room = owner_room(target);
 
-    room.cpu_milli += target->leaving.cpu_milli;
-    room.memory_mb += target->leaving.memory_mb;
-    room.accelerators += target->leaving.accelerators;
+    owner_resources_add(&room, &target->leaving);
     for (guint i = 0; i < target->runs->len; i++) {
         const struct owner_run *run = target->runs->pdata[i];
 
@@ -412,7 +408,7 @@
               struct timespec now)
 {
     GHashTable *racks = targets_by_rack(owner, step, now);
-    unsigned tasks = step->left - MIN(step->left, step->runs);
+    unsigned tasks = owner_step_waiting(step);
     GPtrArray *targets = NULL;
     struct plan plan;
     bool ok;
--- a/src/owner/owner_runs.c
+++ b/src/owner/owner_runs.c
@@ -3,15 +3,6 @@
 
 #include <string.h>
 
-static void
-add_resources(struct cw_resources *sum, const struct cw_resources *part,
-              int sign)
-{
-    sum->cpu_milli += sign * part->cpu_milli;
-    sum->memory_mb += sign * part->memory_mb;
-    sum->accelerators += sign * part->accelerators;
-}
-
 /* The sum that a run's need stands in. */
 static struct cw_resources *
 account_of(struct owner_run *run)
@@ -44,7 +35,7 @@
         target->lower_runs++;
         owner_headroom_took(owner, target);
     }
-    add_resources(account_of(run), &need, 1);
+    owner_resources_add(account_of(run), &need);
     return run;
 }
 
@@ -56,9 +47,9 @@
     struct owner_job *job = owner_task_job(task);
     struct cw_resources need = owner_need(task->step->spec);
 
-    add_resources(account_of(run), &need, -1);
+    owner_resources_take(account_of(run), &need);
     if (run->stopping) {
-        add_resources(&target->leaving, &need, -1);
+        owner_resources_take(&target->leaving, &need);
     }
     g_ptr_array_remove_fast(target->runs, run);
     target->busy_at = owner_now(owner);
@@ -92,7 +83,7 @@
         struct cw_resources need = owner_need(run->task->step->spec);
 
         run->stopping = true;
-        add_resources(&run->target->leaving, &need, 1);
+        owner_resources_add(&run->target->leaving, &need);
     }
     if ((run->phase == RUN_STARTING || run->phase == RUN_RUNNING ||
          run->phase == RUN_UNSURE) &&
@@ -145,7 +136,7 @@
     struct cw_resources need = owner_need(run->task->step->spec);
     struct cw_resources room = target->capacity;
 
-    add_resources(&room, &target->used, -1);
+    owner_resources_take(&room, &target->used);
     return room.cpu_milli >= need.cpu_milli &&
            room.memory_mb >= need.memory_mb &&
            room.accelerators >= need.accelerators;
@@ -156,8 +147,8 @@
 {
     struct cw_resources need = owner_need(run->task->step->spec);
 
-    add_resources(&run->target->reserved, &need, -1);
-    add_resources(&run->target->used, &need, 1);
+    owner_resources_take(&run->target->reserved, &need);
+    owner_resources_add(&run->target->used, &need);
     run->phase = RUN_NEW;
     owner_job_touch(owner, owner_task_job(run->task));
 }
@@ -186,8 +177,8 @@
         struct owner_run *run = promoted->pdata[i];
         struct cw_resources need = owner_need(step->spec);
 
-        add_resources(&run->target->used, &need, -1);
-        add_resources(&run->target->reserved, &need, 1);
+        owner_resources_take(&run->target->used, &need);
+        owner_resources_add(&run->target->reserved, &need);
         run->phase = RUN_RESERVED;
     }
     g_ptr_array_unref(promoted);
--- a/src/owner/owner_targets.c
+++ b/src/owner/owner_targets.c
@@ -4,8 +4,6 @@
 #include <string.h>
 
 enum {
-    /* A worker's clock may run slow by so many percent. */
-    DRIFT_PERCENT = 2,
     LEASE_SLACK_MS = 200,
     /* Two failures in a row: it may fail all that it starts. */
     BLAME_FIRST_MS = 2500,
@@ -187,7 +185,7 @@
     int64_t until_ms = cw_time_diff_ms(cw_time_from_ms(0), now) +
                        target->clock_offset_ms + lease_ms;
     struct timespec end = cw_time_add_ms(
-        now, lease_ms + lease_ms * DRIFT_PERCENT / 100 + LEASE_SLACK_MS);
+        now, lease_ms + lease_ms * OWNER_DRIFT_PERCENT / 100 + LEASE_SLACK_MS);
 
     /* While it is silent its lease is not extended, so that the tasks there
      * can be started elsewhere once the last one has passed. */
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -476,23 +476,23 @@
     struct timespec next = relay_rpc_expire(relay->rpc, now);
 
     relay_check_isolation(relay, now);
-    if (relay->suspect && cw_time_before(relay->ping_due, next)) {
-        next = relay->ping_due;
+    if (relay->suspect) {
+        cw_time_earlier(&next, relay->ping_due);
     }
     if (!relay_rpc_has_key(relay->rpc) && !relay->key_in_flight) {
         if (!cw_time_before(now, relay->key_due)) {
             relay_ask_key(relay);
         }
-        else if (cw_time_before(relay->key_due, next)) {
-            next = relay->key_due;
+        else {
+            cw_time_earlier(&next, relay->key_due);
         }
     }
     if (!relay->members_in_flight) {
         if (!cw_time_before(now, relay->members_due)) {
             relay_ask_members(relay);
         }
-        else if (cw_time_before(relay->members_due, next)) {
-            next = relay->members_due;
+        else {
+            cw_time_earlier(&next, relay->members_due);
         }
     }
     return next;
--- a/src/relay/relay_rpc.c
+++ b/src/relay/relay_rpc.c
@@ -345,8 +345,8 @@
             g_hash_table_iter_steal(&iterator);
             g_ptr_array_add(expired, call);
         }
-        else if (cw_time_before(call->give_up, next)) {
-            next = call->give_up;
+        else {
+            cw_time_earlier(&next, call->give_up);
         }
     }
     for (guint i = 0; i < expired->len; i++) {
--- a/src/vm/vm.c
+++ b/src/vm/vm.c
@@ -99,14 +99,6 @@
 
 /* ---- ticking ---- */
 
-static void
-sooner(struct timespec *next, struct timespec due)
-{
-    if (cw_time_before(due, *next)) {
-        *next = due;
-    }
-}
-
 static void
 on_message(void *context)
 {
@@ -131,11 +123,11 @@
         cw_follower_tick(vm->routing, now);
         cw_follower_tick(jobs, now);
         next = cw_follower_due(vm->routing);
-        sooner(&next, cw_follower_due(jobs));
+        cw_time_earlier(&next, cw_follower_due(jobs));
         cw_entry_set_isolated(vm->entry, cw_relay_isolated(vm->relay));
-        sooner(&next, cw_entry_tick(vm->entry, now));
-        sooner(&next, cw_owner_tick(vm->owner, now));
-        sooner(&next, cw_relay_tick(vm->relay, now));
+        cw_time_earlier(&next, cw_entry_tick(vm->entry, now));
+        cw_time_earlier(&next, cw_owner_tick(vm->owner, now));
+        cw_time_earlier(&next, cw_relay_tick(vm->relay, now));
         /* Rounded up: waking a little early would only cost another turn. */
         wait_ms = cw_time_diff_ms(cw_clock_now(vm->clock), next) + 1;
     }
