One store for the tests of entry, relay and follower

Cause: test_relay and test_follower each had a store that answers at once, and the new test_entry had written it a third time. Change: tests/store_port.h; no assertion changed.

--- /dev/null
+++ b/tests/store_port.h
@@ -0,0 +1,85 @@
+/* A store in the same process that answers at once, counts, and refuses when
+ * told to. */
+#ifndef TEST_STORE_PORT_H
+#define TEST_STORE_PORT_H
+
+#include "emulator/store_model.h"
+
+struct store_port {
+    struct cw_store base;
+    struct store_model *model;
+    enum cw_store_status refuses; /* CW_STORE_OK: it serves */
+    const char *member;           /* of another VM */
+    unsigned appends;
+    unsigned loads;
+    unsigned reads;
+    unsigned waited_ms; /* asked for by the last read */
+};
+
+static void
+store_port_append(struct cw_store *store, const struct cw_store_append *call)
+{
+    struct store_port *port = (struct store_port *)store;
+    struct cw_store_appended result = {.status = port->refuses};
+
+    port->appends++;
+    if (port->refuses == CW_STORE_OK) {
+        result = store_model_append(port->model, call);
+    }
+    call->done(call->context, &result);
+}
+
+static void
+store_port_newest(struct cw_store *store, const struct cw_store_newest *call)
+{
+    struct store_port *port = (struct store_port *)store;
+    struct cw_store_page refused = {.status = port->refuses};
+    struct store_model_page page;
+
+    port->loads++;
+    if (port->refuses != CW_STORE_OK) {
+        call->done(call->context, &refused);
+        return;
+    }
+    store_model_newest(port->model, call->topic, call->after, &page);
+    call->done(call->context, &page.page);
+    store_model_page_clear(&page);
+}
+
+static void
+store_port_read(struct cw_store *store, const struct cw_store_read *call)
+{
+    struct store_port *port = (struct store_port *)store;
+    struct cw_store_page refused = {.status = port->refuses};
+    struct store_model_page page;
+
+    port->reads++;
+    port->waited_ms = call->wait_ms;
+    if (port->refuses != CW_STORE_OK) {
+        call->done(call->context, &refused);
+        return;
+    }
+    store_model_read(port->model, call->topic, call->from, &page);
+    call->done(call->context, &page.page);
+    store_model_page_clear(&page);
+}
+
+static void
+store_port_members(struct cw_store *store,
+                   const struct cw_store_list_members *call)
+{
+    struct store_port *port = (struct store_port *)store;
+    struct cw_store_members result = {
+        .status = port->refuses, .members = &port->member, .count = 1};
+
+    call->done(call->context, &result);
+}
+
+static const struct cw_store_ops store_port_ops = {
+    .append = store_port_append,
+    .newest = store_port_newest,
+    .read = store_port_read,
+    .members = store_port_members,
+};
+
+#endif
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -6,57 +6,15 @@
 #include "curlewcart/cw_entry.h"
 #include "curlewcart/cw_log.h"
 #include "curlewcart/cw_xdr.h"
-#include "emulator/store_model.h"
+#include "store_port.h"
 
 #define ID "5c0e7a21d94b36f8"
 
 enum { STEP_MS = 10, BUDGET_MS = 900, TURNS = 200 };
 
-/* A store that answers at once and counts what is written. */
-struct port {
-    struct cw_store base;
-    struct store_model *model;
-    unsigned appends;
-};
-
-static void
-port_append(struct cw_store *store, const struct cw_store_append *call)
-{
-    struct port *port = (struct port *)store;
-    struct cw_store_appended result = store_model_append(port->model, call);
-
-    port->appends++;
-    call->done(call->context, &result);
-}
-
-static void
-port_newest(struct cw_store *store, const struct cw_store_newest *call)
-{
-    struct store_model_page page;
-
-    store_model_newest(((struct port *)store)->model, call->topic, call->after,
-                       &page);
-    call->done(call->context, &page.page);
-    store_model_page_clear(&page);
-}
-
-static void
-port_read(struct cw_store *store, const struct cw_store_read *call)
-{
-    struct store_model_page page;
-
-    store_model_read(((struct port *)store)->model, call->topic, call->from,
-                     &page);
-    call->done(call->context, &page.page);
-    store_model_page_clear(&page);
-}
-
-static const struct cw_store_ops port_ops = {
-    .append = port_append, .newest = port_newest, .read = port_read};
-
 /* A VM with one queue, two accounts, and a job of the first account. */
 struct bed {
-    struct port port;
+    struct store_port port;
     struct cw_clock_manual clock;
     struct cw_counters counters;
     struct cw_replica *replica;
@@ -132,7 +90,7 @@
     memset(bed, 0, sizeof(*bed));
     cw_log_setup("error", "test");
     cw_clock_manual_init(&bed->clock);
-    bed->port.base.ops = &port_ops;
+    bed->port.base.ops = &store_port_ops;
     bed->port.model = store_model_create(1);
     bed->replica = cw_replica_create(&replica);
     bed->routing = cw_routing_new();
--- a/tests/test_follower.c
+++ b/tests/test_follower.c
@@ -5,53 +5,10 @@
 
 #include "curlewcart/cw_follower.h"
 #include "curlewcart/cw_log.h"
-#include "emulator/store_model.h"
-
-/* A store that answers at once, or not at all. */
-struct port {
-    struct cw_store base;
-    struct store_model *model;
-    enum cw_store_status refuses;
-    unsigned reads;
-    unsigned loads;
-    unsigned waited_ms; /* asked for by the last read */
-};
-
-static void
-port_read(struct cw_store *store, const struct cw_store_read *call)
-{
-    struct port *port = (struct port *)store;
-    struct cw_store_page refused = {.status = port->refuses};
-    struct store_model_page page;
-
-    port->reads++;
-    port->waited_ms = call->wait_ms;
-    if (port->refuses != CW_STORE_OK) {
-        call->done(call->context, &refused);
-        return;
-    }
-    store_model_read(port->model, call->topic, call->from, &page);
-    call->done(call->context, &page.page);
-    store_model_page_clear(&page);
-}
-
-static void
-port_newest(struct cw_store *store, const struct cw_store_newest *call)
-{
-    struct port *port = (struct port *)store;
-    struct store_model_page page;
-
-    port->loads++;
-    store_model_newest(port->model, call->topic, call->after, &page);
-    call->done(call->context, &page.page);
-    store_model_page_clear(&page);
-}
-
-static const struct cw_store_ops port_ops = {.read = port_read,
-                                             .newest = port_newest};
+#include "store_port.h"
 
 struct bed {
-    struct port port;
+    struct store_port port;
     struct cw_clock_manual clock;
     struct cw_follower *follower;
     GString *seen; /* keys, in the order given */
@@ -100,7 +57,7 @@
     memset(bed, 0, sizeof(*bed));
     cw_log_setup("error", "test");
     cw_clock_manual_init(&bed->clock);
-    bed->port.base.ops = &port_ops;
+    bed->port.base.ops = &store_port_ops;
     bed->port.model = store_model_create(1);
     bed->seen = g_string_new(NULL);
     bed->follower = cw_follower_create(&options);
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -6,84 +6,17 @@
 
 #include "curlewcart/cw_log.h"
 #include "curlewcart/cw_relay.h"
-#include "emulator/store_model.h"
+#include "store_port.h"
 
 enum { TURNS_MOST = 400, TURN_MS = 10 };
 
-/* A store that a VM reaches or not. */
-struct port {
-    struct cw_store base;
-    struct store_model *model;
-    enum cw_store_status refuses; /* CW_STORE_OK: it serves */
-    const char *member;           /* of the other VM */
-};
-
-static void
-port_append(struct cw_store *store, const struct cw_store_append *call)
-{
-    struct port *port = (struct port *)store;
-    struct cw_store_appended result = {.status = port->refuses};
-
-    if (port->refuses == CW_STORE_OK) {
-        result = store_model_append(port->model, call);
-    }
-    call->done(call->context, &result);
-}
-
-static void
-port_newest(struct cw_store *store, const struct cw_store_newest *call)
-{
-    struct port *port = (struct port *)store;
-    struct cw_store_page refused = {.status = port->refuses};
-    struct store_model_page page;
-
-    if (port->refuses != CW_STORE_OK) {
-        call->done(call->context, &refused);
-        return;
-    }
-    store_model_newest(port->model, call->topic, call->after, &page);
-    call->done(call->context, &page.page);
-    store_model_page_clear(&page);
-}
-
-static void
-port_read(struct cw_store *store, const struct cw_store_read *call)
-{
-    struct port *port = (struct port *)store;
-    struct cw_store_page refused = {.status = port->refuses};
-    struct store_model_page page;
-
-    if (port->refuses != CW_STORE_OK) {
-        call->done(call->context, &refused);
-        return;
-    }
-    store_model_read(port->model, call->topic, call->from, &page);
-    call->done(call->context, &page.page);
-    store_model_page_clear(&page);
-}
-
-static void
-port_members(struct cw_store *store, const struct cw_store_list_members *call)
-{
-    struct port *port = (struct port *)store;
-    struct cw_store_members result = {
-        .status = port->refuses, .members = &port->member, .count = 1};
-
-    call->done(call->context, &result);
-}
-
-static const struct cw_store_ops port_ops = {.append = port_append,
-                                             .newest = port_newest,
-                                             .read = port_read,
-                                             .members = port_members};
-
 /* Two VMs with one store between them. */
 struct pair {
     pthread_mutex_t engine;
     struct cw_clock_manual clock;
     struct cw_counters counters;
     struct store_model *model;
-    struct port ports[2];
+    struct store_port ports[2];
     struct cw_relay *relays[2];
     char *members[2];
 };
@@ -128,7 +61,7 @@
             .group = "g",
         };
 
-        pair->ports[i].base.ops = &port_ops;
+        pair->ports[i].base.ops = &store_port_ops;
         pair->ports[i].model = pair->model;
         pair->relays[i] = cw_relay_create(&options);
         CU_ASSERT_PTR_NOT_NULL_FATAL(pair->relays[i]);
