A gang that gives up reserved places does not start the members left

Cause: places that do not come free are given up member by member. Each drop settles the worker's other reserved runs, and settling a gang passed over members without a run: the last two found their places free and started alone. Change: settling a gang needs every member to have a run.

--- a/src/owner/owner_runs.c
+++ b/src/owner/owner_runs.c
@@ -164,10 +164,11 @@
     for (unsigned i = 0; i < step->count && all; i++) {
         struct owner_run *run = step->tasks[i].run;
 
-        if (run == NULL || run->phase != RUN_RESERVED) {
+        if (run != NULL && run->phase != RUN_RESERVED) {
             continue;
         }
-        all = place_is_free(run);
+        /* A member whose place was given up keeps the others waiting. */
+        all = run != NULL && place_is_free(run);
         if (all) {
             promote(owner, run);
             g_ptr_array_add(promoted, run);
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -517,7 +517,35 @@
     site_end(&site);
 }
 
+static void
+test_a_gang_that_loses_places_does_not_begin_with_the_others(void)
+{
+    struct site site;
+    struct owner_job *job;
+    struct owner_step *step;
+    struct owner_target *full;
+    struct owner_target *empty;
+
+    site_begin(&site);
+    job = add_job(
+        &site, 0,
+        &(struct cw_step_spec){.tasks = 3, .accelerators = 1, .gang = true});
+    step = step_of(job);
+    full = owner_target_get(site.owner, "w00");
+    empty = owner_target_get(site.owner, "w01");
+    full->used.accelerators = ACCELERATORS;
+    owner_run_create(site.owner, &step->tasks[0], full, RUN_RESERVED, 1);
+    owner_run_create(site.owner, &step->tasks[1], empty, RUN_RESERVED, 1);
+    owner_run_create(site.owner, &step->tasks[2], empty, RUN_RESERVED, 1);
+    owner_run_drop(site.owner, step->tasks[0].run);
+    owner_run_drop(site.owner, step->tasks[1].run);
+    CU_ASSERT_EQUAL(step->tasks[2].run->phase, RUN_RESERVED);
+    site_end(&site);
+}
+
 static const struct test tests[] = {
+    {"gang that loses places",
+     test_a_gang_that_loses_places_does_not_begin_with_the_others},
     {"refused start",
      test_a_refused_start_is_stopped_if_an_earlier_one_had_no_answer},
     {"checkpoint", test_a_lost_run_resumes_from_its_last_checkpoint},
