--- a/emulator/emulator_main.c
+++ b/emulator/emulator_main.c
@@ -88,6 +88,8 @@
     share->counts.completed += result->counts.completed;
     share->counts.failed += result->counts.failed;
     share->counts.cancelled += result->counts.cancelled;
+    share->counts.lost += result->counts.lost;
+    share->counts.refused += result->counts.refused;
     share->counts.starts += result->counts.starts;
     share->takeovers += result->takeovers;
 }
@@ -144,11 +146,14 @@
         pthread_join(threads[i], NULL);
     }
     g_free(threads);
-    printf("%u days from seed %u: %u violations; %u jobs, %u accepted, %u "
-           "completed, %u failed, %u cancelled, %u starts, %u takeovers\n",
-           arguments->days, arguments->seed, share.bad, share.counts.jobs,
-           share.counts.accepted, share.counts.completed, share.counts.failed,
-           share.counts.cancelled, share.counts.starts, share.takeovers);
+    printf(
+        "%u days from seed %u: %u violations; %u jobs, %u accepted, %u "
+        "completed, %u failed, %u cancelled, %u lost, %u refused, %u starts, "
+        "%u takeovers\n",
+        arguments->days, arguments->seed, share.bad, share.counts.jobs,
+        share.counts.accepted, share.counts.completed, share.counts.failed,
+        share.counts.cancelled, share.counts.lost, share.counts.refused,
+        share.counts.starts, share.takeovers);
     return share.bad > 0 ? EXIT_VIOLATION : 0;
 }
 
--- a/emulator/judge.c
+++ b/emulator/judge.c
@@ -12,6 +12,8 @@
     bool done_confirmed;
     unsigned last_run; /* highest that was started */
     unsigned failed_confirmed;
+    unsigned worked_run;     /* of a job that may be begun once: that worked */
+    unsigned present_run;    /* that runs now; 0 none */
     GHashTable *failed_runs; /* of a gang: runs that were counted */
 };
 
@@ -199,6 +201,50 @@
     return true;
 }
 
+/* True if the run works from now on: a gang's only once all are present. */
+static bool
+works_now(struct judge *judge, const struct cw_task_name *task, unsigned run)
+{
+    const struct cw_step_spec *step = step_of(judge, task);
+    struct cw_task_name name = *task;
+
+    for (name.index = 0; step->gang && name.index < step->tasks; name.index++)
+    {
+        if (truth_of(judge, &name)->present_run != run) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* A job that must not be begun a second time. */
+static void
+check_once(struct judge *judge, const struct cw_task_name *task, unsigned run)
+{
+    const struct judge_job *job = judge_find(judge, task->job);
+    struct cw_task_name first = *task;
+    struct task_truth *truth;
+
+    if (!job->spec->once || !works_now(judge, task, run)) {
+        return;
+    }
+    if (step_of(judge, task)->gang) {
+        first.index = 0; /* stands for the gang */
+    }
+    truth = truth_of(judge, &first);
+    if (truth->worked_run != 0 && truth->worked_run != run) {
+        violate_task(judge, "ONCE begun a second time", task, run);
+    }
+    truth->worked_run = run;
+}
+
+void
+judge_misplaced(struct judge *judge, const struct cw_task_name *task,
+                unsigned run)
+{
+    violate_task(judge, "PLACE its data may not live there", task, run);
+}
+
 void
 judge_started(struct judge *judge, const struct cw_task_name *task,
               unsigned run, int64_t now_ms, bool calm)
@@ -216,6 +262,8 @@
         violate_task(judge, "TWICE after its confirmed end", task, run);
     }
     truth->last_run = MAX(truth->last_run, run);
+    truth->present_run = run;
+    check_once(judge, task, run);
     if (truth->failed_confirmed >= job->spec->max_attempts) {
         violate_task(judge, "BUDGET", task, run);
     }
@@ -234,6 +282,7 @@
     struct task_truth *truth = truth_of(judge, task);
 
     truth->running--;
+    truth->present_run = 0;
     if (how == CW_END_KIND_DONE) {
         truth->done++;
     }
@@ -296,6 +345,14 @@
     if (phase == CW_WORK_FAILED && job->plan_fails < job->spec->max_attempts) {
         violate(judge, "LOST failed without cause", id);
     }
+    if (phase == CW_WORK_LOST && !job->spec->once) {
+        violate(judge, "LOST given up without cause", id);
+    }
+    if (phase == CW_WORK_REFUSED &&
+        (job->started > 0 || job->spec->deadline_ms == 0))
+    {
+        violate(judge, "REFUSED and started", id);
+    }
 }
 
 void
@@ -317,6 +374,8 @@
     judge->counts.completed += phase == CW_WORK_COMPLETED;
     judge->counts.failed += phase == CW_WORK_FAILED;
     judge->counts.cancelled += phase == CW_WORK_CANCELLED;
+    judge->counts.lost += phase == CW_WORK_LOST;
+    judge->counts.refused += phase == CW_WORK_REFUSED;
 }
 
 const char *
--- a/emulator/judge.h
+++ b/emulator/judge.h
@@ -43,6 +43,10 @@
                 struct task_plan *out);
 void judge_started(struct judge *judge, const struct cw_task_name *task,
                    unsigned run, int64_t now_ms, bool calm);
+
+/* A task was started where its data may not live. */
+void judge_misplaced(struct judge *judge, const struct cw_task_name *task,
+                     unsigned run);
 void judge_ended(struct judge *judge, const struct cw_task_name *task,
                  unsigned run, enum cw_end_kind how, bool calm);
 void judge_confirmed(struct judge *judge, const struct cw_task_name *task,
@@ -64,6 +68,8 @@
     unsigned completed;
     unsigned failed;
     unsigned cancelled;
+    unsigned lost;
+    unsigned refused; /* by their deadline */
     unsigned starts;
 };
 struct judge_counts judge_counts(const struct judge *judge);
--- a/emulator/world.c
+++ b/emulator/world.c
@@ -12,6 +12,13 @@
 
 /* ---- workers' reports ---- */
 
+/* Each rack stands in a data centre of its own. */
+static void
+world_dc_of_rack(const char *rack, char *dc, size_t size)
+{
+    g_snprintf(dc, size, "d%s", rack + 1);
+}
+
 static bool
 decode_report(const char *id, const void *text, size_t length,
               void (*take)(void *, const struct cw_target_report *),
@@ -19,9 +26,10 @@
 {
     char *copy = g_strndup(text, length);
     char rack[32];
+    char dc[32];
     int draining = 0;
     struct cw_target_report report = {
-        .id = id, .service = "s", .address = id, .dc = "d", .kind = "k"};
+        .id = id, .service = "s", .address = id, .kind = "k"};
     bool ok =
         sscanf(copy, "%31s %" SCNd64 " %" SCNd64 " %" SCNd64 " %d %" SCNd64,
                rack, &report.capacity.cpu_milli, &report.capacity.memory_mb,
@@ -29,6 +37,8 @@
                &report.clock_ms) == 6;
 
     report.rack = rack;
+    world_dc_of_rack(rack, dc, sizeof(dc));
+    report.dc = dc;
     report.draining = draining != 0;
     if (ok) {
         take(context, &report);
@@ -126,11 +136,27 @@
     return judge_plan(world->judge, task, out);
 }
 
+/* What the account and the job say of places, read apart from the product. */
+static bool
+may_run_in(const struct world *world, const struct cw_task_name *task,
+           const char *dc)
+{
+    const struct cw_work_spec *spec =
+        judge_find(world->judge, task->job)->spec;
+    bool confined = strcmp(spec->account, "confined") == 0;
+    bool named =
+        spec->dcs.dcs_len == 0 || strcmp(spec->dcs.dcs_val[0], dc) == 0;
+
+    return named &&
+           (!confined || strcmp(dc, "d0") == 0 || strcmp(dc, "d1") == 0);
+}
+
 static void
 on_started(void *context, const char *worker, const struct cw_task_name *task,
            unsigned run)
 {
     struct world *world = context;
+    char dc[32];
 
     if (world->options.trace) {
         printf("t=%" PRId64 " started %s.%u.%u.%u run=%u on %s\n",
@@ -138,6 +164,12 @@
                task->index, run, worker);
     }
     judge_started(world->judge, task, run, world->now_ms, world_calm(world));
+    world_dc_of_rack(
+        worker_model_rack(worker_fleet_find(world->fleet, worker)), dc,
+        sizeof(dc));
+    if (!may_run_in(world, task, dc)) {
+        judge_misplaced(world->judge, task, run);
+    }
 }
 
 static void
@@ -167,16 +199,29 @@
 
 /* ---- a day ---- */
 
+/* An account's key is its name. */
+static struct cw_account *
+add_account(struct cw_routing *routing, const char *name)
+{
+    struct cw_account *account = cw_routing_add_account(routing);
+
+    account->name = g_strdup(name);
+    g_ptr_array_add(account->keys, g_strdup(name));
+    return account;
+}
+
 static struct cw_routing *
 make_routing(void)
 {
     struct cw_routing *routing = cw_routing_new();
-    struct cw_account *account = cw_routing_add_account(routing);
+    struct cw_account *account = add_account(routing, "a");
 
     routing->version = 1;
-    account->name = g_strdup("a");
+    routing->confined = true;
     account->guaranteed_accelerators = 64;
-    g_ptr_array_add(account->keys, g_strdup("key"));
+    account = add_account(routing, "confined");
+    g_ptr_array_add(account->dcs, g_strdup("d0"));
+    g_ptr_array_add(account->dcs, g_strdup("d1"));
     for (unsigned i = 0; i < 3; i++) {
         struct cw_queue *queue = cw_routing_add_queue(routing);
 
--- a/emulator/world_load.c
+++ b/emulator/world_load.c
@@ -8,7 +8,13 @@
 
 #include "curlewcart/cw_entry.h"
 
-enum { CLIENT_TRIES = 4, CLIENT_BUDGET_MS = 1300 };
+enum {
+    CLIENT_TRIES = 4,
+    CLIENT_BUDGET_MS = 1300,
+    JOB_DEADLINE_MS = 4000,
+    /* Half a data centre of four workers: it fits while two are away. */
+    CONFINED_ACCELERATORS = 16
+};
 
 /* ---- callers ---- */
 
@@ -87,6 +93,11 @@
     copy->account = copy_text(spec->account);
     copy->service = copy_text(spec->service);
     copy->payload = copy_text(spec->payload);
+    copy->request = copy_text(spec->request);
+    copy->dcs.dcs_val = calloc(spec->dcs.dcs_len + 1, sizeof(cw_name));
+    for (u_int i = 0; i < spec->dcs.dcs_len; i++) {
+        copy->dcs.dcs_val[i] = copy_text(spec->dcs.dcs_val[i]);
+    }
     copy->steps.steps_val =
         calloc(spec->steps.steps_len, sizeof(struct cw_step_spec));
     for (u_int i = 0; i < spec->steps.steps_len; i++) {
@@ -132,7 +143,8 @@
     call->job->cancel_sent = true;
     path =
         g_strdup_printf("/q%u/%s", call->job->spec->priority, call->job->id);
-    cw_entry_locate(call->vm->entry, "h", path, "key", &place);
+    cw_entry_locate(call->vm->entry, "h", path, call->job->spec->account,
+                    &place);
     cw_entry_cancel(call->vm->entry, &place, CLIENT_BUDGET_MS,
                     on_client_answer, call);
     g_free(path);
@@ -159,6 +171,38 @@
     }
 }
 
+/* Accelerators that its widest step takes. */
+static unsigned
+widest_step(const struct cw_work_spec *spec)
+{
+    unsigned widest = 0;
+
+    for (u_int i = 0; i < spec->steps.steps_len; i++) {
+        const struct cw_step_spec *step = &spec->steps.steps_val[i];
+
+        widest = MAX(widest, step->tasks * step->accelerators);
+    }
+    return widest;
+}
+
+/* What callers of our own interface may ask for beside: drawn from the id,
+ * so that the day's other chances stay as they are. */
+static void
+fill_promises(struct cw_work_spec *spec)
+{
+    unsigned mark = g_str_hash(spec->id);
+    bool small = widest_step(spec) <= CONFINED_ACCELERATORS;
+
+    spec->once = mark % 7 == 0;
+    spec->account = copy_text(small && mark % 5 == 0 ? "confined" : "a");
+    spec->deadline_ms = mark % 11 == 0 ? JOB_DEADLINE_MS : 0;
+    if (small && mark % 13 == 0) {
+        spec->dcs.dcs_len = 1;
+        spec->dcs.dcs_val = calloc(1, sizeof(cw_name));
+        spec->dcs.dcs_val[0] = copy_text("d1");
+    }
+}
+
 void
 world_new_job(struct world *world, void *context)
 {
@@ -174,10 +218,9 @@
     spec->id = copy_text(id);
     spec->priority = world_pick(world, 3);
     spec->queue = g_strdup_printf("q%u", spec->priority);
-    spec->account = copy_text("a");
     spec->service = copy_text("s");
     spec->payload = copy_text("work");
-    spec->max_attempts = 2;
+    spec->request = copy_text("");
     spec->stretch_milli = 2000;
     spec->target_latency_ms = 500;
     spec->steps.steps_len = steps;
@@ -185,6 +228,8 @@
     for (unsigned i = 0; i < steps; i++) {
         fill_step(world, &spec->steps.steps_val[i], i);
     }
+    fill_promises(spec);
+    spec->max_attempts = spec->once ? 1 : 2;
     call->world = world;
     call->job =
         judge_add(world->judge, spec, world_between(world, 300, 5000), fails);
--- a/include/curlewcart/cw_routing.h
+++ b/include/curlewcart/cw_routing.h
@@ -27,6 +27,7 @@
 struct cw_account {
     char *name;
     GPtrArray *keys; /* char * */
+    GPtrArray *dcs;  /* char *: where its data may live; empty: anywhere */
     unsigned guaranteed_accelerators;
 };
 
@@ -41,6 +42,7 @@
     gint references;
     uint64_t version;
     unsigned body_bytes_max;
+    bool confined; /* work of an account that is not listed runs nowhere */
     GPtrArray *queues;   /* struct cw_queue */
     GPtrArray *services; /* struct cw_service */
     GPtrArray *accounts; /* struct cw_account */
@@ -72,6 +74,10 @@
 const struct cw_account *
 cw_routing_account_named(const struct cw_routing *routing, const char *name);
 
+/* True if the data of the account may be in the data centre. */
+bool cw_routing_permits(const struct cw_routing *routing, const char *account,
+                        const char *dc);
+
 /* Service by name, or NULL.  Borrowed. */
 const struct cw_service *
 cw_routing_service(const struct cw_routing *routing, const char *name);
--- a/include/curlewcart/cw_work.h
+++ b/include/curlewcart/cw_work.h
@@ -15,7 +15,11 @@
     CW_WORK_RUNNING = 1,
     CW_WORK_COMPLETED = 2,
     CW_WORK_FAILED = 3,
-    CW_WORK_CANCELLED = 4
+    CW_WORK_CANCELLED = 4,
+    /* Only jobs of our own interface end in these ways. */
+    CW_WORK_LOST = 5,    /* may have run; must not be begun again */
+    CW_WORK_STOPPED = 6, /* ran in part; the configuration forbids the rest */
+    CW_WORK_REFUSED = 7  /* never started, and never will be */
 };
 
 /* True if the phase is final. */
--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -83,7 +83,16 @@
     bool ready;
     uint64_t tried_at; /* the owner's room version when it did not fit */
     struct timespec tried_time;
-    unsigned moves; /* restarts because of slow workers */
+    unsigned moves;         /* restarts because of slow workers */
+    unsigned unstarted_run; /* highest run of the gang of which a member was
+                               certainly never started: none of it worked */
+};
+
+/* A worker that has confirmed runs of a job. */
+struct owner_place {
+    char *worker;
+    char *dc;
+    unsigned runs;
 };
 
 struct owner_occurrence {
@@ -103,6 +112,10 @@
     bool final_durable; /* ... and that batch is stored */
     bool dirty;         /* differs from what the store has, or will have */
     int64_t ended_ms;
+    enum cw_result reason; /* why it ended */
+    uint64_t config;       /* version in force at its first start; 0 none */
+    char *result;          /* text of the last end that had one, or NULL */
+    GArray *places;        /* struct owner_place: where it has run */
     unsigned next_occurrence;
     GPtrArray *open;           /* struct owner_occurrence */
     struct timespec known_at;  /* when this owner learnt of it */
@@ -244,9 +257,17 @@
 /* Marks a job for the next batch. */
 void owner_job_touch(struct cw_owner *owner, struct owner_job *job);
 
-/* Ends a job as failed or cancelled, and stops its runs. */
+/* Ends a job before its work is done, and stops its runs. */
 void owner_job_end(struct cw_owner *owner, struct owner_job *job,
-                   enum cw_work_phase phase, const char *reason);
+                   enum cw_work_phase phase, enum cw_result reason);
+
+/* Gives up a job that has not been started by its deadline. */
+void owner_job_check_deadline(struct cw_owner *owner, struct owner_job *job,
+                              struct timespec now);
+
+/* A worker has confirmed a start: notes that the job runs, and where. */
+void owner_job_begun(struct cw_owner *owner, struct owner_job *job,
+                     const struct owner_target *target);
 
 /* A step's tasks are all done: later steps, the occurrence, the job. */
 void owner_step_done(struct cw_owner *owner, struct owner_step *step);
@@ -323,8 +344,9 @@
 /* Makes a run end; it is dropped once it has. */
 void owner_run_stop(struct cw_owner *owner, struct owner_run *run);
 
-/* The run is lost without an end of its own. */
-void owner_run_lost(struct cw_owner *owner, struct owner_run *run,
+/* The run is lost without an end of its own.  `worked`: it may have been
+ * carried out, at least in part. */
+void owner_run_lost(struct cw_owner *owner, struct owner_run *run, bool worked,
                     const char *reason);
 
 /* Stops all runs of a step. */
@@ -340,6 +362,32 @@
 void owner_run_ended(struct cw_owner *owner, struct owner_target *target,
                      const struct cw_ended *ended);
 
+/* ---- owner_once.c ---- */
+
+/* True if the run must not be stopped for others' sake: it may have begun
+ * work that must not be begun a second time. */
+bool owner_once_protects(const struct owner_run *run);
+
+/* True if the step's waiting tasks, once started, would leave every other
+ * account's guarantee reclaimable. */
+bool owner_once_may_begin(const struct cw_owner *owner,
+                          const struct owner_step *step);
+
+/* A run is over without being done.  Ends its job if that may be begun only
+ * once and the run may have worked; call it before the run is dropped. */
+void owner_once_over(struct cw_owner *owner, const struct owner_run *run,
+                     bool worked, enum cw_result reason);
+
+/* ---- owner_residency.c ---- */
+
+/* True if the job may run in the data centre, under the configuration in
+ * force. */
+bool owner_permits(const struct cw_owner *owner, const struct owner_job *job,
+                   const char *dc);
+
+/* Stops what runs where its data may no longer live. */
+void owner_residency_enforce(struct cw_owner *owner);
+
 /* ---- owner_targets.c ---- */
 
 void owner_target_free(gpointer target);
--- a/src/owner/owner.c
+++ b/src/owner/owner.c
@@ -364,7 +364,7 @@
         return;
     }
     if (entry->cancelled && !cw_work_is_over(job->phase)) {
-        owner_job_end(owner, job, CW_WORK_CANCELLED, "asked");
+        owner_job_end(owner, job, CW_WORK_CANCELLED, CW_END_CANCELLED);
     }
 }
 
@@ -462,8 +462,10 @@
             g_hash_table_iter_remove(&iterator);
             continue;
         }
+        owner_job_check_deadline(owner, value, now);
         owner_job_open_due(owner, value, now);
     }
+    owner_residency_enforce(owner);
 }
 
 static struct timespec
--- a/src/owner/owner_candidates.c
+++ b/src/owner/owner_candidates.c
@@ -53,7 +53,9 @@
     const struct cw_work_spec *spec = step->occurrence->job->spec;
     const char *label = step->spec->label;
 
-    if (strcmp(target->service, spec->service) != 0) {
+    if (strcmp(target->service, spec->service) != 0 ||
+        !owner_permits(target->owner, step->occurrence->job, target->dc))
+    {
         return false;
     }
     return label[0] == '\0' || strcmp(label, target->kind) == 0 ||
--- a/src/owner/owner_commit.c
+++ b/src/owner/owner_commit.c
@@ -74,13 +74,16 @@
 
 /* Runs of the job that become durable with this batch. */
 static void
-mark_runs(struct owner_job *job)
+mark_runs(const struct cw_owner *owner, struct owner_job *job)
 {
     GPtrArray *runs = owner_job_runs(job, RUN_NEW);
 
     for (guint i = 0; i < runs->len; i++) {
         ((struct owner_run *)runs->pdata[i])->phase = RUN_COMMITTING;
         job->started = true;
+        if (job->config == 0 && owner->routing != NULL) {
+            job->config = owner->routing->version;
+        }
     }
     g_ptr_array_unref(runs);
     if (job->started && job->phase == CW_WORK_WAITING) {
@@ -93,7 +96,7 @@
 {
     GByteArray *value;
 
-    mark_runs(job);
+    mark_runs(batch->owner, job);
     job->dirty = false;
     job->final = cw_work_is_over(job->phase);
     value = owner_job_encode(job);
--- a/src/owner/owner_holds.c
+++ b/src/owner/owner_holds.c
@@ -42,6 +42,8 @@
         run->started_at = now;
         run->progress_at = now;
         run->saved_at = now;
+        owner_job_begun(run->target->owner, owner_task_job(run->task),
+                        run->target);
     }
     if (listed->percent != run->percent) {
         run->percent = listed->percent;
@@ -136,7 +138,8 @@
 
         /* Losing one member of a gang may have dropped another. */
         if (g_ptr_array_find(target->runs, run, NULL)) {
-            owner_run_lost(owner, run, "not_listed");
+            owner_run_lost(owner, run, run->phase == RUN_RUNNING,
+                           "not_listed");
         }
     }
     g_ptr_array_unref(absent);
--- a/src/owner/owner_jobs.c
+++ b/src/owner/owner_jobs.c
@@ -36,12 +36,23 @@
     g_free(occurrence);
 }
 
+static void
+place_clear(gpointer data)
+{
+    struct owner_place *place = data;
+
+    g_free(place->worker);
+    g_free(place->dc);
+}
+
 void
 owner_job_free(gpointer data)
 {
     struct owner_job *job = data;
 
     g_ptr_array_unref(job->open);
+    g_array_unref(job->places);
+    g_free(job->result);
     g_free(job);
 }
 
@@ -78,6 +89,46 @@
     return occurrence;
 }
 
+/* ---- where it has run ---- */
+
+static void
+add_runs(struct owner_job *job, const char *worker, const char *dc,
+         unsigned runs)
+{
+    struct owner_place added = {.runs = runs};
+
+    for (guint i = 0; i < job->places->len; i++) {
+        struct owner_place *place =
+            &g_array_index(job->places, struct owner_place, i);
+
+        if (strcmp(place->worker, worker) == 0) {
+            place->runs += runs;
+            return;
+        }
+    }
+    added.worker = g_strdup(worker);
+    added.dc = g_strdup(dc);
+    g_array_append_val(job->places, added);
+}
+
+void
+owner_job_begun(struct cw_owner *owner, struct owner_job *job,
+                const struct owner_target *target)
+{
+    if (!job->begun) {
+        job->begun = true;
+        cw_count_latency(owner->options.counters, CW_LATENCY_BEGUN,
+                         cw_time_diff_ms(job->known_at, owner_now(owner)));
+    }
+    if (job->places->len < CW_TASKS_MAX) {
+        add_runs(job, target->id, target->dc, 1);
+    }
+    if (job->spec->once) {
+        /* A later owner has to know that it may have worked. */
+        owner_job_touch(owner, job);
+    }
+}
+
 /* ---- from the store ---- */
 
 static void
@@ -126,6 +177,17 @@
     job->started = record->started;
     job->ended_ms = record->ended_ms;
     job->next_occurrence = record->next_occurrence;
+    job->begun = record->begun;
+    job->reason = record->reason;
+    job->config = record->config;
+    if (record->result[0] != '\0') {
+        job->result = g_strdup(record->result);
+    }
+    for (u_int i = 0; i < record->places.places_len; i++) {
+        const struct cw_place_record *place = &record->places.places_val[i];
+
+        add_runs(job, place->worker, place->dc, place->runs);
+    }
     for (u_int i = 0; i < record->open.open_len; i++) {
         const struct cw_occurrence_record *stored = &record->open.open_val[i];
         struct owner_occurrence *occurrence =
@@ -241,6 +303,8 @@
     job->entry = entry;
     job->spec = entry->spec;
     job->open = g_ptr_array_new_with_free_func(occurrence_free);
+    job->places = g_array_new(FALSE, FALSE, sizeof(struct owner_place));
+    g_array_set_clear_func(job->places, place_clear);
     age_ms = cw_clock_wall_ms(owner->options.clock) - entry->spec->accepted_ms;
     job->known_at = cw_time_add_ms(now, -CLAMP(age_ms, 0, G_MAXINT));
     job->objective = objective_of(job->spec, job->known_at);
@@ -255,7 +319,7 @@
     }
     log_taken(job, age_ms);
     if (entry->cancelled) {
-        owner_job_end(owner, job, CW_WORK_CANCELLED, "asked");
+        owner_job_end(owner, job, CW_WORK_CANCELLED, CW_END_CANCELLED);
         return;
     }
     owner_headroom_arrived(owner, job);
@@ -337,6 +401,23 @@
         g_free(occurrence->steps.steps_val);
     }
     g_free(record->open.open_val);
+    g_free(record->places.places_val);
+}
+
+/* Borrows the texts of the job. */
+static void
+encode_places(const struct owner_job *job, struct cw_work_record *out)
+{
+    out->places.places_len = job->places->len;
+    out->places.places_val = g_new0(struct cw_place_record, job->places->len);
+    for (guint i = 0; i < job->places->len; i++) {
+        const struct owner_place *place =
+            &g_array_index(job->places, struct owner_place, i);
+
+        out->places.places_val[i].worker = place->worker;
+        out->places.places_val[i].dc = place->dc;
+        out->places.places_val[i].runs = place->runs;
+    }
 }
 
 GByteArray *
@@ -349,9 +430,14 @@
         .started = job->started,
         .ended_ms = job->ended_ms,
         .next_occurrence = job->next_occurrence,
+        .begun = job->begun,
+        .reason = job->reason,
+        .config = job->config,
+        .result = job->result != NULL ? job->result : (char *)"",
     };
     GByteArray *bytes;
 
+    encode_places(job, &record);
     record.open.open_len = job->open->len;
     record.open.open_val = g_new0(struct cw_occurrence_record, job->open->len);
     for (guint i = 0; i < job->open->len; i++) {
@@ -383,24 +469,25 @@
 
 static void
 job_over(struct cw_owner *owner, struct owner_job *job,
-         enum cw_work_phase phase, const char *reason)
+         enum cw_work_phase phase, enum cw_result reason)
 {
     struct timespec now = owner_now(owner);
 
     job->phase = phase;
+    job->reason = reason;
     job->ended_ms = cw_clock_wall_ms(owner->options.clock);
     owner_job_touch(owner, job);
     cw_log_info("job_over",
                 "id=%s queue=%s outcome=%s reason=%s age_ms=%" PRId64
                 " late_ms=%" PRId64,
                 job->spec->id, job->spec->queue, cw_work_phase_name(phase),
-                reason, cw_time_diff_ms(job->known_at, now),
+                cw_result_name(reason), cw_time_diff_ms(job->known_at, now),
                 cw_time_diff_ms(job->objective, now));
 }
 
 void
 owner_job_end(struct cw_owner *owner, struct owner_job *job,
-              enum cw_work_phase phase, const char *reason)
+              enum cw_work_phase phase, enum cw_result reason)
 {
     job_over(owner, job, phase, reason);
     stop_all(owner, job);
@@ -447,7 +534,19 @@
     owner_job_touch(owner, job);
     owner->place_wanted = true;
     if (!cw_work_is_over(job->phase) && job_done(job)) {
-        job_over(owner, job, CW_WORK_COMPLETED, "all_done");
+        job_over(owner, job, CW_WORK_COMPLETED, CW_END_DONE);
+    }
+}
+
+void
+owner_job_check_deadline(struct cw_owner *owner, struct owner_job *job,
+                         struct timespec now)
+{
+    if (job->spec->deadline_ms > 0 && !job->started &&
+        !cw_work_is_over(job->phase) &&
+        cw_time_diff_ms(job->known_at, now) > job->spec->deadline_ms)
+    {
+        owner_job_end(owner, job, CW_WORK_REFUSED, CW_REF_DEADLINE);
     }
 }
 
--- a/src/owner/owner_orders.c
+++ b/src/owner/owner_orders.c
@@ -71,6 +71,7 @@
         owner_run_stop(owner, run);
     }
     else {
+        step->unstarted_run = MAX(step->unstarted_run, run->number);
         owner_run_drop(owner, run);
     }
     if (step->spec->gang) {
@@ -108,18 +109,13 @@
 start_confirmed(struct owner_run *run)
 {
     struct cw_owner *owner = run->target->owner;
-    struct owner_job *job = owner_task_job(run->task);
 
-    if (!job->begun) {
-        job->begun = true;
-        cw_count_latency(owner->options.counters, CW_LATENCY_BEGUN,
-                         cw_time_diff_ms(job->known_at, owner_now(owner)));
-    }
     if (run->phase == RUN_STARTING) {
         run->phase = RUN_RUNNING;
         run->started_at = owner_now(owner);
         run->progress_at = run->started_at;
         run->saved_at = run->started_at;
+        owner_job_begun(owner, owner_task_job(run->task), run->target);
     }
 }
 
--- a/src/owner/owner_place.c
+++ b/src/owner/owner_place.c
@@ -283,6 +283,11 @@
     {
         return; /* nothing has come free since */
     }
+    if (!owner_once_may_begin(owner, step)) {
+        step->tried_at = owner->room_version;
+        step->tried_time = now;
+        return;
+    }
     if (step->spec->gang ? place_gang(owner, step, now)
                          : place_tasks(owner, step, now))
     {
--- a/src/owner/owner_reclaim.c
+++ b/src/owner/owner_reclaim.c
@@ -8,7 +8,10 @@
     ACCELERATOR_CORES = 8,
     MILLI = 1000,
     /* A restart loses about so much beside the work since the checkpoint. */
-    RESTART_MS = 300
+    RESTART_MS = 300,
+    /* Core-seconds added for equally urgent work: it is stopped only where
+     * no lower work is left that would do. */
+    EQUALLY_URGENT_COST = 1000000
 };
 
 /* What may be stopped only together: a gang, or one task. */
@@ -23,6 +26,7 @@
     struct cw_owner *owner;
     const struct owner_step *step;
     struct cw_resources need;
+    bool guaranteed;    /* the step's account is within its guarantee */
     GHashTable *gone;   /* struct owner_run, a set */
     GPtrArray *gangs;   /* struct owner_step to stop whole */
     GPtrArray *singles; /* struct owner_run */
@@ -63,13 +67,39 @@
     return wanted <= account->guaranteed_accelerators;
 }
 
+/* True if the run, or another member of its gang, must not be stopped. */
 static bool
-may_stop(const struct plan *plan, const struct owner_run *run)
+step_is_protected(const struct owner_run *run)
+{
+    const struct owner_step *step = run->task->step;
+    bool protects = owner_once_protects(run);
+
+    for (unsigned i = 0; step->spec->gang && !protects && i < step->count; i++)
+    {
+        protects = step->tasks[i].run != NULL &&
+                   owner_once_protects(step->tasks[i].run);
+    }
+    return protects;
+}
+
+/* Lower work gives way; equally urgent work does only if its account holds
+ * more than it is guaranteed and the step's account does not. */
+static bool
+gives_way(const struct plan *plan, const struct owner_job *job)
 {
-    const struct owner_job *job = owner_task_job(run->task);
     unsigned priority = plan->step->occurrence->job->spec->priority;
 
-    return !run->stopping && !run->finished && job->spec->priority > priority;
+    return job->spec->priority > priority ||
+           (plan->guaranteed && job->spec->priority == priority &&
+            !owner_guaranteed(plan->owner, job));
+}
+
+static bool
+may_stop(const struct plan *plan, const struct owner_run *run)
+{
+    return !run->stopping && !run->finished &&
+           gives_way(plan, owner_task_job(run->task)) &&
+           !step_is_protected(run);
 }
 
 double
@@ -113,6 +143,7 @@
     plan->owner = owner;
     plan->step = step;
     plan->need = owner_need(step->spec);
+    plan->guaranteed = owner_guaranteed(owner, step->occurrence->job);
     plan->gone = g_hash_table_new(NULL, NULL);
     plan->gangs = g_ptr_array_new();
     plan->singles = g_ptr_array_new();
@@ -182,6 +213,11 @@
 
         if (may_stop(plan, run) && !g_hash_table_contains(plan->gone, run)) {
             victim.cost = victim_cost(run, now);
+            if (owner_task_job(run->task)->spec->priority ==
+                plan->step->occurrence->job->spec->priority)
+            {
+                victim.cost += EQUALLY_URGENT_COST;
+            }
             g_array_append_val(victims, victim);
         }
     }
--- /dev/null
+++ b/src/owner/owner_residency.c
@@ -0,0 +1,80 @@
+/* Where the data of jobs may live. */
+#include "owner/internal/owner_private.h"
+
+#include <string.h>
+
+bool
+owner_permits(const struct cw_owner *owner, const struct owner_job *job,
+              const char *dc)
+{
+    const struct cw_work_spec *spec = job->spec;
+    bool named = spec->dcs.dcs_len == 0;
+
+    for (u_int i = 0; i < spec->dcs.dcs_len; i++) {
+        named = named || strcmp(spec->dcs.dcs_val[i], dc) == 0;
+    }
+    return named && (owner->routing == NULL ||
+                     cw_routing_permits(owner->routing, spec->account, dc));
+}
+
+/* The run is where it may not be.  A job that must not be begun again ends;
+ * another one goes on elsewhere. */
+static void
+leave_place(struct cw_owner *owner, struct owner_run *run)
+{
+    struct owner_step *step = run->task->step;
+    struct owner_job *job = step->occurrence->job;
+
+    cw_log_info("not_permitted",
+                "id=%s step=%u run=%u worker=%s dc=%s config=%" PRIu64,
+                job->spec->id, step->number, run->number, run->target->id,
+                run->target->dc, owner->routing->version);
+    cw_count_code(owner->options.counters, CW_RETRY_MOVED);
+    if (owner_once_protects(run) && !cw_work_is_over(job->phase)) {
+        owner_job_end(owner, job, CW_WORK_STOPPED, CW_END_MOVED);
+        return;
+    }
+    if (step->spec->gang) {
+        owner_step_stop(owner, step);
+    }
+    else {
+        owner_run_stop(owner, run);
+    }
+}
+
+static void
+enforce_on(struct cw_owner *owner, struct owner_target *target)
+{
+    for (guint i = target->runs->len; i > 0; i--) {
+        struct owner_run *run;
+
+        if (i > target->runs->len) {
+            continue; /* stopping a gang may have dropped several */
+        }
+        run = target->runs->pdata[i - 1];
+        if (!run->stopping && !run->finished &&
+            !owner_permits(owner, owner_task_job(run->task), target->dc))
+        {
+            leave_place(owner, run);
+        }
+    }
+}
+
+void
+owner_residency_enforce(struct cw_owner *owner)
+{
+    GHashTableIter iterator;
+    gpointer value;
+
+    if (owner->routing == NULL || !owner->routing->confined) {
+        return;
+    }
+    g_hash_table_iter_init(&iterator, owner->targets);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        struct owner_target *target = value;
+
+        if (target->dc[0] != '\0') { /* else it has not reported yet */
+            enforce_on(owner, target);
+        }
+    }
+}
--- a/src/owner/owner_runs.c
+++ b/src/owner/owner_runs.c
@@ -51,6 +51,10 @@
     if (run->stopping) {
         owner_resources_take(&target->leaving, &need);
     }
+    if (run->phase < RUN_STARTING) {
+        task->step->unstarted_run =
+            MAX(task->step->unstarted_run, run->number);
+    }
     g_ptr_array_remove_fast(target->runs, run);
     target->busy_at = owner_now(owner);
     if (job->spec->priority > 0) {
@@ -108,7 +112,7 @@
 }
 
 void
-owner_run_lost(struct cw_owner *owner, struct owner_run *run,
+owner_run_lost(struct cw_owner *owner, struct owner_run *run, bool worked,
                const char *reason)
 {
     struct owner_task *task = run->task;
@@ -120,6 +124,7 @@
                 name.job, name.occurrence, name.step, name.index, run->number,
                 run->target->id, reason);
     cw_count_code(owner->options.counters, CW_RETRY_SILENT);
+    owner_once_over(owner, run, worked, CW_END_WORKER_LOST);
     owner_run_drop(owner, run);
     if (step->spec->gang && !finished && !step->done) {
         owner_step_stop(owner, step);
@@ -283,10 +288,28 @@
     if (!step->spec->endless && failures >= job->spec->max_attempts &&
         !cw_work_is_over(job->phase))
     {
-        owner_job_end(owner, job, CW_WORK_FAILED, "attempts_spent");
+        owner_job_end(owner, job, CW_WORK_FAILED,
+                      job->spec->once ? CW_END_FAILED : CW_END_RETRIES);
+    }
+}
+
+static void
+keep_result(struct owner_job *job, const struct cw_ended *ended)
+{
+    if (ended->how == CW_END_KIND_DONE && ended->saved[0] != '\0') {
+        g_free(job->result);
+        job->result = g_strdup(ended->saved);
     }
 }
 
+/* What an end that is neither done nor failed says of a job that must not
+ * be begun again. */
+static enum cw_result
+reason_of(enum cw_end_kind how)
+{
+    return how == CW_END_KIND_BROKEN ? CW_END_PARTIAL : CW_END_WORKER_LOST;
+}
+
 void
 owner_run_ended(struct cw_owner *owner, struct owner_target *target,
                 const struct cw_ended *ended)
@@ -309,6 +332,7 @@
     }
     step = task->step;
     owner_task_keep(task, ended->saved);
+    keep_result(owner_task_job(task), ended);
     if (ended->how == CW_END_KIND_DONE) {
         owner_target_praise(target);
         if (!step->spec->endless) {
@@ -319,6 +343,10 @@
         owner_target_blame(target, owner_now(owner));
         task_failed(owner, task, ended, target->id);
     }
+    else {
+        owner_once_over(owner, run, ended->how != CW_END_KIND_ALONE,
+                        reason_of(ended->how));
+    }
     owner_run_drop(owner, run);
     if (step->spec->gang && !step->done) {
         owner_step_stop(owner, step);
--- a/src/owner/owner_speed.c
+++ b/src/owner/owner_speed.c
@@ -106,7 +106,8 @@
     struct owner_step *step = run->task->step;
 
     if (run->stopping || run->finished || step->spec->endless ||
-        step->moves >= MOVES_MOST || !restart_pays(run, expected))
+        owner_once_protects(run) || step->moves >= MOVES_MOST ||
+        !restart_pays(run, expected))
     {
         return;
     }
--- a/src/owner/owner_targets.c
+++ b/src/owner/owner_targets.c
@@ -211,7 +211,7 @@
     cw_log_info("worker_lost", "worker=%s reason=%s runs=%u silent=%u",
                 target->id, reason, target->runs->len, target->silent);
     while (target->runs->len > 0) {
-        owner_run_lost(owner, target->runs->pdata[target->runs->len - 1],
+        owner_run_lost(owner, target->runs->pdata[target->runs->len - 1], true,
                        reason);
     }
     orders_clear(&target->orders);
--- a/src/proto/cw_proto.h
+++ b/src/proto/cw_proto.h
@@ -323,6 +323,13 @@
 	quad_t first_due_ms;
 	quad_t interval_ms;
 	bool_t advised;
+	char *request;
+	struct {
+		u_int dcs_len;
+		cw_name *dcs_val;
+	} dcs;
+	bool_t once;
+	u_int deadline_ms;
 };
 typedef struct cw_work_spec cw_work_spec;
 
@@ -354,11 +361,26 @@
 };
 typedef struct cw_occurrence_record cw_occurrence_record;
 
+struct cw_place_record {
+	cw_name worker;
+	cw_name dc;
+	u_int runs;
+};
+typedef struct cw_place_record cw_place_record;
+
 struct cw_work_record {
 	u_int phase;
 	bool_t started;
 	quad_t ended_ms;
 	u_int next_occurrence;
+	bool_t begun;
+	u_int reason;
+	u_quad_t config;
+	struct {
+		u_int places_len;
+		cw_place_record *places_val;
+	} places;
+	char *result;
 	struct {
 		u_int workers_len;
 		cw_name *workers_val;
@@ -528,6 +550,7 @@
 extern  bool_t xdr_cw_task_record (XDR *, cw_task_record*);
 extern  bool_t xdr_cw_step_record (XDR *, cw_step_record*);
 extern  bool_t xdr_cw_occurrence_record (XDR *, cw_occurrence_record*);
+extern  bool_t xdr_cw_place_record (XDR *, cw_place_record*);
 extern  bool_t xdr_cw_work_record (XDR *, cw_work_record*);
 extern  bool_t xdr_cw_envelope (XDR *, cw_envelope*);
 extern  bool_t xdr_cw_messages (XDR *, cw_messages*);
@@ -568,6 +591,7 @@
 extern bool_t xdr_cw_task_record ();
 extern bool_t xdr_cw_step_record ();
 extern bool_t xdr_cw_occurrence_record ();
+extern bool_t xdr_cw_place_record ();
 extern bool_t xdr_cw_work_record ();
 extern bool_t xdr_cw_envelope ();
 extern bool_t xdr_cw_messages ();
--- a/src/proto/cw_proto.x
+++ b/src/proto/cw_proto.x
@@ -294,6 +294,13 @@
     hyper first_due_ms;              /* wall time */
     hyper interval_ms;
     bool advised;                    /* a policy service names its workers */
+    string request<CW_KEY_MAX>;      /* "account/id" of a caller of our own
+                                        interface; "" elsewhere */
+    cw_name dcs<CW_DCS_MAX>;         /* runs there only; none: wherever its
+                                        account may */
+    bool once;                       /* must not be begun a second time */
+    unsigned int deadline_ms;        /* not started so long after acceptance:
+                                        given up; 0 none */
 };
 
 /* A task: what a new owner has to know to go on. */
@@ -317,6 +324,13 @@
     cw_step_record steps<CW_STEPS_MAX>;
 };
 
+/* A worker that confirmed runs of a job. */
+struct cw_place_record {
+    cw_name worker;
+    cw_name dc;
+    unsigned int runs;
+};
+
 /* The state of a job.  `phase` and `started` come first: every VM reads
  * them, only an owner reads the rest. */
 struct cw_work_record {
@@ -324,6 +338,11 @@
     bool started;                    /* a task of it has been started */
     hyper ended_ms;                  /* wall time of its end; 0 */
     unsigned int next_occurrence;    /* occurrences below it have begun */
+    bool begun;                      /* a worker has confirmed a start */
+    unsigned int reason;             /* enum cw_result: why it ended */
+    unsigned hyper config;           /* version in force at its first start */
+    cw_place_record places<CW_TASKS_MAX>; /* where it has run */
+    string result<CW_SAVED_MAX>;     /* text of the last end that had one */
     cw_name workers<CW_TASKS_MAX>;
     cw_occurrence_record open<CW_OCCURRENCES_MAX>;
 };
--- a/src/proto/cw_proto_xdr.c
+++ b/src/proto/cw_proto_xdr.c
@@ -972,6 +972,15 @@
 			 return FALSE;
 		 if (!xdr_bool (xdrs, &objp->advised))
 			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->request, CW_KEY_MAX))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->dcs.dcs_val, (u_int *) &objp->dcs.dcs_len, CW_DCS_MAX,
+			sizeof (cw_name), (xdrproc_t) xdr_cw_name))
+			 return FALSE;
+		 if (!xdr_bool (xdrs, &objp->once))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->deadline_ms))
+			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_cw_name (xdrs, &objp->id))
@@ -1016,6 +1025,15 @@
 			 return FALSE;
 		 if (!xdr_bool (xdrs, &objp->advised))
 			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->request, CW_KEY_MAX))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->dcs.dcs_val, (u_int *) &objp->dcs.dcs_len, CW_DCS_MAX,
+			sizeof (cw_name), (xdrproc_t) xdr_cw_name))
+			 return FALSE;
+		 if (!xdr_bool (xdrs, &objp->once))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->deadline_ms))
+			 return FALSE;
 	 return TRUE;
 	}
 
@@ -1052,6 +1070,15 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->advised))
 		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->request, CW_KEY_MAX))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->dcs.dcs_val, (u_int *) &objp->dcs.dcs_len, CW_DCS_MAX,
+		sizeof (cw_name), (xdrproc_t) xdr_cw_name))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->once))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->deadline_ms))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -1146,11 +1173,98 @@
 	return TRUE;
 }
 
+bool_t
+xdr_cw_place_record (XDR *xdrs, cw_place_record *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_cw_name (xdrs, &objp->worker))
+		 return FALSE;
+	 if (!xdr_cw_name (xdrs, &objp->dc))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->runs))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_cw_work_record (XDR *xdrs, cw_work_record *objp)
 {
 	register int32_t *buf;
 
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_u_int (xdrs, &objp->phase))
+			 return FALSE;
+		 if (!xdr_bool (xdrs, &objp->started))
+			 return FALSE;
+		 if (!xdr_quad_t (xdrs, &objp->ended_ms))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->next_occurrence))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->begun))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->reason))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->next_occurrence);
+		IXDR_PUT_BOOL(buf, objp->begun);
+		IXDR_PUT_U_LONG(buf, objp->reason);
+		}
+		 if (!xdr_u_quad_t (xdrs, &objp->config))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->places.places_val, (u_int *) &objp->places.places_len, CW_TASKS_MAX,
+			sizeof (cw_place_record), (xdrproc_t) xdr_cw_place_record))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->result, CW_SAVED_MAX))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->workers.workers_val, (u_int *) &objp->workers.workers_len, CW_TASKS_MAX,
+			sizeof (cw_name), (xdrproc_t) xdr_cw_name))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->open.open_val, (u_int *) &objp->open.open_len, CW_OCCURRENCES_MAX,
+			sizeof (cw_occurrence_record), (xdrproc_t) xdr_cw_occurrence_record))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_u_int (xdrs, &objp->phase))
+			 return FALSE;
+		 if (!xdr_bool (xdrs, &objp->started))
+			 return FALSE;
+		 if (!xdr_quad_t (xdrs, &objp->ended_ms))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->next_occurrence))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->begun))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->reason))
+				 return FALSE;
+
+		} else {
+		objp->next_occurrence = IXDR_GET_U_LONG(buf);
+		objp->begun = IXDR_GET_BOOL(buf);
+		objp->reason = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_u_quad_t (xdrs, &objp->config))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->places.places_val, (u_int *) &objp->places.places_len, CW_TASKS_MAX,
+			sizeof (cw_place_record), (xdrproc_t) xdr_cw_place_record))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->result, CW_SAVED_MAX))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->workers.workers_val, (u_int *) &objp->workers.workers_len, CW_TASKS_MAX,
+			sizeof (cw_name), (xdrproc_t) xdr_cw_name))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->open.open_val, (u_int *) &objp->open.open_len, CW_OCCURRENCES_MAX,
+			sizeof (cw_occurrence_record), (xdrproc_t) xdr_cw_occurrence_record))
+			 return FALSE;
+	 return TRUE;
+	}
+
 	 if (!xdr_u_int (xdrs, &objp->phase))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->started))
@@ -1159,6 +1273,17 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->next_occurrence))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->begun))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->reason))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->config))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->places.places_val, (u_int *) &objp->places.places_len, CW_TASKS_MAX,
+		sizeof (cw_place_record), (xdrproc_t) xdr_cw_place_record))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->result, CW_SAVED_MAX))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->workers.workers_val, (u_int *) &objp->workers.workers_len, CW_TASKS_MAX,
 		sizeof (cw_name), (xdrproc_t) xdr_cw_name))
 		 return FALSE;
--- a/src/routing/routing.c
+++ b/src/routing/routing.c
@@ -24,6 +24,7 @@
 
     g_free(account->name);
     g_ptr_array_unref(account->keys);
+    g_ptr_array_unref(account->dcs);
     g_free(account);
 }
 
@@ -85,6 +86,7 @@
     struct cw_account *account = g_new0(struct cw_account, 1);
 
     account->keys = g_ptr_array_new_with_free_func(g_free);
+    account->dcs = g_ptr_array_new_with_free_func(g_free);
     g_ptr_array_add(routing->accounts, account);
     return account;
 }
@@ -161,6 +163,20 @@
     return NULL;
 }
 
+bool
+cw_routing_permits(const struct cw_routing *routing, const char *account,
+                   const char *dc)
+{
+    const struct cw_account *found =
+        cw_routing_account_named(routing, account);
+
+    if (found == NULL) {
+        return !routing->confined;
+    }
+    return found->dcs->len == 0 ||
+           g_ptr_array_find_with_equal_func(found->dcs, dc, g_str_equal, NULL);
+}
+
 const struct cw_service *
 cw_routing_service(const struct cw_routing *routing, const char *name)
 {
--- a/src/work/work.c
+++ b/src/work/work.c
@@ -8,8 +8,12 @@
 const char *
 cw_work_phase_name(unsigned phase)
 {
-    static const char *const names[] = {"waiting", "running", "completed",
-                                        "failed", "cancelled"};
+    static const char *const names[] = {
+        [CW_WORK_WAITING] = "waiting",     [CW_WORK_RUNNING] = "running",
+        [CW_WORK_COMPLETED] = "completed", [CW_WORK_FAILED] = "failed",
+        [CW_WORK_CANCELLED] = "cancelled", [CW_WORK_LOST] = "lost",
+        [CW_WORK_STOPPED] = "stopped",     [CW_WORK_REFUSED] = "refused",
+    };
 
     return phase < G_N_ELEMENTS(names) ? names[phase] : "unknown";
 }
--- /dev/null
+++ b/tests/owner_site.h
@@ -0,0 +1,206 @@
+/* An owner with workers in three racks and no network, for tests of what it
+ * decides. */
+#ifndef CURLEWCART_TESTS_OWNER_SITE_H
+#define CURLEWCART_TESTS_OWNER_SITE_H
+
+#include <string.h>
+
+#include "curlewcart/cw_log.h"
+#include "owner/internal/owner_private.h"
+
+enum { RACKS = 3, PER_RACK = 4, ACCELERATORS = 8, START_MS = 100000 };
+
+/* An owner with workers w0 to w11 in racks r0 to r2, and no network. */
+struct site {
+    struct cw_clock_manual clock;
+    struct cw_counters counters;
+    struct cw_replica *replica;
+    struct cw_owner *owner;
+    unsigned jobs;
+};
+
+/* The last order, for a test to answer. */
+static struct cw_target_order last_order G_GNUC_UNUSED;
+
+static inline void
+keep_order(struct cw_targets *targets, const struct cw_target_order *order)
+{
+    (void)targets;
+    last_order = *order;
+}
+
+static inline void
+answer_last(enum cw_target_status status)
+{
+    const struct cw_target_answer answer = {.status = status};
+
+    last_order.done(last_order.context, &answer);
+}
+
+static inline void
+add_worker(struct site *site, unsigned index)
+{
+    char name[16];
+    struct owner_target *target;
+
+    g_snprintf(name, sizeof(name), "w%02u", index);
+    target = owner_target_get(site->owner, name);
+    g_free(target->rack);
+    target->rack = g_strdup_printf("r%u", index / PER_RACK);
+    g_free(target->service);
+    target->service = g_strdup("s");
+    g_free(target->address);
+    target->address = g_strdup(name);
+    g_free(target->kind);
+    target->kind = g_strdup(index % 2 == 0 ? "even" : "odd");
+    target->capacity.accelerators = ACCELERATORS;
+    target->capacity.cpu_milli = 32000;
+    target->capacity.memory_mb = 65536;
+    target->listed = true;
+    target->clock_known = true;
+}
+
+static inline void
+set_guarantee(struct site *site, unsigned accelerators)
+{
+    struct cw_routing *routing = cw_routing_new();
+    struct cw_account *account = cw_routing_add_account(routing);
+
+    account->name = g_strdup("a");
+    account->guaranteed_accelerators = accelerators;
+    cw_routing_seal(routing);
+    cw_owner_configure(site->owner, routing);
+    cw_routing_unref(routing);
+}
+
+static inline void
+site_begin(struct site *site)
+{
+    static const struct cw_targets_ops ops = {.order = keep_order};
+    static struct cw_targets targets = {.ops = &ops};
+    struct cw_replica_options replica = {.clock = &site->clock.base};
+    struct cw_owner_options options = {.targets = &targets,
+                                       .clock = &site->clock.base,
+                                       .counters = &site->counters,
+                                       .member = "m",
+                                       .member_ttl_ms = 1000,
+                                       .lease_ms = 6000};
+
+    memset(site, 0, sizeof(*site));
+    cw_log_setup("error", "test");
+    cw_clock_manual_init(&site->clock);
+    site->clock.now = cw_time_from_ms(START_MS);
+    site->replica = cw_replica_create(&replica);
+    options.replica = site->replica;
+    site->owner = cw_owner_create(&options);
+    site->owner->state = OWNER_ACTIVE;
+    for (unsigned i = 0; i < RACKS * PER_RACK; i++) {
+        add_worker(site, i);
+    }
+    set_guarantee(site, 64);
+}
+
+static inline void
+site_end(struct site *site)
+{
+    cw_owner_free(site->owner);
+    cw_replica_free(site->replica);
+}
+
+static inline void
+pass(struct site *site, unsigned ms)
+{
+    site->clock.now = cw_time_add_ms(site->clock.now, ms);
+    owner_place(site->owner, site->clock.now);
+}
+
+/* Hands a job of one step in; the step given is copied. */
+static inline struct owner_job *
+add_job_of(struct site *site, const char *account, unsigned priority,
+           const struct cw_step_spec *like)
+{
+    char id[32];
+    char key[40];
+    struct cw_step_spec step = *like;
+    struct cw_work_spec spec = {.queue = (char *)"q",
+                                .account = (char *)account,
+                                .service = (char *)"s",
+                                .request = (char *)"",
+                                .payload = (char *)"",
+                                .priority = priority,
+                                .max_attempts = 2,
+                                .stretch_milli = 2000};
+    GByteArray *bytes;
+    struct cw_store_record record = {.key = key};
+
+    g_snprintf(id, sizeof(id), "%016x", ++site->jobs);
+    g_snprintf(key, sizeof(key), "s%s", id);
+    spec.id = id;
+    step.cpu_milli = 1000;
+    step.memory_mb = 100;
+    step.estimate_ms = 1000;
+    step.label = step.label != NULL ? step.label : (char *)"";
+    step.data_rack = step.data_rack != NULL ? step.data_rack : (char *)"";
+    step.image = (char *)"";
+    spec.steps.steps_len = 1;
+    spec.steps.steps_val = &step;
+    bytes = cw_xdr_encode((xdrproc_t)xdr_cw_work_spec, &spec);
+    record.value = bytes->data;
+    record.length = bytes->len;
+    record.offset = site->jobs;
+    cw_replica_apply(site->replica, &record); /* the owner listens */
+    g_byte_array_unref(bytes);
+    return g_hash_table_lookup(site->owner->jobs, id);
+}
+
+static inline struct owner_job *
+add_job(struct site *site, unsigned priority, const struct cw_step_spec *like)
+{
+    return add_job_of(site, "a", priority, like);
+}
+
+static inline struct owner_step *
+step_of(const struct owner_job *job)
+{
+    return &((struct owner_occurrence *)job->open->pdata[0])->steps[0];
+}
+
+static inline unsigned
+placed(const struct owner_job *job)
+{
+    return step_of(job)->runs;
+}
+
+static inline const struct owner_target *
+place_of(const struct owner_job *job, unsigned task)
+{
+    const struct owner_run *run = step_of(job)->tasks[task].run;
+
+    return run != NULL ? run->target : NULL;
+}
+
+/* Makes the job's runs run, as if their starts had been confirmed. */
+static inline void
+set_running(struct site *site, struct owner_job *job)
+{
+    for (unsigned i = 0; i < step_of(job)->count; i++) {
+        struct owner_run *run = step_of(job)->tasks[i].run;
+
+        run->phase = RUN_RUNNING;
+        run->started_at = site->clock.now;
+        run->saved_at = site->clock.now;
+        run->progress_at = site->clock.now;
+    }
+}
+
+static inline struct owner_job *
+run_job(struct site *site, unsigned priority, const struct cw_step_spec *like)
+{
+    struct owner_job *job = add_job(site, priority, like);
+
+    pass(site, 10);
+    set_running(site, job);
+    return job;
+}
+
+#endif
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -54,6 +54,7 @@
                                 .queue = (char *)"q",
                                 .account = (char *)"desk",
                                 .service = (char *)"s",
+                                .request = (char *)"",
                                 .payload = (char *)""};
     struct cw_store_record record = {.key = "s" ID};
     struct cw_store_append append = {
--- /dev/null
+++ b/tests/test_once.c
@@ -0,0 +1,170 @@
+/* Jobs that must not be begun a second time. */
+#include "test_main.h"
+
+#include "owner_site.h"
+
+static struct owner_job *
+add_once(struct site *site, unsigned priority, unsigned tasks, bool gang)
+{
+    const struct cw_step_spec step = {
+        .tasks = tasks, .accelerators = 8, .gang = gang};
+    struct owner_job *job = add_job(site, priority, &step);
+
+    /* The replica's copy belongs to this test. */
+    ((struct cw_work_spec *)job->spec)->once = TRUE;
+    ((struct cw_work_spec *)job->spec)->max_attempts = 1;
+    pass(site, 10);
+    return job;
+}
+
+static struct owner_run *
+run_of(struct owner_job *job, unsigned task)
+{
+    return step_of(job)->tasks[task].run;
+}
+
+static void
+test_it_is_not_stopped_for_urgent_work(void)
+{
+    const struct cw_step_spec all = {.tasks = 12, .accelerators = 8};
+    struct site site;
+    struct owner_job *once;
+    struct owner_job *urgent;
+
+    site_begin(&site);
+    set_guarantee(&site, 8); /* lower work may be nearly everywhere */
+    once = add_once(&site, 1, 1, false);
+    set_running(&site, once);
+    urgent = add_job(&site, 0, &all);
+    pass(&site, 10);
+    CU_ASSERT_FALSE(run_of(once, 0)->stopping);
+    CU_ASSERT_EQUAL(placed(urgent), 11);
+    site_end(&site);
+}
+
+/* Of 96 accelerators another account is guaranteed 64. */
+static void
+test_it_leaves_the_guarantees_reclaimable(void)
+{
+    const struct cw_step_spec four = {.tasks = 4, .accelerators = 8};
+    const struct cw_step_spec five = {.tasks = 5, .accelerators = 8};
+    struct site site;
+    struct owner_job *too_much;
+    struct owner_job *fits;
+
+    site_begin(&site);
+    too_much = add_job_of(&site, "other", 1, &five);
+    ((struct cw_work_spec *)too_much->spec)->once = TRUE;
+    pass(&site, 10);
+    CU_ASSERT_EQUAL(placed(too_much), 0);
+    fits = add_job_of(&site, "other", 1, &four);
+    ((struct cw_work_spec *)fits->spec)->once = TRUE;
+    pass(&site, 10);
+    CU_ASSERT_EQUAL(placed(fits), 4);
+    site_end(&site);
+}
+
+static void
+test_a_lost_worker_ends_it_as_lost(void)
+{
+    struct site site;
+    struct owner_job *job;
+
+    site_begin(&site);
+    job = add_once(&site, 1, 1, false);
+    set_running(&site, job);
+    owner_run_lost(site.owner, run_of(job, 0), true, "test");
+    CU_ASSERT_EQUAL(job->phase, CW_WORK_LOST);
+    CU_ASSERT_EQUAL(job->reason, CW_END_WORKER_LOST);
+    pass(&site, 300);
+    CU_ASSERT_EQUAL(placed(job), 0);
+    site_end(&site);
+}
+
+static void
+test_a_run_that_never_came_is_tried_again(void)
+{
+    struct site site;
+    struct owner_job *job;
+
+    site_begin(&site);
+    job = add_once(&site, 1, 1, false);
+    run_of(job, 0)->phase = RUN_UNSURE; /* an earlier owner's */
+    owner_run_lost(site.owner, run_of(job, 0), false, "not_listed");
+    CU_ASSERT_EQUAL(job->phase, CW_WORK_WAITING);
+    pass(&site, 300);
+    CU_ASSERT_EQUAL(placed(job), 1);
+    CU_ASSERT_EQUAL(run_of(job, 0)->number, 2);
+    site_end(&site);
+}
+
+static void
+test_a_gang_that_was_never_whole_is_tried_again(void)
+{
+    struct site site;
+    struct owner_job *job;
+
+    site_begin(&site);
+    job = add_once(&site, 1, 2, true);
+    set_running(&site, job);
+    run_of(job, 0)->phase = RUN_READY; /* its start was never sent */
+    owner_run_drop(site.owner, run_of(job, 0));
+    owner_run_lost(site.owner, run_of(job, 1), true, "lease_over");
+    CU_ASSERT_FALSE(cw_work_is_over(job->phase));
+    site_end(&site);
+}
+
+static void
+test_a_gang_that_may_have_worked_is_lost(void)
+{
+    struct site site;
+    struct owner_job *job;
+
+    site_begin(&site);
+    job = add_once(&site, 1, 2, true);
+    set_running(&site, job);
+    owner_run_lost(site.owner, run_of(job, 1), true, "lease_over");
+    CU_ASSERT_EQUAL(job->phase, CW_WORK_LOST);
+    site_end(&site);
+}
+
+static void
+test_it_is_refused_after_its_deadline_unless_started(void)
+{
+    struct site site;
+    struct owner_job *job;
+
+    site_begin(&site);
+    job = add_once(&site, 1, 1, false);
+    ((struct cw_work_spec *)job->spec)->deadline_ms = 1000;
+    owner_job_check_deadline(site.owner, job,
+                             cw_time_add_ms(job->known_at, 900));
+    CU_ASSERT_EQUAL(job->phase, CW_WORK_WAITING);
+    job->started = true;
+    owner_job_check_deadline(site.owner, job,
+                             cw_time_add_ms(job->known_at, 2000));
+    CU_ASSERT_EQUAL(job->phase, CW_WORK_WAITING);
+    job->started = false;
+    owner_job_check_deadline(site.owner, job,
+                             cw_time_add_ms(job->known_at, 2000));
+    CU_ASSERT_EQUAL(job->phase, CW_WORK_REFUSED);
+    CU_ASSERT_EQUAL(job->reason, CW_REF_DEADLINE);
+    site_end(&site);
+}
+
+static const struct test tests[] = {
+    {"leaves the guarantees reclaimable",
+     test_it_leaves_the_guarantees_reclaimable},
+    {"not stopped for urgent work", test_it_is_not_stopped_for_urgent_work},
+    {"a lost worker ends it as lost", test_a_lost_worker_ends_it_as_lost},
+    {"a run that never came is tried again",
+     test_a_run_that_never_came_is_tried_again},
+    {"a gang never whole is tried again",
+     test_a_gang_that_was_never_whole_is_tried_again},
+    {"a gang that may have worked is lost",
+     test_a_gang_that_may_have_worked_is_lost},
+    {"refused after its deadline unless started",
+     test_it_is_refused_after_its_deadline_unless_started},
+};
+
+TEST_MAIN("once", tests)
--- a/tests/test_replica.c
+++ b/tests/test_replica.c
@@ -44,6 +44,7 @@
                                 .queue = (char *)"q",
                                 .account = (char *)"a",
                                 .service = (char *)"s",
+                                .request = (char *)"",
                                 .payload = (char *)"",
                                 .body_hash = hash};
     GByteArray *bytes;
@@ -59,8 +60,10 @@
 apply_record(struct cw_replica *replica, unsigned phase, bool started,
              uint64_t offset)
 {
-    struct cw_work_record record = {
-        .phase = phase, .started = started, .ended_ms = 5};
+    struct cw_work_record record = {.phase = phase,
+                                    .started = started,
+                                    .ended_ms = 5,
+                                    .result = (char *)""};
     GByteArray *bytes = cw_xdr_encode((xdrproc_t)xdr_cw_work_record, &record);
 
     apply(replica, "r" ID, bytes, offset);
--- /dev/null
+++ b/tests/test_residency.c
@@ -0,0 +1,122 @@
+/* Work runs only where its data may live. */
+#include "test_main.h"
+
+#include "owner_site.h"
+
+/* Puts each rack into a data centre: r0 into d0, and so on. */
+static void
+site_begin_apart(struct site *site)
+{
+    GHashTableIter iterator;
+    gpointer value;
+
+    site_begin(site);
+    g_hash_table_iter_init(&iterator, site->owner->targets);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        struct owner_target *target = value;
+
+        g_free(target->dc);
+        target->dc = g_strdup_printf("d%s", target->rack + 1);
+    }
+}
+
+/* The account may be in `dc` only; NULL: the account is gone. */
+static void
+confine(struct site *site, const char *dc)
+{
+    struct cw_routing *routing = cw_routing_new();
+
+    routing->confined = true;
+    if (dc != NULL) {
+        struct cw_account *account = cw_routing_add_account(routing);
+
+        account->name = g_strdup("a");
+        account->guaranteed_accelerators = 64;
+        g_ptr_array_add(account->dcs, g_strdup(dc));
+    }
+    cw_routing_seal(routing);
+    cw_owner_configure(site->owner, routing);
+    cw_routing_unref(routing);
+}
+
+static const struct cw_step_spec four = {.tasks = 4, .accelerators = 8};
+
+static void
+test_tasks_stay_in_the_accounts_centre(void)
+{
+    const struct cw_step_spec many = {.tasks = 6, .accelerators = 8};
+    struct site site;
+    struct owner_job *job;
+
+    site_begin_apart(&site);
+    confine(&site, "d1");
+    job = add_job(&site, 0, &many);
+    pass(&site, 10);
+    CU_ASSERT_EQUAL(placed(job), PER_RACK);
+    for (unsigned i = 0; i < PER_RACK; i++) {
+        CU_ASSERT_STRING_EQUAL(place_of(job, i)->dc, "d1");
+    }
+    site_end(&site);
+}
+
+static void
+test_nothing_runs_for_an_account_that_is_gone(void)
+{
+    struct site site;
+    struct owner_job *job;
+
+    site_begin_apart(&site);
+    confine(&site, NULL);
+    job = add_job(&site, 0, &four);
+    pass(&site, 10);
+    CU_ASSERT_EQUAL(placed(job), 0);
+    site_end(&site);
+}
+
+static void
+test_a_narrower_configuration_moves_running_work(void)
+{
+    struct site site;
+    struct owner_job *job;
+
+    site_begin_apart(&site);
+    confine(&site, "d1");
+    job = run_job(&site, 0, &four);
+    confine(&site, "d2");
+    owner_residency_enforce(site.owner);
+    for (unsigned i = 0; i < 4; i++) {
+        CU_ASSERT_TRUE(step_of(job)->tasks[i].run->stopping);
+    }
+    CU_ASSERT_EQUAL(job->phase, CW_WORK_WAITING);
+    site_end(&site);
+}
+
+static void
+test_a_narrower_configuration_ends_once_only_work(void)
+{
+    struct site site;
+    struct owner_job *job;
+
+    site_begin_apart(&site);
+    confine(&site, "d1");
+    job = run_job(&site, 0, &four);
+    ((struct cw_work_spec *)job->spec)->once = TRUE;
+    confine(&site, "d2");
+    owner_residency_enforce(site.owner);
+    CU_ASSERT_EQUAL(job->phase, CW_WORK_STOPPED);
+    CU_ASSERT_EQUAL(job->reason, CW_END_MOVED);
+    site_end(&site);
+}
+
+static const struct test tests[] = {
+    {"tasks stay in the account's centre",
+     test_tasks_stay_in_the_accounts_centre},
+    {"nothing runs for an account that is gone",
+     test_nothing_runs_for_an_account_that_is_gone},
+    {"a narrower configuration moves work",
+     test_a_narrower_configuration_moves_running_work},
+    {"a narrower configuration ends once-only work",
+     test_a_narrower_configuration_ends_once_only_work},
+};
+
+TEST_MAIN("residency", tests)
--- a/tests/test_world.c
+++ b/tests/test_world.c
@@ -71,6 +71,7 @@
     CU_ASSERT_PTR_NULL(result.violation);
     CU_ASSERT_EQUAL(result.counts.accepted, result.counts.jobs);
     CU_ASSERT_EQUAL(result.counts.completed + result.counts.failed +
+                        result.counts.lost + result.counts.refused +
                         result.counts.cancelled,
                     result.counts.jobs);
     CU_ASSERT_EQUAL(result.takeovers, 1);
