--- a/include/curlewcart/cw_bundle.h
+++ b/include/curlewcart/cw_bundle.h
@@ -13,6 +13,7 @@
 
 #include "proto/cw_proto.h"
 #include "curlewcart/cw_result.h"
+#include "curlewcart/cw_routing.h"
 
 /* A data centre. */
 struct cw_dc_def {
@@ -62,15 +63,10 @@
 
 /* Numbers that steer the policy.  Zero means the default. */
 struct cw_policy_def {
-    unsigned signatures;          /* needed to accept a change; least 1 */
-    unsigned spare_workers;       /* per rack, not counted on for guarantees */
-    unsigned compactness;         /* 0-100: weight of whole racks */
-    unsigned urgent_share;        /* percent that urgent borrowers may hold */
-    unsigned checkpoint_grace_ms; /* for a victim to checkpoint */
-    unsigned lease_ttl_ms;        /* a silent worker stops its tasks */
-    unsigned max_waiting;         /* per data centre */
+    unsigned signatures;    /* needed to accept a change; least 1 */
+    unsigned spare_workers; /* per rack, not counted on for guarantees */
+    unsigned max_waiting;   /* per data centre */
     unsigned max_attempts;
-    unsigned narrowing_grace_ms; /* to stop work that may not stay */
 };
 
 /* The document as it stands in YAML. */
@@ -118,16 +114,16 @@
 unsigned
 cw_bundle_guarantee(const struct cw_account_def *account, const char *dc);
 
-/* The request's home data centre under this bundle: the one it names, or a
- * hash over those it may use.  Returns CW_OK and a borrowed name, or the
- * refusal that holds at every VM with this bundle. */
-enum cw_result cw_bundle_home(const struct cw_bundle *bundle,
-                              const struct cw_spec *spec, const char **home);
-
-/* CW_OK if `spec` could ever run in `dc` on idle workers, else the refusal
- * that names what is missing. */
+/* CW_OK if the job could ever run on idle workers where its account's data
+ * may live, else the refusal that names what is missing. */
 enum cw_result cw_bundle_fits(const struct cw_bundle *bundle,
-                              const struct cw_spec *spec, const char *dc);
+                              const struct cw_work_spec *spec);
+
+/* What the scheduler has to know of the bundle: accounts with their data
+ * centres and guarantees, and one queue for jobs on the workers of
+ * `service`.  Owned by the caller (cw_routing_unref). */
+struct cw_routing *
+cw_bundle_routing(const struct cw_bundle *bundle, const char *service);
 
 /* Constant-time check of an account's token. */
 bool
--- a/include/curlewcart/cw_owner.h
+++ b/include/curlewcart/cw_owner.h
@@ -62,4 +62,24 @@
 };
 void cw_owner_stats(const struct cw_owner *owner, struct cw_owner_stats *out);
 
+/* A worker as the owner sees it; texts are borrowed during the call. */
+struct cw_owner_target_view {
+    const char *id;
+    const char *dc;
+    const char *rack;
+    const char *state; /* ready, avoided, draining, silent or gone */
+    int64_t free_accelerators;
+};
+
+/* Calls `see` for each worker that this VM decides for. */
+void cw_owner_each_target(const struct cw_owner *owner,
+                          void (*see)(void *context,
+                                      const struct cw_owner_target_view *view),
+                          void *context);
+
+/* Writes why a job is where it is, for people.  False if this VM does not
+ * decide, or does not know the job. */
+bool cw_owner_explain(const struct cw_owner *owner, const char *job,
+                      struct timespec now, GString *out);
+
 #endif
--- a/include/curlewcart/cw_result.h
+++ b/include/curlewcart/cw_result.h
@@ -44,7 +44,7 @@
     X(REF_ACCOUNT_LIMIT, 111, "account_limit",                                \
       "the account has as much waiting work as it may")                       \
     X(REF_LOG_AWAY, 112, "log_away",                                          \
-      "the log is away; work that may run only once is not taken")            \
+      "the store does not take it now; nothing was done")                     \
     X(REF_HOME, 113, "home_unreachable",                                      \
       "the request's home data centre does not answer")                       \
     X(REF_NO_BUNDLE, 114, "no_bundle", "no configuration is in force yet")    \
@@ -57,7 +57,7 @@
     X(REF_CONNECTIONS, 119, "connections", "too many connections")            \
     X(REF_GATE, 120, "gate_full", "this VM holds as many requests as it may") \
     X(REF_UNSURE, 121, "unsure",                                              \
-      "it cannot be refused for good while the log is away")                  \
+      "the store gave no answer: it may be taken; send it again")             \
     X(RETRY_REFUSED, 200, "worker_refused", "a worker refused a reservation") \
     X(RETRY_FENCED, 201, "fenced", "a worker holds a newer fencing token")    \
     X(RETRY_SILENT, 202, "worker_silent", "a worker stopped answering")       \
--- a/include/curlewcart/cw_routing.h
+++ b/include/curlewcart/cw_routing.h
@@ -42,8 +42,9 @@
     gint references;
     uint64_t version;
     unsigned body_bytes_max;
-    bool confined; /* work of an account that is not listed runs nowhere */
-    GPtrArray *queues;   /* struct cw_queue */
+    bool confined;     /* work of an account that is not listed runs nowhere */
+    GPtrArray *closed; /* char *: data centres that take no new work */
+    GPtrArray *queues; /* struct cw_queue */
     GPtrArray *services; /* struct cw_service */
     GPtrArray *accounts; /* struct cw_account */
     GHashTable *by_key;  /* credential -> struct cw_account, borrowed */
@@ -78,6 +79,9 @@
 bool cw_routing_permits(const struct cw_routing *routing, const char *account,
                         const char *dc);
 
+/* True if new work may be begun in the data centre at all. */
+bool cw_routing_is_open(const struct cw_routing *routing, const char *dc);
+
 /* Service by name, or NULL.  Borrowed. */
 const struct cw_service *
 cw_routing_service(const struct cw_routing *routing, const char *name);
--- a/include/curlewcart/cw_vm.h
+++ b/include/curlewcart/cw_vm.h
@@ -1,4 +1,4 @@
-/* The daemon of a VM on a platform with a store.
+/* The daemon of a VM.
  *
  * Everything that decides runs under one lock, the engine's: the HTTP
  * client's thread takes it for answers and ticks, the listeners' threads for
@@ -7,10 +7,12 @@
 #ifndef CURLEWCART_CW_VM_H
 #define CURLEWCART_CW_VM_H
 
-#include "curlewcart/cw_vm_settings.h"
+#include "curlewcart/cw_settings.h"
 
 /* Runs until SIGTERM or SIGINT; SIGHUP reads the settings at `path` again.
- * Takes `settings` over.  Returns the program's exit status. */
-int cw_vm_run(struct cw_vm_settings *settings, const char *path);
+ * Takes `settings` and `secrets` (NULL without our own interface) over.
+ * Returns the program's exit status. */
+int cw_vm_run(struct cw_settings *settings,
+              struct cw_settings_secrets *secrets, const char *path);
 
 #endif
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -1,14 +1,15 @@
-# Functions that start a small deployment on loopback: stand-ins for the
-# platform and the workers, and daemons in three data centres.  Sourced by
-# the demo and the tests with real processes.  Ports come from the kernel;
-# only processes started here are ended, by their ids.
+# Functions that start a small deployment on loopback: the stand-in for the
+# platform's store and workers, and daemons in three data centres that serve
+# the project's own interface.  Sourced by the demo and the tests with real
+# processes.  Ports come from the kernel; only processes started here are
+# ended, by their ids.
 
 ROOT=$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)
 BUILD=${BUILD:-$ROOT/build}
 CW=$BUILD/curlewcart
-STANDIN=$BUILD/curlewcart-standin
+PLATFORM_STANDIN=$ROOT/build/curlewcart-platform
 DCS=(hall-olbin hall-krzyki hall-psie-pole)
-declare -A PID CALLERS PEERS
+declare -A PID CALLERS
 
 die() {
     echo "$*" >&2
@@ -40,7 +41,7 @@
     DIR=$(mktemp -d)
     trap end_all EXIT
     umask 077
-    head -c 32 /dev/urandom | od -An -tx1 | tr -d ' \n' >"$DIR/peer.key"
+    head -c 32 /dev/urandom | od -An -tx1 | tr -d ' \n' >"$DIR/seal.key"
     echo "operator-token" >"$DIR/operator.token"
     OPERATOR_HASH=$("$CW" token hash <"$DIR/operator.token")
     EWA=$("$CW" key new --out "$DIR/ewa.key")
@@ -51,59 +52,46 @@
     done
 }
 
+# start_platform WORKERS_PER_RACK RACKS: the same in each data centre.  What
+# workers start and end goes to $DIR/trace.
 start_platform() {
-    "$STANDIN" platform "$DIR/platform.port" "${RETENTION_MS:-0}" \
-        2>"$DIR/platform.err" &
+    local dc rack i
+    "$PLATFORM_STANDIN" --dcs "$(IFS=,; echo "${DCS[*]}")" --racks "$2" \
+        --per-rack "$1" >"$DIR/trace" 2>"$DIR/platform.err" &
     PID[platform]=$!
-    await 5 test -s "$DIR/platform.port" || die "platform did not start"
-    PLATFORM=http://127.0.0.1:$(cat "$DIR/platform.port")
-}
-
-# start_workers WORKERS_PER_RACK RACKS: the same in each data centre.
-start_workers() {
-    local dc rack i names=()
+    await 5 grep -q '^store=' "$DIR/trace" || die "platform did not start"
+    STORE=$(sed -n 's/^store=//p' "$DIR/trace")
     WORKERS_YAML=""
-    for dc in "${DCS[@]}"; do
-        for ((rack = 1; rack <= $2; rack++)); do
-            for ((i = 1; i <= $1; i++)); do
-                names+=("$dc-r$rack-w$i:8:30:130000:10")
-            done
-        done
-    done
-    STANDIN_TRACE=$DIR/trace "$STANDIN" workers "$DIR/workers.port" \
-        "${names[@]}" 2>"$DIR/workers.err" &
-    PID[workers]=$!
-    await 5 test -s "$DIR/workers.port" || die "workers did not start"
-    WORKERS_PORT=$(cat "$DIR/workers.port")
     for dc in "${DCS[@]}"; do
         for ((rack = 1; rack <= $2; rack++)); do
             for ((i = 1; i <= $1; i++)); do
                 WORKERS_YAML+="  - {name: $dc-r$rack-w$i, dc: $dc, \
-rack: $dc-r$rack, address: \"127.0.0.1:$WORKERS_PORT/w/$dc-r$rack-w$i\", \
-accelerators: 8, cores: 30, memory_mb: 130000, slots: 10, \
-connections: 60}"$'\n'
+rack: $dc-r$rack, address: \"127.0.0.1:1\", accelerators: 8, cores: 32, \
+memory_mb: 131072, slots: 8, connections: 64}"$'\n'
             done
         done
     done
 }
 
+store_away() { kill -USR1 "${PID[platform]}"; }
+store_back() { kill -USR2 "${PID[platform]}"; }
+
 write_settings() { # VM DC
     cat >"$DIR/$1.yaml" <<END
 vm: $1
 dc: $2
 listen:
-  callers: {address: 127.0.0.1, port: ${CALLERS[$1]:-0}}
-  peers: {address: 127.0.0.1, port: ${PEERS[$1]:-0}}
-platform:
-  log: $PLATFORM
-  vms: $PLATFORM/v1/vms
-  retention_s: 3600
-keys:
-  peer_key_file: $DIR/peer.key
+  api: "127.0.0.1:${CALLERS[$1]:-0}"
+  inner: "127.0.0.1:0"
+store: "$STORE"
+bounds: {lease_ms: 6000, grace_s: ${GRACE_S:-20}, retain_s: 3600, member_ttl_ms: 1000}
+api:
+  service: service
   operator_token_hash: "$OPERATOR_HASH"
-trusted_operators:
-  - {name: ewa, public_key: "$EWA"}
-limits: {drain_s: 15, threads: ${THREADS:-2}}
+  seal_key_file: $DIR/seal.key
+  trusted_operators:
+    - {name: ewa, public_key: "$EWA"}
+  threads: ${THREADS:-2}
 log_level: ${LOG_LEVEL:-info}
 ports_file: $DIR/$1.ports
 END
@@ -112,31 +100,18 @@
 start_daemon() { # VM DC
     rm -f "$DIR/$1.ports"
     write_settings "$1" "$2"
-    "$CW" serve --settings "$DIR/$1.yaml" 2>>"$DIR/$1.log" &
+    "$CW" serve --settings "$DIR/$1.yaml" >>"$DIR/$1.log" 2>&1 &
     PID[$1]=$!
     await 5 test -s "$DIR/$1.ports" || die "$1 did not start"
     CALLERS[$1]=$(sed -n 's/^callers=//p' "$DIR/$1.ports")
-    PEERS[$1]=$(sed -n 's/^peers=//p' "$DIR/$1.ports")
 }
 
 url() { echo "http://127.0.0.1:${CALLERS[$1]}"; }
 
-# Tells the platform which VMs there are: VM:DC[:leaving]...
-publish_vms() {
-    local row vm dc state list=""
-    for row in "$@"; do
-        IFS=: read -r vm dc state <<<"$row"
-        list+="${list:+,}{\"name\":\"$vm\",\"dc\":\"$dc\",\
-\"address\":\"127.0.0.1:${PEERS[$vm]}\",\"state\":\"${state:-live}\"}"
-    done
-    curl -sf -d "[$list]" "$PLATFORM/control/vms" >/dev/null
-}
-
 write_bundle() { # FILE GUARANTEE RACK_BLOCK
     local account dc
     {
-        echo "policy: {signatures: 1, lease_ttl_ms: 20000, \
-checkpoint_grace_ms: 500}"
+        echo "policy: {signatures: 1}"
         echo "dcs:"
         for dc in "${DCS[@]}"; do echo "  - {name: $dc}"; done
         echo "workers:"
@@ -182,6 +157,11 @@
         --token-file "$DIR/$2.token" --wait-ms "${4:-30000}" --output json
 }
 
+# field FILE NAME: of an answer.
+field() { sed -n "s/^  \"$2\": \"\{0,1\}\([^\",]*\).*/\1/p" "$1" | head -1; }
+
+outcome_of() { sed -n 's/^  "outcome": "\(.*\)",*$/\1/p' <<<"$1"; }
+
 all_ready() { # VM...
     local vm
     for vm in "$@"; do
@@ -189,12 +169,19 @@
     done
 }
 
-deciders_up() { # COUNT VM...: so many data centres have a decider
-    local want=$1 n=0 vm
-    shift
+decider_of() { # VM...: prints the one that decides
+    local vm
     for vm in "$@"; do
-        operator "$vm" status --output json 2>/dev/null |
-            grep -qE '^  "deciding": true' && n=$((n + 1))
+        [ -n "${PID[$vm]:-}" ] &&
+            operator "$vm" status --output json 2>/dev/null |
+            grep -qE '^  "deciding": true' && echo "$vm" && return
     done
-    [ "$n" -ge "$want" ]
+}
+
+one_decides() { [ -n "$(decider_of "$@")" ]; }
+
+# runs_of JOB: how often each of its tasks was started, most first.
+runs_of() {
+    grep "^started task=$1\." "$DIR/trace" | awk '{ n[$2]++ }
+        END { for (t in n) print n[t] }' | sort -rn
 }
--- /dev/null
+++ b/src/api/api.c
@@ -0,0 +1,110 @@
+/* The interface's life: creation, ticks, release. */
+#include "api/internal/api_private.h"
+
+enum {
+    /* Calls whose time is over are answered at this pace at the latest. */
+    SWEEP_MS = 50
+};
+
+struct cw_api *
+cw_api_create(const struct cw_api_options *options)
+{
+    struct cw_api *api = g_new0(struct cw_api, 1);
+
+    api->options = *options;
+    api->chain = cw_chain_create(&options->chain);
+    api->waiters = api_waiters_create();
+    api_bundle_follow(api);
+    return api;
+}
+
+/* A sweep through the calls that wait. */
+struct sweep {
+    struct cw_api *api;
+    struct timespec now;
+    bool last; /* the VM stops */
+};
+
+/* The replica does not know the job: it may not have read so far yet. */
+static bool
+answer_unseen(const struct sweep *sweep, const struct api_waiter *waiter)
+{
+    struct timespec fresh =
+        cw_follower_fresh(cw_replica_follower(sweep->api->options.replica));
+
+    if (!cw_time_before(fresh, waiter->asked)) {
+        api_answer_unknown(waiter->call, waiter->request);
+        return true;
+    }
+    if (sweep->last ||
+        cw_time_diff_ms(waiter->asked, sweep->now) > API_LOOK_MS) {
+        cw_count_code(sweep->api->options.counters, CW_REF_NO_LEDGER);
+        api_answer_refused(waiter->call, waiter->request, CW_REF_NO_LEDGER,
+                           NULL, API_RETRY_MS);
+        return true;
+    }
+    return false;
+}
+
+static bool
+answer(void *context, const struct api_waiter *waiter)
+{
+    const struct sweep *sweep = context;
+    const struct cw_replica_job *job =
+        cw_replica_find(sweep->api->options.replica, waiter->job);
+
+    if (job == NULL || job->spec == NULL) {
+        return answer_unseen(sweep, waiter);
+    }
+    if (job->record != NULL && cw_work_is_over(job->recorded_phase)) {
+        api_answer_outcome(waiter->call, job);
+        return true;
+    }
+    if (sweep->last || !cw_time_before(sweep->now, waiter->deadline)) {
+        api_answer_pending(waiter->call, waiter->request, true);
+        return true;
+    }
+    return false;
+}
+
+static void
+sweep_all(struct cw_api *api, struct timespec now, bool last)
+{
+    struct sweep sweep = {.api = api, .now = now, .last = last};
+
+    api_waiters_sweep(api->waiters, answer, &sweep);
+}
+
+struct timespec
+cw_api_tick(struct cw_api *api, struct timespec now)
+{
+    struct timespec next = cw_time_add_ms(now, CW_MS_PER_S);
+    uint64_t position =
+        cw_follower_position(cw_replica_follower(api->options.replica));
+
+    cw_follower_tick(api->bundles, now);
+    cw_time_earlier(&next, cw_follower_due(api->bundles));
+    if (api_waiters_count(api->waiters) == 0) {
+        return next;
+    }
+    /* Nothing can be over that the replica has not read. */
+    if (position != api->looked_at || !cw_time_before(now, api->look_due)) {
+        api->looked_at = position;
+        api->look_due = cw_time_add_ms(now, SWEEP_MS);
+        sweep_all(api, now, false);
+    }
+    cw_time_earlier(&next, api->look_due);
+    return next;
+}
+
+unsigned
+cw_api_waiting(struct cw_api *api)
+{
+    return api_waiters_count(api->waiters);
+}
+
+void
+cw_api_release(struct cw_api *api)
+{
+    sweep_all(api, cw_clock_now(api->options.clock), true);
+}
--- /dev/null
+++ b/src/api/api_jobs.c
@@ -0,0 +1,275 @@
+/* Callers' routes: submit, query, cancel. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "api/internal/api_private.h"
+
+static unsigned
+wait_of(struct cw_http_call *call)
+{
+    const char *text = cw_http_call_query(call, "wait_ms");
+    long wait = text != NULL ? strtol(text, NULL, 10) : 0;
+
+    return (unsigned)CLAMP(wait, 0, API_WAIT_MOST_MS);
+}
+
+/* A caller's change on its way, or its wait for the outcome. */
+struct job_call {
+    struct cw_api *api;
+    struct cw_http_call *call;
+    char *request; /* the caller's id */
+    char job[CW_JOB_ID_SIZE];
+    uint64_t body_hash; /* of a hand-in; 0: none */
+};
+
+static struct job_call *
+job_call_new(struct cw_api *api, struct cw_http_call *call,
+             const char *account, const char *request)
+{
+    struct job_call *context = g_new0(struct job_call, 1);
+
+    context->api = api;
+    context->call = call;
+    context->request = g_strdup(request);
+    cw_request_job_id(account, request, context->job);
+    return context;
+}
+
+static void
+job_call_free(struct job_call *context)
+{
+    g_free(context->request);
+    g_free(context);
+}
+
+static void
+refuse(struct job_call *context, enum cw_result code)
+{
+    cw_count_code(context->api->options.counters, code);
+    api_answer_refused(context->call, context->request, code, NULL,
+                       cw_refusal_is_final(code) ? 0 : API_RETRY_MS);
+    job_call_free(context);
+}
+
+/* Holds the call until its job is over, or its caller's patience is. */
+static void
+hold(const struct job_call *context, unsigned wait_ms)
+{
+    struct cw_api *api = context->api;
+    struct timespec now = cw_clock_now(api->options.clock);
+    struct api_waiter waiter = {
+        .call = context->call,
+        .request = context->request,
+        .asked = now,
+        .deadline = cw_time_add_ms(now, wait_ms),
+    };
+
+    memcpy(waiter.job, context->job, sizeof(waiter.job));
+    api_waiters_add(api->waiters, &waiter);
+}
+
+/* Answers with the outcome, or holds the call for it as long as its caller
+ * wants to wait. */
+static void
+answer_or_wait(struct job_call *context)
+{
+    struct cw_api *api = context->api;
+    const struct cw_replica_job *job =
+        cw_replica_find(api->options.replica, context->job);
+    unsigned wait_ms = wait_of(context->call);
+    bool known = job != NULL && job->spec != NULL;
+
+    if (known && context->body_hash != 0 &&
+        job->spec->body_hash != context->body_hash)
+    {
+        refuse(context, CW_REF_DIFFERS); /* another VM's came first */
+        return;
+    }
+    if (known && job->record != NULL && cw_work_is_over(job->recorded_phase)) {
+        api_answer_outcome(context->call, job);
+    }
+    else if (wait_ms == 0) {
+        api_answer_pending(context->call, context->request, true);
+    }
+    else {
+        hold(context, wait_ms);
+    }
+    job_call_free(context);
+}
+
+/* ---- submit ---- */
+
+static void
+on_submitted(void *data, enum cw_entry_outcome outcome)
+{
+    struct job_call *context = data;
+
+    switch (outcome) {
+    case CW_ENTRY_STORED:
+        answer_or_wait(context);
+        break;
+    case CW_ENTRY_OTHER_JOB:
+        refuse(context, CW_REF_DIFFERS);
+        break;
+    case CW_ENTRY_NOT_DONE:
+        refuse(context, CW_REF_LOG_AWAY);
+        break;
+    default:
+        refuse(context, CW_REF_UNSURE);
+        break;
+    }
+}
+
+/* Jobs of the account that wait to be started; -1 counts all accounts'. */
+static unsigned
+count_waiting(const struct cw_api *api, const char *account)
+{
+    GHashTableIter iterator;
+    gpointer value;
+    unsigned count = 0;
+
+    g_hash_table_iter_init(&iterator, cw_replica_jobs(api->options.replica));
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const struct cw_replica_job *job = value;
+
+        count += job->spec != NULL && !job->started &&
+                 !cw_work_is_over(cw_replica_phase(job)) &&
+                 (account == NULL || strcmp(job->spec->account, account) == 0);
+    }
+    return count;
+}
+
+/* Whether the request can be taken at all. */
+static enum cw_result
+admit(struct cw_api *api, struct cw_work_spec *spec)
+{
+    const struct cw_bundle *bundle = api_bundle(api);
+    const struct cw_account_def *account =
+        cw_bundle_account(bundle, spec->account);
+    struct cw_policy_def policy = cw_bundle_policy(bundle);
+
+    if (cw_replica_find(api->options.replica, spec->id) != NULL) {
+        return CW_OK; /* sent again: it is answered as it was */
+    }
+    if (account->max_waiting > 0 &&
+        count_waiting(api, spec->account) >= account->max_waiting)
+    {
+        return CW_REF_ACCOUNT_LIMIT;
+    }
+    if (count_waiting(api, NULL) >= policy.max_waiting) {
+        return CW_REF_QUEUE;
+    }
+    if (spec->max_attempts == 0) {
+        spec->max_attempts = policy.max_attempts;
+    }
+    return cw_bundle_fits(bundle, spec);
+}
+
+void
+api_submit(struct cw_api *api, struct cw_http_call *call, const char *account)
+{
+    struct cw_work_spec *spec = NULL;
+    struct job_call *context;
+    char detail[256] = "";
+    size_t length;
+    const char *body = cw_http_call_body(call, &length);
+    enum cw_result result =
+        cw_http_call_too_large(call)
+            ? CW_REF_TOO_LARGE
+            : cw_request_from_json(body, length, account, &spec, detail,
+                                   sizeof(detail));
+
+    if (result == CW_OK) {
+        result = admit(api, spec);
+    }
+    if (result != CW_OK) {
+        cw_count_code(api->options.counters, result);
+        api_answer_refused(call,
+                           spec != NULL ? api_request_id(spec->request) : NULL,
+                           result, *detail != '\0' ? detail : NULL,
+                           cw_refusal_is_final(result) ? 0 : API_RETRY_MS);
+        cw_request_free(spec);
+        return;
+    }
+    free(spec->service);
+    spec->service = strdup(api->options.service);
+    spec->accepted_ms = cw_clock_wall_ms(api->options.clock);
+    context = job_call_new(api, call, account, api_request_id(spec->request));
+    context->body_hash = spec->body_hash;
+    cw_entry_submit(api->options.entry, spec, API_STORE_BUDGET_MS,
+                    on_submitted, context);
+}
+
+/* ---- query and cancel ---- */
+
+/* Where a call on a job goes; false if there is no configuration yet. */
+static bool
+place_of(struct cw_api *api, const char *account, const char *job,
+         struct cw_entry_place *place)
+{
+    const struct cw_routing *routing = cw_entry_routing(api->options.entry);
+
+    if (routing == NULL) {
+        return false;
+    }
+    place->queue = routing->queues->pdata[0];
+    place->account = cw_routing_account_named(routing, account);
+    place->id = job;
+    return place->account != NULL;
+}
+
+void
+api_query(struct cw_api *api, struct cw_http_call *call, const char *account,
+          const char *request)
+{
+    struct job_call *context = job_call_new(api, call, account, request);
+    struct cw_entry_place place = {0};
+    unsigned phase = 0;
+    enum cw_result result = CW_REF_NO_BUNDLE;
+
+    if (place_of(api, account, context->job, &place)) {
+        result = cw_entry_query(api->options.entry, &place, &phase);
+    }
+    if (result == CW_OK) {
+        answer_or_wait(context);
+    }
+    else if (result == CW_E_NOT_FOUND) {
+        /* Another VM may have taken it a moment ago. */
+        cw_follower_hurry(cw_replica_follower(api->options.replica));
+        hold(context, wait_of(call));
+        job_call_free(context);
+    }
+    else {
+        refuse(context, result);
+    }
+}
+
+static void
+on_cancelled(void *data, enum cw_entry_outcome outcome)
+{
+    struct job_call *context = data;
+
+    if (outcome == CW_ENTRY_STORED || outcome == CW_ENTRY_NO_JOB) {
+        /* It may have ended before, or never have been. */
+        hold(context, wait_of(context->call));
+        job_call_free(context);
+        return;
+    }
+    refuse(context,
+           outcome == CW_ENTRY_NOT_DONE ? CW_REF_LOG_AWAY : CW_REF_UNSURE);
+}
+
+void
+api_cancel(struct cw_api *api, struct cw_http_call *call, const char *account,
+           const char *request)
+{
+    struct job_call *context = job_call_new(api, call, account, request);
+    struct cw_entry_place place = {0};
+
+    if (!place_of(api, account, context->job, &place)) {
+        refuse(context, CW_REF_NO_BUNDLE);
+        return;
+    }
+    cw_entry_cancel(api->options.entry, &place, API_STORE_BUDGET_MS,
+                    on_cancelled, context);
+}
--- a/src/base/cw_result.c
+++ b/src/base/cw_result.c
@@ -51,6 +51,7 @@
 {
     switch (code) {
     case CW_REF_HOME:
+    case CW_REF_LOG_AWAY:
     case CW_REF_NO_BUNDLE:
     case CW_REF_LEAVING:
     case CW_REF_NO_LEDGER:
--- a/src/bundle/bundle.c
+++ b/src/bundle/bundle.c
@@ -3,23 +3,17 @@
 
 #include <string.h>
 #include <sodium.h>
-#define XXH_INLINE_ALL
-#include <xxhash.h>
 
 #include "bundle/internal/bundle_check.h"
 #include "bundle/internal/bundle_schema.h"
-#include "curlewcart/cw_job.h"
+#include "curlewcart/cw_request.h"
 #include "curlewcart/cw_yaml.h"
 
 enum {
     DEFAULT_SIGNATURES = 1,
-    DEFAULT_COMPACTNESS = 50,
-    DEFAULT_URGENT_SHARE = 50,
-    DEFAULT_CHECKPOINT_GRACE_MS = 1000,
-    DEFAULT_LEASE_TTL_MS = 60000,
     DEFAULT_MAX_WAITING = 20000,
     DEFAULT_MAX_ATTEMPTS = 4,
-    DEFAULT_NARROWING_GRACE_MS = 2000
+    MILLI = 1000
 };
 
 static unsigned
@@ -34,15 +28,8 @@
     struct cw_policy_def p = bundle->doc->policy;
 
     p.signatures = or_default(p.signatures, DEFAULT_SIGNATURES);
-    p.compactness = or_default(p.compactness, DEFAULT_COMPACTNESS);
-    p.urgent_share = or_default(p.urgent_share, DEFAULT_URGENT_SHARE);
-    p.checkpoint_grace_ms =
-        or_default(p.checkpoint_grace_ms, DEFAULT_CHECKPOINT_GRACE_MS);
-    p.lease_ttl_ms = or_default(p.lease_ttl_ms, DEFAULT_LEASE_TTL_MS);
     p.max_waiting = or_default(p.max_waiting, DEFAULT_MAX_WAITING);
     p.max_attempts = or_default(p.max_attempts, DEFAULT_MAX_ATTEMPTS);
-    p.narrowing_grace_ms =
-        or_default(p.narrowing_grace_ms, DEFAULT_NARROWING_GRACE_MS);
     return p;
 }
 
@@ -146,8 +133,10 @@
     return 0;
 }
 
+/* ---- what can never run ---- */
+
 static bool
-spec_allows_dc(const struct cw_spec *spec, const char *dc)
+spec_allows_dc(const struct cw_work_spec *spec, const char *dc)
 {
     if (spec->dcs.dcs_len == 0) {
         return true;
@@ -162,8 +151,8 @@
 
 static bool
 dc_is_usable(const struct cw_bundle *bundle,
-             const struct cw_account_def *account, const struct cw_spec *spec,
-             const char *dc)
+             const struct cw_account_def *account,
+             const struct cw_work_spec *spec, const char *dc)
 {
     const struct cw_dc_def *def = g_hash_table_lookup(bundle->dcs, dc);
 
@@ -171,105 +160,150 @@
            spec_allows_dc(spec, dc);
 }
 
-static uint64_t
-home_rank(const struct cw_spec *spec, const char *dc)
+/* How many of the step's tasks an idle worker could hold. */
+static unsigned
+worker_capacity(const struct cw_worker_def *worker,
+                const struct cw_step_spec *step)
 {
-    uint64_t seed = XXH3_64bits(dc, strlen(dc));
+    unsigned capacity = worker->slots;
+
+    if (step->accelerators > 0) {
+        capacity = MIN(capacity, worker->accelerators / step->accelerators);
+    }
+    if (step->cpu_milli > 0) {
+        capacity = MIN(capacity, worker->cores * MILLI / step->cpu_milli);
+    }
+    if (step->memory_mb > 0) {
+        capacity = MIN(capacity, worker->memory_mb / step->memory_mb);
+    }
+    return capacity;
+}
+
+/* What idle workers could hold of a step, in tasks. */
+struct step_room {
+    unsigned worker; /* the best worker */
+    unsigned rack;   /* the best rack */
+    unsigned total;
+};
+
+static struct step_room
+step_room(const struct cw_bundle *bundle, const struct cw_account_def *account,
+          const struct cw_work_spec *spec, const struct cw_step_spec *step)
+{
+    GHashTable *racks = g_hash_table_new(g_str_hash, g_str_equal);
+    struct step_room room = {0};
+
+    for (unsigned i = 0; i < bundle->doc->workers_count; i++) {
+        const struct cw_worker_def *worker = &bundle->doc->workers[i];
+        unsigned capacity;
+        unsigned rack;
 
-    return XXH3_64bits_withSeed(spec->key, strlen(spec->key), seed);
+        if (!dc_is_usable(bundle, account, spec, worker->dc)) {
+            continue;
+        }
+        capacity = worker_capacity(worker, step);
+        rack = GPOINTER_TO_UINT(g_hash_table_lookup(racks, worker->rack));
+        rack += capacity;
+        g_hash_table_insert(racks, worker->rack, GUINT_TO_POINTER(rack));
+        room.worker = MAX(room.worker, capacity);
+        room.rack = MAX(room.rack, rack);
+        room.total += capacity;
+    }
+    g_hash_table_unref(racks);
+    return room;
+}
+
+static enum cw_result
+step_fits(const struct cw_step_spec *step, const struct step_room *room)
+{
+    if (room->worker == 0) {
+        return CW_REF_WORKER;
+    }
+    if (step->gang && step->same_rack && step->tasks > room->rack) {
+        return CW_REF_RACK;
+    }
+    return step->gang && step->tasks > room->total ? CW_REF_GANG : CW_OK;
+}
+
+static bool
+any_dc_is_usable(const struct cw_bundle *bundle,
+                 const struct cw_account_def *account,
+                 const struct cw_work_spec *spec)
+{
+    for (unsigned i = 0; i < bundle->doc->dcs_count; i++) {
+        if (dc_is_usable(bundle, account, spec, bundle->doc->dcs[i].name)) {
+            return true;
+        }
+    }
+    return false;
 }
 
 enum cw_result
-cw_bundle_home(const struct cw_bundle *bundle, const struct cw_spec *spec,
-               const char **home)
+cw_bundle_fits(const struct cw_bundle *bundle, const struct cw_work_spec *spec)
 {
     const struct cw_account_def *account =
         cw_bundle_account(bundle, spec->account);
-    enum cw_result why = CW_REF_NO_DC;
-    uint64_t best = 0;
+    enum cw_result result = CW_OK;
 
-    *home = NULL;
     if (account == NULL) {
         return CW_REF_ACCOUNT;
     }
-    for (unsigned i = 0; i < bundle->doc->dcs_count; i++) {
-        const char *dc = bundle->doc->dcs[i].name;
-        enum cw_result fits;
-        uint64_t rank;
+    if (!any_dc_is_usable(bundle, account, spec)) {
+        return CW_REF_NO_DC;
+    }
+    for (u_int i = 0; i < spec->steps.steps_len && result == CW_OK; i++) {
+        const struct cw_step_spec *step = &spec->steps.steps_val[i];
+        struct step_room room = step_room(bundle, account, spec, step);
 
-        if ((*spec->home != '\0' && strcmp(spec->home, dc) != 0) ||
-            !dc_is_usable(bundle, account, spec, dc))
-        {
-            continue;
-        }
-        fits = cw_bundle_fits(bundle, spec, dc);
-        if (fits != CW_OK) {
-            why = fits;
-            continue;
-        }
-        rank = home_rank(spec, dc);
-        if (*home == NULL || rank > best) {
-            *home = dc;
-            best = rank;
-        }
+        result = step_fits(step, &room);
     }
-    return *home != NULL ? CW_OK : why;
+    return result;
 }
 
-/* How many of the spec's accelerators an idle worker could hold. */
-static unsigned
-worker_capacity(const struct cw_worker_def *worker, const struct cw_spec *spec)
+/* ---- what the scheduler has to know ---- */
+
+static void
+add_account(struct cw_routing *routing, const struct cw_account_def *def)
 {
-    unsigned capacity = worker->accelerators;
+    struct cw_account *account = cw_routing_add_account(routing);
 
-    if (spec->cores > 0) {
-        capacity = MIN(capacity, worker->cores / spec->cores);
+    account->name = g_strdup(def->name);
+    for (unsigned i = 0; i < def->dcs_count; i++) {
+        g_ptr_array_add(account->dcs, g_strdup(def->dcs[i]));
     }
-    if (spec->memory_mb > 0) {
-        capacity = MIN(capacity, worker->memory_mb / spec->memory_mb);
+    for (unsigned i = 0; i < def->guarantees_count; i++) {
+        account->guaranteed_accelerators += def->guarantees[i].accelerators;
     }
-    return worker->slots > 0 ? capacity : 0;
 }
 
-enum cw_result
-cw_bundle_fits(const struct cw_bundle *bundle, const struct cw_spec *spec,
-               const char *dc)
+struct cw_routing *
+cw_bundle_routing(const struct cw_bundle *bundle, const char *service)
 {
-    GHashTable *racks = g_hash_table_new(g_str_hash, g_str_equal);
-    unsigned best_worker = 0;
-    unsigned best_rack = 0;
-    unsigned total = 0;
-    enum cw_result result = CW_OK;
+    struct cw_routing *routing = cw_routing_new();
+    struct cw_queue *queue = cw_routing_add_queue(routing);
+    struct cw_service *pool = cw_routing_add_service(routing);
 
-    for (unsigned i = 0; i < bundle->doc->workers_count; i++) {
-        const struct cw_worker_def *worker = &bundle->doc->workers[i];
-        unsigned capacity;
-        unsigned rack;
+    routing->version = bundle->number;
+    routing->confined = true;
+    queue->name = g_strdup(CW_REQUEST_QUEUE);
+    queue->host = g_strdup("");
+    queue->prefix = g_strdup("");
+    queue->service = g_strdup(service);
+    queue->max_attempts = cw_bundle_policy(bundle).max_attempts;
+    pool->name = g_strdup(service);
+    pool->guards_capacity = true;
+    for (unsigned i = 0; i < bundle->doc->dcs_count; i++) {
+        const struct cw_dc_def *dc = &bundle->doc->dcs[i];
 
-        if (strcmp(worker->dc, dc) != 0) {
-            continue;
+        if (dc->out) {
+            g_ptr_array_add(routing->closed, g_strdup(dc->name));
         }
-        capacity = worker_capacity(worker, spec);
-        rack = GPOINTER_TO_UINT(g_hash_table_lookup(racks, worker->rack));
-        rack += capacity;
-        g_hash_table_insert(racks, worker->rack, GUINT_TO_POINTER(rack));
-        best_worker = MAX(best_worker, capacity);
-        best_rack = MAX(best_rack, rack);
-        total += capacity;
-    }
-    g_hash_table_unref(racks);
-    if (best_worker == 0 ||
-        (spec->adjacency == CW_ADJACENT_WORKER && spec->gang > best_worker))
-    {
-        result = CW_REF_WORKER;
     }
-    else if (spec->adjacency == CW_ADJACENT_RACK && spec->gang > best_rack) {
-        result = CW_REF_RACK;
+    for (unsigned i = 0; i < bundle->doc->accounts_count; i++) {
+        add_account(routing, &bundle->doc->accounts[i]);
     }
-    else if (spec->gang > total) {
-        result = CW_REF_GANG;
-    }
-    return result;
+    cw_routing_seal(routing);
+    return routing;
 }
 
 bool
--- a/src/bundle/bundle_check.c
+++ b/src/bundle/bundle_check.c
@@ -167,12 +167,6 @@
 {
     size_t before = problems->len;
 
-    if (bundle->doc->policy.urgent_share > 100) {
-        problem(problems, "policy.urgent_share: expected 0 to 100");
-    }
-    if (bundle->doc->policy.compactness > 100) {
-        problem(problems, "policy.compactness: expected 0 to 100");
-    }
     check_dcs(bundle, problems);
     check_workers(bundle, problems);
     check_accounts(bundle, problems);
--- a/src/bundle/bundle_diff.c
+++ b/src/bundle/bundle_diff.c
@@ -159,13 +159,8 @@
     diff_number(out, "policy", "", #field, was.field, now.field)
     DIFF_POLICY(signatures);
     DIFF_POLICY(spare_workers);
-    DIFF_POLICY(compactness);
-    DIFF_POLICY(urgent_share);
-    DIFF_POLICY(checkpoint_grace_ms);
-    DIFF_POLICY(lease_ttl_ms);
     DIFF_POLICY(max_waiting);
     DIFF_POLICY(max_attempts);
-    DIFF_POLICY(narrowing_grace_ms);
 #undef DIFF_POLICY
 }
 
--- a/src/cli/cli.c
+++ b/src/cli/cli.c
@@ -12,8 +12,6 @@
 
 const struct cli_command cli_commands[] = {
     {"serve", "", "Runs the daemon of this VM.", 0, 0, cli_serve},
-    {"vm", "", "Runs the daemon of this VM on a platform that has a store.", 0,
-     0, cli_vm},
     {"settings check", "FILE",
      "Finds all that would keep 'serve' from starting.", 1, 1,
      cli_settings_check},
@@ -31,8 +29,7 @@
     {"logs timeline", "FILE...",
      "Shows changes of owner, dependencies and workers from logs.", 1,
      CLI_ARGS_MOST, cli_logs_timeline},
-    {"status", "", "Shows the daemon, its role and its peers.", 0, 0,
-     cli_status},
+    {"status", "", "Shows the daemon and its role.", 0, 0, cli_status},
     {"workers", "", "Lists the workers that this VM decides for.", 0, 0,
      cli_workers},
     {"accounts", "", "Lists the client accounts in force.", 0, 0,
@@ -58,7 +55,7 @@
      cli_bundle_accept},
     {"bundle show", "", "Prints the bundle in force.", 0, 0, cli_bundle_show},
     {"bundle status", "",
-     "Shows which version each VM applies (--wait: until all do).", 0, 0,
+     "Shows which version the VM applies (--wait: until it has one).", 0, 0,
      cli_bundle_status},
     {"key new", "", "Makes a signing key (--out) and prints its public half.",
      0, 0, cli_key_new},
@@ -100,7 +97,7 @@
     {"key-file", KEY_KEY_FILE, "FILE", 0, "Secret key to sign with", 0},
     {"operator", KEY_OPERATOR, "NAME", 0, "Operator who signs", 0},
     {"home", KEY_HOME, "DC", 0,
-     "Data centre to serve the request, also without the log", 0},
+     "The one data centre that the request may run in", 0},
     {"wait", KEY_WAIT, NULL, 0, "Wait until it is so", 0},
     {0},
 };
--- a/src/cli/cli_bundle.c
+++ b/src/cli/cli_bundle.c
@@ -376,72 +376,25 @@
 
 /* ---- status ---- */
 
-/* True if all live VMs apply the newest version that any of them has. */
-static bool
-all_agree(const json_t *answer, bool print)
-{
-    const json_t *peers = json_object_get(answer, "peers");
-    json_int_t newest = json_integer_value(json_object_get(answer, "bundle"));
-    json_int_t own = newest;
-    const json_t *peer;
-    bool agree = true;
-    size_t i;
-
-    json_array_foreach(peers, i, peer)
-    {
-        json_int_t version =
-            json_integer_value(json_object_get(peer, "bundle"));
-
-        if (json_is_true(json_object_get(peer, "alive"))) {
-            newest = MAX(newest, version);
-        }
-    }
-    agree = own == newest;
-    json_array_foreach(peers, i, peer)
-    {
-        bool alive = json_is_true(json_object_get(peer, "alive"));
-        json_int_t version =
-            json_integer_value(json_object_get(peer, "bundle"));
-
-        agree = agree && (!alive || version == newest);
-        if (print) {
-            printf("%-16s %-16s version %d%s\n",
-                   json_string_value(json_object_get(peer, "vm")),
-                   json_string_value(json_object_get(peer, "dc")),
-                   (int)version, alive ? "" : " (not heard)");
-        }
-    }
-    if (print) {
-        printf("%-16s %-16s version %d\n",
-               json_string_value(json_object_get(answer, "vm")),
-               json_string_value(json_object_get(answer, "dc")), (int)own);
-    }
-    return agree;
-}
-
 int
 cli_bundle_status(struct cli *cli)
 {
-    bool agree = false;
+    json_int_t version = 0;
 
     for (int waited = 0; waited <= VERDICT_MS; waited += STEP_MS) {
         json_t *answer = NULL;
-        bool last;
 
         if (cli_http(cli, "GET", "/v1/status", NULL, &answer, NULL) != 200) {
             json_decref(answer);
             return cli_unreachable(cli);
         }
-        agree = all_agree(answer, false);
-        last = agree || !cli->wait || waited + STEP_MS > VERDICT_MS;
-        if (last) {
-            all_agree(answer, true);
-        }
+        version = json_integer_value(json_object_get(answer, "bundle"));
         json_decref(answer);
-        if (last) {
+        if (version > 0 || !cli->wait) {
             break;
         }
         nap();
     }
-    return agree ? EXIT_OK : EXIT_REFUSED;
+    printf("version %d\n", (int)version);
+    return version > 0 ? EXIT_OK : EXIT_REFUSED;
 }
--- a/src/cli/cli_ops.c
+++ b/src/cli/cli_ops.c
@@ -76,8 +76,6 @@
 int
 cli_status(struct cli *cli)
 {
-    static const char *const columns[] = {
-        "vm", "dc", "alive", "deciding", "leaving", "bundle", NULL};
     int status;
     json_t *answer = get(cli, "/v1/status", &status);
     const char *name;
@@ -93,17 +91,11 @@
     }
     json_object_foreach(answer, name, value)
     {
-        char *text;
+        char *text = json_dumps(value, JSON_ENCODE_ANY | JSON_COMPACT);
 
-        if (strcmp(name, "peers") == 0) {
-            continue;
-        }
-        text = json_dumps(value, JSON_ENCODE_ANY | JSON_COMPACT);
-        printf("%-10s %s\n", name, text);
+        printf("%-14s %s\n", name, text);
         free(text);
     }
-    putchar('\n');
-    print_table(json_object_get(answer, "peers"), columns);
     json_decref(answer);
     return EXIT_OK;
 }
@@ -111,8 +103,8 @@
 int
 cli_workers(struct cli *cli)
 {
-    static const char *const columns[] = {"worker", "dc", "state", "free",
-                                          NULL};
+    static const char *const columns[] = {"worker", "dc",   "rack",
+                                          "state",  "free", NULL};
 
     return show_list(cli, "/v1/workers", "workers", columns);
 }
@@ -129,7 +121,7 @@
 cli_audit(struct cli *cli)
 {
     static const char *const columns[] = {
-        "key", "dc", "worker", "attempt", "bundle", "outcome", NULL};
+        "key", "dc", "worker", "runs", "bundle", "outcome", NULL};
     char *path = cli->account != NULL
                      ? g_strdup_printf("/v1/audit?account=%s", cli->account)
                      : g_strdup("/v1/audit");
--- a/src/cli/cli_serve.c
+++ b/src/cli/cli_serve.c
@@ -3,17 +3,23 @@
 #include <stdlib.h>
 
 #include "cli/internal/cli_private.h"
-#include "curlewcart/cw_daemon.h"
 #include "curlewcart/cw_vm.h"
 
+/* Loads settings and the files they name; on failure says why. */
 static struct cw_settings *
-load(const char *path)
+load(const char *path, struct cw_settings_secrets **secrets)
 {
     GString *problems = g_string_new(NULL);
     struct cw_settings *settings = cw_settings_load(path, problems);
 
-    if (settings == NULL) {
+    *secrets = NULL;
+    if (settings != NULL) {
+        *secrets = cw_settings_secrets(settings, problems);
+    }
+    if (problems->len > 0) {
         fprintf(stderr, "%s", problems->str);
+        cw_settings_free(settings);
+        settings = NULL;
     }
     g_string_free(problems, TRUE);
     return settings;
@@ -21,27 +27,10 @@
 
 int
 cli_serve(struct cli *cli)
-{
-    struct cw_settings *settings;
-
-    if (cli->settings == NULL) {
-        fprintf(stderr, "curlewcart: --settings names the settings file\n");
-        return EXIT_USAGE;
-    }
-    settings = load(cli->settings);
-    if (settings == NULL) {
-        return EXIT_NOT_STARTED;
-    }
-    return cw_daemon_run(settings);
-}
-
-int
-cli_vm(struct cli *cli)
 {
     const char *path = cli->settings;
-    GString *problems = g_string_new(NULL);
-    struct cw_vm_settings *settings = NULL;
-    int status = EXIT_NOT_STARTED;
+    struct cw_settings_secrets *secrets;
+    struct cw_settings *settings;
 
     if (path == NULL) {
         path = getenv("CURLEWCART_CONFIG");
@@ -49,25 +38,20 @@
     if (path == NULL) {
         fprintf(stderr, "curlewcart: --settings or CURLEWCART_CONFIG names "
                         "the settings file\n");
-        status = EXIT_USAGE;
-        goto done;
+        return EXIT_USAGE;
     }
-    settings = cw_vm_settings_load(path, problems);
+    settings = load(path, &secrets);
     if (settings == NULL) {
-        fprintf(stderr, "%s", problems->str);
-        goto done;
+        return EXIT_NOT_STARTED;
     }
-    status = cw_vm_run(settings, path);
-
-done:
-    g_string_free(problems, TRUE);
-    return status;
+    return cw_vm_run(settings, secrets, path);
 }
 
 int
 cli_settings_check(struct cli *cli)
 {
-    struct cw_settings *settings = load(cli->args[0]);
+    struct cw_settings_secrets *secrets;
+    struct cw_settings *settings = load(cli->args[0], &secrets);
 
     if (settings == NULL) {
         return EXIT_INVALID;
--- a/src/cli/internal/cli_private.h
+++ b/src/cli/internal/cli_private.h
@@ -96,7 +96,6 @@
 
 /* cli_serve.c */
 int cli_serve(struct cli *cli);
-int cli_vm(struct cli *cli);
 int cli_settings_check(struct cli *cli);
 int cli_completion(struct cli *cli);
 
--- a/src/owner/owner_candidates.c
+++ b/src/owner/owner_candidates.c
@@ -47,6 +47,14 @@
     return count;
 }
 
+static bool
+dc_is_open(const struct owner_target *target)
+{
+    const struct cw_routing *routing = target->owner->routing;
+
+    return routing == NULL || cw_routing_is_open(routing, target->dc);
+}
+
 bool
 owner_may_run(const struct owner_step *step, const struct owner_target *target)
 {
@@ -54,7 +62,8 @@
     const char *label = step->spec->label;
 
     if (strcmp(target->service, spec->service) != 0 ||
-        !owner_permits(target->owner, step->occurrence->job, target->dc))
+        !owner_permits(target->owner, step->occurrence->job, target->dc) ||
+        !dc_is_open(target))
     {
         return false;
     }
--- a/src/owner/owner_runs.c
+++ b/src/owner/owner_runs.c
@@ -331,6 +331,9 @@
         return;
     }
     step = task->step;
+    if (run->phase == RUN_STARTING || run->phase == RUN_UNSURE) {
+        owner_job_begun(owner, owner_task_job(task), target);
+    }
     owner_task_keep(task, ended->saved);
     keep_result(owner_task_job(task), ended);
     if (ended->how == CW_END_KIND_DONE) {
--- /dev/null
+++ b/src/owner/owner_view.c
@@ -0,0 +1,113 @@
+/* What the owner tells operators of workers and jobs. */
+#include "owner/internal/owner_private.h"
+
+static const char *
+state_of(const struct owner_target *target, struct timespec now)
+{
+    if (target->gone || !target->listed) {
+        return "gone";
+    }
+    if (target->silent > 0) {
+        return "silent";
+    }
+    if (target->draining) {
+        return "draining";
+    }
+    return owner_target_usable(target, now) ? "ready" : "avoided";
+}
+
+void
+cw_owner_each_target(const struct cw_owner *owner,
+                     void (*see)(void *, const struct cw_owner_target_view *),
+                     void *context)
+{
+    struct timespec now = owner_now(owner);
+    GHashTableIter iterator;
+    gpointer value;
+
+    g_hash_table_iter_init(&iterator, owner->targets);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const struct owner_target *target = value;
+        struct cw_owner_target_view view = {
+            .id = target->id,
+            .dc = target->dc,
+            .rack = target->rack,
+            .state = state_of(target, now),
+            .free_accelerators =
+                target->capacity.accelerators - target->used.accelerators,
+        };
+
+        see(context, &view);
+    }
+}
+
+/* ---- explain ---- */
+
+/* Jobs of the same or higher urgency that wait as well. */
+static unsigned
+waiting_ahead(const struct cw_owner *owner, const struct owner_job *job)
+{
+    GHashTableIter iterator;
+    gpointer value;
+    unsigned count = 0;
+
+    g_hash_table_iter_init(&iterator, owner->jobs);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const struct owner_job *other = value;
+
+        count += other != job && !other->started &&
+                 !cw_work_is_over(other->phase) &&
+                 (other->spec->priority < job->spec->priority ||
+                  (other->spec->priority == job->spec->priority &&
+                   cw_time_before(other->objective, job->objective)));
+    }
+    return count;
+}
+
+static void
+explain_step(const struct cw_owner *owner, const struct owner_step *step,
+             GString *out)
+{
+    if (step->done) {
+        return;
+    }
+    g_string_append_printf(
+        out, "step %u of occurrence %u: %u of %u tasks left, %u placed%s\n",
+        step->number, step->occurrence->number, step->left, step->count,
+        step->runs, step->spec->gang ? ", a gang" : "");
+    if (owner_step_waiting(step) > 0 && !owner_once_may_begin(owner, step)) {
+        g_string_append(out, "  it must not be begun twice, so it cannot "
+                             "give way: it waits until that leaves every "
+                             "guarantee reclaimable\n");
+    }
+}
+
+bool
+cw_owner_explain(const struct cw_owner *owner, const char *id,
+                 struct timespec now, GString *out)
+{
+    const struct owner_job *job = owner->state == OWNER_ACTIVE
+                                      ? g_hash_table_lookup(owner->jobs, id)
+                                      : NULL;
+
+    if (job == NULL) {
+        return false;
+    }
+    g_string_append_printf(
+        out,
+        "%s for %.1f s, priority %u, account %s (%s its guarantee)\n"
+        "%u jobs that are as urgent wait before it\n",
+        job->started ? "running" : "waiting",
+        (double)cw_time_diff_ms(job->known_at, now) / CW_MS_PER_S,
+        job->spec->priority, job->spec->account,
+        owner_guaranteed(owner, job) ? "within" : "beyond",
+        waiting_ahead(owner, job));
+    for (guint i = 0; i < job->open->len; i++) {
+        const struct owner_occurrence *occurrence = job->open->pdata[i];
+
+        for (unsigned k = 0; k < occurrence->count; k++) {
+            explain_step(owner, &occurrence->steps[k], out);
+        }
+    }
+    return true;
+}
--- a/src/proto/cw_proto.h
+++ b/src/proto/cw_proto.h
@@ -18,137 +18,13 @@
 #define CW_NAME_MAX 64
 #define CW_KEY_MAX 200
 #define CW_PAYLOAD_MAX 65536
-#define CW_GANG_MAX 256
 #define CW_DCS_MAX 64
 #define CW_HASH_BYTES 32
 #define CW_MAC_BYTES 32
-#define CW_BATCH_RECORDS_MAX 4096
 #define CW_BLOB_MAX 16777216
 
 typedef char *cw_name;
 
-struct cw_spec {
-	char *key;
-	cw_name account;
-	cw_name kind;
-	cw_name home;
-	struct {
-		u_int dcs_len;
-		cw_name *dcs_val;
-	} dcs;
-	u_int gang;
-	u_int adjacency;
-	u_int cores;
-	u_int memory_mb;
-	u_int declared_ms;
-	u_int deadline_ms;
-	bool_t urgent;
-	bool_t repeatable;
-	bool_t checkpointable;
-	char body_hash[CW_HASH_BYTES];
-	char *payload;
-};
-typedef struct cw_spec cw_spec;
-
-struct cw_member {
-	cw_name worker;
-	u_quad_t boot;
-	u_int accelerators;
-};
-typedef struct cw_member cw_member;
-
-struct cw_outcome {
-	u_int kind;
-	u_int code;
-	u_int attempt;
-	char *result;
-};
-typedef struct cw_outcome cw_outcome;
-
-enum cw_rec_kind {
-	CW_REC_TAKEOVER = 1,
-	CW_REC_CLAIM = 2,
-	CW_REC_START = 3,
-	CW_REC_OUTCOME = 4,
-	CW_REC_CARRY = 5,
-};
-typedef enum cw_rec_kind cw_rec_kind;
-
-struct cw_rec_takeover {
-	cw_name dc;
-	cw_name vm;
-};
-typedef struct cw_rec_takeover cw_rec_takeover;
-
-struct cw_rec_claim {
-	cw_spec spec;
-	cw_name dc;
-	u_quad_t epoch;
-	quad_t wall_ms;
-};
-typedef struct cw_rec_claim cw_rec_claim;
-
-struct cw_rec_start {
-	char *key;
-	cw_name dc;
-	u_quad_t epoch;
-	u_int attempt;
-	u_int bundle_version;
-	struct {
-		u_int members_len;
-		cw_member *members_val;
-	} members;
-	quad_t wall_ms;
-};
-typedef struct cw_rec_start cw_rec_start;
-
-struct cw_rec_outcome {
-	char *key;
-	cw_name dc;
-	u_quad_t epoch;
-	u_int attempts_seen;
-	cw_outcome outcome;
-	quad_t wall_ms;
-};
-typedef struct cw_rec_outcome cw_rec_outcome;
-
-struct cw_rec_carry {
-	cw_spec spec;
-	cw_name dc;
-	u_quad_t epoch;
-	u_int attempt;
-	u_int bundle_version;
-	struct {
-		u_int members_len;
-		cw_member *members_val;
-	} members;
-	quad_t wall_ms;
-	bool_t ended;
-	cw_outcome outcome;
-};
-typedef struct cw_rec_carry cw_rec_carry;
-
-struct cw_rec_raw {
-	u_int kind;
-	struct {
-		u_int body_len;
-		char *body_val;
-	} body;
-};
-typedef struct cw_rec_raw cw_rec_raw;
-
-struct cw_batch {
-	u_int format;
-	char *writer;
-	u_quad_t seq;
-	struct {
-		u_int records_len;
-		cw_rec_raw *records_val;
-	} records;
-	u_quad_t checksum;
-};
-typedef struct cw_batch cw_batch;
-
 struct cw_signature {
 	cw_name operator_name;
 	char bytes[64];
@@ -176,103 +52,6 @@
 	char seal[CW_MAC_BYTES];
 };
 typedef struct cw_bundle_rec cw_bundle_rec;
-
-enum cw_msg_kind {
-	CW_MSG_HEARTBEAT = 1,
-	CW_MSG_SUBMIT = 2,
-	CW_MSG_SUBMIT_REPLY = 3,
-	CW_MSG_CANCEL = 4,
-	CW_MSG_OUTCOME = 5,
-	CW_MSG_SYNC_ASK = 6,
-	CW_MSG_SYNC = 7,
-	CW_MSG_REFUSAL = 8,
-	CW_MSG_REFUSAL_ACK = 9,
-};
-typedef enum cw_msg_kind cw_msg_kind;
-
-struct cw_msg_heartbeat {
-	bool_t leaving;
-	bool_t deciding;
-	bool_t ready;
-	bool_t yielding;
-	bool_t log_ok;
-	u_int bundle_version;
-	u_quad_t ledger_next;
-	u_quad_t told_digest;
-};
-typedef struct cw_msg_heartbeat cw_msg_heartbeat;
-
-struct cw_msg_submit {
-	cw_spec spec;
-};
-typedef struct cw_msg_submit cw_msg_submit;
-
-struct cw_msg_submit_reply {
-	char *key;
-	u_int code;
-	u_int retry_ms;
-	bool_t final;
-};
-typedef struct cw_msg_submit_reply cw_msg_submit_reply;
-
-struct cw_msg_cancel {
-	char *key;
-};
-typedef struct cw_msg_cancel cw_msg_cancel;
-
-struct cw_msg_outcome {
-	cw_rec_carry state;
-};
-typedef struct cw_msg_outcome cw_msg_outcome;
-
-struct cw_msg_refusal {
-	cw_rec_carry state;
-};
-typedef struct cw_msg_refusal cw_msg_refusal;
-
-struct cw_msg_refusal_ack {
-	char *key;
-};
-typedef struct cw_msg_refusal_ack cw_msg_refusal_ack;
-
-struct cw_msg_sync_ask {
-	u_int bundle_version;
-	bool_t want_ledger;
-	u_quad_t ledger_from;
-	bool_t want_provisional;
-};
-typedef struct cw_msg_sync_ask cw_msg_sync_ask;
-
-struct cw_msg_sync {
-	struct {
-		u_int bundles_len;
-		cw_bundle_rec *bundles_val;
-	} bundles;
-	u_quad_t ledger_next;
-	bool_t has_ledger;
-	bool_t last;
-	struct {
-		u_int jobs_len;
-		cw_rec_carry *jobs_val;
-	} jobs;
-};
-typedef struct cw_msg_sync cw_msg_sync;
-
-struct cw_msg_body {
-	cw_msg_kind kind;
-	union {
-		cw_msg_heartbeat heartbeat;
-		cw_msg_submit submit;
-		cw_msg_submit_reply submit_reply;
-		cw_msg_cancel cancel;
-		cw_msg_outcome outcome;
-		cw_msg_sync_ask sync_ask;
-		cw_msg_sync sync;
-		cw_msg_refusal refusal;
-		cw_msg_refusal_ack refusal_ack;
-	} cw_msg_body_u;
-};
-typedef struct cw_msg_body cw_msg_body;
 #define CW_STEPS_MAX 64
 #define CW_TASKS_MAX 4096
 #define CW_OCCURRENCES_MAX 4096
@@ -391,28 +170,6 @@
 	} open;
 };
 typedef struct cw_work_record cw_work_record;
-
-struct cw_envelope {
-	cw_name from_vm;
-	cw_name to_vm;
-	cw_name from_dc;
-	u_quad_t incarnation;
-	u_quad_t seq;
-	struct {
-		u_int body_len;
-		char *body_val;
-	} body;
-	char mac[CW_MAC_BYTES];
-};
-typedef struct cw_envelope cw_envelope;
-
-struct cw_messages {
-	struct {
-		u_int items_len;
-		cw_msg_body *items_val;
-	} items;
-};
-typedef struct cw_messages cw_messages;
 #define CW_RELAY_BYTES_MAX 60000
 #define CW_RELAY_RECORDS_MAX 4096
 
@@ -485,22 +242,6 @@
 };
 typedef struct cw_relay_sealed cw_relay_sealed;
 
-#define CW_PEER_PROGRAM 0x20C0CA47
-#define CW_PEER_V1 1
-
-#if defined(__STDC__) || defined(__cplusplus)
-#define CW_DELIVER 1
-extern  enum clnt_stat cw_deliver_1(cw_envelope , u_int *, CLIENT *);
-extern  bool_t cw_deliver_1_svc(cw_envelope , u_int *, struct svc_req *);
-extern int cw_peer_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
-
-#else /* K&R C */
-#define CW_DELIVER 1
-extern  enum clnt_stat cw_deliver_1();
-extern  bool_t cw_deliver_1_svc();
-extern int cw_peer_program_1_freeresult ();
-#endif /* K&R C */
-
 #define CW_RELAY_PROGRAM 0x20C0CA48
 #define CW_RELAY_V1 1
 
@@ -521,30 +262,8 @@
 
 #if defined(__STDC__) || defined(__cplusplus)
 extern  bool_t xdr_cw_name (XDR *, cw_name*);
-extern  bool_t xdr_cw_spec (XDR *, cw_spec*);
-extern  bool_t xdr_cw_member (XDR *, cw_member*);
-extern  bool_t xdr_cw_outcome (XDR *, cw_outcome*);
-extern  bool_t xdr_cw_rec_kind (XDR *, cw_rec_kind*);
-extern  bool_t xdr_cw_rec_takeover (XDR *, cw_rec_takeover*);
-extern  bool_t xdr_cw_rec_claim (XDR *, cw_rec_claim*);
-extern  bool_t xdr_cw_rec_start (XDR *, cw_rec_start*);
-extern  bool_t xdr_cw_rec_outcome (XDR *, cw_rec_outcome*);
-extern  bool_t xdr_cw_rec_carry (XDR *, cw_rec_carry*);
-extern  bool_t xdr_cw_rec_raw (XDR *, cw_rec_raw*);
-extern  bool_t xdr_cw_batch (XDR *, cw_batch*);
 extern  bool_t xdr_cw_signature (XDR *, cw_signature*);
 extern  bool_t xdr_cw_bundle_rec (XDR *, cw_bundle_rec*);
-extern  bool_t xdr_cw_msg_kind (XDR *, cw_msg_kind*);
-extern  bool_t xdr_cw_msg_heartbeat (XDR *, cw_msg_heartbeat*);
-extern  bool_t xdr_cw_msg_submit (XDR *, cw_msg_submit*);
-extern  bool_t xdr_cw_msg_submit_reply (XDR *, cw_msg_submit_reply*);
-extern  bool_t xdr_cw_msg_cancel (XDR *, cw_msg_cancel*);
-extern  bool_t xdr_cw_msg_outcome (XDR *, cw_msg_outcome*);
-extern  bool_t xdr_cw_msg_refusal (XDR *, cw_msg_refusal*);
-extern  bool_t xdr_cw_msg_refusal_ack (XDR *, cw_msg_refusal_ack*);
-extern  bool_t xdr_cw_msg_sync_ask (XDR *, cw_msg_sync_ask*);
-extern  bool_t xdr_cw_msg_sync (XDR *, cw_msg_sync*);
-extern  bool_t xdr_cw_msg_body (XDR *, cw_msg_body*);
 extern  bool_t xdr_cw_step_spec (XDR *, cw_step_spec*);
 extern  bool_t xdr_cw_work_spec (XDR *, cw_work_spec*);
 extern  bool_t xdr_cw_task_record (XDR *, cw_task_record*);
@@ -552,8 +271,6 @@
 extern  bool_t xdr_cw_occurrence_record (XDR *, cw_occurrence_record*);
 extern  bool_t xdr_cw_place_record (XDR *, cw_place_record*);
 extern  bool_t xdr_cw_work_record (XDR *, cw_work_record*);
-extern  bool_t xdr_cw_envelope (XDR *, cw_envelope*);
-extern  bool_t xdr_cw_messages (XDR *, cw_messages*);
 extern  bool_t xdr_cw_relay_kind (XDR *, cw_relay_kind*);
 extern  bool_t xdr_cw_relay_record (XDR *, cw_relay_record*);
 extern  bool_t xdr_cw_relay_request (XDR *, cw_relay_request*);
@@ -562,30 +279,8 @@
 
 #else /* K&R C */
 extern bool_t xdr_cw_name ();
-extern bool_t xdr_cw_spec ();
-extern bool_t xdr_cw_member ();
-extern bool_t xdr_cw_outcome ();
-extern bool_t xdr_cw_rec_kind ();
-extern bool_t xdr_cw_rec_takeover ();
-extern bool_t xdr_cw_rec_claim ();
-extern bool_t xdr_cw_rec_start ();
-extern bool_t xdr_cw_rec_outcome ();
-extern bool_t xdr_cw_rec_carry ();
-extern bool_t xdr_cw_rec_raw ();
-extern bool_t xdr_cw_batch ();
 extern bool_t xdr_cw_signature ();
 extern bool_t xdr_cw_bundle_rec ();
-extern bool_t xdr_cw_msg_kind ();
-extern bool_t xdr_cw_msg_heartbeat ();
-extern bool_t xdr_cw_msg_submit ();
-extern bool_t xdr_cw_msg_submit_reply ();
-extern bool_t xdr_cw_msg_cancel ();
-extern bool_t xdr_cw_msg_outcome ();
-extern bool_t xdr_cw_msg_refusal ();
-extern bool_t xdr_cw_msg_refusal_ack ();
-extern bool_t xdr_cw_msg_sync_ask ();
-extern bool_t xdr_cw_msg_sync ();
-extern bool_t xdr_cw_msg_body ();
 extern bool_t xdr_cw_step_spec ();
 extern bool_t xdr_cw_work_spec ();
 extern bool_t xdr_cw_task_record ();
@@ -593,8 +288,6 @@
 extern bool_t xdr_cw_occurrence_record ();
 extern bool_t xdr_cw_place_record ();
 extern bool_t xdr_cw_work_record ();
-extern bool_t xdr_cw_envelope ();
-extern bool_t xdr_cw_messages ();
 extern bool_t xdr_cw_relay_kind ();
 extern bool_t xdr_cw_relay_record ();
 extern bool_t xdr_cw_relay_request ();
--- a/src/proto/cw_proto.x
+++ b/src/proto/cw_proto.x
@@ -1,5 +1,6 @@
 /*
- * Curlewcart's inner protocol: journal records and messages between daemons.
+ * Curlewcart's inner protocol: records of the store, and messages between
+ * daemons.
  *
  * cw_proto.h and cw_proto_xdr.c are generated from this file by rpcgen
  * (make proto) and committed, so that a build needs no generator.
@@ -13,120 +14,13 @@
 const CW_NAME_MAX = 64;
 const CW_KEY_MAX = 200;
 const CW_PAYLOAD_MAX = 65536;
-const CW_GANG_MAX = 256;
 const CW_DCS_MAX = 64;
 const CW_HASH_BYTES = 32;
 const CW_MAC_BYTES = 32;
-const CW_BATCH_RECORDS_MAX = 4096;
 const CW_BLOB_MAX = 16777216;
 
 typedef string cw_name<CW_NAME_MAX>;
 
-/* What a caller asked for.  Immutable once accepted. */
-struct cw_spec {
-    string key<CW_KEY_MAX>;      /* account "/" request id */
-    cw_name account;
-    cw_name kind;                /* free label for run-time correction */
-    cw_name home;                /* data centre named by the caller, or "" */
-    cw_name dcs<CW_DCS_MAX>;     /* narrowing of the account's centres */
-    unsigned int gang;           /* accelerators */
-    unsigned int adjacency;      /* enum cw_adjacency */
-    unsigned int cores;          /* per accelerator */
-    unsigned int memory_mb;      /* per accelerator */
-    unsigned int declared_ms;    /* run time as declared; 0 unknown */
-    unsigned int deadline_ms;    /* from acceptance; 0 none */
-    bool urgent;
-    bool repeatable;
-    bool checkpointable;
-    opaque body_hash[CW_HASH_BYTES];
-    string payload<CW_PAYLOAD_MAX>;
-};
-
-/* One worker's part of a gang, as reserved. */
-struct cw_member {
-    cw_name worker;
-    unsigned hyper boot;         /* boot id the worker showed */
-    unsigned int accelerators;
-};
-
-struct cw_outcome {
-    unsigned int kind;           /* enum cw_outcome_kind */
-    unsigned int code;           /* enum cw_result: why */
-    unsigned int attempt;        /* the attempt it speaks of; 0 none ran */
-    string result<CW_PAYLOAD_MAX>;
-};
-
-/* ---- journal ---- */
-
-enum cw_rec_kind {
-    CW_REC_TAKEOVER = 1,
-    CW_REC_CLAIM = 2,
-    CW_REC_START = 3,
-    CW_REC_OUTCOME = 4,
-    CW_REC_CARRY = 5
-};
-
-/* A VM begins to decide for a data centre.  Its offset is the epoch. */
-struct cw_rec_takeover {
-    cw_name dc;
-    cw_name vm;
-};
-
-/* A data centre takes a request.  The first in log order wins. */
-struct cw_rec_claim {
-    cw_spec spec;
-    cw_name dc;
-    unsigned hyper epoch;
-    hyper wall_ms;
-};
-
-/* The decider is about to start an attempt. */
-struct cw_rec_start {
-    string key<CW_KEY_MAX>;
-    cw_name dc;
-    unsigned hyper epoch;
-    unsigned int attempt;
-    unsigned int bundle_version;
-    cw_member members<CW_GANG_MAX>;
-    hyper wall_ms;
-};
-
-struct cw_rec_outcome {
-    string key<CW_KEY_MAX>;
-    cw_name dc;
-    unsigned hyper epoch;
-    unsigned int attempts_seen;
-    cw_outcome outcome;
-    hyper wall_ms;
-};
-
-/* The whole state of a request, written again before retention takes it. */
-struct cw_rec_carry {
-    cw_spec spec;
-    cw_name dc;
-    unsigned hyper epoch;
-    unsigned int attempt;
-    unsigned int bundle_version;
-    cw_member members<CW_GANG_MAX>;
-    hyper wall_ms;
-    bool ended;
-    cw_outcome outcome;
-};
-
-/* A record on the wire: unknown kinds are skipped by their length. */
-struct cw_rec_raw {
-    unsigned int kind;
-    opaque body<CW_BLOB_MAX>;
-};
-
-struct cw_batch {
-    unsigned int format;
-    string writer<128>;          /* VM name and incarnation */
-    unsigned hyper seq;          /* grows by one with each batch */
-    cw_rec_raw records<CW_BATCH_RECORDS_MAX>;
-    unsigned hyper checksum;     /* XXH3 of the record bodies */
-};
-
 /* ---- bundle stream ---- */
 
 struct cw_signature {
@@ -153,99 +47,6 @@
     opaque seal[CW_MAC_BYTES];
 };
 
-/* ---- between daemons ---- */
-
-enum cw_msg_kind {
-    CW_MSG_HEARTBEAT = 1,
-    CW_MSG_SUBMIT = 2,
-    CW_MSG_SUBMIT_REPLY = 3,
-    CW_MSG_CANCEL = 4,
-    CW_MSG_OUTCOME = 5,
-    CW_MSG_SYNC_ASK = 6,
-    CW_MSG_SYNC = 7,
-    CW_MSG_REFUSAL = 8,
-    CW_MSG_REFUSAL_ACK = 9
-};
-
-struct cw_msg_heartbeat {
-    bool leaving;
-    bool deciding;
-    bool ready;                  /* has bundle and ledger */
-    bool yielding;               /* will not decide for a while */
-    bool log_ok;
-    unsigned int bundle_version;
-    unsigned hyper ledger_next;
-    unsigned hyper told_digest;  /* of outcomes of the receiver's centre
-                                    that were told, not yet in the log */
-};
-
-struct cw_msg_submit {
-    cw_spec spec;
-};
-
-struct cw_msg_submit_reply {
-    string key<CW_KEY_MAX>;
-    unsigned int code;           /* enum cw_result: 0 taken */
-    unsigned int retry_ms;
-    bool final;                  /* true: not run, and never will be */
-};
-
-struct cw_msg_cancel {
-    string key<CW_KEY_MAX>;
-};
-
-/* An outcome told before the log has it; also answers subscribers. */
-struct cw_msg_outcome {
-    cw_rec_carry state;
-};
-
-/* A refusal made without the log.  It is told to its caller only when a VM
- * of another data centre has acknowledged that it keeps it. */
-struct cw_msg_refusal {
-    cw_rec_carry state;
-};
-
-struct cw_msg_refusal_ack {
-    string key<CW_KEY_MAX>;
-};
-
-struct cw_msg_sync_ask {
-    unsigned int bundle_version;
-    bool want_ledger;
-    unsigned hyper ledger_from;  /* what changed from this offset on */
-    bool want_provisional;       /* only outcomes not yet in the log */
-};
-
-/* Bundle records and, if asked for, the ledger as carry records. */
-struct cw_msg_sync {
-    cw_bundle_rec bundles<16>;
-    unsigned hyper ledger_next;
-    bool has_ledger;
-    bool last;
-    cw_rec_carry jobs<CW_BATCH_RECORDS_MAX>;
-};
-
-union cw_msg_body switch (cw_msg_kind kind) {
-case CW_MSG_HEARTBEAT:
-    cw_msg_heartbeat heartbeat;
-case CW_MSG_SUBMIT:
-    cw_msg_submit submit;
-case CW_MSG_SUBMIT_REPLY:
-    cw_msg_submit_reply submit_reply;
-case CW_MSG_CANCEL:
-    cw_msg_cancel cancel;
-case CW_MSG_OUTCOME:
-    cw_msg_outcome outcome;
-case CW_MSG_SYNC_ASK:
-    cw_msg_sync_ask sync_ask;
-case CW_MSG_SYNC:
-    cw_msg_sync sync;
-case CW_MSG_REFUSAL:
-    cw_msg_refusal refusal;
-case CW_MSG_REFUSAL_ACK:
-    cw_msg_refusal_ack refusal_ack;
-};
-
 /* ---- jobs of steps: what is kept in the platform's store ---- */
 
 const CW_STEPS_MAX = 64;
@@ -347,27 +148,6 @@
     cw_occurrence_record open<CW_OCCURRENCES_MAX>;
 };
 
-/* Messages from one VM to another, with proof of the deployment's key. */
-struct cw_envelope {
-    cw_name from_vm;
-    cw_name to_vm;
-    cw_name from_dc;
-    unsigned hyper incarnation;
-    unsigned hyper seq;
-    opaque body<CW_BLOB_MAX>;    /* cw_messages */
-    opaque mac[CW_MAC_BYTES];
-};
-
-struct cw_messages {
-    cw_msg_body items<1024>;
-};
-
-program CW_PEER_PROGRAM {
-    version CW_PEER_V1 {
-        unsigned int CW_DELIVER(cw_envelope) = 1;
-    } = 1;
-} = 0x20C0CA47;
-
 /* ---- calls to the store through another VM ---- */
 
 const CW_RELAY_BYTES_MAX = 60000;
--- a/src/routing/routing.c
+++ b/src/routing/routing.c
@@ -44,6 +44,7 @@
 
     routing->references = 1;
     routing->body_bytes_max = DEFAULT_BODY_BYTES_MAX;
+    routing->closed = g_ptr_array_new_with_free_func(g_free);
     routing->queues = g_ptr_array_new_with_free_func(queue_free);
     routing->services = g_ptr_array_new_with_free_func(service_free);
     routing->accounts = g_ptr_array_new_with_free_func(account_free);
@@ -65,6 +66,7 @@
         return;
     }
     g_hash_table_unref(routing->by_key);
+    g_ptr_array_unref(routing->closed);
     g_ptr_array_unref(routing->queues);
     g_ptr_array_unref(routing->services);
     g_ptr_array_unref(routing->accounts);
@@ -177,6 +179,13 @@
            g_ptr_array_find_with_equal_func(found->dcs, dc, g_str_equal, NULL);
 }
 
+bool
+cw_routing_is_open(const struct cw_routing *routing, const char *dc)
+{
+    return !g_ptr_array_find_with_equal_func(routing->closed, dc, g_str_equal,
+                                             NULL);
+}
+
 const struct cw_service *
 cw_routing_service(const struct cw_routing *routing, const char *name)
 {
--- a/src/settings/settings.c
+++ b/src/settings/settings.c
@@ -1,71 +1,36 @@
-/* Settings: schema, defaults and checks. */
+/* Settings of a VM: schema and checks. */
 #include "curlewcart/cw_settings.h"
 
-#include <arpa/inet.h>
+#include <stdbool.h>
+#include <stdlib.h>
 #include <string.h>
 #include <sys/stat.h>
 #include <sodium.h>
 
 #include "curlewcart/cw_yaml.h"
 
-enum {
-    TEXT_MAX = 1024,
-    LIST_MAX = 256,
-    PORT_MAX = 65535,
-    DEFAULT_THREADS = 4,
-    DEFAULT_CONNECTIONS = 8000,
-    DEFAULT_BODY_BYTES = 128 * 1024,
-    DEFAULT_IDLE_S = 30,
-    DEFAULT_DRAIN_S = 20,
-    DEFAULT_MEMORY_S = 24 * 3600,
-    DEFAULT_RETENTION_S = 7 * 24 * 3600,
-    DEFAULT_APPEND_INTERVAL_MS = 5
-};
+enum { TEXT_MAX = 1024, PORT_MAX = 65535, TRUSTED_MAX = 256 };
 
 #define TEXT(key, flags, type, member)                                        \
     CYAML_FIELD_STRING_PTR(key, CYAML_FLAG_POINTER | (flags), type, member,   \
                            1, TEXT_MAX)
 #define NUMBER(key, type, member)                                             \
-    CYAML_FIELD_UINT(key, CYAML_FLAG_OPTIONAL, type, member)
+    CYAML_FIELD_UINT(key, CYAML_FLAG_DEFAULT, type, member)
 
 static const cyaml_schema_field_t listen_fields[] = {
-    TEXT("address", 0, struct cw_listen_settings, address),
-    CYAML_FIELD_UINT("port", CYAML_FLAG_DEFAULT, struct cw_listen_settings,
-                     port),
-    CYAML_FIELD_END,
-};
-
-static const cyaml_schema_field_t listeners_fields[] = {
-    CYAML_FIELD_MAPPING("callers", CYAML_FLAG_DEFAULT,
-                        struct cw_listeners_settings, callers, listen_fields),
-    CYAML_FIELD_MAPPING("peers", CYAML_FLAG_DEFAULT,
-                        struct cw_listeners_settings, peers, listen_fields),
-    CYAML_FIELD_END,
-};
-
-static const cyaml_schema_field_t platform_fields[] = {
-    TEXT("log", 0, struct cw_platform_settings, log),
-    TEXT("vms", 0, struct cw_platform_settings, vms),
-    NUMBER("retention_s", struct cw_platform_settings, retention_s),
-    CYAML_FIELD_END,
-};
-
-static const cyaml_schema_field_t peer_fields[] = {
-    TEXT("vm", 0, struct cw_peer_settings, vm),
-    TEXT("dc", 0, struct cw_peer_settings, dc),
-    TEXT("address", 0, struct cw_peer_settings, address),
+    TEXT("callers", CYAML_FLAG_OPTIONAL, struct cw_settings_listen, callers),
+    TEXT("api", CYAML_FLAG_OPTIONAL, struct cw_settings_listen, api),
+    TEXT("ready", CYAML_FLAG_OPTIONAL, struct cw_settings_listen, ready),
+    TEXT("inner", 0, struct cw_settings_listen, inner),
+    TEXT("metrics", CYAML_FLAG_OPTIONAL, struct cw_settings_listen, metrics),
     CYAML_FIELD_END,
 };
 
-static const cyaml_schema_value_t peer_value = {
-    CYAML_VALUE_MAPPING(CYAML_FLAG_DEFAULT, struct cw_peer_settings,
-                        peer_fields),
-};
-
-static const cyaml_schema_field_t key_fields[] = {
-    TEXT("peer_key_file", 0, struct cw_key_settings, peer_key_file),
-    TEXT("operator_token_hash", 0, struct cw_key_settings,
-         operator_token_hash),
+static const cyaml_schema_field_t bounds_fields[] = {
+    NUMBER("lease_ms", struct cw_settings_bounds, lease_ms),
+    NUMBER("grace_s", struct cw_settings_bounds, grace_s),
+    NUMBER("retain_s", struct cw_settings_bounds, retain_s),
+    NUMBER("member_ttl_ms", struct cw_settings_bounds, member_ttl_ms),
     CYAML_FIELD_END,
 };
 
@@ -80,73 +45,65 @@
                         trusted_fields),
 };
 
-static const cyaml_schema_field_t tls_fields[] = {
-    TEXT("certificate_file", 0, struct cw_tls_settings, certificate_file),
-    TEXT("key_file", 0, struct cw_tls_settings, key_file),
-    CYAML_FIELD_END,
-};
-
-static const cyaml_schema_field_t limit_fields[] = {
-    NUMBER("threads", struct cw_limit_settings, threads),
-    NUMBER("connections", struct cw_limit_settings, connections),
-    NUMBER("body_bytes", struct cw_limit_settings, body_bytes),
-    NUMBER("idle_s", struct cw_limit_settings, idle_s),
-    NUMBER("drain_s", struct cw_limit_settings, drain_s),
-    NUMBER("memory_s", struct cw_limit_settings, memory_s),
-    NUMBER("append_interval_ms", struct cw_limit_settings, append_interval_ms),
+static const cyaml_schema_field_t api_fields[] = {
+    TEXT("service", 0, struct cw_settings_api, service),
+    TEXT("operator_token_hash", 0, struct cw_settings_api,
+         operator_token_hash),
+    TEXT("seal_key_file", 0, struct cw_settings_api, seal_key_file),
+    CYAML_FIELD_SEQUENCE("trusted_operators", CYAML_FLAG_POINTER,
+                         struct cw_settings_api, trusted_operators,
+                         &trusted_value, 1, TRUSTED_MAX),
+    TEXT("certificate_file", CYAML_FLAG_OPTIONAL, struct cw_settings_api,
+         certificate_file),
+    TEXT("key_file", CYAML_FLAG_OPTIONAL, struct cw_settings_api, key_file),
+    CYAML_FIELD_UINT("threads", CYAML_FLAG_OPTIONAL, struct cw_settings_api,
+                     threads),
+    CYAML_FIELD_UINT("connections", CYAML_FLAG_OPTIONAL,
+                     struct cw_settings_api, connections),
     CYAML_FIELD_END,
 };
 
 static const cyaml_schema_field_t settings_fields[] = {
-    TEXT("vm", 0, struct cw_settings_doc, vm),
-    TEXT("dc", 0, struct cw_settings_doc, dc),
-    CYAML_FIELD_MAPPING("listen", CYAML_FLAG_DEFAULT, struct cw_settings_doc,
-                        listen, listeners_fields),
-    CYAML_FIELD_MAPPING("platform", CYAML_FLAG_DEFAULT, struct cw_settings_doc,
-                        platform, platform_fields),
-    CYAML_FIELD_SEQUENCE("peers", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL,
-                         struct cw_settings_doc, peers, &peer_value, 0,
-                         LIST_MAX),
-    CYAML_FIELD_MAPPING("keys", CYAML_FLAG_DEFAULT, struct cw_settings_doc,
-                        keys, key_fields),
-    CYAML_FIELD_SEQUENCE("trusted_operators", CYAML_FLAG_POINTER,
-                         struct cw_settings_doc, trusted_operators,
-                         &trusted_value, 1, LIST_MAX),
-    CYAML_FIELD_MAPPING_PTR("tls", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL,
-                            struct cw_settings_doc, tls, tls_fields),
-    CYAML_FIELD_MAPPING("limits", CYAML_FLAG_OPTIONAL, struct cw_settings_doc,
-                        limits, limit_fields),
-    TEXT("log_level", CYAML_FLAG_OPTIONAL, struct cw_settings_doc, log_level),
-    TEXT("ports_file", CYAML_FLAG_OPTIONAL, struct cw_settings_doc,
-         ports_file),
+    TEXT("vm", 0, struct cw_settings, vm),
+    TEXT("dc", 0, struct cw_settings, dc),
+    CYAML_FIELD_MAPPING("listen", CYAML_FLAG_DEFAULT, struct cw_settings,
+                        listen, listen_fields),
+    TEXT("store", 0, struct cw_settings, store),
+    CYAML_FIELD_MAPPING("bounds", CYAML_FLAG_DEFAULT, struct cw_settings,
+                        bounds, bounds_fields),
+    CYAML_FIELD_MAPPING_PTR("api", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL,
+                            struct cw_settings, api, api_fields),
+    TEXT("log_level", CYAML_FLAG_OPTIONAL, struct cw_settings, log_level),
+    TEXT("ports_file", CYAML_FLAG_OPTIONAL, struct cw_settings, ports_file),
     CYAML_FIELD_END,
 };
 
-static const cyaml_schema_value_t settings_schema = {
-    CYAML_VALUE_MAPPING(CYAML_FLAG_POINTER, struct cw_settings_doc,
+static const cyaml_schema_value_t settings_value = {
+    CYAML_VALUE_MAPPING(CYAML_FLAG_POINTER, struct cw_settings,
                         settings_fields),
 };
 
+/* Adds a line to `problems` unless `address` is HOST:PORT. */
 static void
-problem(GString *problems, const char *field, const char *expected)
+check_address(const char *field, const char *address, GString *problems)
 {
-    g_string_append_printf(problems, "%s: expected %s\n", field, expected);
-}
+    const char *colon = address != NULL ? strrchr(address, ':') : NULL;
+    unsigned long port = colon != NULL ? strtoul(colon + 1, NULL, 10) : 0;
 
-static void
-check_listen(const struct cw_listen_settings *listen, const char *field,
-             GString *problems)
-{
-    struct in_addr address;
-
-    if (inet_pton(AF_INET, listen->address, &address) != 1) {
-        problem(problems, field, "an IPv4 address");
+    if (address == NULL) {
+        return;
     }
-    if (listen->port > PORT_MAX) {
-        problem(problems, field, "a port up to 65535");
+    if (colon == NULL || colon == address || port > PORT_MAX ||
+        strspn(colon + 1, "0123456789") != strlen(colon + 1) ||
+        colon[1] == '\0')
+    {
+        g_string_append_printf(problems, "%s: \"%s\" is not HOST:PORT\n",
+                               field, address);
     }
 }
 
+/* ---- our own interface ---- */
+
 static bool
 read_hex(const char *text, unsigned char *out, size_t size)
 {
@@ -158,151 +115,160 @@
 }
 
 static void
-load_peer_key(struct cw_settings *settings, GString *problems)
+check_trusted(const struct cw_settings_api *api, GString *problems)
 {
-    const char *path = settings->doc->keys.peer_key_file;
-    struct stat info;
-    char *text = NULL;
+    unsigned char key[crypto_sign_PUBLICKEYBYTES];
 
-    if (stat(path, &info) != 0 ||
-        !g_file_get_contents(path, &text, NULL, NULL)) {
-        problem(problems, "keys.peer_key_file", "a readable file");
-        return;
+    for (unsigned i = 0; i < api->trusted_operators_count; i++) {
+        if (!read_hex(api->trusted_operators[i].public_key, key, sizeof(key)))
+        {
+            g_string_append(problems, "api.trusted_operators.public_key: "
+                                      "expected 64 hex digits\n");
+        }
     }
-    if ((info.st_mode & (S_IRWXG | S_IRWXO)) != 0) {
-        problem(problems, "keys.peer_key_file",
-                "a file that only its owner may read (mode 0600)");
+}
+
+/* A VM serves either the platform's callers or our own interface: each has a
+ * configuration of its own. */
+static void
+check_interface(const struct cw_settings *settings, GString *problems)
+{
+    if ((settings->listen.callers != NULL) == (settings->listen.api != NULL)) {
+        g_string_append(problems, "listen: expected one of callers and api\n");
     }
-    if (!read_hex(text, settings->peer_key, CW_MAC_BYTES)) {
-        problem(problems, "keys.peer_key_file", "64 hex digits in the file");
+    if ((settings->listen.api != NULL) != (settings->api != NULL)) {
+        g_string_append(problems, "api: expected with listen.api, and only "
+                                  "with it\n");
+    }
+    if (settings->listen.callers != NULL && settings->listen.ready == NULL) {
+        g_string_append(problems, "listen.ready: missing\n");
+    }
+    if (settings->api != NULL) {
+        check_trusted(settings->api, problems);
     }
-    sodium_memzero(text, strlen(text));
-    g_free(text);
 }
 
 static void
-load_tls(struct cw_settings *settings, GString *problems)
+read_seal_key(const char *path, unsigned char *key, GString *problems)
 {
-    const struct cw_tls_settings *tls = settings->doc->tls;
+    struct stat info;
+    char *text = NULL;
 
-    if (tls == NULL) {
+    if (stat(path, &info) != 0 ||
+        !g_file_get_contents(path, &text, NULL, NULL)) {
+        g_string_append(problems,
+                        "api.seal_key_file: expected a readable file\n");
         return;
     }
-    if (!g_file_get_contents(tls->certificate_file, &settings->tls_certificate,
-                             NULL, NULL))
-    {
-        problem(problems, "tls.certificate_file", "a readable file");
+    if ((info.st_mode & (S_IRWXG | S_IRWXO)) != 0) {
+        g_string_append(problems, "api.seal_key_file: expected a file that "
+                                  "only its owner may read (mode 0600)\n");
     }
-    if (!g_file_get_contents(tls->key_file, &settings->tls_key, NULL, NULL)) {
-        problem(problems, "tls.key_file", "a readable file");
+    if (!read_hex(text, key, CW_MAC_BYTES)) {
+        g_string_append(problems,
+                        "api.seal_key_file: expected 64 hex digits in it\n");
     }
+    sodium_memzero(text, strlen(text));
+    g_free(text);
 }
 
 static void
-check_trusted(const struct cw_settings_doc *doc, GString *problems)
+read_pem(const char *field, const char *path, char **out, GString *problems)
 {
-    unsigned char key[crypto_sign_PUBLICKEYBYTES];
-
-    for (unsigned i = 0; i < doc->trusted_operators_count; i++) {
-        if (!read_hex(doc->trusted_operators[i].public_key, key, sizeof(key)))
-        {
-            problem(problems, "trusted_operators.public_key", "64 hex digits");
-        }
+    if (path != NULL && !g_file_get_contents(path, out, NULL, NULL)) {
+        g_string_append_printf(problems, "%s: expected a readable file\n",
+                               field);
     }
 }
 
-static void
-check(struct cw_settings *settings, GString *problems)
+struct cw_settings_secrets *
+cw_settings_secrets(const struct cw_settings *settings, GString *problems)
 {
-    static const char *const levels[] = {"error", "warning", "info", "debug",
-                                         NULL};
-    const struct cw_settings_doc *doc = settings->doc;
+    const struct cw_settings_api *api = settings->api;
+    struct cw_settings_secrets *secrets;
+    size_t before = problems->len;
 
-    check_listen(&doc->listen.callers, "listen.callers", problems);
-    check_listen(&doc->listen.peers, "listen.peers", problems);
-    if (strlen(doc->vm) > CW_NAME_MAX || strlen(doc->dc) > CW_NAME_MAX) {
-        problem(problems, "vm, dc", "names of at most 64 bytes");
-    }
-    if (!g_str_has_prefix(doc->platform.log, "http")) {
-        problem(problems, "platform.log", "an http or https URL");
-    }
-    if (!g_str_has_prefix(doc->platform.vms, "http")) {
-        problem(problems, "platform.vms", "an http or https URL");
+    if (api == NULL) {
+        return NULL;
     }
-    if (!read_hex(doc->keys.operator_token_hash, settings->operator_token_hash,
+    secrets = g_new0(struct cw_settings_secrets, 1);
+    read_seal_key(api->seal_key_file, secrets->seal_key, problems);
+    if (!read_hex(api->operator_token_hash, secrets->operator_token_hash,
                   CW_HASH_BYTES))
     {
-        problem(problems, "keys.operator_token_hash", "64 hex digits");
+        g_string_append(problems,
+                        "api.operator_token_hash: expected 64 hex digits\n");
     }
-    if (doc->log_level != NULL && !g_strv_contains(levels, doc->log_level)) {
-        problem(problems, "log_level", "error, warning, info or debug");
+    read_pem("api.certificate_file", api->certificate_file,
+             &secrets->certificate, problems);
+    read_pem("api.key_file", api->key_file, &secrets->private_key, problems);
+    if (problems->len != before) {
+        g_free(secrets->certificate);
+        g_free(secrets->private_key);
+        g_free(secrets);
+        return NULL;
     }
-    check_trusted(doc, problems);
-    load_peer_key(settings, problems);
-    load_tls(settings, problems);
-}
-
-static void
-fill(unsigned *value, unsigned fallback)
-{
-    *value = *value != 0 ? *value : fallback;
+    return secrets;
 }
 
 static void
-fill_defaults(struct cw_settings_doc *doc)
+check(const struct cw_settings *settings, GString *problems)
 {
-    fill(&doc->limits.threads, DEFAULT_THREADS);
-    fill(&doc->limits.connections, DEFAULT_CONNECTIONS);
-    fill(&doc->limits.body_bytes, DEFAULT_BODY_BYTES);
-    fill(&doc->limits.idle_s, DEFAULT_IDLE_S);
-    fill(&doc->limits.drain_s, DEFAULT_DRAIN_S);
-    fill(&doc->limits.memory_s, DEFAULT_MEMORY_S);
-    fill(&doc->limits.append_interval_ms, DEFAULT_APPEND_INTERVAL_MS);
-    fill(&doc->platform.retention_s, DEFAULT_RETENTION_S);
+    const char *level = settings->log_level;
+
+    check_address("listen.callers", settings->listen.callers, problems);
+    check_address("listen.api", settings->listen.api, problems);
+    check_address("listen.ready", settings->listen.ready, problems);
+    check_address("listen.inner", settings->listen.inner, problems);
+    check_address("listen.metrics", settings->listen.metrics, problems);
+    check_address("store", settings->store, problems);
+    check_interface(settings, problems);
+    if (settings->bounds.lease_ms == 0) {
+        g_string_append(problems, "bounds.lease_ms: must be above 0\n");
+    }
+    if (level != NULL && strcmp(level, "error") != 0 &&
+        strcmp(level, "warning") != 0 && strcmp(level, "info") != 0 &&
+        strcmp(level, "debug") != 0)
+    {
+        g_string_append_printf(problems, "log_level: \"%s\" is not a level\n",
+                               level);
+    }
 }
 
 struct cw_settings *
 cw_settings_load(const char *path, GString *problems)
 {
-    struct cw_settings *settings = g_new0(struct cw_settings, 1);
-    size_t before = problems->len;
+    struct cw_settings *settings = NULL;
+    void *loaded = NULL;
     char *text = NULL;
-    gsize length;
-    void *doc = NULL;
+    gsize length = 0;
+    GError *error = NULL;
 
-    if (!g_file_get_contents(path, &text, &length, NULL)) {
-        g_string_append_printf(problems, "%s: cannot be read\n", path);
-        goto done;
+    if (!g_file_get_contents(path, &text, &length, &error)) {
+        g_string_append_printf(problems, "%s\n", error->message);
+        g_error_free(error);
+        return NULL;
     }
-    if (cw_yaml_load(text, length, &settings_schema, &doc, problems) !=
+    if (cw_yaml_load(text, length, &settings_value, &loaded, problems) !=
         CYAML_OK) {
         goto done;
     }
-    settings->doc = doc;
-    fill_defaults(settings->doc);
+    settings = loaded;
     check(settings, problems);
-
-done:
-    g_free(text);
-    if (problems->len != before) {
+    if (problems->len > 0) {
         cw_settings_free(settings);
         settings = NULL;
     }
+
+done:
+    g_free(text);
     return settings;
 }
 
 void
 cw_settings_free(struct cw_settings *settings)
 {
-    if (settings == NULL) {
-        return;
-    }
-    cw_yaml_free(&settings_schema, settings->doc);
-    g_free(settings->tls_certificate);
-    if (settings->tls_key != NULL) {
-        sodium_memzero(settings->tls_key, strlen(settings->tls_key));
-        g_free(settings->tls_key);
+    if (settings != NULL) {
+        cw_yaml_free(&settings_value, settings);
     }
-    sodium_memzero(settings->peer_key, sizeof(settings->peer_key));
-    g_free(settings);
 }
--- a/src/vm/vm.c
+++ b/src/vm/vm.c
@@ -10,6 +10,7 @@
 #include <ck_pr.h>
 #include <sodium.h>
 
+#include "curlewcart/cw_api.h"
 #include "curlewcart/cw_count.h"
 #include "curlewcart/cw_entry.h"
 #include "curlewcart/cw_http_client.h"
@@ -30,6 +31,7 @@
     MEMBER_TTL_PERCENT = 130,
     PERCENT = 100,
     CALLER_CONNECTIONS = 2000,
+    API_THREADS = 2,
     CALLER_IDLE_S = 60,
     CALLER_BODY_BYTES = 1024 * 1024,
     READY_CONNECTIONS = 64,
@@ -42,7 +44,7 @@
 };
 
 struct cw_vm {
-    struct cw_vm_settings *settings;
+    struct cw_settings *settings;
     const char *settings_path;
     pthread_mutex_t engine;
     bool running; /* under the lock: all parts exist */
@@ -60,10 +62,22 @@
     struct cw_owner *owner;
     struct cw_counters counters;
     struct platform_callers handler;
+    struct cw_settings_secrets *secrets; /* with our own interface */
+    struct cw_api *api;                  /* our own interface, or NULL */
 };
 
 /* ---- configuration ---- */
 
+static void
+configure(void *context, struct cw_routing *routing)
+{
+    struct cw_vm *vm = context;
+
+    cw_entry_configure(vm->entry, routing);
+    cw_owner_configure(vm->owner, routing);
+}
+
+/* The platform's operator wrote a configuration. */
 static void
 on_routing(void *context, const struct cw_store_record *record)
 {
@@ -91,8 +105,7 @@
                     routing->version, current != NULL ? current->version : 0,
                     record->offset, routing->queues->len,
                     routing->accounts->len);
-        cw_entry_configure(vm->entry, routing);
-        cw_owner_configure(vm->owner, routing);
+        configure(vm, routing);
     }
     cw_routing_unref(routing);
 }
@@ -120,10 +133,15 @@
         struct cw_follower *jobs = cw_replica_follower(vm->replica);
 
         now = cw_clock_now(vm->clock);
-        cw_follower_tick(vm->routing, now);
         cw_follower_tick(jobs, now);
-        next = cw_follower_due(vm->routing);
-        cw_time_earlier(&next, cw_follower_due(jobs));
+        next = cw_follower_due(jobs);
+        if (vm->api != NULL) {
+            cw_time_earlier(&next, cw_api_tick(vm->api, now));
+        }
+        else {
+            cw_follower_tick(vm->routing, now);
+            cw_time_earlier(&next, cw_follower_due(vm->routing));
+        }
         cw_entry_set_isolated(vm->entry, cw_relay_isolated(vm->relay));
         cw_time_earlier(&next, cw_entry_tick(vm->entry, now));
         cw_time_earlier(&next, cw_owner_tick(vm->owner, now));
@@ -185,25 +203,31 @@
     g_string_free(out, TRUE);
 }
 
+static void
+handle_api(void *context, struct cw_http_call *call)
+{
+    struct cw_vm *vm = context;
+
+    cw_api_handle(vm->api, call);
+    cw_http_client_wake(vm->client);
+}
+
+/* Listens at HOST:PORT; the rest of the options is the caller's. */
 static struct cw_http_server *
-listen_at(struct cw_vm *vm, const char *address, unsigned connections,
-          void (*handle)(void *, struct cw_http_call *))
+listen_with(struct cw_vm *vm, const char *address,
+            const struct cw_http_server_options *like)
 {
     char *host = g_strdup(address);
     char *colon = strrchr(host, ':');
-    struct cw_http_server_options options = {
-        .address = host,
-        .port = (uint16_t)strtoul(colon + 1, NULL, 10),
-        .threads = 1,
-        .connections = connections,
-        .idle_s = CALLER_IDLE_S,
-        .body_max = CALLER_BODY_BYTES,
-        .handle = handle,
-        .context = vm,
-    };
+    struct cw_http_server_options options = *like;
     struct cw_http_server *server;
 
     *colon = '\0';
+    options.address = host;
+    options.port = (uint16_t)strtoul(colon + 1, NULL, 10);
+    options.idle_s = CALLER_IDLE_S;
+    options.body_max = CALLER_BODY_BYTES;
+    options.context = vm;
     server = cw_http_server_create(&options);
     if (server == NULL) {
         cw_log_error("listen", "address=%s reason=failed", address);
@@ -212,12 +236,64 @@
     return server;
 }
 
+static struct cw_http_server *
+listen_at(struct cw_vm *vm, const char *address, unsigned connections,
+          void (*handle)(void *, struct cw_http_call *))
+{
+    const struct cw_http_server_options options = {
+        .threads = 1, .connections = connections, .handle = handle};
+
+    return listen_with(vm, address, &options);
+}
+
+static struct cw_http_server *
+listen_api(struct cw_vm *vm)
+{
+    const struct cw_settings_api *api = vm->settings->api;
+    const struct cw_http_server_options options = {
+        .threads = api->threads > 0 ? api->threads : API_THREADS,
+        .connections =
+            api->connections > 0 ? api->connections : CALLER_CONNECTIONS,
+        .tls_certificate = vm->secrets->certificate,
+        .tls_key = vm->secrets->private_key,
+        .handle = handle_api,
+    };
+
+    return listen_with(vm, vm->settings->listen.api, &options);
+}
+
 /* ---- start and stop ---- */
 
+static void
+create_api(struct cw_vm *vm, struct cw_store *store)
+{
+    const struct cw_settings *settings = vm->settings;
+    struct cw_api_options options = {
+        .vm = settings->vm,
+        .dc = settings->dc,
+        .service = settings->api->service,
+        .clock = vm->clock,
+        .store = store,
+        .entry = vm->entry,
+        .replica = vm->replica,
+        .owner = vm->owner,
+        .counters = &vm->counters,
+        .engine = &vm->engine,
+        .chain = {.trusted = settings->api->trusted_operators,
+                  .trusted_count = settings->api->trusted_operators_count,
+                  .seal_key = vm->secrets->seal_key},
+        .operator_token_hash = vm->secrets->operator_token_hash,
+        .configured = configure,
+        .context = vm,
+    };
+
+    vm->api = cw_api_create(&options);
+}
+
 static void
 create_engine(struct cw_vm *vm)
 {
-    const struct cw_vm_settings *settings = vm->settings;
+    const struct cw_settings *settings = vm->settings;
     uint64_t life = 0;
     char *member;
     struct cw_store *store;
@@ -255,17 +331,22 @@
     /* A name for this life of the process: a restarted one is another
      * member, so that no two share a generation and with it an epoch. */
     randombytes_buf(&life, sizeof(life));
-    member = cw_relay_member(settings->vm, settings->listen.inner, life);
+    member = cw_relay_member(settings->vm, cw_relay_address(vm->relay), life);
     owner.store = store;
     owner.targets = vm->targets;
     owner.replica = vm->replica;
     owner.member = member;
     vm->owner = cw_owner_create(&owner);
     g_free(member);
-    routing.store = store;
-    vm->routing = cw_follower_create(&routing);
+    if (settings->api == NULL) {
+        routing.store = store;
+        vm->routing = cw_follower_create(&routing);
+    }
     vm->handler.entry = vm->entry;
     vm->handler.engine = &vm->engine;
+    if (settings->api != NULL) {
+        create_api(vm, store);
+    }
 }
 
 /* The relay's socket has to exist before the thread that waits for it; its
@@ -297,7 +378,7 @@
                                         .store_address = vm->settings->store};
     struct cw_http_client_options client = {
         .tick = on_tick, .readable = on_message, .context = vm};
-    const struct cw_vm_settings_listen *listen = &vm->settings->listen;
+    const struct cw_settings_listen *listen = &vm->settings->listen;
 
     vm->platform_store = platform_store_new(&platform);
     if (!create_relay(vm)) {
@@ -315,14 +396,35 @@
     vm->running = true;
     pthread_mutex_unlock(&vm->engine);
     cw_http_client_wake(vm->client);
-    vm->ready = listen_at(vm, listen->ready, READY_CONNECTIONS, handle_ready);
-    vm->callers =
-        listen_at(vm, listen->callers, CALLER_CONNECTIONS, handle_caller);
+    if (listen->ready != NULL) {
+        vm->ready =
+            listen_at(vm, listen->ready, READY_CONNECTIONS, handle_ready);
+    }
+    vm->callers = listen->api != NULL
+                      ? listen_api(vm)
+                      : listen_at(vm, listen->callers, CALLER_CONNECTIONS,
+                                  handle_caller);
     if (listen->metrics != NULL) { /* its failure is logged, no more */
         vm->metrics =
             listen_at(vm, listen->metrics, READY_CONNECTIONS, handle_metrics);
     }
-    return vm->ready != NULL && vm->callers != NULL;
+    return vm->callers != NULL && (vm->ready != NULL || listen->ready == NULL);
+}
+
+static void
+write_ports(const struct cw_vm *vm)
+{
+    char *text;
+
+    if (vm->settings->ports_file == NULL) {
+        return;
+    }
+    text = g_strdup_printf("callers=%u\n", cw_http_server_port(vm->callers));
+    if (!g_file_set_contents(vm->settings->ports_file, text, -1, NULL)) {
+        cw_log_error("ports_file", "path=%s reason=cannot_write",
+                     vm->settings->ports_file);
+    }
+    g_free(text);
 }
 
 static void
@@ -340,6 +442,9 @@
 
     pthread_mutex_lock(&vm->engine);
     count = cw_entry_pending(vm->entry);
+    if (vm->api != NULL) {
+        count += cw_api_waiting(vm->api);
+    }
     pthread_mutex_unlock(&vm->engine);
     return count;
 }
@@ -365,6 +470,11 @@
         nap(LEAVE_STEP_MS);
         passed = cw_time_diff_ms(began, cw_clock_now(vm->clock));
     } while (passed < most && (passed < LEAVE_LEAST_MS || pending(vm) > 0));
+    if (vm->api != NULL) {
+        pthread_mutex_lock(&vm->engine);
+        cw_api_release(vm->api);
+        pthread_mutex_unlock(&vm->engine);
+    }
     cw_http_server_quiesce(vm->callers);
     nap(LEAVE_STEP_MS);
 }
@@ -373,8 +483,8 @@
 reload(struct cw_vm *vm)
 {
     GString *problems = g_string_new(NULL);
-    struct cw_vm_settings *settings =
-        cw_vm_settings_load(vm->settings_path, problems);
+    struct cw_settings *settings =
+        cw_settings_load(vm->settings_path, problems);
 
     if (settings == NULL) {
         cw_log_error("reload", "outcome=rejected reason=\"%s\"",
@@ -387,7 +497,7 @@
                     settings->log_level != NULL ? settings->log_level
                                                 : "info");
     }
-    cw_vm_settings_free(settings);
+    cw_settings_free(settings);
     g_string_free(problems, TRUE);
 }
 
@@ -403,7 +513,8 @@
 }
 
 int
-cw_vm_run(struct cw_vm_settings *settings, const char *path)
+cw_vm_run(struct cw_settings *settings, struct cw_settings_secrets *secrets,
+          const char *path)
 {
     struct cw_vm *vm = g_new0(struct cw_vm, 1);
     const char *level = settings->log_level;
@@ -421,14 +532,16 @@
     vm->settings = settings;
     vm->settings_path = path;
     vm->clock = cw_clock_system();
+    vm->secrets = secrets;
     pthread_mutex_init(&vm->engine, NULL);
     if (!start(vm)) {
         cw_log_error("stopped", "reason=not_started");
         return EXIT_START;
     }
-    cw_log_info("started", "dc=%s store=%s callers=%s lease_ms=%u",
-                settings->dc, settings->store, settings->listen.callers,
-                settings->bounds.lease_ms);
+    write_ports(vm);
+    cw_log_info("started", "dc=%s store=%s callers=%u lease_ms=%u",
+                settings->dc, settings->store,
+                cw_http_server_port(vm->callers), settings->bounds.lease_ms);
     received = wait_for_end(vm, &signals);
     leave(vm);
     cw_log_info("stopped", "signal=%d", received);
--- a/tools/parsers/parsers_fuzz.c
+++ b/tools/parsers/parsers_fuzz.c
@@ -5,10 +5,9 @@
 
 #include "curlewcart/cw_bundle.h"
 #include "curlewcart/cw_chain.h"
-#include "curlewcart/cw_job.h"
-#include "curlewcart/cw_ledger.h"
-#include "curlewcart/cw_worker.h"
+#include "curlewcart/cw_request.h"
 #include "curlewcart/cw_xdr.h"
+#include "platform/platform.h"
 
 /* The name is libFuzzer's. */
 /* NOLINTNEXTLINE(readability-identifier-naming) */
@@ -17,59 +16,73 @@
 static void
 parse_request(const char *text, size_t size)
 {
-    struct cw_spec *spec = NULL;
+    struct cw_work_spec *spec = NULL;
     char detail[128];
 
-    cw_spec_from_json(text, size, "account", &spec, detail, sizeof(detail));
-    cw_spec_free(spec);
+    cw_request_from_json(text, size, "account", &spec, detail, sizeof(detail));
+    cw_request_free(spec);
 }
 
 static void
-parse_reply(const char *text, size_t size)
+parse_bundle(const char *text, size_t size)
+{
+    cw_bundle_unref(cw_bundle_parse(text, size, NULL));
+}
+
+static void
+parse_work_record(const char *text, size_t size)
 {
-    struct cw_worker_reply reply;
+    struct cw_work_record record;
 
-    if (cw_worker_reply_decode(text, size, &reply)) {
-        cw_worker_reply_clear(&reply);
+    memset(&record, 0, sizeof(record));
+    if (cw_xdr_decode((xdrproc_t)xdr_cw_work_record, &record, text, size)) {
+        xdr_free((xdrproc_t)xdr_cw_work_record, (char *)&record);
     }
 }
 
 static void
-parse_call(const char *text, size_t size)
+parse_relay_request(const char *text, size_t size)
 {
-    struct cw_worker_call call;
+    struct cw_relay_request request;
 
-    if (cw_worker_call_decode(text, size, &call)) {
-        cw_worker_call_clear(&call);
+    memset(&request, 0, sizeof(request));
+    if (cw_xdr_decode((xdrproc_t)xdr_cw_relay_request, &request, text, size)) {
+        xdr_free((xdrproc_t)xdr_cw_relay_request, (char *)&request);
     }
 }
 
+/* ---- the platform's bodies, as the adapter reads them ---- */
+
 static void
-parse_bundle(const char *text, size_t size)
+parse_platform_job(const char *text, size_t size)
 {
-    cw_bundle_unref(cw_bundle_parse(text, size, NULL));
+    struct cw_work_spec *spec = g_new0(struct cw_work_spec, 1);
+    char problem[128];
+
+    platform_decode_job(text, size, spec, problem, sizeof(problem));
+    cw_request_free(spec);
 }
 
 static void
-parse_batch(const char *text, size_t size)
+parse_platform_config(const char *text, size_t size)
 {
-    struct cw_counters counters = {0};
-    struct cw_ledger_options options = {.counters = &counters};
-    struct cw_ledger *ledger = cw_ledger_create(&options);
+    char problem[128];
 
-    cw_ledger_apply(ledger, 0, text, size, 0);
-    cw_ledger_free(ledger);
+    cw_routing_unref(platform_codec()->decode_routing(text, size, problem,
+                                                      sizeof(problem)));
 }
 
 static void
-parse_messages(const char *text, size_t size)
+ignore_report(void *context, const struct cw_target_report *report)
 {
-    struct cw_messages messages;
+    (void)context;
+    (void)report;
+}
 
-    memset(&messages, 0, sizeof(messages));
-    if (cw_xdr_decode((xdrproc_t)xdr_cw_messages, &messages, text, size)) {
-        xdr_free((xdrproc_t)xdr_cw_messages, &messages);
-    }
+static void
+parse_platform_report(const char *text, size_t size)
+{
+    platform_codec()->decode_target("id", text, size, ignore_report, NULL);
 }
 
 static void
@@ -96,8 +109,9 @@
 LLVMFuzzerTestOneInput(const uint8_t *data, size_t size) /* NOLINT */
 {
     static void (*const parsers[])(const char *, size_t) = {
-        parse_request, parse_reply,    parse_call,          parse_bundle,
-        parse_batch,   parse_messages, parse_bundle_record,
+        parse_request,         parse_bundle,          parse_bundle_record,
+        parse_work_record,     parse_relay_request,   parse_platform_job,
+        parse_platform_config, parse_platform_report,
     };
 
     if (size > 0) {
