--- a/emulator/emulator_main.c
+++ b/emulator/emulator_main.c
@@ -9,12 +9,18 @@
 #include <ck_pr.h>
 
 #include "curlewcart/cw_log.h"
+#include "curlewcart/cw_time.h"
 #include "emulator/world.h"
 
 enum {
     DEFAULT_DAYS = 1000,
     DEFAULT_JOBS = 8,
     PROGRESS_EVERY = 100,
+    /* The sizes of the second milestone. */
+    DEFAULT_VMS = 30,
+    DEFAULT_WORKERS = 350,
+    DEFAULT_WORK = 1000,
+    PERCENT = 100,
     EXIT_VIOLATION = 1,
     EXIT_USAGE = 2
 };
@@ -25,6 +31,9 @@
     unsigned days;
     unsigned jobs;
     bool first; /* stop at the first violation */
+    unsigned vms;
+    unsigned workers;
+    unsigned work; /* jobs handed in */
 };
 
 static const struct argp_option options[] = {
@@ -32,6 +41,9 @@
     {"days", 'd', "N", 0, "How many days to play", 0},
     {"first", 'f', NULL, 0, "Stop at the first violation", 0},
     {"jobs", 'j', "N", 0, "How many at a time", 0},
+    {"vms", 'v', "N", 0, "VMs of a day of this size", 0},
+    {"workers", 'w', "N", 0, "Workers of it", 0},
+    {"work", 'n', "N", 0, "Jobs handed in on it", 0},
     {0},
 };
 
@@ -53,6 +65,15 @@
     case 'j':
         arguments->jobs = (unsigned)strtoul(value, NULL, 10);
         break;
+    case 'v':
+        arguments->vms = (unsigned)strtoul(value, NULL, 10);
+        break;
+    case 'w':
+        arguments->workers = (unsigned)strtoul(value, NULL, 10);
+        break;
+    case 'n':
+        arguments->work = (unsigned)strtoul(value, NULL, 10);
+        break;
     case ARGP_KEY_ARG:
         if (arguments->verb != NULL) {
             argp_usage(state);
@@ -175,19 +196,83 @@
     return status;
 }
 
+static double
+wall_s(void)
+{
+    struct timespec now;
+
+    clock_gettime(CLOCK_MONOTONIC, &now);
+    return (double)now.tv_sec + (double)now.tv_nsec / CW_NS_PER_S;
+}
+
+/* Resident memory of this process in MB; 0 if it cannot be told. */
+static double
+resident_mb(void)
+{
+    long pages = 0;
+    FILE *file = fopen("/proc/self/statm", "r");
+
+    if (file != NULL) {
+        if (fscanf(file, "%*s %ld", &pages) != 1) {
+            pages = 0;
+        }
+        fclose(file);
+    }
+    return (double)pages * (double)sysconf(_SC_PAGESIZE) / 1e6;
+}
+
+/* One calm day of any size: what it costs the product's own code. */
+static int
+play_size(const struct arguments *arguments)
+{
+    struct world_options world = world_standard_day(arguments->seed);
+    struct world_result result;
+    double began = wall_s();
+    double day_s;
+    double took_s;
+    int status;
+
+    world.faults = 0;
+    world.vms = arguments->vms;
+    world.workers = arguments->workers;
+    world.jobs = arguments->work;
+    world_play(&world, &result);
+    took_s = wall_s() - began;
+    day_s = (double)(world.day_ms + world.quiet_ms) / CW_MS_PER_S;
+    printf("vms=%u workers=%u jobs=%u completed=%u starts=%u "
+           "busiest_percent=%.2f others_percent=%.3f times_its_clock=%.1f "
+           "resident_mb=%.0f violation=%s\n",
+           world.vms, world.workers, world.jobs, result.counts.completed,
+           result.counts.starts, result.busiest_s * PERCENT / day_s,
+           (result.all_vms_s - result.busiest_s) * PERCENT / day_s /
+               MAX(1, world.vms - 1),
+           day_s / took_s, resident_mb(),
+           result.violation != NULL ? result.violation : "none");
+    status = result.violation != NULL ? EXIT_VIOLATION : 0;
+    g_free(result.violation);
+    g_free(result.faults);
+    return status;
+}
+
 int
 main(int argc, char **argv)
 {
     static const struct argp argp = {
         options,
         parse,
-        "fuzz|replay",
+        "fuzz|replay|size",
         "Plays days of a deployment under faults and judges the promises.",
         NULL,
         NULL,
         NULL};
     struct arguments arguments = {
-        .seed = 1, .days = DEFAULT_DAYS, .jobs = DEFAULT_JOBS};
+        .seed = 1,
+        .days = DEFAULT_DAYS,
+        .jobs = DEFAULT_JOBS,
+        .vms = DEFAULT_VMS,
+        .workers = DEFAULT_WORKERS,
+        .work = DEFAULT_WORK,
+    };
 
     argp_parse(&argp, argc, argv, 0, NULL, &arguments);
     cw_log_setup("error", "emulator");
@@ -197,6 +282,9 @@
     if (strcmp(arguments.verb, "replay") == 0) {
         return replay(&arguments);
     }
+    if (strcmp(arguments.verb, "size") == 0) {
+        return play_size(&arguments);
+    }
     fprintf(stderr, "curlewcart-emulator: no verb \"%s\"\n", arguments.verb);
     return EXIT_USAGE;
 }
--- a/emulator/internal/world_private.h
+++ b/emulator/internal/world_private.h
@@ -51,6 +51,7 @@
     GPtrArray *calls;   /* struct call, under way */
     GPtrArray *clients; /* struct client_call, waiting for an answer */
     unsigned takeovers;
+    double busy_s; /* processor time of the product's code in it */
 };
 
 struct world {
@@ -175,6 +176,9 @@
 
 /* ---- world_vms.c ---- */
 
+/* Processor time of this thread in seconds. */
+double world_processor_s(void);
+
 void world_vm_boot(struct vm *vm);
 void world_vm_kill(struct vm *vm);
 void world_vm_restart(struct world *world, void *vm);
--- a/emulator/world.c
+++ b/emulator/world.c
@@ -421,7 +421,11 @@
     result->violation = g_strdup(judge_violation(world.judge));
     result->counts = judge_counts(world.judge);
     for (guint i = 0; i < world.vms->len; i++) {
-        result->takeovers += ((struct vm *)world.vms->pdata[i])->takeovers;
+        const struct vm *vm = world.vms->pdata[i];
+
+        result->takeovers += vm->takeovers;
+        result->all_vms_s += vm->busy_s;
+        result->busiest_s = MAX(result->busiest_s, vm->busy_s);
     }
     tear_down(&world);
     result->faults = g_string_free(world.faults, FALSE);
--- a/emulator/world.h
+++ b/emulator/world.h
@@ -25,6 +25,8 @@
     char *faults;    /* what struck; owned by the caller */
     struct judge_counts counts;
     unsigned takeovers;
+    double busiest_s; /* processor time of the busiest VM's own code */
+    double all_vms_s; /* ... of all */
 };
 
 /* The standard day: small, so that faults meet. */
--- a/emulator/world_vms.c
+++ b/emulator/world_vms.c
@@ -11,9 +11,19 @@
 
 /* ---- VMs ---- */
 
+double
+world_processor_s(void)
+{
+    struct timespec now;
+
+    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &now);
+    return (double)now.tv_sec + (double)now.tv_nsec / CW_NS_PER_S;
+}
+
 void
 world_vm_tick(struct vm *vm)
 {
+    double began = world_processor_s();
     struct timespec now = vm->world->clock.now;
     struct timespec next = cw_entry_tick(vm->entry, now);
     bool active = cw_owner_active(vm->owner);
@@ -24,6 +34,7 @@
     vm->takeovers += !active && cw_owner_active(vm->owner);
     vm->due_ms =
         MAX(vm->world->now_ms + 1, cw_time_diff_ms(cw_time_from_ms(0), next));
+    vm->busy_s += world_processor_s() - began;
 }
 
 void
--- a/include/curlewcart/cw_count.h
+++ b/include/curlewcart/cw_count.h
@@ -15,23 +15,13 @@
 #define CW_COUNTER_TABLE(X)                                                   \
     X(SUBMITTED, "submitted", "requests taken from callers")                  \
     X(ANSWERED, "answered", "outcomes given to callers")                      \
-    X(STARTS, "starts", "gangs whose start was ordered")                      \
-    X(ADOPTED, "adopted", "running gangs taken over from another decider")    \
+    X(STARTS, "starts", "starts ordered")                                     \
     X(TAKEOVERS, "takeovers", "times this VM began to decide")                \
     X(YIELDS, "yields", "times this VM stopped deciding")                     \
-    X(APPENDS, "appends", "batches sent to the log")                          \
-    X(RECORDS, "records", "records sent to the log")                          \
-    X(CARRIED, "carried", "records written again before retention")           \
-    X(EXCHANGES, "exchanges", "exchanges with workers")                       \
-    X(EXCHANGE_ERRORS, "exchange_errors", "exchanges that failed")            \
-    X(PEER_SENT, "peer_sent", "messages sent to peers")                       \
-    X(PEER_RECEIVED, "peer_received", "messages taken from peers")            \
-    X(PEER_BYTES, "peer_bytes", "bytes of envelopes sent to peers")           \
-    X(WORKER_BYTES, "worker_bytes", "bytes exchanged with workers")           \
-    X(LOG_BYTES, "log_bytes", "bytes exchanged with the log")                 \
+    X(APPENDS, "appends", "batches sent to the store")                        \
+    X(RECORDS, "records", "records sent to the store")                        \
     X(PREEMPTIONS, "preemptions", "gangs told to give way")                   \
-    X(RELAYED, "relayed", "calls to the store through another VM")            \
-    X(PROVISIONAL, "provisional", "outcomes told before the log had them")
+    X(RELAYED, "relayed", "calls to the store through another VM")
 
 /* X(symbol, name with its unit, what it measures) */
 #define CW_LATENCY_TABLE(X)                                                   \
--- a/include/curlewcart/cw_owner.h
+++ b/include/curlewcart/cw_owner.h
@@ -79,7 +79,7 @@
 
 /* Writes why a job is where it is, for people.  False if this VM does not
  * decide, or does not know the job. */
-bool cw_owner_explain(const struct cw_owner *owner, const char *job,
+bool cw_owner_explain(struct cw_owner *owner, const char *job,
                       struct timespec now, GString *out);
 
 #endif
--- a/include/curlewcart/cw_result.h
+++ b/include/curlewcart/cw_result.h
@@ -45,42 +45,24 @@
       "the account has as much waiting work as it may")                       \
     X(REF_LOG_AWAY, 112, "log_away",                                          \
       "the store does not take it now; nothing was done")                     \
-    X(REF_HOME, 113, "home_unreachable",                                      \
-      "the request's home data centre does not answer")                       \
     X(REF_NO_BUNDLE, 114, "no_bundle", "no configuration is in force yet")    \
     X(REF_LEAVING, 115, "leaving", "this VM is leaving")                      \
     X(REF_NOT_PERMITTED, 116, "not_permitted_now",                            \
       "a newer configuration forbids the place")                              \
     X(REF_NO_LEDGER, 117, "no_ledger",                                        \
       "this VM does not know yet what has run")                               \
-    X(REF_NO_DECIDER, 118, "no_decider", "no VM decides here at the moment")  \
-    X(REF_CONNECTIONS, 119, "connections", "too many connections")            \
     X(REF_GATE, 120, "gate_full", "this VM holds as many requests as it may") \
     X(REF_UNSURE, 121, "unsure",                                              \
       "the store gave no answer: it may be taken; send it again")             \
     X(RETRY_REFUSED, 200, "worker_refused", "a worker refused a reservation") \
-    X(RETRY_FENCED, 201, "fenced", "a worker holds a newer fencing token")    \
     X(RETRY_SILENT, 202, "worker_silent", "a worker stopped answering")       \
     X(RETRY_FAILED, 203, "task_failed", "the task failed")                    \
-    X(RETRY_PREEMPTED, 204, "preempted", "a guarantee was reclaimed")         \
-    X(RETRY_ABORTED, 205, "gang_aborted", "a gang could not start whole")     \
-    X(RETRY_VOID, 206, "start_void", "another decider's record came first")   \
     X(RETRY_APPEND, 207, "append_again", "an append was sent again")          \
-    X(RETRY_PEER, 208, "submit_again", "a request was sent again to a peer")  \
     X(RETRY_MOVED, 209, "moved", "the configuration moved the work")          \
-    X(DROP_LATE, 300, "late_reply", "a reply came after its exchange ended")  \
     X(DROP_ATTEMPT, 301, "old_attempt", "an answer of an old attempt")        \
-    X(DROP_BATCH, 302, "bad_batch", "a journal batch was not valid")          \
-    X(DROP_DUPLICATE, 303, "duplicate_batch", "a batch was seen before")      \
-    X(DROP_VOID, 304, "void_record", "a record had no effect in log order")   \
-    X(DROP_MAC, 305, "bad_peer_mac", "a peer message was not authentic")      \
-    X(DROP_REPLAY, 306, "peer_replay", "a peer message was replayed")         \
-    X(DROP_KIND, 307, "unknown_record", "a record of an unknown kind")        \
     X(DROP_BUNDLE, 308, "bundle_rejected", "a bundle record was not valid")   \
     X(DROP_CONFLICT, 309, "bundle_conflict",                                  \
       "another bundle with that number came first")                           \
-    X(DROP_OUTCOME, 310, "second_outcome",                                    \
-      "a request already had its outcome")                                    \
     X(END_DONE, 400, "done", "it ran to its end")                             \
     X(END_FAILED, 401, "failed", "it ran and failed")                         \
     X(END_RETRIES, 402, "retries_spent", "every attempt failed")              \
--- a/include/curlewcart/cw_routing.h
+++ b/include/curlewcart/cw_routing.h
@@ -42,7 +42,8 @@
     gint references;
     uint64_t version;
     unsigned body_bytes_max;
-    bool confined;     /* work of an account that is not listed runs nowhere */
+    bool confined;     /* accounts name where their data may live; one that is
+                          not listed runs nowhere */
     GPtrArray *closed; /* char *: data centres that take no new work */
     GPtrArray *queues; /* struct cw_queue */
     GPtrArray *services; /* struct cw_service */
--- a/src/api/api.c
+++ b/src/api/api.c
@@ -57,6 +57,7 @@
         return answer_unseen(sweep, waiter);
     }
     if (job->record != NULL && cw_work_is_over(job->recorded_phase)) {
+        cw_count_add(sweep->api->options.counters, CW_COUNT_ANSWERED, 1);
         api_answer_outcome(waiter->call, job);
         return true;
     }
--- a/src/api/api_jobs.c
+++ b/src/api/api_jobs.c
@@ -86,6 +86,7 @@
         return;
     }
     if (known && job->record != NULL && cw_work_is_over(job->recorded_phase)) {
+        cw_count_add(api->options.counters, CW_COUNT_ANSWERED, 1);
         api_answer_outcome(context->call, job);
     }
     else if (wait_ms == 0) {
@@ -120,7 +121,7 @@
     }
 }
 
-/* Jobs of the account that wait to be started; -1 counts all accounts'. */
+/* Jobs that wait to be started: the account's, or with NULL all. */
 static unsigned
 count_waiting(const struct cw_api *api, const char *account)
 {
--- a/src/base/cw_result.c
+++ b/src/base/cw_result.c
@@ -50,13 +50,10 @@
 cw_refusal_is_final(unsigned code)
 {
     switch (code) {
-    case CW_REF_HOME:
     case CW_REF_LOG_AWAY:
     case CW_REF_NO_BUNDLE:
     case CW_REF_LEAVING:
     case CW_REF_NO_LEDGER:
-    case CW_REF_NO_DECIDER:
-    case CW_REF_CONNECTIONS:
     case CW_REF_GATE:
     case CW_REF_QUEUE:
     case CW_REF_ACCOUNT_LIMIT:
--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -84,6 +84,7 @@
     uint64_t tried_at; /* the owner's room version when it did not fit */
     struct timespec tried_time;
     unsigned moves;         /* restarts because of slow workers */
+    bool holds_rack;        /* a rack was kept clear for it */
     unsigned unstarted_run; /* highest run of the gang of which a member was
                                certainly never started: none of it worked */
 };
@@ -224,7 +225,10 @@
     uint64_t room_version; /* grows whenever room may have come free */
     struct timespec sweep_due;
     struct timespec check_due;
-    unsigned holds; /* racks held back in this pass of placement */
+    unsigned holds;     /* racks held back in this pass of placement */
+    GHashTable *demand; /* account -> accelerators of its most urgent jobs;
+                           owner_demand_update */
+    struct owner_memo *memo; /* owner_memo.c */
 };
 
 /* ---- owner.c ---- */
@@ -491,6 +495,26 @@
 void owner_assign(struct cw_owner *owner, struct owner_step *step,
                   const GArray *choices, enum run_phase phase);
 
+/* ---- owner_memo.c: shapes that found no place in this pass ---- */
+
+enum owner_attempt {
+    OWNER_ATTEMPT_PLACE,  /* among what is free */
+    OWNER_ATTEMPT_RECLAIM /* by making others leave */
+};
+
+struct owner_memo *owner_memo_create(void);
+void owner_memo_free(struct owner_memo *memo);
+
+/* Another pass of placement begins. */
+void owner_memo_begin(struct owner_memo *memo);
+
+/* True if a step like this one, or one that is easier to place, has found
+ * no place in this pass, and none has come free since. */
+bool owner_memo_hopeless(struct cw_owner *owner, const struct owner_step *step,
+                         enum owner_attempt attempt, struct timespec now);
+void owner_memo_failed(struct cw_owner *owner, const struct owner_step *step,
+                       enum owner_attempt attempt, struct timespec now);
+
 /* ---- owner_headroom.c ---- */
 
 /* Counts anew what urgent work holds and how far lower work may spread. */
@@ -501,6 +525,12 @@
 owner_headroom_allows(struct cw_owner *owner, const struct owner_step *step,
                       const struct owner_target *target, struct timespec now);
 
+/* True if the step has waited so long on a mostly idle service that nothing
+ * is kept from it. */
+bool
+owner_headroom_exempts(struct cw_owner *owner, const struct owner_step *step,
+                       struct timespec now);
+
 /* How many more workers of the service lower work may be put on. */
 unsigned
 owner_headroom_left(struct cw_owner *owner, const struct owner_step *step,
@@ -527,6 +557,10 @@
 bool owner_reclaim(struct cw_owner *owner, struct owner_step *step,
                    struct timespec now);
 
+/* Counts what accounts ask for with their most urgent jobs.  The names are
+ * borrowed from jobs: to be counted anew before owner_guaranteed is asked. */
+void owner_demand_update(struct cw_owner *owner);
+
 /* True if the job's account is within its guarantee with all its most
  * urgent jobs that have not ended. */
 bool
--- a/src/owner/owner.c
+++ b/src/owner/owner.c
@@ -18,6 +18,7 @@
     EXTEND_PROOF_MS = 6000,
     REPORTS_PACE_MS = 500,
     PLACE_EVERY_MS = 10,
+    PLACE_SHARE = 4,
     CHECK_EVERY_MS = 100,
     SWEEP_EVERY_MS = 5000,
     EPOCHS_PER_GENERATION = 256,
@@ -386,6 +387,8 @@
     owner->headroom =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     owner->dirty = g_ptr_array_new();
+    owner->demand = g_hash_table_new(g_str_hash, g_str_equal);
+    owner->memo = owner_memo_create();
     cw_replica_set_listener(options->replica, &listener);
     return owner;
 }
@@ -401,6 +404,8 @@
     g_hash_table_unref(owner->jobs);
     g_hash_table_unref(owner->headroom);
     g_ptr_array_unref(owner->dirty);
+    g_hash_table_unref(owner->demand);
+    owner_memo_free(owner->memo);
     cw_routing_unref(owner->routing);
     g_free(owner->member);
     g_free(owner);
@@ -468,6 +473,20 @@
     owner_residency_enforce(owner);
 }
 
+/* A pass takes at most one part in PLACE_SHARE of the time, however long it
+ * takes: leases and orders go before placement. */
+static void
+place(struct cw_owner *owner, struct timespec now)
+{
+    int64_t took_ms;
+
+    owner->place_wanted = false;
+    owner_place(owner, now);
+    took_ms = cw_time_diff_ms(now, owner_now(owner));
+    owner->place_due =
+        cw_time_add_ms(now, MAX(PLACE_EVERY_MS, took_ms * PLACE_SHARE));
+}
+
 static struct timespec
 tick_active(struct cw_owner *owner, struct timespec now)
 {
@@ -482,9 +501,7 @@
     tick_jobs(owner, now);
     if (owner->place_wanted && owner_may_order(owner, now)) {
         if (!cw_time_before(now, owner->place_due)) {
-            owner->place_wanted = false;
-            owner->place_due = cw_time_add_ms(now, PLACE_EVERY_MS);
-            owner_place(owner, now);
+            place(owner, now);
         }
         else {
             cw_time_earlier(&next, owner->place_due);
--- a/src/owner/owner_candidates.c
+++ b/src/owner/owner_candidates.c
@@ -229,15 +229,16 @@
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         struct owner_candidate candidate = {.target = value};
 
-        if (!owner_target_usable(value, now) || !owner_may_run(step, value) ||
-            owner_is_held(value, step, now) ||
+        /* Under load most workers are full: that is found out first. */
+        candidate.room = owner_room(value);
+        candidate.fits = owner_fits(&candidate.room, &need);
+        if (candidate.fits == 0 || !owner_target_usable(value, now) ||
+            !owner_may_run(step, value) || owner_is_held(value, step, now) ||
             (lower && !owner_headroom_allows(owner, step, value, now)))
         {
             continue;
         }
-        candidate.room = owner_room(value);
-        candidate.fits =
-            owner_most_there(step, value, owner_fits(&candidate.room, &need));
+        candidate.fits = owner_most_there(step, value, candidate.fits);
         if (candidate.fits > 0) {
             g_array_append_val(out, candidate);
         }
--- a/src/owner/owner_headroom.c
+++ b/src/owner/owner_headroom.c
@@ -190,15 +190,24 @@
            owner_headroom_left(owner, step, target->service, now) > 0;
 }
 
+bool
+owner_headroom_exempts(struct cw_owner *owner, const struct owner_step *step,
+                       struct timespec now)
+{
+    const struct owner_job *job = step->occurrence->job;
+
+    return job->runs == 0 &&
+           cw_time_diff_ms(step->ready_at, now) > WAITED_MS &&
+           headroom_of(owner, job->spec->service)->mostly_idle;
+}
+
 unsigned
 owner_headroom_left(struct cw_owner *owner, const struct owner_step *step,
                     const char *service, struct timespec now)
 {
     const struct owner_headroom *room = headroom_of(owner, service);
 
-    if (room->mostly_idle && step->occurrence->job->runs == 0 &&
-        cw_time_diff_ms(step->ready_at, now) > WAITED_MS)
-    {
+    if (owner_headroom_exempts(owner, step, now)) {
         return G_MAXUINT;
     }
     return room->hosts < room->most_hosts ? room->most_hosts - room->hosts : 0;
--- /dev/null
+++ b/src/owner/owner_memo.c
@@ -0,0 +1,146 @@
+/* Shapes that found no place in a pass of placement.
+ *
+ * Within a pass room only shrinks, until a run is dropped.  So what is as
+ * demanding as a step that found nothing needs no look of its own: with
+ * thousands of waiting tasks that is nearly all of them. */
+#include "owner/internal/owner_private.h"
+
+#include <string.h>
+
+/* What decides whether a step finds a place. */
+struct shape {
+    enum owner_attempt attempt;
+    const char *service; /* borrowed during the pass, as all texts here */
+    const char *label;
+    const char *account; /* "" unless it decides where the step may run */
+    struct cw_resources need;
+    unsigned priority;
+    unsigned gang; /* members; 0: tasks that are placed one by one */
+    bool same_rack;
+    bool exempt;     /* from what is kept for urgent work */
+    bool guaranteed; /* may take from equally urgent work */
+};
+
+struct owner_memo {
+    GArray *failed; /* struct shape */
+    uint64_t room_version;
+};
+
+struct owner_memo *
+owner_memo_create(void)
+{
+    struct owner_memo *memo = g_new0(struct owner_memo, 1);
+
+    memo->failed = g_array_new(FALSE, FALSE, sizeof(struct shape));
+    return memo;
+}
+
+void
+owner_memo_free(struct owner_memo *memo)
+{
+    g_array_unref(memo->failed);
+    g_free(memo);
+}
+
+void
+owner_memo_begin(struct owner_memo *memo)
+{
+    g_array_set_size(memo->failed, 0);
+}
+
+static struct shape
+shape_of(struct cw_owner *owner, const struct owner_step *step,
+         enum owner_attempt attempt, struct timespec now)
+{
+    const struct owner_job *job = step->occurrence->job;
+    bool confined = owner->routing != NULL && owner->routing->confined;
+    struct shape shape = {
+        .attempt = attempt,
+        .service = job->spec->service,
+        .label = step->spec->label,
+        .account = confined ? job->spec->account : "",
+        .need = owner_need(step->spec),
+        .priority = job->spec->priority,
+        .gang = step->spec->gang ? step->count : 0,
+        .same_rack = step->spec->same_rack,
+        .exempt = owner_headroom_exempts(owner, step, now),
+        .guaranteed =
+            attempt == OWNER_ATTEMPT_RECLAIM && owner_guaranteed(owner, job),
+    };
+
+    return shape;
+}
+
+static bool
+needs_no_less(const struct cw_resources *x, const struct cw_resources *y)
+{
+    return x->cpu_milli >= y->cpu_milli && x->memory_mb >= y->memory_mb &&
+           x->accelerators >= y->accelerators;
+}
+
+/* True if `step` finds nothing where `failed` did not. */
+static bool
+is_no_easier(const struct shape *step, const struct shape *failed)
+{
+    return step->attempt == failed->attempt &&
+           step->priority >= failed->priority &&
+           (!step->exempt || failed->exempt) &&
+           (!step->guaranteed || failed->guaranteed) &&
+           step->gang >= failed->gang &&
+           (failed->gang == 0 || step->same_rack == failed->same_rack) &&
+           needs_no_less(&step->need, &failed->need) &&
+           strcmp(step->service, failed->service) == 0 &&
+           strcmp(step->account, failed->account) == 0 &&
+           (failed->label[0] == '\0' ||
+            strcmp(step->label, failed->label) == 0);
+}
+
+/* Steps whose place depends on more than their shape. */
+static bool
+is_special(const struct owner_step *step)
+{
+    return step->spec->most_per_worker > 0 ||
+           step->occurrence->job->spec->dcs.dcs_len > 0;
+}
+
+bool
+owner_memo_hopeless(struct cw_owner *owner, const struct owner_step *step,
+                    enum owner_attempt attempt, struct timespec now)
+{
+    struct owner_memo *memo = owner->memo;
+    struct shape shape;
+
+    if (memo->room_version != owner->room_version) {
+        memo->room_version = owner->room_version;
+        g_array_set_size(memo->failed, 0);
+    }
+    if (memo->failed->len == 0 || step->holds_rack) {
+        return false;
+    }
+    shape = shape_of(owner, step, attempt, now);
+    for (guint i = 0; i < memo->failed->len; i++) {
+        if (is_no_easier(&shape,
+                         &g_array_index(memo->failed, struct shape, i))) {
+            return true;
+        }
+    }
+    return false;
+}
+
+void
+owner_memo_failed(struct cw_owner *owner, const struct owner_step *step,
+                  enum owner_attempt attempt, struct timespec now)
+{
+    struct owner_memo *memo = owner->memo;
+    struct shape shape;
+
+    if (is_special(step)) {
+        return;
+    }
+    if (memo->room_version != owner->room_version) {
+        memo->room_version = owner->room_version;
+        g_array_set_size(memo->failed, 0);
+    }
+    shape = shape_of(owner, step, attempt, now);
+    g_array_append_val(memo->failed, shape);
+}
--- a/src/owner/owner_place.c
+++ b/src/owner/owner_place.c
@@ -272,6 +272,17 @@
                : strcmp(x->spec->id, y->spec->id);
 }
 
+static void
+reclaim_step(struct cw_owner *owner, struct owner_step *step,
+             struct timespec now)
+{
+    if (!owner_memo_hopeless(owner, step, OWNER_ATTEMPT_RECLAIM, now) &&
+        !owner_reclaim(owner, step, now))
+    {
+        owner_memo_failed(owner, step, OWNER_ATTEMPT_RECLAIM, now);
+    }
+}
+
 static void
 place_step(struct cw_owner *owner, struct owner_step *step,
            struct timespec now)
@@ -288,15 +299,18 @@
         step->tried_time = now;
         return;
     }
-    if (step->spec->gang ? place_gang(owner, step, now)
-                         : place_tasks(owner, step, now))
-    {
-        return;
+    if (!owner_memo_hopeless(owner, step, OWNER_ATTEMPT_PLACE, now)) {
+        if (step->spec->gang ? place_gang(owner, step, now)
+                             : place_tasks(owner, step, now))
+        {
+            return;
+        }
+        owner_memo_failed(owner, step, OWNER_ATTEMPT_PLACE, now);
     }
     step->tried_at = owner->room_version;
     step->tried_time = now;
     if (urgent) {
-        owner_reclaim(owner, step, now);
+        reclaim_step(owner, step, now);
     }
     else if (step->spec->gang && owner->holds < HOLDS_MOST &&
              cw_time_diff_ms(step->ready_at, now) > HOLD_AFTER_MS)
@@ -318,6 +332,8 @@
     }
     g_ptr_array_sort(steps, by_urgency);
     owner->holds = 0;
+    owner_memo_begin(owner->memo);
+    owner_demand_update(owner);
     owner_headroom_update(owner, now);
     for (guint i = 0; i < steps->len; i++) {
         place_step(owner, steps->pdata[i], now);
--- a/src/owner/owner_racks.c
+++ b/src/owner/owner_racks.c
@@ -160,6 +160,7 @@
         return;
     }
     owner->holds++;
+    step->holds_rack = true;
     g_hash_table_iter_init(&iterator, owner->targets);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         struct owner_target *target = value;
--- a/src/owner/owner_reclaim.c
+++ b/src/owner/owner_reclaim.c
@@ -35,36 +35,53 @@
 
 /* ---- who may be stopped ---- */
 
-bool
-owner_guaranteed(const struct cw_owner *owner, const struct owner_job *job)
+static uint64_t
+accelerators_of(const struct cw_work_spec *spec)
+{
+    uint64_t sum = 0;
+
+    for (u_int i = 0; i < spec->steps.steps_len; i++) {
+        const struct cw_step_spec *step = &spec->steps.steps_val[i];
+
+        sum += (uint64_t)step->tasks * step->accelerators;
+    }
+    return sum;
+}
+
+void
+owner_demand_update(struct cw_owner *owner)
 {
-    const struct cw_account *account =
-        owner->routing != NULL
-            ? cw_routing_account_named(owner->routing, job->spec->account)
-            : NULL;
-    uint64_t wanted = 0;
     GHashTableIter iterator;
     gpointer value;
 
-    if (account == NULL) {
-        return false;
-    }
+    g_hash_table_remove_all(owner->demand);
     g_hash_table_iter_init(&iterator, owner->jobs);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        const struct owner_job *other = value;
+        const struct owner_job *job = value;
+        gsize before;
 
-        if (other->spec->priority != 0 || cw_work_is_over(other->phase) ||
-            strcmp(other->spec->account, job->spec->account) != 0)
-        {
+        if (job->spec->priority != 0 || cw_work_is_over(job->phase)) {
             continue;
         }
-        for (u_int i = 0; i < other->spec->steps.steps_len; i++) {
-            const struct cw_step_spec *step = &other->spec->steps.steps_val[i];
-
-            wanted += (uint64_t)step->tasks * step->accelerators;
-        }
+        before = GPOINTER_TO_SIZE(
+            g_hash_table_lookup(owner->demand, job->spec->account));
+        g_hash_table_insert(
+            owner->demand, job->spec->account,
+            GSIZE_TO_POINTER(before + accelerators_of(job->spec)));
     }
-    return wanted <= account->guaranteed_accelerators;
+}
+
+bool
+owner_guaranteed(const struct cw_owner *owner, const struct owner_job *job)
+{
+    const struct cw_account *account =
+        owner->routing != NULL
+            ? cw_routing_account_named(owner->routing, job->spec->account)
+            : NULL;
+
+    return account != NULL && GPOINTER_TO_SIZE(g_hash_table_lookup(
+                                  owner->demand, account->name)) <=
+                                  account->guaranteed_accelerators;
 }
 
 /* True if the run, or another member of its gang, must not be stopped. */
--- a/src/owner/owner_view.c
+++ b/src/owner/owner_view.c
@@ -83,8 +83,8 @@
 }
 
 bool
-cw_owner_explain(const struct cw_owner *owner, const char *id,
-                 struct timespec now, GString *out)
+cw_owner_explain(struct cw_owner *owner, const char *id, struct timespec now,
+                 GString *out)
 {
     const struct owner_job *job = owner->state == OWNER_ACTIVE
                                       ? g_hash_table_lookup(owner->jobs, id)
@@ -93,6 +93,7 @@
     if (job == NULL) {
         return false;
     }
+    owner_demand_update(owner);
     g_string_append_printf(
         out,
         "%s for %.1f s, priority %u, account %s (%s its guarantee)\n"
--- a/src/routing/routing.c
+++ b/src/routing/routing.c
@@ -169,11 +169,14 @@
 cw_routing_permits(const struct cw_routing *routing, const char *account,
                    const char *dc)
 {
-    const struct cw_account *found =
-        cw_routing_account_named(routing, account);
+    const struct cw_account *found;
 
+    if (!routing->confined) {
+        return true;
+    }
+    found = cw_routing_account_named(routing, account);
     if (found == NULL) {
-        return !routing->confined;
+        return false;
     }
     return found->dcs->len == 0 ||
            g_ptr_array_find_with_equal_func(found->dcs, dc, g_str_equal, NULL);
@@ -182,7 +185,8 @@
 bool
 cw_routing_is_open(const struct cw_routing *routing, const char *dc)
 {
-    return !g_ptr_array_find_with_equal_func(routing->closed, dc, g_str_equal,
+    return routing->closed->len == 0 ||
+           !g_ptr_array_find_with_equal_func(routing->closed, dc, g_str_equal,
                                              NULL);
 }
 
