A follower that is behind is not fresh

Change: fresh is when the read was sent that reached the end, or the first page of a load; a follower that is behind reads on at once. Conclusion: a VM says that a job does not exist only if it has read to the end.

--- a/include/curlewcart/cw_follower.h
+++ b/include/curlewcart/cw_follower.h
@@ -57,8 +57,8 @@
 /* Next offset that it will read. */
 uint64_t cw_follower_position(const struct cw_follower *follower);
 
-/* When the newest answered read was sent: what was appended before it is
- * known here. */
+/* When the newest read that reached the end was sent: what was appended
+ * before it is known here. */
 struct timespec cw_follower_fresh(const struct cw_follower *follower);
 
 void cw_follower_set_pace(struct cw_follower *follower, unsigned pace_ms);
--- a/src/replica/follower.c
+++ b/src/replica/follower.c
@@ -36,6 +36,7 @@
     struct timespec due;
     struct timespec sent;
     struct timespec fresh;
+    struct timespec load_sent; /* the first page of the load under way */
 };
 
 struct cw_follower *
@@ -98,7 +99,6 @@
     }
     follower->retry_ms = 0;
     follower->slow_ms /= 2;
-    follower->fresh = follower->sent;
 }
 
 static void
@@ -128,6 +128,8 @@
     follower->loading = false;
     follower->loaded = true;
     follower->position = follower->start;
+    /* Pages are no snapshot: what came after the first may be missing. */
+    follower->fresh = follower->load_sent;
     if (handler->loaded != NULL) {
         handler->loaded(handler->context);
     }
@@ -152,6 +154,7 @@
     if (!follower->have_start) {
         follower->have_start = true;
         follower->start = page->end;
+        follower->load_sent = follower->sent;
         if (follower->options.handler.reset != NULL) {
             follower->options.handler.reset(follower->options.handler.context);
         }
@@ -172,6 +175,7 @@
     struct cw_follower *follower = context;
     const struct cw_follower_handler *handler = &follower->options.handler;
     struct timespec now = cw_clock_now(follower->options.clock);
+    bool behind;
 
     follower->in_flight = false;
     if (follower->freed) {
@@ -195,10 +199,15 @@
     if (page->count > 0) {
         follower->position = page->records[page->count - 1].offset + 1;
     }
-    follower->due =
-        cw_time_add_ms(now, follower->hurry ? 0
-                                            : MAX(follower->options.pace_ms,
-                                                  follower->slow_ms));
+    /* An answer holds only so much; through another VM it is little. */
+    behind = page->count > 0 && follower->position < page->end;
+    if (!behind) {
+        follower->fresh = follower->sent;
+    }
+    follower->due = cw_time_add_ms(
+        now, follower->hurry || behind
+                 ? 0
+                 : MAX(follower->options.pace_ms, follower->slow_ms));
     if (handler->advanced != NULL) {
         handler->advanced(handler->context);
     }
--- a/tests/store_port.h
+++ b/tests/store_port.h
@@ -14,6 +14,7 @@
     unsigned loads;
     unsigned reads;
     unsigned waited_ms; /* asked for by the last read */
+    unsigned page_most; /* records that an answer holds; 0: all */
 };
 
 static void
@@ -29,6 +30,16 @@
     call->done(call->context, &result);
 }
 
+/* An answer may hold less than there is. */
+static void
+store_port_cut(const struct store_port *port, struct cw_store_page *page)
+{
+    if (port->page_most > 0 && page->count > port->page_most) {
+        page->count = port->page_most;
+        page->more = true;
+    }
+}
+
 static void
 store_port_newest(struct cw_store *store, const struct cw_store_newest *call)
 {
@@ -42,6 +53,7 @@
         return;
     }
     store_model_newest(port->model, call->topic, call->after, &page);
+    store_port_cut(port, &page.page);
     call->done(call->context, &page.page);
     store_model_page_clear(&page);
 }
@@ -60,6 +72,7 @@
         return;
     }
     store_model_read(port->model, call->topic, call->from, &page);
+    store_port_cut(port, &page.page);
     call->done(call->context, &page.page);
     store_model_page_clear(&page);
 }
--- a/tests/test_follower.c
+++ b/tests/test_follower.c
@@ -147,7 +147,60 @@
     bed_end(&bed);
 }
 
+/* What is not read yet may hold anything: a VM that is behind must not say
+ * that a job does not exist. */
+static void
+test_behind_it_is_not_fresh_and_reads_on_at_once(void)
+{
+    struct bed bed;
+    struct timespec before;
+
+    bed_begin(&bed);
+    pass(&bed, 5);
+    before = cw_follower_fresh(bed.follower);
+    bed.port.page_most = 1;
+    put(&bed, "a");
+    put(&bed, "b");
+    put(&bed, "c");
+    while (cw_follower_position(bed.follower) < 1) {
+        pass(&bed, 1);
+    }
+    CU_ASSERT_EQUAL(cw_time_diff_ms(before, cw_follower_fresh(bed.follower)),
+                    0);
+    pass(&bed, 3);
+    CU_ASSERT_EQUAL(cw_follower_position(bed.follower), 3);
+    CU_ASSERT_TRUE(cw_time_before(before, cw_follower_fresh(bed.follower)));
+    bed_end(&bed);
+}
+
+static void
+test_a_load_is_as_fresh_as_its_first_page(void)
+{
+    struct bed bed;
+    struct timespec before;
+
+    bed_begin(&bed);
+    put(&bed, "a");
+    pass(&bed, 5);
+    before = cw_follower_fresh(bed.follower);
+    put(&bed, "b");
+    put(&bed, "c");
+    store_model_compact(bed.port.model, "t");
+    bed.port.page_most = 1;
+    while (bed.port.loads < 2) {
+        pass(&bed, 1);
+    }
+    CU_ASSERT_EQUAL(cw_time_diff_ms(before, cw_follower_fresh(bed.follower)),
+                    0);
+    pass(&bed, 3);
+    CU_ASSERT_STRING_EQUAL(bed.seen->str, "aabc");
+    CU_ASSERT_TRUE(cw_time_before(before, cw_follower_fresh(bed.follower)));
+    bed_end(&bed);
+}
+
 static const struct test tests[] = {
+    {"behind", test_behind_it_is_not_fresh_and_reads_on_at_once},
+    {"load", test_a_load_is_as_fresh_as_its_first_page},
     {"load and read on", test_it_loads_and_reads_on},
     {"dropped history", test_dropped_history_makes_it_load_again},
     {"refused", test_refused_it_reads_less_often_for_a_while},
