The HTTP client waits by epoll

Cause: perf of a deciding daemon with 350 workers: 32% of its time in libcurl and 27% in the kernel, both for polling every open socket at each wake-up. Change: libcurl's socket interface over an epoll set (http_watch.c); only sockets with news cost anything.

--- a/src/http/http_client.c
+++ b/src/http/http_client.c
@@ -10,6 +10,8 @@
 #include <glib.h>
 
 #include "curlewcart/cw_sanitize.h"
+#include "curlewcart/cw_time.h"
+#include "http/internal/http_watch.h"
 
 enum {
     CONNECT_TIMEOUT_MS = 1000,
@@ -39,6 +41,9 @@
     struct cw_http_client_options options;
     ck_stack_t queue CK_CC_CACHELINE;
     CURLM *multi;
+    struct http_watch *watch;
+    bool timed; /* libcurl wants to be called at `timer` */
+    struct timespec timer;
     pthread_t thread;
     unsigned stop;
     GPtrArray *idle;  /* CURL easy handles for reuse */
@@ -212,16 +217,82 @@
     return MIN(wait_ms, (unsigned)POLL_MS);
 }
 
+/* ---- what libcurl wants to be woken for ---- */
+
+static int
+on_socket(CURL *easy, curl_socket_t socket, int what, void *context,
+          void *unused)
+{
+    struct cw_http_client *client = context;
+
+    (void)easy;
+    (void)unused;
+    http_watch_set(client->watch, socket,
+                   what == CURL_POLL_IN || what == CURL_POLL_INOUT,
+                   what == CURL_POLL_OUT || what == CURL_POLL_INOUT);
+    return 0;
+}
+
+static int
+on_timer(CURLM *multi, long timeout_ms, void *context)
+{
+    struct cw_http_client *client = context;
+
+    (void)multi;
+    client->timed = timeout_ms >= 0;
+    if (client->timed) {
+        client->timer =
+            cw_time_add_ms(cw_clock_now(cw_clock_system()), timeout_ms);
+    }
+    return 0;
+}
+
+/* Lets libcurl begin transfers and end late ones; returns after how many
+ * milliseconds it wants that again at the latest. */
+static unsigned
+run_timer(struct cw_http_client *client, unsigned wait_ms)
+{
+    struct timespec now = cw_clock_now(cw_clock_system());
+    int running;
+
+    if (client->timed && !cw_time_before(now, client->timer)) {
+        client->timed = false;
+        curl_multi_socket_action(client->multi, CURL_SOCKET_TIMEOUT, 0,
+                                 &running);
+    }
+    if (client->timed) {
+        int64_t left = cw_time_diff_ms(now, client->timer) + 1;
+
+        wait_ms = (unsigned)CLAMP(left, 0, (int64_t)wait_ms);
+    }
+    return wait_ms;
+}
+
+static void
+take_news(struct cw_http_client *client, const struct http_watch_news *news)
+{
+    int running;
+    int flags = (news->readable ? CURL_CSELECT_IN : 0) |
+                (news->writable ? CURL_CSELECT_OUT : 0) |
+                (news->broken ? CURL_CSELECT_ERR : 0);
+
+    if (client->options.readable != NULL &&
+        news->descriptor == client->options.descriptor)
+    {
+        client->options.readable(client->options.context);
+        return;
+    }
+    curl_multi_socket_action(client->multi, news->descriptor, flags, &running);
+}
+
 static void
 wait_for_news(struct cw_http_client *client, unsigned wait_ms)
 {
-    struct curl_waitfd extra = {.fd = client->options.descriptor,
-                                .events = CURL_WAIT_POLLIN};
-    unsigned count = client->options.readable != NULL ? 1 : 0;
+    struct http_watch_news news[HTTP_WATCH_NEWS_MOST];
+    unsigned count = http_watch_wait(client->watch, wait_ms, news);
 
-    curl_multi_poll(client->multi, &extra, count, (int)wait_ms, NULL);
-    if (extra.revents != 0 && client->options.readable != NULL) {
-        client->options.readable(client->options.context);
+    for (unsigned i = 0; i < count; i++) {
+        take_news(client, &news[i]);
     }
 }
 
@@ -232,10 +303,9 @@
 
     while (ck_pr_load_uint(&client->stop) == 0) {
         unsigned wait_ms = run_tick(client);
-        int running;
 
         take_queue(client);
-        curl_multi_perform(client->multi, &running);
+        wait_ms = run_timer(client, wait_ms);
         if (!take_ended(client)) {
             wait_for_news(client, wait_ms);
         }
@@ -243,6 +313,18 @@
     return NULL;
 }
 
+static void
+watch_sockets(struct cw_http_client *client)
+{
+    curl_multi_setopt(client->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
+    curl_multi_setopt(client->multi, CURLMOPT_SOCKETDATA, client);
+    curl_multi_setopt(client->multi, CURLMOPT_TIMERFUNCTION, on_timer);
+    curl_multi_setopt(client->multi, CURLMOPT_TIMERDATA, client);
+    if (client->options.readable != NULL) {
+        http_watch_set(client->watch, client->options.descriptor, true, false);
+    }
+}
+
 struct cw_http_client *
 cw_http_client_create(const struct cw_http_client_options *options)
 {
@@ -253,10 +335,15 @@
         client->options = *options;
     }
     ck_stack_init(&client->queue);
+    client->watch = http_watch_create();
+    if (client->watch == NULL) {
+        goto error;
+    }
     client->multi = curl_multi_init();
     if (client->multi == NULL) {
-        goto error;
+        goto error_watch;
     }
+    watch_sockets(client);
     curl_multi_setopt(client->multi, CURLMOPT_MAXCONNECTS,
                       (long)CACHED_CONNECTIONS);
     client->idle = g_ptr_array_new();
@@ -270,6 +357,8 @@
     g_ptr_array_unref(client->idle);
     g_hash_table_unref(client->busy);
     curl_multi_cleanup(client->multi);
+error_watch:
+    http_watch_free(client->watch);
 error:
     g_free(client);
     return NULL;
@@ -298,7 +387,7 @@
         return;
     }
     ck_pr_store_uint(&client->stop, 1);
-    curl_multi_wakeup(client->multi);
+    http_watch_wake(client->watch);
     pthread_join(client->thread, NULL);
     drop_queue(client);
     g_hash_table_iter_init(&iterator, client->busy);
@@ -315,6 +404,7 @@
     g_ptr_array_unref(client->idle);
     g_hash_table_unref(client->busy);
     curl_multi_cleanup(client->multi);
+    http_watch_free(client->watch);
     g_free(client);
 }
 
@@ -346,6 +436,6 @@
 {
     /* On its own thread the client looks at the queue before it waits. */
     if (!pthread_equal(pthread_self(), client->thread)) {
-        curl_multi_wakeup(client->multi);
+        http_watch_wake(client->watch);
     }
 }
