A worker that answers is asked before its runs are given up; names compared by address

And perf of 1,000 workers: a third of the owner's time compared names. Change: a lease that has passed without being extended makes the owner ask a worker that answers, without extending; only one that is silent has lost its runs, and after that it is looked at before it gets work. Racks and services are interned; racks that cannot be kept clear are remembered within a pass.

--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -83,8 +83,8 @@
     bool ready;
     uint64_t tried_at; /* the owner's room version when it did not fit */
     struct timespec tried_time;
-    unsigned moves;         /* restarts because of slow workers */
-    bool holds_rack;        /* a rack was kept clear for it */
+    unsigned moves;              /* restarts because of slow workers */
+    struct timespec holds_until; /* a rack is kept clear for it */
     unsigned unstarted_run; /* highest run of the gang of which a member was
                                certainly never started: none of it worked */
 };
@@ -106,6 +106,7 @@
 struct owner_job {
     const struct cw_replica_job *entry; /* borrowed from the replica */
     const struct cw_work_spec *spec;    /* borrowed */
+    const char *service;                /* of `spec`, interned */
     unsigned phase;                     /* enum cw_work_phase */
     bool started;
     bool begun;         /* a start was confirmed to this owner */
@@ -128,10 +129,10 @@
 struct owner_target {
     struct cw_owner *owner;
     char *id;
-    char *address; /* "" while no report was seen */
-    char *service;
+    char *address;       /* "" while no report was seen */
+    const char *service; /* interned: compared by its address */
     char *dc;
-    char *rack;
+    const char *rack; /* interned */
     char *kind;
     struct cw_resources capacity;
     struct cw_resources used;     /* by runs that may be there */
@@ -145,9 +146,10 @@
     int64_t clock_offset_ms;   /* its clock less ours */
     int64_t lease_sent_ms;     /* latest end of lease ever sent, its clock */
     struct timespec lease_end; /* same in our time, with its drift */
-    bool fenced;               /* it has answered under our fencing token */
+    bool answered; /* a hold, since this owner began or gave its runs up */
     bool hold_in_flight;
     struct timespec hold_sent;
+    struct timespec seen_at; /* the last answered hold was sent */
     struct timespec hold_due;
     struct timespec busy_at; /* when it last had a run, as far as known */
     unsigned silent;         /* holds in a row without an answer */
@@ -502,8 +504,9 @@
 /* ---- owner_memo.c: shapes that found no place in this pass ---- */
 
 enum owner_attempt {
-    OWNER_ATTEMPT_PLACE,  /* among what is free */
-    OWNER_ATTEMPT_RECLAIM /* by making others leave */
+    OWNER_ATTEMPT_PLACE,   /* among what is free */
+    OWNER_ATTEMPT_RECLAIM, /* by making others leave */
+    OWNER_ATTEMPT_HOLD     /* a rack that will be free, kept clear */
 };
 
 struct owner_memo *owner_memo_create(void);
--- a/src/owner/owner_candidates.c
+++ b/src/owner/owner_candidates.c
@@ -58,10 +58,9 @@
 bool
 owner_may_run(const struct owner_step *step, const struct owner_target *target)
 {
-    const struct cw_work_spec *spec = step->occurrence->job->spec;
     const char *label = step->spec->label;
 
-    if (strcmp(target->service, spec->service) != 0 ||
+    if (target->service != step->occurrence->job->service ||
         !owner_permits(target->owner, step->occurrence->job, target->dc) ||
         !dc_is_open(target))
     {
@@ -155,7 +154,7 @@
 static void
 count_rack_hosts(struct cw_owner *owner, GArray *candidates)
 {
-    GHashTable *hosts = g_hash_table_new(g_str_hash, g_str_equal);
+    GHashTable *hosts = g_hash_table_new(NULL, NULL);
     GHashTableIter iterator;
     gpointer value;
 
@@ -165,7 +164,7 @@
         gpointer count = g_hash_table_lookup(hosts, target->rack);
 
         if (target->lower_runs > 0) {
-            g_hash_table_insert(hosts, target->rack,
+            g_hash_table_insert(hosts, (gpointer)target->rack,
                                 GUINT_TO_POINTER(GPOINTER_TO_UINT(count) + 1));
         }
     }
--- a/src/owner/owner_headroom.c
+++ b/src/owner/owner_headroom.c
@@ -154,8 +154,7 @@
 void
 owner_headroom_update(struct cw_owner *owner, struct timespec now)
 {
-    GHashTable *services =
-        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+    GHashTable *services = g_hash_table_new_full(NULL, NULL, NULL, g_free);
     GHashTableIter iterator;
     gpointer value;
 
@@ -171,7 +170,7 @@
         if (census == NULL) {
             census = g_new0(struct census, 1);
             census->room = headroom_of(owner, target->service);
-            g_hash_table_insert(services, target->service, census);
+            g_hash_table_insert(services, (gpointer)target->service, census);
         }
         count_target(census, target);
     }
--- a/src/owner/owner_holds.c
+++ b/src/owner/owner_holds.c
@@ -247,7 +247,8 @@
         target->silent = 0;
         owner->place_wanted = true;
     }
-    target->fenced = true;
+    target->answered = true;
+    target->seen_at = call->sent;
     target->hold_due = cw_time_add_ms(now, HOLD_PACE_MS);
     take_lists(owner, target, answer, call->sent, now);
     check_stalls(owner, target, now);
@@ -294,7 +295,7 @@
     /* A first look, and one that waits for a stop, wants an answer now.  The
      * first extends no lease: if it is over, the worker has to notice, so
      * that an earlier owner's word on lost runs holds. */
-    unsigned wait_ms = blocked || !target->fenced || target->runs->len == 0
+    unsigned wait_ms = blocked || !target->answered || target->runs->len == 0
                            ? 0
                            : HOLD_WAIT_MS;
     struct cw_target_order order = {
@@ -302,7 +303,8 @@
         .address = target->address,
         .id = target->id,
         .fence = owner->epoch,
-        .lease_until_ms = target->fenced ? owner_target_lease(target, now) : 0,
+        .lease_until_ms =
+            target->answered ? owner_target_lease(target, now) : 0,
         .acked = target->ends_durable,
         .wait_ms = wait_ms,
         .timeout_ms = wait_ms + HOLD_TIMEOUT_MS,
@@ -333,7 +335,7 @@
     if (target->gone || target->address[0] == '\0') {
         return false;
     }
-    if (target->listed && (!target->clock_known || !target->fenced)) {
+    if (target->listed && (!target->clock_known || !target->answered)) {
         return true;
     }
     if (target->listed && may_have_strays(target, now)) {
@@ -359,6 +361,22 @@
     return false;
 }
 
+/* The lease has passed without being extended.  A worker that still answers
+ * is asked what became of its runs; one that does not has lost them. */
+static void
+lease_over(struct cw_owner *owner, struct owner_target *target)
+{
+    bool answers = target->silent == 0 && target->address[0] != '\0';
+
+    if (!answers) {
+        owner_target_lost(owner, target, "lease_over");
+    }
+    else if (cw_time_before(target->seen_at, target->lease_end)) {
+        target->answered = false; /* the next hold is a first look */
+        target->hold_due = cw_time_from_ms(0);
+    }
+}
+
 struct timespec
 owner_hold_tick(struct cw_owner *owner, struct owner_target *target,
                 struct timespec now)
@@ -366,14 +384,15 @@
     struct timespec due = target->hold_due;
 
     if (cw_time_before(target->lease_end, now) && has_ordered_run(target)) {
-        owner_target_lost(owner, target, "lease_over");
+        lease_over(owner, target);
+        due = target->hold_due;
     }
     if (target->hold_in_flight || !wants_hold(target, now) ||
         !owner_may_extend(owner, now))
     {
         return cw_time_from_ms(INT32_MAX);
     }
-    if (target->runs->len == 0 && target->silent == 0 && target->fenced) {
+    if (target->runs->len == 0 && target->silent == 0 && target->answered) {
         due = cw_time_add_ms(target->hold_sent, IDLE_LOOK_MS);
     }
     if (target->ends_applied > target->ends_durable) {
--- a/src/owner/owner_jobs.c
+++ b/src/owner/owner_jobs.c
@@ -302,6 +302,7 @@
     job = g_new0(struct owner_job, 1);
     job->entry = entry;
     job->spec = entry->spec;
+    job->service = g_intern_string(entry->spec->service);
     job->open = g_ptr_array_new_with_free_func(occurrence_free);
     job->places = g_array_new(FALSE, FALSE, sizeof(struct owner_place));
     g_array_set_clear_func(job->places, place_clear);
--- a/src/owner/owner_memo.c
+++ b/src/owner/owner_memo.c
@@ -10,8 +10,8 @@
 /* What decides whether a step finds a place. */
 struct shape {
     enum owner_attempt attempt;
-    const char *service; /* borrowed during the pass, as all texts here */
-    const char *label;
+    const char *service; /* interned */
+    const char *label;   /* borrowed during the pass, as is the account */
     const char *account; /* "" unless it decides where the step may run */
     struct cw_resources need;
     unsigned priority;
@@ -56,7 +56,7 @@
     bool confined = owner->routing != NULL && owner->routing->confined;
     struct shape shape = {
         .attempt = attempt,
-        .service = job->spec->service,
+        .service = job->service,
         .label = step->spec->label,
         .account = confined ? job->spec->account : "",
         .need = owner_need(step->spec),
@@ -89,7 +89,7 @@
            step->gang >= failed->gang &&
            (failed->gang == 0 || step->same_rack == failed->same_rack) &&
            needs_no_less(&step->need, &failed->need) &&
-           strcmp(step->service, failed->service) == 0 &&
+           step->service == failed->service &&
            strcmp(step->account, failed->account) == 0 &&
            (failed->label[0] == '\0' ||
             strcmp(step->label, failed->label) == 0);
@@ -114,7 +114,7 @@
         memo->room_version = owner->room_version;
         g_array_set_size(memo->failed, 0);
     }
-    if (memo->failed->len == 0 || step->holds_rack) {
+    if (memo->failed->len == 0 || cw_time_before(now, step->holds_until)) {
         return false;
     }
     shape = shape_of(owner, step, attempt, now);
--- a/src/owner/owner_place.c
+++ b/src/owner/owner_place.c
@@ -105,7 +105,7 @@
 rack_could_hold(const struct cw_owner *owner, const struct owner_step *step)
 {
     struct cw_resources need = owner_need(step->spec);
-    GHashTable *racks = g_hash_table_new(g_str_hash, g_str_equal);
+    GHashTable *racks = g_hash_table_new(NULL, NULL);
     GHashTableIter iterator;
     gpointer value;
     bool could = false;
@@ -121,7 +121,8 @@
         }
         fits = owner_fits(&target->capacity, &need);
         fits += GPOINTER_TO_UINT(g_hash_table_lookup(racks, target->rack));
-        g_hash_table_insert(racks, target->rack, GUINT_TO_POINTER(fits));
+        g_hash_table_insert(racks, (gpointer)target->rack,
+                            GUINT_TO_POINTER(fits));
         could = fits >= step->count;
     }
     g_hash_table_unref(racks);
--- a/src/owner/owner_racks.c
+++ b/src/owner/owner_racks.c
@@ -16,7 +16,7 @@
         const struct owner_candidate *c =
             &g_array_index(candidates, struct owner_candidate, i);
 
-        if (strcmp(c->target->rack, rack) == 0) {
+        if (c->target->rack == rack) {
             fits += c->fits;
         }
     }
@@ -42,7 +42,7 @@
         const struct owner_candidate *c =
             &g_array_index(candidates, struct owner_candidate, i);
 
-        if (strcmp(c->target->rack, rack) == 0) {
+        if (c->target->rack == rack) {
             offer.speed =
                 MIN(offer.speed, (int)(c->target->speed / SPEED_STEP));
             offer.idle += owner_candidate_idle(c);
@@ -77,7 +77,7 @@
             g_array_index(candidates, struct owner_candidate, i).target->rack;
         struct rack_offer offer;
 
-        if (best.rack != NULL && strcmp(best.rack, rack) == 0) {
+        if (best.rack == rack) {
             continue;
         }
         offer = offer_of(candidates, rack, tasks);
@@ -119,7 +119,7 @@
 rack_to_hold(struct cw_owner *owner, const struct owner_step *step,
              struct timespec now)
 {
-    GHashTable *racks = g_hash_table_new(g_str_hash, g_str_equal);
+    GHashTable *racks = g_hash_table_new(NULL, NULL);
     const char *best = NULL;
     unsigned best_fits = step->count - 1;
     GHashTableIter iterator;
@@ -138,7 +138,8 @@
         }
         fits = fits_later(step, target);
         fits += GPOINTER_TO_UINT(g_hash_table_lookup(racks, target->rack));
-        g_hash_table_insert(racks, target->rack, GUINT_TO_POINTER(fits));
+        g_hash_table_insert(racks, (gpointer)target->rack,
+                            GUINT_TO_POINTER(fits));
         if (fits > best_fits) {
             best = target->rack;
             best_fits = fits;
@@ -152,20 +153,25 @@
 owner_hold_rack(struct cw_owner *owner, struct owner_step *step,
                 struct timespec now)
 {
-    const char *rack = rack_to_hold(owner, step, now);
     GHashTableIter iterator;
     gpointer value;
+    const char *rack;
 
+    if (owner_memo_hopeless(owner, step, OWNER_ATTEMPT_HOLD, now)) {
+        return;
+    }
+    rack = rack_to_hold(owner, step, now);
     if (rack == NULL) {
+        owner_memo_failed(owner, step, OWNER_ATTEMPT_HOLD, now);
         return;
     }
     owner->holds++;
-    step->holds_rack = true;
+    step->holds_until = cw_time_add_ms(now, HOLD_MS);
     g_hash_table_iter_init(&iterator, owner->targets);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         struct owner_target *target = value;
 
-        if (strcmp(target->rack, rack) == 0) {
+        if (target->rack == rack) {
             target->held_for = step;
             target->held_priority = step->occurrence->job->spec->priority;
             target->held_until = cw_time_add_ms(now, HOLD_MS);
--- a/src/owner/owner_targets.c
+++ b/src/owner/owner_targets.c
@@ -32,9 +32,7 @@
     orders_clear(&target->orders);
     g_free(target->id);
     g_free(target->address);
-    g_free(target->service);
     g_free(target->dc);
-    g_free(target->rack);
     g_free(target->kind);
     g_free(target);
 }
@@ -50,9 +48,9 @@
         target->speed = 1;
         target->id = g_strdup(id);
         target->address = g_strdup("");
-        target->service = g_strdup("");
+        target->service = g_intern_string("");
         target->dc = g_strdup("");
-        target->rack = g_strdup("");
+        target->rack = g_intern_string("");
         target->kind = g_strdup("");
         target->runs = g_ptr_array_new();
         g_queue_init(&target->orders);
@@ -80,9 +78,9 @@
     bool draining = report->draining;
 
     set_text(&target->address, report->address);
-    set_text(&target->service, report->service);
+    target->service = g_intern_string(report->service);
     set_text(&target->dc, report->dc);
-    set_text(&target->rack, report->rack);
+    target->rack = g_intern_string(report->rack);
     set_text(&target->kind, report->kind);
     if (!target->listed || target->draining != draining) {
         /* A new owner counts them in one line when it begins. */
@@ -215,6 +213,7 @@
                        reason);
     }
     orders_clear(&target->orders);
+    target->answered = false; /* the next look shows what became of them */
     owner->place_wanted = true;
 }
 
@@ -224,7 +223,7 @@
 owner_target_usable(const struct owner_target *target, struct timespec now)
 {
     return target->listed && !target->draining && !target->gone &&
-           target->fenced && target->silent == 0 && target->clock_known &&
+           target->answered && target->silent == 0 && target->clock_known &&
            target->address[0] != '\0' &&
            !cw_time_before(now, target->avoid_until) &&
            !cw_time_before(now, target->suspect_until) &&
--- a/tests/owner_site.h
+++ b/tests/owner_site.h
@@ -37,6 +37,15 @@
     last_order.done(last_order.context, &answer);
 }
 
+static inline void
+set_rack(struct owner_target *target, unsigned rack)
+{
+    char name[16];
+
+    g_snprintf(name, sizeof(name), "r%u", rack);
+    target->rack = g_intern_string(name);
+}
+
 static inline void
 add_worker(struct site *site, unsigned index)
 {
@@ -45,10 +54,8 @@
 
     g_snprintf(name, sizeof(name), "w%02u", index);
     target = owner_target_get(site->owner, name);
-    g_free(target->rack);
-    target->rack = g_strdup_printf("r%u", index / PER_RACK);
-    g_free(target->service);
-    target->service = g_strdup("s");
+    set_rack(target, index / PER_RACK);
+    target->service = g_intern_string("s");
     g_free(target->address);
     target->address = g_strdup(name);
     g_free(target->kind);
@@ -58,7 +65,7 @@
     target->capacity.memory_mb = 65536;
     target->listed = true;
     target->clock_known = true;
-    target->fenced = true;
+    target->answered = true;
 }
 
 static inline void
--- a/tests/test_late.c
+++ b/tests/test_late.c
@@ -101,7 +101,7 @@
     g_hash_table_iter_init(&iterator, site.owner->targets);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         target = value;
-        target->fenced = false;
+        target->answered = false;
     }
     CU_ASSERT_PTR_NOT_NULL_FATAL(target);
     job = add_job(&site, 0, &one);
@@ -118,7 +118,35 @@
     site_end(&site);
 }
 
+/* This VM could not extend the lease; the worker knows what it ran. */
+static void
+test_a_worker_that_answers_is_asked_before_its_runs_are_given_up(void)
+{
+    const struct cw_step_spec one = {.tasks = 1, .accelerators = 8};
+    struct site site;
+    struct owner_job *job;
+    struct owner_target *target;
+
+    site_begin(&site);
+    job = run_job(&site, 1, &one);
+    target = step_of(job)->tasks[0].run->target;
+    target->lease_end = cw_time_add_ms(site.clock.now, 1000);
+    target->seen_at = site.clock.now;
+    site.clock.now = cw_time_add_ms(site.clock.now, 2000);
+    site.owner->proof_at = site.clock.now;
+    owner_hold_tick(site.owner, target, site.clock.now);
+    CU_ASSERT_EQUAL(placed(job), 1);
+    CU_ASSERT_EQUAL(last_order.kind, CW_ORDER_HOLD);
+    CU_ASSERT_EQUAL(last_order.lease_until_ms, 0);
+    answer_last(CW_TARGET_UNREACHABLE);
+    owner_hold_tick(site.owner, target, site.clock.now);
+    CU_ASSERT_EQUAL(placed(job), 0);
+    site_end(&site);
+}
+
 static const struct test tests[] = {
+    {"asked before",
+     test_a_worker_that_answers_is_asked_before_its_runs_are_given_up},
     {"taken", test_a_late_result_is_taken},
     {"stopped", test_what_was_started_since_is_stopped},
     {"failure", test_a_late_failure_changes_nothing},
--- a/tests/test_memo.c
+++ b/tests/test_memo.c
@@ -85,7 +85,7 @@
     site_begin(&site);
     fail(&site, add_job(&site, 1, &four));
     holder = add_job(&site, 1, &four);
-    step_of(holder)->holds_rack = true;
+    step_of(holder)->holds_until = cw_time_add_ms(site.clock.now, 1);
     CU_ASSERT_FALSE(hopeless(&site, holder, OWNER_ATTEMPT_PLACE));
     site_end(&site);
 }
--- a/tools/bench/bench_place.c
+++ b/tools/bench/bench_place.c
@@ -25,8 +25,7 @@
         add_worker(site, i);
         g_snprintf(name, sizeof(name), "w%02u", i);
         target = owner_target_get(site->owner, name);
-        g_free(target->rack);
-        target->rack = g_strdup_printf("r%u", i / RACK_SIZE);
+        set_rack(target, i / RACK_SIZE);
     }
 }
 
