Looks at idle workers are bounded; the stand-in and the owner's state in parts

A new owner looked at each idle worker every 2.5 s for 14 s: 1,200 looks a second at 3,000 workers, which a quarter of a core cannot do; it never caught up. Change: 150 looks at idle workers a second and 100 at a time at the most, however many there are.

--- a/Makefile
+++ b/Makefile
@@ -51,7 +51,7 @@
 
 $(BUILD)/curlewcart-platform: $(CORE_OBJ) $(NET_OBJ) \
                               $(call obj,$(MODELS)) \
-                              $(BUILD)/obj/standins/platform_standin.o
+                              $(call obj,$(wildcard standins/*.c))
 	@$(CC) $(LDFLAGS) $^ $(LDLIBS) -o $@
 
 $(BUILD)/curlewcart-emulator: $(CORE_OBJ) $(call obj,$(MODELS)) \
--- a/emulator/emulator_main.c
+++ b/emulator/emulator_main.c
@@ -9,6 +9,7 @@
 #include <ck_pr.h>
 
 #include "curlewcart/cw_log.h"
+#include "curlewcart/cw_process.h"
 #include "curlewcart/cw_time.h"
 #include "emulator/world.h"
 
@@ -205,22 +206,6 @@
     return (double)now.tv_sec + (double)now.tv_nsec / CW_NS_PER_S;
 }
 
-/* Resident memory of this process in MB; 0 if it cannot be told. */
-static double
-resident_mb(void)
-{
-    long pages = 0;
-    FILE *file = fopen("/proc/self/statm", "r");
-
-    if (file != NULL) {
-        if (fscanf(file, "%*s %ld", &pages) != 1) {
-            pages = 0;
-        }
-        fclose(file);
-    }
-    return (double)pages * (double)sysconf(_SC_PAGESIZE) / 1e6;
-}
-
 /* One calm day of any size: what it costs the product's own code. */
 static int
 play_size(const struct arguments *arguments)
@@ -246,7 +231,7 @@
            result.counts.starts, result.busiest_s * PERCENT / day_s,
            (result.all_vms_s - result.busiest_s) * PERCENT / day_s /
                MAX(1, world.vms - 1),
-           day_s / took_s, resident_mb(),
+           day_s / took_s, cw_process_resident_bytes() / 1e6,
            result.violation != NULL ? result.violation : "none");
     status = result.violation != NULL ? EXIT_VIOLATION : 0;
     g_free(result.violation);
--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -227,9 +227,10 @@
     uint64_t room_version; /* grows whenever room may have come free */
     struct timespec sweep_due;
     struct timespec check_due;
-    unsigned holds;     /* racks held back in this pass of placement */
-    GHashTable *demand; /* account -> accelerators of its most urgent jobs;
-                           owner_demand_update */
+    unsigned idle_looks; /* holds under way at workers without runs */
+    unsigned holds;      /* racks held back in this pass of placement */
+    GHashTable *demand;  /* account -> accelerators of its most urgent jobs;
+                            owner_demand_update */
     struct owner_memo *memo; /* owner_memo.c */
 };
 
@@ -257,9 +258,24 @@
 void owner_job_adopt(struct cw_owner *owner, struct cw_replica_job *entry);
 void owner_job_free(gpointer job);
 
+struct owner_occurrence *
+owner_occurrence_open(struct owner_job *job, unsigned number);
+
+/* Notes that so many runs of the job were on a worker. */
+void owner_job_ran(struct owner_job *job, const char *worker, const char *dc,
+                   unsigned runs);
+
+/* ---- owner_state.c ---- */
+
+/* Puts a job into the state that the store has of it; false (and logged) if
+ * that cannot be read. */
+bool owner_job_restore(struct cw_owner *owner, struct owner_job *job);
+
 /* State for the store.  Owned by the caller. */
 GByteArray *owner_job_encode(const struct owner_job *job);
 
+/* ---- owner_jobs.c ---- */
+
 /* Marks a job for the next batch. */
 void owner_job_touch(struct cw_owner *owner, struct owner_job *job);
 
--- a/src/owner/owner.c
+++ b/src/owner/owner.c
@@ -29,6 +29,7 @@
 drop_state(struct cw_owner *owner)
 {
     owner->term++;
+    owner->idle_looks = 0;
     g_hash_table_remove_all(owner->targets);
     g_hash_table_remove_all(owner->jobs);
     g_ptr_array_set_size(owner->dirty, 0);
--- a/src/owner/owner_holds.c
+++ b/src/owner/owner_holds.c
@@ -18,6 +18,11 @@
      * only there.  Orders are late by up to 12 s. */
     IDLE_LOOK_MS = 2500,
     IDLE_LOOKS_MS = 14000,
+    /* Looks at idle workers: so many a second, and at a time, at the most,
+     * however many workers there are.  A look costs about 0.2 ms. */
+    IDLE_LOOKS_PER_S = 150,
+    IDLE_LOOKS_MOST = 100,
+    IDLE_RETRY_MS = 20,
     /* No progress for so long: the task stands still.  A percent of the
      * longest tasks (11 s, three times as long across racks, on a worker
      * six times slower) takes 2 s. */
@@ -29,6 +34,7 @@
     unsigned term;
     struct owner_target *target;
     struct timespec sent;
+    bool idle; /* a look at a worker without runs */
 };
 
 /* ---- runs that are listed ---- */
@@ -267,6 +273,7 @@
         return;
     }
     target->hold_in_flight = false;
+    owner->idle_looks -= call->idle;
     owner_target_clock(target, answer->clock_ms, now);
     switch (answer->status) {
     case CW_TARGET_OK:
@@ -316,6 +323,8 @@
     call->term = owner->term;
     call->target = target;
     call->sent = now;
+    call->idle = target->runs->len == 0;
+    owner->idle_looks += call->idle;
     target->hold_in_flight = true;
     target->hold_sent = now;
     owner->options.targets->ops->order(owner->options.targets, &order);
@@ -361,6 +370,16 @@
     return false;
 }
 
+/* Time between two looks at an idle worker. */
+static int64_t
+idle_look_ms(const struct cw_owner *owner)
+{
+    int64_t all_ms = (int64_t)g_hash_table_size(owner->targets) * CW_MS_PER_S /
+                     IDLE_LOOKS_PER_S;
+
+    return MAX(IDLE_LOOK_MS, all_ms);
+}
+
 /* The lease has passed without being extended.  A worker that still answers
  * is asked what became of its runs; one that does not has lost them. */
 static void
@@ -392,8 +411,11 @@
     {
         return cw_time_from_ms(INT32_MAX);
     }
+    if (target->runs->len == 0 && owner->idle_looks >= IDLE_LOOKS_MOST) {
+        return cw_time_add_ms(now, IDLE_RETRY_MS);
+    }
     if (target->runs->len == 0 && target->silent == 0 && target->answered) {
-        due = cw_time_add_ms(target->hold_sent, IDLE_LOOK_MS);
+        due = cw_time_add_ms(target->hold_sent, idle_look_ms(owner));
     }
     if (target->ends_applied > target->ends_durable) {
         /* Without it the worker would answer at once with the same ends. */
--- a/src/owner/owner_jobs.c
+++ b/src/owner/owner_jobs.c
@@ -1,5 +1,4 @@
-/* Jobs in the owner's hands: made from what the store has, encoded for it,
- * moved on as their tasks end. */
+/* Jobs in the owner's hands: taken over, moved on as their tasks end. */
 #include "owner/internal/owner_private.h"
 
 #include <stdlib.h>
@@ -73,8 +72,8 @@
     }
 }
 
-static struct owner_occurrence *
-occurrence_open(struct owner_job *job, unsigned number)
+struct owner_occurrence *
+owner_occurrence_open(struct owner_job *job, unsigned number)
 {
     struct owner_occurrence *occurrence = g_new0(struct owner_occurrence, 1);
 
@@ -91,9 +90,9 @@
 
 /* ---- where it has run ---- */
 
-static void
-add_runs(struct owner_job *job, const char *worker, const char *dc,
-         unsigned runs)
+void
+owner_job_ran(struct owner_job *job, const char *worker, const char *dc,
+              unsigned runs)
 {
     struct owner_place added = {.runs = runs};
 
@@ -121,7 +120,7 @@
                          cw_time_diff_ms(job->known_at, owner_now(owner)));
     }
     if (job->places->len < CW_TASKS_MAX) {
-        add_runs(job, target->id, target->dc, 1);
+        owner_job_ran(job, target->id, target->dc, 1);
     }
     if (job->spec->once) {
         /* A later owner has to know that it may have worked. */
@@ -129,95 +128,7 @@
     }
 }
 
-/* ---- from the store ---- */
-
-static void
-restore_task(struct cw_owner *owner, const struct cw_work_record *record,
-             struct owner_task *task, const struct cw_task_record *stored)
-{
-    task->last_run = stored->run;
-    task->failures = stored->failures;
-    if (stored->saved[0] != '\0') {
-        task->saved = g_strdup(stored->saved);
-    }
-    if (stored->done) {
-        task->done = true;
-        task->step->left--;
-    }
-    if (stored->worker > 0 && stored->worker <= record->workers.workers_len) {
-        const char *id = record->workers.workers_val[stored->worker - 1];
-
-        owner_run_create(owner, task, owner_target_get(owner, id), RUN_UNSURE,
-                         stored->run);
-    }
-}
-
-static void
-restore_step(struct cw_owner *owner, const struct cw_work_record *record,
-             struct owner_step *step, const struct cw_step_record *stored)
-{
-    u_int count = MIN(stored->tasks.tasks_len, step->count);
-
-    step->failures = stored->failures;
-    for (u_int i = 0; i < count; i++) {
-        restore_task(owner, record, &step->tasks[i],
-                     &stored->tasks.tasks_val[i]);
-    }
-    if (stored->done) {
-        step->done = true;
-        step->left = 0;
-    }
-}
-
-static void
-restore(struct cw_owner *owner, struct owner_job *job,
-        const struct cw_work_record *record)
-{
-    job->phase = record->phase;
-    job->started = record->started;
-    job->ended_ms = record->ended_ms;
-    job->next_occurrence = record->next_occurrence;
-    job->begun = record->begun;
-    job->reason = record->reason;
-    job->config = record->config;
-    if (record->result[0] != '\0') {
-        job->result = g_strdup(record->result);
-    }
-    for (u_int i = 0; i < record->places.places_len; i++) {
-        const struct cw_place_record *place = &record->places.places_val[i];
-
-        add_runs(job, place->worker, place->dc, place->runs);
-    }
-    for (u_int i = 0; i < record->open.open_len; i++) {
-        const struct cw_occurrence_record *stored = &record->open.open_val[i];
-        struct owner_occurrence *occurrence =
-            occurrence_open(job, stored->number);
-        u_int count = MIN(stored->steps.steps_len, occurrence->count);
-
-        for (u_int k = 0; k < count; k++) {
-            restore_step(owner, record, &occurrence->steps[k],
-                         &stored->steps.steps_val[k]);
-        }
-    }
-}
-
-static bool
-restore_entry(struct cw_owner *owner, struct owner_job *job)
-{
-    struct cw_work_record record = {0};
-    gsize length = 0;
-    const void *bytes = g_bytes_get_data(job->entry->record, &length);
-
-    if (!cw_xdr_decode((xdrproc_t)xdr_cw_work_record, &record, bytes, length))
-    {
-        cw_log_error("record_invalid", "id=%s kind=state offset=%" PRIu64,
-                     job->spec->id, job->entry->record_offset);
-        return false;
-    }
-    restore(owner, job, &record);
-    xdr_free((xdrproc_t)xdr_cw_work_record, (char *)&record);
-    return true;
-}
+/* ---- taking over ---- */
 
 /* When the job's work should be over: its latency target, and its longest
  * chain as declared times the queue's stretch. */
@@ -310,7 +221,7 @@
     job->known_at = cw_time_add_ms(now, -CLAMP(age_ms, 0, G_MAXINT));
     job->objective = objective_of(job->spec, job->known_at);
     g_hash_table_insert(owner->jobs, entry->id, job);
-    if (entry->record != NULL && !restore_entry(owner, job)) {
+    if (entry->record != NULL && !owner_job_restore(owner, job)) {
         g_hash_table_remove(owner->jobs, entry->id);
         return;
     }
@@ -328,132 +239,7 @@
     owner->place_wanted = true;
 }
 
-/* ---- to the store ---- */
-
-/* Index of a worker's name in the record, from 1. */
-static unsigned
-name_index(GHashTable *index, GPtrArray *names, char *id)
-{
-    gpointer found = g_hash_table_lookup(index, id);
-
-    if (found == NULL) {
-        g_ptr_array_add(names, id);
-        found = GUINT_TO_POINTER(names->len);
-        g_hash_table_insert(index, id, found);
-    }
-    return GPOINTER_TO_UINT(found);
-}
-
-static void
-encode_task(const struct owner_task *task, struct cw_task_record *out,
-            GHashTable *index, GPtrArray *names)
-{
-    const struct owner_run *run = task->run;
-
-    out->run = task->last_run;
-    out->failures = task->failures;
-    out->done = task->done;
-    out->saved = task->saved != NULL ? task->saved : (char *)"";
-    if (run != NULL && run->phase != RUN_RESERVED) {
-        out->worker = name_index(index, names, run->target->id);
-    }
-}
-
-static void
-encode_step(const struct owner_step *step, struct cw_step_record *out,
-            GHashTable *index, GPtrArray *names)
-{
-    out->done = step->done;
-    out->failures = step->failures;
-    if (step->done && step->runs == 0) {
-        return;
-    }
-    out->tasks.tasks_len = step->count;
-    out->tasks.tasks_val = g_new0(struct cw_task_record, step->count);
-    for (unsigned i = 0; i < step->count; i++) {
-        encode_task(&step->tasks[i], &out->tasks.tasks_val[i], index, names);
-    }
-}
-
-static void
-encode_occurrence(const struct owner_occurrence *occurrence,
-                  struct cw_occurrence_record *out, GHashTable *index,
-                  GPtrArray *names)
-{
-    out->number = occurrence->number;
-    out->steps.steps_len = occurrence->count;
-    out->steps.steps_val = g_new0(struct cw_step_record, occurrence->count);
-    for (unsigned i = 0; i < occurrence->count; i++) {
-        encode_step(&occurrence->steps[i], &out->steps.steps_val[i], index,
-                    names);
-    }
-}
-
-/* Frees the arrays of a record whose texts are borrowed. */
-static void
-record_clear(struct cw_work_record *record)
-{
-    for (u_int i = 0; i < record->open.open_len; i++) {
-        struct cw_occurrence_record *occurrence = &record->open.open_val[i];
-
-        for (u_int k = 0; k < occurrence->steps.steps_len; k++) {
-            g_free(occurrence->steps.steps_val[k].tasks.tasks_val);
-        }
-        g_free(occurrence->steps.steps_val);
-    }
-    g_free(record->open.open_val);
-    g_free(record->places.places_val);
-}
-
-/* Borrows the texts of the job. */
-static void
-encode_places(const struct owner_job *job, struct cw_work_record *out)
-{
-    out->places.places_len = job->places->len;
-    out->places.places_val = g_new0(struct cw_place_record, job->places->len);
-    for (guint i = 0; i < job->places->len; i++) {
-        const struct owner_place *place =
-            &g_array_index(job->places, struct owner_place, i);
-
-        out->places.places_val[i].worker = place->worker;
-        out->places.places_val[i].dc = place->dc;
-        out->places.places_val[i].runs = place->runs;
-    }
-}
-
-GByteArray *
-owner_job_encode(const struct owner_job *job)
-{
-    GHashTable *index = g_hash_table_new(g_str_hash, g_str_equal);
-    GPtrArray *names = g_ptr_array_new();
-    struct cw_work_record record = {
-        .phase = job->phase,
-        .started = job->started,
-        .ended_ms = job->ended_ms,
-        .next_occurrence = job->next_occurrence,
-        .begun = job->begun,
-        .reason = job->reason,
-        .config = job->config,
-        .result = job->result != NULL ? job->result : (char *)"",
-    };
-    GByteArray *bytes;
-
-    encode_places(job, &record);
-    record.open.open_len = job->open->len;
-    record.open.open_val = g_new0(struct cw_occurrence_record, job->open->len);
-    for (guint i = 0; i < job->open->len; i++) {
-        encode_occurrence(job->open->pdata[i], &record.open.open_val[i], index,
-                          names);
-    }
-    record.workers.workers_len = names->len;
-    record.workers.workers_val = (cw_name *)names->pdata;
-    bytes = cw_xdr_encode((xdrproc_t)xdr_cw_work_record, &record);
-    g_assert(bytes != NULL);
-    record_clear(&record);
-    g_ptr_array_unref(names);
-    g_hash_table_unref(index);
-    return bytes;
-}
+/* ---- ends ---- */
 
 void
 owner_job_touch(struct cw_owner *owner, struct owner_job *job)
@@ -565,7 +351,7 @@
         if (job->spec->repeats > 0 && due_ms > wall_ms) {
             return cw_time_add_ms(now, due_ms - wall_ms);
         }
-        occurrence_open(job, job->next_occurrence++);
+        owner_occurrence_open(job, job->next_occurrence++);
         owner->place_wanted = true;
     }
     return cw_time_from_ms(INT32_MAX);
--- /dev/null
+++ b/standins/platform_standin.h
@@ -0,0 +1,75 @@
+/* The platform's stand-in: what its store and its workers share. */
+#ifndef CURLEWCART_STANDINS_PLATFORM_STANDIN_H
+#define CURLEWCART_STANDINS_PLATFORM_STANDIN_H
+
+#include <pthread.h>
+#include <stdbool.h>
+#include <stdint.h>
+#include <glib.h>
+#include <jansson.h>
+
+#include "curlewcart/cw_http_server.h"
+#include "emulator/store_model.h"
+#include "emulator/worker_model.h"
+
+enum {
+    WAIT_STEP_MS = 10,
+    REPORT_EVERY_MS = 1500,
+    LENGTH_BYTES = 4,
+    ACCELERATORS = 8,
+    CPU_MILLI = 32000,
+    MEMORY_MB = 131072,
+    TASK_MS = 600
+};
+
+struct platform {
+    pthread_mutex_t lock;
+    struct store_model *store;
+    struct worker_fleet *fleet;
+    struct cw_http_server *store_server;
+    GPtrArray *workers; /* struct worker_server */
+    const char *config_path;
+    const char *dcs;      /* names, parted by commas */
+    unsigned racks;       /* in each data centre */
+    unsigned per_rack;    /* workers */
+    bool away;            /* the store refuses all calls */
+    GHashTable *payloads; /* of jobs, by id */
+    unsigned violations;  /* two runs of a task at once */
+    GHashTable *active;   /* task's name -> runs */
+};
+
+struct worker_server {
+    struct platform *platform;
+    char *id;
+    char *dc;
+    char *rack;
+    char *address;
+    struct cw_http_server *server;
+};
+
+struct waiting {
+    struct platform *platform;
+    struct worker_server *worker;
+    struct cw_http_call *call;
+    int64_t until_ms;
+};
+
+/* Milliseconds of the steady clock. */
+int64_t standin_now_ms(void);
+
+/* Answers and releases `body`. */
+void standin_answer(struct cw_http_call *call, unsigned status, json_t *body);
+
+/* Carries a waiting call on, on a thread of its own. */
+void
+standin_wait(struct platform *platform, struct worker_server *worker,
+             struct cw_http_call *call, int64_t wait_ms, void *(*run)(void *));
+
+/* Handlers of the store's and of a worker's listener. */
+void standin_handle_store(void *platform, struct cw_http_call *call);
+void standin_handle_worker(void *worker, struct cw_http_call *call);
+
+/* What the workers' model asks and tells. */
+struct worker_listener standin_listener(struct platform *platform);
+
+#endif
--- /dev/null
+++ b/standins/platform_store.c
@@ -0,0 +1,269 @@
+/* The stand-in's store: the emulator's model behind HTTP. */
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "curlewcart/cw_time.h"
+#include "standins/platform_standin.h"
+
+static const char *
+query(struct cw_http_call *call, const char *name)
+{
+    const char *value = cw_http_call_query(call, name);
+
+    return value != NULL ? value : "";
+}
+
+static uint64_t
+get_length(const unsigned char *bytes)
+{
+    return (uint64_t)bytes[0] << 24 | (uint64_t)bytes[1] << 16 |
+           (uint64_t)bytes[2] << 8 | bytes[3];
+}
+
+/* Splits a body into records, whose keys are added to `keys`. */
+static GArray *
+parse_records(const unsigned char *bytes, size_t length, GPtrArray *keys)
+{
+    GArray *records = g_array_new(FALSE, TRUE, sizeof(struct cw_store_record));
+
+    while (length > LENGTH_BYTES) {
+        size_t size = get_length(bytes);
+        size_t key = bytes[LENGTH_BYTES];
+        struct cw_store_record record = {0};
+
+        if (size + LENGTH_BYTES > length || key + 1 > size) {
+            break;
+        }
+        g_ptr_array_add(
+            keys, g_strndup((const char *)bytes + LENGTH_BYTES + 1, key));
+        record.key = keys->pdata[keys->len - 1];
+        record.length = size - 1 - key;
+        record.value =
+            record.length > 0 ? bytes + LENGTH_BYTES + 1 + key : NULL;
+        g_array_append_val(records, record);
+        bytes += LENGTH_BYTES + size;
+        length -= LENGTH_BYTES + size;
+    }
+    return records;
+}
+
+static void
+handle_append(struct platform *platform, struct cw_http_call *call)
+{
+    size_t length = 0;
+    const char *body = cw_http_call_body(call, &length);
+    GPtrArray *keys = g_ptr_array_new_with_free_func(g_free);
+    GArray *records = parse_records((const unsigned char *)body, length, keys);
+    const char *expected = cw_http_call_query(call, "expected_offset");
+    struct cw_store_append append = {
+        .topic = query(call, "topic"),
+        .records = (const struct cw_store_record *)records->data,
+        .count = records->len,
+        .writer = cw_http_call_query(call, "producer"),
+        .epoch = g_ascii_strtoull(query(call, "epoch"), NULL, 10),
+        .sequence = g_ascii_strtoull(query(call, "seq"), NULL, 10),
+        .conditional = expected != NULL,
+        .expected_end =
+            expected != NULL ? g_ascii_strtoull(expected, NULL, 10) : 0,
+    };
+    struct cw_store_appended result =
+        store_model_append(platform->store, &append);
+
+    g_array_unref(records);
+    g_ptr_array_unref(keys);
+    switch (result.status) {
+    case CW_STORE_FENCED:
+        standin_answer(call, 409, json_pack("{s:s}", "reason", "fenced"));
+        break;
+    case CW_STORE_SEQUENCE:
+        standin_answer(call, 409,
+                       json_pack("{s:s, s:I}", "reason", "seq", "seq",
+                                 (json_int_t)result.expected_sequence));
+        break;
+    case CW_STORE_CONFLICT:
+        standin_answer(call, 412,
+                       json_pack("{s:I}", "end", (json_int_t)result.end));
+        break;
+    default:
+        standin_answer(call, 200,
+                       json_pack("{s:I, s:I}", "offset",
+                                 (json_int_t)result.first, "end",
+                                 (json_int_t)result.end));
+        break;
+    }
+}
+
+static void
+put_number(GByteArray *out, uint64_t value, unsigned bytes)
+{
+    for (unsigned i = bytes; i > 0; i--) {
+        guint8 byte = (guint8)(value >> (8 * (i - 1)));
+
+        g_byte_array_append(out, &byte, 1);
+    }
+}
+
+static void
+answer_records(struct cw_http_call *call, const struct store_model_page *page)
+{
+    GByteArray *out = g_byte_array_new();
+
+    put_number(out, page->page.end, 8);
+    put_number(out, page->page.first, 8);
+    for (size_t i = 0; i < page->page.count; i++) {
+        const struct cw_store_record *record = &page->page.records[i];
+        size_t key = strlen(record->key);
+
+        put_number(out, 1 + key + record->length, LENGTH_BYTES);
+        put_number(out, key, 1);
+        g_byte_array_append(out, (const guint8 *)record->key, (guint)key);
+        if (record->length > 0) {
+            g_byte_array_append(out, record->value, (guint)record->length);
+        }
+    }
+    cw_http_answer(call, 200, "application/octet-stream",
+                   (const char *)out->data, out->len, false);
+    g_byte_array_unref(out);
+}
+
+/* A call that waits for something, on a thread of its own. */
+static void *
+wait_for_records(void *argument)
+{
+    struct waiting *waiting = argument;
+    struct cw_http_call *call = waiting->call;
+    uint64_t from = g_ascii_strtoull(query(call, "from"), NULL, 10);
+    struct store_model_page page;
+
+    for (;;) {
+        pthread_mutex_lock(&waiting->platform->lock);
+        store_model_read(waiting->platform->store, query(call, "topic"), from,
+                         &page);
+        pthread_mutex_unlock(&waiting->platform->lock);
+        if (page.page.count > 0 || page.page.status != CW_STORE_OK ||
+            standin_now_ms() >= waiting->until_ms)
+        {
+            break;
+        }
+        store_model_page_clear(&page);
+        g_usleep(WAIT_STEP_MS * 1000);
+    }
+    if (page.page.status == CW_STORE_EXPIRED) {
+        standin_answer(
+            call, 410,
+            json_pack("{s:I}", "first", (json_int_t)page.page.first));
+    }
+    else {
+        answer_records(call, &page);
+    }
+    store_model_page_clear(&page);
+    g_free(waiting);
+    return NULL;
+}
+
+static void
+handle_newest(struct platform *platform, struct cw_http_call *call)
+{
+    struct store_model_page page;
+    json_t *items = json_array();
+
+    store_model_newest(platform->store, query(call, "topic"),
+                       cw_http_call_query(call, "after"), &page);
+    for (size_t i = 0; i < page.page.count; i++) {
+        const struct cw_store_record *record = &page.page.records[i];
+        char *value = g_base64_encode(record->value, record->length);
+
+        json_array_append_new(
+            items, json_pack("{s:s, s:s, s:I}", "key", record->key, "value",
+                             value, "offset", (json_int_t)record->offset));
+        g_free(value);
+    }
+    standin_answer(call, 200,
+                   json_pack("{s:o, s:b, s:I}", "items", items, "has_more",
+                             page.page.more, "end",
+                             (json_int_t)page.page.end));
+    store_model_page_clear(&page);
+}
+
+static void
+handle_join(struct platform *platform, struct cw_http_call *call)
+{
+    size_t length = 0;
+    const char *text = cw_http_call_body(call, &length);
+    json_t *body = json_loadb(text, length, 0, NULL);
+    const char *member = json_string_value(json_object_get(body, "member"));
+    const char *topic =
+        json_string_value(json_array_get(json_object_get(body, "topics"), 0));
+    bool held = false;
+    uint64_t generation = store_model_join(
+        platform->store, member != NULL ? member : "?",
+        (unsigned)json_integer_value(json_object_get(body, "ttl_ms")),
+        cw_clock_now(cw_clock_system()), &held);
+    json_t *parts = json_array();
+
+    if (held) {
+        json_array_append_new(parts, json_pack("[s, i, i]", topic, 0, 0));
+    }
+    standin_answer(call, 200,
+                   json_pack("{s:I, s:o}", "generation",
+                             (json_int_t)generation, "parts", parts));
+    json_decref(body);
+}
+
+static void
+handle_leave(struct platform *platform, struct cw_http_call *call)
+{
+    size_t length = 0;
+    const char *text = cw_http_call_body(call, &length);
+    json_t *body = json_loadb(text, length, 0, NULL);
+    const char *member = json_string_value(json_object_get(body, "member"));
+
+    store_model_leave(platform->store, member != NULL ? member : "?",
+                      cw_clock_now(cw_clock_system()));
+    standin_answer(call, 200, json_object());
+    json_decref(body);
+}
+
+void
+standin_handle_store(void *context, struct cw_http_call *call)
+{
+    struct platform *platform = context;
+    const char *path = cw_http_call_path(call);
+    bool away;
+
+    pthread_mutex_lock(&platform->lock);
+    away = platform->away;
+    pthread_mutex_unlock(&platform->lock);
+    if (away) {
+        standin_answer(call, 503, json_object());
+        return;
+    }
+    if (strcmp(path, "/log-read") == 0) {
+        standin_wait(platform, NULL, call,
+                     g_ascii_strtoll(query(call, "wait_ms"), NULL, 10),
+                     wait_for_records);
+        return;
+    }
+    pthread_mutex_lock(&platform->lock);
+    if (strcmp(path, "/log-append") == 0) {
+        handle_append(platform, call);
+    }
+    else if (strcmp(path, "/log-newest") == 0) {
+        handle_newest(platform, call);
+    }
+    else if (strcmp(path, "/log-join") == 0) {
+        handle_join(platform, call);
+    }
+    else if (strcmp(path, "/log-leave") == 0) {
+        handle_leave(platform, call);
+    }
+    else if (strcmp(path, "/log-owners") == 0) {
+        standin_answer(call, 200, json_pack("{s:[]}", "parts"));
+    }
+    else {
+        standin_answer(call, 404, json_object());
+    }
+    pthread_mutex_unlock(&platform->lock);
+}
--- /dev/null
+++ b/standins/platform_workers.c
@@ -0,0 +1,301 @@
+/* The stand-in's workers: the emulator's models behind HTTP. */
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "curlewcart/cw_time.h"
+#include "standins/platform_standin.h"
+
+static json_t *
+task_text(const struct cw_task_name *task)
+{
+    return json_sprintf("%s.%u.%u.%u", task->job, task->occurrence, task->step,
+                        task->index);
+}
+
+/* What the end of a run says: its job's id and the payload's echo. */
+static char *
+end_text(struct platform *platform, const struct cw_ended *row)
+{
+    const char *payload;
+    const char *echo;
+    char *text = g_strdup(row->saved);
+
+    pthread_mutex_lock(&platform->lock);
+    payload = g_hash_table_lookup(platform->payloads, row->task.job);
+    echo = payload != NULL ? strstr(payload, "echo=") : NULL;
+    if (row->how == CW_END_KIND_DONE && echo != NULL) {
+        g_free(text);
+        text = g_strdup_printf("%s:%s", row->task.job, echo + strlen("echo="));
+    }
+    pthread_mutex_unlock(&platform->lock);
+    return text;
+}
+
+static json_t *
+encode_answer(struct platform *platform, const struct cw_target_answer *answer)
+{
+    json_t *running = json_array();
+    json_t *ended = json_array();
+
+    for (size_t i = 0; i < answer->running_count; i++) {
+        const struct cw_running *row = &answer->running[i];
+
+        json_array_append_new(
+            running, json_pack("[o, i, s, i]", task_text(&row->task),
+                               (int)row->run, row->saved, (int)row->percent));
+    }
+    for (size_t i = 0; i < answer->ended_count; i++) {
+        const struct cw_ended *row = &answer->ended[i];
+        char *text = end_text(platform, row);
+
+        json_array_append_new(
+            ended, json_pack("[I, o, i, s, s]", (json_int_t)row->number,
+                             task_text(&row->task), (int)row->run,
+                             cw_end_kind_name(row->how), text));
+        g_free(text);
+    }
+    return json_pack("{s:I, s:o, s:o}", "clock_ms",
+                     (json_int_t)answer->clock_ms, "running", running, "ended",
+                     ended);
+}
+
+static void
+answer_order(struct platform *platform, struct cw_http_call *call,
+             const struct cw_target_answer *answer)
+{
+    static const char *const reasons[] = {[CW_TARGET_FENCED] = "fence",
+                                          [CW_TARGET_OLD_RUN] = "old",
+                                          [CW_TARGET_LATE] = "late",
+                                          [CW_TARGET_NO_ROOM] = "room",
+                                          [CW_TARGET_NO_TICKET] = "ticket"};
+
+    if (answer->status == CW_TARGET_OK) {
+        standin_answer(call, 200, encode_answer(platform, answer));
+    }
+    else if (answer->status == CW_TARGET_OTHER_LIFE) {
+        standin_answer(call, 421, json_object());
+    }
+    else if (answer->status < (int)G_N_ELEMENTS(reasons) &&
+             reasons[answer->status] != NULL)
+    {
+        standin_answer(call, 409,
+                       json_pack("{s:I, s:s}", "clock_ms",
+                                 (json_int_t)answer->clock_ms, "reason",
+                                 reasons[answer->status]));
+    }
+    else {
+        standin_answer(call, 400, json_object());
+    }
+}
+
+/* An order as it stands in a call.  Its texts belong to `body` and
+ * `name`. */
+static bool
+decode_order(struct cw_http_call *call, const json_t *body, char **name,
+             struct cw_target_order *order)
+{
+    const char *path = cw_http_call_path(call);
+    const char *task = json_string_value(json_object_get(body, "task"));
+    char *rest;
+
+    order->kind = strcmp(path, "/hold") == 0       ? CW_ORDER_HOLD
+                  : strcmp(path, "/run-stop") == 0 ? CW_ORDER_STOP
+                                                   : CW_ORDER_START;
+    order->id = cw_http_call_header(call, "X-Expect-Instance");
+    order->fence =
+        (uint64_t)json_integer_value(json_object_get(body, "fence_token"));
+    order->lease_until_ms =
+        json_integer_value(json_object_get(body, "until_ms"));
+    order->acked =
+        (uint64_t)json_integer_value(json_object_get(body, "acked_offset"));
+    order->run = (unsigned)json_integer_value(json_object_get(body, "run"));
+    order->saved = json_string_value(json_object_get(body, "saved"));
+    if (order->kind == CW_ORDER_HOLD) {
+        return order->id != NULL;
+    }
+    if (task == NULL || order->id == NULL) {
+        return false;
+    }
+    *name = g_strdup(task);
+    rest = strchr(*name, '.');
+    if (rest == NULL) {
+        return false;
+    }
+    *rest++ = '\0';
+    order->task.job = *name;
+    return sscanf(rest, "%u.%u.%u", &order->task.occurrence, &order->task.step,
+                  &order->task.index) == 3;
+}
+
+/* Plans are asked for by the job's name alone. */
+static void
+keep_payload(struct platform *platform, const struct cw_target_order *order,
+             const json_t *body)
+{
+    const char *payload = json_string_value(json_object_get(body, "spec"));
+
+    if (order->kind == CW_ORDER_START && payload != NULL) {
+        pthread_mutex_lock(&platform->lock);
+        g_hash_table_replace(platform->payloads, g_strdup(order->task.job),
+                             g_strdup(payload));
+        pthread_mutex_unlock(&platform->lock);
+    }
+}
+
+static void *
+carry_out(void *argument)
+{
+    struct waiting *waiting = argument;
+    struct platform *platform = waiting->platform;
+    struct cw_http_call *call = waiting->call;
+    size_t length = 0;
+    const char *text = cw_http_call_body(call, &length);
+    json_t *body = json_loadb(text, length, 0, NULL);
+    struct cw_target_order order = {0};
+    char *name = NULL;
+
+    if (!decode_order(call, body, &name, &order)) {
+        standin_answer(call, 400, json_object());
+        goto done;
+    }
+    keep_payload(platform, &order, body);
+    waiting->until_ms +=
+        order.kind == CW_ORDER_HOLD
+            ? json_integer_value(json_object_get(body, "wait_ms"))
+            : 0;
+    for (;;) {
+        GArray *running = g_array_new(FALSE, TRUE, sizeof(struct cw_running));
+        GArray *ended = g_array_new(FALSE, TRUE, sizeof(struct cw_ended));
+        GPtrArray *texts = g_ptr_array_new_with_free_func(g_free);
+        struct cw_target_answer answer;
+        bool last;
+
+        pthread_mutex_lock(&platform->lock);
+        worker_model_order(
+            worker_fleet_find(platform->fleet, waiting->worker->id), &order,
+            standin_now_ms(), &answer, running, ended, texts);
+        pthread_mutex_unlock(&platform->lock);
+        last = answer.ended_count > 0 || answer.status != CW_TARGET_OK ||
+               standin_now_ms() >= waiting->until_ms;
+        if (last) {
+            answer_order(platform, call, &answer);
+        }
+        g_array_unref(running);
+        g_array_unref(ended);
+        g_ptr_array_unref(texts);
+        if (last) {
+            break;
+        }
+        g_usleep(WAIT_STEP_MS * 1000);
+    }
+
+done:
+    g_free(name);
+    json_decref(body);
+    g_free(waiting);
+    return NULL;
+}
+
+void
+standin_handle_worker(void *context, struct cw_http_call *call)
+{
+    struct worker_server *worker = context;
+
+    standin_wait(worker->platform, worker, call, 0, carry_out);
+}
+
+/* ---- what runs in workers ---- */
+
+/* The number after "NAME=" in a payload, or `fallback`. */
+static unsigned
+number_in(const char *payload, const char *name, unsigned fallback)
+{
+    char *key = g_strdup_printf("%s=", name);
+    const char *found = strstr(payload, key);
+    unsigned value = fallback;
+
+    if (found != NULL) {
+        value = (unsigned)strtoul(found + strlen(key), NULL, 10);
+    }
+    g_free(key);
+    return value;
+}
+
+static bool
+on_plan(void *context, const struct cw_task_name *task, struct task_plan *out)
+{
+    struct platform *platform = context;
+    const char *payload = g_hash_table_lookup(platform->payloads, task->job);
+
+    payload = payload != NULL ? payload : "";
+    out->work_ms = number_in(payload, "run_ms", TASK_MS);
+    out->members = number_in(payload, "members", 0);
+    out->fails = number_in(payload, "fails", 0);
+    out->need.accelerators = 1;
+    return true;
+}
+
+static char *
+name_of(const struct cw_task_name *task)
+{
+    return g_strdup_printf("%s.%u.%u.%u", task->job, task->occurrence,
+                           task->step, task->index);
+}
+
+static void
+on_started(void *context, const char *worker, const struct cw_task_name *task,
+           unsigned run)
+{
+    struct platform *platform = context;
+    char *name = name_of(task);
+    unsigned active =
+        GPOINTER_TO_UINT(g_hash_table_lookup(platform->active, name));
+
+    printf("started task=%s run=%u worker=%s\n", name, run, worker);
+    if (active > 0) {
+        printf("violation twice task=%s\n", name);
+        platform->violations++;
+    }
+    fflush(stdout);
+    g_hash_table_insert(platform->active, name, GUINT_TO_POINTER(active + 1));
+}
+
+static void
+on_ended(void *context, const char *worker, const struct cw_task_name *task,
+         unsigned run, enum cw_end_kind how)
+{
+    struct platform *platform = context;
+    char *name = name_of(task);
+
+    printf("ended task=%s run=%u worker=%s how=%s\n", name, run, worker,
+           cw_end_kind_name(how));
+    fflush(stdout);
+    g_hash_table_insert(platform->active, name, GUINT_TO_POINTER(0));
+}
+
+static void
+on_confirmed(void *context, const char *worker,
+             const struct cw_task_name *task, unsigned run,
+             enum cw_end_kind how, bool lapsed)
+{
+    (void)context;
+    (void)worker;
+    (void)task;
+    (void)run;
+    (void)how;
+    (void)lapsed;
+}
+
+struct worker_listener
+standin_listener(struct platform *platform)
+{
+    struct worker_listener listener = {.plan = on_plan,
+                                       .started = on_started,
+                                       .ended = on_ended,
+                                       .confirmed = on_confirmed,
+                                       .context = platform};
+
+    return listener;
+}
--- a/tools/bench/bench.h
+++ b/tools/bench/bench.h
@@ -29,7 +29,4 @@
 /* Microseconds of the monotonic clock. */
 double bench_now_us(void);
 
-/* Resident memory of this process in bytes. */
-long bench_resident(void);
-
 #endif
--- a/tools/bench/bench_main.c
+++ b/tools/bench/bench_main.c
@@ -72,21 +72,6 @@
     return (double)now.tv_sec * 1e6 + (double)now.tv_nsec / 1e3;
 }
 
-long
-bench_resident(void)
-{
-    long pages = 0;
-    FILE *file = fopen("/proc/self/statm", "r");
-
-    if (file != NULL) {
-        if (fscanf(file, "%*s %ld", &pages) != 1) {
-            pages = 0;
-        }
-        fclose(file);
-    }
-    return pages * sysconf(_SC_PAGESIZE);
-}
-
 static int
 by_value(const void *a, const void *b)
 {
--- a/tools/bench/bench_place.c
+++ b/tools/bench/bench_place.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "bench.h"
+#include "curlewcart/cw_process.h"
 #include "owner_site.h"
 
 enum {
@@ -96,7 +97,7 @@
            workers, waiting, bench_percentile(passes, 0.5),
            bench_percentile(passes, 0.99), plain,
            bench_percentile(passes, 0.5) / MAX(plain, 1.0),
-           (double)bench_resident() / 1e6);
+           cw_process_resident_bytes() / 1e6);
     g_array_unref(passes);
     site_end(&site);
     return 0;
