One timeout leaves all silent connections of a host; starts never sent fall back at once

Cause: open connections may go silent for good without a reset. libcurl drops the one that timed out and reuses the next that is as dead: a member's joins (700 ms each, time to live 1.3 s) and a worker's starts (900 ms each, three tries) could use up several in a row. A connect that ran out of time was told as "no answer", so a start that had never left the VM was tried three times and then stopped there, and a submission was answered 504 instead of 503. Change: after a timeout on a kept connection, connections to that host made before are not used again; a request of which no byte was written is told as unsent; an unsent start drops its run and avoids the worker for 2 s. Tests: test_http_client (both fail without the change), test_orders.

--- a/src/http/http_client.c
+++ b/src/http/http_client.c
@@ -17,6 +17,9 @@
     CONNECT_TIMEOUT_MS = 1000,
     POLL_MS = 1000,
     CACHED_CONNECTIONS = 1024,
+    /* libcurl forgets connections that were idle for longer by itself. */
+    SUSPECT_S = 118,
+    SUSPECTS_MOST = 1024,
     ANSWER_BYTES_MAX = 64 * 1024 * 1024
 };
 
@@ -48,6 +51,9 @@
     unsigned stop;
     GPtrArray *idle;  /* CURL easy handles for reuse */
     GHashTable *busy; /* struct transfer, a set */
+    /* HOST:PORT -> struct timespec: when a request on a kept connection got
+     * no answer.  The others made before it may be as dead. */
+    GHashTable *suspects;
 };
 
 static void
@@ -109,6 +115,73 @@
     curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer->headers);
 }
 
+/* ---- connections that fell silent ---- */
+
+/* HOST:PORT of a URL.  Owned by the caller. */
+static char *
+host_of(const char *url)
+{
+    const char *host = strstr(url, "://");
+
+    host = host != NULL ? host + strlen("://") : url;
+    return g_strndup(host, strcspn(host, "/"));
+}
+
+static gboolean
+is_forgotten(gpointer host, gpointer since, gpointer now)
+{
+    return cw_time_diff_ms(*(struct timespec *)since,
+                           *(struct timespec *)now) > SUSPECT_S * CW_MS_PER_S;
+}
+
+/* A connection that was kept open gave no answer: those beside it are not
+ * used again either, as each would cost one more timeout. */
+static void
+suspect_host(struct cw_http_client *client, const struct transfer *transfer)
+{
+    struct timespec now = cw_clock_now(cw_clock_system());
+    long made = 0;
+
+    curl_easy_getinfo(transfer->easy, CURLINFO_NUM_CONNECTS, &made);
+    if (made > 0) {
+        return;
+    }
+    g_hash_table_foreach_remove(client->suspects, is_forgotten, &now);
+    if (g_hash_table_size(client->suspects) < SUSPECTS_MOST) {
+        g_hash_table_replace(client->suspects, host_of(transfer->url),
+                             g_memdup2(&now, sizeof(now)));
+    }
+}
+
+/* Keeps a transfer off connections made before its host was suspected. */
+static void
+avoid_suspects(struct cw_http_client *client, struct transfer *transfer)
+{
+    struct timespec now = cw_clock_now(cw_clock_system());
+    char *host;
+    const struct timespec *since;
+    int64_t passed_s;
+
+    if (g_hash_table_size(client->suspects) == 0) {
+        return;
+    }
+    host = host_of(transfer->url);
+    since = g_hash_table_lookup(client->suspects, host);
+    g_free(host);
+    if (since == NULL) {
+        return;
+    }
+    /* libcurl counts ages in whole seconds, and 0 would mean any age. */
+    passed_s = cw_time_diff_ms(*since, now) / CW_MS_PER_S;
+    if (passed_s < 1) {
+        curl_easy_setopt(transfer->easy, CURLOPT_FRESH_CONNECT, 1L);
+    }
+    else if (passed_s <= SUSPECT_S) {
+        curl_easy_setopt(transfer->easy, CURLOPT_MAXLIFETIME_CONN,
+                         (long)passed_s);
+    }
+}
+
 static void
 begin_transfer(struct cw_http_client *client, struct transfer *transfer)
 {
@@ -121,6 +194,7 @@
     }
     g_assert(transfer->easy != NULL);
     set_options(transfer);
+    avoid_suspects(client, transfer);
     g_hash_table_add(client->busy, transfer);
     curl_multi_add_handle(client->multi, transfer->easy);
 }
@@ -175,7 +249,15 @@
         result.bytes = wire_bytes(transfer);
     }
     else {
-        result.unsent = code == CURLE_COULDNT_CONNECT;
+        long request_bytes = 0;
+
+        /* Also when the time was over before a connection was made. */
+        curl_easy_getinfo(transfer->easy, CURLINFO_REQUEST_SIZE,
+                          &request_bytes);
+        result.unsent = request_bytes == 0;
+        if (code == CURLE_OPERATION_TIMEDOUT) {
+            suspect_host(client, transfer);
+        }
     }
     curl_multi_remove_handle(client->multi, transfer->easy);
     g_ptr_array_add(client->idle, transfer->easy);
@@ -348,6 +430,8 @@
                       (long)CACHED_CONNECTIONS);
     client->idle = g_ptr_array_new();
     client->busy = g_hash_table_new(NULL, NULL);
+    client->suspects =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     if (pthread_create(&client->thread, NULL, client_main, client) != 0) {
         goto error_tables;
     }
@@ -356,6 +440,7 @@
 error_tables:
     g_ptr_array_unref(client->idle);
     g_hash_table_unref(client->busy);
+    g_hash_table_unref(client->suspects);
     curl_multi_cleanup(client->multi);
 error_watch:
     http_watch_free(client->watch);
@@ -403,6 +488,7 @@
     }
     g_ptr_array_unref(client->idle);
     g_hash_table_unref(client->busy);
+    g_hash_table_unref(client->suspects);
     curl_multi_cleanup(client->multi);
     http_watch_free(client->watch);
     g_free(client);
--- a/src/owner/owner_orders.c
+++ b/src/owner/owner_orders.c
@@ -10,7 +10,10 @@
     ORDER_TIMEOUT_MS = 900,
     STARTS_UNANSWERED = 3,
     AVOID_FULL_MS = 300,
-    AVOID_UNHEALTHY_MS = 1500
+    AVOID_UNHEALTHY_MS = 1500,
+    /* A connection could not be made within its second: the next look at
+     * the worker, which is under way by then, decides what follows. */
+    AVOID_UNREACHABLE_MS = 2000
 };
 
 void
@@ -136,9 +139,13 @@
         break;
     case CW_TARGET_LATE:
     case CW_TARGET_UNKNOWN:
-    case CW_TARGET_UNREACHABLE:
         start_again(order, run);
         break;
+    case CW_TARGET_UNREACHABLE: /* it never left this VM */
+        cw_count_code(owner->options.counters, CW_RETRY_SILENT);
+        avoid(target, AVOID_UNREACHABLE_MS);
+        fall_back(owner, run);
+        break;
     case CW_TARGET_NO_ROOM:
         cw_count_code(owner->options.counters, CW_RETRY_REFUSED);
         avoid(target, AVOID_FULL_MS);
--- /dev/null
+++ b/tests/test_http_client.c
@@ -0,0 +1,256 @@
+/* The client on connections that fall silent, and what was never sent. */
+#include "test_main.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <pthread.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "curlewcart/cw_http_client.h"
+
+enum {
+    CONNECTIONS_MAX = 8,
+    CALL_TIMEOUT_MS = 400,
+    LONG_TIMEOUT_MS = 20000,
+    POLL_MS = 5
+};
+
+/* A server that answers requests of new connections, and those of old ones
+ * until it is told not to. */
+struct server {
+    int listener;
+    uint16_t port;
+    pthread_t thread;
+    pthread_mutex_t lock; /* guards what follows */
+    int connections[CONNECTIONS_MAX];
+    unsigned count;
+    unsigned silent; /* so many of the first are never answered again */
+    unsigned held;   /* requests read and not answered yet */
+    bool holding;    /* requests wait */
+    bool stop;
+};
+
+static bool
+read_request(int connection)
+{
+    char text[4096];
+    ssize_t got = recv(connection, text, sizeof(text), MSG_DONTWAIT);
+
+    return got > 0;
+}
+
+static void
+serve_connection(struct server *server, unsigned index, bool *owed)
+{
+    static const char answer[] =
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+    if (read_request(server->connections[index])) {
+        owed[index] = true;
+        server->held++;
+    }
+    if (owed[index] && !server->holding && index >= server->silent) {
+        owed[index] = false;
+        server->held--;
+        (void)send(server->connections[index], answer, strlen(answer),
+                   MSG_NOSIGNAL);
+    }
+}
+
+static void *
+server_main(void *argument)
+{
+    struct server *server = argument;
+    bool owed[CONNECTIONS_MAX] = {false};
+    bool stop = false;
+
+    while (!stop) {
+        struct pollfd wait = {.fd = server->listener, .events = POLLIN};
+        bool waiting = poll(&wait, 1, POLL_MS) > 0;
+
+        pthread_mutex_lock(&server->lock);
+        if (waiting && server->count < CONNECTIONS_MAX) {
+            server->connections[server->count++] =
+                accept(server->listener, NULL, NULL);
+        }
+        for (unsigned i = 0; i < server->count; i++) {
+            serve_connection(server, i, owed);
+        }
+        stop = server->stop;
+        pthread_mutex_unlock(&server->lock);
+    }
+    return NULL;
+}
+
+static void
+server_start(struct server *server)
+{
+    struct sockaddr_in address = {.sin_family = AF_INET,
+                                  .sin_addr = {htonl(INADDR_LOOPBACK)}};
+    socklen_t length = sizeof(address);
+
+    pthread_mutex_init(&server->lock, NULL);
+    server->listener = socket(AF_INET, SOCK_STREAM, 0);
+    g_assert(bind(server->listener, (struct sockaddr *)&address,
+                  sizeof(address)) == 0);
+    g_assert(listen(server->listener, CONNECTIONS_MAX) == 0);
+    getsockname(server->listener, (struct sockaddr *)&address, &length);
+    server->port = ntohs(address.sin_port);
+    g_assert(pthread_create(&server->thread, NULL, server_main, server) == 0);
+}
+
+static void
+server_stop(struct server *server)
+{
+    pthread_mutex_lock(&server->lock);
+    server->stop = true;
+    pthread_mutex_unlock(&server->lock);
+    pthread_join(server->thread, NULL);
+    for (unsigned i = 0; i < server->count; i++) {
+        close(server->connections[i]);
+    }
+    close(server->listener);
+}
+
+/* Answers of requests, and how many. */
+struct answers {
+    pthread_mutex_t lock;
+    pthread_cond_t changed;
+    unsigned count;
+    unsigned ok;
+    unsigned unsent;
+};
+
+static void
+on_done(void *context, const struct cw_http_result *result)
+{
+    struct answers *answers = context;
+
+    pthread_mutex_lock(&answers->lock);
+    answers->count++;
+    answers->ok += result->status == 200;
+    answers->unsent += result->unsent;
+    pthread_cond_broadcast(&answers->changed);
+    pthread_mutex_unlock(&answers->lock);
+}
+
+static void
+answers_wait(struct answers *answers, unsigned count)
+{
+    pthread_mutex_lock(&answers->lock);
+    while (answers->count < count) {
+        pthread_cond_wait(&answers->changed, &answers->lock);
+    }
+    pthread_mutex_unlock(&answers->lock);
+}
+
+static void
+request(struct cw_http_client *client, uint16_t port, struct answers *answers,
+        long timeout_ms)
+{
+    char url[64];
+    struct cw_http_request request = {.url = url,
+                                      .timeout_ms = timeout_ms,
+                                      .done = on_done,
+                                      .context = answers};
+
+    g_snprintf(url, sizeof(url), "http://127.0.0.1:%u/x", port);
+    cw_http_client_send(client, &request);
+}
+
+/* Three connections are open and idle afterwards. */
+static void
+open_three(struct cw_http_client *client, struct server *server,
+           struct answers *answers)
+{
+    unsigned held = 0;
+
+    pthread_mutex_lock(&server->lock);
+    server->holding = true;
+    pthread_mutex_unlock(&server->lock);
+    for (unsigned i = 0; i < 3; i++) {
+        request(client, server->port, answers, LONG_TIMEOUT_MS);
+    }
+    while (held < 3) {
+        usleep(1000);
+        pthread_mutex_lock(&server->lock);
+        held = server->held;
+        pthread_mutex_unlock(&server->lock);
+    }
+    pthread_mutex_lock(&server->lock);
+    server->holding = false;
+    pthread_mutex_unlock(&server->lock);
+    answers_wait(answers, 3);
+    CU_ASSERT_EQUAL(answers->ok, 3);
+}
+
+/* All open connections of a host go silent at once, without a reset: one
+ * timeout has to be enough to leave them all. */
+static void
+test_one_timeout_leaves_all_silent_connections(void)
+{
+    struct server server = {0};
+    struct answers answers = {.lock = PTHREAD_MUTEX_INITIALIZER,
+                              .changed = PTHREAD_COND_INITIALIZER};
+    struct cw_http_client *client = cw_http_client_create(NULL);
+
+    server_start(&server);
+    open_three(client, &server, &answers);
+    pthread_mutex_lock(&server.lock);
+    server.silent = 3;
+    pthread_mutex_unlock(&server.lock);
+    request(client, server.port, &answers, CALL_TIMEOUT_MS);
+    answers_wait(&answers, 4);
+    CU_ASSERT_EQUAL(answers.ok, 3);
+    CU_ASSERT_EQUAL(answers.unsent, 0);
+    for (unsigned i = 0; i < 3; i++) {
+        request(client, server.port, &answers, LONG_TIMEOUT_MS);
+        answers_wait(&answers, 5 + i);
+    }
+    CU_ASSERT_EQUAL(answers.ok, 6);
+    cw_http_client_free(client);
+    server_stop(&server);
+}
+
+/* A connection that is never made: the peer's queue of new ones is full. */
+static void
+test_a_request_that_never_left_is_told_as_unsent(void)
+{
+    struct sockaddr_in address = {.sin_family = AF_INET,
+                                  .sin_addr = {htonl(INADDR_LOOPBACK)}};
+    socklen_t length = sizeof(address);
+    struct answers answers = {.lock = PTHREAD_MUTEX_INITIALIZER,
+                              .changed = PTHREAD_COND_INITIALIZER};
+    struct cw_http_client *client = cw_http_client_create(NULL);
+    int listener = socket(AF_INET, SOCK_STREAM, 0);
+    int fillers[2];
+
+    g_assert(bind(listener, (struct sockaddr *)&address, sizeof(address)) ==
+             0);
+    g_assert(listen(listener, 0) == 0);
+    getsockname(listener, (struct sockaddr *)&address, &length);
+    for (size_t i = 0; i < G_N_ELEMENTS(fillers); i++) {
+        fillers[i] = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+        (void)connect(fillers[i], (struct sockaddr *)&address,
+                      sizeof(address));
+    }
+    request(client, ntohs(address.sin_port), &answers, CALL_TIMEOUT_MS);
+    answers_wait(&answers, 1);
+    CU_ASSERT_EQUAL(answers.ok, 0);
+    CU_ASSERT_EQUAL(answers.unsent, 1);
+    cw_http_client_free(client);
+    for (size_t i = 0; i < G_N_ELEMENTS(fillers); i++) {
+        close(fillers[i]);
+    }
+    close(listener);
+}
+
+static const struct test tests[] = {
+    {"silent connections", test_one_timeout_leaves_all_silent_connections},
+    {"never sent", test_a_request_that_never_left_is_told_as_unsent},
+};
+
+TEST_MAIN("http_client", tests)
