The strongest VMs own the shard; weak ones stay out while an owner writes

Cause: on the grown sites VMs have 0.12 or 0.5 of a core, and the group deals the shard to any. Ruled out: room (starts without a reservation waited as long), the store (10 ms), placement (0.02 to 0.1 s). Change: each VM announces its processor in the shard's log. One with less than two thirds of the strongest joins the group only if no owner has written for 3 s while it could read, and leaves again when a stronger VM announces itself. An owner with nothing to commit writes once a second where such VMs exist; sites whose VMs are alike see one append a VM and no other change. VMs that are turned away by the store start at different peers.

Tests: test_group (8).

--- a/include/curlewcart/cw_owner.h
+++ b/include/curlewcart/cw_owner.h
@@ -30,11 +30,14 @@
     struct cw_clock *clock;
     struct cw_replica *replica;
     struct cw_counters *counters;
-    const char *member;     /* of this process's life; copied */
-    unsigned partition;     /* the shard */
-    unsigned member_ttl_ms; /* the store forgets a silent member after it */
-    unsigned lease_ms;      /* longest lease that workers grant */
-    unsigned retain_ms;     /* ended jobs are known at least so long */
+    const char *vm;          /* name of this VM; borrowed */
+    const char *member;      /* of this process's life; copied */
+    unsigned partition;      /* the shard */
+    unsigned member_ttl_ms;  /* the store forgets a silent member after it */
+    unsigned lease_ms;       /* longest lease that workers grant */
+    unsigned retain_ms;      /* ended jobs are known at least so long */
+    unsigned capacity_milli; /* this VM's processor, thousandths of a core;
+                                0: as any other */
 };
 
 struct cw_owner;
--- a/include/curlewcart/cw_replica.h
+++ b/include/curlewcart/cw_replica.h
@@ -1,4 +1,7 @@
 /* Every VM's copy of the jobs that the store holds, folded from its log.
+ *
+ * Beside jobs the log holds what VMs tell each other: their processors, and
+ * that an owner is there.
  *
  * Three kinds of records make a job: its specification (any VM), a mark that
  * it was cancelled (any VM), and its state (the owner of the shard, fenced).
@@ -44,6 +47,11 @@
     void (*changed)(void *context, struct cw_replica_job *job);
     /* A read was answered: everything up to the position is folded. */
     void (*advanced)(void *context);
+    /* A VM has announced its processor, in thousandths of a core. */
+    void (*vm_announced)(void *context, const char *vm,
+                         unsigned capacity_milli);
+    /* A record of an owner was read. */
+    void (*owner_wrote)(void *context);
     void *context;
 };
 
--- a/include/curlewcart/cw_settings.h
+++ b/include/curlewcart/cw_settings.h
@@ -35,12 +35,19 @@
     unsigned member_ttl_ms; /* least time to live of a group's member */
 };
 
+/* How much of a processor the VM has; both 0: unknown. */
+struct cw_settings_processor {
+    double share; /* of a core */
+    double cores; /* speed of one, against the usual */
+};
+
 struct cw_settings {
     char *vm;
     char *dc;
     struct cw_settings_listen listen;
     char *store; /* HOST:PORT */
     struct cw_settings_bounds bounds;
+    struct cw_settings_processor processor;
     struct cw_settings_api *api; /* or NULL */
     char *log_level;             /* error, warning, info or debug */
     char *ports_file;            /* where to write the ports listened on */
--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -193,12 +193,27 @@
 
 struct owner_batch; /* owner_commit.c */
 
+/* Whether this VM lets itself be dealt the shard; owner_candidacy.c. */
+struct owner_candidacy {
+    GHashTable *capacities; /* VM -> thousandths of a core, as announced */
+    unsigned least_milli;
+    unsigned most_milli;
+    bool stands;    /* this VM lets itself be dealt the shard */
+    bool outranked; /* a stronger VM has announced itself since then */
+    bool announcing;
+    bool announced;
+    struct timespec announce_due;
+    struct timespec owner_wrote_at; /* when an owner's record was read last */
+    struct timespec reading_since;  /* reads have been answered since */
+};
+
 struct cw_owner {
     struct cw_owner_options options;
     char *member;
     struct cw_routing *routing;
     enum owner_state state;
     bool leaving;
+    bool joined; /* the group has it as a member, as far as known */
     bool holds_partition;
     bool yielding;       /* the group has dealt the partition to another VM */
     uint64_t generation; /* of the group, last received */
@@ -222,6 +237,8 @@
     struct owner_batch *batch;
     uint64_t sequence;
     struct timespec flush_due;
+    struct timespec appended_at; /* the last batch was sent */
+    struct owner_candidacy candidacy;
     bool place_wanted;
     struct timespec place_due;
     uint64_t room_version; /* grows whenever room may have come free */
@@ -252,6 +269,35 @@
     return cw_clock_now(owner->options.clock);
 }
 
+/* Shuts out earlier owners of the shard that was just gained. */
+void owner_begin_fencing(struct cw_owner *owner, struct timespec now);
+
+/* ---- owner_group.c ---- */
+
+/* Joins or leaves the group as is due; returns when it wants to be called
+ * next at the latest. */
+struct timespec owner_group_tick(struct cw_owner *owner, struct timespec now);
+
+/* ---- owner_candidacy.c ---- */
+
+void owner_candidacy_init(struct cw_owner *owner);
+void owner_candidacy_clear(struct cw_owner *owner);
+
+/* A VM has announced its processor, in thousandths of a core. */
+void owner_candidacy_announced(struct cw_owner *owner, const char *vm,
+                               unsigned capacity_milli);
+
+/* Announces this VM; returns when it wants to be called next at the latest. */
+struct timespec
+owner_candidacy_tick(struct cw_owner *owner, struct timespec now);
+
+/* True if this VM should be in the group. */
+bool owner_candidacy_wants(const struct cw_owner *owner, struct timespec now);
+
+/* True if weaker VMs wait for a sign of this owner. */
+bool
+owner_candidacy_beat_due(const struct cw_owner *owner, struct timespec now);
+
 /* ---- owner_jobs.c ---- */
 
 /* Takes a job of the replica over; does nothing if it is known or over. */
--- a/src/owner/owner.c
+++ b/src/owner/owner.c
@@ -4,10 +4,7 @@
 #include <string.h>
 
 enum {
-    /* A fifth of the member's time to live: several lost calls in a row do
-     * not lose the shard. */
-    JOIN_PARTS = 5,
-    JOIN_TIMEOUT_MS = 700,
+    CAPACITY_UNKNOWN_MILLI = 1000, /* as one core */
     FENCE_TIMEOUT_MS = 900,
     FENCE_RETRY_MS = 150,
     /* Starts and stops need a confirmation by the store that is younger than
@@ -140,8 +137,8 @@
     owner->reports = cw_follower_create(&options);
 }
 
-static void
-begin_fencing(struct cw_owner *owner, struct timespec now)
+void
+owner_begin_fencing(struct cw_owner *owner, struct timespec now)
 {
     if (owner->generation != owner->epoch_generation) {
         owner->epoch_generation = owner->generation;
@@ -232,142 +229,41 @@
            cw_follower_position(jobs) >= owner->fence_end;
 }
 
-/* ---- the group ---- */
-
-static bool
-has_partition(const struct cw_store_joined *result, unsigned partition)
-{
-    for (size_t i = 0; i < result->count; i++) {
-        if (result->partitions[i] == partition) {
-            return true;
-        }
-    }
-    return false;
-}
+/* ---- what the replica tells ---- */
 
-/* Another VM is to own the shard.  This one goes on until the other has
- * shut it out, so that there is no gap, or until its last proof is old. */
 static void
-yield(struct cw_owner *owner, const char *reason)
+on_changed(void *context, struct cw_replica_job *entry)
 {
+    struct cw_owner *owner = context;
+    struct owner_job *job;
+
     if (owner->state != OWNER_ACTIVE) {
-        owner_depose(owner, reason);
         return;
     }
-    owner->yielding = true;
-    cw_log_info("owner_yields", "shard=%u epoch=%" PRIu64 " reason=%s",
-                owner->options.partition, owner->epoch, reason);
-}
-
-static void
-take_join(struct cw_owner *owner, const struct cw_store_joined *result,
-          struct timespec now)
-{
-    bool has = has_partition(result, owner->options.partition);
-
-    owner->generation = result->generation;
-    if (has) {
-        owner->proof_at = owner->join_sent;
-    }
-    if (has && !owner->holds_partition && !owner->leaving) {
-        owner->holds_partition = true;
-        cw_log_info("shard_gained", "shard=%u generation=%" PRIu64,
-                    owner->options.partition, owner->generation);
-        begin_fencing(owner, now);
-    }
-    else if (!has && owner->holds_partition && !owner->yielding) {
-        yield(owner, "reassigned");
+    job = g_hash_table_lookup(owner->jobs, entry->id);
+    if (job == NULL) {
+        owner_job_adopt(owner, entry);
+        return;
     }
-    else if (has) {
-        owner->yielding = false;
+    if (entry->cancelled && !cw_work_is_over(job->phase)) {
+        owner_job_end(owner, job, CW_WORK_CANCELLED, CW_END_CANCELLED);
     }
 }
 
 static void
-on_joined(void *context, const struct cw_store_joined *result)
+on_vm_announced(void *context, const char *vm, unsigned capacity_milli)
 {
     struct cw_owner *owner = context;
-    struct timespec now = owner_now(owner);
 
-    owner->join_in_flight = false;
-    owner->join_due = cw_time_add_ms(
-        owner->join_sent, owner->options.member_ttl_ms / JOIN_PARTS);
-    if (result->status == CW_STORE_OK && !owner->leaving) {
-        take_join(owner, result, now);
-    }
+    owner_candidacy_announced(owner, vm, capacity_milli);
 }
 
 static void
-send_join(struct cw_owner *owner, struct timespec now)
-{
-    struct cw_store_join call = {
-        .group = CW_OWNER_GROUP,
-        .member = owner->member,
-        .topic = CW_WORK_TOPIC,
-        .ttl_ms = owner->options.member_ttl_ms,
-        .generation = owner->generation,
-        .timeout_ms = JOIN_TIMEOUT_MS,
-        .done = on_joined,
-        .context = owner,
-    };
-
-    if (owner->join_in_flight || owner->leaving ||
-        cw_time_before(now, owner->join_due))
-    {
-        return;
-    }
-    owner->join_in_flight = true;
-    owner->join_sent = now;
-    owner->options.store->ops->join(owner->options.store, &call);
-}
-
-static void
-on_left(void *context, enum cw_store_status status)
-{
-    (void)context;
-    cw_log_info("group_left", "status=%s", cw_store_status_name(status));
-}
-
-void
-cw_owner_leave(struct cw_owner *owner)
-{
-    struct cw_store_leave call = {
-        .group = CW_OWNER_GROUP,
-        .member = owner->member,
-        .timeout_ms = JOIN_TIMEOUT_MS,
-        .done = on_left,
-        .context = owner,
-    };
-
-    if (owner->leaving) {
-        return;
-    }
-    owner->leaving = true;
-    if (owner->state != OWNER_IDLE) {
-        yield(owner, "leaving");
-    }
-    owner->options.store->ops->leave(owner->options.store, &call);
-}
-
-/* ---- what the replica tells ---- */
-
-static void
-on_changed(void *context, struct cw_replica_job *entry)
+on_owner_wrote(void *context)
 {
     struct cw_owner *owner = context;
-    struct owner_job *job;
 
-    if (owner->state != OWNER_ACTIVE) {
-        return;
-    }
-    job = g_hash_table_lookup(owner->jobs, entry->id);
-    if (job == NULL) {
-        owner_job_adopt(owner, entry);
-        return;
-    }
-    if (entry->cancelled && !cw_work_is_over(job->phase)) {
-        owner_job_end(owner, job, CW_WORK_CANCELLED, CW_END_CANCELLED);
-    }
+    owner->candidacy.owner_wrote_at = owner_now(owner);
 }
 
 /* ---- public ---- */
@@ -377,9 +273,14 @@
 {
     struct cw_owner *owner = g_new0(struct cw_owner, 1);
     struct cw_replica_listener listener = {.changed = on_changed,
+                                           .vm_announced = on_vm_announced,
+                                           .owner_wrote = on_owner_wrote,
                                            .context = owner};
 
     owner->options = *options;
+    if (options->capacity_milli == 0) {
+        owner->options.capacity_milli = CAPACITY_UNKNOWN_MILLI;
+    }
     owner->member = g_strdup(options->member);
     owner->jobs =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, owner_job_free);
@@ -390,6 +291,7 @@
     owner->dirty = g_ptr_array_new();
     owner->demand = g_hash_table_new(g_str_hash, g_str_equal);
     owner->memo = owner_memo_create();
+    owner_candidacy_init(owner);
     cw_replica_set_listener(options->replica, &listener);
     return owner;
 }
@@ -406,6 +308,7 @@
     g_hash_table_unref(owner->headroom);
     g_ptr_array_unref(owner->dirty);
     g_hash_table_unref(owner->demand);
+    owner_candidacy_clear(owner);
     owner_memo_free(owner->memo);
     cw_routing_unref(owner->routing);
     g_free(owner->member);
@@ -525,10 +428,7 @@
 {
     struct timespec next;
 
-    send_join(owner, now);
-    next = owner->join_in_flight || owner->leaving
-               ? cw_time_add_ms(now, CW_MS_PER_S)
-               : owner->join_due;
+    next = owner_group_tick(owner, now);
     if (owner->state == OWNER_FENCING || owner->state == OWNER_CATCHING) {
         cw_follower_tick(owner->reports, now);
         cw_time_earlier(&next, cw_follower_due(owner->reports));
--- a/src/owner/owner_commit.c
+++ b/src/owner/owner_commit.c
@@ -252,12 +252,27 @@
     }
     batch->in_flight = true;
     batch->sent = now;
+    owner->appended_at = now;
     cw_count_add(owner->options.counters, CW_COUNT_APPENDS, 1);
     cw_count_add(owner->options.counters, CW_COUNT_RECORDS, call.count);
     owner->options.store->ops->append(owner->options.store, &call);
     g_free(records);
 }
 
+static void
+send_beat(struct cw_owner *owner, struct timespec now)
+{
+    struct cw_beat_record beat = {.vm = (char *)owner->options.vm,
+                                  .epoch = owner->epoch};
+    struct owner_batch *batch = batch_new(owner);
+
+    g_ptr_array_add(batch->keys, cw_work_key(CW_WORK_KEY_BEAT, "owner"));
+    g_ptr_array_add(batch->values,
+                    cw_xdr_encode((xdrproc_t)xdr_cw_beat_record, &beat));
+    owner->batch = batch;
+    send_batch(owner, batch, now);
+}
+
 /* Takes jobs out of the dirty list, up to a batch's size.  Returns true if
  * all were taken. */
 static bool
@@ -283,6 +298,9 @@
         /* Ends that concern no job here need no record. */
         collect_ends(owner);
         confirm_ends(owner);
+        if (owner_candidacy_beat_due(owner, now)) {
+            send_beat(owner, now);
+        }
         return cw_time_from_ms(INT32_MAX);
     }
     if (batch == NULL) {
--- /dev/null
+++ b/src/owner/owner_group.c
@@ -0,0 +1,172 @@
+/* Membership of the group that deals the shards. */
+#include "owner/internal/owner_private.h"
+
+enum {
+    /* A fifth of the member's time to live: several lost calls in a row do
+     * not lose the shard. */
+    JOIN_PARTS = 5,
+    JOIN_TIMEOUT_MS = 700
+};
+
+static bool
+has_partition(const struct cw_store_joined *result, unsigned partition)
+{
+    for (size_t i = 0; i < result->count; i++) {
+        if (result->partitions[i] == partition) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Another VM is to own the shard.  This one goes on until the other has
+ * shut it out, so that there is no gap, or until its last proof is old. */
+static void
+yield(struct cw_owner *owner, const char *reason)
+{
+    if (owner->state != OWNER_ACTIVE) {
+        owner_depose(owner, reason);
+        return;
+    }
+    owner->yielding = true;
+    cw_log_info("owner_yields", "shard=%u epoch=%" PRIu64 " reason=%s",
+                owner->options.partition, owner->epoch, reason);
+}
+
+static void
+take_join(struct cw_owner *owner, const struct cw_store_joined *result,
+          struct timespec now)
+{
+    bool has = has_partition(result, owner->options.partition);
+
+    owner->generation = result->generation;
+    owner->joined = true;
+    if (has) {
+        owner->proof_at = owner->join_sent;
+    }
+    if (has && !owner->holds_partition && !owner->leaving) {
+        owner->holds_partition = true;
+        cw_log_info("shard_gained", "shard=%u generation=%" PRIu64,
+                    owner->options.partition, owner->generation);
+        owner_begin_fencing(owner, now);
+    }
+    else if (!has && owner->holds_partition && !owner->yielding) {
+        yield(owner, "reassigned");
+    }
+    else if (has) {
+        owner->yielding = false;
+    }
+}
+
+static void
+on_joined(void *context, const struct cw_store_joined *result)
+{
+    struct cw_owner *owner = context;
+    struct timespec now = owner_now(owner);
+
+    owner->join_in_flight = false;
+    owner->join_due = cw_time_add_ms(
+        owner->join_sent, owner->options.member_ttl_ms / JOIN_PARTS);
+    if (result->status == CW_STORE_OK && !owner->leaving) {
+        take_join(owner, result, now);
+    }
+}
+
+static void
+send_join(struct cw_owner *owner, struct timespec now)
+{
+    struct cw_store_join call = {
+        .group = CW_OWNER_GROUP,
+        .member = owner->member,
+        .topic = CW_WORK_TOPIC,
+        .ttl_ms = owner->options.member_ttl_ms,
+        .generation = owner->generation,
+        .timeout_ms = JOIN_TIMEOUT_MS,
+        .done = on_joined,
+        .context = owner,
+    };
+
+    if (cw_time_before(now, owner->join_due)) {
+        return;
+    }
+    owner->join_in_flight = true;
+    owner->join_sent = now;
+    owner->options.store->ops->join(owner->options.store, &call);
+}
+
+/* ---- leaving ---- */
+
+static void
+on_left(void *context, enum cw_store_status status)
+{
+    (void)context;
+    cw_log_info("group_left", "status=%s", cw_store_status_name(status));
+}
+
+/* Without an answer the group forgets the member after its time to live. */
+static void
+send_leave(struct cw_owner *owner, const char *reason)
+{
+    struct cw_store_leave call = {
+        .group = CW_OWNER_GROUP,
+        .member = owner->member,
+        .timeout_ms = JOIN_TIMEOUT_MS,
+        .done = on_left,
+        .context = owner,
+    };
+
+    cw_log_info("group_leaves", "reason=%s capacity=%u most=%u", reason,
+                owner->options.capacity_milli, owner->candidacy.most_milli);
+    owner->joined = false;
+    if (owner->state != OWNER_IDLE) {
+        yield(owner, reason);
+    }
+    owner->options.store->ops->leave(owner->options.store, &call);
+}
+
+void
+cw_owner_leave(struct cw_owner *owner)
+{
+    if (!owner->leaving) {
+        owner->leaving = true;
+        send_leave(owner, "leaving");
+    }
+}
+
+/* Notes that this VM begins to let itself be dealt the shard, or stops. */
+static void
+set_candidate(struct cw_owner *owner, bool wants)
+{
+    struct owner_candidacy *candidacy = &owner->candidacy;
+
+    if (wants == candidacy->stands) {
+        return;
+    }
+    candidacy->stands = wants;
+    candidacy->outranked = false;
+    if (wants) {
+        cw_log_info("group_joins", "capacity=%u most=%u",
+                    owner->options.capacity_milli, candidacy->most_milli);
+    }
+}
+
+struct timespec
+owner_group_tick(struct cw_owner *owner, struct timespec now)
+{
+    struct timespec next = owner_candidacy_tick(owner, now);
+
+    if (owner->join_in_flight || owner->leaving) {
+        return next;
+    }
+    set_candidate(owner, owner_candidacy_wants(owner, now));
+    if (owner->candidacy.stands) {
+        send_join(owner, now);
+        if (!owner->join_in_flight) {
+            cw_time_earlier(&next, owner->join_due);
+        }
+    }
+    else if (owner->joined) {
+        send_leave(owner, "outranked");
+    }
+    return next;
+}
--- a/src/proto/cw_proto.h
+++ b/src/proto/cw_proto.h
@@ -170,6 +170,17 @@
 	} open;
 };
 typedef struct cw_work_record cw_work_record;
+
+struct cw_vm_record {
+	u_int capacity_milli;
+};
+typedef struct cw_vm_record cw_vm_record;
+
+struct cw_beat_record {
+	cw_name vm;
+	u_quad_t epoch;
+};
+typedef struct cw_beat_record cw_beat_record;
 #define CW_RELAY_BYTES_MAX 60000
 #define CW_RELAY_RECORDS_MAX 4096
 
@@ -271,6 +282,8 @@
 extern  bool_t xdr_cw_occurrence_record (XDR *, cw_occurrence_record*);
 extern  bool_t xdr_cw_place_record (XDR *, cw_place_record*);
 extern  bool_t xdr_cw_work_record (XDR *, cw_work_record*);
+extern  bool_t xdr_cw_vm_record (XDR *, cw_vm_record*);
+extern  bool_t xdr_cw_beat_record (XDR *, cw_beat_record*);
 extern  bool_t xdr_cw_relay_kind (XDR *, cw_relay_kind*);
 extern  bool_t xdr_cw_relay_record (XDR *, cw_relay_record*);
 extern  bool_t xdr_cw_relay_request (XDR *, cw_relay_request*);
@@ -288,6 +301,8 @@
 extern bool_t xdr_cw_occurrence_record ();
 extern bool_t xdr_cw_place_record ();
 extern bool_t xdr_cw_work_record ();
+extern bool_t xdr_cw_vm_record ();
+extern bool_t xdr_cw_beat_record ();
 extern bool_t xdr_cw_relay_kind ();
 extern bool_t xdr_cw_relay_record ();
 extern bool_t xdr_cw_relay_request ();
--- a/src/proto/cw_proto.x
+++ b/src/proto/cw_proto.x
@@ -148,6 +148,17 @@
     cw_occurrence_record open<CW_OCCURRENCES_MAX>;
 };
 
+/* What a VM tells of itself, in the shard's log. */
+struct cw_vm_record {
+    unsigned int capacity_milli;     /* processor, thousandths of a core */
+};
+
+/* An owner that has nothing else to write shows that it is there. */
+struct cw_beat_record {
+    cw_name vm;
+    unsigned hyper epoch;
+};
+
 /* ---- calls to the store through another VM ---- */
 
 const CW_RELAY_BYTES_MAX = 60000;
--- a/src/proto/cw_proto_xdr.c
+++ b/src/proto/cw_proto_xdr.c
@@ -695,6 +695,28 @@
 	return TRUE;
 }
 
+bool_t
+xdr_cw_vm_record (XDR *xdrs, cw_vm_record *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->capacity_milli))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_cw_beat_record (XDR *xdrs, cw_beat_record *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_cw_name (xdrs, &objp->vm))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_cw_relay_kind (XDR *xdrs, cw_relay_kind *objp)
 {
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -428,6 +428,8 @@
         return NULL;
     }
     relay->address = relay_rpc_address(relay->rpc);
+    /* VMs that are turned away together do not all ask the same one. */
+    relay->next_peer = g_str_hash(relay->address);
     relay->server.rpc = relay->rpc;
     relay->server.direct = options->direct;
     return relay;
--- a/src/replica/replica.c
+++ b/src/replica/replica.c
@@ -141,6 +141,33 @@
     read_head(job, record->value);
 }
 
+static void
+apply_vm(struct cw_replica *replica, const struct cw_store_record *record)
+{
+    const char *vm = record->key + 1;
+    struct cw_vm_record value = {0};
+
+    if (!cw_xdr_decode((xdrproc_t)xdr_cw_vm_record, &value, record->value,
+                       record->length))
+    {
+        cw_log_error("record_invalid", "vm=%s kind=vm offset=%" PRIu64, vm,
+                     record->offset);
+        return;
+    }
+    if (replica->listener.vm_announced != NULL) {
+        replica->listener.vm_announced(replica->listener.context, vm,
+                                       value.capacity_milli);
+    }
+}
+
+static void
+tell_owner_wrote(struct cw_replica *replica)
+{
+    if (replica->listener.owner_wrote != NULL) {
+        replica->listener.owner_wrote(replica->listener.context);
+    }
+}
+
 /* Folds a record of the job `id`. */
 static void
 apply(struct cw_replica *replica, const char *id,
@@ -162,6 +189,13 @@
         break;
     case CW_WORK_KEY_RECORD:
         apply_record(replica, id, record);
+        tell_owner_wrote(replica);
+        break;
+    case CW_WORK_KEY_VM:
+        apply_vm(replica, record);
+        break;
+    case CW_WORK_KEY_BEAT:
+        tell_owner_wrote(replica);
         break;
     default:
         cw_log_warning("record_unknown", "offset=%" PRIu64, record->offset);
--- a/src/settings/settings.c
+++ b/src/settings/settings.c
@@ -9,7 +9,12 @@
 
 #include "curlewcart/cw_yaml.h"
 
-enum { TEXT_MAX = 1024, PORT_MAX = 65535, TRUSTED_MAX = 256 };
+enum {
+    TEXT_MAX = 1024,
+    PORT_MAX = 65535,
+    TRUSTED_MAX = 256,
+    PROCESSOR_CORES_MAX = 4096
+};
 
 #define TEXT(key, flags, type, member)                                        \
     CYAML_FIELD_STRING_PTR(key, CYAML_FLAG_POINTER | (flags), type, member,   \
@@ -34,6 +39,14 @@
     CYAML_FIELD_END,
 };
 
+static const cyaml_schema_field_t processor_fields[] = {
+    CYAML_FIELD_FLOAT("share", CYAML_FLAG_DEFAULT,
+                      struct cw_settings_processor, share),
+    CYAML_FIELD_FLOAT("cores", CYAML_FLAG_DEFAULT,
+                      struct cw_settings_processor, cores),
+    CYAML_FIELD_END,
+};
+
 static const cyaml_schema_field_t trusted_fields[] = {
     TEXT("name", 0, struct cw_trusted_key, name),
     TEXT("public_key", 0, struct cw_trusted_key, public_key),
@@ -71,6 +84,8 @@
     TEXT("store", 0, struct cw_settings, store),
     CYAML_FIELD_MAPPING("bounds", CYAML_FLAG_DEFAULT, struct cw_settings,
                         bounds, bounds_fields),
+    CYAML_FIELD_MAPPING("processor", CYAML_FLAG_OPTIONAL, struct cw_settings,
+                        processor, processor_fields),
     CYAML_FIELD_MAPPING_PTR("api", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL,
                             struct cw_settings, api, api_fields),
     TEXT("log_level", CYAML_FLAG_OPTIONAL, struct cw_settings, log_level),
@@ -223,6 +238,13 @@
     check_address("listen.metrics", settings->listen.metrics, problems);
     check_address("store", settings->store, problems);
     check_interface(settings, problems);
+    if (!(settings->processor.share >= 0) ||
+        !(settings->processor.cores >= 0) ||
+        settings->processor.share * settings->processor.cores >
+            PROCESSOR_CORES_MAX)
+    {
+        g_string_append(problems, "processor: out of range\n");
+    }
     if (settings->bounds.lease_ms == 0) {
         g_string_append(problems, "bounds.lease_ms: must be above 0\n");
     }
--- a/src/vm/vm.c
+++ b/src/vm/vm.c
@@ -2,6 +2,7 @@
 #include "curlewcart/cw_vm.h"
 
 #include <inttypes.h>
+#include <math.h>
 #include <pthread.h>
 #include <signal.h>
 #include <stdlib.h>
@@ -30,6 +31,7 @@
      * a dead owner is replaced soon. */
     MEMBER_TTL_PERCENT = 130,
     PERCENT = 100,
+    MILLI = 1000,
     CALLER_CONNECTIONS = 2000,
     API_THREADS = 2,
     CALLER_IDLE_S = 60,
@@ -312,6 +314,8 @@
         .member_ttl_ms =
             settings->bounds.member_ttl_ms * MEMBER_TTL_PERCENT / PERCENT,
         .lease_ms = settings->bounds.lease_ms,
+        .capacity_milli = (unsigned)lround(settings->processor.share *
+                                           settings->processor.cores * MILLI),
         .retain_ms =
             (settings->bounds.retain_s + RETAIN_EXTRA_S) * CW_MS_PER_S,
     };
@@ -337,6 +341,7 @@
     owner.store = store;
     owner.targets = vm->targets;
     owner.replica = vm->replica;
+    owner.vm = settings->vm;
     owner.member = member;
     vm->owner = cw_owner_create(&owner);
     g_free(member);
--- /dev/null
+++ b/tests/test_group.c
@@ -0,0 +1,272 @@
+/* Which VMs let the group deal them the shard. */
+#include "test_main.h"
+
+#include "owner_site.h"
+#include "store_port.h"
+
+enum { WEAK = 120, STRONG = 500, STEP_MS = 100 };
+
+/* An owner on a VM that is a member of no group yet; joins, leaves and
+ * announcements are counted. */
+struct vm {
+    struct store_port store;
+    struct cw_clock_manual clock;
+    struct cw_counters counters;
+    struct cw_replica *replica;
+    struct cw_owner *owner;
+    unsigned joins;
+    unsigned leaves;
+};
+
+static struct vm *current;
+
+static void
+on_join(struct cw_store *store, const struct cw_store_join *call)
+{
+    static const unsigned shard = 0;
+    struct cw_store_joined result = {.status = CW_STORE_OK,
+                                     .generation = 1,
+                                     .partitions = &shard,
+                                     .count = current->owner->holds_partition};
+
+    (void)store;
+    current->joins++;
+    call->done(call->context, &result);
+}
+
+static void
+on_leave(struct cw_store *store, const struct cw_store_leave *call)
+{
+    (void)store;
+    current->leaves++;
+    call->done(call->context, CW_STORE_OK);
+}
+
+static void
+vm_begin(struct vm *vm, unsigned capacity_milli)
+{
+    static struct cw_store_ops ops;
+    struct cw_replica_options replica = {.clock = &vm->clock.base,
+                                         .store = &vm->store.base};
+    struct cw_owner_options options = {.clock = &vm->clock.base,
+                                       .counters = &vm->counters,
+                                       .store = &vm->store.base,
+                                       .vm = "this",
+                                       .member = "m",
+                                       .member_ttl_ms = 1000,
+                                       .lease_ms = 6000,
+                                       .capacity_milli = capacity_milli};
+
+    memset(vm, 0, sizeof(*vm));
+    cw_log_setup("error", "test");
+    ops = store_port_ops;
+    ops.join = on_join;
+    ops.leave = on_leave;
+    vm->store.base.ops = &ops;
+    vm->store.model = store_model_create(1);
+    cw_clock_manual_init(&vm->clock);
+    vm->clock.now = cw_time_from_ms(START_MS);
+    vm->replica = cw_replica_create(&replica);
+    options.replica = vm->replica;
+    vm->owner = cw_owner_create(&options);
+    current = vm;
+}
+
+static void
+vm_end(struct vm *vm)
+{
+    cw_owner_free(vm->owner);
+    cw_replica_free(vm->replica);
+    store_model_free(vm->store.model);
+}
+
+static void
+put(struct vm *vm, const char *key, const GByteArray *value)
+{
+    struct cw_store_record record = {
+        .key = key, .value = value->data, .length = value->len};
+    struct cw_store_append append = {
+        .topic = CW_WORK_TOPIC, .records = &record, .count = 1};
+
+    store_model_append(vm->store.model, &append);
+}
+
+static void
+announce(struct vm *vm, const char *name, unsigned capacity_milli)
+{
+    struct cw_vm_record value = {.capacity_milli = capacity_milli};
+    GByteArray *bytes = cw_xdr_encode((xdrproc_t)xdr_cw_vm_record, &value);
+    char *key = cw_work_key(CW_WORK_KEY_VM, name);
+
+    put(vm, key, bytes);
+    g_free(key);
+    g_byte_array_unref(bytes);
+}
+
+static void
+beat(struct vm *vm)
+{
+    struct cw_beat_record value = {.vm = (char *)"other", .epoch = 1};
+    GByteArray *bytes = cw_xdr_encode((xdrproc_t)xdr_cw_beat_record, &value);
+
+    put(vm, "bowner", bytes);
+    g_byte_array_unref(bytes);
+}
+
+/* Lets time pass; an owner elsewhere writes every 500 ms if `owned`. */
+static void
+run(struct vm *vm, int64_t ms, bool owned)
+{
+    for (int64_t passed = 0; passed < ms; passed += STEP_MS) {
+        if (owned && passed % 500 == 0) {
+            beat(vm);
+        }
+        vm->clock.now = cw_time_add_ms(vm->clock.now, STEP_MS);
+        cw_follower_tick(cw_replica_follower(vm->replica), vm->clock.now);
+        owner_group_tick(vm->owner, vm->clock.now);
+    }
+}
+
+static void
+test_equal_vms_join_once_they_have_read(void)
+{
+    struct vm vm;
+
+    vm_begin(&vm, STRONG);
+    announce(&vm, "other", STRONG);
+    vm.store.refuses = CW_STORE_REFUSED;
+    run(&vm, 1000, false);
+    CU_ASSERT_EQUAL(vm.joins, 0);
+    vm.store.refuses = CW_STORE_OK;
+    run(&vm, 1000, true);
+    CU_ASSERT_TRUE(vm.joins > 1);
+    CU_ASSERT_EQUAL(vm.leaves, 0);
+    vm_end(&vm);
+}
+
+static void
+test_a_weak_vm_stays_out_while_an_owner_writes(void)
+{
+    struct vm vm;
+
+    vm_begin(&vm, WEAK);
+    announce(&vm, "other", STRONG);
+    run(&vm, 20000, true);
+    CU_ASSERT_EQUAL(vm.joins, 0);
+    vm_end(&vm);
+}
+
+static void
+test_a_weak_vm_joins_when_nobody_decides(void)
+{
+    struct vm vm;
+
+    vm_begin(&vm, WEAK);
+    announce(&vm, "other", STRONG);
+    run(&vm, 1000, true);
+    run(&vm, 2000, false);
+    CU_ASSERT_EQUAL(vm.joins, 0);
+    run(&vm, 3000, false);
+    CU_ASSERT_TRUE(vm.joins > 0);
+    vm_end(&vm);
+}
+
+/* The store was away, for the owner too: its silence says nothing. */
+static void
+test_time_without_reading_does_not_count(void)
+{
+    struct vm vm;
+
+    vm_begin(&vm, WEAK);
+    announce(&vm, "other", STRONG);
+    run(&vm, 1000, true);
+    vm.store.refuses = CW_STORE_REFUSED;
+    run(&vm, 10000, false);
+    vm.store.refuses = CW_STORE_OK;
+    run(&vm, 2000, false);
+    CU_ASSERT_EQUAL(vm.joins, 0);
+    run(&vm, 3000, false);
+    CU_ASSERT_TRUE(vm.joins > 0);
+    vm_end(&vm);
+}
+
+static void
+test_a_weak_owner_makes_way_for_a_stronger_vm(void)
+{
+    struct vm vm;
+
+    vm_begin(&vm, WEAK);
+    announce(&vm, "other", STRONG);
+    run(&vm, 5000, false);
+    CU_ASSERT_TRUE(vm.joins > 0);
+    vm.owner->holds_partition = true;
+    run(&vm, 5000, true);
+    CU_ASSERT_EQUAL(vm.leaves, 0);
+    announce(&vm, "other", STRONG); /* it was started again */
+    run(&vm, 500, true);
+    CU_ASSERT_EQUAL(vm.leaves, 1);
+    vm.owner->holds_partition = false;
+    vm.joins = 0;
+    run(&vm, 5000, true);
+    CU_ASSERT_EQUAL(vm.joins, 0);
+    vm_end(&vm);
+}
+
+/* At a first start all begin at once and know nothing of each other. */
+static void
+test_a_member_leaves_when_it_learns_that_it_is_weak(void)
+{
+    struct vm vm;
+
+    vm_begin(&vm, WEAK);
+    run(&vm, 500, false);
+    CU_ASSERT_TRUE(vm.joins > 0);
+    announce(&vm, "other", STRONG);
+    run(&vm, 500, true);
+    CU_ASSERT_EQUAL(vm.leaves, 1);
+    vm_end(&vm);
+}
+
+static void
+test_a_vm_announces_itself_once_and_again_if_refused(void)
+{
+    struct vm vm;
+
+    vm_begin(&vm, STRONG);
+    run(&vm, 300, false);
+    CU_ASSERT_EQUAL(vm.store.appends, 1);
+    run(&vm, 3000, false);
+    CU_ASSERT_EQUAL(vm.store.appends, 1);
+    vm_end(&vm);
+}
+
+/* Beats cost the store's rate: none where all VMs are alike. */
+static void
+test_beats_only_where_a_weak_vm_waits_for_them(void)
+{
+    struct vm vm;
+
+    vm_begin(&vm, STRONG);
+    announce(&vm, "other", STRONG);
+    run(&vm, 2000, false);
+    CU_ASSERT_FALSE(owner_candidacy_beat_due(vm.owner, vm.clock.now));
+    announce(&vm, "small", WEAK);
+    run(&vm, 500, false);
+    CU_ASSERT_TRUE(owner_candidacy_beat_due(vm.owner, vm.clock.now));
+    vm.owner->appended_at = vm.clock.now;
+    CU_ASSERT_FALSE(owner_candidacy_beat_due(vm.owner, vm.clock.now));
+    vm_end(&vm);
+}
+
+static const struct test tests[] = {
+    {"equal", test_equal_vms_join_once_they_have_read},
+    {"stays out", test_a_weak_vm_stays_out_while_an_owner_writes},
+    {"joins", test_a_weak_vm_joins_when_nobody_decides},
+    {"not reading", test_time_without_reading_does_not_count},
+    {"makes way", test_a_weak_owner_makes_way_for_a_stronger_vm},
+    {"learns", test_a_member_leaves_when_it_learns_that_it_is_weak},
+    {"announces", test_a_vm_announces_itself_once_and_again_if_refused},
+    {"beats", test_beats_only_where_a_weak_vm_waits_for_them},
+};
+
+TEST_MAIN("group", tests)
