Three VMs are never weak; unequal VMs in the emulator

Cause: with one strong VM among many, the group would have one member, and the other VMs one peer to reach the store through (by reading, not seen). Change: the bar is the lower of two thirds of the strongest and the third strongest.

--- a/emulator/world.h
+++ b/emulator/world.h
@@ -12,6 +12,7 @@
 struct world_options {
     uint32_t seed;
     unsigned vms;
+    unsigned strong; /* of them, with four times the processor; 0: all alike */
     unsigned workers;
     unsigned jobs;     /* handed in over the day */
     unsigned day_ms;   /* in which jobs come and faults strike */
@@ -29,7 +30,8 @@
     double all_vms_s; /* ... of all */
 };
 
-/* The standard day: small, so that faults meet. */
+/* The standard day: small, so that faults meet.  On one of four VMs are
+ * unequal. */
 struct world_options world_standard_day(uint32_t seed);
 
 /* Plays a day. */
--- a/include/curlewcart/cw_owner.h
+++ b/include/curlewcart/cw_owner.h
@@ -30,7 +30,7 @@
     struct cw_clock *clock;
     struct cw_replica *replica;
     struct cw_counters *counters;
-    const char *vm;          /* name of this VM; borrowed */
+    const char *vm;          /* name of this VM; copied */
     const char *member;      /* of this process's life; copied */
     unsigned partition;      /* the shard */
     unsigned member_ttl_ms;  /* the store forgets a silent member after it */
--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -196,10 +196,10 @@
 /* Whether this VM lets itself be dealt the shard; owner_candidacy.c. */
 struct owner_candidacy {
     GHashTable *capacities; /* VM -> thousandths of a core, as announced */
-    unsigned least_milli;
-    unsigned most_milli;
-    bool stands;    /* this VM lets itself be dealt the shard */
-    bool outranked; /* a stronger VM has announced itself since then */
+    unsigned bar_milli;     /* from which on a VM is not weak */
+    bool some_weak;         /* a VM is below it */
+    bool stands;            /* this VM lets itself be dealt the shard */
+    bool outranked;         /* a stronger VM has announced itself since then */
     bool announcing;
     bool announced;
     struct timespec announce_due;
@@ -209,6 +209,7 @@
 
 struct cw_owner {
     struct cw_owner_options options;
+    char *vm;
     char *member;
     struct cw_routing *routing;
     enum owner_state state;
--- a/src/owner/owner.c
+++ b/src/owner/owner.c
@@ -282,6 +282,7 @@
         owner->options.capacity_milli = CAPACITY_UNKNOWN_MILLI;
     }
     owner->member = g_strdup(options->member);
+    owner->vm = g_strdup(options->vm);
     owner->jobs =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, owner_job_free);
     owner->targets = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
@@ -312,6 +313,7 @@
     owner_memo_free(owner->memo);
     cw_routing_unref(owner->routing);
     g_free(owner->member);
+    g_free(owner->vm);
     g_free(owner);
 }
 
--- a/src/owner/owner_candidacy.c
+++ b/src/owner/owner_candidacy.c
@@ -13,6 +13,9 @@
      * look at every worker, and must be worth it. */
     WEAK_PARTS = 2,
     STRONG_PARTS = 3,
+    /* So many VMs are never weak: they replace each other, and other VMs
+     * reach the store through them. */
+    STRONG_LEAST = 3,
     /* Strong VMs replace a dead owner within the member's time to live,
      * 1.3 s, and some 100 ms; owners write once a second at least. */
     QUIET_MS = 3000,
@@ -24,62 +27,86 @@
     BEAT_MS = 1000
 };
 
-void
-owner_candidacy_init(struct cw_owner *owner)
+/* ---- what others announce ---- */
+
+static gint
+compare_descending(gconstpointer a, gconstpointer b)
 {
-    struct owner_candidacy *candidacy = &owner->candidacy;
+    guint left = GPOINTER_TO_UINT(*(const gpointer *)a);
+    guint right = GPOINTER_TO_UINT(*(const gpointer *)b);
 
-    candidacy->capacities =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-    candidacy->reading_since = owner_now(owner);
-    candidacy->least_milli = owner->options.capacity_milli;
-    candidacy->most_milli = owner->options.capacity_milli;
+    return left < right ? 1 : left > right ? -1 : 0;
 }
 
-void
-owner_candidacy_clear(struct cw_owner *owner)
+/* From which capacity on a VM is not weak. */
+static unsigned
+bar_of(const GPtrArray *descending)
 {
-    g_hash_table_unref(owner->candidacy.capacities);
-}
+    unsigned most = GPOINTER_TO_UINT(descending->pdata[0]);
+    unsigned bar = most * WEAK_PARTS / STRONG_PARTS;
+    guint last = MIN(descending->len, STRONG_LEAST) - 1;
 
-/* ---- what others announce ---- */
-
-static bool
-is_weaker(unsigned capacity_milli, unsigned than_milli)
-{
-    return capacity_milli * STRONG_PARTS < than_milli * WEAK_PARTS;
+    return MIN(bar, GPOINTER_TO_UINT(descending->pdata[last]));
 }
 
-/* Bounds of what was announced, and of this VM's own. */
+/* Judges all VMs anew, this one with them. */
 static void
-update_bounds(struct cw_owner *owner)
+update(struct cw_owner *owner)
 {
     struct owner_candidacy *candidacy = &owner->candidacy;
+    GPtrArray *all = g_ptr_array_new();
     GHashTableIter iterator;
     gpointer value;
 
-    candidacy->least_milli = owner->options.capacity_milli;
-    candidacy->most_milli = owner->options.capacity_milli;
     g_hash_table_iter_init(&iterator, candidacy->capacities);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        unsigned capacity_milli = GPOINTER_TO_UINT(value);
-
-        candidacy->least_milli = MIN(candidacy->least_milli, capacity_milli);
-        candidacy->most_milli = MAX(candidacy->most_milli, capacity_milli);
+        g_ptr_array_add(all, value);
     }
+    g_ptr_array_sort(all, compare_descending);
+    candidacy->bar_milli = bar_of(all);
+    candidacy->some_weak =
+        GPOINTER_TO_UINT(all->pdata[all->len - 1]) < candidacy->bar_milli;
+    g_ptr_array_unref(all);
+}
+
+static void
+set_capacity(struct cw_owner *owner, const char *vm, unsigned capacity_milli)
+{
+    g_hash_table_replace(owner->candidacy.capacities, g_strdup(vm),
+                         GUINT_TO_POINTER(capacity_milli));
+    update(owner);
+}
+
+static bool
+is_weak(const struct cw_owner *owner)
+{
+    return owner->options.capacity_milli < owner->candidacy.bar_milli;
 }
 
 void
-owner_candidacy_announced(struct cw_owner *owner, const char *vm,
-                          unsigned capacity_milli)
+owner_candidacy_init(struct cw_owner *owner)
 {
     struct owner_candidacy *candidacy = &owner->candidacy;
 
-    g_hash_table_replace(candidacy->capacities, g_strdup(vm),
-                         GUINT_TO_POINTER(capacity_milli));
-    update_bounds(owner);
-    if (is_weaker(owner->options.capacity_milli, capacity_milli)) {
-        candidacy->outranked = true;
+    candidacy->capacities =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    candidacy->reading_since = owner_now(owner);
+    set_capacity(owner, owner->vm, owner->options.capacity_milli);
+}
+
+void
+owner_candidacy_clear(struct cw_owner *owner)
+{
+    g_hash_table_unref(owner->candidacy.capacities);
+}
+
+void
+owner_candidacy_announced(struct cw_owner *owner, const char *vm,
+                          unsigned capacity_milli)
+{
+    set_capacity(owner, vm, capacity_milli);
+    if (is_weak(owner) && capacity_milli >= owner->candidacy.bar_milli) {
+        owner->candidacy.outranked = true;
     }
 }
 
@@ -103,7 +130,7 @@
     struct cw_vm_record value = {.capacity_milli =
                                      owner->options.capacity_milli};
     GByteArray *bytes = cw_xdr_encode((xdrproc_t)xdr_cw_vm_record, &value);
-    char *key = cw_work_key(CW_WORK_KEY_VM, owner->options.vm);
+    char *key = cw_work_key(CW_WORK_KEY_VM, owner->vm);
     struct cw_store_record record = {
         .key = key, .value = bytes->data, .length = bytes->len};
     struct cw_store_append call = {
@@ -158,7 +185,7 @@
     if (!cw_follower_loaded(jobs)) {
         return false;
     }
-    if (!is_weaker(owner->options.capacity_milli, candidacy->most_milli)) {
+    if (!is_weak(owner)) {
         return true;
     }
     /* An announcement read since it joined is of a VM that lives. */
@@ -169,8 +196,6 @@
 bool
 owner_candidacy_beat_due(const struct cw_owner *owner, struct timespec now)
 {
-    const struct owner_candidacy *candidacy = &owner->candidacy;
-
-    return is_weaker(candidacy->least_milli, candidacy->most_milli) &&
+    return owner->candidacy.some_weak &&
            cw_time_diff_ms(owner->appended_at, now) >= BEAT_MS;
 }
--- a/src/owner/owner_commit.c
+++ b/src/owner/owner_commit.c
@@ -262,8 +262,7 @@
 static void
 send_beat(struct cw_owner *owner, struct timespec now)
 {
-    struct cw_beat_record beat = {.vm = (char *)owner->options.vm,
-                                  .epoch = owner->epoch};
+    struct cw_beat_record beat = {.vm = owner->vm, .epoch = owner->epoch};
     struct owner_batch *batch = batch_new(owner);
 
     g_ptr_array_add(batch->keys, cw_work_key(CW_WORK_KEY_BEAT, "owner"));
--- a/src/owner/owner_group.c
+++ b/src/owner/owner_group.c
@@ -115,8 +115,8 @@
         .context = owner,
     };
 
-    cw_log_info("group_leaves", "reason=%s capacity=%u most=%u", reason,
-                owner->options.capacity_milli, owner->candidacy.most_milli);
+    cw_log_info("group_leaves", "reason=%s capacity=%u bar=%u", reason,
+                owner->options.capacity_milli, owner->candidacy.bar_milli);
     owner->joined = false;
     if (owner->state != OWNER_IDLE) {
         yield(owner, reason);
@@ -145,8 +145,8 @@
     candidacy->stands = wants;
     candidacy->outranked = false;
     if (wants) {
-        cw_log_info("group_joins", "capacity=%u most=%u",
-                    owner->options.capacity_milli, candidacy->most_milli);
+        cw_log_info("group_joins", "capacity=%u bar=%u",
+                    owner->options.capacity_milli, candidacy->bar_milli);
     }
 }
 
--- a/tests/owner_site.h
+++ b/tests/owner_site.h
@@ -90,6 +90,7 @@
     struct cw_owner_options options = {.targets = &targets,
                                        .clock = &site->clock.base,
                                        .counters = &site->counters,
+                                       .vm = "this",
                                        .member = "m",
                                        .member_ttl_ms = 1000,
                                        .lease_ms = 6000};
