--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -41,6 +41,7 @@
     bool stop_queued; /* an order to stop waits or is under way */
     bool stop_confirmed;
     bool finished; /* its gang is done; only its own end is outstanding */
+    struct timespec stop_due; /* not tried again before */
     struct timespec stop_confirmed_at;
     struct timespec created_at;
     struct timespec started_at; /* when its start was confirmed */
@@ -510,9 +511,10 @@
                        enum cw_order_kind kind,
                        const struct cw_task_name *task, unsigned run);
 
-/* Sends what may be sent. */
-void owner_orders_send(struct cw_owner *owner, struct owner_target *target,
-                       struct timespec now);
+/* Sends what may be sent; returns when a failed stop is due again. */
+struct timespec
+owner_orders_send(struct cw_owner *owner, struct owner_target *target,
+                  struct timespec now);
 
 /* ---- owner_holds.c ---- */
 
--- a/src/owner/owner_orders.c
+++ b/src/owner/owner_orders.c
@@ -7,8 +7,14 @@
     /* Two at a time: a lost answer does not hold up the rest, and a worker
      * sees few connections. */
     ORDERS_IN_FLIGHT = 2,
-    ORDER_TIMEOUT_MS = 900,
-    STARTS_UNANSWERED = 3,
+    /* An order takes some ms, up to a quarter second from a busy VM.  Sent
+     * again it does no harm, and a gang waits for its last member. */
+    ORDER_TIMEOUT_MS = 500,
+    STARTS_UNANSWERED = 4,
+    /* A refused connection fails at once. */
+    STOP_RETRY_MS = 300,
+    /* Until the next look, of about a second, has shown whether it answers. */
+    AVOID_UNANSWERED_MS = 1500,
     AVOID_FULL_MS = 300,
     AVOID_UNHEALTHY_MS = 1500,
     /* A connection could not be made within its second: the next look at
@@ -95,6 +101,7 @@
 
     run->unanswered++;
     cw_count_code(owner->options.counters, CW_RETRY_SILENT);
+    avoid(order->target, AVOID_UNANSWERED_MS);
     if (run->unanswered < STARTS_UNANSWERED && !run->stopping) {
         owner_order_queue(owner, order->target, CW_ORDER_START, &order->task,
                           order->run);
@@ -185,7 +192,7 @@
         order->target->hold_due = now;
     }
     else {
-        owner_run_stop(order->owner, run);
+        run->stop_due = cw_time_add_ms(now, STOP_RETRY_MS);
     }
 }
 
@@ -287,10 +294,37 @@
     owner->options.targets->ops->order(owner->options.targets, &out);
 }
 
-void
+/* Stops that failed are tried again; returns when the next one is due. */
+static struct timespec
+stop_again(struct cw_owner *owner, struct owner_target *target,
+           struct timespec now)
+{
+    struct timespec next = cw_time_from_ms(INT32_MAX);
+
+    for (guint i = 0; i < target->runs->len; i++) {
+        struct owner_run *run = target->runs->pdata[i];
+
+        if (run->phase < RUN_STARTING || !run->stopping || run->stop_queued ||
+            run->stop_confirmed)
+        {
+            continue;
+        }
+        if (cw_time_before(now, run->stop_due)) {
+            cw_time_earlier(&next, run->stop_due);
+        }
+        else {
+            owner_run_stop(owner, run);
+        }
+    }
+    return next;
+}
+
+struct timespec
 owner_orders_send(struct cw_owner *owner, struct owner_target *target,
                   struct timespec now)
 {
+    struct timespec next = stop_again(owner, target, now);
+
     while (target->orders_in_flight < ORDERS_IN_FLIGHT &&
            !g_queue_is_empty(&target->orders) && owner_may_order(owner, now))
     {
@@ -303,4 +337,5 @@
         }
         send_order(owner, order, now);
     }
+    return next;
 }
--- a/tests/test_orders.c
+++ b/tests/test_orders.c
@@ -70,7 +70,62 @@
     site_end(&site);
 }
 
+static unsigned
+stops_sent_in(struct site *site, struct owner_target *target, unsigned ms)
+{
+    unsigned sent = 0;
+
+    for (unsigned passed = 0; passed < ms; passed++) {
+        last_order.kind = CW_ORDER_HOLD;
+        site->clock.now = cw_time_add_ms(site->clock.now, 1);
+        site->owner->proof_at = site->clock.now;
+        (void)owner_orders_send(site->owner, target, site->clock.now);
+        if (last_order.kind == CW_ORDER_STOP) {
+            sent++;
+            answer_last(CW_TARGET_UNREACHABLE);
+        }
+    }
+    return sent;
+}
+
+/* mpuk-wroclaw-grown scale-1 seed 202: 8,826 stops were sent to workers that
+ * had gone, each as soon as the one before was refused. */
+static void
+test_a_stop_that_fails_at_once_is_paced(void)
+{
+    struct site site;
+    struct owner_job *job;
+    struct owner_run *run;
+
+    site_begin(&site);
+    job = start_job(&site);
+    answer_last(CW_TARGET_OK);
+    run = step_of(job)->tasks[0].run;
+    owner_run_stop(site.owner, run);
+    CU_ASSERT_EQUAL(stops_sent_in(&site, run->target, 1500), 5);
+    site_end(&site);
+}
+
+/* Others would be held up there as well. */
+static void
+test_a_worker_that_leaves_a_start_unanswered_is_avoided(void)
+{
+    struct site site;
+    struct owner_job *job;
+    const struct owner_target *first;
+
+    site_begin(&site);
+    job = start_job(&site);
+    first = place_of(job, 0);
+    CU_ASSERT_TRUE(owner_target_usable(first, site.clock.now));
+    answer_last(CW_TARGET_UNKNOWN);
+    CU_ASSERT_FALSE(owner_target_usable(first, site.clock.now));
+    site_end(&site);
+}
+
 static const struct test tests[] = {
+    {"paced", test_a_stop_that_fails_at_once_is_paced},
+    {"avoided", test_a_worker_that_leaves_a_start_unanswered_is_avoided},
     {"never sent", test_a_start_that_was_never_sent_frees_the_task_at_once},
     {"no answer", test_a_start_without_an_answer_keeps_its_place},
 };
