--- a/Makefile
+++ b/Makefile
@@ -36,7 +36,8 @@
 BENCH_OBJ := $(call obj,$(wildcard tools/bench/*.c))
 
 all: $(BUILD)/curlewcart $(BUILD)/curlewcart-bench \
-     $(BUILD)/curlewcart-emulator $(BUILD)/curlewcart-platform
+     $(BUILD)/curlewcart-emulator $(BUILD)/curlewcart-platform \
+     $(BUILD)/curlewcart-proxy
 
 $(BUILD)/obj/src/proto/%.o: src/proto/%.c
 	@mkdir -p $(dir $@)
@@ -58,6 +59,9 @@
                               $(BUILD)/obj/emulator/emulator_main.o
 	@$(CC) $(LDFLAGS) $^ $(LDLIBS) -o $@
 
+$(BUILD)/curlewcart-proxy: $(CORE_OBJ) $(call obj,$(wildcard tools/proxy/*.c))
+	@$(CC) $(LDFLAGS) $^ $(LDLIBS) -o $@
+
 $(BUILD)/curlewcart-bench: $(CORE_OBJ) $(BENCH_OBJ)
 	@$(CC) $(LDFLAGS) $^ $(LDLIBS) -o $@
 
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -9,7 +9,7 @@
 CW=$BUILD/curlewcart
 PLATFORM_STANDIN=$ROOT/build/curlewcart-platform
 DCS=(hall-olbin hall-krzyki hall-psie-pole)
-declare -A PID CALLERS
+declare -A PID CALLERS STORE_OF
 
 die() {
     echo "$*" >&2
@@ -52,13 +52,45 @@
     done
 }
 
+# ---- links that misbehave (tools/proxy) ----
+
+start_proxy() {
+    mkfifo "$DIR/proxy.in"
+    "$BUILD/curlewcart-proxy" <"$DIR/proxy.in" >"$DIR/proxy.out" &
+    PID[proxy]=$!
+    exec 9>"$DIR/proxy.in"
+}
+
+# link NAME HOST:PORT: prints the port that leads there.
+link() {
+    echo "add $1 $2" >&9
+    await 5 grep -q "^$1 " "$DIR/proxy.out" || die "no link $1"
+    sed -n "s/^$1 //p" "$DIR/proxy.out" | head -1
+}
+
+misbehave() { echo "$*" >&9; }
+
+# The stand-in tells where its workers listen and waits for the links.
+link_workers() { # COUNT
+    local id address
+    await 5 eval "[ \$(grep -c ^worker= '$DIR/trace') = $1 ]" ||
+        die "no workers"
+    while read -r id address; do
+        echo "worker.$id $(link "worker.$id" "$address")"
+    done < <(sed -n 's/^worker=//p' "$DIR/trace") >"$DIR/worker-links.new"
+    mv "$DIR/worker-links.new" "$DIR/worker-links"
+}
+
 # start_platform WORKERS_PER_RACK RACKS: the same in each data centre.  What
-# workers start and end goes to $DIR/trace.
+# workers start and end goes to $DIR/trace.  After start_proxy the workers are
+# behind it.
 start_platform() {
     local dc rack i
     "$PLATFORM_STANDIN" --dcs "$(IFS=,; echo "${DCS[*]}")" --racks "$2" \
-        --per-rack "$1" >"$DIR/trace" 2>"$DIR/platform.err" &
+        --per-rack "$1" ${PID[proxy]:+--proxy "$DIR/worker-links"} \
+        >"$DIR/trace" 2>"$DIR/platform.err" &
     PID[platform]=$!
+    [ -z "${PID[proxy]:-}" ] || link_workers $(($1 * $2 * ${#DCS[@]}))
     await 5 grep -q '^store=' "$DIR/trace" || die "platform did not start"
     STORE=$(sed -n 's/^store=//p' "$DIR/trace")
     WORKERS_YAML=""
@@ -83,7 +115,7 @@
 listen:
   api: "127.0.0.1:${CALLERS[$1]:-0}"
   inner: "127.0.0.1:0"
-store: "$STORE"
+store: "${STORE_OF[$1]:-$STORE}"
 bounds: {lease_ms: 6000, grace_s: ${GRACE_S:-20}, retain_s: 3600, member_ttl_ms: 1000}
 api:
   service: service
--- a/standins/platform_standin.c
+++ b/standins/platform_standin.c
@@ -81,7 +81,7 @@
             "\"slots\":8,\"state\":\"ready\",\"capacity\":{\"cpu\":%d,"
             "\"mem_mb\":%d,\"gpus\":%d},\"labels\":[\"a\",\"%s\"],"
             "\"clock_ms\":%" PRId64 "}",
-            worker->address, worker->dc, CPU_MILLI, MEMORY_MB, ACCELERATORS,
+            worker->reported, worker->dc, CPU_MILLI, MEMORY_MB, ACCELERATORS,
             worker->rack, standin_now_ms());
 
         put_record(platform, "keyed.servers", worker->id, text);
@@ -126,6 +126,7 @@
     worker->server = serve(standin_handle_worker, worker);
     worker->address =
         g_strdup_printf("127.0.0.1:%u", cw_http_server_port(worker->server));
+    worker->reported = g_strdup(worker->address);
     worker_fleet_add(platform->fleet, worker->id, worker->rack, &capacity, 0);
     g_ptr_array_add(platform->workers, worker);
 }
@@ -144,6 +145,45 @@
     g_strfreev(dcs);
 }
 
+/* With a proxy between daemons and workers: tells where the workers listen,
+ * and waits until the file says where they are to be reached, with lines
+ * "LINK PORT" in the same order. */
+static bool
+report_by_proxy(struct platform *platform)
+{
+    char *text = NULL;
+    char **lines;
+
+    for (guint i = 0; i < platform->workers->len; i++) {
+        const struct worker_server *worker = platform->workers->pdata[i];
+
+        printf("worker=%s %s\n", worker->id, worker->address);
+    }
+    fflush(stdout);
+    for (int tries = 0; tries < PROXY_TRIES && text == NULL; tries++) {
+        g_usleep(WAIT_STEP_MS * 1000);
+        (void)g_file_get_contents(platform->proxy_path, &text, NULL, NULL);
+    }
+    lines = g_strsplit(text != NULL ? text : "", "\n", -1);
+    g_free(text);
+    if (g_strv_length(lines) < platform->workers->len) {
+        fprintf(stderr, "curlewcart-platform: %s: too few lines\n",
+                platform->proxy_path);
+        g_strfreev(lines);
+        return false;
+    }
+    for (guint i = 0; i < platform->workers->len; i++) {
+        struct worker_server *worker = platform->workers->pdata[i];
+        const char *port = strrchr(lines[i], ' ');
+
+        g_free(worker->reported);
+        worker->reported =
+            g_strdup_printf("127.0.0.1:%s", port != NULL ? port + 1 : "0");
+    }
+    g_strfreev(lines);
+    return true;
+}
+
 static bool
 load_config(struct platform *platform)
 {
@@ -177,6 +217,9 @@
     case 'c':
         platform->config_path = value;
         break;
+    case 'p':
+        platform->proxy_path = value;
+        break;
     default:
         return ARGP_ERR_UNKNOWN;
     }
@@ -226,6 +269,8 @@
         {"per-rack", 'w', "N", 0, "Workers in each rack (4)", 0},
         {"config", 'c', "FILE", 0,
          "The operator's configuration; none with our own interface", 0},
+        {"proxy", 'p', "FILE", 0,
+         "Report workers at these ports, once the file is there", 0},
         {0},
     };
     static const struct argp argp = {
@@ -253,6 +298,9 @@
     }
     worker_fleet_advance(platform.fleet, standin_now_ms());
     start_workers(&platform);
+    if (platform.proxy_path != NULL && !report_by_proxy(&platform)) {
+        return 2;
+    }
     platform.store_server = serve(standin_handle_store, &platform);
     printf("store=127.0.0.1:%u\n", cw_http_server_port(platform.store_server));
     fflush(stdout);
--- a/standins/platform_standin.h
+++ b/standins/platform_standin.h
@@ -14,6 +14,7 @@
 
 enum {
     WAIT_STEP_MS = 10,
+    PROXY_TRIES = 1000, /* steps to wait for the proxy's file: 10 s */
     REPORT_EVERY_MS = 1500,
     LENGTH_BYTES = 4,
     ACCELERATORS = 8,
@@ -29,13 +30,14 @@
     struct cw_http_server *store_server;
     GPtrArray *workers; /* struct worker_server */
     const char *config_path;
-    const char *dcs;      /* names, parted by commas */
-    unsigned racks;       /* in each data centre */
-    unsigned per_rack;    /* workers */
-    bool away;            /* the store refuses all calls */
-    GHashTable *payloads; /* of jobs, by id */
-    unsigned violations;  /* two runs of a task at once */
-    GHashTable *active;   /* task's name -> runs */
+    const char *proxy_path; /* see report_by_proxy; or NULL */
+    const char *dcs;        /* names, parted by commas */
+    unsigned racks;         /* in each data centre */
+    unsigned per_rack;      /* workers */
+    bool away;              /* the store refuses all calls */
+    GHashTable *payloads;   /* of jobs, by id */
+    unsigned violations;    /* two runs of a task at once */
+    GHashTable *active;     /* task's name -> runs */
 };
 
 struct worker_server {
@@ -44,6 +46,7 @@
     char *dc;
     char *rack;
     char *address;
+    char *reported; /* address that the store tells; a proxy may stand there */
     struct cw_http_server *server;
 };
 
