Signals of the test scripts go only to children that still run

The scripts signalled ids of processes that had ended; ids wrap at 32768 here, within a minute at that rate of short processes, so a signal could reach a process of another run. Change: signal_to asks the shell which children run.

--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -27,11 +27,21 @@
     return 1
 }
 
+# The system gives the ids of ended processes to others, perhaps of another
+# run: a signal goes only to a child that this shell still has.
+runs() { # NAME
+    [[ " $(jobs -pr | tr '\n' ' ')" == *" ${PID[$1]:-none} "* ]]
+}
+
+signal_to() { # SIGNAL NAME
+    runs "$2" && kill "-$1" "${PID[$2]}" 2>/dev/null
+}
+
 end_all() {
     local name
     for name in "${!PID[@]}"; do
-        kill -CONT "${PID[$name]}" 2>/dev/null
-        kill -KILL "${PID[$name]}" 2>/dev/null
+        signal_to CONT "$name"
+        signal_to KILL "$name"
     done
     wait 2>/dev/null
     [ -n "${KEEP:-}" ] || rm -rf "$DIR"
@@ -105,8 +115,8 @@
     done
 }
 
-store_away() { kill -USR1 "${PID[platform]}"; }
-store_back() { kill -USR2 "${PID[platform]}"; }
+store_away() { signal_to USR1 platform; }
+store_back() { signal_to USR2 platform; }
 
 write_settings() { # VM DC
     cat >"$DIR/$1.yaml" <<END
