Work with checkpoints is moved from workers that leave

Cause: a leaving worker ends what it runs, and its runs were known as lost only when their lease was over, up to 10 s later; work that lasts had no move at all. Change: such runs (whole gangs) are stopped, which saves them, unless they end in time by their rate; work that lasts is always moved. Ruled out by a trial: stopping other work that cannot end in time either.

--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -141,8 +141,9 @@
     struct cw_resources reserved; /* by runs that wait for their place */
     bool listed;                  /* the store has its report */
     bool draining;
-    bool gone;      /* another life answers at its address */
-    bool seen_mark; /* while the reports are loaded anew */
+    struct timespec leaves_at; /* while draining: not before */
+    bool gone;                 /* another life answers at its address */
+    bool seen_mark;            /* while the reports are loaded anew */
     bool clock_known;
     int64_t clock_offset_ms;   /* its clock less ours */
     int64_t lease_sent_ms;     /* latest end of lease ever sent, its clock */
@@ -300,6 +301,16 @@
 bool
 owner_candidacy_beat_due(const struct cw_owner *owner, struct timespec now);
 
+/* ---- owner_drain.c ---- */
+
+/* A worker has said that it leaves, and how long it stays at least. */
+void owner_drain_noticed(struct owner_target *target, int64_t remaining_ms,
+                         struct timespec now);
+
+/* Moves work away that the worker, if it is leaving, would take with it. */
+void owner_drain_tick(struct cw_owner *owner, struct owner_target *target,
+                      struct timespec now);
+
 /* ---- owner_jobs.c ---- */
 
 /* Takes a job of the replica over; does nothing if it is known or over. */
--- a/src/owner/owner.c
+++ b/src/owner/owner.c
@@ -349,6 +349,7 @@
     for (guint i = 0; i < targets->len && owner->state == OWNER_ACTIVE; i++) {
         struct owner_target *target = targets->pdata[i];
 
+        owner_drain_tick(owner, target, now);
         cw_time_earlier(&next, owner_orders_send(owner, target, now));
         cw_time_earlier(&next, owner_hold_tick(owner, target, now));
     }
--- a/src/owner/owner_targets.c
+++ b/src/owner/owner_targets.c
@@ -91,6 +91,9 @@
         owner->room_version++;
         owner->place_wanted = true;
     }
+    if (draining && !target->draining) {
+        owner_drain_noticed(target, report->remaining_ms, owner_now(owner));
+    }
     target->capacity = report->capacity;
     target->listed = true;
     target->seen_mark = true;
