Stops for urgent work keep to what a lasting step may miss

Cause (by reading): `may_miss` was decoded and nothing used it; reclaim and eviction could end any number of a lasting step's tasks at a time. Change: a task that is at work is not stopped for others while as many tasks of its step are away, or planned to leave, as may be missed. Measured: test_lasting; without the check four tasks of a step that may miss two are stopped.

--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -301,6 +301,12 @@
 bool
 owner_candidacy_beat_due(const struct cw_owner *owner, struct timespec now);
 
+/* ---- owner_lasting.c ---- */
+
+/* True if so many other tasks of the run's step are away, or are in the set
+ * of runs that are about to leave (NULL: none), that this one must stay. */
+bool owner_lasting_protects(const struct owner_run *run, GHashTable *leaving);
+
 /* ---- owner_drain.c ---- */
 
 /* A worker has said that it leaves, and how long it stays at least. */
--- a/src/owner/owner_headroom.c
+++ b/src/owner/owner_headroom.c
@@ -236,7 +236,9 @@
         if (owner_task_job(run->task)->spec->priority == 0) {
             return -1; /* it will not be idle soon */
         }
-        if (run->stopping || !spec->checkpoints || owner_once_protects(run)) {
+        if (run->stopping || !spec->checkpoints || spec->may_miss > 0 ||
+            owner_once_protects(run))
+        {
             return -1;
         }
         cost += owner_run_cost(run, now);
--- a/src/owner/owner_reclaim.c
+++ b/src/owner/owner_reclaim.c
@@ -116,7 +116,7 @@
 {
     return !run->stopping && !run->finished &&
            gives_way(plan, owner_task_job(run->task)) &&
-           !step_is_protected(run);
+           !step_is_protected(run) && !owner_lasting_protects(run, plan->gone);
 }
 
 double
@@ -218,6 +218,19 @@
     return x->cost < y->cost ? -1 : x->cost > y->cost;
 }
 
+/* Each victim is judged as if it left alone: of a step that promises how many
+ * tasks are away at most, one is enough at a time. */
+static bool
+has_victim_of(const GArray *victims, const struct owner_step *step)
+{
+    for (guint i = 0; i < victims->len; i++) {
+        if (g_array_index(victims, struct victim, i).step == step) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static GArray *
 victims_on(const struct plan *plan, const struct owner_target *target,
            struct timespec now)
@@ -228,7 +241,10 @@
         struct owner_run *run = target->runs->pdata[i];
         struct victim victim = {.step = run->task->step, .run = run};
 
-        if (may_stop(plan, run) && !g_hash_table_contains(plan->gone, run)) {
+        if (may_stop(plan, run) && !g_hash_table_contains(plan->gone, run) &&
+            (run->task->step->spec->may_miss == 0 ||
+             !has_victim_of(victims, run->task->step)))
+        {
             victim.cost = victim_cost(run, now);
             if (owner_task_job(run->task)->spec->priority ==
                 plan->step->occurrence->job->spec->priority)
