--- a/include/curlewcart/cw_replica.h
+++ b/include/curlewcart/cw_replica.h
@@ -85,9 +85,9 @@
 void cw_replica_apply(struct cw_replica *replica,
                       const struct cw_store_record *record);
 
-/* Jobs of a queue without occurrences in time of which no task has been
- * started. */
-unsigned
-cw_replica_waiting(const struct cw_replica *replica, const char *queue);
+/* Jobs of which no task has been started, of a queue and an account; NULL:
+ * of any. */
+unsigned cw_replica_waiting(const struct cw_replica *replica,
+                            const char *queue, const char *account);
 
 #endif
--- a/src/api/api_jobs.c
+++ b/src/api/api_jobs.c
@@ -121,25 +121,6 @@
     }
 }
 
-/* Jobs that wait to be started: the account's, or with NULL all. */
-static unsigned
-count_waiting(const struct cw_api *api, const char *account)
-{
-    GHashTableIter iterator;
-    gpointer value;
-    unsigned count = 0;
-
-    g_hash_table_iter_init(&iterator, cw_replica_jobs(api->options.replica));
-    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        const struct cw_replica_job *job = value;
-
-        count += job->spec != NULL && !job->started &&
-                 !cw_work_is_over(cw_replica_phase(job)) &&
-                 (account == NULL || strcmp(job->spec->account, account) == 0);
-    }
-    return count;
-}
-
 /* Whether the request can be taken at all. */
 static enum cw_result
 admit(struct cw_api *api, struct cw_work_spec *spec)
@@ -153,11 +134,13 @@
         return CW_OK; /* sent again: it is answered as it was */
     }
     if (account->max_waiting > 0 &&
-        count_waiting(api, spec->account) >= account->max_waiting)
+        cw_replica_waiting(api->options.replica, NULL, spec->account) >=
+            account->max_waiting)
     {
         return CW_REF_ACCOUNT_LIMIT;
     }
-    if (count_waiting(api, NULL) >= policy.max_waiting) {
+    if (cw_replica_waiting(api->options.replica, NULL, NULL) >=
+        policy.max_waiting) {
         return CW_REF_QUEUE;
     }
     if (spec->max_attempts == 0) {
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -306,7 +306,8 @@
 
     cw_count_add(entry->options.counters, CW_COUNT_SUBMITTED, 1);
     if (known != NULL && known->spec != NULL) {
-        bool same = known->spec->body_hash == spec->body_hash;
+        bool same = known->spec->body_hash == spec->body_hash &&
+                    strcmp(known->spec->account, spec->account) == 0;
 
         cw_log_info("submit", "id=%s queue=%s outcome=%s known_at=%" PRIu64,
                     spec->id, spec->queue, same ? "known" : "other_job",
@@ -461,7 +462,7 @@
     if (!is_fresh(entry, FRESH_MS)) {
         return CW_REF_NO_LEDGER;
     }
-    *count = cw_replica_waiting(entry->options.replica, queue->name);
+    *count = cw_replica_waiting(entry->options.replica, queue->name, NULL);
     return CW_OK;
 }
 
--- a/src/replica/replica.c
+++ b/src/replica/replica.c
@@ -307,7 +307,8 @@
 }
 
 unsigned
-cw_replica_waiting(const struct cw_replica *replica, const char *queue)
+cw_replica_waiting(const struct cw_replica *replica, const char *queue,
+                   const char *account)
 {
     GHashTableIter iterator;
     gpointer value;
@@ -318,7 +319,8 @@
         const struct cw_replica_job *job = value;
 
         if (job->spec != NULL && !job->started &&
-            strcmp(job->spec->queue, queue) == 0 &&
+            (queue == NULL || strcmp(job->spec->queue, queue) == 0) &&
+            (account == NULL || strcmp(job->spec->account, account) == 0) &&
             !cw_work_is_over(cw_replica_phase(job)))
         {
             count++;
--- /dev/null
+++ b/src/vm/vm_listen.c
@@ -0,0 +1,143 @@
+/* What a VM listens on: callers, the balancer, metrics. */
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "curlewcart/cw_log.h"
+#include "vm/internal/vm_private.h"
+
+enum {
+    /* Connections at a time; a VM has 4,100 descriptors or more. */
+    CALLER_CONNECTIONS = 2000,
+    READY_CONNECTIONS = 64,
+    API_THREADS = 2,
+    CALLER_IDLE_S = 60,
+    CALLER_BODY_BYTES = 1024 * 1024
+};
+
+static void
+handle_caller(void *context, struct cw_http_call *call)
+{
+    struct cw_vm *vm = context;
+
+    platform_handle_call(&vm->handler, call);
+    /* What the call queued is sent by the client's thread. */
+    cw_http_client_wake(vm->client);
+}
+
+static void
+handle_ready(void *context, struct cw_http_call *call)
+{
+    struct cw_vm *vm = context;
+    bool ready;
+
+    pthread_mutex_lock(&vm->engine);
+    ready = vm->running && cw_entry_ready(vm->entry);
+    pthread_mutex_unlock(&vm->engine);
+    cw_http_answer(call, ready ? 200 : 503, "text/plain", "", 0, false);
+}
+
+static void
+handle_metrics(void *context, struct cw_http_call *call)
+{
+    struct cw_vm *vm = context;
+    GString *out = g_string_new(NULL);
+    struct cw_owner_stats stats;
+    unsigned waiting;
+
+    pthread_mutex_lock(&vm->engine);
+    cw_owner_stats(vm->owner, &stats);
+    waiting = cw_entry_pending(vm->entry);
+    pthread_mutex_unlock(&vm->engine);
+    cw_count_print(&vm->counters, out);
+    g_string_append_printf(out,
+                           "curlewcart_owner_jobs %u\n"
+                           "curlewcart_owner_runs %u\n"
+                           "curlewcart_owner_workers %u\n"
+                           "curlewcart_calls_pending %u\n"
+                           "curlewcart_log_held_bytes %" PRIu64 "\n",
+                           stats.jobs, stats.runs, stats.targets, waiting,
+                           cw_log_held_bytes());
+    cw_http_answer(call, 200, "text/plain; version=0.0.4", out->str, out->len,
+                   false);
+    g_string_free(out, TRUE);
+}
+
+static void
+handle_api(void *context, struct cw_http_call *call)
+{
+    struct cw_vm *vm = context;
+
+    cw_api_handle(vm->api, call);
+    cw_http_client_wake(vm->client);
+}
+
+/* Listens at HOST:PORT; the rest of the options is the caller's. */
+static struct cw_http_server *
+listen_with(struct cw_vm *vm, const char *address,
+            const struct cw_http_server_options *like)
+{
+    char *host = g_strdup(address);
+    char *colon = strrchr(host, ':');
+    struct cw_http_server_options options = *like;
+    struct cw_http_server *server;
+
+    *colon = '\0';
+    options.address = host;
+    options.port = (uint16_t)strtoul(colon + 1, NULL, 10);
+    options.idle_s = CALLER_IDLE_S;
+    options.body_max = CALLER_BODY_BYTES;
+    options.context = vm;
+    server = cw_http_server_create(&options);
+    if (server == NULL) {
+        cw_log_error("listen", "address=%s reason=failed", address);
+    }
+    g_free(host);
+    return server;
+}
+
+static struct cw_http_server *
+listen_at(struct cw_vm *vm, const char *address, unsigned connections,
+          void (*handle)(void *, struct cw_http_call *))
+{
+    const struct cw_http_server_options options = {
+        .threads = 1, .connections = connections, .handle = handle};
+
+    return listen_with(vm, address, &options);
+}
+
+static struct cw_http_server *
+listen_api(struct cw_vm *vm)
+{
+    const struct cw_settings_api *api = vm->settings->api;
+    const struct cw_http_server_options options = {
+        .threads = api->threads > 0 ? api->threads : API_THREADS,
+        .connections =
+            api->connections > 0 ? api->connections : CALLER_CONNECTIONS,
+        .tls_certificate = vm->secrets->certificate,
+        .tls_key = vm->secrets->private_key,
+        .handle = handle_api,
+    };
+
+    return listen_with(vm, vm->settings->listen.api, &options);
+}
+
+bool
+vm_listen(struct cw_vm *vm)
+{
+    const struct cw_settings_listen *listen = &vm->settings->listen;
+
+    if (listen->ready != NULL) {
+        vm->ready =
+            listen_at(vm, listen->ready, READY_CONNECTIONS, handle_ready);
+    }
+    vm->callers = listen->api != NULL
+                      ? listen_api(vm)
+                      : listen_at(vm, listen->callers, CALLER_CONNECTIONS,
+                                  handle_caller);
+    if (listen->metrics != NULL) { /* its failure is logged, no more */
+        vm->metrics =
+            listen_at(vm, listen->metrics, READY_CONNECTIONS, handle_metrics);
+    }
+    return vm->callers != NULL && (vm->ready != NULL || listen->ready == NULL);
+}
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -191,7 +191,43 @@
     bed_end(&bed);
 }
 
+static void
+submit(struct bed *bed, const char *account, uint64_t body_hash)
+{
+    struct cw_work_spec *spec = g_new0(struct cw_work_spec, 1);
+
+    spec->id = strdup(ID);
+    spec->queue = strdup("q");
+    spec->account = strdup(account);
+    spec->service = strdup("s");
+    spec->request = strdup("");
+    spec->payload = strdup("");
+    spec->body_hash = body_hash;
+    bed->outcome = -1;
+    cw_entry_submit(bed->entry, spec, BUDGET_MS, on_done, bed);
+}
+
+/* The id of another account's job, even with the same body, is taken. */
+static void
+test_a_job_is_known_only_to_its_own_account(void)
+{
+    struct bed bed;
+
+    bed_begin(&bed);
+    put_job(&bed);
+    pass(&bed);
+    submit(&bed, "desk", 0);
+    CU_ASSERT_EQUAL(bed.outcome, CW_ENTRY_STORED);
+    submit(&bed, "desk", 1);
+    CU_ASSERT_EQUAL(bed.outcome, CW_ENTRY_OTHER_JOB);
+    submit(&bed, "other", 0);
+    CU_ASSERT_EQUAL(bed.outcome, CW_ENTRY_OTHER_JOB);
+    CU_ASSERT_EQUAL(bed.port.appends, 0);
+    bed_end(&bed);
+}
+
 static const struct test tests[] = {
+    {"known", test_a_job_is_known_only_to_its_own_account},
     {"another account's job", test_another_accounts_job_is_not_cancelled},
     {"another account's new job",
      test_another_accounts_new_job_is_not_cancelled},
--- a/tests/test_replica.c
+++ b/tests/test_replica.c
@@ -97,10 +97,12 @@
     apply_spec(replica, 2, 22);
     CU_ASSERT_EQUAL(cw_replica_find(replica, ID)->spec->body_hash, 11);
     CU_ASSERT_EQUAL(phase_of(replica), CW_WORK_WAITING);
-    CU_ASSERT_EQUAL(cw_replica_waiting(replica, "q"), 1);
+    CU_ASSERT_EQUAL(cw_replica_waiting(replica, "q", NULL), 1);
+    CU_ASSERT_EQUAL(cw_replica_waiting(replica, NULL, "a"), 1);
+    CU_ASSERT_EQUAL(cw_replica_waiting(replica, NULL, "b"), 0);
     apply_record(replica, CW_WORK_RUNNING, true, 3);
-    CU_ASSERT_EQUAL(cw_replica_waiting(replica, "q"), 0);
-    CU_ASSERT_EQUAL(cw_replica_waiting(replica, "other"), 0);
+    CU_ASSERT_EQUAL(cw_replica_waiting(replica, "q", NULL), 0);
+    CU_ASSERT_EQUAL(cw_replica_waiting(replica, "other", NULL), 0);
     cw_replica_free(replica);
 }
 
