--- a/include/curlewcart/cw_settings.h
+++ b/include/curlewcart/cw_settings.h
@@ -35,10 +35,10 @@
     unsigned member_ttl_ms; /* least time to live of a group's member */
 };
 
-/* How much of a processor the VM has; both 0: unknown. */
+/* How much of a processor the VM has. */
 struct cw_settings_processor {
-    double share; /* of a core */
-    double cores; /* speed of one, against the usual */
+    double share; /* of a core; 0 unknown */
+    double cores; /* speed of one, against the usual; 0 as the usual */
 };
 
 struct cw_settings {
--- a/src/settings/settings.c
+++ b/src/settings/settings.c
@@ -40,9 +40,9 @@
 };
 
 static const cyaml_schema_field_t processor_fields[] = {
-    CYAML_FIELD_FLOAT("share", CYAML_FLAG_DEFAULT,
+    CYAML_FIELD_FLOAT("share", CYAML_FLAG_OPTIONAL,
                       struct cw_settings_processor, share),
-    CYAML_FIELD_FLOAT("cores", CYAML_FLAG_DEFAULT,
+    CYAML_FIELD_FLOAT("cores", CYAML_FLAG_OPTIONAL,
                       struct cw_settings_processor, cores),
     CYAML_FIELD_END,
 };
--- a/src/vm/vm.c
+++ b/src/vm/vm.c
@@ -147,6 +147,15 @@
     vm->api = cw_api_create(&options);
 }
 
+/* Thousandths of a core; 0 unknown. */
+static unsigned
+capacity_of(const struct cw_settings_processor *processor)
+{
+    double cores = processor->cores > 0 ? processor->cores : 1;
+
+    return (unsigned)lround(processor->share * cores * MILLI);
+}
+
 static void
 create_engine(struct cw_vm *vm)
 {
@@ -167,8 +176,7 @@
         .member_ttl_ms =
             settings->bounds.member_ttl_ms * MEMBER_TTL_PERCENT / PERCENT,
         .lease_ms = settings->bounds.lease_ms,
-        .capacity_milli = (unsigned)lround(settings->processor.share *
-                                           settings->processor.cores * MILLI),
+        .capacity_milli = capacity_of(&settings->processor),
         .retain_ms =
             (settings->bounds.retain_s + RETAIN_EXTRA_S) * CW_MS_PER_S,
     };
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -136,7 +136,30 @@
     g_string_free(problems, TRUE);
 }
 
+static void
+test_the_processor_may_be_told(void)
+{
+    GString *problems = g_string_new(NULL);
+    struct cw_settings *settings = load(good, problems);
+    char *text = changed("log_level: info\n", "processor:\n    share: 0.5\n");
+
+    CU_ASSERT_PTR_NOT_NULL_FATAL(settings);
+    CU_ASSERT_EQUAL(settings->processor.share, 0);
+    cw_settings_free(settings);
+    settings = load(text, problems);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(settings);
+    CU_ASSERT_EQUAL(settings->processor.share, 0.5);
+    cw_settings_free(settings);
+    g_free(text);
+    text = changed("log_level: info\n", "processor:\n    share: -1\n");
+    CU_ASSERT_PTR_NULL(load(text, problems));
+    CU_ASSERT_PTR_NOT_NULL(strstr(problems->str, "processor"));
+    g_free(text);
+    g_string_free(problems, TRUE);
+}
+
 static const struct test tests[] = {
+    {"processor", test_the_processor_may_be_told},
     {"our own interface", test_own_interface_needs_its_section_and_keys},
     {"good settings", test_good_settings_are_taken},
     {"wrong values", test_each_wrong_value_is_named},
