Holds wait longer where there are very many workers

Change: with more than 1,000 workers a hold waits 1.9 s instead of 1; the stops to try again are counted a worker, so that most are passed over.

--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -138,6 +138,7 @@
     struct cw_resources capacity;
     struct cw_resources used;     /* by runs that may be there */
     struct cw_resources leaving;  /* part of used: runs told to stop */
+    unsigned stopping;            /* those runs */
     struct cw_resources reserved; /* by runs that wait for their place */
     bool listed;                  /* the store has its report */
     bool draining;
--- a/src/owner/owner_holds.c
+++ b/src/owner/owner_holds.c
@@ -7,6 +7,10 @@
     /* How long a hold waits at the worker for news.  Longer is cheaper; a
      * lost answer costs this time and the timeout. */
     HOLD_WAIT_MS = 1000,
+    /* With so many workers an owner is short of processor: as long as the
+     * workers allow. */
+    MANY_TARGETS = 1000,
+    HOLD_WAIT_MANY_MS = 1900,
     HOLD_TIMEOUT_MS = 900,
     HOLD_PACE_MS = 40,
     HOLD_RETRY_MS = 300,
@@ -293,6 +297,13 @@
     g_free(call);
 }
 
+static unsigned
+hold_wait_ms(const struct cw_owner *owner)
+{
+    return g_hash_table_size(owner->targets) > MANY_TARGETS ? HOLD_WAIT_MANY_MS
+                                                            : HOLD_WAIT_MS;
+}
+
 static void
 send_hold(struct cw_owner *owner, struct owner_target *target,
           struct timespec now)
@@ -304,7 +315,7 @@
      * that an earlier owner's word on lost runs holds. */
     unsigned wait_ms = blocked || !target->answered || target->runs->len == 0
                            ? 0
-                           : HOLD_WAIT_MS;
+                           : hold_wait_ms(owner);
     struct cw_target_order order = {
         .kind = CW_ORDER_HOLD,
         .address = target->address,
--- a/src/owner/owner_orders.c
+++ b/src/owner/owner_orders.c
@@ -301,7 +301,7 @@
 {
     struct timespec next = cw_time_from_ms(INT32_MAX);
 
-    for (guint i = 0; i < target->runs->len; i++) {
+    for (guint i = 0; target->stopping > 0 && i < target->runs->len; i++) {
         struct owner_run *run = target->runs->pdata[i];
 
         if (run->phase < RUN_STARTING || !run->stopping || run->stop_queued ||
--- a/src/owner/owner_runs.c
+++ b/src/owner/owner_runs.c
@@ -50,6 +50,7 @@
     owner_resources_take(account_of(run), &need);
     if (run->stopping) {
         owner_resources_take(&target->leaving, &need);
+        target->stopping--;
     }
     if (run->phase < RUN_STARTING) {
         task->step->unstarted_run =
@@ -87,6 +88,7 @@
         struct cw_resources need = owner_need(run->task->step->spec);
 
         run->stopping = true;
+        run->target->stopping++;
         owner_resources_add(&run->target->leaving, &need);
     }
     if ((run->phase == RUN_STARTING || run->phase == RUN_RUNNING ||
