A weak owner that made way stays out of the group

Cause (found by reading the change): leaving cleared the mark that a stronger VM had announced itself, so a weak owner joined again 0.25 s later, while nobody had shut it out yet, and could be dealt the shard once more. Change: the mark is cleared when the VM begins to stand for the shard. Test: test_group (makes way) failed first.

--- a/src/owner/owner_group.c
+++ b/src/owner/owner_group.c
@@ -143,8 +143,8 @@
         return;
     }
     candidacy->stands = wants;
-    candidacy->outranked = false;
     if (wants) {
+        candidacy->outranked = false;
         cw_log_info("group_joins", "capacity=%u bar=%u",
                     owner->options.capacity_milli, candidacy->bar_milli);
     }
--- a/tests/test_group.c
+++ b/tests/test_group.c
@@ -212,8 +212,10 @@
     run(&vm, 5000, true);
     CU_ASSERT_EQUAL(vm.leaves, 0);
     announce(&vm, "other", STRONG); /* it was started again */
-    run(&vm, 500, true);
+    vm.joins = 0;
+    run(&vm, 2000, true); /* nobody has shut it out yet */
     CU_ASSERT_EQUAL(vm.leaves, 1);
+    CU_ASSERT_TRUE(vm.joins <= 2); /* before it read of it */
     vm.owner->holds_partition = false;
     vm.joins = 0;
     run(&vm, 5000, true);
