Emulator: no rack loses more than two of its four workers

Cause: ended with a job that was never over. It may run in one data centre only, a rack here, three of whose four workers had been told to leave for good: its gang of three needs 12 accelerators, 8 were left. Change: a third worker of a rack is not told to leave.

--- a/emulator/world_faults.c
+++ b/emulator/world_faults.c
@@ -1,6 +1,11 @@
 /* What strikes, and what heals it. */
 #include "emulator/internal/world_private.h"
 
+#include <string.h>
+
+/* Workers of a rack of four that may leave in a day. */
+enum { RACK_LEAVING_MOST = 2 };
+
 #include "curlewcart/cw_entry.h"
 #include "curlewcart/cw_owner.h"
 #include "curlewcart/cw_replica.h"
@@ -157,11 +162,36 @@
     worker_model_set_speed(worker, 0);
 }
 
+/* Workers of the rack that leave; they never come back. */
+static unsigned
+leaving_of_rack(const struct world *world, const char *rack)
+{
+    unsigned leaving = 0;
+    GHashTableIter iterator;
+    gpointer id;
+
+    g_hash_table_iter_init(&iterator, world->draining);
+    while (g_hash_table_iter_next(&iterator, &id, NULL)) {
+        const struct worker_model *worker =
+            worker_fleet_find(world->fleet, id);
+
+        leaving += strcmp(rack, worker_model_rack(worker)) == 0;
+    }
+    return leaving;
+}
+
 static void
 fault_drain(struct world *world)
 {
-    const char *id = worker_model_id(any_worker(world));
+    struct worker_model *worker = any_worker(world);
+    const char *id = worker_model_id(worker);
 
+    /* A rack is a data centre here: with one worker left, a gang that may run
+     * in no other would have room nowhere (seed 950258). */
+    if (leaving_of_rack(world, worker_model_rack(worker)) >= RACK_LEAVING_MOST)
+    {
+        return;
+    }
     world_note(world, "drain %s", id);
     g_hash_table_add(world->draining, (gpointer)id);
 }
--- a/tests/test_world.c
+++ b/tests/test_world.c
@@ -92,6 +92,7 @@
         5663, /* an owner forgot a job before its replica had read its end */
         6005, /* a second attempt to cancel replaced the first one's place */
         7003259, /* a new owner's first hold hid that a lease was over */
+        950258,  /* load: three of four workers of a data centre left */
         7000554, /* load: once-only work that no guarantee left room for */
     };
 
