--- a/src/owner/owner_racks.c
+++ b/src/owner/owner_racks.c
@@ -6,50 +6,54 @@
 /* How long a rack is kept clear; renewed while the gang waits. */
 enum { HOLD_MS = 400 };
 
-/* Tasks that fit into the candidates of a rack. */
-static unsigned
-rack_fits(const GArray *candidates, const char *rack)
-{
-    unsigned fits = 0;
-
-    for (guint i = 0; i < candidates->len; i++) {
-        const struct owner_candidate *c =
-            &g_array_index(candidates, struct owner_candidate, i);
-
-        if (c->target->rack == rack) {
-            fits += c->fits;
-        }
-    }
-    return fits;
-}
-
-/* What a rack would give a gang. */
+/* What a rack would give a gang: what its first candidates come to. */
 struct rack_offer {
     const char *rack;
-    unsigned fits; /* tasks */
+    unsigned fits; /* tasks, in all its candidates */
     unsigned idle; /* idle workers that the gang would take */
     int speed;     /* of the slowest worker, in steps: the gang's own */
+    unsigned left; /* tasks that have no place yet */
 };
 
-/* What the rack's first candidates for `tasks` come to. */
-static struct rack_offer
-offer_of(const GArray *candidates, const char *rack, unsigned tasks)
+static void
+offer_add(struct rack_offer *offer, const struct owner_candidate *candidate)
 {
-    struct rack_offer offer = {
-        .rack = rack, .fits = rack_fits(candidates, rack), .speed = G_MAXINT};
+    int speed = (int)(candidate->target->speed / SPEED_STEP);
 
-    for (guint i = 0; i < candidates->len && tasks > 0; i++) {
+    offer->fits += candidate->fits;
+    if (offer->left > 0) {
+        offer->speed = MIN(offer->speed, speed);
+        offer->idle += owner_candidate_idle(candidate);
+        offer->left -= MIN(offer->left, candidate->fits);
+    }
+}
+
+/* Offers of all racks, in the order of their first candidates. */
+static GArray *
+offers_of(const GArray *candidates, unsigned tasks)
+{
+    GArray *offers = g_array_new(FALSE, FALSE, sizeof(struct rack_offer));
+    GHashTable *places = g_hash_table_new(NULL, NULL); /* 1 + index */
+
+    for (guint i = 0; i < candidates->len; i++) {
         const struct owner_candidate *c =
             &g_array_index(candidates, struct owner_candidate, i);
+        const char *rack = c->target->rack;
+        guint place = GPOINTER_TO_UINT(g_hash_table_lookup(places, rack));
+
+        if (place == 0) {
+            struct rack_offer offer = {
+                .rack = rack, .speed = G_MAXINT, .left = tasks};
 
-        if (c->target->rack == rack) {
-            offer.speed =
-                MIN(offer.speed, (int)(c->target->speed / SPEED_STEP));
-            offer.idle += owner_candidate_idle(c);
-            tasks -= MIN(tasks, c->fits);
+            g_array_append_val(offers, offer);
+            place = offers->len;
+            g_hash_table_insert(places, (gpointer)rack,
+                                GUINT_TO_POINTER(place));
         }
+        offer_add(&g_array_index(offers, struct rack_offer, place - 1), c);
     }
-    return offer;
+    g_hash_table_unref(places);
+    return offers;
 }
 
 static bool
@@ -69,29 +73,29 @@
 owner_best_rack(const GArray *candidates, const struct owner_step *step,
                 unsigned tasks)
 {
-    struct rack_offer best = {0};
+    GArray *offers = offers_of(candidates, tasks);
+    const struct rack_offer *best = NULL;
     bool urgent = step->occurrence->job->spec->priority == 0;
+    const char *rack;
 
-    for (guint i = 0; i < candidates->len; i++) {
-        const char *rack =
-            g_array_index(candidates, struct owner_candidate, i).target->rack;
-        struct rack_offer offer;
+    for (guint i = 0; i < offers->len; i++) {
+        const struct rack_offer *offer =
+            &g_array_index(offers, struct rack_offer, i);
 
-        if (best.rack == rack) {
+        if (offer->fits < tasks) {
             continue;
         }
-        offer = offer_of(candidates, rack, tasks);
-        if (offer.fits < tasks) {
-            continue;
-        }
-        if (strcmp(rack, step->spec->data_rack) == 0) {
-            return rack;
+        if (strcmp(offer->rack, step->spec->data_rack) == 0) {
+            best = offer;
+            break;
         }
-        if (best.rack == NULL || offer_is_better(&offer, &best, urgent)) {
+        if (best == NULL || offer_is_better(offer, best, urgent)) {
             best = offer;
         }
     }
-    return best.rack;
+    rack = best != NULL ? best->rack : NULL;
+    g_array_unref(offers);
+    return rack;
 }
 
 /* Room for the gang once work of a lower priority has left. */
