--- a/src/owner/owner_orders.c
+++ b/src/owner/owner_orders.c
@@ -17,8 +17,8 @@
     AVOID_UNANSWERED_MS = 1500,
     AVOID_FULL_MS = 300,
     AVOID_UNHEALTHY_MS = 1500,
-    /* A connection could not be made within its second: the next look at
-     * the worker, which is under way by then, decides what follows. */
+    /* A connection could not be made in time: the next look at the worker,
+     * which is under way by then, decides what follows. */
     AVOID_UNREACHABLE_MS = 2000
 };
 
