A load of the log gets more time after each one without an answer

Change: a load's timeout doubles up to 5 s after each one without an answer; a read asks for at most 128 KB.

--- a/include/curlewcart/cw_store.h
+++ b/include/curlewcart/cw_store.h
@@ -69,6 +69,7 @@
     unsigned partition;
     uint64_t from;
     unsigned wait_ms; /* the answer waits so long for a record */
+    unsigned most_kb; /* of records in the answer; 0: the store decides */
     unsigned timeout_ms;
     void (*done)(void *context, const struct cw_store_page *page);
     void *context;
--- a/src/replica/follower.c
+++ b/src/replica/follower.c
@@ -10,6 +10,13 @@
     /* An answer takes a few ms, and up to about a quarter second while the
      * store is slow; a cut shows within this. */
     CALL_TIMEOUT_MS = 900,
+    /* A page of newest records holds up to 1 MB, which takes 0.8 s of a
+     * 10 Mbit/s link and 4 s of a 2 Mbit/s one.  Each load without an answer
+     * doubles the time that the next one gets, up to this; with a fixed 0.9 s
+     * weak VMs did not get a page for 5 to 8 s after a restart. */
+    LOAD_TIMEOUT_MOST_MS = 5000,
+    /* What a 2 Mbit/s link carries well within CALL_TIMEOUT_MS. */
+    READ_MOST_KB = 128,
     RETRY_FIRST_MS = 100,
     RETRY_MOST_MS = 800,
     /* Many VMs share the store's rate of reads.  Refused, a follower reads
@@ -33,6 +40,7 @@
     uint64_t position;
     unsigned retry_ms;
     unsigned slow_ms; /* least time between reads since the last refusal */
+    unsigned load_timeout_ms;
     struct timespec due;
     struct timespec sent;
     struct timespec fresh;
@@ -46,6 +54,7 @@
 
     follower->options = *options;
     follower->loading = true;
+    follower->load_timeout_ms = CALL_TIMEOUT_MS;
     return follower;
 }
 
@@ -83,6 +92,10 @@
         follower->slow_ms =
             CLAMP(follower->slow_ms * 2, SLOW_FIRST_MS, SLOW_MOST_MS);
     }
+    if (follower->loading && status == CW_STORE_UNKNOWN) {
+        follower->load_timeout_ms =
+            MIN(follower->load_timeout_ms * 2, LOAD_TIMEOUT_MOST_MS);
+    }
     follower->retry_ms =
         CLAMP(follower->retry_ms * 2, RETRY_FIRST_MS, RETRY_MOST_MS);
     follower->due = cw_time_add_ms(now, follower->retry_ms);
@@ -220,7 +233,7 @@
         .topic = follower->options.topic,
         .partition = follower->options.partition,
         .after = follower->after,
-        .timeout_ms = CALL_TIMEOUT_MS,
+        .timeout_ms = follower->load_timeout_ms,
         .done = on_newest,
         .context = follower,
     };
@@ -237,6 +250,7 @@
         .partition = follower->options.partition,
         .from = follower->position,
         .wait_ms = wait_ms,
+        .most_kb = READ_MOST_KB,
         .timeout_ms = wait_ms + CALL_TIMEOUT_MS,
         .done = on_read,
         .context = follower,
--- a/tests/store_port.h
+++ b/tests/store_port.h
@@ -13,8 +13,10 @@
     unsigned appends;
     unsigned loads;
     unsigned reads;
-    unsigned waited_ms; /* asked for by the last read */
-    unsigned page_most; /* records that an answer holds; 0: all */
+    unsigned waited_ms;       /* asked for by the last read */
+    unsigned most_kb;         /* the same */
+    unsigned load_timeout_ms; /* of the last load */
+    unsigned page_most;       /* records that an answer holds; 0: all */
 };
 
 static void
@@ -48,6 +50,7 @@
     struct store_model_page page;
 
     port->loads++;
+    port->load_timeout_ms = call->timeout_ms;
     if (port->refuses != CW_STORE_OK) {
         call->done(call->context, &refused);
         return;
@@ -67,6 +70,7 @@
 
     port->reads++;
     port->waited_ms = call->wait_ms;
+    port->most_kb = call->most_kb;
     if (port->refuses != CW_STORE_OK) {
         call->done(call->context, &refused);
         return;
--- a/tests/test_follower.c
+++ b/tests/test_follower.c
@@ -198,12 +198,45 @@
     bed_end(&bed);
 }
 
+/* A large page on a thin link: every load of one length would fail alike. */
+static void
+test_a_load_without_an_answer_gets_more_time(void)
+{
+    struct bed bed;
+    unsigned first;
+
+    bed_begin(&bed);
+    put(&bed, "a");
+    bed.port.refuses = CW_STORE_UNKNOWN;
+    pass(&bed, 1);
+    first = bed.port.load_timeout_ms;
+    pass(&bed, 5000);
+    CU_ASSERT_TRUE(bed.port.load_timeout_ms >= 4 * first);
+    bed.port.refuses = CW_STORE_OK;
+    pass(&bed, 1000);
+    CU_ASSERT_TRUE(cw_follower_loaded(bed.follower));
+    bed_end(&bed);
+}
+
+static void
+test_a_read_asks_for_what_a_thin_link_carries(void)
+{
+    struct bed bed;
+
+    bed_begin(&bed);
+    pass(&bed, 200);
+    CU_ASSERT_TRUE(bed.port.most_kb > 0 && bed.port.most_kb <= 128);
+    bed_end(&bed);
+}
+
 static const struct test tests[] = {
     {"behind", test_behind_it_is_not_fresh_and_reads_on_at_once},
     {"load", test_a_load_is_as_fresh_as_its_first_page},
     {"load and read on", test_it_loads_and_reads_on},
     {"dropped history", test_dropped_history_makes_it_load_again},
     {"refused", test_refused_it_reads_less_often_for_a_while},
+    {"thin link, load", test_a_load_without_an_answer_gets_more_time},
+    {"thin link, read", test_a_read_asks_for_what_a_thin_link_carries},
     {"hurry", test_in_a_hurry_it_does_not_wait},
 };
 
