A VM that gains the shard reads up before it shuts the owner out

Ruled out: the reports of 350 workers (14 ms), the fencing call (5 ms). Change: a state before fencing, until the last answer reached the log's end; after a failure a follower's first read does not wait for records, so that it learns of the end at once. make: dependency files survive a header that is gone. Tests: reads first (test_group), after a failure (test_follower); both fail without the change.

--- a/Makefile
+++ b/Makefile
@@ -41,11 +41,11 @@
 
 $(BUILD)/obj/src/proto/%.o: src/proto/%.c
 	@mkdir -p $(dir $@)
-	@$(CC) $(CPPFLAGS) $(CFLAGS) -w -MMD -c $< -o $@
+	@$(CC) $(CPPFLAGS) $(CFLAGS) -w -MMD -MP -c $< -o $@
 
 $(BUILD)/obj/%.o: %.c
 	@mkdir -p $(dir $@)
-	@$(CC) $(CPPFLAGS) $(CFLAGS) $(WARN) -MMD -c $< -o $@
+	@$(CC) $(CPPFLAGS) $(CFLAGS) $(WARN) -MMD -MP -c $< -o $@
 
 $(BUILD)/curlewcart: $(CORE_OBJ) $(NET_OBJ) $(PROGRAM_OBJ)
 	@$(CC) $(LDFLAGS) $^ $(LDLIBS) -o $@
--- a/include/curlewcart/cw_follower.h
+++ b/include/curlewcart/cw_follower.h
@@ -61,6 +61,10 @@
  * before it is known here. */
 struct timespec cw_follower_fresh(const struct cw_follower *follower);
 
+/* True if the last answer reached the end of the partition: what it lacks
+ * was appended since, or is about to be told by a read that waits. */
+bool cw_follower_at_end(const struct cw_follower *follower);
+
 void cw_follower_set_pace(struct cw_follower *follower, unsigned pace_ms);
 
 /* Reads at once, without waiting for records. */
--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -189,6 +189,7 @@
 
 enum owner_state {
     OWNER_IDLE,     /* another VM owns the shard, or none */
+    OWNER_READING,  /* gained it; reads until it can decide at once */
     OWNER_FENCING,  /* shutting out earlier owners */
     OWNER_CATCHING, /* reading what they have written */
     OWNER_ACTIVE
@@ -273,8 +274,9 @@
     return cw_clock_now(owner->options.clock);
 }
 
-/* Shuts out earlier owners of the shard that was just gained. */
-void owner_begin_fencing(struct cw_owner *owner, struct timespec now);
+/* Becomes the owner of the shard that was just gained: reads up, shuts
+ * earlier owners out, reads what they wrote last, and decides. */
+void owner_begin(struct cw_owner *owner, struct timespec now);
 
 /* ---- owner_group.c ---- */
 
--- a/src/owner/owner.c
+++ b/src/owner/owner.c
@@ -138,7 +138,7 @@
 }
 
 void
-owner_begin_fencing(struct cw_owner *owner, struct timespec now)
+owner_begin(struct cw_owner *owner, struct timespec now)
 {
     if (owner->generation != owner->epoch_generation) {
         owner->epoch_generation = owner->generation;
@@ -147,11 +147,14 @@
     owner->epoch = owner->epoch_generation * EPOCHS_PER_GENERATION +
                    MIN(owner->epoch_count, EPOCHS_PER_GENERATION - 1);
     owner->epoch_count++;
-    owner->state = OWNER_FENCING;
+    owner->state = OWNER_READING;
     owner->began = now;
     owner->fence_due = now;
     cw_follower_set_pace(cw_replica_follower(owner->options.replica),
                          CW_OWNER_PACE_MS);
+    if (!cw_follower_at_end(cw_replica_follower(owner->options.replica))) {
+        cw_follower_hurry(cw_replica_follower(owner->options.replica));
+    }
     follow_reports(owner);
 }
 
@@ -220,6 +223,19 @@
     owner->options.store->ops->append(owner->options.store, &call);
 }
 
+/* An earlier owner decides until it is shut out, and nobody from then on
+ * until this VM has read up.  One that comes back from a cut is seconds
+ * behind: shutting out first left 0.6 s without an owner on 350 workers,
+ * reading first leaves one read of the log. */
+static bool
+has_read_up(const struct cw_owner *owner)
+{
+    const struct cw_follower *jobs =
+        cw_replica_follower(owner->options.replica);
+
+    return cw_follower_at_end(jobs) && cw_follower_loaded(owner->reports);
+}
+
 static bool
 caught_up(struct cw_owner *owner)
 {
@@ -432,10 +448,16 @@
     struct timespec next;
 
     next = owner_group_tick(owner, now);
-    if (owner->state == OWNER_FENCING || owner->state == OWNER_CATCHING) {
+    if (owner->state != OWNER_IDLE && owner->state != OWNER_ACTIVE) {
         cw_follower_tick(owner->reports, now);
         cw_time_earlier(&next, cw_follower_due(owner->reports));
     }
+    if (owner->state == OWNER_READING) {
+        cw_time_earlier(&next, cw_time_add_ms(now, PLACE_EVERY_MS));
+        if (has_read_up(owner)) {
+            owner->state = OWNER_FENCING;
+        }
+    }
     if (owner->state == OWNER_FENCING) {
         send_fence(owner, now);
         cw_time_earlier(&next, cw_time_add_ms(now, FENCE_RETRY_MS));
--- a/src/owner/owner_group.c
+++ b/src/owner/owner_group.c
@@ -48,7 +48,7 @@
         owner->holds_partition = true;
         cw_log_info("shard_gained", "shard=%u generation=%" PRIu64,
                     owner->options.partition, owner->generation);
-        owner_begin_fencing(owner, now);
+        owner_begin(owner, now);
     }
     else if (!has && owner->holds_partition && !owner->yielding) {
         yield(owner, "reassigned");
--- a/src/replica/follower.c
+++ b/src/replica/follower.c
@@ -34,6 +34,7 @@
     bool hurry;
     bool freed;
     bool away; /* the last call failed; was logged */
+    bool at_end;
     char *after;
     bool have_start;
     uint64_t start; /* end of the partition at the first page */
@@ -88,6 +89,7 @@
                        follower->options.name, cw_store_status_name(status),
                        follower->position);
     }
+    follower->at_end = false;
     if (status == CW_STORE_REFUSED) {
         follower->slow_ms =
             CLAMP(follower->slow_ms * 2, SLOW_FIRST_MS, SLOW_MOST_MS);
@@ -118,6 +120,7 @@
 begin_load(struct cw_follower *follower, struct timespec now)
 {
     follower->loading = true;
+    follower->at_end = false;
     follower->have_start = false;
     g_clear_pointer(&follower->after, g_free);
     follower->due = now;
@@ -214,6 +217,7 @@
     }
     /* An answer holds only so much; through another VM it is little. */
     behind = page->count > 0 && follower->position < page->end;
+    follower->at_end = !behind;
     if (!behind) {
         follower->fresh = follower->sent;
     }
@@ -244,7 +248,10 @@
 static void
 send_read(struct cw_follower *follower)
 {
-    unsigned wait_ms = follower->hurry ? 0 : follower->options.wait_ms;
+    /* After a failure the end is not known: a read that waits for records
+     * would tell of it a second later. */
+    bool waits = follower->at_end && !follower->hurry;
+    unsigned wait_ms = waits ? follower->options.wait_ms : 0;
     struct cw_store_read call = {
         .topic = follower->options.topic,
         .partition = follower->options.partition,
@@ -300,6 +307,12 @@
     return follower->fresh;
 }
 
+bool
+cw_follower_at_end(const struct cw_follower *follower)
+{
+    return follower->at_end;
+}
+
 void
 cw_follower_set_pace(struct cw_follower *follower, unsigned pace_ms)
 {
--- a/tests/test_follower.c
+++ b/tests/test_follower.c
@@ -218,6 +218,28 @@
     bed_end(&bed);
 }
 
+static void
+test_after_a_failure_it_does_not_wait_for_records(void)
+{
+    struct bed bed;
+
+    bed_begin(&bed);
+    pass(&bed, 200);
+    CU_ASSERT_EQUAL(bed.port.waited_ms, 500);
+    CU_ASSERT_TRUE(cw_follower_at_end(bed.follower));
+    bed.port.refuses = CW_STORE_UNKNOWN;
+    pass(&bed, 500);
+    CU_ASSERT_FALSE(cw_follower_at_end(bed.follower));
+    bed.port.refuses = CW_STORE_OK;
+    while (!cw_follower_at_end(bed.follower)) {
+        pass(&bed, 1);
+    }
+    CU_ASSERT_EQUAL(bed.port.waited_ms, 0);
+    pass(&bed, 300);
+    CU_ASSERT_EQUAL(bed.port.waited_ms, 500);
+    bed_end(&bed);
+}
+
 static void
 test_a_read_asks_for_what_a_thin_link_carries(void)
 {
@@ -237,6 +259,7 @@
     {"refused", test_refused_it_reads_less_often_for_a_while},
     {"thin link, load", test_a_load_without_an_answer_gets_more_time},
     {"thin link, read", test_a_read_asks_for_what_a_thin_link_carries},
+    {"after a failure", test_after_a_failure_it_does_not_wait_for_records},
     {"hurry", test_in_a_hurry_it_does_not_wait},
 };
 
--- a/tests/test_group.c
+++ b/tests/test_group.c
@@ -2,6 +2,7 @@
 #include "test_main.h"
 
 #include "owner_site.h"
+#include "platform/platform.h"
 #include "store_port.h"
 
 enum { WEAK = 120, STRONG = 500, STEP_MS = 100 };
@@ -16,6 +17,7 @@
     struct cw_owner *owner;
     unsigned joins;
     unsigned leaves;
+    unsigned fences;
 };
 
 static struct vm *current;
@@ -48,7 +50,8 @@
     static struct cw_store_ops ops;
     struct cw_replica_options replica = {.clock = &vm->clock.base,
                                          .store = &vm->store.base};
-    struct cw_owner_options options = {.clock = &vm->clock.base,
+    struct cw_owner_options options = {.codec = platform_codec(),
+                                       .clock = &vm->clock.base,
                                        .counters = &vm->counters,
                                        .store = &vm->store.base,
                                        .vm = "this",
@@ -286,7 +289,52 @@
     vm_end(&vm);
 }
 
+/* Appends that set an epoch and hold no record. */
+static void
+count_fences(struct cw_store *store, const struct cw_store_append *call)
+{
+    current->fences += call->count == 0;
+    store_port_append(store, call);
+}
+
+static void
+tick_owner(struct vm *vm, unsigned times)
+{
+    for (unsigned i = 0; i < times; i++) {
+        vm->clock.now = cw_time_add_ms(vm->clock.now, 1);
+        cw_follower_tick(cw_replica_follower(vm->replica), vm->clock.now);
+        cw_owner_tick(vm->owner, vm->clock.now);
+    }
+}
+
+/* Until it is shut out the present owner decides; the next one lets it while
+ * it reads. */
+static void
+test_a_vm_that_is_behind_reads_before_it_shuts_the_owner_out(void)
+{
+    struct vm vm;
+
+    vm_begin(&vm, STRONG);
+    ((struct cw_store_ops *)vm.store.base.ops)->append = count_fences;
+    tick_owner(&vm, 20);
+    for (unsigned i = 0; i < 500; i++) {
+        beat(&vm);
+    }
+    vm.store.page_most = 1; /* far behind: a record an answer */
+    vm.owner->generation = 7;
+    owner_begin(vm.owner, vm.clock.now);
+    tick_owner(&vm, 300);
+    CU_ASSERT_EQUAL(vm.fences, 0);
+    vm.store.page_most = 0;
+    tick_owner(&vm, 300);
+    CU_ASSERT_EQUAL(vm.fences, 1);
+    CU_ASSERT_TRUE(cw_owner_active(vm.owner));
+    vm_end(&vm);
+}
+
 static const struct test tests[] = {
+    {"reads first",
+     test_a_vm_that_is_behind_reads_before_it_shuts_the_owner_out},
     {"equal", test_equal_vms_join_once_they_have_read},
     {"stays out", test_a_weak_vm_stays_out_while_an_owner_writes},
     {"joins", test_a_weak_vm_joins_when_nobody_decides},
