A VM looks at the log when its callers ask, and reads seldom otherwise

Ruled out: a longer pace alone (ends shown later; urgent work has 0.25 s and half its length to spare). Change: a question about work that is not over looks at the store first, unless a waiting read is there already, and is answered after 400 ms at the latest; a standby whose callers ask reads each 0.5 s. Callers of our own interface, who are held until the end, keep 150 ms. Tests: looks first, store away (test_entry).

--- a/include/curlewcart/cw_entry.h
+++ b/include/curlewcart/cw_entry.h
@@ -71,6 +71,15 @@
 cw_entry_query(struct cw_entry *entry, const struct cw_entry_place *place,
                unsigned *phase);
 
+typedef void (*cw_entry_told)(void *context, enum cw_result result,
+                              unsigned phase);
+
+/* The same for callers that ask again and again: looks at the store first if
+ * it may have something newer, and answers after 400 ms at the latest.  So
+ * VMs need not read all the time to tell of an end at once. */
+void cw_entry_ask(struct cw_entry *entry, const struct cw_entry_place *place,
+                  cw_entry_told told, void *context);
+
 /* Jobs of the queue that have not begun: CW_OK or CW_REF_NO_LEDGER. */
 enum cw_result cw_entry_waiting(struct cw_entry *entry,
                                 const struct cw_queue *queue, unsigned *count);
--- a/include/curlewcart/cw_follower.h
+++ b/include/curlewcart/cw_follower.h
@@ -65,6 +65,10 @@
  * was appended since, or is about to be told by a read that waits. */
 bool cw_follower_at_end(const struct cw_follower *follower);
 
+/* True if nothing was appended that is not known here, as far as the store
+ * has told: it holds a read that waits for the next record. */
+bool cw_follower_is_current(const struct cw_follower *follower);
+
 void cw_follower_set_pace(struct cw_follower *follower, unsigned pace_ms);
 
 /* Reads at once, without waiting for records. */
--- a/include/curlewcart/cw_owner.h
+++ b/include/curlewcart/cw_owner.h
@@ -30,14 +30,16 @@
     struct cw_clock *clock;
     struct cw_replica *replica;
     struct cw_counters *counters;
-    const char *vm;          /* name of this VM; copied */
-    const char *member;      /* of this process's life; copied */
-    unsigned partition;      /* the shard */
-    unsigned member_ttl_ms;  /* the store forgets a silent member after it */
-    unsigned lease_ms;       /* longest lease that workers grant */
-    unsigned retain_ms;      /* ended jobs are known at least so long */
-    unsigned capacity_milli; /* this VM's processor, thousandths of a core;
-                                0: as any other */
+    const char *vm;           /* name of this VM; copied */
+    const char *member;       /* of this process's life; copied */
+    unsigned partition;       /* the shard */
+    unsigned member_ttl_ms;   /* the store forgets a silent member after it */
+    unsigned lease_ms;        /* longest lease that workers grant */
+    unsigned standby_pace_ms; /* of the log while another VM decides; 0:
+                                 CW_STANDBY_PACE_MS */
+    unsigned retain_ms;       /* ended jobs are known at least so long */
+    unsigned capacity_milli;  /* this VM's processor, thousandths of a core;
+                                 0: as any other */
 };
 
 struct cw_owner;
--- a/include/curlewcart/cw_replica.h
+++ b/include/curlewcart/cw_replica.h
@@ -21,10 +21,13 @@
 /* The topic that jobs are kept in; a shard is one partition of it. */
 #define CW_WORK_TOPIC "keyed.jobs"
 
-/* Least time between two reads of it: an owner starts work soon, a standby
- * shows states within a fifth of a second at a few reads a second. */
+/* Least time between two reads of it: an owner starts work soon; a standby
+ * that holds callers until their work is over tells them within a fifth of a
+ * second; one whose callers ask looks when they do (cw_entry_ask), and reads
+ * in between only so that it can take over. */
 #define CW_OWNER_PACE_MS 5
 #define CW_STANDBY_PACE_MS 150
+#define CW_ASKED_PACE_MS 500
 
 /* What is known of a job. */
 struct cw_replica_job {
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -16,7 +16,10 @@
     APPEND_TIMEOUT_MS = 700,
     RETRY_FIRST_MS = 60,
     RETRY_MOST_MS = 400,
-    PENDING_MAX = 2000
+    PENDING_MAX = 2000,
+    /* A read takes about 5 ms, and a quarter second while the store is slow;
+     * while it is away a caller is told what is known here after so long. */
+    LOOK_MOST_MS = 400
 };
 
 /* A change on its way into the store. */
@@ -45,10 +48,21 @@
     enum cw_store_status last;
 };
 
+/* A question that waits for a look at the store. */
+struct question {
+    char *id;
+    char *queue;
+    char *account; /* NULL: of any */
+    cw_entry_told told;
+    void *context;
+    struct timespec since;
+};
+
 struct cw_entry {
     struct cw_entry_options options;
     struct cw_routing *routing;
-    GPtrArray *changes; /* struct change */
+    GPtrArray *changes;   /* struct change */
+    GPtrArray *questions; /* struct question */
     bool leaving;
     bool isolated;
 };
@@ -63,6 +77,17 @@
     g_free(change);
 }
 
+static void
+question_free(gpointer data)
+{
+    struct question *question = data;
+
+    g_free(question->id);
+    g_free(question->queue);
+    g_free(question->account);
+    g_free(question);
+}
+
 struct cw_entry *
 cw_entry_create(const struct cw_entry_options *options)
 {
@@ -70,6 +95,7 @@
 
     entry->options = *options;
     entry->changes = g_ptr_array_new();
+    entry->questions = g_ptr_array_new_with_free_func(question_free);
     return entry;
 }
 
@@ -82,6 +108,7 @@
             change_free(entry->changes->pdata[i]);
         }
         g_ptr_array_unref(entry->changes);
+        g_ptr_array_unref(entry->questions);
         cw_routing_unref(entry->routing);
         g_free(entry);
     }
@@ -440,12 +467,11 @@
            cw_time_diff_ms(cw_follower_fresh(follower), now) <= within_ms;
 }
 
-enum cw_result
-cw_entry_query(struct cw_entry *entry, const struct cw_entry_place *place,
-               unsigned *phase)
+static enum cw_result
+where_it_stands(const struct cw_entry *entry, const char *id,
+                const char *queue, const char *account, unsigned *phase)
 {
-    const struct cw_replica_job *job =
-        find_job(entry, place->id, place->queue->name, account_name(place));
+    const struct cw_replica_job *job = find_job(entry, id, queue, account);
 
     if (job != NULL) {
         *phase = cw_replica_phase(job);
@@ -455,6 +481,78 @@
     return is_fresh(entry, FRESH_MS) ? CW_E_NOT_FOUND : CW_REF_NO_LEDGER;
 }
 
+enum cw_result
+cw_entry_query(struct cw_entry *entry, const struct cw_entry_place *place,
+               unsigned *phase)
+{
+    return where_it_stands(entry, place->id, place->queue->name,
+                           account_name(place), phase);
+}
+
+/* ---- questions that look first ---- */
+
+void
+cw_entry_ask(struct cw_entry *entry, const struct cw_entry_place *place,
+             cw_entry_told told, void *context)
+{
+    struct cw_follower *follower = cw_replica_follower(entry->options.replica);
+    unsigned phase = CW_WORK_WAITING;
+    enum cw_result result = cw_entry_query(entry, place, &phase);
+    struct question *question;
+
+    if ((result == CW_OK && cw_work_is_over(phase)) || entry->isolated ||
+        cw_follower_is_current(follower) ||
+        entry->questions->len >= PENDING_MAX)
+    {
+        told(context, result, phase);
+        return;
+    }
+    question = g_new0(struct question, 1);
+    question->id = g_strdup(place->id);
+    question->queue = g_strdup(place->queue->name);
+    question->account = g_strdup(account_name(place));
+    question->told = told;
+    question->context = context;
+    question->since = cw_clock_now(entry->options.clock);
+    g_ptr_array_add(entry->questions, question);
+    cw_follower_hurry(follower);
+}
+
+static void
+tell(struct cw_entry *entry, const struct question *question)
+{
+    unsigned phase = CW_WORK_WAITING;
+    enum cw_result result = where_it_stands(
+        entry, question->id, question->queue, question->account, &phase);
+
+    question->told(question->context, result, phase);
+}
+
+/* Answers what has been looked for, or has waited long enough. */
+static void
+tell_all(struct cw_entry *entry, struct timespec now, struct timespec *next)
+{
+    const struct cw_follower *follower =
+        cw_replica_follower(entry->options.replica);
+    struct timespec fresh = cw_follower_fresh(follower);
+    bool current = cw_follower_is_current(follower);
+
+    for (guint i = entry->questions->len; i > 0; i--) {
+        struct question *question = entry->questions->pdata[i - 1];
+        struct timespec late = cw_time_add_ms(question->since, LOOK_MOST_MS);
+
+        if (current || !cw_time_before(fresh, question->since) ||
+            !cw_time_before(now, late))
+        {
+            tell(entry, question);
+            g_ptr_array_remove_index_fast(entry->questions, i - 1);
+        }
+        else {
+            cw_time_earlier(next, late);
+        }
+    }
+}
+
 enum cw_result
 cw_entry_waiting(struct cw_entry *entry, const struct cw_queue *queue,
                  unsigned *count)
@@ -494,7 +592,7 @@
 unsigned
 cw_entry_pending(const struct cw_entry *entry)
 {
-    return entry->changes->len;
+    return entry->changes->len + entry->questions->len;
 }
 
 struct timespec
@@ -502,6 +600,7 @@
 {
     struct timespec next = cw_time_from_ms(INT32_MAX);
 
+    tell_all(entry, now, &next);
     /* Backwards: concluding a change takes it out of the array. */
     for (guint i = entry->changes->len; i > 0; i--) {
         struct change *change = entry->changes->pdata[i - 1];
--- a/src/owner/owner.c
+++ b/src/owner/owner.c
@@ -49,7 +49,7 @@
     owner->yielding = false;
     owner->join_due = cw_time_from_ms(0);
     cw_follower_set_pace(cw_replica_follower(owner->options.replica),
-                         CW_STANDBY_PACE_MS);
+                         owner->options.standby_pace_ms);
 }
 
 bool
@@ -297,6 +297,9 @@
     if (options->capacity_milli == 0) {
         owner->options.capacity_milli = CAPACITY_UNKNOWN_MILLI;
     }
+    if (options->standby_pace_ms == 0) {
+        owner->options.standby_pace_ms = CW_STANDBY_PACE_MS;
+    }
     owner->member = g_strdup(options->member);
     owner->vm = g_strdup(options->vm);
     owner->jobs =
--- a/src/replica/follower.c
+++ b/src/replica/follower.c
@@ -35,6 +35,7 @@
     bool freed;
     bool away; /* the last call failed; was logged */
     bool at_end;
+    bool waits; /* the read under way waits for a record */
     char *after;
     bool have_start;
     uint64_t start; /* end of the partition at the first page */
@@ -250,8 +251,8 @@
 {
     /* After a failure the end is not known: a read that waits for records
      * would tell of it a second later. */
-    bool waits = follower->at_end && !follower->hurry;
-    unsigned wait_ms = waits ? follower->options.wait_ms : 0;
+    unsigned wait_ms =
+        follower->at_end && !follower->hurry ? follower->options.wait_ms : 0;
     struct cw_store_read call = {
         .topic = follower->options.topic,
         .partition = follower->options.partition,
@@ -264,6 +265,7 @@
     };
 
     follower->hurry = false;
+    follower->waits = wait_ms > 0;
     follower->options.store->ops->read(follower->options.store, &call);
 }
 
@@ -313,6 +315,12 @@
     return follower->at_end;
 }
 
+bool
+cw_follower_is_current(const struct cw_follower *follower)
+{
+    return follower->at_end && follower->in_flight && follower->waits;
+}
+
 void
 cw_follower_set_pace(struct cw_follower *follower, unsigned pace_ms)
 {
--- a/src/vm/vm.c
+++ b/src/vm/vm.c
@@ -156,6 +156,13 @@
     return (unsigned)lround(processor->share * cores * MILLI);
 }
 
+/* Callers of our own interface wait for the end; the platform's ask. */
+static unsigned
+standby_pace_ms(const struct cw_settings *settings)
+{
+    return settings->api != NULL ? CW_STANDBY_PACE_MS : CW_ASKED_PACE_MS;
+}
+
 static void
 create_engine(struct cw_vm *vm)
 {
@@ -166,7 +173,7 @@
     struct platform_options platform = {.client = vm->client,
                                         .engine = &vm->engine};
     struct cw_replica_options replica = {.clock = vm->clock,
-                                         .pace_ms = CW_STANDBY_PACE_MS};
+                                         .pace_ms = standby_pace_ms(settings)};
     struct cw_entry_options entry = {.clock = vm->clock,
                                      .counters = &vm->counters};
     struct cw_owner_options owner = {
@@ -177,6 +184,7 @@
             settings->bounds.member_ttl_ms * MEMBER_TTL_PERCENT / PERCENT,
         .lease_ms = settings->bounds.lease_ms,
         .capacity_milli = capacity_of(&settings->processor),
+        .standby_pace_ms = standby_pace_ms(settings),
         .retain_ms =
             (settings->bounds.retain_s + RETAIN_EXTRA_S) * CW_MS_PER_S,
     };
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -1,4 +1,4 @@
-/* Who may cancel a job. */
+/* Who may cancel a job, and what those who ask for one are told. */
 #include "test_main.h"
 
 #include <string.h>
@@ -20,7 +20,9 @@
     struct cw_replica *replica;
     struct cw_routing *routing;
     struct cw_entry *entry;
-    int outcome; /* -1: no answer yet */
+    int outcome;   /* -1: no answer yet */
+    unsigned told; /* answers to questions */
+    int phase;     /* the last one; -1: none */
 };
 
 static void
@@ -70,13 +72,19 @@
     g_byte_array_unref(bytes);
 }
 
+static void
+turn(struct bed *bed)
+{
+    bed->clock.now = cw_time_add_ms(bed->clock.now, STEP_MS);
+    cw_follower_tick(cw_replica_follower(bed->replica), bed->clock.now);
+    cw_entry_tick(bed->entry, bed->clock.now);
+}
+
 static void
 pass(struct bed *bed)
 {
     for (unsigned i = 0; i < TURNS; i++) {
-        bed->clock.now = cw_time_add_ms(bed->clock.now, STEP_MS);
-        cw_follower_tick(cw_replica_follower(bed->replica), bed->clock.now);
-        cw_entry_tick(bed->entry, bed->clock.now);
+        turn(bed);
     }
 }
 
@@ -226,7 +234,71 @@
     bed_end(&bed);
 }
 
+static void
+on_told(void *context, enum cw_result result, unsigned phase)
+{
+    struct bed *bed = context;
+
+    bed->told++;
+    bed->phase = result == CW_OK ? (int)phase : -1;
+}
+
+static void
+ask(struct bed *bed)
+{
+    struct cw_entry_place place;
+
+    CU_ASSERT_EQUAL_FATAL(
+        cw_entry_locate(bed->entry, "a.example", "/jobs/" ID, "k1", &place),
+        CW_OK);
+    cw_entry_ask(bed->entry, &place, on_told, bed);
+}
+
+/* Between two reads another VM may have taken a job, or ended it. */
+static void
+test_a_question_looks_at_the_store_first(void)
+{
+    struct bed bed;
+    unsigned before;
+
+    bed_begin(&bed);
+    pass(&bed);
+    cw_follower_set_pace(cw_replica_follower(bed.replica), 60000);
+    pass(&bed); /* the next read is a minute away */
+    put_job(&bed);
+    before = bed.port.reads;
+    ask(&bed);
+    CU_ASSERT_EQUAL(bed.told, 0);
+    turn(&bed);
+    CU_ASSERT_EQUAL(bed.told, 1);
+    CU_ASSERT_EQUAL(bed.phase, CW_WORK_WAITING);
+    CU_ASSERT_EQUAL(bed.port.reads, before + 1);
+    bed_end(&bed);
+}
+
+static void
+test_a_question_is_answered_while_the_store_is_away(void)
+{
+    struct bed bed;
+
+    bed_begin(&bed);
+    put_job(&bed);
+    pass(&bed);
+    cw_follower_set_pace(cw_replica_follower(bed.replica), 60000);
+    pass(&bed);
+    bed.port.refuses = CW_STORE_REFUSED;
+    ask(&bed);
+    turn(&bed);
+    CU_ASSERT_EQUAL(bed.told, 0);
+    pass(&bed);
+    CU_ASSERT_EQUAL(bed.told, 1);
+    CU_ASSERT_EQUAL(bed.phase, CW_WORK_WAITING);
+    bed_end(&bed);
+}
+
 static const struct test tests[] = {
+    {"looks first", test_a_question_looks_at_the_store_first},
+    {"store away", test_a_question_is_answered_while_the_store_is_away},
     {"known", test_a_job_is_known_only_to_its_own_account},
     {"another account's job", test_another_accounts_job_is_not_cancelled},
     {"another account's new job",
