A read's limit reaches the store

Change: cw_relay_request carries most_kb (unreleased format); a read through another VM asks for 56 KB. Test: small reads (test_relay), fails without.

--- a/src/proto/cw_proto.h
+++ b/src/proto/cw_proto.h
@@ -218,6 +218,7 @@
 	u_quad_t expected_end;
 	u_quad_t from;
 	u_int wait_ms;
+	u_int most_kb;
 	char *after;
 	cw_name group;
 	char *member;
--- a/src/proto/cw_proto.x
+++ b/src/proto/cw_proto.x
@@ -191,6 +191,7 @@
     unsigned hyper expected_end;
     unsigned hyper from;
     unsigned int wait_ms;
+    unsigned int most_kb;         /* of records in the answer; 0: any */
     string after<255>;
     cw_name group;
     string member<255>;
--- a/src/proto/cw_proto_xdr.c
+++ b/src/proto/cw_proto_xdr.c
@@ -769,6 +769,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->wait_ms))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->most_kb))
+		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->after, 255))
 		 return FALSE;
 	 if (!xdr_cw_name (xdrs, &objp->group))
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -15,6 +15,9 @@
     /* A VM that did not answer, or is turned away itself. */
     PEER_AVOID_MS = 1500,
     READ_WAIT_MS = 250,
+    /* What fits into one answer (CW_RELAY_BYTES_MAX): more would be read by
+     * the other VM for nothing. */
+    PEER_READ_MOST_KB = 56,
     /* Refused by the store and by as many VMs as are tried, the store is
      * closed to all, or over its rate: for so long nobody else is asked. */
     CLOSED_MS = 2000
@@ -250,6 +253,7 @@
 
     call->peers_tried++;
     call->request.wait_ms = wait_ms;
+    call->request.most_kb = PEER_READ_MOST_KB;
     g_free(call->peer_address);
     call->peer_address = g_strdup(peer->address);
     relay_rpc_send(relay->rpc, &peer->socket, &call->request, give_up,
@@ -336,6 +340,7 @@
     call->request.partition = read->partition;
     call->request.from = read->from;
     call->request.wait_ms = read->wait_ms;
+    call->request.most_kb = read->most_kb;
     begin(call);
 }
 
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -174,7 +174,50 @@
     pair_end(&pair);
 }
 
+static void
+take_page(void *context, const struct cw_store_page *page)
+{
+    *(int *)context = (int)page->status;
+}
+
+/* Reads at VM 0 and waits for what becomes of it. */
+static int
+read_some(struct pair *pair, unsigned most_kb)
+{
+    struct cw_store *store = cw_relay_store(pair->relays[0]);
+    int status = -1;
+    struct cw_store_read call = {.topic = "t",
+                                 .most_kb = most_kb,
+                                 .timeout_ms = 100,
+                                 .done = take_page,
+                                 .context = &status};
+
+    store->ops->read(store, &call);
+    for (int i = 0; i < TURNS_MOST && status < 0; i++) {
+        turn(pair);
+    }
+    return status;
+}
+
+/* A thin link carries what was asked for in time, and no more. */
+static void
+test_a_read_asks_for_no_more_than_was_wanted(void)
+{
+    struct pair pair;
+
+    pair_begin(&pair);
+    CU_ASSERT_EQUAL(read_some(&pair, 128), CW_STORE_OK);
+    CU_ASSERT_EQUAL(pair.ports[0].most_kb, 128);
+    pair.ports[0].refuses = CW_STORE_REFUSED;
+    (void)read_some(&pair, 128);
+    CU_ASSERT_EQUAL(read_some(&pair, 128), CW_STORE_OK);
+    /* The answer's way back is a datagram of 60,000 bytes at the most. */
+    CU_ASSERT_TRUE(pair.ports[1].most_kb > 0 && pair.ports[1].most_kb < 60);
+    pair_end(&pair);
+}
+
 static const struct test tests[] = {
+    {"small reads", test_a_read_asks_for_no_more_than_was_wanted},
     {"turned away", test_a_vm_that_is_turned_away_goes_through_another},
     {"outage", test_an_outage_for_all_is_told_as_it_is},
     {"isolated", test_a_vm_that_hears_nobody_is_isolated},
