States of jobs get a log of their own; all VMs read only where jobs stand

A VM that gains the shard reads up before it shuts the owner out and may never get there. Change: states go to keyed.states, fenced with the same epoch, read only by a VM that takes the shard over; the log that all follow gets 52 bytes when a job's phase changes. owner_log.c is the fenced writer of either; the two are written side by side, and adoption sorts out which got further. Reading up ends after 1.5 s; an owner that yields proves by a beat each 0.4 s that it is not shut out yet, and decides on. States of past jobs are dropped. Ruled out: changes in place of states in one log (all VMs read them still), standbys that follow the states (seven times the bytes for 50 ms).

--- a/emulator/world_faults.c
+++ b/emulator/world_faults.c
@@ -95,6 +95,7 @@
 {
     world_note(world, "compact");
     store_model_compact(world->store, CW_WORK_TOPIC);
+    store_model_compact(world->store, CW_STATE_TOPIC);
     store_model_compact(world->store, TARGETS_TOPIC);
 }
 
--- a/include/curlewcart/cw_owner.h
+++ b/include/curlewcart/cw_owner.h
@@ -23,6 +23,10 @@
 /* The group that deals the shards. */
 #define CW_OWNER_GROUP "owners"
 
+/* The topic of the states of jobs: written by the owner of a shard, read by
+ * the next one. */
+#define CW_STATE_TOPIC "keyed.states"
+
 struct cw_owner_options {
     struct cw_store *store;
     struct cw_targets *targets;
@@ -40,6 +44,7 @@
     unsigned retain_ms;       /* ended jobs are known at least so long */
     unsigned capacity_milli;  /* this VM's processor, thousandths of a core;
                                  0: as any other */
+    bool tells_places;        /* callers may ask where their jobs ran */
 };
 
 struct cw_owner;
--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -11,6 +11,8 @@
 #include "curlewcart/cw_owner.h"
 #include "curlewcart/cw_time.h"
 #include "curlewcart/cw_xdr.h"
+#include "owner/internal/owner_log.h"
+#include "owner/internal/owner_stored.h"
 
 struct owner_job;
 struct owner_step;
@@ -109,10 +111,13 @@
     const char *service;                /* of `spec`, interned */
     unsigned phase;                     /* enum cw_work_phase */
     bool started;
-    bool begun;         /* a start was confirmed to this owner */
-    bool final;         /* its end is in a batch: its record stays as it is */
-    bool final_durable; /* ... and that batch is stored */
-    bool dirty;         /* differs from what the store has, or will have */
+    bool begun;          /* a start was confirmed to this owner */
+    bool final;          /* its end is in a batch: its state stays as it is */
+    bool final_durable;  /* all VMs can read its end */
+    bool dirty;          /* differs from what the store has, or will have */
+    bool untold;         /* all VMs are to be told where it stands */
+    unsigned told_phase; /* what they were told, or are being told */
+    bool told_started;
     int64_t ended_ms;
     enum cw_result reason; /* why it ended */
     uint64_t config;       /* version in force at its first start; 0 none */
@@ -199,8 +204,6 @@
     OWNER_ACTIVE
 };
 
-struct owner_batch; /* owner_commit.c */
-
 /* Whether this VM lets itself be dealt the shard; owner_candidacy.c. */
 struct owner_candidacy {
     GHashTable *capacities; /* VM -> thousandths of a core, as announced */
@@ -234,19 +237,18 @@
     uint64_t epoch_generation;
     unsigned epoch_count; /* epochs made in that generation */
     unsigned term;        /* grows whenever all below is dropped */
-    bool fence_in_flight;
-    struct timespec fence_due;
-    uint64_t fence_end; /* end of the log when the epoch was set */
     struct timespec began;
     struct cw_follower *reports;
-    GHashTable *jobs;     /* id -> struct owner_job */
-    GHashTable *targets;  /* id -> struct owner_target */
-    GHashTable *headroom; /* service -> struct owner_headroom */
-    GPtrArray *dirty;     /* struct owner_job */
-    struct owner_batch *batch;
-    uint64_t sequence;
+    struct owner_stored *stored;  /* states, while it takes the shard over */
+    GHashTable *jobs;             /* id -> struct owner_job */
+    GHashTable *targets;          /* id -> struct owner_target */
+    GHashTable *headroom;         /* service -> struct owner_headroom */
+    struct owner_log *states_log; /* CW_STATE_TOPIC */
+    struct owner_log *jobs_log;   /* CW_WORK_TOPIC */
+    GPtrArray *dirty;       /* struct owner_job: their states are written */
+    GPtrArray *untold;      /* struct owner_job: all VMs are told of them */
+    GPtrArray *past_states; /* char *: jobs whose states are dropped */
     struct timespec flush_due;
-    struct timespec appended_at; /* the last batch was sent */
     struct owner_candidacy candidacy;
     bool place_wanted;
     struct timespec place_due;
@@ -339,13 +341,18 @@
 
 /* ---- owner_state.c ---- */
 
-/* Puts a job into the state that the store has of it; false (and logged) if
- * that cannot be read. */
-bool owner_job_restore(struct cw_owner *owner, struct owner_job *job);
+/* Puts a job into the state that the store has of it, struct cw_work_record;
+ * false (and logged) if that cannot be read. */
+bool owner_job_restore(struct cw_owner *owner, struct owner_job *job,
+                       GBytes *state);
 
 /* State for the store.  Owned by the caller. */
 GByteArray *owner_job_encode(const struct owner_job *job);
 
+/* Where the job stands, for all VMs: its state without its tasks.  Owned by
+ * the caller. */
+GByteArray *owner_outcome_encode(const struct owner_job *job);
+
 /* ---- owner_jobs.c ---- */
 
 /* Marks a job for the next batch. */
@@ -556,9 +563,14 @@
 
 /* ---- owner_commit.c ---- */
 
-/* Sends the batch that is due; returns when the next may be. */
+/* Sends what is due to the store; returns when it wants to be called next. */
 struct timespec owner_commit_tick(struct cw_owner *owner, struct timespec now);
-void owner_batch_free(struct owner_batch *batch);
+
+/* Tells all VMs where the job stands, if that has changed. */
+void owner_job_tell(struct cw_owner *owner, struct owner_job *job);
+
+/* The store need not keep the job's state any more. */
+void owner_state_drop(struct cw_owner *owner, const char *job);
 
 /* Drops the records of jobs that ended long ago. */
 void owner_sweep(struct cw_owner *owner);
--- a/src/owner/owner.c
+++ b/src/owner/owner.c
@@ -5,8 +5,11 @@
 
 enum {
     CAPACITY_UNKNOWN_MILLI = 1000, /* as one core */
-    FENCE_TIMEOUT_MS = 900,
-    FENCE_RETRY_MS = 150,
+    /* Reading up before the present owner is shut out takes a few reads.
+     * After so long it is shut out all the same: its writes may come faster
+     * than they are read, and to the log's end as it is then there is a way.
+     * Ten times what a hand-over took at 147 VMs. */
+    READ_UP_MOST_MS = 1500,
     /* Starts and stops need a confirmation by the store that is younger than
      * the member's time to live, by this. */
     ORDER_PROOF_SLACK_MS = 150,
@@ -19,9 +22,17 @@
     CHECK_EVERY_MS = 100,
     SWEEP_EVERY_MS = 5000,
     EPOCHS_PER_GENERATION = 256,
-    TAKEOVER_SLACK_MS = 500
+    TAKEOVER_SLACK_MS = 500,
+    TAKEOVER_STEP_MS = 10
 };
 
+static void
+forget_states(struct cw_owner *owner)
+{
+    owner_stored_free(owner->stored);
+    owner->stored = NULL;
+}
+
 static void
 drop_state(struct cw_owner *owner)
 {
@@ -30,10 +41,13 @@
     g_hash_table_remove_all(owner->targets);
     g_hash_table_remove_all(owner->jobs);
     g_ptr_array_set_size(owner->dirty, 0);
-    owner_batch_free(owner->batch);
-    owner->batch = NULL;
+    g_ptr_array_set_size(owner->untold, 0);
+    g_ptr_array_set_size(owner->past_states, 0);
+    owner_log_close(owner->states_log);
+    owner_log_close(owner->jobs_log);
     cw_follower_free(owner->reports);
     owner->reports = NULL;
+    forget_states(owner);
     owner->state = OWNER_IDLE;
 }
 
@@ -91,6 +105,17 @@
     }
 }
 
+/* A state whose job was not taken over is of no use any more. */
+static void
+drop_unless_adopted(void *context, const char *job)
+{
+    struct cw_owner *owner = context;
+
+    if (!g_hash_table_contains(owner->jobs, job)) {
+        owner_state_drop(owner, job);
+    }
+}
+
 static void
 begin_deciding(struct cw_owner *owner, struct timespec now)
 {
@@ -99,13 +124,14 @@
     gpointer value;
 
     owner->state = OWNER_ACTIVE;
-    owner->sequence = 1;
     owner->place_wanted = true;
     owner->sweep_due = cw_time_add_ms(now, SWEEP_EVERY_MS);
     g_hash_table_iter_init(&iterator, jobs);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         owner_job_adopt(owner, value);
     }
+    owner_stored_each(owner->stored, drop_unless_adopted, owner);
+    forget_states(owner);
     bound_earlier_leases(owner, now);
     cw_count_add(owner->options.counters, CW_COUNT_TAKEOVERS, 1);
     cw_count_latency(owner->options.counters, CW_LATENCY_TAKEOVER,
@@ -149,78 +175,58 @@
     owner->epoch_count++;
     owner->state = OWNER_READING;
     owner->began = now;
-    owner->fence_due = now;
     cw_follower_set_pace(cw_replica_follower(owner->options.replica),
                          CW_OWNER_PACE_MS);
     if (!cw_follower_at_end(cw_replica_follower(owner->options.replica))) {
         cw_follower_hurry(cw_replica_follower(owner->options.replica));
     }
     follow_reports(owner);
+    owner->stored = owner_stored_create(
+        owner->options.store, owner->options.clock, owner->options.partition);
 }
 
-/* Context of a call that a later term must ignore. */
-struct term_call {
-    struct cw_owner *owner;
-    unsigned term;
-    struct timespec sent;
-};
-
-static struct term_call *
-term_call_new(struct cw_owner *owner, struct timespec now)
+/* The store took an append of one of the owner's logs. */
+static void
+on_proved(void *context, struct timespec sent)
 {
-    struct term_call *call = g_new0(struct term_call, 1);
+    struct cw_owner *owner = context;
 
-    call->owner = owner;
-    call->term = owner->term;
-    call->sent = now;
-    return call;
+    if (cw_time_before(owner->proof_at, sent)) {
+        owner->proof_at = sent;
+    }
 }
 
 static void
-on_fenced(void *context, const struct cw_store_appended *result)
+on_log_lost(void *context, const char *reason)
 {
-    struct term_call *call = context;
-    struct cw_owner *owner = call->owner;
-    struct timespec sent = call->sent;
-    bool current = call->term == owner->term;
-
-    g_free(call);
-    owner->fence_in_flight = false;
-    if (!current || owner->state != OWNER_FENCING) {
-        return;
-    }
-    if (result->status == CW_STORE_FENCED) {
-        owner_depose(owner, "higher_epoch");
-        return;
-    }
-    if (result->status != CW_STORE_OK) {
-        owner->fence_due = cw_time_add_ms(owner_now(owner), FENCE_RETRY_MS);
-        return;
-    }
-    owner->proof_at = sent;
-    owner->fence_end = result->end;
-    owner->state = OWNER_CATCHING;
-    cw_follower_hurry(cw_replica_follower(owner->options.replica));
+    owner_depose(context, reason);
 }
 
-static void
-send_fence(struct cw_owner *owner, struct timespec now)
+static struct owner_log *
+create_log(struct cw_owner *owner, const char *topic)
 {
-    struct cw_store_append call = {
-        .topic = CW_WORK_TOPIC,
+    struct owner_log_options options = {
+        .store = owner->options.store,
+        .clock = owner->options.clock,
+        .counters = owner->options.counters,
+        .topic = topic,
         .partition = owner->options.partition,
-        .writer = "owner",
-        .epoch = owner->epoch,
-        .timeout_ms = FENCE_TIMEOUT_MS,
-        .done = on_fenced,
+        .proved = on_proved,
+        .lost = on_log_lost,
+        .context = owner,
     };
 
-    if (owner->fence_in_flight || cw_time_before(now, owner->fence_due)) {
-        return;
+    return owner_log_create(&options);
+}
+
+static void
+shut_out_earlier_owners(struct cw_owner *owner)
+{
+    owner->state = OWNER_FENCING;
+    owner_log_open(owner->states_log, owner->epoch);
+    if (owner->state == OWNER_FENCING) {
+        owner_log_open(owner->jobs_log, owner->epoch);
     }
-    owner->fence_in_flight = true;
-    call.context = term_call_new(owner, now);
-    owner->options.store->ops->append(owner->options.store, &call);
 }
 
 /* An earlier owner decides until it is shut out, and nobody from then on
@@ -228,21 +234,36 @@
  * behind: shutting out first left 0.6 s without an owner on 350 workers,
  * reading first leaves one read of the log. */
 static bool
-has_read_up(const struct cw_owner *owner)
+has_read_up(const struct cw_owner *owner, struct timespec now)
 {
     const struct cw_follower *jobs =
         cw_replica_follower(owner->options.replica);
+    const struct cw_follower *states = owner_stored_follower(owner->stored);
 
-    return cw_follower_at_end(jobs) && cw_follower_loaded(owner->reports);
+    if (!cw_follower_loaded(jobs) || !cw_follower_loaded(states) ||
+        !cw_follower_loaded(owner->reports))
+    {
+        return false;
+    }
+    return (cw_follower_at_end(jobs) && cw_follower_at_end(states)) ||
+           cw_time_diff_ms(owner->began, now) > READ_UP_MOST_MS;
 }
 
+/* True once all is read that was written before earlier owners were shut
+ * out. */
 static bool
-caught_up(struct cw_owner *owner)
+caught_up(const struct cw_owner *owner)
 {
-    struct cw_follower *jobs = cw_replica_follower(owner->options.replica);
-
-    return cw_follower_loaded(jobs) && cw_follower_loaded(owner->reports) &&
-           cw_follower_position(jobs) >= owner->fence_end;
+    const struct cw_follower *jobs =
+        cw_replica_follower(owner->options.replica);
+    const struct cw_follower *states = owner_stored_follower(owner->stored);
+
+    return cw_follower_loaded(jobs) && cw_follower_loaded(states) &&
+           cw_follower_loaded(owner->reports) &&
+           cw_follower_position(jobs) >=
+               owner_log_opened_at(owner->jobs_log) &&
+           cw_follower_position(states) >=
+               owner_log_opened_at(owner->states_log);
 }
 
 /* ---- what the replica tells ---- */
@@ -308,7 +329,11 @@
                                            owner_target_free);
     owner->headroom =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    owner->states_log = create_log(owner, CW_STATE_TOPIC);
+    owner->jobs_log = create_log(owner, CW_WORK_TOPIC);
     owner->dirty = g_ptr_array_new();
+    owner->untold = g_ptr_array_new();
+    owner->past_states = g_ptr_array_new_with_free_func(g_free);
     owner->demand = g_hash_table_new(g_str_hash, g_str_equal);
     owner->memo = owner_memo_create();
     owner_candidacy_init(owner);
@@ -326,7 +351,11 @@
     g_hash_table_unref(owner->targets);
     g_hash_table_unref(owner->jobs);
     g_hash_table_unref(owner->headroom);
+    owner_log_free(owner->states_log);
+    owner_log_free(owner->jobs_log);
     g_ptr_array_unref(owner->dirty);
+    g_ptr_array_unref(owner->untold);
+    g_ptr_array_unref(owner->past_states);
     g_hash_table_unref(owner->demand);
     owner_candidacy_clear(owner);
     owner_memo_free(owner->memo);
@@ -390,6 +419,9 @@
     g_hash_table_iter_init(&iterator, owner->jobs);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         if (owner_job_is_past(value)) {
+            const struct owner_job *job = value;
+
+            owner_state_drop(owner, job->spec->id);
             g_hash_table_iter_remove(&iterator);
             continue;
         }
@@ -445,6 +477,34 @@
     return next;
 }
 
+/* Goes on with taking the shard over; returns when it wants to be called
+ * next. */
+static struct timespec
+tick_takeover(struct cw_owner *owner, struct timespec now)
+{
+    struct timespec next = cw_time_add_ms(now, TAKEOVER_STEP_MS);
+
+    cw_follower_tick(owner->reports, now);
+    cw_follower_tick(owner_stored_follower(owner->stored), now);
+    owner_log_tick(owner->states_log, now);
+    owner_log_tick(owner->jobs_log, now);
+    if (owner->state == OWNER_READING && has_read_up(owner, now)) {
+        shut_out_earlier_owners(owner);
+    }
+    if (owner->state == OWNER_FENCING &&
+        owner_log_is_open(owner->states_log) &&
+        owner_log_is_open(owner->jobs_log))
+    {
+        owner->state = OWNER_CATCHING;
+        cw_follower_hurry(cw_replica_follower(owner->options.replica));
+        cw_follower_hurry(owner_stored_follower(owner->stored));
+    }
+    if (owner->state == OWNER_CATCHING && caught_up(owner)) {
+        begin_deciding(owner, now);
+    }
+    return next;
+}
+
 struct timespec
 cw_owner_tick(struct cw_owner *owner, struct timespec now)
 {
@@ -452,24 +512,7 @@
 
     next = owner_group_tick(owner, now);
     if (owner->state != OWNER_IDLE && owner->state != OWNER_ACTIVE) {
-        cw_follower_tick(owner->reports, now);
-        cw_time_earlier(&next, cw_follower_due(owner->reports));
-    }
-    if (owner->state == OWNER_READING) {
-        cw_time_earlier(&next, cw_time_add_ms(now, PLACE_EVERY_MS));
-        if (has_read_up(owner)) {
-            owner->state = OWNER_FENCING;
-        }
-    }
-    if (owner->state == OWNER_FENCING) {
-        send_fence(owner, now);
-        cw_time_earlier(&next, cw_time_add_ms(now, FENCE_RETRY_MS));
-    }
-    else if (owner->state == OWNER_CATCHING) {
-        cw_time_earlier(&next, cw_time_add_ms(now, PLACE_EVERY_MS));
-        if (caught_up(owner)) {
-            begin_deciding(owner, now);
-        }
+        cw_time_earlier(&next, tick_takeover(owner, now));
     }
     if (owner->state == OWNER_ACTIVE) {
         cw_time_earlier(&next, tick_active(owner, now));
--- a/src/owner/owner_candidacy.c
+++ b/src/owner/owner_candidacy.c
@@ -197,5 +197,5 @@
 owner_candidacy_beat_due(const struct cw_owner *owner, struct timespec now)
 {
     return owner->candidacy.some_weak &&
-           cw_time_diff_ms(owner->appended_at, now) >= BEAT_MS;
+           cw_time_diff_ms(owner_log_sent(owner->jobs_log), now) >= BEAT_MS;
 }
--- a/src/owner/owner_commit.c
+++ b/src/owner/owner_commit.c
@@ -1,76 +1,29 @@
-/* What the owner decided becomes durable in batches, one under way at a
- * time; only then do its effects leave the VM. */
+/* What the owner decided becomes durable; only then do its effects leave the
+ * VM.
+ *
+ * The state of a job goes into a log of its own, which a VM that takes the
+ * shard over reads.  What callers ask for, where the job stands, goes into the
+ * log that all VMs read, beside the jobs and their cancellations: a few bytes
+ * when that changes.  The two are written side by side.  Starts and ends
+ * depend on the state alone; a job is over once the other log says so. */
 #include "owner/internal/owner_private.h"
 
 #include <string.h>
 
 enum {
     FLUSH_EVERY_MS = 10,
-    APPEND_TIMEOUT_MS = 900,
-    RETRY_MS = 80,
     /* Of a batch, so that one append stays far below the store's limit. */
     BATCH_BYTES_MAX = 512 * 1024,
-    SWEEP_JOBS_MAX = 100
+    SWEEP_JOBS_MAX = 100,
+    /* States of past jobs are dropped with the next batch, or after this. */
+    DROP_ALONE_MS = 1000,
+    /* An owner that is to make way goes on until it is shut out; so often it
+     * asks the store whether it has been.  Half the age that a proof may have
+     * with the shortest time to live. */
+    YIELD_PROOF_MS = 400
 };
 
-/* A batch under way.  `jobs` keeps ids: a job is looked up when it ends. */
-struct owner_batch {
-    struct cw_owner *owner;
-    unsigned term;
-    GPtrArray *jobs;   /* char * */
-    GPtrArray *keys;   /* char *, of the records */
-    GPtrArray *values; /* GByteArray *, NULL: the key is dropped */
-    uint64_t sequence;
-    bool in_flight;
-    bool unsure;   /* an attempt had no answer */
-    bool orphaned; /* its owner dropped it while a call was under way */
-    struct timespec sent;
-    struct timespec due;
-};
-
-static void
-value_free(gpointer value)
-{
-    if (value != NULL) {
-        g_byte_array_unref(value);
-    }
-}
-
-static void
-batch_release(struct owner_batch *batch)
-{
-    g_ptr_array_unref(batch->jobs);
-    g_ptr_array_unref(batch->keys);
-    g_ptr_array_unref(batch->values);
-    g_free(batch);
-}
-
-void
-owner_batch_free(struct owner_batch *batch)
-{
-    if (batch == NULL) {
-        return;
-    }
-    if (batch->in_flight) {
-        batch->orphaned = true;
-        return;
-    }
-    batch_release(batch);
-}
-
-static struct owner_batch *
-batch_new(struct cw_owner *owner)
-{
-    struct owner_batch *batch = g_new0(struct owner_batch, 1);
-
-    batch->owner = owner;
-    batch->term = owner->term;
-    batch->jobs = g_ptr_array_new_with_free_func(g_free);
-    batch->keys = g_ptr_array_new_with_free_func(g_free);
-    batch->values = g_ptr_array_new_with_free_func(value_free);
-    batch->sequence = owner->sequence;
-    return batch;
-}
+/* ---- states ---- */
 
 /* Runs of the job that become durable with this batch. */
 static void
@@ -92,22 +45,25 @@
 }
 
 static size_t
-batch_add(struct owner_batch *batch, struct owner_job *job)
+add_state(struct cw_owner *owner, struct owner_batch *batch,
+          struct owner_job *job)
 {
     GByteArray *value;
+    size_t length;
 
-    mark_runs(batch->owner, job);
+    mark_runs(owner, job);
     job->dirty = false;
     job->final = cw_work_is_over(job->phase);
+    owner_job_tell(owner, job);
     value = owner_job_encode(job);
-    g_ptr_array_add(batch->jobs, g_strdup(job->spec->id));
-    g_ptr_array_add(batch->keys,
-                    cw_work_key(CW_WORK_KEY_RECORD, job->spec->id));
-    g_ptr_array_add(batch->values, value);
-    return value->len;
+    length = value->len;
+    owner_batch_note(batch, job->spec->id);
+    owner_batch_put(batch, cw_work_key(CW_WORK_KEY_RECORD, job->spec->id),
+                    value);
+    return length;
 }
 
-/* Effects of a batch that is durable. */
+/* Effects of a state that is durable. */
 static void
 release_runs(struct cw_owner *owner, struct owner_job *job)
 {
@@ -160,184 +116,214 @@
 }
 
 static void
-batch_durable(struct cw_owner *owner, struct owner_batch *batch)
+on_states_stored(void *context, struct owner_batch *batch)
 {
-    cw_count_latency(owner->options.counters, CW_LATENCY_COMMIT,
-                     cw_time_diff_ms(batch->sent, owner_now(owner)));
-    owner->sequence = batch->sequence + 1;
-    owner->proof_at = batch->sent;
-    owner->batch = NULL;
+    struct cw_owner *owner = context;
+    const GPtrArray *ids = owner_batch_jobs(batch);
+
+    cw_count_latency(
+        owner->options.counters, CW_LATENCY_COMMIT,
+        cw_time_diff_ms(owner_batch_sent(batch), owner_now(owner)));
     confirm_ends(owner);
-    for (guint i = 0; i < batch->jobs->len; i++) {
+    for (guint i = 0; i < ids->len; i++) {
         struct owner_job *job =
-            g_hash_table_lookup(owner->jobs, batch->jobs->pdata[i]);
+            g_hash_table_lookup(owner->jobs, ids->pdata[i]);
 
         if (job != NULL) {
             release_runs(owner, job);
-            job->final_durable = job->final;
         }
     }
 }
 
+/* Takes jobs out of the dirty list, up to a batch's size.  Returns true if
+ * all were taken. */
+static bool
+add_states(struct cw_owner *owner, struct owner_batch *batch)
+{
+    size_t bytes = 0;
+    guint taken = 0;
+
+    while (taken < owner->dirty->len && bytes < BATCH_BYTES_MAX) {
+        bytes += add_state(owner, batch, owner->dirty->pdata[taken]);
+        taken++;
+    }
+    g_ptr_array_remove_range(owner->dirty, 0, taken);
+    return owner->dirty->len == 0;
+}
+
+void
+owner_state_drop(struct cw_owner *owner, const char *job)
+{
+    g_ptr_array_add(owner->past_states, g_strdup(job));
+}
+
 static void
-on_appended(void *context, const struct cw_store_appended *result)
+drop_states(struct cw_owner *owner, struct owner_batch *batch)
 {
-    struct owner_batch *batch = context;
-    struct cw_owner *owner = batch->owner;
+    for (guint i = 0; i < owner->past_states->len; i++) {
+        owner_batch_put(
+            batch,
+            cw_work_key(CW_WORK_KEY_RECORD, owner->past_states->pdata[i]),
+            NULL);
+    }
+    g_ptr_array_set_size(owner->past_states, 0);
+}
 
-    batch->in_flight = false;
-    if (batch->orphaned || batch->term != owner->term) {
-        batch_release(batch);
-        return;
+static struct timespec
+write_states(struct cw_owner *owner, struct timespec now)
+{
+    struct owner_log *log = owner->states_log;
+    struct owner_batch *batch;
+
+    if (!owner_log_is_idle(log)) {
+        return owner_log_tick(log, now);
     }
-    switch (result->status) {
-    case CW_STORE_OK:
-        batch_durable(owner, batch);
-        batch_release(batch);
-        return;
-    case CW_STORE_FENCED:
-        owner_depose(owner, "higher_epoch");
-        return;
-    case CW_STORE_SEQUENCE:
-        if (batch->unsure && result->expected_sequence == batch->sequence + 1)
+    if (owner->dirty->len == 0) {
+        /* Ends that concern no job here need no record. */
+        collect_ends(owner);
+        confirm_ends(owner);
+        if (owner->past_states->len == 0 ||
+            cw_time_diff_ms(owner_log_sent(log), now) < DROP_ALONE_MS)
         {
-            batch_durable(owner, batch);
-            batch_release(batch);
-            return;
-        }
-        if (batch->unsure) {
-            owner_depose(owner, "sequence");
-            return;
+            return cw_time_from_ms(INT32_MAX);
         }
-        batch->sequence = result->expected_sequence;
-        break;
-    case CW_STORE_UNKNOWN:
-        batch->unsure = true;
-        break;
-    default:
-        break;
     }
-    cw_count_code(owner->options.counters, CW_RETRY_APPEND);
-    cw_log_info("append_again", "sequence=%" PRIu64 " status=%s jobs=%u",
-                batch->sequence, cw_store_status_name(result->status),
-                batch->jobs->len);
-    batch->due = cw_time_add_ms(owner_now(owner), RETRY_MS);
+    if (cw_time_before(now, owner->flush_due)) {
+        return owner->flush_due;
+    }
+    owner->flush_due = cw_time_add_ms(now, FLUSH_EVERY_MS);
+    batch = owner_batch_new(on_states_stored, owner);
+    if (add_states(owner, batch)) {
+        collect_ends(owner);
+    }
+    drop_states(owner, batch);
+    owner_log_send(log, batch);
+    return cw_time_from_ms(INT32_MAX);
 }
 
-static void
-send_batch(struct cw_owner *owner, struct owner_batch *batch,
-           struct timespec now)
+/* ---- what all VMs read ---- */
+
+void
+owner_job_tell(struct cw_owner *owner, struct owner_job *job)
 {
-    struct cw_store_record *records =
-        g_new0(struct cw_store_record, batch->keys->len);
-    struct cw_store_append call = {
-        .topic = CW_WORK_TOPIC,
-        .partition = owner->options.partition,
-        .records = records,
-        .count = batch->keys->len,
-        .writer = "owner",
-        .epoch = owner->epoch,
-        .sequence = batch->sequence,
-        .timeout_ms = APPEND_TIMEOUT_MS,
-        .done = on_appended,
-        .context = batch,
-    };
-
-    for (guint i = 0; i < batch->keys->len; i++) {
-        const GByteArray *value = batch->values->pdata[i];
-
-        records[i].key = batch->keys->pdata[i];
-        records[i].value = value != NULL ? value->data : NULL;
-        records[i].length = value != NULL ? value->len : 0;
+    bool changed =
+        job->phase != job->told_phase || job->started != job->told_started;
+
+    if (changed && !job->untold) {
+        job->untold = true;
+        g_ptr_array_add(owner->untold, job);
     }
-    batch->in_flight = true;
-    batch->sent = now;
-    owner->appended_at = now;
-    cw_count_add(owner->options.counters, CW_COUNT_APPENDS, 1);
-    cw_count_add(owner->options.counters, CW_COUNT_RECORDS, call.count);
-    owner->options.store->ops->append(owner->options.store, &call);
-    g_free(records);
 }
 
 static void
-send_beat(struct cw_owner *owner, struct timespec now)
+on_outcomes_stored(void *context, struct owner_batch *batch)
 {
-    struct cw_beat_record beat = {.vm = owner->vm, .epoch = owner->epoch};
-    struct owner_batch *batch = batch_new(owner);
+    struct cw_owner *owner = context;
+    const GPtrArray *ids = owner_batch_jobs(batch);
 
-    g_ptr_array_add(batch->keys, cw_work_key(CW_WORK_KEY_BEAT, "owner"));
-    g_ptr_array_add(batch->values,
-                    cw_xdr_encode((xdrproc_t)xdr_cw_beat_record, &beat));
-    owner->batch = batch;
-    send_batch(owner, batch, now);
+    for (guint i = 0; i < ids->len; i++) {
+        struct owner_job *job =
+            g_hash_table_lookup(owner->jobs, ids->pdata[i]);
+
+        if (job != NULL) {
+            job->final_durable = cw_work_is_over(job->told_phase);
+        }
+    }
 }
 
-/* Takes jobs out of the dirty list, up to a batch's size.  Returns true if
- * all were taken. */
-static bool
-fill_batch(struct cw_owner *owner, struct owner_batch *batch)
+/* The record of an end is written once: its place in the log, before or
+ * after a cancellation, is what decides between the two. */
+static size_t
+add_outcome(struct owner_batch *batch, struct owner_job *job)
 {
+    GByteArray *value = owner_outcome_encode(job);
+    size_t length = value->len;
+
+    job->untold = false;
+    job->told_phase = job->phase;
+    job->told_started = job->started;
+    owner_batch_note(batch, job->spec->id);
+    owner_batch_put(batch, cw_work_key(CW_WORK_KEY_RECORD, job->spec->id),
+                    value);
+    return length;
+}
+
+static void
+send_outcomes(struct cw_owner *owner)
+{
+    struct owner_batch *batch = owner_batch_new(on_outcomes_stored, owner);
     size_t bytes = 0;
     guint taken = 0;
 
-    while (taken < owner->dirty->len && bytes < BATCH_BYTES_MAX) {
-        bytes += batch_add(batch, owner->dirty->pdata[taken]);
+    while (taken < owner->untold->len && bytes < BATCH_BYTES_MAX) {
+        bytes += add_outcome(batch, owner->untold->pdata[taken]);
         taken++;
     }
-    g_ptr_array_remove_range(owner->dirty, 0, taken);
-    return owner->dirty->len == 0;
+    g_ptr_array_remove_range(owner->untold, 0, taken);
+    owner_log_send(owner->jobs_log, batch);
 }
 
-struct timespec
-owner_commit_tick(struct cw_owner *owner, struct timespec now)
+static void
+send_beat(struct cw_owner *owner)
 {
-    struct owner_batch *batch = owner->batch;
+    struct cw_beat_record beat = {.vm = owner->vm, .epoch = owner->epoch};
+    struct owner_batch *batch = owner_batch_new(NULL, NULL);
 
-    if (batch == NULL && owner->dirty->len == 0) {
-        /* Ends that concern no job here need no record. */
-        collect_ends(owner);
-        confirm_ends(owner);
-        if (owner_candidacy_beat_due(owner, now)) {
-            send_beat(owner, now);
-        }
-        return cw_time_from_ms(INT32_MAX);
+    owner_batch_put(batch, cw_work_key(CW_WORK_KEY_BEAT, "owner"),
+                    cw_xdr_encode((xdrproc_t)xdr_cw_beat_record, &beat));
+    owner_log_send(owner->jobs_log, batch);
+}
+
+/* True if the owner has to find out whether it has been shut out. */
+static bool
+yield_proof_due(const struct cw_owner *owner, struct timespec now)
+{
+    return owner->yielding && cw_time_diff_ms(owner_log_sent(owner->jobs_log),
+                                              now) >= YIELD_PROOF_MS;
+}
+
+static struct timespec
+write_outcomes(struct cw_owner *owner, struct timespec now)
+{
+    struct owner_log *log = owner->jobs_log;
+    struct timespec due = cw_time_add_ms(owner_log_sent(log), FLUSH_EVERY_MS);
+
+    if (!owner_log_is_idle(log)) {
+        return owner_log_tick(log, now);
     }
-    if (batch == NULL) {
-        if (cw_time_before(now, owner->flush_due)) {
-            return owner->flush_due;
-        }
-        owner->flush_due = cw_time_add_ms(now, FLUSH_EVERY_MS);
-        batch = batch_new(owner);
-        owner->batch = batch;
-        if (fill_batch(owner, batch)) {
-            collect_ends(owner);
-        }
-        send_batch(owner, batch, now);
+    if (owner->untold->len > 0 && cw_time_before(now, due)) {
+        return due;
     }
-    else if (!batch->in_flight && !cw_time_before(now, batch->due)) {
-        send_batch(owner, batch, now);
+    if (owner->untold->len > 0) {
+        send_outcomes(owner);
     }
-    return batch->in_flight ? cw_time_from_ms(INT32_MAX) : batch->due;
+    else if (owner_candidacy_beat_due(owner, now) ||
+             yield_proof_due(owner, now)) {
+        send_beat(owner);
+    }
+    return cw_time_from_ms(INT32_MAX);
 }
 
-/* ---- old jobs ---- */
-
-static void
-drop_key(struct owner_batch *batch, char *key)
+struct timespec
+owner_commit_tick(struct cw_owner *owner, struct timespec now)
 {
-    g_ptr_array_add(batch->keys, key);
-    g_ptr_array_add(batch->values, NULL);
+    struct timespec next = write_states(owner, now);
+
+    cw_time_earlier(&next, write_outcomes(owner, now));
+    return next;
 }
 
+/* ---- old jobs ---- */
+
 /* The state goes last: its end is what makes the VMs forget the job. */
 static void
 drop_keys(struct owner_batch *batch, const struct cw_replica_job *job)
 {
-    drop_key(batch, cw_work_key(CW_WORK_KEY_SPEC, job->id));
+    owner_batch_put(batch, cw_work_key(CW_WORK_KEY_SPEC, job->id), NULL);
     for (guint i = 0; i < job->cancel_keys->len; i++) {
-        drop_key(batch, g_strdup(job->cancel_keys->pdata[i]));
+        owner_batch_put(batch, g_strdup(job->cancel_keys->pdata[i]), NULL);
     }
-    drop_key(batch, cw_work_key(CW_WORK_KEY_RECORD, job->id));
+    owner_batch_put(batch, cw_work_key(CW_WORK_KEY_RECORD, job->id), NULL);
 }
 
 void
@@ -351,10 +337,10 @@
     gpointer value;
     unsigned count = 0;
 
-    if (owner->batch != NULL) {
+    if (!owner_log_is_idle(owner->jobs_log)) {
         return; /* the next sweep will do */
     }
-    batch = batch_new(owner);
+    batch = owner_batch_new(NULL, NULL);
     g_hash_table_iter_init(&iterator, jobs);
     while (g_hash_table_iter_next(&iterator, NULL, &value) &&
            count < SWEEP_JOBS_MAX)
@@ -368,10 +354,9 @@
         count++;
     }
     if (count == 0) {
-        batch_release(batch);
+        owner_batch_free(batch);
         return;
     }
     cw_log_info("jobs_dropped", "count=%u", count);
-    owner->batch = batch;
-    send_batch(owner, batch, owner_now(owner));
+    owner_log_send(owner->jobs_log, batch);
 }
--- a/src/owner/owner_jobs.c
+++ b/src/owner/owner_jobs.c
@@ -118,7 +118,7 @@
         cw_count_latency(owner->options.counters, CW_LATENCY_BEGUN,
                          cw_time_diff_ms(job->known_at, owner_now(owner)));
     }
-    if (job->places->len < CW_TASKS_MAX) {
+    if (owner->options.tells_places && job->places->len < CW_TASKS_MAX) {
         owner_job_ran(job, target->id, target->dc, 1);
     }
     if (job->spec->once) {
@@ -180,33 +180,73 @@
     }
 }
 
-/* The job has ended under an earlier owner; what still runs is stopped. */
+static bool
+end_is_told(const struct cw_replica_job *entry)
+{
+    return entry->record != NULL && cw_work_is_over(entry->recorded_phase);
+}
+
+/* The job has ended under an earlier owner; what still runs is stopped.  All
+ * VMs may not have been told yet. */
 static void
 adopt_ended(struct cw_owner *owner, struct owner_job *job)
 {
     job->final = true;
-    job->final_durable = true;
-    if (job->runs == 0) {
+    job->final_durable = end_is_told(job->entry);
+    owner_job_tell(owner, job);
+    if (job->runs == 0 && job->final_durable) {
         g_hash_table_remove(owner->jobs, job->spec->id);
         return;
     }
-    cw_log_info("ended_job_runs", "id=%s runs=%u", job->spec->id, job->runs);
+    cw_log_info("ended_job_runs", "id=%s runs=%u told=%d", job->spec->id,
+                job->runs, job->final_durable);
     stop_all(owner, job);
 }
 
+/* What an earlier owner has left of a job, or NULL.  Owners of version 0.1.0
+ * left all of it where every VM reads it. */
+static GBytes *
+state_of(const struct cw_owner *owner, const struct cw_replica_job *entry)
+{
+    GBytes *state = owner_stored_find(owner->stored, entry->id);
+
+    return state != NULL ? state : entry->record;
+}
+
+/* Puts a job into the state that earlier owners have left; false if that
+ * cannot be read.  A job without a state has none of its tasks placed. */
+static bool
+restore(struct cw_owner *owner, struct owner_job *job, GBytes *state)
+{
+    const struct cw_replica_job *entry = job->entry;
+
+    if (state != NULL && !owner_job_restore(owner, job, state)) {
+        return false;
+    }
+    job->told_phase =
+        entry->record != NULL ? entry->recorded_phase : CW_WORK_WAITING;
+    job->told_started = entry->started;
+    if (end_is_told(entry)) {
+        /* The two are written side by side: its state may be older. */
+        job->phase = entry->recorded_phase;
+        job->started = entry->started;
+        job->ended_ms = entry->ended_ms;
+    }
+    return true;
+}
+
 void
 owner_job_adopt(struct cw_owner *owner, struct cw_replica_job *entry)
 {
     struct timespec now = owner_now(owner);
+    GBytes *state = state_of(owner, entry);
     int64_t age_ms;
     struct owner_job *job;
 
     if (entry->spec == NULL || g_hash_table_contains(owner->jobs, entry->id)) {
         return;
     }
-    if (entry->record != NULL && cw_work_is_over(entry->recorded_phase) &&
-        !ended_lately(owner, entry))
-    {
+    if (end_is_told(entry) && !ended_lately(owner, entry)) {
         return;
     }
     job = g_new0(struct owner_job, 1);
@@ -220,14 +260,15 @@
     job->known_at = cw_time_add_ms(now, -CLAMP(age_ms, 0, G_MAXINT));
     job->objective = objective_of(job->spec, job->known_at);
     g_hash_table_insert(owner->jobs, entry->id, job);
-    if (entry->record != NULL && !owner_job_restore(owner, job)) {
+    if (!restore(owner, job, state)) {
         g_hash_table_remove(owner->jobs, entry->id);
         return;
     }
-    if (entry->record != NULL && cw_work_is_over(entry->recorded_phase)) {
+    if (cw_work_is_over(job->phase)) {
         adopt_ended(owner, job);
         return;
     }
+    owner_job_tell(owner, job);
     log_taken(job, age_ms);
     if (entry->cancelled) {
         owner_job_end(owner, job, CW_WORK_CANCELLED, CW_END_CANCELLED);
@@ -360,7 +401,7 @@
 owner_job_is_past(const struct owner_job *job)
 {
     /* Until the replica has read the end it would hand the job in again. */
-    return job->final_durable && job->runs == 0 &&
+    return job->final && job->final_durable && job->runs == 0 &&
            cw_work_is_over(job->entry->recorded_phase);
 }
 
--- a/src/owner/owner_state.c
+++ b/src/owner/owner_state.c
@@ -80,15 +80,15 @@
 }
 
 bool
-owner_job_restore(struct cw_owner *owner, struct owner_job *job)
+owner_job_restore(struct cw_owner *owner, struct owner_job *job, GBytes *state)
 {
     struct cw_work_record record = {0};
     gsize length = 0;
-    const void *bytes = g_bytes_get_data(job->entry->record, &length);
+    const void *bytes = g_bytes_get_data(state, &length);
 
     if (!cw_record_decode(bytes, length, &record)) {
-        cw_log_error("record_invalid", "id=%s kind=state offset=%" PRIu64,
-                     job->spec->id, job->entry->record_offset);
+        cw_log_error("record_invalid", "id=%s kind=state bytes=%zu",
+                     job->spec->id, (size_t)length);
         return false;
     }
     restore(owner, job, &record);
@@ -189,24 +189,44 @@
     }
 }
 
-GByteArray *
-owner_job_encode(const struct owner_job *job)
+/* What is said of a job without its tasks.  Borrows the texts of the job. */
+static struct cw_work_record
+outcome_of(const struct owner_job *job)
 {
-    GHashTable *index = g_hash_table_new(g_str_hash, g_str_equal);
-    GPtrArray *names = g_ptr_array_new();
     struct cw_work_record record = {
         .phase = job->phase,
         .started = job->started,
         .ended_ms = job->ended_ms,
-        .next_occurrence = job->next_occurrence,
         .begun = job->begun,
         .reason = job->reason,
         .config = job->config,
         .result = job->result != NULL ? job->result : (char *)"",
     };
-    GByteArray *bytes;
 
     encode_places(job, &record);
+    return record;
+}
+
+GByteArray *
+owner_outcome_encode(const struct owner_job *job)
+{
+    struct cw_work_record record = outcome_of(job);
+    GByteArray *bytes = cw_record_encode(&record);
+
+    g_assert(bytes != NULL);
+    record_clear(&record);
+    return bytes;
+}
+
+GByteArray *
+owner_job_encode(const struct owner_job *job)
+{
+    GHashTable *index = g_hash_table_new(g_str_hash, g_str_equal);
+    GPtrArray *names = g_ptr_array_new();
+    struct cw_work_record record = outcome_of(job);
+    GByteArray *bytes;
+
+    record.next_occurrence = job->next_occurrence;
     record.open.open_len = job->open->len;
     record.open.open_val = g_new0(struct cw_occurrence_record, job->open->len);
     for (guint i = 0; i < job->open->len; i++) {
--- a/src/vm/vm.c
+++ b/src/vm/vm.c
@@ -185,6 +185,7 @@
         .lease_ms = settings->bounds.lease_ms,
         .capacity_milli = capacity_of(&settings->processor),
         .standby_pace_ms = standby_pace_ms(settings),
+        .tells_places = settings->api != NULL,
         .retain_ms =
             (settings->bounds.retain_s + RETAIN_EXTRA_S) * CW_MS_PER_S,
     };
--- a/tests/test_group.c
+++ b/tests/test_group.c
@@ -284,7 +284,7 @@
     announce(&vm, "small", WEAK);
     run(&vm, 500, false);
     CU_ASSERT_TRUE(owner_candidacy_beat_due(vm.owner, vm.clock.now));
-    vm.owner->appended_at = vm.clock.now;
+    owner_log_open(vm.owner->jobs_log, 1); /* it has written just now */
     CU_ASSERT_FALSE(owner_candidacy_beat_due(vm.owner, vm.clock.now));
     vm_end(&vm);
 }
@@ -327,7 +327,7 @@
     CU_ASSERT_EQUAL(vm.fences, 0);
     vm.store.page_most = 0;
     tick_owner(&vm, 300);
-    CU_ASSERT_EQUAL(vm.fences, 1);
+    CU_ASSERT_EQUAL(vm.fences, 2); /* one a log: states, jobs */
     CU_ASSERT_TRUE(cw_owner_active(vm.owner));
     vm_end(&vm);
 }
