Orders under way are held to what the owner can carry

Cause: at 3,000 workers the owner on half a core takes answers late, sends orders again and makes new connections for it (860 a second): it never recovers. Change: two orders a worker only where connections for them can be kept (owner_orders.c); and a limit on the orders under way, which grows while answers come soon and shrinks while they come late (owner_pace.c).

--- a/include/curlewcart/cw_owner.h
+++ b/include/curlewcart/cw_owner.h
@@ -45,6 +45,7 @@
     unsigned capacity_milli;  /* this VM's processor, thousandths of a core;
                                  0: as any other */
     bool tells_places;        /* callers may ask where their jobs ran */
+    unsigned connections;     /* that this VM can keep open; 0: any number */
 };
 
 struct cw_owner;
--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -221,6 +221,13 @@
     struct timespec reading_since;  /* reads have been answered since */
 };
 
+/* How many orders may be under way; owner_pace.c. */
+struct owner_pace {
+    unsigned under_way; /* orders, queued or sent */
+    unsigned most;
+    double answer_ms; /* what an answer takes, averaged */
+};
+
 struct cw_owner {
     struct cw_owner_options options;
     char *vm;
@@ -258,6 +265,7 @@
     struct owner_candidacy candidacy;
     bool place_wanted;
     struct timespec place_due;
+    struct owner_pace pace;
     uint64_t room_version; /* grows whenever room may have come free */
     struct timespec sweep_due;
     struct timespec check_due;
@@ -566,6 +574,20 @@
 owner_orders_send(struct cw_owner *owner, struct owner_target *target,
                   struct timespec now);
 
+/* ---- owner_pace.c ---- */
+
+/* A new owner begins with a small number. */
+void owner_pace_reset(struct owner_pace *pace);
+
+/* An order was answered after so long. */
+void owner_pace_answered(struct owner_pace *pace, int64_t took_ms);
+
+/* Sets the limit by the answers of late; to be called each 100 ms. */
+void owner_pace_adjust(struct owner_pace *pace);
+
+/* True if more may be placed. */
+bool owner_pace_allows(const struct owner_pace *pace, bool urgent);
+
 /* ---- owner_holds.c ---- */
 
 /* Extends leases and looks at runs where it is due; returns when next. */
--- a/src/owner/owner.c
+++ b/src/owner/owner.c
@@ -141,6 +141,7 @@
     gpointer value;
 
     owner->state = OWNER_ACTIVE;
+    owner_pace_reset(&owner->pace);
     owner->place_wanted = true;
     owner->sweep_due = cw_time_add_ms(now, SWEEP_EVERY_MS);
     g_hash_table_iter_init(&iterator, jobs);
@@ -344,6 +345,7 @@
     owner->states_log = create_log(owner, CW_STATE_TOPIC);
     owner->jobs_log = create_log(owner, CW_WORK_TOPIC);
     owner->due = owner_due_create();
+    owner_pace_reset(&owner->pace);
     owner->ends_new = g_ptr_array_new();
     owner->ends_sent = g_ptr_array_new();
     owner->dirty = g_ptr_array_new();
@@ -443,6 +445,7 @@
         return;
     }
     owner->check_due = cw_time_add_ms(now, CHECK_EVERY_MS);
+    owner_pace_adjust(&owner->pace);
     owner->place_wanted = true;
     g_hash_table_iter_init(&iterator, owner->jobs);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
--- a/src/owner/owner_orders.c
+++ b/src/owner/owner_orders.c
@@ -5,8 +5,11 @@
 
 enum {
     /* Two at a time: a lost answer does not hold up the rest, and a worker
-     * sees few connections. */
+     * sees few connections.  One where two, beside the one for looks, are
+     * more connections than the VM can keep: at 3,000 workers it made 860 new
+     * ones a second and had no processor left for anything else. */
     ORDERS_IN_FLIGHT = 2,
+    LOOKS_IN_FLIGHT = 1,
     /* An order takes some ms, up to a quarter second from a busy VM.  Sent
      * again it does no harm, and a gang waits for its last member. */
     ORDER_TIMEOUT_MS = 500,
@@ -25,6 +28,7 @@
 void
 owner_order_free(struct owner_order *order)
 {
+    order->owner->pace.under_way--;
     g_free(order->job);
     g_free(order);
 }
@@ -44,6 +48,7 @@
     order->task = *task;
     order->task.job = order->job;
     order->run = run;
+    owner->pace.under_way++;
     owner_target_wake(target);
     /* Stops free the room that starts wait for. */
     if (kind == CW_ORDER_STOP) {
@@ -224,6 +229,9 @@
     owner_target_wake(target);
     cw_count_latency(owner->options.counters, CW_LATENCY_ORDER,
                      cw_time_diff_ms(order->sent, now));
+    if (answer->status == CW_TARGET_OK) {
+        owner_pace_answered(&owner->pace, cw_time_diff_ms(order->sent, now));
+    }
     log_answer(order, answer->status);
     owner_target_clock(target, answer->clock_ms, now);
     if (answer->status == CW_TARGET_FENCED) {
@@ -321,13 +329,28 @@
     return next;
 }
 
+/* Orders that may be under way to one worker. */
+static unsigned
+orders_at_once(const struct cw_owner *owner)
+{
+    unsigned targets = MAX(1, g_hash_table_size(owner->targets));
+
+    if (owner->options.connections == 0) {
+        return ORDERS_IN_FLIGHT;
+    }
+    return CLAMP(owner->options.connections / targets, LOOKS_IN_FLIGHT + 1,
+                 LOOKS_IN_FLIGHT + ORDERS_IN_FLIGHT) -
+           LOOKS_IN_FLIGHT;
+}
+
 struct timespec
 owner_orders_send(struct cw_owner *owner, struct owner_target *target,
                   struct timespec now)
 {
     struct timespec next = stop_again(owner, target, now);
+    unsigned most = orders_at_once(owner);
 
-    while (target->orders_in_flight < ORDERS_IN_FLIGHT &&
+    while (target->orders_in_flight < most &&
            !g_queue_is_empty(&target->orders) && owner_may_order(owner, now))
     {
         struct owner_order *order = g_queue_pop_head(&target->orders);
--- a/src/owner/owner_place.c
+++ b/src/owner/owner_place.c
@@ -290,6 +290,9 @@
 {
     bool urgent = step->occurrence->job->spec->priority == 0;
 
+    if (!owner_pace_allows(&owner->pace, urgent)) {
+        return; /* with the next pass, or later */
+    }
     if (step->tried_at == owner->room_version && !urgent &&
         cw_time_diff_ms(step->tried_time, now) < TRY_AGAIN_MS)
     {
--- a/src/vm/vm.c
+++ b/src/vm/vm.c
@@ -32,8 +32,8 @@
     RESERVED_DESCRIPTORS = 200,
     /* Of the others, for connections to workers and the store; the rest are
      * for callers. */
-    CLIENT_PARTS = 3,
-    ALL_PARTS = 4,
+    CLIENT_PARTS = 7,
+    ALL_PARTS = 8,
     /* Ended jobs are kept beyond what is promised, for repeated calls. */
     RETAIN_EXTRA_S = 60
 };
@@ -169,6 +169,19 @@
     return settings->api != NULL ? CW_STANDBY_PACE_MS : CW_ASKED_PACE_MS;
 }
 
+/* Connections to keep open.  An owner needs two a worker: with 1,024 for
+ * 1,100 workers it made 74,000 new ones in a day of 34 s, and looked through
+ * all kept ones for the oldest each time. */
+static unsigned
+connections_most(const struct cw_settings *settings)
+{
+    if (settings->descriptors <= RESERVED_DESCRIPTORS) {
+        return CW_HTTP_CONNECTIONS;
+    }
+    return (settings->descriptors - RESERVED_DESCRIPTORS) * CLIENT_PARTS /
+           ALL_PARTS;
+}
+
 static void
 create_engine(struct cw_vm *vm)
 {
@@ -192,6 +205,7 @@
         .capacity_milli = capacity_of(&settings->processor),
         .standby_pace_ms = standby_pace_ms(settings),
         .tells_places = settings->api != NULL,
+        .connections = connections_most(settings),
         .retain_ms =
             (settings->bounds.retain_s + RETAIN_EXTRA_S) * CW_MS_PER_S,
     };
@@ -232,19 +246,6 @@
     }
 }
 
-/* Connections to keep open.  An owner needs two a worker: with 1,024 for
- * 1,100 workers it made 74,000 new ones in a day of 34 s, and looked through
- * all kept ones for the oldest each time. */
-static unsigned
-connections_most(const struct cw_settings *settings)
-{
-    if (settings->descriptors <= RESERVED_DESCRIPTORS) {
-        return CW_HTTP_CONNECTIONS;
-    }
-    return (settings->descriptors - RESERVED_DESCRIPTORS) * CLIENT_PARTS /
-           ALL_PARTS;
-}
-
 /* The relay's socket has to exist before the thread that waits for it; its
  * calls only begin with the first tick. */
 static bool
--- a/tests/test_orders.c
+++ b/tests/test_orders.c
@@ -123,7 +123,40 @@
     site_end(&site);
 }
 
+/* Connections for one look and one order a worker are kept where two orders
+ * at a time would need more than there are. */
+static void
+test_orders_at_a_time_fit_the_connections(void)
+{
+    struct site site;
+    const struct cw_step_spec three = {.tasks = 3, .accelerators = 2};
+    struct owner_job *job;
+    struct owner_target *target;
+
+    for (unsigned connections = 2; connections <= 3; connections++) {
+        site_begin(&site);
+        site.owner->options.connections = connections * RACKS * PER_RACK;
+        job = add_job(&site, 1, &three);
+        pass(&site, 10);
+        target = step_of(job)->tasks[0].run->target;
+        site.owner->proof_at = site.clock.now;
+        for (unsigned i = 0; i < 3; i++) {
+            struct owner_run *run = step_of(job)->tasks[i].run;
+            struct cw_task_name name = owner_task_name(run->task);
+
+            CU_ASSERT_PTR_EQUAL(run->target, target);
+            run->phase = RUN_READY;
+            owner_order_queue(site.owner, target, CW_ORDER_START, &name,
+                              run->number);
+        }
+        owner_orders_send(site.owner, target, site.clock.now);
+        CU_ASSERT_EQUAL(target->orders_in_flight, connections - 1);
+        site_end(&site);
+    }
+}
+
 static const struct test tests[] = {
+    {"connections", test_orders_at_a_time_fit_the_connections},
     {"paced", test_a_stop_that_fails_at_once_is_paced},
     {"avoided", test_a_worker_that_leaves_a_start_unanswered_is_avoided},
     {"never sent", test_a_start_that_was_never_sent_frees_the_task_at_once},
--- a/tests/test_owner_log.c
+++ b/tests/test_owner_log.c
@@ -183,8 +183,7 @@
     owner_log_open(bed.log, 3);
     fence(&bed, 4);
     send(&bed, "a");
-    CU_ASSERT_PTR_NOT_NULL_FATAL(bed.lost);
-    CU_ASSERT_STRING_EQUAL(bed.lost, "higher_epoch");
+    CU_ASSERT_EQUAL(g_strcmp0(bed.lost, "higher_epoch"), 0);
     CU_ASSERT_FALSE(owner_log_is_open(bed.log));
     CU_ASSERT_EQUAL(bed.stored, 0);
     CU_ASSERT_EQUAL(store_model_end(bed.store.model, "t"), 0);
--- a/tests/test_takeover.c
+++ b/tests/test_takeover.c
@@ -23,8 +23,8 @@
 
 static struct bed *current;
 
-static void put(struct bed *bed, const char *topic, const char *key,
-                GByteArray *value);
+static void
+put(struct bed *bed, const char *topic, const char *key, GByteArray *value);
 
 static void
 grow(struct bed *bed, const char *topic)
