HTTP client: hosts are spread over 32 multi handles

Cause: libcurl finds a kept connection in a table of 97 lists by host; at 1,120 workers (stand-in, perf) 37% of the owner's samples lay in libcurl, 7.6% in one walk along such a list, three times as much as at 400. Change: 32 multi handles in one thread, a host always in the same one.

--- a/src/http/http_client.c
+++ b/src/http/http_client.c
@@ -1,4 +1,9 @@
-/* libcurl's multi interface on one thread, fed by a lock-free stack. */
+/* libcurl's multi interface on one thread, fed by a lock-free stack.
+ *
+ * libcurl finds a kept connection in a table of 97 lists, by its host: with
+ * thousands of workers the walks along them took more time than the requests.
+ * So hosts are spread over several multi handles, the lanes, each with its
+ * own table. */
 #include "curlewcart/cw_http_client.h"
 
 #include <pthread.h>
@@ -16,6 +21,11 @@
 enum {
     CONNECT_TIMEOUT_MS = 1000,
     POLL_MS = 1000,
+    /* With 3,000 workers a list then holds one host on average. */
+    LANES = 32,
+    /* Hosts spread unevenly: a lane may keep so much more than its share. */
+    UNEVEN_PARTS = 4,
+    EVEN_PARTS = 3,
     /* libcurl forgets connections that were idle for longer by itself. */
     SUSPECT_S = 118,
     SUSPECTS_MOST = 1024,
@@ -34,18 +44,27 @@
     long timeout_ms;
     cw_http_done done;
     void *context;
+    struct lane *lane;
     CURL *easy;
     struct curl_slist *headers;
     GByteArray *answer;
 };
 
+/* A multi handle and when it wants to be called. */
+struct lane {
+    struct cw_http_client *client;
+    CURLM *multi;
+    bool timed; /* libcurl wants to be called at `timer` */
+    struct timespec timer;
+    bool ran; /* transfers may have ended since they were taken last */
+};
+
 struct cw_http_client {
     struct cw_http_client_options options;
     ck_stack_t queue CK_CC_CACHELINE;
-    CURLM *multi;
+    struct lane lanes[LANES];
+    GArray *lane_of; /* struct lane *, by descriptor */
     struct http_watch *watch;
-    bool timed; /* libcurl wants to be called at `timer` */
-    struct timespec timer;
     pthread_t thread;
     unsigned stop;
     GPtrArray *idle;  /* CURL easy handles for reuse */
@@ -181,6 +200,16 @@
     }
 }
 
+static struct lane *
+lane_for(struct cw_http_client *client, const char *url)
+{
+    char *host = host_of(url);
+    struct lane *lane = &client->lanes[g_str_hash(host) % LANES];
+
+    g_free(host);
+    return lane;
+}
+
 static void
 begin_transfer(struct cw_http_client *client, struct transfer *transfer)
 {
@@ -195,7 +224,8 @@
     set_options(transfer);
     avoid_suspects(client, transfer);
     g_hash_table_add(client->busy, transfer);
-    curl_multi_add_handle(client->multi, transfer->easy);
+    transfer->lane = lane_for(client, transfer->url);
+    curl_multi_add_handle(transfer->lane->multi, transfer->easy);
 }
 
 /* The stack gives the newest first; requests keep their order. */
@@ -258,22 +288,23 @@
             suspect_host(client, transfer);
         }
     }
-    curl_multi_remove_handle(client->multi, transfer->easy);
+    curl_multi_remove_handle(transfer->lane->multi, transfer->easy);
     g_ptr_array_add(client->idle, transfer->easy);
     g_hash_table_remove(client->busy, transfer);
     transfer->done(transfer->context, &result);
     transfer_free(transfer);
 }
 
-/* Returns true if any transfer ended. */
+/* Returns true if any transfer of the lane ended. */
 static bool
-take_ended(struct cw_http_client *client)
+take_ended_of(struct cw_http_client *client, struct lane *lane)
 {
     CURLMsg *message;
     bool any = false;
     int left;
 
-    while ((message = curl_multi_info_read(client->multi, &left)) != NULL) {
+    lane->ran = false;
+    while ((message = curl_multi_info_read(lane->multi, &left)) != NULL) {
         struct transfer *transfer;
 
         if (message->msg != CURLMSG_DONE) {
@@ -287,6 +318,20 @@
     return any;
 }
 
+/* Returns true if any transfer ended. */
+static bool
+take_ended(struct cw_http_client *client)
+{
+    bool any = false;
+
+    for (unsigned i = 0; i < LANES; i++) {
+        if (client->lanes[i].ran) {
+            any = take_ended_of(client, &client->lanes[i]) || any;
+        }
+    }
+    return any;
+}
+
 static unsigned
 run_tick(struct cw_http_client *client)
 {
@@ -304,10 +349,15 @@
 on_socket(CURL *easy, curl_socket_t socket, int what, void *context,
           void *unused)
 {
-    struct cw_http_client *client = context;
+    struct lane *lane = context;
+    struct cw_http_client *client = lane->client;
 
     (void)easy;
     (void)unused;
+    if (client->lane_of->len <= (guint)socket) {
+        g_array_set_size(client->lane_of, (guint)socket + 1);
+    }
+    g_array_index(client->lane_of, struct lane *, socket) = lane;
     http_watch_set(client->watch, socket,
                    what == CURL_POLL_IN || what == CURL_POLL_INOUT,
                    what == CURL_POLL_OUT || what == CURL_POLL_INOUT);
@@ -317,12 +367,12 @@
 static int
 on_timer(CURLM *multi, long timeout_ms, void *context)
 {
-    struct cw_http_client *client = context;
+    struct lane *lane = context;
 
     (void)multi;
-    client->timed = timeout_ms >= 0;
-    if (client->timed) {
-        client->timer =
+    lane->timed = timeout_ms >= 0;
+    if (lane->timed) {
+        lane->timer =
             cw_time_add_ms(cw_clock_now(cw_clock_system()), timeout_ms);
     }
     return 0;
@@ -331,20 +381,25 @@
 /* Lets libcurl begin transfers and end late ones; returns after how many
  * milliseconds it wants that again at the latest. */
 static unsigned
-run_timer(struct cw_http_client *client, unsigned wait_ms)
+run_timers(struct cw_http_client *client, unsigned wait_ms)
 {
     struct timespec now = cw_clock_now(cw_clock_system());
     int running;
 
-    if (client->timed && !cw_time_before(now, client->timer)) {
-        client->timed = false;
-        curl_multi_socket_action(client->multi, CURL_SOCKET_TIMEOUT, 0,
-                                 &running);
-    }
-    if (client->timed) {
-        int64_t left = cw_time_diff_ms(now, client->timer) + 1;
+    for (unsigned i = 0; i < LANES; i++) {
+        struct lane *lane = &client->lanes[i];
 
-        wait_ms = (unsigned)CLAMP(left, 0, (int64_t)wait_ms);
+        if (lane->timed && !cw_time_before(now, lane->timer)) {
+            lane->timed = false;
+            lane->ran = true;
+            curl_multi_socket_action(lane->multi, CURL_SOCKET_TIMEOUT, 0,
+                                     &running);
+        }
+        if (lane->timed) {
+            int64_t left = cw_time_diff_ms(now, lane->timer) + 1;
+
+            wait_ms = (unsigned)CLAMP(left, 0, (int64_t)wait_ms);
+        }
     }
     return wait_ms;
 }
@@ -352,6 +407,7 @@
 static void
 take_news(struct cw_http_client *client, const struct http_watch_news *news)
 {
+    struct lane *lane;
     int running;
     int flags = (news->readable ? CURL_CSELECT_IN : 0) |
                 (news->writable ? CURL_CSELECT_OUT : 0) |
@@ -363,7 +419,9 @@
         client->options.readable(client->options.context);
         return;
     }
-    curl_multi_socket_action(client->multi, news->descriptor, flags, &running);
+    lane = g_array_index(client->lane_of, struct lane *, news->descriptor);
+    lane->ran = true;
+    curl_multi_socket_action(lane->multi, news->descriptor, flags, &running);
 }
 
 static void
@@ -386,7 +444,7 @@
         unsigned wait_ms = run_tick(client);
 
         take_queue(client);
-        wait_ms = run_timer(client, wait_ms);
+        wait_ms = run_timers(client, wait_ms);
         if (!take_ended(client)) {
             wait_for_news(client, wait_ms);
         }
@@ -395,12 +453,51 @@
 }
 
 static void
-watch_sockets(struct cw_http_client *client)
+close_lanes(struct cw_http_client *client)
+{
+    for (unsigned i = 0; i < LANES; i++) {
+        curl_multi_cleanup(client->lanes[i].multi);
+    }
+    g_array_unref(client->lane_of);
+}
+
+/* Connections that a lane may keep. */
+static long
+lane_connections(const struct cw_http_client *client)
+{
+    long most = client->options.connections_most > 0
+                    ? (long)client->options.connections_most
+                    : (long)CW_HTTP_CONNECTIONS;
+
+    return MAX(1, most * UNEVEN_PARTS / EVEN_PARTS / LANES);
+}
+
+static bool
+open_lanes(struct cw_http_client *client)
+{
+    client->lane_of = g_array_new(FALSE, TRUE, sizeof(struct lane *));
+    for (unsigned i = 0; i < LANES; i++) {
+        struct lane *lane = &client->lanes[i];
+
+        lane->client = client;
+        lane->multi = curl_multi_init();
+        if (lane->multi == NULL) {
+            close_lanes(client);
+            return false;
+        }
+        curl_multi_setopt(lane->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
+        curl_multi_setopt(lane->multi, CURLMOPT_SOCKETDATA, lane);
+        curl_multi_setopt(lane->multi, CURLMOPT_TIMERFUNCTION, on_timer);
+        curl_multi_setopt(lane->multi, CURLMOPT_TIMERDATA, lane);
+        curl_multi_setopt(lane->multi, CURLMOPT_MAXCONNECTS,
+                          lane_connections(client));
+    }
+    return true;
+}
+
+static void
+watch_extra(struct cw_http_client *client)
 {
-    curl_multi_setopt(client->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
-    curl_multi_setopt(client->multi, CURLMOPT_SOCKETDATA, client);
-    curl_multi_setopt(client->multi, CURLMOPT_TIMERFUNCTION, on_timer);
-    curl_multi_setopt(client->multi, CURLMOPT_TIMERDATA, client);
     if (client->options.readable != NULL) {
         http_watch_set(client->watch, client->options.descriptor, true, false);
     }
@@ -420,15 +517,10 @@
     if (client->watch == NULL) {
         goto error;
     }
-    client->multi = curl_multi_init();
-    if (client->multi == NULL) {
+    if (!open_lanes(client)) {
         goto error_watch;
     }
-    watch_sockets(client);
-    curl_multi_setopt(client->multi, CURLMOPT_MAXCONNECTS,
-                      client->options.connections_most > 0
-                          ? (long)client->options.connections_most
-                          : (long)CW_HTTP_CONNECTIONS);
+    watch_extra(client);
     client->idle = g_ptr_array_new();
     client->busy = g_hash_table_new(NULL, NULL);
     client->suspects =
@@ -442,7 +534,7 @@
     g_ptr_array_unref(client->idle);
     g_hash_table_unref(client->busy);
     g_hash_table_unref(client->suspects);
-    curl_multi_cleanup(client->multi);
+    close_lanes(client);
 error_watch:
     http_watch_free(client->watch);
 error:
@@ -480,7 +572,7 @@
     while (g_hash_table_iter_next(&iterator, &item, NULL)) {
         struct transfer *transfer = item;
 
-        curl_multi_remove_handle(client->multi, transfer->easy);
+        curl_multi_remove_handle(transfer->lane->multi, transfer->easy);
         curl_easy_cleanup(transfer->easy);
         transfer_free(transfer);
     }
@@ -490,7 +582,7 @@
     g_ptr_array_unref(client->idle);
     g_hash_table_unref(client->busy);
     g_hash_table_unref(client->suspects);
-    curl_multi_cleanup(client->multi);
+    close_lanes(client);
     http_watch_free(client->watch);
     g_free(client);
 }
