--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -225,6 +225,36 @@
     site_end(&site);
 }
 
+/* The pattern: an urgent gang on a full service.  A gang that gives way for
+ * its first task leaves several workers, and what the others then cost is
+ * counted anew: no second gang has to go. */
+static void
+test_what_leaves_for_one_task_serves_the_next(void)
+{
+    const struct cw_step_spec lower = {
+        .tasks = 4, .accelerators = 8, .gang = true};
+    const struct cw_step_spec urgent = {
+        .tasks = 4, .accelerators = 8, .gang = true};
+    struct site site;
+    struct owner_job *below[RACKS];
+    unsigned stopping = 0;
+
+    site_begin(&site);
+    set_guarantee(&site, 0);
+    for (unsigned i = 0; i < RACKS; i++) {
+        below[i] = run_job(&site, 1, &lower);
+        CU_ASSERT_EQUAL(placed(below[i]), 4);
+    }
+    set_guarantee(&site, 96);
+    add_job(&site, 0, &urgent);
+    pass(&site, 10);
+    for (unsigned i = 0; i < RACKS; i++) {
+        stopping += step_of(below[i])->tasks[0].run->stopping;
+    }
+    CU_ASSERT_EQUAL(stopping, 1);
+    site_end(&site);
+}
+
 static void
 test_labels_and_spread_are_kept(void)
 {
@@ -427,6 +457,7 @@
     {"one rack", test_a_gang_takes_one_rack_or_waits},
     {"guarantee", test_urgent_work_within_its_guarantee_makes_others_leave},
     {"cheapest", test_the_cheapest_work_gives_way},
+    {"serves the next", test_what_leaves_for_one_task_serves_the_next},
     {"headroom", test_lower_work_leaves_room_for_urgent_work},
     {"kept clear", test_a_rack_is_kept_clear_for_a_gang_that_waits},
     {"not to be used", test_workers_that_are_not_to_be_used_are_not},
