Entries that other writers put into the list name no worker

One with state "warming" was taken for a ready worker, one without an address was kept, and an address of an unknown service was called. Change: an entry must say service, zone, an address, one of the two states and a capacity; else it names no worker, a known worker of that key gets nothing new until it reports again, one log line and one count (310) each. Workers of a service that is not configured are not called.

--- a/include/curlewcart/cw_result.h
+++ b/include/curlewcart/cw_result.h
@@ -63,6 +63,7 @@
     X(DROP_BUNDLE, 308, "bundle_rejected", "a bundle record was not valid")   \
     X(DROP_CONFLICT, 309, "bundle_conflict",                                  \
       "another bundle with that number came first")                           \
+    X(DROP_REPORT, 310, "report_invalid", "an entry that names no worker")    \
     X(END_DONE, 400, "done", "it ran to its end")                             \
     X(END_FAILED, 401, "failed", "it ran and failed")                         \
     X(END_RETRIES, 402, "retries_spent", "every attempt failed")              \
--- a/src/owner/owner_holds.c
+++ b/src/owner/owner_holds.c
@@ -351,22 +351,32 @@
             cw_time_diff_ms(target->busy_at, now) < IDLE_LOOKS_MS);
 }
 
+/* True if work may be sent there: its service is one that is configured. */
+static bool
+is_of_use(const struct owner_target *target)
+{
+    const struct cw_routing *routing = target->owner->routing;
+
+    return target->listed &&
+           (routing == NULL || routing->services->len == 0 ||
+            cw_routing_service(routing, target->service) != NULL);
+}
+
 static bool
 wants_hold(const struct owner_target *target, struct timespec now)
 {
     if (target->gone || target->address[0] == '\0') {
         return false;
     }
-    if (target->listed && (!target->clock_known || !target->answered)) {
-        return true;
-    }
-    if (target->listed && may_have_strays(target, now)) {
+    if (is_of_use(target) && (!target->clock_known || !target->answered ||
+                              may_have_strays(target, now)))
+    {
         return true;
     }
     return target->runs->len > 0 ||
            target->ends_applied > target->ends_in_batch ||
            target->ends_in_batch > target->ends_durable ||
-           (target->silent > 0 && target->listed);
+           (target->silent > 0 && is_of_use(target));
 }
 
 /* True if a run was sent there, by this owner or an earlier one. */
--- a/src/owner/owner_targets.c
+++ b/src/owner/owner_targets.c
@@ -196,8 +196,15 @@
     if (!owner->options.codec->decode_target(
             record->key, record->value, record->length, take_report, owner))
     {
+        struct owner_target *target =
+            g_hash_table_lookup(owner->targets, record->key);
+
         cw_log_warning("report_invalid", "worker=%s offset=%" PRIu64,
                        record->key, record->offset);
+        cw_count_code(owner->options.counters, CW_DROP_REPORT);
+        if (target != NULL) {
+            unlist(target);
+        }
     }
 }
 
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -81,6 +81,58 @@
         platform_codec()->decode_target("i-1", "[]", 2, check_report, &seen));
 }
 
+static void
+count_report(void *context, const struct cw_target_report *report)
+{
+    (void)report;
+    (*(unsigned *)context)++;
+}
+
+/* Another writer's entries name no worker: a member is missing or of another
+ * type, the state is not one of the two, or it is no JSON at all. */
+static void
+test_an_entry_of_another_writer_names_no_worker(void)
+{
+    static const char whole[] =
+        "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+        "\"state\":\"ready\",\"capacity\":{\"cpu\":32000,\"gpus\":8}}";
+    static const char *const changes[][2] = {
+        {"\"service\":\"s\",", ""},
+        {"\"service\":\"s\"", "\"service\":7"},
+        {"\"address\":\"10.0.0.1:80\",", ""},
+        {"\"10.0.0.1:80\"", "[\"10.0.0.1:80\"]"},
+        {"10.0.0.1:80", "nowhere"},
+        {"\"zone\":\"z\",", ""},
+        {"\"zone\":\"z\"", "\"zone\":null"},
+        {"\"state\":\"ready\",", ""},
+        {"\"ready\"", "\"warming\""},
+        {"\"ready\"", "true"},
+        {",\"capacity\":{\"cpu\":32000,\"gpus\":8}", ""},
+        {"{\"cpu\":32000,\"gpus\":8}", "\"much\""},
+        {"32000", "\"32000\""},
+        {"\"gpus\":8", "\"gpus\":-8"},
+        {"}}", "}"},
+        {"{\"service\"", "\xff\xfe{\"service\""},
+    };
+    const struct cw_codec *codec = platform_codec();
+    unsigned count = 0;
+
+    CU_ASSERT_TRUE(codec->decode_target("i-1", whole, strlen(whole),
+                                        count_report, &count));
+    CU_ASSERT_EQUAL(count, 1);
+    for (size_t i = 0; i < G_N_ELEMENTS(changes); i++) {
+        char **parts = g_strsplit(whole, changes[i][0], 2);
+        char *text = g_strjoinv(changes[i][1], parts);
+
+        CU_ASSERT_PTR_NOT_NULL(parts[1]);
+        CU_ASSERT_FALSE(codec->decode_target("i-1", text, strlen(text),
+                                             count_report, &count));
+        g_strfreev(parts);
+        g_free(text);
+    }
+    CU_ASSERT_EQUAL(count, 1);
+}
+
 static bool
 decode(const char *text, struct cw_work_spec *spec)
 {
@@ -156,6 +208,7 @@
     {"configuration", test_a_configuration_is_read_whole},
     {"no configuration", test_what_is_no_configuration_is_refused},
     {"report", test_a_worker_s_report_is_read},
+    {"other writer", test_an_entry_of_another_writer_names_no_worker},
     {"job", test_a_job_is_read_with_its_steps},
     {"no job", test_what_is_no_job_is_refused},
     {"numbers", test_numbers_out_of_range_are_none},
