--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -476,6 +476,9 @@
 /* Stops all runs of a step. */
 void owner_step_stop(struct cw_owner *owner, struct owner_step *step);
 
+/* Makes a run leave its worker: a gang stops whole, a task alone. */
+void owner_run_leave(struct cw_owner *owner, struct owner_run *run);
+
 /* Turns reserved runs whose place is free into new ones. */
 void owner_runs_settle(struct cw_owner *owner, struct owner_target *target);
 
--- a/src/owner/owner_drain.c
+++ b/src/owner/owner_drain.c
@@ -52,7 +52,6 @@
 static void
 move(struct cw_owner *owner, struct owner_run *run, struct timespec now)
 {
-    struct owner_step *step = run->task->step;
     struct cw_task_name name = owner_task_name(run->task);
 
     cw_log_info("run_evacuated",
@@ -61,12 +60,7 @@
                 name.job, name.occurrence, name.step, name.index, run->number,
                 run->target->id, run->percent, left_ms(run),
                 cw_time_diff_ms(now, run->target->leaves_at));
-    if (step->spec->gang) {
-        owner_step_stop(owner, step);
-    }
-    else {
-        owner_run_stop(owner, run);
-    }
+    owner_run_leave(owner, run);
 }
 
 void
--- a/src/owner/owner_holds.c
+++ b/src/owner/owner_holds.c
@@ -222,12 +222,7 @@
                     step->occurrence->number, step->number, run->task->index,
                     run->number, target->id, run->percent);
         owner_target_blame(target, run->task, now);
-        if (step->spec->gang) {
-            owner_step_stop(owner, step);
-        }
-        else {
-            owner_run_stop(owner, run);
-        }
+        owner_run_leave(owner, run);
         return; /* the table of runs may have changed */
     }
 }
--- a/src/owner/owner_orders.c
+++ b/src/owner/owner_orders.c
@@ -113,12 +113,7 @@
                           order->run);
         return;
     }
-    if (run->task->step->spec->gang) {
-        owner_step_stop(owner, run->task->step);
-    }
-    else {
-        owner_run_stop(owner, run);
-    }
+    owner_run_leave(owner, run);
 }
 
 static void
--- a/src/owner/owner_residency.c
+++ b/src/owner/owner_residency.c
@@ -34,12 +34,7 @@
         owner_job_end(owner, job, CW_WORK_STOPPED, CW_END_MOVED);
         return;
     }
-    if (step->spec->gang) {
-        owner_step_stop(owner, step);
-    }
-    else {
-        owner_run_stop(owner, run);
-    }
+    owner_run_leave(owner, run);
 }
 
 static void
--- a/src/owner/owner_runs.c
+++ b/src/owner/owner_runs.c
@@ -119,6 +119,17 @@
     }
 }
 
+void
+owner_run_leave(struct cw_owner *owner, struct owner_run *run)
+{
+    if (run->task->step->spec->gang) {
+        owner_step_stop(owner, run->task->step);
+    }
+    else {
+        owner_run_stop(owner, run);
+    }
+}
+
 void
 owner_run_lost(struct cw_owner *owner, struct owner_run *run, bool worked,
                const char *reason)
--- a/src/owner/owner_speed.c
+++ b/src/owner/owner_speed.c
@@ -117,12 +117,7 @@
                 "expected=%.1f",
                 step->occurrence->job->spec->id, step->number, run->number,
                 run->target->id, run->percent, run->rate, expected);
-    if (step->spec->gang) {
-        owner_step_stop(owner, step);
-    }
-    else {
-        owner_run_stop(owner, run);
-    }
+    owner_run_leave(owner, run);
 }
 
 static void
