Tests answer what is under way when they end

Change: the tests' site keeps all that is under way and answers it at its end, which also plays the answer after the owner has gone on.

--- a/tests/owner_site.h
+++ b/tests/owner_site.h
@@ -19,14 +19,19 @@
     unsigned jobs;
 };
 
-/* The last order, for a test to answer. */
+/* The last order, for a test to answer, and all without an answer. */
 static struct cw_target_order last_order G_GNUC_UNUSED;
+static GArray *unanswered; /* struct cw_target_order */
 
 static inline void
 keep_order(struct cw_targets *targets, const struct cw_target_order *order)
 {
     (void)targets;
     last_order = *order;
+    if (unanswered == NULL) {
+        unanswered = g_array_new(FALSE, FALSE, sizeof(struct cw_target_order));
+    }
+    g_array_append_val(unanswered, *order);
 }
 
 static inline void
@@ -34,9 +39,26 @@
 {
     const struct cw_target_answer answer = {.status = status};
 
+    g_array_set_size(unanswered, unanswered->len - 1);
     last_order.done(last_order.context, &answer);
 }
 
+/* Answers what is still under way when a test ends. */
+static inline void
+answer_rest(void)
+{
+    const struct cw_target_answer answer = {.status = CW_TARGET_UNKNOWN};
+
+    while (unanswered != NULL && unanswered->len > 0) {
+        struct cw_target_order order = g_array_index(
+            unanswered, struct cw_target_order, unanswered->len - 1);
+
+        g_array_set_size(unanswered, unanswered->len - 1);
+        order.done(order.context, &answer);
+    }
+    g_clear_pointer(&unanswered, g_array_unref);
+}
+
 static inline void
 set_rack(struct owner_target *target, unsigned rack)
 {
@@ -112,6 +134,7 @@
 static inline void
 site_end(struct site *site)
 {
+    answer_rest();
     cw_owner_free(site->owner);
     cw_replica_free(site->replica);
 }
