Logs: a lost run says what it had done, a lost worker how it went

Cause: the incident's logs could not tell which of the runs on a crashed worker is the likely cause, nor a crash from a cut that is only seen as a lease that is over.

Change: run_lost tells phase, age since its confirmed start and the percent that was seen; worker_lost whether it was leaving and when it was last heard.

--- a/src/owner/owner_runs.c
+++ b/src/owner/owner_runs.c
@@ -130,6 +130,28 @@
     }
 }
 
+/* Name of a phase, for logs.  Borrowed, static. */
+static const char *
+phase_name(enum run_phase phase)
+{
+    static const char *const names[] = {
+        [RUN_RESERVED] = "reserved",     [RUN_NEW] = "new",
+        [RUN_COMMITTING] = "committing", [RUN_READY] = "ready",
+        [RUN_STARTING] = "starting",     [RUN_RUNNING] = "running",
+        [RUN_UNSURE] = "unsure",
+    };
+
+    return names[phase];
+}
+
+/* Milliseconds since the worker confirmed the run; -1 if it never did. */
+static int64_t
+run_age_ms(const struct owner_run *run, struct timespec now)
+{
+    return run->phase == RUN_RUNNING ? cw_time_diff_ms(run->started_at, now)
+                                     : -1;
+}
+
 void
 owner_run_lost(struct cw_owner *owner, struct owner_run *run, bool worked,
                const char *reason)
@@ -139,9 +161,12 @@
     bool finished = run->finished;
     struct cw_task_name name = owner_task_name(task);
 
-    cw_log_info("run_lost", "id=%s task=%u.%u.%u run=%u worker=%s reason=%s",
+    cw_log_info("run_lost",
+                "id=%s task=%u.%u.%u run=%u worker=%s reason=%s phase=%s "
+                "age_ms=%" PRId64 " percent=%u",
                 name.job, name.occurrence, name.step, name.index, run->number,
-                run->target->id, reason);
+                run->target->id, reason, phase_name(run->phase),
+                run_age_ms(run, owner_now(owner)), run->percent);
     cw_count_code(owner->options.counters, CW_RETRY_SILENT);
     owner_once_over(owner, run, worked, CW_END_WORKER_LOST);
     owner_run_drop(owner, run);
--- a/src/owner/owner_targets.c
+++ b/src/owner/owner_targets.c
@@ -282,8 +282,12 @@
 owner_target_lost(struct cw_owner *owner, struct owner_target *target,
                   const char *reason)
 {
-    cw_log_info("worker_lost", "worker=%s reason=%s runs=%u silent=%u",
-                target->id, reason, target->runs->len, target->silent);
+    cw_log_info("worker_lost",
+                "worker=%s reason=%s runs=%u silent=%u draining=%d "
+                "heard_ms=%" PRId64,
+                target->id, reason, target->runs->len, target->silent,
+                target->draining,
+                cw_time_diff_ms(target->seen_at, owner_now(owner)));
     while (target->runs->len > 0) {
         owner_run_lost(owner, target->runs->pdata[target->runs->len - 1], true,
                        reason);
