--- a/include/curlewcart/cw_count.h
+++ b/include/curlewcart/cw_count.h
@@ -21,7 +21,8 @@
     X(APPENDS, "appends", "batches sent to the store")                        \
     X(RECORDS, "records", "records sent to the store")                        \
     X(PREEMPTIONS, "preemptions", "gangs told to give way")                   \
-    X(RELAYED, "relayed", "calls to the store through another VM")
+    X(RELAYED, "relayed", "calls to the store through another VM")            \
+    X(CRASHES, "worker_crashes", "workers that crashed with runs on them")
 
 /* X(symbol, name with its unit, what it measures) */
 #define CW_LATENCY_TABLE(X)                                                   \
--- a/include/curlewcart/cw_record.h
+++ b/include/curlewcart/cw_record.h
@@ -4,7 +4,11 @@
  * every VM reads the head; one that answers for a job of our own interface
  * reads the rest.  Whole, the rest is mostly zeros and repeated names, and is
  * deflated to a quarter (40 tasks with a checkpoint each), which a new owner
- * that reads hundreds of them is spared. */
+ * that reads hundreds of them is spared.
+ *
+ * Crashes that count against tasks come last, and are left out where there
+ * are none: such a record has the form that VMs know which count no crashes,
+ * and theirs are read as having none. */
 #ifndef CURLEWCART_CW_RECORD_H
 #define CURLEWCART_CW_RECORD_H
 
--- a/include/curlewcart/cw_result.h
+++ b/include/curlewcart/cw_result.h
@@ -73,7 +73,9 @@
     X(END_PARTIAL, 405, "gang_broken",                                        \
       "a member vanished while the gang started or ran; all were stopped")    \
     X(END_MOVED, 406, "stopped_by_configuration",                             \
-      "a newer configuration forbids the place; it was stopped")
+      "a newer configuration forbids the place; it was stopped")              \
+    X(END_CRASHES, 407, "workers_crashed",                                    \
+      "one worker after the other crashed under a task of it")
 
 enum cw_result {
 #define CW_RESULT_SYMBOL(symbol, number, name, text) CW_##symbol = (number),
--- a/src/owner/internal/owner_candidates.h
+++ b/src/owner/internal/owner_candidates.h
@@ -13,6 +13,7 @@
     struct cw_resources room;
     unsigned fits;
     unsigned rack_hosts; /* workers of its rack that lower work is on */
+    unsigned company;    /* owner_company; only for a suspect */
 };
 
 /* Workers with room for a task of the step, as struct owner_candidate, the
--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -44,6 +44,7 @@
     bool stop_queued; /* an order to stop waits or is under way */
     bool stop_confirmed;
     bool finished; /* its gang is done; only its own end is outstanding */
+    bool on_trial; /* a suspect's, without progress yet */
     struct timespec stop_due; /* not tried again before */
     struct timespec stop_confirmed_at;
     struct timespec created_at;
@@ -66,6 +67,8 @@
     unsigned index;
     unsigned last_run; /* highest number used */
     unsigned failures;
+    unsigned suspicion;         /* of crashing its workers; owner_crashes.c */
+    struct timespec held_until; /* while it is a suspect */
     bool done;
     char *saved;           /* newest checkpoint, or NULL */
     struct owner_run *run; /* or NULL */
@@ -179,6 +182,8 @@
     unsigned orders_in_flight;
     GPtrArray *runs;     /* struct owner_run */
     unsigned lower_runs; /* of them, of work that is not the most urgent */
+    unsigned trials;     /* of them, on trial: no others are placed there */
+    GArray *charges;     /* owner_crashes.c: for when a crash is proved */
     unsigned failures;   /* tasks, or gangs, that failed there in a row */
     struct owner_failed failed;
     struct timespec avoid_until;
@@ -257,6 +262,7 @@
     struct owner_due *due;       /* of the targets */
     GPtrArray *ends_new;  /* struct owner_target: ends not in a batch yet */
     GPtrArray *ends_sent; /* ... and in the batch under way */
+    GHashTable *lives;    /* address -> struct owner_target, listed last */
     GHashTable *headroom; /* service -> struct owner_headroom */
     struct owner_log *states_log; /* CW_STATE_TOPIC */
     struct owner_log *jobs_log;   /* CW_WORK_TOPIC */
@@ -333,6 +339,49 @@
 bool
 owner_candidacy_beat_due(const struct cw_owner *owner, struct timespec now);
 
+/* ---- owner_crashes.c: tasks that crash the workers that start them ---- */
+
+/* Notes what its runs are charged with, should the worker have crashed; call
+ * it before they are dropped. */
+void owner_crashes_collect(struct owner_target *target, struct timespec now);
+
+/* Its runs are dropped.  If it has crashed, what was noted counts, and may
+ * end jobs; if that is open, it is kept. */
+void owner_crashes_settle(struct cw_owner *owner, struct owner_target *target,
+                          struct timespec now);
+
+/* The same life answers: it had only been silent. */
+void
+owner_crashes_disproved(struct cw_owner *owner, struct owner_target *target);
+
+/* A worker has come onto the list, or gone from it: of two lives at an
+ * address the one that is not listed is over. */
+void owner_crashes_listed(struct cw_owner *owner, struct owner_target *target);
+void
+owner_crashes_unlisted(struct cw_owner *owner, struct owner_target *target);
+
+/* Takes what a worker has listed of a run into account. */
+void owner_crashes_note(struct owner_run *run, struct timespec now);
+
+/* An empty array for a worker's charges. */
+GArray *owner_charges_new(void);
+
+/* True if crashes speak against a task of the step. */
+bool owner_step_is_suspect(const struct owner_step *step);
+
+/* True if one that crashes speak against waits for word of its last worker. */
+bool
+owner_step_is_held_back(const struct owner_step *step, struct timespec now);
+
+/* How much a suspect would have beside it on the worker: what has shown no
+ * progress yet would make the cause of a crash unclear. */
+unsigned owner_company(const struct owner_target *target);
+
+/* While a suspect's run shows no progress nothing else is placed beside it:
+ * what is there would go with the worker. */
+void owner_trial_begin(struct owner_run *run);
+void owner_trial_end(struct owner_run *run);
+
 /* ---- owner_lasting.c ---- */
 
 /* True if so many other tasks of the run's step are away, or are in the set
@@ -407,6 +456,11 @@
  * caller's, the runs are borrowed. */
 GPtrArray *owner_job_runs(const struct owner_job *job, enum run_phase phase);
 
+/* The job's task by name, without regard to the job that it names, or NULL
+ * if there is none. */
+struct owner_task *
+owner_job_task(const struct owner_job *job, const struct cw_task_name *name);
+
 /* Task by name, or NULL if this owner has no such task. */
 struct owner_task *
 owner_task_find(const struct cw_owner *owner, const struct cw_task_name *name);
--- a/src/owner/owner.c
+++ b/src/owner/owner.c
@@ -41,6 +41,7 @@
     owner_due_clear(owner->due);
     g_ptr_array_set_size(owner->ends_new, 0);
     g_ptr_array_set_size(owner->ends_sent, 0);
+    g_hash_table_remove_all(owner->lives);
     g_hash_table_remove_all(owner->targets);
     g_hash_table_remove_all(owner->racks);
     g_array_set_size(owner->rack_hosts, 0);
@@ -358,6 +359,8 @@
     owner_pace_reset(&owner->pace);
     owner->ends_new = g_ptr_array_new();
     owner->ends_sent = g_ptr_array_new();
+    owner->lives =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     owner->dirty = g_ptr_array_new();
     owner->untold = g_ptr_array_new();
     owner->past_states = g_ptr_array_new_with_free_func(g_free);
@@ -386,6 +389,7 @@
     owner_open_free(owner->open);
     g_ptr_array_unref(owner->ends_new);
     g_ptr_array_unref(owner->ends_sent);
+    g_hash_table_unref(owner->lives);
     g_ptr_array_unref(owner->dirty);
     g_ptr_array_unref(owner->untold);
     g_ptr_array_unref(owner->past_states);
--- a/src/owner/owner_candidates.c
+++ b/src/owner/owner_candidates.c
@@ -151,6 +151,29 @@
     return by_room(a, b);
 }
 
+/* For what may crash its worker: where least would go with it. */
+static gint
+by_company(gconstpointer a, gconstpointer b)
+{
+    const struct owner_candidate *x = a;
+    const struct owner_candidate *y = b;
+
+    if (x->company != y->company) {
+        return x->company < y->company ? -1 : 1;
+    }
+    return by_room(a, b);
+}
+
+static GCompareFunc
+order_for(const struct owner_step *step)
+{
+    if (owner_step_is_suspect(step)) {
+        return by_company;
+    }
+    return step->occurrence->job->spec->priority > 0 ? by_lower_work
+                                                     : by_speed;
+}
+
 bool
 owner_is_held(const struct owner_target *target, const struct owner_step *step,
               struct timespec now)
@@ -196,6 +219,7 @@
     struct cw_resources need = owner_need(step->spec);
     const struct owner_job *job = step->occurrence->job;
     bool lower = job->spec->priority > 0;
+    bool suspect = owner_step_is_suspect(step);
     /* Without it lower work stays on the workers that have some. */
     bool spreads =
         !lower || owner_headroom_left(owner, step, job->service, now) > 0;
@@ -206,19 +230,21 @@
 
         candidate.room = owner_room(target);
         candidate.fits = owner_fits(&candidate.room, &need);
-        if (candidate.fits == 0 || (!spreads && target->lower_runs == 0) ||
+        if (candidate.fits == 0 || target->trials > 0 ||
+            (!spreads && target->lower_runs == 0) ||
             !owner_may_run(step, target) || owner_is_held(target, step, now))
         {
             continue;
         }
         candidate.fits = owner_most_there(step, target, candidate.fits);
+        candidate.company = suspect ? owner_company(target) : 0;
         candidate.rack_hosts =
             g_array_index(owner->rack_hosts, unsigned, target->rack_number);
         if (candidate.fits > 0) {
             g_array_append_val(out, candidate);
         }
     }
-    g_array_sort(out, lower ? by_lower_work : by_speed);
+    g_array_sort(out, order_for(step));
     if (lower) {
         keep_headroom(owner, step, out, now);
     }
--- /dev/null
+++ b/src/owner/owner_crashes.c
@@ -0,0 +1,392 @@
+/* What a worker's crash says against the tasks that were on it.
+ *
+ * A task may crash each worker that starts it.  Without a bound it takes one
+ * worker after the other down, and all that runs there with it.  So each
+ * crash counts against the tasks that were there, in the job's state, so that
+ * a new owner knows of it; beyond a limit the job ends as failed.
+ *
+ * Most tasks on a crashed worker are innocent, and one may well lie on two of
+ * them in a row.  So it counts how likely a task is the cause: most if it had
+ * just been started there, showed no progress, and no other job's did as
+ * little.  A task that crashes its workers as it starts is given up after two
+ * or three, and none after one; one that only happened to be there, after
+ * four.
+ *
+ * A worker that is silent until its lease is over has crashed, or is cut off:
+ * that is settled when it is heard again, or another life at its address.
+ * Until then the least counts against what had just been started there, so
+ * that it lasts over a take-over, and a suspect among it is held back for a
+ * moment.  Where the worker was an earlier owner's and is not listed any more,
+ * nothing will settle it, and it counts as if it had crashed. */
+#include "owner/internal/owner_private.h"
+
+#include <string.h>
+
+enum {
+    /* A fourth, a third and a half of what makes a task given up. */
+    COUNTS_BESIDE = 3,  /* it was there */
+    COUNTS_UNCLEAR = 4, /* it had just been started, as others had */
+    COUNTS_CAUSE = 6,   /* it alone had just been started */
+    /* From here on the task is started apart from others: once the cause is
+     * unclear, or the second time that it is there. */
+    SUSPECT_FROM = COUNTS_UNCLEAR,
+    /* From here on it is given up: after four crashes at the most.  The
+     * platform bears three, and two starts more. */
+    GIVEN_UP_AT = 2 * COUNTS_CAUSE,
+    /* Work that lasts has not crashed its worker by its start if it has run
+     * for so long: what counted before is over.  Chosen, not measured: three
+     * times as long as crashed workers were seen to be away. */
+    STEADY_MS = 10000,
+    /* So long a suspect is held back, at the most, for word of its last
+     * worker.  The platform bears 3 s in which nothing of a job runs. */
+    SETTLE_MS = 2500
+};
+
+/* What is held against a task once its worker is known to have crashed. */
+struct charge {
+    char *job;
+    struct cw_task_name task; /* its job is the text above */
+    unsigned run;
+    unsigned counts; /* in all, once a crash is known */
+    unsigned ahead;  /* of it, counted already */
+    bool fresh;
+};
+
+static void
+charge_clear(gpointer data)
+{
+    g_free(((struct charge *)data)->job);
+}
+
+GArray *
+owner_charges_new(void)
+{
+    GArray *charges = g_array_new(FALSE, FALSE, sizeof(struct charge));
+
+    g_array_set_clear_func(charges, charge_clear);
+    return charges;
+}
+
+/* ---- what counts ---- */
+
+static bool
+is_steady(const struct owner_run *run, struct timespec now)
+{
+    return run->task->step->spec->endless && run->phase == RUN_RUNNING &&
+           cw_time_diff_ms(run->started_at, now) >= STEADY_MS;
+}
+
+/* True if the run may have been there when the worker went.  A start whose
+ * only answer is that another life is there has done nothing. */
+static bool
+was_there(const struct owner_run *run)
+{
+    if (run->finished || run->stop_confirmed) {
+        return false;
+    }
+    return run->phase == RUN_RUNNING || run->phase == RUN_UNSURE ||
+           (run->phase == RUN_STARTING && run->unanswered > 0);
+}
+
+/* True if the worker has not shown any progress of the run. */
+static bool
+is_fresh(const struct owner_run *run)
+{
+    return was_there(run) && run->phase != RUN_UNSURE && run->percent == 0;
+}
+
+/* True if no other job's run is as likely a cause. */
+static bool
+is_alone_fresh(const struct owner_run *run)
+{
+    const GPtrArray *runs = run->target->runs;
+
+    for (guint i = 0; i < runs->len; i++) {
+        const struct owner_run *other = runs->pdata[i];
+
+        if (is_fresh(other) &&
+            owner_task_job(other->task) != owner_task_job(run->task))
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
+static unsigned
+counts_of(const struct owner_run *run, struct timespec now)
+{
+    if (!was_there(run) || is_steady(run, now)) {
+        return 0;
+    }
+    if (run->phase != RUN_RUNNING || !is_fresh(run)) {
+        return COUNTS_BESIDE;
+    }
+    return is_alone_fresh(run) ? COUNTS_CAUSE : COUNTS_UNCLEAR;
+}
+
+void
+owner_crashes_collect(struct owner_target *target, struct timespec now)
+{
+    /* One that was leaving has left. */
+    for (guint i = 0; !target->draining && i < target->runs->len; i++) {
+        const struct owner_run *run = target->runs->pdata[i];
+        struct charge charge = {.task = owner_task_name(run->task),
+                                .run = run->number,
+                                .counts = counts_of(run, now),
+                                .fresh = is_fresh(run)};
+
+        if (charge.counts > 0) {
+            charge.job = g_strdup(charge.task.job);
+            charge.task.job = charge.job;
+            g_array_append_val(target->charges, charge);
+        }
+    }
+}
+
+/* ---- what follows ---- */
+
+/* The task that a charge is about, or NULL if that matters no more. */
+static struct owner_task *
+charged_task(const struct cw_owner *owner, const struct charge *charge)
+{
+    struct owner_task *task = owner_task_find(owner, &charge->task);
+
+    if (task == NULL || task->done || task->step->done ||
+        cw_work_is_over(owner_task_job(task)->phase))
+    {
+        return NULL;
+    }
+    return task;
+}
+
+static void
+apply(struct cw_owner *owner, const struct owner_target *target,
+      const struct charge *charge, unsigned counts)
+{
+    struct owner_task *task = charged_task(owner, charge);
+    struct owner_job *job;
+
+    if (task == NULL) {
+        return;
+    }
+    job = owner_task_job(task);
+    task->suspicion += counts;
+    owner_job_touch(owner, job);
+    cw_log_info("task_suspect",
+                "id=%s task=%u.%u.%u run=%u worker=%s crashed=%d counts=%u "
+                "suspicion=%u limit=%d",
+                charge->job, charge->task.occurrence, charge->task.step,
+                charge->task.index, charge->run, target->id, target->gone,
+                counts, task->suspicion, GIVEN_UP_AT);
+    if (task->suspicion >= GIVEN_UP_AT) {
+        owner_job_end(owner, job, CW_WORK_FAILED, CW_END_CRASHES);
+    }
+}
+
+static void
+apply_all(struct cw_owner *owner, struct owner_target *target)
+{
+    GArray *charges = target->charges;
+
+    if (charges->len == 0) {
+        return;
+    }
+    target->charges = owner_charges_new();
+    cw_count_add(owner->options.counters, CW_COUNT_CRASHES, 1);
+    for (guint i = 0; i < charges->len; i++) {
+        const struct charge *charge =
+            &g_array_index(charges, struct charge, i);
+        struct owner_task *task = charged_task(owner, charge);
+
+        if (task != NULL) {
+            task->held_until = cw_time_from_ms(0);
+        }
+        apply(owner, target, charge, charge->counts - charge->ahead);
+    }
+    g_array_unref(charges);
+    owner->place_wanted = true;
+}
+
+/* Whether the worker has crashed is open. */
+static void
+apply_ahead(struct cw_owner *owner, const struct owner_target *target,
+            struct timespec now)
+{
+    for (guint i = 0; i < target->charges->len; i++) {
+        struct charge *charge =
+            &g_array_index(target->charges, struct charge, i);
+        struct owner_task *task = charged_task(owner, charge);
+
+        if (task == NULL || !charge->fresh || charge->ahead > 0) {
+            continue;
+        }
+        charge->ahead = COUNTS_BESIDE;
+        apply(owner, target, charge, charge->ahead);
+        task->held_until = cw_time_add_ms(now, SETTLE_MS);
+    }
+}
+
+static void
+take_back(struct cw_owner *owner, const struct charge *charge)
+{
+    struct owner_task *task = charged_task(owner, charge);
+
+    if (task != NULL && charge->ahead > 0) {
+        task->suspicion -= MIN(task->suspicion, charge->ahead);
+        task->held_until = cw_time_from_ms(0);
+        owner_job_touch(owner, owner_task_job(task));
+    }
+}
+
+/* True if the worker was an earlier owner's, and gone from the list before
+ * this one read it: no address is known to ask at, or to meet another life. */
+static bool
+nothing_will_tell(const struct owner_target *target)
+{
+    return !target->listed && target->address[0] == '\0';
+}
+
+void
+owner_crashes_settle(struct cw_owner *owner, struct owner_target *target,
+                     struct timespec now)
+{
+    if (target->gone || nothing_will_tell(target)) {
+        apply_all(owner, target);
+    }
+    else {
+        apply_ahead(owner, target, now);
+    }
+}
+
+void
+owner_crashes_disproved(struct cw_owner *owner, struct owner_target *target)
+{
+    if (target->charges->len == 0) {
+        return;
+    }
+    cw_log_info("crash_disproved", "worker=%s runs=%u", target->id,
+                target->charges->len);
+    for (guint i = 0; i < target->charges->len; i++) {
+        take_back(owner, &g_array_index(target->charges, struct charge, i));
+    }
+    g_array_set_size(target->charges, 0);
+    owner->place_wanted = true;
+}
+
+/* ---- lives at an address ---- */
+
+/* Another life is listed at the address of one that is not listed any more:
+ * that one is over, and its runs with it, before its lease says so. */
+static void
+another_life(struct cw_owner *owner, struct owner_target *before,
+             const struct owner_target *present)
+{
+    if (owner->state == OWNER_ACTIVE && !before->gone &&
+        before->service == present->service &&
+        (before->runs->len > 0 || before->charges->len > 0))
+    {
+        before->gone = true;
+        owner_target_lost(owner, before, "other_life");
+    }
+}
+
+void
+owner_crashes_listed(struct cw_owner *owner, struct owner_target *target)
+{
+    struct owner_target *before =
+        g_hash_table_lookup(owner->lives, target->address);
+
+    if (before != NULL && before != target && !before->listed) {
+        another_life(owner, before, target);
+    }
+    g_hash_table_replace(owner->lives, g_strdup(target->address), target);
+}
+
+void
+owner_crashes_unlisted(struct cw_owner *owner, struct owner_target *target)
+{
+    const struct owner_target *other =
+        g_hash_table_lookup(owner->lives, target->address);
+
+    if (other != NULL && other != target && other->listed) {
+        another_life(owner, target, other);
+    }
+}
+
+/* ---- suspects ---- */
+
+static bool
+is_suspect(const struct owner_task *task)
+{
+    return task->suspicion >= SUSPECT_FROM;
+}
+
+bool
+owner_step_is_suspect(const struct owner_step *step)
+{
+    for (unsigned i = 0; i < step->count; i++) {
+        if (is_suspect(&step->tasks[i])) {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool
+owner_step_is_held_back(const struct owner_step *step, struct timespec now)
+{
+    for (unsigned i = 0; i < step->count; i++) {
+        const struct owner_task *task = &step->tasks[i];
+
+        if (is_suspect(task) && cw_time_before(now, task->held_until)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+unsigned
+owner_company(const struct owner_target *target)
+{
+    unsigned company = 0;
+
+    for (guint i = 0; i < target->runs->len; i++) {
+        const struct owner_run *run = target->runs->pdata[i];
+
+        company += run->percent == 0 ? COUNTS_UNCLEAR : 1;
+    }
+    return company;
+}
+
+void
+owner_trial_begin(struct owner_run *run)
+{
+    run->on_trial = is_suspect(run->task);
+    run->target->trials += run->on_trial;
+}
+
+void
+owner_trial_end(struct owner_run *run)
+{
+    if (run->on_trial) {
+        run->on_trial = false;
+        run->target->trials--;
+    }
+}
+
+void
+owner_crashes_note(struct owner_run *run, struct timespec now)
+{
+    struct cw_owner *owner = run->target->owner;
+
+    if (run->on_trial && run->percent > 0) {
+        owner_trial_end(run);
+        owner->room_version++; /* others may be placed there again */
+        owner->place_wanted = true;
+    }
+    if (run->task->suspicion > 0 && is_steady(run, now)) {
+        run->task->suspicion = 0;
+        owner_job_touch(owner, owner_task_job(run->task));
+    }
+}
--- a/src/owner/owner_holds.c
+++ b/src/owner/owner_holds.c
@@ -59,6 +59,7 @@
         run->percent = listed->percent;
         run->progress_at = now;
     }
+    owner_crashes_note(run, now);
     if (listed->saved[0] != '\0') {
         run->saved_at = now;
         /* For a worker that is lost without another word. */
@@ -253,6 +254,7 @@
         target->silent = 0;
         owner->place_wanted = true;
     }
+    owner_crashes_disproved(owner, target);
     target->answered = true;
     target->seen_at = call->sent;
     target->hold_due = cw_time_add_ms(now, HOLD_PACE_MS);
--- a/src/owner/owner_jobs.c
+++ b/src/owner/owner_jobs.c
@@ -436,11 +436,9 @@
 }
 
 struct owner_task *
-owner_task_find(const struct cw_owner *owner, const struct cw_task_name *name)
+owner_job_task(const struct owner_job *job, const struct cw_task_name *name)
 {
-    struct owner_job *job = g_hash_table_lookup(owner->jobs, name->job);
-
-    for (guint i = 0; job != NULL && i < job->open->len; i++) {
+    for (guint i = 0; i < job->open->len; i++) {
         struct owner_occurrence *occurrence = job->open->pdata[i];
 
         if (occurrence->number == name->occurrence &&
@@ -453,6 +451,14 @@
     return NULL;
 }
 
+struct owner_task *
+owner_task_find(const struct cw_owner *owner, const struct cw_task_name *name)
+{
+    const struct owner_job *job = g_hash_table_lookup(owner->jobs, name->job);
+
+    return job != NULL ? owner_job_task(job, name) : NULL;
+}
+
 struct cw_task_name
 owner_task_name(const struct owner_task *task)
 {
--- a/src/owner/owner_place.c
+++ b/src/owner/owner_place.c
@@ -198,9 +198,10 @@
 }
 
 static bool
-wants_place(const struct owner_step *step)
+wants_place(const struct owner_step *step, struct timespec now)
 {
-    if (step->done || !after_are_done(step)) {
+    if (step->done || !after_are_done(step) ||
+        owner_step_is_held_back(step, now)) {
         return false;
     }
     return step->spec->gang ? step->runs == 0 : owner_step_waiting(step) > 0;
@@ -240,7 +241,7 @@
             struct owner_step *step = &occurrence->steps[k];
 
             drop_stale_reservations(owner, step, now);
-            if (wants_place(step)) {
+            if (wants_place(step, now)) {
                 if (!step->ready) {
                     step->ready = true;
                     step->ready_at = now;
--- a/src/owner/owner_runs.c
+++ b/src/owner/owner_runs.c
@@ -39,6 +39,7 @@
         owner_headroom_took(owner, target);
     }
     owner_resources_add(account_of(run), &need);
+    owner_trial_begin(run);
     return run;
 }
 
@@ -59,6 +60,7 @@
         task->step->unstarted_run =
             MAX(task->step->unstarted_run, run->number);
     }
+    owner_trial_end(run);
     g_ptr_array_remove_fast(target->runs, run);
     owner_target_wake(target);
     target->busy_at = owner_now(owner);
--- a/src/owner/owner_state.c
+++ b/src/owner/owner_state.c
@@ -47,6 +47,22 @@
     }
 }
 
+static void
+restore_crashes(struct owner_job *job, const struct cw_work_record *record)
+{
+    for (u_int i = 0; i < record->crashes.crashes_len; i++) {
+        const struct cw_crash_record *crash = &record->crashes.crashes_val[i];
+        struct cw_task_name name = {.occurrence = crash->occurrence,
+                                    .step = crash->step,
+                                    .index = crash->task};
+        struct owner_task *task = owner_job_task(job, &name);
+
+        if (task != NULL) {
+            task->suspicion = crash->suspicion;
+        }
+    }
+}
+
 static void
 restore(struct cw_owner *owner, struct owner_job *job,
         const struct cw_work_record *record)
@@ -77,6 +93,7 @@
                          &stored->steps.steps_val[k]);
         }
     }
+    restore_crashes(job, record);
 }
 
 bool
@@ -157,6 +174,41 @@
     }
 }
 
+static void
+encode_crashes_of(const struct owner_step *step, GArray *out)
+{
+    for (unsigned i = 0; i < step->count; i++) {
+        struct cw_crash_record crash = {.occurrence = step->occurrence->number,
+                                        .step = step->number,
+                                        .task = i,
+                                        .suspicion = step->tasks[i].suspicion};
+
+        if (crash.suspicion > 0 && out->len < CW_TASKS_MAX) {
+            g_array_append_val(out, crash);
+        }
+    }
+}
+
+static void
+encode_crashes(const struct owner_job *job, struct cw_work_record *out)
+{
+    GArray *crashes =
+        g_array_new(FALSE, FALSE, sizeof(struct cw_crash_record));
+
+    for (guint i = 0; i < job->open->len; i++) {
+        const struct owner_occurrence *occurrence = job->open->pdata[i];
+
+        for (unsigned k = 0; k < occurrence->count; k++) {
+            if (!occurrence->steps[k].done) {
+                encode_crashes_of(&occurrence->steps[k], crashes);
+            }
+        }
+    }
+    out->crashes.crashes_len = crashes->len;
+    out->crashes.crashes_val =
+        (struct cw_crash_record *)g_array_free(crashes, FALSE);
+}
+
 /* Frees the arrays of a record whose texts are borrowed. */
 static void
 record_clear(struct cw_work_record *record)
@@ -170,6 +222,7 @@
         g_free(occurrence->steps.steps_val);
     }
     g_free(record->open.open_val);
+    g_free(record->crashes.crashes_val);
     g_free(record->places.places_val);
 }
 
@@ -233,6 +286,7 @@
         encode_occurrence(job->open->pdata[i], &record.open.open_val[i], index,
                           names);
     }
+    encode_crashes(job, &record);
     record.workers.workers_len = names->len;
     record.workers.workers_val = (cw_name *)names->pdata;
     bytes = cw_record_encode(&record);
--- a/src/owner/owner_targets.c
+++ b/src/owner/owner_targets.c
@@ -33,6 +33,7 @@
         g_free(target->runs->pdata[i]);
     }
     g_ptr_array_unref(target->runs);
+    g_array_unref(target->charges);
     orders_clear(&target->orders);
     g_free(target->id);
     g_free(target->address);
@@ -58,6 +59,7 @@
         owner_target_set_rack(target, "");
         target->kind = g_strdup("");
         target->runs = g_ptr_array_new();
+        target->charges = owner_charges_new();
         g_queue_init(&target->orders);
         g_hash_table_insert(owner->targets, target->id, target);
         owner_target_wake(target);
@@ -141,6 +143,7 @@
     struct cw_owner *owner = context;
     struct owner_target *target = owner_target_get(owner, report->id);
     bool draining = report->draining;
+    bool new_life = !target->listed;
 
     set_text(&target->address, report->address);
     target->service = g_intern_string(report->service);
@@ -167,6 +170,9 @@
     if (!target->clock_known && report->clock_ms > 0) {
         owner_target_clock(target, report->clock_ms, owner_now(owner));
     }
+    if (new_life) {
+        owner_crashes_listed(owner, target);
+    }
 }
 
 static void
@@ -176,6 +182,7 @@
         target->listed = false;
         cw_log_info("worker", "worker=%s state=unlisted runs=%u", target->id,
                     target->runs->len);
+        owner_crashes_unlisted(target->owner, target);
     }
 }
 
@@ -288,6 +295,7 @@
                 target->id, reason, target->runs->len, target->silent,
                 target->draining,
                 cw_time_diff_ms(target->seen_at, owner_now(owner)));
+    owner_crashes_collect(target, owner_now(owner));
     while (target->runs->len > 0) {
         owner_run_lost(owner, target->runs->pdata[target->runs->len - 1], true,
                        reason);
@@ -295,6 +303,7 @@
     orders_clear(&target->orders);
     target->answered = false; /* the next look shows what became of them */
     owner->place_wanted = true;
+    owner_crashes_settle(owner, target, owner_now(owner));
 }
 
 /* ---- trust ---- */
--- a/src/proto/cw_proto.h
+++ b/src/proto/cw_proto.h
@@ -147,6 +147,14 @@
 };
 typedef struct cw_place_record cw_place_record;
 
+struct cw_crash_record {
+	u_int occurrence;
+	u_int step;
+	u_int task;
+	u_int suspicion;
+};
+typedef struct cw_crash_record cw_crash_record;
+
 struct cw_work_record {
 	u_int phase;
 	bool_t started;
@@ -168,6 +176,10 @@
 		u_int open_len;
 		cw_occurrence_record *open_val;
 	} open;
+	struct {
+		u_int crashes_len;
+		cw_crash_record *crashes_val;
+	} crashes;
 };
 typedef struct cw_work_record cw_work_record;
 
@@ -282,6 +294,7 @@
 extern  bool_t xdr_cw_step_record (XDR *, cw_step_record*);
 extern  bool_t xdr_cw_occurrence_record (XDR *, cw_occurrence_record*);
 extern  bool_t xdr_cw_place_record (XDR *, cw_place_record*);
+extern  bool_t xdr_cw_crash_record (XDR *, cw_crash_record*);
 extern  bool_t xdr_cw_work_record (XDR *, cw_work_record*);
 extern  bool_t xdr_cw_vm_record (XDR *, cw_vm_record*);
 extern  bool_t xdr_cw_beat_record (XDR *, cw_beat_record*);
@@ -301,6 +314,7 @@
 extern bool_t xdr_cw_step_record ();
 extern bool_t xdr_cw_occurrence_record ();
 extern bool_t xdr_cw_place_record ();
+extern bool_t xdr_cw_crash_record ();
 extern bool_t xdr_cw_work_record ();
 extern bool_t xdr_cw_vm_record ();
 extern bool_t xdr_cw_beat_record ();
--- a/src/proto/cw_proto.x
+++ b/src/proto/cw_proto.x
@@ -132,9 +132,18 @@
     unsigned int runs;
 };
 
+/* Crashes of workers that count against a task. */
+struct cw_crash_record {
+    unsigned int occurrence;
+    unsigned int step;
+    unsigned int task;
+    unsigned int suspicion;
+};
+
 /* The state of a job.  `phase` and `started` come first: every VM reads
  * them.  Only the next owner reads the record whole; what all VMs read has
- * neither `next_occurrence` nor `workers` nor `open`. */
+ * neither `next_occurrence` nor what follows `result`.  `crashes` is left out
+ * of the stored form while it is empty, see cw_record.h. */
 struct cw_work_record {
     unsigned int phase;              /* enum cw_work_phase */
     bool started;                    /* a task of it has been started */
@@ -147,6 +156,7 @@
     string result<CW_SAVED_MAX>;     /* text of the last end that had one */
     cw_name workers<CW_TASKS_MAX>;
     cw_occurrence_record open<CW_OCCURRENCES_MAX>;
+    cw_crash_record crashes<CW_TASKS_MAX>;
 };
 
 /* What a VM tells of itself, in the shard's log. */
--- a/src/proto/cw_proto_xdr.c
+++ b/src/proto/cw_proto_xdr.c
@@ -589,6 +589,61 @@
 	return TRUE;
 }
 
+bool_t
+xdr_cw_crash_record (XDR *xdrs, cw_crash_record *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->occurrence))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->step))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->task))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->suspicion))
+				 return FALSE;
+		} else {
+			IXDR_PUT_U_LONG(buf, objp->occurrence);
+			IXDR_PUT_U_LONG(buf, objp->step);
+			IXDR_PUT_U_LONG(buf, objp->task);
+			IXDR_PUT_U_LONG(buf, objp->suspicion);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->occurrence))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->step))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->task))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->suspicion))
+				 return FALSE;
+		} else {
+			objp->occurrence = IXDR_GET_U_LONG(buf);
+			objp->step = IXDR_GET_U_LONG(buf);
+			objp->task = IXDR_GET_U_LONG(buf);
+			objp->suspicion = IXDR_GET_U_LONG(buf);
+		}
+	 return TRUE;
+	}
+
+	 if (!xdr_u_int (xdrs, &objp->occurrence))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->step))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->task))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->suspicion))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_cw_work_record (XDR *xdrs, cw_work_record *objp)
 {
@@ -629,6 +684,9 @@
 		 if (!xdr_array (xdrs, (char **)&objp->open.open_val, (u_int *) &objp->open.open_len, CW_OCCURRENCES_MAX,
 			sizeof (cw_occurrence_record), (xdrproc_t) xdr_cw_occurrence_record))
 			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->crashes.crashes_val, (u_int *) &objp->crashes.crashes_len, CW_TASKS_MAX,
+			sizeof (cw_crash_record), (xdrproc_t) xdr_cw_crash_record))
+			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_u_int (xdrs, &objp->phase))
@@ -664,6 +722,9 @@
 		 if (!xdr_array (xdrs, (char **)&objp->open.open_val, (u_int *) &objp->open.open_len, CW_OCCURRENCES_MAX,
 			sizeof (cw_occurrence_record), (xdrproc_t) xdr_cw_occurrence_record))
 			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->crashes.crashes_val, (u_int *) &objp->crashes.crashes_len, CW_TASKS_MAX,
+			sizeof (cw_crash_record), (xdrproc_t) xdr_cw_crash_record))
+			 return FALSE;
 	 return TRUE;
 	}
 
@@ -692,6 +753,9 @@
 	 if (!xdr_array (xdrs, (char **)&objp->open.open_val, (u_int *) &objp->open.open_len, CW_OCCURRENCES_MAX,
 		sizeof (cw_occurrence_record), (xdrproc_t) xdr_cw_occurrence_record))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->crashes.crashes_val, (u_int *) &objp->crashes.crashes_len, CW_TASKS_MAX,
+		sizeof (cw_crash_record), (xdrproc_t) xdr_cw_crash_record))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/story/story.c
+++ b/src/story/story.c
@@ -201,10 +201,12 @@
     const struct line *started;
     const struct line *failed;   /* last run that failed */
     const struct line *lost;     /* last run that was lost */
+    const struct line *crashed;  /* the last that counts against a task */
     const struct line *moved;    /* left a slow worker */
     const struct line *reserved; /* waited for others to leave */
     unsigned owners;
     unsigned failures;
+    unsigned crashes;
 };
 
 static void
@@ -248,6 +250,10 @@
     else if (is_event(line, "run_lost")) {
         life->lost = line;
     }
+    else if (is_event(line, "task_suspect")) {
+        life->crashed = line;
+        life->crashes++;
+    }
     else if (is_event(line, "run_moved") || is_event(line, "run_stalled")) {
         life->moved = line;
     }
@@ -324,14 +330,31 @@
     }
 }
 
+static void
+explain_crashes(const struct life *life, GString *out)
+{
+    const struct line *last = life->crashed;
+
+    g_string_append_printf(
+        out,
+        "cause: workers that had started it crashed, %u times as these logs "
+        "tell, the last under task %s on worker %s\n",
+        life->crashes, last != NULL ? field(last, "task") : "?",
+        last != NULL ? field(last, "worker") : "?");
+}
+
 static void
 explain_end(const struct life *life, GString *out)
 {
     const char *outcome = field(life->over, "outcome");
+    const char *reason = field(life->over, "reason");
 
     if (strcmp(outcome, "cancelled") == 0) {
         g_string_append(out, "cause: its caller cancelled it\n");
     }
+    else if (strcmp(reason, "workers_crashed") == 0) {
+        explain_crashes(life, out);
+    }
     else if (strcmp(outcome, "failed") == 0) {
         g_string_append_printf(
             out,
@@ -346,8 +369,7 @@
             out,
             "cause: worker %s may have run it in part (%s), and it must not "
             "be begun a second time\n",
-            life->lost != NULL ? field(life->lost, "worker") : "?",
-            field(life->over, "reason"));
+            life->lost != NULL ? field(life->lost, "worker") : "?", reason);
     }
     else if (strcmp(outcome, "stopped") == 0) {
         g_string_append(out, "cause: a newer configuration forbids the data "
--- a/src/work/record.c
+++ b/src/work/record.c
@@ -17,6 +17,8 @@
     DEFLATE_FROM_BYTES = 160,
     /* 4,096 tasks with a checkpoint each come to less. */
     PLAIN_BYTES_MAX = 16 * 1024 * 1024,
+    /* XDR's form of an empty list. */
+    EMPTY_LIST_BYTES = 4,
     PLAIN = 0,
     DEFLATED = 1
 };
@@ -70,7 +72,13 @@
     GByteArray *plain = cw_xdr_encode((xdrproc_t)xdr_cw_work_record, record);
     GByteArray *packed;
 
-    if (plain == NULL || plain->len < DEFLATE_FROM_BYTES) {
+    if (plain == NULL) {
+        return NULL;
+    }
+    if (record->crashes.crashes_len == 0) {
+        g_byte_array_set_size(plain, plain->len - EMPTY_LIST_BYTES);
+    }
+    if (plain->len < DEFLATE_FROM_BYTES) {
         return plain;
     }
     packed = deflate_rest(plain);
@@ -126,6 +134,24 @@
     return plain;
 }
 
+/* Decodes the XDR form, with its last list or without. */
+static bool
+decode_plain(GByteArray *plain, struct cw_work_record *record)
+{
+    static const guint8 empty_list[EMPTY_LIST_BYTES];
+    guint length = plain->len;
+
+    g_byte_array_append(plain, empty_list, EMPTY_LIST_BYTES);
+    if (cw_xdr_decode((xdrproc_t)xdr_cw_work_record, record, plain->data,
+                      plain->len))
+    {
+        return true;
+    }
+    memset(record, 0, sizeof(*record));
+    return cw_xdr_decode((xdrproc_t)xdr_cw_work_record, record, plain->data,
+                         length);
+}
+
 bool
 cw_record_decode(const void *bytes, size_t length,
                  struct cw_work_record *record)
@@ -134,16 +160,17 @@
     GByteArray *plain;
     bool ok;
 
-    if (length < HEAD_BYTES || at[0] != DEFLATED) {
-        return cw_xdr_decode((xdrproc_t)xdr_cw_work_record, record, bytes,
-                             length);
+    if (length >= HEAD_BYTES && at[0] == DEFLATED) {
+        plain = inflate_rest(at, length);
+    }
+    else {
+        plain = g_byte_array_new();
+        g_byte_array_append(plain, at, (guint)length);
     }
-    plain = inflate_rest(at, length);
     if (plain == NULL) {
         return false;
     }
-    ok = cw_xdr_decode((xdrproc_t)xdr_cw_work_record, record, plain->data,
-                       plain->len);
+    ok = decode_plain(plain, record);
     g_byte_array_unref(plain);
     return ok;
 }
--- a/tests/test_crashes.c
+++ b/tests/test_crashes.c
@@ -125,9 +125,337 @@
     CU_ASSERT_TRUE(starts <= STARTS_MOST);
 }
 
+/* ---- who is the cause ---- */
+
+/* A worker with runs of both jobs, the first one's with progress.  The second
+ * is put there by hand: as a suspect it would get a worker of its own. */
+static struct owner_target *
+put_beside(struct site *site, struct owner_job *works,
+           struct owner_job *crashes)
+{
+    struct owner_target *target;
+
+    for (unsigned i = 0; i < 100 && placed(works) == 0; i++) {
+        pass(site, 10);
+    }
+    confirm_starts(site, works);
+    step_of(works)->tasks[0].run->percent = 20;
+    target = (struct owner_target *)place_of(works, 0);
+    if (placed(crashes) > 0) {
+        owner_run_drop(site->owner, step_of(crashes)->tasks[0].run);
+    }
+    (void)owner_run_create(site->owner, &step_of(crashes)->tasks[0], target,
+                           RUN_NEW, step_of(crashes)->tasks[0].last_run + 1);
+    confirm_starts(site, crashes);
+    return target;
+}
+
+/* In the same incident a task lay on two crashed workers in a row and was
+ * innocent both times. */
+static void
+test_a_task_beside_it_is_not_given_up(void)
+{
+    struct site site;
+    struct owner_job *works;
+    struct owner_job *crashes;
+
+    site_begin(&site);
+    works = add_job(&site, 0, &one);
+    crashes = add_job(&site, 0, &one);
+    for (unsigned i = 0; i < 3 && !cw_work_is_over(crashes->phase); i++) {
+        crash(&site, put_beside(&site, works, crashes));
+    }
+    CU_ASSERT_EQUAL(crashes->phase, CW_WORK_FAILED);
+    CU_ASSERT_FALSE(cw_work_is_over(works->phase));
+    site_end(&site);
+}
+
+/* One that workers crash under halfway through its work, however it comes, is
+ * bounded as well. */
+static void
+test_crashes_late_in_its_work_are_bounded(void)
+{
+    struct site site;
+    struct owner_job *job;
+    unsigned starts = 0;
+
+    site_begin(&site);
+    job = add_job(&site, 0, &one);
+    while (starts < STARTS_TRIED && !cw_work_is_over(job->phase)) {
+        for (unsigned k = 0; k < 500 && placed(job) == 0; k++) {
+            pass(&site, 10);
+        }
+        confirm_starts(&site, job);
+        step_of(job)->tasks[0].run->percent = 50;
+        crash(&site, (struct owner_target *)place_of(job, 0));
+        add_worker(&site, RACKS * PER_RACK + site.revived++);
+        starts++;
+    }
+    CU_ASSERT_EQUAL(starts, 4);
+    CU_ASSERT_EQUAL(job->phase, CW_WORK_FAILED);
+    site_end(&site);
+}
+
+static void
+test_a_worker_that_left_by_plan_counts_against_nothing(void)
+{
+    struct site site;
+    struct owner_job *job;
+    struct owner_target *target;
+
+    site_begin(&site);
+    job = add_job(&site, 0, &one);
+    pass(&site, 10);
+    confirm_starts(&site, job);
+    target = (struct owner_target *)place_of(job, 0);
+    target->draining = true;
+    crash(&site, target);
+    CU_ASSERT_EQUAL(step_of(job)->tasks[0].suspicion, 0);
+    site_end(&site);
+}
+
+/* Another life answered the very first attempt: nothing was done there. */
+static void
+test_a_start_that_met_another_life_counts_against_nothing(void)
+{
+    struct site site;
+    struct owner_job *job;
+
+    site_begin(&site);
+    job = add_job(&site, 0, &one);
+    pass(&site, 10);
+    step_of(job)->tasks[0].run->phase = RUN_STARTING;
+    crash(&site, (struct owner_target *)place_of(job, 0));
+    CU_ASSERT_EQUAL(step_of(job)->tasks[0].suspicion, 0);
+    site_end(&site);
+}
+
+/* ---- gangs, and work that lasts ---- */
+
+static void
+test_a_gang_is_given_up_for_one_member(void)
+{
+    const struct cw_step_spec gang = {
+        .tasks = 3, .accelerators = 8, .gang = true};
+    struct site site;
+    struct owner_job *job;
+    unsigned starts = 0;
+
+    site_begin(&site);
+    job = add_job(&site, 0, &gang);
+    while (starts < STARTS_TRIED && !cw_work_is_over(job->phase)) {
+        for (unsigned k = 0; k < 500 && placed(job) == 0; k++) {
+            pass(&site, 10);
+        }
+        confirm_starts(&site, job);
+        starts++;
+        crash(&site, (struct owner_target *)place_of(job, 1));
+        add_worker(&site, RACKS * PER_RACK + site.revived++);
+        for (unsigned i = 0; i < gang.tasks; i++) {
+            if (step_of(job)->tasks[i].run != NULL) {
+                owner_run_drop(site.owner, step_of(job)->tasks[i].run);
+            }
+        }
+    }
+    CU_ASSERT_EQUAL(job->phase, CW_WORK_FAILED);
+    CU_ASSERT_EQUAL(starts, 2);
+    site_end(&site);
+}
+
+static const struct cw_step_spec lasting = {
+    .tasks = 1, .accelerators = 4, .endless = true};
+
+static void
+test_work_that_lasts_is_given_up(void)
+{
+    struct site site;
+    struct owner_job *job;
+
+    site_begin(&site);
+    job = add_job(&site, 1, &lasting);
+    CU_ASSERT_TRUE(crash_until_over(&site, job, STARTS_TRIED) <= STARTS_MOST);
+    CU_ASSERT_EQUAL(job->phase, CW_WORK_FAILED);
+    site_end(&site);
+}
+
+/* It meets a crash now and then for as long as it lasts. */
+static void
+test_work_that_has_lasted_begins_anew(void)
+{
+    struct site site;
+    struct owner_job *job;
+
+    site_begin(&site);
+    job = add_job(&site, 1, &lasting);
+    for (unsigned i = 0; i < STARTS_TRIED; i++) {
+        struct owner_run *run;
+
+        CU_ASSERT_EQUAL(crash_until_over(&site, job, 1), 1);
+        for (unsigned k = 0; k < 500 && placed(job) == 0; k++) {
+            pass(&site, 10);
+        }
+        confirm_starts(&site, job);
+        run = step_of(job)->tasks[0].run;
+        run->percent = 100;
+        pass(&site, 10000);
+        owner_crashes_note(run, site.clock.now);
+        crash(&site, run->target);
+        add_worker(&site, RACKS * PER_RACK + site.revived++);
+    }
+    CU_ASSERT_FALSE(cw_work_is_over(job->phase));
+    site_end(&site);
+}
+
+/* ---- silence that may be a cut ---- */
+
+/* Its lease is over, and nothing was heard of it. */
+static void
+lose_silent(struct site *site, struct owner_target *target)
+{
+    target->listed = false;
+    target->silent = 3;
+    owner_target_lost(site->owner, target, "lease_over");
+}
+
+static void
+test_a_cut_counts_against_nothing_once_it_is_over(void)
+{
+    struct site site;
+    struct owner_job *job;
+
+    site_begin(&site);
+    job = add_job(&site, 0, &one);
+    for (unsigned i = 0; i < 2 * STARTS_MOST; i++) {
+        struct owner_target *target;
+
+        for (unsigned k = 0; k < 500 && placed(job) == 0; k++) {
+            pass(&site, 10);
+        }
+        confirm_starts(&site, job);
+        target = (struct owner_target *)place_of(job, 0);
+        lose_silent(&site, target);
+        CU_ASSERT_TRUE(step_of(job)->tasks[0].suspicion > 0);
+        owner_crashes_disproved(site.owner, target);
+        CU_ASSERT_EQUAL(step_of(job)->tasks[0].suspicion, 0);
+        target->listed = true;
+        target->answered = true;
+        target->silent = 0;
+    }
+    CU_ASSERT_FALSE(cw_work_is_over(job->phase));
+    site_end(&site);
+}
+
+/* The worker is back only after its lease: its next life on the list, at the
+ * same address, is the proof.  The one before was known to have crashed. */
+static void
+test_a_crash_that_shows_late_counts(void)
+{
+    struct site site;
+    struct owner_job *job;
+    struct owner_target *before;
+    struct owner_target *next;
+
+    site_begin(&site);
+    job = add_job(&site, 0, &one);
+    CU_ASSERT_EQUAL(crash_until_over(&site, job, 1), 1);
+    pass(&site, 10);
+    confirm_starts(&site, job);
+    before = (struct owner_target *)place_of(job, 0);
+    owner_crashes_listed(site.owner, before);
+    lose_silent(&site, before);
+    pass(&site, 1000);
+    CU_ASSERT_EQUAL(placed(job), 0); /* it waits for word of that worker */
+    CU_ASSERT_FALSE(cw_work_is_over(job->phase));
+    next = owner_target_get(site.owner, "next");
+    next->service = before->service;
+    g_free(next->address);
+    next->address = g_strdup(before->address);
+    next->listed = true;
+    owner_crashes_listed(site.owner, next);
+    CU_ASSERT_EQUAL(job->phase, CW_WORK_FAILED);
+    site_end(&site);
+}
+
+/* Without such a proof it goes on, before callers miss it. */
+static void
+test_a_suspect_does_not_wait_for_long(void)
+{
+    struct site site;
+    struct owner_job *job;
+
+    site_begin(&site);
+    job = add_job(&site, 0, &one);
+    CU_ASSERT_EQUAL(crash_until_over(&site, job, 1), 1);
+    pass(&site, 10);
+    confirm_starts(&site, job);
+    lose_silent(&site, (struct owner_target *)place_of(job, 0));
+    pass(&site, 2400);
+    CU_ASSERT_EQUAL(placed(job), 0);
+    pass(&site, 150);
+    CU_ASSERT_EQUAL(placed(job), 1);
+    site_end(&site);
+}
+
+/* ---- started apart ---- */
+
+static void
+test_a_suspect_is_started_where_nothing_runs(void)
+{
+    struct site site;
+    struct owner_job *job;
+
+    site_begin(&site);
+    (void)run_job(&site, 0, &one);
+    job = add_job(&site, 0, &one);
+    CU_ASSERT_EQUAL(crash_until_over(&site, job, 1), 1);
+    pass(&site, 10);
+    CU_ASSERT_EQUAL(placed(job), 1);
+    CU_ASSERT_EQUAL(place_of(job, 0)->runs->len, 1);
+    site_end(&site);
+}
+
+static void
+test_nothing_is_placed_beside_a_suspect_until_it_works(void)
+{
+    const struct cw_step_spec many = {.tasks = 2 * RACKS * PER_RACK,
+                                      .accelerators = 4};
+    struct site site;
+    struct owner_job *job;
+    struct owner_run *run;
+
+    site_begin(&site);
+    job = add_job(&site, 0, &one);
+    CU_ASSERT_EQUAL(crash_until_over(&site, job, 1), 1);
+    pass(&site, 10);
+    confirm_starts(&site, job);
+    run = step_of(job)->tasks[0].run;
+    (void)add_job(&site, 0, &many);
+    pass(&site, 10);
+    CU_ASSERT_EQUAL(run->target->runs->len, 1);
+    run->percent = 1;
+    owner_crashes_note(run, site.clock.now);
+    pass(&site, 10);
+    CU_ASSERT_EQUAL(run->target->runs->len, 2);
+    site_end(&site);
+}
+
 static const struct test tests[] = {
     {"given up", test_it_is_given_up},
     {"new owner", test_a_new_owner_knows_of_the_crashes},
+    {"beside it", test_a_task_beside_it_is_not_given_up},
+    {"late in its work", test_crashes_late_in_its_work_are_bounded},
+    {"left by plan", test_a_worker_that_left_by_plan_counts_against_nothing},
+    {"met another life",
+     test_a_start_that_met_another_life_counts_against_nothing},
+    {"gang", test_a_gang_is_given_up_for_one_member},
+    {"lasts", test_work_that_lasts_is_given_up},
+    {"has lasted", test_work_that_has_lasted_begins_anew},
+    {"cut", test_a_cut_counts_against_nothing_once_it_is_over},
+    {"shows late", test_a_crash_that_shows_late_counts},
+    {"waits", test_a_suspect_does_not_wait_for_long},
+    {"apart", test_a_suspect_is_started_where_nothing_runs},
+    {"beside a suspect",
+     test_nothing_is_placed_beside_a_suspect_until_it_works},
 };
 
 TEST_MAIN("crashes", tests)
--- a/tests/test_record.c
+++ b/tests/test_record.c
@@ -61,6 +61,42 @@
     g_byte_array_unref(bytes);
 }
 
+/* Crashes come last, and are left out while there are none: that is the form
+ * of records which know of no crashes. */
+static void
+check_crashes(unsigned tasks)
+{
+    struct cw_crash_record crash = {.task = 7, .suspicion = 6};
+    struct sample sample;
+    struct cw_work_record out = {0};
+    GByteArray *without;
+    GByteArray *with;
+
+    sample_init(&sample, tasks);
+    without = cw_record_encode(&sample.record);
+    CU_ASSERT_TRUE_FATAL(cw_record_decode(without->data, without->len, &out));
+    CU_ASSERT_EQUAL(out.crashes.crashes_len, 0);
+    xdr_free((xdrproc_t)xdr_cw_work_record, (char *)&out);
+    memset(&out, 0, sizeof(out));
+    sample.record.crashes.crashes_len = 1;
+    sample.record.crashes.crashes_val = &crash;
+    with = cw_record_encode(&sample.record);
+    CU_ASSERT_TRUE_FATAL(cw_record_decode(with->data, with->len, &out));
+    CU_ASSERT_EQUAL_FATAL(out.crashes.crashes_len, 1);
+    CU_ASSERT_EQUAL(out.crashes.crashes_val[0].task, 7);
+    CU_ASSERT_EQUAL(out.crashes.crashes_val[0].suspicion, 6);
+    xdr_free((xdrproc_t)xdr_cw_work_record, (char *)&out);
+    g_byte_array_unref(without);
+    g_byte_array_unref(with);
+}
+
+static void
+test_crashes_are_kept_beside_the_old_form(void)
+{
+    check_crashes(1);
+    check_crashes(TASKS);
+}
+
 static void
 test_small_and_large_records_come_back(void)
 {
@@ -103,6 +139,7 @@
 }
 
 static const struct test tests[] = {
+    {"crashes", test_crashes_are_kept_beside_the_old_form},
     {"round trip", test_small_and_large_records_come_back},
     {"size", test_a_wide_job_takes_a_quarter_of_its_plain_form},
     {"damage", test_damaged_bytes_are_refused},
--- a/tests/test_story.c
+++ b/tests/test_story.c
@@ -75,6 +75,24 @@
     check_cause(lines, "2 runs failed, the last task 0.0.0 on worker w2");
 }
 
+static void
+test_failed_because_workers_crashed(void)
+{
+    static const char *const lines[] = {
+        AT("0.010") "event=submit id=a1 queue=q outcome=stored tries=1",
+        AT("0.020") "event=job_taken id=a1 queue=q",
+        AT("1.000") "event=task_suspect id=a1 task=0.0.0 run=1 worker=w1 "
+                    "crashed=1 counts=6 suspicion=6 limit=12",
+        AT("4.000") "event=task_suspect id=a1 task=0.0.0 run=2 worker=w2 "
+                    "crashed=1 counts=6 suspicion=12 limit=12",
+        AT("4.000") "event=job_over id=a1 outcome=failed "
+                    "reason=workers_crashed late_ms=-5",
+        NULL};
+
+    check_cause(lines, "crashed, 2 times as these logs tell, the last under "
+                       "task 0.0.0 on worker w2");
+}
+
 static void
 test_late_because_others_had_to_leave(void)
 {
@@ -138,6 +156,7 @@
     {"refused", test_refused_while_the_store_is_away},
     {"no owner", test_late_because_no_owner_took_it},
     {"failed", test_failed_because_its_attempts_are_spent},
+    {"workers crashed", test_failed_because_workers_crashed},
     {"had to leave", test_late_because_others_had_to_leave},
     {"other requests", test_lines_of_other_requests_stay_out},
 };
