--- a/emulator/emulator_main.c
+++ b/emulator/emulator_main.c
@@ -36,6 +36,8 @@
     unsigned workers;
     unsigned work;     /* jobs handed in */
     unsigned crashing; /* of them, in a hundred */
+    unsigned shrinks;
+    bool unguarded;
 };
 
 static const struct argp_option options[] = {
@@ -47,6 +49,8 @@
     {"workers", 'w', "N", 0, "Workers of it", 0},
     {"work", 'n', "N", 0, "Jobs handed in on it", 0},
     {"crashing", 'c', "PERCENT", 0, "Jobs that crash workers", 0},
+    {"shrinks", 'r', "N", 0, "Times that a worker's room shrinks", 0},
+    {"unguarded", 'u', NULL, 0, "Workers start what does not fit", 0},
     {0},
 };
 
@@ -80,6 +84,12 @@
     case 'c':
         arguments->crashing = (unsigned)strtoul(value, NULL, 10);
         break;
+    case 'r':
+        arguments->shrinks = (unsigned)strtoul(value, NULL, 10);
+        break;
+    case 'u':
+        arguments->unguarded = true;
+        break;
     case ARGP_KEY_ARG:
         if (arguments->verb != NULL) {
             argp_usage(state);
@@ -97,6 +107,18 @@
     return 0;
 }
 
+/* The standard day of a seed, with what the command line adds. */
+static struct world_options
+day_of(const struct arguments *arguments, unsigned seed)
+{
+    struct world_options day = world_standard_day(seed);
+
+    day.crashing = arguments->crashing;
+    day.shrinks = arguments->shrinks;
+    day.unguarded = arguments->unguarded;
+    return day;
+}
+
 /* Days shared out among threads. */
 struct share {
     const struct arguments *arguments;
@@ -132,10 +154,9 @@
     for (;;) {
         unsigned day = ck_pr_faa_uint(&share->next, 1);
         struct world_options world =
-            world_standard_day(share->arguments->seed + day);
+            day_of(share->arguments, share->arguments->seed + day);
         struct world_result result;
 
-        world.crashing = share->arguments->crashing;
         if (day >= share->arguments->days ||
             (share->arguments->first && ck_pr_load_uint(&share->bad) > 0))
         {
@@ -191,11 +212,10 @@
 static int
 replay(const struct arguments *arguments)
 {
-    struct world_options world = world_standard_day(arguments->seed);
+    struct world_options world = day_of(arguments, arguments->seed);
     struct world_result result;
     int status = 0;
 
-    world.crashing = arguments->crashing;
     world.trace = true;
     cw_log_set_level("info");
     world_play(&world, &result);
--- a/emulator/judge.c
+++ b/emulator/judge.c
@@ -327,6 +327,13 @@
     }
 }
 
+void
+judge_crowded(struct judge *judge, const struct cw_task_name *task,
+              unsigned run)
+{
+    violate_task(judge, "LIMIT", task, run);
+}
+
 void
 judge_crashed(struct judge *judge, const struct cw_task_name *task)
 {
--- a/emulator/judge.h
+++ b/emulator/judge.h
@@ -54,6 +54,10 @@
 void judge_confirmed(struct judge *judge, const struct cw_task_name *task,
                      unsigned run, enum cw_end_kind how, bool lapsed);
 
+/* A start has brought a worker that does not guard its room over it. */
+void judge_crowded(struct judge *judge, const struct cw_task_name *task,
+                   unsigned run);
+
 /* A worker has crashed while the task was there. */
 void judge_crashed(struct judge *judge, const struct cw_task_name *task);
 
--- a/emulator/worker_model.c
+++ b/emulator/worker_model.c
@@ -12,6 +12,9 @@
     /* From the start of a task that crashes workers to the crash: its start
      * is answered before. */
     CRASH_AFTER_MS = 10,
+    /* A room that has shrunk counts so long after: three seconds to hear of
+     * it, and one beat of the workers. */
+    SHRUNK_COUNTS_MS = 4500,
     PERCENT = 100
 };
 
@@ -42,7 +45,9 @@
     char *address;
     char *rack;
     struct cw_resources capacity;
-    int64_t clock_ms; /* its clock at time 0 of the fleet's */
+    struct cw_resources larger; /* what it had before it shrank */
+    int64_t shrunk_ms;          /* when it shrank; fleet's time */
+    int64_t clock_ms;           /* its clock at time 0 of the fleet's */
     bool dead;
     double speed;
     uint64_t fence;
@@ -59,6 +64,7 @@
     struct worker_listener listener;
     GPtrArray *workers;
     int64_t now_ms;
+    bool unguarded;
 };
 
 static char *
@@ -215,6 +221,36 @@
     return &worker->capacity;
 }
 
+void
+worker_fleet_unguard(struct worker_fleet *fleet)
+{
+    fleet->unguarded = true;
+}
+
+static bool
+shrank_lately(const struct worker_model *worker)
+{
+    return worker->larger.accelerators > 0 &&
+           worker->fleet->now_ms - worker->shrunk_ms < SHRUNK_COUNTS_MS;
+}
+
+void
+worker_model_resize(struct worker_model *worker,
+                    const struct cw_resources *capacity)
+{
+    const struct cw_resources *larger = &worker->capacity;
+
+    /* One that has shrunk a moment ago still counts as what it was. */
+    if (shrank_lately(worker) &&
+        worker->larger.accelerators > larger->accelerators)
+    {
+        larger = &worker->larger;
+    }
+    worker->larger = *larger;
+    worker->shrunk_ms = worker->fleet->now_ms;
+    worker->capacity = *capacity;
+}
+
 unsigned
 worker_model_running(const struct worker_model *worker)
 {
@@ -514,7 +550,8 @@
 }
 
 static bool
-has_room(const struct worker_model *worker, const struct cw_resources *need)
+has_room(const struct worker_model *worker, const struct cw_resources *need,
+         const struct cw_resources *capacity)
 {
     struct cw_resources used = *need;
 
@@ -525,9 +562,17 @@
         used.memory_mb += run->plan.need.memory_mb;
         used.accelerators += run->plan.need.accelerators;
     }
-    return used.cpu_milli <= worker->capacity.cpu_milli &&
-           used.memory_mb <= worker->capacity.memory_mb &&
-           used.accelerators <= worker->capacity.accelerators;
+    return used.cpu_milli <= capacity->cpu_milli &&
+           used.memory_mb <= capacity->memory_mb &&
+           used.accelerators <= capacity->accelerators;
+}
+
+/* True if the start brings the worker over what it had a moment ago too. */
+static bool
+is_crowded(const struct worker_model *worker, const struct cw_resources *need)
+{
+    return !has_room(worker, need, &worker->capacity) &&
+           !(shrank_lately(worker) && has_room(worker, need, &worker->larger));
 }
 
 static enum cw_target_status
@@ -553,9 +598,15 @@
     if (!take_lease(worker, order->lease_until_ms)) {
         return CW_TARGET_LATE;
     }
-    if (!has_room(worker, &plan.need)) {
+    if (!worker->fleet->unguarded &&
+        !has_room(worker, &plan.need, &worker->capacity))
+    {
         return CW_TARGET_NO_ROOM;
     }
+    if (is_crowded(worker, &plan.need)) {
+        listener->crowded(listener->context, worker->id, &order->task,
+                          order->run);
+    }
     run = g_new0(struct model_run, 1);
     run->job = g_strdup(order->task.job);
     run->task = order->task;
--- a/emulator/worker_model.h
+++ b/emulator/worker_model.h
@@ -45,6 +45,10 @@
                     const struct cw_task_name *task);
     /* ... and once for the worker: it is down. */
     void (*down)(void *context, struct worker_model *worker);
+    /* Workers that do not guard their capacity: a start has brought one over
+     * it.  Only where there are such. */
+    void (*crowded)(void *context, const char *worker,
+                    const struct cw_task_name *task, unsigned run);
     void *context;
 };
 
@@ -52,6 +56,9 @@
 worker_fleet_create(const struct worker_listener *listener);
 void worker_fleet_free(struct worker_fleet *fleet);
 
+/* From now on no worker refuses what does not fit. */
+void worker_fleet_unguard(struct worker_fleet *fleet);
+
 /* A worker's life, at an address of its own.  Borrowed. */
 struct worker_model *
 worker_fleet_add(struct worker_fleet *fleet, const char *id, const char *rack,
@@ -77,6 +84,10 @@
 worker_model_capacity(const struct worker_model *worker);
 unsigned worker_model_running(const struct worker_model *worker);
 
+/* Its room shrinks, or grows again; what runs goes on. */
+void worker_model_resize(struct worker_model *worker,
+                         const struct cw_resources *capacity);
+
 /* It crashes: everything there is gone, and it answers no more. */
 void worker_model_crash(struct worker_model *worker);
 bool worker_model_dead(const struct worker_model *worker);
--- a/emulator/world.c
+++ b/emulator/world.c
@@ -14,6 +14,12 @@
     CRASHED_LEAST_MS = 1000,
     CRASHED_MOST_MS = 9000,
     CRASHED_DISTURBS_MS = 12000,
+    /* A worker has so much of its room, in a hundred parts, for so long. */
+    SHRUNK_LEAST = 25,
+    SHRUNK_MOST = 75,
+    SHRUNK_LEAST_MS = 2000,
+    SHRUNK_MOST_MS = 12000,
+    PARTS = 100,
     LOOK_EVERY_MS = 500,
     /* Of the standard days, so many to one on which VMs are unequal. */
     UNEQUAL_EVERY = 4
@@ -228,6 +234,49 @@
     worker_fleet_revive(world->fleet, context, world_pick(world, 100000) + 1);
 }
 
+static void
+on_crowded(void *context, const char *worker, const struct cw_task_name *task,
+           unsigned run)
+{
+    struct world *world = context;
+
+    if (world->options.trace) {
+        printf("t=%" PRId64 " crowded %s\n", world->now_ms, worker);
+    }
+    judge_crowded(world->judge, task, run);
+}
+
+static const struct cw_resources full_capacity = {
+    .cpu_milli = 32000, .memory_mb = 65536, .accelerators = 8};
+
+static void
+grow_again(struct world *world, void *context)
+{
+    struct worker_model *worker = context;
+
+    (void)world;
+    worker_model_resize(worker, &full_capacity);
+}
+
+static void
+shrink(struct world *world, void *context)
+{
+    struct worker_model *worker = worker_fleet_at(
+        world->fleet, world_pick(world, worker_fleet_size(world->fleet)));
+    unsigned parts = world_between(world, SHRUNK_LEAST, SHRUNK_MOST);
+    struct cw_resources capacity = {
+        .cpu_milli = full_capacity.cpu_milli * parts / PARTS,
+        .memory_mb = full_capacity.memory_mb * parts / PARTS,
+        .accelerators = full_capacity.accelerators * parts / PARTS};
+
+    (void)context;
+    world_note(world, "shrink %s to %u%%", worker_model_id(worker), parts);
+    worker_model_resize(worker, &capacity);
+    world_schedule(world,
+                   world_between(world, SHRUNK_LEAST_MS, SHRUNK_MOST_MS),
+                   grow_again, worker);
+}
+
 /* It is back after a time that is now shorter than its lease, now longer. */
 static void
 on_down(void *context, struct worker_model *worker)
@@ -254,7 +303,7 @@
 }
 
 static struct cw_routing *
-make_routing(void)
+make_routing(bool unguarded)
 {
     struct cw_routing *routing = cw_routing_new();
     struct cw_account *account = add_account(routing, "a");
@@ -275,6 +324,12 @@
         queue->priority = i;
         queue->max_attempts = 2;
     }
+    if (unguarded) {
+        struct cw_service *service = cw_routing_add_service(routing);
+
+        service->name = g_strdup("s");
+        service->guards_capacity = false;
+    }
     cw_routing_seal(routing);
     return routing;
 }
@@ -282,14 +337,13 @@
 static void
 build(struct world *world)
 {
-    const struct cw_resources capacity = {
-        .cpu_milli = 32000, .memory_mb = 65536, .accelerators = 8};
     struct worker_listener listener = {.plan = on_plan,
                                        .started = on_started,
                                        .ended = on_ended,
                                        .confirmed = on_confirmed,
                                        .crashed = on_crashed,
                                        .down = on_down,
+                                       .crowded = on_crowded,
                                        .context = world};
 
     cw_clock_manual_init(&world->clock);
@@ -298,7 +352,7 @@
     world->store = store_model_create(1);
     world->fleet = worker_fleet_create(&listener);
     world->judge = judge_create();
-    world->routing = make_routing();
+    world->routing = make_routing(world->options.unguarded);
     world->faults = g_string_new(NULL);
     world->cut_workers = g_hash_table_new(g_str_hash, g_str_equal);
     world->draining = g_hash_table_new(g_str_hash, g_str_equal);
@@ -308,9 +362,12 @@
 
         g_snprintf(id, sizeof(id), "w-%u", i);
         g_snprintf(rack, sizeof(rack), "r%u", i / 4);
-        worker_fleet_add(world->fleet, id, rack, &capacity,
+        worker_fleet_add(world->fleet, id, rack, &full_capacity,
                          1000 + world_pick(world, 100000));
     }
+    if (world->options.unguarded) {
+        worker_fleet_unguard(world->fleet);
+    }
     world->vms = g_ptr_array_new_with_free_func(g_free);
     for (unsigned i = 0; i < world->options.vms; i++) {
         struct vm *vm = g_new0(struct vm, 1);
@@ -343,6 +400,10 @@
         world_schedule(world, world_between(world, 1500, options->day_ms),
                        world_strike, NULL);
     }
+    for (unsigned i = 0; i < options->shrinks; i++) {
+        world_schedule(world, world_between(world, 1500, options->day_ms),
+                       shrink, NULL);
+    }
     world_schedule(world, options->day_ms + 1000, world_heal_all, NULL);
 }
 
--- a/emulator/world.h
+++ b/emulator/world.h
@@ -19,6 +19,8 @@
     unsigned quiet_ms; /* after it, for everything to end */
     unsigned faults;   /* at most */
     unsigned crashing; /* jobs in a hundred that crash workers */
+    unsigned shrinks;  /* times that a worker's room shrinks for a while */
+    bool unguarded;    /* workers start what does not fit */
     bool trace;        /* prints faults and answers with their time */
 };
 
--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -160,9 +160,10 @@
     struct cw_resources reserved; /* by runs that wait for their place */
     bool listed;                  /* the store has its report */
     bool draining;
-    struct timespec leaves_at; /* while draining: not before */
-    bool gone;                 /* another life answers at its address */
-    bool seen_mark;            /* while the reports are loaded anew */
+    struct timespec leaves_at;   /* while draining: not before */
+    bool gone;                   /* another life answers at its address */
+    bool seen_mark;              /* while the reports are loaded anew */
+    struct timespec reported_at; /* its last report was not written before */
     bool clock_known;
     int64_t clock_offset_ms;   /* its clock less ours */
     int64_t lease_sent_ms;     /* latest end of lease ever sent, its clock */
