Rooms that shrink: nothing is started by what a worker no longer says

Work was placed, or a start decided before was sent, by reports from before an outage of the store; a run that nobody wants took no room until it had ended; a start decided before its worker shrank was sent after.

Change: workers that do not guard their room are used only while their last report was due 2.5 s ago at the most, counted from the read before it, and starts are checked against that as they are sent; strays take room; a room that changes is logged (worker_resized) and placed on at once.

Growing: the test fails with the room's version left as it is.

Left: a VM that takes over waits for each unguarded worker's next report, up to 1.5 s, before it uses it.

--- a/include/curlewcart/cw_owner.h
+++ b/include/curlewcart/cw_owner.h
@@ -46,6 +46,7 @@
                                  0: as any other */
     bool tells_places;        /* callers may ask where their jobs ran */
     unsigned connections;     /* that this VM can keep open; 0: any number */
+    unsigned report_ms;       /* workers report so often; 0: each 1.5 s */
 };
 
 struct cw_owner;
--- a/include/curlewcart/cw_settings.h
+++ b/include/curlewcart/cw_settings.h
@@ -33,6 +33,7 @@
     unsigned grace_s;       /* from SIGTERM to SIGKILL */
     unsigned retain_s;      /* ended jobs can be asked for so long */
     unsigned member_ttl_ms; /* least time to live of a group's member */
+    unsigned report_ms;     /* workers report so often; 0: the default */
 };
 
 /* How much of a processor the VM has. */
--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -158,6 +158,7 @@
     struct cw_resources leaving;  /* part of used: runs told to stop */
     unsigned stopping;            /* those runs */
     struct cw_resources reserved; /* by runs that wait for their place */
+    struct cw_resources strays;   /* by runs that nobody wants there */
     bool listed;                  /* the store has its report */
     bool draining;
     struct timespec leaves_at;   /* while draining: not before */
@@ -591,6 +592,10 @@
 void owner_target_has_ends(struct owner_target *target);
 struct owner_target *owner_target_get(struct cw_owner *owner, const char *id);
 
+/* What a worker says of itself; `context` is the owner. */
+void
+owner_target_take_report(void *context, const struct cw_target_report *report);
+
 /* A record of the workers' topic. */
 void owner_target_record(void *context, const struct cw_store_record *record);
 void owner_targets_reset(void *context);
@@ -607,6 +612,11 @@
 void owner_target_lost(struct cw_owner *owner, struct owner_target *target,
                        const char *reason);
 
+/* True if what the worker says of its room can be built on: it is lately said,
+ * or the worker refuses what does not fit. */
+bool owner_target_room_known(const struct owner_target *target,
+                             struct timespec now);
+
 /* True if new tasks may be placed there. */
 bool
 owner_target_usable(const struct owner_target *target, struct timespec now);
--- a/src/owner/owner.c
+++ b/src/owner/owner.c
@@ -17,6 +17,7 @@
      * an outage of the store.  A new owner waits for it (see adopt_runs). */
     EXTEND_PROOF_MS = 6000,
     REPORTS_PACE_MS = 500,
+    REPORT_EVERY_MS = 1500, /* as workers do where nothing else is set */
     PLACE_EVERY_MS = 10,
     PLACE_SHARE = 4,
     CHECK_EVERY_MS = 100,
@@ -339,6 +340,9 @@
     if (options->capacity_milli == 0) {
         owner->options.capacity_milli = CAPACITY_UNKNOWN_MILLI;
     }
+    if (options->report_ms == 0) {
+        owner->options.report_ms = REPORT_EVERY_MS;
+    }
     if (options->standby_pace_ms == 0) {
         owner->options.standby_pace_ms = CW_STANDBY_PACE_MS;
     }
--- a/src/owner/owner_holds.c
+++ b/src/owner/owner_holds.c
@@ -81,12 +81,27 @@
     return task->run;
 }
 
+/* What a run takes that is not in the books; the whole worker if its job is
+ * not known any more. */
+static struct cw_resources
+stray_need(const struct cw_owner *owner, const struct owner_target *target,
+           const struct cw_running *listed)
+{
+    const struct owner_task *task = owner_task_find(owner, &listed->task);
+
+    return task != NULL ? owner_need(task->step->spec) : target->capacity;
+}
+
 /* Stops what runs there without being wanted: an order that was carried out
- * late, or a run that was given up on. */
+ * late, or a run that was given up on.  Until it has ended it takes room, and
+ * a worker that does not guard its room would be brought over it. */
 static void
 stop_stray(struct cw_owner *owner, struct owner_target *target,
            const struct cw_running *listed)
 {
+    struct cw_resources need = stray_need(owner, target, listed);
+
+    owner_resources_add(&target->strays, &need);
     cw_log_info("stray", "id=%s task=%u.%u.%u run=%u worker=%s",
                 listed->task.job, listed->task.occurrence, listed->task.step,
                 listed->task.index, listed->run, target->id);
@@ -156,11 +171,21 @@
     g_ptr_array_unref(absent);
 }
 
+static bool
+has_strays(const struct owner_target *target)
+{
+    return target->strays.accelerators > 0 || target->strays.cpu_milli > 0 ||
+           target->strays.memory_mb > 0;
+}
+
 static void
 take_lists(struct cw_owner *owner, struct owner_target *target,
            const struct cw_target_answer *answer, struct timespec sent,
            struct timespec now)
 {
+    bool had_strays = has_strays(target);
+
+    target->strays = (struct cw_resources){0};
     for (size_t i = 0; i < answer->running_count; i++) {
         struct owner_run *run = listed_run(owner, target, &answer->running[i]);
 
@@ -185,6 +210,11 @@
     if (answer->ended_count < ENDS_LISTED_MAX) {
         drop_absent(owner, target, answer, sent);
     }
+    if (had_strays && !has_strays(target)) {
+        owner->room_version++;
+        owner->place_wanted = true;
+        owner_runs_settle(owner, target);
+    }
 }
 
 /* ---- stalled runs ---- */
@@ -312,9 +342,9 @@
     /* A first look, and one that waits for a stop, wants an answer now.  The
      * first extends no lease: if it is over, the worker has to notice, so
      * that an earlier owner's word on lost runs holds. */
-    unsigned wait_ms = blocked || !target->answered || target->runs->len == 0
-                           ? 0
-                           : hold_wait_ms(owner);
+    bool waits = target->runs->len > 0 || has_strays(target);
+    unsigned wait_ms =
+        blocked || !target->answered || !waits ? 0 : hold_wait_ms(owner);
     struct cw_target_order order = {
         .kind = CW_ORDER_HOLD,
         .address = target->address,
@@ -434,7 +464,9 @@
     if (target->runs->len == 0 && owner->idle_looks >= IDLE_LOOKS_MOST) {
         return cw_time_add_ms(now, IDLE_RETRY_MS);
     }
-    if (target->runs->len == 0 && target->silent == 0 && target->answered) {
+    if (target->runs->len == 0 && target->silent == 0 && target->answered &&
+        !has_strays(target))
+    {
         due = cw_time_add_ms(target->hold_sent, idle_look_ms(owner));
     }
     if (target->ends_applied > target->ends_durable) {
--- a/src/owner/owner_orders.c
+++ b/src/owner/owner_orders.c
@@ -249,9 +249,21 @@
 
 /* ---- sending ---- */
 
+/* True if the worker has room for what is there and what was decided.  It may
+ * have shrunk since, or the store may have been away in between. */
+static bool
+has_room_still(const struct owner_target *target, struct timespec now)
+{
+    struct cw_resources room = target->capacity;
+
+    owner_resources_take(&room, &target->used);
+    return room.cpu_milli >= 0 && room.memory_mb >= 0 &&
+           room.accelerators >= 0 && owner_target_room_known(target, now);
+}
+
 /* False if there is no more need for the order. */
 static bool
-still_wanted(struct owner_order *order)
+still_wanted(struct owner_order *order, struct timespec now)
 {
     struct owner_run *run = order_run(order);
 
@@ -265,6 +277,13 @@
         owner_run_drop(order->owner, run);
         return false;
     }
+    if (!run->stopping && run->phase == RUN_READY &&
+        !has_room_still(run->target, now))
+    {
+        /* It would be refused, or would crowd the worker. */
+        fall_back(order->owner, run);
+        return false;
+    }
     return !run->stopping;
 }
 
@@ -350,8 +369,8 @@
     {
         struct owner_order *order = g_queue_pop_head(&target->orders);
 
-        if (target->gone || target->address[0] == '\0' || !still_wanted(order))
-        {
+        if (target->gone || target->address[0] == '\0' ||
+            !still_wanted(order, now)) {
             owner_order_free(order);
             continue;
         }
--- a/src/owner/owner_targets.c
+++ b/src/owner/owner_targets.c
@@ -11,7 +11,12 @@
      * gained nothing (120 pairs of days on four sites: +0.005 of worth
      * without it). */
     BLAMED_BY_LEAST = 2,
-    BLAME_MS = 7000
+    BLAME_MS = 7000,
+    /* What a worker that does not guard its room says of it is built on for
+     * so long after its next report was due: reads of reports are half a
+     * second apart, before it was written and after.  The platform bears a
+     * start by what a worker had 3 s and a beat before. */
+    REPORT_LATE_MS = 2500
 };
 
 static void
@@ -138,7 +143,31 @@
 }
 
 static void
-take_report(void *context, const struct cw_target_report *report)
+take_capacity(struct owner_target *target, const struct cw_resources *now)
+{
+    struct cw_owner *owner = target->owner;
+
+    if (memcmp(&target->capacity, now, sizeof(*now)) == 0) {
+        return;
+    }
+    if (target->listed) {
+        cw_log_info("worker_resized",
+                    "worker=%s accelerators=%" PRId64 " cpu=%" PRId64
+                    " memory=%" PRId64 " before=%" PRId64 ",%" PRId64
+                    ",%" PRId64 " runs=%u",
+                    target->id, now->accelerators, now->cpu_milli,
+                    now->memory_mb, target->capacity.accelerators,
+                    target->capacity.cpu_milli, target->capacity.memory_mb,
+                    target->runs->len);
+    }
+    target->capacity = *now;
+    owner->room_version++;
+    owner->place_wanted = true;
+    owner_runs_settle(owner, target);
+}
+
+void
+owner_target_take_report(void *context, const struct cw_target_report *report)
 {
     struct cw_owner *owner = context;
     struct owner_target *target = owner_target_get(owner, report->id);
@@ -163,7 +192,11 @@
     if (draining && !target->draining) {
         owner_drain_noticed(target, report->remaining_ms, owner_now(owner));
     }
-    target->capacity = report->capacity;
+    take_capacity(target, &report->capacity);
+    if (owner->reports != NULL) {
+        /* An earlier read had not found it. */
+        target->reported_at = cw_follower_fresh(owner->reports);
+    }
     target->listed = true;
     target->seen_mark = true;
     target->draining = draining;
@@ -200,8 +233,9 @@
         }
         return;
     }
-    if (!owner->options.codec->decode_target(
-            record->key, record->value, record->length, take_report, owner))
+    if (!owner->options.codec->decode_target(record->key, record->value,
+                                             record->length,
+                                             owner_target_take_report, owner))
     {
         struct owner_target *target =
             g_hash_table_lookup(owner->targets, record->key);
@@ -308,6 +342,26 @@
 
 /* ---- trust ---- */
 
+/* True if the worker refuses what does not fit. */
+static bool
+guards_room(const struct owner_target *target)
+{
+    const struct cw_routing *routing = target->owner->routing;
+    const struct cw_service *service =
+        routing != NULL ? cw_routing_service(routing, target->service) : NULL;
+
+    return service == NULL || service->guards_capacity;
+}
+
+bool
+owner_target_room_known(const struct owner_target *target, struct timespec now)
+{
+    int64_t most_ms = target->owner->options.report_ms + REPORT_LATE_MS;
+
+    return cw_time_diff_ms(target->reported_at, now) < most_ms ||
+           guards_room(target);
+}
+
 bool
 owner_target_usable(const struct owner_target *target, struct timespec now)
 {
@@ -316,7 +370,8 @@
            target->address[0] != '\0' &&
            !cw_time_before(now, target->avoid_until) &&
            !cw_time_before(now, target->suspect_until) &&
-           !cw_time_before(now, target->slow_until);
+           !cw_time_before(now, target->slow_until) &&
+           owner_target_room_known(target, now);
 }
 
 void
--- a/src/settings/settings.c
+++ b/src/settings/settings.c
@@ -36,6 +36,8 @@
     NUMBER("grace_s", struct cw_settings_bounds, grace_s),
     NUMBER("retain_s", struct cw_settings_bounds, retain_s),
     NUMBER("member_ttl_ms", struct cw_settings_bounds, member_ttl_ms),
+    CYAML_FIELD_UINT("report_ms", CYAML_FLAG_OPTIONAL,
+                     struct cw_settings_bounds, report_ms),
     CYAML_FIELD_END,
 };
 
--- a/src/vm/vm.c
+++ b/src/vm/vm.c
@@ -202,6 +202,7 @@
         .member_ttl_ms =
             settings->bounds.member_ttl_ms * MEMBER_TTL_PERCENT / PERCENT,
         .lease_ms = settings->bounds.lease_ms,
+        .report_ms = settings->bounds.report_ms,
         .capacity_milli = capacity_of(&settings->processor),
         .standby_pace_ms = standby_pace_ms(settings),
         .tells_places = settings->api != NULL,
--- a/tests/test_capacity.c
+++ b/tests/test_capacity.c
@@ -125,37 +125,98 @@
     site_end(&site);
 }
 
+/* Sends what waits for the worker; true if the job's start was withheld, and
+ * its task waits again. */
+static bool
+withholds(struct site *site, struct owner_target *target,
+          const struct owner_job *job)
+{
+    struct owner_run *run = step_of(job)->tasks[0].run;
+    struct cw_task_name name = owner_task_name(run->task);
+
+    run->phase = RUN_READY;
+    owner_order_queue(site->owner, target, CW_ORDER_START, &name, run->number);
+    site->owner->proof_at = site->clock.now;
+    (void)owner_orders_send(site->owner, target, site->clock.now);
+    return (unanswered == NULL || unanswered->len == 0) && placed(job) == 0;
+}
+
 static void
 test_a_start_decided_before_the_worker_shrank_is_not_sent(void)
 {
     struct site site;
     struct owner_target *target;
     struct owner_job *job;
-    struct owner_run *run;
-    struct cw_task_name name;
 
     site_begin(&site);
     target = leave_one(&site);
     job = add_job(&site, 0, &whole);
     pass(&site, 10);
-    run = step_of(job)->tasks[0].run;
-    run->phase = RUN_READY;
-    name = owner_task_name(run->task);
-    owner_order_queue(site.owner, target, CW_ORDER_START, &name, run->number);
     target->capacity.accelerators = 4;
-    site.owner->proof_at = site.clock.now;
-    (void)owner_orders_send(site.owner, target, site.clock.now);
-    CU_ASSERT_TRUE(unanswered == NULL || unanswered->len == 0);
+    CU_ASSERT_TRUE(withholds(&site, target, job));
+    site_end(&site);
+}
+
+/* Seed 900032: placed as the store went away, sent as it came back. */
+static void
+test_a_start_decided_before_an_outage_is_not_sent(void)
+{
+    struct site site;
+    struct owner_target *target;
+    struct owner_job *job;
+
+    site_begin(&site);
+    configure(&site, false);
+    target = leave_one(&site);
+    target->reported_at = site.clock.now;
+    job = add_job(&site, 0, &whole);
+    pass(&site, 10);
+    CU_ASSERT_EQUAL(placed(job), 1);
+    site.clock.now = cw_time_add_ms(site.clock.now, 5000);
+    CU_ASSERT_TRUE(withholds(&site, target, job));
+    site_end(&site);
+}
+
+static void
+test_a_room_that_grows_is_used_at_once(void)
+{
+    struct site site;
+    struct owner_target *target;
+    struct cw_target_report report = {.id = "w00",
+                                      .service = "s",
+                                      .address = "w00",
+                                      .dc = "",
+                                      .rack = "r0",
+                                      .kind = "even",
+                                      .capacity = {.cpu_milli = 32000,
+                                                   .memory_mb = 65536,
+                                                   .accelerators = 4}};
+    struct owner_job *job;
+
+    site_begin(&site);
+    target = leave_one(&site);
+    owner_target_take_report(site.owner, &report);
+    CU_ASSERT_EQUAL(target->capacity.accelerators, 4);
+    job = add_job(&site, 1, &whole);
+    pass(&site, 10);
     CU_ASSERT_EQUAL(placed(job), 0);
+    site.owner->place_wanted = false;
+    report.capacity.accelerators = 8;
+    owner_target_take_report(site.owner, &report);
+    CU_ASSERT_TRUE(site.owner->place_wanted);
+    pass(&site, 10);
+    CU_ASSERT_EQUAL(placed(job), 1);
     site_end(&site);
 }
 
 static const struct test tests[] = {
+    {"grows", test_a_room_that_grows_is_used_at_once},
     {"old report", test_an_old_report_of_an_unguarded_worker_is_not_built_on},
     {"guards", test_one_that_guards_its_room_is_used_all_the_same},
     {"to go", test_a_run_that_is_to_go_still_takes_room},
     {"before it shrank",
      test_a_start_decided_before_the_worker_shrank_is_not_sent},
+    {"before an outage", test_a_start_decided_before_an_outage_is_not_sent},
 };
 
 TEST_MAIN("capacity", tests)
