Clock: time that the machine is suspended counts

Cause: CLOCK_MONOTONIC stands still while a machine is suspended, so a VM woke with leases and a proof of ownership that it took for valid.

Change: the system's clock is CLOCK_BOOTTIME; all leases, proofs and timeouts of ours go by it (libcurl's and libmicrohttpd's own timers do not: they only end calls later).

--- a/include/curlewcart/cw_time.h
+++ b/include/curlewcart/cw_time.h
@@ -19,7 +19,7 @@
 
 /* Behaviour of a clock. */
 struct cw_clock_ops {
-    /* Monotonic instant. */
+    /* Monotonic instant; counts time that the machine is suspended. */
     struct timespec (*monotonic)(struct cw_clock *clock);
     /* Wall time, milliseconds since 1970; may jump. */
     int64_t (*wall_ms)(struct cw_clock *clock);
--- a/src/base/cw_time.c
+++ b/src/base/cw_time.c
@@ -7,7 +7,9 @@
     struct timespec now;
 
     (void)clock;
-    clock_gettime(CLOCK_MONOTONIC, &now);
+    /* Counts the time that the machine is suspended; CLOCK_MONOTONIC does
+     * not, and a VM that wakes would take leases that are over for valid. */
+    clock_gettime(CLOCK_BOOTTIME, &now);
     return now;
 }
 
