Whole path: a task that crashes its workers, with real processes

Cause: the mend had been shown on the engine and the emulator, not over HTTP, where a crashed worker's next life answers 421 at the old address.

--- a/standins/platform_standin.c
+++ b/standins/platform_standin.c
@@ -7,8 +7,10 @@
  *
  * What a task does stands in its job's payload: "run_ms=N" how long it
  * works, "members=N" that it is one of a gang of so many, "fails=N" how many
- * of its runs fail, "echo=TEXT" what its end says beside the job's id. SIGUSR1
- * makes the store refuse all calls, SIGUSR2 makes it serve again. */
+ * of its runs fail, "echo=TEXT" what its end says beside the job's id, and
+ * "crash=1" that its first task crashes each worker that starts it: the worker
+ * answers nothing for a while, and is then another life.  SIGUSR1 makes the
+ * store refuse all calls, SIGUSR2 makes it serve again. */
 #include <argp.h>
 #include <inttypes.h>
 #include <pthread.h>
@@ -63,20 +65,49 @@
 put_record(struct platform *platform, const char *topic, const char *key,
            const char *value)
 {
-    struct cw_store_record record = {
-        .key = key, .value = value, .length = strlen(value)};
+    struct cw_store_record record = {.key = key,
+                                     .value = value,
+                                     .length =
+                                         value != NULL ? strlen(value) : 0};
     struct cw_store_append append = {
         .topic = topic, .records = &record, .count = 1};
 
     store_model_append(platform->store, &append);
 }
 
+/* A worker that is down comes back as another life; false if it stays down. */
+static bool
+revive(struct platform *platform, struct worker_server *worker)
+{
+    const struct worker_model *before =
+        worker_fleet_find(platform->fleet, worker->id);
+    const struct worker_model *after;
+
+    if (!worker_model_dead(before)) {
+        return true;
+    }
+    if (standin_now_ms() - worker->down_ms < DOWN_MS) {
+        return false;
+    }
+    after = worker_fleet_revive(platform->fleet, before, 0);
+    put_record(platform, "keyed.servers", worker->id, NULL);
+    printf("revived worker=%s as=%s\n", worker->id, worker_model_id(after));
+    g_free(worker->id);
+    worker->id = g_strdup(worker_model_id(after));
+    return true;
+}
+
 static void
 report(struct platform *platform)
 {
     for (guint i = 0; i < platform->workers->len; i++) {
         struct worker_server *worker = platform->workers->pdata[i];
-        char *text = g_strdup_printf(
+        char *text;
+
+        if (!revive(platform, worker)) {
+            continue;
+        }
+        text = g_strdup_printf(
             "{\"service\":\"service\",\"address\":\"%s\",\"zone\":\"%s\","
             "\"slots\":8,\"state\":\"ready\",\"capacity\":{\"cpu\":%d,"
             "\"mem_mb\":%d,\"gpus\":%d},\"labels\":[\"a\",\"%s\"],"
--- a/standins/platform_standin.h
+++ b/standins/platform_standin.h
@@ -16,6 +16,7 @@
     WAIT_STEP_MS = 10,
     PROXY_TRIES = 1000, /* steps to wait for the proxy's file: 10 s */
     REPORT_EVERY_MS = 1500,
+    DOWN_MS = 1000, /* a worker that crashed is away for so long at least */
     LENGTH_BYTES = 4,
     ACCELERATORS = 8,
     CPU_MILLI = 32000,
@@ -43,6 +44,7 @@
 struct worker_server {
     struct platform *platform;
     char *id;
+    int64_t down_ms; /* when it crashed last */
     char *dc;
     char *rack;
     char *address;
--- a/standins/platform_workers.c
+++ b/standins/platform_workers.c
@@ -74,6 +74,9 @@
     if (answer->status == CW_TARGET_OK) {
         standin_answer(call, 200, encode_answer(platform, answer));
     }
+    else if (answer->status == CW_TARGET_UNKNOWN) {
+        standin_answer(call, 500, json_object()); /* it is down */
+    }
     else if (answer->status == CW_TARGET_OTHER_LIFE) {
         standin_answer(call, 421, json_object());
     }
@@ -169,13 +172,17 @@
         GArray *running = g_array_new(FALSE, TRUE, sizeof(struct cw_running));
         GArray *ended = g_array_new(FALSE, TRUE, sizeof(struct cw_ended));
         GPtrArray *texts = g_ptr_array_new_with_free_func(g_free);
-        struct cw_target_answer answer;
+        struct cw_target_answer answer = {.status = CW_TARGET_UNKNOWN};
+        struct worker_model *worker;
         bool last;
 
         pthread_mutex_lock(&platform->lock);
-        worker_model_order(
-            worker_fleet_find(platform->fleet, waiting->worker->id), &order,
-            standin_now_ms(), &answer, running, ended, texts);
+        worker_fleet_advance(platform->fleet, standin_now_ms());
+        worker = worker_fleet_find(platform->fleet, waiting->worker->id);
+        if (!worker_model_dead(worker)) {
+            worker_model_order(worker, &order, standin_now_ms(), &answer,
+                               running, ended, texts);
+        }
         pthread_mutex_unlock(&platform->lock);
         last = answer.ended_count > 0 || answer.status != CW_TARGET_OK ||
                standin_now_ms() >= waiting->until_ms;
@@ -233,6 +240,8 @@
     out->work_ms = number_in(payload, "run_ms", TASK_MS);
     out->members = number_in(payload, "members", 0);
     out->fails = number_in(payload, "fails", 0);
+    out->crashes = number_in(payload, "crash", 0) > 0 && task->step == 0 &&
+                   task->index == 0;
     out->need.accelerators = 1;
     return true;
 }
@@ -288,6 +297,31 @@
     (void)lapsed;
 }
 
+static void
+on_crashed(void *context, const char *worker, const struct cw_task_name *task)
+{
+    char *name = name_of(task);
+
+    (void)context;
+    printf("crashed task=%s worker=%s\n", name, worker);
+    fflush(stdout);
+    g_free(name);
+}
+
+static void
+on_down(void *context, struct worker_model *worker)
+{
+    struct platform *platform = context;
+
+    for (guint i = 0; i < platform->workers->len; i++) {
+        struct worker_server *server = platform->workers->pdata[i];
+
+        if (strcmp(server->id, worker_model_id(worker)) == 0) {
+            server->down_ms = standin_now_ms();
+        }
+    }
+}
+
 struct worker_listener
 standin_listener(struct platform *platform)
 {
@@ -295,6 +329,8 @@
                                        .started = on_started,
                                        .ended = on_ended,
                                        .confirmed = on_confirmed,
+                                       .crashed = on_crashed,
+                                       .down = on_down,
                                        .context = platform};
 
     return listener;
