--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -84,7 +84,8 @@
     unsigned runs;       /* tasks that have a run */
     struct owner_task *tasks;
     unsigned count;
-    unsigned left; /* tasks that are not done */
+    unsigned left;     /* tasks that are not done */
+    unsigned suspects; /* tasks that crashes speak against */
     struct timespec ready_at;
     bool ready;
     uint64_t tried_at; /* the owner's room version when it did not fit */
@@ -368,8 +369,8 @@
 /* An empty array for a worker's charges. */
 GArray *owner_charges_new(void);
 
-/* True if crashes speak against a task of the step. */
-bool owner_step_is_suspect(const struct owner_step *step);
+/* Sets how much crashes speak against the task. */
+void owner_task_suspect(struct owner_task *task, unsigned suspicion);
 
 /* True if one that crashes speak against waits for word of its last worker. */
 bool
--- a/src/owner/owner_candidates.c
+++ b/src/owner/owner_candidates.c
@@ -168,7 +168,7 @@
 static GCompareFunc
 order_for(const struct owner_step *step)
 {
-    if (owner_step_is_suspect(step)) {
+    if (step->suspects > 0) {
         return by_company;
     }
     return step->occurrence->job->spec->priority > 0 ? by_lower_work
@@ -220,7 +220,6 @@
     struct cw_resources need = owner_need(step->spec);
     const struct owner_job *job = step->occurrence->job;
     bool lower = job->spec->priority > 0;
-    bool suspect = owner_step_is_suspect(step);
     /* Without it lower work stays on the workers that have some. */
     bool spreads =
         !lower || owner_headroom_left(owner, step, job->service, now) > 0;
@@ -238,7 +237,7 @@
             continue;
         }
         candidate.fits = owner_most_there(step, target, candidate.fits);
-        candidate.company = suspect ? owner_company(target) : 0;
+        candidate.company = step->suspects > 0 ? owner_company(target) : 0;
         candidate.rack_hosts =
             g_array_index(owner->rack_hosts, unsigned, target->rack_number);
         if (candidate.fits > 0) {
--- a/src/owner/owner_crashes.c
+++ b/src/owner/owner_crashes.c
@@ -146,6 +146,20 @@
 
 /* ---- what follows ---- */
 
+static bool
+is_suspect(const struct owner_task *task)
+{
+    return task->suspicion >= SUSPECT_FROM;
+}
+
+void
+owner_task_suspect(struct owner_task *task, unsigned suspicion)
+{
+    task->step->suspects -= is_suspect(task);
+    task->suspicion = suspicion;
+    task->step->suspects += is_suspect(task);
+}
+
 /* The task that a charge is about, or NULL if that matters no more. */
 static struct owner_task *
 charged_task(const struct cw_owner *owner, const struct charge *charge)
@@ -171,7 +185,7 @@
         return;
     }
     job = owner_task_job(task);
-    task->suspicion += counts;
+    owner_task_suspect(task, task->suspicion + counts);
     owner_job_touch(owner, job);
     cw_log_info("task_suspect",
                 "id=%s task=%u.%u.%u run=%u worker=%s crashed=%d counts=%u "
@@ -233,7 +247,8 @@
     struct owner_task *task = charged_task(owner, charge);
 
     if (task != NULL && charge->ahead > 0) {
-        task->suspicion -= MIN(task->suspicion, charge->ahead);
+        owner_task_suspect(task, task->suspicion -
+                                     MIN(task->suspicion, charge->ahead));
         task->held_until = cw_time_from_ms(0);
         owner_job_touch(owner, owner_task_job(task));
     }
@@ -316,27 +331,10 @@
 
 /* ---- suspects ---- */
 
-static bool
-is_suspect(const struct owner_task *task)
-{
-    return task->suspicion >= SUSPECT_FROM;
-}
-
-bool
-owner_step_is_suspect(const struct owner_step *step)
-{
-    for (unsigned i = 0; i < step->count; i++) {
-        if (is_suspect(&step->tasks[i])) {
-            return true;
-        }
-    }
-    return false;
-}
-
 bool
 owner_step_is_held_back(const struct owner_step *step, struct timespec now)
 {
-    for (unsigned i = 0; i < step->count; i++) {
+    for (unsigned i = 0; step->suspects > 0 && i < step->count; i++) {
         const struct owner_task *task = &step->tasks[i];
 
         if (is_suspect(task) && cw_time_before(now, task->held_until)) {
@@ -386,7 +384,7 @@
         owner->place_wanted = true;
     }
     if (run->task->suspicion > 0 && is_steady(run, now)) {
-        run->task->suspicion = 0;
+        owner_task_suspect(run->task, 0);
         owner_job_touch(owner, owner_task_job(run->task));
     }
 }
