--- a/src/work/record.c
+++ b/src/work/record.c
@@ -8,6 +8,7 @@
 #include <string.h>
 #include <zlib.h>
 
+#include "curlewcart/cw_bytes.h"
 #include "curlewcart/cw_xdr.h"
 
 enum {
@@ -23,17 +24,6 @@
     DEFLATED = 1
 };
 
-static uint64_t
-get_number(const guint8 *bytes, unsigned count)
-{
-    uint64_t value = 0;
-
-    for (unsigned i = 0; i < count; i++) {
-        value = value << 8 | bytes[i];
-    }
-    return value;
-}
-
 static void
 put_size(guint8 *out, size_t size)
 {
@@ -100,7 +90,7 @@
     }
     head->phase = at[3];
     head->started = at[7] != 0;
-    head->ended_ms = (int64_t)get_number(at + 8, 8);
+    head->ended_ms = (int64_t)cw_bytes_number(at + 8, 8);
     return true;
 }
 
@@ -115,7 +105,7 @@
     if (length < HEAD_BYTES + SIZE_BYTES) {
         return NULL;
     }
-    rest = get_number(bytes + HEAD_BYTES, SIZE_BYTES);
+    rest = cw_bytes_number(bytes + HEAD_BYTES, SIZE_BYTES);
     if (rest > PLAIN_BYTES_MAX) {
         return NULL;
     }
--- a/standins/platform_store.c
+++ b/standins/platform_store.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "curlewcart/cw_bytes.h"
 #include "curlewcart/cw_time.h"
 #include "standins/platform_standin.h"
 
@@ -15,13 +16,6 @@
     return value != NULL ? value : "";
 }
 
-static uint64_t
-get_length(const unsigned char *bytes)
-{
-    return (uint64_t)bytes[0] << 24 | (uint64_t)bytes[1] << 16 |
-           (uint64_t)bytes[2] << 8 | bytes[3];
-}
-
 /* Splits a body into records, whose keys are added to `keys`. */
 static GArray *
 parse_records(const unsigned char *bytes, size_t length, GPtrArray *keys)
@@ -29,7 +23,7 @@
     GArray *records = g_array_new(FALSE, TRUE, sizeof(struct cw_store_record));
 
     while (length > LENGTH_BYTES) {
-        size_t size = get_length(bytes);
+        size_t size = cw_bytes_number(bytes, LENGTH_BYTES);
         size_t key = bytes[LENGTH_BYTES];
         struct cw_store_record record = {0};
 
--- a/tests/test_crashes.c
+++ b/tests/test_crashes.c
@@ -45,6 +45,15 @@
     }
 }
 
+/* Lets placement run until the job has a place, or 5 s are over. */
+static void
+await_place(struct site *site, const struct owner_job *job)
+{
+    for (unsigned i = 0; i < 500 && placed(job) == 0; i++) {
+        pass(site, 10);
+    }
+}
+
 /* Starts the job's first task wherever it is placed, and crashes the worker,
  * until it is placed no more; returns how often it was started. */
 static unsigned
@@ -55,9 +64,7 @@
     for (unsigned i = 0; i < tries; i++) {
         struct owner_target *target;
 
-        for (unsigned k = 0; k < 500 && placed(job) == 0; k++) {
-            pass(site, 10);
-        }
+        await_place(site, job);
         target = (struct owner_target *)place_of(job, 0);
         if (target == NULL) {
             break;
@@ -182,9 +189,7 @@
     site_begin(&site);
     job = add_job(&site, 0, &one);
     while (starts < STARTS_TRIED && !cw_work_is_over(job->phase)) {
-        for (unsigned k = 0; k < 500 && placed(job) == 0; k++) {
-            pass(&site, 10);
-        }
+        await_place(&site, job);
         confirm_starts(&site, job);
         step_of(job)->tasks[0].run->percent = 50;
         crash(&site, (struct owner_target *)place_of(job, 0));
@@ -244,9 +249,7 @@
     site_begin(&site);
     job = add_job(&site, 0, &gang);
     while (starts < STARTS_TRIED && !cw_work_is_over(job->phase)) {
-        for (unsigned k = 0; k < 500 && placed(job) == 0; k++) {
-            pass(&site, 10);
-        }
+        await_place(&site, job);
         confirm_starts(&site, job);
         starts++;
         crash(&site, (struct owner_target *)place_of(job, 1));
@@ -291,9 +294,7 @@
         struct owner_run *run;
 
         CU_ASSERT_EQUAL(crash_until_over(&site, job, 1), 1);
-        for (unsigned k = 0; k < 500 && placed(job) == 0; k++) {
-            pass(&site, 10);
-        }
+        await_place(&site, job);
         confirm_starts(&site, job);
         run = step_of(job)->tasks[0].run;
         run->percent = 100;
@@ -328,9 +329,7 @@
     for (unsigned i = 0; i < 2 * STARTS_MOST; i++) {
         struct owner_target *target;
 
-        for (unsigned k = 0; k < 500 && placed(job) == 0; k++) {
-            pass(&site, 10);
-        }
+        await_place(&site, job);
         confirm_starts(&site, job);
         target = (struct owner_target *)place_of(job, 0);
         lose_silent(&site, target);
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -7,6 +7,7 @@
 #include "curlewcart/cw_log.h"
 #include "curlewcart/cw_xdr.h"
 #include "store_port.h"
+#include "work_spec.h"
 
 #define ID "5c0e7a21d94b36f8"
 
@@ -48,24 +49,12 @@
 static void
 put_job(struct bed *bed)
 {
-    struct cw_step_spec step = {.tasks = 1,
-                                .label = (char *)"",
-                                .data_rack = (char *)"",
-                                .image = (char *)""};
-    struct cw_work_spec spec = {.id = (char *)ID,
-                                .queue = (char *)"q",
-                                .account = (char *)"desk",
-                                .service = (char *)"s",
-                                .request = (char *)"",
-                                .payload = (char *)""};
+    const struct work_spec_options options = {.id = ID, .account = "desk"};
     struct cw_store_record record = {.key = "s" ID};
     struct cw_store_append append = {
         .topic = CW_WORK_TOPIC, .records = &record, .count = 1};
-    GByteArray *bytes;
+    GByteArray *bytes = work_spec_encode(&options);
 
-    spec.steps.steps_len = 1;
-    spec.steps.steps_val = &step;
-    bytes = cw_xdr_encode((xdrproc_t)xdr_cw_work_spec, &spec);
     record.value = bytes->data;
     record.length = bytes->len;
     store_model_append(bed->port.model, &append);
--- a/tests/test_replica.c
+++ b/tests/test_replica.c
@@ -6,6 +6,7 @@
 #include "curlewcart/cw_log.h"
 #include "curlewcart/cw_replica.h"
 #include "curlewcart/cw_xdr.h"
+#include "work_spec.h"
 
 #define ID "5c0e7a21d94b36f8"
 
@@ -36,22 +37,9 @@
 static void
 apply_spec(struct cw_replica *replica, uint64_t offset, uint64_t hash)
 {
-    struct cw_step_spec step = {.tasks = 1,
-                                .label = (char *)"",
-                                .data_rack = (char *)"",
-                                .image = (char *)""};
-    struct cw_work_spec spec = {.id = (char *)ID,
-                                .queue = (char *)"q",
-                                .account = (char *)"a",
-                                .service = (char *)"s",
-                                .request = (char *)"",
-                                .payload = (char *)"",
-                                .body_hash = hash};
-    GByteArray *bytes;
-
-    spec.steps.steps_len = 1;
-    spec.steps.steps_val = &step;
-    bytes = cw_xdr_encode((xdrproc_t)xdr_cw_work_spec, &spec);
+    const struct work_spec_options options = {.id = ID, .body_hash = hash};
+    GByteArray *bytes = work_spec_encode(&options);
+
     apply(replica, "s" ID, bytes, offset);
     g_byte_array_unref(bytes);
 }
--- a/tests/test_takeover.c
+++ b/tests/test_takeover.c
@@ -6,6 +6,7 @@
 #include "owner_site.h"
 #include "platform/platform.h"
 #include "store_port.h"
+#include "work_spec.h"
 
 #define ID "5c0e7a21d94b36f8"
 
@@ -124,24 +125,13 @@
 static void
 put_spec(struct bed *bed)
 {
-    struct cw_step_spec step = {.tasks = TASKS,
-                                .accelerators = 1,
-                                .label = (char *)"",
-                                .data_rack = (char *)"",
-                                .image = (char *)""};
-    struct cw_work_spec spec = {.id = (char *)ID,
-                                .queue = (char *)"q",
-                                .account = (char *)"a",
-                                .service = (char *)"s",
-                                .request = (char *)"",
-                                .payload = (char *)"",
-                                .max_attempts = 2,
-                                .stretch_milli = 2000};
-    GByteArray *bytes;
+    const struct work_spec_options options = {.id = ID,
+                                              .tasks = TASKS,
+                                              .accelerators = 1,
+                                              .max_attempts = 2,
+                                              .stretch_milli = 2000};
+    GByteArray *bytes = work_spec_encode(&options);
 
-    spec.steps.steps_len = 1;
-    spec.steps.steps_val = &step;
-    bytes = cw_xdr_encode((xdrproc_t)xdr_cw_work_spec, &spec);
     put(bed, CW_WORK_TOPIC, "s" ID, bytes);
     g_byte_array_unref(bytes);
 }
