--- a/src/owner/owner_view.c
+++ b/src/owner/owner_view.c
@@ -66,7 +66,7 @@
 
 static void
 explain_step(const struct cw_owner *owner, const struct owner_step *step,
-             GString *out)
+             struct timespec now, GString *out)
 {
     if (step->done) {
         return;
@@ -80,6 +80,16 @@
                              "give way: it waits until that leaves every "
                              "guarantee reclaimable\n");
     }
+    if (step->suspects > 0) {
+        g_string_append_printf(
+            out,
+            "  crashes of workers speak against %u of its tasks: they are "
+            "started apart%s\n",
+            step->suspects,
+            owner_step_is_held_back(step, now)
+                ? ", and wait for word of the last worker"
+                : "");
+    }
 }
 
 bool
@@ -107,7 +117,7 @@
         const struct owner_occurrence *occurrence = job->open->pdata[i];
 
         for (unsigned k = 0; k < occurrence->count; k++) {
-            explain_step(owner, &occurrence->steps[k], out);
+            explain_step(owner, &occurrence->steps[k], now, out);
         }
     }
     return true;
--- a/tests/test_crashes.c
+++ b/tests/test_crashes.c
@@ -438,7 +438,27 @@
     site_end(&site);
 }
 
+static void
+test_operators_are_told(void)
+{
+    struct site site;
+    struct owner_job *job;
+    GString *out = g_string_new(NULL);
+
+    site_begin(&site);
+    job = add_job(&site, 0, &one);
+    CU_ASSERT_EQUAL(crash_until_over(&site, job, 1), 1);
+    CU_ASSERT_TRUE(
+        cw_owner_explain(site.owner, job->spec->id, site.clock.now, out));
+    CU_ASSERT_PTR_NOT_NULL(
+        strstr(out->str, "crashes of workers speak against 1 of its tasks"));
+    CU_ASSERT_EQUAL(site.counters.named[CW_COUNT_CRASHES], 1);
+    g_string_free(out, TRUE);
+    site_end(&site);
+}
+
 static const struct test tests[] = {
+    {"told", test_operators_are_told},
     {"given up", test_it_is_given_up},
     {"new owner", test_a_new_owner_knows_of_the_crashes},
     {"beside it", test_a_task_beside_it_is_not_given_up},
