Tests that fail: silence ends a job; a start under way is no possible cause

Cause: found by reading the change. What counts ahead of a proof could bring a task to the limit with one proved crash and two cuts, and the job would be shown as failed without cause. A start whose answer was still under way did not make the cause of a crash unclear.

--- a/tests/test_crashes.c
+++ b/tests/test_crashes.c
@@ -235,6 +235,30 @@
     site_end(&site);
 }
 
+/* Another job's start was under way: it may have been the cause as well. */
+static void
+test_a_start_under_way_makes_the_cause_unclear(void)
+{
+    struct site site;
+    struct owner_job *job;
+    struct owner_job *other;
+    struct owner_target *target;
+
+    site_begin(&site);
+    job = add_job(&site, 0, &one);
+    other = add_job(&site, 0, &one);
+    pass(&site, 10);
+    target = (struct owner_target *)place_of(job, 0);
+    confirm_starts(&site, job);
+    owner_run_drop(site.owner, step_of(other)->tasks[0].run);
+    owner_run_create(site.owner, &step_of(other)->tasks[0], target,
+                     RUN_STARTING, 2);
+    crash(&site, target);
+    CU_ASSERT_EQUAL(step_of(job)->tasks[0].suspicion, 4);
+    CU_ASSERT_EQUAL(step_of(other)->tasks[0].suspicion, 0);
+    site_end(&site);
+}
+
 /* ---- gangs, and work that lasts ---- */
 
 static void
@@ -375,6 +399,27 @@
     site_end(&site);
 }
 
+/* Of three workers one has crashed; the others may have been cut off. */
+static void
+test_silence_alone_ends_nothing(void)
+{
+    struct site site;
+    struct owner_job *job;
+
+    site_begin(&site);
+    job = add_job(&site, 0, &one);
+    CU_ASSERT_EQUAL(crash_until_over(&site, job, 1), 1);
+    for (unsigned i = 0; i < 3 && !cw_work_is_over(job->phase); i++) {
+        await_place(&site, job);
+        confirm_starts(&site, job);
+        lose_silent(&site, (struct owner_target *)place_of(job, 0));
+    }
+    CU_ASSERT_FALSE(cw_work_is_over(job->phase));
+    CU_ASSERT_EQUAL(crash_until_over(&site, job, 1), 1);
+    CU_ASSERT_EQUAL(job->phase, CW_WORK_FAILED);
+    site_end(&site);
+}
+
 /* Without such a proof it goes on, before callers miss it. */
 static void
 test_a_suspect_does_not_wait_for_long(void)
@@ -471,6 +516,8 @@
     {"has lasted", test_work_that_has_lasted_begins_anew},
     {"cut", test_a_cut_counts_against_nothing_once_it_is_over},
     {"shows late", test_a_crash_that_shows_late_counts},
+    {"silence", test_silence_alone_ends_nothing},
+    {"under way", test_a_start_under_way_makes_the_cause_unclear},
     {"waits", test_a_suspect_does_not_wait_for_long},
     {"apart", test_a_suspect_is_started_where_nothing_runs},
     {"beside a suspect",
