Only a proved crash ends a job; a start under way may be the cause

A count ahead of proof was added by the same function that ends jobs; whether another job had just been started was asked of confirmed starts alone.

Change: what counts ahead adds suspicion and ends nothing; a start under way makes the cause unclear.

--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -370,7 +370,7 @@
 GArray *owner_charges_new(void);
 
 /* Sets how much crashes speak against the task. */
-void owner_task_suspect(struct owner_task *task, unsigned suspicion);
+void owner_task_set_suspicion(struct owner_task *task, unsigned suspicion);
 
 /* True if one that crashes speak against waits for word of its last worker. */
 bool
--- a/src/owner/owner_crashes.c
+++ b/src/owner/owner_crashes.c
@@ -95,6 +95,14 @@
     return was_there(run) && run->phase != RUN_UNSURE && run->percent == 0;
 }
 
+/* True if the run may have crashed the worker by its start.  The answer of one
+ * that is under way may have been lost with it. */
+static bool
+may_be_cause(const struct owner_run *run)
+{
+    return run->phase == RUN_STARTING || is_fresh(run);
+}
+
 /* True if no other job's run is as likely a cause. */
 static bool
 is_alone_fresh(const struct owner_run *run)
@@ -104,7 +112,7 @@
     for (guint i = 0; i < runs->len; i++) {
         const struct owner_run *other = runs->pdata[i];
 
-        if (is_fresh(other) &&
+        if (may_be_cause(other) &&
             owner_task_job(other->task) != owner_task_job(run->task))
         {
             return false;
@@ -153,7 +161,7 @@
 }
 
 void
-owner_task_suspect(struct owner_task *task, unsigned suspicion)
+owner_task_set_suspicion(struct owner_task *task, unsigned suspicion)
 {
     task->step->suspects -= is_suspect(task);
     task->suspicion = suspicion;
@@ -175,26 +183,36 @@
 }
 
 static void
-apply(struct cw_owner *owner, const struct owner_target *target,
-      const struct charge *charge, unsigned counts)
+add_suspicion(struct cw_owner *owner, struct owner_task *task,
+              const struct owner_target *target, const struct charge *charge,
+              unsigned counts)
 {
-    struct owner_task *task = charged_task(owner, charge);
-    struct owner_job *job;
-
-    if (task == NULL) {
-        return;
-    }
-    job = owner_task_job(task);
-    owner_task_suspect(task, task->suspicion + counts);
-    owner_job_touch(owner, job);
+    owner_task_set_suspicion(task, task->suspicion + counts);
+    owner_job_touch(owner, owner_task_job(task));
     cw_log_info("task_suspect",
                 "id=%s task=%u.%u.%u run=%u worker=%s crashed=%d counts=%u "
                 "suspicion=%u limit=%d",
                 charge->job, charge->task.occurrence, charge->task.step,
                 charge->task.index, charge->run, target->id, target->gone,
                 counts, task->suspicion, GIVEN_UP_AT);
+}
+
+/* A crash counts in full, and may end the task's job.  What counts ahead of a
+ * proof must not: a job that only met cuts would end without cause. */
+static void
+apply_proved(struct cw_owner *owner, const struct owner_target *target,
+             const struct charge *charge)
+{
+    struct owner_task *task = charged_task(owner, charge);
+
+    if (task == NULL) {
+        return;
+    }
+    task->held_until = cw_time_from_ms(0);
+    add_suspicion(owner, task, target, charge, charge->counts - charge->ahead);
     if (task->suspicion >= GIVEN_UP_AT) {
-        owner_job_end(owner, job, CW_WORK_FAILED, CW_END_CRASHES);
+        owner_job_end(owner, owner_task_job(task), CW_WORK_FAILED,
+                      CW_END_CRASHES);
     }
 }
 
@@ -209,14 +227,7 @@
     target->charges = owner_charges_new();
     cw_count_add(owner->options.counters, CW_COUNT_CRASHES, 1);
     for (guint i = 0; i < charges->len; i++) {
-        const struct charge *charge =
-            &g_array_index(charges, struct charge, i);
-        struct owner_task *task = charged_task(owner, charge);
-
-        if (task != NULL) {
-            task->held_until = cw_time_from_ms(0);
-        }
-        apply(owner, target, charge, charge->counts - charge->ahead);
+        apply_proved(owner, target, &g_array_index(charges, struct charge, i));
     }
     g_array_unref(charges);
     owner->place_wanted = true;
@@ -236,7 +247,7 @@
             continue;
         }
         charge->ahead = COUNTS_BESIDE;
-        apply(owner, target, charge, charge->ahead);
+        add_suspicion(owner, task, target, charge, charge->ahead);
         task->held_until = cw_time_add_ms(now, SETTLE_MS);
     }
 }
@@ -247,8 +258,8 @@
     struct owner_task *task = charged_task(owner, charge);
 
     if (task != NULL && charge->ahead > 0) {
-        owner_task_suspect(task, task->suspicion -
-                                     MIN(task->suspicion, charge->ahead));
+        owner_task_set_suspicion(
+            task, task->suspicion - MIN(task->suspicion, charge->ahead));
         task->held_until = cw_time_from_ms(0);
         owner_job_touch(owner, owner_task_job(task));
     }
@@ -384,7 +395,7 @@
         owner->place_wanted = true;
     }
     if (run->task->suspicion > 0 && is_steady(run, now)) {
-        owner_task_suspect(run->task, 0);
+        owner_task_set_suspicion(run->task, 0);
         owner_job_touch(owner, owner_task_job(run->task));
     }
 }
--- a/src/owner/owner_state.c
+++ b/src/owner/owner_state.c
@@ -58,7 +58,7 @@
         struct owner_task *task = owner_job_task(job, &name);
 
         if (task != NULL) {
-            owner_task_suspect(task, crash->suspicion);
+            owner_task_set_suspicion(task, crash->suspicion);
         }
     }
 }
