--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -342,49 +342,6 @@
 bool
 owner_candidacy_beat_due(const struct cw_owner *owner, struct timespec now);
 
-/* ---- owner_crashes.c: tasks that crash the workers that start them ---- */
-
-/* Notes what its runs are charged with, should the worker have crashed; call
- * it before they are dropped. */
-void owner_crashes_collect(struct owner_target *target, struct timespec now);
-
-/* Its runs are dropped.  If it has crashed, what was noted counts, and may
- * end jobs; if that is open, it is kept. */
-void owner_crashes_settle(struct cw_owner *owner, struct owner_target *target,
-                          struct timespec now);
-
-/* The same life answers: it had only been silent. */
-void
-owner_crashes_disproved(struct cw_owner *owner, struct owner_target *target);
-
-/* A worker has come onto the list, or gone from it: of two lives at an
- * address the one that is not listed is over. */
-void owner_crashes_listed(struct cw_owner *owner, struct owner_target *target);
-void
-owner_crashes_unlisted(struct cw_owner *owner, struct owner_target *target);
-
-/* Takes what a worker has listed of a run into account. */
-void owner_crashes_note(struct owner_run *run, struct timespec now);
-
-/* An empty array for a worker's charges. */
-GArray *owner_charges_new(void);
-
-/* Sets how much crashes speak against the task. */
-void owner_task_set_suspicion(struct owner_task *task, unsigned suspicion);
-
-/* True if one that crashes speak against waits for word of its last worker. */
-bool
-owner_step_is_held_back(const struct owner_step *step, struct timespec now);
-
-/* How much a suspect would have beside it on the worker: what has shown no
- * progress yet would make the cause of a crash unclear. */
-unsigned owner_company(const struct owner_target *target);
-
-/* While a suspect's run shows no progress nothing else is placed beside it:
- * what is there would go with the worker. */
-void owner_trial_begin(struct owner_run *run);
-void owner_trial_end(struct owner_run *run);
-
 /* ---- owner_lasting.c ---- */
 
 /* True if so many other tasks of the run's step are away, or are in the set
--- a/src/owner/owner_crashes.c
+++ b/src/owner/owner_crashes.c
@@ -18,7 +18,7 @@
  * that it lasts over a take-over, and a suspect among it is held back for a
  * moment.  Where the worker was an earlier owner's and is not listed any more,
  * nothing will settle it, and it counts as if it had crashed. */
-#include "owner/internal/owner_private.h"
+#include "owner/internal/owner_crashes.h"
 
 #include <string.h>
 
--- a/src/owner/owner_holds.c
+++ b/src/owner/owner_holds.c
@@ -1,5 +1,5 @@
 /* Leases kept up, and what the workers list of runs and ends. */
-#include "owner/internal/owner_private.h"
+#include "owner/internal/owner_crashes.h"
 
 #include <string.h>
 
--- a/src/owner/owner_runs.c
+++ b/src/owner/owner_runs.c
@@ -1,5 +1,5 @@
 /* The life of runs: placed, ordered, ended, lost. */
-#include "owner/internal/owner_private.h"
+#include "owner/internal/owner_crashes.h"
 
 #include <string.h>
 
--- a/src/owner/owner_targets.c
+++ b/src/owner/owner_targets.c
@@ -1,5 +1,5 @@
 /* Workers: what they report, their clocks and leases, and whom to avoid. */
-#include "owner/internal/owner_private.h"
+#include "owner/internal/owner_crashes.h"
 
 #include <string.h>
 
--- a/src/owner/owner_view.c
+++ b/src/owner/owner_view.c
@@ -1,5 +1,5 @@
 /* What the owner tells operators of workers and jobs. */
-#include "owner/internal/owner_private.h"
+#include "owner/internal/owner_crashes.h"
 
 static const char *
 state_of(const struct owner_target *target, struct timespec now)
--- a/tests/test_crashes.c
+++ b/tests/test_crashes.c
@@ -12,6 +12,7 @@
  * Proof: the first two tests below failed, with 12 starts each. */
 #include "test_main.h"
 
+#include "owner/internal/owner_crashes.h"
 #include "owner_site.h"
 
 enum {
