Emulator: the room of a worker that crashed while it was small grows again

The model gave the room back to the life that had crashed; the machine's next life stayed small for ever. The job may run in one data centre only, where two of four workers had left and this one was small: it had room nowhere.

Ruled out: the product: two whole workers never stood there.

Change: the machine's room grows, whichever life it has.

--- a/emulator/world.c
+++ b/emulator/world.c
@@ -249,13 +249,19 @@
 static const struct cw_resources full_capacity = {
     .cpu_milli = 32000, .memory_mb = 65536, .accelerators = 8};
 
+/* Of the machine, whichever life it has by now: one that is down takes it over
+ * from the life before. */
 static void
 grow_again(struct world *world, void *context)
 {
     struct worker_model *worker = context;
+    struct worker_model *present =
+        worker_fleet_at_address(world->fleet, worker_model_address(worker));
 
-    (void)world;
     worker_model_resize(worker, &full_capacity);
+    if (present != NULL && present != worker) {
+        worker_model_resize(present, &full_capacity);
+    }
 }
 
 static void
--- a/tests/test_world.c
+++ b/tests/test_world.c
@@ -109,6 +109,25 @@
     CU_ASSERT_EQUAL(clean, CRASHING_DAYS);
 }
 
+/* Crashes, rooms that shrink and workers that do not guard them, together.
+ * Seed 2200208 once left a job without a place: a worker that crashed while
+ * its room was small never got it back, and the data centre that the job may
+ * run in had one whole worker left (the emulator's fault). */
+static void
+test_all_of_it_together(void)
+{
+    struct world_options options = day(2200208);
+    struct world_result result;
+
+    options.crashing = 3;
+    options.shrinks = 6;
+    options.unguarded = true;
+    world_play(&options, &result);
+    CU_ASSERT_PTR_NULL(result.violation);
+    g_free(result.violation);
+    g_free(result.faults);
+}
+
 /* Seeds that once ended with a violation, each with its cause. */
 static void
 test_seeds_that_once_failed(void)
@@ -137,6 +156,7 @@
     {"calm day", test_a_calm_day_completes_all_that_can_be},
     {"seeds that once failed", test_seeds_that_once_failed},
     {"crashing tasks", test_tasks_that_crash_workers_are_given_up},
+    {"all together", test_all_of_it_together},
 };
 
 TEST_MAIN("world", tests)
