--- a/emulator/judge.c
+++ b/emulator/judge.c
@@ -158,6 +158,13 @@
     return &job->spec->steps.steps_val[task->step];
 }
 
+/* True if the task is the one of its job that crashes workers. */
+static bool
+crashes_workers(const struct judge_job *job, const struct cw_task_name *task)
+{
+    return task->step == 0 && (int)task->index == job->plan_crashes;
+}
+
 bool
 judge_plan(struct judge *judge, const struct cw_task_name *task,
            struct task_plan *out)
@@ -173,7 +180,7 @@
     out->fails = job->plan_fails;
     out->members = step->gang ? step->tasks : 0;
     out->checkpoints = step->checkpoints;
-    out->crashes = task->step == 0 && (int)task->index == job->plan_crashes;
+    out->crashes = crashes_workers(job, task);
     out->need.cpu_milli = step->cpu_milli;
     out->need.memory_mb = step->memory_mb;
     out->need.accelerators = step->accelerators;
@@ -279,8 +286,7 @@
     if (truth->failed_confirmed >= job->spec->max_attempts) {
         violate_task(judge, "BUDGET", task, run);
     }
-    if (job->plan_crashes == (int)task->index && task->step == 0 &&
-        truth->crashes >= CRASHES_MOST &&
+    if (crashes_workers(job, task) && truth->crashes >= CRASHES_MOST &&
         ++truth->starts_beyond >= STARTS_AFTER_MOST)
     {
         violate_task(judge, "BUDGET crashes", task, run);
