Sight: which life of a worker answers, ends that were never seen, work that waits

Change, none of logic: when a life of a worker began is read from its reports and lists (worker_restarted, worker_restarts); numbers of ends that are missing (ends_missing); jobs of which no worker has listed a run for 3 s although a step's turn has come and most of the room is free, with what they hang on (job_waits, owner_jobs_waiting, owner_longest_wait_ms), and tasks that lose three runs in a row (owner_tasks_repeating).

--- a/include/curlewcart/cw_count.h
+++ b/include/curlewcart/cw_count.h
@@ -22,7 +22,11 @@
     X(RECORDS, "records", "records sent to the store")                        \
     X(PREEMPTIONS, "preemptions", "gangs told to give way")                   \
     X(RELAYED, "relayed", "calls to the store through another VM")            \
-    X(CRASHES, "worker_crashes", "workers that crashed with runs on them")
+    X(CRASHES, "worker_crashes", "workers that crashed with runs on them")    \
+    X(RESTARTS, "worker_restarts",                                            \
+      "workers that started again under their id")                            \
+    X(ENDS_MISSING, "ends_missing",                                           \
+      "ends of runs that workers forgot before they were seen")
 
 /* X(symbol, name with its unit, what it measures) */
 #define CW_LATENCY_TABLE(X)                                                   \
--- a/include/curlewcart/cw_owner.h
+++ b/include/curlewcart/cw_owner.h
@@ -71,6 +71,10 @@
     unsigned jobs;
     unsigned targets;
     unsigned runs;
+    unsigned waiting;        /* jobs that could run and do not, with most of
+                                their workers' room free, for 3 s or more */
+    int64_t longest_wait_ms; /* of them */
+    unsigned repeating;      /* tasks that have lost three runs in a row */
 };
 void cw_owner_stats(const struct cw_owner *owner, struct cw_owner_stats *out);
 
--- a/include/curlewcart/cw_target.h
+++ b/include/curlewcart/cw_target.h
@@ -20,7 +20,7 @@
 
 /* A worker's report of itself in the store. */
 struct cw_target_report {
-    const char *id; /* of this life of the worker */
+    const char *id; /* may have had other lives, see born_ms */
     const char *service;
     const char *address; /* HOST:PORT */
     const char *dc;
@@ -30,6 +30,7 @@
     bool draining;
     int64_t remaining_ms; /* while draining: it stays at least this long */
     int64_t clock_ms;     /* its clock when it reported; 0 unknown */
+    int64_t born_ms; /* when this life began, its time of day; 0 unknown */
 };
 
 /* Names a task within a deployment. */
@@ -88,6 +89,8 @@
 struct cw_target_answer {
     enum cw_target_status status;
     int64_t clock_ms; /* the worker's clock; 0 unknown */
+    int64_t born_ms;  /* of a HOLD: when the life that answers began, its time
+                         of day; 0 unknown */
     const struct cw_running *running;
     size_t running_count;
     const struct cw_ended *ended;
--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -67,6 +67,7 @@
     unsigned index;
     unsigned last_run; /* highest number used */
     unsigned failures;
+    unsigned lost_runs;         /* in a row, without an end; owner_waits.c */
     unsigned suspicion;         /* of crashing its workers; owner_crashes.c */
     struct timespec held_until; /* while it is a suspect */
     bool done;
@@ -132,6 +133,9 @@
     GPtrArray *open;           /* struct owner_occurrence */
     struct timespec known_at;  /* when this owner learnt of it */
     struct timespec objective; /* when it is late, as far as known */
+    struct timespec moved_at;  /* a worker listed a run of it, or a step's turn
+                                  came; owner_waits.c */
+    struct timespec told_at;   /* that it waits was logged */
     unsigned runs;
 };
 
@@ -166,6 +170,8 @@
     bool gone;                   /* another life answers at its address */
     bool seen_mark;              /* while the reports are loaded anew */
     struct timespec reported_at; /* its last report was not written before */
+    int64_t born_ms;          /* of the life that answered last; 0 unknown */
+    int64_t reported_born_ms; /* of the life that reported last */
     bool clock_known;
     int64_t clock_offset_ms;   /* its clock less ours */
     int64_t lease_sent_ms;     /* latest end of lease ever sent, its clock */
@@ -231,6 +237,14 @@
     struct timespec reading_since;  /* reads have been answered since */
 };
 
+/* Work that could run and does not; owner_waits.c. */
+struct owner_waits {
+    struct timespec due;
+    unsigned jobs;
+    int64_t longest_ms;
+    unsigned repeating; /* tasks */
+};
+
 /* How many orders may be under way; owner_pace.c. */
 struct owner_pace {
     unsigned under_way; /* orders, queued or sent */
@@ -289,6 +303,7 @@
     GHashTable *demand;  /* account -> accelerators of its most urgent jobs;
                             owner_demand_update */
     struct owner_memo *memo; /* owner_memo.c */
+    struct owner_waits waits;
 };
 
 /* ---- owner.c ---- */
@@ -487,6 +502,9 @@
 void owner_run_lost(struct cw_owner *owner, struct owner_run *run, bool worked,
                     const char *reason);
 
+/* Name of a phase, for logs.  Borrowed, static. */
+const char *owner_run_phase_name(enum run_phase phase);
+
 /* Stops all runs of a step. */
 void owner_step_stop(struct cw_owner *owner, struct owner_step *step);
 
@@ -630,6 +648,14 @@
 owner_hold_tick(struct cw_owner *owner, struct owner_target *target,
                 struct timespec now);
 
+/* ---- owner_waits.c ---- */
+
+/* Work of the job is under way, or may be from now on. */
+void owner_waits_moved(struct cw_owner *owner, struct owner_job *job);
+
+/* Finds out which jobs could run and do not, and logs why. */
+void owner_waits_tick(struct cw_owner *owner, struct timespec now);
+
 /* ---- owner_speed.c ---- */
 
 /* A worker listed how far a run has come. */
@@ -654,6 +680,9 @@
 
 void owner_place(struct cw_owner *owner, struct timespec now);
 
+/* True if the steps before this one are done, and it is not. */
+bool owner_step_has_turn(const struct owner_step *step);
+
 /* How many tasks that take `need` fit into `room`. */
 unsigned
 owner_fits(const struct cw_resources *room, const struct cw_resources *need);
--- a/src/owner/owner.c
+++ b/src/owner/owner.c
@@ -55,6 +55,7 @@
     cw_follower_free(owner->reports);
     owner->reports = NULL;
     forget_states(owner);
+    memset(&owner->waits, 0, sizeof(owner->waits));
     owner->state = OWNER_IDLE;
 }
 
@@ -481,6 +482,7 @@
         owner_job_open_due(owner, value, now);
     }
     owner_residency_enforce(owner);
+    owner_waits_tick(owner, now);
 }
 
 /* A pass takes at most one part in PLACE_SHARE of the time, however long it
@@ -581,6 +583,9 @@
     memset(out, 0, sizeof(*out));
     out->jobs = g_hash_table_size(owner->jobs);
     out->targets = g_hash_table_size(owner->targets);
+    out->waiting = owner->waits.jobs;
+    out->longest_wait_ms = owner->waits.longest_ms;
+    out->repeating = owner->waits.repeating;
     g_hash_table_iter_init(&iterator, owner->targets);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         out->runs += ((struct owner_target *)value)->runs->len;
--- a/src/owner/owner_holds.c
+++ b/src/owner/owner_holds.c
@@ -55,6 +55,7 @@
         owner_job_begun(run->target->owner, owner_task_job(run->task),
                         run->target);
     }
+    owner_waits_moved(run->target->owner, owner_task_job(run->task));
     if (listed->percent != run->percent) {
         run->percent = listed->percent;
         run->progress_at = now;
@@ -178,6 +179,45 @@
            target->strays.memory_mb > 0;
 }
 
+/* Ends are numbered without gaps.  One that was never listed here and is not
+ * listed now was confirmed to the worker by somebody who had not seen it. */
+static void
+note_missing_ends(struct cw_owner *owner, const struct owner_target *target,
+                  const struct cw_target_answer *answer)
+{
+    uint64_t first = answer->ended_count > 0 ? answer->ended[0].number : 0;
+
+    /* Earlier owners have confirmed what they had stored. */
+    if (target->ends_applied == 0 || first <= target->ends_applied + 1) {
+        return;
+    }
+    cw_log_warning("ends_missing",
+                   "worker=%s applied=%" PRIu64 " first=%" PRIu64
+                   " born_ms=%" PRId64,
+                   target->id, target->ends_applied, first, answer->born_ms);
+    cw_count_add(owner->options.counters, CW_COUNT_ENDS_MISSING,
+                 first - target->ends_applied - 1);
+}
+
+/* Which life of the worker answers. */
+static void
+note_life(struct owner_target *target, const struct cw_target_answer *answer)
+{
+    if (target->born_ms > 0 && answer->born_ms > 0 &&
+        target->born_ms != answer->born_ms)
+    {
+        cw_log_info("worker_restarted",
+                    "worker=%s born_ms=%" PRId64 " before_ms=%" PRId64
+                    " runs=%u ends=%" PRIu64 " draining=%d",
+                    target->id, answer->born_ms, target->born_ms,
+                    target->runs->len, target->ends_applied, target->draining);
+        cw_count_add(target->owner->options.counters, CW_COUNT_RESTARTS, 1);
+    }
+    if (answer->born_ms > 0) {
+        target->born_ms = answer->born_ms;
+    }
+}
+
 static void
 take_lists(struct cw_owner *owner, struct owner_target *target,
            const struct cw_target_answer *answer, struct timespec sent,
@@ -198,6 +238,7 @@
             stop_stray(owner, target, &answer->running[i]);
         }
     }
+    note_missing_ends(owner, target, answer);
     for (size_t i = 0; i < answer->ended_count; i++) {
         const struct cw_ended *ended = &answer->ended[i];
 
@@ -284,6 +325,7 @@
         target->silent = 0;
         owner->place_wanted = true;
     }
+    note_life(target, answer);
     owner_crashes_disproved(owner, target);
     target->answered = true;
     target->seen_at = call->sent;
--- a/src/owner/owner_place.c
+++ b/src/owner/owner_place.c
@@ -185,11 +185,14 @@
     return placed == waiting;
 }
 
-static bool
-after_are_done(const struct owner_step *step)
+bool
+owner_step_has_turn(const struct owner_step *step)
 {
     const struct owner_occurrence *occurrence = step->occurrence;
 
+    if (step->done) {
+        return false;
+    }
     for (u_int i = 0; i < step->spec->after.after_len; i++) {
         if (!occurrence->steps[step->spec->after.after_val[i]].done) {
             return false;
@@ -201,8 +204,7 @@
 static bool
 wants_place(const struct owner_step *step, struct timespec now)
 {
-    if (step->done || !after_are_done(step) ||
-        owner_step_is_held_back(step, now)) {
+    if (!owner_step_has_turn(step) || owner_step_is_held_back(step, now)) {
         return false;
     }
     return step->spec->gang ? step->runs == 0 : owner_step_waiting(step) > 0;
--- a/src/owner/owner_runs.c
+++ b/src/owner/owner_runs.c
@@ -132,9 +132,8 @@
     }
 }
 
-/* Name of a phase, for logs.  Borrowed, static. */
-static const char *
-phase_name(enum run_phase phase)
+const char *
+owner_run_phase_name(enum run_phase phase)
 {
     static const char *const names[] = {
         [RUN_RESERVED] = "reserved",     [RUN_NEW] = "new",
@@ -167,9 +166,10 @@
                 "id=%s task=%u.%u.%u run=%u worker=%s reason=%s phase=%s "
                 "age_ms=%" PRId64 " percent=%u",
                 name.job, name.occurrence, name.step, name.index, run->number,
-                run->target->id, reason, phase_name(run->phase),
+                run->target->id, reason, owner_run_phase_name(run->phase),
                 run_age_ms(run, owner_now(owner)), run->percent);
     cw_count_code(owner->options.counters, CW_RETRY_SILENT);
+    task->lost_runs++;
     owner_once_over(owner, run, worked, CW_END_WORKER_LOST);
     owner_run_drop(owner, run);
     if (step->spec->gang && !finished && !step->done) {
@@ -404,6 +404,7 @@
         return;
     }
     step = task->step;
+    task->lost_runs = 0;
     if (run->phase == RUN_STARTING || run->phase == RUN_UNSURE) {
         owner_job_begun(owner, owner_task_job(task), target);
     }
--- a/src/owner/owner_targets.c
+++ b/src/owner/owner_targets.c
@@ -199,6 +199,7 @@
     }
     target->listed = true;
     target->seen_mark = true;
+    target->reported_born_ms = report->born_ms;
     target->draining = draining;
     if (!target->clock_known && report->clock_ms > 0) {
         owner_target_clock(target, report->clock_ms, owner_now(owner));
--- /dev/null
+++ b/src/owner/owner_waits.c
@@ -0,0 +1,206 @@
+/* Work that could run and does not, whatever the cause.
+ *
+ * Looked at from the outside: a step's turn has come, no worker has listed a
+ * run of the job for seconds, and most of the service's room is free by what
+ * workers have confirmed.  What the owner believes of the job (a place, an
+ * order under way, a lease to wait for) is the reason that is logged, and does
+ * not hide it.  A task that loses one run after the other makes no headway
+ * either, though it is at work each time that somebody looks. */
+#include "owner/internal/owner_crashes.h"
+
+enum {
+    /* The platform bears 3 s in which nothing of a job runs. */
+    WAITS_MS = 3000,
+    LOOK_EVERY_MS = 500,
+    TELL_EVERY_MS = 3000,
+    /* Lines in one look; the counts are of all. */
+    TOLD_MOST = 8,
+    /* Two may be bad luck. */
+    REPEATS_FROM = 3
+};
+
+/* What a service's workers have, and what runs there by their own word. */
+struct room {
+    struct cw_resources has;
+    struct cw_resources used;
+};
+
+/* One look at all jobs. */
+struct look {
+    struct cw_owner *owner;
+    struct timespec now;
+    unsigned told;
+    const char *service; /* the one counted last */
+    bool mostly_free;
+};
+
+void
+owner_waits_moved(struct cw_owner *owner, struct owner_job *job)
+{
+    job->moved_at = owner_now(owner);
+}
+
+/* ---- room ---- */
+
+static void
+add_target(struct room *room, const struct owner_target *target)
+{
+    owner_resources_add(&room->has, &target->capacity);
+    owner_resources_add(&room->used, &target->strays);
+    for (guint i = 0; i < target->runs->len; i++) {
+        const struct owner_run *run = target->runs->pdata[i];
+        struct cw_resources need = owner_need(run->task->step->spec);
+
+        if (run->phase == RUN_RUNNING) {
+            owner_resources_add(&room->used, &need);
+        }
+    }
+}
+
+static bool
+is_mostly_free(struct look *look, const char *service)
+{
+    struct cw_owner *owner = look->owner;
+    struct room room = {0};
+    GHashTableIter iterator;
+    gpointer value;
+
+    if (look->service == service) {
+        return look->mostly_free;
+    }
+    g_hash_table_iter_init(&iterator, owner->targets);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const struct owner_target *target = value;
+
+        if (target->service == service && target->listed) {
+            add_target(&room, target);
+        }
+    }
+    look->service = service;
+    look->mostly_free = 2 * room.used.accelerators < room.has.accelerators &&
+                        2 * room.used.cpu_milli < room.has.cpu_milli &&
+                        2 * room.used.memory_mb < room.has.memory_mb;
+    return look->mostly_free;
+}
+
+/* ---- jobs ---- */
+
+/* The first step that could run, or NULL. */
+static struct owner_step *
+step_in_turn(const struct owner_job *job)
+{
+    for (guint i = 0; i < job->open->len; i++) {
+        struct owner_occurrence *occurrence = job->open->pdata[i];
+
+        for (unsigned k = 0; k < occurrence->count; k++) {
+            if (owner_step_has_turn(&occurrence->steps[k])) {
+                return &occurrence->steps[k];
+            }
+        }
+    }
+    return NULL;
+}
+
+static const struct owner_run *
+first_run(const struct owner_step *step)
+{
+    for (unsigned i = 0; i < step->count; i++) {
+        if (step->tasks[i].run != NULL) {
+            return step->tasks[i].run;
+        }
+    }
+    return NULL;
+}
+
+static const char *
+reason_of(const struct cw_owner *owner, const struct owner_step *step,
+          const struct owner_run *run, struct timespec now)
+{
+    if (run != NULL) {
+        return owner_run_phase_name(run->phase);
+    }
+    if (owner_step_is_held_back(step, now)) {
+        return "suspect";
+    }
+    return owner_once_may_begin(owner, step) ? "no_place" : "once";
+}
+
+static void
+tell(struct cw_owner *owner, struct owner_job *job,
+     const struct owner_step *step, struct timespec now)
+{
+    const struct owner_run *run = first_run(step);
+    const struct owner_target *target = run != NULL ? run->target : NULL;
+
+    job->told_at = now;
+    cw_log_warning(
+        "job_waits",
+        "id=%s step=%u.%u waits_ms=%" PRId64
+        " left=%u runs=%u reason=%s worker=%s silent=%u "
+        "lease_left_ms=%" PRId64,
+        job->spec->id, step->occurrence->number, step->number,
+        cw_time_diff_ms(job->moved_at, now), step->left, step->runs,
+        reason_of(owner, step, run, now), target != NULL ? target->id : "",
+        target != NULL ? target->silent : 0,
+        target != NULL ? cw_time_diff_ms(now, target->lease_end) : 0);
+}
+
+static void
+count_repeating(struct owner_waits *waits, const struct owner_job *job)
+{
+    for (guint i = 0; i < job->open->len; i++) {
+        const struct owner_occurrence *occurrence = job->open->pdata[i];
+
+        for (unsigned k = 0; k < occurrence->count; k++) {
+            const struct owner_step *step = &occurrence->steps[k];
+
+            for (unsigned n = 0; !step->done && n < step->count; n++) {
+                waits->repeating += !step->tasks[n].done &&
+                                    step->tasks[n].lost_runs >= REPEATS_FROM;
+            }
+        }
+    }
+}
+
+static void
+look_at(struct look *look, struct owner_job *job)
+{
+    struct owner_waits *waits = &look->owner->waits;
+    int64_t waited_ms = cw_time_diff_ms(job->moved_at, look->now);
+    const struct owner_step *step;
+
+    if (cw_work_is_over(job->phase)) {
+        return;
+    }
+    count_repeating(waits, job);
+    step = waited_ms > WAITS_MS ? step_in_turn(job) : NULL;
+    if (step == NULL || !is_mostly_free(look, job->service)) {
+        return;
+    }
+    waits->jobs++;
+    waits->longest_ms = MAX(waits->longest_ms, waited_ms);
+    if (look->told < TOLD_MOST &&
+        cw_time_diff_ms(job->told_at, look->now) > TELL_EVERY_MS)
+    {
+        tell(look->owner, job, step, look->now);
+        look->told++;
+    }
+}
+
+void
+owner_waits_tick(struct cw_owner *owner, struct timespec now)
+{
+    struct look look = {.owner = owner, .now = now};
+    GHashTableIter iterator;
+    gpointer value;
+
+    if (cw_time_before(now, owner->waits.due)) {
+        return;
+    }
+    owner->waits =
+        (struct owner_waits){.due = cw_time_add_ms(now, LOOK_EVERY_MS)};
+    g_hash_table_iter_init(&iterator, owner->jobs);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        look_at(&look, value);
+    }
+}
--- a/src/vm/vm_listen.c
+++ b/src/vm/vm_listen.c
@@ -54,10 +54,14 @@
                            "curlewcart_owner_jobs %u\n"
                            "curlewcart_owner_runs %u\n"
                            "curlewcart_owner_workers %u\n"
+                           "curlewcart_owner_jobs_waiting %u\n"
+                           "curlewcart_owner_longest_wait_ms %" PRId64 "\n"
+                           "curlewcart_owner_tasks_repeating %u\n"
                            "curlewcart_calls_pending %u\n"
                            "curlewcart_log_held_bytes %" PRIu64 "\n",
-                           stats.jobs, stats.runs, stats.targets, waiting,
-                           cw_log_held_bytes());
+                           stats.jobs, stats.runs, stats.targets,
+                           stats.waiting, stats.longest_wait_ms,
+                           stats.repeating, waiting, cw_log_held_bytes());
     cw_http_answer(call, 200, "text/plain; version=0.0.4", out->str, out->len,
                    false);
     g_string_free(out, TRUE);
