--- a/emulator/emulator_main.c
+++ b/emulator/emulator_main.c
@@ -37,6 +37,7 @@
     unsigned work;     /* jobs handed in */
     unsigned crashing; /* of them, in a hundred */
     unsigned shrinks;
+    unsigned restarts;
     bool unguarded;
 };
 
@@ -50,6 +51,8 @@
     {"work", 'n', "N", 0, "Jobs handed in on it", 0},
     {"crashing", 'c', "PERCENT", 0, "Jobs that crash workers", 0},
     {"shrinks", 'r', "N", 0, "Times that a worker's room shrinks", 0},
+    {"restarts", 'a', "N", 0,
+     "Times that workers crash and start again under their ids", 0},
     {"unguarded", 'u', NULL, 0, "Workers start what does not fit", 0},
     {0},
 };
@@ -87,6 +90,9 @@
     case 'r':
         arguments->shrinks = (unsigned)strtoul(value, NULL, 10);
         break;
+    case 'a':
+        arguments->restarts = (unsigned)strtoul(value, NULL, 10);
+        break;
     case 'u':
         arguments->unguarded = true;
         break;
@@ -115,6 +121,7 @@
 
     day.crashing = arguments->crashing;
     day.shrinks = arguments->shrinks;
+    day.restarts = arguments->restarts;
     day.unguarded = arguments->unguarded;
     return day;
 }
--- a/emulator/internal/world_private.h
+++ b/emulator/internal/world_private.h
@@ -80,6 +80,9 @@
     GHashTable *draining;    /* id, a set */
 };
 
+/* Each rack stands in a data centre of its own. */
+void world_dc_of_rack(const char *rack, char *dc, size_t size);
+
 /* A caller's call that waits for its answer. */
 struct client_call {
     struct world *world;
@@ -109,8 +112,9 @@
     int64_t wait_until_ms;
     char *topic;
     char *writer;
-    char *text;    /* after, member, address or worker */
-    char *address; /* of the worker that an order goes to */
+    char *text;      /* after, member, address or worker */
+    char *address;   /* of the worker that an order goes to */
+    int64_t born_ms; /* of the life there that got it first; 0 none yet */
     GArray *records;
     GPtrArray *bytes;
     struct cw_store_append append;
@@ -192,8 +196,29 @@
 void world_client_cancel(struct world *world, void *client_call);
 void world_new_job(struct world *world, void *unused);
 
+/* ---- world_restarts.c ---- */
+
+/* Some workers crash, and are back under their ids. */
+void world_restart_workers(struct world *world, void *unused);
+
+/* A worker that is down is back under its id. */
+void world_worker_again(struct world *world, void *worker_model);
+
+/* ---- world_waits.c ---- */
+
+/* Judges whether jobs could run and do not; to be called regularly. */
+void world_look_for_waits(struct world *world);
+
+/* True if the account and the job allow the data centre, read apart from the
+ * product. */
+bool world_may_run_in(const struct world *world, const struct judge_job *job,
+                      const char *dc);
+
 /* ---- world_faults.c ---- */
 
+/* Any of the workers, also one that is down. */
+struct worker_model *world_any_worker(struct world *world);
+
 void world_strike(struct world *world, void *unused);
 void world_heal_all(struct world *world, void *unused);
 
--- a/emulator/judge.c
+++ b/emulator/judge.c
@@ -10,7 +10,9 @@
     /* After so many, a task that crashes workers is started less often than
      * so many times more. */
     CRASHES_MOST = 3,
-    STARTS_AFTER_MOST = 3
+    STARTS_AFTER_MOST = 3,
+    /* So long a job may have nothing running although it could. */
+    WAITS_MS = 3000
 };
 
 /* What has happened to a task. */
@@ -273,6 +275,7 @@
 
     judge->counts.starts++;
     job->started++;
+    job->running++;
     if (truth->running > 0) {
         violate_task(judge, "TWICE at the same time", task, run);
     }
@@ -306,6 +309,7 @@
     struct task_truth *truth = truth_of(judge, task);
 
     truth->running--;
+    judge_find(judge, task->job)->running--;
     truth->present_run = 0;
     if (how == CW_END_KIND_DONE) {
         truth->done++;
@@ -415,6 +419,42 @@
     }
 }
 
+/* ---- work that could run and does not ---- */
+
+const struct cw_step_spec *
+judge_step_in_turn(struct judge *judge, const struct judge_job *job)
+{
+    struct cw_task_name name = {.job = job->id};
+
+    if (!job->accepted || job->cancel_sent || job->shown_over != 0) {
+        return NULL;
+    }
+    for (; name.step < job->spec->steps.steps_len; name.step++) {
+        if (!step_done(judge, job, 0, name.step) && earlier_done(judge, &name))
+        {
+            return &job->spec->steps.steps_val[name.step];
+        }
+    }
+    return NULL;
+}
+
+void
+judge_look(struct judge *judge, struct judge_job *job, bool could,
+           int64_t now_ms)
+{
+    if (job->running > 0 || !could) {
+        job->waits_since_ms = 0;
+        return;
+    }
+    if (job->waits_since_ms == 0 || job->waits_started != job->started) {
+        job->waits_since_ms = now_ms;
+        job->waits_started = job->started;
+    }
+    if (now_ms - job->waits_since_ms >= WAITS_MS) {
+        violate(judge, "LOST could run and does not", job->id);
+    }
+}
+
 void
 judge_final(struct judge *judge, const struct judge_job *job, int phase)
 {
--- a/emulator/judge.h
+++ b/emulator/judge.h
@@ -28,7 +28,10 @@
     bool cancel_done; /* acknowledged */
     int64_t cancel_ms;
     unsigned started;
-    unsigned shown_over; /* final phase that a VM has shown; 0: none */
+    unsigned running;       /* runs of it that workers carry out now */
+    int64_t waits_since_ms; /* it could run and does not since then; 0: no */
+    unsigned waits_started; /* `started` at that time */
+    unsigned shown_over;    /* final phase that a VM has shown; 0: none */
 };
 
 struct judge *judge_create(void);
@@ -64,6 +67,16 @@
 /* A VM shows a job in a phase. */
 void judge_shown(struct judge *judge, const char *id, unsigned phase);
 
+/* A step of the job that could run now: those before it are done, it is not.
+ * NULL if there is none, or the job is not owed any more.  Borrowed. */
+const struct cw_step_spec *
+judge_step_in_turn(struct judge *judge, const struct judge_job *job);
+
+/* A regular look at the job: nothing of it runs, and `could` if a step's turn
+ * has come and there is room for it.  It may be so for 3 s. */
+void judge_look(struct judge *judge, struct judge_job *job, bool could,
+                int64_t now_ms);
+
 /* At the end: every VM's answer for the job; -1 if it knows none. */
 void judge_final(struct judge *judge, const struct judge_job *job, int phase);
 
--- a/emulator/worker_model.c
+++ b/emulator/worker_model.c
@@ -18,6 +18,9 @@
     PERCENT = 100
 };
 
+/* Workers' time of day at time 0 of the fleet's. */
+static const int64_t DAY_BEGAN_MS = 1700000000000;
+
 struct model_run {
     char *job;
     struct cw_task_name task;
@@ -48,6 +51,7 @@
     struct cw_resources larger; /* what it had before it shrank */
     int64_t shrunk_ms;          /* when it shrank; fleet's time */
     int64_t clock_ms;           /* its clock at time 0 of the fleet's */
+    int64_t born_ms;            /* when this life began, its time of day */
     bool dead;
     double speed;
     uint64_t fence;
@@ -136,6 +140,7 @@
     worker->rack = g_strdup(rack);
     worker->capacity = *capacity;
     worker->clock_ms = clock_ms;
+    worker->born_ms = DAY_BEGAN_MS + fleet->now_ms;
     worker->speed = 1;
     worker->runs = g_ptr_array_new_with_free_func(run_free);
     worker->ends = g_ptr_array_new_with_free_func(end_free);
@@ -159,6 +164,22 @@
     return worker;
 }
 
+void
+worker_model_restart(struct worker_model *worker, int64_t clock_ms)
+{
+    g_assert(worker->dead && worker->runs->len == 0);
+    worker->dead = false;
+    worker->clock_ms = clock_ms - worker->fleet->now_ms;
+    worker->born_ms = DAY_BEGAN_MS + worker->fleet->now_ms;
+    worker->fence = 0;
+    worker->lease_end_ms = 0;
+    worker->lease_live = false;
+    worker->lapses = 0;
+    worker->next_end = 0;
+    g_ptr_array_set_size(worker->ends, 0);
+    g_hash_table_remove_all(worker->highest);
+}
+
 unsigned
 worker_fleet_size(const struct worker_fleet *fleet)
 {
@@ -251,6 +272,27 @@
     worker->capacity = *capacity;
 }
 
+struct cw_resources
+worker_model_free(const struct worker_model *worker)
+{
+    struct cw_resources left = worker->capacity;
+
+    for (guint i = 0; i < worker->runs->len; i++) {
+        const struct model_run *run = worker->runs->pdata[i];
+
+        left.cpu_milli -= run->plan.need.cpu_milli;
+        left.memory_mb -= run->plan.need.memory_mb;
+        left.accelerators -= run->plan.need.accelerators;
+    }
+    return left;
+}
+
+int64_t
+worker_model_born_ms(const struct worker_model *worker)
+{
+    return worker->born_ms;
+}
+
 unsigned
 worker_model_running(const struct worker_model *worker)
 {
@@ -327,6 +369,13 @@
 void
 worker_model_crash(struct worker_model *worker)
 {
+    struct worker_listener *listener = &worker->fleet->listener;
+
+    for (guint i = 0; i < worker->runs->len; i++) {
+        const struct model_run *run = worker->runs->pdata[i];
+
+        listener->crashed(listener->context, worker->id, &run->task);
+    }
     worker->dead = true;
     lapse_all(worker);
 }
@@ -457,11 +506,6 @@
 {
     struct worker_listener *listener = &worker->fleet->listener;
 
-    for (guint i = 0; i < worker->runs->len; i++) {
-        const struct model_run *run = worker->runs->pdata[i];
-
-        listener->crashed(listener->context, worker->id, &run->task);
-    }
     worker_model_crash(worker);
     listener->down(listener->context, worker);
 }
@@ -716,6 +760,7 @@
     confirm_ends(worker, order->acked);
     list_runs(worker, running, ended, texts);
     answer->status = CW_TARGET_OK;
+    answer->born_ms = worker->born_ms;
     answer->running = (const struct cw_running *)running->data;
     answer->running_count = running->len;
     answer->ended = (const struct cw_ended *)ended->data;
--- a/emulator/worker_model.h
+++ b/emulator/worker_model.h
@@ -40,10 +40,10 @@
     void (*confirmed)(void *context, const char *worker,
                       const struct cw_task_name *task, unsigned run,
                       enum cw_end_kind how, bool lapsed);
-    /* A task has crashed the worker; called for each run that was there. */
+    /* The worker has crashed; called for each run that was there. */
     void (*crashed)(void *context, const char *worker,
                     const struct cw_task_name *task);
-    /* ... and once for the worker: it is down. */
+    /* A task has crashed the worker: it is down. */
     void (*down)(void *context, struct worker_model *worker);
     /* Workers that do not guard their capacity: a start has brought one over
      * it.  Only where there are such. */
@@ -68,6 +68,11 @@
 struct worker_model *
 worker_fleet_revive(struct worker_fleet *fleet,
                     const struct worker_model *before, int64_t clock_ms);
+
+/* The next life of a worker that is down, under the same id: it knows nothing
+ * of before, and counts anew. */
+void worker_model_restart(struct worker_model *worker, int64_t clock_ms);
+
 unsigned worker_fleet_size(const struct worker_fleet *fleet);
 struct worker_model *worker_fleet_at(struct worker_fleet *fleet, unsigned i);
 struct worker_model *
@@ -82,6 +87,12 @@
 const char *worker_model_address(const struct worker_model *worker);
 const struct cw_resources *
 worker_model_capacity(const struct worker_model *worker);
+
+/* What it has beside what runs there. */
+struct cw_resources worker_model_free(const struct worker_model *worker);
+
+/* When its present life began, by its time of day. */
+int64_t worker_model_born_ms(const struct worker_model *worker);
 unsigned worker_model_running(const struct worker_model *worker);
 
 /* Its room shrinks, or grows again; what runs goes on. */
--- a/emulator/world.c
+++ b/emulator/world.c
@@ -27,8 +27,7 @@
 
 /* ---- workers' reports ---- */
 
-/* Each rack stands in a data centre of its own. */
-static void
+void
 world_dc_of_rack(const char *rack, char *dc, size_t size)
 {
     g_snprintf(dc, size, "d%s", rack + 1);
@@ -48,10 +47,11 @@
         .id = id, .service = "s", .address = address, .kind = "k"};
     bool ok =
         sscanf(copy,
-               "%31s %" SCNd64 " %" SCNd64 " %" SCNd64 " %d %" SCNd64 " %63s",
+               "%31s %" SCNd64 " %" SCNd64 " %" SCNd64 " %d %" SCNd64
+               " %63s %" SCNd64,
                rack, &report.capacity.cpu_milli, &report.capacity.memory_mb,
                &report.capacity.accelerators, &draining, &report.clock_ms,
-               address) == 7;
+               address, &report.born_ms) == 8;
 
     report.rack = rack;
     world_dc_of_rack(rack, dc, sizeof(dc));
@@ -89,11 +89,11 @@
             .topic = TARGETS_TOPIC, .records = &record, .count = 1};
 
         g_snprintf(text, sizeof(text),
-                   "%s %" PRId64 " %" PRId64 " %" PRId64 " %d 0 %s",
+                   "%s %" PRId64 " %" PRId64 " %" PRId64 " %d 0 %s %" PRId64,
                    worker_model_rack(worker), has->cpu_milli, has->memory_mb,
                    has->accelerators,
                    g_hash_table_contains(world->draining, id),
-                   worker_model_address(worker));
+                   worker_model_address(worker), worker_model_born_ms(worker));
         record.length = strlen(text);
         if (worker_model_dead(worker)) {
             record.value = NULL;
@@ -124,6 +124,7 @@
             }
         }
     }
+    world_look_for_waits(world);
     world_schedule(world, LOOK_EVERY_MS, look, NULL);
 }
 
@@ -155,21 +156,6 @@
     return judge_plan(world->judge, task, out);
 }
 
-/* What the account and the job say of places, read apart from the product. */
-static bool
-may_run_in(const struct world *world, const struct cw_task_name *task,
-           const char *dc)
-{
-    const struct cw_work_spec *spec =
-        judge_find(world->judge, task->job)->spec;
-    bool confined = strcmp(spec->account, "confined") == 0;
-    bool named =
-        spec->dcs.dcs_len == 0 || strcmp(spec->dcs.dcs_val[0], dc) == 0;
-
-    return named &&
-           (!confined || strcmp(dc, "d0") == 0 || strcmp(dc, "d1") == 0);
-}
-
 static void
 on_started(void *context, const char *worker, const struct cw_task_name *task,
            unsigned run)
@@ -186,7 +172,7 @@
     world_dc_of_rack(
         worker_model_rack(worker_fleet_find(world->fleet, worker)), dc,
         sizeof(dc));
-    if (!may_run_in(world, task, dc)) {
+    if (!world_may_run_in(world, judge_find(world->judge, task->job), dc)) {
         judge_misplaced(world->judge, task, run);
     }
 }
@@ -288,11 +274,12 @@
 on_down(void *context, struct worker_model *worker)
 {
     struct world *world = context;
+    bool same_id = world->options.restarts > 0 && world_chance(world, 50);
 
     world_disturb(world, CRASHED_DISTURBS_MS);
     world_schedule(world,
                    world_between(world, CRASHED_LEAST_MS, CRASHED_MOST_MS),
-                   revive, worker);
+                   same_id ? world_worker_again : revive, worker);
 }
 
 /* ---- a day ---- */
@@ -410,6 +397,10 @@
         world_schedule(world, world_between(world, 1500, options->day_ms),
                        shrink, NULL);
     }
+    for (unsigned i = 0; i < options->restarts; i++) {
+        world_schedule(world, world_between(world, 1500, options->day_ms),
+                       world_restart_workers, NULL);
+    }
     world_schedule(world, options->day_ms + 1000, world_heal_all, NULL);
 }
 
--- a/emulator/world.h
+++ b/emulator/world.h
@@ -20,6 +20,8 @@
     unsigned faults;   /* at most */
     unsigned crashing; /* jobs in a hundred that crash workers */
     unsigned shrinks;  /* times that a worker's room shrinks for a while */
+    unsigned restarts; /* times that workers crash and are back under their
+                          ids */
     bool unguarded;    /* workers start what does not fit */
     bool trace;        /* prints faults and answers with their time */
 };
--- a/emulator/world_faults.c
+++ b/emulator/world_faults.c
@@ -107,8 +107,8 @@
     store_model_deal(world->store, world_pick(world, 100), world->clock.now);
 }
 
-static struct worker_model *
-any_worker(struct world *world)
+struct worker_model *
+world_any_worker(struct world *world)
 {
     return worker_fleet_at(world->fleet,
                            world_pick(world, worker_fleet_size(world->fleet)));
@@ -121,7 +121,7 @@
 
     world_disturb(world, ms);
     for (unsigned i = world_between(world, 1, 3); i > 0; i--) {
-        const char *id = worker_model_id(any_worker(world));
+        const char *id = worker_model_id(world_any_worker(world));
 
         world_note(world, "cut %s for %u", id, ms);
         g_hash_table_insert(world->cut_workers, (gpointer)id,
@@ -132,7 +132,7 @@
 static void
 fault_crash_worker(struct world *world)
 {
-    struct worker_model *worker = any_worker(world);
+    struct worker_model *worker = world_any_worker(world);
     char *id = g_strdup_printf("w-%u-%u", worker_fleet_size(world->fleet),
                                world_pick(world, 1000));
 
@@ -156,7 +156,7 @@
 static void
 fault_hang(struct world *world)
 {
-    struct worker_model *worker = any_worker(world);
+    struct worker_model *worker = world_any_worker(world);
 
     world_note(world, "hang %s", worker_model_id(worker));
     world_disturb(world, 6000);
@@ -184,7 +184,7 @@
 static void
 fault_drain(struct world *world)
 {
-    struct worker_model *worker = any_worker(world);
+    struct worker_model *worker = world_any_worker(world);
     const char *id = worker_model_id(worker);
 
     /* A rack is a data centre here: with one worker left, a gang that may run
--- a/emulator/world_net.c
+++ b/emulator/world_net.c
@@ -5,6 +5,10 @@
 #include <string.h>
 
 enum {
+    /* On days on which workers start again, so many orders in a hundred are
+     * on their way for so long: from one life to the next. */
+    TARRY_PERCENT = 5,
+    TARRY_MOST_MS = 350,
     STORE_MS = 2, /* one way, as a rule */
     SLOW_STORE_MS = 120,
     WORKER_MS = 1, /* one way */
@@ -280,6 +284,19 @@
     return GPOINTER_TO_INT(until) > world->now_ms;
 }
 
+/* What a worker has got and not answered goes with its life: orders that it
+ * carries out late, and those that wait for news there. */
+static bool
+went_with_its_life(struct call *call, const struct worker_model *worker)
+{
+    int64_t born_ms = worker_model_born_ms(worker);
+
+    if (call->born_ms == 0) {
+        call->born_ms = born_ms;
+    }
+    return call->born_ms != born_ms;
+}
+
 /* Carries the order out; its answer goes back unless something is cut. */
 static void
 arrive_order(struct world *world, void *context)
@@ -288,7 +305,9 @@
     struct worker_model *worker =
         worker_fleet_at_address(world->fleet, call->address);
 
-    if (worker == NULL || worker_cut(world, worker_model_id(worker))) {
+    if (worker == NULL || worker_cut(world, worker_model_id(worker)) ||
+        went_with_its_life(call, worker))
+    {
         world_call_release(call);
         return;
     }
@@ -311,6 +330,15 @@
     world_call_release(call);
 }
 
+static unsigned
+order_delay(struct world *world)
+{
+    if (world->options.restarts > 0 && world_chance(world, TARRY_PERCENT)) {
+        return world_between(world, 1, TARRY_MOST_MS);
+    }
+    return world_between(world, 1, 2 * WORKER_MS);
+}
+
 static void
 port_order(struct cw_targets *targets, const struct cw_target_order *order)
 {
@@ -335,12 +363,15 @@
     }
     if (world->orders_late_until_ms > world->now_ms && world_chance(world, 10))
     {
+        const struct worker_model *worker =
+            worker_fleet_at_address(world->fleet, call->address);
+
+        call->born_ms = worker != NULL ? worker_model_born_ms(worker) : 0;
         hold_event(world, call, world_between(world, 2000, 9000),
                    arrive_order);
         return;
     }
-    hold_event(world, call, world_between(world, 1, 2 * WORKER_MS),
-               arrive_order);
+    hold_event(world, call, order_delay(world), arrive_order);
 }
 
 const struct cw_targets_ops world_targets_port = {.order = port_order};
--- a/standins/platform_standin.c
+++ b/standins/platform_standin.c
@@ -9,8 +9,10 @@
  * works, "members=N" that it is one of a gang of so many, "fails=N" how many
  * of its runs fail, "echo=TEXT" what its end says beside the job's id, and
  * "crash=1" that its first task crashes each worker that starts it: the worker
- * answers nothing for a while, and is then another life.  SIGUSR1 makes the
- * store refuse all calls, SIGUSR2 makes it serve again. */
+ * answers nothing for a while, and is then another life, under another id;
+ * with "crash=2" under the id that it had.  SIGUSR1 makes the store refuse all
+ * calls, SIGUSR2 makes it serve again; SIGHUP crashes every third worker at
+ * once, and they are back under their ids. */
 #include <argp.h>
 #include <inttypes.h>
 #include <pthread.h>
@@ -79,16 +81,21 @@
 static bool
 revive(struct platform *platform, struct worker_server *worker)
 {
-    const struct worker_model *before =
+    struct worker_model *before =
         worker_fleet_find(platform->fleet, worker->id);
     const struct worker_model *after;
 
     if (!worker_model_dead(before)) {
         return true;
     }
-    if (standin_now_ms() - worker->down_ms < DOWN_MS) {
+    if (standin_now_ms() - worker->down_ms < worker->away_ms) {
         return false;
     }
+    if (worker->same_id) {
+        worker_model_restart(before, 1);
+        printf("restarted worker=%s\n", worker->id);
+        return true;
+    }
     after = worker_fleet_revive(platform->fleet, before, 0);
     put_record(platform, "keyed.servers", worker->id, NULL);
     printf("revived worker=%s as=%s\n", worker->id, worker_model_id(after));
@@ -111,15 +118,48 @@
             "{\"service\":\"service\",\"address\":\"%s\",\"zone\":\"%s\","
             "\"slots\":8,\"state\":\"ready\",\"capacity\":{\"cpu\":%d,"
             "\"mem_mb\":%d,\"gpus\":%d},\"labels\":[\"a\",\"%s\"],"
-            "\"clock_ms\":%" PRId64 "}",
+            "\"clock_ms\":%" PRId64 ",\"born\":%" PRId64 "}",
             worker->reported, worker->dc, CPU_MILLI, MEMORY_MB, ACCELERATORS,
-            worker->rack, standin_now_ms());
+            worker->rack, standin_now_ms(),
+            worker_model_born_ms(
+                worker_fleet_find(platform->fleet, worker->id)));
 
         put_record(platform, "keyed.servers", worker->id, text);
         g_free(text);
     }
 }
 
+/* Reports come each 1.5 s, but a worker may be back sooner. */
+static void
+revive_all(struct platform *platform)
+{
+    for (guint i = 0; i < platform->workers->len; i++) {
+        (void)revive(platform, platform->workers->pdata[i]);
+    }
+}
+
+/* Every third worker from a changing one on crashes, and is back under its id
+ * after 50 ms to 1.8 s. */
+static void
+crash_workers(struct platform *platform)
+{
+    for (guint i = platform->crashes++ % CRASH_EVERY;
+         i < platform->workers->len; i += CRASH_EVERY)
+    {
+        struct worker_server *worker = platform->workers->pdata[i];
+        struct worker_model *model =
+            worker_fleet_find(platform->fleet, worker->id);
+
+        if (!worker_model_dead(model)) {
+            worker_model_crash(model);
+            worker->down_ms = standin_now_ms();
+            worker->away_ms = AGAIN_LEAST_MS + i * AGAIN_STEP_MS;
+            worker->same_id = true;
+        }
+    }
+    platform->same_id = false;
+}
+
 static struct cw_http_server *
 serve(void (*handle)(void *, struct cw_http_call *), void *context)
 {
@@ -267,27 +307,36 @@
     sigaddset(&signals, SIGINT);
     sigaddset(&signals, SIGUSR1);
     sigaddset(&signals, SIGUSR2);
+    sigaddset(&signals, SIGHUP);
     return signals;
 }
 
 static void
 run_until_told(struct platform *platform)
 {
-    struct timespec step = cw_time_from_ms(REPORT_EVERY_MS);
+    struct timespec step = cw_time_from_ms(REVIVE_EVERY_MS);
     sigset_t signals = told_signals();
+    int64_t report_ms = 0;
     int told;
 
     do {
         pthread_mutex_lock(&platform->lock);
-        report(platform);
+        revive_all(platform);
+        if (standin_now_ms() >= report_ms) {
+            report(platform);
+            report_ms = standin_now_ms() + REPORT_EVERY_MS;
+        }
         worker_fleet_advance(platform->fleet, standin_now_ms());
         pthread_mutex_unlock(&platform->lock);
         told = sigtimedwait(&signals, NULL, &step);
+        pthread_mutex_lock(&platform->lock);
         if (told == SIGUSR1 || told == SIGUSR2) {
-            pthread_mutex_lock(&platform->lock);
             platform->away = told == SIGUSR1;
-            pthread_mutex_unlock(&platform->lock);
         }
+        if (told == SIGHUP) {
+            crash_workers(platform);
+        }
+        pthread_mutex_unlock(&platform->lock);
     } while (told != SIGTERM && told != SIGINT);
 }
 
@@ -322,6 +371,8 @@
     platform.workers = g_ptr_array_new();
     platform.active =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    platform.done =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     platform.payloads =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     if (platform.config_path != NULL && !load_config(&platform)) {
--- a/standins/platform_standin.h
+++ b/standins/platform_standin.h
@@ -16,7 +16,14 @@
     WAIT_STEP_MS = 10,
     PROXY_TRIES = 1000, /* steps to wait for the proxy's file: 10 s */
     REPORT_EVERY_MS = 1500,
-    DOWN_MS = 1000, /* a worker that crashed is away for so long at least */
+    REVIVE_EVERY_MS = 20,
+    DOWN_MS = 1000, /* a worker that its task crashed is away for so long */
+    /* Of the workers, those that crash together, and how long they are away:
+     * so much and more for each worker before it. */
+    CRASH_EVERY = 3,
+    AGAIN_LEAST_MS = 50,
+    AGAIN_STEP_MS = 150,
+    SAME_ID = 2, /* "crash=2" in a payload */
     LENGTH_BYTES = 4,
     ACCELERATORS = 8,
     CPU_MILLI = 32000,
@@ -39,12 +46,17 @@
     GHashTable *payloads;   /* of jobs, by id */
     unsigned violations;    /* two runs of a task at once */
     GHashTable *active;     /* task's name -> runs */
+    GHashTable *done;       /* names of tasks with a confirmed end */
+    unsigned crashes;       /* times that workers were crashed together */
+    bool same_id;           /* a worker that a task crashes now keeps its id */
 };
 
 struct worker_server {
     struct platform *platform;
     char *id;
     int64_t down_ms; /* when it crashed last */
+    int64_t away_ms; /* for so long */
+    bool same_id;    /* of its next life */
     char *dc;
     char *rack;
     char *address;
@@ -57,6 +69,7 @@
     struct worker_server *worker;
     struct cw_http_call *call;
     int64_t until_ms;
+    int64_t born_ms; /* of the life of the worker that got it; 0 none yet */
 };
 
 /* Milliseconds of the steady clock. */
--- a/standins/platform_workers.c
+++ b/standins/platform_workers.c
@@ -56,8 +56,9 @@
                              cw_end_kind_name(row->how), text));
         g_free(text);
     }
-    return json_pack("{s:I, s:o, s:o}", "clock_ms",
-                     (json_int_t)answer->clock_ms, "running", running, "ended",
+    return json_pack("{s:I, s:I, s:o, s:o}", "clock_ms",
+                     (json_int_t)answer->clock_ms, "born",
+                     (json_int_t)answer->born_ms, "running", running, "ended",
                      ended);
 }
 
@@ -179,7 +180,13 @@
         pthread_mutex_lock(&platform->lock);
         worker_fleet_advance(platform->fleet, standin_now_ms());
         worker = worker_fleet_find(platform->fleet, waiting->worker->id);
-        if (!worker_model_dead(worker)) {
+        if (waiting->born_ms == 0) {
+            waiting->born_ms = worker_model_born_ms(worker);
+        }
+        /* What waits in a worker goes with its life. */
+        if (!worker_model_dead(worker) &&
+            waiting->born_ms == worker_model_born_ms(worker))
+        {
             worker_model_order(worker, &order, standin_now_ms(), &answer,
                                running, ended, texts);
         }
@@ -267,6 +274,10 @@
         printf("violation twice task=%s\n", name);
         platform->violations++;
     }
+    if (g_hash_table_contains(platform->done, name)) {
+        printf("violation done task=%s\n", name);
+        platform->violations++;
+    }
     fflush(stdout);
     g_hash_table_insert(platform->active, name, GUINT_TO_POINTER(active + 1));
 }
@@ -284,25 +295,31 @@
     g_hash_table_insert(platform->active, name, GUINT_TO_POINTER(0));
 }
 
+/* One end stands for a whole gang, whose members are not known by it. */
 static void
 on_confirmed(void *context, const char *worker,
              const struct cw_task_name *task, unsigned run,
              enum cw_end_kind how, bool lapsed)
 {
-    (void)context;
+    struct platform *platform = context;
+
     (void)worker;
-    (void)task;
     (void)run;
-    (void)how;
-    (void)lapsed;
+    if (how == CW_END_KIND_DONE && !lapsed) {
+        g_hash_table_add(platform->done, name_of(task));
+    }
 }
 
 static void
 on_crashed(void *context, const char *worker, const struct cw_task_name *task)
 {
+    struct platform *platform = context;
+    const char *payload = g_hash_table_lookup(platform->payloads, task->job);
     char *name = name_of(task);
 
-    (void)context;
+    if (payload != NULL && number_in(payload, "crash", 0) == SAME_ID) {
+        platform->same_id = true;
+    }
     printf("crashed task=%s worker=%s\n", name, worker);
     fflush(stdout);
     g_free(name);
@@ -318,8 +335,11 @@
 
         if (strcmp(server->id, worker_model_id(worker)) == 0) {
             server->down_ms = standin_now_ms();
+            server->away_ms = DOWN_MS;
+            server->same_id = platform->same_id;
         }
     }
+    platform->same_id = false;
 }
 
 struct worker_listener
--- /dev/null
+++ b/tests/test_restarts.c
@@ -0,0 +1,243 @@
+/* Workers that crash and start again under their ids.
+ *
+ * Seen: tasks were started again although a run of them had ended as done and
+ * that end had been confirmed to the worker; and steps that could run did not,
+ * as the owner repeated tasks of an earlier step that had been done long ago.
+ * How: a worker that starts again numbers its ends from 1.  Each look told it
+ * that all ends up to the number that its former life had reached were stored,
+ * so it forgot those of its new life before anybody had seen them.  A run in
+ * neither list is taken for lost, and its task is placed again.
+ * Cause: what was remembered under a worker's id was taken for the worker's,
+ * and was its life's: the numbers of its ends, the crashes that its silence
+ * stood for, the stops and leases that it had confirmed.
+ * Proof: the tests below failed; the first one is the incident's way. */
+#include "test_main.h"
+
+#include "owner/internal/owner_crashes.h"
+#include "owner_site.h"
+
+enum {
+    FIRST_BORN_MS = 1000,
+    STARTS_TRIED = 12,
+    /* Of a task that crashes workers: three crash, and it may be started twice
+     * more. */
+    STARTS_MOST = 5
+};
+
+static const struct cw_step_spec one = {.tasks = 1, .accelerators = 4};
+
+/* Lets the owner attend to the worker; what it sends waits for its answer. */
+static void
+tick(struct site *site, struct owner_target *target, unsigned ms)
+{
+    site->clock.now = cw_time_add_ms(site->clock.now, ms);
+    site->owner->proof_at = site->clock.now;
+    owner_orders_send(site->owner, target, site->clock.now);
+    owner_hold_tick(site->owner, target, site->clock.now);
+}
+
+/* Waits until the owner looks at the worker. */
+static void
+await_look(struct site *site, struct owner_target *target)
+{
+    for (unsigned i = 0; i < 500 && !target->hold_in_flight; i++) {
+        tick(site, target, 10);
+    }
+    CU_ASSERT_TRUE_FATAL(target->hold_in_flight);
+    CU_ASSERT_EQUAL_FATAL(last_order.kind, CW_ORDER_HOLD);
+}
+
+/* Answers the last order, a look; NULL: nothing of the kind is listed. */
+static void
+answer_look(int64_t born_ms, const struct cw_running *running,
+            const struct cw_ended *ended)
+{
+    const struct cw_target_answer answer = {
+        .status = CW_TARGET_OK,
+        .clock_ms = 1,
+        .born_ms = born_ms,
+        .running = running,
+        .running_count = running != NULL,
+        .ended = ended,
+        .ended_count = ended != NULL,
+    };
+
+    g_array_set_size(unanswered, unanswered->len - 1);
+    last_order.done(last_order.context, &answer);
+}
+
+/* As if the batch with what the ends led to had been stored. */
+static void
+store_ends(struct owner_target *target)
+{
+    target->ends_in_batch = target->ends_applied;
+    target->ends_durable = target->ends_applied;
+    target->hold_due = cw_time_from_ms(0);
+}
+
+/* As if the starts of the job's placed runs had been confirmed just now. */
+static void
+confirm_starts(struct site *site, struct owner_job *job)
+{
+    for (unsigned i = 0; i < step_of(job)->count; i++) {
+        struct owner_run *run = step_of(job)->tasks[i].run;
+
+        if (run != NULL && run->phase == RUN_NEW) {
+            run->phase = RUN_RUNNING;
+            run->started_at = site->clock.now;
+            run->progress_at = site->clock.now;
+        }
+    }
+}
+
+/* Places a job and starts it.  Returns its worker. */
+static struct owner_target *
+start_job(struct site *site, struct owner_job *job)
+{
+    for (unsigned i = 0; i < 500 && placed(job) == 0; i++) {
+        pass(site, 10);
+    }
+    confirm_starts(site, job);
+    return (struct owner_target *)place_of(job, 0);
+}
+
+static struct cw_ended
+end_of(const struct owner_job *job, uint64_t number)
+{
+    struct cw_ended ended = {.number = number,
+                             .task = owner_task_name(&step_of(job)->tasks[0]),
+                             .run = step_of(job)->tasks[0].last_run,
+                             .how = CW_END_KIND_DONE,
+                             .saved = ""};
+
+    return ended;
+}
+
+/* A job is done on the worker, which numbers its end, and is told that this is
+ * stored. */
+static void
+work_and_confirm(struct site *site, struct owner_target *target,
+                 struct owner_job *job, int64_t born_ms, uint64_t number)
+{
+    struct cw_ended ended = end_of(job, number);
+
+    await_look(site, target);
+    answer_look(born_ms, NULL, &ended);
+    CU_ASSERT_EQUAL(job->phase, CW_WORK_COMPLETED);
+    store_ends(target);
+    await_look(site, target);
+    CU_ASSERT_EQUAL(last_order.acked, number);
+    answer_look(born_ms, NULL, NULL);
+}
+
+/* The incident's way: its looks are not answered for a while. */
+static void
+test_ends_of_the_next_life_are_seen(void)
+{
+    struct site site;
+    struct owner_job *job;
+    struct owner_target *target;
+    struct cw_ended ended;
+
+    site_begin(&site);
+    job = add_job(&site, 0, &one);
+    target = start_job(&site, job);
+    work_and_confirm(&site, target, job, FIRST_BORN_MS, 1);
+    await_look(&site, target);
+    answer_last(CW_TARGET_UNKNOWN);
+    await_look(&site, target);
+    CU_ASSERT_EQUAL(last_order.acked, 0);
+    answer_look(FIRST_BORN_MS + 1, NULL, NULL);
+    job = add_job(&site, 0, &one);
+    owner_run_create(site.owner, &step_of(job)->tasks[0], target, RUN_NEW, 1);
+    confirm_starts(&site, job);
+    await_look(&site, target);
+    CU_ASSERT_EQUAL(last_order.acked, 0);
+    ended = end_of(job, 1);
+    answer_look(FIRST_BORN_MS + 1, NULL, &ended);
+    CU_ASSERT_EQUAL(job->phase, CW_WORK_COMPLETED);
+    site_end(&site);
+}
+
+/* It is away for less than the pause between two looks, and starts a run
+ * before it is looked at again. */
+static void
+test_an_end_is_not_confirmed_to_a_life_that_was_not_seen(void)
+{
+    struct site site;
+    struct owner_job *job;
+    struct owner_target *target;
+
+    site_begin(&site);
+    job = add_job(&site, 0, &one);
+    target = start_job(&site, job);
+    work_and_confirm(&site, target, job, FIRST_BORN_MS, 1);
+    job = add_job(&site, 0, &one);
+    owner_run_create(site.owner, &step_of(job)->tasks[0], target, RUN_NEW, 1);
+    confirm_starts(&site, job);
+    await_look(&site, target);
+    CU_ASSERT_EQUAL(last_order.acked, 0);
+    answer_last(CW_TARGET_UNKNOWN);
+    site_end(&site);
+}
+
+/* Looks at the worker until it answers as a life that holds nothing. */
+static void
+crash_and_answer(struct site *site, struct owner_target *target,
+                 int64_t born_ms)
+{
+    await_look(site, target);
+    answer_last(CW_TARGET_UNKNOWN);
+    await_look(site, target);
+    answer_look(born_ms, NULL, NULL);
+}
+
+/* Each worker is looked at once: its first life is known. */
+static void
+look_at_all(struct site *site)
+{
+    GHashTableIter iterator;
+    gpointer value;
+
+    g_hash_table_iter_init(&iterator, site->owner->targets);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        struct owner_target *target = value;
+
+        target->answered = false;
+        await_look(site, target);
+        answer_look(FIRST_BORN_MS, NULL, NULL);
+    }
+}
+
+/* A task that crashes its worker is bounded, whatever the id of the next
+ * life. */
+static void
+test_a_crash_under_the_same_id_counts(void)
+{
+    struct site site;
+    struct owner_job *job;
+    unsigned starts = 0;
+
+    site_begin(&site);
+    look_at_all(&site);
+    job = add_job(&site, 0, &one);
+    for (; starts < STARTS_TRIED && !cw_work_is_over(job->phase); starts++) {
+        struct owner_target *target = start_job(&site, job);
+
+        if (target == NULL) {
+            break;
+        }
+        crash_and_answer(&site, target, FIRST_BORN_MS + 1 + starts);
+    }
+    CU_ASSERT_TRUE(starts <= STARTS_MOST);
+    CU_ASSERT_EQUAL(job->phase, CW_WORK_FAILED);
+    site_end(&site);
+}
+
+static const struct test tests[] = {
+    {"next life's ends", test_ends_of_the_next_life_are_seen},
+    {"unseen life", test_an_end_is_not_confirmed_to_a_life_that_was_not_seen},
+    {"crash counts", test_a_crash_under_the_same_id_counts},
+};
+
+TEST_MAIN("restarts", tests)
--- a/tests/test_world.c
+++ b/tests/test_world.c
@@ -12,7 +12,10 @@
     FIXED_DAYS = 250,
     CRASHING_SEED = 900000,
     CRASHING_DAYS = 100,
-    CRASHING_PERCENT = 5
+    CRASHING_PERCENT = 5,
+    RESTARTS_SEED = 960000,
+    RESTARTS_DAYS = 100,
+    RESTARTS = 6
 };
 
 static struct world_options
@@ -128,6 +131,30 @@
     g_free(result.faults);
 }
 
+/* Six times a day workers crash and are back under their ids: alone or
+ * together, within their lease or after it, twice in a row, behind a cut.  On
+ * 93 of the 100 days something was done twice (see test_restarts). */
+static void
+test_workers_that_start_again_under_their_ids(void)
+{
+    unsigned clean = 0;
+
+    for (uint32_t i = 0; i < RESTARTS_DAYS; i++) {
+        struct world_options options = day(RESTARTS_SEED + i);
+        struct world_result result;
+
+        options.restarts = RESTARTS;
+        world_play(&options, &result);
+        clean += result.violation == NULL;
+        if (result.violation != NULL) {
+            printf("restarts, seed %u: %s\n", options.seed, result.violation);
+        }
+        g_free(result.violation);
+        g_free(result.faults);
+    }
+    CU_ASSERT_EQUAL(clean, RESTARTS_DAYS);
+}
+
 /* Seeds that once ended with a violation, each with its cause. */
 static void
 test_seeds_that_once_failed(void)
@@ -157,6 +184,7 @@
     {"seeds that once failed", test_seeds_that_once_failed},
     {"crashing tasks", test_tasks_that_crash_workers_are_given_up},
     {"all together", test_all_of_it_together},
+    {"restarts", test_workers_that_start_again_under_their_ids},
 };
 
 TEST_MAIN("world", tests)
