One job that fails says nothing of the worker

Cause: a worker was avoided for 7 s after tasks of one job had failed there twice, though most jobs that fail do so by their own fault. With two of its tasks on a worker of each rack no rack was left for a gang, on an idle service.

--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -140,13 +140,6 @@
     unsigned runs;
 };
 
-/* What failed on a worker last; all members of a gang count as one. */
-struct owner_failed {
-    unsigned job; /* hash of its id */
-    unsigned step;
-    unsigned index;
-};
-
 /* What holds for one life of a worker.  A worker that crashes may start again
  * under its id: it knows nothing of before and counts from 1, so all of this
  * is dropped at once; owner_lives.c. */
@@ -161,9 +154,9 @@
     uint64_t ends_in_batch;
     uint64_t ends_durable;
     uint64_t ends_confirmed;
-    struct timespec heard_at; /* a look was answered */
-    unsigned failures;        /* tasks, or gangs, that failed there in a row */
-    struct owner_failed failed;
+    struct timespec heard_at;      /* a look was answered */
+    unsigned failures;             /* jobs whose tasks failed there in a row */
+    unsigned failed_job;           /* the last of them: hash of its id */
     struct timespec suspect_until; /* it failed or stalled work */
     struct timespec slow_until;    /* its tasks come on slowly */
     double speed; /* against the others'; 1 while nothing is known */
--- a/src/owner/owner_targets.c
+++ b/src/owner/owner_targets.c
@@ -5,11 +5,13 @@
 
 enum {
     LEASE_SLACK_MS = 200,
-    /* Two tasks, or gangs, in a row have failed there: it may fail all that
-     * it starts.  One says nothing, as most that fail are at fault
+    /* Tasks of two jobs in a row have failed there: it may fail all that it
+     * starts.  One job says nothing, as most that fail are at fault
      * themselves: avoiding the worker for 2.5 s after each cost room and
-     * gained nothing (120 pairs of days on four sites: +0.005 of worth
-     * without it). */
+     * gained nothing (120 pairs of days on four sites: +0.005 of worth without
+     * it).  Its tasks together say no more: with two of them on a worker of
+     * each rack, a gang that belongs into one rack waited 7 s for an idle
+     * one. */
     BLAMED_BY_LEAST = 2,
     BLAME_MS = 7000,
     /* What a worker that does not guard its room says of it is built on for
@@ -387,26 +389,20 @@
 owner_target_blame(struct owner_target *target, const struct owner_task *task,
                    struct timespec now)
 {
-    const struct cw_task_name name = owner_task_name(task);
-    const struct owner_failed failed = {
-        .job = g_str_hash(name.job),
-        .step = name.step,
-        .index = task->step->spec->gang ? 0 : name.index,
-    };
-
-    if (target->life.failures > 0 &&
-        memcmp(&failed, &target->life.failed, sizeof(failed)) == 0)
-    {
+    const char *id = owner_task_job(task)->spec->id;
+    unsigned job = g_str_hash(id);
+
+    if (target->life.failures > 0 && target->life.failed_job == job) {
         return;
     }
-    target->life.failed = failed;
+    target->life.failed_job = job;
     target->life.failures++;
     if (target->life.failures < BLAMED_BY_LEAST) {
         return;
     }
     target->life.suspect_until = cw_time_add_ms(now, BLAME_MS);
     cw_log_info("worker_suspect", "worker=%s failures=%u id=%s", target->id,
-                target->life.failures, name.job);
+                target->life.failures, id);
 }
 
 void
