Test that fails: a late start of a lost run meets the worker's next life

Cause: a start without an answer may be carried out late; the life that knew that the run was over is gone, and nothing shuts the start out of the next one. Found by reading: what a repeated order leaves behind under a worker's id.

--- a/tests/test_restarts.c
+++ b/tests/test_restarts.c
@@ -374,6 +374,40 @@
     site_end(&site);
 }
 
+static unsigned
+stops_queued(const struct owner_target *target)
+{
+    unsigned count = 0;
+
+    for (const GList *at = target->orders.head; at != NULL; at = at->next) {
+        count += ((struct owner_order *)at->data)->kind == CW_ORDER_STOP;
+    }
+    return count;
+}
+
+/* One that had no answer may still be carried out, by the next life: it knows
+ * neither that the run was there nor that it is over. */
+static void
+test_a_start_of_a_lost_run_that_may_come_late_is_shut_out(void)
+{
+    struct site site;
+    struct owner_target *target = first_worker(&site);
+    struct owner_job *job = add_job(&site, 0, &one);
+    struct owner_run *run = send_start(&site, target, job);
+    const struct cw_running listed = {
+        .task = owner_task_name(run->task), .run = 1, .saved = ""};
+
+    run->unanswered = 1;
+    answer_start();
+    await_look(&site, target);
+    answer_look(FIRST_BORN_MS, &listed, NULL);
+    await_look(&site, target);
+    answer_look(FIRST_BORN_MS + 1, NULL, NULL);
+    CU_ASSERT_EQUAL(placed(job), 0);
+    CU_ASSERT_EQUAL(stops_queued(target), 1);
+    site_end(&site);
+}
+
 /* It is cut off from this VM and has told the store that it is another life:
  * its runs need not be waited for until their lease is over. */
 static void
@@ -475,6 +509,7 @@
     {"not sent", test_a_start_that_was_not_sent_goes_elsewhere},
     {"stop again", test_a_stop_that_the_former_life_confirmed_is_sent_again},
     {"goes on", test_a_run_that_the_next_life_lists_goes_on},
+    {"late start", test_a_start_of_a_lost_run_that_may_come_late_is_shut_out},
     {"report", test_a_report_of_the_next_life_ends_the_wait},
     {"take-over", test_a_new_owner_sees_that_a_worker_has_crashed},
     {"once", test_once_only_work_of_a_former_life_is_not_begun_again},
