--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -630,6 +630,10 @@
 /* A worker's report is by a life that began then. */
 void owner_life_reported(struct owner_target *target, int64_t born_ms);
 
+/* The run went with a former life.  If a start of it had no answer, and may be
+ * carried out late, the present one is told to stop it: it then refuses. */
+void owner_life_shut_out(const struct owner_run *run);
+
 /* A worker goes silent.  A start that is on its way may meet its next life,
  * whose clock is another: its lease lasts as long as one may, from then on. */
 void owner_life_unsure(struct owner_target *target);
--- a/src/owner/owner_holds.c
+++ b/src/owner/owner_holds.c
@@ -183,6 +183,7 @@
 
         if (owner_run_is_of_another(run, answer->born_ms)) {
             owner_crashes_collect(run, owner_now(owner));
+            owner_life_shut_out(run);
         }
     }
     for (guint i = 0; i < absent->len; i++) {
--- a/src/owner/owner_lives.c
+++ b/src/owner/owner_lives.c
@@ -79,6 +79,17 @@
     return true;
 }
 
+void
+owner_life_shut_out(const struct owner_run *run)
+{
+    struct cw_task_name name = owner_task_name(run->task);
+
+    if (run->unanswered > 0) {
+        owner_order_queue(run->target->owner, run->target, CW_ORDER_STOP,
+                          &name, run->number);
+    }
+}
+
 void
 owner_life_unsure(struct owner_target *target)
 {
