--- a/tests/test_capacity.c
+++ b/tests/test_capacity.c
@@ -209,6 +209,34 @@
     site_end(&site);
 }
 
+/* Sent without an answer while the worker was down; when it is heard again its
+ * room is smaller. */
+static void
+test_a_start_is_not_sent_again_to_one_that_has_shrunk(void)
+{
+    struct site site;
+    struct owner_target *target;
+    struct owner_job *job;
+    struct owner_run *run;
+    struct cw_task_name name;
+
+    site_begin(&site);
+    target = leave_one(&site);
+    job = add_job(&site, 0, &whole);
+    pass(&site, 10);
+    run = step_of(job)->tasks[0].run;
+    run->phase = RUN_STARTING;
+    run->unanswered = 1;
+    target->capacity.accelerators = 4;
+    site.owner->proof_at = site.clock.now;
+    name = owner_task_name(run->task);
+    owner_order_queue(site.owner, target, CW_ORDER_START, &name, run->number);
+    owner_orders_send(site.owner, target, site.clock.now);
+    CU_ASSERT_EQUAL(last_order.kind, CW_ORDER_STOP);
+    CU_ASSERT_TRUE(run->stopping);
+    site_end(&site);
+}
+
 static const struct test tests[] = {
     {"grows", test_a_room_that_grows_is_used_at_once},
     {"old report", test_an_old_report_of_an_unguarded_worker_is_not_built_on},
@@ -216,6 +244,7 @@
     {"to go", test_a_run_that_is_to_go_still_takes_room},
     {"before it shrank",
      test_a_start_decided_before_the_worker_shrank_is_not_sent},
+    {"sent again", test_a_start_is_not_sent_again_to_one_that_has_shrunk},
     {"before an outage", test_a_start_decided_before_an_outage_is_not_sent},
 };
 
