Room is looked at before a start is sent again

Change: the check that holds a first start back holds a repeated one back too; as it may have been carried out, the run is stopped there first.

--- a/src/owner/owner_orders.c
+++ b/src/owner/owner_orders.c
@@ -277,14 +277,17 @@
         owner_run_drop(order->owner, run);
         return false;
     }
-    if (!run->stopping && run->phase == RUN_READY &&
-        (!has_room_still(run->target, now) || run->target->silent > 0))
+    if (run->stopping) {
+        return false;
+    }
+    if (!has_room_still(run->target, now) ||
+        (run->phase == RUN_READY && run->target->silent > 0))
     {
         /* It would be refused, or would crowd the worker, or wait there. */
         fall_back(order->owner, run);
         return false;
     }
-    return !run->stopping;
+    return true;
 }
 
 /* True if the order is a start that was sent before, to a worker that has gone
