Test that fails: once-only work is begun again by a worker's next life

Cause: a start without an answer is sent again under its number, which one life takes for the same run; the next life begins it anew.

--- a/emulator/judge.c
+++ b/emulator/judge.c
@@ -25,6 +25,7 @@
     unsigned crashes;        /* of workers, under it */
     unsigned starts_beyond;  /* after the most crashes that are borne */
     unsigned worked_run;     /* of a job that may be begun once: that worked */
+    bool worked_over;        /* ... and has ended, however */
     unsigned present_run;    /* that runs now; 0 none */
     GHashTable *failed_runs; /* of a gang: runs that were counted */
 };
@@ -253,7 +254,8 @@
         first.index = 0; /* stands for the gang */
     }
     truth = truth_of(judge, &first);
-    if (truth->worked_run != 0 && truth->worked_run != run) {
+    if (truth->worked_over ||
+        (truth->worked_run != 0 && truth->worked_run != run)) {
         violate_task(judge, "ONCE begun a second time", task, run);
     }
     truth->worked_run = run;
@@ -302,12 +304,30 @@
     }
 }
 
+/* The same run may be begun anew by a worker that has started again. */
+static void
+note_once_over(struct judge *judge, const struct cw_task_name *task,
+               unsigned run)
+{
+    struct cw_task_name first = *task;
+    struct task_truth *truth;
+
+    if (step_of(judge, task)->gang) {
+        first.index = 0;
+    }
+    truth = truth_of(judge, &first);
+    truth->worked_over = truth->worked_over || truth->worked_run == run;
+}
+
 void
 judge_ended(struct judge *judge, const struct cw_task_name *task, unsigned run,
             enum cw_end_kind how, bool calm)
 {
     struct task_truth *truth = truth_of(judge, task);
 
+    if (judge_find(judge, task->job)->spec->once) {
+        note_once_over(judge, task, run);
+    }
     truth->running--;
     judge_find(judge, task->job)->running--;
     truth->present_run = 0;
--- a/emulator/world_net.c
+++ b/emulator/world_net.c
@@ -9,6 +9,8 @@
      * on their way for so long: from one life to the next. */
     TARRY_PERCENT = 5,
     TARRY_MOST_MS = 350,
+    /* ... and so many are carried out and not answered. */
+    UNANSWERED_PERCENT = 2,
     STORE_MS = 2, /* one way, as a rule */
     SLOW_STORE_MS = 120,
     WORKER_MS = 1, /* one way */
@@ -319,11 +321,14 @@
         call->answer.status == CW_TARGET_OK && call->answer.ended_count == 0 &&
         world->now_ms < call->wait_until_ms && !call->ended)
     {
+        call->order.lease_until_ms = 0; /* given once, as it arrived */
         hold_event(world, call, READ_POLL_MS, arrive_order);
         world_call_release(call);
         return;
     }
-    if (!call->ended) {
+    if (!call->ended && !(world->options.restarts > 0 &&
+                          world_chance(world, UNANSWERED_PERCENT)))
+    {
         hold_event(world, call, world_between(world, 1, 2 * WORKER_MS),
                    deliver);
     }
--- a/include/curlewcart/cw_http_server.h
+++ b/include/curlewcart/cw_http_server.h
@@ -21,6 +21,9 @@
     /* Handles a call, on one of the server's threads.  It must lead to
      * exactly one cw_http_answer, now or later. */
     void (*handle)(void *context, struct cw_http_call *call);
+    /* Called as a connection is made; its calls tell what it returned.  May
+     * be NULL. */
+    int64_t (*mark)(void *context);
     void *context;
 };
 
@@ -53,6 +56,9 @@
 const char *cw_http_call_query(struct cw_http_call *call, const char *name);
 const char *cw_http_call_body(const struct cw_http_call *call, size_t *length);
 
+/* What `mark` returned for the call's connection; 0 without. */
+int64_t cw_http_call_mark(const struct cw_http_call *call);
+
 /* True if the body exceeded the limit (it was not kept). */
 bool cw_http_call_too_large(const struct cw_http_call *call);
 
--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -193,6 +193,39 @@
     *state = NULL;
 }
 
+/* ---- marks of connections ---- */
+
+static void
+on_connection(void *context, struct MHD_Connection *connection, void **state,
+              enum MHD_ConnectionNotificationCode code)
+{
+    const struct cw_http_server *server = context;
+
+    (void)connection;
+    if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+        int64_t *mark = g_new(int64_t, 1);
+
+        *mark = server->options.mark(server->options.context);
+        *state = mark;
+    }
+    else {
+        g_clear_pointer(state, g_free);
+    }
+}
+
+int64_t
+cw_http_call_mark(const struct cw_http_call *call)
+{
+    const union MHD_ConnectionInfo *info;
+
+    if (call->server->options.mark == NULL) {
+        return 0;
+    }
+    info = MHD_get_connection_info(call->connection,
+                                   MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+    return info != NULL ? *(const int64_t *)info->socket_context : 0;
+}
+
 static struct MHD_Daemon *
 start(struct cw_http_server *server, const struct sockaddr_in *address)
 {
@@ -205,6 +238,10 @@
         {MHD_OPTION_END, 0, NULL},
     };
     struct MHD_OptionItem none[] = {{MHD_OPTION_END, 0, NULL}};
+    struct MHD_OptionItem marks[] = {
+        {MHD_OPTION_NOTIFY_CONNECTION, (intptr_t)on_connection, server},
+        {MHD_OPTION_END, 0, NULL},
+    };
 
     if (o->tls_certificate != NULL) {
         flags |= MHD_USE_TLS;
@@ -216,7 +253,7 @@
         MHD_OPTION_CONNECTION_TIMEOUT, o->idle_s, MHD_OPTION_NOTIFY_COMPLETED,
         on_completed, server, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U,
         MHD_OPTION_ARRAY, o->tls_certificate != NULL ? tls : none,
-        MHD_OPTION_END);
+        MHD_OPTION_ARRAY, o->mark != NULL ? marks : none, MHD_OPTION_END);
 }
 
 struct cw_http_server *
--- a/standins/platform_standin.c
+++ b/standins/platform_standin.c
@@ -161,7 +161,8 @@
 }
 
 static struct cw_http_server *
-serve(void (*handle)(void *, struct cw_http_call *), void *context)
+serve(void (*handle)(void *, struct cw_http_call *), int64_t (*mark)(void *),
+      void *context)
 {
     struct cw_http_server_options options = {
         .address = "127.0.0.1",
@@ -170,6 +171,7 @@
         .idle_s = 60,
         .body_max = 4 << 20,
         .handle = handle,
+        .mark = mark,
         .context = context,
     };
     struct cw_http_server *server = cw_http_server_create(&options);
@@ -194,7 +196,7 @@
     worker->dc = g_strdup(dc);
     worker->rack = g_strdup_printf("%s-r%u", dc, rack);
     worker->id = g_strdup_printf("%s-w%u", worker->rack, number);
-    worker->server = serve(standin_handle_worker, worker);
+    worker->server = serve(standin_handle_worker, standin_mark_worker, worker);
     worker->address =
         g_strdup_printf("127.0.0.1:%u", cw_http_server_port(worker->server));
     worker->reported = g_strdup(worker->address);
@@ -385,7 +387,7 @@
     if (platform.proxy_path != NULL && !report_by_proxy(&platform)) {
         return 2;
     }
-    platform.store_server = serve(standin_handle_store, &platform);
+    platform.store_server = serve(standin_handle_store, NULL, &platform);
     printf("store=127.0.0.1:%u\n", cw_http_server_port(platform.store_server));
     fflush(stdout);
     run_until_told(&platform);
--- a/standins/platform_standin.h
+++ b/standins/platform_standin.h
@@ -69,7 +69,7 @@
     struct worker_server *worker;
     struct cw_http_call *call;
     int64_t until_ms;
-    int64_t born_ms; /* of the life of the worker that got it; 0 none yet */
+    int64_t born_ms; /* of the life of the worker that it was sent to */
 };
 
 /* Milliseconds of the steady clock. */
@@ -87,6 +87,9 @@
 void standin_handle_store(void *platform, struct cw_http_call *call);
 void standin_handle_worker(void *worker, struct cw_http_call *call);
 
+/* Which life of the worker a connection is made to; 0: it is down. */
+int64_t standin_mark_worker(void *worker);
+
 /* What the workers' model asks and tells. */
 struct worker_listener standin_listener(struct platform *platform);
 
--- a/standins/platform_workers.c
+++ b/standins/platform_workers.c
@@ -76,7 +76,9 @@
         standin_answer(call, 200, encode_answer(platform, answer));
     }
     else if (answer->status == CW_TARGET_UNKNOWN) {
-        standin_answer(call, 500, json_object()); /* it is down */
+        /* It is down, or is not the one that the connection was made to. */
+        cw_http_answer(call, 500, "application/json", "{}", strlen("{}"),
+                       true);
     }
     else if (answer->status == CW_TARGET_OTHER_LIFE) {
         standin_answer(call, 421, json_object());
@@ -160,6 +162,7 @@
     struct cw_target_order order = {0};
     char *name = NULL;
 
+    waiting->born_ms = cw_http_call_mark(call);
     if (!decode_order(call, body, &name, &order)) {
         standin_answer(call, 400, json_object());
         goto done;
@@ -180,10 +183,8 @@
         pthread_mutex_lock(&platform->lock);
         worker_fleet_advance(platform->fleet, standin_now_ms());
         worker = worker_fleet_find(platform->fleet, waiting->worker->id);
-        if (waiting->born_ms == 0) {
-            waiting->born_ms = worker_model_born_ms(worker);
-        }
-        /* What waits in a worker goes with its life. */
+        /* What waits in a worker, or on a connection that was made to it, goes
+         * with its life. */
         if (!worker_model_dead(worker) &&
             waiting->born_ms == worker_model_born_ms(worker))
         {
@@ -202,6 +203,7 @@
         if (last) {
             break;
         }
+        order.lease_until_ms = 0; /* given once, as it arrived */
         g_usleep(WAIT_STEP_MS * 1000);
     }
 
@@ -212,6 +214,20 @@
     return NULL;
 }
 
+int64_t
+standin_mark_worker(void *context)
+{
+    struct worker_server *server = context;
+    const struct worker_model *worker;
+    int64_t born_ms;
+
+    pthread_mutex_lock(&server->platform->lock);
+    worker = worker_fleet_find(server->platform->fleet, server->id);
+    born_ms = worker_model_dead(worker) ? 0 : worker_model_born_ms(worker);
+    pthread_mutex_unlock(&server->platform->lock);
+    return born_ms;
+}
+
 void
 standin_handle_worker(void *context, struct cw_http_call *call)
 {
--- a/tests/test_restarts.c
+++ b/tests/test_restarts.c
@@ -408,6 +408,28 @@
     site_end(&site);
 }
 
+/* Its first attempt had no answer: the former life may have begun it. */
+static void
+test_a_once_only_start_is_not_sent_to_the_next_life(void)
+{
+    struct site site;
+    struct owner_target *target = first_worker(&site);
+    struct owner_job *job = add_job(&site, 0, &one);
+    struct owner_run *run;
+
+    ((struct cw_work_spec *)job->spec)->once = true;
+    run = send_start(&site, target, job);
+    lose_answers();
+    CU_ASSERT_EQUAL(run->unanswered, 1);
+    tick(&site, target, 10);
+    CU_ASSERT_EQUAL(target->orders_in_flight, 0); /* a look goes first */
+    await_look(&site, target);
+    answer_look(FIRST_BORN_MS + 1, NULL, NULL);
+    tick(&site, target, 10);
+    CU_ASSERT_TRUE(run->stopping);
+    site_end(&site);
+}
+
 /* It is cut off from this VM and has told the store that it is another life:
  * its runs need not be waited for until their lease is over. */
 static void
@@ -510,6 +532,7 @@
     {"stop again", test_a_stop_that_the_former_life_confirmed_is_sent_again},
     {"goes on", test_a_run_that_the_next_life_lists_goes_on},
     {"late start", test_a_start_of_a_lost_run_that_may_come_late_is_shut_out},
+    {"once-only start", test_a_once_only_start_is_not_sent_to_the_next_life},
     {"report", test_a_report_of_the_next_life_ends_the_wait},
     {"take-over", test_a_new_owner_sees_that_a_worker_has_crashed},
     {"once", test_once_only_work_of_a_former_life_is_not_begun_again},
