Once-only work is not begun again by a worker's next life

Change: such a start is sent again only once a look has been answered since, and is given up, as one that may have worked, if another life has answered it.

--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -49,6 +49,7 @@
     struct timespec stop_due; /* not tried again before */
     struct timespec stop_confirmed_at;
     struct timespec created_at;
+    struct timespec sent_at;    /* its start, last */
     struct timespec started_at; /* when its start was confirmed */
     struct timespec progress_at;
     struct timespec saved_at; /* newest checkpoint, as far as known */
--- a/src/owner/owner_lives.c
+++ b/src/owner/owner_lives.c
@@ -38,6 +38,22 @@
     }
 }
 
+/* Work that must not be begun twice is stopped if the former life may have
+ * begun it.  Runs that were sent stay until they are known to be gone. */
+static void
+leave_once_only(struct owner_target *target)
+{
+    for (guint i = 0; i < target->runs->len; i++) {
+        struct owner_run *run = target->runs->pdata[i];
+
+        if (run->phase == RUN_STARTING && run->unanswered > 0 &&
+            owner_task_job(run->task)->spec->once)
+        {
+            owner_run_leave(target->owner, run);
+        }
+    }
+}
+
 /* Orders that had been sent to the former life may have given this one a lease
  * by the other's clock: as long as a lease may be. */
 static void
@@ -73,6 +89,7 @@
     cw_count_add(owner->options.counters, CW_COUNT_RESTARTS, 1);
     target->life = owner_life_new(born_ms);
     forget_stops(target);
+    leave_once_only(target);
     bound_lease(target, owner_now(owner));
     owner->room_version++;
     owner->place_wanted = true;
--- a/src/owner/owner_orders.c
+++ b/src/owner/owner_orders.c
@@ -290,17 +290,27 @@
     return true;
 }
 
-/* True if the order is a start that was sent before, to a worker that has gone
- * silent since.  It waits for a look to be answered: by the clock of another
- * life the lease that it carries could last for longer than is known here, and
- * the task would be started elsewhere beside it. */
+/* True if the order is a start that was sent before and waits for a look to be
+ * answered first: which life would get it?
+ *
+ * A worker that has gone silent since may be another by now; by its clock the
+ * lease that the start carries could last for longer than is known here, and
+ * the task would be started elsewhere beside it.  Work that must not be begun
+ * twice waits in any case: the former life may have begun it. */
 static bool
 waits_for_look(const struct owner_order *order)
 {
+    const struct owner_target *target = order->target;
     const struct owner_run *run = order_run(order);
 
-    return order->kind == CW_ORDER_START && order->target->silent > 0 &&
-           run != NULL && run->phase == RUN_STARTING && !run->stopping;
+    if (order->kind != CW_ORDER_START || run == NULL || run->stopping ||
+        run->phase != RUN_STARTING)
+    {
+        return false;
+    }
+    return target->silent > 0 ||
+           (owner_task_job(run->task)->spec->once &&
+            !cw_time_before(run->sent_at, target->seen_at));
 }
 
 static void
@@ -327,6 +337,7 @@
         out.saved = run->task->saved;
         run->phase = RUN_STARTING;
         run->born_ms = target->life.born_ms;
+        run->sent_at = now;
         cw_count_add(owner->options.counters, CW_COUNT_STARTS, 1);
         cw_time_earlier(&target->hold_due, now);
     }
