A worker that has left for good is not looked at for its unconfirmed ends

Cause: ends that were stored and not confirmed made looks due for as long as the owner lasted, also at a worker that had gone meanwhile (found by reading). Change: only while it is listed or answers.

--- a/src/owner/owner_holds.c
+++ b/src/owner/owner_holds.c
@@ -512,7 +512,9 @@
     return target->runs->len > 0 ||
            target->life.ends_applied > target->life.ends_in_batch ||
            target->life.ends_in_batch > target->life.ends_durable ||
-           has_unconfirmed(target) ||
+           /* One that has left for good is not asked for ever. */
+           (has_unconfirmed(target) &&
+            (target->listed || target->silent == 0)) ||
            (target->silent > 0 && is_of_use(target));
 }
 
