--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -12,6 +12,7 @@
 #include "curlewcart/cw_time.h"
 #include "curlewcart/cw_xdr.h"
 #include "owner/internal/owner_due.h"
+#include "owner/internal/owner_lives.h"
 #include "owner/internal/owner_log.h"
 #include "owner/internal/owner_stored.h"
 
@@ -141,28 +142,6 @@
     unsigned runs;
 };
 
-/* What holds for one life of a worker.  A worker that crashes may start again
- * under its id: it knows nothing of before and counts from 1, so all of this
- * is dropped at once; owner_lives.c. */
-struct owner_life {
-    int64_t born_ms; /* when it began, by its own time of day; 0 unknown */
-    bool clock_known;
-    int64_t clock_offset_ms; /* its clock less ours */
-    int64_t lease_sent_ms;   /* latest end of lease sent, on its clock */
-    /* Numbers of its ends: seen here, in the batch under way, stored, and
-     * known to be stored there. */
-    uint64_t ends_applied;
-    uint64_t ends_in_batch;
-    uint64_t ends_durable;
-    uint64_t ends_confirmed;
-    struct timespec heard_at;      /* a look was answered */
-    unsigned failures;             /* jobs whose tasks failed there in a row */
-    unsigned failed_job;           /* the last of them: hash of its id */
-    struct timespec suspect_until; /* it failed or stalled work */
-    struct timespec slow_until;    /* its tasks come on slowly */
-    double speed; /* against the others'; 1 while nothing is known */
-};
-
 /* A worker as the owner knows it; see owner_targets.c. */
 struct owner_target {
     struct owner_due_entry due; /* first member: the heap's entry is it */
@@ -613,36 +592,6 @@
                         const struct owner_task *task, struct timespec now);
 void owner_target_praise(struct owner_target *target);
 
-/* ---- owner_lives.c ---- */
-
-/* The state of a life of which nothing is known. */
-struct owner_life owner_life_new(int64_t born_ms);
-
-/* True if the run was sent to another life of its worker than the one given;
- * false if either is unknown. */
-bool owner_run_is_of_another(const struct owner_run *run, int64_t born_ms);
-
-/* A look was answered by a life that began then (0: unknown).  If it is not
- * the one that was known, all that held for that one is dropped; its runs stay
- * until the look's lists have shown which of them are gone.  Returns whether
- * it is another one. */
-bool owner_life_answered(struct owner_target *target, int64_t born_ms);
-
-/* A worker's report is by a life that began then. */
-void owner_life_reported(struct owner_target *target, int64_t born_ms);
-
-/* The run went with a former life.  If a start of it had no answer, and may be
- * carried out late, the present one is told to stop it: it then refuses. */
-void owner_life_shut_out(const struct owner_run *run);
-
-/* A worker goes silent.  A start that is on its way may meet its next life,
- * whose clock is another: its lease lasts as long as one may, from then on. */
-void owner_life_unsure(struct owner_target *target);
-
-/* The worker does not answer.  If it has reported that it has started again,
- * what ran there is lost, and not waited for until its lease is over. */
-void owner_life_unanswered(struct owner_target *target);
-
 /* ---- owner_orders.c ---- */
 
 struct owner_order {
--- a/tests/owner_site.h
+++ b/tests/owner_site.h
@@ -226,6 +226,21 @@
     }
 }
 
+/* As if the starts of the job's placed runs had been confirmed just now. */
+static inline void
+confirm_starts(struct site *site, struct owner_job *job)
+{
+    for (unsigned i = 0; i < step_of(job)->count; i++) {
+        struct owner_run *run = step_of(job)->tasks[i].run;
+
+        if (run != NULL && run->phase == RUN_NEW) {
+            run->phase = RUN_RUNNING;
+            run->started_at = site->clock.now;
+            run->progress_at = site->clock.now;
+        }
+    }
+}
+
 static inline struct owner_job *
 run_job(struct site *site, unsigned priority, const struct cw_step_spec *like)
 {
--- a/tests/test_crashes.c
+++ b/tests/test_crashes.c
@@ -31,21 +31,6 @@
     owner_target_lost(site->owner, target, "other_life");
 }
 
-/* Makes the job's placed runs run, as confirmed just now. */
-static void
-confirm_starts(struct site *site, struct owner_job *job)
-{
-    for (unsigned i = 0; i < step_of(job)->count; i++) {
-        struct owner_run *run = step_of(job)->tasks[i].run;
-
-        if (run != NULL && run->phase == RUN_NEW) {
-            run->phase = RUN_RUNNING;
-            run->started_at = site->clock.now;
-            run->progress_at = site->clock.now;
-        }
-    }
-}
-
 /* Lets placement run until the job has a place, or 5 s are over. */
 static void
 await_place(struct site *site, const struct owner_job *job)
--- a/tests/test_restarts.c
+++ b/tests/test_restarts.c
@@ -75,21 +75,6 @@
     target->hold_due = cw_time_from_ms(0);
 }
 
-/* As if the starts of the job's placed runs had been confirmed just now. */
-static void
-confirm_starts(struct site *site, struct owner_job *job)
-{
-    for (unsigned i = 0; i < step_of(job)->count; i++) {
-        struct owner_run *run = step_of(job)->tasks[i].run;
-
-        if (run != NULL && run->phase == RUN_NEW) {
-            run->phase = RUN_RUNNING;
-            run->started_at = site->clock.now;
-            run->progress_at = site->clock.now;
-        }
-    }
-}
-
 /* Places a job and starts it.  Returns its worker. */
 static struct owner_target *
 start_job(struct site *site, struct owner_job *job)
@@ -271,6 +256,16 @@
     CU_FAIL("no start is under way");
 }
 
+/* As the worker lists the run while it is at work. */
+static struct cw_running
+listing_of(const struct owner_run *run)
+{
+    struct cw_running listed = {
+        .task = owner_task_name(run->task), .run = run->number, .saved = ""};
+
+    return listed;
+}
+
 static struct owner_target *
 first_worker(struct site *site)
 {
@@ -363,8 +358,7 @@
     struct owner_target *target = first_worker(&site);
     struct owner_job *job = add_job(&site, 0, &one);
     struct owner_run *run = send_start(&site, target, job);
-    const struct cw_running listed = {
-        .task = owner_task_name(run->task), .run = 1, .saved = ""};
+    const struct cw_running listed = listing_of(run);
 
     answer_start();
     await_look(&site, target);
@@ -394,8 +388,7 @@
     struct owner_target *target = first_worker(&site);
     struct owner_job *job = add_job(&site, 0, &one);
     struct owner_run *run = send_start(&site, target, job);
-    const struct cw_running listed = {
-        .task = owner_task_name(run->task), .run = 1, .saved = ""};
+    const struct cw_running listed = listing_of(run);
 
     run->unanswered = 1;
     answer_start();
@@ -439,8 +432,7 @@
     struct owner_target *target = first_worker(&site);
     struct owner_job *job = add_job(&site, 0, &one);
     struct owner_run *run = send_start(&site, target, job);
-    const struct cw_running listed = {
-        .task = owner_task_name(run->task), .run = 1, .saved = ""};
+    const struct cw_running listed = listing_of(run);
 
     answer_start();
     await_look(&site, target);
