Sight: work that stands still in a full service, and who keeps the room from it

Cause: judge, log and metric looked for jobs that could run and do not only where most of the service was free, so in a busy one no hypothesis showed. Change: a job counts too if twice what can only begin together, a task or a gang, has room by the workers' own word, in one rack where it belongs into one; a task that lasts counts by itself after 6 s. job_waits tells by whom that room is kept (placed and unconfirmed, avoided, a rack for a gang, urgent work) and how often the start that it hangs on went unanswered. The rule with most of the room free is contained in the new one.

No logic is changed.

--- a/emulator/emulator_main.c
+++ b/emulator/emulator_main.c
@@ -39,6 +39,9 @@
     unsigned shrinks;
     unsigned restarts;
     bool unguarded;
+    unsigned late;
+    bool calm;
+    bool wide;
 };
 
 static const struct argp_option options[] = {
@@ -54,6 +57,9 @@
     {"restarts", 'a', "N", 0,
      "Times that workers crash and start again under their ids", 0},
     {"unguarded", 'u', NULL, 0, "Workers start what does not fit", 0},
+    {"late", 'l', "N", 0, "Times that some workers are late with answers", 0},
+    {"calm", 'q', NULL, 0, "Nothing strikes", 0},
+    {"wide", 'b', NULL, 0, "Wide jobs and gangs, and more of them", 0},
     {0},
 };
 
@@ -96,6 +102,15 @@
     case 'u':
         arguments->unguarded = true;
         break;
+    case 'l':
+        arguments->late = (unsigned)strtoul(value, NULL, 10);
+        break;
+    case 'q':
+        arguments->calm = true;
+        break;
+    case 'b':
+        arguments->wide = true;
+        break;
     case ARGP_KEY_ARG:
         if (arguments->verb != NULL) {
             argp_usage(state);
@@ -123,6 +138,13 @@
     day.shrinks = arguments->shrinks;
     day.restarts = arguments->restarts;
     day.unguarded = arguments->unguarded;
+    day.late = arguments->late;
+    if (arguments->calm) {
+        day.faults = 0;
+    }
+    if (arguments->wide) {
+        world_widen(&day);
+    }
     return day;
 }
 
--- a/emulator/internal/world_private.h
+++ b/emulator/internal/world_private.h
@@ -76,8 +76,9 @@
     unsigned lost_percent;
     bool lost_late;
     int64_t orders_late_until_ms;
-    GHashTable *cut_workers; /* id -> until, in ms */
-    GHashTable *draining;    /* id, a set */
+    GHashTable *cut_workers;  /* id -> until, in ms */
+    GHashTable *late_workers; /* id -> until, in ms */
+    GHashTable *draining;     /* id, a set */
 };
 
 /* Each rack stands in a data centre of its own. */
@@ -204,6 +205,18 @@
 /* A worker that is down is back under its id. */
 void world_worker_again(struct world *world, void *worker_model);
 
+/* ---- world_late.c ---- */
+
+/* Some workers are late for a while. */
+void world_late_workers(struct world *world, void *unused);
+
+/* What a late worker does to an order. */
+struct world_lateness {
+    bool resets;         /* the connection is reset: nothing is done */
+    unsigned one_way_ms; /* beside the usual */
+};
+struct world_lateness world_lateness(struct world *world, const char *worker);
+
 /* ---- world_waits.c ---- */
 
 /* Judges whether jobs could run and do not; to be called regularly. */
--- a/emulator/world.c
+++ b/emulator/world.c
@@ -21,6 +21,9 @@
     SHRUNK_MOST_MS = 12000,
     PARTS = 100,
     LOOK_EVERY_MS = 500,
+    /* Twelve racks, and what keeps them some 70% busy while jobs come. */
+    WIDE_WORKERS = 48,
+    WIDE_JOBS = 260,
     /* Of the standard days, so many to one on which VMs are unequal. */
     UNEQUAL_EVERY = 4
 };
@@ -348,6 +351,7 @@
     world->routing = make_routing(world->options.unguarded);
     world->faults = g_string_new(NULL);
     world->cut_workers = g_hash_table_new(g_str_hash, g_str_equal);
+    world->late_workers = g_hash_table_new(g_str_hash, g_str_equal);
     world->draining = g_hash_table_new(g_str_hash, g_str_equal);
     for (unsigned i = 0; i < world->options.workers; i++) {
         char id[32];
@@ -401,6 +405,10 @@
         world_schedule(world, world_between(world, 1500, options->day_ms),
                        world_restart_workers, NULL);
     }
+    for (unsigned i = 0; i < options->late; i++) {
+        world_schedule(world, world_between(world, 1500, options->day_ms),
+                       world_late_workers, NULL);
+    }
     world_schedule(world, options->day_ms + 1000, world_heal_all, NULL);
 }
 
@@ -484,6 +492,7 @@
     g_ptr_array_unref(world->events);
     g_ptr_array_unref(world->vms);
     g_hash_table_unref(world->cut_workers);
+    g_hash_table_unref(world->late_workers);
     g_hash_table_unref(world->draining);
     worker_fleet_free(world->fleet);
     store_model_free(world->store);
@@ -510,6 +519,14 @@
     return day;
 }
 
+void
+world_widen(struct world_options *day)
+{
+    day->wide = true;
+    day->workers = WIDE_WORKERS;
+    day->jobs = WIDE_JOBS;
+}
+
 void
 world_play(const struct world_options *options, struct world_result *result)
 {
--- a/emulator/world.h
+++ b/emulator/world.h
@@ -23,6 +23,9 @@
     unsigned restarts; /* times that workers crash and are back under their
                           ids */
     bool unguarded;    /* workers start what does not fit */
+    unsigned late;     /* times that some workers are late with answers, or
+                          reset connections, as busy machines do */
+    bool wide;         /* jobs and gangs beyond a rack, and many to a job */
     bool trace;        /* prints faults and answers with their time */
 };
 
@@ -39,6 +42,10 @@
  * unequal. */
 struct world_options world_standard_day(uint32_t seed);
 
+/* The day with wide jobs, on workers enough for them, and so many that the
+ * service is full for much of it. */
+void world_widen(struct world_options *day);
+
 /* Plays a day. */
 void
 world_play(const struct world_options *options, struct world_result *result);
--- a/emulator/world_load.c
+++ b/emulator/world_load.c
@@ -13,6 +13,9 @@
     CLIENT_BUDGET_MS = 1300,
     JOB_DEADLINE_MS = 4000,
     PERCENT = 100,
+    WIDE_PERCENT = 33,
+    WIDE_LEAST = 12,
+    WIDE_MOST = 48,
     /* Half a data centre of four workers: it fits while two are away. */
     CONFINED_ACCELERATORS = 16,
     /* Work that does not give way waits while it would leave less than the
@@ -154,6 +157,23 @@
     g_free(path);
 }
 
+/* Every third job of a wide day is a gang of up to half the service that no
+ * rack of 32 could hold, or belongs into one; or has many small tasks. */
+static void
+widen_step(struct world *world, struct cw_step_spec *step)
+{
+    if (!world_chance(world, WIDE_PERCENT)) {
+        return;
+    }
+    step->tasks = world_between(world, WIDE_LEAST, WIDE_MOST);
+    if (step->gang) {
+        step->accelerators = 1U << world_pick(world, 3);
+    }
+    else {
+        step->accelerators = 1;
+    }
+}
+
 static void
 fill_step(struct world *world, struct cw_step_spec *step, unsigned number)
 {
@@ -165,6 +185,9 @@
     step->gang = world_chance(world, 50);
     step->same_rack = step->gang && world_chance(world, 50);
     step->checkpoints = world_chance(world, 40);
+    if (world->options.wide) {
+        widen_step(world, step);
+    }
     step->label = copy_text("");
     step->data_rack = copy_text("");
     step->image = copy_text("");
--- a/emulator/world_net.c
+++ b/emulator/world_net.c
@@ -56,6 +56,17 @@
     world_call_release(call);
 }
 
+/* The connection is reset before the worker has read the order. */
+static void
+reset(struct world *world, void *context)
+{
+    struct call *call = context;
+
+    (void)world;
+    world_call_answer(call, CW_STORE_UNKNOWN);
+    world_call_release(call);
+}
+
 static void
 hold_event(struct world *world, struct call *call, int64_t after_ms,
            void (*run)(struct world *, void *))
@@ -329,7 +340,9 @@
     if (!call->ended && !(world->options.restarts > 0 &&
                           world_chance(world, UNANSWERED_PERCENT)))
     {
-        hold_event(world, call, world_between(world, 1, 2 * WORKER_MS),
+        hold_event(world, call,
+                   world_between(world, 1, 2 * WORKER_MS) +
+                       world_lateness(world, call->text).one_way_ms,
                    deliver);
     }
     world_call_release(call);
@@ -350,6 +363,7 @@
     struct vm *vm = ((struct vm_targets *)targets)->vm;
     struct world *world = vm->world;
     struct call *call = world_call_new(vm, CALL_ORDER, order->timeout_ms);
+    struct world_lateness lateness;
 
     call->order = *order;
     call->text = g_strdup(order->id);
@@ -379,7 +393,13 @@
                    arrive_order);
         return;
     }
-    hold_event(world, call, order_delay(world), arrive_order);
+    lateness = world_lateness(world, call->text);
+    if (lateness.resets) {
+        hold_event(world, call, WORKER_MS, reset);
+        return;
+    }
+    hold_event(world, call, order_delay(world) + lateness.one_way_ms,
+               arrive_order);
 }
 
 const struct cw_targets_ops world_targets_port = {.order = port_order};
@@ -389,7 +409,8 @@
 {
     if (event->run == deliver || event->run == time_out ||
         event->run == refuse || event->run == arrive ||
-        event->run == arrive_order || event->run == apply_late)
+        event->run == arrive_order || event->run == apply_late ||
+        event->run == reset)
     {
         world_call_release(event->context);
         return true;
--- a/emulator/world_waits.c
+++ b/emulator/world_waits.c
@@ -1,5 +1,6 @@
-/* Work that could run and does not, by what workers carry out: nothing that
- * the product believes is asked, so that any cause shows. */
+/* Work that could run and does not, by what workers carry out, however full
+ * the service is: nothing that the product believes is asked, so that any
+ * cause shows. */
 #include "emulator/internal/world_private.h"
 
 #include <string.h>
@@ -34,32 +35,6 @@
            !g_hash_table_contains(world->draining, worker_model_id(worker));
 }
 
-/* True if under half of the service's room is in use. */
-static bool
-is_mostly_free(const struct world *world)
-{
-    struct cw_resources has = {0};
-    struct cw_resources left = {0};
-
-    for (unsigned i = 0; i < worker_fleet_size(world->fleet); i++) {
-        const struct worker_model *worker = worker_fleet_at(world->fleet, i);
-        const struct cw_resources *all = worker_model_capacity(worker);
-        struct cw_resources free = worker_model_free(worker);
-
-        if (takes_work(world, worker)) {
-            has.cpu_milli += all->cpu_milli;
-            has.memory_mb += all->memory_mb;
-            has.accelerators += all->accelerators;
-            left.cpu_milli += free.cpu_milli;
-            left.memory_mb += free.memory_mb;
-            left.accelerators += free.accelerators;
-        }
-    }
-    return 2 * left.accelerators > has.accelerators &&
-           2 * left.cpu_milli > has.cpu_milli &&
-           2 * left.memory_mb > has.memory_mb;
-}
-
 /* Tasks of the step that find room on a worker now. */
 static unsigned
 fits_there(const struct worker_model *worker, const struct cw_step_spec *step)
@@ -108,12 +83,15 @@
     return false;
 }
 
-/* A gang that belongs into one rack may wait for one. */
+/* What can only begin together, a task or a gang, has room twice over.  A gang
+ * that belongs into one rack may wait for one. */
 static bool
 has_room(const struct world *world, const struct judge_job *job,
          const struct cw_step_spec *step)
 {
-    return fits(world, job, step, NULL) >= TIMES * step->tasks &&
+    unsigned together = step->gang ? step->tasks : 1;
+
+    return fits(world, job, step, NULL) >= TIMES * together &&
            (!step->same_rack || a_rack_has_room(world, job, step));
 }
 
@@ -130,8 +108,8 @@
 world_look_for_waits(struct world *world)
 {
     GPtrArray *jobs = judge_jobs(world->judge);
-    bool calm = world->now_ms > world->disturbed_until_ms + CALM_MS &&
-                is_mostly_free(world);
+    bool calm = world->disturbed_until_ms == 0 ||
+                world->now_ms > world->disturbed_until_ms + CALM_MS;
 
     for (guint i = 0; i < jobs->len; i++) {
         struct judge_job *job = jobs->pdata[i];
--- a/include/curlewcart/cw_owner.h
+++ b/include/curlewcart/cw_owner.h
@@ -71,8 +71,9 @@
     unsigned jobs;
     unsigned targets;
     unsigned runs;
-    unsigned waiting;        /* jobs that could run and do not, with most of
-                                their workers' room free, for 3 s or more */
+    unsigned waiting;        /* jobs that could run and do not, for 3 s or
+                                more, with most of their workers' room free or
+                                twice what they need at once */
     int64_t longest_wait_ms; /* of them */
     unsigned repeating;      /* tasks that have lost three runs in a row */
 };
--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -73,6 +73,7 @@
     unsigned lost_runs;         /* in a row, without an end; owner_waits.c */
     unsigned suspicion;         /* of crashing its workers; owner_crashes.c */
     struct timespec held_until; /* while it is a suspect */
+    struct timespec idle_since; /* a run of it was at work until then */
     bool done;
     char *saved;           /* newest checkpoint, or NULL */
     struct owner_run *run; /* or NULL */
@@ -673,6 +674,10 @@
 /* True if the steps before this one are done, and it is not. */
 bool owner_step_has_turn(const struct owner_step *step);
 
+/* True if a rack could hold the whole gang if nothing else ran there. */
+bool owner_rack_could_hold(const struct cw_owner *owner,
+                           const struct owner_step *step);
+
 /* How many tasks that take `need` fit into `room`. */
 unsigned
 owner_fits(const struct cw_resources *room, const struct cw_resources *need);
--- a/src/owner/owner_place.c
+++ b/src/owner/owner_place.c
@@ -101,9 +101,9 @@
     return fits;
 }
 
-/* True if a rack could hold the whole gang if nothing else ran there. */
-static bool
-rack_could_hold(const struct cw_owner *owner, const struct owner_step *step)
+bool
+owner_rack_could_hold(const struct cw_owner *owner,
+                      const struct owner_step *step)
 {
     struct cw_resources need = owner_need(step->spec);
     unsigned *racks = g_new0(unsigned, owner->rack_hosts->len);
@@ -135,7 +135,8 @@
     GArray *candidates = owner_candidates(owner, step, now);
     const char *rack = owner_best_rack(owner, candidates, step, step->count);
     GArray *choices = NULL;
-    bool spread = !step->spec->same_rack || !rack_could_hold(owner, step);
+    bool spread =
+        !step->spec->same_rack || !owner_rack_could_hold(owner, step);
 
     if (rack != NULL) {
         choices = choose(candidates, rack, step->count);
--- a/src/owner/owner_runs.c
+++ b/src/owner/owner_runs.c
@@ -61,6 +61,9 @@
         task->step->unstarted_run =
             MAX(task->step->unstarted_run, run->number);
     }
+    if (run->phase == RUN_RUNNING) {
+        task->idle_since = owner_now(owner);
+    }
     owner_trial_end(run);
     g_ptr_array_remove_fast(target->runs, run);
     owner_target_wake(target);
--- /dev/null
+++ b/src/owner/owner_spare.c
@@ -0,0 +1,137 @@
+/* Room that is free by the workers' own word.
+ *
+ * The owner's books hold more: runs that it has placed and nobody has
+ * confirmed, places that wait for others to leave.  Callers only see that
+ * nothing runs there. */
+#include "owner/internal/owner_spare.h"
+
+#include "owner/internal/owner_candidates.h"
+
+enum { TIMES = 2 };
+
+/* A worker's room. */
+struct spare_room {
+    struct owner_target *target;
+    struct cw_resources room;
+};
+
+struct owner_spare {
+    struct cw_owner *owner;
+    struct timespec now;
+    GArray *rooms; /* struct spare_room */
+};
+
+/* What is not taken by runs that the worker has confirmed. */
+static struct cw_resources
+confirmed_room(const struct owner_target *target)
+{
+    struct cw_resources room = target->capacity;
+
+    owner_resources_take(&room, &target->strays);
+    for (guint i = 0; i < target->runs->len; i++) {
+        const struct owner_run *run = target->runs->pdata[i];
+        struct cw_resources need = owner_need(run->task->step->spec);
+
+        if (run->phase == RUN_RUNNING) {
+            owner_resources_take(&room, &need);
+        }
+    }
+    return room;
+}
+
+static bool
+takes_work(const struct owner_target *target)
+{
+    return target->listed && !target->draining && !target->gone &&
+           target->silent == 0 && target->address[0] != '\0';
+}
+
+struct owner_spare *
+owner_spare_create(struct cw_owner *owner, uint32_t least, struct timespec now)
+{
+    struct owner_spare *spare = g_new0(struct owner_spare, 1);
+    GHashTableIter iterator;
+    gpointer value;
+
+    spare->owner = owner;
+    spare->now = now;
+    spare->rooms = g_array_new(FALSE, FALSE, sizeof(struct spare_room));
+    g_hash_table_iter_init(&iterator, owner->targets);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        struct spare_room row = {.target = value};
+
+        row.room = confirmed_room(row.target);
+        if (takes_work(row.target) && row.room.accelerators >= least) {
+            g_array_append_val(spare->rooms, row);
+        }
+    }
+    return spare;
+}
+
+void
+owner_spare_free(struct owner_spare *spare)
+{
+    if (spare != NULL) {
+        g_array_unref(spare->rooms);
+        g_free(spare);
+    }
+}
+
+static enum owner_keeper
+keeper_of(const struct owner_spare *spare, const struct owner_step *step,
+          struct owner_target *target)
+{
+    struct cw_resources need = owner_need(step->spec);
+    struct cw_resources books = owner_room(target);
+
+    if (owner_fits(&books, &need) == 0) {
+        return OWNER_KEEPER_BOOKED;
+    }
+    if (!owner_target_usable(target, spare->now) || target->trials > 0) {
+        return OWNER_KEEPER_AVOIDED;
+    }
+    if (owner_is_held(target, step, spare->now)) {
+        return OWNER_KEEPER_RACK;
+    }
+    if (step->occurrence->job->spec->priority > 0 &&
+        !owner_headroom_allows(spare->owner, step, target, spare->now))
+    {
+        return OWNER_KEEPER_URGENT;
+    }
+    return OWNER_KEEPER_NONE;
+}
+
+/* What can only begin together. */
+static unsigned
+unit_of(const struct owner_step *step)
+{
+    return step->spec->gang ? step->count : 1;
+}
+
+struct owner_spare_fit
+owner_spare_fit(const struct owner_spare *spare, const struct owner_step *step)
+{
+    struct owner_spare_fit fit = {0};
+    struct cw_resources need = owner_need(step->spec);
+    unsigned *racks = g_new0(unsigned, spare->owner->rack_hosts->len);
+    bool in_rack =
+        !step->spec->same_rack || !owner_rack_could_hold(spare->owner, step);
+
+    for (guint i = 0; i < spare->rooms->len; i++) {
+        const struct spare_room *row =
+            &g_array_index(spare->rooms, struct spare_room, i);
+        unsigned fits = owner_fits(&row->room, &need);
+
+        if (fits == 0 || !owner_may_run(step, row->target)) {
+            continue;
+        }
+        fits = owner_most_there(step, row->target, fits);
+        fit.tasks += fits;
+        fit.by_keeper[keeper_of(spare, step, row->target)] += fits;
+        racks[row->target->rack_number] += fits;
+        in_rack = in_rack || racks[row->target->rack_number] >= unit_of(step);
+    }
+    g_free(racks);
+    fit.twice = in_rack && fit.tasks >= TIMES * unit_of(step);
+    return fit;
+}
--- a/src/owner/owner_waits.c
+++ b/src/owner/owner_waits.c
@@ -1,16 +1,22 @@
 /* Work that could run and does not, whatever the cause.
  *
  * Looked at from the outside: a step's turn has come, no worker has listed a
- * run of the job for seconds, and most of the service's room is free by what
- * workers have confirmed.  What the owner believes of the job (a place, an
- * order under way, a lease to wait for) is the reason that is logged, and does
- * not hide it.  A task that loses one run after the other makes no headway
- * either, though it is at work each time that somebody looks. */
+ * run of the job for seconds, and by what workers have confirmed most of the
+ * service's room is free, or, however full it is, twice what can only begin
+ * together would fit.  What the owner believes of the job (a place, an order
+ * under way, a lease to wait for, room kept for others) is the reason that is
+ * logged, and does not hide it.  A task that loses one run after the other
+ * makes no headway either, though it is at work each time that somebody
+ * looks. */
 #include "owner/internal/owner_crashes.h"
+#include "owner/internal/owner_spare.h"
 
 enum {
-    /* The platform bears 3 s in which nothing of a job runs. */
+    /* The platform bears 3 s in which nothing of a job runs, and 6 s after
+     * the last run of a task that lasts, whether others of its job run or
+     * not. */
     WAITS_MS = 3000,
+    LASTING_MS = 6000,
     LOOK_EVERY_MS = 500,
     TELL_EVERY_MS = 3000,
     /* Lines in one look; the counts are of all. */
@@ -32,6 +38,14 @@
     unsigned told;
     const char *service; /* the one counted last */
     bool mostly_free;
+    GArray *waiting; /* struct waiting */
+    struct owner_spare *spare;
+};
+
+/* A step that has nothing running though it is its turn. */
+struct waiting {
+    struct owner_step *step;
+    int64_t waited_ms;
 };
 
 void
@@ -126,9 +140,11 @@
 }
 
 static void
-tell(struct cw_owner *owner, struct owner_job *job,
-     const struct owner_step *step, struct timespec now)
+tell(struct cw_owner *owner, const struct waiting *waiting,
+     const struct owner_spare_fit *fit, struct timespec now)
 {
+    const struct owner_step *step = waiting->step;
+    struct owner_job *job = step->occurrence->job;
     const struct owner_run *run = first_run(step);
     const struct owner_target *target = run != NULL ? run->target : NULL;
 
@@ -136,13 +152,19 @@
     cw_log_warning(
         "job_waits",
         "id=%s step=%u.%u waits_ms=%" PRId64
-        " left=%u runs=%u reason=%s worker=%s silent=%u "
-        "lease_left_ms=%" PRId64,
+        " left=%u runs=%u reason=%s stopping=%d unanswered=%u worker=%s "
+        "silent=%u lease_left_ms=%" PRId64
+        " fits=%u booked=%u avoided=%u rack=%u urgent=%u orders=%u most=%u",
         job->spec->id, step->occurrence->number, step->number,
-        cw_time_diff_ms(job->moved_at, now), step->left, step->runs,
-        reason_of(owner, step, run, now), target != NULL ? target->id : "",
+        waiting->waited_ms, step->left, step->runs,
+        reason_of(owner, step, run, now), run != NULL && run->stopping,
+        run != NULL ? run->unanswered : 0, target != NULL ? target->id : "",
         target != NULL ? target->silent : 0,
-        target != NULL ? cw_time_diff_ms(now, target->lease_end) : 0);
+        target != NULL ? cw_time_diff_ms(now, target->lease_end) : 0,
+        fit->tasks, fit->by_keeper[OWNER_KEEPER_BOOKED],
+        fit->by_keeper[OWNER_KEEPER_AVOIDED],
+        fit->by_keeper[OWNER_KEEPER_RACK], fit->by_keeper[OWNER_KEEPER_URGENT],
+        owner->pace.under_way, owner->pace.most);
 }
 
 static void
@@ -162,31 +184,98 @@
     }
 }
 
+static bool
+is_at_work(const struct owner_task *task)
+{
+    return task->run != NULL && task->run->phase == RUN_RUNNING;
+}
+
+/* For how long a task that lasts has not been at work; of the one that waits
+ * longest. */
+static int64_t
+lasting_waits_ms(const struct owner_step *step, struct timespec now)
+{
+    int64_t longest_ms = 0;
+
+    for (unsigned i = 0; i < step->count; i++) {
+        const struct owner_task *task = &step->tasks[i];
+
+        if (!is_at_work(task) && task->idle_since.tv_sec > 0) {
+            longest_ms =
+                MAX(longest_ms, cw_time_diff_ms(task->idle_since, now));
+        }
+    }
+    return longest_ms;
+}
+
 static void
-look_at(struct look *look, struct owner_job *job)
+note_waiting(struct look *look, struct owner_job *job)
 {
-    struct owner_waits *waits = &look->owner->waits;
-    int64_t waited_ms = cw_time_diff_ms(job->moved_at, look->now);
-    const struct owner_step *step;
+    struct waiting waiting = {.step = step_in_turn(job),
+                              .waited_ms =
+                                  cw_time_diff_ms(job->moved_at, look->now)};
+    int64_t borne_ms = WAITS_MS;
 
-    if (cw_work_is_over(job->phase)) {
-        return;
+    count_repeating(&look->owner->waits, job);
+    if (waiting.step != NULL && waiting.step->spec->endless &&
+        waiting.waited_ms <= WAITS_MS)
+    {
+        waiting.waited_ms = lasting_waits_ms(waiting.step, look->now);
+        borne_ms = LASTING_MS;
+    }
+    if (waiting.step != NULL && waiting.waited_ms > borne_ms) {
+        g_array_append_val(look->waiting, waiting);
     }
-    count_repeating(waits, job);
-    step = waited_ms > WAITS_MS ? step_in_turn(job) : NULL;
-    if (step == NULL || !is_mostly_free(look, job->service)) {
+}
+
+static void
+look_at(struct look *look, const struct waiting *waiting)
+{
+    struct owner_waits *waits = &look->owner->waits;
+    struct owner_job *job = waiting->step->occurrence->job;
+    struct owner_spare_fit fit = owner_spare_fit(look->spare, waiting->step);
+
+    if (!fit.twice && !is_mostly_free(look, job->service)) {
         return;
     }
     waits->jobs++;
-    waits->longest_ms = MAX(waits->longest_ms, waited_ms);
+    waits->longest_ms = MAX(waits->longest_ms, waiting->waited_ms);
     if (look->told < TOLD_MOST &&
         cw_time_diff_ms(job->told_at, look->now) > TELL_EVERY_MS)
     {
-        tell(look->owner, job, step, look->now);
+        tell(look->owner, waiting, &fit, look->now);
         look->told++;
     }
 }
 
+/* The least demanding of those that wait. */
+static uint32_t
+least_accelerators(const GArray *waiting)
+{
+    uint32_t least = UINT32_MAX;
+
+    for (guint i = 0; i < waiting->len; i++) {
+        const struct waiting *row = &g_array_index(waiting, struct waiting, i);
+
+        least = MIN(least, row->step->spec->accelerators);
+    }
+    return least;
+}
+
+static void
+look_at_waiting(struct look *look)
+{
+    if (look->waiting->len == 0) {
+        return;
+    }
+    look->spare = owner_spare_create(
+        look->owner, least_accelerators(look->waiting), look->now);
+    for (guint i = 0; i < look->waiting->len; i++) {
+        look_at(look, &g_array_index(look->waiting, struct waiting, i));
+    }
+    owner_spare_free(look->spare);
+}
+
 void
 owner_waits_tick(struct cw_owner *owner, struct timespec now)
 {
@@ -199,8 +288,15 @@
     }
     owner->waits =
         (struct owner_waits){.due = cw_time_add_ms(now, LOOK_EVERY_MS)};
+    look.waiting = g_array_new(FALSE, FALSE, sizeof(struct waiting));
     g_hash_table_iter_init(&iterator, owner->jobs);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        look_at(&look, value);
+        const struct owner_job *job = value;
+
+        if (!cw_work_is_over(job->phase)) {
+            note_waiting(&look, value);
+        }
     }
+    look_at_waiting(&look);
+    g_array_unref(look.waiting);
 }
--- a/tests/test_waits.c
+++ b/tests/test_waits.c
@@ -119,6 +119,50 @@
     site_end(&site);
 }
 
+/* Most of the service is in use, but what the job needs is free twice. */
+static void
+test_a_job_that_waits_beside_free_room_shows(void)
+{
+    static const struct cw_step_spec most = {.tasks = 9,
+                                             .accelerators = ACCELERATORS};
+    static const struct cw_step_spec gang = {
+        .tasks = 2, .accelerators = ACCELERATORS, .gang = true};
+    struct site site;
+    struct owner_job *running;
+
+    site_begin(&site);
+    running = run_job(&site, 0, &most);
+    add_job(&site, 1, &two);
+    CU_ASSERT_EQUAL(look_after(&site, 2900).waiting, 0);
+    owner_waits_moved(site.owner, running);
+    CU_ASSERT_EQUAL(look_after(&site, 600).waiting, 1);
+    /* Three workers are free: one gang of two fits, not two. */
+    add_job(&site, 1, &gang);
+    site.clock.now = cw_time_add_ms(site.clock.now, 3500);
+    owner_waits_moved(site.owner, running);
+    CU_ASSERT_EQUAL(look_after(&site, 500).waiting, 1);
+    site_end(&site);
+}
+
+/* Each task that lasts counts by itself, from 6 s after its last run. */
+static void
+test_a_task_that_lasts_shows_beside_others_of_its_job(void)
+{
+    static const struct cw_step_spec lasting = {
+        .tasks = 2, .accelerators = 4, .endless = true};
+    struct site site;
+    struct owner_job *job;
+
+    site_begin(&site);
+    job = run_job(&site, 1, &lasting);
+    owner_run_drop(site.owner, step_of(job)->tasks[0].run);
+    site.clock.now = cw_time_add_ms(site.clock.now, 5000);
+    owner_waits_moved(site.owner, job); /* the other one is listed */
+    CU_ASSERT_EQUAL(look_after(&site, 900).waiting, 0);
+    CU_ASSERT_EQUAL(look_after(&site, 600).waiting, 1);
+    site_end(&site);
+}
+
 static void
 test_a_task_that_loses_its_runs_shows(void)
 {
@@ -143,6 +187,8 @@
     {"not placed", test_a_job_that_is_not_placed_shows_after_three_seconds},
     {"not listed", test_a_run_that_no_worker_lists_shows},
     {"no room", test_a_job_that_waits_for_room_does_not_show},
+    {"beside free room", test_a_job_that_waits_beside_free_room_shows},
+    {"lasting", test_a_task_that_lasts_shows_beside_others_of_its_job},
     {"repeating", test_a_task_that_loses_its_runs_shows},
 };
 
