What a worker lists is neither started again nor stopped for want of an answer

Callers saw: gangs that were withdrawn though all their members were there, on workers that answer late. Cause: an answer to a start counted whatever a look had shown since. A start that is answered after its 0.5 s was sent up to four times, which also put the run back to a start that nobody had confirmed; then it was stopped, and its gang with it, after 2 s of work. Ruled out: that looks show it too late; they wait 0.9 s for an answer, a start 0.5 s. Why it holds: a look is the worker's own word, under the owner's fencing token.

--- a/src/owner/owner_orders.c
+++ b/src/owner/owner_orders.c
@@ -137,8 +137,8 @@
     struct owner_target *target = order->target;
     struct owner_run *run = order_run(order);
 
-    if (run == NULL) {
-        return;
+    if (run == NULL || run->phase == RUN_RUNNING) {
+        return; /* listed meanwhile: it needs no answer any more */
     }
     switch (status) {
     case CW_TARGET_OK:
@@ -270,7 +270,9 @@
     if (order->kind == CW_ORDER_STOP) {
         return true; /* strays have no run here */
     }
-    if (run == NULL) {
+    if (run == NULL || run->phase == RUN_RUNNING) {
+        /* A worker that is late answers looks before it answers starts: what
+         * it lists is not sent again, nor stopped as unanswered. */
         return false;
     }
     if (run->stopping && run->phase == RUN_READY) {
