Starts on connections that are reset are spread over 0.9 s

Callers saw: a gang that stood still for seconds for one or two members whose starts were never answered. Cause: a start without an answer was sent again at once; on reset connections all four tries were spent in 5 ms, and the gang was stopped. Change: tries begin 0.1, 0.35 and 0.9 s after the first at the earliest, about what it costs to stop the other members. Two older tests sent the second try at the same moment; they let 0.1 s pass now and expect the same.

--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -604,6 +604,7 @@
     struct cw_task_name task; /* its job is the text above */
     unsigned run;
     struct timespec sent;
+    struct timespec due; /* of a start: not sent again before */
 };
 
 void owner_order_free(struct owner_order *order);
@@ -613,7 +614,7 @@
                        enum cw_order_kind kind,
                        const struct cw_task_name *task, unsigned run);
 
-/* Sends what may be sent; returns when a failed stop is due again. */
+/* Sends what may be sent; returns when a failed start or stop is due again. */
 struct timespec
 owner_orders_send(struct cw_owner *owner, struct owner_target *target,
                   struct timespec now);
--- a/src/owner/owner_orders.c
+++ b/src/owner/owner_orders.c
@@ -14,6 +14,13 @@
      * again it does no harm, and a gang waits for its last member. */
     ORDER_TIMEOUT_MS = 500,
     STARTS_UNANSWERED = 4,
+    /* A connection that is reset fails within a millisecond, and a worker that
+     * resets one resets all for a while.  So tries begin no earlier than 0.1,
+     * 0.35 and 0.9 s after the first: withdrawing the run costs its gang as
+     * much, as the others have to be stopped first. */
+    FIRST_PAUSE_MS = 100,
+    SECOND_PAUSE_MS = 250,
+    THIRD_PAUSE_MS = 550,
     /* A refused connection fails at once. */
     STOP_RETRY_MS = 300,
     /* Until the next look, of about a second, has shown whether it answers. */
@@ -100,10 +107,21 @@
     target->avoid_until = cw_time_add_ms(owner_now(target->owner), ms);
 }
 
+/* From one try to the next; a time-out is longer than most. */
+static int64_t
+pause_ms(unsigned unanswered)
+{
+    static const int pauses_ms[STARTS_UNANSWERED] = {
+        0, FIRST_PAUSE_MS, SECOND_PAUSE_MS, THIRD_PAUSE_MS};
+
+    return pauses_ms[MIN(unanswered, STARTS_UNANSWERED - 1)];
+}
+
 static void
 start_again(struct owner_order *order, struct owner_run *run)
 {
     struct cw_owner *owner = order->owner;
+    struct owner_order *again;
 
     run->unanswered++;
     cw_count_code(owner->options.counters, CW_RETRY_SILENT);
@@ -111,6 +129,8 @@
     if (run->unanswered < STARTS_UNANSWERED && !run->stopping) {
         owner_order_queue(owner, order->target, CW_ORDER_START, &order->task,
                           order->run);
+        again = g_queue_peek_tail(&order->target->orders);
+        again->due = cw_time_add_ms(order->sent, pause_ms(run->unanswered));
         return;
     }
     owner_run_leave(owner, run);
@@ -292,15 +312,16 @@
     return true;
 }
 
-/* True if the order is a start that was sent before and waits for a look to be
- * answered first: which life would get it?
+/* True if the order is a start that was sent before and is not due again, or
+ * waits for a look to be answered first: which life would get it?
  *
  * A worker that has gone silent since may be another by now; by its clock the
  * lease that the start carries could last for longer than is known here, and
  * the task would be started elsewhere beside it.  Work that must not be begun
  * twice waits in any case: the former life may have begun it. */
 static bool
-waits_for_look(const struct owner_order *order)
+waits(const struct owner_order *order, struct timespec now,
+      struct timespec *next)
 {
     const struct owner_target *target = order->target;
     const struct owner_run *run = order_run(order);
@@ -310,6 +331,10 @@
     {
         return false;
     }
+    if (cw_time_before(now, order->due)) {
+        cw_time_earlier(next, order->due);
+        return true;
+    }
     return target->silent > 0 ||
            (owner_task_job(run->task)->spec->once &&
             !cw_time_before(run->sent_at, target->seen_at));
@@ -399,7 +424,7 @@
     {
         struct owner_order *order = g_queue_pop_head(&target->orders);
 
-        if (waits_for_look(order)) {
+        if (waits(order, now, &next)) {
             /* Stops go first: only starts are behind it. */
             g_queue_push_head(&target->orders, order);
             break;
--- a/tests/test_orders.c
+++ b/tests/test_orders.c
@@ -61,6 +61,7 @@
     pass(&site, 10);
     CU_ASSERT_PTR_EQUAL(place_of(job, 0), first);
     /* Sent again, and not even that reached the worker. */
+    site.clock.now = cw_time_add_ms(site.clock.now, 100);
     site.owner->proof_at = site.clock.now;
     owner_orders_send(site.owner, step_of(job)->tasks[0].run->target,
                       site.clock.now);
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -381,6 +381,8 @@
     pass(&site, 10);
     run = send_start(&site, job);
     answer_last(CW_TARGET_UNKNOWN);
+    site.clock.now = cw_time_add_ms(site.clock.now, 100);
+    site.owner->proof_at = site.clock.now;
     owner_orders_send(site.owner, run->target, site.clock.now);
     answer_last(CW_TARGET_NO_ROOM);
     CU_ASSERT_EQUAL(placed(job), 1); /* the first may still be carried out */
