Looks that a gang waits for do not wait at the worker

Callers saw: gangs with nothing running for 1 s more after the last of their withdrawn runs had been stopped, and up to 2 s behind a look under way. Cause: a look waits up to 1 s for news wherever something is placed, also where it is to tell whether a run that was stopped unconfirmed had begun, and after a silence; the comment had said that it does not. Ruled out: dropping the run on the confirmed stop alone: it may have begun just before, and its end takes up to a second; a second run beside it would be the breach of another promise.

--- a/src/owner/owner_holds.c
+++ b/src/owner/owner_holds.c
@@ -13,6 +13,9 @@
     HOLD_WAIT_MANY_MS = 1900,
     HOLD_TIMEOUT_MS = 900,
     HOLD_PACE_MS = 40,
+    /* ... while a start there has no answer: up to ten looks until the last
+     * try, each of them priced. */
+    HOLD_PACE_UNSURE_MS = 150,
     HOLD_RETRY_MS = 300,
     /* Ends are not durable yet: the lease is kept up at this pace. */
     HOLD_BLOCKED_MS = 700,
@@ -337,6 +340,23 @@
     }
 }
 
+/* True if the next look tells what becomes of a run, and perhaps of its gang:
+ * whether a start without an answer was carried out, and whether a run that
+ * was stopped before it was confirmed had begun. */
+static bool
+decides_runs(const struct owner_target *target)
+{
+    for (guint i = 0; i < target->runs->len; i++) {
+        const struct owner_run *run = target->runs->pdata[i];
+
+        if (run->phase == RUN_STARTING &&
+            (run->unanswered > 0 || run->stop_confirmed)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static void
 hold_answered(struct cw_owner *owner, struct hold_call *call,
               const struct cw_target_answer *answer, struct timespec now)
@@ -357,7 +377,8 @@
     target->answered = true;
     target->seen_at = call->sent;
     target->life.heard_at = now;
-    target->hold_due = cw_time_add_ms(now, HOLD_PACE_MS);
+    target->hold_due = cw_time_add_ms(
+        now, decides_runs(target) ? HOLD_PACE_UNSURE_MS : HOLD_PACE_MS);
     take_lists(owner, target, answer, call->sent, now);
     check_stalls(owner, target, now);
 }
@@ -428,8 +449,10 @@
     return life->ends_durable;
 }
 
-/* A first look, one that waits for a stop, and one before ends are confirmed,
- * want an answer now. */
+/* A first look, one after a silence, one that decides what becomes of a run,
+ * and one before ends are confirmed want an answer now.  A gang that had been
+ * stopped stood still for 1.0 s more for a look that waited at the worker of a
+ * member that never was. */
 static unsigned
 look_wait_ms(const struct cw_owner *owner, const struct owner_target *target,
              uint64_t acked)
@@ -439,7 +462,10 @@
                    (has_unconfirmed(target) && acked == 0);
     bool waits = target->runs->len > 0 || has_strays(target);
 
-    return blocked || !target->answered || !waits ? 0 : hold_wait_ms(owner);
+    return blocked || !target->answered || target->silent > 0 || !waits ||
+                   decides_runs(target)
+               ? 0
+               : hold_wait_ms(owner);
 }
 
 static void
--- a/src/owner/owner_orders.c
+++ b/src/owner/owner_orders.c
@@ -126,6 +126,7 @@
     run->unanswered++;
     cw_count_code(owner->options.counters, CW_RETRY_SILENT);
     avoid(order->target, AVOID_UNANSWERED_MS);
+    cw_time_earlier(&order->target->hold_due, owner_now(owner));
     if (run->unanswered < STARTS_UNANSWERED && !run->stopping) {
         owner_order_queue(owner, order->target, CW_ORDER_START, &order->task,
                           order->run);
