A gang that no rack could hold does not wait behind one that finds none

Callers saw: a wide gang that stands still though there is room for it across racks. Cause: in a pass of placement a shape that is as demanding as one that found no place is not tried. A gang that belongs into one rack and finds none now hid every larger one, also one that is larger than any rack and is spread. Ruled out: that the order of the pass is at fault; the wide one is not tried whichever comes first, as long as the narrow one has the earlier objective or the higher priority.

--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -97,6 +97,8 @@
     struct timespec tried_time;
     unsigned moves;              /* restarts because of slow workers */
     struct timespec holds_until; /* a rack is kept clear for it */
+    struct timespec racks_seen;  /* owner_step_needs_rack */
+    bool rack_could_hold;
     unsigned unstarted_run; /* highest run of the gang of which a member was
                                certainly never started: none of it worked */
 };
@@ -675,9 +677,10 @@
 /* True if the steps before this one are done, and it is not. */
 bool owner_step_has_turn(const struct owner_step *step);
 
-/* True if a rack could hold the whole gang if nothing else ran there. */
-bool owner_rack_could_hold(const struct cw_owner *owner,
-                           const struct owner_step *step);
+/* True if the step's gang belongs into one rack, and a rack could hold it if
+ * nothing else ran there; else it may be spread. */
+bool owner_step_needs_rack(const struct cw_owner *owner,
+                           struct owner_step *step, struct timespec now);
 
 /* How many tasks that take `need` fit into `room`. */
 unsigned
@@ -735,9 +738,9 @@
 
 /* True if a step like this one, or one that is easier to place, has found
  * no place in this pass, and none has come free since. */
-bool owner_memo_hopeless(struct cw_owner *owner, const struct owner_step *step,
+bool owner_memo_hopeless(struct cw_owner *owner, struct owner_step *step,
                          enum owner_attempt attempt, struct timespec now);
-void owner_memo_failed(struct cw_owner *owner, const struct owner_step *step,
+void owner_memo_failed(struct cw_owner *owner, struct owner_step *step,
                        enum owner_attempt attempt, struct timespec now);
 
 /* ---- owner_headroom.c ---- */
--- a/src/owner/internal/owner_spare.h
+++ b/src/owner/internal/owner_spare.h
@@ -31,7 +31,7 @@
                                        struct timespec now);
 void owner_spare_free(struct owner_spare *spare);
 
-struct owner_spare_fit owner_spare_fit(const struct owner_spare *spare,
-                                       const struct owner_step *step);
+struct owner_spare_fit
+owner_spare_fit(const struct owner_spare *spare, struct owner_step *step);
 
 #endif
--- a/src/owner/owner_memo.c
+++ b/src/owner/owner_memo.c
@@ -16,7 +16,7 @@
     struct cw_resources need;
     unsigned priority;
     unsigned gang; /* members; 0: tasks that are placed one by one */
-    bool same_rack;
+    bool needs_rack;
     bool exempt;     /* from what is kept for urgent work */
     bool guaranteed; /* may take from equally urgent work */
 };
@@ -49,7 +49,7 @@
 }
 
 static struct shape
-shape_of(struct cw_owner *owner, const struct owner_step *step,
+shape_of(struct cw_owner *owner, struct owner_step *step,
          enum owner_attempt attempt, struct timespec now)
 {
     const struct owner_job *job = step->occurrence->job;
@@ -62,7 +62,7 @@
         .need = owner_need(step->spec),
         .priority = job->spec->priority,
         .gang = step->spec->gang ? step->count : 0,
-        .same_rack = step->spec->same_rack,
+        .needs_rack = owner_step_needs_rack(owner, step, now),
         .exempt = owner_headroom_exempts(owner, step, now),
         .guaranteed =
             attempt == OWNER_ATTEMPT_RECLAIM && owner_guaranteed(owner, job),
@@ -87,7 +87,9 @@
            (!step->exempt || failed->exempt) &&
            (!step->guaranteed || failed->guaranteed) &&
            step->gang >= failed->gang &&
-           (failed->gang == 0 || step->same_rack == failed->same_rack) &&
+           /* One that no rack could hold is spread: of those that need one
+            * nothing follows for it, however small they are. */
+           (failed->gang == 0 || step->needs_rack == failed->needs_rack) &&
            needs_no_less(&step->need, &failed->need) &&
            step->service == failed->service &&
            strcmp(step->account, failed->account) == 0 &&
@@ -104,7 +106,7 @@
 }
 
 bool
-owner_memo_hopeless(struct cw_owner *owner, const struct owner_step *step,
+owner_memo_hopeless(struct cw_owner *owner, struct owner_step *step,
                     enum owner_attempt attempt, struct timespec now)
 {
     struct owner_memo *memo = owner->memo;
@@ -128,7 +130,7 @@
 }
 
 void
-owner_memo_failed(struct cw_owner *owner, const struct owner_step *step,
+owner_memo_failed(struct cw_owner *owner, struct owner_step *step,
                   enum owner_attempt attempt, struct timespec now)
 {
     struct owner_memo *memo = owner->memo;
--- a/src/owner/owner_place.c
+++ b/src/owner/owner_place.c
@@ -13,6 +13,9 @@
     HOLD_AFTER_MS = 1500,
     /* Longer than any stop takes, shorter than reclaiming may. */
     RESERVED_MS = 1500,
+    /* Racks change as workers come and go; to look for each waiting gang in
+     * each pass would walk all workers. */
+    RACKS_SEEN_MS = 500,
     HOLDS_MOST = 2
 };
 
@@ -101,9 +104,9 @@
     return fits;
 }
 
-bool
-owner_rack_could_hold(const struct cw_owner *owner,
-                      const struct owner_step *step)
+/* True if a rack could hold the whole gang if nothing else ran there. */
+static bool
+rack_could_hold(const struct cw_owner *owner, const struct owner_step *step)
 {
     struct cw_resources need = owner_need(step->spec);
     unsigned *racks = g_new0(unsigned, owner->rack_hosts->len);
@@ -128,6 +131,22 @@
     return could;
 }
 
+bool
+owner_step_needs_rack(const struct cw_owner *owner, struct owner_step *step,
+                      struct timespec now)
+{
+    if (!step->spec->same_rack) {
+        return false;
+    }
+    if (step->racks_seen.tv_sec == 0 ||
+        cw_time_diff_ms(step->racks_seen, now) > RACKS_SEEN_MS)
+    {
+        step->racks_seen = now;
+        step->rack_could_hold = rack_could_hold(owner, step);
+    }
+    return step->rack_could_hold;
+}
+
 static bool
 place_gang(struct cw_owner *owner, struct owner_step *step,
            struct timespec now)
@@ -135,8 +154,7 @@
     GArray *candidates = owner_candidates(owner, step, now);
     const char *rack = owner_best_rack(owner, candidates, step, step->count);
     GArray *choices = NULL;
-    bool spread =
-        !step->spec->same_rack || !owner_rack_could_hold(owner, step);
+    bool spread = !owner_step_needs_rack(owner, step, now);
 
     if (rack != NULL) {
         choices = choose(candidates, rack, step->count);
--- a/src/owner/owner_spare.c
+++ b/src/owner/owner_spare.c
@@ -109,13 +109,12 @@
 }
 
 struct owner_spare_fit
-owner_spare_fit(const struct owner_spare *spare, const struct owner_step *step)
+owner_spare_fit(const struct owner_spare *spare, struct owner_step *step)
 {
     struct owner_spare_fit fit = {0};
     struct cw_resources need = owner_need(step->spec);
     unsigned *racks = g_new0(unsigned, spare->owner->rack_hosts->len);
-    bool in_rack =
-        !step->spec->same_rack || !owner_rack_could_hold(spare->owner, step);
+    bool in_rack = !owner_step_needs_rack(spare->owner, step, spare->now);
 
     for (guint i = 0; i < spare->rooms->len; i++) {
         const struct spare_room *row =
