Sight: a confirmed start counts, and all that headroom keeps from a gang

Change: an answered start counts as a look does; what may still be spread is counted down over the workers. No logic of placement is changed.

--- a/src/owner/owner_orders.c
+++ b/src/owner/owner_orders.c
@@ -147,6 +147,7 @@
         run->started_at = owner_now(owner);
         run->progress_at = run->started_at;
         run->saved_at = run->started_at;
+        owner_waits_moved(owner, owner_task_job(run->task));
         owner_job_begun(owner, owner_task_job(run->task), run->target);
     }
 }
--- a/src/owner/owner_spare.c
+++ b/src/owner/owner_spare.c
@@ -77,9 +77,25 @@
     }
 }
 
+/* Workers that lower work may be put on beside those that have some; `hosts`
+ * is what is left of them for the step. */
+static bool
+is_kept_for_urgent_work(const struct owner_step *step,
+                        const struct owner_target *target, unsigned *hosts)
+{
+    if (step->occurrence->job->spec->priority == 0 || target->lower_runs > 0) {
+        return false;
+    }
+    if (*hosts == 0) {
+        return true;
+    }
+    (*hosts)--;
+    return false;
+}
+
 static enum owner_keeper
 keeper_of(const struct owner_spare *spare, const struct owner_step *step,
-          struct owner_target *target)
+          struct owner_target *target, unsigned *hosts)
 {
     struct cw_resources need = owner_need(step->spec);
     struct cw_resources books = owner_room(target);
@@ -93,12 +109,8 @@
     if (owner_is_held(target, step, spare->now)) {
         return OWNER_KEEPER_RACK;
     }
-    if (step->occurrence->job->spec->priority > 0 &&
-        !owner_headroom_allows(spare->owner, step, target, spare->now))
-    {
-        return OWNER_KEEPER_URGENT;
-    }
-    return OWNER_KEEPER_NONE;
+    return is_kept_for_urgent_work(step, target, hosts) ? OWNER_KEEPER_URGENT
+                                                        : OWNER_KEEPER_NONE;
 }
 
 /* What can only begin together. */
@@ -114,6 +126,8 @@
     struct owner_spare_fit fit = {0};
     struct cw_resources need = owner_need(step->spec);
     unsigned *racks = g_new0(unsigned, spare->owner->rack_hosts->len);
+    unsigned hosts = owner_headroom_left(
+        spare->owner, step, step->occurrence->job->spec->service, spare->now);
     bool in_rack = !owner_step_needs_rack(spare->owner, step, spare->now);
 
     for (guint i = 0; i < spare->rooms->len; i++) {
@@ -126,7 +140,7 @@
         }
         fits = owner_most_there(step, row->target, fits);
         fit.tasks += fits;
-        fit.by_keeper[keeper_of(spare, step, row->target)] += fits;
+        fit.by_keeper[keeper_of(spare, step, row->target, &hosts)] += fits;
         racks[row->target->rack_number] += fits;
         in_rack = in_rack || racks[row->target->rack_number] >= unit_of(step);
     }
