Test that fails: a stop without an answer is sent with each end of a member

Seen: a gang of 69 was withdrawn for one member on a worker that reset connections; some 20 stops of that member within 0.5 s, nearly one for each end of another.

--- a/tests/test_orders.c
+++ b/tests/test_orders.c
@@ -107,6 +107,29 @@
     site_end(&site);
 }
 
+/* Each end of another member stops the gang once more: of 69 members that had
+ * to leave for one on a worker that reset connections, nearly each sent a stop
+ * there of its own. */
+static void
+test_a_stop_that_is_wanted_again_keeps_its_pace(void)
+{
+    struct site site;
+    struct owner_job *job;
+    struct owner_run *run;
+    unsigned sent = 0;
+
+    site_begin(&site);
+    job = start_job(&site);
+    answer_last(CW_TARGET_OK);
+    run = step_of(job)->tasks[0].run;
+    for (unsigned passed = 0; passed < 1500; passed += 10) {
+        owner_run_stop(site.owner, run);
+        sent += stops_sent_in(&site, run->target, 10);
+    }
+    CU_ASSERT_EQUAL(sent, 5);
+    site_end(&site);
+}
+
 /* Others would be held up there as well. */
 static void
 test_a_worker_that_leaves_a_start_unanswered_is_avoided(void)
@@ -159,6 +182,7 @@
 static const struct test tests[] = {
     {"connections", test_orders_at_a_time_fit_the_connections},
     {"paced", test_a_stop_that_fails_at_once_is_paced},
+    {"wanted again", test_a_stop_that_is_wanted_again_keeps_its_pace},
     {"avoided", test_a_worker_that_leaves_a_start_unanswered_is_avoided},
     {"never sent", test_a_start_that_was_never_sent_frees_the_task_at_once},
     {"no answer", test_a_start_without_an_answer_keeps_its_place},
