A stop without an answer keeps its pace, however often it is wanted

Cause: owner_run_stop queued a stop at once unless one was queued; each end of another member of the gang asks for it. Change: it is not queued before it is due again (0.3 s after the last answer), whoever asks. test_orders/wanted again: 5 in 1.5 s, 50 and more before; it is off the list.

--- a/src/owner/owner_runs.c
+++ b/src/owner/owner_runs.c
@@ -105,7 +105,9 @@
     }
     if ((run->phase == RUN_STARTING || run->phase == RUN_RUNNING ||
          run->phase == RUN_UNSURE) &&
-        !run->stop_queued && !run->stop_confirmed)
+        !run->stop_queued && !run->stop_confirmed &&
+        /* Each end of another member asks for it again. */
+        !cw_time_before(owner_now(owner), run->stop_due))
     {
         run->stop_queued = true;
         owner_order_queue(owner, run->target, CW_ORDER_STOP, &name,
