--- a/emulator/internal/world_private.h
+++ b/emulator/internal/world_private.h
@@ -216,7 +216,7 @@
     unsigned one_way_ms; /* beside the usual */
 };
 struct world_lateness world_lateness(struct world *world, const char *worker);
-bool world_is_late(const struct world *world, const char *worker);
+bool world_resets(const struct world *world, const char *worker);
 
 /* ---- world_waits.c ---- */
 
--- a/tests/test_orders.c
+++ b/tests/test_orders.c
@@ -130,6 +130,43 @@
     site_end(&site);
 }
 
+/* One that was never sent need not wait behind one that may have been carried
+ * out: it goes elsewhere. */
+static void
+test_a_start_that_was_never_sent_does_not_wait_behind_one_that_was(void)
+{
+    static const struct cw_step_spec half = {.tasks = 1, .accelerators = 4};
+    struct site site;
+    struct owner_job *jobs[2];
+    struct owner_target *target;
+
+    site_begin(&site);
+    for (unsigned i = 0; i < G_N_ELEMENTS(jobs); i++) {
+        jobs[i] = add_job(&site, 1, &half);
+        pass(&site, 10);
+    }
+    target = step_of(jobs[0])->tasks[0].run->target;
+    CU_ASSERT_PTR_EQUAL_FATAL(place_of(jobs[1], 0), target);
+    for (unsigned i = 0; i < G_N_ELEMENTS(jobs); i++) {
+        struct owner_run *run = step_of(jobs[i])->tasks[0].run;
+        struct cw_task_name name = owner_task_name(run->task);
+
+        run->phase = RUN_READY;
+        site.owner->proof_at = site.clock.now;
+        owner_order_queue(site.owner, target, CW_ORDER_START, &name,
+                          run->number);
+        if (i == 0) {
+            owner_orders_send(site.owner, target, site.clock.now);
+            answer_last(CW_TARGET_UNKNOWN);
+            target->silent = 1; /* the look was lost as well */
+        }
+    }
+    owner_orders_send(site.owner, target, site.clock.now);
+    CU_ASSERT_EQUAL(placed(jobs[0]), 1);
+    CU_ASSERT_EQUAL(placed(jobs[1]), 0);
+    site_end(&site);
+}
+
 /* Others would be held up there as well. */
 static void
 test_a_worker_that_leaves_a_start_unanswered_is_avoided(void)
@@ -183,6 +220,8 @@
     {"connections", test_orders_at_a_time_fit_the_connections},
     {"paced", test_a_stop_that_fails_at_once_is_paced},
     {"wanted again", test_a_stop_that_is_wanted_again_keeps_its_pace},
+    {"behind one",
+     test_a_start_that_was_never_sent_does_not_wait_behind_one_that_was},
     {"avoided", test_a_worker_that_leaves_a_start_unanswered_is_avoided},
     {"never sent", test_a_start_that_was_never_sent_frees_the_task_at_once},
     {"no answer", test_a_start_without_an_answer_keeps_its_place},
