--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -82,12 +82,12 @@
 
 # The stand-in tells where its workers listen and waits for the links.
 link_workers() { # COUNT
-    local id address
     await 5 eval "[ \$(grep -c ^worker= '$DIR/trace') = $1 ]" ||
         die "no workers"
-    while read -r id address; do
-        echo "worker.$id $(link "worker.$id" "$address")"
-    done < <(sed -n 's/^worker=//p' "$DIR/trace") >"$DIR/worker-links.new"
+    sed -n 's/^worker=/add worker./p' "$DIR/trace" >&9
+    await 5 eval "[ \$(grep -c '^worker\.' '$DIR/proxy.out') = $1 ]" ||
+        die "no links"
+    grep '^worker\.' "$DIR/proxy.out" >"$DIR/worker-links.new"
     mv "$DIR/worker-links.new" "$DIR/worker-links"
 }
 
--- a/standins/platform_standin.c
+++ b/standins/platform_standin.c
@@ -6,8 +6,8 @@
  * the addresses that it listens on.
  *
  * What a task does stands in its job's payload: "run_ms=N" how long it
- * works, "members=N" that it is one of a gang of so many, "fails=N" how many
- * of its runs fail, "echo=TEXT" what its end says beside the job's id, and
+ * works, "members=N" that it is one of a gang of so many, "accelerators=N" how
+ * many it takes (1), "fails=N" how many of its runs fail, "echo=TEXT" what its end says beside the job's id, and
  * "crash=1" that its first task crashes each worker that starts it: the worker
  * answers nothing for a while, and is then another life, under another id;
  * with "crash=2" under the id that it had.  SIGUSR1 makes the store refuse all
@@ -32,6 +32,14 @@
                            cw_clock_now(cw_clock_system()));
 }
 
+int64_t
+standin_fleet_ms(void)
+{
+    int64_t now_ms = standin_now_ms();
+
+    return now_ms - now_ms % REVIVE_EVERY_MS;
+}
+
 void
 standin_answer(struct cw_http_call *call, unsigned status, json_t *body)
 {
@@ -153,7 +161,8 @@
         if (!worker_model_dead(model)) {
             worker_model_crash(model);
             worker->down_ms = standin_now_ms();
-            worker->away_ms = AGAIN_LEAST_MS + i * AGAIN_STEP_MS;
+            worker->away_ms =
+                AGAIN_LEAST_MS + i * AGAIN_STEP_MS % AGAIN_SPAN_MS;
             worker->same_id = true;
         }
     }
@@ -328,7 +337,7 @@
             report(platform);
             report_ms = standin_now_ms() + REPORT_EVERY_MS;
         }
-        worker_fleet_advance(platform->fleet, standin_now_ms());
+        worker_fleet_advance(platform->fleet, standin_fleet_ms());
         pthread_mutex_unlock(&platform->lock);
         told = sigtimedwait(&signals, NULL, &step);
         pthread_mutex_lock(&platform->lock);
@@ -380,7 +389,7 @@
     if (platform.config_path != NULL && !load_config(&platform)) {
         return 2;
     }
-    worker_fleet_advance(platform.fleet, standin_now_ms());
+    worker_fleet_advance(platform.fleet, standin_fleet_ms());
     worker_fleet_set_day(platform.fleet, cw_clock_wall_ms(cw_clock_system()) -
                                              standin_now_ms());
     start_workers(&platform);
--- a/standins/platform_standin.h
+++ b/standins/platform_standin.h
@@ -13,16 +13,17 @@
 #include "emulator/worker_model.h"
 
 enum {
-    WAIT_STEP_MS = 10,
-    PROXY_TRIES = 1000, /* steps to wait for the proxy's file: 10 s */
+    WAIT_STEP_MS = 20,
+    PROXY_TRIES = 500, /* steps to wait for the proxy's file: 10 s */
     REPORT_EVERY_MS = 1500,
     REVIVE_EVERY_MS = 20,
     DOWN_MS = 1000, /* a worker that its task crashed is away for so long */
     /* Of the workers, those that crash together, and how long they are away:
-     * so much and more for each worker before it. */
+     * so much and more for each worker before it, up to a span. */
     CRASH_EVERY = 3,
     AGAIN_LEAST_MS = 50,
     AGAIN_STEP_MS = 150,
+    AGAIN_SPAN_MS = 1800,
     SAME_ID = 2, /* "crash=2" in a payload */
     LENGTH_BYTES = 4,
     ACCELERATORS = 8,
@@ -75,6 +76,10 @@
 /* Milliseconds of the steady clock. */
 int64_t standin_now_ms(void);
 
+/* The same for the workers' model, in steps: to move hundreds of workers on for
+ * each call takes longer than the calls. */
+int64_t standin_fleet_ms(void);
+
 /* Answers and releases `body`. */
 void standin_answer(struct cw_http_call *call, unsigned status, json_t *body);
 
--- a/standins/platform_workers.c
+++ b/standins/platform_workers.c
@@ -181,14 +181,14 @@
         bool last;
 
         pthread_mutex_lock(&platform->lock);
-        worker_fleet_advance(platform->fleet, standin_now_ms());
+        worker_fleet_advance(platform->fleet, standin_fleet_ms());
         worker = worker_fleet_find(platform->fleet, waiting->worker->id);
         /* What waits in a worker, or on a connection that was made to it, goes
          * with its life. */
         if (!worker_model_dead(worker) &&
             waiting->born_ms == worker_model_born_ms(worker))
         {
-            worker_model_order(worker, &order, standin_now_ms(), &answer,
+            worker_model_order(worker, &order, standin_fleet_ms(), &answer,
                                running, ended, texts);
         }
         pthread_mutex_unlock(&platform->lock);
@@ -265,7 +265,7 @@
     out->fails = number_in(payload, "fails", 0);
     out->crashes = number_in(payload, "crash", 0) > 0 && task->step == 0 &&
                    task->index == 0;
-    out->need.accelerators = 1;
+    out->need.accelerators = number_in(payload, "accelerators", 1);
     return true;
 }
 
@@ -285,7 +285,8 @@
     unsigned active =
         GPOINTER_TO_UINT(g_hash_table_lookup(platform->active, name));
 
-    printf("started task=%s run=%u worker=%s\n", name, run, worker);
+    printf("started task=%s run=%u worker=%s at_ms=%" PRId64 "\n", name, run,
+           worker, cw_clock_wall_ms(cw_clock_system()));
     if (active > 0) {
         printf("violation twice task=%s\n", name);
         platform->violations++;
@@ -305,8 +306,9 @@
     struct platform *platform = context;
     char *name = name_of(task);
 
-    printf("ended task=%s run=%u worker=%s how=%s\n", name, run, worker,
-           cw_end_kind_name(how));
+    printf("ended task=%s run=%u worker=%s how=%s at_ms=%" PRId64 "\n", name,
+           run, worker, cw_end_kind_name(how),
+           cw_clock_wall_ms(cw_clock_system()));
     fflush(stdout);
     g_hash_table_insert(platform->active, name, GUINT_TO_POINTER(0));
 }
--- a/tools/proxy/proxy.c
+++ b/tools/proxy/proxy.c
@@ -12,7 +12,8 @@
  *   silence LINK          the connections of this moment carry nothing any
  *                         more, for good; new ones work
  *   reset LINK            the connections of this moment are reset
- *   heal LINK             no delay and no cut
+ *   refuse LINK           these, and all that are made from now on
+ *   heal LINK             no delay, no cut, and connections are taken
  *
  * What a cut holds back is passed on once it is healed, as a network does
  * that sends lost packets again. */
@@ -51,6 +52,7 @@
     unsigned port;
     unsigned delay_ms;
     bool cut[DIRECTIONS];
+    bool refuses;
 };
 
 struct chunk {
@@ -133,7 +135,7 @@
         return;
     }
     server = socket(AF_INET, SOCK_STREAM, 0);
-    if (server < 0 || connect(server, (struct sockaddr *)&link->server,
+    if (link->refuses || server < 0 || connect(server, (struct sockaddr *)&link->server,
                               sizeof(link->server)) != 0)
     {
         reset_on_close(client); /* as a port without a listener does */
@@ -289,7 +291,11 @@
         link->cut[UP] = strcmp(value, "down") != 0;
         link->cut[DOWN] = strcmp(value, "up") != 0;
     }
+    else if (strcmp(verb, "refuse") == 0) {
+        link->refuses = true;
+    }
     else if (strcmp(verb, "heal") == 0) {
+        link->refuses = false;
         link->delay_ms = 0;
         link->cut[UP] = false;
         link->cut[DOWN] = false;
@@ -302,7 +308,7 @@
     if (strcmp(verb, "silence") == 0) {
         pair->silent = true;
     }
-    else if (strcmp(verb, "reset") == 0) {
+    else if (strcmp(verb, "reset") == 0 || strcmp(verb, "refuse") == 0) {
         reset_on_close(pair->halves[UP].from);
         reset_on_close(pair->halves[DOWN].from);
         pair->broken = true;
