--- a/standins/platform_standin.c
+++ b/standins/platform_standin.c
@@ -7,12 +7,13 @@
  *
  * What a task does stands in its job's payload: "run_ms=N" how long it
  * works, "members=N" that it is one of a gang of so many, "accelerators=N" how
- * many it takes (1), "fails=N" how many of its runs fail, "echo=TEXT" what its end says beside the job's id, and
- * "crash=1" that its first task crashes each worker that starts it: the worker
- * answers nothing for a while, and is then another life, under another id;
- * with "crash=2" under the id that it had.  SIGUSR1 makes the store refuse all
- * calls, SIGUSR2 makes it serve again; SIGHUP crashes every third worker at
- * once, and they are back under their ids. */
+ * many it takes (1), "fails=N" how many of its runs fail, "echo=TEXT" what its
+ * end says beside the job's id, and "crash=1" that its first task crashes each
+ * worker that starts it: the worker answers nothing for a while, and is then
+ * another life, under another id; with "crash=2" under the id that it had.
+ * SIGUSR1 makes the store refuse all calls, SIGUSR2 makes it serve again;
+ * SIGHUP crashes every third worker at once, and they are back under their
+ * ids. */
 #include <argp.h>
 #include <inttypes.h>
 #include <pthread.h>
--- a/standins/platform_standin.h
+++ b/standins/platform_standin.h
@@ -76,8 +76,8 @@
 /* Milliseconds of the steady clock. */
 int64_t standin_now_ms(void);
 
-/* The same for the workers' model, in steps: to move hundreds of workers on for
- * each call takes longer than the calls. */
+/* The same for the workers' model, in steps: to move hundreds of workers on
+ * for each call takes longer than the calls. */
 int64_t standin_fleet_ms(void);
 
 /* Answers and releases `body`. */
--- a/tools/proxy/proxy.c
+++ b/tools/proxy/proxy.c
@@ -135,8 +135,9 @@
         return;
     }
     server = socket(AF_INET, SOCK_STREAM, 0);
-    if (link->refuses || server < 0 || connect(server, (struct sockaddr *)&link->server,
-                              sizeof(link->server)) != 0)
+    if (link->refuses || server < 0 ||
+        connect(server, (struct sockaddr *)&link->server,
+                sizeof(link->server)) != 0)
     {
         reset_on_close(client); /* as a port without a listener does */
         close(client);
