--- a/include/curlewcart/cw_replica.h
+++ b/include/curlewcart/cw_replica.h
@@ -1,7 +1,7 @@
 /* Every VM's copy of the jobs that the store holds, folded from its log.
  *
- * Beside jobs the log holds what VMs tell each other: their processors, and
- * that an owner is there.
+ * Beside jobs the log holds what VMs tell each other: their processors, that
+ * an owner is there, and which workers' leases it extends no more.
  *
  * Three kinds of records make a job: its specification (any VM), a mark that
  * it was cancelled (any VM), and where it stands (the owner of the shard,
@@ -46,6 +46,15 @@
     GPtrArray *cancel_keys; /* char *, of all attempts */
 };
 
+/* A worker whose lease the owner that wrote so extends no more, and none after
+ * it, until the note is dropped.  Reading is later than writing: the lease is
+ * over `left_ms` after `read_at`, on this VM's clock. */
+struct cw_replica_note {
+    uint64_t offset;
+    struct timespec read_at;
+    unsigned left_ms;
+};
+
 /* Who hears of changes; members may be NULL. */
 struct cw_replica_listener {
     /* A job's specification or cancellation was read. */
@@ -83,6 +92,9 @@
 /* All jobs: id -> struct cw_replica_job.  Borrowed. */
 GHashTable *cw_replica_jobs(const struct cw_replica *replica);
 
+/* All notes: worker -> struct cw_replica_note.  Borrowed. */
+GHashTable *cw_replica_notes(const struct cw_replica *replica);
+
 /* Where the job stands in log order (enum cw_work_phase). */
 unsigned cw_replica_phase(const struct cw_replica_job *job);
 
--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -148,6 +148,13 @@
     unsigned runs;
 };
 
+/* What the log that all VMs read says of a worker's lease; owner_notes.c. */
+enum owner_note {
+    OWNER_NOTE_NONE,    /* nothing: the lease may be extended */
+    OWNER_NOTE_WRITTEN, /* it ends: in the batch under way, or stored */
+    OWNER_NOTE_DROPPED  /* ... and the taking back is in the batch under way */
+};
+
 /* A worker as the owner knows it; see owner_targets.c. */
 struct owner_target {
     struct owner_due_entry due; /* first member: the heap's entry is it */
@@ -184,6 +191,8 @@
     struct timespec busy_at;      /* when it last had a run, as far as known */
     unsigned silent;              /* holds in a row without an answer */
     struct timespec silent_since; /* the last time that it fell silent */
+    enum owner_note note;
+    bool note_due; /* it is in the owner's list of notes to write */
     bool ends_new; /* it is in the owner's list of those with applied ends */
     GQueue orders; /* struct owner_order */
     unsigned orders_in_flight;
@@ -279,6 +288,7 @@
     GPtrArray *dirty;       /* struct owner_job: their states are written */
     GPtrArray *untold;      /* struct owner_job: all VMs are told of them */
     GPtrArray *past_states; /* char *: jobs whose states are dropped */
+    GPtrArray *notes_due;   /* struct owner_target: notes to write or drop */
     struct timespec flush_due;
     struct owner_candidacy candidacy;
     bool place_wanted;
@@ -582,6 +592,9 @@
 /* End of lease to send with an order now, on the worker's clock. */
 int64_t owner_target_lease(struct owner_target *target, struct timespec now);
 
+/* True if a run was sent there, by this owner or an earlier one. */
+bool owner_target_has_ordered_run(const struct owner_target *target);
+
 /* All its runs are lost. */
 void owner_target_lost(struct cw_owner *owner, struct owner_target *target,
                        const char *reason);
@@ -652,6 +665,21 @@
 owner_hold_tick(struct cw_owner *owner, struct owner_target *target,
                 struct timespec now);
 
+/* ---- owner_notes.c ---- */
+
+/* Takes the notes over that stand in the log, after the bounds of leases that
+ * hold without them are set. */
+void owner_notes_adopt(struct cw_owner *owner);
+
+/* Finds out whether the worker's note is to be written, or taken back; returns
+ * when the worker is to be attended to next because of that. */
+struct timespec
+owner_note_tick(struct cw_owner *owner, struct owner_target *target,
+                struct timespec now);
+
+/* Sends what is due on the idle log of jobs; false if there is nothing. */
+bool owner_notes_send(struct cw_owner *owner, struct timespec now);
+
 /* ---- owner_waits.c ---- */
 
 /* Work of the job is under way, or may be from now on. */
--- a/src/owner/owner.c
+++ b/src/owner/owner.c
@@ -42,6 +42,7 @@
     owner_due_clear(owner->due);
     g_ptr_array_set_size(owner->ends_new, 0);
     g_ptr_array_set_size(owner->ends_sent, 0);
+    g_ptr_array_set_size(owner->notes_due, 0);
     g_hash_table_remove_all(owner->lives);
     g_hash_table_remove_all(owner->targets);
     g_hash_table_remove_all(owner->racks);
@@ -161,6 +162,7 @@
     owner_stored_each(owner->stored, drop_if_past, owner);
     forget_states(owner);
     bound_earlier_leases(owner, now);
+    owner_notes_adopt(owner);
     cw_count_add(owner->options.counters, CW_COUNT_TAKEOVERS, 1);
     cw_count_latency(owner->options.counters, CW_LATENCY_TAKEOVER,
                      cw_time_diff_ms(owner->began, now));
@@ -368,6 +370,7 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     owner->dirty = g_ptr_array_new();
     owner->untold = g_ptr_array_new();
+    owner->notes_due = g_ptr_array_new();
     owner->past_states = g_ptr_array_new_with_free_func(g_free);
     owner->demand = g_hash_table_new(g_str_hash, g_str_equal);
     owner->memo = owner_memo_create();
@@ -397,6 +400,7 @@
     g_hash_table_unref(owner->lives);
     g_ptr_array_unref(owner->dirty);
     g_ptr_array_unref(owner->untold);
+    g_ptr_array_unref(owner->notes_due);
     g_ptr_array_unref(owner->past_states);
     g_hash_table_unref(owner->demand);
     owner_candidacy_clear(owner);
@@ -434,6 +438,7 @@
     owner_drain_tick(owner, target, now);
     cw_time_earlier(&next, owner_orders_send(owner, target, now));
     cw_time_earlier(&next, owner_hold_tick(owner, target, now));
+    cw_time_earlier(&next, owner_note_tick(owner, target, now));
     return next;
 }
 
--- a/src/owner/owner_commit.c
+++ b/src/owner/owner_commit.c
@@ -287,6 +287,9 @@
     if (!owner_log_is_idle(log)) {
         return owner_log_tick(log, now);
     }
+    if (owner_notes_send(owner, now)) {
+        return cw_time_from_ms(INT32_MAX);
+    }
     if (owner->untold->len > 0 && cw_time_before(now, due)) {
         return due;
     }
--- a/src/owner/owner_holds.c
+++ b/src/owner/owner_holds.c
@@ -377,8 +377,11 @@
     target->answered = true;
     target->seen_at = call->sent;
     target->life.heard_at = now;
+    /* Where a note is dropped, a look follows at once when that is stored. */
     target->hold_due = cw_time_add_ms(
-        now, decides_runs(target) ? HOLD_PACE_UNSURE_MS : HOLD_PACE_MS);
+        now, decides_runs(target) || target->note != OWNER_NOTE_NONE
+                 ? HOLD_PACE_UNSURE_MS
+                 : HOLD_PACE_MS);
     take_lists(owner, target, answer, call->sent, now);
     check_stalls(owner, target, now);
 }
@@ -462,8 +465,9 @@
                    (has_unconfirmed(target) && acked == 0);
     bool waits = target->runs->len > 0 || has_strays(target);
 
+    /* Without an extended lease it has no time to wait. */
     return blocked || !target->answered || target->silent > 0 || !waits ||
-                   decides_runs(target)
+                   target->note != OWNER_NOTE_NONE || decides_runs(target)
                ? 0
                : hold_wait_ms(owner);
 }
@@ -478,7 +482,8 @@
     /* A first look extends no lease: if it is over, the worker has to notice,
      * so that an earlier owner's word on lost runs holds.  Nor does one after
      * a silence, as another life may answer. */
-    bool extends = target->answered && target->silent == 0;
+    bool extends = target->answered && target->silent == 0 &&
+                   target->note == OWNER_NOTE_NONE;
     struct cw_target_order order = {
         .kind = CW_ORDER_HOLD,
         .address = target->address,
@@ -544,20 +549,6 @@
            (target->silent > 0 && is_of_use(target));
 }
 
-/* True if a run was sent there, by this owner or an earlier one. */
-static bool
-has_ordered_run(const struct owner_target *target)
-{
-    for (guint i = 0; i < target->runs->len; i++) {
-        const struct owner_run *run = target->runs->pdata[i];
-
-        if (run->phase >= RUN_STARTING) {
-            return true;
-        }
-    }
-    return false;
-}
-
 /* Time between two looks at an idle worker. */
 static int64_t
 idle_look_ms(const struct cw_owner *owner)
@@ -590,7 +581,9 @@
 {
     struct timespec due = target->hold_due;
 
-    if (cw_time_before(target->lease_end, now) && has_ordered_run(target)) {
+    if (cw_time_before(target->lease_end, now) &&
+        owner_target_has_ordered_run(target))
+    {
         lease_over(owner, target);
         due = target->hold_due;
     }
--- a/src/owner/owner_orders.c
+++ b/src/owner/owner_orders.c
@@ -329,7 +329,10 @@
  * A worker that has gone silent since may be another by now; by its clock the
  * lease that the start carries could last for longer than is known here, and
  * the task would be started elsewhere beside it.  Work that must not be begun
- * twice waits in any case: the former life may have begun it. */
+ * twice waits in any case: the former life may have begun it.
+ *
+ * One that answers again gets no start, as that extends its lease, until its
+ * note is known to be dropped. */
 static bool
 waits(const struct owner_order *order, struct timespec now,
       struct timespec *next)
@@ -337,9 +340,13 @@
     const struct owner_target *target = order->target;
     const struct owner_run *run = order_run(order);
 
-    if (order->kind != CW_ORDER_START || run == NULL || run->stopping ||
-        run->phase != RUN_STARTING)
-    {
+    if (order->kind != CW_ORDER_START || run == NULL || run->stopping) {
+        return false;
+    }
+    if (target->note != OWNER_NOTE_NONE && target->silent == 0) {
+        return true;
+    }
+    if (run->phase != RUN_STARTING) {
         return false;
     }
     if (cw_time_before(now, order->due)) {
--- a/src/owner/owner_targets.c
+++ b/src/owner/owner_targets.c
@@ -313,7 +313,7 @@
 
     /* While it is silent its lease is not extended, so that the tasks there
      * can be started elsewhere once the last one has passed. */
-    if (!target->life.clock_known ||
+    if (!target->life.clock_known || target->note != OWNER_NOTE_NONE ||
         (target->silent > 0 && target->life.lease_sent_ms > 0) ||
         !owner_may_extend(owner, now))
     {
@@ -328,6 +328,19 @@
     return target->life.lease_sent_ms;
 }
 
+bool
+owner_target_has_ordered_run(const struct owner_target *target)
+{
+    for (guint i = 0; i < target->runs->len; i++) {
+        const struct owner_run *run = target->runs->pdata[i];
+
+        if (run->phase >= RUN_STARTING) {
+            return true;
+        }
+    }
+    return false;
+}
+
 void
 owner_target_lost(struct cw_owner *owner, struct owner_target *target,
                   const char *reason)
@@ -378,7 +391,8 @@
 {
     return target->listed && !target->draining && !target->gone &&
            target->answered && target->silent == 0 &&
-           target->life.clock_known && target->address[0] != '\0' &&
+           target->note == OWNER_NOTE_NONE && target->life.clock_known &&
+           target->address[0] != '\0' &&
            !cw_time_before(now, target->avoid_until) &&
            owner_target_room_known(target, now);
 }
--- a/src/proto/cw_proto.h
+++ b/src/proto/cw_proto.h
@@ -197,6 +197,11 @@
 	u_quad_t epoch;
 };
 typedef struct cw_beat_record cw_beat_record;
+
+struct cw_note_record {
+	u_int left_ms;
+};
+typedef struct cw_note_record cw_note_record;
 #define CW_RELAY_BYTES_MAX 60000
 #define CW_RELAY_RECORDS_MAX 4096
 
@@ -302,6 +307,7 @@
 extern  bool_t xdr_cw_work_record (XDR *, cw_work_record*);
 extern  bool_t xdr_cw_vm_record (XDR *, cw_vm_record*);
 extern  bool_t xdr_cw_beat_record (XDR *, cw_beat_record*);
+extern  bool_t xdr_cw_note_record (XDR *, cw_note_record*);
 extern  bool_t xdr_cw_relay_kind (XDR *, cw_relay_kind*);
 extern  bool_t xdr_cw_relay_record (XDR *, cw_relay_record*);
 extern  bool_t xdr_cw_relay_request (XDR *, cw_relay_request*);
@@ -322,6 +328,7 @@
 extern bool_t xdr_cw_work_record ();
 extern bool_t xdr_cw_vm_record ();
 extern bool_t xdr_cw_beat_record ();
+extern bool_t xdr_cw_note_record ();
 extern bool_t xdr_cw_relay_kind ();
 extern bool_t xdr_cw_relay_record ();
 extern bool_t xdr_cw_relay_request ();
--- a/src/proto/cw_proto.x
+++ b/src/proto/cw_proto.x
@@ -171,6 +171,12 @@
     unsigned hyper epoch;
 };
 
+/* A worker whose lease the owner extends no more, until the key is dropped:
+ * so long after the record was written it is over. */
+struct cw_note_record {
+    unsigned int left_ms;
+};
+
 /* ---- calls to the store through another VM ---- */
 
 const CW_RELAY_BYTES_MAX = 60000;
--- a/src/proto/cw_proto_xdr.c
+++ b/src/proto/cw_proto_xdr.c
@@ -790,6 +790,16 @@
 	return TRUE;
 }
 
+bool_t
+xdr_cw_note_record (XDR *xdrs, cw_note_record *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->left_ms))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_cw_relay_kind (XDR *xdrs, cw_relay_kind *objp)
 {
--- a/src/replica/replica.c
+++ b/src/replica/replica.c
@@ -13,7 +13,9 @@
 struct cw_replica {
     struct cw_follower *follower;
     struct cw_replica_listener listener;
+    struct cw_clock *clock;
     GHashTable *jobs;
+    GHashTable *notes; /* worker -> struct cw_replica_note */
 };
 
 static void
@@ -158,6 +160,46 @@
     }
 }
 
+static void
+drop_note(struct cw_replica *replica, const struct cw_store_record *record)
+{
+    const char *worker = record->key + 1;
+    const struct cw_replica_note *note =
+        g_hash_table_lookup(replica->notes, worker);
+
+    if (note != NULL && note->offset < record->offset) {
+        g_hash_table_remove(replica->notes, worker);
+    }
+}
+
+/* One that is given again keeps the time at which it was read first. */
+static void
+apply_note(struct cw_replica *replica, const struct cw_store_record *record)
+{
+    const char *worker = record->key + 1;
+    const struct cw_replica_note *known =
+        g_hash_table_lookup(replica->notes, worker);
+    struct cw_note_record value = {0};
+    struct cw_replica_note *note;
+
+    if (known != NULL && record->offset <= known->offset) {
+        return;
+    }
+    g_hash_table_remove(replica->notes, worker);
+    if (!cw_xdr_decode((xdrproc_t)xdr_cw_note_record, &value, record->value,
+                       record->length))
+    {
+        cw_log_error("record_invalid", "worker=%s kind=note offset=%" PRIu64,
+                     worker, record->offset);
+        return;
+    }
+    note = g_new0(struct cw_replica_note, 1);
+    note->offset = record->offset;
+    note->read_at = cw_clock_now(replica->clock);
+    note->left_ms = value.left_ms;
+    g_hash_table_insert(replica->notes, g_strdup(worker), note);
+}
+
 /* Folds a record of the job `id`. */
 static void
 apply(struct cw_replica *replica, const char *id,
@@ -168,6 +210,9 @@
         if (record->key[0] == CW_WORK_KEY_RECORD) {
             g_hash_table_remove(replica->jobs, id);
         }
+        else if (record->key[0] == CW_WORK_KEY_NOTE) {
+            drop_note(replica, record);
+        }
         return;
     }
     switch (record->key[0]) {
@@ -187,6 +232,10 @@
     case CW_WORK_KEY_BEAT:
         tell_owner_wrote(replica);
         break;
+    case CW_WORK_KEY_NOTE:
+        apply_note(replica, record);
+        tell_owner_wrote(replica);
+        break;
     default:
         cw_log_warning("record_unknown", "offset=%" PRIu64, record->offset);
         break;
@@ -213,6 +262,16 @@
     cw_replica_apply(context, record);
 }
 
+/* Where history was dropped, so may be the record that dropped a note: what is
+ * loaded has all that stand. */
+static void
+on_reset(void *context)
+{
+    struct cw_replica *replica = context;
+
+    g_hash_table_remove_all(replica->notes);
+}
+
 static void
 on_advanced(void *context)
 {
@@ -235,7 +294,8 @@
         .partition = options->partition,
         .wait_ms = READ_WAIT_MS,
         .pace_ms = options->pace_ms,
-        .handler = {.loaded = on_advanced,
+        .handler = {.reset = on_reset,
+                    .loaded = on_advanced,
                     .record = on_record,
                     .advanced = on_advanced,
                     .context = replica},
@@ -243,6 +303,9 @@
 
     replica->jobs =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, job_free);
+    replica->notes =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    replica->clock = options->clock;
     replica->follower = cw_follower_create(&follow);
     return replica;
 }
@@ -253,6 +316,7 @@
     if (replica != NULL) {
         cw_follower_free(replica->follower);
         g_hash_table_unref(replica->jobs);
+        g_hash_table_unref(replica->notes);
         g_free(replica);
     }
 }
@@ -282,6 +346,12 @@
     return replica->jobs;
 }
 
+GHashTable *
+cw_replica_notes(const struct cw_replica *replica)
+{
+    return replica->notes;
+}
+
 unsigned
 cw_replica_phase(const struct cw_replica_job *job)
 {
--- /dev/null
+++ b/tests/owner_bed.h
@@ -0,0 +1,256 @@
+/* A VM with a store in the same process and workers that do not answer, for
+ * tests of taking a shard over. */
+#ifndef CURLEWCART_TESTS_OWNER_BED_H
+#define CURLEWCART_TESTS_OWNER_BED_H
+
+#include "curlewcart/cw_record.h"
+#include "owner_site.h"
+#include "platform/platform.h"
+#include "store_port.h"
+#include "work_spec.h"
+
+#define ID "5c0e7a21d94b36f8"
+
+enum {
+    TASKS = 40,
+    RUN = 3,
+    STEP_MS = 10,
+    EPOCH = 1,
+    LEASE_MS = 6000,
+    /* What an earlier owner has ordered is over so long after a take-over:
+     * 6 s in which it may extend leases, a lease with its drift, 0.5 s. */
+    FIRST_BOUND_MS = 6000 + LEASE_MS + 120 + 500
+};
+
+struct bed {
+    struct store_port store;
+    struct cw_clock_manual clock;
+    struct cw_counters counters;
+    struct cw_replica *replica;
+    struct cw_owner *owner;
+    unsigned state_reads; /* reads and loads of the topic of states */
+    bool grows;           /* each read finds another record at the end */
+    bool deaf;            /* reads of the log of jobs are not answered */
+};
+
+static struct bed *current;
+
+static inline void
+put(struct bed *bed, const char *topic, const char *key, GByteArray *value);
+
+static inline void
+grow(struct bed *bed, const char *topic)
+{
+    GByteArray *value = g_byte_array_new();
+
+    g_byte_array_append(value, (const guint8 *)"1", 1);
+    put(bed, topic, "c" ID ".1", value);
+    g_byte_array_unref(value);
+}
+
+static const struct cw_store_page unanswered_read = {.status =
+                                                         CW_STORE_UNKNOWN};
+
+static inline void
+count_read(struct cw_store *store, const struct cw_store_read *call)
+{
+    current->state_reads += strcmp(call->topic, CW_STATE_TOPIC) == 0;
+    if (current->grows && strcmp(call->topic, CW_WORK_TOPIC) == 0) {
+        grow(current, call->topic);
+        grow(current, call->topic);
+    }
+    if (current->deaf && strcmp(call->topic, CW_WORK_TOPIC) == 0) {
+        call->done(call->context, &unanswered_read);
+        return;
+    }
+    store_port_read(store, call);
+}
+
+static inline void
+count_newest(struct cw_store *store, const struct cw_store_newest *call)
+{
+    current->state_reads += strcmp(call->topic, CW_STATE_TOPIC) == 0;
+    store_port_newest(store, call);
+}
+
+static inline void
+on_join(struct cw_store *store, const struct cw_store_join *call)
+{
+    static const unsigned shard = 0;
+    struct cw_store_joined result = {.status = CW_STORE_OK,
+                                     .generation = EPOCH,
+                                     .partitions = &shard,
+                                     .count = current->owner->holds_partition};
+
+    (void)store;
+    call->done(call->context, &result);
+}
+
+/* A VM starts, and knows nothing but what it reads. */
+static inline void
+vm_begin(struct bed *bed)
+{
+    static const struct cw_targets_ops orders = {.order = keep_order};
+    static struct cw_targets targets = {.ops = &orders};
+    struct cw_replica_options replica = {.clock = &bed->clock.base,
+                                         .store = &bed->store.base};
+    struct cw_owner_options options = {.codec = platform_codec(),
+                                       .clock = &bed->clock.base,
+                                       .counters = &bed->counters,
+                                       .store = &bed->store.base,
+                                       .targets = &targets,
+                                       .vm = "this",
+                                       .member = "m",
+                                       .member_ttl_ms = 1000,
+                                       .lease_ms = LEASE_MS,
+                                       .retain_ms = 100000};
+
+    bed->replica = cw_replica_create(&replica);
+    options.replica = bed->replica;
+    bed->owner = cw_owner_create(&options);
+}
+
+static inline void
+vm_end(struct bed *bed)
+{
+    answer_rest();
+    cw_owner_free(bed->owner);
+    cw_replica_free(bed->replica);
+}
+
+static inline void
+bed_begin(struct bed *bed)
+{
+    static struct cw_store_ops ops;
+
+    memset(bed, 0, sizeof(*bed));
+    cw_log_setup("error", "test");
+    ops = store_port_ops;
+    ops.join = on_join;
+    ops.read = count_read;
+    ops.newest = count_newest;
+    bed->store.base.ops = &ops;
+    bed->store.model = store_model_create(1);
+    cw_clock_manual_init(&bed->clock);
+    bed->clock.now = cw_time_from_ms(START_MS);
+    vm_begin(bed);
+    current = bed;
+}
+
+static inline void
+bed_end(struct bed *bed)
+{
+    vm_end(bed);
+    store_model_free(bed->store.model);
+}
+
+static inline void
+put(struct bed *bed, const char *topic, const char *key, GByteArray *value)
+{
+    struct cw_store_record record = {
+        .key = key, .value = value->data, .length = value->len};
+    struct cw_store_append append = {
+        .topic = topic, .records = &record, .count = 1};
+
+    store_model_append(bed->store.model, &append);
+}
+
+static inline void
+put_spec(struct bed *bed)
+{
+    const struct work_spec_options options = {.id = ID,
+                                              .tasks = TASKS,
+                                              .accelerators = 1,
+                                              .max_attempts = 2,
+                                              .stretch_milli = 2000};
+    GByteArray *bytes = work_spec_encode(&options);
+
+    put(bed, CW_WORK_TOPIC, "s" ID, bytes);
+    g_byte_array_unref(bytes);
+}
+
+/* A state in which each task has a run on the worker "w". */
+static inline void
+put_state(struct bed *bed, const char *topic, unsigned phase)
+{
+    static char *workers[] = {(char *)"w"};
+    struct cw_task_record tasks[TASKS] = {0};
+    struct cw_step_record step = {0};
+    struct cw_occurrence_record occurrence = {0};
+    struct cw_work_record record = {.phase = phase,
+                                    .started = true,
+                                    .next_occurrence = 1,
+                                    .begun = true,
+                                    .result = (char *)""};
+    GByteArray *bytes;
+
+    for (unsigned i = 0; i < TASKS; i++) {
+        tasks[i].worker = 1;
+        tasks[i].run = RUN;
+        tasks[i].saved = (char *)"";
+    }
+    step.tasks.tasks_len = TASKS;
+    step.tasks.tasks_val = tasks;
+    occurrence.steps.steps_len = 1;
+    occurrence.steps.steps_val = &step;
+    record.open.open_len = 1;
+    record.open.open_val = &occurrence;
+    record.workers.workers_len = 1;
+    record.workers.workers_val = workers;
+    record.ended_ms = cw_work_is_over(phase) ? START_MS : 0;
+    bytes = cw_record_encode(&record);
+    put(bed, topic, "r" ID, bytes);
+    g_byte_array_unref(bytes);
+}
+
+static inline void
+put_outcome(struct bed *bed, unsigned phase)
+{
+    struct cw_work_record record = {.phase = phase,
+                                    .started = true,
+                                    .ended_ms = START_MS,
+                                    .result = (char *)""};
+    GByteArray *bytes = cw_record_encode(&record);
+
+    put(bed, CW_WORK_TOPIC, "r" ID, bytes);
+    g_byte_array_unref(bytes);
+}
+
+static inline void
+run(struct bed *bed, unsigned ms)
+{
+    for (unsigned passed = 0; passed < ms; passed += STEP_MS) {
+        bed->clock.now = cw_time_add_ms(bed->clock.now, STEP_MS);
+        cw_follower_tick(cw_replica_follower(bed->replica), bed->clock.now);
+        cw_owner_tick(bed->owner, bed->clock.now);
+    }
+}
+
+static inline void
+take_over(struct bed *bed)
+{
+    bed->owner->generation = EPOCH;
+    bed->owner->holds_partition = true;
+    owner_begin(bed->owner, bed->clock.now);
+    run(bed, 200);
+}
+
+static inline struct owner_job *
+the_job(struct bed *bed)
+{
+    return g_hash_table_lookup(bed->owner->jobs, ID);
+}
+
+static inline unsigned
+states_kept(struct bed *bed)
+{
+    struct store_model_page page;
+    unsigned count;
+
+    store_model_newest(bed->store.model, CW_STATE_TOPIC, NULL, &page);
+    count = (unsigned)page.page.count;
+    store_model_page_clear(&page);
+    return count;
+}
+
+#endif
