--- a/tests/test_late.c
+++ b/tests/test_late.c
@@ -144,7 +144,82 @@
     site_end(&site);
 }
 
+/* Sends a look, answers it with empty lists, and returns what it extended the
+ * lease to. */
+static int64_t
+look_and_answer(struct site *site, struct owner_target *target)
+{
+    int64_t until_ms;
+
+    site->clock.now = cw_time_add_ms(site->clock.now, 1000);
+    site->owner->proof_at = site->clock.now;
+    target->hold_due = site->clock.now;
+    owner_hold_tick(site->owner, target, site->clock.now);
+    CU_ASSERT_EQUAL(last_order.kind, CW_ORDER_HOLD);
+    until_ms = last_order.lease_until_ms;
+    answer_last(CW_TARGET_OK);
+    return until_ms;
+}
+
+/* Once nothing is avoided any more. */
+static struct timespec
+later(const struct site *site)
+{
+    return cw_time_add_ms(site->clock.now, 5000);
+}
+
+/* Seen with real processes: a start that a cut link held back was carried out
+ * when it healed, after the task had been done elsewhere.  Its own lease was
+ * over, but the worker's had been extended since, for other work: that is all
+ * a worker asks.  So what it may still get is stopped there first. */
+static void
+test_a_start_that_may_come_late_is_shut_out_before_a_lease_is_extended(void)
+{
+    const struct cw_step_spec one = {.tasks = 1, .accelerators = 8};
+    struct site site;
+    struct owner_job *job;
+    struct owner_target *target;
+    struct owner_run *run;
+    struct cw_task_name name;
+
+    site_begin(&site);
+    job = add_job(&site, 1, &one);
+    pass(&site, 10);
+    run = step_of(job)->tasks[0].run;
+    target = run->target;
+    run->phase = RUN_READY;
+    name = owner_task_name(run->task);
+    site.owner->proof_at = site.clock.now;
+    owner_order_queue(site.owner, target, CW_ORDER_START, &name, run->number);
+    owner_orders_send(site.owner, target, site.clock.now);
+    answer_last(CW_TARGET_UNKNOWN);
+    target->silent = 1;
+    site.clock.now = cw_time_add_ms(target->lease_end, 1);
+    owner_hold_tick(site.owner, target, site.clock.now);
+    CU_ASSERT_EQUAL(placed(job), 0);
+    answer_rest();
+    unanswered = g_array_new(FALSE, FALSE, sizeof(struct cw_target_order));
+    CU_ASSERT_EQUAL(look_and_answer(&site, target), 0); /* a first look */
+    for (unsigned tries = 0; tries < 2; tries++) {
+        int64_t before_ms = target->life.lease_sent_ms;
+
+        CU_ASSERT_FALSE(owner_target_reachable(target, later(&site)));
+        CU_ASSERT_EQUAL(owner_target_lease(target, site.clock.now), before_ms);
+        site.clock.now = cw_time_add_ms(site.clock.now, 300);
+        site.owner->proof_at = site.clock.now;
+        owner_orders_send(site.owner, target, site.clock.now);
+        CU_ASSERT_EQUAL_FATAL(last_order.kind, CW_ORDER_STOP);
+        CU_ASSERT_EQUAL(last_order.run, 1);
+        last_order.kind = CW_ORDER_HOLD;
+        answer_last(tries == 0 ? CW_TARGET_UNKNOWN : CW_TARGET_OK);
+    }
+    CU_ASSERT_TRUE(owner_target_reachable(target, later(&site)));
+    site_end(&site);
+}
+
 static const struct test tests[] = {
+    {"shut out",
+     test_a_start_that_may_come_late_is_shut_out_before_a_lease_is_extended},
     {"asked before",
      test_a_worker_that_answers_is_asked_before_its_runs_are_given_up},
     {"taken", test_a_late_result_is_taken},
