Starts that may still arrive are shut out before a lease is extended again

Callers would have seen: a task done, and then run once more (TWICE). Cause: a run is given up when its worker's lease is over, on the ground that what arrives later is refused; but a worker refuses by its own lease, and that is extended as soon as it answers, for other work. A start that a cut link had held back for longer than the lease was then carried out. Ruled out: an earlier owner's start; it carries a lower fencing token than the first look. A start that was answered; its run is known there.

--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -194,7 +194,8 @@
     enum owner_note note;
     bool note_due; /* it is in the owner's list of notes to write */
     bool ends_new; /* it is in the owner's list of those with applied ends */
-    GQueue orders; /* struct owner_order */
+    GPtrArray *shut_outs; /* owner_shut_out.c */
+    GQueue orders;        /* struct owner_order */
     unsigned orders_in_flight;
     GPtrArray *runs;     /* struct owner_run */
     unsigned lower_runs; /* of them, of work that is not the most urgent */
@@ -665,6 +666,29 @@
 owner_hold_tick(struct cw_owner *owner, struct owner_target *target,
                 struct timespec now);
 
+/* ---- owner_shut_out.c ---- */
+
+GPtrArray *owner_shut_outs_new(void);
+
+/* The run is given up; if its start may still arrive at the worker, that is to
+ * be shut out there. */
+void owner_shut_out_add(const struct owner_run *run);
+
+/* The worker's queue of orders was emptied. */
+void owner_shut_out_unqueue(struct owner_target *target);
+
+/* True if such starts may still arrive: the worker's lease is not extended. */
+bool owner_shut_out_pending(const struct owner_target *target);
+
+/* A stop was answered; of some run, perhaps of one that was given up. */
+void owner_shut_out_answered(struct owner_target *target,
+                             const struct cw_task_name *task, unsigned run,
+                             bool confirmed, struct timespec now);
+
+/* Queues stops that are due; returns when the next one is. */
+struct timespec
+owner_shut_out_tick(struct owner_target *target, struct timespec now);
+
 /* ---- owner_notes.c ---- */
 
 /* Takes the notes over that stand in the log, after the bounds of leases that
--- a/src/owner/owner_holds.c
+++ b/src/owner/owner_holds.c
@@ -483,7 +483,8 @@
      * so that an earlier owner's word on lost runs holds.  Nor does one after
      * a silence, as another life may answer. */
     bool extends = target->answered && target->silent == 0 &&
-                   target->note == OWNER_NOTE_NONE;
+                   target->note == OWNER_NOTE_NONE &&
+                   !owner_shut_out_pending(target);
     struct cw_target_order order = {
         .kind = CW_ORDER_HOLD,
         .address = target->address,
--- a/src/owner/owner_orders.c
+++ b/src/owner/owner_orders.c
@@ -213,12 +213,15 @@
               struct timespec now)
 {
     struct owner_run *run = order_run(order);
+    bool confirmed = status == CW_TARGET_OK || status == CW_TARGET_OLD_RUN;
 
+    owner_shut_out_answered(order->target, &order->task, order->run, confirmed,
+                            now);
     if (run == NULL) {
         return;
     }
     run->stop_queued = false;
-    if (status == CW_TARGET_OK || status == CW_TARGET_OLD_RUN) {
+    if (confirmed) {
         run->stop_confirmed = true;
         run->stop_confirmed_at = now;
         order->target->hold_due = now;
@@ -332,7 +335,7 @@
  * twice waits in any case: the former life may have begun it.
  *
  * One that answers again gets no start, as that extends its lease, until its
- * note is known to be dropped. */
+ * note is known to be dropped, and what may still arrive there is shut out. */
 static bool
 waits(const struct owner_order *order, struct timespec now,
       struct timespec *next)
@@ -343,7 +346,9 @@
     if (order->kind != CW_ORDER_START || run == NULL || run->stopping) {
         return false;
     }
-    if (target->note != OWNER_NOTE_NONE && target->silent == 0) {
+    if ((target->note != OWNER_NOTE_NONE || owner_shut_out_pending(target)) &&
+        target->silent == 0)
+    {
         return true;
     }
     if (run->phase != RUN_STARTING) {
@@ -435,9 +440,11 @@
                   struct timespec now)
 {
     struct timespec next = stop_again(owner, target, now);
+    struct timespec shut_out = owner_shut_out_tick(target, now);
     unsigned most = orders_at_once(owner);
     GQueue waiting = G_QUEUE_INIT;
 
+    cw_time_earlier(&next, shut_out);
     while (target->orders_in_flight < most &&
            !g_queue_is_empty(&target->orders) && owner_may_order(owner, now))
     {
--- /dev/null
+++ b/src/owner/owner_shut_out.c
@@ -0,0 +1,132 @@
+/* Starts that may still arrive for runs that were given up.
+ *
+ * A worker carries a start out as long as its own lease lasts, whatever the
+ * start gives it.  One that was held back on its way for longer than the lease
+ * is refused only until the worker's lease is extended for other work: then
+ * the task would run beside, or after, its next run.  So before anything
+ * extends the lease again, a stop of that run is confirmed there, which shuts
+ * it out. The worker takes no work meanwhile: one exchange, once it answers.
+ */
+#include "owner/internal/owner_private.h"
+
+#include <string.h>
+
+enum {
+    /* The platform carries an order out 12 s after it was sent at the latest;
+     * and a second more. */
+    ARRIVES_WITHIN_MS = 13000,
+    RETRY_MS = 300
+};
+
+struct owner_shut_out {
+    char *job;
+    struct cw_task_name task; /* its job is the text above */
+    unsigned run;
+    struct timespec sent_at; /* the start, last */
+    struct timespec due;
+    bool queued; /* a stop waits or is under way */
+};
+
+static void
+shut_out_free(gpointer data)
+{
+    struct owner_shut_out *entry = data;
+
+    g_free(entry->job);
+    g_free(entry);
+}
+
+GPtrArray *
+owner_shut_outs_new(void)
+{
+    return g_ptr_array_new_with_free_func(shut_out_free);
+}
+
+void
+owner_shut_out_add(const struct owner_run *run)
+{
+    struct cw_task_name name = owner_task_name(run->task);
+    struct owner_shut_out *entry;
+
+    if (run->phase != RUN_STARTING || run->stop_confirmed) {
+        return;
+    }
+    entry = g_new0(struct owner_shut_out, 1);
+    entry->job = g_strdup(name.job);
+    entry->task = name;
+    entry->task.job = entry->job;
+    entry->run = run->number;
+    entry->sent_at = run->sent_at;
+    g_ptr_array_add(run->target->shut_outs, entry);
+    cw_log_info("start_shut_out", "id=%s task=%u.%u.%u run=%u worker=%s",
+                name.job, name.occurrence, name.step, name.index, run->number,
+                run->target->id);
+}
+
+void
+owner_shut_out_unqueue(struct owner_target *target)
+{
+    for (guint i = 0; i < target->shut_outs->len; i++) {
+        ((struct owner_shut_out *)target->shut_outs->pdata[i])->queued = false;
+    }
+}
+
+bool
+owner_shut_out_pending(const struct owner_target *target)
+{
+    return target->shut_outs->len > 0;
+}
+
+void
+owner_shut_out_answered(struct owner_target *target,
+                        const struct cw_task_name *task, unsigned run,
+                        bool confirmed, struct timespec now)
+{
+    for (guint i = 0; i < target->shut_outs->len; i++) {
+        struct owner_shut_out *entry = target->shut_outs->pdata[i];
+
+        if (entry->run != run || entry->task.occurrence != task->occurrence ||
+            entry->task.step != task->step ||
+            entry->task.index != task->index ||
+            strcmp(entry->job, task->job) != 0)
+        {
+            continue;
+        }
+        if (confirmed) {
+            g_ptr_array_remove_index_fast(target->shut_outs, i);
+            target->owner->place_wanted = true;
+        }
+        else {
+            entry->queued = false;
+            entry->due = cw_time_add_ms(now, RETRY_MS);
+        }
+        return;
+    }
+}
+
+struct timespec
+owner_shut_out_tick(struct owner_target *target, struct timespec now)
+{
+    struct timespec next = cw_time_from_ms(INT32_MAX);
+    bool heard = target->answered && target->silent == 0;
+    guint i = 0;
+
+    while (i < target->shut_outs->len) {
+        struct owner_shut_out *entry = target->shut_outs->pdata[i];
+
+        if (cw_time_diff_ms(entry->sent_at, now) > ARRIVES_WITHIN_MS) {
+            g_ptr_array_remove_index_fast(target->shut_outs, i);
+            continue;
+        }
+        if (heard && !entry->queued && !cw_time_before(now, entry->due)) {
+            entry->queued = true;
+            owner_order_queue(target->owner, target, CW_ORDER_STOP,
+                              &entry->task, entry->run);
+        }
+        else if (heard && !entry->queued) {
+            cw_time_earlier(&next, entry->due);
+        }
+        i++;
+    }
+    return next;
+}
--- a/src/owner/owner_targets.c
+++ b/src/owner/owner_targets.c
@@ -41,6 +41,7 @@
     }
     g_ptr_array_unref(target->runs);
     g_array_unref(target->charges);
+    g_ptr_array_unref(target->shut_outs);
     orders_clear(&target->orders);
     g_free(target->id);
     g_free(target->address);
@@ -67,6 +68,7 @@
         target->kind = g_strdup("");
         target->runs = g_ptr_array_new();
         target->charges = owner_charges_new();
+        target->shut_outs = owner_shut_outs_new();
         g_queue_init(&target->orders);
         g_hash_table_insert(owner->targets, target->id, target);
         owner_target_wake(target);
@@ -314,6 +316,7 @@
     /* While it is silent its lease is not extended, so that the tasks there
      * can be started elsewhere once the last one has passed. */
     if (!target->life.clock_known || target->note != OWNER_NOTE_NONE ||
+        owner_shut_out_pending(target) ||
         (target->silent > 0 && target->life.lease_sent_ms > 0) ||
         !owner_may_extend(owner, now))
     {
@@ -353,12 +356,16 @@
                 cw_time_diff_ms(target->seen_at, owner_now(owner)));
     for (guint i = 0; i < target->runs->len; i++) {
         owner_crashes_collect(target->runs->pdata[i], owner_now(owner));
+        if (!target->gone) {
+            owner_shut_out_add(target->runs->pdata[i]);
+        }
     }
     while (target->runs->len > 0) {
         owner_run_lost(owner, target->runs->pdata[target->runs->len - 1], true,
                        reason);
     }
     orders_clear(&target->orders);
+    owner_shut_out_unqueue(target);
     target->answered = false; /* the next look shows what became of them */
     owner->place_wanted = true;
     owner_crashes_settle(owner, target, owner_now(owner));
@@ -391,7 +398,8 @@
 {
     return target->listed && !target->draining && !target->gone &&
            target->answered && target->silent == 0 &&
-           target->note == OWNER_NOTE_NONE && target->life.clock_known &&
+           target->note == OWNER_NOTE_NONE &&
+           !owner_shut_out_pending(target) && target->life.clock_known &&
            target->address[0] != '\0' &&
            !cw_time_before(now, target->avoid_until) &&
            owner_target_room_known(target, now);
