--- a/src/owner/internal/owner_candidates.h
+++ b/src/owner/internal/owner_candidates.h
@@ -34,6 +34,9 @@
 owner_candidates_kept(const GPtrArray *targets, const struct owner_step *step,
                       struct timespec now);
 
+/* Tasks that fit on all candidates together. */
+unsigned owner_total_fits(const GArray *candidates);
+
 /* Takes up to `tasks` from the candidates (of `rack` only, if given), as
  * struct owner_choice.  Owned by the caller. */
 GArray *
--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -749,6 +749,10 @@
 bool owner_overdue_place_one(struct cw_owner *owner, struct owner_step *step,
                              struct timespec now);
 
+/* True if it is the step's turn, and tasks of it wait for a place. */
+bool
+owner_step_wants_place(const struct owner_step *step, struct timespec now);
+
 /* True if the steps before this one are done, and it is not. */
 bool owner_step_has_turn(const struct owner_step *step);
 
--- a/src/owner/owner_candidates.c
+++ b/src/owner/owner_candidates.c
@@ -212,6 +212,17 @@
     }
 }
 
+unsigned
+owner_total_fits(const GArray *candidates)
+{
+    unsigned fits = 0;
+
+    for (guint i = 0; i < candidates->len; i++) {
+        fits += g_array_index(candidates, struct owner_candidate, i).fits;
+    }
+    return fits;
+}
+
 /* Adds the worker if the step finds room there. */
 static void
 add_candidate(GArray *out, const struct owner_step *step,
--- a/src/owner/owner_overdue.c
+++ b/src/owner/owner_overdue.c
@@ -9,7 +9,6 @@
  * gang, is placed in what is free, if it fits twice.  So at least as much
  * stays kept. */
 #include "owner/internal/owner_candidates.h"
-#include "owner/internal/owner_crashes.h"
 
 enum {
     /* The platform bears 3 s in which nothing of a job runs beside twice the
@@ -68,26 +67,6 @@
            lasting_overdue(step, now) > 0;
 }
 
-static bool
-wants_place(const struct owner_step *step, struct timespec now)
-{
-    if (!owner_step_has_turn(step) || owner_step_is_held_back(step, now)) {
-        return false;
-    }
-    return step->spec->gang ? step->runs == 0 : owner_step_waiting(step) > 0;
-}
-
-static unsigned
-total_fits(const GArray *candidates)
-{
-    unsigned fits = 0;
-
-    for (guint i = 0; i < candidates->len; i++) {
-        fits += g_array_index(candidates, struct owner_candidate, i).fits;
-    }
-    return fits;
-}
-
 /* Where the gang, one task, or each task that lasts goes; NULL if that does
  * not fit twice, or not into the one rack that it needs. */
 static GArray *
@@ -95,7 +74,7 @@
        const GArray *candidates, struct timespec now)
 {
     unsigned together = step->spec->gang ? step->count : 1;
-    unsigned fits = total_fits(candidates);
+    unsigned fits = owner_total_fits(candidates);
     const char *rack = NULL;
 
     if (fits < TIMES * together) {
@@ -134,7 +113,7 @@
                     step->occurrence->job->spec->id, step->occurrence->number,
                     step->number,
                     cw_time_diff_ms(step->occurrence->job->moved_at, now),
-                    total_fits(candidates), step->runs);
+                    owner_total_fits(candidates), step->runs);
         owner_assign(owner, step, choices, RUN_NEW);
         g_array_unref(choices);
     }
@@ -146,7 +125,7 @@
 static bool
 may_try(struct cw_owner *owner, struct owner_step *step, struct timespec now)
 {
-    return wants_place(step, now) && is_overdue(step, now) &&
+    return owner_step_wants_place(step, now) && is_overdue(step, now) &&
            owner_once_may_begin(owner, step) &&
            !owner_memo_hopeless(owner, step, OWNER_ATTEMPT_OVERDUE, now);
 }
--- a/src/owner/owner_place.c
+++ b/src/owner/owner_place.c
@@ -92,17 +92,6 @@
 
 /* ---- steps ---- */
 
-static unsigned
-total_fits(const GArray *candidates)
-{
-    unsigned fits = 0;
-
-    for (guint i = 0; i < candidates->len; i++) {
-        fits += g_array_index(candidates, struct owner_candidate, i).fits;
-    }
-    return fits;
-}
-
 /* True if a rack could hold the whole gang if nothing else ran there. */
 static bool
 rack_could_hold(const struct cw_owner *owner, const struct owner_step *step)
@@ -158,7 +147,7 @@
     if (rack != NULL) {
         choices = owner_choose(candidates, rack, step->count);
     }
-    else if (spread && total_fits(candidates) >= step->count) {
+    else if (spread && owner_total_fits(candidates) >= step->count) {
         choices = owner_choose(candidates, NULL, step->count);
     }
     if (choices != NULL) {
@@ -220,8 +209,8 @@
     return true;
 }
 
-static bool
-wants_place(const struct owner_step *step, struct timespec now)
+bool
+owner_step_wants_place(const struct owner_step *step, struct timespec now)
 {
     if (!owner_step_has_turn(step) || owner_step_is_held_back(step, now)) {
         return false;
@@ -263,7 +252,7 @@
             struct owner_step *step = &occurrence->steps[k];
 
             drop_stale_reservations(owner, step, now);
-            if (wants_place(step, now)) {
+            if (owner_step_wants_place(step, now)) {
                 if (!step->ready) {
                     step->ready = true;
                     step->ready_at = now;
@@ -317,7 +306,9 @@
 {
     bool urgent = is_urgent(step);
 
-    if (!wants_place(step, now) || !owner_pace_allows(&owner->pace, urgent)) {
+    if (!owner_step_wants_place(step, now) ||
+        !owner_pace_allows(&owner->pace, urgent))
+    {
         return; /* placed as overdue; or with the next pass, or later */
     }
     if (step->tried_at == owner->room_version && !urgent &&
