A stop waits for its worker's address

Cause, traced there: the job was cancelled 60 ms after a take-over, while the store's list lacked the worker; without an address the stop was dropped, and counted as queued for good.

--- a/src/owner/owner_orders.c
+++ b/src/owner/owner_orders.c
@@ -421,6 +421,20 @@
     return next;
 }
 
+/* There is no way to the worker.  A stop is wanted all the same, once there
+ * is: a new owner may know a run before the store lists its worker. */
+static void
+drop_unsent(struct owner_order *order, struct timespec now)
+{
+    struct owner_run *run = order_run(order);
+
+    if (order->kind == CW_ORDER_STOP && run != NULL) {
+        run->stop_queued = false;
+        run->stop_due = cw_time_add_ms(now, STOP_RETRY_MS);
+    }
+    owner_order_free(order);
+}
+
 /* Orders that may be under way to one worker. */
 static unsigned
 orders_at_once(const struct cw_owner *owner)
@@ -456,8 +470,11 @@
             g_queue_push_tail(&waiting, order);
             continue;
         }
-        if (target->gone || target->address[0] == '\0' ||
-            !still_wanted(order, now)) {
+        if (target->gone || target->address[0] == '\0') {
+            drop_unsent(order, now);
+            continue;
+        }
+        if (!still_wanted(order, now)) {
             owner_order_free(order);
             continue;
         }
--- a/tests/test_orders.c
+++ b/tests/test_orders.c
@@ -167,6 +167,31 @@
     site_end(&site);
 }
 
+/* Seen: tasks of a cancelled job that ran to their end.  The job was cancelled
+ * just after a take-over, while the store's list lacked their worker: there
+ * was no address for the stop, which was dropped and never sent again. */
+static void
+test_a_stop_waits_for_its_workers_address(void)
+{
+    struct site site;
+    struct owner_job *job;
+    struct owner_run *run;
+    char *address;
+
+    site_begin(&site);
+    job = start_job(&site);
+    answer_last(CW_TARGET_OK);
+    run = step_of(job)->tasks[0].run;
+    address = run->target->address;
+    run->target->address = g_strdup("");
+    owner_run_stop(site.owner, run);
+    CU_ASSERT_EQUAL(stops_sent_in(&site, run->target, 100), 0);
+    g_free(run->target->address);
+    run->target->address = address;
+    CU_ASSERT_TRUE(stops_sent_in(&site, run->target, 1000) > 0);
+    site_end(&site);
+}
+
 /* Others would be held up there as well. */
 static void
 test_a_worker_that_leaves_a_start_unanswered_is_avoided(void)
@@ -222,6 +247,7 @@
     {"wanted again", test_a_stop_that_is_wanted_again_keeps_its_pace},
     {"behind one",
      test_a_start_that_was_never_sent_does_not_wait_behind_one_that_was},
+    {"address", test_a_stop_waits_for_its_workers_address},
     {"avoided", test_a_worker_that_leaves_a_start_unanswered_is_avoided},
     {"never sent", test_a_start_that_was_never_sent_frees_the_task_at_once},
     {"no answer", test_a_start_without_an_answer_keeps_its_place},
