What was released of kept room is counted anew in each pass

Found by reading the change: the counter behind the 5% bound was kept by hand, up as a run was placed and down as it was dropped. An owner that loses the shard frees its runs without dropping them, so once it had the shard again they counted for ever, and in the end it released nothing any more.

--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -848,9 +848,9 @@
 void
 owner_headroom_arrived(struct cw_owner *owner, const struct owner_job *job);
 
-/* A run in room that is kept was placed (1) or is gone (-1). */
-void owner_headroom_released(struct cw_owner *owner,
-                             const struct owner_run *run, int sign);
+/* A run was placed in room that is kept; counted anew with each update. */
+void
+owner_headroom_released(struct cw_owner *owner, const struct owner_run *run);
 
 /* True if so many tasks more of the step may take room that is kept. */
 bool owner_headroom_may_release(struct cw_owner *owner,
--- a/src/owner/owner_headroom.c
+++ b/src/owner/owner_headroom.c
@@ -41,8 +41,9 @@
     unsigned workers;
     unsigned hosts; /* of lower work */
     int64_t accelerators;
-    int64_t urgent; /* accelerators that urgent runs hold */
-    int64_t used;   /* accelerators that any runs hold */
+    int64_t urgent;   /* accelerators that urgent runs hold */
+    int64_t used;     /* accelerators that any runs hold */
+    int64_t released; /* accelerators of runs in room that is kept */
 };
 
 static struct owner_headroom *
@@ -69,6 +70,9 @@
         const struct owner_run *run = target->runs->pdata[i];
 
         census->used += run->task->step->spec->accelerators;
+        if (run->released) {
+            census->released += run->task->step->spec->accelerators;
+        }
         if (owner_task_job(run->task)->spec->priority == 0) {
             census->urgent += run->task->step->spec->accelerators;
         }
@@ -122,6 +126,7 @@
     room->peak = MAX(room->peak, (double)census->urgent);
     room->hosts = census->hosts;
     room->accelerators = census->accelerators;
+    room->released = census->released;
     room->mostly_idle =
         census->used * PERCENT < census->accelerators * IDLE_PERCENT;
     if (per_worker <= 0) {
@@ -219,11 +224,10 @@
 }
 
 void
-owner_headroom_released(struct cw_owner *owner, const struct owner_run *run,
-                        int sign)
+owner_headroom_released(struct cw_owner *owner, const struct owner_run *run)
 {
     headroom_of(owner, run->target->service)->released +=
-        sign * (int64_t)run->task->step->spec->accelerators;
+        run->task->step->spec->accelerators;
 }
 
 bool
--- a/src/owner/owner_runs.c
+++ b/src/owner/owner_runs.c
@@ -36,7 +36,7 @@
     owner_task_job(task)->placed_at = run->created_at;
     run->released = owner->releasing && target->lower_runs == 0;
     if (run->released) {
-        owner_headroom_released(owner, run, 1);
+        owner_headroom_released(owner, run);
     }
     if (owner_task_job(task)->spec->priority > 0 && !run->released) {
         if (target->lower_runs++ == 0) {
@@ -73,9 +73,6 @@
     g_ptr_array_remove_fast(target->runs, run);
     owner_target_wake(target);
     target->busy_at = owner_now(owner);
-    if (run->released) {
-        owner_headroom_released(owner, run, -1);
-    }
     if (job->spec->priority > 0 && !run->released) {
         if (--target->lower_runs == 0) {
             owner_rack_host(target, -1);
--- a/tests/test_overdue.c
+++ b/tests/test_overdue.c
@@ -90,6 +90,24 @@
     site_end(&site);
 }
 
+/* An owner that loses the shard forgets its runs at once: none of them may
+ * count for ever. */
+static void
+test_what_was_released_is_counted_anew(void)
+{
+    struct site site;
+    struct owner_job *job;
+    struct owner_headroom *room;
+
+    site_begin_full(&site);
+    room = g_hash_table_lookup(site.owner->headroom, "s");
+    room->released = RACKS * PER_RACK * ACCELERATORS;
+    job = add_job(&site, 2, &tiny);
+    pass_for(&site, BORNE_MS);
+    CU_ASSERT_EQUAL(placed(job), 1);
+    site_end(&site);
+}
+
 /* A released task does not open its worker to the rest of what waits. */
 static void
 test_one_place_stays_one(void)
@@ -264,6 +282,7 @@
 
 static const struct test tests[] = {
     {"never was", test_a_run_that_never_was_does_not_hide_the_rest},
+    {"counted anew", test_what_was_released_is_counted_anew},
     {"one place", test_one_place_stays_one},
     {"held rack", test_a_held_rack_goes_last},
     {"lasting", test_all_tasks_that_last_get_a_place},
