Test that fails: work is started in a data centre that operators closed

Seen: starts in a data centre for as long as it is closed to new work. Room behind an order does not count as free.

--- a/emulator/emulator_main.c
+++ b/emulator/emulator_main.c
@@ -40,6 +40,7 @@
     unsigned restarts;
     bool unguarded;
     unsigned late;
+    unsigned cordons;
     bool calm;
     bool wide;
 };
@@ -58,6 +59,8 @@
      "Times that workers crash and start again under their ids", 0},
     {"unguarded", 'u', NULL, 0, "Workers start what does not fit", 0},
     {"late", 'l', "N", 0, "Times that some workers are late with answers", 0},
+    {"cordons", 'o', "N", 0,
+     "Times that a data centre is closed to new work for a while", 0},
     {"calm", 'q', NULL, 0, "Nothing strikes", 0},
     {"wide", 'b', NULL, 0, "Wide jobs and gangs, and more of them", 0},
     {0},
@@ -105,6 +108,9 @@
     case 'l':
         arguments->late = (unsigned)strtoul(value, NULL, 10);
         break;
+    case 'o':
+        arguments->cordons = (unsigned)strtoul(value, NULL, 10);
+        break;
     case 'q':
         arguments->calm = true;
         break;
@@ -139,6 +145,7 @@
     day.restarts = arguments->restarts;
     day.unguarded = arguments->unguarded;
     day.late = arguments->late;
+    day.cordons = arguments->cordons;
     if (arguments->calm) {
         day.faults = 0;
     }
--- a/emulator/internal/world_private.h
+++ b/emulator/internal/world_private.h
@@ -17,6 +17,7 @@
 #include "emulator/world.h"
 
 #define TARGETS_TOPIC "keyed.servers"
+#define ORDERS_TOPIC "keyed.op"
 
 struct world;
 struct vm;
@@ -76,9 +77,11 @@
     unsigned lost_percent;
     bool lost_late;
     int64_t orders_late_until_ms;
-    GHashTable *cut_workers;  /* id -> until, in ms */
-    GHashTable *late_workers; /* id -> until, in ms */
-    GHashTable *draining;     /* id, a set */
+    GHashTable *cut_workers;      /* id -> until, in ms */
+    GHashTable *late_workers;     /* id -> until, in ms */
+    GHashTable *draining;         /* id, a set */
+    GHashTable *cordons;          /* data centre -> struct world_cordon */
+    int64_t late_orders_until_ms; /* such orders may still be carried out */
 };
 
 /* Each rack stands in a data centre of its own. */
@@ -218,6 +221,29 @@
 struct world_lateness world_lateness(struct world *world, const char *worker);
 bool world_resets(const struct world *world, const char *worker);
 
+/* ---- world_cordons.c ---- */
+
+GHashTable *world_cordons_new(void);
+
+/* An operator cordons a data centre, or all of them, and later withdraws
+ * that. */
+void world_cordon(struct world *world, void *unused);
+
+/* Frees what an event of an order's end holds; false if it is of another
+ * kind. */
+bool world_cordons_release(const struct event *event);
+
+/* Withdraws all cordons. */
+void world_uncordon_all(struct world *world);
+
+/* For how long the store has held a cordon of the data centre; -1: there is
+ * none. */
+int64_t world_cordon_age_ms(const struct world *world, const char *dc);
+
+/* The data centre that a record of ORDERS_TOPIC cordons, by its key; NULL if
+ * it is of another kind.  Borrowed from `key`. */
+const char *world_cordoned_dc(const char *key);
+
 /* ---- world_waits.c ---- */
 
 /* Judges whether jobs could run and do not; to be called regularly. */
--- a/emulator/judge.c
+++ b/emulator/judge.c
@@ -5,6 +5,8 @@
 
 enum {
     CANCEL_MS = 3000,
+    /* Nothing is started later than this after a cordon was acknowledged. */
+    CORDON_MS = 5000,
     /* A task may be given up once so many workers have crashed under it. */
     CRASHES_TO_GIVE_UP = 2,
     /* After so many, a task that crashes workers is started less often than
@@ -268,6 +270,16 @@
     violate_task(judge, "PLACE its data may not live there", task, run);
 }
 
+void
+judge_started_in_cordon(struct judge *judge, const struct cw_task_name *task,
+                        unsigned run, int64_t age_ms)
+{
+    if (age_ms > CORDON_MS) {
+        violate_task(judge, "CORDON its data centre takes no new work", task,
+                     run);
+    }
+}
+
 void
 judge_started(struct judge *judge, const struct cw_task_name *task,
               unsigned run, int64_t now_ms, bool calm)
--- a/emulator/judge.h
+++ b/emulator/judge.h
@@ -52,6 +52,12 @@
 /* A task was started where its data may not live. */
 void judge_misplaced(struct judge *judge, const struct cw_task_name *task,
                      unsigned run);
+
+/* A task was started in a data centre whose cordon the store had acknowledged
+ * so long before. */
+void
+judge_started_in_cordon(struct judge *judge, const struct cw_task_name *task,
+                        unsigned run, int64_t age_ms);
 void judge_ended(struct judge *judge, const struct cw_task_name *task,
                  unsigned run, enum cw_end_kind how, bool calm);
 void judge_confirmed(struct judge *judge, const struct cw_task_name *task,
--- a/emulator/world.c
+++ b/emulator/world.c
@@ -178,6 +178,10 @@
     if (!world_may_run_in(world, judge_find(world->judge, task->job), dc)) {
         judge_misplaced(world->judge, task, run);
     }
+    if (world->now_ms > world->late_orders_until_ms) {
+        judge_started_in_cordon(world->judge, task, run,
+                                world_cordon_age_ms(world, dc));
+    }
 }
 
 static void
@@ -353,6 +357,7 @@
     world->cut_workers = g_hash_table_new(g_str_hash, g_str_equal);
     world->late_workers = g_hash_table_new(g_str_hash, g_str_equal);
     world->draining = g_hash_table_new(g_str_hash, g_str_equal);
+    world->cordons = world_cordons_new();
     for (unsigned i = 0; i < world->options.workers; i++) {
         char id[32];
         char rack[32];
@@ -405,6 +410,10 @@
         world_schedule(world, world_between(world, 1500, options->day_ms),
                        world_restart_workers, NULL);
     }
+    for (unsigned i = 0; i < options->cordons; i++) {
+        world_schedule(world, world_between(world, 1500, options->day_ms),
+                       world_cordon, NULL);
+    }
     for (unsigned i = 0; i < options->late; i++) {
         world_schedule(world, world_between(world, 1500, options->day_ms),
                        world_late_workers, NULL);
@@ -482,8 +491,9 @@
         struct event *event = world_pop_event(world);
 
         /* Only what owns its context needs to run once more. */
-        if (!world_net_release(event) && (event->run == world_client_submit ||
-                                          event->run == world_client_cancel))
+        if (!world_net_release(event) && !world_cordons_release(event) &&
+            (event->run == world_client_submit ||
+             event->run == world_client_cancel))
         {
             g_free(event->context);
         }
@@ -494,6 +504,7 @@
     g_hash_table_unref(world->cut_workers);
     g_hash_table_unref(world->late_workers);
     g_hash_table_unref(world->draining);
+    g_hash_table_unref(world->cordons);
     worker_fleet_free(world->fleet);
     store_model_free(world->store);
     judge_free(world->judge);
--- a/emulator/world_faults.c
+++ b/emulator/world_faults.c
@@ -97,6 +97,7 @@
     store_model_compact(world->store, CW_WORK_TOPIC);
     store_model_compact(world->store, CW_STATE_TOPIC);
     store_model_compact(world->store, TARGETS_TOPIC);
+    store_model_compact(world->store, ORDERS_TOPIC);
 }
 
 static void
@@ -151,6 +152,7 @@
     world_note(world, "orders late");
     world_disturb(world, 14000);
     world->orders_late_until_ms = world->now_ms + 4000;
+    world->late_orders_until_ms = world->orders_late_until_ms + 9000;
 }
 
 static void
@@ -249,6 +251,7 @@
     world->lost_until_ms = 0;
     world->orders_late_until_ms = 0;
     g_hash_table_remove_all(world->cut_workers);
+    world_uncordon_all(world);
     for (guint i = 0; i < world->vms->len; i++) {
         struct vm *vm = world->vms->pdata[i];
 
--- a/emulator/world_waits.c
+++ b/emulator/world_waits.c
@@ -27,14 +27,17 @@
            (!confined || strcmp(dc, "d0") == 0 || strcmp(dc, "d1") == 0);
 }
 
-/* A worker that work may be sent to: one that resets connections takes none.
- */
+/* A worker that work may be sent to: one that resets connections takes none,
+ * nor does one in a data centre that is cordoned. */
 static bool
 takes_work(struct world *world, const struct worker_model *worker)
 {
     const char *id = worker_model_id(worker);
+    char dc[32];
 
-    return !worker_model_dead(worker) && !world_resets(world, id) &&
+    world_dc_of_rack(worker_model_rack(worker), dc, sizeof(dc));
+    return world_cordon_age_ms(world, dc) < 0 && !worker_model_dead(worker) &&
+           !world_resets(world, id) &&
            !g_hash_table_contains(world->draining, id);
 }
 
