Test that fails: VMs that decide in turn count a silent worker's lease anew

Its worker and the VM that decided were cut off together; the next VM noted the worker for 16.1 s, and the first one, deciding again 4 s later, counted 16.0 s from its own reading. Here two turns of 4 s.

--- a/tests/test_notes.c
+++ b/tests/test_notes.c
@@ -7,8 +7,11 @@
 #define WORKER "w"
 
 enum {
-    FIRST_MS = 5000, /* for how long the first owner decides */
-    CLOCK_MS = 50000 /* a worker's clock, as it answers */
+    FIRST_MS = 5000,  /* for how long the first owner decides */
+    CLOCK_MS = 50000, /* a worker's clock, as it answers */
+    TURNS = 2,
+    TURN_MS = 4000,
+    RENEWED_MS = 2500 /* a note may be so old, and its reading late */
 };
 
 static struct owner_target *
@@ -290,6 +293,28 @@
     bed_end(&bed);
 }
 
+/* Seen: a job with nothing running for 18.7 s, until its callers gave up.  The
+ * VM that decided was cut off together with the worker; another one noted the
+ * worker for 16.1 s, and the first, back 4 s later, counted 16.0 s anew.
+ * Cause: a note stood as it was first written, whenever it was read.
+ * Proof: here each of three VMs in turn, 4 s apart, waited the whole bound. */
+static void
+test_vms_that_decide_in_turn_do_not_count_anew(void)
+{
+    struct bed bed;
+
+    bed_with_runs(&bed);
+    for (unsigned i = 0; i < TURNS; i++) {
+        run(&bed, TURN_MS);
+        CU_ASSERT_EQUAL(the_job(&bed)->runs, TASKS);
+        change_owner(&bed);
+        take_over(&bed);
+    }
+    run(&bed, FIRST_BOUND_MS - TURNS * TURN_MS + TURNS * RENEWED_MS);
+    CU_ASSERT_EQUAL(the_job(&bed)->runs, 0);
+    bed_end(&bed);
+}
+
 /* What an owner writes about is over, whoever decides. */
 static void
 test_a_note_goes_with_the_runs(void)
@@ -444,6 +469,7 @@
      test_a_noted_worker_without_runs_gets_no_work_until_it_is_dropped},
     {"read late", test_a_vm_that_reads_the_note_late_waits_longer},
     {"goes with the runs", test_a_note_goes_with_the_runs},
+    {"in turn", test_vms_that_decide_in_turn_do_not_count_anew},
     {"taking back", test_a_vm_that_lacks_the_taking_back_does_not_decide},
     {"history", test_notes_are_forgotten_where_history_is_dropped},
     {"given again", test_a_note_that_is_given_again_keeps_its_time},
