Notes of silent workers are written again as time passes

Callers saw a job with nothing running for 18.7 s. Cause: a note stood as it was first written, and each VM counts from when it reads it; a VM that had been cut off and decides again counted the whole bound anew. Ruled out: the first waits of a take-over (the note was there), late answers (the worker had left). Left: an end that a VM has seen and could not store is forgotten with its ownership; the task runs again once the lease is over.

--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -192,7 +192,8 @@
     unsigned silent;              /* holds in a row without an answer */
     struct timespec silent_since; /* the last time that it fell silent */
     enum owner_note note;
-    bool note_due; /* it is in the owner's list of notes to write */
+    struct timespec noted_at; /* the note was written, or read, last */
+    bool note_due;            /* it is in the owner's list of notes to write */
     bool ends_new; /* it is in the owner's list of those with applied ends */
     GPtrArray *shut_outs; /* owner_shut_out.c */
     GQueue orders;        /* struct owner_order */
--- a/src/owner/owner_notes.c
+++ b/src/owner/owner_notes.c
@@ -10,8 +10,9 @@
  *   has read so as well.
  * - A VM decides only after it has read all that was written before it shut
  *   earlier owners out: it has read what dropped a note ahead of an extension.
- * - A note stands as it was written until it is dropped: each VM counts from
- *   when it read it, which is later than when it was written.
+ * - Each VM counts from when it read a note, which is later than when it was
+ *   written, so that notes are written again as time passes: a VM that was cut
+ *   off, and decides again, waits at most RENEW_MS longer than the first.
  */
 #include "owner/internal/owner_private.h"
 
@@ -19,6 +20,7 @@
     /* A worker that has been silent for so long is noted: some three looks
      * that fail at once.  Most that are late answer within it. */
     NOTE_AFTER_MS = 1000,
+    RENEW_MS = 2000,
     /* Of a batch: records take some 40 bytes with their keys, so 20 kB, which
      * a 2 Mbit/s link carries in 80 ms. */
     NOTES_MOST = 500
@@ -40,12 +42,17 @@
             cw_time_diff_ms(target->silent_since, now) >= NOTE_AFTER_MS);
 }
 
+/* True if the worker is to be noted: it is not yet, or long ago. */
 static bool
 wants_note(const struct cw_owner *owner, const struct owner_target *target,
            struct timespec now)
 {
-    return target->note == OWNER_NOTE_NONE && is_silent(target, now) &&
-           owner_target_has_ordered_run(target) &&
+    bool due = target->note == OWNER_NOTE_NONE
+                   ? is_silent(target, now)
+                   : target->note == OWNER_NOTE_WRITTEN && !is_heard(target) &&
+                         cw_time_diff_ms(target->noted_at, now) >= RENEW_MS;
+
+    return due && owner_target_has_ordered_run(target) &&
            cw_time_before(now, target->lease_end) &&
            owner_may_order(owner, now);
 }
@@ -80,9 +87,13 @@
     struct cw_note_record note = {
         .left_ms = (unsigned)cw_time_diff_ms(now, target->lease_end)};
 
+    if (target->note == OWNER_NOTE_NONE) {
+        cw_log_info("worker_noted", "worker=%s left_ms=%u runs=%u silent=%u",
+                    target->id, note.left_ms, target->runs->len,
+                    target->silent);
+    }
     target->note = OWNER_NOTE_WRITTEN;
-    cw_log_info("worker_noted", "worker=%s left_ms=%u runs=%u silent=%u",
-                target->id, note.left_ms, target->runs->len, target->silent);
+    target->noted_at = now;
     owner_batch_put(batch, cw_work_key(CW_WORK_KEY_NOTE, target->id),
                     cw_xdr_encode((xdrproc_t)xdr_cw_note_record, &note));
 }
@@ -168,6 +179,7 @@
             note->read_at, left_ms + left_ms * OWNER_DRIFT_PERCENT / 100 + 1);
 
         target->note = OWNER_NOTE_WRITTEN;
+        target->noted_at = note->read_at;
         cw_time_earlier(&target->lease_end, end);
         cw_log_info("worker_note_taken_over",
                     "worker=%s left_ms=%" PRId64 " runs=%u", target->id,
