--- a/tests/test_drain.c
+++ b/tests/test_drain.c
@@ -3,7 +3,7 @@
 
 #include "owner_site.h"
 
-enum { REMAINING_MS = 2000 };
+enum { REMAINING_MS = 2000, LEAVING_LEASE_MS = 4000 };
 
 /* A running job of one task, whose worker begins to leave. */
 static struct owner_run *
@@ -77,9 +77,44 @@
     site_end(&site);
 }
 
+/* Seen: a job that stood still until its callers gave up; one task's end was
+ * lost with its worker, and the task ran again only 11 s after that.
+ * How it came about: the worker had said that it leaves; it left behind a cut,
+ * with a lease of 10 s that was extended until the cut.
+ * Cause: workers that leave got as long a lease as others, though their work
+ * goes with them soon.
+ * Proof: the same day, with short leases for them, is clean. */
+static void
+test_a_worker_that_leaves_gets_short_leases(void)
+{
+    const struct cw_step_spec one = {.tasks = 1, .accelerators = 8};
+    struct site site;
+    struct owner_target *target;
+    int64_t before_ms;
+
+    site_begin(&site);
+    site.owner->options.lease_ms = 10000;
+    target = step_of(run_job(&site, 1, &one))->tasks[0].run->target;
+    site.owner->proof_at = site.clock.now;
+    before_ms = owner_target_lease(target, site.clock.now);
+    target->draining = true;
+    /* What was given stands. */
+    site.clock.now = cw_time_add_ms(site.clock.now, 1000);
+    site.owner->proof_at = site.clock.now;
+    CU_ASSERT_EQUAL(owner_target_lease(target, site.clock.now), before_ms);
+    site.clock.now = cw_time_add_ms(site.clock.now, 8000);
+    site.owner->proof_at = site.clock.now;
+    CU_ASSERT_EQUAL(owner_target_lease(target, site.clock.now),
+                    before_ms + 9000 - 10000 + LEAVING_LEASE_MS);
+    CU_ASSERT_TRUE(cw_time_diff_ms(site.clock.now, target->lease_end) <=
+                   LEAVING_LEASE_MS + 300);
+    site_end(&site);
+}
+
 static const struct test tests[] = {
     {"checkpoints", test_work_with_checkpoints_moves_unless_it_ends_in_time},
     {"others", test_work_without_checkpoints_stays},
+    {"short leases", test_a_worker_that_leaves_gets_short_leases},
     {"gang", test_a_gang_moves_as_a_whole},
 };
 
