--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -7,6 +7,7 @@
 #include <stdint.h>
 #include <glib.h>
 
+#include "curlewcart/cw_headroom.h"
 #include "curlewcart/cw_log.h"
 #include "curlewcart/cw_owner.h"
 #include "curlewcart/cw_time.h"
@@ -211,10 +212,8 @@
 
 /* Room that a service's workers keep for urgent work. */
 struct owner_headroom {
-    double peak;    /* accelerators that urgent work held lately */
-    double arrived; /* accelerators that urgent jobs asked for lately */
+    struct cw_headroom forecast; /* of what urgent work will hold */
     bool mostly_idle;
-    struct timespec at;
     unsigned most_hosts;  /* workers that lower work may be on */
     unsigned hosts;       /* workers that it is on */
     int64_t accelerators; /* of the service's workers */
--- a/src/owner/owner_headroom.c
+++ b/src/owner/owner_headroom.c
@@ -5,21 +5,12 @@
  * few workers as it needs, and onto no more than leave room for what urgent
  * work took lately and for what may arrive before a place can be freed.
  *
- * Without it (40, 25 and 25 pairs of days, 95%) worth is 0.026 to 0.056 and
- * 0.050 to 0.089 lower where a stop takes 0.9 s, and as high where it takes
- * 0.2 s. */
+ * How much that is, src/placement/headroom.c forecasts. */
 #include "owner/internal/owner_private.h"
 
 #include <string.h>
 
 enum {
-    /* What arrives in so long is kept free: about what it takes to stop
-     * others, and as much again since arrivals are uneven. */
-    SPARE_MS = 1500,
-    /* Arrivals are averaged over about so long. */
-    ARRIVALS_MS = 4000,
-    /* How fast the peak of urgent work is forgotten, a second. */
-    FORGET_PERCENT_PER_S = 12,
     /* Below this use of the accelerators nothing is kept free from a job
      * that has no task running and has waited for WAITED_MS. */
     IDLE_PERCENT = 60,
@@ -54,7 +45,8 @@
 
     if (room == NULL) {
         room = g_new0(struct owner_headroom, 1);
-        room->at = owner_now(owner);
+        cw_headroom_init(&room->forecast, &cw_headroom_decaying,
+                         owner_now(owner));
         g_hash_table_insert(owner->headroom, g_strdup(service), room);
     }
     return room;
@@ -79,18 +71,6 @@
     }
 }
 
-/* The peak and the arrivals are forgotten as time passes. */
-static void
-forget(struct owner_headroom *room, struct timespec now)
-{
-    int64_t passed_ms = cw_time_diff_ms(room->at, now);
-    double passed_s = (double)passed_ms / CW_MS_PER_S;
-
-    room->peak *= MAX(0, 1 - passed_s * FORGET_PERCENT_PER_S / PERCENT);
-    room->arrived *= MAX(0, 1 - (double)passed_ms / ARRIVALS_MS);
-    room->at = now;
-}
-
 /* Workers that no guarantee covers: they are open to lower work whatever
  * urgent work asks for. */
 static unsigned
@@ -119,11 +99,9 @@
 {
     struct owner_headroom *room = census->room;
     double per_worker = (double)census->accelerators / MAX(1, census->workers);
-    double spare;
     double kept;
 
-    forget(room, now);
-    room->peak = MAX(room->peak, (double)census->urgent);
+    cw_headroom_observe(&room->forecast, (double)census->urgent, now);
     room->hosts = census->hosts;
     room->accelerators = census->accelerators;
     room->released = census->released;
@@ -133,8 +111,7 @@
         room->most_hosts = census->workers; /* nothing to measure by */
         return;
     }
-    spare = room->arrived * SPARE_MS / ARRIVALS_MS;
-    kept = (room->peak + spare) / per_worker;
+    kept = cw_headroom_kept(&room->forecast) / per_worker;
     room->most_hosts =
         kept < census->workers ? census->workers - (unsigned)kept : 0;
     room->most_hosts =
@@ -152,7 +129,8 @@
     for (u_int i = 0; i < job->spec->steps.steps_len; i++) {
         const struct cw_step_spec *step = &job->spec->steps.steps_val[i];
 
-        room->arrived += (double)step->tasks * step->accelerators;
+        cw_headroom_arrived(&room->forecast,
+                            (double)step->tasks * step->accelerators);
     }
 }
 
