--- a/include/curlewcart/cw_replica.h
+++ b/include/curlewcart/cw_replica.h
@@ -1,7 +1,8 @@
 /* Every VM's copy of the jobs that the store holds, folded from its log.
  *
  * Beside jobs the log holds what VMs tell each other: their processors, that
- * an owner is there, and which workers' leases it extends no more.
+ * an owner is there, which workers' leases it extends no more, and which ends
+ * a former owner saw and could not store.
  *
  * Three kinds of records make a job: its specification (any VM), a mark that
  * it was cancelled (any VM), and where it stands (the owner of the shard,
@@ -44,6 +45,8 @@
     uint64_t record_offset;
     uint64_t cancel_offset; /* of the earliest attempt */
     GPtrArray *cancel_keys; /* char *, of all attempts */
+    GPtrArray *hints;       /* struct cw_hint_record */
+    GPtrArray *hint_keys;   /* char *, of these */
 };
 
 /* A worker whose lease the owner that wrote so extends no more, and none after
@@ -59,6 +62,9 @@
 struct cw_replica_listener {
     /* A job's specification or cancellation was read. */
     void (*changed)(void *context, struct cw_replica_job *job);
+    /* A former owner tells ends of the job that it could not store. */
+    void (*hinted)(void *context, const struct cw_replica_job *job,
+                   const struct cw_hint_record *hint);
     /* A read was answered: everything up to the position is folded. */
     void (*advanced)(void *context);
     /* A VM has announced its processor, in thousandths of a core. */
--- a/include/curlewcart/cw_work.h
+++ b/include/curlewcart/cw_work.h
@@ -41,7 +41,9 @@
     CW_WORK_KEY_RECORD = 'r', /* struct cw_work_record, by the owner */
     CW_WORK_KEY_VM = 'v',     /* struct cw_vm_record, by that VM */
     CW_WORK_KEY_BEAT = 'b',   /* struct cw_beat_record, by the owner */
-    CW_WORK_KEY_NOTE = 'n'    /* struct cw_note_record, by the owner */
+    CW_WORK_KEY_NOTE = 'n',   /* struct cw_note_record, by the owner */
+    CW_WORK_KEY_HINT = 'h'    /* struct cw_hint_record, by a former owner;
+                                 after the id "." and a name of its own */
 };
 
 /* Key of a job's record.  Owned by the caller. */
--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -311,7 +311,8 @@
     unsigned holds;      /* racks held back in this pass of placement */
     GHashTable *demand;  /* account -> accelerators of its most urgent jobs;
                             owner_demand_update */
-    struct owner_memo *memo; /* owner_memo.c */
+    struct owner_memo *memo;   /* owner_memo.c */
+    struct owner_hints *hints; /* owner_hints.c; outlasts ownership */
     struct owner_waits waits;
 };
 
@@ -530,6 +531,29 @@
 void owner_run_ended(struct cw_owner *owner, struct owner_target *target,
                      const struct cw_ended *ended);
 
+/* ---- owner_hints.c ---- */
+
+struct owner_hints *owner_hints_create(void);
+void owner_hints_free(struct owner_hints *hints);
+
+/* An end was applied; it is not stored yet. */
+void
+owner_hints_note(struct owner_target *target, const struct cw_ended *ended);
+
+/* The owner is about to forget its workers: ends that are not known to be
+ * stored are told to whoever decides next. */
+void owner_hints_collect(struct cw_owner *owner);
+
+/* Sends what is due; returns when it wants to be called next. */
+struct timespec owner_hints_tick(struct cw_owner *owner, struct timespec now);
+
+/* Applies what a former owner has told of the job. */
+void owner_hint_apply(struct cw_owner *owner, const char *job,
+                      const struct cw_hint_record *hint);
+
+/* Applies all that former owners have told. */
+void owner_hints_adopt(struct cw_owner *owner);
+
 /* ---- owner_once.c ---- */
 
 /* True if the run must not be stopped for others' sake: it may have begun
--- a/src/owner/owner.c
+++ b/src/owner/owner.c
@@ -37,6 +37,7 @@
 static void
 drop_state(struct cw_owner *owner)
 {
+    owner_hints_collect(owner);
     owner->term++;
     owner->idle_looks = 0;
     owner_due_clear(owner->due);
@@ -163,6 +164,7 @@
     forget_states(owner);
     bound_earlier_leases(owner, now);
     owner_notes_adopt(owner);
+    owner_hints_adopt(owner);
     cw_count_add(owner->options.counters, CW_COUNT_TAKEOVERS, 1);
     cw_count_latency(owner->options.counters, CW_LATENCY_TAKEOVER,
                      cw_time_diff_ms(owner->began, now));
@@ -312,6 +314,17 @@
     }
 }
 
+static void
+on_hinted(void *context, const struct cw_replica_job *entry,
+          const struct cw_hint_record *hint)
+{
+    struct cw_owner *owner = context;
+
+    if (owner->state == OWNER_ACTIVE) {
+        owner_hint_apply(owner, entry->id, hint);
+    }
+}
+
 static void
 on_vm_announced(void *context, const char *vm, unsigned capacity_milli)
 {
@@ -335,6 +348,7 @@
 {
     struct cw_owner *owner = g_new0(struct cw_owner, 1);
     struct cw_replica_listener listener = {.changed = on_changed,
+                                           .hinted = on_hinted,
                                            .vm_announced = on_vm_announced,
                                            .owner_wrote = on_owner_wrote,
                                            .context = owner};
@@ -374,6 +388,7 @@
     owner->past_states = g_ptr_array_new_with_free_func(g_free);
     owner->demand = g_hash_table_new(g_str_hash, g_str_equal);
     owner->memo = owner_memo_create();
+    owner->hints = owner_hints_create();
     owner_candidacy_init(owner);
     cw_replica_set_listener(options->replica, &listener);
     return owner;
@@ -386,6 +401,7 @@
         return;
     }
     drop_state(owner);
+    owner_hints_free(owner->hints);
     g_hash_table_unref(owner->targets);
     g_hash_table_unref(owner->jobs);
     g_hash_table_unref(owner->headroom);
@@ -570,6 +586,7 @@
     struct timespec next;
 
     next = owner_group_tick(owner, now);
+    cw_time_earlier(&next, owner_hints_tick(owner, now));
     if (owner->state != OWNER_IDLE && owner->state != OWNER_ACTIVE) {
         cw_time_earlier(&next, tick_takeover(owner, now));
     }
--- a/src/owner/owner_commit.c
+++ b/src/owner/owner_commit.c
@@ -322,6 +322,9 @@
     for (guint i = 0; i < job->cancel_keys->len; i++) {
         owner_batch_put(batch, g_strdup(job->cancel_keys->pdata[i]), NULL);
     }
+    for (guint i = 0; i < job->hint_keys->len; i++) {
+        owner_batch_put(batch, g_strdup(job->hint_keys->pdata[i]), NULL);
+    }
     owner_batch_put(batch, cw_work_key(CW_WORK_KEY_RECORD, job->id), NULL);
 }
 
--- /dev/null
+++ b/src/owner/owner_hints.c
@@ -0,0 +1,344 @@
+/* Hinted handoff of ends: what a VM saw as its owner and could not store is
+ * told to whoever decides next.
+ *
+ * A VM that is cut off from the store goes on asking workers; what they list
+ * as ended is forgotten with its ownership.  Where the worker has left by
+ * then, nobody else can learn of it: the task runs a second time, once the
+ * worker's lease is over.  So such ends are appended to the log of jobs, as
+ * any VM may, as soon as the store can be reached.  A run's number is never
+ * used twice: what is told of it holds whenever it is read. */
+#include "owner/internal/owner_private.h"
+
+#include <string.h>
+
+enum {
+    /* Ends are stored within this, or the VM is cut off for longer than any
+     * worker's lease lasts. */
+    KEPT_MS = 30000,
+    KEPT_MOST = 4096,
+    /* An append holds some 60 bytes for an end. */
+    JOBS_A_CALL = 256,
+    RETRY_MS = 300,
+    TIMEOUT_MS = 1500
+};
+
+/* An end that was applied. */
+struct end {
+    struct timespec at;
+    char *worker;
+    int64_t born_ms; /* of the worker's life */
+    char *job;
+    struct cw_ended what; /* its texts are the ones above, and `saved` */
+    char *saved;
+};
+
+/* An append under way; it may outlast its owner. */
+struct call {
+    struct owner_hints *hints; /* NULL once the owner is gone */
+    unsigned ends;
+};
+
+struct owner_hints {
+    GQueue applied; /* struct end: may not be stored yet */
+    GQueue unsent;  /* struct end: not known to be stored, nor told */
+    struct call *call;
+    struct timespec due;
+};
+
+static void
+end_free(gpointer data)
+{
+    struct end *end = data;
+
+    g_free(end->worker);
+    g_free(end->job);
+    g_free(end->saved);
+    g_free(end);
+}
+
+struct owner_hints *
+owner_hints_create(void)
+{
+    struct owner_hints *hints = g_new0(struct owner_hints, 1);
+
+    g_queue_init(&hints->applied);
+    g_queue_init(&hints->unsent);
+    return hints;
+}
+
+void
+owner_hints_free(struct owner_hints *hints)
+{
+    if (hints->call != NULL) {
+        hints->call->hints = NULL;
+    }
+    g_queue_clear_full(&hints->applied, end_free);
+    g_queue_clear_full(&hints->unsent, end_free);
+    g_free(hints);
+}
+
+/* ---- while this VM decides ---- */
+
+static void
+drop_old(GQueue *ends, struct timespec now)
+{
+    const struct end *oldest = g_queue_peek_head(ends);
+
+    while (oldest != NULL && (cw_time_diff_ms(oldest->at, now) > KEPT_MS ||
+                              g_queue_get_length(ends) > KEPT_MOST))
+    {
+        end_free(g_queue_pop_head(ends));
+        oldest = g_queue_peek_head(ends);
+    }
+}
+
+void
+owner_hints_note(struct owner_target *target, const struct cw_ended *ended)
+{
+    struct cw_owner *owner = target->owner;
+    struct end *end = g_new0(struct end, 1);
+
+    end->at = owner_now(owner);
+    end->worker = g_strdup(target->id);
+    end->born_ms = target->life.born_ms;
+    end->job = g_strdup(ended->task.job);
+    end->saved = g_strdup(ended->saved != NULL ? ended->saved : "");
+    end->what = *ended;
+    end->what.task.job = end->job;
+    end->what.saved = end->saved;
+    g_queue_push_tail(&owner->hints->applied, end);
+    drop_old(&owner->hints->applied, end->at);
+}
+
+static bool
+is_stored(const struct cw_owner *owner, const struct end *end)
+{
+    const struct owner_target *target =
+        g_hash_table_lookup(owner->targets, end->worker);
+
+    return target != NULL && target->life.born_ms == end->born_ms &&
+           end->what.number <= target->life.ends_durable;
+}
+
+void
+owner_hints_collect(struct cw_owner *owner)
+{
+    struct owner_hints *hints = owner->hints;
+    struct end *end;
+
+    drop_old(&hints->applied, owner_now(owner));
+    while ((end = g_queue_pop_head(&hints->applied)) != NULL) {
+        if (is_stored(owner, end)) {
+            end_free(end);
+        }
+        else {
+            g_queue_push_tail(&hints->unsent, end);
+        }
+    }
+}
+
+/* ---- telling ---- */
+
+static void
+add_end(GArray *ends, const struct end *end)
+{
+    struct cw_hint_end row = {
+        .worker = end->worker,
+        .occurrence = end->what.task.occurrence,
+        .step = end->what.task.step,
+        .index = end->what.task.index,
+        .run = end->what.run,
+        .how = end->what.how,
+        .saved = end->saved,
+    };
+
+    if (ends->len < CW_TASKS_MAX) {
+        g_array_append_val(ends, row);
+    }
+}
+
+static void
+free_ends(gpointer ends)
+{
+    g_array_free(ends, TRUE);
+}
+
+/* What is to be told, by job: job -> array of struct cw_hint_end.  Borrows
+ * from the ends; `taken` is how many of them, from the first on. */
+static GHashTable *
+group_by_job(const struct owner_hints *hints, unsigned *taken)
+{
+    GHashTable *jobs =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_ends);
+
+    *taken = 0;
+    for (GList *link = hints->unsent.head; link != NULL; link = link->next) {
+        const struct end *end = link->data;
+        GArray *ends = g_hash_table_lookup(jobs, end->job);
+
+        if (ends == NULL) {
+            if (g_hash_table_size(jobs) == JOBS_A_CALL) {
+                break;
+            }
+            ends = g_array_new(FALSE, FALSE, sizeof(struct cw_hint_end));
+            g_hash_table_insert(jobs, end->job, ends);
+        }
+        add_end(ends, end);
+        (*taken)++;
+    }
+    return jobs;
+}
+
+static void
+on_appended(void *context, const struct cw_store_appended *result)
+{
+    struct call *call = context;
+    struct owner_hints *hints = call->hints;
+
+    if (hints == NULL) {
+        g_free(call);
+        return;
+    }
+    hints->call = NULL;
+    if (result->status == CW_STORE_OK) {
+        cw_log_info("ends_handed_over", "ends=%u offset=%" PRIu64, call->ends,
+                    result->first);
+        for (unsigned i = 0; i < call->ends; i++) {
+            end_free(g_queue_pop_head(&hints->unsent));
+        }
+    }
+    g_free(call);
+}
+
+/* A key of its own: what another VM tells of the job stands beside it. */
+static char *
+hint_key(const char *job)
+{
+    char *key = cw_work_key(CW_WORK_KEY_HINT, job);
+    char *own = g_strdup_printf("%s.%08x", key, g_random_int());
+
+    g_free(key);
+    return own;
+}
+
+static void
+send_hints(struct cw_owner *owner)
+{
+    struct owner_hints *hints = owner->hints;
+    struct call *call = g_new0(struct call, 1);
+    GHashTable *jobs = group_by_job(hints, &call->ends);
+    GArray *records =
+        g_array_new(FALSE, FALSE, sizeof(struct cw_store_record));
+    GPtrArray *keys = g_ptr_array_new_with_free_func(g_free);
+    GPtrArray *values =
+        g_ptr_array_new_with_free_func((GDestroyNotify)g_byte_array_unref);
+    struct cw_store_append append = {.topic = CW_WORK_TOPIC,
+                                     .partition = owner->options.partition,
+                                     .timeout_ms = TIMEOUT_MS,
+                                     .done = on_appended,
+                                     .context = call};
+    GHashTableIter iterator;
+    gpointer job;
+    gpointer value;
+
+    g_hash_table_iter_init(&iterator, jobs);
+    while (g_hash_table_iter_next(&iterator, &job, &value)) {
+        GArray *ends = value;
+        struct cw_hint_record hint = {
+            .ends = {.ends_len = ends->len, .ends_val = (void *)ends->data}};
+        GByteArray *bytes =
+            cw_xdr_encode((xdrproc_t)xdr_cw_hint_record, &hint);
+        struct cw_store_record record = {
+            .key = hint_key(job), .value = bytes->data, .length = bytes->len};
+
+        g_ptr_array_add(keys, (gpointer)record.key);
+        g_ptr_array_add(values, bytes);
+        g_array_append_val(records, record);
+    }
+    append.records = (const struct cw_store_record *)records->data;
+    append.count = records->len;
+    call->hints = hints;
+    hints->call = call;
+    owner->options.store->ops->append(owner->options.store, &append);
+    g_array_unref(records);
+    g_ptr_array_unref(keys);
+    g_ptr_array_unref(values);
+    g_hash_table_unref(jobs);
+}
+
+struct timespec
+owner_hints_tick(struct cw_owner *owner, struct timespec now)
+{
+    struct owner_hints *hints = owner->hints;
+
+    if (hints->call != NULL) {
+        return cw_time_from_ms(INT32_MAX);
+    }
+    drop_old(&hints->unsent, now);
+    if (g_queue_is_empty(&hints->unsent)) {
+        return cw_time_from_ms(INT32_MAX);
+    }
+    if (!cw_time_before(now, hints->due)) {
+        hints->due = cw_time_add_ms(now, RETRY_MS);
+        send_hints(owner);
+    }
+    return hints->due;
+}
+
+/* ---- taking over ---- */
+
+static void
+apply_end(struct cw_owner *owner, const char *job,
+          const struct cw_hint_end *hint)
+{
+    struct owner_target *target =
+        g_hash_table_lookup(owner->targets, hint->worker);
+    struct cw_ended ended = {
+        .task = {.job = job,
+                 .occurrence = hint->occurrence,
+                 .step = hint->step,
+                 .index = hint->index},
+        .run = hint->run,
+        .how = (enum cw_end_kind)hint->how,
+        .saved = hint->saved,
+    };
+    struct owner_task *task = owner_task_find(owner, &ended.task);
+
+    if (task == NULL) {
+        return; /* its job, or its occurrence, is over */
+    }
+    if (target != NULL) {
+        owner_run_ended(owner, target, &ended);
+    }
+    else if (ended.how == CW_END_KIND_DONE) {
+        owner_task_done_late(owner, task);
+    }
+}
+
+void
+owner_hint_apply(struct cw_owner *owner, const char *job,
+                 const struct cw_hint_record *hint)
+{
+    for (u_int i = 0; i < hint->ends.ends_len; i++) {
+        if (hint->ends.ends_val[i].how <= CW_END_KIND_ALONE) {
+            apply_end(owner, job, &hint->ends.ends_val[i]);
+        }
+    }
+}
+
+void
+owner_hints_adopt(struct cw_owner *owner)
+{
+    GHashTable *jobs = cw_replica_jobs(owner->options.replica);
+    GHashTableIter iterator;
+    gpointer value;
+
+    g_hash_table_iter_init(&iterator, jobs);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const struct cw_replica_job *job = value;
+
+        for (guint i = 0; i < job->hints->len; i++) {
+            owner_hint_apply(owner, job->id, job->hints->pdata[i]);
+        }
+    }
+}
--- a/src/owner/owner_holds.c
+++ b/src/owner/owner_holds.c
@@ -259,6 +259,7 @@
         if (ended->number > target->life.ends_applied) {
             target->life.ends_applied = ended->number;
             owner_target_has_ends(target);
+            owner_hints_note(target, ended);
             owner_run_ended(owner, target, ended);
         }
     }
--- a/src/proto/cw_proto.h
+++ b/src/proto/cw_proto.h
@@ -202,6 +202,25 @@
 	u_int left_ms;
 };
 typedef struct cw_note_record cw_note_record;
+
+struct cw_hint_end {
+	cw_name worker;
+	u_int occurrence;
+	u_int step;
+	u_int index;
+	u_int run;
+	u_int how;
+	char *saved;
+};
+typedef struct cw_hint_end cw_hint_end;
+
+struct cw_hint_record {
+	struct {
+		u_int ends_len;
+		cw_hint_end *ends_val;
+	} ends;
+};
+typedef struct cw_hint_record cw_hint_record;
 #define CW_RELAY_BYTES_MAX 60000
 #define CW_RELAY_RECORDS_MAX 4096
 
@@ -308,6 +327,8 @@
 extern  bool_t xdr_cw_vm_record (XDR *, cw_vm_record*);
 extern  bool_t xdr_cw_beat_record (XDR *, cw_beat_record*);
 extern  bool_t xdr_cw_note_record (XDR *, cw_note_record*);
+extern  bool_t xdr_cw_hint_end (XDR *, cw_hint_end*);
+extern  bool_t xdr_cw_hint_record (XDR *, cw_hint_record*);
 extern  bool_t xdr_cw_relay_kind (XDR *, cw_relay_kind*);
 extern  bool_t xdr_cw_relay_record (XDR *, cw_relay_record*);
 extern  bool_t xdr_cw_relay_request (XDR *, cw_relay_request*);
@@ -329,6 +350,8 @@
 extern bool_t xdr_cw_vm_record ();
 extern bool_t xdr_cw_beat_record ();
 extern bool_t xdr_cw_note_record ();
+extern bool_t xdr_cw_hint_end ();
+extern bool_t xdr_cw_hint_record ();
 extern bool_t xdr_cw_relay_kind ();
 extern bool_t xdr_cw_relay_record ();
 extern bool_t xdr_cw_relay_request ();
--- a/src/proto/cw_proto.x
+++ b/src/proto/cw_proto.x
@@ -177,6 +177,22 @@
     unsigned int left_ms;
 };
 
+/* An end that a worker has listed. */
+struct cw_hint_end {
+    cw_name worker;
+    unsigned int occurrence;
+    unsigned int step;
+    unsigned int index;
+    unsigned int run;
+    unsigned int how;                /* enum cw_end_kind */
+    string saved<CW_SAVED_MAX>;
+};
+
+/* Ends of a job that a VM saw as its owner and could not store. */
+struct cw_hint_record {
+    cw_hint_end ends<CW_TASKS_MAX>;
+};
+
 /* ---- calls to the store through another VM ---- */
 
 const CW_RELAY_BYTES_MAX = 60000;
--- a/src/proto/cw_proto_xdr.c
+++ b/src/proto/cw_proto_xdr.c
@@ -6,949 +6,990 @@
 #include "cw_proto.h"
 
 bool_t
-xdr_cw_name(XDR *xdrs, cw_name *objp)
+xdr_cw_name (XDR *xdrs, cw_name *objp)
 {
-    register int32_t *buf;
+	register int32_t *buf;
 
-    if (!xdr_string(xdrs, objp, CW_NAME_MAX))
-        return FALSE;
-    return TRUE;
+	 if (!xdr_string (xdrs, objp, CW_NAME_MAX))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
-xdr_cw_signature(XDR *xdrs, cw_signature *objp)
+xdr_cw_signature (XDR *xdrs, cw_signature *objp)
 {
-    register int32_t *buf;
-
-    int i;
-    if (!xdr_cw_name(xdrs, &objp->operator_name))
-        return FALSE;
-    if (!xdr_opaque(xdrs, objp->bytes, 64))
-        return FALSE;
-    return TRUE;
+	register int32_t *buf;
+
+	int i;
+	 if (!xdr_cw_name (xdrs, &objp->operator_name))
+		 return FALSE;
+	 if (!xdr_opaque (xdrs, objp->bytes, 64))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
-xdr_cw_bundle_rec(XDR *xdrs, cw_bundle_rec *objp)
+xdr_cw_bundle_rec (XDR *xdrs, cw_bundle_rec *objp)
 {
-    register int32_t *buf;
-
-    int i;
-
-    if (xdrs->x_op == XDR_ENCODE) {
-        buf = XDR_INLINE(xdrs, 3 * BYTES_PER_XDR_UNIT);
-        if (buf == NULL) {
-            if (!xdr_u_int(xdrs, &objp->format))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->parent))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->number))
-                return FALSE;
-        }
-        else {
-            IXDR_PUT_U_LONG(buf, objp->format);
-            IXDR_PUT_U_LONG(buf, objp->parent);
-            IXDR_PUT_U_LONG(buf, objp->number);
-        }
-        if (!xdr_opaque(xdrs, objp->parent_hash, CW_HASH_BYTES))
-            return FALSE;
-        if (!xdr_opaque(xdrs, objp->content_hash, CW_HASH_BYTES))
-            return FALSE;
-        buf = XDR_INLINE(xdrs, 3 * BYTES_PER_XDR_UNIT);
-        if (buf == NULL) {
-            if (!xdr_u_int(xdrs, &objp->prefix))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->suffix))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->middle_size))
-                return FALSE;
-        }
-        else {
-            IXDR_PUT_U_LONG(buf, objp->prefix);
-            IXDR_PUT_U_LONG(buf, objp->suffix);
-            IXDR_PUT_U_LONG(buf, objp->middle_size);
-        }
-        if (!xdr_bytes(xdrs, (char **)&objp->middle.middle_val,
-                       (u_int *)&objp->middle.middle_len, CW_BLOB_MAX))
-            return FALSE;
-        if (!xdr_array(xdrs, (char **)&objp->signatures.signatures_val,
-                       (u_int *)&objp->signatures.signatures_len, 16,
-                       sizeof(cw_signature), (xdrproc_t)xdr_cw_signature))
-            return FALSE;
-        if (!xdr_bool(xdrs, &objp->sealed))
-            return FALSE;
-        if (!xdr_opaque(xdrs, objp->seal, CW_MAC_BYTES))
-            return FALSE;
-        return TRUE;
-    }
-    else if (xdrs->x_op == XDR_DECODE) {
-        buf = XDR_INLINE(xdrs, 3 * BYTES_PER_XDR_UNIT);
-        if (buf == NULL) {
-            if (!xdr_u_int(xdrs, &objp->format))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->parent))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->number))
-                return FALSE;
-        }
-        else {
-            objp->format = IXDR_GET_U_LONG(buf);
-            objp->parent = IXDR_GET_U_LONG(buf);
-            objp->number = IXDR_GET_U_LONG(buf);
-        }
-        if (!xdr_opaque(xdrs, objp->parent_hash, CW_HASH_BYTES))
-            return FALSE;
-        if (!xdr_opaque(xdrs, objp->content_hash, CW_HASH_BYTES))
-            return FALSE;
-        buf = XDR_INLINE(xdrs, 3 * BYTES_PER_XDR_UNIT);
-        if (buf == NULL) {
-            if (!xdr_u_int(xdrs, &objp->prefix))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->suffix))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->middle_size))
-                return FALSE;
-        }
-        else {
-            objp->prefix = IXDR_GET_U_LONG(buf);
-            objp->suffix = IXDR_GET_U_LONG(buf);
-            objp->middle_size = IXDR_GET_U_LONG(buf);
-        }
-        if (!xdr_bytes(xdrs, (char **)&objp->middle.middle_val,
-                       (u_int *)&objp->middle.middle_len, CW_BLOB_MAX))
-            return FALSE;
-        if (!xdr_array(xdrs, (char **)&objp->signatures.signatures_val,
-                       (u_int *)&objp->signatures.signatures_len, 16,
-                       sizeof(cw_signature), (xdrproc_t)xdr_cw_signature))
-            return FALSE;
-        if (!xdr_bool(xdrs, &objp->sealed))
-            return FALSE;
-        if (!xdr_opaque(xdrs, objp->seal, CW_MAC_BYTES))
-            return FALSE;
-        return TRUE;
-    }
-
-    if (!xdr_u_int(xdrs, &objp->format))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->parent))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->number))
-        return FALSE;
-    if (!xdr_opaque(xdrs, objp->parent_hash, CW_HASH_BYTES))
-        return FALSE;
-    if (!xdr_opaque(xdrs, objp->content_hash, CW_HASH_BYTES))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->prefix))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->suffix))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->middle_size))
-        return FALSE;
-    if (!xdr_bytes(xdrs, (char **)&objp->middle.middle_val,
-                   (u_int *)&objp->middle.middle_len, CW_BLOB_MAX))
-        return FALSE;
-    if (!xdr_array(xdrs, (char **)&objp->signatures.signatures_val,
-                   (u_int *)&objp->signatures.signatures_len, 16,
-                   sizeof(cw_signature), (xdrproc_t)xdr_cw_signature))
-        return FALSE;
-    if (!xdr_bool(xdrs, &objp->sealed))
-        return FALSE;
-    if (!xdr_opaque(xdrs, objp->seal, CW_MAC_BYTES))
-        return FALSE;
-    return TRUE;
+	register int32_t *buf;
+
+	int i;
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->format))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->parent))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->number))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->format);
+		IXDR_PUT_U_LONG(buf, objp->parent);
+		IXDR_PUT_U_LONG(buf, objp->number);
+		}
+		 if (!xdr_opaque (xdrs, objp->parent_hash, CW_HASH_BYTES))
+			 return FALSE;
+		 if (!xdr_opaque (xdrs, objp->content_hash, CW_HASH_BYTES))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->prefix))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->suffix))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->middle_size))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->prefix);
+		IXDR_PUT_U_LONG(buf, objp->suffix);
+		IXDR_PUT_U_LONG(buf, objp->middle_size);
+		}
+		 if (!xdr_bytes (xdrs, (char **)&objp->middle.middle_val, (u_int *) &objp->middle.middle_len, CW_BLOB_MAX))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->signatures.signatures_val, (u_int *) &objp->signatures.signatures_len, 16,
+			sizeof (cw_signature), (xdrproc_t) xdr_cw_signature))
+			 return FALSE;
+		 if (!xdr_bool (xdrs, &objp->sealed))
+			 return FALSE;
+		 if (!xdr_opaque (xdrs, objp->seal, CW_MAC_BYTES))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->format))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->parent))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->number))
+				 return FALSE;
+
+		} else {
+		objp->format = IXDR_GET_U_LONG(buf);
+		objp->parent = IXDR_GET_U_LONG(buf);
+		objp->number = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_opaque (xdrs, objp->parent_hash, CW_HASH_BYTES))
+			 return FALSE;
+		 if (!xdr_opaque (xdrs, objp->content_hash, CW_HASH_BYTES))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->prefix))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->suffix))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->middle_size))
+				 return FALSE;
+
+		} else {
+		objp->prefix = IXDR_GET_U_LONG(buf);
+		objp->suffix = IXDR_GET_U_LONG(buf);
+		objp->middle_size = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_bytes (xdrs, (char **)&objp->middle.middle_val, (u_int *) &objp->middle.middle_len, CW_BLOB_MAX))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->signatures.signatures_val, (u_int *) &objp->signatures.signatures_len, 16,
+			sizeof (cw_signature), (xdrproc_t) xdr_cw_signature))
+			 return FALSE;
+		 if (!xdr_bool (xdrs, &objp->sealed))
+			 return FALSE;
+		 if (!xdr_opaque (xdrs, objp->seal, CW_MAC_BYTES))
+			 return FALSE;
+	 return TRUE;
+	}
+
+	 if (!xdr_u_int (xdrs, &objp->format))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->parent))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->number))
+		 return FALSE;
+	 if (!xdr_opaque (xdrs, objp->parent_hash, CW_HASH_BYTES))
+		 return FALSE;
+	 if (!xdr_opaque (xdrs, objp->content_hash, CW_HASH_BYTES))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->prefix))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->suffix))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->middle_size))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->middle.middle_val, (u_int *) &objp->middle.middle_len, CW_BLOB_MAX))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->signatures.signatures_val, (u_int *) &objp->signatures.signatures_len, 16,
+		sizeof (cw_signature), (xdrproc_t) xdr_cw_signature))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->sealed))
+		 return FALSE;
+	 if (!xdr_opaque (xdrs, objp->seal, CW_MAC_BYTES))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
-xdr_cw_step_spec(XDR *xdrs, cw_step_spec *objp)
+xdr_cw_step_spec (XDR *xdrs, cw_step_spec *objp)
 {
-    register int32_t *buf;
-
-    if (xdrs->x_op == XDR_ENCODE) {
-        buf = XDR_INLINE(xdrs, 5 * BYTES_PER_XDR_UNIT);
-        if (buf == NULL) {
-            if (!xdr_u_int(xdrs, &objp->tasks))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->cpu_milli))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->memory_mb))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->accelerators))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->estimate_ms))
-                return FALSE;
-        }
-        else {
-            IXDR_PUT_U_LONG(buf, objp->tasks);
-            IXDR_PUT_U_LONG(buf, objp->cpu_milli);
-            IXDR_PUT_U_LONG(buf, objp->memory_mb);
-            IXDR_PUT_U_LONG(buf, objp->accelerators);
-            IXDR_PUT_U_LONG(buf, objp->estimate_ms);
-        }
-        if (!xdr_array(xdrs, (char **)&objp->after.after_val,
-                       (u_int *)&objp->after.after_len, CW_STEPS_MAX,
-                       sizeof(u_int), (xdrproc_t)xdr_u_int))
-            return FALSE;
-        buf = XDR_INLINE(xdrs, 9 * BYTES_PER_XDR_UNIT);
-        if (buf == NULL) {
-            if (!xdr_bool(xdrs, &objp->gang))
-                return FALSE;
-            if (!xdr_bool(xdrs, &objp->same_rack))
-                return FALSE;
-            if (!xdr_bool(xdrs, &objp->checkpoints))
-                return FALSE;
-            if (!xdr_bool(xdrs, &objp->duplicates_allowed))
-                return FALSE;
-            if (!xdr_bool(xdrs, &objp->endless))
-                return FALSE;
-            if (!xdr_bool(xdrs, &objp->fills))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->most_per_worker))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->tail_target_ms))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->may_miss))
-                return FALSE;
-        }
-        else {
-            IXDR_PUT_BOOL(buf, objp->gang);
-            IXDR_PUT_BOOL(buf, objp->same_rack);
-            IXDR_PUT_BOOL(buf, objp->checkpoints);
-            IXDR_PUT_BOOL(buf, objp->duplicates_allowed);
-            IXDR_PUT_BOOL(buf, objp->endless);
-            IXDR_PUT_BOOL(buf, objp->fills);
-            IXDR_PUT_U_LONG(buf, objp->most_per_worker);
-            IXDR_PUT_U_LONG(buf, objp->tail_target_ms);
-            IXDR_PUT_U_LONG(buf, objp->may_miss);
-        }
-        if (!xdr_cw_name(xdrs, &objp->label))
-            return FALSE;
-        if (!xdr_cw_name(xdrs, &objp->data_rack))
-            return FALSE;
-        if (!xdr_cw_name(xdrs, &objp->image))
-            return FALSE;
-        return TRUE;
-    }
-    else if (xdrs->x_op == XDR_DECODE) {
-        buf = XDR_INLINE(xdrs, 5 * BYTES_PER_XDR_UNIT);
-        if (buf == NULL) {
-            if (!xdr_u_int(xdrs, &objp->tasks))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->cpu_milli))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->memory_mb))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->accelerators))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->estimate_ms))
-                return FALSE;
-        }
-        else {
-            objp->tasks = IXDR_GET_U_LONG(buf);
-            objp->cpu_milli = IXDR_GET_U_LONG(buf);
-            objp->memory_mb = IXDR_GET_U_LONG(buf);
-            objp->accelerators = IXDR_GET_U_LONG(buf);
-            objp->estimate_ms = IXDR_GET_U_LONG(buf);
-        }
-        if (!xdr_array(xdrs, (char **)&objp->after.after_val,
-                       (u_int *)&objp->after.after_len, CW_STEPS_MAX,
-                       sizeof(u_int), (xdrproc_t)xdr_u_int))
-            return FALSE;
-        buf = XDR_INLINE(xdrs, 9 * BYTES_PER_XDR_UNIT);
-        if (buf == NULL) {
-            if (!xdr_bool(xdrs, &objp->gang))
-                return FALSE;
-            if (!xdr_bool(xdrs, &objp->same_rack))
-                return FALSE;
-            if (!xdr_bool(xdrs, &objp->checkpoints))
-                return FALSE;
-            if (!xdr_bool(xdrs, &objp->duplicates_allowed))
-                return FALSE;
-            if (!xdr_bool(xdrs, &objp->endless))
-                return FALSE;
-            if (!xdr_bool(xdrs, &objp->fills))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->most_per_worker))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->tail_target_ms))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->may_miss))
-                return FALSE;
-        }
-        else {
-            objp->gang = IXDR_GET_BOOL(buf);
-            objp->same_rack = IXDR_GET_BOOL(buf);
-            objp->checkpoints = IXDR_GET_BOOL(buf);
-            objp->duplicates_allowed = IXDR_GET_BOOL(buf);
-            objp->endless = IXDR_GET_BOOL(buf);
-            objp->fills = IXDR_GET_BOOL(buf);
-            objp->most_per_worker = IXDR_GET_U_LONG(buf);
-            objp->tail_target_ms = IXDR_GET_U_LONG(buf);
-            objp->may_miss = IXDR_GET_U_LONG(buf);
-        }
-        if (!xdr_cw_name(xdrs, &objp->label))
-            return FALSE;
-        if (!xdr_cw_name(xdrs, &objp->data_rack))
-            return FALSE;
-        if (!xdr_cw_name(xdrs, &objp->image))
-            return FALSE;
-        return TRUE;
-    }
-
-    if (!xdr_u_int(xdrs, &objp->tasks))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->cpu_milli))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->memory_mb))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->accelerators))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->estimate_ms))
-        return FALSE;
-    if (!xdr_array(xdrs, (char **)&objp->after.after_val,
-                   (u_int *)&objp->after.after_len, CW_STEPS_MAX,
-                   sizeof(u_int), (xdrproc_t)xdr_u_int))
-        return FALSE;
-    if (!xdr_bool(xdrs, &objp->gang))
-        return FALSE;
-    if (!xdr_bool(xdrs, &objp->same_rack))
-        return FALSE;
-    if (!xdr_bool(xdrs, &objp->checkpoints))
-        return FALSE;
-    if (!xdr_bool(xdrs, &objp->duplicates_allowed))
-        return FALSE;
-    if (!xdr_bool(xdrs, &objp->endless))
-        return FALSE;
-    if (!xdr_bool(xdrs, &objp->fills))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->most_per_worker))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->tail_target_ms))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->may_miss))
-        return FALSE;
-    if (!xdr_cw_name(xdrs, &objp->label))
-        return FALSE;
-    if (!xdr_cw_name(xdrs, &objp->data_rack))
-        return FALSE;
-    if (!xdr_cw_name(xdrs, &objp->image))
-        return FALSE;
-    return TRUE;
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->tasks))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->cpu_milli))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->memory_mb))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->accelerators))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->estimate_ms))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->tasks);
+		IXDR_PUT_U_LONG(buf, objp->cpu_milli);
+		IXDR_PUT_U_LONG(buf, objp->memory_mb);
+		IXDR_PUT_U_LONG(buf, objp->accelerators);
+		IXDR_PUT_U_LONG(buf, objp->estimate_ms);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->after.after_val, (u_int *) &objp->after.after_len, CW_STEPS_MAX,
+			sizeof (u_int), (xdrproc_t) xdr_u_int))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 9 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_bool (xdrs, &objp->gang))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->same_rack))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->checkpoints))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->duplicates_allowed))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->endless))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->fills))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->most_per_worker))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->tail_target_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->may_miss))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_BOOL(buf, objp->gang);
+		IXDR_PUT_BOOL(buf, objp->same_rack);
+		IXDR_PUT_BOOL(buf, objp->checkpoints);
+		IXDR_PUT_BOOL(buf, objp->duplicates_allowed);
+		IXDR_PUT_BOOL(buf, objp->endless);
+		IXDR_PUT_BOOL(buf, objp->fills);
+		IXDR_PUT_U_LONG(buf, objp->most_per_worker);
+		IXDR_PUT_U_LONG(buf, objp->tail_target_ms);
+		IXDR_PUT_U_LONG(buf, objp->may_miss);
+		}
+		 if (!xdr_cw_name (xdrs, &objp->label))
+			 return FALSE;
+		 if (!xdr_cw_name (xdrs, &objp->data_rack))
+			 return FALSE;
+		 if (!xdr_cw_name (xdrs, &objp->image))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->tasks))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->cpu_milli))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->memory_mb))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->accelerators))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->estimate_ms))
+				 return FALSE;
+
+		} else {
+		objp->tasks = IXDR_GET_U_LONG(buf);
+		objp->cpu_milli = IXDR_GET_U_LONG(buf);
+		objp->memory_mb = IXDR_GET_U_LONG(buf);
+		objp->accelerators = IXDR_GET_U_LONG(buf);
+		objp->estimate_ms = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->after.after_val, (u_int *) &objp->after.after_len, CW_STEPS_MAX,
+			sizeof (u_int), (xdrproc_t) xdr_u_int))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 9 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_bool (xdrs, &objp->gang))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->same_rack))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->checkpoints))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->duplicates_allowed))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->endless))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->fills))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->most_per_worker))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->tail_target_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->may_miss))
+				 return FALSE;
+
+		} else {
+		objp->gang = IXDR_GET_BOOL(buf);
+		objp->same_rack = IXDR_GET_BOOL(buf);
+		objp->checkpoints = IXDR_GET_BOOL(buf);
+		objp->duplicates_allowed = IXDR_GET_BOOL(buf);
+		objp->endless = IXDR_GET_BOOL(buf);
+		objp->fills = IXDR_GET_BOOL(buf);
+		objp->most_per_worker = IXDR_GET_U_LONG(buf);
+		objp->tail_target_ms = IXDR_GET_U_LONG(buf);
+		objp->may_miss = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_cw_name (xdrs, &objp->label))
+			 return FALSE;
+		 if (!xdr_cw_name (xdrs, &objp->data_rack))
+			 return FALSE;
+		 if (!xdr_cw_name (xdrs, &objp->image))
+			 return FALSE;
+	 return TRUE;
+	}
+
+	 if (!xdr_u_int (xdrs, &objp->tasks))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->cpu_milli))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->memory_mb))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->accelerators))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->estimate_ms))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->after.after_val, (u_int *) &objp->after.after_len, CW_STEPS_MAX,
+		sizeof (u_int), (xdrproc_t) xdr_u_int))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->gang))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->same_rack))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->checkpoints))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->duplicates_allowed))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->endless))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->fills))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->most_per_worker))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->tail_target_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->may_miss))
+		 return FALSE;
+	 if (!xdr_cw_name (xdrs, &objp->label))
+		 return FALSE;
+	 if (!xdr_cw_name (xdrs, &objp->data_rack))
+		 return FALSE;
+	 if (!xdr_cw_name (xdrs, &objp->image))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
-xdr_cw_work_spec(XDR *xdrs, cw_work_spec *objp)
+xdr_cw_work_spec (XDR *xdrs, cw_work_spec *objp)
 {
-    register int32_t *buf;
-
-    if (xdrs->x_op == XDR_ENCODE) {
-        if (!xdr_cw_name(xdrs, &objp->id))
-            return FALSE;
-        if (!xdr_cw_name(xdrs, &objp->queue))
-            return FALSE;
-        if (!xdr_cw_name(xdrs, &objp->account))
-            return FALSE;
-        if (!xdr_cw_name(xdrs, &objp->service))
-            return FALSE;
-        buf = XDR_INLINE(xdrs, 4 * BYTES_PER_XDR_UNIT);
-        if (buf == NULL) {
-            if (!xdr_u_int(xdrs, &objp->priority))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->max_attempts))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->stretch_milli))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->target_latency_ms))
-                return FALSE;
-        }
-        else {
-            IXDR_PUT_U_LONG(buf, objp->priority);
-            IXDR_PUT_U_LONG(buf, objp->max_attempts);
-            IXDR_PUT_U_LONG(buf, objp->stretch_milli);
-            IXDR_PUT_U_LONG(buf, objp->target_latency_ms);
-        }
-        if (!xdr_quad_t(xdrs, &objp->accepted_ms))
-            return FALSE;
-        if (!xdr_u_quad_t(xdrs, &objp->body_hash))
-            return FALSE;
-        if (!xdr_string(xdrs, &objp->payload, CW_PAYLOAD_MAX))
-            return FALSE;
-        if (!xdr_array(xdrs, (char **)&objp->steps.steps_val,
-                       (u_int *)&objp->steps.steps_len, CW_STEPS_MAX,
-                       sizeof(cw_step_spec), (xdrproc_t)xdr_cw_step_spec))
-            return FALSE;
-        if (!xdr_u_int(xdrs, &objp->repeats))
-            return FALSE;
-        if (!xdr_quad_t(xdrs, &objp->first_due_ms))
-            return FALSE;
-        if (!xdr_quad_t(xdrs, &objp->interval_ms))
-            return FALSE;
-        if (!xdr_bool(xdrs, &objp->advised))
-            return FALSE;
-        if (!xdr_string(xdrs, &objp->request, CW_KEY_MAX))
-            return FALSE;
-        if (!xdr_array(xdrs, (char **)&objp->dcs.dcs_val,
-                       (u_int *)&objp->dcs.dcs_len, CW_DCS_MAX,
-                       sizeof(cw_name), (xdrproc_t)xdr_cw_name))
-            return FALSE;
-        if (!xdr_bool(xdrs, &objp->once))
-            return FALSE;
-        if (!xdr_u_int(xdrs, &objp->deadline_ms))
-            return FALSE;
-        return TRUE;
-    }
-    else if (xdrs->x_op == XDR_DECODE) {
-        if (!xdr_cw_name(xdrs, &objp->id))
-            return FALSE;
-        if (!xdr_cw_name(xdrs, &objp->queue))
-            return FALSE;
-        if (!xdr_cw_name(xdrs, &objp->account))
-            return FALSE;
-        if (!xdr_cw_name(xdrs, &objp->service))
-            return FALSE;
-        buf = XDR_INLINE(xdrs, 4 * BYTES_PER_XDR_UNIT);
-        if (buf == NULL) {
-            if (!xdr_u_int(xdrs, &objp->priority))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->max_attempts))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->stretch_milli))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->target_latency_ms))
-                return FALSE;
-        }
-        else {
-            objp->priority = IXDR_GET_U_LONG(buf);
-            objp->max_attempts = IXDR_GET_U_LONG(buf);
-            objp->stretch_milli = IXDR_GET_U_LONG(buf);
-            objp->target_latency_ms = IXDR_GET_U_LONG(buf);
-        }
-        if (!xdr_quad_t(xdrs, &objp->accepted_ms))
-            return FALSE;
-        if (!xdr_u_quad_t(xdrs, &objp->body_hash))
-            return FALSE;
-        if (!xdr_string(xdrs, &objp->payload, CW_PAYLOAD_MAX))
-            return FALSE;
-        if (!xdr_array(xdrs, (char **)&objp->steps.steps_val,
-                       (u_int *)&objp->steps.steps_len, CW_STEPS_MAX,
-                       sizeof(cw_step_spec), (xdrproc_t)xdr_cw_step_spec))
-            return FALSE;
-        if (!xdr_u_int(xdrs, &objp->repeats))
-            return FALSE;
-        if (!xdr_quad_t(xdrs, &objp->first_due_ms))
-            return FALSE;
-        if (!xdr_quad_t(xdrs, &objp->interval_ms))
-            return FALSE;
-        if (!xdr_bool(xdrs, &objp->advised))
-            return FALSE;
-        if (!xdr_string(xdrs, &objp->request, CW_KEY_MAX))
-            return FALSE;
-        if (!xdr_array(xdrs, (char **)&objp->dcs.dcs_val,
-                       (u_int *)&objp->dcs.dcs_len, CW_DCS_MAX,
-                       sizeof(cw_name), (xdrproc_t)xdr_cw_name))
-            return FALSE;
-        if (!xdr_bool(xdrs, &objp->once))
-            return FALSE;
-        if (!xdr_u_int(xdrs, &objp->deadline_ms))
-            return FALSE;
-        return TRUE;
-    }
-
-    if (!xdr_cw_name(xdrs, &objp->id))
-        return FALSE;
-    if (!xdr_cw_name(xdrs, &objp->queue))
-        return FALSE;
-    if (!xdr_cw_name(xdrs, &objp->account))
-        return FALSE;
-    if (!xdr_cw_name(xdrs, &objp->service))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->priority))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->max_attempts))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->stretch_milli))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->target_latency_ms))
-        return FALSE;
-    if (!xdr_quad_t(xdrs, &objp->accepted_ms))
-        return FALSE;
-    if (!xdr_u_quad_t(xdrs, &objp->body_hash))
-        return FALSE;
-    if (!xdr_string(xdrs, &objp->payload, CW_PAYLOAD_MAX))
-        return FALSE;
-    if (!xdr_array(xdrs, (char **)&objp->steps.steps_val,
-                   (u_int *)&objp->steps.steps_len, CW_STEPS_MAX,
-                   sizeof(cw_step_spec), (xdrproc_t)xdr_cw_step_spec))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->repeats))
-        return FALSE;
-    if (!xdr_quad_t(xdrs, &objp->first_due_ms))
-        return FALSE;
-    if (!xdr_quad_t(xdrs, &objp->interval_ms))
-        return FALSE;
-    if (!xdr_bool(xdrs, &objp->advised))
-        return FALSE;
-    if (!xdr_string(xdrs, &objp->request, CW_KEY_MAX))
-        return FALSE;
-    if (!xdr_array(xdrs, (char **)&objp->dcs.dcs_val,
-                   (u_int *)&objp->dcs.dcs_len, CW_DCS_MAX, sizeof(cw_name),
-                   (xdrproc_t)xdr_cw_name))
-        return FALSE;
-    if (!xdr_bool(xdrs, &objp->once))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->deadline_ms))
-        return FALSE;
-    return TRUE;
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_cw_name (xdrs, &objp->id))
+			 return FALSE;
+		 if (!xdr_cw_name (xdrs, &objp->queue))
+			 return FALSE;
+		 if (!xdr_cw_name (xdrs, &objp->account))
+			 return FALSE;
+		 if (!xdr_cw_name (xdrs, &objp->service))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->priority))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->max_attempts))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->stretch_milli))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->target_latency_ms))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->priority);
+		IXDR_PUT_U_LONG(buf, objp->max_attempts);
+		IXDR_PUT_U_LONG(buf, objp->stretch_milli);
+		IXDR_PUT_U_LONG(buf, objp->target_latency_ms);
+		}
+		 if (!xdr_quad_t (xdrs, &objp->accepted_ms))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->body_hash))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->payload, CW_PAYLOAD_MAX))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->steps.steps_val, (u_int *) &objp->steps.steps_len, CW_STEPS_MAX,
+			sizeof (cw_step_spec), (xdrproc_t) xdr_cw_step_spec))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->repeats))
+			 return FALSE;
+		 if (!xdr_quad_t (xdrs, &objp->first_due_ms))
+			 return FALSE;
+		 if (!xdr_quad_t (xdrs, &objp->interval_ms))
+			 return FALSE;
+		 if (!xdr_bool (xdrs, &objp->advised))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->request, CW_KEY_MAX))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->dcs.dcs_val, (u_int *) &objp->dcs.dcs_len, CW_DCS_MAX,
+			sizeof (cw_name), (xdrproc_t) xdr_cw_name))
+			 return FALSE;
+		 if (!xdr_bool (xdrs, &objp->once))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->deadline_ms))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_cw_name (xdrs, &objp->id))
+			 return FALSE;
+		 if (!xdr_cw_name (xdrs, &objp->queue))
+			 return FALSE;
+		 if (!xdr_cw_name (xdrs, &objp->account))
+			 return FALSE;
+		 if (!xdr_cw_name (xdrs, &objp->service))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->priority))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->max_attempts))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->stretch_milli))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->target_latency_ms))
+				 return FALSE;
+
+		} else {
+		objp->priority = IXDR_GET_U_LONG(buf);
+		objp->max_attempts = IXDR_GET_U_LONG(buf);
+		objp->stretch_milli = IXDR_GET_U_LONG(buf);
+		objp->target_latency_ms = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_quad_t (xdrs, &objp->accepted_ms))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->body_hash))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->payload, CW_PAYLOAD_MAX))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->steps.steps_val, (u_int *) &objp->steps.steps_len, CW_STEPS_MAX,
+			sizeof (cw_step_spec), (xdrproc_t) xdr_cw_step_spec))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->repeats))
+			 return FALSE;
+		 if (!xdr_quad_t (xdrs, &objp->first_due_ms))
+			 return FALSE;
+		 if (!xdr_quad_t (xdrs, &objp->interval_ms))
+			 return FALSE;
+		 if (!xdr_bool (xdrs, &objp->advised))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->request, CW_KEY_MAX))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->dcs.dcs_val, (u_int *) &objp->dcs.dcs_len, CW_DCS_MAX,
+			sizeof (cw_name), (xdrproc_t) xdr_cw_name))
+			 return FALSE;
+		 if (!xdr_bool (xdrs, &objp->once))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->deadline_ms))
+			 return FALSE;
+	 return TRUE;
+	}
+
+	 if (!xdr_cw_name (xdrs, &objp->id))
+		 return FALSE;
+	 if (!xdr_cw_name (xdrs, &objp->queue))
+		 return FALSE;
+	 if (!xdr_cw_name (xdrs, &objp->account))
+		 return FALSE;
+	 if (!xdr_cw_name (xdrs, &objp->service))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->priority))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->max_attempts))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->stretch_milli))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->target_latency_ms))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->accepted_ms))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->body_hash))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->payload, CW_PAYLOAD_MAX))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->steps.steps_val, (u_int *) &objp->steps.steps_len, CW_STEPS_MAX,
+		sizeof (cw_step_spec), (xdrproc_t) xdr_cw_step_spec))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->repeats))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->first_due_ms))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->interval_ms))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->advised))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->request, CW_KEY_MAX))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->dcs.dcs_val, (u_int *) &objp->dcs.dcs_len, CW_DCS_MAX,
+		sizeof (cw_name), (xdrproc_t) xdr_cw_name))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->once))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->deadline_ms))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
-xdr_cw_task_record(XDR *xdrs, cw_task_record *objp)
+xdr_cw_task_record (XDR *xdrs, cw_task_record *objp)
 {
-    register int32_t *buf;
-
-    if (xdrs->x_op == XDR_ENCODE) {
-        buf = XDR_INLINE(xdrs, 4 * BYTES_PER_XDR_UNIT);
-        if (buf == NULL) {
-            if (!xdr_u_int(xdrs, &objp->worker))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->run))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->failures))
-                return FALSE;
-            if (!xdr_bool(xdrs, &objp->done))
-                return FALSE;
-        }
-        else {
-            IXDR_PUT_U_LONG(buf, objp->worker);
-            IXDR_PUT_U_LONG(buf, objp->run);
-            IXDR_PUT_U_LONG(buf, objp->failures);
-            IXDR_PUT_BOOL(buf, objp->done);
-        }
-        if (!xdr_string(xdrs, &objp->saved, CW_SAVED_MAX))
-            return FALSE;
-        return TRUE;
-    }
-    else if (xdrs->x_op == XDR_DECODE) {
-        buf = XDR_INLINE(xdrs, 4 * BYTES_PER_XDR_UNIT);
-        if (buf == NULL) {
-            if (!xdr_u_int(xdrs, &objp->worker))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->run))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->failures))
-                return FALSE;
-            if (!xdr_bool(xdrs, &objp->done))
-                return FALSE;
-        }
-        else {
-            objp->worker = IXDR_GET_U_LONG(buf);
-            objp->run = IXDR_GET_U_LONG(buf);
-            objp->failures = IXDR_GET_U_LONG(buf);
-            objp->done = IXDR_GET_BOOL(buf);
-        }
-        if (!xdr_string(xdrs, &objp->saved, CW_SAVED_MAX))
-            return FALSE;
-        return TRUE;
-    }
-
-    if (!xdr_u_int(xdrs, &objp->worker))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->run))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->failures))
-        return FALSE;
-    if (!xdr_bool(xdrs, &objp->done))
-        return FALSE;
-    if (!xdr_string(xdrs, &objp->saved, CW_SAVED_MAX))
-        return FALSE;
-    return TRUE;
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->worker))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->run))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->failures))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->done))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->worker);
+		IXDR_PUT_U_LONG(buf, objp->run);
+		IXDR_PUT_U_LONG(buf, objp->failures);
+		IXDR_PUT_BOOL(buf, objp->done);
+		}
+		 if (!xdr_string (xdrs, &objp->saved, CW_SAVED_MAX))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->worker))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->run))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->failures))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->done))
+				 return FALSE;
+
+		} else {
+		objp->worker = IXDR_GET_U_LONG(buf);
+		objp->run = IXDR_GET_U_LONG(buf);
+		objp->failures = IXDR_GET_U_LONG(buf);
+		objp->done = IXDR_GET_BOOL(buf);
+		}
+		 if (!xdr_string (xdrs, &objp->saved, CW_SAVED_MAX))
+			 return FALSE;
+	 return TRUE;
+	}
+
+	 if (!xdr_u_int (xdrs, &objp->worker))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->run))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->failures))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->done))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->saved, CW_SAVED_MAX))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
-xdr_cw_step_record(XDR *xdrs, cw_step_record *objp)
+xdr_cw_step_record (XDR *xdrs, cw_step_record *objp)
 {
-    register int32_t *buf;
-
-    if (!xdr_bool(xdrs, &objp->done))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->failures))
-        return FALSE;
-    if (!xdr_array(xdrs, (char **)&objp->tasks.tasks_val,
-                   (u_int *)&objp->tasks.tasks_len, CW_TASKS_MAX,
-                   sizeof(cw_task_record), (xdrproc_t)xdr_cw_task_record))
-        return FALSE;
-    return TRUE;
+	register int32_t *buf;
+
+	 if (!xdr_bool (xdrs, &objp->done))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->failures))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->tasks.tasks_val, (u_int *) &objp->tasks.tasks_len, CW_TASKS_MAX,
+		sizeof (cw_task_record), (xdrproc_t) xdr_cw_task_record))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
-xdr_cw_occurrence_record(XDR *xdrs, cw_occurrence_record *objp)
+xdr_cw_occurrence_record (XDR *xdrs, cw_occurrence_record *objp)
 {
-    register int32_t *buf;
-
-    if (!xdr_u_int(xdrs, &objp->number))
-        return FALSE;
-    if (!xdr_array(xdrs, (char **)&objp->steps.steps_val,
-                   (u_int *)&objp->steps.steps_len, CW_STEPS_MAX,
-                   sizeof(cw_step_record), (xdrproc_t)xdr_cw_step_record))
-        return FALSE;
-    return TRUE;
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->number))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->steps.steps_val, (u_int *) &objp->steps.steps_len, CW_STEPS_MAX,
+		sizeof (cw_step_record), (xdrproc_t) xdr_cw_step_record))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
-xdr_cw_place_record(XDR *xdrs, cw_place_record *objp)
+xdr_cw_place_record (XDR *xdrs, cw_place_record *objp)
 {
-    register int32_t *buf;
-
-    if (!xdr_cw_name(xdrs, &objp->worker))
-        return FALSE;
-    if (!xdr_cw_name(xdrs, &objp->dc))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->runs))
-        return FALSE;
-    return TRUE;
+	register int32_t *buf;
+
+	 if (!xdr_cw_name (xdrs, &objp->worker))
+		 return FALSE;
+	 if (!xdr_cw_name (xdrs, &objp->dc))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->runs))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
-xdr_cw_crash_record(XDR *xdrs, cw_crash_record *objp)
+xdr_cw_crash_record (XDR *xdrs, cw_crash_record *objp)
 {
-    register int32_t *buf;
-
-    if (xdrs->x_op == XDR_ENCODE) {
-        buf = XDR_INLINE(xdrs, 4 * BYTES_PER_XDR_UNIT);
-        if (buf == NULL) {
-            if (!xdr_u_int(xdrs, &objp->occurrence))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->step))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->task))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->suspicion))
-                return FALSE;
-        }
-        else {
-            IXDR_PUT_U_LONG(buf, objp->occurrence);
-            IXDR_PUT_U_LONG(buf, objp->step);
-            IXDR_PUT_U_LONG(buf, objp->task);
-            IXDR_PUT_U_LONG(buf, objp->suspicion);
-        }
-        return TRUE;
-    }
-    else if (xdrs->x_op == XDR_DECODE) {
-        buf = XDR_INLINE(xdrs, 4 * BYTES_PER_XDR_UNIT);
-        if (buf == NULL) {
-            if (!xdr_u_int(xdrs, &objp->occurrence))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->step))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->task))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->suspicion))
-                return FALSE;
-        }
-        else {
-            objp->occurrence = IXDR_GET_U_LONG(buf);
-            objp->step = IXDR_GET_U_LONG(buf);
-            objp->task = IXDR_GET_U_LONG(buf);
-            objp->suspicion = IXDR_GET_U_LONG(buf);
-        }
-        return TRUE;
-    }
-
-    if (!xdr_u_int(xdrs, &objp->occurrence))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->step))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->task))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->suspicion))
-        return FALSE;
-    return TRUE;
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->occurrence))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->step))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->task))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->suspicion))
+				 return FALSE;
+		} else {
+			IXDR_PUT_U_LONG(buf, objp->occurrence);
+			IXDR_PUT_U_LONG(buf, objp->step);
+			IXDR_PUT_U_LONG(buf, objp->task);
+			IXDR_PUT_U_LONG(buf, objp->suspicion);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->occurrence))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->step))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->task))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->suspicion))
+				 return FALSE;
+		} else {
+			objp->occurrence = IXDR_GET_U_LONG(buf);
+			objp->step = IXDR_GET_U_LONG(buf);
+			objp->task = IXDR_GET_U_LONG(buf);
+			objp->suspicion = IXDR_GET_U_LONG(buf);
+		}
+	 return TRUE;
+	}
+
+	 if (!xdr_u_int (xdrs, &objp->occurrence))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->step))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->task))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->suspicion))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
-xdr_cw_work_record(XDR *xdrs, cw_work_record *objp)
+xdr_cw_work_record (XDR *xdrs, cw_work_record *objp)
 {
-    register int32_t *buf;
-
-    if (xdrs->x_op == XDR_ENCODE) {
-        if (!xdr_u_int(xdrs, &objp->phase))
-            return FALSE;
-        if (!xdr_bool(xdrs, &objp->started))
-            return FALSE;
-        if (!xdr_quad_t(xdrs, &objp->ended_ms))
-            return FALSE;
-        buf = XDR_INLINE(xdrs, 3 * BYTES_PER_XDR_UNIT);
-        if (buf == NULL) {
-            if (!xdr_u_int(xdrs, &objp->next_occurrence))
-                return FALSE;
-            if (!xdr_bool(xdrs, &objp->begun))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->reason))
-                return FALSE;
-        }
-        else {
-            IXDR_PUT_U_LONG(buf, objp->next_occurrence);
-            IXDR_PUT_BOOL(buf, objp->begun);
-            IXDR_PUT_U_LONG(buf, objp->reason);
-        }
-        if (!xdr_u_quad_t(xdrs, &objp->config))
-            return FALSE;
-        if (!xdr_array(xdrs, (char **)&objp->places.places_val,
-                       (u_int *)&objp->places.places_len, CW_TASKS_MAX,
-                       sizeof(cw_place_record),
-                       (xdrproc_t)xdr_cw_place_record))
-            return FALSE;
-        if (!xdr_string(xdrs, &objp->result, CW_SAVED_MAX))
-            return FALSE;
-        if (!xdr_array(xdrs, (char **)&objp->workers.workers_val,
-                       (u_int *)&objp->workers.workers_len, CW_TASKS_MAX,
-                       sizeof(cw_name), (xdrproc_t)xdr_cw_name))
-            return FALSE;
-        if (!xdr_array(xdrs, (char **)&objp->open.open_val,
-                       (u_int *)&objp->open.open_len, CW_OCCURRENCES_MAX,
-                       sizeof(cw_occurrence_record),
-                       (xdrproc_t)xdr_cw_occurrence_record))
-            return FALSE;
-        if (!xdr_array(xdrs, (char **)&objp->crashes.crashes_val,
-                       (u_int *)&objp->crashes.crashes_len, CW_TASKS_MAX,
-                       sizeof(cw_crash_record),
-                       (xdrproc_t)xdr_cw_crash_record))
-            return FALSE;
-        if (!xdr_array(xdrs, (char **)&objp->lives.lives_val,
-                       (u_int *)&objp->lives.lives_len, CW_TASKS_MAX,
-                       sizeof(quad_t), (xdrproc_t)xdr_quad_t))
-            return FALSE;
-        return TRUE;
-    }
-    else if (xdrs->x_op == XDR_DECODE) {
-        if (!xdr_u_int(xdrs, &objp->phase))
-            return FALSE;
-        if (!xdr_bool(xdrs, &objp->started))
-            return FALSE;
-        if (!xdr_quad_t(xdrs, &objp->ended_ms))
-            return FALSE;
-        buf = XDR_INLINE(xdrs, 3 * BYTES_PER_XDR_UNIT);
-        if (buf == NULL) {
-            if (!xdr_u_int(xdrs, &objp->next_occurrence))
-                return FALSE;
-            if (!xdr_bool(xdrs, &objp->begun))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->reason))
-                return FALSE;
-        }
-        else {
-            objp->next_occurrence = IXDR_GET_U_LONG(buf);
-            objp->begun = IXDR_GET_BOOL(buf);
-            objp->reason = IXDR_GET_U_LONG(buf);
-        }
-        if (!xdr_u_quad_t(xdrs, &objp->config))
-            return FALSE;
-        if (!xdr_array(xdrs, (char **)&objp->places.places_val,
-                       (u_int *)&objp->places.places_len, CW_TASKS_MAX,
-                       sizeof(cw_place_record),
-                       (xdrproc_t)xdr_cw_place_record))
-            return FALSE;
-        if (!xdr_string(xdrs, &objp->result, CW_SAVED_MAX))
-            return FALSE;
-        if (!xdr_array(xdrs, (char **)&objp->workers.workers_val,
-                       (u_int *)&objp->workers.workers_len, CW_TASKS_MAX,
-                       sizeof(cw_name), (xdrproc_t)xdr_cw_name))
-            return FALSE;
-        if (!xdr_array(xdrs, (char **)&objp->open.open_val,
-                       (u_int *)&objp->open.open_len, CW_OCCURRENCES_MAX,
-                       sizeof(cw_occurrence_record),
-                       (xdrproc_t)xdr_cw_occurrence_record))
-            return FALSE;
-        if (!xdr_array(xdrs, (char **)&objp->crashes.crashes_val,
-                       (u_int *)&objp->crashes.crashes_len, CW_TASKS_MAX,
-                       sizeof(cw_crash_record),
-                       (xdrproc_t)xdr_cw_crash_record))
-            return FALSE;
-        if (!xdr_array(xdrs, (char **)&objp->lives.lives_val,
-                       (u_int *)&objp->lives.lives_len, CW_TASKS_MAX,
-                       sizeof(quad_t), (xdrproc_t)xdr_quad_t))
-            return FALSE;
-        return TRUE;
-    }
-
-    if (!xdr_u_int(xdrs, &objp->phase))
-        return FALSE;
-    if (!xdr_bool(xdrs, &objp->started))
-        return FALSE;
-    if (!xdr_quad_t(xdrs, &objp->ended_ms))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->next_occurrence))
-        return FALSE;
-    if (!xdr_bool(xdrs, &objp->begun))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->reason))
-        return FALSE;
-    if (!xdr_u_quad_t(xdrs, &objp->config))
-        return FALSE;
-    if (!xdr_array(xdrs, (char **)&objp->places.places_val,
-                   (u_int *)&objp->places.places_len, CW_TASKS_MAX,
-                   sizeof(cw_place_record), (xdrproc_t)xdr_cw_place_record))
-        return FALSE;
-    if (!xdr_string(xdrs, &objp->result, CW_SAVED_MAX))
-        return FALSE;
-    if (!xdr_array(xdrs, (char **)&objp->workers.workers_val,
-                   (u_int *)&objp->workers.workers_len, CW_TASKS_MAX,
-                   sizeof(cw_name), (xdrproc_t)xdr_cw_name))
-        return FALSE;
-    if (!xdr_array(xdrs, (char **)&objp->open.open_val,
-                   (u_int *)&objp->open.open_len, CW_OCCURRENCES_MAX,
-                   sizeof(cw_occurrence_record),
-                   (xdrproc_t)xdr_cw_occurrence_record))
-        return FALSE;
-    if (!xdr_array(xdrs, (char **)&objp->crashes.crashes_val,
-                   (u_int *)&objp->crashes.crashes_len, CW_TASKS_MAX,
-                   sizeof(cw_crash_record), (xdrproc_t)xdr_cw_crash_record))
-        return FALSE;
-    if (!xdr_array(xdrs, (char **)&objp->lives.lives_val,
-                   (u_int *)&objp->lives.lives_len, CW_TASKS_MAX,
-                   sizeof(quad_t), (xdrproc_t)xdr_quad_t))
-        return FALSE;
-    return TRUE;
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_u_int (xdrs, &objp->phase))
+			 return FALSE;
+		 if (!xdr_bool (xdrs, &objp->started))
+			 return FALSE;
+		 if (!xdr_quad_t (xdrs, &objp->ended_ms))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->next_occurrence))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->begun))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->reason))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->next_occurrence);
+		IXDR_PUT_BOOL(buf, objp->begun);
+		IXDR_PUT_U_LONG(buf, objp->reason);
+		}
+		 if (!xdr_u_quad_t (xdrs, &objp->config))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->places.places_val, (u_int *) &objp->places.places_len, CW_TASKS_MAX,
+			sizeof (cw_place_record), (xdrproc_t) xdr_cw_place_record))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->result, CW_SAVED_MAX))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->workers.workers_val, (u_int *) &objp->workers.workers_len, CW_TASKS_MAX,
+			sizeof (cw_name), (xdrproc_t) xdr_cw_name))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->open.open_val, (u_int *) &objp->open.open_len, CW_OCCURRENCES_MAX,
+			sizeof (cw_occurrence_record), (xdrproc_t) xdr_cw_occurrence_record))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->crashes.crashes_val, (u_int *) &objp->crashes.crashes_len, CW_TASKS_MAX,
+			sizeof (cw_crash_record), (xdrproc_t) xdr_cw_crash_record))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->lives.lives_val, (u_int *) &objp->lives.lives_len, CW_TASKS_MAX,
+			sizeof (quad_t), (xdrproc_t) xdr_quad_t))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_u_int (xdrs, &objp->phase))
+			 return FALSE;
+		 if (!xdr_bool (xdrs, &objp->started))
+			 return FALSE;
+		 if (!xdr_quad_t (xdrs, &objp->ended_ms))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->next_occurrence))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->begun))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->reason))
+				 return FALSE;
+
+		} else {
+		objp->next_occurrence = IXDR_GET_U_LONG(buf);
+		objp->begun = IXDR_GET_BOOL(buf);
+		objp->reason = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_u_quad_t (xdrs, &objp->config))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->places.places_val, (u_int *) &objp->places.places_len, CW_TASKS_MAX,
+			sizeof (cw_place_record), (xdrproc_t) xdr_cw_place_record))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->result, CW_SAVED_MAX))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->workers.workers_val, (u_int *) &objp->workers.workers_len, CW_TASKS_MAX,
+			sizeof (cw_name), (xdrproc_t) xdr_cw_name))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->open.open_val, (u_int *) &objp->open.open_len, CW_OCCURRENCES_MAX,
+			sizeof (cw_occurrence_record), (xdrproc_t) xdr_cw_occurrence_record))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->crashes.crashes_val, (u_int *) &objp->crashes.crashes_len, CW_TASKS_MAX,
+			sizeof (cw_crash_record), (xdrproc_t) xdr_cw_crash_record))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->lives.lives_val, (u_int *) &objp->lives.lives_len, CW_TASKS_MAX,
+			sizeof (quad_t), (xdrproc_t) xdr_quad_t))
+			 return FALSE;
+	 return TRUE;
+	}
+
+	 if (!xdr_u_int (xdrs, &objp->phase))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->started))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->ended_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->next_occurrence))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->begun))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->reason))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->config))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->places.places_val, (u_int *) &objp->places.places_len, CW_TASKS_MAX,
+		sizeof (cw_place_record), (xdrproc_t) xdr_cw_place_record))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->result, CW_SAVED_MAX))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->workers.workers_val, (u_int *) &objp->workers.workers_len, CW_TASKS_MAX,
+		sizeof (cw_name), (xdrproc_t) xdr_cw_name))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->open.open_val, (u_int *) &objp->open.open_len, CW_OCCURRENCES_MAX,
+		sizeof (cw_occurrence_record), (xdrproc_t) xdr_cw_occurrence_record))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->crashes.crashes_val, (u_int *) &objp->crashes.crashes_len, CW_TASKS_MAX,
+		sizeof (cw_crash_record), (xdrproc_t) xdr_cw_crash_record))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->lives.lives_val, (u_int *) &objp->lives.lives_len, CW_TASKS_MAX,
+		sizeof (quad_t), (xdrproc_t) xdr_quad_t))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
-xdr_cw_vm_record(XDR *xdrs, cw_vm_record *objp)
+xdr_cw_vm_record (XDR *xdrs, cw_vm_record *objp)
 {
-    register int32_t *buf;
+	register int32_t *buf;
 
-    if (!xdr_u_int(xdrs, &objp->capacity_milli))
-        return FALSE;
-    return TRUE;
+	 if (!xdr_u_int (xdrs, &objp->capacity_milli))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
-xdr_cw_beat_record(XDR *xdrs, cw_beat_record *objp)
+xdr_cw_beat_record (XDR *xdrs, cw_beat_record *objp)
 {
-    register int32_t *buf;
+	register int32_t *buf;
 
-    if (!xdr_cw_name(xdrs, &objp->vm))
-        return FALSE;
-    if (!xdr_u_quad_t(xdrs, &objp->epoch))
-        return FALSE;
-    return TRUE;
+	 if (!xdr_cw_name (xdrs, &objp->vm))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
-xdr_cw_note_record(XDR *xdrs, cw_note_record *objp)
+xdr_cw_note_record (XDR *xdrs, cw_note_record *objp)
 {
-    register int32_t *buf;
+	register int32_t *buf;
 
-    if (!xdr_u_int(xdrs, &objp->left_ms))
-        return FALSE;
-    return TRUE;
+	 if (!xdr_u_int (xdrs, &objp->left_ms))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
-xdr_cw_relay_kind(XDR *xdrs, cw_relay_kind *objp)
+xdr_cw_hint_end (XDR *xdrs, cw_hint_end *objp)
 {
-    register int32_t *buf;
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_cw_name (xdrs, &objp->worker))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->occurrence))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->step))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->index))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->run))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->how))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->occurrence);
+		IXDR_PUT_U_LONG(buf, objp->step);
+		IXDR_PUT_U_LONG(buf, objp->index);
+		IXDR_PUT_U_LONG(buf, objp->run);
+		IXDR_PUT_U_LONG(buf, objp->how);
+		}
+		 if (!xdr_string (xdrs, &objp->saved, CW_SAVED_MAX))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_cw_name (xdrs, &objp->worker))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->occurrence))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->step))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->index))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->run))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->how))
+				 return FALSE;
+
+		} else {
+		objp->occurrence = IXDR_GET_U_LONG(buf);
+		objp->step = IXDR_GET_U_LONG(buf);
+		objp->index = IXDR_GET_U_LONG(buf);
+		objp->run = IXDR_GET_U_LONG(buf);
+		objp->how = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_string (xdrs, &objp->saved, CW_SAVED_MAX))
+			 return FALSE;
+	 return TRUE;
+	}
+
+	 if (!xdr_cw_name (xdrs, &objp->worker))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->occurrence))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->step))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->index))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->run))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->how))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->saved, CW_SAVED_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_cw_hint_record (XDR *xdrs, cw_hint_record *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->ends.ends_val, (u_int *) &objp->ends.ends_len, CW_TASKS_MAX,
+		sizeof (cw_hint_end), (xdrproc_t) xdr_cw_hint_end))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_cw_relay_kind (XDR *xdrs, cw_relay_kind *objp)
+{
+	register int32_t *buf;
 
-    if (!xdr_enum(xdrs, (enum_t *)objp))
-        return FALSE;
-    return TRUE;
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
-xdr_cw_relay_record(XDR *xdrs, cw_relay_record *objp)
+xdr_cw_relay_record (XDR *xdrs, cw_relay_record *objp)
 {
-    register int32_t *buf;
-
-    if (!xdr_string(xdrs, &objp->key, 255))
-        return FALSE;
-    if (!xdr_bytes(xdrs, (char **)&objp->value.value_val,
-                   (u_int *)&objp->value.value_len, CW_RELAY_BYTES_MAX))
-        return FALSE;
-    if (!xdr_u_quad_t(xdrs, &objp->offset))
-        return FALSE;
-    return TRUE;
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->key, 255))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->value.value_val, (u_int *) &objp->value.value_len, CW_RELAY_BYTES_MAX))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->offset))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
-xdr_cw_relay_request(XDR *xdrs, cw_relay_request *objp)
+xdr_cw_relay_request (XDR *xdrs, cw_relay_request *objp)
 {
-    register int32_t *buf;
-
-    if (!xdr_cw_relay_kind(xdrs, &objp->kind))
-        return FALSE;
-    if (!xdr_cw_name(xdrs, &objp->topic))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->partition))
-        return FALSE;
-    if (!xdr_array(xdrs, (char **)&objp->records.records_val,
-                   (u_int *)&objp->records.records_len, CW_RELAY_RECORDS_MAX,
-                   sizeof(cw_relay_record), (xdrproc_t)xdr_cw_relay_record))
-        return FALSE;
-    if (!xdr_cw_name(xdrs, &objp->writer))
-        return FALSE;
-    if (!xdr_u_quad_t(xdrs, &objp->epoch))
-        return FALSE;
-    if (!xdr_u_quad_t(xdrs, &objp->sequence))
-        return FALSE;
-    if (!xdr_bool(xdrs, &objp->conditional))
-        return FALSE;
-    if (!xdr_u_quad_t(xdrs, &objp->expected_end))
-        return FALSE;
-    if (!xdr_u_quad_t(xdrs, &objp->from))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->wait_ms))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->most_kb))
-        return FALSE;
-    if (!xdr_string(xdrs, &objp->after, 255))
-        return FALSE;
-    if (!xdr_cw_name(xdrs, &objp->group))
-        return FALSE;
-    if (!xdr_string(xdrs, &objp->member, 255))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->ttl_ms))
-        return FALSE;
-    if (!xdr_u_quad_t(xdrs, &objp->generation))
-        return FALSE;
-    return TRUE;
+	register int32_t *buf;
+
+	 if (!xdr_cw_relay_kind (xdrs, &objp->kind))
+		 return FALSE;
+	 if (!xdr_cw_name (xdrs, &objp->topic))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->partition))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->records.records_val, (u_int *) &objp->records.records_len, CW_RELAY_RECORDS_MAX,
+		sizeof (cw_relay_record), (xdrproc_t) xdr_cw_relay_record))
+		 return FALSE;
+	 if (!xdr_cw_name (xdrs, &objp->writer))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->sequence))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->conditional))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->expected_end))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->from))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->wait_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->most_kb))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->after, 255))
+		 return FALSE;
+	 if (!xdr_cw_name (xdrs, &objp->group))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->member, 255))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->ttl_ms))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->generation))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
-xdr_cw_relay_answer(XDR *xdrs, cw_relay_answer *objp)
+xdr_cw_relay_answer (XDR *xdrs, cw_relay_answer *objp)
 {
-    register int32_t *buf;
-
-    if (!xdr_u_int(xdrs, &objp->status))
-        return FALSE;
-    if (!xdr_u_quad_t(xdrs, &objp->first))
-        return FALSE;
-    if (!xdr_u_quad_t(xdrs, &objp->end))
-        return FALSE;
-    if (!xdr_u_quad_t(xdrs, &objp->expected_sequence))
-        return FALSE;
-    if (!xdr_bool(xdrs, &objp->more))
-        return FALSE;
-    if (!xdr_array(xdrs, (char **)&objp->records.records_val,
-                   (u_int *)&objp->records.records_len, CW_RELAY_RECORDS_MAX,
-                   sizeof(cw_relay_record), (xdrproc_t)xdr_cw_relay_record))
-        return FALSE;
-    if (!xdr_u_quad_t(xdrs, &objp->generation))
-        return FALSE;
-    if (!xdr_array(xdrs, (char **)&objp->partitions.partitions_val,
-                   (u_int *)&objp->partitions.partitions_len, 1024,
-                   sizeof(u_int), (xdrproc_t)xdr_u_int))
-        return FALSE;
-    return TRUE;
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->status))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->first))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->end))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->expected_sequence))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->more))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->records.records_val, (u_int *) &objp->records.records_len, CW_RELAY_RECORDS_MAX,
+		sizeof (cw_relay_record), (xdrproc_t) xdr_cw_relay_record))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->generation))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->partitions.partitions_val, (u_int *) &objp->partitions.partitions_len, 1024,
+		sizeof (u_int), (xdrproc_t) xdr_u_int))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
-xdr_cw_relay_sealed(XDR *xdrs, cw_relay_sealed *objp)
+xdr_cw_relay_sealed (XDR *xdrs, cw_relay_sealed *objp)
 {
-    register int32_t *buf;
-
-    int i;
-    if (!xdr_bytes(xdrs, (char **)&objp->body.body_val,
-                   (u_int *)&objp->body.body_len, CW_RELAY_BYTES_MAX))
-        return FALSE;
-    if (!xdr_opaque(xdrs, objp->mac, CW_MAC_BYTES))
-        return FALSE;
-    return TRUE;
+	register int32_t *buf;
+
+	int i;
+	 if (!xdr_bytes (xdrs, (char **)&objp->body.body_val, (u_int *) &objp->body.body_len, CW_RELAY_BYTES_MAX))
+		 return FALSE;
+	 if (!xdr_opaque (xdrs, objp->mac, CW_MAC_BYTES))
+		 return FALSE;
+	return TRUE;
 }
--- a/src/replica/replica.c
+++ b/src/replica/replica.c
@@ -27,6 +27,13 @@
     }
 }
 
+static void
+hint_free(gpointer hint)
+{
+    xdr_free((xdrproc_t)xdr_cw_hint_record, hint);
+    g_free(hint);
+}
+
 static void
 job_free(gpointer data)
 {
@@ -37,6 +44,8 @@
         g_bytes_unref(job->record);
     }
     g_ptr_array_unref(job->cancel_keys);
+    g_ptr_array_unref(job->hints);
+    g_ptr_array_unref(job->hint_keys);
     g_free(job->id);
     g_free(job);
 }
@@ -50,6 +59,8 @@
         job = g_new0(struct cw_replica_job, 1);
         job->id = g_strdup(id);
         job->cancel_keys = g_ptr_array_new_with_free_func(g_free);
+        job->hints = g_ptr_array_new_with_free_func(hint_free);
+        job->hint_keys = g_ptr_array_new_with_free_func(g_free);
         g_hash_table_insert(replica->jobs, job->id, job);
     }
     return job;
@@ -108,6 +119,34 @@
     }
 }
 
+static void
+apply_hint(struct cw_replica *replica, const char *id,
+           const struct cw_store_record *record)
+{
+    struct cw_replica_job *job = find_or_add(replica, id);
+    struct cw_hint_record *hint;
+
+    if (g_ptr_array_find_with_equal_func(job->hint_keys, record->key,
+                                         g_str_equal, NULL))
+    {
+        return; /* given again */
+    }
+    hint = g_new0(struct cw_hint_record, 1);
+    g_ptr_array_add(job->hint_keys, g_strdup(record->key));
+    if (!cw_xdr_decode((xdrproc_t)xdr_cw_hint_record, hint, record->value,
+                       record->length))
+    {
+        cw_log_error("record_invalid", "id=%s kind=hint offset=%" PRIu64, id,
+                     record->offset);
+        g_free(hint);
+        return;
+    }
+    g_ptr_array_add(job->hints, hint);
+    if (replica->listener.hinted != NULL) {
+        replica->listener.hinted(replica->listener.context, job, hint);
+    }
+}
+
 static void
 apply_record(struct cw_replica *replica, const char *id,
              const struct cw_store_record *record)
@@ -232,6 +271,9 @@
     case CW_WORK_KEY_BEAT:
         tell_owner_wrote(replica);
         break;
+    case CW_WORK_KEY_HINT:
+        apply_hint(replica, id, record);
+        break;
     case CW_WORK_KEY_NOTE:
         apply_note(replica, record);
         tell_owner_wrote(replica);
