--- a/tests/owner_bed.h
+++ b/tests/owner_bed.h
@@ -237,6 +237,27 @@
     run(bed, 200);
 }
 
+/* The worker of all runs. */
+static inline struct owner_target *
+the_worker(const struct bed *bed)
+{
+    return g_hash_table_lookup(bed->owner->targets, "w");
+}
+
+/* It is reported again, and can be asked. */
+static inline void
+list_worker(struct bed *bed)
+{
+    struct owner_target *target = the_worker(bed);
+
+    g_free(target->address);
+    target->address = g_strdup("a");
+    target->service = g_intern_string("s");
+    target->capacity.accelerators = TASKS;
+    target->listed = true;
+    owner_target_wake(target);
+}
+
 static inline struct owner_job *
 the_job(struct bed *bed)
 {
--- a/tests/owner_site.h
+++ b/tests/owner_site.h
@@ -132,6 +132,22 @@
     set_guarantee(site, 64);
 }
 
+/* Puts each rack into a data centre of its own: r0 into d0, and so on. */
+static inline void
+site_spread_dcs(struct site *site)
+{
+    GHashTableIter iterator;
+    gpointer value;
+
+    g_hash_table_iter_init(&iterator, site->owner->targets);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        struct owner_target *target = value;
+
+        g_free(target->dc);
+        target->dc = g_strdup_printf("d%s", target->rack + 1);
+    }
+}
+
 static inline void
 site_end(struct site *site)
 {
--- a/tests/test_cordons.c
+++ b/tests/test_cordons.c
@@ -23,8 +23,6 @@
     uint64_t offset;
 };
 
-static struct bed *current;
-
 static void
 on_changed(void *context)
 {
@@ -33,22 +31,6 @@
     cw_owner_cordons_changed(bed->site.owner);
 }
 
-/* Each rack is a data centre of its own: r0 is d0, and so on. */
-static void
-set_dcs(struct site *site)
-{
-    GHashTableIter iterator;
-    gpointer value;
-
-    g_hash_table_iter_init(&iterator, site->owner->targets);
-    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        struct owner_target *target = value;
-
-        g_free(target->dc);
-        target->dc = g_strdup_printf("d%s", target->rack + 1);
-    }
-}
-
 static void
 bed_begin(struct bed *bed)
 {
@@ -59,10 +41,9 @@
 
     memset(bed, 0, sizeof(*bed));
     site_begin(&bed->site);
-    set_dcs(&bed->site);
+    site_spread_dcs(&bed->site);
     bed->cordons = cw_cordons_create(&options);
     bed->site.owner->options.cordons = bed->cordons;
-    current = bed;
 }
 
 /* Orders are read from a store from now on, as VMs do. */
@@ -117,6 +98,13 @@
     order_text(bed, "evacuate/d1", "{}");
 }
 
+static void
+cordon_all(struct bed *bed)
+{
+    cordon(bed);
+    order_text(bed, "evacuate/d2", "{}");
+}
+
 static void
 uncordon(struct bed *bed)
 {
@@ -308,9 +296,7 @@
     set_guarantee(&bed.site, 0);
     lower = run_job(&bed.site, 2, &low);
     CU_ASSERT_EQUAL(placed(lower), RACKS * PER_RACK);
-    order_text(&bed, "evacuate/d0", "{}");
-    order_text(&bed, "evacuate/d1", "{}");
-    order_text(&bed, "evacuate/d2", "{}");
+    cordon_all(&bed);
     set_guarantee(&bed.site, 16);
     urgent = add_job(&bed.site, 0, &gang);
     pass(&bed.site, 10);
@@ -474,9 +460,7 @@
     pass(&bed.site, 10);
     CU_ASSERT_EQUAL_FATAL(placed(urgent), 1);
     CU_ASSERT_EQUAL(step_of(urgent)->tasks[0].run->phase, RUN_RESERVED);
-    order_text(&bed, "evacuate/d0", "{}");
-    order_text(&bed, "evacuate/d1", "{}");
-    order_text(&bed, "evacuate/d2", "{}");
+    cordon_all(&bed);
     CU_ASSERT_EQUAL(placed(urgent), 0);
     for (unsigned i = 0; i < step_of(lower)->count; i++) {
         if (step_of(lower)->tasks[i].run->stopping) {
--- a/tests/test_hints.c
+++ b/tests/test_hints.c
@@ -16,12 +16,6 @@
 
 enum { CLOCK_MS = 50000, DONE = 3, WAIT_MS = 1000 };
 
-static struct owner_target *
-the_worker(const struct bed *bed)
-{
-    return g_hash_table_lookup(bed->owner->targets, WORKER);
-}
-
 /* Answers all looks under way: the first `done` tasks have ended, the others
  * run. */
 static void
@@ -72,20 +66,12 @@
 static void
 bed_with_runs(struct bed *bed)
 {
-    struct owner_target *target;
-
     bed_begin(bed);
     put_spec(bed);
     put_state(bed, CW_STATE_TOPIC, CW_WORK_RUNNING);
     take_over(bed);
-    target = the_worker(bed);
-    CU_ASSERT_PTR_NOT_NULL_FATAL(target);
-    g_free(target->address);
-    target->address = g_strdup("a");
-    target->service = g_intern_string("s");
-    target->capacity.accelerators = TASKS;
-    target->listed = true;
-    owner_target_wake(target);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(the_worker(bed));
+    list_worker(bed);
     run_answered(bed, WAIT_MS, 0);
     CU_ASSERT_EQUAL(the_job(bed)->runs, TASKS);
 }
--- a/tests/test_notes.c
+++ b/tests/test_notes.c
@@ -14,12 +14,6 @@
     RENEWED_MS = 2500 /* a note may be so old, and its reading late */
 };
 
-static struct owner_target *
-the_worker(const struct bed *bed)
-{
-    return g_hash_table_lookup(bed->owner->targets, WORKER);
-}
-
 static const struct cw_replica_note *
 note_of(const struct bed *bed)
 {
@@ -38,20 +32,6 @@
     CU_ASSERT_EQUAL(the_job(bed)->runs, TASKS);
 }
 
-/* The worker is reported again, and can be asked. */
-static void
-list_worker(struct bed *bed)
-{
-    struct owner_target *target = the_worker(bed);
-
-    g_free(target->address);
-    target->address = g_strdup("a");
-    target->service = g_intern_string("s");
-    target->capacity.accelerators = TASKS;
-    target->listed = true;
-    owner_target_wake(target);
-}
-
 /* Answers all looks under way: each task runs.  Returns the latest end of a
  * lease that they gave. */
 static int64_t
--- a/tests/test_overdue.c
+++ b/tests/test_overdue.c
@@ -39,7 +39,8 @@
         g_hash_table_lookup(site->owner->headroom, "s");
 
     if (room != NULL) {
-        room->peak = RACKS * PER_RACK * ACCELERATORS;
+        cw_headroom_observe(&room->forecast, RACKS * PER_RACK * ACCELERATORS,
+                            site->clock.now);
     }
 }
 
--- a/tests/test_residency.c
+++ b/tests/test_residency.c
@@ -3,21 +3,11 @@
 
 #include "owner_site.h"
 
-/* Puts each rack into a data centre: r0 into d0, and so on. */
 static void
 site_begin_apart(struct site *site)
 {
-    GHashTableIter iterator;
-    gpointer value;
-
     site_begin(site);
-    g_hash_table_iter_init(&iterator, site->owner->targets);
-    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        struct owner_target *target = value;
-
-        g_free(target->dc);
-        target->dc = g_strdup_printf("d%s", target->rack + 1);
-    }
+    site_spread_dcs(site);
 }
 
 /* The account may be in `dc` only; NULL: the account is gone. */
--- a/tests/test_still.c
+++ b/tests/test_still.c
@@ -250,7 +250,8 @@
         g_hash_table_lookup(site->owner->headroom, "s");
 
     (void)target;
-    room->peak = RACKS * PER_RACK * ACCELERATORS;
+    cw_headroom_observe(&room->forecast, RACKS * PER_RACK * ACCELERATORS,
+                        site->clock.now);
 }
 
 static void
