--- a/src/owner/internal/owner_lives.h
+++ b/src/owner/internal/owner_lives.h
@@ -50,7 +50,7 @@
 
 /* The run went with a former life.  If a start of it had no answer, and may be
  * carried out late, the present one is told to stop it: it then refuses. */
-void owner_life_shut_out(const struct owner_run *run);
+void owner_life_add_tombstone(const struct owner_run *run);
 
 /* A worker goes silent.  A start that is on its way may meet its next life,
  * whose clock is another: its lease lasts as long as one may, from then on. */
--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -173,7 +173,7 @@
     struct cw_resources leaving;  /* part of used: runs told to stop */
     unsigned stopping;            /* those runs */
     struct cw_resources reserved; /* by runs that wait for their place */
-    struct cw_resources strays;   /* by runs that nobody wants there */
+    struct cw_resources orphans;  /* by runs that nobody wants there */
     bool listed;                  /* the store has its report */
     bool draining;
     struct timespec leaves_at;   /* while draining: not before */
@@ -196,8 +196,8 @@
     struct timespec noted_at; /* the note was written, or read, last */
     bool note_due;            /* it is in the owner's list of notes to write */
     bool ends_new; /* it is in the owner's list of those with applied ends */
-    GPtrArray *shut_outs; /* owner_shut_out.c */
-    GQueue orders;        /* struct owner_order */
+    GPtrArray *tombstones; /* owner_tombstones.c */
+    GQueue orders;         /* struct owner_order */
     unsigned orders_in_flight;
     GPtrArray *runs;     /* struct owner_run */
     unsigned lower_runs; /* of them, of work that is not the most urgent */
@@ -296,7 +296,7 @@
     struct owner_candidacy candidacy;
     bool place_wanted;
     struct timespec place_due;
-    struct timespec overdue_due; /* owner_overdue.c */
+    struct timespec starved_due; /* owner_starvation.c */
     bool releasing;              /* runs are placed in room that is kept */
     struct owner_pace pace;
     struct timespec orders_read_due; /* owner_cordons.c */
@@ -709,28 +709,28 @@
 owner_hold_tick(struct cw_owner *owner, struct owner_target *target,
                 struct timespec now);
 
-/* ---- owner_shut_out.c ---- */
+/* ---- owner_tombstones.c ---- */
 
-GPtrArray *owner_shut_outs_new(void);
+GPtrArray *owner_tombstones_new(void);
 
 /* The run is given up; if its start may still arrive at the worker, that is to
  * be shut out there. */
-void owner_shut_out_add(const struct owner_run *run);
+void owner_tombstone_add(const struct owner_run *run);
 
 /* The worker's queue of orders was emptied. */
-void owner_shut_out_unqueue(struct owner_target *target);
+void owner_tombstone_unqueue(struct owner_target *target);
 
 /* True if such starts may still arrive: the worker's lease is not extended. */
-bool owner_shut_out_pending(const struct owner_target *target);
+bool owner_tombstone_pending(const struct owner_target *target);
 
 /* A stop was answered; of some run, perhaps of one that was given up. */
-void owner_shut_out_answered(struct owner_target *target,
-                             const struct cw_task_name *task, unsigned run,
-                             bool confirmed, struct timespec now);
+void owner_tombstone_answered(struct owner_target *target,
+                              const struct cw_task_name *task, unsigned run,
+                              bool confirmed, struct timespec now);
 
 /* Queues stops that are due; returns when the next one is. */
 struct timespec
-owner_shut_out_tick(struct owner_target *target, struct timespec now);
+owner_tombstone_tick(struct owner_target *target, struct timespec now);
 
 /* ---- owner_notes.c ---- */
 
@@ -779,15 +779,15 @@
 
 void owner_place(struct cw_owner *owner, struct timespec now);
 
-/* ---- owner_overdue.c ---- */
+/* ---- owner_starvation.c ---- */
 
 /* Places some of what its job has waited for too long, of the steps given, in
  * room that is kept from others; the first come first. */
-void owner_overdue_place(struct cw_owner *owner, const GPtrArray *steps,
+void owner_starved_place(struct cw_owner *owner, const GPtrArray *steps,
                          struct timespec now);
 
 /* The same for one step; true if it was placed. */
-bool owner_overdue_place_one(struct cw_owner *owner, struct owner_step *step,
+bool owner_starved_place_one(struct cw_owner *owner, struct owner_step *step,
                              struct timespec now);
 
 /* True if it is the step's turn, and tasks of it wait for a place. */
@@ -848,7 +848,7 @@
     OWNER_ATTEMPT_PLACE,   /* among what is free */
     OWNER_ATTEMPT_RECLAIM, /* by making others leave */
     OWNER_ATTEMPT_HOLD,    /* a rack that will be free, kept clear */
-    OWNER_ATTEMPT_OVERDUE  /* among what is free, whatever it is kept for */
+    OWNER_ATTEMPT_STARVED  /* among what is free, whatever it is kept for */
 };
 
 struct owner_memo *owner_memo_create(void);
--- a/src/owner/owner.c
+++ b/src/owner/owner.c
@@ -247,7 +247,7 @@
 }
 
 static void
-shut_out_earlier_owners(struct cw_owner *owner)
+fence_earlier_owners(struct cw_owner *owner)
 {
     owner->state = OWNER_FENCING;
     owner_log_open(owner->states_log, owner->epoch);
@@ -564,7 +564,7 @@
     owner_log_tick(owner->states_log, now);
     owner_log_tick(owner->jobs_log, now);
     if (owner->state == OWNER_READING && has_read_up(owner, now)) {
-        shut_out_earlier_owners(owner);
+        fence_earlier_owners(owner);
     }
     if (owner->state == OWNER_FENCING &&
         owner_log_is_open(owner->states_log) &&
--- a/src/owner/owner_candidates.c
+++ b/src/owner/owner_candidates.c
@@ -28,7 +28,7 @@
 
     owner_resources_take(&room, &target->used);
     owner_resources_take(&room, &target->reserved);
-    owner_resources_take(&room, &target->strays);
+    owner_resources_take(&room, &target->orphans);
     return room;
 }
 
--- a/src/owner/owner_headroom.c
+++ b/src/owner/owner_headroom.c
@@ -16,10 +16,8 @@
     IDLE_PERCENT = 60,
     WAITED_MS = 1500,
     /* Accelerators of a service that jobs which have stood still too long may
-     * take of what is kept (owner_overdue.c); one such job at the least.
-     * Without a bound worth was 0.08 lower on 350 workers where a stop takes
-     * 0.9 s (15 pairs of days, 95% from -0.101 to -0.053), with 5% 0.002
-     * (-0.019 to +0.016). */
+     * take of what is kept (owner_starvation.c); one such job at the least.
+     * Without a bound urgent work would wait for stops again. */
     RELEASED_PERCENT = 5,
     /* Two workers' worth of the sizes seen, for small services. */
     RELEASED_LEAST = 16,
--- a/src/owner/owner_holds.c
+++ b/src/owner/owner_holds.c
@@ -94,8 +94,8 @@
 /* What a run takes that is not in the books; the whole worker if its job is
  * not known any more. */
 static struct cw_resources
-stray_need(const struct cw_owner *owner, const struct owner_target *target,
-           const struct cw_running *listed)
+orphan_need(const struct cw_owner *owner, const struct owner_target *target,
+            const struct cw_running *listed)
 {
     const struct owner_task *task = owner_task_find(owner, &listed->task);
 
@@ -106,13 +106,13 @@
  * late, or a run that was given up on.  Until it has ended it takes room, and
  * a worker that does not guard its room would be brought over it. */
 static void
-stop_stray(struct cw_owner *owner, struct owner_target *target,
-           const struct cw_running *listed)
+stop_orphan(struct cw_owner *owner, struct owner_target *target,
+            const struct cw_running *listed)
 {
-    struct cw_resources need = stray_need(owner, target, listed);
+    struct cw_resources need = orphan_need(owner, target, listed);
 
-    owner_resources_add(&target->strays, &need);
-    cw_log_info("stray", "id=%s task=%u.%u.%u run=%u worker=%s",
+    owner_resources_add(&target->orphans, &need);
+    cw_log_info("orphan_run", "id=%s task=%u.%u.%u run=%u worker=%s",
                 listed->task.job, listed->task.occurrence, listed->task.step,
                 listed->task.index, listed->run, target->id);
     owner_order_queue(owner, target, CW_ORDER_STOP, &listed->task,
@@ -186,7 +186,7 @@
 
         if (owner_run_is_of_another(run, answer->born_ms)) {
             owner_crashes_collect(run, owner_now(owner));
-            owner_life_shut_out(run);
+            owner_life_add_tombstone(run);
         }
     }
     for (guint i = 0; i < absent->len; i++) {
@@ -205,10 +205,10 @@
 }
 
 static bool
-has_strays(const struct owner_target *target)
+has_orphans(const struct owner_target *target)
 {
-    return target->strays.accelerators > 0 || target->strays.cpu_milli > 0 ||
-           target->strays.memory_mb > 0;
+    return target->orphans.accelerators > 0 || target->orphans.cpu_milli > 0 ||
+           target->orphans.memory_mb > 0;
 }
 
 /* Ends are numbered without gaps.  One that was never listed here and is not
@@ -237,9 +237,9 @@
            const struct cw_target_answer *answer, struct timespec sent,
            struct timespec now)
 {
-    bool had_strays = has_strays(target);
+    bool had_orphans = has_orphans(target);
 
-    target->strays = (struct cw_resources){0};
+    target->orphans = (struct cw_resources){0};
     for (size_t i = 0; i < answer->running_count; i++) {
         struct owner_run *run = listed_run(owner, target, &answer->running[i]);
 
@@ -249,7 +249,7 @@
             owner_speed_note(owner, run, answer->running[i].percent, now);
         }
         else {
-            stop_stray(owner, target, &answer->running[i]);
+            stop_orphan(owner, target, &answer->running[i]);
         }
     }
     note_missing_ends(owner, target, answer);
@@ -266,7 +266,7 @@
     if (answer->ended_count < ENDS_LISTED_MAX) {
         drop_absent(owner, target, answer, sent);
     }
-    if (had_strays && !has_strays(target)) {
+    if (had_orphans && !has_orphans(target)) {
         owner->room_version++;
         owner->place_wanted = true;
         owner_runs_settle(owner, target);
@@ -464,7 +464,7 @@
     const struct owner_life *life = &target->life;
     bool blocked = life->ends_applied > life->ends_durable ||
                    (has_unconfirmed(target) && acked == 0);
-    bool waits = target->runs->len > 0 || has_strays(target);
+    bool waits = target->runs->len > 0 || has_orphans(target);
 
     /* Without an extended lease it has no time to wait. */
     return blocked || !target->answered || target->silent > 0 || !waits ||
@@ -485,7 +485,7 @@
      * a silence, as another life may answer. */
     bool extends = target->answered && target->silent == 0 &&
                    target->note == OWNER_NOTE_NONE &&
-                   !owner_shut_out_pending(target);
+                   !owner_tombstone_pending(target);
     struct cw_target_order order = {
         .kind = CW_ORDER_HOLD,
         .address = target->address,
@@ -513,7 +513,7 @@
 }
 
 static bool
-may_have_strays(const struct owner_target *target, struct timespec now)
+may_have_orphans(const struct owner_target *target, struct timespec now)
 {
     return cw_time_diff_ms(target->owner->began, now) < IDLE_LOOKS_MS ||
            (target->busy_at.tv_sec > 0 &&
@@ -538,7 +538,7 @@
         return false;
     }
     if (is_of_use(target) && (!target->life.clock_known || !target->answered ||
-                              may_have_strays(target, now)))
+                              may_have_orphans(target, now)))
     {
         return true;
     }
@@ -598,7 +598,7 @@
         return cw_time_add_ms(now, IDLE_RETRY_MS);
     }
     if (target->runs->len == 0 && target->silent == 0 && target->answered &&
-        !has_strays(target) && !has_unconfirmed(target))
+        !has_orphans(target) && !has_unconfirmed(target))
     {
         due = cw_time_add_ms(target->hold_sent, idle_look_ms(owner));
     }
--- a/src/owner/owner_lives.c
+++ b/src/owner/owner_lives.c
@@ -97,7 +97,7 @@
 }
 
 void
-owner_life_shut_out(const struct owner_run *run)
+owner_life_add_tombstone(const struct owner_run *run)
 {
     struct cw_task_name name = owner_task_name(run->task);
 
--- a/src/owner/owner_orders.c
+++ b/src/owner/owner_orders.c
@@ -6,8 +6,8 @@
 enum {
     /* Two at a time: a lost answer does not hold up the rest, and a worker
      * sees few connections.  One where two, beside the one for looks, are
-     * more connections than the VM can keep: at 3,000 workers it made 860 new
-     * ones a second and had no processor left for anything else. */
+     * more connections than the VM can keep: it would make new ones all the
+     * time and have no processor left for anything else. */
     ORDERS_IN_FLIGHT = 2,
     LOOKS_IN_FLIGHT = 1,
     /* An order takes some ms, up to a quarter second from a busy VM.  Sent
@@ -215,8 +215,8 @@
     struct owner_run *run = order_run(order);
     bool confirmed = status == CW_TARGET_OK || status == CW_TARGET_OLD_RUN;
 
-    owner_shut_out_answered(order->target, &order->task, order->run, confirmed,
-                            now);
+    owner_tombstone_answered(order->target, &order->task, order->run,
+                             confirmed, now);
     if (run == NULL) {
         return;
     }
@@ -302,7 +302,7 @@
     struct owner_run *run = order_run(order);
 
     if (order->kind == CW_ORDER_STOP) {
-        return true; /* strays have no run here */
+        return true; /* orphans have no run here */
     }
     if (run == NULL || run->phase == RUN_RUNNING) {
         /* A worker that is late answers looks before it answers starts: what
@@ -356,7 +356,7 @@
     if (!owner_cordons_known(target->owner, now, next)) {
         return true;
     }
-    if ((target->note != OWNER_NOTE_NONE || owner_shut_out_pending(target)) &&
+    if ((target->note != OWNER_NOTE_NONE || owner_tombstone_pending(target)) &&
         target->silent == 0)
     {
         return true;
@@ -464,11 +464,11 @@
                   struct timespec now)
 {
     struct timespec next = stop_again(owner, target, now);
-    struct timespec shut_out = owner_shut_out_tick(target, now);
+    struct timespec tombstone = owner_tombstone_tick(target, now);
     unsigned most = orders_at_once(owner);
     GQueue waiting = G_QUEUE_INIT;
 
-    cw_time_earlier(&next, shut_out);
+    cw_time_earlier(&next, tombstone);
     while (target->orders_in_flight < most &&
            !g_queue_is_empty(&target->orders) && owner_may_order(owner, now))
     {
--- a/src/owner/owner_place.c
+++ b/src/owner/owner_place.c
@@ -309,7 +309,7 @@
     if (!owner_step_wants_place(step, now) ||
         !owner_pace_allows(&owner->pace, urgent))
     {
-        return; /* placed as overdue; or with the next pass, or later */
+        return; /* placed as starved; or with the next pass, or later */
     }
     if (step->tried_at == owner->room_version && !urgent &&
         cw_time_diff_ms(step->tried_time, now) < TRY_AGAIN_MS)
@@ -331,7 +331,7 @@
     }
     step->tried_at = owner->room_version;
     step->tried_time = now;
-    if (urgent && owner_overdue_place_one(owner, step, now)) {
+    if (urgent && owner_starved_place_one(owner, step, now)) {
         return; /* else it could wait for others to leave for ever */
     }
     if (urgent) {
@@ -365,7 +365,7 @@
     for (; next < steps->len && is_urgent(steps->pdata[next]); next++) {
         place_step(owner, steps->pdata[next], now);
     }
-    owner_overdue_place(owner, steps, now);
+    owner_starved_place(owner, steps, now);
     for (; next < steps->len; next++) {
         place_step(owner, steps->pdata[next], now);
     }
--- a/src/owner/owner_runs.c
+++ b/src/owner/owner_runs.c
@@ -200,7 +200,7 @@
     struct cw_resources room = target->capacity;
 
     owner_resources_take(&room, &target->used);
-    owner_resources_take(&room, &target->strays);
+    owner_resources_take(&room, &target->orphans);
     return room.cpu_milli >= need.cpu_milli &&
            room.memory_mb >= need.memory_mb &&
            room.accelerators >= need.accelerators;
--- a/src/owner/owner_spare.c
+++ b/src/owner/owner_spare.c
@@ -27,7 +27,7 @@
 {
     struct cw_resources room = target->capacity;
 
-    owner_resources_take(&room, &target->strays);
+    owner_resources_take(&room, &target->orphans);
     for (guint i = 0; i < target->runs->len; i++) {
         const struct owner_run *run = target->runs->pdata[i];
         struct cw_resources need = owner_need(run->task->step->spec);
--- a/src/owner/owner_overdue.c
+++ b/src/owner/owner_starvation.c
@@ -1,11 +1,11 @@
-/* Jobs that have had nothing running for so long that no room is kept from
- * them.
+/* Starvation: jobs that have had nothing running for so long that no room is
+ * kept from them.
  *
  * Room is kept free for urgent work, racks are kept clear for gangs, workers
  * that failed or were slow are avoided for seconds, and lower work waits while
  * the owner is behind: each for its reason, and none with an end of its own in
  * a service that stays busy.  A job must not stand still beside room for it:
- * once it has for OVERDUE_MS, what it can only begin together, one task or its
+ * once it has for STARVED_MS, what it can only begin together, one task or its
  * gang, is placed in what is free, if it fits twice.  So at least as much
  * stays kept. */
 #include "owner/internal/owner_candidates.h"
@@ -13,14 +13,11 @@
 enum {
     /* The platform bears 3 s in which nothing of a job runs beside twice the
      * room, 6 s for a task that lasts.  What is left is for a pass, the store
-     * and the start: 0.1 s, and up to 0.4 where answers are late.  With 2.0 s
-     * worth was 0.016 lower than without on 48 workers (30 pairs of days, 95%
-     * from -0.031 to -0.001), with 2.4 s 0.007 (-0.025 to +0.012). */
-    OVERDUE_MS = 2300,
-    LASTING_OVERDUE_MS = 5300,
-    /* Steps are looked at so often.  In a full service room is free for some
-     * ms only, until the next pass: looked at each 0.1 s, one of 24 of the
-     * emulator's wide days had a job that never found any. */
+     * and the start: 0.1 s, and up to 0.4 where answers are late. */
+    STARVED_MS = 2300,
+    LASTING_STARVED_MS = 5300,
+    /* Steps are looked at so often: in a full service room is free for some ms
+     * only, until the next pass. */
     EVERY_MS = 30,
     /* A run that was placed is given so long to be confirmed: a start has 0.5
      * s for its answer. */
@@ -36,7 +33,7 @@
 
 /* Tasks that last and have not been at work for too long. */
 static unsigned
-lasting_overdue(const struct owner_step *step, struct timespec now)
+lasting_starved(const struct owner_step *step, struct timespec now)
 {
     unsigned count = 0;
 
@@ -44,7 +41,7 @@
         const struct owner_task *task = &step->tasks[i];
 
         count += task->run == NULL && task->idle_since.tv_sec > 0 &&
-                 cw_time_diff_ms(task->idle_since, now) > LASTING_OVERDUE_MS;
+                 cw_time_diff_ms(task->idle_since, now) > LASTING_STARVED_MS;
     }
     return count;
 }
@@ -55,16 +52,16 @@
 static bool
 stands_still(const struct owner_job *job, struct timespec now)
 {
-    return cw_time_diff_ms(job->moved_at, now) > OVERDUE_MS &&
+    return cw_time_diff_ms(job->moved_at, now) > STARVED_MS &&
            (job->runs == 0 ||
             cw_time_diff_ms(job->placed_at, now) > PLACED_MS);
 }
 
 static bool
-is_overdue(const struct owner_step *step, struct timespec now)
+is_starved(const struct owner_step *step, struct timespec now)
 {
     return stands_still(step->occurrence->job, now) ||
-           lasting_overdue(step, now) > 0;
+           lasting_starved(step, now) > 0;
 }
 
 /* Where the gang, one task, or each task that lasts goes; NULL if that does
@@ -84,7 +81,7 @@
         rack = owner_best_rack(owner, candidates, step, together);
     }
     else {
-        together = CLAMP(lasting_overdue(step, now), 1, fits - 1);
+        together = CLAMP(lasting_starved(step, now), 1, fits - 1);
     }
     if ((rack == NULL && owner_step_needs_rack(owner, step, now)) ||
         (owner->releasing &&
@@ -125,13 +122,13 @@
 static bool
 may_try(struct cw_owner *owner, struct owner_step *step, struct timespec now)
 {
-    return owner_step_wants_place(step, now) && is_overdue(step, now) &&
+    return owner_step_wants_place(step, now) && is_starved(step, now) &&
            owner_once_may_begin(owner, step) &&
-           !owner_memo_hopeless(owner, step, OWNER_ATTEMPT_OVERDUE, now);
+           !owner_memo_hopeless(owner, step, OWNER_ATTEMPT_STARVED, now);
 }
 
 bool
-owner_overdue_place_one(struct cw_owner *owner, struct owner_step *step,
+owner_starved_place_one(struct cw_owner *owner, struct owner_step *step,
                         struct timespec now)
 {
     struct cw_resources need = owner_need(step->spec);
@@ -145,7 +142,7 @@
     done = place_on(owner, step, targets, now);
     g_ptr_array_unref(targets);
     if (!done) {
-        owner_memo_failed(owner, step, OWNER_ATTEMPT_OVERDUE, now);
+        owner_memo_failed(owner, step, OWNER_ATTEMPT_STARVED, now);
     }
     return done;
 }
@@ -170,7 +167,7 @@
 }
 
 void
-owner_overdue_place(struct cw_owner *owner, const GPtrArray *steps,
+owner_starved_place(struct cw_owner *owner, const GPtrArray *steps,
                     struct timespec now)
 {
     struct cw_resources least = least_need(steps);
@@ -178,10 +175,10 @@
     unsigned placed = 0;
     unsigned failed = 0;
 
-    if (cw_time_before(now, owner->overdue_due)) {
+    if (cw_time_before(now, owner->starved_due)) {
         return;
     }
-    owner->overdue_due = cw_time_add_ms(now, EVERY_MS);
+    owner->starved_due = cw_time_add_ms(now, EVERY_MS);
     for (guint i = 0;
          i < steps->len && placed < PLACED_MOST && failed < FAILED_MOST; i++)
     {
@@ -197,7 +194,7 @@
             placed++;
         }
         else {
-            owner_memo_failed(owner, step, OWNER_ATTEMPT_OVERDUE, now);
+            owner_memo_failed(owner, step, OWNER_ATTEMPT_STARVED, now);
             failed++;
         }
     }
--- a/src/owner/owner_targets.c
+++ b/src/owner/owner_targets.c
@@ -11,11 +11,9 @@
     LEAVING_LEASE_MS = 4000,
     /* Tasks of two jobs in a row have failed there: it may fail all that it
      * starts.  One job says nothing, as most that fail are at fault
-     * themselves: avoiding the worker for 2.5 s after each cost room and
-     * gained nothing (120 pairs of days on four sites: +0.005 of worth without
-     * it).  Its tasks together say no more: with two of them on a worker of
-     * each rack, a gang that belongs into one rack waited 7 s for an idle
-     * one. */
+     * themselves.  Its tasks together say no more: with two of them on a
+     * worker of each rack, a gang that belongs into one rack would wait for an
+     * idle one. */
     BLAMED_BY_LEAST = 2,
     BLAME_MS = 7000,
     /* What a worker that does not guard its room says of it is built on for
@@ -45,7 +43,7 @@
     }
     g_ptr_array_unref(target->runs);
     g_array_unref(target->charges);
-    g_ptr_array_unref(target->shut_outs);
+    g_ptr_array_unref(target->tombstones);
     orders_clear(&target->orders);
     g_free(target->id);
     g_free(target->address);
@@ -72,7 +70,7 @@
         target->kind = g_strdup("");
         target->runs = g_ptr_array_new();
         target->charges = owner_charges_new();
-        target->shut_outs = owner_shut_outs_new();
+        target->tombstones = owner_tombstones_new();
         g_queue_init(&target->orders);
         g_hash_table_insert(owner->targets, target->id, target);
         owner_target_wake(target);
@@ -334,7 +332,7 @@
     /* While it is silent its lease is not extended, so that the tasks there
      * can be started elsewhere once the last one has passed. */
     if (!target->life.clock_known || target->note != OWNER_NOTE_NONE ||
-        owner_shut_out_pending(target) ||
+        owner_tombstone_pending(target) ||
         (target->silent > 0 && target->life.lease_sent_ms > 0) ||
         !owner_may_extend(owner, now))
     {
@@ -375,7 +373,7 @@
     for (guint i = 0; i < target->runs->len; i++) {
         owner_crashes_collect(target->runs->pdata[i], owner_now(owner));
         if (!target->gone) {
-            owner_shut_out_add(target->runs->pdata[i]);
+            owner_tombstone_add(target->runs->pdata[i]);
         }
     }
     while (target->runs->len > 0) {
@@ -383,7 +381,7 @@
                        reason);
     }
     orders_clear(&target->orders);
-    owner_shut_out_unqueue(target);
+    owner_tombstone_unqueue(target);
     target->answered = false; /* the next look shows what became of them */
     owner->place_wanted = true;
     owner_crashes_settle(owner, target, owner_now(owner));
@@ -417,7 +415,7 @@
     return target->listed && !target->draining && !target->gone &&
            target->answered && target->silent == 0 &&
            target->note == OWNER_NOTE_NONE &&
-           !owner_shut_out_pending(target) && target->life.clock_known &&
+           !owner_tombstone_pending(target) && target->life.clock_known &&
            target->address[0] != '\0' &&
            !cw_time_before(now, target->avoid_until) &&
            owner_target_room_known(target, now);
--- a/src/owner/owner_shut_out.c
+++ b/src/owner/owner_tombstones.c
@@ -1,11 +1,12 @@
-/* Starts that may still arrive for runs that were given up.
+/* Tombstones of runs that were given up while a start of them may still
+ * arrive.
  *
  * A worker carries a start out as long as its own lease lasts, whatever the
  * start gives it.  One that was held back on its way for longer than the lease
  * is refused only until the worker's lease is extended for other work: then
  * the task would run beside, or after, its next run.  So before anything
- * extends the lease again, a stop of that run is confirmed there, which shuts
- * it out. The worker takes no work meanwhile: one exchange, once it answers.
+ * extends the lease again, a stop of that run is confirmed there: the worker
+ * then refuses the start.  It takes no work meanwhile, for one exchange.
  */
 #include "owner/internal/owner_private.h"
 
@@ -18,7 +19,7 @@
     RETRY_MS = 300
 };
 
-struct owner_shut_out {
+struct owner_tombstone {
     char *job;
     struct cw_task_name task; /* its job is the text above */
     unsigned run;
@@ -28,62 +29,63 @@
 };
 
 static void
-shut_out_free(gpointer data)
+tombstone_free(gpointer data)
 {
-    struct owner_shut_out *entry = data;
+    struct owner_tombstone *entry = data;
 
     g_free(entry->job);
     g_free(entry);
 }
 
 GPtrArray *
-owner_shut_outs_new(void)
+owner_tombstones_new(void)
 {
-    return g_ptr_array_new_with_free_func(shut_out_free);
+    return g_ptr_array_new_with_free_func(tombstone_free);
 }
 
 void
-owner_shut_out_add(const struct owner_run *run)
+owner_tombstone_add(const struct owner_run *run)
 {
     struct cw_task_name name = owner_task_name(run->task);
-    struct owner_shut_out *entry;
+    struct owner_tombstone *entry;
 
     if (run->phase != RUN_STARTING || run->stop_confirmed) {
         return;
     }
-    entry = g_new0(struct owner_shut_out, 1);
+    entry = g_new0(struct owner_tombstone, 1);
     entry->job = g_strdup(name.job);
     entry->task = name;
     entry->task.job = entry->job;
     entry->run = run->number;
     entry->sent_at = run->sent_at;
-    g_ptr_array_add(run->target->shut_outs, entry);
-    cw_log_info("start_shut_out", "id=%s task=%u.%u.%u run=%u worker=%s",
+    g_ptr_array_add(run->target->tombstones, entry);
+    cw_log_info("start_tombstoned", "id=%s task=%u.%u.%u run=%u worker=%s",
                 name.job, name.occurrence, name.step, name.index, run->number,
                 run->target->id);
 }
 
 void
-owner_shut_out_unqueue(struct owner_target *target)
+owner_tombstone_unqueue(struct owner_target *target)
 {
-    for (guint i = 0; i < target->shut_outs->len; i++) {
-        ((struct owner_shut_out *)target->shut_outs->pdata[i])->queued = false;
+    for (guint i = 0; i < target->tombstones->len; i++) {
+        ((struct owner_tombstone *)target->tombstones->pdata[i])->queued =
+            false;
     }
 }
 
 bool
-owner_shut_out_pending(const struct owner_target *target)
+owner_tombstone_pending(const struct owner_target *target)
 {
-    return target->shut_outs->len > 0;
+    return target->tombstones->len > 0;
 }
 
 void
-owner_shut_out_answered(struct owner_target *target,
-                        const struct cw_task_name *task, unsigned run,
-                        bool confirmed, struct timespec now)
+owner_tombstone_answered(struct owner_target *target,
+                         const struct cw_task_name *task, unsigned run,
+                         bool confirmed, struct timespec now)
 {
-    for (guint i = 0; i < target->shut_outs->len; i++) {
-        struct owner_shut_out *entry = target->shut_outs->pdata[i];
+    for (guint i = 0; i < target->tombstones->len; i++) {
+        struct owner_tombstone *entry = target->tombstones->pdata[i];
 
         if (entry->run != run || entry->task.occurrence != task->occurrence ||
             entry->task.step != task->step ||
@@ -93,7 +95,7 @@
             continue;
         }
         if (confirmed) {
-            g_ptr_array_remove_index_fast(target->shut_outs, i);
+            g_ptr_array_remove_index_fast(target->tombstones, i);
             target->owner->place_wanted = true;
         }
         else {
@@ -105,17 +107,17 @@
 }
 
 struct timespec
-owner_shut_out_tick(struct owner_target *target, struct timespec now)
+owner_tombstone_tick(struct owner_target *target, struct timespec now)
 {
     struct timespec next = cw_time_from_ms(INT32_MAX);
     bool heard = target->answered && target->silent == 0;
     guint i = 0;
 
-    while (i < target->shut_outs->len) {
-        struct owner_shut_out *entry = target->shut_outs->pdata[i];
+    while (i < target->tombstones->len) {
+        struct owner_tombstone *entry = target->tombstones->pdata[i];
 
         if (cw_time_diff_ms(entry->sent_at, now) > ARRIVES_WITHIN_MS) {
-            g_ptr_array_remove_index_fast(target->shut_outs, i);
+            g_ptr_array_remove_index_fast(target->tombstones, i);
             continue;
         }
         if (heard && !entry->queued && !cw_time_before(now, entry->due)) {
--- a/src/owner/owner_waits.c
+++ b/src/owner/owner_waits.c
@@ -60,7 +60,7 @@
 add_target(struct room *room, const struct owner_target *target)
 {
     owner_resources_add(&room->has, &target->capacity);
-    owner_resources_add(&room->used, &target->strays);
+    owner_resources_add(&room->used, &target->orphans);
     for (guint i = 0; i < target->runs->len; i++) {
         const struct owner_run *run = target->runs->pdata[i];
         struct cw_resources need = owner_need(run->task->step->spec);
--- a/src/vm/vm.c
+++ b/src/vm/vm.c
@@ -210,9 +210,8 @@
     return settings->api != NULL ? CW_STANDBY_PACE_MS : CW_ASKED_PACE_MS;
 }
 
-/* Connections to keep open.  An owner needs two a worker: with 1,024 for
- * 1,100 workers it made 74,000 new ones in a day of 34 s, and looked through
- * all kept ones for the oldest each time. */
+/* Connections to keep open.  An owner needs two a worker: with fewer it would
+ * make new ones all the time. */
 static unsigned
 connections_most(const struct cw_settings *settings)
 {
--- a/tests/test_overdue.c
+++ b/tests/test_starvation.c
@@ -291,4 +291,4 @@
     {"few at a time", test_a_pass_places_few_at_a_time},
 };
 
-TEST_MAIN("overdue", tests)
+TEST_MAIN("starvation", tests)
