--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "curlewcart/cw_settings.h"
+#include "platform/platform.h"
 
 static const char good[] = "vm: \"v1\"\n"
                            "dc: \"z1\"\n"
@@ -62,6 +63,38 @@
     g_string_free(problems, TRUE);
 }
 
+/* The platform's contracts, and the bound of its orders; both may be missing,
+ * and the list may be empty. */
+static void
+test_contracts_are_listed(void)
+{
+    GString *problems = g_string_new(NULL);
+    char *text = changed("log_level", "    cordon_ms: 5000\n"
+                                      "contracts: [\"base\",\"advice\"]\n"
+                                      "log_level");
+    struct cw_settings *settings = load(text, problems);
+
+    CU_ASSERT_PTR_NOT_NULL_FATAL(settings);
+    CU_ASSERT_EQUAL(settings->bounds.cordon_ms, 5000);
+    CU_ASSERT_EQUAL_FATAL(settings->contracts_count, 2);
+    CU_ASSERT_TRUE(platform_serves_contract(settings->contracts[0]));
+    CU_ASSERT_FALSE(platform_serves_contract(settings->contracts[1]));
+    CU_ASSERT_FALSE(platform_serves_contract("no such contract"));
+    cw_settings_free(settings);
+    g_free(text);
+    text = changed("log_level", "contracts: []\nlog_level");
+    settings = load(text, problems);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(settings);
+    CU_ASSERT_EQUAL(settings->contracts_count, 0);
+    cw_settings_free(settings);
+    g_free(text);
+    settings = load(good, problems);
+    CU_ASSERT_EQUAL(settings->contracts_count, 0);
+    CU_ASSERT_EQUAL(settings->bounds.cordon_ms, 0);
+    cw_settings_free(settings);
+    g_string_free(problems, TRUE);
+}
+
 static void
 test_each_wrong_value_is_named(void)
 {
@@ -159,6 +192,7 @@
 }
 
 static const struct test tests[] = {
+    {"contracts", test_contracts_are_listed},
     {"processor", test_the_processor_may_be_told},
     {"our own interface", test_own_interface_needs_its_section_and_keys},
     {"good settings", test_good_settings_are_taken},
