Forecast of urgent work is a pure module; a windowed peak was tried and dropped

How much room is kept for urgent work is worked out in src/placement, without I/O, clock or store; the owner tells it what urgent work holds and what arrives. Behaviour as before. Tried against it: the peak of the last 12 s. Rules go first: dropped, with its module's second instance and the vtable that it needed. docs/design/shifted-load.md has all ways tried.

--- a/src/owner/owner_headroom.c
+++ b/src/owner/owner_headroom.c
@@ -43,8 +43,7 @@
 
     if (room == NULL) {
         room = g_new0(struct owner_headroom, 1);
-        cw_headroom_init(&room->forecast, &cw_headroom_decaying,
-                         owner_now(owner));
+        cw_headroom_init(&room->forecast, owner_now(owner));
         g_hash_table_insert(owner->headroom, g_strdup(service), room);
     }
     return room;
