--- a/tests/test_headroom.c
+++ b/tests/test_headroom.c
@@ -36,12 +36,12 @@
         now = cw_time_add_ms(now, 1000);
         cw_headroom_observe(&headroom, 0, now);
     }
-    CU_ASSERT_TRUE(cw_headroom_kept(&headroom) > HELD / 2);
+    CU_ASSERT_TRUE(cw_headroom_kept(&headroom) > HELD / 2.0);
     for (unsigned s = 0; s < 30; s++) {
         now = cw_time_add_ms(now, 1000);
         cw_headroom_observe(&headroom, 0, now);
     }
-    CU_ASSERT_TRUE(cw_headroom_kept(&headroom) < HELD / 20);
+    CU_ASSERT_TRUE(cw_headroom_kept(&headroom) < HELD / 20.0);
 }
 
 /* What has just been asked for counts before it holds anything, and no longer
