Notes of silent workers and outcomes take turns in the log of jobs

With hundreds of silent workers some note is always due, so that callers would not hear of ends and other VMs not of an owner. After notes, outcomes that wait go first. test_notes ('turns') fails without it.

--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -292,6 +292,7 @@
     GPtrArray *untold;      /* struct owner_job: all VMs are told of them */
     GPtrArray *past_states; /* char *: jobs whose states are dropped */
     GPtrArray *notes_due;   /* struct owner_target: notes to write or drop */
+    bool notes_went;        /* ... were written since outcomes were */
     struct timespec flush_due;
     struct owner_candidacy candidacy;
     bool place_wanted;
--- a/src/owner/owner_commit.c
+++ b/src/owner/owner_commit.c
@@ -287,13 +287,19 @@
     if (!owner_log_is_idle(log)) {
         return owner_log_tick(log, now);
     }
-    if (owner_notes_send(owner, now)) {
+    /* With many silent workers some note is always due: outcomes, which
+     * callers wait for, take turns with them. */
+    if ((owner->untold->len == 0 || !owner->notes_went) &&
+        owner_notes_send(owner, now))
+    {
+        owner->notes_went = true;
         return cw_time_from_ms(INT32_MAX);
     }
     if (owner->untold->len > 0 && cw_time_before(now, due)) {
         return due;
     }
     if (owner->untold->len > 0) {
+        owner->notes_went = false;
         send_outcomes(owner);
     }
     else if (owner_candidacy_beat_due(owner, now) ||
--- a/tests/test_notes.c
+++ b/tests/test_notes.c
@@ -418,6 +418,49 @@
     bed_end(&bed);
 }
 
+static char
+newest_kind(struct bed *bed)
+{
+    struct store_model_page page;
+    char kind = '\0';
+
+    store_model_read(bed->store.model, CW_WORK_TOPIC,
+                     store_model_end(bed->store.model, CW_WORK_TOPIC) - 1,
+                     &page);
+    if (page.page.count > 0) {
+        kind = page.page.records[0].key[0];
+    }
+    store_model_page_clear(&page);
+    return kind;
+}
+
+/* Where hundreds of workers are silent a note is due whenever the log is idle:
+ * outcomes that callers wait for must not wait until none is. */
+static void
+test_notes_and_outcomes_take_turns(void)
+{
+    struct bed bed;
+    struct owner_job *job;
+    char kinds[4];
+
+    bed_with_runs(&bed);
+    run(&bed, 500);
+    job = the_job(&bed);
+    for (unsigned i = 0; i < G_N_ELEMENTS(kinds); i++) {
+        bed.clock.now = cw_time_add_ms(bed.clock.now, 50);
+        the_worker(&bed)->noted_at = cw_time_add_ms(bed.clock.now, -5000);
+        (void)owner_note_tick(bed.owner, the_worker(&bed), bed.clock.now);
+        job->told_started = !job->started;
+        owner_job_tell(bed.owner, job);
+        (void)owner_commit_tick(bed.owner, bed.clock.now);
+        kinds[i] = newest_kind(&bed);
+    }
+    CU_ASSERT_NOT_EQUAL(kinds[0], kinds[1]);
+    CU_ASSERT_EQUAL(kinds[0], kinds[2]);
+    CU_ASSERT_EQUAL(kinds[1], kinds[3]);
+    bed_end(&bed);
+}
+
 /* A start extends the lease too. */
 static void
 test_starts_wait_until_the_note_is_dropped(void)
@@ -473,6 +516,7 @@
     {"taking back", test_a_vm_that_lacks_the_taking_back_does_not_decide},
     {"history", test_notes_are_forgotten_where_history_is_dropped},
     {"given again", test_a_note_that_is_given_again_keeps_its_time},
+    {"turns", test_notes_and_outcomes_take_turns},
     {"starts", test_starts_wait_until_the_note_is_dropped},
 };
 
