--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -587,9 +587,8 @@
 
 /* ---- owner_cordons.c ---- */
 
-/* True if work may be started there by the configuration and the operators'
- * orders. */
-bool owner_dc_takes_work(const struct cw_owner *owner, const char *dc);
+/* True if work may be started in the worker's data centre by the configuration
+ * and the operators' orders. */
 bool owner_target_takes_work(const struct owner_target *target);
 
 /* False if operators' orders were not read for so long that starts have to
--- a/src/owner/owner_cordons.c
+++ b/src/owner/owner_cordons.c
@@ -18,18 +18,14 @@
 };
 
 bool
-owner_dc_takes_work(const struct cw_owner *owner, const char *dc)
+owner_target_takes_work(const struct owner_target *target)
 {
+    const struct cw_owner *owner = target->owner;
+
     return (owner->routing == NULL ||
-            cw_routing_is_open(owner->routing, dc)) &&
+            cw_routing_is_open(owner->routing, target->dc)) &&
            (owner->options.cordons == NULL ||
-            cw_cordons_permit(owner->options.cordons, dc));
-}
-
-bool
-owner_target_takes_work(const struct owner_target *target)
-{
-    return owner_dc_takes_work(target->owner, target->dc);
+            cw_cordons_permit(owner->options.cordons, target->dc));
 }
 
 bool
--- a/tests/test_cordons.c
+++ b/tests/test_cordons.c
@@ -174,6 +174,18 @@
 static const struct cw_step_spec all = {.tasks = RACKS * PER_RACK,
                                         .accelerators = ACCELERATORS};
 
+/* Runs of priority 2, which give way, on all accelerators. */
+static struct owner_job *
+fill_with_lower_work(struct bed *bed)
+{
+    const struct cw_step_spec low = {.tasks = RACKS * PER_RACK,
+                                     .accelerators = ACCELERATORS,
+                                     .checkpoints = true};
+
+    set_guarantee(&bed->site, 0);
+    return run_job(&bed->site, 2, &low);
+}
+
 /* ---- what is known of orders ---- */
 
 static void
@@ -284,9 +296,6 @@
 static void
 test_no_room_is_reclaimed_or_released_there(void)
 {
-    const struct cw_step_spec low = {.tasks = RACKS * PER_RACK,
-                                     .accelerators = ACCELERATORS,
-                                     .checkpoints = true};
     const struct cw_step_spec gang = {
         .tasks = 2, .accelerators = 8, .gang = true, .same_rack = true};
     struct bed bed;
@@ -294,8 +303,7 @@
     struct owner_job *urgent;
 
     bed_begin(&bed);
-    set_guarantee(&bed.site, 0);
-    lower = run_job(&bed.site, 2, &low);
+    lower = fill_with_lower_work(&bed);
     CU_ASSERT_EQUAL(placed(lower), RACKS * PER_RACK);
     cordon_all(&bed);
     set_guarantee(&bed.site, 16);
@@ -445,17 +453,13 @@
 static void
 test_a_reserved_place_is_given_up(void)
 {
-    const struct cw_step_spec low = {.tasks = RACKS * PER_RACK,
-                                     .accelerators = ACCELERATORS,
-                                     .checkpoints = true};
     const struct cw_step_spec one = {.tasks = 1, .accelerators = 8};
     struct bed bed;
     struct owner_job *lower;
     struct owner_job *urgent;
 
     bed_begin(&bed);
-    set_guarantee(&bed.site, 0);
-    lower = run_job(&bed.site, 2, &low);
+    lower = fill_with_lower_work(&bed);
     set_guarantee(&bed.site, 16);
     urgent = add_job(&bed.site, 0, &one);
     pass(&bed.site, 10);
