job_waits tells who set the lease that is waited for

The record of the incident has lines of jobs that wait for a silent worker, cut short after its name. They do not tell whether the end of its lease was set by this owner, at the take-over, or by a note, nor how long ago the worker was heard and the owner took over, which is what the hypotheses differ in.

job_waits has these now, ahead of what a cut line can do without. Leases are a module of their own, owner_leases.c. No decision is changed.

--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -156,6 +156,14 @@
     OWNER_NOTE_DROPPED  /* ... and the taking back is in the batch under way */
 };
 
+/* Who has set the end of a worker's lease; owner_leases.c. */
+enum owner_lease_source {
+    OWNER_LEASE_OWN,     /* this owner, by a look or a start */
+    OWNER_LEASE_EARLIER, /* earlier owners may have extended it */
+    OWNER_LEASE_NOTE,    /* an earlier owner, in its note */
+    OWNER_LEASE_LIFE     /* orders to a former life may reach the next one */
+};
+
 /* A worker as the owner knows it; see owner_targets.c. */
 struct owner_target {
     struct owner_due_entry due; /* first member: the heap's entry is it */
@@ -184,6 +192,7 @@
     struct owner_life life;      /* of the one that answered last */
     struct timespec lease_end; /* latest that any life was given, in our time,
                                   with its drift */
+    enum owner_lease_source lease_source;
     bool answered; /* a hold, since this owner began or gave its runs up */
     bool hold_in_flight;
     struct timespec hold_sent;
@@ -630,12 +639,6 @@
 void owner_target_clock(struct owner_target *target, int64_t clock_ms,
                         struct timespec now);
 
-/* How long a lease that is given now may last, by our clock. */
-int64_t owner_lease_most_ms(const struct cw_owner *owner);
-
-/* End of lease to send with an order now, on the worker's clock. */
-int64_t owner_target_lease(struct owner_target *target, struct timespec now);
-
 /* True if a run was sent there, by this owner or an earlier one. */
 bool owner_target_has_ordered_run(const struct owner_target *target);
 
@@ -662,6 +665,23 @@
                         const struct owner_task *task, struct timespec now);
 void owner_target_praise(struct owner_target *target);
 
+/* ---- owner_leases.c ---- */
+
+/* How long a lease that is given now may last, by our clock. */
+int64_t owner_lease_most_ms(const struct cw_owner *owner);
+
+/* End of lease to send with an order now, on the worker's clock. */
+int64_t owner_target_lease(struct owner_target *target, struct timespec now);
+
+/* The worker's lease may last until `end` at least, or at most. */
+void owner_lease_raise(struct owner_target *target, struct timespec end,
+                       enum owner_lease_source source);
+void owner_lease_lower(struct owner_target *target, struct timespec end,
+                       enum owner_lease_source source);
+
+/* For logs. */
+const char *owner_lease_source_name(enum owner_lease_source source);
+
 /* ---- owner_orders.c ---- */
 
 struct owner_order {
--- a/src/owner/owner.c
+++ b/src/owner/owner.c
@@ -123,6 +123,7 @@
 
         if (target->runs->len > 0) {
             target->lease_end = cw_time_add_ms(now, most_ms);
+            target->lease_source = OWNER_LEASE_EARLIER;
             target->hold_due = now;
             owner_target_wake(target);
         }
--- /dev/null
+++ b/src/owner/owner_leases.c
@@ -0,0 +1,92 @@
+/* Leases of workers: what is given, and until when one may last.
+ *
+ * All that runs on a worker ends with its lease.  A worker that is silent is
+ * waited for until then, so that no task runs twice. */
+#include "owner/internal/owner_private.h"
+
+enum {
+    LEASE_SLACK_MS = 200,
+    /* Of a worker that leaves: its work goes with it soon, so that little is
+     * gained by carrying it over a cut, and after one nothing waits for the
+     * rest of a long lease.  Two looks without an answer fit in. */
+    LEAVING_LEASE_MS = 4000
+};
+
+/* How long a lease of so many ms of the worker's clock may last by ours. */
+static int64_t
+most_ms(int64_t lease_ms)
+{
+    return lease_ms + lease_ms * OWNER_DRIFT_PERCENT / 100 + LEASE_SLACK_MS;
+}
+
+int64_t
+owner_lease_most_ms(const struct cw_owner *owner)
+{
+    return most_ms(owner->options.lease_ms);
+}
+
+void
+owner_lease_raise(struct owner_target *target, struct timespec end,
+                  enum owner_lease_source source)
+{
+    if (cw_time_before(target->lease_end, end)) {
+        target->lease_end = end;
+        target->lease_source = source;
+    }
+}
+
+void
+owner_lease_lower(struct owner_target *target, struct timespec end,
+                  enum owner_lease_source source)
+{
+    if (cw_time_before(end, target->lease_end)) {
+        target->lease_end = end;
+        target->lease_source = source;
+    }
+}
+
+const char *
+owner_lease_source_name(enum owner_lease_source source)
+{
+    static const char *const names[] = {
+        [OWNER_LEASE_OWN] = "own",
+        [OWNER_LEASE_EARLIER] = "earlier_owner",
+        [OWNER_LEASE_NOTE] = "note",
+        [OWNER_LEASE_LIFE] = "life",
+    };
+
+    return names[source];
+}
+
+static int64_t
+lease_ms_for(const struct owner_target *target)
+{
+    int64_t lease_ms = target->owner->options.lease_ms;
+
+    return target->draining ? MIN(lease_ms, LEAVING_LEASE_MS) : lease_ms;
+}
+
+int64_t
+owner_target_lease(struct owner_target *target, struct timespec now)
+{
+    struct cw_owner *owner = target->owner;
+    int64_t lease_ms = lease_ms_for(target);
+    int64_t until_ms = cw_time_diff_ms(cw_time_from_ms(0), now) +
+                       target->life.clock_offset_ms + lease_ms;
+
+    /* While it is silent its lease is not extended, so that the tasks there
+     * can be started elsewhere once the last one has passed. */
+    if (!target->life.clock_known || target->note != OWNER_NOTE_NONE ||
+        owner_tombstone_pending(target) ||
+        (target->silent > 0 && target->life.lease_sent_ms > 0) ||
+        !owner_may_extend(owner, now))
+    {
+        return target->life.lease_sent_ms;
+    }
+    if (until_ms > target->life.lease_sent_ms) {
+        target->life.lease_sent_ms = until_ms;
+    }
+    owner_lease_raise(target, cw_time_add_ms(now, most_ms(lease_ms)),
+                      OWNER_LEASE_OWN);
+    return target->life.lease_sent_ms;
+}
--- a/src/owner/owner_lives.c
+++ b/src/owner/owner_lives.c
@@ -59,12 +59,9 @@
 static void
 bound_lease(struct owner_target *target, struct timespec now)
 {
-    struct timespec latest =
-        cw_time_add_ms(now, owner_lease_most_ms(target->owner));
-
-    if (cw_time_before(target->lease_end, latest)) {
-        target->lease_end = latest;
-    }
+    owner_lease_raise(target,
+                      cw_time_add_ms(now, owner_lease_most_ms(target->owner)),
+                      OWNER_LEASE_LIFE);
 }
 
 bool
--- a/src/owner/owner_notes.c
+++ b/src/owner/owner_notes.c
@@ -180,7 +180,7 @@
 
         target->note = OWNER_NOTE_WRITTEN;
         target->noted_at = note->read_at;
-        cw_time_earlier(&target->lease_end, end);
+        owner_lease_lower(target, end, OWNER_LEASE_NOTE);
         cw_log_info("worker_note_taken_over",
                     "worker=%s left_ms=%" PRId64 " runs=%u", target->id,
                     cw_time_diff_ms(owner_now(owner), target->lease_end),
--- a/src/owner/owner_targets.c
+++ b/src/owner/owner_targets.c
@@ -1,14 +1,9 @@
-/* Workers: what they report, their clocks and leases, and whom to avoid. */
+/* Workers: what they report, their clocks, and whom to avoid. */
 #include "owner/internal/owner_crashes.h"
 
 #include <string.h>
 
 enum {
-    LEASE_SLACK_MS = 200,
-    /* Of a worker that leaves: its work goes with it soon, so that little is
-     * gained by carrying it over a cut, and after one nothing waits for the
-     * rest of a long lease.  Two looks without an answer fit in. */
-    LEAVING_LEASE_MS = 4000,
     /* Tasks of two jobs in a row have failed there: it may fail all that it
      * starts.  One job says nothing, as most that fail are at fault
      * themselves.  Its tasks together say no more: with two of them on a
@@ -286,7 +281,7 @@
     }
 }
 
-/* ---- clocks and leases ---- */
+/* ---- clocks ---- */
 
 void
 owner_target_clock(struct owner_target *target, int64_t clock_ms,
@@ -299,54 +294,6 @@
     }
 }
 
-/* How long a lease of so many ms of the worker's clock may last by ours. */
-static int64_t
-most_ms(int64_t lease_ms)
-{
-    return lease_ms + lease_ms * OWNER_DRIFT_PERCENT / 100 + LEASE_SLACK_MS;
-}
-
-int64_t
-owner_lease_most_ms(const struct cw_owner *owner)
-{
-    return most_ms(owner->options.lease_ms);
-}
-
-static int64_t
-lease_ms_for(const struct owner_target *target)
-{
-    int64_t lease_ms = target->owner->options.lease_ms;
-
-    return target->draining ? MIN(lease_ms, LEAVING_LEASE_MS) : lease_ms;
-}
-
-int64_t
-owner_target_lease(struct owner_target *target, struct timespec now)
-{
-    struct cw_owner *owner = target->owner;
-    int64_t lease_ms = lease_ms_for(target);
-    int64_t until_ms = cw_time_diff_ms(cw_time_from_ms(0), now) +
-                       target->life.clock_offset_ms + lease_ms;
-    struct timespec end = cw_time_add_ms(now, most_ms(lease_ms));
-
-    /* While it is silent its lease is not extended, so that the tasks there
-     * can be started elsewhere once the last one has passed. */
-    if (!target->life.clock_known || target->note != OWNER_NOTE_NONE ||
-        owner_tombstone_pending(target) ||
-        (target->silent > 0 && target->life.lease_sent_ms > 0) ||
-        !owner_may_extend(owner, now))
-    {
-        return target->life.lease_sent_ms;
-    }
-    if (until_ms > target->life.lease_sent_ms) {
-        target->life.lease_sent_ms = until_ms;
-    }
-    if (cw_time_before(target->lease_end, end)) {
-        target->lease_end = end;
-    }
-    return target->life.lease_sent_ms;
-}
-
 bool
 owner_target_has_ordered_run(const struct owner_target *target)
 {
--- a/src/owner/owner_waits.c
+++ b/src/owner/owner_waits.c
@@ -139,6 +139,25 @@
     return owner_once_may_begin(owner, step) ? "no_place" : "once";
 }
 
+/* The worker that a job waits for, as fields of a line. */
+static char *
+describe_worker(const struct owner_target *target, struct timespec now)
+{
+    int64_t heard_ms = -1;
+
+    if (target == NULL) {
+        return g_strdup("worker=");
+    }
+    if (target->seen_at.tv_sec > 0) {
+        heard_ms = cw_time_diff_ms(target->seen_at, now);
+    }
+    return g_strdup_printf("worker=%s silent=%u heard_ms=%" PRId64
+                           " lease_left_ms=%" PRId64 " lease_by=%s",
+                           target->id, target->silent, heard_ms,
+                           cw_time_diff_ms(now, target->lease_end),
+                           owner_lease_source_name(target->lease_source));
+}
+
 static void
 tell(struct cw_owner *owner, const struct waiting *waiting,
      const struct owner_spare_fit *fit, struct timespec now)
@@ -146,25 +165,23 @@
     const struct owner_step *step = waiting->step;
     struct owner_job *job = step->occurrence->job;
     const struct owner_run *run = first_run(step);
-    const struct owner_target *target = run != NULL ? run->target : NULL;
+    char *worker = describe_worker(run != NULL ? run->target : NULL, now);
 
     job->told_at = now;
     cw_log_warning(
         "job_waits",
-        "id=%s step=%u.%u waits_ms=%" PRId64
-        " left=%u runs=%u reason=%s stopping=%d unanswered=%u worker=%s "
-        "silent=%u lease_left_ms=%" PRId64
+        "id=%s waits_ms=%" PRId64 " reason=%s %s owner_ms=%" PRId64
+        " stopping=%d unanswered=%u step=%u.%u left=%u runs=%u"
         " fits=%u booked=%u avoided=%u rack=%u urgent=%u orders=%u most=%u",
-        job->spec->id, step->occurrence->number, step->number,
-        waiting->waited_ms, step->left, step->runs,
-        reason_of(owner, step, run, now), run != NULL && run->stopping,
-        run != NULL ? run->unanswered : 0, target != NULL ? target->id : "",
-        target != NULL ? target->silent : 0,
-        target != NULL ? cw_time_diff_ms(now, target->lease_end) : 0,
+        job->spec->id, waiting->waited_ms, reason_of(owner, step, run, now),
+        worker, cw_time_diff_ms(owner->began, now),
+        run != NULL && run->stopping, run != NULL ? run->unanswered : 0,
+        step->occurrence->number, step->number, step->left, step->runs,
         fit->tasks, fit->by_keeper[OWNER_KEEPER_BOOKED],
         fit->by_keeper[OWNER_KEEPER_AVOIDED],
         fit->by_keeper[OWNER_KEEPER_RACK], fit->by_keeper[OWNER_KEEPER_URGENT],
         owner->pace.under_way, owner->pace.most);
+    g_free(worker);
 }
 
 static void
