Tests that fail: jobs that wait for the leases of silent workers

The emulator's judge took the service for calm 18 s after a fault and what follows from it, by the product's own wait of 12.6 s for silent workers. Faults and what follows from them are told apart for it; the other rules keep their bounds.

--- a/emulator/emulator_main.c
+++ b/emulator/emulator_main.c
@@ -41,6 +41,7 @@
     bool unguarded;
     unsigned late;
     unsigned cordons;
+    unsigned owner_kills;
     bool calm;
     bool wide;
 };
@@ -61,6 +62,9 @@
     {"late", 'l', "N", 0, "Times that some workers are late with answers", 0},
     {"cordons", 'o', "N", 0,
      "Times that a data centre is closed to new work for a while", 0},
+    {"owner-kills", 'k', "N", 0,
+     "Times that workers crash and the VM that decides is killed soon after",
+     0},
     {"calm", 'q', NULL, 0, "Nothing strikes", 0},
     {"wide", 'b', NULL, 0, "Wide jobs and gangs, and more of them", 0},
     {0},
@@ -111,6 +115,9 @@
     case 'o':
         arguments->cordons = (unsigned)strtoul(value, NULL, 10);
         break;
+    case 'k':
+        arguments->owner_kills = (unsigned)strtoul(value, NULL, 10);
+        break;
     case 'q':
         arguments->calm = true;
         break;
@@ -146,6 +153,7 @@
     day.unguarded = arguments->unguarded;
     day.late = arguments->late;
     day.cordons = arguments->cordons;
+    day.owner_kills = arguments->owner_kills;
     if (arguments->calm) {
         day.faults = 0;
     }
--- a/emulator/internal/world_private.h
+++ b/emulator/internal/world_private.h
@@ -70,7 +70,8 @@
     struct cw_routing *routing;
     GPtrArray *vms; /* struct vm */
     GString *faults;
-    int64_t disturbed_until_ms;
+    int64_t disturbed_until_ms; /* by faults and what follows from them */
+    int64_t struck_until_ms;    /* by faults alone */
     /* what the network does at present */
     int64_t store_down_until_ms;
     bool store_busy;
@@ -170,7 +171,9 @@
 
 /* True if nothing has disturbed anything lately. */
 bool world_calm(const struct world *world);
-void world_disturb(struct world *world, unsigned ms);
+
+/* A fault lasts for `ms`, and what follows from it for `after_ms` more. */
+void world_disturb(struct world *world, unsigned ms, unsigned after_ms);
 
 /* Writes a fault down. */
 void
@@ -207,9 +210,17 @@
 /* Some workers crash, and are back under their ids. */
 void world_restart_workers(struct world *world, void *unused);
 
+/* A worker crashes for good; another takes its place in the rack. */
+void world_replace_worker(struct world *world, struct worker_model *worker);
+
 /* A worker that is down is back under its id. */
 void world_worker_again(struct world *world, void *worker_model);
 
+/* ---- world_owner_kills.c ---- */
+
+/* Workers crash, and the VM that decides is killed soon after. */
+void world_owner_kill(struct world *world, void *unused);
+
 /* ---- world_late.c ---- */
 
 /* Some workers are late for a while. */
--- a/emulator/world.c
+++ b/emulator/world.c
@@ -285,7 +285,7 @@
     struct world *world = context;
     bool same_id = world->options.restarts > 0 && world_chance(world, 50);
 
-    world_disturb(world, CRASHED_DISTURBS_MS);
+    world_disturb(world, CRASHED_DISTURBS_MS, 0);
     world_schedule(world,
                    world_between(world, CRASHED_LEAST_MS, CRASHED_MOST_MS),
                    same_id ? world_worker_again : revive, worker);
@@ -416,6 +416,10 @@
         world_schedule(world, world_between(world, 1500, options->day_ms),
                        world_cordon, NULL);
     }
+    for (unsigned i = 0; i < options->owner_kills; i++) {
+        world_schedule(world, world_between(world, 1500, options->day_ms),
+                       world_owner_kill, NULL);
+    }
     for (unsigned i = 0; i < options->late; i++) {
         world_schedule(world, world_between(world, 1500, options->day_ms),
                        world_late_workers, NULL);
--- a/emulator/world_faults.c
+++ b/emulator/world_faults.c
@@ -16,12 +16,12 @@
 fault_kill(struct world *world)
 {
     struct vm *vm = world_any_vm(world);
+    unsigned down_ms = world_between(world, 100, 3000);
 
     world_note(world, "kill vm-%u", vm->index);
-    world_disturb(world, 4000);
+    world_disturb(world, down_ms, 4000 - down_ms);
     world_vm_kill(vm);
-    world_schedule(world, world_between(world, 100, 3000), world_vm_restart,
-                   vm);
+    world_schedule(world, down_ms, world_vm_restart, vm);
 }
 
 static void
@@ -30,7 +30,7 @@
     unsigned down_ms = world_between(world, 200, 4000);
 
     world_note(world, "kill all for %u", down_ms);
-    world_disturb(world, down_ms + 4000);
+    world_disturb(world, down_ms + 300, 3700);
     for (guint i = 0; i < world->vms->len; i++) {
         world_vm_kill(world->vms->pdata[i]);
         world_schedule(world, down_ms + world_pick(world, 300),
@@ -45,7 +45,7 @@
     unsigned ms = world_between(world, 500, 7000);
 
     world_note(world, "freeze vm-%u for %u", vm->index, ms);
-    world_disturb(world, ms);
+    world_disturb(world, ms, 0);
     vm->frozen_until_ms = world->now_ms + ms;
 }
 
@@ -56,7 +56,7 @@
     unsigned ms = world_between(world, 1000, 9000);
 
     world_note(world, "cut vm-%u for %u", vm->index, ms);
-    world_disturb(world, ms);
+    world_disturb(world, ms, 0);
     vm->cut_until_ms = world->now_ms + ms;
 }
 
@@ -67,7 +67,7 @@
 
     world->store_busy = world_chance(world, 50);
     world_note(world, "store down for %u busy %d", ms, world->store_busy);
-    world_disturb(world, ms);
+    world_disturb(world, ms, 0);
     world->store_down_until_ms = world->now_ms + ms;
 }
 
@@ -75,7 +75,7 @@
 fault_store_slow(struct world *world)
 {
     world_note(world, "store slow");
-    world_disturb(world, 5000);
+    world_disturb(world, 5000, 0);
     world->store_slow_until_ms = world->now_ms + 5000;
 }
 
@@ -86,7 +86,7 @@
     world->lost_late = world_chance(world, 50);
     world_note(world, "lose %u%% late %d", world->lost_percent,
                world->lost_late);
-    world_disturb(world, 10000);
+    world_disturb(world, 4000, 6000);
     world->lost_until_ms = world->now_ms + 4000;
 }
 
@@ -104,7 +104,7 @@
 fault_deal(struct world *world)
 {
     world_note(world, "deal");
-    world_disturb(world, 1000);
+    world_disturb(world, 1000, 0);
     store_model_deal(world->store, world_pick(world, 100), world->clock.now);
 }
 
@@ -120,7 +120,7 @@
 {
     unsigned ms = world_between(world, 1000, 12000);
 
-    world_disturb(world, ms);
+    world_disturb(world, ms, 0);
     for (unsigned i = world_between(world, 1, 3); i > 0; i--) {
         const char *id = worker_model_id(world_any_worker(world));
 
@@ -133,24 +133,14 @@
 static void
 fault_crash_worker(struct world *world)
 {
-    struct worker_model *worker = world_any_worker(world);
-    char *id = g_strdup_printf("w-%u-%u", worker_fleet_size(world->fleet),
-                               world_pick(world, 1000));
-
-    world_note(world, "crash %s", worker_model_id(worker));
-    world_disturb(world, 8000);
-    worker_model_crash(worker);
-    worker_fleet_add(world->fleet, id, worker_model_rack(worker),
-                     worker_model_capacity(worker),
-                     world_pick(world, 100000) + 1);
-    g_free(id);
+    world_replace_worker(world, world_any_worker(world));
 }
 
 static void
 fault_orders_late(struct world *world)
 {
     world_note(world, "orders late");
-    world_disturb(world, 14000);
+    world_disturb(world, 14000, 0);
     world->orders_late_until_ms = world->now_ms + 4000;
     world->late_orders_until_ms = world->orders_late_until_ms + 9000;
 }
@@ -161,7 +151,7 @@
     struct worker_model *worker = world_any_worker(world);
 
     world_note(world, "hang %s", worker_model_id(worker));
-    world_disturb(world, 6000);
+    world_disturb(world, 6000, 0);
     worker_model_set_speed(worker, 0);
 }
 
@@ -219,7 +209,7 @@
         return;
     }
     world_note(world, "leave vm-%u", vm->index);
-    world_disturb(world, 3000);
+    world_disturb(world, 3000, 0);
     vm->leaving = true;
     cw_entry_leave(vm->entry);
     cw_owner_leave(vm->owner);
--- a/emulator/world_restarts.c
+++ b/emulator/world_restarts.c
@@ -20,6 +20,21 @@
     CLOCK_MOST_MS = 5000
 };
 
+void
+world_replace_worker(struct world *world, struct worker_model *worker)
+{
+    char *id = g_strdup_printf("w-%u-%u", worker_fleet_size(world->fleet),
+                               world_pick(world, 1000));
+
+    world_note(world, "crash %s", worker_model_id(worker));
+    world_disturb(world, 0, DISTURBS_MS);
+    worker_model_crash(worker);
+    worker_fleet_add(world->fleet, id, worker_model_rack(worker),
+                     worker_model_capacity(worker),
+                     world_pick(world, 100000) + 1);
+    g_free(id);
+}
+
 static void
 crash(struct world *world, struct worker_model *worker, bool may_cut);
 
@@ -56,7 +71,7 @@
     unsigned down_ms = world_between(world, DOWN_LEAST_MS, DOWN_MOST_MS);
 
     world_note(world, "restart %s after %u", id, down_ms);
-    world_disturb(world, down_ms + DISTURBS_MS);
+    world_disturb(world, down_ms + DISTURBS_MS, 0);
     if (may_cut && world_chance(world, CUT_PERCENT)) {
         int64_t until_ms =
             world->now_ms + down_ms + world_between(world, 0, CUT_BEYOND_MS);
--- a/emulator/world_time.c
+++ b/emulator/world_time.c
@@ -93,10 +93,11 @@
 }
 
 void
-world_disturb(struct world *world, unsigned ms)
+world_disturb(struct world *world, unsigned ms, unsigned after_ms)
 {
+    world->struck_until_ms = MAX(world->struck_until_ms, world->now_ms + ms);
     world->disturbed_until_ms =
-        MAX(world->disturbed_until_ms, world->now_ms + ms);
+        MAX(world->disturbed_until_ms, world->now_ms + ms + after_ms);
 }
 
 void
--- a/emulator/world_waits.c
+++ b/emulator/world_waits.c
@@ -6,9 +6,8 @@
 #include <string.h>
 
 enum {
-    /* A new owner waits 12.6 s for the leases of workers that do not answer;
-     * with a take-over and the look of the callers before. */
-    CALM_MS = 18000,
+    /* The platform counts from so long after the last fault. */
+    CALM_MS = 4000,
     /* There has to be room for so many times what waits. */
     TIMES = 2
 };
@@ -177,8 +176,8 @@
 world_look_for_waits(struct world *world)
 {
     GPtrArray *jobs = judge_jobs(world->judge);
-    bool calm = world->disturbed_until_ms == 0 ||
-                world->now_ms > world->disturbed_until_ms + CALM_MS;
+    bool calm = world->struck_until_ms == 0 ||
+                world->now_ms > world->struck_until_ms + CALM_MS;
 
     for (guint i = 0; i < jobs->len; i++) {
         struct judge_job *job = jobs->pdata[i];
--- a/tests/owner_bed.h
+++ b/tests/owner_bed.h
@@ -16,6 +16,7 @@
     RUN = 3,
     STEP_MS = 10,
     EPOCH = 1,
+    WORKER_CLOCK_MS = 50000, /* a worker's clock, as it answers */
     LEASE_MS = 6000,
     /* What an earlier owner has ordered is over so long after a take-over:
      * 6 s in which it may extend leases, a lease with its drift, 0.5 s. */
@@ -32,6 +33,7 @@
     bool grows;           /* each read finds another record at the end */
     unsigned generation;  /* of the group: each VM's life has its own */
     bool deaf;            /* reads of the log of jobs are not answered */
+    const char *vm;
 };
 
 static struct bed *current;
@@ -100,7 +102,7 @@
                                        .counters = &bed->counters,
                                        .store = &bed->store.base,
                                        .targets = &targets,
-                                       .vm = "this",
+                                       .vm = bed->vm,
                                        .member = "m",
                                        .member_ttl_ms = 1000,
                                        .lease_ms = LEASE_MS,
@@ -126,6 +128,7 @@
 
     memset(bed, 0, sizeof(*bed));
     bed->generation = EPOCH;
+    bed->vm = "this";
     cw_log_setup("error", "test");
     ops = store_port_ops;
     ops.join = on_join;
@@ -276,4 +279,50 @@
     return count;
 }
 
+/* Answers all looks under way: each task runs.  Returns the latest end of a
+ * lease that they gave. */
+static inline int64_t
+answer_all_looks(void)
+{
+    struct cw_running running[TASKS] = {0};
+    struct cw_target_answer answer = {.status = CW_TARGET_OK,
+                                      .clock_ms = WORKER_CLOCK_MS,
+                                      .born_ms = 1,
+                                      .running = running,
+                                      .running_count = TASKS};
+    int64_t lease_ms = 0;
+
+    for (unsigned i = 0; i < TASKS; i++) {
+        running[i].task.job = ID;
+        running[i].task.index = i;
+        running[i].run = RUN;
+        running[i].saved = "";
+    }
+    while (unanswered != NULL && unanswered->len > 0) {
+        struct cw_target_order order =
+            g_array_index(unanswered, struct cw_target_order, 0);
+
+        g_array_remove_index(unanswered, 0);
+        lease_ms = MAX(lease_ms, order.lease_until_ms);
+        order.done(order.context, &answer);
+    }
+    return lease_ms;
+}
+
+/* Goes on, with a worker that answers; returns the latest end of a lease. */
+static inline int64_t
+run_all_answered(struct bed *bed, unsigned ms)
+{
+    int64_t lease_ms = 0;
+
+    for (unsigned passed = 0; passed < ms; passed += STEP_MS) {
+        int64_t given_ms;
+
+        run(bed, STEP_MS);
+        given_ms = answer_all_looks();
+        lease_ms = MAX(lease_ms, given_ms);
+    }
+    return lease_ms;
+}
+
 #endif
--- /dev/null
+++ b/tests/test_leases.c
@@ -0,0 +1,216 @@
+/* Workers that fall silent: until when their leases may last, and what waits
+ * for that. */
+#include "test_main.h"
+
+#include "owner_bed.h"
+
+enum {
+    /* A lease on the slowest clock, and what an order may be late. */
+    LEASE_MOST_MS = LEASE_MS + LEASE_MS / 50 + 500,
+    /* Until nothing that owners before the first one gave can last. */
+    SETTLED_MS = FIRST_BOUND_MS + 1000,
+    /* The rule bears 4 s of calm and 3 s: nothing may add to a lease that a
+     * start gives before its worker has confirmed a run. */
+    UNCONFIRMED_MOST_MS = 5000,
+    SILENT_MS = 1500
+};
+
+/* An owner that has decided for long, and has runs on a worker that answers
+ * it. */
+static void
+bed_with_settled_owner(struct bed *bed)
+{
+    bed_begin(bed);
+    put_spec(bed);
+    put_state(bed, CW_STATE_TOPIC, CW_WORK_RUNNING);
+    take_over(bed);
+    list_worker(bed);
+    (void)run_all_answered(bed, SETTLED_MS);
+    CU_ASSERT_EQUAL_FATAL(the_job(bed)->runs, TASKS);
+    CU_ASSERT_EQUAL_FATAL(the_worker(bed)->note, OWNER_NOTE_NONE);
+}
+
+static int64_t
+lease_left_ms(const struct bed *bed)
+{
+    return cw_time_diff_ms(bed->clock.now, the_worker(bed)->lease_end);
+}
+
+/* The VM ends; another life of it, or another VM, takes over. */
+static void
+replace_owner(struct bed *bed, const char *vm)
+{
+    bed->generation++;
+    vm_end(bed);
+    bed->vm = vm;
+    vm_begin(bed);
+    take_over(bed);
+    CU_ASSERT_EQUAL_FATAL(the_job(bed)->runs, TASKS);
+}
+
+/* Guards against jobs that wait for 12.6 s from a take-over for a worker that
+ * answered the new owner, and died after that. */
+static void
+test_an_answer_bounds_what_earlier_owners_gave(void)
+{
+    struct bed bed;
+
+    bed_begin(&bed);
+    put_spec(&bed);
+    put_state(&bed, CW_STATE_TOPIC, CW_WORK_RUNNING);
+    take_over(&bed);
+    CU_ASSERT_TRUE(lease_left_ms(&bed) > LEASE_MOST_MS);
+    list_worker(&bed);
+    (void)run_all_answered(&bed, 500);
+    CU_ASSERT_TRUE(lease_left_ms(&bed) <= LEASE_MOST_MS);
+    CU_ASSERT_TRUE(lease_left_ms(&bed) >= LEASE_MS - 1000);
+    bed_end(&bed);
+}
+
+/* Guards against waiting for leases that a VM could still extend, where that
+ * VM has ended and started again. */
+static void
+test_a_restarted_vm_extends_no_leases_of_its_former_life(void)
+{
+    struct bed bed;
+
+    bed_with_settled_owner(&bed);
+    replace_owner(&bed, "this");
+    CU_ASSERT_TRUE(lease_left_ms(&bed) <= LEASE_MOST_MS);
+    bed_end(&bed);
+}
+
+/* Guards against the same for an owner that was deposed and goes on. */
+static void
+test_a_deposed_owner_tells_that_it_extends_no_more(void)
+{
+    struct bed bed;
+
+    bed_with_settled_owner(&bed);
+    owner_depose(bed.owner, "test");
+    bed.owner->join_in_flight = true; /* it does not gain the shard again */
+    run(&bed, 1000);
+    replace_owner(&bed, "other");
+    CU_ASSERT_TRUE(lease_left_ms(&bed) <= LEASE_MOST_MS);
+    bed_end(&bed);
+}
+
+/* Guards against gangs that wait, as a whole, for the lease of a silent worker
+ * to which nothing was sent for them. */
+static void
+test_places_on_a_silent_worker_are_given_up(void)
+{
+    const struct cw_step_spec gang = {
+        .tasks = 3, .accelerators = ACCELERATORS, .gang = true};
+    struct site site;
+    struct owner_job *job;
+    struct owner_target *target;
+
+    site_begin(&site);
+    site.owner->proof_at = site.clock.now;
+    job = add_job(&site, 1, &gang);
+    pass(&site, 10);
+    CU_ASSERT_EQUAL_FATAL(placed(job), 3);
+    target = step_of(job)->tasks[1].run->target;
+    step_of(job)->tasks[1].run->phase = RUN_RESERVED;
+    owner_resources_add(&target->reserved,
+                        &(struct cw_resources){.accelerators = 8});
+    for (unsigned passed = 0; passed < SILENT_MS; passed += STEP_MS) {
+        const struct cw_target_answer none = {.status = CW_TARGET_UNKNOWN};
+
+        site.clock.now = cw_time_add_ms(site.clock.now, STEP_MS);
+        site.owner->proof_at = site.clock.now;
+        (void)owner_hold_tick(site.owner, target, site.clock.now);
+        while (unanswered != NULL && unanswered->len > 0) {
+            struct cw_target_order order =
+                g_array_index(unanswered, struct cw_target_order, 0);
+
+            g_array_remove_index(unanswered, 0);
+            order.done(order.context, &none);
+        }
+    }
+    CU_ASSERT_TRUE(target->silent > 1);
+    CU_ASSERT_EQUAL(placed(job), 0);
+    pass(&site, 10);
+    CU_ASSERT_EQUAL(placed(job), 3);
+    for (unsigned i = 0; i < 3 && placed(job) == 3; i++) {
+        CU_ASSERT_PTR_NOT_EQUAL(step_of(job)->tasks[i].run->target, target);
+    }
+    site_end(&site);
+}
+
+/* A start of the job's only task is sent. */
+static struct owner_target *
+send_start(struct site *site, struct owner_job *job)
+{
+    struct owner_run *run = step_of(job)->tasks[0].run;
+    struct cw_task_name name = owner_task_name(run->task);
+
+    run->phase = RUN_READY;
+    site->owner->proof_at = site->clock.now;
+    owner_order_queue(site->owner, run->target, CW_ORDER_START, &name,
+                      run->number);
+    owner_orders_send(site->owner, run->target, site->clock.now);
+    CU_ASSERT_EQUAL(run->phase, RUN_STARTING);
+    return run->target;
+}
+
+/* Guards against leases that grow with each start sent while the answer to a
+ * look is outstanding, so that a worker that died is waited for longer. */
+static void
+test_starts_do_not_lengthen_a_lease_that_is_kept_up(void)
+{
+    const struct cw_step_spec one = {.tasks = 1, .accelerators = 4};
+    struct site site;
+    struct owner_target *target;
+    struct owner_job *second;
+    struct timespec end;
+
+    site_begin(&site);
+    site.owner->proof_at = site.clock.now;
+    target = step_of(run_job(&site, 0, &one))->tasks[0].run->target;
+    (void)owner_hold_tick(site.owner, target, site.clock.now);
+    CU_ASSERT_EQUAL_FATAL(last_order.kind, CW_ORDER_HOLD);
+    end = target->lease_end;
+    CU_ASSERT_TRUE(cw_time_diff_ms(site.clock.now, end) > LEASE_MS);
+    second = add_job(&site, 0, &one);
+    pass(&site, 1500);
+    CU_ASSERT_PTR_EQUAL_FATAL(place_of(second, 0), target);
+    CU_ASSERT_PTR_EQUAL(send_start(&site, second), target);
+    CU_ASSERT_EQUAL(cw_time_diff_ms(end, target->lease_end), 0);
+    site_end(&site);
+}
+
+/* Guards against gangs that wait for a whole lease for a worker that died
+ * before it had confirmed anything. */
+static void
+test_an_unconfirmed_start_gives_a_short_lease(void)
+{
+    const struct cw_step_spec one = {.tasks = 1, .accelerators = 4};
+    struct site site;
+    struct owner_target *target;
+    struct owner_job *job;
+
+    site_begin(&site);
+    job = add_job(&site, 0, &one);
+    pass(&site, 10);
+    target = send_start(&site, job);
+    CU_ASSERT_TRUE(cw_time_diff_ms(site.clock.now, target->lease_end) <=
+                   UNCONFIRMED_MOST_MS);
+    (void)owner_hold_tick(site.owner, target, site.clock.now);
+    CU_ASSERT_EQUAL(last_order.kind, CW_ORDER_HOLD);
+    CU_ASSERT_TRUE(cw_time_diff_ms(site.clock.now, target->lease_end) <=
+                   UNCONFIRMED_MOST_MS);
+    site_end(&site);
+}
+
+static const struct test tests[] = {
+    {"answer", test_an_answer_bounds_what_earlier_owners_gave},
+    {"restart", test_a_restarted_vm_extends_no_leases_of_its_former_life},
+    {"deposed", test_a_deposed_owner_tells_that_it_extends_no_more},
+    {"places", test_places_on_a_silent_worker_are_given_up},
+    {"growth", test_starts_do_not_lengthen_a_lease_that_is_kept_up},
+    {"unconfirmed", test_an_unconfirmed_start_gives_a_short_lease},
+};
+
+TEST_MAIN("leases", tests)
--- a/tests/test_notes.c
+++ b/tests/test_notes.c
@@ -7,8 +7,7 @@
 #define WORKER "w"
 
 enum {
-    FIRST_MS = 5000,  /* for how long the first owner decides */
-    CLOCK_MS = 50000, /* a worker's clock, as it answers */
+    FIRST_MS = 5000, /* for how long the first owner decides */
     TURNS = 2,
     TURN_MS = 4000,
     RENEWED_MS = 2500 /* a note may be so old, and its reading late */
@@ -32,52 +31,6 @@
     CU_ASSERT_EQUAL(the_job(bed)->runs, TASKS);
 }
 
-/* Answers all looks under way: each task runs.  Returns the latest end of a
- * lease that they gave. */
-static int64_t
-answer_looks(void)
-{
-    struct cw_running running[TASKS] = {0};
-    struct cw_target_answer answer = {.status = CW_TARGET_OK,
-                                      .clock_ms = CLOCK_MS,
-                                      .born_ms = 1,
-                                      .running = running,
-                                      .running_count = TASKS};
-    int64_t lease_ms = 0;
-
-    for (unsigned i = 0; i < TASKS; i++) {
-        running[i].task.job = ID;
-        running[i].task.index = i;
-        running[i].run = RUN;
-        running[i].saved = "";
-    }
-    while (unanswered != NULL && unanswered->len > 0) {
-        struct cw_target_order order =
-            g_array_index(unanswered, struct cw_target_order, 0);
-
-        g_array_remove_index(unanswered, 0);
-        lease_ms = MAX(lease_ms, order.lease_until_ms);
-        order.done(order.context, &answer);
-    }
-    return lease_ms;
-}
-
-/* Goes on, with a worker that answers; returns the latest end of a lease. */
-static int64_t
-run_answered(struct bed *bed, unsigned ms)
-{
-    int64_t lease_ms = 0;
-
-    for (unsigned passed = 0; passed < ms; passed += STEP_MS) {
-        int64_t given_ms;
-
-        run(bed, STEP_MS);
-        given_ms = answer_looks();
-        lease_ms = MAX(lease_ms, given_ms);
-    }
-    return lease_ms;
-}
-
 static void
 change_owner(struct bed *bed)
 {
@@ -135,7 +88,7 @@
 
     bed_with_runs(&bed);
     list_worker(&bed);
-    run_answered(&bed, 500);
+    run_all_answered(&bed, 500);
     target = the_worker(&bed);
     CU_ASSERT_EQUAL_FATAL(target->note, OWNER_NOTE_NONE);
     CU_ASSERT_EQUAL(target->silent, 0);
@@ -156,7 +109,7 @@
 
     bed_with_runs(&bed);
     list_worker(&bed);
-    run_answered(&bed, 500);
+    run_all_answered(&bed, 500);
     target = the_worker(&bed);
     bed.owner->join_in_flight = true; /* joins prove nothing any more */
     bed.store.refuses = CW_STORE_REFUSED;
@@ -191,13 +144,13 @@
     CU_ASSERT_PTR_NULL(note_of(&bed));
     end = the_worker(&bed)->lease_end;
     list_worker(&bed);
-    CU_ASSERT_EQUAL(run_answered(&bed, 3000), 0);
+    CU_ASSERT_EQUAL(run_all_answered(&bed, 3000), 0);
     CU_ASSERT_EQUAL(the_worker(&bed)->silent, 0);
     CU_ASSERT_TRUE(the_worker(&bed)->answered);
     CU_ASSERT_FALSE(owner_target_reachable(the_worker(&bed), bed.clock.now));
     CU_ASSERT_EQUAL(cw_time_diff_ms(end, the_worker(&bed)->lease_end), 0);
     bed.store.refuses = CW_STORE_OK;
-    CU_ASSERT_TRUE(run_answered(&bed, 1500) > CLOCK_MS);
+    CU_ASSERT_TRUE(run_all_answered(&bed, 1500) > WORKER_CLOCK_MS);
     CU_ASSERT_EQUAL(the_worker(&bed)->note, OWNER_NOTE_NONE);
     CU_ASSERT_PTR_NULL(note_of(&bed));
     CU_ASSERT_EQUAL(the_job(&bed)->runs, TASKS);
@@ -214,11 +167,11 @@
     CU_ASSERT_PTR_NOT_NULL(note_of(&bed));
     bed.store.refuses = CW_STORE_UNKNOWN;
     list_worker(&bed);
-    CU_ASSERT_EQUAL(run_answered(&bed, 3000), 0);
+    CU_ASSERT_EQUAL(run_all_answered(&bed, 3000), 0);
     CU_ASSERT_EQUAL(the_worker(&bed)->note, OWNER_NOTE_DROPPED);
     CU_ASSERT_FALSE(owner_target_reachable(the_worker(&bed), bed.clock.now));
     bed.store.refuses = CW_STORE_OK;
-    CU_ASSERT_TRUE(run_answered(&bed, 1500) > CLOCK_MS);
+    CU_ASSERT_TRUE(run_all_answered(&bed, 1500) > WORKER_CLOCK_MS);
     CU_ASSERT_PTR_NULL(note_of(&bed));
     bed_end(&bed);
 }
@@ -236,9 +189,9 @@
     CU_ASSERT_EQUAL(the_worker(&bed)->note, OWNER_NOTE_WRITTEN);
     bed.store.refuses = CW_STORE_UNKNOWN;
     list_worker(&bed);
-    CU_ASSERT_EQUAL(run_answered(&bed, 3000), 0);
+    CU_ASSERT_EQUAL(run_all_answered(&bed, 3000), 0);
     bed.store.refuses = CW_STORE_OK;
-    CU_ASSERT_TRUE(run_answered(&bed, 1500) > CLOCK_MS);
+    CU_ASSERT_TRUE(run_all_answered(&bed, 1500) > WORKER_CLOCK_MS);
     CU_ASSERT_EQUAL(the_worker(&bed)->note, OWNER_NOTE_NONE);
     bed_end(&bed);
 }
@@ -262,7 +215,7 @@
     bed.store.refuses = CW_STORE_UNKNOWN;
     CU_ASSERT_PTR_NOT_NULL_FATAL(the_worker(&bed));
     list_worker(&bed);
-    CU_ASSERT_EQUAL(run_answered(&bed, 1000), 0);
+    CU_ASSERT_EQUAL(run_all_answered(&bed, 1000), 0);
     CU_ASSERT_NOT_EQUAL(the_worker(&bed)->note, OWNER_NOTE_NONE);
     CU_ASSERT_FALSE(owner_target_reachable(the_worker(&bed), bed.clock.now));
     bed.store.refuses = CW_STORE_OK;
