A worker's answer bounds the leases that earlier owners gave it

Callers saw jobs that stood still for 7 to 10 s beside room (the record's lines with reason=running, of up to 9.7 s), after the owner had changed.

Cause: the bound of 12.6 s that is set at a take-over stayed when the worker answered. By its answer it has seen the new owner's fencing token and refuses earlier ones, so that 6.3 s from then are the most. A worker that answered and died after that was waited for until 12.6 s after the take-over.

Ruled out: that this owner's own extensions reach so far, as looks extend no silent worker's lease.

--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -679,6 +679,9 @@
 void owner_lease_lower(struct owner_target *target, struct timespec end,
                        enum owner_lease_source source);
 
+/* The worker has answered this owner, and so seen its fencing token. */
+void owner_lease_seen(struct owner_target *target, struct timespec now);
+
 /* For logs. */
 const char *owner_lease_source_name(enum owner_lease_source source);
 
--- a/src/owner/owner_holds.c
+++ b/src/owner/owner_holds.c
@@ -375,6 +375,7 @@
     }
     owner_crashes_heard(owner, target, answer->born_ms);
     owner_target_clock(target, answer->clock_ms, now);
+    owner_lease_seen(target, now);
     target->answered = true;
     target->seen_at = call->sent;
     target->life.heard_at = now;
--- a/src/owner/owner_leases.c
+++ b/src/owner/owner_leases.c
@@ -45,6 +45,16 @@
     }
 }
 
+/* From then on it refuses earlier owners: what they gave lasts no longer than
+ * a lease that is given now. */
+void
+owner_lease_seen(struct owner_target *target, struct timespec now)
+{
+    owner_lease_lower(target,
+                      cw_time_add_ms(now, owner_lease_most_ms(target->owner)),
+                      OWNER_LEASE_EARLIER);
+}
+
 const char *
 owner_lease_source_name(enum owner_lease_source source)
 {
