Places on a silent worker are given up at its second unanswered look

Callers saw gangs stand still whose first task was only reserved on a silent worker (the record: reason=reserved left=10 runs=10, 7.1 s).

Cause: what is reserved, or not in the store yet, stayed until its turn to be sent, or until the reservation was old. Nothing was sent there, so that no lease has to be waited for. They are given up as those in a cordoned data centre are, by one function; the log has place_given_up.

--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -594,6 +594,13 @@
  * is done, and what was started for it since is stopped. */
 void owner_task_done_late(struct cw_owner *owner, struct owner_task *task);
 
+/* Gives up the places on the worker to which nothing was sent yet, so that
+ * what waits for them is placed elsewhere; `log` is told of each before. */
+void owner_places_give_up(struct cw_owner *owner, struct owner_target *target,
+                          void (*log)(const struct cw_owner *owner,
+                                      const struct owner_run *run,
+                                      struct timespec now));
+
 /* ---- owner_cordons.c ---- */
 
 /* True if work may be started in the worker's data centre by the configuration
--- a/src/owner/owner_cordons.c
+++ b/src/owner/owner_cordons.c
@@ -72,30 +72,9 @@
                 owner_run_phase_name(run->phase), known_ms, run->unanswered);
 }
 
-/* Places that nobody was sent to yet are given up: what waits for them is
- * placed elsewhere at once. */
-static void
-give_up_places(struct cw_owner *owner, struct owner_target *target,
-               struct timespec now)
-{
-    for (guint i = target->runs->len; i > 0; i--) {
-        struct owner_run *run;
-
-        if (i > target->runs->len) {
-            continue; /* giving up a gang's place may have dropped several */
-        }
-        run = target->runs->pdata[i - 1];
-        if (run->phase < RUN_COMMITTING) {
-            owner_cordon_log(owner, run, now);
-            owner_run_leave(owner, run);
-        }
-    }
-}
-
 void
 cw_owner_cordons_changed(struct cw_owner *owner)
 {
-    struct timespec now = owner_now(owner);
     GHashTableIter iterator;
     gpointer value;
 
@@ -104,7 +83,7 @@
     g_hash_table_iter_init(&iterator, owner->targets);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         if (!owner_target_takes_work(value)) {
-            give_up_places(owner, value, now);
+            owner_places_give_up(owner, value, owner_cordon_log);
         }
     }
 }
--- a/src/owner/owner_holds.c
+++ b/src/owner/owner_holds.c
@@ -17,6 +17,9 @@
      * try, each of them priced. */
     HOLD_PACE_UNSURE_MS = 150,
     HOLD_RETRY_MS = 300,
+    /* Looks without an answer after which places there are given up; a single
+     * one may be late. */
+    PLACES_SILENT = 2,
     /* Ends are not durable yet: the lease is kept up at this pace. */
     HOLD_BLOCKED_MS = 700,
     ENDS_LISTED_MAX = 500,
@@ -316,6 +319,20 @@
 
 /* ---- holds ---- */
 
+static void
+log_place_given_up(const struct cw_owner *owner, const struct owner_run *run,
+                   struct timespec now)
+{
+    struct cw_task_name name = owner_task_name(run->task);
+
+    cw_log_info("place_given_up",
+                "id=%s task=%u.%u.%u run=%u worker=%s phase=%s silent=%u "
+                "age_ms=%" PRId64,
+                name.job, name.occurrence, name.step, name.index, run->number,
+                run->target->id, owner_run_phase_name(run->phase),
+                run->target->silent, cw_time_diff_ms(run->created_at, now));
+}
+
 static void
 hold_failed(struct owner_target *target, enum cw_target_status status,
             struct timespec now)
@@ -329,6 +346,9 @@
     target->silent++;
     target->hold_due = cw_time_add_ms(now, HOLD_RETRY_MS);
     owner_life_unanswered(target);
+    if (target->silent == PLACES_SILENT) {
+        owner_places_give_up(target->owner, target, log_place_given_up);
+    }
 }
 
 /* The life that the look was sent to has answered it. */
--- a/src/owner/owner_runs.c
+++ b/src/owner/owner_runs.c
@@ -267,6 +267,26 @@
     }
 }
 
+void
+owner_places_give_up(struct cw_owner *owner, struct owner_target *target,
+                     void (*log)(const struct cw_owner *owner,
+                                 const struct owner_run *run,
+                                 struct timespec now))
+{
+    for (guint i = target->runs->len; i > 0; i--) {
+        struct owner_run *run;
+
+        if (i > target->runs->len) {
+            continue; /* giving up a gang's place may have dropped several */
+        }
+        run = target->runs->pdata[i - 1];
+        if (run->phase < RUN_COMMITTING) {
+            log(owner, run, owner_now(owner));
+            owner_run_leave(owner, run);
+        }
+    }
+}
+
 /* ---- ends ---- */
 
 static void
