Starts and workers without confirmed runs get leases of 4 s

Callers saw jobs wait for longer than a lease for workers that had died.

Cause: a look may be outstanding for 1.9 s before its worker is silent; each start sent meanwhile, and each retry of one, gave 6 s from its own sending, and a first start on a worker that never answered gave 6 s as well, though nothing was at work there. Starts give at most 4 s now, less than what looks keep up, and so do looks until the worker has confirmed a run; the next look after that gives a whole lease.

Ruled out: shorter leases for all, as a worker that is cut off and works on would lose its work.

--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -677,8 +677,10 @@
 /* How long a lease that is given now may last, by our clock. */
 int64_t owner_lease_most_ms(const struct cw_owner *owner);
 
-/* End of lease to send with an order now, on the worker's clock. */
-int64_t owner_target_lease(struct owner_target *target, struct timespec now);
+/* End of lease to send with an order now, on the worker's clock; it is never
+ * earlier than one that was sent before. */
+int64_t owner_target_lease(struct owner_target *target,
+                           enum cw_order_kind kind, struct timespec now);
 
 /* The worker's lease may last until `end` at least, or at most. */
 void owner_lease_raise(struct owner_target *target, struct timespec end,
--- a/src/owner/owner_leases.c
+++ b/src/owner/owner_leases.c
@@ -6,10 +6,9 @@
 
 enum {
     LEASE_SLACK_MS = 200,
-    /* Of a worker that leaves: its work goes with it soon, so that little is
-     * gained by carrying it over a cut, and after one nothing waits for the
-     * rest of a long lease.  Two looks without an answer fit in. */
-    LEAVING_LEASE_MS = 4000
+    /* Where little would be lost with it: two looks without an answer fit in,
+     * and nothing waits for the rest of a long one. */
+    SHORT_LEASE_MS = 4000
 };
 
 /* How long a lease of so many ms of the worker's clock may last by ours. */
@@ -68,19 +67,40 @@
     return names[source];
 }
 
+/* True if the worker has confirmed a run that it may be at work on. */
+static bool
+has_confirmed_run(const struct owner_target *target)
+{
+    for (guint i = 0; i < target->runs->len; i++) {
+        const struct owner_run *run = target->runs->pdata[i];
+
+        if (run->phase == RUN_RUNNING || run->phase == RUN_UNSURE) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* A worker that leaves takes its work with it soon; one that has confirmed
+ * none has none to lose.  A start gives no more than that either, so that it
+ * does not lengthen the lease that looks keep up: the next look may find the
+ * worker silent. */
 static int64_t
-lease_ms_for(const struct owner_target *target)
+lease_ms_for(const struct owner_target *target, enum cw_order_kind kind)
 {
     int64_t lease_ms = target->owner->options.lease_ms;
+    bool is_short = target->draining || kind == CW_ORDER_START ||
+                    !has_confirmed_run(target);
 
-    return target->draining ? MIN(lease_ms, LEAVING_LEASE_MS) : lease_ms;
+    return is_short ? MIN(lease_ms, SHORT_LEASE_MS) : lease_ms;
 }
 
 int64_t
-owner_target_lease(struct owner_target *target, struct timespec now)
+owner_target_lease(struct owner_target *target, enum cw_order_kind kind,
+                   struct timespec now)
 {
     struct cw_owner *owner = target->owner;
-    int64_t lease_ms = lease_ms_for(target);
+    int64_t lease_ms = lease_ms_for(target, kind);
     int64_t until_ms = cw_time_diff_ms(cw_time_from_ms(0), now) +
                        target->life.clock_offset_ms + lease_ms;
 
--- a/src/owner/owner_orders.c
+++ b/src/owner/owner_orders.c
@@ -392,7 +392,7 @@
     };
 
     if (order->kind == CW_ORDER_START) {
-        out.lease_until_ms = owner_target_lease(target, now);
+        out.lease_until_ms = owner_target_lease(target, CW_ORDER_START, now);
         out.payload = owner_task_job(run->task)->spec->payload;
         out.saved = run->task->saved;
         run->phase = RUN_STARTING;
--- a/tests/test_drain.c
+++ b/tests/test_drain.c
@@ -96,15 +96,16 @@
     site.owner->options.lease_ms = 10000;
     target = step_of(run_job(&site, 1, &one))->tasks[0].run->target;
     site.owner->proof_at = site.clock.now;
-    before_ms = owner_target_lease(target, site.clock.now);
+    before_ms = owner_target_lease(target, CW_ORDER_HOLD, site.clock.now);
     target->draining = true;
     /* What was given stands. */
     site.clock.now = cw_time_add_ms(site.clock.now, 1000);
     site.owner->proof_at = site.clock.now;
-    CU_ASSERT_EQUAL(owner_target_lease(target, site.clock.now), before_ms);
+    CU_ASSERT_EQUAL(owner_target_lease(target, CW_ORDER_HOLD, site.clock.now),
+                    before_ms);
     site.clock.now = cw_time_add_ms(site.clock.now, 8000);
     site.owner->proof_at = site.clock.now;
-    CU_ASSERT_EQUAL(owner_target_lease(target, site.clock.now),
+    CU_ASSERT_EQUAL(owner_target_lease(target, CW_ORDER_HOLD, site.clock.now),
                     before_ms + 9000 - 10000 + LEAVING_LEASE_MS);
     CU_ASSERT_TRUE(cw_time_diff_ms(site.clock.now, target->lease_end) <=
                    LEAVING_LEASE_MS + 300);
--- a/tests/test_late.c
+++ b/tests/test_late.c
@@ -204,7 +204,9 @@
         int64_t before_ms = target->life.lease_sent_ms;
 
         CU_ASSERT_FALSE(owner_target_reachable(target, later(&site)));
-        CU_ASSERT_EQUAL(owner_target_lease(target, site.clock.now), before_ms);
+        CU_ASSERT_EQUAL(
+            owner_target_lease(target, CW_ORDER_HOLD, site.clock.now),
+            before_ms);
         site.clock.now = cw_time_add_ms(site.clock.now, 300);
         site.owner->proof_at = site.clock.now;
         owner_orders_send(site.owner, target, site.clock.now);
--- a/tests/test_notes.c
+++ b/tests/test_notes.c
@@ -446,7 +446,8 @@
         owner_orders_send(site.owner, target, site.clock.now);
         CU_ASSERT_EQUAL(placed_run->phase, RUN_READY);
         CU_ASSERT_EQUAL(target->orders_in_flight, 0);
-        CU_ASSERT_EQUAL(owner_target_lease(target, site.clock.now), 0);
+        CU_ASSERT_EQUAL(
+            owner_target_lease(target, CW_ORDER_START, site.clock.now), 0);
         CU_ASSERT_FALSE(owner_target_reachable(target, site.clock.now));
     }
     target->note = OWNER_NOTE_NONE;
