A take-over waits only for leases that somebody may still extend

Cause: a new owner waited 12.6 s for each worker that did not answer it, as the one before might extend leases for 6 s more, also where that is known to have ended. Nothing in the log told it.

An owner writes its epoch before it gives a lease; a VM that is deposed, or has started again, writes that its last epoch is over, how long what it gave may last, and silent workers whose leases end before; an owner that has outlasted all before it writes that too. Then 6.6 s from a VM's restart are the most, and what is left of a lease where its owner could say so. 12.6 s stay for a VM that nobody hears of again. A VM that reads a later epoch is deposed at once.

--- a/emulator/emulator_main.c
+++ b/emulator/emulator_main.c
@@ -42,6 +42,7 @@
     unsigned late;
     unsigned cordons;
     unsigned owner_kills;
+    unsigned owner_losses;
     bool calm;
     bool wide;
 };
@@ -65,6 +66,7 @@
     {"owner-kills", 'k', "N", 0,
      "Times that workers crash and the VM that decides is killed soon after",
      0},
+    {"owner-losses", 'x', "N", 0, "The same, with a VM that stays away", 0},
     {"calm", 'q', NULL, 0, "Nothing strikes", 0},
     {"wide", 'b', NULL, 0, "Wide jobs and gangs, and more of them", 0},
     {0},
@@ -118,6 +120,9 @@
     case 'k':
         arguments->owner_kills = (unsigned)strtoul(value, NULL, 10);
         break;
+    case 'x':
+        arguments->owner_losses = (unsigned)strtoul(value, NULL, 10);
+        break;
     case 'q':
         arguments->calm = true;
         break;
@@ -154,6 +159,7 @@
     day.late = arguments->late;
     day.cordons = arguments->cordons;
     day.owner_kills = arguments->owner_kills;
+    day.owner_losses = arguments->owner_losses;
     if (arguments->calm) {
         day.faults = 0;
     }
--- a/emulator/internal/world_private.h
+++ b/emulator/internal/world_private.h
@@ -221,6 +221,9 @@
 /* Workers crash, and the VM that decides is killed soon after. */
 void world_owner_kill(struct world *world, void *unused);
 
+/* The same, and the VM stays away for long. */
+void world_owner_loss(struct world *world, void *unused);
+
 /* ---- world_late.c ---- */
 
 /* Some workers are late for a while. */
--- a/emulator/world.c
+++ b/emulator/world.c
@@ -420,6 +420,10 @@
         world_schedule(world, world_between(world, 1500, options->day_ms),
                        world_owner_kill, NULL);
     }
+    for (unsigned i = 0; i < options->owner_losses; i++) {
+        world_schedule(world, world_between(world, 1500, options->day_ms),
+                       world_owner_loss, NULL);
+    }
     for (unsigned i = 0; i < options->late; i++) {
         world_schedule(world, world_between(world, 1500, options->day_ms),
                        world_late_workers, NULL);
--- a/emulator/world.h
+++ b/emulator/world.h
@@ -29,10 +29,11 @@
                           only with cordons, so that seeds keep their days */
     unsigned cordons;  /* times that an operator closes a data centre to new
                           work for a while */
-    unsigned owner_kills; /* times that workers crash and the VM that decides
-                             is killed soon after */
-    bool wide;            /* jobs and gangs beyond a rack, and many to a job */
-    bool trace;           /* prints faults and answers with their time */
+    unsigned owner_kills;  /* times that workers crash and the VM that decides
+                              is killed soon after */
+    unsigned owner_losses; /* the same, with a VM that stays away */
+    bool wide;  /* jobs and gangs beyond a rack, and many to a job */
+    bool trace; /* prints faults and answers with their time */
 };
 
 struct world_result {
--- a/emulator/world_owner_kills.c
+++ b/emulator/world_owner_kills.c
@@ -9,9 +9,6 @@
     APART_MOST_MS = 1000,
     DOWN_LEAST_MS = 100,
     DOWN_MOST_MS = 1500,
-    /* So many in a hundred are down for long: another VM takes over, and the
-     * one that knew cannot be asked. */
-    LONG_PERCENT = 25,
     LONG_MS = 20000,
     KILLS_DISTURB_MS = 4000
 };
@@ -40,8 +37,6 @@
     return count;
 }
 
-/* A VM that is down for long is no disturbance while it is: the others have
- * to do without it. */
 static void
 kill_owner(struct world *world, void *unused)
 {
@@ -49,26 +44,33 @@
     unsigned down_ms = world_between(world, DOWN_LEAST_MS, DOWN_MOST_MS);
 
     (void)unused;
-    if (vm == NULL) {
-        return;
-    }
-    if (world_chance(world, LONG_PERCENT) && vms_alive(world) > 2) {
-        world_note(world, "kill owner vm-%u for %u", vm->index, LONG_MS);
-        world_disturb(world, 0, KILLS_DISTURB_MS);
-        world_schedule(world, LONG_MS, world_vm_restart, vm);
-    }
-    else {
+    if (vm != NULL) {
         world_note(world, "kill owner vm-%u for %u", vm->index, down_ms);
         world_disturb(world, down_ms, KILLS_DISTURB_MS);
         world_schedule(world, down_ms, world_vm_restart, vm);
+        world_vm_kill(vm);
     }
-    world_vm_kill(vm);
 }
 
-void
-world_owner_kill(struct world *world, void *unused)
+/* A VM that is down for long is no disturbance while it is: the others have
+ * to do without it, and it cannot tell what it knew. */
+static void
+lose_owner(struct world *world, void *unused)
 {
+    struct vm *vm = deciding_vm(world);
+
     (void)unused;
+    if (vm != NULL && vms_alive(world) > 2) {
+        world_note(world, "lose owner vm-%u", vm->index);
+        world_disturb(world, 0, KILLS_DISTURB_MS);
+        world_schedule(world, LONG_MS, world_vm_restart, vm);
+        world_vm_kill(vm);
+    }
+}
+
+static void
+crash_workers(struct world *world)
+{
     for (unsigned i = world_between(world, 1, WORKERS_MOST); i > 0; i--) {
         struct worker_model *worker = world_any_worker(world);
 
@@ -76,5 +78,20 @@
             world_replace_worker(world, worker);
         }
     }
+}
+
+void
+world_owner_kill(struct world *world, void *unused)
+{
+    (void)unused;
+    crash_workers(world);
     world_schedule(world, world_pick(world, APART_MOST_MS), kill_owner, NULL);
 }
+
+void
+world_owner_loss(struct world *world, void *unused)
+{
+    (void)unused;
+    crash_workers(world);
+    world_schedule(world, world_pick(world, APART_MOST_MS), lose_owner, NULL);
+}
--- a/include/curlewcart/cw_replica.h
+++ b/include/curlewcart/cw_replica.h
@@ -1,8 +1,9 @@
 /* Every VM's copy of the jobs that the store holds, folded from its log.
  *
  * Beside jobs the log holds what VMs tell each other: their processors, that
- * an owner is there, which workers' leases it extends no more, and which ends
- * a former owner saw and could not store.
+ * an owner is there, which workers' leases it extends no more, under which
+ * epoch a VM decided and whether it has ended, and which ends a former owner
+ * saw and could not store.
  *
  * Three kinds of records make a job: its specification (any VM), a mark that
  * it was cancelled (any VM), and where it stands (the owner of the shard,
@@ -58,6 +59,27 @@
     unsigned left_ms;
 };
 
+/* The last epoch under which a VM decided, and what it has said of its end. */
+struct cw_replica_epoch {
+    uint64_t epoch;         /* 0: none is known */
+    uint64_t settled_below; /* leases given under epochs below it are over */
+    uint64_t offset;
+    uint64_t end_epoch;          /* 0: none has ended; else it extends no
+                                    lease given under it or an earlier one */
+    struct timespec end_read_at; /* on this VM's clock */
+    unsigned left_ms;            /* all of those are over so long after */
+    GHashTable *sooner;          /* worker -> ms: its own is over before */
+    uint64_t end_offset;
+};
+
+/* True if the VM has said so of the last epoch under which it decided. */
+bool cw_replica_epoch_is_over(const struct cw_replica_epoch *epoch);
+
+/* How long after `end_read_at` the worker's lease may last, if that VM gave
+ * it; NULL: any worker's. */
+int64_t cw_replica_epoch_left_ms(const struct cw_replica_epoch *epoch,
+                                 const char *worker);
+
 /* Who hears of changes; members may be NULL. */
 struct cw_replica_listener {
     /* A job's specification or cancellation was read. */
@@ -70,6 +92,9 @@
     /* A VM has announced its processor, in thousandths of a core. */
     void (*vm_announced)(void *context, const char *vm,
                          unsigned capacity_milli);
+    /* A VM began to decide under an epoch, or tells that it has ended. */
+    void (*epoch_began)(void *context, uint64_t epoch);
+    void (*epoch_ended)(void *context, const char *vm);
     /* A record of an owner was read. */
     void (*owner_wrote)(void *context);
     void *context;
@@ -101,6 +126,9 @@
 /* All notes: worker -> struct cw_replica_note.  Borrowed. */
 GHashTable *cw_replica_notes(const struct cw_replica *replica);
 
+/* All epochs: VM -> struct cw_replica_epoch.  Borrowed. */
+GHashTable *cw_replica_epochs(const struct cw_replica *replica);
+
 /* Where the job stands in log order (enum cw_work_phase). */
 unsigned cw_replica_phase(const struct cw_replica_job *job);
 
--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -321,8 +321,9 @@
     unsigned holds;      /* racks held back in this pass of placement */
     GHashTable *demand;  /* account -> accelerators of its most urgent jobs;
                             owner_demand_update */
-    struct owner_memo *memo;   /* owner_memo.c */
-    struct owner_hints *hints; /* owner_hints.c; outlasts ownership */
+    struct owner_memo *memo;     /* owner_memo.c */
+    struct owner_hints *hints;   /* owner_hints.c; outlasts ownership */
+    struct owner_epochs *epochs; /* owner_epochs.c; outlasts ownership */
     struct owner_waits waits;
 };
 
@@ -564,6 +565,34 @@
 /* Applies all that former owners have told. */
 void owner_hints_adopt(struct cw_owner *owner);
 
+/* ---- owner_epochs.c ---- */
+
+struct owner_epochs *owner_epochs_create(const struct cw_owner *owner);
+void owner_epochs_free(struct owner_epochs *epochs);
+
+/* Writes the epoch that was opened, on the idle log of jobs; this VM decides
+ * once it is recorded. */
+void owner_epochs_record(struct cw_owner *owner);
+bool owner_epochs_recorded(const struct cw_owner *owner);
+
+/* Bounds the leases of workers with runs by what earlier owners may have given
+ * them; to be called once all is read that those have written. */
+void owner_epochs_bound_leases(struct cw_owner *owner, struct timespec now);
+
+/* Another VM told, while this one decides, that its epoch is over. */
+void owner_epochs_other_ended(struct cw_owner *owner, const char *vm);
+
+/* Writes, once it is so, that VMs that take over need not consider earlier
+ * owners; false if the idle log of jobs was not used. */
+bool owner_epochs_settle(struct cw_owner *owner, struct timespec now);
+
+/* Ownership was lost: keeps what this VM may have given. */
+void owner_epochs_collect(struct cw_owner *owner);
+
+/* Tells that this VM's last epoch is over; returns when it wants to be called
+ * next. */
+struct timespec owner_epochs_tick(struct cw_owner *owner, struct timespec now);
+
 /* ---- owner_once.c ---- */
 
 /* True if the run must not be stopped for others' sake: it may have begun
--- a/src/owner/owner.c
+++ b/src/owner/owner.c
@@ -13,9 +13,6 @@
     /* Starts and stops need a confirmation by the store that is younger than
      * the member's time to live, by this. */
     ORDER_PROOF_SLACK_MS = 150,
-    /* Leases go on being extended so long without one, to carry work over
-     * an outage of the store.  A new owner waits for it (see adopt_runs). */
-    EXTEND_PROOF_MS = 6000,
     REPORTS_PACE_MS = 500,
     REPORT_EVERY_MS = 1500, /* as workers do where nothing else is set */
     PLACE_EVERY_MS = 10,
@@ -23,7 +20,6 @@
     CHECK_EVERY_MS = 100,
     SWEEP_EVERY_MS = 5000,
     EPOCHS_PER_GENERATION = 256,
-    TAKEOVER_SLACK_MS = 500,
     TAKEOVER_STEP_MS = 10
 };
 
@@ -38,6 +34,7 @@
 drop_state(struct cw_owner *owner)
 {
     owner_hints_collect(owner);
+    owner_epochs_collect(owner);
     owner->term++;
     owner->idle_looks = 0;
     owner_due_clear(owner->due);
@@ -84,13 +81,6 @@
                (int64_t)owner->options.member_ttl_ms - ORDER_PROOF_SLACK_MS;
 }
 
-bool
-owner_may_extend(const struct cw_owner *owner, struct timespec now)
-{
-    return owner->state == OWNER_ACTIVE &&
-           cw_time_diff_ms(owner->proof_at, now) < EXTEND_PROOF_MS;
-}
-
 void
 owner_prove(struct cw_owner *owner, struct timespec asked)
 {
@@ -106,30 +96,6 @@
 
 /* ---- becoming the owner ---- */
 
-/* Runs that earlier owners have ordered are over at the latest when a lease
- * that they could still extend has passed. */
-static void
-bound_earlier_leases(struct cw_owner *owner, struct timespec now)
-{
-    int64_t lease_ms = owner->options.lease_ms;
-    int64_t most_ms = EXTEND_PROOF_MS + lease_ms +
-                      lease_ms * OWNER_DRIFT_PERCENT / 100 + TAKEOVER_SLACK_MS;
-    GHashTableIter iterator;
-    gpointer value;
-
-    g_hash_table_iter_init(&iterator, owner->targets);
-    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        struct owner_target *target = value;
-
-        if (target->runs->len > 0) {
-            target->lease_end = cw_time_add_ms(now, most_ms);
-            target->lease_source = OWNER_LEASE_EARLIER;
-            target->hold_due = now;
-            owner_target_wake(target);
-        }
-    }
-}
-
 /* A state whose job is over, or unknown, is of no use any more.  One that
  * could not be read stays: its job may still run. */
 static void
@@ -163,7 +129,7 @@
     }
     owner_stored_each(owner->stored, drop_if_past, owner);
     forget_states(owner);
-    bound_earlier_leases(owner, now);
+    owner_epochs_bound_leases(owner, now);
     owner_notes_adopt(owner);
     owner_hints_adopt(owner);
     cw_count_add(owner->options.counters, CW_COUNT_TAKEOVERS, 1);
@@ -277,8 +243,8 @@
            cw_time_diff_ms(owner->began, now) > READ_UP_MOST_MS;
 }
 
-/* True once all is read that was written before earlier owners were shut
- * out. */
+/* True once its epoch is recorded, and all is read that was written before
+ * earlier owners were shut out. */
 static bool
 caught_up(const struct cw_owner *owner)
 {
@@ -286,8 +252,8 @@
         cw_replica_follower(owner->options.replica);
     const struct cw_follower *states = owner_stored_follower(owner->stored);
 
-    return cw_follower_loaded(jobs) && cw_follower_loaded(states) &&
-           cw_follower_loaded(owner->reports) &&
+    return owner_epochs_recorded(owner) && cw_follower_loaded(jobs) &&
+           cw_follower_loaded(states) && cw_follower_loaded(owner->reports) &&
            cw_follower_position(jobs) >=
                owner_log_opened_at(owner->jobs_log) &&
            cw_follower_position(states) >=
@@ -326,6 +292,27 @@
     }
 }
 
+/* Another VM has shut this one out; its next append would show it too. */
+static void
+on_epoch_began(void *context, uint64_t epoch)
+{
+    struct cw_owner *owner = context;
+
+    if (owner->state == OWNER_ACTIVE && epoch > owner->epoch) {
+        owner_depose(owner, "later_epoch");
+    }
+}
+
+static void
+on_epoch_ended(void *context, const char *vm)
+{
+    struct cw_owner *owner = context;
+
+    if (owner->state == OWNER_ACTIVE) {
+        owner_epochs_other_ended(owner, vm);
+    }
+}
+
 static void
 on_vm_announced(void *context, const char *vm, unsigned capacity_milli)
 {
@@ -351,6 +338,8 @@
     struct cw_replica_listener listener = {.changed = on_changed,
                                            .hinted = on_hinted,
                                            .vm_announced = on_vm_announced,
+                                           .epoch_began = on_epoch_began,
+                                           .epoch_ended = on_epoch_ended,
                                            .owner_wrote = on_owner_wrote,
                                            .context = owner};
 
@@ -390,6 +379,7 @@
     owner->demand = g_hash_table_new(g_str_hash, g_str_equal);
     owner->memo = owner_memo_create();
     owner->hints = owner_hints_create();
+    owner->epochs = owner_epochs_create(owner);
     owner_candidacy_init(owner);
     cw_replica_set_listener(options->replica, &listener);
     return owner;
@@ -403,6 +393,7 @@
     }
     drop_state(owner);
     owner_hints_free(owner->hints);
+    owner_epochs_free(owner->epochs);
     g_hash_table_unref(owner->targets);
     g_hash_table_unref(owner->jobs);
     g_hash_table_unref(owner->headroom);
@@ -572,6 +563,7 @@
         owner_log_is_open(owner->jobs_log))
     {
         owner->state = OWNER_CATCHING;
+        owner_epochs_record(owner);
         cw_follower_hurry(cw_replica_follower(owner->options.replica));
         cw_follower_hurry(owner_stored_follower(owner->stored));
     }
@@ -588,6 +580,7 @@
 
     next = owner_group_tick(owner, now);
     cw_time_earlier(&next, owner_hints_tick(owner, now));
+    cw_time_earlier(&next, owner_epochs_tick(owner, now));
     if (owner->state != OWNER_IDLE && owner->state != OWNER_ACTIVE) {
         cw_time_earlier(&next, tick_takeover(owner, now));
     }
--- a/src/owner/owner_commit.c
+++ b/src/owner/owner_commit.c
@@ -287,6 +287,9 @@
     if (!owner_log_is_idle(log)) {
         return owner_log_tick(log, now);
     }
+    if (owner_epochs_settle(owner, now)) {
+        return cw_time_from_ms(INT32_MAX);
+    }
     /* With many silent workers some note is always due: outcomes, which
      * callers wait for, take turns with them. */
     if ((owner->untold->len == 0 || !owner->notes_went) &&
--- /dev/null
+++ b/src/owner/owner_epochs.c
@@ -0,0 +1,475 @@
+/* Until when leases last that were given before this owner took over.
+ *
+ * An owner may be deposed without knowing it, and extends leases for
+ * EXTEND_PROOF_MS after the store confirmed it last.  So a worker that does
+ * not answer the next owner may be at work until such a lease is over.  That
+ * is the bound for an owner of which nothing is known.  It is less where the
+ * log of jobs tells more:
+ *
+ * - An owner writes the epoch under which it decides before it gives a lease.
+ * - A VM that decides no more, or has started again, writes that its last
+ *   epoch is over, and how long what it gave may last.
+ * - Once all that earlier owners gave is over, the owner writes that too, and
+ *   VMs that take over after it need not consider those.
+ */
+#include "owner/internal/owner_private.h"
+
+#include <string.h>
+
+enum {
+    /* Leases go on being extended so long without a proof, to carry work over
+     * an outage of the store. */
+    EXTEND_PROOF_MS = 6000,
+    /* A start that is late may meet a worker's next life, whose lease then
+     * counts from its arrival. */
+    ARRIVES_WITHIN_MS = 500,
+    TIMEOUT_MS = 900,
+    RETRY_MS = 300,
+    /* Workers in a record; some 30 bytes each. */
+    SOONER_MOST = 500
+};
+
+/* An append under way; it may outlast its owner. */
+struct call {
+    struct owner_epochs *epochs; /* NULL once the owner is gone */
+    uint64_t epoch;
+};
+
+struct owner_epochs {
+    /* What this VM gave before it took over, if it did. */
+    uint64_t given_epoch;        /* the last one that has ended; 0 none */
+    struct timespec given_until; /* of any worker */
+    GHashTable *sooner;          /* worker -> struct timespec: its own */
+    bool untold;                 /* the log does not have it yet */
+    struct call *call;
+    struct timespec due;
+    /* As the owner. */
+    bool sent;                 /* its epoch may stand in the log */
+    bool recorded;             /* ... and does */
+    bool settling;             /* that all before is over is being written */
+    struct timespec decides;   /* since when */
+    struct timespec settle_at; /* all that earlier owners gave is over */
+};
+
+/* How long a lease may last, by our clock, from when the last order that gave
+ * one was sent. */
+static int64_t
+lease_most_ms(const struct cw_owner *owner)
+{
+    int64_t lease_ms = owner->options.lease_ms;
+
+    return lease_ms + lease_ms * OWNER_DRIFT_PERCENT / 100 + ARRIVES_WITHIN_MS;
+}
+
+struct owner_epochs *
+owner_epochs_create(const struct cw_owner *owner)
+{
+    struct owner_epochs *epochs = g_new0(struct owner_epochs, 1);
+
+    /* A former life of this VM ended before this one began. */
+    epochs->given_until =
+        cw_time_add_ms(owner_now(owner), lease_most_ms(owner));
+    epochs->sooner =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    return epochs;
+}
+
+void
+owner_epochs_free(struct owner_epochs *epochs)
+{
+    if (epochs->call != NULL) {
+        epochs->call->epochs = NULL;
+    }
+    g_hash_table_unref(epochs->sooner);
+    g_free(epochs);
+}
+
+bool
+owner_may_extend(const struct cw_owner *owner, struct timespec now)
+{
+    return owner->state == OWNER_ACTIVE &&
+           cw_time_diff_ms(owner->proof_at, now) < EXTEND_PROOF_MS;
+}
+
+/* ---- bounds ---- */
+
+/* Leases that were given under epochs below this one are over; 0: that is not
+ * known of any. */
+static uint64_t
+settled_below(const struct cw_owner *owner)
+{
+    GHashTableIter iterator;
+    gpointer value;
+    uint64_t most = 0;
+
+    g_hash_table_iter_init(&iterator,
+                           cw_replica_epochs(owner->options.replica));
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const struct cw_replica_epoch *epoch = value;
+
+        most = MAX(most, epoch->settled_below);
+    }
+    return most;
+}
+
+/* When what an owner gave is over that may not know yet that it is none. */
+static struct timespec
+end_of_unknown(const struct cw_owner *owner)
+{
+    return cw_time_add_ms(owner->epochs->decides,
+                          EXTEND_PROOF_MS + lease_most_ms(owner));
+}
+
+/* When what another VM gave the worker, or any worker, is over. */
+static struct timespec
+end_of_other(const struct cw_owner *owner,
+             const struct cw_replica_epoch *epoch, const char *worker)
+{
+    int64_t left_ms = cw_replica_epoch_left_ms(epoch, worker);
+
+    if (!cw_replica_epoch_is_over(epoch)) {
+        return end_of_unknown(owner);
+    }
+    /* Two VMs' clocks may differ by as much as a worker's from one. */
+    return cw_time_add_ms(epoch->end_read_at,
+                          left_ms + left_ms * OWNER_DRIFT_PERCENT / 100 + 1);
+}
+
+/* The same for this VM, before it took over. */
+static struct timespec
+end_of_own(const struct owner_epochs *epochs, const char *worker)
+{
+    const struct timespec *end =
+        worker != NULL ? g_hash_table_lookup(epochs->sooner, worker) : NULL;
+
+    return end != NULL ? *end : epochs->given_until;
+}
+
+static void
+later(struct timespec *end, struct timespec other)
+{
+    if (cw_time_before(*end, other)) {
+        *end = other;
+    }
+}
+
+/* When all is over that earlier owners gave the worker; NULL: any worker. */
+static struct timespec
+end_of_earlier(const struct cw_owner *owner, const char *worker)
+{
+    struct timespec end = end_of_own(owner->epochs, worker);
+    uint64_t settled = settled_below(owner);
+    GHashTableIter iterator;
+    gpointer vm;
+    gpointer value;
+
+    if (settled == 0) {
+        later(&end, end_of_unknown(owner));
+    }
+    g_hash_table_iter_init(&iterator,
+                           cw_replica_epochs(owner->options.replica));
+    while (g_hash_table_iter_next(&iterator, &vm, &value)) {
+        const struct cw_replica_epoch *epoch = value;
+
+        if (epoch->epoch > 0 && epoch->epoch >= settled &&
+            strcmp(vm, owner->vm) != 0) {
+            later(&end, end_of_other(owner, epoch, worker));
+        }
+    }
+    return end;
+}
+
+void
+owner_epochs_bound_leases(struct cw_owner *owner, struct timespec now)
+{
+    struct owner_epochs *epochs = owner->epochs;
+    GHashTableIter iterator;
+    gpointer value;
+
+    bool any = false;
+
+    epochs->decides = now;
+    g_hash_table_iter_init(&iterator, owner->targets);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        struct owner_target *target = value;
+
+        if (target->runs->len > 0) {
+            any = true;
+            target->lease_end = end_of_earlier(owner, target->id);
+            target->lease_source = OWNER_LEASE_EARLIER;
+            target->hold_due = now;
+            owner_target_wake(target);
+        }
+    }
+    /* Without runs it does not matter what leases last. */
+    epochs->settle_at = any ? end_of_earlier(owner, NULL) : now;
+    cw_log_info("earlier_leases",
+                "shard=%u epoch=%" PRIu64 " settled_below=%" PRIu64
+                " left_ms=%" PRId64,
+                owner->options.partition, owner->epoch, settled_below(owner),
+                cw_time_diff_ms(now, epochs->settle_at));
+}
+
+void
+owner_epochs_other_ended(struct cw_owner *owner, const char *vm)
+{
+    struct owner_epochs *epochs = owner->epochs;
+    GHashTableIter iterator;
+    gpointer value;
+
+    if (strcmp(vm, owner->vm) == 0 || epochs->settling) {
+        return;
+    }
+    cw_time_earlier(&epochs->settle_at, end_of_earlier(owner, NULL));
+    g_hash_table_iter_init(&iterator, owner->targets);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        struct owner_target *target = value;
+
+        /* This owner has given it nothing yet. */
+        if (target->runs->len > 0 && target->seen_at.tv_sec == 0 &&
+            target->life.lease_sent_ms == 0)
+        {
+            owner_lease_lower(target, end_of_earlier(owner, target->id),
+                              OWNER_LEASE_EARLIER);
+            owner_target_wake(target);
+        }
+    }
+    cw_log_info("earlier_leases_end",
+                "shard=%u epoch=%" PRIu64 " vm=%s left_ms=%" PRId64,
+                owner->options.partition, owner->epoch, vm,
+                cw_time_diff_ms(owner_now(owner), epochs->settle_at));
+}
+
+/* ---- while this VM decides ---- */
+
+static struct owner_batch *
+epoch_batch(struct cw_owner *owner, uint64_t settled,
+            owner_batch_stored stored)
+{
+    struct cw_epoch_record record = {.epoch = owner->epoch,
+                                     .settled_below = settled};
+    struct owner_batch *batch = owner_batch_new(stored, owner);
+
+    owner_batch_put(batch, cw_work_key(CW_WORK_KEY_EPOCH, owner->vm),
+                    cw_xdr_encode((xdrproc_t)xdr_cw_epoch_record, &record));
+    return batch;
+}
+
+static void
+on_recorded(void *context, struct owner_batch *batch)
+{
+    struct cw_owner *owner = context;
+
+    (void)batch;
+    owner->epochs->recorded = true;
+}
+
+void
+owner_epochs_record(struct cw_owner *owner)
+{
+    struct owner_epochs *epochs = owner->epochs;
+
+    epochs->sent = true;
+    epochs->recorded = false;
+    epochs->settling = false;
+    owner_log_send(owner->jobs_log,
+                   epoch_batch(owner, settled_below(owner), on_recorded));
+}
+
+bool
+owner_epochs_recorded(const struct cw_owner *owner)
+{
+    return owner->epochs->recorded;
+}
+
+/* What VMs said of earlier epochs is of no use any more. */
+static void
+drop_earlier(const struct cw_owner *owner, struct owner_batch *batch)
+{
+    GHashTableIter iterator;
+    gpointer vm;
+    gpointer value;
+
+    g_hash_table_iter_init(&iterator,
+                           cw_replica_epochs(owner->options.replica));
+    while (g_hash_table_iter_next(&iterator, &vm, &value)) {
+        const struct cw_replica_epoch *epoch = value;
+
+        if (epoch->epoch < owner->epoch && strcmp(vm, owner->vm) != 0) {
+            owner_batch_put(batch, cw_work_key(CW_WORK_KEY_EPOCH, vm), NULL);
+            owner_batch_put(batch, cw_work_key(CW_WORK_KEY_EPOCH_END, vm),
+                            NULL);
+        }
+    }
+}
+
+bool
+owner_epochs_settle(struct cw_owner *owner, struct timespec now)
+{
+    struct owner_epochs *epochs = owner->epochs;
+    struct owner_batch *batch;
+
+    if (epochs->settling || !owner_may_order(owner, now) ||
+        cw_time_before(now, epochs->settle_at))
+    {
+        return false;
+    }
+    epochs->settling = true;
+    batch = epoch_batch(owner, owner->epoch, NULL);
+    drop_earlier(owner, batch);
+    owner_log_send(owner->jobs_log, batch);
+    return true;
+}
+
+/* ---- once it decides no more ---- */
+
+/* Silent workers, whose leases end before those of others. */
+static void
+collect_sooner(struct cw_owner *owner)
+{
+    struct owner_epochs *epochs = owner->epochs;
+    GHashTableIter iterator;
+    gpointer value;
+
+    g_hash_table_remove_all(epochs->sooner);
+    g_hash_table_iter_init(&iterator, owner->targets);
+    while (g_hash_table_iter_next(&iterator, NULL, &value) &&
+           g_hash_table_size(epochs->sooner) < SOONER_MOST)
+    {
+        const struct owner_target *target = value;
+
+        if (target->silent > 0 && target->runs->len > 0 &&
+            cw_time_before(target->lease_end, epochs->given_until))
+        {
+            g_hash_table_insert(
+                epochs->sooner, g_strdup(target->id),
+                g_memdup2(&target->lease_end, sizeof(target->lease_end)));
+        }
+    }
+}
+
+void
+owner_epochs_collect(struct cw_owner *owner)
+{
+    struct owner_epochs *epochs = owner->epochs;
+
+    if (!epochs->sent) {
+        return;
+    }
+    epochs->sent = false;
+    epochs->given_epoch = owner->epoch;
+    epochs->untold = true;
+    if (owner->state == OWNER_ACTIVE) {
+        epochs->given_until =
+            cw_time_add_ms(owner_now(owner), lease_most_ms(owner));
+        collect_sooner(owner);
+    }
+}
+
+/* A former life of this VM has left its epoch in the log. */
+static void
+note_former_life(struct cw_owner *owner)
+{
+    struct owner_epochs *epochs = owner->epochs;
+    const struct cw_replica_epoch *own = g_hash_table_lookup(
+        cw_replica_epochs(owner->options.replica), owner->vm);
+
+    if (own != NULL && !epochs->sent && !cw_replica_epoch_is_over(own) &&
+        own->epoch > epochs->given_epoch)
+    {
+        epochs->given_epoch = own->epoch;
+        epochs->untold = true;
+    }
+}
+
+static unsigned
+left_until_ms(struct timespec now, struct timespec end)
+{
+    return (unsigned)MAX(0, cw_time_diff_ms(now, end));
+}
+
+static GByteArray *
+encode_end(const struct owner_epochs *epochs, struct timespec now)
+{
+    struct cw_epoch_end_record record = {
+        .epoch = epochs->given_epoch,
+        .left_ms = left_until_ms(now, epochs->given_until)};
+    GArray *rows = g_array_new(FALSE, FALSE, sizeof(struct cw_lease_left));
+    GHashTableIter iterator;
+    gpointer worker;
+    gpointer value;
+    GByteArray *bytes;
+
+    g_hash_table_iter_init(&iterator, epochs->sooner);
+    while (g_hash_table_iter_next(&iterator, &worker, &value)) {
+        const struct timespec *end = value;
+        struct cw_lease_left row = {.worker = worker,
+                                    .left_ms = left_until_ms(now, *end)};
+
+        g_array_append_val(rows, row);
+    }
+    record.sooner.sooner_len = rows->len;
+    record.sooner.sooner_val = (void *)rows->data;
+    bytes = cw_xdr_encode((xdrproc_t)xdr_cw_epoch_end_record, &record);
+    g_array_unref(rows);
+    return bytes;
+}
+
+static void
+on_told(void *context, const struct cw_store_appended *result)
+{
+    struct call *call = context;
+    struct owner_epochs *epochs = call->epochs;
+
+    if (epochs != NULL) {
+        epochs->call = NULL;
+        if (result->status == CW_STORE_OK &&
+            call->epoch == epochs->given_epoch) {
+            epochs->untold = false;
+            cw_log_info("epoch_ended", "epoch=%" PRIu64 " offset=%" PRIu64,
+                        call->epoch, result->first);
+        }
+    }
+    g_free(call);
+}
+
+static void
+tell_end(struct cw_owner *owner, struct timespec now)
+{
+    struct owner_epochs *epochs = owner->epochs;
+    struct call *call = g_new0(struct call, 1);
+    GByteArray *bytes = encode_end(epochs, now);
+    char *key = cw_work_key(CW_WORK_KEY_EPOCH_END, owner->vm);
+    struct cw_store_record record = {
+        .key = key, .value = bytes->data, .length = bytes->len};
+    struct cw_store_append append = {.topic = CW_WORK_TOPIC,
+                                     .partition = owner->options.partition,
+                                     .records = &record,
+                                     .count = 1,
+                                     .timeout_ms = TIMEOUT_MS,
+                                     .done = on_told,
+                                     .context = call};
+
+    call->epochs = epochs;
+    call->epoch = epochs->given_epoch;
+    epochs->call = call;
+    owner->options.store->ops->append(owner->options.store, &append);
+    g_byte_array_unref(bytes);
+    g_free(key);
+}
+
+struct timespec
+owner_epochs_tick(struct cw_owner *owner, struct timespec now)
+{
+    struct owner_epochs *epochs = owner->epochs;
+
+    note_former_life(owner);
+    if (!epochs->untold || epochs->call != NULL) {
+        return cw_time_from_ms(INT32_MAX);
+    }
+    if (!cw_time_before(now, epochs->due)) {
+        epochs->due = cw_time_add_ms(now, RETRY_MS);
+        tell_end(owner, now);
+    }
+    return epochs->due;
+}
--- a/src/proto/cw_proto.h
+++ b/src/proto/cw_proto.h
@@ -203,6 +203,28 @@
 };
 typedef struct cw_note_record cw_note_record;
 
+struct cw_epoch_record {
+	u_quad_t epoch;
+	u_quad_t settled_below;
+};
+typedef struct cw_epoch_record cw_epoch_record;
+
+struct cw_lease_left {
+	cw_name worker;
+	u_int left_ms;
+};
+typedef struct cw_lease_left cw_lease_left;
+
+struct cw_epoch_end_record {
+	u_quad_t epoch;
+	u_int left_ms;
+	struct {
+		u_int sooner_len;
+		cw_lease_left *sooner_val;
+	} sooner;
+};
+typedef struct cw_epoch_end_record cw_epoch_end_record;
+
 struct cw_hint_end {
 	cw_name worker;
 	u_int occurrence;
@@ -327,6 +349,9 @@
 extern  bool_t xdr_cw_vm_record (XDR *, cw_vm_record*);
 extern  bool_t xdr_cw_beat_record (XDR *, cw_beat_record*);
 extern  bool_t xdr_cw_note_record (XDR *, cw_note_record*);
+extern  bool_t xdr_cw_epoch_record (XDR *, cw_epoch_record*);
+extern  bool_t xdr_cw_lease_left (XDR *, cw_lease_left*);
+extern  bool_t xdr_cw_epoch_end_record (XDR *, cw_epoch_end_record*);
 extern  bool_t xdr_cw_hint_end (XDR *, cw_hint_end*);
 extern  bool_t xdr_cw_hint_record (XDR *, cw_hint_record*);
 extern  bool_t xdr_cw_relay_kind (XDR *, cw_relay_kind*);
@@ -350,6 +375,9 @@
 extern bool_t xdr_cw_vm_record ();
 extern bool_t xdr_cw_beat_record ();
 extern bool_t xdr_cw_note_record ();
+extern bool_t xdr_cw_epoch_record ();
+extern bool_t xdr_cw_lease_left ();
+extern bool_t xdr_cw_epoch_end_record ();
 extern bool_t xdr_cw_hint_end ();
 extern bool_t xdr_cw_hint_record ();
 extern bool_t xdr_cw_relay_kind ();
--- a/src/proto/cw_proto.x
+++ b/src/proto/cw_proto.x
@@ -177,6 +177,27 @@
     unsigned int left_ms;
 };
 
+/* A VM decides under an epoch, and may extend leases of workers. */
+struct cw_epoch_record {
+    unsigned hyper epoch;
+    unsigned hyper settled_below;    /* all leases that were given under an
+                                        epoch below it are over; 0: unknown */
+};
+
+/* Of a worker that was silent when an epoch ended. */
+struct cw_lease_left {
+    cw_name worker;
+    unsigned int left_ms;
+};
+
+/* A VM extends no leases any more that it gave under this epoch or an earlier
+ * one: so long after the record was written the last of them is over. */
+struct cw_epoch_end_record {
+    unsigned hyper epoch;
+    unsigned int left_ms;
+    cw_lease_left sooner<CW_TASKS_MAX>; /* workers whose leases end before */
+};
+
 /* An end that a worker has listed. */
 struct cw_hint_end {
     cw_name worker;
--- a/src/proto/cw_proto_xdr.c
+++ b/src/proto/cw_proto_xdr.c
@@ -800,6 +800,45 @@
 	return TRUE;
 }
 
+bool_t
+xdr_cw_epoch_record (XDR *xdrs, cw_epoch_record *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->settled_below))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_cw_lease_left (XDR *xdrs, cw_lease_left *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_cw_name (xdrs, &objp->worker))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->left_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_cw_epoch_end_record (XDR *xdrs, cw_epoch_end_record *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->left_ms))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->sooner.sooner_val, (u_int *) &objp->sooner.sooner_len, CW_TASKS_MAX,
+		sizeof (cw_lease_left), (xdrproc_t) xdr_cw_lease_left))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_cw_hint_end (XDR *xdrs, cw_hint_end *objp)
 {
--- a/src/replica/replica.c
+++ b/src/replica/replica.c
@@ -1,5 +1,5 @@
 /* The fold of a shard's log into its jobs. */
-#include "curlewcart/cw_replica.h"
+#include "replica/internal/replica_epochs.h"
 
 #include <inttypes.h>
 #include <string.h>
@@ -15,7 +15,8 @@
     struct cw_replica_listener listener;
     struct cw_clock *clock;
     GHashTable *jobs;
-    GHashTable *notes; /* worker -> struct cw_replica_note */
+    GHashTable *notes;  /* worker -> struct cw_replica_note */
+    GHashTable *epochs; /* VM -> struct cw_replica_epoch */
 };
 
 static void
@@ -239,6 +240,31 @@
     g_hash_table_insert(replica->notes, g_strdup(worker), note);
 }
 
+static void
+apply_epoch(struct cw_replica *replica, const struct cw_store_record *record)
+{
+    const struct cw_replica_epoch *epoch =
+        replica_epochs_begin(replica->epochs, record);
+
+    if (epoch != NULL && replica->listener.epoch_began != NULL) {
+        replica->listener.epoch_began(replica->listener.context, epoch->epoch);
+    }
+    tell_owner_wrote(replica);
+}
+
+static void
+apply_epoch_end(struct cw_replica *replica,
+                const struct cw_store_record *record)
+{
+    if (replica_epochs_end(replica->epochs, record,
+                           cw_clock_now(replica->clock)) != NULL &&
+        replica->listener.epoch_ended != NULL)
+    {
+        replica->listener.epoch_ended(replica->listener.context,
+                                      record->key + 1);
+    }
+}
+
 /* Folds a record of the job `id`. */
 static void
 apply(struct cw_replica *replica, const char *id,
@@ -252,6 +278,9 @@
         else if (record->key[0] == CW_WORK_KEY_NOTE) {
             drop_note(replica, record);
         }
+        else if (record->key[0] == CW_WORK_KEY_EPOCH) {
+            replica_epochs_drop(replica->epochs, record);
+        }
         return;
     }
     switch (record->key[0]) {
@@ -271,6 +300,12 @@
     case CW_WORK_KEY_BEAT:
         tell_owner_wrote(replica);
         break;
+    case CW_WORK_KEY_EPOCH:
+        apply_epoch(replica, record);
+        break;
+    case CW_WORK_KEY_EPOCH_END:
+        apply_epoch_end(replica, record);
+        break;
     case CW_WORK_KEY_HINT:
         apply_hint(replica, id, record);
         break;
@@ -347,6 +382,7 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, job_free);
     replica->notes =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    replica->epochs = replica_epochs_new();
     replica->clock = options->clock;
     replica->follower = cw_follower_create(&follow);
     return replica;
@@ -359,6 +395,7 @@
         cw_follower_free(replica->follower);
         g_hash_table_unref(replica->jobs);
         g_hash_table_unref(replica->notes);
+        g_hash_table_unref(replica->epochs);
         g_free(replica);
     }
 }
@@ -394,6 +431,12 @@
     return replica->notes;
 }
 
+GHashTable *
+cw_replica_epochs(const struct cw_replica *replica)
+{
+    return replica->epochs;
+}
+
 unsigned
 cw_replica_phase(const struct cw_replica_job *job)
 {
--- a/tests/test_notes.c
+++ b/tests/test_notes.c
@@ -10,6 +10,8 @@
     FIRST_MS = 5000, /* for how long the first owner decides */
     ANSWERED_MS = 300,
     TURNS = 2,
+    OTHER_EPOCH = 500,
+    LATER = 2, /* generation: its epochs are higher than the other's */
     TURN_MS = 4000,
     RENEWED_MS = 2500 /* a note may be so old, and its reading late */
 };
@@ -288,21 +290,25 @@
     bed_end(&bed);
 }
 
-/* The worker was heard, and its lease extended, after this VM had read the
- * note: it has to read that first. */
+/* The worker was heard, and its lease extended, by another owner after this VM
+ * had read the note: it has to read that first. */
 static void
 test_a_vm_that_lacks_the_taking_back_does_not_decide(void)
 {
     struct bed bed;
     GByteArray *nothing = g_byte_array_new();
+    struct cw_epoch_record value = {.epoch = OTHER_EPOCH};
+    GByteArray *epoch = cw_xdr_encode((xdrproc_t)xdr_cw_epoch_record, &value);
 
     bed_with_runs(&bed);
     run(&bed, FIRST_MS);
     owner_depose(bed.owner, "test");
     CU_ASSERT_PTR_NOT_NULL(note_of(&bed));
     bed.deaf = true;
+    put(&bed, CW_WORK_TOPIC, "oother", epoch);
     put(&bed, CW_WORK_TOPIC, "n" WORKER, nothing);
     run(&bed, FIRST_BOUND_MS); /* the noted bound is over */
+    bed.generation = LATER;
     take_over(&bed);
     run(&bed, 5000);
     CU_ASSERT_PTR_NOT_NULL(note_of(&bed));
@@ -312,6 +318,7 @@
     CU_ASSERT_TRUE(cw_owner_active(bed.owner));
     run(&bed, FIRST_BOUND_MS - 2500);
     CU_ASSERT_EQUAL(the_job(&bed)->runs, TASKS);
+    g_byte_array_unref(epoch);
     g_byte_array_unref(nothing);
     bed_end(&bed);
 }
