The end of a lease is noticed at once

A job whose worker had died waited up to 0.1 s longer than its lease.

Cause: a worker is attended to when a look or an order is due, and else with the general check each 0.1 s; the end of its lease was not among what wakes it.

--- a/src/owner/owner_holds.c
+++ b/src/owner/owner_holds.c
@@ -599,18 +599,13 @@
     }
 }
 
-struct timespec
-owner_hold_tick(struct cw_owner *owner, struct owner_target *target,
-                struct timespec now)
+/* Sends a look if one is due; returns when it wants to be called next. */
+static struct timespec
+look_tick(struct cw_owner *owner, struct owner_target *target,
+          struct timespec now)
 {
     struct timespec due = target->hold_due;
 
-    if (cw_time_before(target->lease_end, now) &&
-        owner_target_has_ordered_run(target))
-    {
-        lease_over(owner, target);
-        due = target->hold_due;
-    }
     if (target->hold_in_flight || !wants_hold(target, now) ||
         !owner_may_extend(owner, now))
     {
@@ -634,3 +629,23 @@
     }
     return due;
 }
+
+struct timespec
+owner_hold_tick(struct cw_owner *owner, struct owner_target *target,
+                struct timespec now)
+{
+    struct timespec next;
+
+    if (cw_time_before(target->lease_end, now) &&
+        owner_target_has_ordered_run(target))
+    {
+        lease_over(owner, target);
+    }
+    next = look_tick(owner, target, now);
+    if (!cw_time_before(target->lease_end, now) &&
+        owner_target_has_ordered_run(target))
+    {
+        cw_time_earlier(&next, cw_time_add_ms(target->lease_end, 1));
+    }
+    return next;
+}
--- a/tests/test_leases.c
+++ b/tests/test_leases.c
@@ -204,12 +204,34 @@
     site_end(&site);
 }
 
+/* Guards against lost work that waits for the next general check after its
+ * worker's lease is over. */
+static void
+test_the_end_of_a_lease_is_noticed_at_once(void)
+{
+    const struct cw_step_spec one = {.tasks = 1, .accelerators = 4};
+    struct site site;
+    struct owner_target *target;
+    struct timespec next;
+
+    site_begin(&site);
+    site.owner->proof_at = site.clock.now;
+    target = step_of(run_job(&site, 0, &one))->tasks[0].run->target;
+    (void)owner_hold_tick(site.owner, target, site.clock.now);
+    CU_ASSERT_TRUE(target->hold_in_flight);
+    next = owner_hold_tick(site.owner, target, site.clock.now);
+    CU_ASSERT_TRUE(cw_time_diff_ms(target->lease_end, next) >= 0);
+    CU_ASSERT_TRUE(cw_time_diff_ms(target->lease_end, next) <= 1);
+    site_end(&site);
+}
+
 static const struct test tests[] = {
     {"answer", test_an_answer_bounds_what_earlier_owners_gave},
     {"restart", test_a_restarted_vm_extends_no_leases_of_its_former_life},
     {"deposed", test_a_deposed_owner_tells_that_it_extends_no_more},
     {"places", test_places_on_a_silent_worker_are_given_up},
     {"growth", test_starts_do_not_lengthen_a_lease_that_is_kept_up},
+    {"noticed", test_the_end_of_a_lease_is_noticed_at_once},
     {"unconfirmed", test_an_unconfirmed_start_gives_a_short_lease},
 };
 
