Leases are counted by how old the reading of a worker's clock is

Cause: a lease is told as a time on the worker's clock, by the last reading of it. Clocks may be 2% slow; an idle worker is not looked at, so that a start of 4 s after a minute lasted 5.3 s, counted as 4.3. And a worker that an earlier owner had just given 6 s was counted by the new owner's 4 s alone, as only workers with runs are bounded at a take-over.

A start waits for a look where the reading is older than 30 s, and what the clock may have fallen behind is taken off the lease. An owner's first answer from a worker of which nothing is known counts as a whole lease.

--- a/src/owner/internal/owner_lives.h
+++ b/src/owner/internal/owner_lives.h
@@ -16,8 +16,9 @@
 struct owner_life {
     int64_t born_ms; /* when it began, by its own time of day; 0 unknown */
     bool clock_known;
-    int64_t clock_offset_ms; /* its clock less ours */
-    int64_t lease_sent_ms;   /* latest end of lease sent, on its clock */
+    int64_t clock_offset_ms;  /* its clock less ours */
+    struct timespec clock_at; /* when that was read */
+    int64_t lease_sent_ms;    /* latest end of lease sent, on its clock */
     /* Numbers of its ends: seen here, in the batch under way, stored, and
      * known to be stored there. */
     uint64_t ends_applied;
--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -703,9 +703,16 @@
 
 /* ---- owner_leases.c ---- */
 
-/* How long a lease that is given now may last, by our clock. */
+/* How long a lease of the longest that workers take may last, by our clock. */
 int64_t owner_lease_most_ms(const struct cw_owner *owner);
 
+/* The longest that owners give, by the worker's clock. */
+int64_t owner_lease_given_ms(const struct cw_owner *owner);
+
+/* True if the worker's clock was read lately enough to give it a lease. */
+bool owner_lease_clock_is_fresh(const struct owner_target *target,
+                                struct timespec now);
+
 /* End of lease to send with an order now, on the worker's clock; it is never
  * earlier than one that was sent before. */
 int64_t owner_target_lease(struct owner_target *target,
--- a/src/owner/owner_leases.c
+++ b/src/owner/owner_leases.c
@@ -8,7 +8,10 @@
     LEASE_SLACK_MS = 200,
     /* Where little would be lost with it: two looks without an answer fit in,
      * and nothing waits for the rest of a long one. */
-    SHORT_LEASE_MS = 4000
+    SHORT_LEASE_MS = 4000,
+    /* A reading of a worker's clock that is older gives no lease: 2% of it
+     * would be much of a short one. */
+    CLOCK_FRESH_MS = 30000
 };
 
 /* How long a lease of so many ms of the worker's clock may last by ours. */
@@ -24,6 +27,12 @@
     return most_ms(owner->options.lease_ms);
 }
 
+int64_t
+owner_lease_given_ms(const struct cw_owner *owner)
+{
+    return owner->options.lease_ms;
+}
+
 void
 owner_lease_raise(struct owner_target *target, struct timespec end,
                   enum owner_lease_source source)
@@ -45,13 +54,17 @@
 }
 
 /* From then on it refuses earlier owners: what they gave lasts no longer than
- * a lease that is given now. */
+ * a lease may.  Where nothing was known of it, it may last so long. */
 void
 owner_lease_seen(struct owner_target *target, struct timespec now)
 {
-    owner_lease_lower(target,
-                      cw_time_add_ms(now, owner_lease_most_ms(target->owner)),
-                      OWNER_LEASE_EARLIER);
+    struct timespec latest =
+        cw_time_add_ms(now, owner_lease_most_ms(target->owner));
+
+    if (target->seen_at.tv_sec == 0 && target->runs->len == 0) {
+        owner_lease_raise(target, latest, OWNER_LEASE_EARLIER);
+    }
+    owner_lease_lower(target, latest, OWNER_LEASE_EARLIER);
 }
 
 const char *
@@ -88,13 +101,29 @@
 static int64_t
 lease_ms_for(const struct owner_target *target, enum cw_order_kind kind)
 {
-    int64_t lease_ms = target->owner->options.lease_ms;
+    int64_t lease_ms = owner_lease_given_ms(target->owner);
     bool is_short = target->draining || kind == CW_ORDER_START ||
                     !has_confirmed_run(target);
 
     return is_short ? MIN(lease_ms, SHORT_LEASE_MS) : lease_ms;
 }
 
+/* How far the worker's clock may be behind what its last reading tells. */
+static int64_t
+clock_behind_ms(const struct owner_target *target, struct timespec now)
+{
+    return cw_time_diff_ms(target->life.clock_at, now) * OWNER_DRIFT_PERCENT /
+           100;
+}
+
+bool
+owner_lease_clock_is_fresh(const struct owner_target *target,
+                           struct timespec now)
+{
+    return target->life.clock_known &&
+           cw_time_diff_ms(target->life.clock_at, now) <= CLOCK_FRESH_MS;
+}
+
 int64_t
 owner_target_lease(struct owner_target *target, enum cw_order_kind kind,
                    struct timespec now)
@@ -102,12 +131,13 @@
     struct cw_owner *owner = target->owner;
     int64_t lease_ms = lease_ms_for(target, kind);
     int64_t until_ms = cw_time_diff_ms(cw_time_from_ms(0), now) +
-                       target->life.clock_offset_ms + lease_ms;
+                       target->life.clock_offset_ms + lease_ms -
+                       clock_behind_ms(target, now);
 
     /* While it is silent its lease is not extended, so that the tasks there
      * can be started elsewhere once the last one has passed. */
-    if (!target->life.clock_known || target->note != OWNER_NOTE_NONE ||
-        owner_tombstone_pending(target) ||
+    if (!owner_lease_clock_is_fresh(target, now) ||
+        target->note != OWNER_NOTE_NONE || owner_tombstone_pending(target) ||
         (target->silent > 0 && target->life.lease_sent_ms > 0) ||
         !owner_may_extend(owner, now))
     {
--- a/src/owner/owner_orders.c
+++ b/src/owner/owner_orders.c
@@ -339,7 +339,8 @@
  * the task would be started elsewhere beside it.  Work that must not be begun
  * twice waits in any case: the former life may have begun it.
  *
- * None is sent while cordons may have been ordered that are not known here.
+ * None is sent while cordons may have been ordered that are not known here,
+ * nor before the worker's clock was read lately: the lease is given by that.
  *
  * One that answers again gets no start, as that extends its lease, until its
  * note is known to be dropped, and what may still arrive there is shut out. */
@@ -347,7 +348,7 @@
 waits(const struct owner_order *order, struct timespec now,
       struct timespec *next)
 {
-    const struct owner_target *target = order->target;
+    struct owner_target *target = order->target;
     const struct owner_run *run = order_run(order);
 
     if (order->kind != CW_ORDER_START || run == NULL || run->stopping) {
@@ -361,6 +362,10 @@
     {
         return true;
     }
+    if (!owner_lease_clock_is_fresh(target, now) && target->silent == 0) {
+        cw_time_earlier(&target->hold_due, now);
+        return true;
+    }
     if (run->phase != RUN_STARTING) {
         return false;
     }
--- a/src/owner/owner_targets.c
+++ b/src/owner/owner_targets.c
@@ -289,6 +289,7 @@
 {
     if (clock_ms > 0) {
         target->life.clock_known = true;
+        target->life.clock_at = now;
         target->life.clock_offset_ms =
             clock_ms - cw_time_diff_ms(cw_time_from_ms(0), now);
     }
--- a/tests/owner_site.h
+++ b/tests/owner_site.h
@@ -88,6 +88,7 @@
     target->capacity.memory_mb = 65536;
     target->listed = true;
     target->life.clock_known = true;
+    target->life.clock_at = site->clock.now;
     target->answered = true;
 }
 
--- /dev/null
+++ b/tests/test_short_leases.c
@@ -0,0 +1,195 @@
+/* Leases that are shorter than the workers' most: whether the owner's bound
+ * covers what the worker may hold. */
+#include "test_main.h"
+
+#include "owner_bed.h"
+
+#define OTHER_ID "5c0e7a21d94b36f9"
+
+enum { IDLE_MS = 60000, FRESH_MS = 20000, LATE_MS = 5000, DRIFT_PERCENT = 2 };
+
+/* How long the lease that an order gives lasts on our clock, at a worker whose
+ * clock shows `clock_ms` as it arrives and is slow. */
+static int64_t
+lasts_ms(const struct cw_target_order *order, int64_t clock_ms)
+{
+    int64_t given_ms = MIN(order->lease_until_ms - clock_ms, LEASE_MS);
+
+    return given_ms + given_ms * DRIFT_PERCENT / 100;
+}
+
+/* A start to a worker with a slow clock that was not looked at for long, and
+ * that carries it out so late. */
+static void
+check_start_after_idle(int64_t late_ms)
+{
+    const struct cw_step_spec one = {.tasks = 1, .accelerators = 4};
+    struct site site;
+    struct owner_run *run;
+    struct cw_task_name name;
+    int64_t clock_ms = START_MS;
+    struct cw_target_answer answer = {.status = CW_TARGET_OK};
+    struct cw_target_order look;
+
+    site_begin(&site);
+    for (guint i = 0; i < RACKS * PER_RACK; i++) {
+        char id[16];
+        struct owner_target *target;
+
+        g_snprintf(id, sizeof(id), "w%02u", i);
+        target = owner_target_get(site.owner, id);
+        owner_target_clock(target, clock_ms, site.clock.now);
+    }
+    site.clock.now = cw_time_add_ms(site.clock.now, IDLE_MS);
+    clock_ms += IDLE_MS * (100 - DRIFT_PERCENT) / 100;
+    site.owner->proof_at = site.clock.now;
+    run = step_of(add_job(&site, 1, &one))->tasks[0].run;
+    pass(&site, 10);
+    run = step_of(g_hash_table_lookup(site.owner->jobs, "0000000000000001"))
+              ->tasks[0]
+              .run;
+    CU_ASSERT_PTR_NOT_NULL_FATAL(run);
+    run->phase = RUN_READY;
+    name = owner_task_name(run->task);
+    owner_order_queue(site.owner, run->target, CW_ORDER_START, &name,
+                      run->number);
+    owner_orders_send(site.owner, run->target, site.clock.now);
+    CU_ASSERT_EQUAL(run->phase, RUN_READY);
+    (void)owner_hold_tick(site.owner, run->target, site.clock.now);
+    CU_ASSERT_EQUAL_FATAL(last_order.kind, CW_ORDER_HOLD);
+    look = last_order;
+    g_array_set_size(unanswered, unanswered->len - 1);
+    answer.clock_ms = clock_ms;
+    look.done(look.context, &answer);
+    site.clock.now = cw_time_add_ms(site.clock.now, FRESH_MS);
+    clock_ms += FRESH_MS * (100 - DRIFT_PERCENT) / 100;
+    site.owner->proof_at = site.clock.now;
+    owner_orders_send(site.owner, run->target, site.clock.now);
+    CU_ASSERT_EQUAL_FATAL(last_order.kind, CW_ORDER_START);
+    clock_ms += late_ms * (100 - DRIFT_PERCENT) / 100;
+    CU_ASSERT_TRUE(late_ms + lasts_ms(&last_order, clock_ms) <=
+                   cw_time_diff_ms(site.clock.now, run->target->lease_end));
+    site_end(&site);
+}
+
+/* Guards against two runs of a task: a worker with a slow clock that was not
+ * looked at for long gets a longer lease than the owner counts. */
+static void
+test_a_short_lease_holds_on_a_slow_clock_not_read_for_long(void)
+{
+    check_start_after_idle(0);
+}
+
+/* The same where the worker carries the start out seconds late: the platform's
+ * bound on a lease then counts from its arrival. */
+static void
+test_a_late_start_holds_on_a_slow_clock_not_read_for_long(void)
+{
+    check_start_after_idle(LATE_MS);
+}
+
+/* The worker, as it answers: its clock runs as ours. */
+struct worker {
+    int64_t lease_ms; /* the latest end that an order gave it */
+    bool runs;        /* it lists all tasks; else their ends */
+    bool idle;        /* ... or nothing */
+    bool started;     /* a start has reached it */
+};
+
+static void
+answer_as(struct bed *bed, struct worker *worker)
+{
+    struct cw_running running[TASKS] = {0};
+    struct cw_ended ended[TASKS] = {0};
+    struct cw_target_answer answer = {.status = CW_TARGET_OK, .born_ms = 1};
+
+    for (unsigned i = 0; i < TASKS; i++) {
+        running[i].task.job = ID;
+        running[i].task.index = i;
+        running[i].run = RUN;
+        running[i].saved = "";
+        ended[i].number = i + 1;
+        ended[i].task = running[i].task;
+        ended[i].run = RUN;
+        ended[i].how = CW_END_KIND_DONE;
+        ended[i].saved = "";
+    }
+    answer.clock_ms = cw_time_diff_ms(cw_time_from_ms(0), bed->clock.now);
+    answer.running = running;
+    answer.running_count = worker->runs ? TASKS : 0;
+    answer.ended = ended;
+    answer.ended_count = worker->runs || worker->idle ? 0 : TASKS;
+    while (!worker->started && unanswered != NULL && unanswered->len > 0) {
+        struct cw_target_order order =
+            g_array_index(unanswered, struct cw_target_order, 0);
+
+        if (order.kind == CW_ORDER_START) {
+            worker->started = true;
+            return;
+        }
+        worker->lease_ms = MAX(worker->lease_ms, order.lease_until_ms);
+        g_array_remove_index(unanswered, 0);
+        order.done(order.context, &answer);
+    }
+}
+
+static void
+run_worker(struct bed *bed, struct worker *worker, unsigned ms)
+{
+    for (unsigned passed = 0; passed < ms && !worker->started;
+         passed += STEP_MS) {
+        run(bed, STEP_MS);
+        answer_as(bed, worker);
+    }
+}
+
+/* Guards against two runs of a task: an earlier owner's look has given the
+ * worker a lease of 6 s, the next owner's start there counts 4 s. */
+static void
+test_a_short_lease_covers_what_an_earlier_owner_gave(void)
+{
+    const struct work_spec_options options = {.id = OTHER_ID,
+                                              .tasks = 1,
+                                              .accelerators = 1,
+                                              .max_attempts = 2,
+                                              .stretch_milli = 2000};
+    struct bed bed;
+    struct worker worker = {.runs = true};
+    GByteArray *bytes = work_spec_encode(&options);
+    int64_t counted_ms;
+
+    bed_begin(&bed);
+    put_spec(&bed);
+    put_state(&bed, CW_STATE_TOPIC, CW_WORK_RUNNING);
+    take_over(&bed);
+    list_worker(&bed);
+    run_worker(&bed, &worker, 1000);
+    worker.runs = false; /* all tasks have ended */
+    run_worker(&bed, &worker, 300);
+    bed.generation++;
+    vm_end(&bed);
+    bed.vm = "other";
+    vm_begin(&bed);
+    take_over(&bed);
+    CU_ASSERT_PTR_NULL(the_worker(&bed)); /* no runs are known there */
+    worker.idle = true;
+    put(&bed, CW_WORK_TOPIC, "s" OTHER_ID, bytes);
+    (void)owner_target_get(bed.owner, "w");
+    list_worker(&bed);
+    run_worker(&bed, &worker, 3000);
+    CU_ASSERT_TRUE_FATAL(worker.started);
+    counted_ms =
+        cw_time_diff_ms(cw_time_from_ms(0), the_worker(&bed)->lease_end);
+    CU_ASSERT_TRUE(counted_ms >= worker.lease_ms);
+    g_byte_array_unref(bytes);
+    bed_end(&bed);
+}
+
+static const struct test tests[] = {
+    {"slow clock", test_a_short_lease_holds_on_a_slow_clock_not_read_for_long},
+    {"slow clock, late",
+     test_a_late_start_holds_on_a_slow_clock_not_read_for_long},
+    {"earlier", test_a_short_lease_covers_what_an_earlier_owner_gave},
+};
+
+TEST_MAIN("short leases", tests)
