Leases last 5.5 s at most, however long workers take them

A job whose worker dies under a steady owner stood still for 6.9 s where leases may last 6 s, with an order under way, and for 10.7 s where they may last 10 s.

Cause: leases were as long as the platform allows (max_hold_ms), which is a limit and says nothing of how long a job may wait for one. With 5.5 s, 0.65 s or more are left for a pass, the store and the start.

--- a/src/owner/owner_leases.c
+++ b/src/owner/owner_leases.c
@@ -6,6 +6,9 @@
 
 enum {
     LEASE_SLACK_MS = 200,
+    /* Of a worker that works: 7 s from its end until its tasks run elsewhere
+     * are borne, however long a lease the platform allows. */
+    LONG_LEASE_MS = 5500,
     /* Where little would be lost with it: two looks without an answer fit in,
      * and nothing waits for the rest of a long one. */
     SHORT_LEASE_MS = 4000,
@@ -30,7 +33,7 @@
 int64_t
 owner_lease_given_ms(const struct cw_owner *owner)
 {
-    return owner->options.lease_ms;
+    return MIN(owner->options.lease_ms, LONG_LEASE_MS);
 }
 
 void
