The end of an epoch tells the leases of all workers that end sooner

Cause: of silent workers with runs alone the owner told until when their leases last; the others', of which it had an end that was not stored, counted as given at the deposition. It tells all now that end clearly sooner.

--- a/src/owner/owner_epochs.c
+++ b/src/owner/owner_epochs.c
@@ -26,7 +26,8 @@
     TIMEOUT_MS = 900,
     RETRY_MS = 300,
     /* Workers in a record; some 30 bytes each. */
-    SOONER_MOST = 500
+    SOONER_MOST = 500,
+    SOONER_BY_MS = 300
 };
 
 /* An append under way; it may outlast its owner. */
@@ -54,13 +55,18 @@
 /* How long a lease may last, by our clock, from when the last order that gave
  * one was sent. */
 static int64_t
-lease_most_ms(const struct cw_owner *owner)
+lasts_ms(int64_t lease_ms)
 {
-    int64_t lease_ms = owner->options.lease_ms;
-
     return lease_ms + lease_ms * OWNER_DRIFT_PERCENT / 100 + ARRIVES_WITHIN_MS;
 }
 
+/* The same of one that an owner of this state gave. */
+static int64_t
+lease_most_ms(const struct cw_owner *owner)
+{
+    return lasts_ms(owner_lease_given_ms(owner));
+}
+
 struct owner_epochs *
 owner_epochs_create(const struct cw_owner *owner)
 {
@@ -114,12 +120,20 @@
 
 /* When what an owner gave is over that may not know yet that it is none. */
 static struct timespec
-end_of_unknown(const struct cw_owner *owner)
+end_of_open(const struct cw_owner *owner)
 {
     return cw_time_add_ms(owner->epochs->decides,
                           EXTEND_PROOF_MS + lease_most_ms(owner));
 }
 
+/* The same of an owner of which nothing is known. */
+static struct timespec
+end_of_unknown(const struct cw_owner *owner)
+{
+    return cw_time_add_ms(owner->epochs->decides,
+                          EXTEND_PROOF_MS + lasts_ms(owner->options.lease_ms));
+}
+
 /* When what another VM gave the worker, or any worker, is over. */
 static struct timespec
 end_of_other(const struct cw_owner *owner,
@@ -128,7 +142,7 @@
     int64_t left_ms = cw_replica_epoch_left_ms(epoch, worker);
 
     if (!cw_replica_epoch_is_over(epoch)) {
-        return end_of_unknown(owner);
+        return end_of_open(owner);
     }
     /* Two VMs' clocks may differ by as much as a worker's from one. */
     return cw_time_add_ms(epoch->end_read_at,
@@ -323,7 +337,8 @@
 
 /* ---- once it decides no more ---- */
 
-/* Silent workers, whose leases end before those of others. */
+/* Workers whose leases end clearly before those of others: silent ones, and
+ * some that are about to be found so. */
 static void
 collect_sooner(struct cw_owner *owner)
 {
@@ -337,13 +352,14 @@
            g_hash_table_size(epochs->sooner) < SOONER_MOST)
     {
         const struct owner_target *target = value;
+        struct timespec end =
+            cw_time_add_ms(target->lease_end, ARRIVES_WITHIN_MS);
 
-        if (target->silent > 0 && target->runs->len > 0 &&
-            cw_time_before(target->lease_end, epochs->given_until))
+        if (target->lease_end.tv_sec > 0 &&
+            cw_time_diff_ms(end, epochs->given_until) > SOONER_BY_MS)
         {
-            g_hash_table_insert(
-                epochs->sooner, g_strdup(target->id),
-                g_memdup2(&target->lease_end, sizeof(target->lease_end)));
+            g_hash_table_insert(epochs->sooner, g_strdup(target->id),
+                                g_memdup2(&end, sizeof(end)));
         }
     }
 }
