--- /dev/null
+++ b/tests/test_epochs.c
@@ -0,0 +1,631 @@
+/* What VMs tell each other of the epochs under which they gave leases, and how
+ * long a new owner waits for workers that do not answer it. */
+#include "test_main.h"
+
+#include "owner_bed.h"
+
+enum {
+    LEASE_MOST_MS = LEASE_MS + LEASE_MS / 50 + 500,
+    /* Two owners' epochs, and one that is later than this VM's. */
+    EARLY = 5,
+    LATE = 7,
+    HIGH = 100000,
+    LATER = 2, /* generation: its epochs are higher than EARLY and LATE */
+    LEFT_MS = 3000,
+    ROW_MS = 1000,
+    READ_MS = 300,  /* from a record's writing until all have read it */
+    SLOPPY_MS = 300 /* drift, reads and steps of the clock */
+};
+
+/* ---- records ---- */
+
+static void
+put_epoch(struct bed *bed, const char *key, uint64_t epoch, uint64_t settled)
+{
+    struct cw_epoch_record value = {.epoch = epoch, .settled_below = settled};
+    GByteArray *bytes = cw_xdr_encode((xdrproc_t)xdr_cw_epoch_record, &value);
+
+    put(bed, CW_WORK_TOPIC, key, bytes);
+    g_byte_array_unref(bytes);
+}
+
+/* With a row for a worker; NULL: none. */
+static GByteArray *
+encode_end(uint64_t epoch, unsigned left_ms, const char *worker)
+{
+    struct cw_lease_left row = {.worker = (char *)worker, .left_ms = ROW_MS};
+    struct cw_epoch_end_record value = {.epoch = epoch, .left_ms = left_ms};
+
+    value.sooner.sooner_len = worker != NULL;
+    value.sooner.sooner_val = &row;
+    return cw_xdr_encode((xdrproc_t)xdr_cw_epoch_end_record, &value);
+}
+
+static void
+put_end(struct bed *bed, const char *key, uint64_t epoch, unsigned left_ms,
+        const char *worker)
+{
+    GByteArray *bytes = encode_end(epoch, left_ms, worker);
+
+    put(bed, CW_WORK_TOPIC, key, bytes);
+    g_byte_array_unref(bytes);
+}
+
+static void
+put_nothing(struct bed *bed, const char *key)
+{
+    GByteArray *nothing = g_byte_array_new();
+
+    put(bed, CW_WORK_TOPIC, key, nothing);
+    g_byte_array_unref(nothing);
+}
+
+static const struct cw_replica_epoch *
+epoch_of(const struct bed *bed, const char *vm)
+{
+    return g_hash_table_lookup(cw_replica_epochs(bed->replica), vm);
+}
+
+/* ---- the replica's fold ---- */
+
+struct fold {
+    struct cw_clock_manual clock;
+    struct cw_replica *replica;
+};
+
+static void
+fold_begin(struct fold *fold)
+{
+    struct cw_replica_options options = {.clock = &fold->clock.base};
+
+    cw_log_setup("off", "test");
+    cw_clock_manual_init(&fold->clock);
+    fold->clock.now = cw_time_from_ms(START_MS);
+    fold->replica = cw_replica_create(&options);
+}
+
+static void
+fold_bytes(struct fold *fold, uint64_t offset, const char *key,
+           GByteArray *bytes)
+{
+    struct cw_store_record record = {
+        .key = key,
+        .offset = offset,
+        .value = bytes != NULL ? bytes->data : NULL,
+        .length = bytes != NULL ? bytes->len : 0,
+    };
+
+    cw_replica_apply(fold->replica, &record);
+    g_clear_pointer(&bytes, g_byte_array_unref);
+}
+
+static void
+fold_epoch(struct fold *fold, uint64_t offset, uint64_t epoch)
+{
+    struct cw_epoch_record value = {.epoch = epoch, .settled_below = epoch};
+
+    fold_bytes(fold, offset, "oa",
+               cw_xdr_encode((xdrproc_t)xdr_cw_epoch_record, &value));
+}
+
+static void
+fold_end(struct fold *fold, uint64_t offset, uint64_t epoch, unsigned left_ms)
+{
+    fold_bytes(fold, offset, "ea", encode_end(epoch, left_ms, "w"));
+}
+
+static const struct cw_replica_epoch *
+folded(const struct fold *fold)
+{
+    return g_hash_table_lookup(cw_replica_epochs(fold->replica), "a");
+}
+
+/* Guards against a bound that counts anew each time a record is given. */
+static void
+test_records_given_again_change_nothing(void)
+{
+    struct fold fold;
+
+    fold_begin(&fold);
+    fold_epoch(&fold, 1, EARLY);
+    fold_end(&fold, 2, EARLY, LEFT_MS);
+    fold.clock.now = cw_time_add_ms(fold.clock.now, 500);
+    fold_epoch(&fold, 1, EARLY);
+    fold_end(&fold, 2, EARLY, LEFT_MS);
+    CU_ASSERT_EQUAL(
+        cw_time_diff_ms(folded(&fold)->end_read_at, fold.clock.now), 500);
+    CU_ASSERT_EQUAL(cw_replica_epoch_left_ms(folded(&fold), "w"), ROW_MS);
+    CU_ASSERT_EQUAL(cw_replica_epoch_left_ms(folded(&fold), "v"), LEFT_MS);
+    CU_ASSERT_EQUAL(cw_replica_epoch_left_ms(folded(&fold), NULL), LEFT_MS);
+    cw_replica_free(fold.replica);
+}
+
+/* Guards against forgetting a later epoch for an earlier one. */
+static void
+test_older_records_change_nothing(void)
+{
+    struct fold fold;
+
+    fold_begin(&fold);
+    fold_epoch(&fold, 5, LATE);
+    fold_epoch(&fold, 4, EARLY);
+    CU_ASSERT_EQUAL(folded(&fold)->epoch, LATE);
+    CU_ASSERT_EQUAL(folded(&fold)->settled_below, LATE);
+    fold_end(&fold, 7, LATE, LEFT_MS);
+    fold_end(&fold, 6, EARLY, 1);
+    CU_ASSERT_EQUAL(folded(&fold)->end_epoch, LATE);
+    CU_ASSERT_EQUAL(folded(&fold)->left_ms, LEFT_MS);
+    cw_replica_free(fold.replica);
+}
+
+/* Guards against taking a VM that decides again for one that has ended. */
+static void
+test_a_late_end_does_not_end_a_newer_epoch(void)
+{
+    struct fold fold;
+
+    fold_begin(&fold);
+    fold_epoch(&fold, 1, EARLY);
+    fold_epoch(&fold, 2, LATE);
+    fold_end(&fold, 3, EARLY, 0);
+    CU_ASSERT_FALSE(cw_replica_epoch_is_over(folded(&fold)));
+    fold_end(&fold, 4, LATE, LEFT_MS);
+    CU_ASSERT_TRUE(cw_replica_epoch_is_over(folded(&fold)));
+    fold_epoch(&fold, 5, HIGH);
+    CU_ASSERT_FALSE(cw_replica_epoch_is_over(folded(&fold)));
+    cw_replica_free(fold.replica);
+}
+
+/* Guards against a drop that takes a later epoch with it, and against one that
+ * brings an epoch of 0 into being. */
+static void
+test_a_drop_ends_what_was_before_it(void)
+{
+    struct fold fold;
+
+    fold_begin(&fold);
+    fold_epoch(&fold, 2, LATE);
+    fold_bytes(&fold, 1, "oa", NULL);
+    CU_ASSERT_PTR_NOT_NULL(folded(&fold));
+    fold_bytes(&fold, 3, "oa", NULL);
+    fold_bytes(&fold, 4, "ea", NULL);
+    CU_ASSERT_PTR_NULL(folded(&fold));
+    fold_end(&fold, 5, LATE, LEFT_MS);
+    CU_ASSERT_EQUAL(folded(&fold)->epoch, 0);
+    fold_epoch(&fold, 6, HIGH);
+    CU_ASSERT_FALSE(cw_replica_epoch_is_over(folded(&fold)));
+    cw_replica_free(fold.replica);
+}
+
+/* Guards against half of a record that cannot be read. */
+static void
+test_unreadable_records_change_nothing(void)
+{
+    struct fold fold;
+    GByteArray *junk;
+
+    fold_begin(&fold);
+    fold_epoch(&fold, 1, EARLY);
+    for (unsigned i = 0; i < 2; i++) {
+        junk = g_byte_array_new();
+        g_byte_array_append(junk, (const guint8 *)"?", 1);
+        fold_bytes(&fold, 2 + i, i == 0 ? "oa" : "ea", junk);
+    }
+    CU_ASSERT_EQUAL(folded(&fold)->epoch, EARLY);
+    CU_ASSERT_FALSE(cw_replica_epoch_is_over(folded(&fold)));
+    fold_end(&fold, 4, EARLY, LEFT_MS);
+    CU_ASSERT_TRUE(cw_replica_epoch_is_over(folded(&fold)));
+    cw_replica_free(fold.replica);
+}
+
+/* ---- taking over ---- */
+
+/* What the store answers to appends that name an epoch. */
+static enum cw_store_status answer_to_epochs;
+
+static void
+append_but_epochs(struct cw_store *store, const struct cw_store_append *call)
+{
+    const struct cw_store_appended result = {.status = answer_to_epochs};
+    bool names_epoch =
+        call->count > 0 && call->records[0].key[0] == CW_WORK_KEY_EPOCH;
+
+    if (names_epoch && answer_to_epochs != CW_STORE_OK) {
+        call->done(call->context, &result);
+        return;
+    }
+    store_port_append(store, call);
+}
+
+static void
+refuse_epochs(struct bed *bed, enum cw_store_status status)
+{
+    static struct cw_store_ops ops;
+
+    ops = *bed->store.base.ops;
+    ops.append = append_but_epochs;
+    bed->store.base.ops = &ops;
+    answer_to_epochs = status;
+}
+
+static void
+bed_with_state(struct bed *bed)
+{
+    bed_begin(bed);
+    bed->generation = LATER;
+    put_spec(bed);
+    put_state(bed, CW_STATE_TOPIC, CW_WORK_RUNNING);
+}
+
+static int64_t
+lease_left_ms(const struct bed *bed)
+{
+    return cw_time_diff_ms(bed->clock.now, the_worker(bed)->lease_end);
+}
+
+static bool
+is_about(int64_t ms, int64_t expected_ms)
+{
+    return ms <= expected_ms + SLOPPY_MS && ms >= expected_ms - SLOPPY_MS;
+}
+
+/* The VM ends; another life of it, or another VM, takes over. */
+static void
+replace_owner(struct bed *bed, const char *vm)
+{
+    bed->generation++;
+    vm_end(bed);
+    bed->vm = vm;
+    vm_begin(bed);
+    take_over(bed);
+}
+
+/* Guards against leases of an owner that the next one cannot know of: the
+ * append that names its epoch was refused, or had no answer. */
+static void
+test_nothing_is_decided_before_the_epoch_is_recorded(void)
+{
+    static const enum cw_store_status statuses[] = {CW_STORE_REFUSED,
+                                                    CW_STORE_UNKNOWN};
+
+    for (unsigned i = 0; i < G_N_ELEMENTS(statuses); i++) {
+        struct bed bed;
+
+        bed_with_state(&bed);
+        refuse_epochs(&bed, statuses[i]);
+        take_over(&bed);
+        run(&bed, 2000);
+        CU_ASSERT_FALSE(cw_owner_active(bed.owner));
+        CU_ASSERT_PTR_NULL(epoch_of(&bed, "this"));
+        CU_ASSERT_TRUE(unanswered == NULL || unanswered->len == 0);
+        answer_to_epochs = CW_STORE_OK;
+        run(&bed, 1000);
+        CU_ASSERT_TRUE(cw_owner_active(bed.owner));
+        CU_ASSERT_PTR_NOT_NULL(epoch_of(&bed, "this"));
+        bed_end(&bed);
+    }
+}
+
+/* Guards against a former life that is told to be over again and again, or
+ * never. */
+static void
+test_a_former_life_is_told_once(void)
+{
+    struct bed bed;
+    uint64_t offset;
+
+    bed_begin(&bed);
+    put_epoch(&bed, "othis", EARLY, 0);
+    bed.owner->join_in_flight = true;
+    run(&bed, 1000);
+    CU_ASSERT_EQUAL_FATAL(epoch_of(&bed, "this")->end_epoch, EARLY);
+    CU_ASSERT_TRUE(epoch_of(&bed, "this")->left_ms <= LEASE_MOST_MS);
+    offset = epoch_of(&bed, "this")->end_offset;
+    run(&bed, 5000);
+    CU_ASSERT_EQUAL(epoch_of(&bed, "this")->end_offset, offset);
+    bed_end(&bed);
+}
+
+/* Guards against the same where the first append has no answer. */
+static void
+test_an_end_without_an_answer_is_told_again(void)
+{
+    struct bed bed;
+    uint64_t offset;
+
+    bed_begin(&bed);
+    put_epoch(&bed, "othis", EARLY, 0);
+    bed.owner->join_in_flight = true;
+    while (epoch_of(&bed, "this") == NULL) {
+        cw_follower_tick(cw_replica_follower(bed.replica), bed.clock.now);
+        bed.clock.now = cw_time_add_ms(bed.clock.now, STEP_MS);
+    }
+    bed.store.refuses = CW_STORE_UNKNOWN;
+    run(&bed, 1000);
+    CU_ASSERT_EQUAL(epoch_of(&bed, "this")->end_epoch, 0);
+    bed.store.refuses = CW_STORE_OK;
+    run(&bed, 1500);
+    CU_ASSERT_EQUAL(epoch_of(&bed, "this")->end_epoch, EARLY);
+    /* Counted down meanwhile. */
+    CU_ASSERT_TRUE(epoch_of(&bed, "this")->left_ms <= LEASE_MOST_MS - 1000);
+    offset = epoch_of(&bed, "this")->end_offset;
+    run(&bed, 2000);
+    CU_ASSERT_EQUAL(epoch_of(&bed, "this")->end_offset, offset);
+    bed_end(&bed);
+}
+
+/* Guards against a deposed owner that tells the same time for all workers: the
+ * lease of a silent one ends before. */
+static void
+test_a_silent_worker_has_a_row_of_its_own(void)
+{
+    struct bed bed;
+    const struct cw_replica_epoch *told;
+    int64_t left_ms;
+
+    bed_with_state(&bed);
+    take_over(&bed);
+    list_worker(&bed);
+    (void)run_all_answered(&bed, 1000);
+    run(&bed, 3000); /* no answers */
+    the_worker(&bed)->silent = 2;
+    left_ms = lease_left_ms(&bed);
+    CU_ASSERT_TRUE_FATAL(left_ms < LEASE_MS - 1000);
+    owner_depose(bed.owner, "test");
+    bed.owner->join_in_flight = true;
+    run(&bed, 1000);
+    told = epoch_of(&bed, "this");
+    CU_ASSERT_TRUE_FATAL(cw_replica_epoch_is_over(told));
+    CU_ASSERT_TRUE(is_about(cw_replica_epoch_left_ms(told, "w"), left_ms));
+    CU_ASSERT_TRUE(cw_replica_epoch_left_ms(told, "w") >= left_ms - 100);
+    CU_ASSERT_TRUE(
+        is_about(cw_replica_epoch_left_ms(told, "v"), LEASE_MOST_MS));
+    bed_end(&bed);
+}
+
+/* Guards against an end told too short by a VM that gains the shard and loses
+ * it again before it decides: what it gave before that stands. */
+static void
+test_an_epoch_without_decisions_ends_with_the_one_before(void)
+{
+    struct bed bed;
+    uint64_t epoch;
+
+    bed_with_state(&bed);
+    take_over(&bed);
+    epoch = bed.owner->epoch;
+    owner_depose(bed.owner, "test");
+    bed.generation++;
+    refuse_epochs(&bed, CW_STORE_UNKNOWN);
+    take_over(&bed);
+    CU_ASSERT_FALSE(cw_owner_active(bed.owner));
+    CU_ASSERT_TRUE(bed.owner->epoch > epoch);
+    epoch = bed.owner->epoch;
+    owner_depose(bed.owner, "test");
+    bed.owner->join_in_flight = true;
+    run(&bed, 1000);
+    CU_ASSERT_EQUAL(epoch_of(&bed, "this")->end_epoch, epoch);
+    CU_ASSERT_TRUE(epoch_of(&bed, "this")->left_ms > LEASE_MOST_MS - 1000);
+    bed_end(&bed);
+}
+
+/* Guards against two owners that both extend leases: the earlier one learns of
+ * the later one from its epoch, before its next append. */
+static void
+test_an_owner_that_reads_a_later_epoch_is_deposed(void)
+{
+    struct bed bed;
+
+    bed_with_state(&bed);
+    take_over(&bed);
+    put_epoch(&bed, "oother", EARLY, 0); /* an earlier one changes nothing */
+    run(&bed, READ_MS);
+    CU_ASSERT_TRUE(cw_owner_active(bed.owner));
+    bed.owner->join_in_flight = true;
+    put_epoch(&bed, "oother", HIGH, 0);
+    run(&bed, READ_MS);
+    CU_ASSERT_FALSE(cw_owner_active(bed.owner));
+    bed_end(&bed);
+}
+
+/* ---- bounds ---- */
+
+/* Guards against a worker given up while a VM that nobody hears of extends its
+ * lease, also where a second VM takes over in between. */
+static void
+test_a_vm_whose_end_never_comes_keeps_the_whole_bound(void)
+{
+    struct bed bed;
+
+    bed_with_state(&bed);
+    put_epoch(&bed, "oother", EARLY, 1);
+    take_over(&bed);
+    CU_ASSERT_TRUE(is_about(lease_left_ms(&bed), FIRST_BOUND_MS));
+    replace_owner(&bed, "third");
+    CU_ASSERT_TRUE(is_about(lease_left_ms(&bed), FIRST_BOUND_MS));
+    replace_owner(&bed, "third");
+    CU_ASSERT_TRUE(is_about(lease_left_ms(&bed), FIRST_BOUND_MS));
+    run(&bed, FIRST_BOUND_MS - 1000);
+    CU_ASSERT_EQUAL(the_job(&bed)->runs, TASKS);
+    bed_end(&bed);
+}
+
+/* Guards against one former owner's end that stands for another's. */
+static void
+test_of_two_former_owners_one_has_told(void)
+{
+    struct bed bed;
+
+    bed_with_state(&bed);
+    put_epoch(&bed, "oa", EARLY, 1);
+    put_epoch(&bed, "ob", LATE, 1);
+    put_end(&bed, "eb", LATE, LEFT_MS, "w");
+    take_over(&bed);
+    CU_ASSERT_TRUE(is_about(lease_left_ms(&bed), FIRST_BOUND_MS));
+    bed_end(&bed);
+}
+
+/* Guards against the bound of one worker that is taken for others'. */
+static void
+test_ends_bound_each_worker_by_its_own_row(void)
+{
+    struct bed bed;
+
+    bed_with_state(&bed);
+    run(&bed, LEASE_MOST_MS); /* nothing of this VM's former life lasts */
+    put_epoch(&bed, "oa", EARLY, 1);
+    put_epoch(&bed, "ob", LATE, 1);
+    put_end(&bed, "ea", EARLY, 2 * ROW_MS, NULL);
+    put_end(&bed, "eb", LATE, LEFT_MS, "w");
+    take_over(&bed);
+    CU_ASSERT_TRUE(is_about(lease_left_ms(&bed), 2 * ROW_MS));
+    bed_end(&bed);
+    bed_with_state(&bed);
+    run(&bed, LEASE_MOST_MS);
+    put_epoch(&bed, "ob", LATE, 1);
+    put_end(&bed, "eb", LATE, LEFT_MS, "v");
+    take_over(&bed);
+    CU_ASSERT_TRUE(is_about(lease_left_ms(&bed), LEFT_MS));
+    bed_end(&bed);
+}
+
+/* Guards against an end that lowers what this owner gave itself, or does not
+ * lower what it waits for. */
+static void
+test_a_late_end_lowers_the_bound_of_unanswered_workers_only(void)
+{
+    struct bed bed;
+    struct timespec end;
+
+    for (unsigned answered = 0; answered < 2; answered++) {
+        bed_with_state(&bed);
+        run(&bed, LEASE_MOST_MS);
+        put_epoch(&bed, "oa", EARLY, 1);
+        take_over(&bed);
+        CU_ASSERT_TRUE(is_about(lease_left_ms(&bed), FIRST_BOUND_MS));
+        if (answered) {
+            list_worker(&bed);
+            (void)run_all_answered(&bed, 500);
+        }
+        put_end(&bed, "ea", EARLY, ROW_MS, NULL);
+        end = the_worker(&bed)->lease_end;
+        run(&bed, READ_MS);
+        if (answered) {
+            CU_ASSERT_FALSE(cw_time_before(the_worker(&bed)->lease_end, end));
+        }
+        else {
+            CU_ASSERT_TRUE(is_about(lease_left_ms(&bed), ROW_MS));
+            run(&bed, ROW_MS + SLOPPY_MS);
+            CU_ASSERT_EQUAL(the_job(&bed)->runs, 0);
+        }
+        bed_end(&bed);
+    }
+}
+
+/* Guards against an end that hides that nothing is known of still earlier
+ * owners. */
+static void
+test_without_a_settled_epoch_an_end_is_not_enough(void)
+{
+    struct bed bed;
+
+    bed_with_state(&bed);
+    put_epoch(&bed, "oa", EARLY, 0);
+    put_end(&bed, "ea", EARLY, ROW_MS, NULL);
+    take_over(&bed);
+    CU_ASSERT_TRUE(is_about(lease_left_ms(&bed), FIRST_BOUND_MS));
+    bed_end(&bed);
+}
+
+/* Guards against later owners that stop considering an earlier one too soon,
+ * or never. */
+static void
+test_settled_is_written_when_all_is_over(void)
+{
+    struct bed bed;
+
+    bed_with_state(&bed);
+    put_epoch(&bed, "oa", EARLY, 1);
+    put_epoch(&bed, "ob", LATE, 1);
+    put_end(&bed, "eb", LATE, LEFT_MS, NULL);
+    take_over(&bed);
+    run(&bed, FIRST_BOUND_MS - 1000);
+    CU_ASSERT_EQUAL(epoch_of(&bed, "this")->settled_below, 1);
+    CU_ASSERT_PTR_NOT_NULL(epoch_of(&bed, "a"));
+    run(&bed, 2000);
+    CU_ASSERT_EQUAL(epoch_of(&bed, "this")->settled_below, bed.owner->epoch);
+    CU_ASSERT_PTR_NULL(epoch_of(&bed, "a"));
+    CU_ASSERT_PTR_NULL(epoch_of(&bed, "b"));
+    /* An end that comes after that is not of an epoch. */
+    put_end(&bed, "ea", EARLY, LEFT_MS, NULL);
+    run(&bed, READ_MS);
+    CU_ASSERT_TRUE(cw_owner_active(bed.owner));
+    bed_end(&bed);
+}
+
+/* Guards against a settled epoch that is forgotten by the next owner's. */
+static void
+test_a_settled_epoch_stands_for_later_owners(void)
+{
+    struct bed bed;
+
+    bed_with_state(&bed);
+    put_epoch(&bed, "oa", EARLY, EARLY);
+    put_end(&bed, "ea", EARLY, 0, NULL);
+    take_over(&bed);
+    CU_ASSERT_EQUAL(epoch_of(&bed, "this")->settled_below, EARLY);
+    put_nothing(&bed, "oa");
+    replace_owner(&bed, "this");
+    CU_ASSERT_TRUE(lease_left_ms(&bed) <= LEASE_MOST_MS);
+    bed_end(&bed);
+}
+
+/* Guards against the longer of a note and an end: both hold, so that the one
+ * that is sooner does. */
+static void
+test_notes_and_ends_hold_together(void)
+{
+    static const unsigned lefts_ms[][2] = {{700, LEFT_MS}, {LEFT_MS, 700}};
+
+    for (unsigned i = 0; i < G_N_ELEMENTS(lefts_ms); i++) {
+        struct cw_note_record note = {.left_ms = lefts_ms[i][0]};
+        GByteArray *bytes =
+            cw_xdr_encode((xdrproc_t)xdr_cw_note_record, &note);
+        struct bed bed;
+
+        bed_with_state(&bed);
+        run(&bed, LEASE_MOST_MS);
+        put_epoch(&bed, "oa", EARLY, 1);
+        put(&bed, CW_WORK_TOPIC, "nw", bytes);
+        put_end(&bed, "ea", EARLY, lefts_ms[i][1], NULL);
+        take_over(&bed);
+        CU_ASSERT_TRUE(is_about(lease_left_ms(&bed), 700));
+        g_byte_array_unref(bytes);
+        bed_end(&bed);
+    }
+}
+
+static const struct test tests[] = {
+    {"again", test_records_given_again_change_nothing},
+    {"older", test_older_records_change_nothing},
+    {"late end", test_a_late_end_does_not_end_a_newer_epoch},
+    {"drop", test_a_drop_ends_what_was_before_it},
+    {"unreadable", test_unreadable_records_change_nothing},
+    {"recorded first", test_nothing_is_decided_before_the_epoch_is_recorded},
+    {"former life", test_a_former_life_is_told_once},
+    {"no answer", test_an_end_without_an_answer_is_told_again},
+    {"rows", test_a_silent_worker_has_a_row_of_its_own},
+    {"undecided", test_an_epoch_without_decisions_ends_with_the_one_before},
+    {"later epoch", test_an_owner_that_reads_a_later_epoch_is_deposed},
+    {"never told", test_a_vm_whose_end_never_comes_keeps_the_whole_bound},
+    {"one of two", test_of_two_former_owners_one_has_told},
+    {"own row", test_ends_bound_each_worker_by_its_own_row},
+    {"unanswered",
+     test_a_late_end_lowers_the_bound_of_unanswered_workers_only},
+    {"unsettled", test_without_a_settled_epoch_an_end_is_not_enough},
+    {"settle", test_settled_is_written_when_all_is_over},
+    {"settled", test_a_settled_epoch_stands_for_later_owners},
+    {"notes", test_notes_and_ends_hold_together},
+};
+
+TEST_MAIN("epochs", tests)
