A start after a take-over counts with the lease that was there before

Callers could see a task run twice (no report; constructed): a worker that had just finished its work under an earlier owner gets a start from the next one and resets connections from then on. The new owner starts the task elsewhere 4.8 s later, while the worker goes on for up to 6.1 s.

Cause: since starts give leases of 4 s, their own bound is shorter than what an earlier owner may have left on the worker, which a start does not shorten. A take-over bounds only workers with runs; the others had no bound at all. The first answer of such a worker sets one now: a whole lease, as the answer shows that earlier owners are refused from then on, and no more than what an owner that nobody hears of could have given.

Evidence: test_epochs/twice, with the emulator's workers, and test_epochs/start failed.

--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -579,6 +579,9 @@
  * them; to be called once all is read that those have written. */
 void owner_epochs_bound_leases(struct cw_owner *owner, struct timespec now);
 
+/* When what an owner gave is over that may not know yet that it is none. */
+struct timespec owner_epochs_latest_end(const struct cw_owner *owner);
+
 /* Another VM told, while this one decides, that its epoch is over. */
 void owner_epochs_other_ended(struct cw_owner *owner, const char *vm);
 
--- a/src/owner/owner_epochs.c
+++ b/src/owner/owner_epochs.c
@@ -112,9 +112,8 @@
     return most;
 }
 
-/* When what an owner gave is over that may not know yet that it is none. */
-static struct timespec
-end_of_unknown(const struct cw_owner *owner)
+struct timespec
+owner_epochs_latest_end(const struct cw_owner *owner)
 {
     return cw_time_add_ms(owner->epochs->decides,
                           EXTEND_PROOF_MS + lease_most_ms(owner));
@@ -128,7 +127,7 @@
     int64_t left_ms = cw_replica_epoch_left_ms(epoch, worker);
 
     if (!cw_replica_epoch_is_over(epoch)) {
-        return end_of_unknown(owner);
+        return owner_epochs_latest_end(owner);
     }
     /* Two VMs' clocks may differ by as much as a worker's from one. */
     return cw_time_add_ms(epoch->end_read_at,
@@ -164,7 +163,7 @@
     gpointer value;
 
     if (settled == 0) {
-        later(&end, end_of_unknown(owner));
+        later(&end, owner_epochs_latest_end(owner));
     }
     g_hash_table_iter_init(&iterator,
                            cw_replica_epochs(owner->options.replica));
--- a/src/owner/owner_leases.c
+++ b/src/owner/owner_leases.c
@@ -45,13 +45,19 @@
 }
 
 /* From then on it refuses earlier owners: what they gave lasts no longer than
- * a lease that is given now. */
+ * a lease that is given now.  It may last longer than what a start gives, also
+ * where no runs were known there. */
 void
 owner_lease_seen(struct owner_target *target, struct timespec now)
 {
-    owner_lease_lower(target,
-                      cw_time_add_ms(now, owner_lease_most_ms(target->owner)),
-                      OWNER_LEASE_EARLIER);
+    struct timespec end =
+        cw_time_add_ms(now, owner_lease_most_ms(target->owner));
+
+    owner_lease_lower(target, end, OWNER_LEASE_EARLIER);
+    if (target->lease_end.tv_sec == 0) {
+        cw_time_earlier(&end, owner_epochs_latest_end(target->owner));
+        owner_lease_raise(target, end, OWNER_LEASE_EARLIER);
+    }
 }
 
 const char *
--- a/tests/test_epochs.c
+++ b/tests/test_epochs.c
@@ -2,6 +2,7 @@
  * long a new owner waits for workers that do not answer it. */
 #include "test_main.h"
 
+#include "emulator/worker_model.h"
 #include "owner_bed.h"
 
 enum {
@@ -605,6 +606,193 @@
     }
 }
 
+/* Guards against a task that runs twice: an earlier owner gave a worker a
+ * whole lease, whose work then ended; a start of the next owner gives a short
+ * one, and does not shorten the other. */
+static void
+test_a_start_after_a_takeover_counts_with_an_earlier_lease(void)
+{
+    const struct cw_target_answer idle = {
+        .status = CW_TARGET_OK, .clock_ms = WORKER_CLOCK_MS, .born_ms = 1};
+    struct bed bed;
+    struct owner_target *target;
+    struct timespec answered;
+
+    bed_begin(&bed);
+    put_epoch(&bed, "oa", EARLY, 1);
+    bed.generation = LATER;
+    take_over(&bed);
+    target = owner_target_get(bed.owner, "w");
+    list_worker(&bed);
+    run(&bed, STEP_MS);
+    CU_ASSERT_EQUAL_FATAL(unanswered->len, 1);
+    answer_last(CW_TARGET_UNKNOWN);
+    run(&bed, 400);
+    CU_ASSERT_EQUAL_FATAL(unanswered->len, 1);
+    /* "a" has extended the lease just before it was shut out there. */
+    answered = bed.clock.now;
+    g_array_set_size(unanswered, 0);
+    last_order.done(last_order.context, &idle);
+    (void)owner_target_lease(target, CW_ORDER_START, bed.clock.now);
+    CU_ASSERT_TRUE(cw_time_diff_ms(answered, target->lease_end) >=
+                   LEASE_MS + LEASE_MS / 50);
+    bed_end(&bed);
+}
+
+/* ---- workers that carry orders out ---- */
+
+struct pair {
+    struct bed bed;
+    struct worker_fleet *fleet;
+    bool resets; /* "w" resets connections from its first start on */
+    unsigned running[TASKS];
+    unsigned starts;
+    unsigned twice;
+};
+
+static bool
+plan_long_work(void *context, const struct cw_task_name *task,
+               struct task_plan *out)
+{
+    (void)context;
+    (void)task;
+    out->work_ms = 30000;
+    out->need.accelerators = 1;
+    return true;
+}
+
+static void
+count_start(void *context, const char *worker, const struct cw_task_name *task,
+            unsigned number)
+{
+    struct pair *pair = context;
+
+    (void)number;
+    pair->resets = pair->resets || strcmp(worker, "w") == 0;
+    pair->starts++;
+    pair->twice += pair->running[task->index]++ > 0;
+}
+
+static void
+count_end(void *context, const char *worker, const struct cw_task_name *task,
+          unsigned number, enum cw_end_kind how)
+{
+    struct pair *pair = context;
+
+    (void)worker;
+    (void)number;
+    (void)how;
+    pair->running[task->index]--;
+}
+
+static void
+ignore_confirmed(void *context, const char *worker,
+                 const struct cw_task_name *task, unsigned number,
+                 enum cw_end_kind how, bool lapsed)
+{
+    (void)context;
+    (void)worker;
+    (void)task;
+    (void)number;
+    (void)how;
+    (void)lapsed;
+}
+
+static int64_t
+fleet_ms(const struct pair *pair)
+{
+    return cw_time_diff_ms(cw_time_from_ms(START_MS), pair->bed.clock.now);
+}
+
+static void
+carry_out(struct pair *pair, const struct cw_target_order *order)
+{
+    GArray *running = g_array_new(FALSE, FALSE, sizeof(struct cw_running));
+    GArray *ended = g_array_new(FALSE, FALSE, sizeof(struct cw_ended));
+    GPtrArray *texts = g_ptr_array_new_with_free_func(g_free);
+    struct cw_target_answer answer = {.status = CW_TARGET_UNKNOWN};
+
+    if (!pair->resets || strcmp(order->id, "w") != 0) {
+        worker_model_order(worker_fleet_find(pair->fleet, order->id), order,
+                           fleet_ms(pair), &answer, running, ended, texts);
+    }
+    if (order->done != NULL) {
+        order->done(order->context, &answer);
+    }
+    g_array_unref(running);
+    g_array_unref(ended);
+    g_ptr_array_unref(texts);
+}
+
+static void
+run_pair(struct pair *pair, unsigned ms)
+{
+    for (unsigned passed = 0; passed < ms; passed += STEP_MS) {
+        run(&pair->bed, STEP_MS);
+        worker_fleet_advance(pair->fleet, fleet_ms(pair));
+        while (unanswered != NULL && unanswered->len > 0) {
+            struct cw_target_order order =
+                g_array_index(unanswered, struct cw_target_order, 0);
+
+            g_array_remove_index(unanswered, 0);
+            carry_out(pair, &order);
+        }
+    }
+}
+
+static void
+list_worker_at(struct pair *pair, const char *id)
+{
+    struct owner_target *target = owner_target_get(pair->bed.owner, id);
+
+    g_free(target->address);
+    target->address = g_strdup(id);
+    target->service = g_intern_string("s");
+    target->capacity =
+        *worker_model_capacity(worker_fleet_find(pair->fleet, id));
+    owner_target_set_rack(target, "r0");
+    target->listed = true;
+    owner_target_wake(target);
+}
+
+/* Guards against a task that runs twice, as above: the worker resets all
+ * connections once it has begun the task. */
+static void
+test_no_task_runs_twice_under_an_earlier_lease(void)
+{
+    const struct cw_resources capacity = {
+        .accelerators = TASKS, .cpu_milli = 64000, .memory_mb = 65536};
+    struct cw_target_order earlier = {.kind = CW_ORDER_HOLD,
+                                      .id = "w",
+                                      .fence = EARLY,
+                                      .lease_until_ms = LEASE_MS};
+    struct pair pair = {0};
+    struct worker_listener listener = {.plan = plan_long_work,
+                                       .started = count_start,
+                                       .ended = count_end,
+                                       .confirmed = ignore_confirmed,
+                                       .context = &pair};
+
+    bed_begin(&pair.bed);
+    pair.bed.generation = LATER;
+    pair.fleet = worker_fleet_create(&listener);
+    worker_fleet_add(pair.fleet, "w", "r0", &capacity, 0);
+    worker_fleet_add(pair.fleet, "v", "r0", &capacity, 0);
+    put_epoch(&pair.bed, "oa", EARLY, 1);
+    put_spec(&pair.bed);
+    carry_out(&pair, &earlier);
+    take_over(&pair.bed);
+    list_worker_at(&pair, "w");
+    run_pair(&pair, 200);
+    CU_ASSERT_TRUE(pair.starts > 0);
+    list_worker_at(&pair, "v");
+    run_pair(&pair, FIRST_BOUND_MS);
+    CU_ASSERT_TRUE(pair.starts > TASKS);
+    CU_ASSERT_EQUAL(pair.twice, 0);
+    worker_fleet_free(pair.fleet);
+    bed_end(&pair.bed);
+}
+
 static const struct test tests[] = {
     {"again", test_records_given_again_change_nothing},
     {"older", test_older_records_change_nothing},
@@ -626,6 +814,8 @@
     {"settle", test_settled_is_written_when_all_is_over},
     {"settled", test_a_settled_epoch_stands_for_later_owners},
     {"notes", test_notes_and_ends_hold_together},
+    {"twice", test_no_task_runs_twice_under_an_earlier_lease},
+    {"start", test_a_start_after_a_takeover_counts_with_an_earlier_lease},
 };
 
 TEST_MAIN("epochs", tests)
