What an earlier owner sent late is not waited for twice

Cause: the bound for earlier owners holds 0.5 s for a start that meets the worker's next life. The first unanswered look added them again where an order was under way, here a stop to a worker that this owner had given no lease.

After a look was answered, or a lease given, the 0.5 s are added as before.

--- a/src/owner/owner_lives.c
+++ b/src/owner/owner_lives.c
@@ -109,6 +109,11 @@
 {
     bool under_way = target->orders_in_flight > 0;
 
+    /* This owner has given it nothing: what earlier ones sent is in their
+     * bound. */
+    if (target->seen_at.tv_sec == 0 && target->life.lease_sent_ms == 0) {
+        return;
+    }
     for (guint i = 0; !under_way && i < target->runs->len; i++) {
         const struct owner_run *run = target->runs->pdata[i];
 
--- a/tests/test_epochs.c
+++ b/tests/test_epochs.c
@@ -639,6 +639,51 @@
     bed_end(&bed);
 }
 
+/* The looks under way fail. */
+static void
+fail_looks(void)
+{
+    const struct cw_target_answer none = {.status = CW_TARGET_UNKNOWN};
+
+    for (guint i = 0; i < unanswered->len;) {
+        struct cw_target_order order =
+            g_array_index(unanswered, struct cw_target_order, i);
+
+        if (order.kind == CW_ORDER_HOLD) {
+            g_array_remove_index(unanswered, i);
+            order.done(order.context, &none);
+        }
+        else {
+            i++;
+        }
+    }
+}
+
+/* Guards against 0.5 s that are waited for twice: the bound has them for what
+ * earlier owners sent, and a stop by this one gives no lease. */
+static void
+test_a_stop_to_a_silent_worker_adds_nothing_to_its_bound(void)
+{
+    struct bed bed;
+    struct owner_target *target;
+    struct cw_task_name name = {.job = ID};
+    struct timespec end;
+
+    bed_with_state(&bed);
+    take_over(&bed);
+    list_worker(&bed);
+    target = the_worker(&bed);
+    end = target->lease_end;
+    owner_order_queue(bed.owner, target, CW_ORDER_STOP, &name, RUN);
+    run(&bed, 100);
+    CU_ASSERT_TRUE_FATAL(target->hold_in_flight);
+    CU_ASSERT_TRUE_FATAL(target->orders_in_flight > 0);
+    fail_looks();
+    CU_ASSERT_EQUAL(target->silent, 1);
+    CU_ASSERT_EQUAL(cw_time_diff_ms(end, target->lease_end), 0);
+    bed_end(&bed);
+}
+
 /* ---- workers that carry orders out ---- */
 
 struct pair {
@@ -814,6 +859,7 @@
     {"settle", test_settled_is_written_when_all_is_over},
     {"settled", test_a_settled_epoch_stands_for_later_owners},
     {"notes", test_notes_and_ends_hold_together},
+    {"stop", test_a_stop_to_a_silent_worker_adds_nothing_to_its_bound},
     {"twice", test_no_task_runs_twice_under_an_earlier_lease},
     {"start", test_a_start_after_a_takeover_counts_with_an_earlier_lease},
 };
