--- a/src/owner/owner_epochs.c
+++ b/src/owner/owner_epochs.c
@@ -352,8 +352,9 @@
            g_hash_table_size(epochs->sooner) < SOONER_MOST)
     {
         const struct owner_target *target = value;
-        struct timespec end =
-            cw_time_add_ms(target->lease_end, ARRIVES_WITHIN_MS);
+        /* What is on its way to a silent one is in its bound. */
+        struct timespec end = cw_time_add_ms(
+            target->lease_end, target->silent > 0 ? 0 : ARRIVES_WITHIN_MS);
 
         if (target->lease_end.tv_sec > 0 &&
             cw_time_diff_ms(end, epochs->given_until) > SOONER_BY_MS)
