An owner that may have been replaced without noticing makes way, or proves itself

Other VMs build on a VM's word that its epoch is over. A second process under its name would say so of the first: an owner that reads that is deposed now. And an owner that the group had not heard for its time to live could lose the shard to another VM, be dealt it again, and go on under its old epoch, as membership alone renewed its proof. Such an old proof is renewed by what the store takes under the epoch only; with nothing to write, by a beat each 0.4 s.

--- a/src/owner/owner.c
+++ b/src/owner/owner.c
@@ -303,12 +303,30 @@
     }
 }
 
+/* Another process under this VM's name has told that this one's epoch is over.
+ */
+static bool
+is_disowned(const struct cw_owner *owner, const char *vm)
+{
+    const struct cw_replica_epoch *own =
+        g_hash_table_lookup(cw_replica_epochs(owner->options.replica), vm);
+
+    return strcmp(vm, owner->vm) == 0 && own->end_epoch >= owner->epoch;
+}
+
 static void
 on_epoch_ended(void *context, const char *vm)
 {
     struct cw_owner *owner = context;
 
-    if (owner->state == OWNER_ACTIVE) {
+    if (owner->state != OWNER_ACTIVE) {
+        return;
+    }
+    if (is_disowned(owner, vm)) {
+        cw_log_error("name_in_use", "vm=%s epoch=%" PRIu64, vm, owner->epoch);
+        owner_depose(owner, "name_in_use");
+    }
+    else {
         owner_epochs_other_ended(owner, vm);
     }
 }
--- a/src/owner/owner_commit.c
+++ b/src/owner/owner_commit.c
@@ -17,9 +17,10 @@
     SWEEP_JOBS_MAX = 100,
     /* States of past jobs are dropped with the next batch, or after this. */
     DROP_ALONE_MS = 1000,
-    /* An owner that is to make way goes on until it is shut out; so often it
-     * asks the store whether it has been.  A third of the age that a proof may
-     * have (1,150 ms with the shortest time to live). */
+    /* An owner that is to make way, or whose proof is old, goes on until it is
+     * shut out; so often it asks the store whether it has been.  A third of
+     * the age that a proof may have (1,150 ms with the shortest time to live).
+     */
     YIELD_PROOF_MS = 400
 };
 
@@ -272,10 +273,11 @@
 
 /* True if the owner has to find out whether it has been shut out. */
 static bool
-yield_proof_due(const struct cw_owner *owner, struct timespec now)
+append_proof_due(const struct cw_owner *owner, struct timespec now)
 {
-    return owner->yielding && cw_time_diff_ms(owner_log_sent(owner->jobs_log),
-                                              now) >= YIELD_PROOF_MS;
+    return (owner->yielding || !owner_may_order(owner, now)) &&
+           cw_time_diff_ms(owner_log_sent(owner->jobs_log), now) >=
+               YIELD_PROOF_MS;
 }
 
 static struct timespec
@@ -306,7 +308,7 @@
         send_outcomes(owner);
     }
     else if (owner_candidacy_beat_due(owner, now) ||
-             yield_proof_due(owner, now)) {
+             append_proof_due(owner, now)) {
         send_beat(owner);
     }
     return cw_time_from_ms(INT32_MAX);
--- a/src/owner/owner_group.c
+++ b/src/owner/owner_group.c
@@ -33,6 +33,17 @@
                 owner->options.partition, owner->epoch, reason);
 }
 
+/* True if membership proves ownership.  A member that the group has not heard
+ * for its time to live may have lost the shard, and got it back, meanwhile:
+ * then only what the store takes under the epoch proves it. */
+static bool
+proves(const struct cw_owner *owner, struct timespec now)
+{
+    return owner->state != OWNER_ACTIVE ||
+           cw_time_diff_ms(owner->proof_at, now) <
+               (int64_t)owner->options.member_ttl_ms;
+}
+
 static void
 take_join(struct cw_owner *owner, const struct cw_store_joined *result,
           struct timespec now)
@@ -41,7 +52,7 @@
 
     owner->generation = result->generation;
     owner->joined = true;
-    if (has) {
+    if (has && proves(owner, now)) {
         owner_prove(owner, owner->join_sent);
     }
     if (has && !owner->holds_partition && !owner->leaving) {
--- a/tests/test_epochs.c
+++ b/tests/test_epochs.c
@@ -433,6 +433,49 @@
     bed_end(&bed);
 }
 
+/* Guards against two processes under one VM's name: the one that starts says
+ * of the other that it extends no leases. */
+static void
+test_an_owner_whose_name_another_uses_makes_way(void)
+{
+    struct bed bed;
+
+    bed_with_state(&bed);
+    take_over(&bed);
+    bed.owner->join_in_flight = true;
+    put_end(&bed, "ethis", bed.owner->epoch - 1, LEFT_MS, NULL);
+    run(&bed, READ_MS);
+    CU_ASSERT_TRUE(cw_owner_active(bed.owner));
+    put_end(&bed, "ethis", bed.owner->epoch, LEFT_MS, NULL);
+    run(&bed, READ_MS);
+    CU_ASSERT_FALSE(cw_owner_active(bed.owner));
+    bed_end(&bed);
+}
+
+/* Guards against an owner that was replaced without noticing, and is dealt the
+ * shard again: its membership proves nothing of the time between. */
+static void
+test_membership_does_not_renew_an_old_proof(void)
+{
+    struct bed bed;
+    struct timespec proof;
+
+    bed_with_state(&bed);
+    take_over(&bed);
+    run(&bed, 1000);
+    CU_ASSERT_TRUE(owner_may_order(bed.owner, bed.clock.now));
+    proof = cw_time_add_ms(bed.clock.now, -3000);
+    bed.owner->proof_at = proof;
+    bed.store.refuses = CW_STORE_UNKNOWN; /* appends have no answer */
+    run(&bed, 1000);
+    CU_ASSERT_FALSE(owner_may_order(bed.owner, bed.clock.now));
+    CU_ASSERT_EQUAL(cw_time_diff_ms(proof, bed.owner->proof_at), 0);
+    bed.store.refuses = CW_STORE_OK;
+    run(&bed, 1500);
+    CU_ASSERT_TRUE(owner_may_order(bed.owner, bed.clock.now));
+    bed_end(&bed);
+}
+
 /* ---- bounds ---- */
 
 /* Guards against a worker given up while a VM that nobody hears of extends its
@@ -860,6 +903,8 @@
     {"unanswered",
      test_a_late_end_lowers_the_bound_of_unanswered_workers_only},
     {"unsettled", test_without_a_settled_epoch_an_end_is_not_enough},
+    {"name", test_an_owner_whose_name_another_uses_makes_way},
+    {"membership", test_membership_does_not_renew_an_old_proof},
     {"settle", test_settled_is_written_when_all_is_over},
     {"settled", test_a_settled_epoch_stands_for_later_owners},
     {"notes", test_notes_and_ends_hold_together},
