job_waits is told only by an owner that the store has confirmed lately

Cause: the count of jobs that could run and do not was made of whatever the VM knew, also without a proof of ownership. It is made with one only.

Evidence: test_waits/no proof failed.

--- a/src/owner/owner_waits.c
+++ b/src/owner/owner_waits.c
@@ -309,6 +309,9 @@
     }
     owner->waits =
         (struct owner_waits){.due = cw_time_add_ms(now, LOOK_EVERY_MS)};
+    if (!owner_may_order(owner, now)) {
+        return; /* another VM may decide, and know better */
+    }
     look.waiting = g_array_new(FALSE, FALSE, sizeof(struct waiting));
     g_hash_table_iter_init(&iterator, owner->jobs);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
--- a/tests/test_waits.c
+++ b/tests/test_waits.c
@@ -75,6 +75,7 @@
     struct cw_owner_stats stats;
 
     site->clock.now = cw_time_add_ms(site->clock.now, ms);
+    site->owner->proof_at = site->clock.now;
     owner_waits_tick(site->owner, site->clock.now);
     cw_owner_stats(site->owner, &stats);
     return stats;
@@ -181,7 +182,25 @@
     site_end(&site);
 }
 
+/* Guards against a VM that was frozen, or cut off from the store, and tells of
+ * jobs that wait by what it knew before: another may have run them. */
+static void
+test_an_owner_without_proof_tells_of_no_waits(void)
+{
+    struct site site;
+
+    site_begin(&site);
+    (void)add_job(&site, 1, &two);
+    CU_ASSERT_EQUAL(look_after(&site, 3500).waiting, 1);
+    site.clock.now = cw_time_add_ms(site.clock.now, 8000);
+    owner_waits_tick(site.owner, site.clock.now);
+    CU_ASSERT_EQUAL(site.owner->waits.jobs, 0);
+    CU_ASSERT_EQUAL(look_after(&site, 600).waiting, 1);
+    site_end(&site);
+}
+
 static const struct test tests[] = {
+    {"no proof", test_an_owner_without_proof_tells_of_no_waits},
     {"one job's failures", test_one_job_that_fails_holds_no_worker_back},
     {"two jobs' failures", test_two_jobs_that_fail_do},
     {"not placed", test_a_job_that_is_not_placed_shows_after_three_seconds},
