A deposed owner tells the lease of each worker, not of silent ones only

Cause: only silent workers had rows in what a deposed owner tells; a look that is under way shows no silence for up to 1.9 s. All others were taken for given a whole lease at that moment. The owner knows what it gave each, also to those without runs, which the next owner may have if an end was not stored. Silent ones come first, as there are 500 rows at the most; where orders may be under way 0.5 s are added, as for silent ones.

Evidence: test_epochs/rows of others and /idle rows failed.

--- a/src/owner/owner_epochs.c
+++ b/src/owner/owner_epochs.c
@@ -322,27 +322,37 @@
 
 /* ---- once it decides no more ---- */
 
-/* Silent workers, whose leases end before those of others. */
+/* Until when the worker's lease may last.  What is under way to a worker that
+ * answers may meet its next life. */
+static struct timespec
+end_of_given(const struct owner_target *target)
+{
+    return target->silent > 0
+               ? target->lease_end
+               : cw_time_add_ms(target->lease_end, ARRIVES_WITHIN_MS);
+}
+
+/* Workers whose leases end before those of others.  Where this VM knows of no
+ * run any more, the next owner may: an end was listed and is not stored. */
 static void
-collect_sooner(struct cw_owner *owner)
+collect_sooner(struct cw_owner *owner, bool silent)
 {
     struct owner_epochs *epochs = owner->epochs;
     GHashTableIter iterator;
     gpointer value;
 
-    g_hash_table_remove_all(epochs->sooner);
     g_hash_table_iter_init(&iterator, owner->targets);
     while (g_hash_table_iter_next(&iterator, NULL, &value) &&
            g_hash_table_size(epochs->sooner) < SOONER_MOST)
     {
         const struct owner_target *target = value;
+        struct timespec end = end_of_given(target);
 
-        if (target->silent > 0 && target->runs->len > 0 &&
-            cw_time_before(target->lease_end, epochs->given_until))
+        if ((target->silent > 0) == silent && target->lease_end.tv_sec > 0 &&
+            cw_time_before(end, epochs->given_until))
         {
-            g_hash_table_insert(
-                epochs->sooner, g_strdup(target->id),
-                g_memdup2(&target->lease_end, sizeof(target->lease_end)));
+            g_hash_table_insert(epochs->sooner, g_strdup(target->id),
+                                g_memdup2(&end, sizeof(end)));
         }
     }
 }
@@ -361,7 +371,9 @@
     if (owner->state == OWNER_ACTIVE) {
         epochs->given_until =
             cw_time_add_ms(owner_now(owner), lease_most_ms(owner));
-        collect_sooner(owner);
+        g_hash_table_remove_all(epochs->sooner);
+        collect_sooner(owner, true);
+        collect_sooner(owner, false);
     }
 }
 
--- a/src/proto/cw_proto.x
+++ b/src/proto/cw_proto.x
@@ -184,7 +184,7 @@
                                         epoch below it are over; 0: unknown */
 };
 
-/* Of a worker that was silent when an epoch ended. */
+/* Of a worker whose lease ended before those of others. */
 struct cw_lease_left {
     cw_name worker;
     unsigned int left_ms;
--- a/tests/test_epochs.c
+++ b/tests/test_epochs.c
@@ -384,6 +384,66 @@
     bed_end(&bed);
 }
 
+/* Guards against a worker that dies together with its owner and is waited for
+ * as if it had got a lease at that moment: the last one was given before. */
+static void
+test_a_worker_that_is_not_silent_yet_has_a_row_too(void)
+{
+    struct bed bed;
+    const struct cw_replica_epoch *told;
+    int64_t left_ms;
+
+    bed_with_state(&bed);
+    take_over(&bed);
+    list_worker(&bed);
+    (void)run_all_answered(&bed, 1000);
+    run(&bed, 800); /* a look waits for its answer */
+    left_ms = lease_left_ms(&bed);
+    CU_ASSERT_EQUAL_FATAL(the_worker(&bed)->silent, 0);
+    CU_ASSERT_TRUE_FATAL(left_ms < LEASE_MS - 200);
+    owner_depose(bed.owner, "test");
+    bed.owner->join_in_flight = true;
+    run(&bed, 1000);
+    told = epoch_of(&bed, "this");
+    CU_ASSERT_TRUE_FATAL(cw_replica_epoch_is_over(told));
+    CU_ASSERT_TRUE(cw_replica_epoch_left_ms(told, "w") <= left_ms + 500);
+    CU_ASSERT_TRUE(cw_replica_epoch_left_ms(told, "w") >= left_ms);
+    CU_ASSERT_TRUE(
+        is_about(cw_replica_epoch_left_ms(told, "v"), LEASE_MOST_MS));
+    bed_end(&bed);
+}
+
+/* Guards against the same for a worker whose last run has ended, where the
+ * next owner does not know it: the end was not stored. */
+static void
+test_a_worker_without_runs_has_a_row_too(void)
+{
+    const struct cw_target_answer idle = {
+        .status = CW_TARGET_OK, .clock_ms = WORKER_CLOCK_MS, .born_ms = 1};
+    struct bed bed;
+    int64_t left_ms;
+
+    bed_begin(&bed);
+    take_over(&bed);
+    (void)owner_target_get(bed.owner, "w");
+    list_worker(&bed);
+    run(&bed, STEP_MS);
+    CU_ASSERT_EQUAL_FATAL(unanswered->len, 1);
+    g_array_set_size(unanswered, 0);
+    last_order.done(last_order.context, &idle);
+    run(&bed, 1500);
+    left_ms = lease_left_ms(&bed);
+    CU_ASSERT_TRUE_FATAL(left_ms < LEASE_MS - 1000);
+    owner_depose(bed.owner, "test");
+    bed.owner->join_in_flight = true;
+    run(&bed, 1000);
+    CU_ASSERT_TRUE(cw_replica_epoch_left_ms(epoch_of(&bed, "this"), "w") <=
+                   left_ms + 500);
+    CU_ASSERT_TRUE(cw_replica_epoch_left_ms(epoch_of(&bed, "this"), "w") >=
+                   left_ms);
+    bed_end(&bed);
+}
+
 /* Guards against an end told too short by a VM that gains the shard and loses
  * it again before it decides: what it gave before that stands. */
 static void
@@ -848,6 +908,8 @@
     {"former life", test_a_former_life_is_told_once},
     {"no answer", test_an_end_without_an_answer_is_told_again},
     {"rows", test_a_silent_worker_has_a_row_of_its_own},
+    {"rows of others", test_a_worker_that_is_not_silent_yet_has_a_row_too},
+    {"idle rows", test_a_worker_without_runs_has_a_row_too},
     {"undecided", test_an_epoch_without_decisions_ends_with_the_one_before},
     {"later epoch", test_an_owner_that_reads_a_later_epoch_is_deposed},
     {"never told", test_a_vm_whose_end_never_comes_keeps_the_whole_bound},
