A start to a worker that tells its lives counts with a whole lease

Cause: a start gives 4 s by the clock of the life that was heard last; a next life has another clock and may take the same time for as long as a lease may be. The bound is a whole lease now where workers tell when their lives began.

--- a/src/owner/owner_leases.c
+++ b/src/owner/owner_leases.c
@@ -107,6 +107,10 @@
 {
     struct cw_owner *owner = target->owner;
     int64_t lease_ms = lease_ms_for(target, kind);
+    /* Where a worker may start again under its id, the order may meet its next
+     * life, whose clock is another: as long as a lease may be. */
+    int64_t lasts_ms =
+        target->life.born_ms > 0 ? owner->options.lease_ms : lease_ms;
     int64_t until_ms = cw_time_diff_ms(cw_time_from_ms(0), now) +
                        target->life.clock_offset_ms + lease_ms;
 
@@ -122,7 +126,7 @@
     if (until_ms > target->life.lease_sent_ms) {
         target->life.lease_sent_ms = until_ms;
     }
-    owner_lease_raise(target, cw_time_add_ms(now, most_ms(lease_ms)),
+    owner_lease_raise(target, cw_time_add_ms(now, most_ms(lasts_ms)),
                       OWNER_LEASE_OWN);
     return target->life.lease_sent_ms;
 }
--- a/tests/test_epochs.c
+++ b/tests/test_epochs.c
@@ -673,7 +673,9 @@
 test_a_start_after_a_takeover_counts_with_an_earlier_lease(void)
 {
     const struct cw_target_answer idle = {
-        .status = CW_TARGET_OK, .clock_ms = WORKER_CLOCK_MS, .born_ms = 1};
+        .status = CW_TARGET_OK,
+        .clock_ms = WORKER_CLOCK_MS,
+    };
     struct bed bed;
     struct owner_target *target;
     struct timespec answered;
@@ -821,6 +823,7 @@
         worker_model_order(worker_fleet_find(pair->fleet, order->id), order,
                            fleet_ms(pair), &answer, running, ended, texts);
     }
+    answer.born_ms = 0; /* each life has an id of its own */
     if (order->done != NULL) {
         order->done(order->context, &answer);
     }
--- a/tests/test_leases.c
+++ b/tests/test_leases.c
@@ -204,12 +204,33 @@
     site_end(&site);
 }
 
+/* Guards against a task that runs twice: a worker has crashed and started
+ * again under its id, unheard, and its clock says that the lease is long. */
+static void
+test_a_start_may_meet_a_next_life(void)
+{
+    const struct cw_step_spec one = {.tasks = 1, .accelerators = 4};
+    struct site site;
+    struct owner_target *target;
+    struct owner_job *job;
+
+    site_begin(&site);
+    job = add_job(&site, 0, &one);
+    pass(&site, 10);
+    step_of(job)->tasks[0].run->target->life.born_ms = 1;
+    target = send_start(&site, job);
+    CU_ASSERT_TRUE(cw_time_diff_ms(site.clock.now, target->lease_end) >=
+                   LEASE_MS + LEASE_MS / 50);
+    site_end(&site);
+}
+
 static const struct test tests[] = {
     {"answer", test_an_answer_bounds_what_earlier_owners_gave},
     {"restart", test_a_restarted_vm_extends_no_leases_of_its_former_life},
     {"deposed", test_a_deposed_owner_tells_that_it_extends_no_more},
     {"places", test_places_on_a_silent_worker_are_given_up},
     {"growth", test_starts_do_not_lengthen_a_lease_that_is_kept_up},
+    {"next life", test_a_start_may_meet_a_next_life},
     {"unconfirmed", test_an_unconfirmed_start_gives_a_short_lease},
 };
 
