--- a/tests/test_epochs.c
+++ b/tests/test_epochs.c
@@ -567,6 +567,7 @@
         if (answered) {
             list_worker(&bed);
             (void)run_all_answered(&bed, 500);
+            run(&bed, 100); /* the next look waits for its answer */
         }
         put_end(&bed, "ea", EARLY, ROW_MS, NULL);
         end = the_worker(&bed)->lease_end;
