--- a/emulator/internal/world_private.h
+++ b/emulator/internal/world_private.h
@@ -213,6 +213,11 @@
 /* A worker crashes for good; another takes its place in the rack. */
 void world_replace_worker(struct world *world, struct worker_model *worker);
 
+/* When the worker's life began, as it tells; 0 on days on which each life has
+ * an id of its own. */
+int64_t world_told_born_ms(const struct world *world,
+                           const struct worker_model *worker);
+
 /* A worker that is down is back under its id. */
 void world_worker_again(struct world *world, void *worker_model);
 
--- a/emulator/world.c
+++ b/emulator/world.c
@@ -93,12 +93,12 @@
         struct cw_store_append append = {
             .topic = TARGETS_TOPIC, .records = &record, .count = 1};
 
-        g_snprintf(text, sizeof(text),
-                   "%s %" PRId64 " %" PRId64 " %" PRId64 " %d 0 %s %" PRId64,
-                   worker_model_rack(worker), has->cpu_milli, has->memory_mb,
-                   has->accelerators,
-                   g_hash_table_contains(world->draining, id),
-                   worker_model_address(worker), worker_model_born_ms(worker));
+        g_snprintf(
+            text, sizeof(text),
+            "%s %" PRId64 " %" PRId64 " %" PRId64 " %d 0 %s %" PRId64,
+            worker_model_rack(worker), has->cpu_milli, has->memory_mb,
+            has->accelerators, g_hash_table_contains(world->draining, id),
+            worker_model_address(worker), world_told_born_ms(world, worker));
         record.length = strlen(text);
         if (worker_model_dead(worker)) {
             record.value = NULL;
--- a/emulator/world_net.c
+++ b/emulator/world_net.c
@@ -328,6 +328,7 @@
     g_array_set_size(call->ended_rows, 0);
     worker_model_order(worker, &call->order, world->now_ms, &call->answer,
                        call->running, call->ended_rows, call->bytes);
+    call->answer.born_ms = world_told_born_ms(world, worker);
     if (call->kind == CALL_ORDER && call->order.kind == CW_ORDER_HOLD &&
         call->answer.status == CW_TARGET_OK && call->answer.ended_count == 0 &&
         world->now_ms < call->wait_until_ms && !call->ended)
--- a/emulator/world_restarts.c
+++ b/emulator/world_restarts.c
@@ -35,6 +35,13 @@
     g_free(id);
 }
 
+int64_t
+world_told_born_ms(const struct world *world,
+                   const struct worker_model *worker)
+{
+    return world->options.restarts > 0 ? worker_model_born_ms(worker) : 0;
+}
+
 static void
 crash(struct world *world, struct worker_model *worker, bool may_cut);
 
