An epoch's record tells the longest lease that is given under it

What is waited for an owner that is gone was taken from this VM's own limit. Where workers may start again under their ids, a start may meet the next life, and lasts as long as a lease may be: 6.1 s were counted for what could be 6.6 (or 10.7). Owners write what they give; those of which nothing is known count as giving the most.

--- a/include/curlewcart/cw_replica.h
+++ b/include/curlewcart/cw_replica.h
@@ -62,6 +62,7 @@
 /* The last epoch under which a VM decided, and what it has said of its end. */
 struct cw_replica_epoch {
     uint64_t epoch;         /* 0: none is known */
+    unsigned lease_ms;      /* the longest that it gave, of a worker's clock */
     uint64_t settled_below; /* leases given under epochs below it are over */
     uint64_t offset;
     uint64_t end_epoch;          /* 0: none has ended; else it extends no
--- a/src/owner/owner_epochs.c
+++ b/src/owner/owner_epochs.c
@@ -37,6 +37,7 @@
 
 struct owner_epochs {
     /* What this VM gave before it took over, if it did. */
+    struct timespec began;       /* this life of the VM */
     uint64_t given_epoch;        /* the last one that has ended; 0 none */
     struct timespec given_until; /* of any worker */
     GHashTable *sooner;          /* worker -> struct timespec: its own */
@@ -59,11 +60,31 @@
     return lease_ms + lease_ms * OWNER_DRIFT_PERCENT / 100 + ARRIVES_WITHIN_MS;
 }
 
-/* The same of one that an owner of this state gave. */
+/* True if a worker of the service may start again under its id: an order that
+ * is under way may meet its next life, whose clock is another. */
+static bool
+workers_tell_lives(const struct cw_owner *owner)
+{
+    GHashTableIter iterator;
+    gpointer value;
+
+    g_hash_table_iter_init(&iterator, owner->targets);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const struct owner_target *target = value;
+
+        if (target->life.born_ms > 0 || target->reported_born_ms > 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* The longest lease that this owner gives. */
 static int64_t
-lease_most_ms(const struct cw_owner *owner)
+longest_given_ms(const struct cw_owner *owner)
 {
-    return lasts_ms(owner_lease_given_ms(owner));
+    return workers_tell_lives(owner) ? owner->options.lease_ms
+                                     : owner_lease_given_ms(owner);
 }
 
 struct owner_epochs *
@@ -72,8 +93,9 @@
     struct owner_epochs *epochs = g_new0(struct owner_epochs, 1);
 
     /* A former life of this VM ended before this one began. */
+    epochs->began = owner_now(owner);
     epochs->given_until =
-        cw_time_add_ms(owner_now(owner), lease_most_ms(owner));
+        cw_time_add_ms(epochs->began, lasts_ms(owner->options.lease_ms));
     epochs->sooner =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     return epochs;
@@ -119,18 +141,10 @@
 
 /* When what an owner gave is over that may not know yet that it is none. */
 static struct timespec
-end_of_open(const struct cw_owner *owner)
+end_of_open(const struct cw_owner *owner, int64_t lease_ms)
 {
     return cw_time_add_ms(owner->epochs->decides,
-                          EXTEND_PROOF_MS + lease_most_ms(owner));
-}
-
-/* The same of an owner of which nothing is known. */
-static struct timespec
-end_of_unknown(const struct cw_owner *owner)
-{
-    return cw_time_add_ms(owner->epochs->decides,
-                          EXTEND_PROOF_MS + lasts_ms(owner->options.lease_ms));
+                          EXTEND_PROOF_MS + lasts_ms(lease_ms));
 }
 
 /* When what another VM gave the worker, or any worker, is over. */
@@ -141,7 +155,7 @@
     int64_t left_ms = cw_replica_epoch_left_ms(epoch, worker);
 
     if (!cw_replica_epoch_is_over(epoch)) {
-        return end_of_open(owner);
+        return end_of_open(owner, epoch->lease_ms);
     }
     /* Two VMs' clocks may differ by as much as a worker's from one. */
     return cw_time_add_ms(epoch->end_read_at,
@@ -177,7 +191,7 @@
     gpointer value;
 
     if (settled == 0) {
-        later(&end, end_of_unknown(owner));
+        later(&end, end_of_open(owner, owner->options.lease_ms));
     }
     g_hash_table_iter_init(&iterator,
                            cw_replica_epochs(owner->options.replica));
@@ -260,7 +274,9 @@
             owner_batch_stored stored)
 {
     struct cw_epoch_record record = {.epoch = owner->epoch,
-                                     .settled_below = settled};
+                                     .settled_below = settled,
+                                     .lease_ms =
+                                         (unsigned)longest_given_ms(owner)};
     struct owner_batch *batch = owner_batch_new(stored, owner);
 
     owner_batch_put(batch, cw_work_key(CW_WORK_KEY_EPOCH, owner->vm),
@@ -383,8 +399,8 @@
     epochs->given_epoch = owner->epoch;
     epochs->untold = true;
     if (owner->state == OWNER_ACTIVE) {
-        epochs->given_until =
-            cw_time_add_ms(owner_now(owner), lease_most_ms(owner));
+        epochs->given_until = cw_time_add_ms(
+            owner_now(owner), lasts_ms(longest_given_ms(owner)));
         g_hash_table_remove_all(epochs->sooner);
         collect_sooner(owner, true);
         collect_sooner(owner, false);
@@ -403,6 +419,8 @@
         own->epoch > epochs->given_epoch)
     {
         epochs->given_epoch = own->epoch;
+        epochs->given_until =
+            cw_time_add_ms(epochs->began, lasts_ms(own->lease_ms));
         epochs->untold = true;
     }
 }
--- a/src/proto/cw_proto.h
+++ b/src/proto/cw_proto.h
@@ -206,6 +206,7 @@
 struct cw_epoch_record {
 	u_quad_t epoch;
 	u_quad_t settled_below;
+	u_int lease_ms;
 };
 typedef struct cw_epoch_record cw_epoch_record;
 
--- a/src/proto/cw_proto.x
+++ b/src/proto/cw_proto.x
@@ -182,6 +182,7 @@
     unsigned hyper epoch;
     unsigned hyper settled_below;    /* all leases that were given under an
                                         epoch below it are over; 0: unknown */
+    unsigned int lease_ms;           /* the longest that is given under it */
 };
 
 /* Of a worker whose lease ended before those of others. */
--- a/src/proto/cw_proto_xdr.c
+++ b/src/proto/cw_proto_xdr.c
@@ -809,6 +809,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->settled_below))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->lease_ms))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/replica/replica_epochs.c
+++ b/src/replica/replica_epochs.c
@@ -61,6 +61,7 @@
     }
     epoch->offset = record->offset;
     epoch->epoch = value.epoch;
+    epoch->lease_ms = value.lease_ms;
     epoch->settled_below = value.settled_below;
     return epoch;
 }
--- a/tests/test_epochs.c
+++ b/tests/test_epochs.c
@@ -9,6 +9,8 @@
     /* What owners give at most, with drift and what an order may be late. */
     GIVEN_MS = 5500,
     LEASE_MOST_MS = GIVEN_MS + GIVEN_MS / 50 + 500,
+    /* ... where workers may start again under their ids. */
+    WHOLE_MOST_MS = LEASE_MS + LEASE_MS / 50 + 500,
     /* ... and 6 s in which a VM that nobody hears of may still give it. */
     OPEN_BOUND_MS = 6000 + LEASE_MOST_MS,
     /* Two owners' epochs, and one that is later than this VM's. */
@@ -27,7 +29,8 @@
 static void
 put_epoch(struct bed *bed, const char *key, uint64_t epoch, uint64_t settled)
 {
-    struct cw_epoch_record value = {.epoch = epoch, .settled_below = settled};
+    struct cw_epoch_record value = {
+        .epoch = epoch, .settled_below = settled, .lease_ms = GIVEN_MS};
     GByteArray *bytes = cw_xdr_encode((xdrproc_t)xdr_cw_epoch_record, &value);
 
     put(bed, CW_WORK_TOPIC, key, bytes);
@@ -384,7 +387,7 @@
     CU_ASSERT_TRUE(is_about(cw_replica_epoch_left_ms(told, "w"), left_ms));
     CU_ASSERT_TRUE(cw_replica_epoch_left_ms(told, "w") >= left_ms - 100);
     CU_ASSERT_TRUE(
-        is_about(cw_replica_epoch_left_ms(told, "v"), LEASE_MOST_MS));
+        is_about(cw_replica_epoch_left_ms(told, "v"), WHOLE_MOST_MS));
     bed_end(&bed);
 }
 
@@ -413,7 +416,7 @@
     CU_ASSERT_TRUE(cw_replica_epoch_left_ms(told, "w") <= left_ms + 500);
     CU_ASSERT_TRUE(cw_replica_epoch_left_ms(told, "w") >= left_ms);
     CU_ASSERT_TRUE(
-        is_about(cw_replica_epoch_left_ms(told, "v"), LEASE_MOST_MS));
+        is_about(cw_replica_epoch_left_ms(told, "v"), WHOLE_MOST_MS));
     bed_end(&bed);
 }
 
