--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -707,7 +707,7 @@
 int64_t owner_lease_most_ms(const struct cw_owner *owner);
 
 /* The longest that owners give, by the worker's clock. */
-int64_t owner_lease_given_ms(const struct cw_owner *owner);
+int64_t owner_lease_longest_ms(const struct cw_owner *owner);
 
 /* True if the worker's clock was read lately enough to give it a lease. */
 bool owner_lease_clock_is_fresh(const struct owner_target *target,
--- a/src/owner/owner_epochs.c
+++ b/src/owner/owner_epochs.c
@@ -84,7 +84,7 @@
 longest_given_ms(const struct cw_owner *owner)
 {
     return workers_tell_lives(owner) ? owner->options.lease_ms
-                                     : owner_lease_given_ms(owner);
+                                     : owner_lease_longest_ms(owner);
 }
 
 struct owner_epochs *
--- a/src/owner/owner_leases.c
+++ b/src/owner/owner_leases.c
@@ -31,7 +31,7 @@
 }
 
 int64_t
-owner_lease_given_ms(const struct cw_owner *owner)
+owner_lease_longest_ms(const struct cw_owner *owner)
 {
     return MIN(owner->options.lease_ms, LONG_LEASE_MS);
 }
@@ -110,7 +110,7 @@
 static int64_t
 lease_ms_for(const struct owner_target *target, enum cw_order_kind kind)
 {
-    int64_t lease_ms = owner_lease_given_ms(target->owner);
+    int64_t lease_ms = owner_lease_longest_ms(target->owner);
     bool is_short = target->draining || kind == CW_ORDER_START ||
                     !has_confirmed_run(target);
 
--- a/tests/test_drain.c
+++ b/tests/test_drain.c
@@ -109,7 +109,7 @@
                        cw_time_diff_ms(cw_time_from_ms(0), site.clock.now),
                        site.clock.now);
     CU_ASSERT_EQUAL(owner_target_lease(target, CW_ORDER_HOLD, site.clock.now),
-                    before_ms + 9000 - owner_lease_given_ms(site.owner) +
+                    before_ms + 9000 - owner_lease_longest_ms(site.owner) +
                         LEAVING_LEASE_MS);
     CU_ASSERT_TRUE(cw_time_diff_ms(site.clock.now, target->lease_end) <=
                    LEAVING_LEASE_MS + 300);
--- a/tests/test_leases.c
+++ b/tests/test_leases.c
@@ -195,7 +195,7 @@
     CU_ASSERT_EQUAL_FATAL(last_order.kind, CW_ORDER_HOLD);
     end = target->lease_end;
     CU_ASSERT_TRUE(cw_time_diff_ms(site.clock.now, end) >
-                   owner_lease_given_ms(site.owner));
+                   owner_lease_longest_ms(site.owner));
     second = add_job(&site, 0, &one);
     pass(&site, 1500);
     CU_ASSERT_PTR_EQUAL_FATAL(place_of(second, 0), target);
