--- a/src/owner/owner_targets.c
+++ b/src/owner/owner_targets.c
@@ -317,7 +317,9 @@
                 "heard_ms=%" PRId64,
                 target->id, reason, target->runs->len, target->silent,
                 target->draining,
-                cw_time_diff_ms(target->seen_at, owner_now(owner)));
+                target->seen_at.tv_sec > 0
+                    ? cw_time_diff_ms(target->seen_at, owner_now(owner))
+                    : -1);
     for (guint i = 0; i < target->runs->len; i++) {
         owner_crashes_collect(target->runs->pdata[i], owner_now(owner));
         if (!target->gone) {
--- a/tests/test_epochs.c
+++ b/tests/test_epochs.c
@@ -104,7 +104,9 @@
     };
 
     cw_replica_apply(fold->replica, &record);
-    g_clear_pointer(&bytes, g_byte_array_unref);
+    if (bytes != NULL) {
+        g_byte_array_unref(bytes);
+    }
 }
 
 static void
--- a/tests/test_short_leases.c
+++ b/tests/test_short_leases.c
@@ -25,6 +25,7 @@
 {
     const struct cw_step_spec one = {.tasks = 1, .accelerators = 4};
     struct site site;
+    struct owner_job *job;
     struct owner_run *run;
     struct cw_task_name name;
     int64_t clock_ms = START_MS;
@@ -43,11 +44,9 @@
     site.clock.now = cw_time_add_ms(site.clock.now, IDLE_MS);
     clock_ms += IDLE_MS * (100 - DRIFT_PERCENT) / 100;
     site.owner->proof_at = site.clock.now;
-    run = step_of(add_job(&site, 1, &one))->tasks[0].run;
+    job = add_job(&site, 1, &one);
     pass(&site, 10);
-    run = step_of(g_hash_table_lookup(site.owner->jobs, "0000000000000001"))
-              ->tasks[0]
-              .run;
+    run = step_of(job)->tasks[0].run;
     CU_ASSERT_PTR_NOT_NULL_FATAL(run);
     run->phase = RUN_READY;
     name = owner_task_name(run->task);
