--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -6,7 +6,7 @@
 
 ROOT=$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)
 BUILD=${BUILD:-$ROOT/build}
-CW=$BUILD/curlewcart
+CW=${CW:-$BUILD/curlewcart}
 PLATFORM_STANDIN=$ROOT/build/curlewcart-platform
 DCS=(hall-olbin hall-krzyki hall-psie-pole)
 declare -A PID CALLERS STORE_OF
@@ -37,6 +37,8 @@
     runs "$2" && kill "-$1" "${PID[$2]}" 2>/dev/null
 }
 
+now_ms() { echo $((${EPOCHREALTIME/./} / 1000)); }
+
 end_all() {
     local name
     for name in "${!PID[@]}"; do
@@ -96,9 +98,11 @@
 # behind it.
 start_platform() {
     local dc rack i
+    mkfifo "$DIR/platform.in"
+    exec 8<>"$DIR/platform.in"
     "$PLATFORM_STANDIN" --dcs "$(IFS=,; echo "${DCS[*]}")" --racks "$2" \
         --per-rack "$1" ${PID[proxy]:+--proxy "$DIR/worker-links"} \
-        >"$DIR/trace" 2>"$DIR/platform.err" &
+        <"$DIR/platform.in" >"$DIR/trace" 2>"$DIR/platform.err" &
     PID[platform]=$!
     [ -z "${PID[proxy]:-}" ] || link_workers $(($1 * $2 * ${#DCS[@]}))
     await 5 grep -q '^store=' "$DIR/trace" || die "platform did not start"
@@ -115,9 +119,28 @@
     done
 }
 
+# A worker dies for good: nothing answers in its place.
+lose_worker() { # NAME
+    misbehave "cut worker.$1 both"
+    echo "lose $1" >&8
+}
+
 store_away() { signal_to USR1 platform; }
 store_back() { signal_to USR2 platform; }
 
+# Sets VMS, lines "VM:DC", and NAMES.
+name_vms() { # COUNT
+    local i
+    VMS=(olbin-1:hall-olbin olbin-2:hall-olbin krzyki-1:hall-krzyki
+        krzyki-2:hall-krzyki psie-1:hall-psie-pole)
+    for ((i = ${#VMS[@]}; i < $1; i++)); do
+        VMS+=("vm-$i:${DCS[$((i % 3))]}")
+    done
+    NAMES=("${VMS[@]%%:*}")
+}
+
+dc_of() { printf '%s\n' "${VMS[@]}" | sed -n "s/^$1://p"; }
+
 write_settings() { # VM DC
     cat >"$DIR/$1.yaml" <<END
 vm: $1
@@ -149,6 +172,11 @@
     CALLERS[$1]=$(sed -n 's/^callers=//p' "$DIR/$1.ports")
 }
 
+start_again() { # VM: one that has ended
+    runs "$1" && return
+    start_daemon "$1" "$(dc_of "$1")"
+}
+
 url() { echo "http://127.0.0.1:${CALLERS[$1]}"; }
 
 write_bundle() { # FILE GUARANTEE RACK_BLOCK
@@ -223,6 +251,20 @@
 
 one_decides() { [ -n "$(decider_of "$@")" ]; }
 
+logged() { cat "$DIR"/*.log | grep -c " event=$1 "; }
+
+call() { # METHOD PATH ACCOUNT [BODY]: prints the answer's JSON
+    curl -s -m 4 -X "$1" -H "X-Curlewcart-Account: $3" \
+        -H "Authorization: Bearer token-$3" ${4:+-d "$4"} "$2"
+}
+
+told() { sed -n "s/.*\"$2\": *\"\{0,1\}\([a-z0-9_]*\).*/\1/p" <<<"$1"; }
+
+# How long scripts/still bears that nothing of a job is at work: 3 s, and the
+# rest for what measures it, which is on the same machine: the stand-in's steps
+# of 20 ms, and a core that it waits for.
+STILL_BORNE_MS=3250
+
 # job_of ACCOUNT ID: the name that workers know a request by.
 job_of() { printf '%s/%s' "$1" "$2" | b2sum -l 128 | cut -c1-16; }
 
--- a/standins/platform_standin.c
+++ b/standins/platform_standin.c
@@ -13,9 +13,10 @@
  * another life, under another id; with "crash=2" under the id that it had.
  * SIGUSR1 makes the store refuse all calls, SIGUSR2 makes it serve again;
  * SIGHUP crashes every third worker at once, and they are back under their
- * ids. */
+ * ids.  A line "lose WORKER" on standard input crashes one for good. */
 #include <argp.h>
 #include <inttypes.h>
+#include <poll.h>
 #include <pthread.h>
 #include <signal.h>
 #include <stdio.h>
@@ -170,6 +171,49 @@
     platform->same_id = false;
 }
 
+static void
+lose_worker(struct platform *platform, const char *id)
+{
+    for (guint i = 0; i < platform->workers->len; i++) {
+        struct worker_server *worker = platform->workers->pdata[i];
+        struct worker_model *model =
+            worker_fleet_find(platform->fleet, worker->id);
+
+        if (strcmp(worker->id, id) == 0 && !worker_model_dead(model)) {
+            worker_model_crash(model);
+            worker->away_ms = INT64_MAX;
+            printf("lost worker=%s at_ms=%" PRId64 "\n", id,
+                   cw_clock_wall_ms(cw_clock_system()));
+            fflush(stdout);
+        }
+    }
+    platform->same_id = false;
+}
+
+/* Carries out the whole lines that standard input has by now. */
+static void
+take_commands(struct platform *platform, GString *text)
+{
+    struct pollfd input = {.fd = STDIN_FILENO, .events = POLLIN};
+    char bytes[COMMAND_BYTES_MAX];
+    const char *end;
+    ssize_t length = 0;
+
+    if (poll(&input, 1, 0) > 0) {
+        length = read(STDIN_FILENO, bytes, sizeof(bytes));
+    }
+    g_string_append_len(text, bytes, MAX(length, 0));
+    while ((end = strchr(text->str, '\n')) != NULL) {
+        char *line = g_strndup(text->str, (gsize)(end - text->str));
+
+        if (g_str_has_prefix(line, "lose ")) {
+            lose_worker(platform, line + strlen("lose "));
+        }
+        g_string_erase(text, 0, end - text->str + 1);
+        g_free(line);
+    }
+}
+
 static struct cw_http_server *
 serve(void (*handle)(void *, struct cw_http_call *), int64_t (*mark)(void *),
       void *context)
@@ -328,6 +372,7 @@
 {
     struct timespec step = cw_time_from_ms(REVIVE_EVERY_MS);
     sigset_t signals = told_signals();
+    GString *commands = g_string_new(NULL);
     int64_t report_ms = 0;
     int told;
 
@@ -342,6 +387,7 @@
         pthread_mutex_unlock(&platform->lock);
         told = sigtimedwait(&signals, NULL, &step);
         pthread_mutex_lock(&platform->lock);
+        take_commands(platform, commands);
         if (told == SIGUSR1 || told == SIGUSR2) {
             platform->away = told == SIGUSR1;
         }
@@ -350,6 +396,7 @@
         }
         pthread_mutex_unlock(&platform->lock);
     } while (told != SIGTERM && told != SIGINT);
+    g_string_free(commands, TRUE);
 }
 
 int
--- a/standins/platform_standin.h
+++ b/standins/platform_standin.h
@@ -25,6 +25,7 @@
     AGAIN_STEP_MS = 150,
     AGAIN_SPAN_MS = 1800,
     SAME_ID = 2, /* "crash=2" in a payload */
+    COMMAND_BYTES_MAX = 512,
     LENGTH_BYTES = 4,
     ACCELERATORS = 8,
     CPU_MILLI = 32000,
