An order without a lease does not lengthen the wait for a silent worker

Cause: the first unanswered look of a worker with orders under way adds 0.5 s, as one that is late may give its next life a lease. After a take-over the bound for what earlier owners gave has that already, and an owner that the worker has not answered gives no lease with its orders: 0.5 s were waited for twice (log: 6057 ms left at the take-over, run_lost 6598 ms after it).

Evidence: test_leases/unleased failed.

--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -720,6 +720,9 @@
 /* The worker has answered this owner, and so seen its fencing token. */
 void owner_lease_seen(struct owner_target *target, struct timespec now);
 
+/* True if orders of this owner may have given the worker a lease. */
+bool owner_lease_given(const struct owner_target *target);
+
 /* For logs. */
 const char *owner_lease_source_name(enum owner_lease_source source);
 
--- a/src/owner/owner_epochs.c
+++ b/src/owner/owner_epochs.c
@@ -225,10 +225,7 @@
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         struct owner_target *target = value;
 
-        /* This owner has given it nothing yet. */
-        if (target->runs->len > 0 && target->seen_at.tv_sec == 0 &&
-            target->life.lease_sent_ms == 0)
-        {
+        if (target->runs->len > 0 && !owner_lease_given(target)) {
             owner_lease_lower(target, end_of_earlier(owner, target->id),
                               OWNER_LEASE_EARLIER);
             owner_target_wake(target);
--- a/src/owner/owner_lives.c
+++ b/src/owner/owner_lives.c
@@ -109,6 +109,10 @@
 {
     bool under_way = target->orders_in_flight > 0;
 
+    /* What earlier owners gave has late orders in its bound. */
+    if (!owner_lease_given(target)) {
+        return;
+    }
     for (guint i = 0; !under_way && i < target->runs->len; i++) {
         const struct owner_run *run = target->runs->pdata[i];
 
--- a/tests/test_leases.c
+++ b/tests/test_leases.c
@@ -80,7 +80,29 @@
     bed_end(&bed);
 }
 
-/* Guards against the same for an owner that was deposed and goes on. */
+/* Guards against waiting for orders of this owner that arrive late, where none
+ * of them gave a lease: what earlier owners gave has that in its bound. */
+static void
+test_orders_without_a_lease_lengthen_none(void)
+{
+    struct bed bed;
+    struct timespec end;
+
+    bed_with_settled_owner(&bed);
+    replace_owner(&bed, "this");
+    list_worker(&bed);
+    end = the_worker(&bed)->lease_end;
+    the_worker(&bed)->orders_in_flight = 1;
+    run(&bed, 100);
+    answer_rest();
+    CU_ASSERT_TRUE(the_worker(&bed)->silent > 0);
+    CU_ASSERT_FALSE(cw_time_before(end, the_worker(&bed)->lease_end));
+    the_worker(&bed)->orders_in_flight = 0;
+    bed_end(&bed);
+}
+
+/* Guards against waiting for leases that an owner could still extend, where it
+ * was deposed and goes on. */
 static void
 test_a_deposed_owner_tells_that_it_extends_no_more(void)
 {
@@ -207,6 +229,7 @@
 static const struct test tests[] = {
     {"answer", test_an_answer_bounds_what_earlier_owners_gave},
     {"restart", test_a_restarted_vm_extends_no_leases_of_its_former_life},
+    {"unleased", test_orders_without_a_lease_lengthen_none},
     {"deposed", test_a_deposed_owner_tells_that_it_extends_no_more},
     {"places", test_places_on_a_silent_worker_are_given_up},
     {"growth", test_starts_do_not_lengthen_a_lease_that_is_kept_up},
