--- a/src/owner/owner_leases.c
+++ b/src/owner/owner_leases.c
@@ -76,12 +76,6 @@
     return target->seen_at.tv_sec > 0 || target->life.lease_sent_ms > 0;
 }
 
-bool
-owner_lease_given(const struct owner_target *target)
-{
-    return target->seen_at.tv_sec > 0 || target->life.lease_sent_ms > 0;
-}
-
 const char *
 owner_lease_source_name(enum owner_lease_source source)
 {
