--- a/src/owner/owner_epochs.c
+++ b/src/owner/owner_epochs.c
@@ -36,19 +36,20 @@
 };
 
 struct owner_epochs {
-    /* What this VM gave before it took over, if it did. */
-    struct timespec began;       /* this life of the VM */
-    uint64_t given_epoch;        /* the last one that has ended; 0 none */
+    struct timespec began; /* this life of the VM */
+    /* What this VM gave under epochs that have ended.  Until it knows that a
+     * former life gave nothing, it counts as having given a lease. */
+    uint64_t given_epoch;        /* the last of them; 0 none */
     struct timespec given_until; /* of any worker */
     GHashTable *sooner;          /* worker -> struct timespec: its own */
-    bool untold;                 /* the log does not have it yet */
+    bool unreported;             /* the log does not have it yet */
     struct call *call;
     struct timespec due;
     /* As the owner. */
-    bool sent;                 /* its epoch may stand in the log */
-    bool recorded;             /* ... and does */
-    bool settling;             /* that all before is over is being written */
-    struct timespec decides;   /* since when */
+    bool sent;     /* its epoch may stand in the log */
+    bool recorded; /* ... and does */
+    bool settling; /* that all before is over is being written */
+    struct timespec decides_since;
     struct timespec settle_at; /* all that earlier owners gave is over */
 };
 
@@ -143,7 +144,7 @@
 static struct timespec
 end_of_open(const struct cw_owner *owner, int64_t lease_ms)
 {
-    return cw_time_add_ms(owner->epochs->decides,
+    return cw_time_add_ms(owner->epochs->decides_since,
                           EXTEND_PROOF_MS + lasts_ms(lease_ms));
 }
 
@@ -173,7 +174,7 @@
 }
 
 static void
-later(struct timespec *end, struct timespec other)
+raise_to(struct timespec *end, struct timespec other)
 {
     if (cw_time_before(*end, other)) {
         *end = other;
@@ -191,7 +192,7 @@
     gpointer value;
 
     if (settled == 0) {
-        later(&end, end_of_open(owner, owner->options.lease_ms));
+        raise_to(&end, end_of_open(owner, owner->options.lease_ms));
     }
     g_hash_table_iter_init(&iterator,
                            cw_replica_epochs(owner->options.replica));
@@ -200,7 +201,7 @@
 
         if (epoch->epoch > 0 && epoch->epoch >= settled &&
             strcmp(vm, owner->vm) != 0) {
-            later(&end, end_of_other(owner, epoch, worker));
+            raise_to(&end, end_of_other(owner, epoch, worker));
         }
     }
     return end;
@@ -210,12 +211,11 @@
 owner_epochs_bound_leases(struct cw_owner *owner, struct timespec now)
 {
     struct owner_epochs *epochs = owner->epochs;
+    bool any = false;
     GHashTableIter iterator;
     gpointer value;
 
-    bool any = false;
-
-    epochs->decides = now;
+    epochs->decides_since = now;
     g_hash_table_iter_init(&iterator, owner->targets);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         struct owner_target *target = value;
@@ -352,7 +352,7 @@
 /* Until when the worker's lease may last.  What is under way to a worker that
  * answers may meet its next life. */
 static struct timespec
-end_of_given(const struct owner_target *target)
+end_of_current(const struct owner_target *target)
 {
     return target->silent > 0
                ? target->lease_end
@@ -373,7 +373,7 @@
            g_hash_table_size(epochs->sooner) < SOONER_MOST)
     {
         const struct owner_target *target = value;
-        struct timespec end = end_of_given(target);
+        struct timespec end = end_of_current(target);
 
         if ((target->silent > 0) == silent && target->lease_end.tv_sec > 0 &&
             cw_time_before(end, epochs->given_until))
@@ -394,7 +394,7 @@
     }
     epochs->sent = false;
     epochs->given_epoch = owner->epoch;
-    epochs->untold = true;
+    epochs->unreported = true;
     if (owner->state == OWNER_ACTIVE) {
         epochs->given_until = cw_time_add_ms(
             owner_now(owner), lasts_ms(longest_given_ms(owner)));
@@ -418,7 +418,7 @@
         epochs->given_epoch = own->epoch;
         epochs->given_until =
             cw_time_add_ms(epochs->began, lasts_ms(own->lease_ms));
-        epochs->untold = true;
+        epochs->unreported = true;
     }
 }
 
@@ -456,7 +456,7 @@
 }
 
 static void
-on_told(void *context, const struct cw_store_appended *result)
+on_reported(void *context, const struct cw_store_appended *result)
 {
     struct call *call = context;
     struct owner_epochs *epochs = call->epochs;
@@ -465,7 +465,7 @@
         epochs->call = NULL;
         if (result->status == CW_STORE_OK &&
             call->epoch == epochs->given_epoch) {
-            epochs->untold = false;
+            epochs->unreported = false;
             cw_log_info("epoch_ended", "epoch=%" PRIu64 " offset=%" PRIu64,
                         call->epoch, result->first);
         }
@@ -474,7 +474,7 @@
 }
 
 static void
-tell_end(struct cw_owner *owner, struct timespec now)
+report_end(struct cw_owner *owner, struct timespec now)
 {
     struct owner_epochs *epochs = owner->epochs;
     struct call *call = g_new0(struct call, 1);
@@ -487,7 +487,7 @@
                                      .records = &record,
                                      .count = 1,
                                      .timeout_ms = TIMEOUT_MS,
-                                     .done = on_told,
+                                     .done = on_reported,
                                      .context = call};
 
     call->epochs = epochs;
@@ -504,12 +504,12 @@
     struct owner_epochs *epochs = owner->epochs;
 
     note_former_life(owner);
-    if (!epochs->untold || epochs->call != NULL) {
+    if (!epochs->unreported || epochs->call != NULL) {
         return cw_time_from_ms(INT32_MAX);
     }
     if (!cw_time_before(now, epochs->due)) {
         epochs->due = cw_time_add_ms(now, RETRY_MS);
-        tell_end(owner, now);
+        report_end(owner, now);
     }
     return epochs->due;
 }
--- a/src/owner/owner_leases.c
+++ b/src/owner/owner_leases.c
@@ -9,8 +9,8 @@
     /* Of a worker that works: 7 s from its end until its tasks run elsewhere
      * are borne, however long a lease the platform allows. */
     LONG_LEASE_MS = 5500,
-    /* Where little would be lost with it: two looks without an answer fit in,
-     * and nothing waits for the rest of a long one. */
+    /* Of a worker with little to lose, so that less is waited for if it dies;
+     * two looks without an answer fit in. */
     SHORT_LEASE_MS = 4000,
     /* A reading of a worker's clock that is older gives no lease: 2% of it
      * would be much of a short one. */
