A start that is sent again gives no longer a lease

Cause: each try asked for a lease anew. It gives now what the first gave, but where the worker may start again under its id.

--- a/src/owner/owner_orders.c
+++ b/src/owner/owner_orders.c
@@ -378,6 +378,20 @@
             !cw_time_before(run->sent_at, target->seen_at));
 }
 
+/* End of lease to send with a start.  One that is sent again gives what the
+ * first gave, unless it may meet another life. */
+static int64_t
+start_lease(struct owner_target *target, const struct owner_run *run,
+            struct timespec now)
+{
+    if (run->unanswered > 0 && target->life.born_ms == 0 &&
+        target->life.lease_sent_ms > 0)
+    {
+        return target->life.lease_sent_ms;
+    }
+    return owner_target_lease(target, CW_ORDER_START, now);
+}
+
 static void
 send_order(struct cw_owner *owner, struct owner_order *order,
            struct timespec now)
@@ -397,7 +411,7 @@
     };
 
     if (order->kind == CW_ORDER_START) {
-        out.lease_until_ms = owner_target_lease(target, CW_ORDER_START, now);
+        out.lease_until_ms = start_lease(target, run, now);
         out.payload = owner_task_job(run->task)->spec->payload;
         out.saved = run->task->saved;
         run->phase = RUN_STARTING;
--- a/tests/test_leases.c
+++ b/tests/test_leases.c
@@ -204,6 +204,35 @@
     site_end(&site);
 }
 
+/* Guards against a lease that grows with each try of a start that is not
+ * answered. */
+static void
+test_a_start_sent_again_gives_no_longer_lease(void)
+{
+    const struct cw_step_spec one = {.tasks = 1, .accelerators = 4};
+    struct site site;
+    struct owner_target *target;
+    struct owner_job *job;
+    struct timespec end;
+    int64_t until_ms;
+
+    site_begin(&site);
+    job = add_job(&site, 0, &one);
+    pass(&site, 10);
+    target = send_start(&site, job);
+    end = target->lease_end;
+    until_ms = last_order.lease_until_ms;
+    answer_last(CW_TARGET_UNKNOWN);
+    site.clock.now = cw_time_add_ms(site.clock.now, 900);
+    site.owner->proof_at = site.clock.now;
+    owner_orders_send(site.owner, target, site.clock.now);
+    CU_ASSERT_EQUAL_FATAL(last_order.kind, CW_ORDER_START);
+    CU_ASSERT_EQUAL(step_of(job)->tasks[0].run->unanswered, 1);
+    CU_ASSERT_EQUAL(last_order.lease_until_ms, until_ms);
+    CU_ASSERT_EQUAL(cw_time_diff_ms(end, target->lease_end), 0);
+    site_end(&site);
+}
+
 /* Guards against gangs that wait for a whole lease for a worker that died
  * before it had confirmed anything. */
 static void
@@ -275,6 +304,7 @@
     {"deposed", test_a_deposed_owner_tells_that_it_extends_no_more},
     {"places", test_places_on_a_silent_worker_are_given_up},
     {"growth", test_starts_do_not_lengthen_a_lease_that_is_kept_up},
+    {"sent again", test_a_start_sent_again_gives_no_longer_lease},
     {"noticed", test_the_end_of_a_lease_is_noticed_at_once},
     {"next life", test_a_start_may_meet_a_next_life},
     {"unconfirmed", test_an_unconfirmed_start_gives_a_short_lease},
