--- /dev/null
+++ b/src/owner/internal/owner_leases.h
@@ -0,0 +1,52 @@
+/* Leases of workers: what is given, and until when one may last. */
+#ifndef CURLEWCART_OWNER_LEASES_H
+#define CURLEWCART_OWNER_LEASES_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <time.h>
+
+#include "curlewcart/cw_owner.h"
+#include "curlewcart/cw_target.h"
+
+struct owner_target;
+
+/* Who has set the end of a worker's lease. */
+enum owner_lease_source {
+    OWNER_LEASE_OWN,     /* this owner, by a look or a start */
+    OWNER_LEASE_EARLIER, /* earlier owners may have extended it */
+    OWNER_LEASE_NOTE,    /* an earlier owner, in its note */
+    OWNER_LEASE_LIFE     /* orders to a former life may reach the next one */
+};
+
+/* How long a lease of the longest that workers take may last, by our clock. */
+int64_t owner_lease_most_ms(const struct cw_owner *owner);
+
+/* The longest that owners give, by the worker's clock. */
+int64_t owner_lease_longest_ms(const struct cw_owner *owner);
+
+/* True if the worker's clock was read lately enough to give it a lease. */
+bool owner_lease_clock_is_fresh(const struct owner_target *target,
+                                struct timespec now);
+
+/* End of lease to send with an order now, on the worker's clock; it is never
+ * earlier than one that was sent before. */
+int64_t owner_target_lease(struct owner_target *target,
+                           enum cw_order_kind kind, struct timespec now);
+
+/* The worker's lease may last until `end` at least, or at most. */
+void owner_lease_raise(struct owner_target *target, struct timespec end,
+                       enum owner_lease_source source);
+void owner_lease_lower(struct owner_target *target, struct timespec end,
+                       enum owner_lease_source source);
+
+/* The worker has answered this owner, and so seen its fencing token. */
+void owner_lease_seen(struct owner_target *target, struct timespec now);
+
+/* True if orders of this owner may have given the worker a lease. */
+bool owner_lease_given(const struct owner_target *target);
+
+/* For logs. */
+const char *owner_lease_source_name(enum owner_lease_source source);
+
+#endif
--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -13,6 +13,8 @@
 #include "curlewcart/cw_time.h"
 #include "curlewcart/cw_xdr.h"
 #include "owner/internal/owner_due.h"
+#include "owner/internal/owner_epochs.h"
+#include "owner/internal/owner_leases.h"
 #include "owner/internal/owner_lives.h"
 #include "owner/internal/owner_log.h"
 #include "owner/internal/owner_stored.h"
@@ -156,14 +158,6 @@
     OWNER_NOTE_DROPPED  /* ... and the taking back is in the batch under way */
 };
 
-/* Who has set the end of a worker's lease; owner_leases.c. */
-enum owner_lease_source {
-    OWNER_LEASE_OWN,     /* this owner, by a look or a start */
-    OWNER_LEASE_EARLIER, /* earlier owners may have extended it */
-    OWNER_LEASE_NOTE,    /* an earlier owner, in its note */
-    OWNER_LEASE_LIFE     /* orders to a former life may reach the next one */
-};
-
 /* A worker as the owner knows it; see owner_targets.c. */
 struct owner_target {
     struct owner_due_entry due; /* first member: the heap's entry is it */
@@ -333,9 +327,6 @@
  * changes anything at a worker needs it. */
 bool owner_may_order(const struct cw_owner *owner, struct timespec now);
 
-/* True if leases may still be extended. */
-bool owner_may_extend(const struct cw_owner *owner, struct timespec now);
-
 /* The store confirmed at `asked` that this VM is the owner. */
 void owner_prove(struct cw_owner *owner, struct timespec asked);
 
@@ -565,34 +556,6 @@
 /* Applies all that former owners have told. */
 void owner_hints_adopt(struct cw_owner *owner);
 
-/* ---- owner_epochs.c ---- */
-
-struct owner_epochs *owner_epochs_create(const struct cw_owner *owner);
-void owner_epochs_free(struct owner_epochs *epochs);
-
-/* Writes the epoch that was opened, on the idle log of jobs; this VM decides
- * once it is recorded. */
-void owner_epochs_record(struct cw_owner *owner);
-bool owner_epochs_recorded(const struct cw_owner *owner);
-
-/* Bounds the leases of workers with runs by what earlier owners may have given
- * them; to be called once all is read that those have written. */
-void owner_epochs_bound_leases(struct cw_owner *owner, struct timespec now);
-
-/* Another VM told, while this one decides, that its epoch is over. */
-void owner_epochs_other_ended(struct cw_owner *owner, const char *vm);
-
-/* Writes, once it is so, that VMs that take over need not consider earlier
- * owners; false if the idle log of jobs was not used. */
-bool owner_epochs_settle(struct cw_owner *owner, struct timespec now);
-
-/* Ownership was lost: keeps what this VM may have given. */
-void owner_epochs_collect(struct cw_owner *owner);
-
-/* Tells that this VM's last epoch is over; returns when it wants to be called
- * next. */
-struct timespec owner_epochs_tick(struct cw_owner *owner, struct timespec now);
-
 /* ---- owner_once.c ---- */
 
 /* True if the run must not be stopped for others' sake: it may have begun
@@ -701,38 +664,6 @@
                         const struct owner_task *task, struct timespec now);
 void owner_target_praise(struct owner_target *target);
 
-/* ---- owner_leases.c ---- */
-
-/* How long a lease of the longest that workers take may last, by our clock. */
-int64_t owner_lease_most_ms(const struct cw_owner *owner);
-
-/* The longest that owners give, by the worker's clock. */
-int64_t owner_lease_longest_ms(const struct cw_owner *owner);
-
-/* True if the worker's clock was read lately enough to give it a lease. */
-bool owner_lease_clock_is_fresh(const struct owner_target *target,
-                                struct timespec now);
-
-/* End of lease to send with an order now, on the worker's clock; it is never
- * earlier than one that was sent before. */
-int64_t owner_target_lease(struct owner_target *target,
-                           enum cw_order_kind kind, struct timespec now);
-
-/* The worker's lease may last until `end` at least, or at most. */
-void owner_lease_raise(struct owner_target *target, struct timespec end,
-                       enum owner_lease_source source);
-void owner_lease_lower(struct owner_target *target, struct timespec end,
-                       enum owner_lease_source source);
-
-/* The worker has answered this owner, and so seen its fencing token. */
-void owner_lease_seen(struct owner_target *target, struct timespec now);
-
-/* True if orders of this owner may have given the worker a lease. */
-bool owner_lease_given(const struct owner_target *target);
-
-/* For logs. */
-const char *owner_lease_source_name(enum owner_lease_source source);
-
 /* ---- owner_orders.c ---- */
 
 struct owner_order {
