--- a/src/owner/owner_reclaim.c
+++ b/src/owner/owner_reclaim.c
@@ -111,12 +111,6 @@
     return protects;
 }
 
-bool
-owner_run_may_leave(const struct owner_run *run)
-{
-    return !run->stopping && !run->finished && !step_is_protected(run);
-}
-
 /* Lower work gives way; equally urgent work does only if its account holds
  * more than it is guaranteed and the step's account does not. */
 static bool
@@ -132,9 +126,9 @@
 static bool
 may_stop(const struct plan *plan, const struct owner_run *run)
 {
-    return owner_run_may_leave(run) &&
+    return !run->stopping && !run->finished &&
            gives_way(plan, owner_task_job(run->task)) &&
-           !owner_lasting_protects(run, plan->gone);
+           !step_is_protected(run) && !owner_lasting_protects(run, plan->gone);
 }
 
 double
