Logs tell why a job is idle, and for how long there has been room

job_waits told for how long nothing of a job had run, but not for how long there had been room for it twice over meanwhile, which is what the platform's rule asks; nor what had taken its last runs. So a job that waits for room, a job that room is withheld from, and a job that the owner has stopped by itself looked alike, and the hypotheses of the incident could not be told apart. room_ms and after tell it; job_resumed tells each idle time of over 3 s once it is over. The state that this takes has a header of its own (owner_idle.h).

--- /dev/null
+++ b/src/owner/internal/owner_idle.h
@@ -0,0 +1,53 @@
+/* Jobs of which nothing runs: since when, after what, and beside what room. */
+#ifndef CURLEWCART_OWNER_IDLE_H
+#define CURLEWCART_OWNER_IDLE_H
+
+#include <stdint.h>
+#include <time.h>
+
+struct cw_owner;
+struct owner_job;
+
+/* What took a job's last runs from their workers before they were done. */
+enum owner_idle_cause {
+    OWNER_IDLE_NONE, /* nothing has run yet, or what ran is done */
+    OWNER_IDLE_MOVED,
+    OWNER_IDLE_STALLED,
+    OWNER_IDLE_EVACUATED,
+    OWNER_IDLE_UNANSWERED, /* a start was given up, and its gang with it */
+    OWNER_IDLE_RECLAIMED,
+    OWNER_IDLE_LOST,
+    OWNER_IDLE_FAILED,
+    OWNER_IDLE_CAUSES
+};
+
+struct owner_idle {
+    struct timespec since;      /* a worker listed a run of the job last, or a
+                                   step's turn came */
+    struct timespec room_since; /* since then workers have had room for the
+                                   job twice over at each look; 0: they have
+                                   not */
+    struct timespec told_at;    /* that it waits was logged */
+    enum owner_idle_cause cause;
+};
+
+/* Work that could run and does not. */
+struct owner_waits {
+    struct timespec due;
+    unsigned jobs;
+    int64_t longest_ms;
+    unsigned repeating; /* tasks */
+};
+
+/* ---- owner_waits.c ---- */
+
+/* A step's turn has come, or the job has become known: it is idle from now. */
+void owner_idle_begin(struct cw_owner *owner, struct owner_job *job);
+
+/* A worker has listed a run of the job. */
+void owner_idle_end(struct cw_owner *owner, struct owner_job *job);
+
+/* Finds out which jobs could run and do not, and logs why. */
+void owner_waits_tick(struct cw_owner *owner, struct timespec now);
+
+#endif
--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -14,6 +14,7 @@
 #include "curlewcart/cw_xdr.h"
 #include "owner/internal/owner_due.h"
 #include "owner/internal/owner_epochs.h"
+#include "owner/internal/owner_idle.h"
 #include "owner/internal/owner_leases.h"
 #include "owner/internal/owner_lives.h"
 #include "owner/internal/owner_log.h"
@@ -144,9 +145,7 @@
     GPtrArray *open;           /* struct owner_occurrence */
     struct timespec known_at;  /* when this owner learnt of it */
     struct timespec objective; /* when it is late, as far as known */
-    struct timespec moved_at;  /* a worker listed a run of it, or a step's turn
-                                  came; owner_waits.c */
-    struct timespec told_at;   /* that it waits was logged */
+    struct owner_idle idle;
     struct timespec placed_at; /* a run of it was placed last */
     unsigned runs;
 };
@@ -245,14 +244,6 @@
     struct timespec reading_since;  /* reads have been answered since */
 };
 
-/* Work that could run and does not; owner_waits.c. */
-struct owner_waits {
-    struct timespec due;
-    unsigned jobs;
-    int64_t longest_ms;
-    unsigned repeating; /* tasks */
-};
-
 /* How many orders may be under way; owner_pace.c. */
 struct owner_pace {
     unsigned under_way; /* orders, queued or sent */
@@ -756,14 +747,6 @@
 /* Sends what is due on the idle log of jobs; false if there is nothing. */
 bool owner_notes_send(struct cw_owner *owner, struct timespec now);
 
-/* ---- owner_waits.c ---- */
-
-/* Work of the job is under way, or may be from now on. */
-void owner_waits_moved(struct cw_owner *owner, struct owner_job *job);
-
-/* Finds out which jobs could run and do not, and logs why. */
-void owner_waits_tick(struct cw_owner *owner, struct timespec now);
-
 /* ---- owner_speed.c ---- */
 
 /* A worker listed how far a run has come. */
--- a/src/owner/owner_holds.c
+++ b/src/owner/owner_holds.c
@@ -64,7 +64,7 @@
         owner_job_begun(run->target->owner, owner_task_job(run->task),
                         run->target);
     }
-    owner_waits_moved(run->target->owner, owner_task_job(run->task));
+    owner_idle_end(run->target->owner, owner_task_job(run->task));
     run->born_ms = run->target->life.born_ms;
     if (listed->percent != run->percent) {
         run->percent = listed->percent;
@@ -343,6 +343,7 @@
                     step->occurrence->number, step->number, run->task->index,
                     run->number, target->id, run->percent);
         owner_target_blame(target, run->task, now);
+        owner_task_job(run->task)->idle.cause = OWNER_IDLE_STALLED;
         owner_run_leave(owner, run);
         return; /* the table of runs may have changed */
     }
--- a/src/owner/owner_jobs.c
+++ b/src/owner/owner_jobs.c
@@ -259,7 +259,7 @@
     age_ms = cw_clock_wall_ms(owner->options.clock) - entry->spec->accepted_ms;
     job->known_at = cw_time_add_ms(now, -CLAMP(age_ms, 0, G_MAXINT));
     job->objective = objective_of(job->spec, job->known_at);
-    job->moved_at = now;
+    job->idle.since = now;
     g_hash_table_insert(owner->jobs, entry->id, job);
     if (!restore(owner, job, state)) {
         g_hash_table_remove(owner->jobs, entry->id);
@@ -359,7 +359,7 @@
 
     step->done = true;
     step->left = 0;
-    owner_waits_moved(owner, job);
+    owner_idle_begin(owner, job);
     owner_job_touch(owner, job);
     owner->place_wanted = true;
     if (!cw_work_is_over(job->phase) && job_done(job)) {
@@ -394,7 +394,7 @@
             return cw_time_add_ms(now, due_ms - wall_ms);
         }
         owner_occurrence_open(job, job->next_occurrence++);
-        owner_waits_moved(owner, job);
+        owner_idle_begin(owner, job);
         owner->place_wanted = true;
     }
     return cw_time_from_ms(INT32_MAX);
--- a/src/owner/owner_orders.c
+++ b/src/owner/owner_orders.c
@@ -142,6 +142,7 @@
                     order->task.index, order->run, order->target->id,
                     run->unanswered, run->task->step->spec->gang,
                     run->task->step->runs);
+        owner_task_job(run->task)->idle.cause = OWNER_IDLE_UNANSWERED;
     }
     owner_run_leave(owner, run);
 }
@@ -156,7 +157,8 @@
         run->started_at = owner_now(owner);
         run->progress_at = run->started_at;
         run->saved_at = run->started_at;
-        owner_waits_moved(owner, owner_task_job(run->task));
+        owner_idle_end(owner, owner_task_job(run->task));
+        owner_task_job(run->task)->idle.cause = OWNER_IDLE_NONE;
         owner_job_begun(owner, owner_task_job(run->task), run->target);
     }
 }
--- a/src/owner/owner_reclaim.c
+++ b/src/owner/owner_reclaim.c
@@ -470,10 +470,16 @@
                  plan->gangs->len + plan->singles->len);
     reserve(owner, step, plan, targets, tasks);
     for (guint i = 0; i < plan->gangs->len; i++) {
-        owner_step_stop(owner, plan->gangs->pdata[i]);
+        struct owner_step *gang = plan->gangs->pdata[i];
+
+        gang->occurrence->job->idle.cause = OWNER_IDLE_RECLAIMED;
+        owner_step_stop(owner, gang);
     }
     for (guint i = 0; i < plan->singles->len; i++) {
-        owner_run_stop(owner, plan->singles->pdata[i]);
+        struct owner_run *single = plan->singles->pdata[i];
+
+        owner_task_job(single->task)->idle.cause = OWNER_IDLE_RECLAIMED;
+        owner_run_stop(owner, single);
     }
     /* Victims that had not been sent yet left at once. */
     for (guint i = 0; i < targets->len; i++) {
--- a/src/owner/owner_runs.c
+++ b/src/owner/owner_runs.c
@@ -182,6 +182,9 @@
                 run_age_ms(run, owner_now(owner)), run->percent,
                 run->unanswered, run->stopping);
     cw_count_code(owner->options.counters, CW_RETRY_SILENT);
+    if (!run->stopping) {
+        owner_task_job(task)->idle.cause = OWNER_IDLE_LOST;
+    }
     task->lost_runs++;
     owner_once_over(owner, run, worked, CW_END_WORKER_LOST);
     owner_run_drop(owner, run);
@@ -388,6 +391,7 @@
         failures = step->failures;
     }
     cw_count_code(owner->options.counters, CW_RETRY_FAILED);
+    job->idle.cause = OWNER_IDLE_FAILED;
     if (!step->spec->endless && failures >= job->spec->max_attempts &&
         !cw_work_is_over(job->phase))
     {
--- a/src/owner/owner_speed.c
+++ b/src/owner/owner_speed.c
@@ -106,6 +106,7 @@
                 "expected=%.1f",
                 step->occurrence->job->spec->id, step->number, run->number,
                 run->target->id, run->percent, run->rate, expected);
+    step->occurrence->job->idle.cause = OWNER_IDLE_MOVED;
     owner_run_leave(owner, run);
 }
 
--- a/src/owner/owner_starvation.c
+++ b/src/owner/owner_starvation.c
@@ -53,7 +53,7 @@
 static bool
 stands_still(const struct owner_job *job, struct timespec now)
 {
-    return cw_time_diff_ms(job->moved_at, now) > STARVED_MS &&
+    return cw_time_diff_ms(job->idle.since, now) > STARVED_MS &&
            (job->runs == 0 ||
             cw_time_diff_ms(job->placed_at, now) > PLACED_MS);
 }
@@ -110,7 +110,7 @@
                     "id=%s step=%u.%u waits_ms=%" PRId64 " fits=%u runs=%u",
                     step->occurrence->job->spec->id, step->occurrence->number,
                     step->number,
-                    cw_time_diff_ms(step->occurrence->job->moved_at, now),
+                    cw_time_diff_ms(step->occurrence->job->idle.since, now),
                     owner_total_fits(candidates), step->runs);
         owner_assign(owner, step, choices, RUN_NEW);
         g_array_unref(choices);
--- a/src/owner/owner_waits.c
+++ b/src/owner/owner_waits.c
@@ -47,12 +47,60 @@
 struct waiting {
     struct owner_step *step;
     int64_t waited_ms;
+    bool too_long;
 };
 
+/* For how long there has been room for the idle job twice over. */
+static int64_t
+room_ms(const struct owner_job *job, struct timespec now)
+{
+    return job->idle.room_since.tv_sec > 0
+               ? cw_time_diff_ms(job->idle.room_since, now)
+               : 0;
+}
+
+static const char *
+cause_name(enum owner_idle_cause cause)
+{
+    static const char *const names[] = {
+        [OWNER_IDLE_NONE] = "",
+        [OWNER_IDLE_MOVED] = "moved",
+        [OWNER_IDLE_STALLED] = "stalled",
+        [OWNER_IDLE_EVACUATED] = "evacuated",
+        [OWNER_IDLE_UNANSWERED] = "unanswered",
+        [OWNER_IDLE_RECLAIMED] = "reclaimed",
+        [OWNER_IDLE_LOST] = "lost",
+        [OWNER_IDLE_FAILED] = "failed",
+    };
+
+    return names[cause];
+}
+
+/* ---- idle jobs ---- */
+
 void
-owner_waits_moved(struct cw_owner *owner, struct owner_job *job)
+owner_idle_begin(struct cw_owner *owner, struct owner_job *job)
 {
-    job->moved_at = owner_now(owner);
+    job->idle.since = owner_now(owner);
+    job->idle.room_since = cw_time_from_ms(0);
+    job->idle.cause = OWNER_IDLE_NONE;
+}
+
+void
+owner_idle_end(struct cw_owner *owner, struct owner_job *job)
+{
+    struct timespec now = owner_now(owner);
+    int64_t idle_ms = cw_time_diff_ms(job->idle.since, now);
+
+    if (idle_ms > WAITS_MS) {
+        cw_log_info("job_resumed",
+                    "id=%s idle_ms=%" PRId64 " room_ms=%" PRId64
+                    " after=%s runs=%u",
+                    job->spec->id, idle_ms, room_ms(job, now),
+                    cause_name(job->idle.cause), job->runs);
+    }
+    job->idle.since = now;
+    job->idle.room_since = cw_time_from_ms(0);
 }
 
 /* ---- room ---- */
@@ -164,17 +212,19 @@
     const struct owner_run *run = first_run(step);
     char *worker = describe_worker(run != NULL ? run->target : NULL, now);
 
-    job->told_at = now;
+    job->idle.told_at = now;
     cw_log_warning(
         "job_waits",
-        "id=%s waits_ms=%" PRId64 " reason=%s %s owner_ms=%" PRId64
+        "id=%s waits_ms=%" PRId64 " room_ms=%" PRId64
+        " after=%s reason=%s %s owner_ms=%" PRId64
         " stopping=%d unanswered=%u step=%u.%u left=%u runs=%u"
         " fits=%u booked=%u avoided=%u rack=%u urgent=%u orders=%u most=%u",
-        job->spec->id, waiting->waited_ms, reason_of(owner, step, run, now),
-        worker, cw_time_diff_ms(owner->began, now),
-        run != NULL && run->stopping, run != NULL ? run->unanswered : 0,
-        step->occurrence->number, step->number, step->left, step->runs,
-        fit->tasks, fit->by_keeper[OWNER_KEEPER_BOOKED],
+        job->spec->id, waiting->waited_ms, room_ms(job, now),
+        cause_name(job->idle.cause), reason_of(owner, step, run, now), worker,
+        cw_time_diff_ms(owner->began, now), run != NULL && run->stopping,
+        run != NULL ? run->unanswered : 0, step->occurrence->number,
+        step->number, step->left, step->runs, fit->tasks,
+        fit->by_keeper[OWNER_KEEPER_BOOKED],
         fit->by_keeper[OWNER_KEEPER_AVOIDED],
         fit->by_keeper[OWNER_KEEPER_RACK], fit->by_keeper[OWNER_KEEPER_URGENT],
         owner->pace.under_way, owner->pace.most);
@@ -227,7 +277,7 @@
 {
     struct waiting waiting = {.step = step_in_turn(job),
                               .waited_ms =
-                                  cw_time_diff_ms(job->moved_at, look->now)};
+                                  cw_time_diff_ms(job->idle.since, look->now)};
     int64_t borne_ms = WAITS_MS;
 
     count_repeating(&look->owner->waits, job);
@@ -237,7 +287,8 @@
         waiting.waited_ms = lasting_waits_ms(waiting.step, look->now);
         borne_ms = LASTING_MS;
     }
-    if (waiting.step != NULL && waiting.waited_ms > borne_ms) {
+    waiting.too_long = waiting.waited_ms > borne_ms;
+    if (waiting.step != NULL && waiting.waited_ms > LOOK_EVERY_MS) {
         g_array_append_val(look->waiting, waiting);
     }
 }
@@ -251,12 +302,19 @@
     if (!owner_spare_fits_twice(look->spare, waiting->step) &&
         !is_mostly_free(look, job->service))
     {
+        job->idle.room_since = cw_time_from_ms(0);
+        return;
+    }
+    if (job->idle.room_since.tv_sec == 0) {
+        job->idle.room_since = look->now;
+    }
+    if (!waiting->too_long) {
         return;
     }
     waits->jobs++;
     waits->longest_ms = MAX(waits->longest_ms, waiting->waited_ms);
     if (look->told < TOLD_MOST &&
-        cw_time_diff_ms(job->told_at, look->now) > TELL_EVERY_MS)
+        cw_time_diff_ms(job->idle.told_at, look->now) > TELL_EVERY_MS)
     {
         struct owner_spare_fit fit =
             owner_spare_fit(look->spare, waiting->step);
--- a/tests/test_starvation.c
+++ b/tests/test_starvation.c
@@ -121,7 +121,7 @@
     pass_for(&site, BORNE_MS);
     confirm_starts(&site, job);
     for (unsigned i = 0; i < 10; i++) {
-        owner_waits_moved(site.owner, job); /* it is listed */
+        owner_idle_end(site.owner, job); /* it is listed */
         pass_for(&site, 100);
     }
     CU_ASSERT_EQUAL(placed(job), 1);
@@ -210,7 +210,7 @@
     }
     for (unsigned ms = 0; ms < 6000; ms += STEP_MS) {
         each_target(&site, suspect);
-        owner_waits_moved(site.owner, job); /* the others are listed */
+        owner_idle_end(site.owner, job); /* the others are listed */
         pass(&site, STEP_MS);
     }
     CU_ASSERT_EQUAL(placed(job), 40);
--- a/tests/test_waits.c
+++ b/tests/test_waits.c
@@ -135,16 +135,40 @@
     running = run_job(&site, 0, &most);
     add_job(&site, 1, &two);
     CU_ASSERT_EQUAL(look_after(&site, 2900).waiting, 0);
-    owner_waits_moved(site.owner, running);
+    owner_idle_end(site.owner, running);
     CU_ASSERT_EQUAL(look_after(&site, 600).waiting, 1);
     /* Three workers are free: one gang of two fits, not two. */
     add_job(&site, 1, &gang);
     site.clock.now = cw_time_add_ms(site.clock.now, 3500);
-    owner_waits_moved(site.owner, running);
+    owner_idle_end(site.owner, running);
     CU_ASSERT_EQUAL(look_after(&site, 500).waiting, 1);
     site_end(&site);
 }
 
+/* Guards against counting the time in which a job waited for room as time in
+ * which it waited beside room. */
+static void
+test_time_beside_room_begins_when_there_is_room(void)
+{
+    static const struct cw_step_spec most = {.tasks = 11,
+                                             .accelerators = ACCELERATORS};
+    struct site site;
+    struct owner_job *running;
+    struct owner_job *job;
+
+    site_begin(&site);
+    running = run_job(&site, 0, &most);
+    job = add_job(&site, 1, &all_there);
+    look_after(&site, 3500);
+    CU_ASSERT_EQUAL(job->idle.room_since.tv_sec, 0);
+    owner_run_drop(site.owner, step_of(running)->tasks[0].run);
+    look_after(&site, 500);
+    look_after(&site, 1000);
+    CU_ASSERT_EQUAL(cw_time_diff_ms(job->idle.room_since, site.clock.now),
+                    1000);
+    site_end(&site);
+}
+
 /* Each task that lasts counts by itself, from 6 s after its last run. */
 static void
 test_a_task_that_lasts_shows_beside_others_of_its_job(void)
@@ -158,7 +182,7 @@
     job = run_job(&site, 1, &lasting);
     owner_run_drop(site.owner, step_of(job)->tasks[0].run);
     site.clock.now = cw_time_add_ms(site.clock.now, 5000);
-    owner_waits_moved(site.owner, job); /* the other one is listed */
+    owner_idle_end(site.owner, job); /* the other one is listed */
     CU_ASSERT_EQUAL(look_after(&site, 900).waiting, 0);
     CU_ASSERT_EQUAL(look_after(&site, 600).waiting, 1);
     site_end(&site);
@@ -207,6 +231,7 @@
     {"not listed", test_a_run_that_no_worker_lists_shows},
     {"no room", test_a_job_that_waits_for_room_does_not_show},
     {"beside free room", test_a_job_that_waits_beside_free_room_shows},
+    {"time beside room", test_time_beside_room_begins_when_there_is_room},
     {"lasting", test_a_task_that_lasts_shows_beside_others_of_its_job},
     {"repeating", test_a_task_that_loses_its_runs_shows},
 };
