--- /dev/null
+++ b/tests/test_moves.c
@@ -0,0 +1,114 @@
+/* Runs that the owner takes from their workers by its own judgement.
+ *
+ * Seen: a gang at 31 percent was stopped as one of its workers was slow, and
+ * then had nothing running for 19 s beside room that was kept for urgent work.
+ */
+#include "test_main.h"
+
+#include "owner_site.h"
+
+enum { SLOW_PERCENT = 31, WINDOW_MS = 1000, MEMBERS = 9 };
+
+/* More than a rack holds. */
+static const struct cw_step_spec gang = {
+    .tasks = MEMBERS, .accelerators = ACCELERATORS, .gang = true};
+static const struct cw_step_spec rest = {.tasks = RACKS * PER_RACK - MEMBERS,
+                                         .accelerators = ACCELERATORS};
+
+/* The run has come on by one percent in a second, and by twenty before. */
+static void
+turn_slow(struct site *site, struct owner_run *run)
+{
+    run->percent = SLOW_PERCENT - 1;
+    run->best_rate = 20;
+    run->window_percent = SLOW_PERCENT - 1;
+    run->window_at = site->clock.now;
+    site->clock.now = cw_time_add_ms(site->clock.now, WINDOW_MS);
+    owner_speed_note(site->owner, run, SLOW_PERCENT, site->clock.now);
+}
+
+static unsigned
+stopping(const struct owner_job *job)
+{
+    unsigned count = 0;
+
+    for (unsigned i = 0; i < step_of(job)->count; i++) {
+        const struct owner_run *run = step_of(job)->tasks[i].run;
+
+        count += run != NULL && run->stopping;
+    }
+    return count;
+}
+
+static void
+drop_runs(struct site *site, struct owner_job *job)
+{
+    for (unsigned i = 0; i < step_of(job)->count; i++) {
+        if (step_of(job)->tasks[i].run != NULL) {
+            owner_run_drop(site->owner, step_of(job)->tasks[i].run);
+        }
+    }
+}
+
+/* Guards against gangs that are stopped and then wait for a place, while they
+ * would have gone on where they were. */
+static void
+test_a_gang_without_room_elsewhere_is_not_stopped(void)
+{
+    struct site site;
+    struct owner_job *job;
+
+    site_begin(&site);
+    set_guarantee(&site, 0);
+    job = run_job(&site, 1, &gang);
+    run_job(&site, 0, &rest);
+    turn_slow(&site, step_of(job)->tasks[0].run);
+    CU_ASSERT_EQUAL(stopping(job), 0);
+    site_end(&site);
+}
+
+/* Guards against work that stays on a slow worker beside free ones. */
+static void
+test_a_gang_with_room_elsewhere_is_moved(void)
+{
+    struct site site;
+    struct owner_job *job;
+
+    site_begin(&site);
+    set_guarantee(&site, 0);
+    job = run_job(&site, 1, &gang);
+    turn_slow(&site, step_of(job)->tasks[0].run);
+    CU_ASSERT_EQUAL(stopping(job), MEMBERS);
+    site_end(&site);
+}
+
+/* Guards against gangs that lose their share of the service by a move: what
+ * they gave up counts as kept for urgent work from then on. */
+static void
+test_a_moved_gang_does_not_wait_for_kept_room(void)
+{
+    struct site site;
+    struct owner_job *job;
+    struct owner_headroom *room;
+
+    site_begin(&site);
+    set_guarantee(&site, 0);
+    job = run_job(&site, 1, &gang);
+    turn_slow(&site, step_of(job)->tasks[0].run);
+    drop_runs(&site, job);
+    set_guarantee(&site, RACKS * PER_RACK * ACCELERATORS);
+    room = g_hash_table_lookup(site.owner->headroom, "s");
+    cw_headroom_observe(&room->forecast, RACKS * PER_RACK * ACCELERATORS,
+                        site.clock.now);
+    pass(&site, 10);
+    CU_ASSERT_EQUAL(placed(job), MEMBERS);
+    site_end(&site);
+}
+
+static const struct test tests[] = {
+    {"no room", test_a_gang_without_room_elsewhere_is_not_stopped},
+    {"room", test_a_gang_with_room_elsewhere_is_moved},
+    {"kept room", test_a_moved_gang_does_not_wait_for_kept_room},
+};
+
+TEST_MAIN("moves", tests)
--- a/tests/test_starvation.c
+++ b/tests/test_starvation.c
@@ -9,7 +9,8 @@
     /* A job may have nothing running for 3 s; what is left of them is for the
      * store and the start. */
     BORNE_MS = 2500,
-    PASS_MOST = 16 /* placed in one pass, whatever waits */
+    AT_WORK_MS = 300, /* what was let in is not stopped before, for room */
+    PASS_MOST = 16    /* placed in one pass, whatever waits */
 };
 
 static const struct cw_step_spec most = {.tasks = 9,
@@ -128,6 +129,90 @@
     site_end(&site);
 }
 
+/* Seen: jobs stood still beside room for hundreds of their tasks, as others
+ * had taken all that could be given up of it at a time. */
+static void
+test_all_that_stand_still_get_a_place(void)
+{
+    static const struct cw_step_spec eight = {.tasks = 8,
+                                              .accelerators = ACCELERATORS};
+    struct site site;
+    struct owner_job *jobs[3];
+
+    site_begin(&site);
+    set_guarantee(&site, RACKS * PER_RACK * ACCELERATORS);
+    run_job(&site, 0, &eight);
+    for (unsigned i = 0; i < G_N_ELEMENTS(jobs); i++) {
+        jobs[i] = add_job(&site, 2, &whole);
+    }
+    pass_for(&site, BORNE_MS);
+    for (unsigned i = 0; i < G_N_ELEMENTS(jobs); i++) {
+        CU_ASSERT_EQUAL(placed(jobs[i]), 1);
+    }
+    site_end(&site);
+}
+
+/* A run in room that is kept, just confirmed. */
+static struct owner_run *
+let_in(struct site *site)
+{
+    struct owner_job *job;
+
+    site_begin_full(site);
+    job = add_job(site, 2, &whole);
+    pass_for(site, BORNE_MS);
+    confirm_starts(site, job);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(first_run(job));
+    CU_ASSERT_TRUE_FATAL(first_run(job)->released);
+    return first_run(job);
+}
+
+/* It leaves before urgent work would have to wait for that, but not at once.
+ */
+static void
+test_what_was_let_in_makes_way_ahead_of_need(void)
+{
+    struct site site;
+    struct owner_run *run = let_in(&site);
+    struct owner_headroom *room =
+        g_hash_table_lookup(site.owner->headroom, "s");
+
+    cw_headroom_arrived(&room->forecast, RACKS * PER_RACK * ACCELERATORS);
+    pass_for(&site, AT_WORK_MS - STEP_MS);
+    CU_ASSERT_FALSE(run->stopping);
+    pass_for(&site, 3 * STEP_MS);
+    CU_ASSERT_TRUE(run->stopping);
+    site_end(&site);
+}
+
+/* Nothing urgent comes: what is free suffices. */
+static void
+test_what_was_let_in_goes_on_if_nothing_comes(void)
+{
+    struct site site;
+    struct owner_run *run = let_in(&site);
+
+    pass_for(&site, 5000);
+    CU_ASSERT_FALSE(run->stopping);
+    site_end(&site);
+}
+
+/* What must not be begun twice is never stopped for room. */
+static void
+test_once_only_work_does_not_make_way(void)
+{
+    struct site site;
+    struct owner_run *run = let_in(&site);
+    struct owner_headroom *room =
+        g_hash_table_lookup(site.owner->headroom, "s");
+
+    ((struct cw_work_spec *)owner_task_job(run->task)->spec)->once = true;
+    cw_headroom_arrived(&room->forecast, RACKS * PER_RACK * ACCELERATORS);
+    pass_for(&site, 1000);
+    CU_ASSERT_FALSE(run->stopping);
+    site_end(&site);
+}
+
 static void
 hold_first_rack(struct site *site, void *data)
 {
@@ -285,6 +370,10 @@
     {"never was", test_a_run_that_never_was_does_not_hide_the_rest},
     {"counted anew", test_what_was_released_is_counted_anew},
     {"one place", test_one_place_stays_one},
+    {"all of them", test_all_that_stand_still_get_a_place},
+    {"makes way", test_what_was_let_in_makes_way_ahead_of_need},
+    {"goes on", test_what_was_let_in_goes_on_if_nothing_comes},
+    {"once only", test_once_only_work_does_not_make_way},
     {"held rack", test_a_held_rack_goes_last},
     {"lasting", test_all_tasks_that_last_get_a_place},
     {"reservations", test_urgent_work_does_not_wait_for_reservations_for_ever},
