One limit on how long a job is idle, over all reasons to withhold room

Cause: room is withheld from lower work for several reasons (headroom for urgent work, racks held for gangs, workers that failed or were slow, places booked), each renewed while the service is busy. What limited them together gave up at most 5% of the accelerators at a time, so of dozens of idle jobs a few got a place; and it wanted room twice over in the owner's books, where places booked for others count as taken.

Then what the job can only begin together goes into whatever is free, without a bound on the sum.

The owner's test site ticks the look for waits with each pass, as the owner does.

--- a/include/curlewcart/cw_headroom.h
+++ b/include/curlewcart/cw_headroom.h
@@ -24,6 +24,10 @@
 void cw_headroom_observe(struct cw_headroom *headroom, double held,
                          struct timespec now);
 
+/* Accelerators that urgent work will ask for before others can be made to
+ * leave, at the present rate. */
+double cw_headroom_arriving(const struct cw_headroom *headroom);
+
 /* Accelerators to keep free of lower work: what urgent work held lately, and
  * what may arrive before others can be made to leave. */
 double cw_headroom_kept(const struct cw_headroom *headroom);
--- a/src/owner/internal/owner_idle.h
+++ b/src/owner/internal/owner_idle.h
@@ -5,6 +5,8 @@
 #include <stdint.h>
 #include <time.h>
 
+#include "curlewcart/cw_idle.h"
+
 struct cw_owner;
 struct owner_job;
 
@@ -22,12 +24,9 @@
 };
 
 struct owner_idle {
-    struct timespec since;      /* a worker listed a run of the job last, or a
-                                   step's turn came */
-    struct timespec room_since; /* since then workers have had room for the
-                                   job twice over at each look; 0: they have
-                                   not */
-    struct timespec told_at;    /* that it waits was logged */
+    struct cw_idle clock;    /* since a worker listed a run of the job last, or
+                                a step's turn came */
+    struct timespec told_at; /* that it waits was logged */
     enum owner_idle_cause cause;
 };
 
--- a/src/owner/internal/owner_placement.h
+++ b/src/owner/internal/owner_placement.h
@@ -122,9 +122,13 @@
 void
 owner_headroom_released(struct cw_owner *owner, const struct owner_run *run);
 
-/* True if so many tasks more of the step may take room that is kept. */
-bool owner_headroom_may_release(struct cw_owner *owner,
-                                const struct owner_step *step, unsigned tasks);
+/* Accelerators that are not free for what urgent work will ask for before
+ * others can be made to leave; 0 or less: there are enough. */
+int64_t owner_headroom_lacks(struct cw_owner *owner, const char *service);
+
+/* A run that was placed in room that is kept has been told to leave. */
+void
+owner_headroom_taken_back(struct cw_owner *owner, const struct owner_run *run);
 
 /* A run of lower work was placed on the worker. */
 void
@@ -135,6 +139,9 @@
 /* Core-seconds that stopping the run now throws away. */
 double owner_run_cost(const struct owner_run *run, struct timespec now);
 
+/* True if neither the run nor another member of its gang must go on. */
+bool owner_run_may_leave(const struct owner_run *run);
+
 /* Makes others leave so that the gang or the tasks of `step` can run.
  * Returns false if no set of them is worth it. */
 bool owner_reclaim(struct cw_owner *owner, struct owner_step *step,
--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -216,10 +216,10 @@
 struct owner_headroom {
     struct cw_headroom forecast; /* of what urgent work will hold */
     bool mostly_idle;
-    unsigned most_hosts;  /* workers that lower work may be on */
-    unsigned hosts;       /* workers that it is on */
-    int64_t accelerators; /* of the service's workers */
-    int64_t released;     /* of them, by runs in room that is kept */
+    unsigned most_hosts; /* workers that lower work may be on */
+    unsigned hosts;      /* workers that it is on */
+    int64_t free;        /* accelerators, once what is told to leave has */
+    int64_t released;    /* accelerators of runs in room that is kept */
 };
 
 enum owner_state {
--- a/src/owner/owner_headroom.c
+++ b/src/owner/owner_headroom.c
@@ -15,12 +15,6 @@
      * that has no task running and has waited for WAITED_MS. */
     IDLE_PERCENT = 60,
     WAITED_MS = 1500,
-    /* Accelerators of a service that jobs which have stood still too long may
-     * take of what is kept (owner_starvation.c); one such job at the least.
-     * Without a bound urgent work would wait for stops again. */
-    RELEASED_PERCENT = 5,
-    /* Two workers' worth of the sizes seen, for small services. */
-    RELEASED_LEAST = 16,
     PERCENT = 100
 };
 
@@ -32,6 +26,7 @@
     int64_t accelerators;
     int64_t urgent;   /* accelerators that urgent runs hold */
     int64_t used;     /* accelerators that any runs hold */
+    int64_t leaving;  /* of them, by runs that are told to leave */
     int64_t released; /* accelerators of runs in room that is kept */
 };
 
@@ -59,7 +54,10 @@
         const struct owner_run *run = target->runs->pdata[i];
 
         census->used += run->task->step->spec->accelerators;
-        if (run->released) {
+        if (run->stopping) {
+            census->leaving += run->task->step->spec->accelerators;
+        }
+        else if (run->released) {
             census->released += run->task->step->spec->accelerators;
         }
         if (owner_task_job(run->task)->spec->priority == 0) {
@@ -100,7 +98,7 @@
 
     cw_headroom_observe(&room->forecast, (double)census->urgent, now);
     room->hosts = census->hosts;
-    room->accelerators = census->accelerators;
+    room->free = census->accelerators - census->used + census->leaving;
     room->released = census->released;
     room->mostly_idle =
         census->used * PERCENT < census->accelerators * IDLE_PERCENT;
@@ -202,22 +200,27 @@
 void
 owner_headroom_released(struct cw_owner *owner, const struct owner_run *run)
 {
-    headroom_of(owner, run->target->service)->released +=
-        run->task->step->spec->accelerators;
+    struct owner_headroom *room = headroom_of(owner, run->target->service);
+
+    room->released += run->task->step->spec->accelerators;
+    room->free -= run->task->step->spec->accelerators;
 }
 
-bool
-owner_headroom_may_release(struct cw_owner *owner,
-                           const struct owner_step *step, unsigned tasks)
+void
+owner_headroom_taken_back(struct cw_owner *owner, const struct owner_run *run)
+{
+    struct owner_headroom *room = headroom_of(owner, run->target->service);
+
+    room->released -= run->task->step->spec->accelerators;
+    room->free += run->task->step->spec->accelerators;
+}
+
+int64_t
+owner_headroom_lacks(struct cw_owner *owner, const char *service)
 {
-    const struct owner_headroom *room =
-        headroom_of(owner, step->occurrence->job->spec->service);
-    int64_t more = (int64_t)tasks * step->spec->accelerators;
-
-    return room->released == 0 ||
-           room->released + more <=
-               MAX(room->accelerators * RELEASED_PERCENT / PERCENT,
-                   RELEASED_LEAST);
+    const struct owner_headroom *room = headroom_of(owner, service);
+
+    return (int64_t)cw_headroom_arriving(&room->forecast) - room->free;
 }
 
 void
--- a/src/owner/owner_jobs.c
+++ b/src/owner/owner_jobs.c
@@ -259,7 +259,7 @@
     age_ms = cw_clock_wall_ms(owner->options.clock) - entry->spec->accepted_ms;
     job->known_at = cw_time_add_ms(now, -CLAMP(age_ms, 0, G_MAXINT));
     job->objective = objective_of(job->spec, job->known_at);
-    job->idle.since = now;
+    cw_idle_begin(&job->idle.clock, now);
     g_hash_table_insert(owner->jobs, entry->id, job);
     if (!restore(owner, job, state)) {
         g_hash_table_remove(owner->jobs, entry->id);
--- a/src/owner/owner_reclaim.c
+++ b/src/owner/owner_reclaim.c
@@ -111,6 +111,12 @@
     return protects;
 }
 
+bool
+owner_run_may_leave(const struct owner_run *run)
+{
+    return !run->stopping && !run->finished && !step_is_protected(run);
+}
+
 /* Lower work gives way; equally urgent work does only if its account holds
  * more than it is guaranteed and the step's account does not. */
 static bool
@@ -126,9 +132,9 @@
 static bool
 may_stop(const struct plan *plan, const struct owner_run *run)
 {
-    return !run->stopping && !run->finished &&
+    return owner_run_may_leave(run) &&
            gives_way(plan, owner_task_job(run->task)) &&
-           !step_is_protected(run) && !owner_lasting_protects(run, plan->gone);
+           !owner_lasting_protects(run, plan->gone);
 }
 
 double
--- a/src/owner/owner_starvation.c
+++ b/src/owner/owner_starvation.c
@@ -1,21 +1,20 @@
-/* Starvation: jobs that have had nothing running for so long that no room is
- * kept from them.
+/* Starvation: idle jobs get room that is withheld from them.
  *
  * Room is kept free for urgent work, racks are kept clear for gangs, workers
  * that failed or were slow are avoided for seconds, and lower work waits while
- * the owner is behind: each for its reason, and none with an end of its own in
- * a service that stays busy.  A job must not stand still beside room for it:
- * once it has for STARVED_MS, what it can only begin together, one task or its
- * gang, is placed in what is free, if it fits twice.  So at least as much
- * stays kept. */
+ * the owner is behind.  Once cw_idle_is_overdue says so, what a job can only
+ * begin together, one task or its gang, is placed in what is free, whatever it
+ * is kept for.
+ *
+ * What was let in so makes way again ahead of need, the cheapest first, once
+ * less is free than urgent work will ask for while others are stopped. */
 #include "owner/internal/owner_candidates.h"
 #include "owner/internal/owner_placement.h"
 
 enum {
-    /* The platform bears 3 s in which nothing of a job runs beside twice the
-     * room, 6 s for a task that lasts.  What is left is for a pass, the store
-     * and the start: 0.1 s, and up to 0.4 where answers are late. */
-    STARVED_MS = 2300,
+    /* The platform bears 6 s after the last run of a task that lasts, whether
+     * others of its job run or not.  What is left is for a pass, the store and
+     * the start. */
     LASTING_STARVED_MS = 5300,
     /* Steps are looked at so often: in a full service room is free for some ms
      * only, until the next pass. */
@@ -29,6 +28,9 @@
     /* Looked at in vain in one look, beyond what the memo knows.  With 16 the
      * first few gangs that found nothing hid all others: 24 of 48 days. */
     FAILED_MOST = 256,
+    /* What was let in is at work for so long, unless urgent work makes it
+     * leave. */
+    AT_WORK_MS = 300,
     TIMES = 2
 };
 
@@ -47,13 +49,12 @@
     return count;
 }
 
-/* True if no worker has listed a run of the job for too long.  Runs that are
- * placed are no work: their starts may never be answered, and their places may
- * never come free. */
+/* Runs that are placed are no work: their starts may never be answered, and
+ * their places may never come free. */
 static bool
-stands_still(const struct owner_job *job, struct timespec now)
+job_is_starved(const struct owner_job *job, struct timespec now)
 {
-    return cw_time_diff_ms(job->idle.since, now) > STARVED_MS &&
+    return cw_idle_is_overdue(&job->idle.clock, now) &&
            (job->runs == 0 ||
             cw_time_diff_ms(job->placed_at, now) > PLACED_MS);
 }
@@ -61,12 +62,22 @@
 static bool
 is_starved(const struct owner_step *step, struct timespec now)
 {
-    return stands_still(step->occurrence->job, now) ||
+    return job_is_starved(step->occurrence->job, now) ||
            lasting_starved(step, now) > 0;
 }
 
-/* Where the gang, one task, or each task that lasts goes; NULL if that does
- * not fit twice, or not into the one rack that it needs. */
+/* Tasks that have to fit.  Workers have had room for a starved job twice over
+ * by their own word; of that some may be booked. */
+static unsigned
+least_fits(const struct owner_step *step, unsigned together,
+           struct timespec now)
+{
+    return job_is_starved(step->occurrence->job, now) ? together
+                                                      : TIMES * together;
+}
+
+/* Where the gang, one task, or each task that lasts goes; NULL if there is no
+ * room, or not in the one rack that it needs. */
 static GArray *
 choose(struct cw_owner *owner, struct owner_step *step,
        const GArray *candidates, struct timespec now)
@@ -75,19 +86,16 @@
     unsigned fits = owner_total_fits(candidates);
     const char *rack = NULL;
 
-    if (fits < TIMES * together) {
+    if (fits < least_fits(step, together, now)) {
         return NULL;
     }
     if (step->spec->gang) {
         rack = owner_best_rack(owner, candidates, step, together);
     }
     else {
-        together = CLAMP(lasting_starved(step, now), 1, fits - 1);
+        together = CLAMP(lasting_starved(step, now), 1, MAX(1, fits - 1));
     }
-    if ((rack == NULL && owner_step_needs_rack(owner, step, now)) ||
-        (owner->releasing &&
-         !owner_headroom_may_release(owner, step, together)))
-    {
+    if (rack == NULL && owner_step_needs_rack(owner, step, now)) {
         return NULL;
     }
     return owner_choose(candidates, rack, together);
@@ -108,9 +116,8 @@
     if (choices != NULL) {
         cw_log_info("room_released",
                     "id=%s step=%u.%u waits_ms=%" PRId64 " fits=%u runs=%u",
-                    step->occurrence->job->spec->id, step->occurrence->number,
-                    step->number,
-                    cw_time_diff_ms(step->occurrence->job->idle.since, now),
+                    job->spec->id, step->occurrence->number, step->number,
+                    cw_time_diff_ms(job->idle.clock.since, now),
                     owner_total_fits(candidates), step->runs);
         owner_assign(owner, step, choices, RUN_NEW);
         g_array_unref(choices);
@@ -148,6 +155,96 @@
     return done;
 }
 
+/* ---- making way ---- */
+
+/* True if the run may be made to leave ahead of need.  Tasks that last would
+ * be placed anew at once. */
+static bool
+may_make_way(const struct owner_run *run, struct timespec now)
+{
+    return run->released && run->phase == RUN_RUNNING &&
+           !run->task->step->spec->endless &&
+           cw_time_diff_ms(run->started_at, now) > AT_WORK_MS &&
+           owner_run_may_leave(run);
+}
+
+static GPtrArray *
+runs_to_make_way(const struct cw_owner *owner, const char *service,
+                 struct timespec now)
+{
+    GPtrArray *runs = g_ptr_array_new();
+    GHashTableIter iterator;
+    gpointer value;
+
+    g_hash_table_iter_init(&iterator, owner->targets);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const struct owner_target *target = value;
+
+        for (guint i = 0; target->service == service && i < target->runs->len;
+             i++) {
+            if (may_make_way(target->runs->pdata[i], now)) {
+                g_ptr_array_add(runs, target->runs->pdata[i]);
+            }
+        }
+    }
+    return runs;
+}
+
+static gint
+by_cost(gconstpointer a, gconstpointer b, gpointer data)
+{
+    const struct timespec *now = data;
+    double x = owner_run_cost(*(struct owner_run *const *)a, *now);
+    double y = owner_run_cost(*(struct owner_run *const *)b, *now);
+
+    return x < y ? -1 : x > y;
+}
+
+/* Tells the run, or its gang, to leave. */
+static void
+make_way(struct cw_owner *owner, struct owner_run *run, int64_t lacks)
+{
+    struct owner_step *step = run->task->step;
+
+    cw_log_info("room_taken_back", "id=%s step=%u.%u tasks=%u lacks=%" PRId64,
+                step->occurrence->job->spec->id, step->occurrence->number,
+                step->number, step->spec->gang ? step->runs : 1, lacks);
+    cw_count_add(owner->options.counters, CW_COUNT_PREEMPTIONS, 1);
+    for (unsigned i = 0; step->spec->gang && i < step->count; i++) {
+        if (step->tasks[i].run != NULL && step->tasks[i].run->released) {
+            owner_headroom_taken_back(owner, step->tasks[i].run);
+        }
+    }
+    if (!step->spec->gang) {
+        owner_headroom_taken_back(owner, run);
+    }
+    owner_run_leave(owner, run);
+}
+
+static void
+take_back(struct cw_owner *owner, const char *service, struct timespec now)
+{
+    GPtrArray *runs;
+
+    if (owner_headroom_lacks(owner, service) <= 0) {
+        return;
+    }
+    runs = runs_to_make_way(owner, service, now);
+    g_ptr_array_sort_with_data(runs, by_cost, &now);
+    for (guint i = 0; i < runs->len; i++) {
+        struct owner_run *run = runs->pdata[i];
+        int64_t lacks = owner_headroom_lacks(owner, service);
+
+        if (lacks <= 0) {
+            break;
+        }
+        if (!run->stopping) { /* with its gang */
+            make_way(owner, run, lacks);
+        }
+    }
+    g_ptr_array_unref(runs);
+}
+
 /* The least that a task of any of the steps takes. */
 static struct cw_resources
 least_need(const GPtrArray *steps)
@@ -173,6 +270,9 @@
 {
     struct cw_resources least = least_need(steps);
     GPtrArray *targets = NULL;
+    GHashTableIter iterator;
+    gpointer service;
+    gpointer room;
     unsigned placed = 0;
     unsigned failed = 0;
 
@@ -180,6 +280,12 @@
         return;
     }
     owner->starved_due = cw_time_add_ms(now, EVERY_MS);
+    g_hash_table_iter_init(&iterator, owner->headroom);
+    while (g_hash_table_iter_next(&iterator, &service, &room)) {
+        if (((const struct owner_headroom *)room)->released > 0) {
+            take_back(owner, g_intern_string(service), now);
+        }
+    }
     for (guint i = 0;
          i < steps->len && placed < PLACED_MOST && failed < FAILED_MOST; i++)
     {
--- a/src/owner/owner_waits.c
+++ b/src/owner/owner_waits.c
@@ -18,7 +18,7 @@
      * not. */
     WAITS_MS = 3000,
     LASTING_MS = 6000,
-    LOOK_EVERY_MS = 500,
+    LOOK_EVERY_MS = 250,
     TELL_EVERY_MS = 3000,
     /* Lines in one look; the counts are of all. */
     TOLD_MOST = 8,
@@ -50,15 +50,6 @@
     bool too_long;
 };
 
-/* For how long there has been room for the idle job twice over. */
-static int64_t
-room_ms(const struct owner_job *job, struct timespec now)
-{
-    return job->idle.room_since.tv_sec > 0
-               ? cw_time_diff_ms(job->idle.room_since, now)
-               : 0;
-}
-
 static const char *
 cause_name(enum owner_idle_cause cause)
 {
@@ -81,8 +72,7 @@
 void
 owner_idle_begin(struct cw_owner *owner, struct owner_job *job)
 {
-    job->idle.since = owner_now(owner);
-    job->idle.room_since = cw_time_from_ms(0);
+    cw_idle_begin(&job->idle.clock, owner_now(owner));
     job->idle.cause = OWNER_IDLE_NONE;
 }
 
@@ -90,17 +80,16 @@
 owner_idle_end(struct cw_owner *owner, struct owner_job *job)
 {
     struct timespec now = owner_now(owner);
-    int64_t idle_ms = cw_time_diff_ms(job->idle.since, now);
+    int64_t idle_ms = cw_time_diff_ms(job->idle.clock.since, now);
 
     if (idle_ms > WAITS_MS) {
-        cw_log_info("job_resumed",
-                    "id=%s idle_ms=%" PRId64 " room_ms=%" PRId64
-                    " after=%s runs=%u",
-                    job->spec->id, idle_ms, room_ms(job, now),
-                    cause_name(job->idle.cause), job->runs);
+        cw_log_info(
+            "job_resumed",
+            "id=%s idle_ms=%" PRId64 " room_ms=%" PRId64 " after=%s runs=%u",
+            job->spec->id, idle_ms, cw_idle_room_ms(&job->idle.clock, now),
+            cause_name(job->idle.cause), job->runs);
     }
-    job->idle.since = now;
-    job->idle.room_since = cw_time_from_ms(0);
+    cw_idle_begin(&job->idle.clock, now);
 }
 
 /* ---- room ---- */
@@ -219,8 +208,9 @@
         " after=%s reason=%s %s owner_ms=%" PRId64
         " stopping=%d unanswered=%u step=%u.%u left=%u runs=%u"
         " fits=%u booked=%u avoided=%u rack=%u urgent=%u orders=%u most=%u",
-        job->spec->id, waiting->waited_ms, room_ms(job, now),
-        cause_name(job->idle.cause), reason_of(owner, step, run, now), worker,
+        job->spec->id, waiting->waited_ms,
+        cw_idle_room_ms(&job->idle.clock, now), cause_name(job->idle.cause),
+        reason_of(owner, step, run, now), worker,
         cw_time_diff_ms(owner->began, now), run != NULL && run->stopping,
         run != NULL ? run->unanswered : 0, step->occurrence->number,
         step->number, step->left, step->runs, fit->tasks,
@@ -275,9 +265,9 @@
 static void
 note_waiting(struct look *look, struct owner_job *job)
 {
-    struct waiting waiting = {.step = step_in_turn(job),
-                              .waited_ms =
-                                  cw_time_diff_ms(job->idle.since, look->now)};
+    struct waiting waiting = {
+        .step = step_in_turn(job),
+        .waited_ms = cw_time_diff_ms(job->idle.clock.since, look->now)};
     int64_t borne_ms = WAITS_MS;
 
     count_repeating(&look->owner->waits, job);
@@ -299,16 +289,11 @@
     struct owner_waits *waits = &look->owner->waits;
     struct owner_job *job = waiting->step->occurrence->job;
 
-    if (!owner_spare_fits_twice(look->spare, waiting->step) &&
-        !is_mostly_free(look, job->service))
-    {
-        job->idle.room_since = cw_time_from_ms(0);
-        return;
-    }
-    if (job->idle.room_since.tv_sec == 0) {
-        job->idle.room_since = look->now;
-    }
-    if (!waiting->too_long) {
+    bool has_room = owner_spare_fits_twice(look->spare, waiting->step) ||
+                    is_mostly_free(look, job->service);
+
+    cw_idle_look(&job->idle.clock, has_room, look->now);
+    if (!has_room || !waiting->too_long) {
         return;
     }
     waits->jobs++;
--- a/src/placement/headroom.c
+++ b/src/placement/headroom.c
@@ -41,8 +41,14 @@
     headroom->at = now;
 }
 
+double
+cw_headroom_arriving(const struct cw_headroom *headroom)
+{
+    return headroom->arrived * SPARE_MS / ARRIVALS_MS;
+}
+
 double
 cw_headroom_kept(const struct cw_headroom *headroom)
 {
-    return headroom->peak + headroom->arrived * SPARE_MS / ARRIVALS_MS;
+    return headroom->peak + cw_headroom_arriving(headroom);
 }
--- a/tests/owner_site.h
+++ b/tests/owner_site.h
@@ -163,6 +163,8 @@
 pass(struct site *site, unsigned ms)
 {
     site->clock.now = cw_time_add_ms(site->clock.now, ms);
+    site->owner->proof_at = site->clock.now;
+    owner_waits_tick(site->owner, site->clock.now);
     owner_place(site->owner, site->clock.now);
 }
 
--- a/tests/test_headroom.c
+++ b/tests/test_headroom.c
@@ -66,6 +66,25 @@
     CU_ASSERT_EQUAL(cw_headroom_kept(&headroom), 0);
 }
 
+/* What will come is a part of what is kept, without what is held. */
+static void
+test_what_arrives_is_told_apart(void)
+{
+    struct cw_headroom headroom = {0};
+    struct timespec now = cw_time_from_ms(START_MS);
+    double arriving;
+
+    cw_headroom_init(&headroom, now);
+    CU_ASSERT_EQUAL(cw_headroom_arriving(&headroom), 0);
+    cw_headroom_arrived(&headroom, HELD);
+    cw_headroom_observe(&headroom, 0, now);
+    arriving = cw_headroom_arriving(&headroom);
+    CU_ASSERT_EQUAL(arriving, cw_headroom_kept(&headroom));
+    cw_headroom_observe(&headroom, HELD, now);
+    CU_ASSERT_EQUAL(cw_headroom_arriving(&headroom), arriving);
+    CU_ASSERT_EQUAL(cw_headroom_kept(&headroom), HELD + arriving);
+}
+
 /* An owner that was away for a minute begins anew. */
 static void
 test_a_gap_forgets_all(void)
@@ -85,6 +104,7 @@
     {"held", test_what_is_held_is_kept},
     {"forgotten", test_a_peak_is_forgotten_slowly},
     {"arrivals", test_arrivals_count_until_they_are_over},
+    {"apart", test_what_arrives_is_told_apart},
     {"gap", test_a_gap_forgets_all},
 };
 
--- a/tests/test_waits.c
+++ b/tests/test_waits.c
@@ -160,12 +160,12 @@
     running = run_job(&site, 0, &most);
     job = add_job(&site, 1, &all_there);
     look_after(&site, 3500);
-    CU_ASSERT_EQUAL(job->idle.room_since.tv_sec, 0);
+    CU_ASSERT_EQUAL(job->idle.clock.room_since.tv_sec, 0);
     owner_run_drop(site.owner, step_of(running)->tasks[0].run);
     look_after(&site, 500);
     look_after(&site, 1000);
-    CU_ASSERT_EQUAL(cw_time_diff_ms(job->idle.room_since, site.clock.now),
-                    1000);
+    CU_ASSERT_EQUAL(
+        cw_time_diff_ms(job->idle.clock.room_since, site.clock.now), 1000);
     site_end(&site);
 }
 
