--- a/src/owner/internal/owner_placement.h
+++ b/src/owner/internal/owner_placement.h
@@ -19,6 +19,14 @@
 bool owner_starved_place_one(struct cw_owner *owner, struct owner_step *step,
                              struct timespec now);
 
+/* ---- owner_take_back.c ---- */
+
+/* Makes what was let into kept room leave, as far as urgent work will soon
+ * need that. */
+void owner_take_back(struct cw_owner *owner, struct timespec now);
+
+/* ---- owner_place.c ---- */
+
 /* True if it is the step's turn, and tasks of it wait for a place. */
 bool
 owner_step_wants_place(const struct owner_step *step, struct timespec now);
--- a/src/owner/owner_starvation.c
+++ b/src/owner/owner_starvation.c
@@ -4,10 +4,7 @@
  * that failed or were slow are avoided for seconds, and lower work waits while
  * the owner is behind.  Once cw_idle_is_overdue says so, what a job can only
  * begin together, one task or its gang, is placed in what is free, whatever it
- * is kept for.
- *
- * What was let in so makes way again ahead of need, the cheapest first, once
- * less is free than urgent work will ask for while others are stopped. */
+ * is kept for.  It makes way again ahead of need (owner_take_back.c). */
 #include "owner/internal/owner_candidates.h"
 #include "owner/internal/owner_placement.h"
 
@@ -28,9 +25,6 @@
     /* Looked at in vain in one look, beyond what the memo knows.  With 16 the
      * first few gangs that found nothing hid all others: 24 of 48 days. */
     FAILED_MOST = 256,
-    /* What was let in is at work for so long, unless urgent work makes it
-     * leave. */
-    AT_WORK_MS = 300,
     TIMES = 2
 };
 
@@ -155,96 +149,6 @@
     return done;
 }
 
-/* ---- making way ---- */
-
-/* True if the run may be made to leave ahead of need.  Tasks that last would
- * be placed anew at once. */
-static bool
-may_make_way(const struct owner_run *run, struct timespec now)
-{
-    return run->released && run->phase == RUN_RUNNING &&
-           !run->task->step->spec->endless &&
-           cw_time_diff_ms(run->started_at, now) > AT_WORK_MS &&
-           owner_run_may_leave(run);
-}
-
-static GPtrArray *
-runs_to_make_way(const struct cw_owner *owner, const char *service,
-                 struct timespec now)
-{
-    GPtrArray *runs = g_ptr_array_new();
-    GHashTableIter iterator;
-    gpointer value;
-
-    g_hash_table_iter_init(&iterator, owner->targets);
-    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        const struct owner_target *target = value;
-
-        for (guint i = 0; target->service == service && i < target->runs->len;
-             i++) {
-            if (may_make_way(target->runs->pdata[i], now)) {
-                g_ptr_array_add(runs, target->runs->pdata[i]);
-            }
-        }
-    }
-    return runs;
-}
-
-static gint
-by_cost(gconstpointer a, gconstpointer b, gpointer data)
-{
-    const struct timespec *now = data;
-    double x = owner_run_cost(*(struct owner_run *const *)a, *now);
-    double y = owner_run_cost(*(struct owner_run *const *)b, *now);
-
-    return x < y ? -1 : x > y;
-}
-
-/* Tells the run, or its gang, to leave. */
-static void
-make_way(struct cw_owner *owner, struct owner_run *run, int64_t lacks)
-{
-    struct owner_step *step = run->task->step;
-
-    cw_log_info("room_taken_back", "id=%s step=%u.%u tasks=%u lacks=%" PRId64,
-                step->occurrence->job->spec->id, step->occurrence->number,
-                step->number, step->spec->gang ? step->runs : 1, lacks);
-    cw_count_add(owner->options.counters, CW_COUNT_PREEMPTIONS, 1);
-    for (unsigned i = 0; step->spec->gang && i < step->count; i++) {
-        if (step->tasks[i].run != NULL && step->tasks[i].run->released) {
-            owner_headroom_taken_back(owner, step->tasks[i].run);
-        }
-    }
-    if (!step->spec->gang) {
-        owner_headroom_taken_back(owner, run);
-    }
-    owner_run_leave(owner, run);
-}
-
-static void
-take_back(struct cw_owner *owner, const char *service, struct timespec now)
-{
-    GPtrArray *runs;
-
-    if (owner_headroom_lacks(owner, service) <= 0) {
-        return;
-    }
-    runs = runs_to_make_way(owner, service, now);
-    g_ptr_array_sort_with_data(runs, by_cost, &now);
-    for (guint i = 0; i < runs->len; i++) {
-        struct owner_run *run = runs->pdata[i];
-        int64_t lacks = owner_headroom_lacks(owner, service);
-
-        if (lacks <= 0) {
-            break;
-        }
-        if (!run->stopping) { /* with its gang */
-            make_way(owner, run, lacks);
-        }
-    }
-    g_ptr_array_unref(runs);
-}
-
 /* The least that a task of any of the steps takes. */
 static struct cw_resources
 least_need(const GPtrArray *steps)
@@ -270,9 +174,6 @@
 {
     struct cw_resources least = least_need(steps);
     GPtrArray *targets = NULL;
-    GHashTableIter iterator;
-    gpointer service;
-    gpointer room;
     unsigned placed = 0;
     unsigned failed = 0;
 
@@ -280,12 +181,7 @@
         return;
     }
     owner->starved_due = cw_time_add_ms(now, EVERY_MS);
-    g_hash_table_iter_init(&iterator, owner->headroom);
-    while (g_hash_table_iter_next(&iterator, &service, &room)) {
-        if (((const struct owner_headroom *)room)->released > 0) {
-            take_back(owner, g_intern_string(service), now);
-        }
-    }
+    owner_take_back(owner, now);
     for (guint i = 0;
          i < steps->len && placed < PLACED_MOST && failed < FAILED_MOST; i++)
     {
