Work is moved off a slow worker only where there is room for it

Callers saw a gang at 31 percent stopped, and nothing of it running for 19 s.

Cause: leave_slow_worker compared rates and asked whether a restart would end sooner; it did not ask where. A stopped gang gives up the places of all its members and waits like one that has not begun, behind what is kept for urgent work.

Now a run of lower work that makes progress is only left where its gang, or the task, fits on other workers that it may be placed on at once; urgent work can make others leave and is moved as before. A run that hangs is still left at once: it makes no progress where it is.

test_moves "no room" and "kept room" failed before. The latter asked that a moved gang be let into kept room; that way was weighed and not taken, so it asks now that a gang is not stopped for kept room, which failed as well.

--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -516,6 +516,20 @@
 /* Makes a run leave its worker: a gang stops whole, a task alone. */
 void owner_run_leave(struct cw_owner *owner, struct owner_run *run);
 
+/* ---- owner_moves.c ---- */
+
+/* True if the run may be taken from its worker though it makes progress: there
+ * is room elsewhere for what leaves with it, or others can be made to leave.
+ */
+bool owner_run_may_move(struct cw_owner *owner, const struct owner_run *run,
+                        struct timespec now);
+
+/* Makes a run leave its worker, for a cause that does not lie in its job. */
+void owner_run_displace(struct cw_owner *owner, struct owner_run *run,
+                        enum owner_idle_cause cause);
+
+/* ---- owner_runs.c ---- */
+
 /* Turns reserved runs whose place is free into new ones. */
 void owner_runs_settle(struct cw_owner *owner, struct owner_target *target);
 
--- a/src/owner/owner_drain.c
+++ b/src/owner/owner_drain.c
@@ -83,8 +83,7 @@
                 name.job, name.occurrence, name.step, name.index, run->number,
                 run->target->id, run->percent, left_ms(run),
                 cw_time_diff_ms(now, run->target->leaves_at));
-    owner_task_job(run->task)->idle.cause = OWNER_IDLE_EVACUATED;
-    owner_run_leave(owner, run);
+    owner_run_displace(owner, run, OWNER_IDLE_EVACUATED);
 }
 
 void
--- a/src/owner/owner_holds.c
+++ b/src/owner/owner_holds.c
@@ -343,8 +343,7 @@
                     step->occurrence->number, step->number, run->task->index,
                     run->number, target->id, run->percent);
         owner_target_blame(target, run->task, now);
-        owner_task_job(run->task)->idle.cause = OWNER_IDLE_STALLED;
-        owner_run_leave(owner, run);
+        owner_run_displace(owner, run, OWNER_IDLE_STALLED);
         return; /* the table of runs may have changed */
     }
 }
--- a/src/owner/owner_orders.c
+++ b/src/owner/owner_orders.c
@@ -142,9 +142,8 @@
                     order->task.index, order->run, order->target->id,
                     run->unanswered, run->task->step->spec->gang,
                     run->task->step->runs);
-        owner_task_job(run->task)->idle.cause = OWNER_IDLE_UNANSWERED;
     }
-    owner_run_leave(owner, run);
+    owner_run_displace(owner, run, OWNER_IDLE_UNANSWERED);
 }
 
 static void
--- a/src/owner/owner_speed.c
+++ b/src/owner/owner_speed.c
@@ -83,7 +83,7 @@
 
 static void
 leave_slow_worker(struct cw_owner *owner, struct owner_run *run,
-                  double expected)
+                  double expected, struct timespec now)
 {
     struct owner_step *step = run->task->step;
     struct cw_restart restart = {
@@ -96,7 +96,7 @@
 
     if (run->stopping || run->finished || step->spec->endless ||
         owner_once_protects(run) || step->moves >= MOVES_MOST ||
-        !cw_restart_pays(&restart))
+        !cw_restart_pays(&restart) || !owner_run_may_move(owner, run, now))
     {
         return;
     }
@@ -106,8 +106,7 @@
                 "expected=%.1f",
                 step->occurrence->job->spec->id, step->number, run->number,
                 run->target->id, run->percent, run->rate, expected);
-    step->occurrence->job->idle.cause = OWNER_IDLE_MOVED;
-    owner_run_leave(owner, run);
+    owner_run_displace(owner, run, OWNER_IDLE_MOVED);
 }
 
 static void
@@ -149,7 +148,7 @@
     switch (cw_pace_judge(&pace)) {
     case CW_PACE_SLOW_WORKER:
         avoid_slow_worker(run, cw_pace_expected(&pace), now);
-        leave_slow_worker(owner, run, cw_pace_expected(&pace));
+        leave_slow_worker(owner, run, cw_pace_expected(&pace), now);
         break;
     case CW_PACE_LONG_TASK:
         life->slow_job = job;
--- a/src/owner/owner_take_back.c
+++ b/src/owner/owner_take_back.c
@@ -72,7 +72,7 @@
     if (!step->spec->gang) {
         owner_headroom_taken_back(owner, run);
     }
-    owner_run_leave(owner, run);
+    owner_run_displace(owner, run, OWNER_IDLE_RECLAIMED);
 }
 
 static void
--- a/tests/test_moves.c
+++ b/tests/test_moves.c
@@ -40,16 +40,6 @@
     return count;
 }
 
-static void
-drop_runs(struct site *site, struct owner_job *job)
-{
-    for (unsigned i = 0; i < step_of(job)->count; i++) {
-        if (step_of(job)->tasks[i].run != NULL) {
-            owner_run_drop(site->owner, step_of(job)->tasks[i].run);
-        }
-    }
-}
-
 /* Guards against gangs that are stopped and then wait for a place, while they
  * would have gone on where they were. */
 static void
@@ -82,10 +72,10 @@
     site_end(&site);
 }
 
-/* Guards against gangs that lose their share of the service by a move: what
- * they gave up counts as kept for urgent work from then on. */
+/* Guards against gangs that are stopped for a place that they may not take: it
+ * is kept for urgent work. */
 static void
-test_a_moved_gang_does_not_wait_for_kept_room(void)
+test_a_gang_is_not_stopped_for_kept_room(void)
 {
     struct site site;
     struct owner_job *job;
@@ -94,21 +84,80 @@
     site_begin(&site);
     set_guarantee(&site, 0);
     job = run_job(&site, 1, &gang);
-    turn_slow(&site, step_of(job)->tasks[0].run);
-    drop_runs(&site, job);
     set_guarantee(&site, RACKS * PER_RACK * ACCELERATORS);
     room = g_hash_table_lookup(site.owner->headroom, "s");
     cw_headroom_observe(&room->forecast, RACKS * PER_RACK * ACCELERATORS,
                         site.clock.now);
     pass(&site, 10);
-    CU_ASSERT_EQUAL(placed(job), MEMBERS);
+    turn_slow(&site, step_of(job)->tasks[0].run);
+    CU_ASSERT_EQUAL(stopping(job), 0);
+    site_end(&site);
+}
+
+/* A single task needs one place, and its worker's own is none. */
+static void
+test_a_task_is_moved_only_beside_a_free_place(void)
+{
+    static const struct cw_step_spec one = {.tasks = 1,
+                                            .accelerators = ACCELERATORS};
+    static const struct cw_step_spec others = {.tasks = RACKS * PER_RACK - 1,
+                                               .accelerators = ACCELERATORS};
+    struct site site;
+    struct owner_job *job;
+    struct owner_job *urgent;
+
+    site_begin(&site);
+    set_guarantee(&site, 0);
+    job = run_job(&site, 1, &one);
+    urgent = run_job(&site, 0, &others);
+    turn_slow(&site, step_of(job)->tasks[0].run);
+    CU_ASSERT_EQUAL(stopping(job), 0);
+    owner_run_drop(site.owner, step_of(urgent)->tasks[0].run);
+    turn_slow(&site, step_of(job)->tasks[0].run);
+    CU_ASSERT_EQUAL(stopping(job), 1);
+    site_end(&site);
+}
+
+/* Guards against a gang that belongs into one rack and is stopped for room
+ * that lies across racks. */
+static void
+test_a_gang_that_needs_a_rack_is_moved_only_into_one(void)
+{
+    static const struct cw_step_spec in_rack = {.tasks = PER_RACK - 1,
+                                                .accelerators = ACCELERATORS,
+                                                .gang = true,
+                                                .same_rack = true};
+    static const struct cw_step_spec each = {
+        .tasks = 5, .accelerators = 1, .most_per_worker = 1};
+    static const char *const workers[] = {"w03", "w04", "w05", "w08", "w09"};
+    struct site site;
+    struct owner_job *job;
+    struct owner_job *small;
+
+    site_begin(&site);
+    set_guarantee(&site, 0);
+    job = run_job(&site, 1, &in_rack);
+    small = add_job(&site, 1, &each);
+    for (unsigned i = 0; i < G_N_ELEMENTS(workers); i++) {
+        owner_run_create(site.owner, &step_of(small)->tasks[i],
+                         owner_target_get(site.owner, workers[i]), RUN_RUNNING,
+                         1);
+    }
+    CU_ASSERT_STRING_EQUAL(place_of(job, 0)->rack, "r0");
+    turn_slow(&site, step_of(job)->tasks[0].run);
+    CU_ASSERT_EQUAL(stopping(job), 0);
+    owner_run_drop(site.owner, step_of(small)->tasks[0].run);
+    turn_slow(&site, step_of(job)->tasks[0].run);
+    CU_ASSERT_EQUAL(stopping(job), PER_RACK - 1);
     site_end(&site);
 }
 
 static const struct test tests[] = {
     {"no room", test_a_gang_without_room_elsewhere_is_not_stopped},
     {"room", test_a_gang_with_room_elsewhere_is_moved},
-    {"kept room", test_a_moved_gang_does_not_wait_for_kept_room},
+    {"kept room", test_a_gang_is_not_stopped_for_kept_room},
+    {"single", test_a_task_is_moved_only_beside_a_free_place},
+    {"rack", test_a_gang_that_needs_a_rack_is_moved_only_into_one},
 };
 
 TEST_MAIN("moves", tests)
