--- a/src/owner/internal/owner_idle.h
+++ b/src/owner/internal/owner_idle.h
@@ -19,8 +19,7 @@
     OWNER_IDLE_UNANSWERED, /* a start was given up, and its gang with it */
     OWNER_IDLE_RECLAIMED,
     OWNER_IDLE_LOST,
-    OWNER_IDLE_FAILED,
-    OWNER_IDLE_CAUSES
+    OWNER_IDLE_FAILED
 };
 
 struct owner_idle {
--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -516,6 +516,16 @@
 /* Makes a run leave its worker: a gang stops whole, a task alone. */
 void owner_run_leave(struct cw_owner *owner, struct owner_run *run);
 
+/* Turns reserved runs whose place is free into new ones. */
+void owner_runs_settle(struct cw_owner *owner, struct owner_target *target);
+
+/* Keeps a checkpoint that a worker has listed; "" is none. */
+void owner_task_keep(struct owner_task *task, const char *saved);
+
+/* Applies an end that a worker has listed. */
+void owner_run_ended(struct cw_owner *owner, struct owner_target *target,
+                     const struct cw_ended *ended);
+
 /* ---- owner_moves.c ---- */
 
 /* True if the run may be taken from its worker though it makes progress: there
@@ -528,18 +538,6 @@
 void owner_run_displace(struct cw_owner *owner, struct owner_run *run,
                         enum owner_idle_cause cause);
 
-/* ---- owner_runs.c ---- */
-
-/* Turns reserved runs whose place is free into new ones. */
-void owner_runs_settle(struct cw_owner *owner, struct owner_target *target);
-
-/* Keeps a checkpoint that a worker has listed; "" is none. */
-void owner_task_keep(struct owner_task *task, const char *saved);
-
-/* Applies an end that a worker has listed. */
-void owner_run_ended(struct cw_owner *owner, struct owner_target *target,
-                     const struct cw_ended *ended);
-
 /* ---- owner_hints.c ---- */
 
 struct owner_hints *owner_hints_create(void);
--- a/src/owner/owner_reclaim.c
+++ b/src/owner/owner_reclaim.c
@@ -482,10 +482,8 @@
         owner_step_stop(owner, gang);
     }
     for (guint i = 0; i < plan->singles->len; i++) {
-        struct owner_run *single = plan->singles->pdata[i];
-
-        owner_task_job(single->task)->idle.cause = OWNER_IDLE_RECLAIMED;
-        owner_run_stop(owner, single);
+        owner_run_displace(owner, plan->singles->pdata[i],
+                           OWNER_IDLE_RECLAIMED);
     }
     /* Victims that had not been sent yet left at once. */
     for (guint i = 0; i < targets->len; i++) {
--- a/src/owner/owner_starvation.c
+++ b/src/owner/owner_starvation.c
@@ -22,8 +22,8 @@
     /* Placed in one look: an owner that is behind has all its waiting jobs
      * here. */
     PLACED_MOST = 16,
-    /* Looked at in vain in one look, beyond what the memo knows.  With 16 the
-     * first few gangs that found nothing hid all others: 24 of 48 days. */
+    /* Looked at in vain in one look, beyond what the memo knows: enough that
+     * a few gangs that find nothing do not hide all others. */
     FAILED_MOST = 256,
     TIMES = 2
 };
--- a/tests/test_idle.c
+++ b/tests/test_idle.c
@@ -1,7 +1,4 @@
-/* Idle jobs: one limit on how long room is withheld, over all reasons.
- *
- * Seen: jobs were idle for up to 26 s beside room for them twice over, each
- * time for a sound reason, and in incidents before it for other reasons. */
+/* Idle jobs: one limit on how long room is withheld, over all reasons. */
 #include "test_main.h"
 
 #include "curlewcart/cw_idle.h"
--- a/tests/test_moves.c
+++ b/tests/test_moves.c
@@ -1,8 +1,4 @@
-/* Runs that the owner takes from their workers by its own judgement.
- *
- * Seen: a gang at 31 percent was stopped as one of its workers was slow, and
- * then had nothing running for 19 s beside room that was kept for urgent work.
- */
+/* Runs that the owner takes from their workers by its own judgement. */
 #include "test_main.h"
 
 #include "owner_site.h"
--- a/tests/test_starvation.c
+++ b/tests/test_starvation.c
@@ -129,8 +129,8 @@
     site_end(&site);
 }
 
-/* Seen: jobs stood still beside room for hundreds of their tasks, as others
- * had taken all that could be given up of it at a time. */
+/* Guards against idle jobs that get no place as others have taken all that may
+ * be given up of the free room at a time. */
 static void
 test_all_that_stand_still_get_a_place(void)
 {
