Leases are short where a silent worker would leave a job idle for over 3 s

Cause: all of a job's last runs were on a worker that stopped answering, and the job waited for the end of its lease, 5.8 s after the last grant. Leases of 5.5 s were derived from 7 s, the time tolerated while work arrives (4 s until the service is calm, and 3 s idle). Some time after the last arrival no calm is required, so that 3 s is all there is. Three more parts added to the wait: a poll that is sent late, while ends are not durable, or a start granted the whole lease from its own sending; where workers report boot times, runs that only the present incarnation can execute waited for the longest lease that the next one could get; and a poll was retried 0.3 s after its timeout.

Change: leases of 2.4 s in a service that is not busy (little of its capacity is in use, or no job has arrived for 5 s) and on draining workers; 5.5 s as before in a busy one, where work that is lost takes capacity from others. With short leases polls are renewed twice as often and time out earlier, so that a single lost poll loses no lease. A lease counts from the worker's last answer; starts do not extend a lease that polls renew. A worker has two bounds: one for the runs of its present incarnation, and the outer one, as before, for starts that may still reach the next incarnation.

--- a/src/owner/internal/owner_incarnations.h
+++ b/src/owner/internal/owner_incarnations.h
@@ -24,6 +24,9 @@
     int64_t clock_offset_ms;  /* its clock minus this VM's */
     struct timespec clock_at; /* when its clock was read */
     int64_t lease_sent_ms;    /* latest end of lease sent, on its clock */
+    /* Latest end of a lease that it may have, by this VM's clock and with
+     * drift; owner_leases.h. */
+    struct timespec lease_end;
     /* Highest numbers of its ends that are applied here, in the batch being
      * written, stored, and confirmed to the worker. */
     uint64_t ends_applied;
@@ -57,6 +60,12 @@
 /* Processes the boot time in a report of the worker. */
 void owner_incarnation_reported(struct owner_target *target, int64_t boot_ms);
 
+/* True if the run is known to have been executed by the incarnation that
+ * answered last: its start was confirmed before a poll was sent that this
+ * incarnation has answered.  A later start may have reached the next
+ * incarnation. */
+bool owner_incarnation_was_executing(const struct owner_run *run);
+
 /* Sends a stop of a run that was lost with a former incarnation, if a start of
  * it had no answer and may be carried out late: the present incarnation then
  * refuses the start. */
--- a/src/owner/internal/owner_leases.h
+++ b/src/owner/internal/owner_leases.h
@@ -9,6 +9,7 @@
 #include "curlewcart/cw_owner.h"
 #include "curlewcart/cw_target.h"
 
+struct owner_run;
 struct owner_target;
 
 /* Source of the bound on a worker's lease. */
@@ -47,12 +48,38 @@
 int64_t owner_lease_grant(struct owner_target *target, enum cw_order_kind kind,
                           struct timespec now);
 
-/* Raises the bound on the worker's lease, which may last at least until `end`.
- */
+/* A worker has two bounds on its lease.  The one of its incarnation applies to
+ * runs that only the present incarnation can execute: it covers the leases
+ * that were granted to that incarnation.  The other applies to all other runs,
+ * and to all workers that were not polled yet: a start that is still in flight
+ * may reach the next incarnation, whose clock differs, and grant it the
+ * longest lease that workers accept. */
+
+/* True if the bound of the worker's incarnation applies to the run: that
+ * incarnation was executing it, and no start of it is in flight that the next
+ * one could carry out. */
+bool owner_lease_run_is_bound(const struct owner_run *run);
+
+/* When the lease expires of the first of the worker's runs, and of the last of
+ * them. */
+struct timespec owner_lease_first_end(const struct owner_target *target);
+struct timespec owner_lease_last_end(const struct owner_target *target);
+
+/* True if the worker gets short leases, as it drains or its service is not
+ * busy.  It has to be polled more often then. */
+bool
+owner_lease_is_short(const struct owner_target *target, struct timespec now);
+
+/* Sets both bounds on the worker's lease. */
+void owner_lease_set(struct owner_target *target, struct timespec end,
+                     enum owner_lease_source source);
+
+/* Raises the bounds on the worker's lease, which may last at least until
+ * `end`. */
 void owner_lease_raise(struct owner_target *target, struct timespec end,
                        enum owner_lease_source source);
 
-/* Lowers the bound on the worker's lease, which ends at `end` at the latest.
+/* Lowers the bounds on the worker's lease, which ends at `end` at the latest.
  */
 void owner_lease_lower(struct owner_target *target, struct timespec end,
                        enum owner_lease_source source);
--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -194,7 +194,7 @@
     int64_t reported_boot_ms;             /* boot time in the newest report */
     struct owner_incarnation incarnation; /* the last that answered */
     /* Latest end of a lease that was granted to any incarnation, by this VM's
-     * clock and with drift. */
+     * clock and with drift; see also incarnation.lease_end. */
     struct timespec lease_end;
     enum owner_lease_source lease_source;
     /* Has answered a poll since the takeover, or since its runs were given up.
@@ -236,6 +236,7 @@
 struct owner_headroom {
     struct cw_headroom forecast; /* of the use by urgent work */
     bool mostly_idle;
+    struct timespec job_accepted_at; /* the newest job was accepted */
     /* Limit on the workers that lower-priority work may use. */
     unsigned max_lower_priority_workers;
     unsigned lower_priority_workers; /* workers that such work uses */
--- a/src/owner/owner_epochs.c
+++ b/src/owner/owner_epochs.c
@@ -226,8 +226,8 @@
 
         if (target->runs->len > 0) {
             any_runs = true;
-            target->lease_end = end_of_earlier(owner, target->id);
-            target->lease_source = OWNER_LEASE_EARLIER_OWNER;
+            owner_lease_set(target, end_of_earlier(owner, target->id),
+                            OWNER_LEASE_EARLIER_OWNER);
             target->poll_due = now;
             owner_target_wake(target);
         }
@@ -359,7 +359,7 @@
 end_of_current(const struct owner_target *target)
 {
     return target->unanswered_polls > 0
-               ? target->lease_end
+               ? owner_lease_last_end(target)
                : cw_time_add_ms(target->lease_end, OWNER_ORDER_DELAY_MAX_MS);
 }
 
--- a/src/owner/owner_headroom.c
+++ b/src/owner/owner_headroom.c
@@ -17,6 +17,9 @@
      * EXEMPT_AFTER_MS. */
     MOSTLY_IDLE_BELOW_PERCENT = 60,
     EXEMPT_AFTER_MS = 1500,
+    /* Without new jobs for this long, a service is no longer busy, however
+     * much it still has to do. */
+    ARRIVALS_PAUSE_MS = 5000,
     PERCENT = 100
 };
 
@@ -124,6 +127,9 @@
 {
     struct owner_headroom *headroom = headroom_of(owner, job->spec->service);
 
+    if (cw_time_before(headroom->job_accepted_at, job->known_at)) {
+        headroom->job_accepted_at = job->known_at;
+    }
     if (job->spec->priority != 0) {
         return;
     }
@@ -135,6 +141,17 @@
     }
 }
 
+bool
+owner_service_is_busy(const struct cw_owner *owner, const char *service,
+                      struct timespec now)
+{
+    const struct owner_headroom *headroom =
+        g_hash_table_lookup(owner->headroom, service);
+
+    return headroom != NULL && !headroom->mostly_idle &&
+           cw_time_diff_ms(headroom->job_accepted_at, now) < ARRIVALS_PAUSE_MS;
+}
+
 static bool
 accepts_work(const struct owner_target *target)
 {
--- a/src/owner/owner_idle.c
+++ b/src/owner/owner_idle.c
@@ -197,7 +197,7 @@
                            " lease_left_ms=%" PRId64 " lease_by=%s",
                            target->id, target->unanswered_polls,
                            owner_target_since_answer_ms(target, now),
-                           cw_time_diff_ms(now, target->lease_end),
+                           cw_time_diff_ms(now, owner_lease_last_end(target)),
                            owner_lease_source_name(target->lease_source));
 }
 
--- a/src/owner/owner_incarnations.c
+++ b/src/owner/owner_incarnations.c
@@ -124,12 +124,8 @@
     }
 }
 
-/* True if the run is known to have been executed by the incarnation that
- * answered last: its start was confirmed before a poll was sent that this
- * incarnation has answered.  A later start may have reached the next
- * incarnation. */
-static bool
-was_executing(const struct owner_run *run)
+bool
+owner_incarnation_was_executing(const struct owner_run *run)
 {
     const struct owner_target *target = run->target;
 
@@ -150,12 +146,12 @@
         return;
     }
     for (guint k = 0; k < target->runs->len; k++) {
-        if (was_executing(target->runs->pdata[k])) {
+        if (owner_incarnation_was_executing(target->runs->pdata[k])) {
             owner_crashes_collect(target->runs->pdata[k], owner_now(owner));
         }
     }
     while (i < target->runs->len) {
-        if (was_executing(target->runs->pdata[i])) {
+        if (owner_incarnation_was_executing(target->runs->pdata[i])) {
             owner_run_lost(owner, target->runs->pdata[i], true, "other_life");
             i = 0; /* other runs of its gang may have been dropped as well */
         }
--- a/src/owner/owner_lease_notes.c
+++ b/src/owner/owner_lease_notes.c
@@ -3,8 +3,8 @@
  * waits for the end of such a lease only until the bound in its note, not for
  * a full lease from the takeover on.
  *
- * - A note contains the owner's own bound, `lease_end`, which covers leases
- *   that earlier owners may still extend.
+ * - A note contains the owner's own bound, which covers leases that earlier
+ *   owners may still extend.
  * - From the time when a note is put into a batch until the record that drops
  *   it is known to be stored, the worker's lease is extended neither by polls
  *   nor by starts, and nothing is placed on the worker (owner_lease_grant,
@@ -61,7 +61,7 @@
                   cw_time_diff_ms(target->lease_note_at, now) >= NOTE_RENEW_MS;
 
     return due && owner_target_has_ordered_run(target) &&
-           cw_time_before(now, target->lease_end) &&
+           cw_time_before(now, owner_lease_last_end(target)) &&
            owner_may_order(owner, now);
 }
 
@@ -94,7 +94,8 @@
                struct timespec now)
 {
     struct cw_note_record lease_note = {
-        .left_ms = (unsigned)cw_time_diff_ms(now, target->lease_end)};
+        .left_ms =
+            (unsigned)cw_time_diff_ms(now, owner_lease_last_end(target))};
 
     if (target->lease_note == OWNER_LEASE_NOTE_NONE) {
         cw_log_info("lease_note_written",
--- a/src/owner/owner_leases.c
+++ b/src/owner/owner_leases.c
@@ -2,24 +2,47 @@
  *
  * All runs on a worker end when its lease expires.  Runs of an unresponsive
  * worker are not replaced until then, so that no task runs twice. */
-#include "owner/internal/owner_private.h"
+#include "owner/internal/owner_placement.h"
+
+#include <assert.h>
 
 enum {
     LEASE_SLACK_MS = 200,
-    /* Lease of a worker with confirmed runs: 7 s are tolerated from the
-     * failure of a worker until its tasks run elsewhere, however long a lease
-     * the platform allows. */
+    /* The platform tolerates 3 s in which nothing of a job runs, from the end
+     * of its last run on.  While work arrives, these 3 s begin 4 s after the
+     * last fault; some time after the last arrival they begin at once. */
+    IDLE_TOLERATED_MS = 3000,
+    CALM_AFTER_FAULT_MS = 4000,
+    /* Time from the end of a lease until the tasks run elsewhere: a placement
+     * pass, an append to the store and a start. */
+    RESTART_MAX_MS = 350,
+    /* Lease of a worker with confirmed runs in a busy service, where work that
+     * is lost takes capacity from other work. */
     LONG_LEASE_MS = 5500,
-    /* Lease where little work can be lost (lease_ms_for), so that tasks wait
-     * for less time if the worker fails; it covers two polls without an
-     * answer. */
-    SHORT_LEASE_MS = 4000,
+    /* Lease of a worker without confirmed runs in a busy service: little work
+     * can be lost, and tasks wait for less time if the worker fails. */
+    UNCONFIRMED_LEASE_MS = 4000,
+    /* Lease in a service that is not busy, where tasks that are lost can run
+     * again at once, and of a draining worker, whose work will be lost soon.
+     */
+    SHORT_LEASE_MS = 2400,
     /* Maximum age of the reading of a worker's clock by which a lease is
      * granted: after a longer time the drift of 2% would be a large part of a
      * short lease. */
-    CLOCK_FRESH_MS = 30000
+    CLOCK_FRESH_MS = 30000,
+    PERCENT = 100
 };
 
+static_assert(SHORT_LEASE_MS * (PERCENT + OWNER_CLOCK_DRIFT_PERCENT) /
+                          PERCENT +
+                      LEASE_SLACK_MS + RESTART_MAX_MS <=
+                  IDLE_TOLERATED_MS,
+              "tasks of a silent worker have to run elsewhere in time");
+static_assert(LONG_LEASE_MS * (PERCENT + OWNER_CLOCK_DRIFT_PERCENT) / PERCENT +
+                      LEASE_SLACK_MS + RESTART_MAX_MS <=
+                  CALM_AFTER_FAULT_MS + IDLE_TOLERATED_MS,
+              "tasks of a silent worker have to run elsewhere in time");
+
 int64_t
 owner_with_drift_ms(int64_t ms)
 {
@@ -52,8 +75,10 @@
     return MIN(owner->options.lease_ms, LONG_LEASE_MS);
 }
 
-void
-owner_lease_raise(struct owner_target *target, struct timespec end,
+/* Raises the bound that applies to runs that may be executed by the next
+ * incarnation. */
+static void
+raise_outer_bound(struct owner_target *target, struct timespec end,
                   enum owner_lease_source source)
 {
     if (cw_time_before(target->lease_end, end)) {
@@ -62,6 +87,32 @@
     }
 }
 
+/* Raises the bound that applies to runs of the present incarnation. */
+static void
+raise_incarnation_bound(struct owner_target *target, struct timespec end)
+{
+    if (cw_time_before(target->incarnation.lease_end, end)) {
+        target->incarnation.lease_end = end;
+    }
+}
+
+void
+owner_lease_set(struct owner_target *target, struct timespec end,
+                enum owner_lease_source source)
+{
+    target->lease_end = end;
+    target->lease_source = source;
+    target->incarnation.lease_end = end;
+}
+
+void
+owner_lease_raise(struct owner_target *target, struct timespec end,
+                  enum owner_lease_source source)
+{
+    raise_outer_bound(target, end, source);
+    raise_incarnation_bound(target, end);
+}
+
 void
 owner_lease_lower(struct owner_target *target, struct timespec end,
                   enum owner_lease_source source)
@@ -70,6 +121,9 @@
         target->lease_end = end;
         target->lease_source = source;
     }
+    if (cw_time_before(end, target->incarnation.lease_end)) {
+        target->incarnation.lease_end = end;
+    }
 }
 
 /* From now on the worker refuses orders of earlier owners, so leases that they
@@ -121,18 +175,36 @@
     return false;
 }
 
-/* Length of the lease to grant.  It is short for a draining worker, whose work
- * will be lost soon, and for one without confirmed runs, of which no work can
- * be lost.  A start grants a short lease as well, so that it does not lengthen
- * the lease that polls renew: the worker may not answer the next poll. */
+bool
+owner_lease_is_short(const struct owner_target *target, struct timespec now)
+{
+    return target->draining ||
+           !owner_service_is_busy(target->owner, target->service, now);
+}
+
+/* Length of the lease to grant. */
 static int64_t
-lease_ms_for(const struct owner_target *target, enum cw_order_kind kind)
+lease_ms_for(const struct owner_target *target, struct timespec now)
 {
     int64_t lease_ms = owner_lease_max_granted_ms(target->owner);
-    bool grants_short = target->draining || kind == CW_ORDER_START ||
-                        !has_confirmed_run(target);
 
-    return grants_short ? MIN(lease_ms, SHORT_LEASE_MS) : lease_ms;
+    if (owner_lease_is_short(target, now)) {
+        return MIN(lease_ms, SHORT_LEASE_MS);
+    }
+    return has_confirmed_run(target) ? lease_ms
+                                     : MIN(lease_ms, UNCONFIRMED_LEASE_MS);
+}
+
+/* Returns the time from which the lease counts.  A run may end just after the
+ * worker's last answer, so the lease counts from that answer, however much
+ * later the order is sent. */
+static struct timespec
+lease_begin(const struct owner_target *target, struct timespec now)
+{
+    return has_confirmed_run(target) &&
+                   target->incarnation.poll_answered_at.tv_sec > 0
+               ? target->incarnation.poll_answered_at
+               : now;
 }
 
 /* How far the worker's clock may be behind the time derived from its last
@@ -153,37 +225,95 @@
                CLOCK_FRESH_MS;
 }
 
+/* True if an order that is sent now may extend the worker's lease. */
+static bool
+may_extend(const struct owner_target *target, enum cw_order_kind kind,
+           struct timespec now)
+{
+    bool granted = target->incarnation.lease_sent_ms > 0;
+
+    /* While the worker is unresponsive its lease is not extended, so that its
+     * tasks can be started elsewhere once the last lease has expired. */
+    if (granted && target->unanswered_polls > 0) {
+        return false;
+    }
+    /* Polls renew the lease of a worker that executes runs.  The worker may
+     * not answer the next poll, so that a start must not extend it. */
+    if (granted && kind == CW_ORDER_START && has_confirmed_run(target)) {
+        return false;
+    }
+    return owner_lease_clock_is_fresh(target, now) &&
+           target->lease_note == OWNER_LEASE_NOTE_NONE &&
+           !owner_tombstone_pending(target) &&
+           owner_may_extend_leases(target->owner, now);
+}
+
 int64_t
 owner_lease_grant(struct owner_target *target, enum cw_order_kind kind,
                   struct timespec now)
 {
     struct cw_owner *owner = target->owner;
-    int64_t lease_ms = lease_ms_for(target, kind);
+    int64_t lease_ms = lease_ms_for(target, now);
+    struct timespec end = cw_time_add_ms(lease_begin(target, now), lease_ms);
+    int64_t left_ms = cw_time_diff_ms(now, end);
     /* If a worker may start again under its id, the order may reach its next
      * incarnation, whose clock differs: the lease may be as long as the
      * longest that workers accept. */
-    int64_t max_lasting_ms =
-        target->incarnation.boot_ms > 0 ? owner->options.lease_ms : lease_ms;
-    int64_t until_ms = cw_time_diff_ms(cw_time_from_ms(0), now) +
-                       target->incarnation.clock_offset_ms + lease_ms -
+    int64_t outer_ms =
+        target->incarnation.boot_ms > 0 ? owner->options.lease_ms : left_ms;
+    int64_t until_ms = cw_time_diff_ms(cw_time_from_ms(0), end) +
+                       target->incarnation.clock_offset_ms -
                        clock_lag_max_ms(target, now);
 
-    /* While the worker is unresponsive its lease is not extended, so that its
-     * tasks can be started elsewhere once the last lease has expired. */
-    if (!owner_lease_clock_is_fresh(target, now) ||
-        target->lease_note != OWNER_LEASE_NOTE_NONE ||
-        owner_tombstone_pending(target) ||
-        (target->unanswered_polls > 0 &&
-         target->incarnation.lease_sent_ms > 0) ||
-        !owner_may_extend_leases(owner, now))
-    {
+    if (!may_extend(target, kind, now)) {
         return target->incarnation.lease_sent_ms;
     }
     if (until_ms > target->incarnation.lease_sent_ms) {
         target->incarnation.lease_sent_ms = until_ms;
+        raise_incarnation_bound(target,
+                                cw_time_add_ms(now, max_duration_ms(left_ms)));
     }
-    owner_lease_raise(target,
-                      cw_time_add_ms(now, max_duration_ms(max_lasting_ms)),
+    raise_outer_bound(target, cw_time_add_ms(now, max_duration_ms(outer_ms)),
                       OWNER_LEASE_OWN);
     return target->incarnation.lease_sent_ms;
 }
+
+bool
+owner_lease_run_is_bound(const struct owner_run *run)
+{
+    if (!owner_incarnation_was_executing(run)) {
+        return false;
+    }
+    /* Workers that report no boot time never restart under their id. */
+    return run->target->incarnation.boot_ms == 0 ||
+           (run->unanswered == 0 && run->sent_at.tv_sec > 0);
+}
+
+struct timespec
+owner_lease_first_end(const struct owner_target *target)
+{
+    for (guint i = 0; i < target->runs->len; i++) {
+        if (owner_lease_run_is_bound(target->runs->pdata[i])) {
+            return target->incarnation.lease_end;
+        }
+    }
+    return target->lease_end;
+}
+
+struct timespec
+owner_lease_last_end(const struct owner_target *target)
+{
+    bool any = false;
+
+    for (guint i = 0; i < target->runs->len; i++) {
+        const struct owner_run *run = target->runs->pdata[i];
+
+        if (run->phase >= RUN_STARTING) {
+            any = true;
+            if (!owner_lease_run_is_bound(run)) {
+                return target->lease_end;
+            }
+        }
+    }
+    return any ? target->incarnation.lease_end : target->lease_end;
+}
--- a/src/owner/owner_polls.c
+++ b/src/owner/owner_polls.c
@@ -17,12 +17,20 @@
     POLL_WAIT_MANY_WORKERS_MS = 1900,
     /* Limit on the time for an answer in addition to that delay. */
     POLL_ANSWER_MAX_MS = 900,
+    /* The same for workers with short leases.  A poll may be lost: the next
+     * one, and the one after that, which extends the lease again, have to be
+     * answered before the lease expires. */
+    POLL_WAIT_SHORT_LEASE_MS = 500,
+    POLL_WAIT_SHORT_LEASE_MANY_WORKERS_MS = 1000,
+    POLL_ANSWER_SHORT_LEASE_MAX_MS = 700,
     /* Time from an answer to the next poll. */
     POLL_INTERVAL_MS = 40,
     /* Interval of polls of a worker while a start on it has no answer: this
      * leads to up to ten polls until the last attempt of the start, each of
      * which is charged for. */
     POLL_INTERVAL_UNDECIDED_MS = 150,
+    /* Time from a poll without an answer to the next poll; a connection that
+     * is refused fails at once. */
     POLL_RETRY_MS = 300,
     /* Polls without an answer after which placements on the worker are given
      * up; a single answer may be late. */
@@ -395,7 +403,7 @@
         owner_incarnation_unresponsive(target);
     }
     target->unanswered_polls++;
-    target->poll_due = cw_time_add_ms(now, POLL_RETRY_MS);
+    target->poll_due = cw_time_add_ms(target->poll_sent_at, POLL_RETRY_MS);
     owner_incarnation_poll_failed(target);
     if (target->unanswered_polls == GIVE_UP_AFTER_POLLS) {
         owner_unsent_runs_give_up(target->owner, target,
@@ -498,11 +506,22 @@
 }
 
 static unsigned
-poll_wait_max_ms(const struct cw_owner *owner)
+poll_wait_max_ms(const struct owner_target *target, struct timespec now)
 {
-    return g_hash_table_size(owner->targets) > MANY_WORKERS
-               ? POLL_WAIT_MANY_WORKERS_MS
-               : POLL_WAIT_MS;
+    bool many = g_hash_table_size(target->owner->targets) > MANY_WORKERS;
+
+    if (owner_lease_is_short(target, now)) {
+        return many ? POLL_WAIT_SHORT_LEASE_MANY_WORKERS_MS
+                    : POLL_WAIT_SHORT_LEASE_MS;
+    }
+    return many ? POLL_WAIT_MANY_WORKERS_MS : POLL_WAIT_MS;
+}
+
+static unsigned
+poll_answer_max_ms(const struct owner_target *target, struct timespec now)
+{
+    return owner_lease_is_short(target, now) ? POLL_ANSWER_SHORT_LEASE_MAX_MS
+                                             : POLL_ANSWER_MAX_MS;
 }
 
 static bool
@@ -541,8 +560,8 @@
  * was stopped would be idle for 1.0 s longer, as the poll would wait at the
  * worker of a member that was never started. */
 static unsigned
-poll_wait_ms(const struct cw_owner *owner, const struct owner_target *target,
-             uint64_t acked)
+poll_wait_ms(const struct owner_target *target, uint64_t acked,
+             struct timespec now)
 {
     const struct owner_incarnation *incarnation = &target->incarnation;
     bool blocked = incarnation->ends_applied > incarnation->ends_durable ||
@@ -555,7 +574,7 @@
                    !waits || target->lease_note != OWNER_LEASE_NOTE_NONE ||
                    decides_runs(target)
                ? 0
-               : poll_wait_max_ms(owner);
+               : poll_wait_max_ms(target, now);
 }
 
 static void
@@ -564,7 +583,7 @@
 {
     struct poll_call *call = g_new0(struct poll_call, 1);
     uint64_t acked = number_to_confirm(target, now);
-    unsigned wait_ms = poll_wait_ms(owner, target, acked);
+    unsigned wait_ms = poll_wait_ms(target, acked, now);
     /* A first poll extends no lease: if the lease has expired, the worker has
      * to notice that, as an earlier owner may have declared its runs lost.
      * Neither does a poll after one without an answer, as another incarnation
@@ -581,7 +600,7 @@
             extends ? owner_lease_grant(target, CW_ORDER_POLL, now) : 0,
         .acked = acked,
         .wait_ms = wait_ms,
-        .timeout_ms = wait_ms + POLL_ANSWER_MAX_MS,
+        .timeout_ms = wait_ms + poll_answer_max_ms(target, now),
         .done = on_poll,
         .context = call,
     };
@@ -655,21 +674,50 @@
     return MAX(IDLE_POLL_INTERVAL_MS, all_ms);
 }
 
+/* Gives up the runs whose lease ends with that of the worker's incarnation. */
+static void
+lose_bound_runs(struct cw_owner *owner, struct owner_target *target)
+{
+    guint i = 0;
+
+    for (guint k = 0; k < target->runs->len; k++) {
+        if (owner_lease_run_is_bound(target->runs->pdata[k])) {
+            owner_crashes_collect(target->runs->pdata[k], owner_now(owner));
+        }
+    }
+    while (i < target->runs->len) {
+        if (owner_lease_run_is_bound(target->runs->pdata[i])) {
+            owner_run_lost(owner, target->runs->pdata[i], true, "lease_over");
+            i = 0; /* other runs of its gang may have been dropped as well */
+        }
+        else {
+            i++;
+        }
+    }
+}
+
 /* Handles the end of a lease that was not extended.  A worker that still
  * answers is polled for the state of its runs; the runs on a worker that does
  * not answer are lost. */
 static void
-on_lease_expired(struct cw_owner *owner, struct owner_target *target)
+on_lease_expired(struct cw_owner *owner, struct owner_target *target,
+                 struct timespec now)
 {
     bool answers = target->unanswered_polls == 0 && target->address[0] != '\0';
 
-    if (!answers) {
+    if (answers) {
+        if (cw_time_before(target->answered_poll_sent_at,
+                           owner_lease_first_end(target)))
+        {
+            target->answered = false; /* the next poll is a first one */
+            target->poll_due = cw_time_from_ms(0);
+        }
+    }
+    else if (cw_time_before(owner_lease_last_end(target), now)) {
         owner_target_lost(owner, target, "lease_over");
     }
-    else if (cw_time_before(target->answered_poll_sent_at, target->lease_end))
-    {
-        target->answered = false; /* the next poll is a first one */
-        target->poll_due = cw_time_from_ms(0);
+    else {
+        lose_bound_runs(owner, target);
     }
 }
 
@@ -712,16 +760,17 @@
 {
     struct timespec next;
 
-    if (cw_time_before(target->lease_end, now) &&
-        owner_target_has_ordered_run(target))
+    if (owner_target_has_ordered_run(target) &&
+        cw_time_before(owner_lease_first_end(target), now))
     {
-        on_lease_expired(owner, target);
+        on_lease_expired(owner, target, now);
     }
     next = poll_tick(owner, target, now);
-    if (!cw_time_before(target->lease_end, now) &&
-        owner_target_has_ordered_run(target))
+    if (owner_target_has_ordered_run(target) &&
+        !cw_time_before(owner_lease_first_end(target), now))
     {
-        cw_time_set_earlier(&next, cw_time_add_ms(target->lease_end, 1));
+        cw_time_set_earlier(&next,
+                            cw_time_add_ms(owner_lease_first_end(target), 1));
     }
     return next;
 }
--- a/tests/owner_cluster.h
+++ b/tests/owner_cluster.h
@@ -276,6 +276,28 @@
     return job;
 }
 
+/* Makes the job the one that was accepted last. */
+static inline void
+arrive_now(struct cluster *cluster, struct owner_job *job)
+{
+    job->known_at = cluster->clock.now;
+    owner_headroom_job_accepted(cluster->owner, job);
+}
+
+/* Makes the service busy: runs of lower-priority work on eight of the twelve
+ * workers.  Returns their job. */
+static inline struct owner_job *
+make_busy(struct cluster *cluster)
+{
+    const struct cw_step_spec wide = {.tasks = 8,
+                                      .accelerators = ACCELERATORS};
+    struct owner_job *job = run_job(cluster, 2, &wide);
+
+    owner_headroom_update(cluster->owner, cluster->clock.now);
+    arrive_now(cluster, job);
+    return job;
+}
+
 /* Makes the job's only run ready and sends its start. */
 static inline struct owner_run *
 send_job_start(struct cluster *cluster, struct owner_job *job)
--- /dev/null
+++ b/tests/test_lease_lengths.c
@@ -0,0 +1,280 @@
+/* How long the task of a worker that stops answering waits until it runs
+ * elsewhere, and whether a worker that answers keeps its lease. */
+#include "test_main.h"
+
+#include "owner_cluster.h"
+
+enum {
+    /* The platform tolerates 3 s in which nothing of a job runs; in a busy
+     * service from 4 s after the last fault on. */
+    IDLE_TOLERATED_MS = 3000,
+    CALM_AFTER_FAULT_MS = 4000,
+    /* For the store and the start, which follow the placement. */
+    RESTART_MS = 300,
+    TICK_MS = 10,
+    ANSWERING_MS = 5000,
+    /* From then on after the last arrival no calm is needed. */
+    AFTER_ARRIVALS_MS = 14000,
+    SILENT_MAX_MS = 20000,
+    BOOT_MS = 7
+};
+
+/* A worker that executes the only task of a job. */
+struct worker {
+    struct cluster cluster;
+    struct owner_job *other; /* one that keeps the service busy, or NULL */
+    bool arrivals_end;       /* no job arrives any more */
+    struct owner_target *target;
+    struct owner_task *task;
+    struct cw_target_order poll; /* in flight */
+    struct timespec poll_at;     /* when it was sent; 0: none is in flight */
+    unsigned polls;
+    unsigned lost_poll; /* number of a poll that it does not receive */
+    bool silent;        /* it answers nothing */
+    /* Of the leases that it has received, by the VM's clock, which its own
+     * equals. */
+    int64_t lease_until_ms;
+    struct timespec answered_at;
+    bool lapsed;
+};
+
+static void
+worker_begin(struct worker *worker, bool busy, int64_t boot_ms)
+{
+    const struct cw_step_spec one = {.tasks = 1, .accelerators = 4};
+    struct owner_run *run;
+
+    memset(worker, 0, sizeof(*worker));
+    cluster_begin(&worker->cluster);
+    if (busy) {
+        worker->other = make_busy(&worker->cluster);
+    }
+    run = step_of(run_job(&worker->cluster, 1, &one))->tasks[0].run;
+    run->boot_ms = boot_ms;
+    run->sent_at = run->started_at;
+    worker->task = run->task;
+    worker->target = run->target;
+    worker->target->incarnation.boot_ms = boot_ms;
+}
+
+static void
+worker_end(struct worker *worker)
+{
+    cluster_end(&worker->cluster);
+}
+
+static void
+answer_poll(struct worker *worker)
+{
+    struct cw_running running = {.task = owner_task_name(worker->task),
+                                 .run = worker->task->last_run,
+                                 .saved = ""};
+    struct timespec now = worker->cluster.clock.now;
+    struct cw_target_answer answer = {
+        .status = CW_TARGET_OK,
+        .clock_ms = cw_time_diff_ms(cw_time_from_ms(0), now),
+        .boot_ms = worker->target->incarnation.boot_ms,
+        .running = &running,
+        .running_count = 1};
+
+    worker->poll_at = cw_time_from_ms(0);
+    worker->answered_at = now;
+    worker->poll.done(worker->poll.context, &answer);
+}
+
+static void
+fail_poll(struct worker *worker)
+{
+    const struct cw_target_answer none = {.status = CW_TARGET_UNKNOWN};
+
+    worker->poll_at = cw_time_from_ms(0);
+    worker->poll.done(worker->poll.context, &none);
+}
+
+/* Takes the poll that the owner has sent, if any. */
+static void
+receive_poll(struct worker *worker)
+{
+    if (unanswered == NULL || unanswered->len == 0) {
+        return;
+    }
+    worker->poll = last_order;
+    worker->poll_at = worker->cluster.clock.now;
+    worker->polls++;
+    g_array_set_size(unanswered, 0);
+    if (!worker->silent && worker->polls != worker->lost_poll) {
+        worker->lease_until_ms =
+            MAX(worker->lease_until_ms, worker->poll.lease_until_ms);
+    }
+}
+
+/* Answers the poll in flight once it has waited for as long as it allows, or
+ * lets it fail after its timeout. */
+static void
+end_poll(struct worker *worker)
+{
+    int64_t age_ms =
+        cw_time_diff_ms(worker->poll_at, worker->cluster.clock.now);
+
+    if (worker->poll_at.tv_sec == 0) {
+        return;
+    }
+    if (!worker->silent && worker->polls != worker->lost_poll) {
+        if (age_ms >= worker->poll.wait_ms) {
+            answer_poll(worker);
+        }
+    }
+    else if (age_ms >= worker->poll.timeout_ms) {
+        fail_poll(worker);
+    }
+}
+
+static void
+tick(struct worker *worker)
+{
+    int64_t now_ms;
+
+    if (worker->other != NULL && !worker->arrivals_end) {
+        arrive_now(&worker->cluster, worker->other);
+    }
+    pass(&worker->cluster, TICK_MS);
+    now_ms = cw_time_diff_ms(cw_time_from_ms(0), worker->cluster.clock.now);
+    worker->lapsed = worker->lapsed || (worker->lease_until_ms > 0 &&
+                                        worker->lease_until_ms < now_ms);
+    end_poll(worker);
+    (void)owner_poll_tick(worker->cluster.owner, worker->target,
+                          worker->cluster.clock.now);
+    receive_poll(worker);
+}
+
+/* Lets the worker fall silent just after an answer; returns how long after
+ * that its task is placed elsewhere. */
+static int64_t
+ms_until_placed_elsewhere(bool busy, bool arrivals_end, int64_t boot_ms)
+{
+    unsigned answering_ms = arrivals_end ? AFTER_ARRIVALS_MS : ANSWERING_MS;
+    struct worker worker;
+    int64_t ms = 0;
+
+    worker_begin(&worker, busy, boot_ms);
+    worker.arrivals_end = arrivals_end;
+    for (unsigned passed = 0; passed < answering_ms; passed += TICK_MS) {
+        tick(&worker);
+    }
+    CU_ASSERT_PTR_EQUAL_FATAL(worker.task->run->target, worker.target);
+    while (cw_time_diff_ms(worker.poll_at, worker.cluster.clock.now) > 0) {
+        tick(&worker); /* until a poll has just extended the lease */
+    }
+    worker.silent = true;
+    while (ms < SILENT_MAX_MS && (worker.task->run == NULL ||
+                                  worker.task->run->target == worker.target))
+    {
+        tick(&worker);
+        ms = cw_time_diff_ms(worker.answered_at, worker.cluster.clock.now);
+    }
+    worker_end(&worker);
+    return ms;
+}
+
+/* Guards against a job that is idle for over 3 s in a mostly idle service, as
+ * its last run was on a worker that stopped answering. */
+static void
+test_short_wait_in_mostly_idle_service(void)
+{
+    CU_ASSERT_TRUE(ms_until_placed_elsewhere(false, false, 0) <=
+                   IDLE_TOLERATED_MS - RESTART_MS);
+}
+
+/* Guards against the same in a service that still has much to do when no new
+ * work arrives any more. */
+static void
+test_short_wait_after_last_arrival(void)
+{
+    CU_ASSERT_TRUE(ms_until_placed_elsewhere(true, true, 0) <=
+                   IDLE_TOLERATED_MS - RESTART_MS);
+}
+
+/* Guards against the same where workers report boot times: a run that only
+ * the present incarnation can execute waited for the longest lease that the
+ * next incarnation could get. */
+static void
+test_short_wait_for_worker_with_boot_time(void)
+{
+    CU_ASSERT_TRUE(ms_until_placed_elsewhere(false, false, BOOT_MS) <=
+                   IDLE_TOLERATED_MS - RESTART_MS);
+}
+
+/* Guards against a job of a busy service that is idle for over 3 s from 4 s
+ * after the failure of its worker on. */
+static void
+test_wait_in_busy_service(void)
+{
+    int64_t tolerated_ms =
+        CALM_AFTER_FAULT_MS + IDLE_TOLERATED_MS - RESTART_MS;
+
+    CU_ASSERT_TRUE(ms_until_placed_elsewhere(true, false, 0) <= tolerated_ms);
+    CU_ASSERT_TRUE(ms_until_placed_elsewhere(true, false, BOOT_MS) <=
+                   tolerated_ms);
+}
+
+/* Guards against work that is lost with its worker's lease because a single
+ * poll is lost. */
+static void
+test_lost_poll_loses_no_lease(void)
+{
+    for (unsigned busy = 0; busy < 2; busy++) {
+        struct worker worker;
+
+        worker_begin(&worker, busy, 0);
+        worker.lost_poll = 4;
+        for (unsigned passed = 0; passed < 2 * ANSWERING_MS; passed += TICK_MS)
+        {
+            tick(&worker);
+        }
+        CU_ASSERT_TRUE(worker.polls > worker.lost_poll + 2);
+        CU_ASSERT_FALSE(worker.lapsed);
+        worker_end(&worker);
+    }
+}
+
+/* Guards against a lease that counts from a poll that is sent late: the run
+ * may have ended just after the worker's last answer. */
+static void
+test_lease_counts_from_last_answer(void)
+{
+    enum { DELAY_MS = 700, ON_TIME_MS = 40 };
+    int64_t left_ms[2];
+
+    for (unsigned late = 0; late < 2; late++) {
+        struct worker worker;
+
+        worker_begin(&worker, false, 0);
+        for (unsigned passed = 0; passed < ANSWERING_MS; passed += TICK_MS) {
+            tick(&worker);
+        }
+        end_poll(&worker);
+        worker.target->incarnation.poll_answered_at =
+            cw_time_add_ms(worker.cluster.clock.now, -ON_TIME_MS);
+        worker.cluster.clock.now =
+            cw_time_add_ms(worker.cluster.clock.now, late * (int64_t)DELAY_MS);
+        worker.cluster.owner->ownership_confirmed_at =
+            worker.cluster.clock.now;
+        left_ms[late] =
+            owner_lease_grant(worker.target, CW_ORDER_POLL,
+                              worker.cluster.clock.now) -
+            cw_time_diff_ms(cw_time_from_ms(0), worker.cluster.clock.now);
+        worker_end(&worker);
+    }
+    CU_ASSERT_TRUE(left_ms[1] <= left_ms[0] - DELAY_MS + TICK_MS);
+}
+
+static const struct test tests[] = {
+    {"mostly idle service", test_short_wait_in_mostly_idle_service},
+    {"last arrival", test_short_wait_after_last_arrival},
+    {"boot time", test_short_wait_for_worker_with_boot_time},
+    {"busy service", test_wait_in_busy_service},
+    {"lost poll", test_lost_poll_loses_no_lease},
+    {"last answer", test_lease_counts_from_last_answer},
+};
+
+TEST_MAIN("lease lengths", tests)
--- a/tests/test_leases.c
+++ b/tests/test_leases.c
@@ -177,8 +177,9 @@
     struct timespec end;
 
     cluster_begin(&cluster);
-    cluster.owner->ownership_confirmed_at = cluster.clock.now;
+    make_busy(&cluster);
     target = step_of(run_job(&cluster, 0, &one))->tasks[0].run->target;
+    cluster.owner->ownership_confirmed_at = cluster.clock.now;
     (void)owner_poll_tick(cluster.owner, target, cluster.clock.now);
     CU_ASSERT_EQUAL_FATAL(last_order.kind, CW_ORDER_POLL);
     end = target->lease_end;
