Logs: runs and workers lost by the lease tell answer and lease

A run whose worker fell silent was logged with heard_ms, which counts from the sending of the last answered poll, up to 1 s before its answer. Neither the lease that was waited for nor for how long the job had been idle could be read from it.

run_lost and worker_lost now carry answered_ms (since the last answer to any order came), granted_ms and lease_ms (of this owner's lease that set the bound) and lease_by (who set the bound); run_lost also idle_ms. No decision depends on the new members of struct owner_target.

tests/test_owner_logs.c checks the values; the fields did not exist before. tests/log_capture.h captures lines for it.

--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -197,6 +197,11 @@
      * clock and with drift. */
     struct timespec lease_end;
     enum owner_lease_source lease_source;
+    /* The last lease of this owner that raised `lease_end`, for logs: when it
+     * was granted, and its length as granted.  0: none has. */
+    struct timespec lease_granted_at;
+    int64_t lease_granted_ms;
+    struct timespec answered_at; /* its last answer to any order came */
     /* Has answered a poll since the takeover, or since its runs were given up.
      */
     bool answered;
@@ -716,6 +721,15 @@
 int64_t owner_target_since_answer_ms(const struct owner_target *target,
                                      struct timespec now);
 
+/* Records that the worker has answered an order with this status. */
+void owner_target_answered(struct owner_target *target,
+                           enum cw_target_status status, struct timespec now);
+
+/* Returns log fields that tell when the worker answered last, and what bounds
+ * its lease.  Owned by the caller. */
+char *owner_target_describe_lease(const struct owner_target *target,
+                                  struct timespec now);
+
 /* Drops all runs of the worker as lost. */
 void owner_target_lost(struct cw_owner *owner, struct owner_target *target,
                        const char *reason);
--- a/src/owner/owner_leases.c
+++ b/src/owner/owner_leases.c
@@ -153,6 +153,21 @@
                CLOCK_FRESH_MS;
 }
 
+/* Raises the bound on the worker's lease for a lease of `lease_ms` that is
+ * granted now and may last `duration_ms`. */
+static void
+raise_own(struct owner_target *target, int64_t lease_ms, int64_t duration_ms,
+          struct timespec now)
+{
+    struct timespec end = cw_time_add_ms(now, duration_ms);
+
+    if (cw_time_before(target->lease_end, end)) {
+        target->lease_granted_at = now;
+        target->lease_granted_ms = lease_ms;
+    }
+    owner_lease_raise(target, end, OWNER_LEASE_OWN);
+}
+
 int64_t
 owner_lease_grant(struct owner_target *target, enum cw_order_kind kind,
                   struct timespec now)
@@ -182,8 +197,6 @@
     if (until_ms > target->incarnation.lease_sent_ms) {
         target->incarnation.lease_sent_ms = until_ms;
     }
-    owner_lease_raise(target,
-                      cw_time_add_ms(now, max_duration_ms(max_lasting_ms)),
-                      OWNER_LEASE_OWN);
+    raise_own(target, lease_ms, max_duration_ms(max_lasting_ms), now);
     return target->incarnation.lease_sent_ms;
 }
--- a/src/owner/owner_orders.c
+++ b/src/owner/owner_orders.c
@@ -272,6 +272,7 @@
                                     cw_time_diff_ms(order->sent, now));
     }
     log_answer(order, answer->status);
+    owner_target_answered(target, answer->status, now);
     owner_target_set_clock(target, answer->clock_ms, now);
     if (answer->status == CW_TARGET_FENCED) {
         owner_order_free(order);
--- a/src/owner/owner_polls.c
+++ b/src/owner/owner_polls.c
@@ -479,6 +479,7 @@
     target->poll_in_flight = false;
     owner_target_wake(target);
     owner->idle_polls_in_flight -= call->idle;
+    owner_target_answered(target, answer->status, now);
     switch (answer->status) {
     case CW_TARGET_OK:
         poll_answered(owner, call, answer, now);
--- a/src/owner/owner_runs.c
+++ b/src/owner/owner_runs.c
@@ -167,6 +167,25 @@
                                      : -1;
 }
 
+static void
+log_lost(const struct owner_run *run, const char *reason, struct timespec now)
+{
+    const struct owner_job *job = owner_task_job(run->task);
+    struct cw_task_name name = owner_task_name(run->task);
+    char *lease = owner_target_describe_lease(run->target, now);
+
+    cw_log_info("run_lost",
+                "id=%s task=%u.%u.%u run=%u worker=%s reason=%s "
+                "idle_ms=%" PRId64 " %s phase=%s age_ms=%" PRId64
+                " percent=%u unanswered=%u stopping=%d",
+                name.job, name.occurrence, name.step, name.index, run->number,
+                run->target->id, reason,
+                cw_time_diff_ms(job->idle.clock.since, now), lease,
+                owner_run_phase_name(run->phase), ms_since_start(run, now),
+                run->percent, run->unanswered, run->stopping);
+    g_free(lease);
+}
+
 void
 owner_run_lost(struct cw_owner *owner, struct owner_run *run, bool worked,
                const char *reason)
@@ -174,15 +193,8 @@
     struct owner_task *task = run->task;
     struct owner_step *step = task->step;
     bool gang_done = run->gang_done;
-    struct cw_task_name name = owner_task_name(task);
 
-    cw_log_info("run_lost",
-                "id=%s task=%u.%u.%u run=%u worker=%s reason=%s phase=%s "
-                "age_ms=%" PRId64 " percent=%u unanswered=%u stopping=%d",
-                name.job, name.occurrence, name.step, name.index, run->number,
-                run->target->id, reason, owner_run_phase_name(run->phase),
-                ms_since_start(run, owner_now(owner)), run->percent,
-                run->unanswered, run->stopping);
+    log_lost(run, reason, owner_now(owner));
     cw_count_code(owner->options.counters, CW_RETRY_SILENT);
     if (!run->stopping) {
         owner_task_job(task)->idle.cause = OWNER_IDLE_LOST;
--- a/src/owner/owner_targets.c
+++ b/src/owner/owner_targets.c
@@ -321,15 +321,60 @@
 }
 
 void
-owner_target_lost(struct cw_owner *owner, struct owner_target *target,
-                  const char *reason)
+owner_target_answered(struct owner_target *target,
+                      enum cw_target_status status, struct timespec now)
+{
+    switch (status) {
+    case CW_TARGET_OTHER_INCARNATION:
+    case CW_TARGET_INVALID:
+    case CW_TARGET_UNREACHABLE:
+    case CW_TARGET_UNKNOWN:
+        break;
+    default:
+        target->answered_at = now;
+        break;
+    }
+}
+
+/* Returns the milliseconds since `then`; -1 if it is 0. */
+static int64_t
+ms_since(struct timespec then, struct timespec now)
 {
+    return then.tv_sec > 0 ? cw_time_diff_ms(then, now) : -1;
+}
+
+char *
+owner_target_describe_lease(const struct owner_target *target,
+                            struct timespec now)
+{
+    return g_strdup_printf("answered_ms=%" PRId64 " granted_ms=%" PRId64
+                           " lease_ms=%" PRId64 " lease_by=%s",
+                           ms_since(target->answered_at, now),
+                           ms_since(target->lease_granted_at, now),
+                           target->lease_granted_ms,
+                           owner_lease_source_name(target->lease_source));
+}
+
+static void
+log_lost(const struct owner_target *target, const char *reason,
+         struct timespec now)
+{
+    char *lease = owner_target_describe_lease(target, now);
+
     cw_log_info("worker_lost",
-                "worker=%s reason=%s runs=%u silent=%u draining=%d "
+                "worker=%s reason=%s runs=%u %s silent=%u draining=%d "
                 "heard_ms=%" PRId64,
-                target->id, reason, target->runs->len,
+                target->id, reason, target->runs->len, lease,
                 target->unanswered_polls, target->draining,
-                owner_target_since_answer_ms(target, owner_now(owner)));
+                owner_target_since_answer_ms(target, now));
+    g_free(lease);
+}
+
+void
+owner_target_lost(struct cw_owner *owner, struct owner_target *target,
+                  const char *reason)
+{
+    log_lost(target, reason, owner_now(owner));
     for (guint i = 0; i < target->runs->len; i++) {
         owner_crashes_collect(target->runs->pdata[i], owner_now(owner));
         if (!target->superseded) {
--- /dev/null
+++ b/tests/test_owner_logs.c
@@ -0,0 +1,135 @@
+/* Log lines of an owner about work that waits: they have to tell what it waits
+ * for, and for how long.  Incidents were left unexplained as these values were
+ * not logged. */
+#include "test_main.h"
+
+#include "log_capture.h"
+#include "owner_fixture.h"
+
+enum {
+    ANSWERED_AFTER_MS = 700, /* the delay of the last answer to a poll */
+    POLL_INTERVAL_MS = 40,
+    LONG_LEASE_MS = 5500,
+    /* Longest duration of that lease by this VM's clock. */
+    LONG_LEASE_MAX_MS = LONG_LEASE_MS + LONG_LEASE_MS / 50 + 200
+};
+
+static const struct cw_step_spec one = {.tasks = 1, .accelerators = 8};
+
+static void
+advance(struct cluster *cluster, int64_t ms)
+{
+    cluster->clock.now = cw_time_add_ms(cluster->clock.now, ms);
+    cluster->owner->ownership_confirmed_at = cluster->clock.now;
+}
+
+/* ---- leases that are over ---- */
+
+static void
+poll(struct cluster *cluster, struct owner_target *target)
+{
+    owner_poll_tick(cluster->owner, target, cluster->clock.now);
+    CU_ASSERT_EQUAL(last_order.kind, CW_ORDER_POLL);
+}
+
+/* Polls the run's worker, which lists it late, and answers nothing after that
+ * until its lease is over.  Returns the lines that are logged then. */
+static char *
+lose_lease(struct cluster *cluster, const struct owner_run *run)
+{
+    struct owner_target *target = run->target;
+    struct cw_running row = {
+        .task = owner_task_name(run->task), .run = run->number, .saved = ""};
+    struct cw_target_answer answer = {
+        .status = CW_TARGET_OK, .running = &row, .running_count = 1};
+    struct log_capture capture;
+
+    poll(cluster, target);
+    advance(cluster, ANSWERED_AFTER_MS);
+    g_array_set_size(unanswered, unanswered->len - 1);
+    last_order.done(last_order.context, &answer);
+    advance(cluster, POLL_INTERVAL_MS);
+    poll(cluster, target);
+    answer_last(CW_TARGET_UNKNOWN);
+    log_capture_begin(&capture);
+    advance(cluster, LONG_LEASE_MAX_MS + 1);
+    owner_poll_tick(cluster->owner, target, cluster->clock.now);
+    return log_capture_end(&capture);
+}
+
+static void
+check_lease_fields(const char *line)
+{
+    int64_t granted_ms = LONG_LEASE_MAX_MS + 1;
+
+    CU_ASSERT_TRUE(has_field(line, "reason", "lease_over"));
+    CU_ASSERT_EQUAL(field_number(line, "answered_ms"),
+                    granted_ms + POLL_INTERVAL_MS);
+    CU_ASSERT_EQUAL(field_number(line, "granted_ms"), granted_ms);
+    CU_ASSERT_EQUAL(field_number(line, "lease_ms"), LONG_LEASE_MS);
+    CU_ASSERT_TRUE(has_field(line, "lease_by", "own"));
+}
+
+/* Guards against a loss at the end of a lease from which neither the worker's
+ * last answer nor the lease that was waited for can be read. */
+static void
+test_a_loss_by_the_lease_tells_answer_and_lease(void)
+{
+    struct cluster cluster;
+    struct owner_job *job;
+    char *lines;
+    char *line;
+
+    cluster_begin(&cluster);
+    job = run_job(&cluster, 1, &one);
+    lines = lose_lease(&cluster, step_of(job)->tasks[0].run);
+    line = last_line(lines, "run_lost");
+    check_lease_fields(line);
+    CU_ASSERT_EQUAL(field_number(line, "idle_ms"),
+                    LONG_LEASE_MAX_MS + 1 + POLL_INTERVAL_MS);
+    g_free(line);
+    line = last_line(lines, "worker_lost");
+    check_lease_fields(line);
+    CU_ASSERT_EQUAL(field_number(line, "heard_ms"), LONG_LEASE_MAX_MS + 1 +
+                                                        POLL_INTERVAL_MS +
+                                                        ANSWERED_AFTER_MS);
+    g_free(line);
+    g_free(lines);
+    cluster_end(&cluster);
+}
+
+/* Guards against `answered_ms` that counts a failed connection, or an answer
+ * of another incarnation, as the worker's answer. */
+static void
+test_only_answers_of_the_worker_count(void)
+{
+    static const enum cw_target_status none[] = {
+        CW_TARGET_UNKNOWN, CW_TARGET_UNREACHABLE, CW_TARGET_INVALID,
+        CW_TARGET_OTHER_INCARNATION};
+    struct cluster cluster;
+    struct owner_target *target;
+    char *text;
+
+    cluster_begin(&cluster);
+    target = owner_target_get(cluster.owner, "w00");
+    for (unsigned i = 0; i < G_N_ELEMENTS(none); i++) {
+        owner_target_answered(target, none[i], cluster.clock.now);
+    }
+    text = owner_target_describe_lease(target, cluster.clock.now);
+    CU_ASSERT_STRING_EQUAL(
+        text, "answered_ms=-1 granted_ms=-1 lease_ms=0 lease_by=own");
+    g_free(text);
+    owner_target_answered(target, CW_TARGET_NO_CAPACITY, cluster.clock.now);
+    advance(&cluster, 30);
+    text = owner_target_describe_lease(target, cluster.clock.now);
+    CU_ASSERT_PTR_NOT_NULL(strstr(text, "answered_ms=30 "));
+    g_free(text);
+    cluster_end(&cluster);
+}
+
+static const struct test tests[] = {
+    {"lease over", test_a_loss_by_the_lease_tells_answer_and_lease},
+    {"answers of the worker", test_only_answers_of_the_worker_count},
+};
+
+TEST_MAIN("owner_logs", tests)
