Logs: jobs that wait without free capacity leave a line

job_waits is written only if, by the workers' word, there is capacity twice over or most of the service is free.

New event job_waits_full, at info level: what the job waits for, what blocks it from capacity, and how much of the service is in use, silent and draining by the workers' word. At most four of 250 ms (16 lines a second), each job once in 3 s; jobs without a line yet and those with runs come first, and 'jobs' counts all of them. job_waits keeps meaning a fault; its fields are sorted by how much they explain, with those of the lease, and since_takeover tells that its clock began with a take-over. The lines move to owner_idle_log.c. No decision changes.

test_owner_logs: no line was written before.

--- a/src/owner/internal/owner_idle.h
+++ b/src/owner/internal/owner_idle.h
@@ -3,6 +3,7 @@
 #ifndef CURLEWCART_OWNER_IDLE_H
 #define CURLEWCART_OWNER_IDLE_H
 
+#include <stdbool.h>
 #include <stdint.h>
 #include <time.h>
 
@@ -28,7 +29,11 @@
     struct cw_idle clock;      /* begins again when a worker lists a run of the
                                   job, or a step is unblocked */
     struct timespec logged_at; /* when "job_waits" was logged last */
+    struct timespec full_logged_at; /* the same of "job_waits_full" */
     enum owner_idle_cause cause;
+    /* The job was started under an earlier owner, and `clock` has not begun
+     * again since this one took it over. */
+    bool since_takeover;
 };
 
 /* Jobs that could run and do not, as of the last check. */
--- a/src/owner/owner_idle.c
+++ b/src/owner/owner_idle.c
@@ -10,7 +10,7 @@
  *
  * A task that loses one run after another makes no progress either, although
  * it is running at each check; such tasks are counted as repeating. */
-#include "owner/internal/owner_crashes.h"
+#include "owner/internal/owner_idle_log.h"
 #include "owner/internal/owner_placement.h"
 #include "owner/internal/owner_spare.h"
 
@@ -24,53 +24,29 @@
     LOG_INTERVAL_MS = 3000,
     /* Limit on the jobs that one check logs; the statistics cover all jobs. */
     LOGGED_MAX = 8,
+    /* The same for jobs without free capacity: in a full service there may be
+     * thousands.  With the interval of checks, at most 16 lines a second. */
+    FULL_LOGGED_MAX = 4,
     /* A task that has lost this many runs in a row counts as repeating; two
      * may be a coincidence. */
     REPEATING_FROM = 3
 };
 
-/* Capacity of a service's workers, and the part that runs use as reported. */
-struct service_load {
-    struct cw_resources capacity;
-    struct cw_resources used;
-};
-
 /* One check of all jobs. */
 struct check {
     struct cw_owner *owner;
     struct timespec now;
     unsigned logged;     /* jobs logged */
-    const char *service; /* that mostly_free was computed for */
-    bool mostly_free;
-    GArray *waiting; /* struct waiting */
+    const char *service; /* that `load` was computed for */
+    struct owner_service_load load;
+    GArray *waiting; /* struct owner_waiting */
     struct owner_spare *spare;
+    unsigned full; /* jobs without free capacity that wait for too long */
+    /* Those of them to log, the first one first. */
+    struct owner_waiting full_logged[FULL_LOGGED_MAX];
+    unsigned full_logged_count;
 };
 
-/* An unblocked step, of a job that has no run, or with an endless task that
- * has none. */
-struct waiting {
-    struct owner_step *step;
-    int64_t waited_ms;
-    bool too_long;
-};
-
-static const char *
-cause_name(enum owner_idle_cause cause)
-{
-    static const char *const names[] = {
-        [OWNER_IDLE_NONE] = "",
-        [OWNER_IDLE_MOVED] = "moved",
-        [OWNER_IDLE_STALLED] = "stalled",
-        [OWNER_IDLE_DRAINED] = "evacuated",
-        [OWNER_IDLE_UNANSWERED] = "unanswered",
-        [OWNER_IDLE_PREEMPTED] = "reclaimed",
-        [OWNER_IDLE_LOST] = "lost",
-        [OWNER_IDLE_FAILED] = "failed",
-    };
-
-    return names[cause];
-}
-
 /* ---- idle jobs ---- */
 
 void
@@ -78,31 +54,31 @@
 {
     cw_idle_begin(&job->idle.clock, owner_now(owner));
     job->idle.cause = OWNER_IDLE_NONE;
+    job->idle.since_takeover = false;
 }
 
 void
 owner_idle_end(struct cw_owner *owner, struct owner_job *job)
 {
     struct timespec now = owner_now(owner);
-    int64_t idle_ms = cw_time_diff_ms(job->idle.clock.since, now);
-
-    if (idle_ms > IDLE_MAX_MS) {
-        cw_log_info(
-            "job_resumed",
-            "id=%s idle_ms=%" PRId64 " room_ms=%" PRId64 " after=%s runs=%u",
-            job->spec->id, idle_ms, cw_idle_free_ms(&job->idle.clock, now),
-            cause_name(job->idle.cause), job->runs);
+
+    if (cw_time_diff_ms(job->idle.clock.since, now) > IDLE_MAX_MS) {
+        owner_idle_log_resumed(job, now);
     }
+    job->idle.since_takeover = false;
     cw_idle_begin(&job->idle.clock, now);
 }
 
 /* ---- capacity ---- */
 
 static void
-add_target(struct service_load *load, const struct owner_target *target)
+add_target(struct owner_service_load *load, const struct owner_target *target)
 {
     owner_resources_add(&load->capacity, &target->capacity);
     owner_resources_add(&load->used, &target->orphans);
+    load->workers++;
+    load->silent += target->unanswered_polls > 0;
+    load->draining += target->draining;
     for (guint i = 0; i < target->runs->len; i++) {
         const struct owner_run *run = target->runs->pdata[i];
         struct cw_resources need = owner_step_need(run->task->step->spec);
@@ -113,31 +89,38 @@
     }
 }
 
-static bool
-is_mostly_free(struct check *check, const char *service)
+/* Returns the load of a service's workers; the last one is cached. */
+static const struct owner_service_load *
+load_of(struct check *check, const char *service)
 {
     struct cw_owner *owner = check->owner;
-    struct service_load load = {0};
     GHashTableIter iterator;
     gpointer value;
 
     if (check->service == service) {
-        return check->mostly_free;
+        return &check->load;
     }
+    check->service = service;
+    check->load = (struct owner_service_load){0};
     g_hash_table_iter_init(&iterator, owner->targets);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         const struct owner_target *target = value;
 
         if (target->service == service && target->listed) {
-            add_target(&load, target);
+            add_target(&check->load, target);
         }
     }
-    check->service = service;
-    check->mostly_free =
-        2 * load.used.accelerators < load.capacity.accelerators &&
-        2 * load.used.cpu_milli < load.capacity.cpu_milli &&
-        2 * load.used.memory_mb < load.capacity.memory_mb;
-    return check->mostly_free;
+    return &check->load;
+}
+
+static bool
+is_mostly_free(struct check *check, const char *service)
+{
+    const struct owner_service_load *load = load_of(check, service);
+
+    return 2 * load->used.accelerators < load->capacity.accelerators &&
+           2 * load->used.cpu_milli < load->capacity.cpu_milli &&
+           2 * load->used.memory_mb < load->capacity.memory_mb;
 }
 
 /* ---- jobs ---- */
@@ -158,79 +141,6 @@
     return NULL;
 }
 
-static const struct owner_run *
-first_run(const struct owner_step *step)
-{
-    for (unsigned i = 0; i < step->count; i++) {
-        if (step->tasks[i].run != NULL) {
-            return step->tasks[i].run;
-        }
-    }
-    return NULL;
-}
-
-/* Returns why the step does not run according to the owner's state, for the
- * log.
- */
-static const char *
-reason_of(const struct cw_owner *owner, const struct owner_step *step,
-          const struct owner_run *run, struct timespec now)
-{
-    if (run != NULL) {
-        return owner_run_phase_name(run->phase);
-    }
-    if (owner_step_is_delayed(step, now)) {
-        return "suspect";
-    }
-    return owner_at_most_once_may_start(owner, step) ? "no_place" : "once";
-}
-
-/* Returns the log fields for the worker that a job waits for; NULL: none.
- * Owned by the caller. */
-static char *
-describe_worker(const struct owner_target *target, struct timespec now)
-{
-    if (target == NULL) {
-        return g_strdup("worker=");
-    }
-    return g_strdup_printf("worker=%s silent=%u heard_ms=%" PRId64
-                           " lease_left_ms=%" PRId64 " lease_by=%s",
-                           target->id, target->unanswered_polls,
-                           owner_target_since_answer_ms(target, now),
-                           cw_time_diff_ms(now, target->lease_end),
-                           owner_lease_source_name(target->lease_source));
-}
-
-static void
-log_waiting(struct cw_owner *owner, const struct waiting *waiting,
-            const struct owner_spare_fit *fit, struct timespec now)
-{
-    const struct owner_step *step = waiting->step;
-    struct owner_job *job = step->occurrence->job;
-    const struct owner_run *run = first_run(step);
-    char *worker = describe_worker(run != NULL ? run->target : NULL, now);
-
-    job->idle.logged_at = now;
-    cw_log_warning(
-        "job_waits",
-        "id=%s waits_ms=%" PRId64 " room_ms=%" PRId64
-        " after=%s reason=%s %s owner_ms=%" PRId64
-        " stopping=%d unanswered=%u step=%u.%u left=%u runs=%u"
-        " fits=%u booked=%u avoided=%u rack=%u urgent=%u orders=%u most=%u",
-        job->spec->id, waiting->waited_ms,
-        cw_idle_free_ms(&job->idle.clock, now), cause_name(job->idle.cause),
-        reason_of(owner, step, run, now), worker,
-        cw_time_diff_ms(owner->takeover_began_at, now),
-        run != NULL && run->stopping, run != NULL ? run->unanswered : 0,
-        step->occurrence->number, step->number, step->left, step->runs,
-        fit->tasks, fit->by_blocker[OWNER_BLOCKER_UNCONFIRMED],
-        fit->by_blocker[OWNER_BLOCKER_AVOIDED],
-        fit->by_blocker[OWNER_BLOCKER_RACK],
-        fit->by_blocker[OWNER_BLOCKER_HEADROOM],
-        owner->order_window.outstanding, owner->order_window.max_outstanding);
-    g_free(worker);
-}
-
 static void
 count_repeating(struct owner_idle_stats *stats, const struct owner_job *job)
 {
@@ -275,7 +185,7 @@
 static void
 add_if_waiting(struct check *check, struct owner_job *job)
 {
-    struct waiting waiting = {
+    struct owner_waiting waiting = {
         .step = first_unblocked_step(job),
         .waited_ms = cw_time_diff_ms(job->idle.clock.since, check->now)};
     int64_t tolerated_ms = IDLE_MAX_MS;
@@ -293,8 +203,73 @@
     }
 }
 
+static struct owner_idle *
+idle_of(const struct owner_waiting *waiting)
+{
+    return &waiting->step->occurrence->job->idle;
+}
+
+/* True if `a` is to be logged rather than `b`: the one that was logged longer
+ * ago, that has runs, or that waits for longer. */
+static bool
+is_logged_before(const struct owner_waiting *a, const struct owner_waiting *b)
+{
+    int64_t later_ms = cw_time_diff_ms(idle_of(a)->full_logged_at,
+                                       idle_of(b)->full_logged_at);
+    bool a_has_runs = a->step->runs > 0;
+    bool b_has_runs = b->step->runs > 0;
+
+    if (later_ms != 0) {
+        return later_ms > 0;
+    }
+    return a_has_runs != b_has_runs ? a_has_runs : a->waited_ms > b->waited_ms;
+}
+
+/* Counts a job without free capacity, and selects it for the log if few others
+ * precede it. */
+static void
+add_full(struct check *check, const struct owner_waiting *waiting)
+{
+    struct owner_waiting *rows = check->full_logged;
+    unsigned at;
+
+    check->full++;
+    if (cw_time_diff_ms(idle_of(waiting)->full_logged_at, check->now) <=
+        LOG_INTERVAL_MS)
+    {
+        return;
+    }
+    if (check->full_logged_count < FULL_LOGGED_MAX) {
+        check->full_logged_count++;
+    }
+    else if (!is_logged_before(waiting, &rows[FULL_LOGGED_MAX - 1])) {
+        return;
+    }
+    at = check->full_logged_count - 1;
+    while (at > 0 && is_logged_before(waiting, &rows[at - 1])) {
+        rows[at] = rows[at - 1];
+        at--;
+    }
+    rows[at] = *waiting;
+}
+
 static void
-check_job(struct check *check, const struct waiting *waiting)
+log_full(struct check *check)
+{
+    for (unsigned i = 0; i < check->full_logged_count; i++) {
+        const struct owner_waiting *waiting = &check->full_logged[i];
+        struct owner_spare_fit fit =
+            owner_spare_fit(check->spare, waiting->step);
+
+        owner_idle_log_full(
+            check->owner, waiting, &fit,
+            load_of(check, waiting->step->occurrence->job->service),
+            check->full, check->now);
+    }
+}
+
+static void
+check_job(struct check *check, const struct owner_waiting *waiting)
 {
     struct owner_idle_stats *stats = &check->owner->idle_stats;
     struct owner_job *job = waiting->step->occurrence->job;
@@ -303,7 +278,11 @@
                         is_mostly_free(check, job->service);
 
     cw_idle_check(&job->idle.clock, has_capacity, check->now);
-    if (!has_capacity || !waiting->too_long) {
+    if (!waiting->too_long) {
+        return;
+    }
+    if (!has_capacity) {
+        add_full(check, waiting);
         return;
     }
     stats->jobs++;
@@ -314,7 +293,7 @@
         struct owner_spare_fit fit =
             owner_spare_fit(check->spare, waiting->step);
 
-        log_waiting(check->owner, waiting, &fit, check->now);
+        owner_idle_log_waits(check->owner, waiting, &fit, check->now);
         check->logged++;
     }
 }
@@ -327,7 +306,8 @@
     uint32_t min = UINT32_MAX;
 
     for (guint i = 0; i < waiting->len; i++) {
-        const struct waiting *row = &g_array_index(waiting, struct waiting, i);
+        const struct owner_waiting *row =
+            &g_array_index(waiting, struct owner_waiting, i);
 
         min = MIN(min, row->step->spec->accelerators);
     }
@@ -343,8 +323,10 @@
     check->spare = owner_spare_create(
         check->owner, min_accelerators(check->waiting), check->now);
     for (guint i = 0; i < check->waiting->len; i++) {
-        check_job(check, &g_array_index(check->waiting, struct waiting, i));
+        check_job(check,
+                  &g_array_index(check->waiting, struct owner_waiting, i));
     }
+    log_full(check);
     owner_spare_free(check->spare);
 }
 
@@ -363,7 +345,7 @@
     if (!owner_may_order(owner, now)) {
         return; /* another VM may be the owner and have run the jobs */
     }
-    check.waiting = g_array_new(FALSE, FALSE, sizeof(struct waiting));
+    check.waiting = g_array_new(FALSE, FALSE, sizeof(struct owner_waiting));
     g_hash_table_iter_init(&iterator, owner->jobs);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         const struct owner_job *job = value;
--- /dev/null
+++ b/src/owner/owner_idle_log.c
@@ -0,0 +1,171 @@
+/* Log lines about idle jobs.
+ *
+ * Readers often get only the first 200 characters of a line, so the fields
+ * that tell what a job waits for come first. */
+#include "owner/internal/owner_idle_log.h"
+
+#include "owner/internal/owner_crashes.h"
+#include "owner/internal/owner_placement.h"
+
+enum { PERCENT = 100 };
+
+static const char *
+cause_name(enum owner_idle_cause cause)
+{
+    static const char *const names[] = {
+        [OWNER_IDLE_NONE] = "",
+        [OWNER_IDLE_MOVED] = "moved",
+        [OWNER_IDLE_STALLED] = "stalled",
+        [OWNER_IDLE_DRAINED] = "evacuated",
+        [OWNER_IDLE_UNANSWERED] = "unanswered",
+        [OWNER_IDLE_PREEMPTED] = "reclaimed",
+        [OWNER_IDLE_LOST] = "lost",
+        [OWNER_IDLE_FAILED] = "failed",
+    };
+
+    return names[cause];
+}
+
+static const struct owner_run *
+first_run(const struct owner_step *step)
+{
+    for (unsigned i = 0; i < step->count; i++) {
+        if (step->tasks[i].run != NULL) {
+            return step->tasks[i].run;
+        }
+    }
+    return NULL;
+}
+
+/* Returns why the step does not run according to the owner's state. */
+static const char *
+reason_of(const struct cw_owner *owner, const struct owner_step *step,
+          const struct owner_run *run, struct timespec now)
+{
+    if (run != NULL) {
+        return owner_run_phase_name(run->phase);
+    }
+    if (owner_step_is_delayed(step, now)) {
+        return "suspect";
+    }
+    return owner_at_most_once_may_start(owner, step) ? "no_place" : "once";
+}
+
+/* Returns the log fields for the worker that a job waits for; NULL: none.
+ * Owned by the caller. */
+static char *
+describe_worker(const struct owner_target *target, struct timespec now)
+{
+    char *lease;
+    char *text;
+
+    if (target == NULL) {
+        return g_strdup("worker=");
+    }
+    lease = owner_target_describe_lease(target, now);
+    text = g_strdup_printf("worker=%s silent=%u lease_left_ms=%" PRId64
+                           " %s heard_ms=%" PRId64,
+                           target->id, target->unanswered_polls,
+                           cw_time_diff_ms(now, target->lease_end), lease,
+                           owner_target_since_answer_ms(target, now));
+    g_free(lease);
+    return text;
+}
+
+/* Returns the log fields for the step, and what blocks it from using spare
+ * capacity.  Owned by the caller. */
+static char *
+describe_step(const struct owner_waiting *waiting,
+              const struct owner_spare_fit *fit)
+{
+    const struct owner_step *step = waiting->step;
+    const struct owner_job *job = step->occurrence->job;
+
+    return g_strdup_printf(
+        "fits=%u booked=%u avoided=%u rack=%u urgent=%u step=%u.%u left=%u "
+        "runs=%u since_takeover=%d",
+        fit->tasks, fit->by_blocker[OWNER_BLOCKER_UNCONFIRMED],
+        fit->by_blocker[OWNER_BLOCKER_AVOIDED],
+        fit->by_blocker[OWNER_BLOCKER_RACK],
+        fit->by_blocker[OWNER_BLOCKER_HEADROOM], step->occurrence->number,
+        step->number, step->left, step->runs, job->idle.since_takeover);
+}
+
+void
+owner_idle_log_waits(struct cw_owner *owner,
+                     const struct owner_waiting *waiting,
+                     const struct owner_spare_fit *fit, struct timespec now)
+{
+    const struct owner_step *step = waiting->step;
+    struct owner_job *job = step->occurrence->job;
+    const struct owner_run *run = first_run(step);
+    char *worker = describe_worker(run != NULL ? run->target : NULL, now);
+    char *about_step = describe_step(waiting, fit);
+
+    job->idle.logged_at = now;
+    cw_log_warning(
+        "job_waits",
+        "id=%s waits_ms=%" PRId64 " room_ms=%" PRId64
+        " reason=%s after=%s %s owner_ms=%" PRId64
+        " stopping=%d unanswered=%u %s orders=%u most=%u",
+        job->spec->id, waiting->waited_ms,
+        cw_idle_free_ms(&job->idle.clock, now),
+        reason_of(owner, step, run, now), cause_name(job->idle.cause), worker,
+        cw_time_diff_ms(owner->takeover_began_at, now),
+        run != NULL && run->stopping, run != NULL ? run->unanswered : 0,
+        about_step, owner->order_window.outstanding,
+        owner->order_window.max_outstanding);
+    g_free(about_step);
+    g_free(worker);
+}
+
+static int64_t
+percent_of(int64_t part, int64_t whole)
+{
+    return whole > 0 ? part * PERCENT / whole : 0;
+}
+
+void
+owner_idle_log_full(struct cw_owner *owner,
+                    const struct owner_waiting *waiting,
+                    const struct owner_spare_fit *fit,
+                    const struct owner_service_load *load, unsigned jobs,
+                    struct timespec now)
+{
+    const struct owner_step *step = waiting->step;
+    struct owner_job *job = step->occurrence->job;
+    const struct owner_run *run = first_run(step);
+    char *worker = describe_worker(run != NULL ? run->target : NULL, now);
+    char *about_step = describe_step(waiting, fit);
+
+    job->idle.full_logged_at = now;
+    cw_log_info(
+        "job_waits_full",
+        "id=%s waits_ms=%" PRId64 " reason=%s %s used=%" PRId64 ",%" PRId64
+        ",%" PRId64
+        " silent_workers=%u draining_workers=%u workers=%u %s after=%s "
+        "owner_ms=%" PRId64 " jobs=%u orders=%u most=%u",
+        job->spec->id, waiting->waited_ms, reason_of(owner, step, run, now),
+        worker,
+        percent_of(load->used.accelerators, load->capacity.accelerators),
+        percent_of(load->used.cpu_milli, load->capacity.cpu_milli),
+        percent_of(load->used.memory_mb, load->capacity.memory_mb),
+        load->silent, load->draining, load->workers, about_step,
+        cause_name(job->idle.cause),
+        cw_time_diff_ms(owner->takeover_began_at, now), jobs,
+        owner->order_window.outstanding, owner->order_window.max_outstanding);
+    g_free(about_step);
+    g_free(worker);
+}
+
+void
+owner_idle_log_resumed(const struct owner_job *job, struct timespec now)
+{
+    cw_log_info("job_resumed",
+                "id=%s idle_ms=%" PRId64 " room_ms=%" PRId64
+                " after=%s runs=%u since_takeover=%d",
+                job->spec->id, cw_time_diff_ms(job->idle.clock.since, now),
+                cw_idle_free_ms(&job->idle.clock, now),
+                cause_name(job->idle.cause), job->runs,
+                job->idle.since_takeover);
+}
--- a/tests/test_owner_logs.c
+++ b/tests/test_owner_logs.c
@@ -11,7 +11,13 @@
     POLL_INTERVAL_MS = 40,
     LONG_LEASE_MS = 5500,
     /* Longest duration of that lease by this VM's clock. */
-    LONG_LEASE_MAX_MS = LONG_LEASE_MS + LONG_LEASE_MS / 50 + 200
+    LONG_LEASE_MAX_MS = LONG_LEASE_MS + LONG_LEASE_MS / 50 + 200,
+    CHECK_INTERVAL_MS = 250,
+    CHECKS_PER_S = 4,
+    /* Limit on lines about jobs without free capacity. */
+    FULL_LINES_PER_S = 16,
+    SOME_JOBS = 40, /* fewer than are logged in 3 s */
+    MANY_JOBS = 200
 };
 
 static const struct cw_step_spec one = {.tasks = 1, .accelerators = 8};
@@ -127,9 +133,158 @@
     cluster_end(&cluster);
 }
 
+/* ---- jobs without free capacity ---- */
+
+static const struct cw_step_spec all_workers = {.tasks = RACKS * PER_RACK,
+                                                .accelerators = ACCELERATORS};
+
+static const struct cw_step_spec all_but_two = {.tasks = RACKS * PER_RACK - 2,
+                                                .accelerators = ACCELERATORS};
+
+/* Fills the service. */
+static struct owner_job *
+fill(struct cluster *cluster)
+{
+    cluster_begin(cluster);
+    return run_job(cluster, 0, &all_workers);
+}
+
+/* Lets time pass without placement, while `running` goes on, and checks for
+ * idle jobs each CHECK_INTERVAL_MS.  Returns the lines that are logged. */
+static char *
+check_for(struct cluster *cluster, struct owner_job *running, unsigned ms)
+{
+    struct log_capture capture;
+
+    log_capture_begin(&capture);
+    for (unsigned passed = 0; passed < ms; passed += CHECK_INTERVAL_MS) {
+        advance(cluster, CHECK_INTERVAL_MS);
+        owner_idle_end(cluster->owner, running);
+        owner_idle_tick(cluster->owner, cluster->clock.now);
+    }
+    return log_capture_end(&capture);
+}
+
+/* Guards against jobs that wait in a full service and leave no line. */
+static void
+test_a_job_without_free_capacity_is_logged(void)
+{
+    struct cluster cluster;
+    struct owner_job *running = fill(&cluster);
+    struct owner_job *job = add_job(&cluster, 1, &one);
+    char *lines;
+    char *line;
+
+    owner_target_get(cluster.owner, "w03")->draining = true;
+    owner_target_get(cluster.owner, "w04")->unanswered_polls = 2;
+    lines = check_for(&cluster, running, 3000);
+    CU_ASSERT_EQUAL(count_lines(lines, "job_waits_full"), 0);
+    g_free(lines);
+    lines = check_for(&cluster, running, 3000);
+    CU_ASSERT_EQUAL(count_lines(lines, "job_waits_full"), 1);
+    CU_ASSERT_EQUAL(count_lines(lines, "job_waits"), 0);
+    line = last_line(lines, "job_waits_full");
+    CU_ASSERT_TRUE(has_field(line, "id", job->spec->id));
+    CU_ASSERT_EQUAL(field_number(line, "waits_ms"), 3250);
+    CU_ASSERT_TRUE(has_field(line, "reason", "no_place"));
+    CU_ASSERT_TRUE(has_field(line, "used", "100,3,0"));
+    CU_ASSERT_EQUAL(field_number(line, "silent_workers"), 1);
+    CU_ASSERT_EQUAL(field_number(line, "draining_workers"), 1);
+    CU_ASSERT_EQUAL(field_number(line, "workers"), RACKS * PER_RACK);
+    CU_ASSERT_EQUAL(field_number(line, "fits"), 0);
+    CU_ASSERT_EQUAL(field_number(line, "jobs"), 1);
+    g_free(line);
+    g_free(lines);
+    cluster_end(&cluster);
+}
+
+/* Guards against a full service with many waiting jobs whose lines displace
+ * all others. */
+static void
+test_lines_of_many_jobs_are_limited(void)
+{
+    struct cluster cluster;
+    struct owner_job *running = fill(&cluster);
+    char *lines;
+    char *line;
+
+    for (unsigned i = 0; i < MANY_JOBS; i++) {
+        add_job(&cluster, 1, &one);
+    }
+    lines = check_for(&cluster, running, 3000);
+    g_free(lines);
+    lines = check_for(&cluster, running, 2000);
+    CU_ASSERT_EQUAL(count_lines(lines, "job_waits_full"),
+                    2 * FULL_LINES_PER_S);
+    line = last_line(lines, "job_waits_full");
+    CU_ASSERT_EQUAL(field_number(line, "jobs"), MANY_JOBS);
+    g_free(line);
+    g_free(lines);
+    cluster_end(&cluster);
+}
+
+/* Guards against jobs that wait for one worker whose lines are lost among
+ * those of jobs that wait for capacity. */
+static void
+test_jobs_with_runs_are_logged_first(void)
+{
+    static const struct cw_step_spec two = {.tasks = 2, .accelerators = 8};
+    struct cluster cluster;
+    struct owner_job *running;
+    struct owner_job *job;
+    char *lines;
+    char *line;
+
+    cluster_begin(&cluster);
+    job = run_job(&cluster, 1, &two);
+    running = run_job(&cluster, 0, &all_but_two);
+    step_of(job)->tasks[0].run->target->unanswered_polls = 3;
+    for (unsigned i = 0; i < MANY_JOBS; i++) {
+        add_job(&cluster, 1, &one)->idle.clock = job->idle.clock;
+    }
+    advance(&cluster, 3001);
+    lines = check_for(&cluster, running, CHECK_INTERVAL_MS);
+    CU_ASSERT_EQUAL(count_lines(lines, "job_waits_full"),
+                    FULL_LINES_PER_S / CHECKS_PER_S);
+    line = strstr(lines, " event=job_waits_full ");
+    CU_ASSERT_PTR_NOT_NULL_FATAL(line);
+    *strchr(line, '\n') = '\0';
+    CU_ASSERT_TRUE(has_field(line, "id", job->spec->id));
+    CU_ASSERT_TRUE(has_field(line, "reason", "running"));
+    CU_ASSERT_EQUAL(field_number(line, "silent"), 3);
+    g_free(lines);
+    cluster_end(&cluster);
+}
+
+/* Guards against limits that always log the same few of many jobs. */
+static void
+test_each_of_several_jobs_is_logged(void)
+{
+    struct cluster cluster;
+    struct owner_job *running = fill(&cluster);
+    char *lines;
+
+    for (unsigned i = 0; i < SOME_JOBS; i++) {
+        add_job(&cluster, 1, &one);
+    }
+    lines = check_for(&cluster, running, 6000);
+    for (unsigned i = 2; i < 2 + SOME_JOBS; i++) {
+        char *id = g_strdup_printf(" event=job_waits_full id=%016x ", i);
+
+        CU_ASSERT_PTR_NOT_NULL(strstr(lines, id));
+        g_free(id);
+    }
+    g_free(lines);
+    cluster_end(&cluster);
+}
+
 static const struct test tests[] = {
     {"lease over", test_a_loss_by_the_lease_tells_answer_and_lease},
     {"answers of the worker", test_only_answers_of_the_worker_count},
+    {"no free capacity", test_a_job_without_free_capacity_is_logged},
+    {"many jobs", test_lines_of_many_jobs_are_limited},
+    {"jobs with runs", test_jobs_with_runs_are_logged_first},
+    {"several jobs", test_each_of_several_jobs_is_logged},
 };
 
 TEST_MAIN("owner_logs", tests)
