Logs: appends that are late or fail, and when they are stored

An owner whose appends fail while the group goes on to confirm it stays the owner: it places jobs, and their starts wait for the store. append_again tells each attempt, not for how long the batch has waited nor what waits for it, and an append without an answer leaves no line until it times out.

New events append_late (after 1 s, again each 3 s) and append_recovered, with the batch's age, its attempts and last status, the runs that wait for it and the age of the last confirmation of ownership; at most 4 lines a second. job_waits and job_waits_full tell the age of the oldest batch that is not stored (store_ms). No decision changes.

test_owner_logs: neither line nor field existed before.

--- a/src/owner/internal/owner_log.h
+++ b/src/owner/internal/owner_log.h
@@ -87,6 +87,23 @@
 /* Time when the last batch was first sent, without its retries. */
 struct timespec owner_log_last_sent_at(const struct owner_log *log);
 
+/* A batch that was sent and is not stored, as far as known. */
+struct owner_log_unstored {
+    struct timespec sent; /* first, without its retries */
+    unsigned attempts;
+    bool in_flight; /* an attempt is not answered */
+    /* Answer to the last attempt that had one; CW_STORE_OK: none had. */
+    enum cw_store_status status;
+    unsigned records;
+};
+
+/* Returns whether there is such a batch, and if so fills in `out`. */
+bool owner_log_get_unstored(const struct owner_log *log,
+                            struct owner_log_unstored *out);
+
+/* Name of the log's topic.  Borrowed, static. */
+const char *owner_log_topic(const struct owner_log *log);
+
 /* Retries an append that is due; returns when it has to be called next. */
 struct timespec owner_log_tick(struct owner_log *log, struct timespec now);
 
--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -13,6 +13,7 @@
 #include "curlewcart/cw_owner.h"
 #include "curlewcart/cw_time.h"
 #include "curlewcart/cw_xdr.h"
+#include "owner/internal/owner_append_watch.h"
 #include "owner/internal/owner_due.h"
 #include "owner/internal/owner_epochs.h"
 #include "owner/internal/owner_idle.h"
@@ -318,6 +319,8 @@
     GHashTable *headroom;           /* service -> struct owner_headroom */
     struct owner_log *states_log;   /* CW_STATE_TOPIC */
     struct owner_log *jobs_log;     /* CW_JOBS_TOPIC */
+    struct owner_append_watch states_watch;
+    struct owner_append_watch jobs_watch;
     GPtrArray *dirty;       /* struct owner_job: states to be written */
     GPtrArray *unpublished; /* struct owner_job: outcomes to be published */
     GPtrArray *past_states; /* char *: ids of jobs whose states are removed */
--- a/src/owner/owner.c
+++ b/src/owner/owner.c
@@ -58,6 +58,8 @@
     cw_follower_free(owner->reports);
     owner->reports = NULL;
     free_state_reader(owner);
+    memset(&owner->states_watch, 0, sizeof(owner->states_watch));
+    memset(&owner->jobs_watch, 0, sizeof(owner->jobs_watch));
     memset(&owner->idle_stats, 0, sizeof(owner->idle_stats));
     owner->state = OWNER_IDLE;
 }
@@ -625,6 +627,9 @@
     if (owner->state == OWNER_ACTIVE) {
         cw_time_set_earlier(&next, tick_active(owner, now));
     }
+    if (owner->state != OWNER_IDLE) {
+        owner_append_watch_tick(owner, now);
+    }
     return next;
 }
 
--- a/src/owner/owner_idle_log.c
+++ b/src/owner/owner_idle_log.c
@@ -106,11 +106,12 @@
     cw_log_warning(
         "job_waits",
         "id=%s waits_ms=%" PRId64 " room_ms=%" PRId64
-        " reason=%s after=%s %s owner_ms=%" PRId64
+        " reason=%s store_ms=%" PRId64 " after=%s %s owner_ms=%" PRId64
         " stopping=%d unanswered=%u %s orders=%u most=%u",
         job->spec->id, waiting->waited_ms,
         cw_idle_free_ms(&job->idle.clock, now),
-        reason_of(owner, step, run, now), cause_name(job->idle.cause), worker,
+        reason_of(owner, step, run, now), owner_append_unstored_ms(owner, now),
+        cause_name(job->idle.cause), worker,
         cw_time_diff_ms(owner->takeover_began_at, now),
         run != NULL && run->stopping, run != NULL ? run->unanswered : 0,
         about_step, owner->order_window.outstanding,
@@ -143,14 +144,15 @@
         "job_waits_full",
         "id=%s waits_ms=%" PRId64 " reason=%s %s used=%" PRId64 ",%" PRId64
         ",%" PRId64
-        " silent_workers=%u draining_workers=%u workers=%u %s after=%s "
-        "owner_ms=%" PRId64 " jobs=%u orders=%u most=%u",
+        " silent_workers=%u draining_workers=%u workers=%u store_ms=%" PRId64
+        " %s after=%s owner_ms=%" PRId64 " jobs=%u orders=%u most=%u",
         job->spec->id, waiting->waited_ms, reason_of(owner, step, run, now),
         worker,
         percent_of(load->used.accelerators, load->capacity.accelerators),
         percent_of(load->used.cpu_milli, load->capacity.cpu_milli),
         percent_of(load->used.memory_mb, load->capacity.memory_mb),
-        load->silent, load->draining, load->workers, about_step,
+        load->silent, load->draining, load->workers,
+        owner_append_unstored_ms(owner, now), about_step,
         cause_name(job->idle.cause),
         cw_time_diff_ms(owner->takeover_began_at, now), jobs,
         owner->order_window.outstanding, owner->order_window.max_outstanding);
--- a/src/owner/owner_log.c
+++ b/src/owner/owner_log.c
@@ -22,6 +22,8 @@
     uint64_t sequence;
     bool in_flight;
     bool unconfirmed; /* an attempt had no answer: it may be stored */
+    unsigned attempts;
+    enum cw_store_status status; /* of the last attempt that failed */
     struct timespec sent;
     struct timespec due;
 };
@@ -130,6 +132,7 @@
 try_again(struct owner_log *log, struct owner_batch *batch,
           enum cw_store_status status)
 {
+    batch->status = status;
     cw_count_code(log->options.counters, CW_RETRY_APPEND);
     cw_log_info("append_again",
                 "topic=%s sequence=%" PRIu64 " status=%s records=%u",
@@ -217,6 +220,7 @@
         records[i].length = value != NULL ? value->len : 0;
     }
     batch->in_flight = true;
+    batch->attempts++;
     batch->sent = log_now(log);
     cw_count_add(log->options.counters, CW_COUNT_APPENDS, 1);
     cw_count_add(log->options.counters, CW_COUNT_RECORDS, call.count);
@@ -303,6 +307,29 @@
     return log->sent;
 }
 
+bool
+owner_log_get_unstored(const struct owner_log *log,
+                       struct owner_log_unstored *out)
+{
+    const struct owner_batch *batch = log->batch;
+
+    if (batch == NULL) {
+        return false;
+    }
+    out->sent = log->sent;
+    out->attempts = batch->attempts;
+    out->in_flight = batch->in_flight;
+    out->status = batch->status;
+    out->records = batch->keys->len;
+    return true;
+}
+
+const char *
+owner_log_topic(const struct owner_log *log)
+{
+    return log->options.topic;
+}
+
 struct timespec
 owner_log_tick(struct owner_log *log, struct timespec now)
 {
--- a/tests/test_owner_logs.c
+++ b/tests/test_owner_logs.c
@@ -354,6 +354,131 @@
     fixture_end(&fixture);
 }
 
+/* ---- appends ---- */
+
+/* The store refuses appends, and goes on to confirm the ownership by joins,
+ * for `ms`. */
+static void
+run_without_store(struct fixture *fixture, unsigned ms)
+{
+    fixture->store.answer_status = CW_STORE_NOT_EXECUTED;
+    for (unsigned passed = 0; passed < ms; passed += STEP_MS) {
+        fixture->owner->ownership_confirmed_at = fixture->clock.now;
+        run(fixture, STEP_MS);
+        (void)answer_all_polls();
+    }
+}
+
+static void
+begin_with_waiting_job(struct fixture *fixture)
+{
+    fixture_begin(fixture);
+    take_over(fixture);
+    owner_target_get(fixture->owner, "w");
+    make_worker_reachable(fixture);
+    the_worker(fixture)->capacity.accelerators = 3 * TASKS;
+    (void)run_answering_polls(fixture, 1000);
+    CU_ASSERT_EQUAL_FATAL(fixture->owner->state, OWNER_ACTIVE);
+}
+
+/* Guards against an owner that cannot store, while starts wait for that, and
+ * whose log does not tell for how long. */
+static void
+test_appends_that_fail_are_logged_until_they_are_stored(void)
+{
+    struct fixture fixture;
+    struct log_capture capture;
+    char *lines;
+    char *line;
+
+    begin_with_waiting_job(&fixture);
+    put_spec(&fixture);
+    run(&fixture, 10); /* the job is placed */
+    log_capture_begin(&capture);
+    run_without_store(&fixture, 900);
+    lines = log_capture_end(&capture);
+    CU_ASSERT_EQUAL(count_lines(lines, "append_late"), 0);
+    g_free(lines);
+    log_capture_begin(&capture);
+    run_without_store(&fixture, 3300);
+    lines = log_capture_end(&capture);
+    line = last_line(lines, "append_late");
+    CU_ASSERT_TRUE(count_lines(lines, "append_late") >= 2);
+    CU_ASSERT_TRUE(count_lines(lines, "append_late") <= 4);
+    CU_ASSERT_TRUE(field_number(line, "store_ms") > 1000);
+    CU_ASSERT_TRUE(has_field(line, "status",
+                             cw_store_status_name(CW_STORE_NOT_EXECUTED)));
+    CU_ASSERT_TRUE(field_number(line, "attempts") > 10);
+    CU_ASSERT_EQUAL(field_number(line, "runs"), TASKS);
+    CU_ASSERT_TRUE(field_number(line, "confirmed_ms") < 100);
+    g_free(line);
+    line = last_line(lines, "job_waits");
+    CU_ASSERT_TRUE(field_number(line, "store_ms") > 2500);
+    g_free(line);
+    g_free(lines);
+    log_capture_begin(&capture);
+    fixture.store.answer_status = CW_STORE_OK;
+    (void)run_answering_polls(&fixture, 200);
+    lines = log_capture_end(&capture);
+    line = last_line(lines, "append_recovered");
+    CU_ASSERT_TRUE(field_number(line, "store_ms") > 4000);
+    CU_ASSERT_EQUAL(count_lines(lines, "append_late"), 0);
+    g_free(line);
+    g_free(lines);
+    CU_ASSERT_FALSE(fixture.owner->states_watch.late);
+    fixture_end(&fixture);
+}
+
+static GArray *pending_appends; /* struct cw_store_append */
+
+static void
+keep_append(struct cw_store *store, const struct cw_store_append *call)
+{
+    (void)store;
+    g_array_append_val(pending_appends, *call);
+}
+
+/* Does the same for a store that does not answer. */
+static void
+test_an_append_without_an_answer_is_logged(void)
+{
+    const struct cw_store_append_result failed = {.status =
+                                                      CW_STORE_NOT_EXECUTED};
+    struct fixture fixture;
+    struct log_capture capture;
+    struct cw_store_ops ops;
+    char *lines;
+    char *line;
+
+    begin_with_waiting_job(&fixture);
+    ops = *fixture.store.base.ops;
+    ops.append = keep_append;
+    pending_appends =
+        g_array_new(FALSE, FALSE, sizeof(struct cw_store_append));
+    fixture.store.base.ops = &ops;
+    put_spec(&fixture);
+    run(&fixture, 10); /* the job is placed */
+    log_capture_begin(&capture);
+    run_without_store(&fixture, 1500);
+    lines = log_capture_end(&capture);
+    /* The job's state and its outcome are written to a log each. */
+    CU_ASSERT_EQUAL(count_lines(lines, "append_late"), 2);
+    line = last_line(lines, "append_late");
+    CU_ASSERT_EQUAL(field_number(line, "in_flight"), 1);
+    CU_ASSERT_EQUAL(field_number(line, "attempts"), 1);
+    CU_ASSERT_TRUE(has_field(line, "status", ""));
+    g_free(line);
+    g_free(lines);
+    for (guint i = 0; i < pending_appends->len; i++) {
+        const struct cw_store_append *call =
+            &g_array_index(pending_appends, struct cw_store_append, i);
+
+        call->done(call->context, &failed);
+    }
+    g_array_unref(pending_appends);
+    fixture_end(&fixture);
+}
+
 static const struct test tests[] = {
     {"lease over", test_a_loss_by_the_lease_tells_answer_and_lease},
     {"answers of the worker", test_only_answers_of_the_worker_count},
@@ -366,6 +491,8 @@
      test_inherited_runs_that_are_listed_are_not_logged},
     {"since the take-over",
      test_a_line_tells_that_its_clock_began_with_the_takeover},
+    {"unanswered append", test_an_append_without_an_answer_is_logged},
+    {"appends", test_appends_that_fail_are_logged_until_they_are_stored},
 };
 
 TEST_MAIN("owner_logs", tests)
