Logs: 'logs explain' names what a job waited for

explain said of a job that was never placed that it was started at once, and of a run that was lost only the worker. It now reads the new lines and fields: the worker's silence and the job's idle time with a loss by the lease; waits with and without free capacity, for an earlier owner's runs and for the store.

test_log_analysis: the six new tests failed before.

--- a/src/log_analysis/log_analysis.c
+++ b/src/log_analysis/log_analysis.c
@@ -8,6 +8,8 @@
     /* Longer waits for an owner or a placement are reported as the cause of a
      * delay. */
     PROMPT_START_MAX_MS = 300,
+    /* Longer appends are reported as the cause of a delay. */
+    PROMPT_STORE_MAX_MS = 1000,
     TIMESTAMP_LENGTH = 24,
     MS_PER_S = 1000
 };
@@ -169,11 +171,12 @@
 is_system_event(const struct line *line)
 {
     static const char *const events[] = {
-        "owner_begins", "owner_ends",      "owner_yields",
-        "shard_gained", "dependency_lost", "dependency_regained",
-        "isolated",     "history_dropped", "started",
-        "leaving",      "stopped",         "log_dropped",
-        "config",       "worker_lost",
+        "owner_begins",     "owner_ends",      "owner_yields",
+        "shard_gained",     "dependency_lost", "dependency_regained",
+        "isolated",         "history_dropped", "started",
+        "leaving",          "stopped",         "log_dropped",
+        "config",           "worker_lost",     "append_late",
+        "append_recovered",
     };
 
     for (size_t i = 0; i < G_N_ELEMENTS(events); i++) {
@@ -203,16 +206,33 @@
     const struct line *ended;
     const struct line *placed;
     const struct line *started;
-    const struct line *failed;   /* last run that failed */
-    const struct line *lost;     /* last run that was lost */
-    const struct line *crashed;  /* last crash that a task is suspected of */
-    const struct line *moved;    /* run moved from a slow or stalled worker */
-    const struct line *reserved; /* placement that waited for other runs to
-                                    stop */
+    const struct line *failed;    /* last run that failed */
+    const struct line *lost;      /* last run that was lost */
+    const struct line *crashed;   /* last crash that a task is suspected of */
+    const struct line *moved;     /* run moved from a slow or stalled worker */
+    const struct line *reserved;  /* placement that waited for other runs to
+                                     stop */
+    const struct line *inherited; /* last job_waits_inherited line */
+    const struct line *waits;     /* last job_waits line */
+    const struct line *full;      /* last job_waits_full line */
     unsigned owners;
     unsigned failures;
 };
 
+static void
+add_wait(struct request *request, const struct line *line)
+{
+    if (is_event(line, "job_waits")) {
+        request->waits = line;
+    }
+    else if (is_event(line, "job_waits_full")) {
+        request->full = line;
+    }
+    else if (is_event(line, "job_waits_inherited")) {
+        request->inherited = line;
+    }
+}
+
 static void
 add_to_request(struct request *request, const struct line *line)
 {
@@ -260,6 +280,9 @@
     else if (is_event(line, "run_moved") || is_event(line, "run_stalled")) {
         request->moved = line;
     }
+    else {
+        add_wait(request, line);
+    }
 }
 
 static void
@@ -284,23 +307,31 @@
                                        : "that nothing was done");
 }
 
-/* Explains why a job is late or still open by the first cause that applies:
- * runs that were lost, failed or moved, then waits before its start. */
 static void
-explain_delay(const struct request *request, GString *out)
+explain_lost(const struct line *lost, GString *out)
 {
-    int64_t accepted_ms = request->stored != NULL ? request->stored->at_ms
-                                                  : request->first->at_ms;
-    int64_t taken_ms = request->taken->at_ms - accepted_ms;
-    int64_t placed_ms = request->placed != NULL
-                            ? request->placed->at_ms - request->taken->at_ms
-                            : 0;
+    g_string_append_printf(out, "cause: a run was lost on worker %s (%s)",
+                           get_field(lost, "worker"),
+                           get_field(lost, "reason"));
+    if (strcmp(get_field(lost, "reason"), "lease_over") == 0 &&
+        get_field(lost, "answered_ms")[0] != '\0')
+    {
+        g_string_append_printf(
+            out,
+            "; it had not answered for %s ms, and nothing of the job had run "
+            "for %s ms",
+            get_field(lost, "answered_ms"), get_field(lost, "idle_ms"));
+    }
+    g_string_append_c(out, '\n');
+}
 
+/* Explains a delay by runs that were lost, failed or moved; false if there
+ * were none. */
+static bool
+explain_runs(const struct request *request, GString *out)
+{
     if (request->lost != NULL) {
-        g_string_append_printf(out,
-                               "cause: a run was lost on worker %s (%s)\n",
-                               get_field(request->lost, "worker"),
-                               get_field(request->lost, "reason"));
+        explain_lost(request->lost, out);
     }
     else if (request->failures > 0) {
         g_string_append_printf(out,
@@ -316,12 +347,89 @@
                                get_field(request->moved, "worker"),
                                request->moved->event);
     }
-    else if (taken_ms > PROMPT_START_MAX_MS) {
+    else {
+        return false;
+    }
+    return true;
+}
+
+static void
+explain_worker(const struct line *line, GString *out)
+{
+    if (get_field(line, "worker")[0] != '\0') {
+        g_string_append_printf(out,
+                               "; it waited for worker %s (%s polls without "
+                               "an answer, lease by %s)",
+                               get_field(line, "worker"),
+                               get_field(line, "silent"),
+                               get_field(line, "lease_by"));
+    }
+}
+
+/* True if the job's placement could not be stored in time. */
+static bool
+waits_for_store(const struct line *line)
+{
+    const char *reason = get_field(line, "reason");
+
+    return (strcmp(reason, "new") == 0 || strcmp(reason, "committing") == 0) &&
+           get_number(line, "store_ms") > PROMPT_STORE_MAX_MS;
+}
+
+/* Explains a delay by what owners have logged about the job's waits; false if
+ * they have not. */
+static bool
+explain_waits(const struct request *request, GString *out)
+{
+    const struct line *line =
+        request->waits != NULL ? request->waits : request->full;
+
+    if (line != NULL && waits_for_store(line)) {
+        g_string_append_printf(out,
+                               "cause: the owner could not store for %s ms",
+                               get_field(line, "store_ms"));
+    }
+    else if (request->waits != NULL) {
+        g_string_append_printf(out,
+                               "cause: it could run and did not for %s ms "
+                               "(%s)",
+                               get_field(line, "waits_ms"),
+                               get_field(line, "reason"));
+        explain_worker(line, out);
+    }
+    else if (request->inherited != NULL) {
+        line = request->inherited;
+        g_string_append(out, "cause: its runs under an earlier owner were on "
+                             "workers that did not answer the next one");
+        explain_worker(line, out);
+    }
+    else if (request->full != NULL) {
         g_string_append_printf(
-            out, "cause: no owner took it for %" G_GINT64_FORMAT " ms\n",
-            taken_ms);
+            out,
+            "cause: no free capacity by the workers' word for %s ms (%s; in "
+            "use %s percent of accelerators, cores, memory; %s of %s workers "
+            "silent)",
+            get_field(line, "waits_ms"), get_field(line, "reason"),
+            get_field(line, "used"), get_field(line, "silent_workers"),
+            get_field(line, "workers"));
+        explain_worker(line, out);
     }
-    else if (request->owners > 1) {
+    else {
+        return false;
+    }
+    g_string_append_c(out, '\n');
+    return true;
+}
+
+/* Explains a delay by the time until the job was started. */
+static void
+explain_start(const struct request *request, GString *out)
+{
+    int64_t placed_ms = request->placed != NULL
+                            ? request->placed->at_ms - request->taken->at_ms
+                            : 0;
+
+    if (request->owners > 1) {
         g_string_append_printf(out, "cause: the owner changed %u times\n",
                                request->owners - 1);
     }
@@ -333,12 +441,38 @@
     else if (request->reserved != NULL) {
         g_string_append(out, "cause: other runs had to be stopped first\n");
     }
+    else if (request->placed == NULL) {
+        g_string_append(out, "cause: it was not placed in these logs, and no "
+                             "line tells why\n");
+    }
     else {
         g_string_append(out, "cause: its work took this long; it was started "
                              "at once and was not interrupted\n");
     }
 }
 
+/* Explains why a job is late or still open by the first cause that applies:
+ * runs that were lost, failed or moved, then waits. */
+static void
+explain_delay(const struct request *request, GString *out)
+{
+    int64_t accepted_ms = request->stored != NULL ? request->stored->at_ms
+                                                  : request->first->at_ms;
+    int64_t taken_ms = request->taken->at_ms - accepted_ms;
+
+    if (explain_runs(request, out)) {
+        return;
+    }
+    if (taken_ms > PROMPT_START_MAX_MS) {
+        g_string_append_printf(
+            out, "cause: no owner took it for %" G_GINT64_FORMAT " ms\n",
+            taken_ms);
+    }
+    else if (!explain_waits(request, out)) {
+        explain_start(request, out);
+    }
+}
+
 static void
 explain_crashes(const struct request *request, GString *out)
 {
--- a/tests/test_log_analysis.c
+++ b/tests/test_log_analysis.c
@@ -152,6 +152,98 @@
     check_end("refused", "deadline", "deadline");
 }
 
+#define STORED_AND_TAKEN                                                      \
+    AT("0.010")                                                               \
+    "event=submit id=a1 queue=q outcome=stored tries=1",                      \
+        AT("0.020") "event=job_taken id=a1 queue=q"
+
+static void
+test_loss_by_the_lease_tells_how_long_the_worker_was_silent(void)
+{
+    static const char *const lines[] = {
+        STORED_AND_TAKEN,
+        AT("7.000") "event=run_lost id=a1 task=0.0.0 run=1 worker=w7 "
+                    "reason=lease_over idle_ms=5630 answered_ms=5700",
+        NULL};
+
+    check_cause(lines, "cause: a run was lost on worker w7 (lease_over); it "
+                       "had not answered for 5700 ms, and nothing of the job "
+                       "had run for 5630 ms\n");
+}
+
+/* Guards against the explanation that a job was started at once although no
+ * worker ever got it. */
+static void
+test_job_that_was_never_placed_was_not_started_at_once(void)
+{
+    static const char *const lines[] = {STORED_AND_TAKEN, NULL};
+    char *out = explain(lines, "a1");
+
+    CU_ASSERT_PTR_NULL(strstr(out, "started at once"));
+    CU_ASSERT_PTR_NOT_NULL(strstr(out, "not placed in these logs"));
+    g_free(out);
+}
+
+static void
+test_wait_without_free_capacity(void)
+{
+    static const char *const lines[] = {
+        STORED_AND_TAKEN,
+        AT("4.000") "event=job_waits_full id=a1 waits_ms=3250 reason=no_place "
+                    "worker= used=93,40,11 silent_workers=12 "
+                    "draining_workers=2 workers=350 store_ms=0",
+        NULL};
+
+    check_cause(lines, "cause: no free capacity by the workers' word for 3250 "
+                       "ms (no_place; in use 93,40,11 percent of "
+                       "accelerators, cores, memory; 12 of 350 workers "
+                       "silent)\n");
+}
+
+static void
+test_wait_with_free_capacity(void)
+{
+    static const char *const lines[] = {
+        STORED_AND_TAKEN,
+        AT("4.000") "event=job_waits id=a1 waits_ms=3100 room_ms=900 "
+                    "reason=starting store_ms=12 worker=w3 silent=4 "
+                    "lease_by=own",
+        NULL};
+
+    check_cause(lines, "cause: it could run and did not for 3100 ms "
+                       "(starting); it waited for worker w3 (4 polls without "
+                       "an answer, lease by own)\n");
+}
+
+static void
+test_wait_for_runs_of_an_earlier_owner(void)
+{
+    static const char *const lines[] = {
+        STORED_AND_TAKEN, AT("2.000") "event=job_taken id=a1 queue=q",
+        AT("3.100") "event=job_waits_inherited id=a1 waits_ms=1100 unsure=2 "
+                    "runs=2 worker=w3 silent=3 lease_left_ms=9000 "
+                    "lease_by=earlier_owner",
+        NULL};
+
+    check_cause(lines, "on workers that did not answer the next one; it "
+                       "waited for worker w3 (3 polls without an answer, "
+                       "lease by earlier_owner)\n");
+}
+
+static void
+test_wait_for_the_store(void)
+{
+    static const char *const lines[] = {
+        STORED_AND_TAKEN,
+        AT("1.500") "event=append_late topic=cw-state store_ms=1100",
+        AT("4.000") "event=job_waits id=a1 waits_ms=3100 room_ms=3000 "
+                    "reason=committing store_ms=3080 worker=w3 silent=0",
+        NULL};
+
+    check_cause(lines, "event=append_late");
+    check_cause(lines, "cause: the owner could not store for 3080 ms\n");
+}
+
 static const struct test tests[] = {
     {"project's own interface", test_ends_of_project_interface_are_explained},
     {"refused", test_refused_while_store_is_unavailable},
@@ -161,6 +253,13 @@
     {"other runs stopped first",
      test_late_because_other_runs_were_stopped_first},
     {"other requests", test_lines_of_other_requests_are_excluded},
+    {"lease over",
+     test_loss_by_the_lease_tells_how_long_the_worker_was_silent},
+    {"never placed", test_job_that_was_never_placed_was_not_started_at_once},
+    {"no free capacity", test_wait_without_free_capacity},
+    {"free capacity", test_wait_with_free_capacity},
+    {"earlier owner's runs", test_wait_for_runs_of_an_earlier_owner},
+    {"store", test_wait_for_the_store},
 };
 
 TEST_MAIN("log_analysis", tests)
