Logs: jobs tell whether all of their age is idle time

The clock of a job that waited under an earlier owner without being started began anew with the take-over as well, and since_takeover was not set for it. It is set for all jobs that an owner takes over now; begun and age_ms tell whether a worker has confirmed a start: if none has, all of the age is idle time, across owners. For a job that has begun no log of the store knows.

test_owner_logs: the fields did not exist before.

--- a/src/owner/internal/owner_idle.h
+++ b/src/owner/internal/owner_idle.h
@@ -31,8 +31,7 @@
     struct timespec logged_at; /* when "job_waits" was logged last */
     struct timespec full_logged_at; /* the same of "job_waits_full" */
     enum owner_idle_cause cause;
-    /* The job was started under an earlier owner, and `clock` has not begun
-     * again since this one took it over. */
+    /* `clock` began with this owner's takeover. */
     bool since_takeover;
     bool inherited_logged; /* "job_waits_inherited" was logged */
 };
--- a/src/owner/owner.c
+++ b/src/owner/owner.c
@@ -120,21 +120,31 @@
     }
 }
 
+/* Adopts the jobs of the replica. */
 static void
-become_active(struct cw_owner *owner, struct timespec now)
+adopt_jobs(struct cw_owner *owner)
 {
-    GHashTable *jobs = cw_replica_jobs(owner->options.replica);
     GHashTableIter iterator;
     gpointer value;
 
+    g_hash_table_iter_init(&iterator, cw_replica_jobs(owner->options.replica));
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        owner_job_adopt(owner, value);
+    }
+    g_hash_table_iter_init(&iterator, owner->jobs);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        ((struct owner_job *)value)->idle.since_takeover = true;
+    }
+}
+
+static void
+become_active(struct cw_owner *owner, struct timespec now)
+{
     owner->state = OWNER_ACTIVE;
     owner_order_window_reset(&owner->order_window);
     owner->placement_wanted = true;
     owner->sweep_due = cw_time_add_ms(now, SWEEP_INTERVAL_MS);
-    g_hash_table_iter_init(&iterator, jobs);
-    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        owner_job_adopt(owner, value);
-    }
+    adopt_jobs(owner);
     owner_state_reader_each(owner->state_reader, drop_state_if_past, owner);
     free_state_reader(owner);
     owner_epochs_bound_leases(owner, now);
--- a/src/owner/owner_idle_log.c
+++ b/src/owner/owner_idle_log.c
@@ -26,6 +26,20 @@
     return names[cause];
 }
 
+/* Returns the log fields for how long the job may have been idle before this
+ * owner's takeover: since it was accepted, unless it has begun.  Owned by the
+ * caller. */
+static char *
+describe_age(const struct cw_owner *owner, const struct owner_job *job,
+             struct timespec now)
+{
+    return g_strdup_printf("since_takeover=%d begun=%d age_ms=%" PRId64
+                           " owner_ms=%" PRId64,
+                           job->idle.since_takeover, job->start_confirmed,
+                           cw_time_diff_ms(job->known_at, now),
+                           cw_time_diff_ms(owner->takeover_began_at, now));
+}
+
 static const struct owner_run *
 first_run(const struct owner_step *step)
 {
@@ -79,16 +93,15 @@
               const struct owner_spare_fit *fit)
 {
     const struct owner_step *step = waiting->step;
-    const struct owner_job *job = step->occurrence->job;
 
     return g_strdup_printf(
         "fits=%u booked=%u avoided=%u rack=%u urgent=%u step=%u.%u left=%u "
-        "runs=%u since_takeover=%d",
+        "runs=%u",
         fit->tasks, fit->by_blocker[OWNER_BLOCKER_UNCONFIRMED],
         fit->by_blocker[OWNER_BLOCKER_AVOIDED],
         fit->by_blocker[OWNER_BLOCKER_RACK],
         fit->by_blocker[OWNER_BLOCKER_HEADROOM], step->occurrence->number,
-        step->number, step->left, step->runs, job->idle.since_takeover);
+        step->number, step->left, step->runs);
 }
 
 void
@@ -101,21 +114,21 @@
     const struct owner_run *run = first_run(step);
     char *worker = describe_worker(run != NULL ? run->target : NULL, now);
     char *about_step = describe_step(waiting, fit);
+    char *age = describe_age(owner, job, now);
 
     job->idle.logged_at = now;
     cw_log_warning(
         "job_waits",
         "id=%s waits_ms=%" PRId64 " room_ms=%" PRId64
-        " reason=%s store_ms=%" PRId64 " after=%s %s owner_ms=%" PRId64
+        " reason=%s store_ms=%" PRId64 " after=%s %s %s"
         " stopping=%d unanswered=%u %s orders=%u most=%u",
         job->spec->id, waiting->waited_ms,
         cw_idle_free_ms(&job->idle.clock, now),
         reason_of(owner, step, run, now), owner_append_unstored_ms(owner, now),
-        cause_name(job->idle.cause), worker,
-        cw_time_diff_ms(owner->takeover_began_at, now),
-        run != NULL && run->stopping, run != NULL ? run->unanswered : 0,
-        about_step, owner->order_window.outstanding,
-        owner->order_window.max_outstanding);
+        cause_name(job->idle.cause), worker, age, run != NULL && run->stopping,
+        run != NULL ? run->unanswered : 0, about_step,
+        owner->order_window.outstanding, owner->order_window.max_outstanding);
+    g_free(age);
     g_free(about_step);
     g_free(worker);
 }
@@ -138,6 +151,7 @@
     const struct owner_run *run = first_run(step);
     char *worker = describe_worker(run != NULL ? run->target : NULL, now);
     char *about_step = describe_step(waiting, fit);
+    char *age = describe_age(owner, job, now);
 
     job->idle.full_logged_at = now;
     cw_log_info(
@@ -145,7 +159,7 @@
         "id=%s waits_ms=%" PRId64 " reason=%s %s used=%" PRId64 ",%" PRId64
         ",%" PRId64
         " silent_workers=%u draining_workers=%u workers=%u store_ms=%" PRId64
-        " %s after=%s owner_ms=%" PRId64 " jobs=%u orders=%u most=%u",
+        " %s after=%s %s jobs=%u orders=%u most=%u",
         job->spec->id, waiting->waited_ms, reason_of(owner, step, run, now),
         worker,
         percent_of(load->used.accelerators, load->capacity.accelerators),
@@ -153,9 +167,9 @@
         percent_of(load->used.memory_mb, load->capacity.memory_mb),
         load->silent, load->draining, load->workers,
         owner_append_unstored_ms(owner, now), about_step,
-        cause_name(job->idle.cause),
-        cw_time_diff_ms(owner->takeover_began_at, now), jobs,
+        cause_name(job->idle.cause), age, jobs,
         owner->order_window.outstanding, owner->order_window.max_outstanding);
+    g_free(age);
     g_free(about_step);
     g_free(worker);
 }
@@ -183,14 +197,14 @@
 {
     const struct owner_run *run = first_to_expire(inherited);
     char *worker = describe_worker(run->target, now);
+    char *age = describe_age(owner, job, now);
 
     cw_log_info("job_waits_inherited",
                 "id=%s waits_ms=%" PRId64 " unsure=%u runs=%u %s "
-                "listed=%d owner_ms=%" PRId64 " age_ms=%" PRId64,
+                "listed=%d %s",
                 job->spec->id, cw_time_diff_ms(job->idle.clock.since, now),
-                inherited->len, job->runs, worker, run->target->listed,
-                cw_time_diff_ms(owner->takeover_began_at, now),
-                cw_time_diff_ms(job->known_at, now));
+                inherited->len, job->runs, worker, run->target->listed, age);
+    g_free(age);
     g_free(worker);
 }
 
--- a/src/owner/owner_jobs.c
+++ b/src/owner/owner_jobs.c
@@ -281,7 +281,6 @@
         return;
     }
     owner_headroom_job_accepted(owner, job);
-    job->idle.since_takeover = job->started;
     owner_job_open_due(owner, job, now);
     owner->placement_wanted = true;
 }
--- a/tests/test_owner_logs.c
+++ b/tests/test_owner_logs.c
@@ -349,6 +349,34 @@
 
     CU_ASSERT_TRUE(has_field(line, "since_takeover", "1"));
     CU_ASSERT_TRUE(has_field(line, "reason", "unsure"));
+    CU_ASSERT_TRUE(has_field(line, "begun", "1"));
+    g_free(line);
+    g_free(lines);
+    fixture_end(&fixture);
+}
+
+/* Does the same for a job that waited under an earlier owner and was not
+ * started: all of its age is idle time. */
+static void
+test_a_line_tells_the_age_of_a_job_that_was_never_started(void)
+{
+    struct fixture fixture;
+    struct log_capture capture;
+    char *lines;
+    char *line;
+
+    fixture_begin(&fixture);
+    put_spec(&fixture);
+    fixture.clock.now = cw_time_add_ms(fixture.clock.now, 10000);
+    log_capture_begin(&capture);
+    take_over(&fixture);
+    (void)run_answering_polls(&fixture, 4000);
+    lines = log_capture_end(&capture);
+    line = last_line(lines, "job_waits_full");
+    CU_ASSERT_TRUE(has_field(line, "since_takeover", "1"));
+    CU_ASSERT_TRUE(has_field(line, "begun", "0"));
+    CU_ASSERT_TRUE(field_number(line, "age_ms") > 13000);
+    CU_ASSERT_TRUE(field_number(line, "waits_ms") < 4000);
     g_free(line);
     g_free(lines);
     fixture_end(&fixture);
@@ -491,6 +519,8 @@
      test_inherited_runs_that_are_listed_are_not_logged},
     {"since the take-over",
      test_a_line_tells_that_its_clock_began_with_the_takeover},
+    {"never started",
+     test_a_line_tells_the_age_of_a_job_that_was_never_started},
     {"unanswered append", test_an_append_without_an_answer_is_logged},
     {"appends", test_appends_that_fail_are_logged_until_they_are_stored},
 };
