--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -13,6 +13,7 @@
 #include "curlewcart/cw_owner.h"
 #include "curlewcart/cw_time.h"
 #include "curlewcart/cw_xdr.h"
+#include "owner/internal/owner_append_watch.h"
 #include "owner/internal/owner_due.h"
 #include "owner/internal/owner_epochs.h"
 #include "owner/internal/owner_idle.h"
@@ -197,6 +198,11 @@
      * clock and with drift; see also incarnation.lease_end. */
     struct timespec lease_end;
     enum owner_lease_source lease_source;
+    /* The last lease of this owner that extended an earlier one, for logs:
+     * when it was granted, and its length then.  0: none has. */
+    struct timespec lease_granted_at;
+    int64_t lease_granted_ms;
+    struct timespec answered_at; /* its last answer to any order came */
     /* Has answered a poll since the takeover, or since its runs were given up.
      */
     bool answered;
@@ -314,6 +320,8 @@
     GHashTable *headroom;           /* service -> struct owner_headroom */
     struct owner_log *states_log;   /* CW_STATE_TOPIC */
     struct owner_log *jobs_log;     /* CW_JOBS_TOPIC */
+    struct owner_append_watch states_watch;
+    struct owner_append_watch jobs_watch;
     GPtrArray *dirty;       /* struct owner_job: states to be written */
     GPtrArray *unpublished; /* struct owner_job: outcomes to be published */
     GPtrArray *past_states; /* char *: ids of jobs whose states are removed */
@@ -717,6 +725,15 @@
 int64_t owner_target_since_answer_ms(const struct owner_target *target,
                                      struct timespec now);
 
+/* Records that the worker has answered an order with this status. */
+void owner_target_answered(struct owner_target *target,
+                           enum cw_target_status status, struct timespec now);
+
+/* Returns log fields that tell when the worker answered last, and what bounds
+ * its lease.  Owned by the caller. */
+char *owner_target_describe_lease(const struct owner_target *target,
+                                  struct timespec now);
+
 /* Drops all runs of the worker as lost. */
 void owner_target_lost(struct cw_owner *owner, struct owner_target *target,
                        const char *reason);
--- a/src/owner/owner.c
+++ b/src/owner/owner.c
@@ -58,6 +58,8 @@
     cw_follower_free(owner->reports);
     owner->reports = NULL;
     free_state_reader(owner);
+    memset(&owner->states_watch, 0, sizeof(owner->states_watch));
+    memset(&owner->jobs_watch, 0, sizeof(owner->jobs_watch));
     memset(&owner->idle_stats, 0, sizeof(owner->idle_stats));
     owner->state = OWNER_IDLE;
 }
@@ -118,21 +120,31 @@
     }
 }
 
+/* Adopts the jobs of the replica. */
 static void
-become_active(struct cw_owner *owner, struct timespec now)
+adopt_jobs(struct cw_owner *owner)
 {
-    GHashTable *jobs = cw_replica_jobs(owner->options.replica);
     GHashTableIter iterator;
     gpointer value;
 
+    g_hash_table_iter_init(&iterator, cw_replica_jobs(owner->options.replica));
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        owner_job_adopt(owner, value);
+    }
+    g_hash_table_iter_init(&iterator, owner->jobs);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        ((struct owner_job *)value)->idle.since_takeover = true;
+    }
+}
+
+static void
+become_active(struct cw_owner *owner, struct timespec now)
+{
     owner->state = OWNER_ACTIVE;
     owner_order_window_reset(&owner->order_window);
     owner->placement_wanted = true;
     owner->sweep_due = cw_time_add_ms(now, SWEEP_INTERVAL_MS);
-    g_hash_table_iter_init(&iterator, jobs);
-    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        owner_job_adopt(owner, value);
-    }
+    adopt_jobs(owner);
     owner_state_reader_each(owner->state_reader, drop_state_if_past, owner);
     free_state_reader(owner);
     owner_epochs_bound_leases(owner, now);
@@ -625,6 +637,9 @@
     if (owner->state == OWNER_ACTIVE) {
         cw_time_set_earlier(&next, tick_active(owner, now));
     }
+    if (owner->state != OWNER_IDLE) {
+        owner_append_watch_tick(owner, now);
+    }
     return next;
 }
 
--- a/src/owner/owner_leases.c
+++ b/src/owner/owner_leases.c
@@ -270,6 +270,8 @@
     }
     if (until_ms > target->incarnation.lease_sent_ms) {
         target->incarnation.lease_sent_ms = until_ms;
+        target->lease_granted_at = now;
+        target->lease_granted_ms = left_ms;
         raise_incarnation_bound(target,
                                 cw_time_add_ms(now, max_duration_ms(left_ms)));
     }
