Scripts: keep the logs of a failed soak

The logs of a failed run are kept now, their directory is printed, and for each task with a violation the lines of the workers' trace.

--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -11,8 +11,19 @@
 DCS=(hall-olbin hall-krzyki hall-psie-pole)
 declare -A PID CALLERS STORE_OF
 
+# Keeps the logs of a failed test and prints their directory, and of each task
+# that a worker reported a violation for, the lines of the workers' trace.
+keep_logs() {
+    local task
+    KEEP=1
+    echo "logs=$DIR"
+    grep '^violation' "$DIR/trace" | sed 's/.*task=//' | sort -u |
+        while read -r task; do grep -wF "task=$task" "$DIR/trace"; done
+}
+
 die() {
     echo "$*" >&2
+    [ ! -e "${DIR:-}/trace" ] || keep_logs >&2
     exit 1
 }
 
