Owner: await starts held up to a restarted worker

Callers saw tasks run twice, or again after they were done (TWICE): "twice=2" of the soak, two lines "violation" in the workers' trace.

Cause: a worker restarts under its id between two polls, and a start for its former incarnation is sent to the next one over a new connection. If the link is cut, the start is held up. The owner gives the run up when the lease is over, and the task runs elsewhere. Once the link is back, the start is carried out: the lease in it is a time on the former clock, which is ahead of the new one, and the new incarnation has neither a fencing token nor the runs that ended before. The tombstone's stop comes after it.

If a run's start had no answer and was sent to an older incarnation than the reported one, the bound on the worker's lease is raised to 13 s (12 s, within which the platform carries out orders, and a margin) and a lease after the start was sent. And no start is sent to a worker that has reported a restart until it has answered a poll that was sent after that.

Why it works: a start reaches only the incarnation that it was sent to. After that time it is not carried out any more, and the lease that it may have granted is over. An answered poll shows the incarnation, whose lists decide as before.

Not covered: the report of the restart is not read until the lease is over, or another VM takes over while the start is held up.

test_restarts failed before this change in "start held up", "start after report" and "wrong report".

--- a/src/owner/internal/owner_incarnations.h
+++ b/src/owner/internal/owner_incarnations.h
@@ -10,10 +10,15 @@
 struct owner_run;
 struct owner_target;
 
-/* An order may arrive this long after it was sent: after that it is given up.
- * A late order may reach a worker's next incarnation, whose lease counts from
- * the arrival. */
-enum { OWNER_ORDER_DELAY_MAX_MS = 500 };
+enum {
+    /* An order may arrive this long after it was sent: after that it is given
+     * up.  A late order may reach a worker's next incarnation, whose lease
+     * counts from the arrival. */
+    OWNER_ORDER_DELAY_MAX_MS = 500,
+    /* The platform carries out an order that was given up at most 12 s after
+     * it was sent; one second is added as a margin. */
+    OWNER_ORDER_LATE_MAX_MS = 13000
+};
 
 /* State of one incarnation of a worker.  A worker that crashes may start again
  * under its id without any state, and numbers its ends from 1 again, so all of
@@ -62,11 +67,17 @@
  * refuses the start. */
 void owner_incarnation_add_tombstone(const struct owner_run *run);
 
-/* Raises the bound on the lease of a worker that becomes unresponsive by the
- * longest delay of an order, if a start is in flight: the start may reach the
- * next incarnation, whose clock differs. */
+/* Raises the bound on the lease of a worker that becomes unresponsive, if a
+ * start is in flight: the start may reach the next incarnation, whose clock
+ * differs.  The bound is raised by the longest delay of an order, and further
+ * if the next incarnation has been reported. */
 void owner_incarnation_unresponsive(struct owner_target *target);
 
+/* True if the worker has reported a newer incarnation and has answered no poll
+ * that was sent since: a start would be sent to that incarnation, with a lease
+ * by the clock of the former one. */
+bool owner_incarnation_unknown(const struct owner_target *target);
+
 /* Processes a poll without an answer.  If the worker has reported a newer boot
  * time, drops the runs that the former incarnation was executing as lost,
  * without waiting until the lease is over. */
--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -192,6 +192,7 @@
     /* Its last report was written after this time. */
     struct timespec reported_at;
     int64_t reported_boot_ms;             /* boot time in the newest report */
+    struct timespec reported_boot_at;     /* when that boot time was read */
     struct owner_incarnation incarnation; /* the last that answered */
     /* Latest end of a lease that was granted to any incarnation, by this VM's
      * clock and with drift. */
--- a/src/owner/owner_incarnations.c
+++ b/src/owner/owner_incarnations.c
@@ -104,6 +104,48 @@
     }
 }
 
+/* True if the run's start may be held up on its way to a newer incarnation
+ * than the one that it was meant for. */
+static bool
+may_begin_late(const struct owner_run *run)
+{
+    const struct owner_target *target = run->target;
+
+    return run->phase == RUN_STARTING && !run->stop_confirmed &&
+           run->boot_ms > 0 &&
+           run->boot_ms <
+               MAX(target->reported_boot_ms, target->incarnation.boot_ms);
+}
+
+/* Raises the bound on the lease if a start may be held up on its way to a
+ * newer incarnation.  To that one, whose clock may be behind, the start is not
+ * late: it is carried out whenever it arrives, under a lease that counts from
+ * then. */
+static void
+await_late_starts(struct owner_target *target)
+{
+    int64_t late_ms =
+        OWNER_ORDER_LATE_MAX_MS + owner_lease_max_duration_ms(target->owner);
+
+    for (guint i = 0; i < target->runs->len; i++) {
+        const struct owner_run *run = target->runs->pdata[i];
+
+        if (may_begin_late(run)) {
+            owner_lease_raise(target, cw_time_add_ms(run->sent_at, late_ms),
+                              OWNER_LEASE_INCARNATION);
+        }
+    }
+}
+
+bool
+owner_incarnation_unknown(const struct owner_target *target)
+{
+    return target->incarnation.boot_ms > 0 &&
+           target->reported_boot_ms > target->incarnation.boot_ms &&
+           !cw_time_before(target->reported_boot_at,
+                           target->answered_poll_sent_at);
+}
+
 void
 owner_incarnation_unresponsive(struct owner_target *target)
 {
@@ -122,6 +164,7 @@
         target->lease_end =
             cw_time_add_ms(target->lease_end, OWNER_ORDER_DELAY_MAX_MS);
     }
+    await_late_starts(target);
 }
 
 /* True if the run is known to have been executed by the incarnation that
@@ -175,12 +218,14 @@
         return;
     }
     target->reported_boot_ms = boot_ms;
+    target->reported_boot_at = owner_now(owner);
     if (boot_ms <= target->incarnation.boot_ms) {
         return; /* read late: a poll has shown this boot time or a later one */
     }
     target->superseded = false;
     target->poll_due = owner_now(owner);
     owner_target_wake(target);
+    await_late_starts(target);
     if (owner->state == OWNER_ACTIVE && target->unanswered_polls > 0) {
         owner_incarnation_poll_failed(target);
     }
--- a/src/owner/owner_orders.c
+++ b/src/owner/owner_orders.c
@@ -350,7 +350,8 @@
  * incarnation.  By that incarnation's clock the lease in the start could last
  * longer than this owner assumes, and the task would be started elsewhere at
  * the same time.  The start of an at-most-once job always waits for a poll, as
- * the former incarnation may have begun the job.
+ * the former incarnation may have begun the job.  A worker that has reported
+ * another incarnation has to answer a poll first as well.
  *
  * No start is sent while operators may have commanded cordons that this owner
  * has not read, or if the worker's clock was not read recently, as the lease
@@ -382,6 +383,9 @@
         cw_time_set_earlier(&target->poll_due, now);
         return true;
     }
+    if (owner_incarnation_unknown(target) && target->unanswered_polls == 0) {
+        return true;
+    }
     if (run->phase != RUN_STARTING) {
         return false;
     }
--- a/src/owner/owner_tombstones.c
+++ b/src/owner/owner_tombstones.c
@@ -12,12 +12,7 @@
 
 #include <string.h>
 
-enum {
-    /* The platform carries an order out at most 12 s after it was sent; one
-     * second is added as a margin. */
-    START_DELAY_MAX_MS = 13000,
-    STOP_RETRY_MS = 300
-};
+enum { STOP_RETRY_MS = 300 };
 
 struct owner_tombstone {
     char *job;
@@ -117,7 +112,8 @@
     while (i < target->tombstones->len) {
         struct owner_tombstone *tombstone = target->tombstones->pdata[i];
 
-        if (cw_time_diff_ms(tombstone->sent_at, now) > START_DELAY_MAX_MS) {
+        if (cw_time_diff_ms(tombstone->sent_at, now) > OWNER_ORDER_LATE_MAX_MS)
+        {
             g_ptr_array_remove_index_fast(target->tombstones, i);
             continue;
         }
--- a/tests/test_restarts.c
+++ b/tests/test_restarts.c
@@ -19,7 +19,11 @@
     STARTS_TRIED = 12,
     /* For a task that crashes workers: three crash, and the task may be
      * started twice more. */
-    STARTS_MAX = 5
+    STARTS_MAX = 5,
+    /* The platform carries an order out at most this long after it was sent.
+     */
+    ORDER_LATE_MAX_MS = 12000,
+    LEASE_MS = 6000
 };
 
 static const struct cw_step_spec one = {.tasks = 1, .accelerators = 4};
@@ -455,6 +459,120 @@
     cluster_end(&cluster);
 }
 
+/* Lets time pass in which the worker answers nothing. */
+static void
+pass_silently(struct cluster *cluster, struct owner_target *target,
+              unsigned ms)
+{
+    for (unsigned passed = 0; passed < ms; passed += 10) {
+        tick(cluster, target, 10);
+        lose_answers();
+    }
+}
+
+/* Sends a start of a job to a worker that answers nothing from then on and
+ * reports its next incarnation to the store `report_after_ms` later.  Checks
+ * that the task keeps its run while that incarnation may begin it. */
+static void
+check_start_to_reported_incarnation(unsigned report_after_ms)
+{
+    struct cluster cluster;
+    struct owner_target *target = first_worker(&cluster);
+    struct owner_job *job = add_job(&cluster, 0, &one);
+
+    send_start(&cluster, target, job);
+    pass_silently(&cluster, target, report_after_ms);
+    owner_incarnation_reported(target, FIRST_BOOT_MS + 1);
+    pass_silently(&cluster, target,
+                  ORDER_LATE_MAX_MS + LEASE_MS - report_after_ms);
+    CU_ASSERT_EQUAL(placed(job), 1);
+    pass_silently(&cluster, target, 3000);
+    CU_ASSERT_EQUAL(placed(job), 0);
+    cluster_end(&cluster);
+}
+
+/* Guards against a task that runs twice: a start that was sent to the next
+ * incarnation before the owner had read of it is held up by a cut of the link
+ * for longer than a lease.  The incarnation, whose clock is behind, carries it
+ * out when the link is back, while the task runs elsewhere or is done. */
+static void
+test_start_held_up_to_next_incarnation_is_awaited(void)
+{
+    check_start_to_reported_incarnation(0);
+    check_start_to_reported_incarnation(3000);
+}
+
+/* A start that was sent before the next incarnation is reported cannot reach
+ * it late if the former incarnation has confirmed its stop. */
+static void
+test_stopped_start_is_not_awaited(void)
+{
+    struct cluster cluster;
+    struct owner_target *target = first_worker(&cluster);
+    struct owner_job *job = add_job(&cluster, 0, &one);
+    struct owner_run *run = send_start(&cluster, target, job);
+
+    lose_answers();
+    owner_run_stop(cluster.owner, run);
+    run->stop_queued = false;
+    run->stop_confirmed = true;
+    owner_incarnation_reported(target, FIRST_BOOT_MS + 1);
+    pass_silently(&cluster, target, LEASE_MS + 2000);
+    CU_ASSERT_EQUAL(placed(job), 0);
+    cluster_end(&cluster);
+}
+
+/* Queues a start of the job on a worker that has just reported its next
+ * incarnation, and checks that it is not sent. */
+static struct owner_run *
+report_before_start(struct cluster *cluster, struct owner_target *target,
+                    struct owner_job *job)
+{
+    struct owner_task *task = &step_of(job)->tasks[0];
+    struct cw_task_name name = owner_task_name(task);
+    struct owner_run *run =
+        owner_run_create(cluster->owner, task, target, RUN_READY, 1);
+
+    owner_incarnation_reported(target, FIRST_BOOT_MS + 1);
+    owner_order_queue(cluster->owner, target, CW_ORDER_START, &name, 1);
+    tick(cluster, target, 10);
+    CU_ASSERT_EQUAL(run->phase, RUN_READY);
+    return run;
+}
+
+/* Guards against a task that runs twice: a start for the former incarnation is
+ * sent although the worker has reported the next one. */
+static void
+test_start_waits_for_answer_of_reported_incarnation(void)
+{
+    struct cluster cluster;
+    struct owner_target *target = first_worker(&cluster);
+    struct owner_run *run =
+        report_before_start(&cluster, target, add_job(&cluster, 0, &one));
+
+    await_poll(&cluster, target);
+    answer_poll(FIRST_BOOT_MS + 1, NULL, NULL);
+    tick(&cluster, target, 10);
+    CU_ASSERT_EQUAL(run->phase, RUN_STARTING);
+    cluster_end(&cluster);
+}
+
+/* A report may name a boot time that no incarnation has. */
+static void
+test_start_waits_for_one_answer_after_wrong_report(void)
+{
+    struct cluster cluster;
+    struct owner_target *target = first_worker(&cluster);
+    struct owner_run *run =
+        report_before_start(&cluster, target, add_job(&cluster, 0, &one));
+
+    await_poll(&cluster, target);
+    answer_poll(FIRST_BOOT_MS, NULL, NULL);
+    tick(&cluster, target, 10);
+    CU_ASSERT_EQUAL(run->phase, RUN_STARTING);
+    cluster_end(&cluster);
+}
+
 /* ---- takeover ---- */
 
 /* A job restored from the state of another owner, with a run on the first
@@ -535,6 +653,11 @@
     {"at-most-once start",
      test_at_most_once_start_is_not_sent_to_next_incarnation},
     {"report", test_report_of_next_incarnation_ends_wait},
+    {"start held up", test_start_held_up_to_next_incarnation_is_awaited},
+    {"stopped start", test_stopped_start_is_not_awaited},
+    {"start after report",
+     test_start_waits_for_answer_of_reported_incarnation},
+    {"wrong report", test_start_waits_for_one_answer_after_wrong_report},
     {"takeover", test_new_owner_detects_crash_of_worker},
     {"at-most-once",
      test_at_most_once_job_of_former_incarnation_is_not_begun_again},
