Owner: confirm no ends after an answer that was held up

Cause: a worker that restarts under its id numbers its ends from 1 again, so ends are confirmed only within 250 ms of its last answer. That time was counted from when the answer arrived. An answer that a cut link had held up counted as new, and the poll after it, with the former incarnation's number, made the next incarnation discard its own ends. A run in neither of its lists counted as lost, and the task was started again.

The link was cut towards the owner; the worker ended at 58.706 and was back at 58.758; it carried out a start at 59.204; when the link was healed, the answer to the start arrived at 59.384, and so did the former incarnation's answer with its end 14 (ends=14 confirmed=13). The run was done at 60.096 and lost for the owner at 00.393 (other_life), and the next run of the task began at 00.568. The line "violation done" shows that the end had been confirmed to the worker.

Change: the time of an answer is derived from the reading of the worker's clock in it: how much less that clock is ahead of this VM's than it was at most in earlier answers, less the drift of 2%, is how long the answer was held up. It is not before the poll was sent, which counts if no earlier reading is known.

Why it works: the poll after a held-up answer confirms nothing and does not wait at the worker. Its answer shows the incarnation; the poll after that confirms, as before.

test_restarts failed before this change in "answer held up". The worker's clock in this program's answers advances now; it stood still.

--- a/src/owner/internal/owner_incarnations.h
+++ b/src/owner/internal/owner_incarnations.h
@@ -35,7 +35,13 @@
     uint64_t ends_in_batch;
     uint64_t ends_durable;
     uint64_t ends_confirmed;
-    struct timespec poll_answered_at; /* a poll was last answered */
+    /* When it gave the last answer to a poll; the answer may have been held up
+     * on its way. */
+    struct timespec poll_answered_at;
+    /* The most that its clock was ahead of this VM's when an answer arrived,
+     * and when that was; 0: unknown. */
+    int64_t clock_ahead_ms;
+    struct timespec clock_ahead_at;
     unsigned failures;             /* jobs in a row whose tasks failed there */
     unsigned failed_job;           /* last of those jobs: hash of its id */
     struct timespec suspect_until; /* tasks failed or stalled there */
@@ -59,6 +65,13 @@
  * which of them are gone. */
 bool owner_incarnation_answered(struct owner_target *target, int64_t boot_ms);
 
+/* Processes the reading of the worker's clock (0: none) in an answer to a poll
+ * that was sent at `sent`.  Returns when the worker gave the answer; an
+ * earlier time if that isn't known. */
+struct timespec
+owner_incarnation_answer_given(struct owner_target *target, int64_t clock_ms,
+                               struct timespec sent, struct timespec now);
+
 /* Processes the boot time in a report of the worker. */
 void owner_incarnation_reported(struct owner_target *target, int64_t boot_ms);
 
--- a/src/owner/owner_incarnations.c
+++ b/src/owner/owner_incarnations.c
@@ -11,6 +11,8 @@
  */
 #include "owner/internal/owner_crashes.h"
 
+enum { PERCENT = 100 };
+
 struct owner_incarnation
 owner_incarnation_new(int64_t boot_ms)
 {
@@ -93,6 +95,41 @@
     return true;
 }
 
+/* Returns how far the worker's clock is expected to be ahead of this VM's; it
+ * may run slow. */
+static int64_t
+clock_ahead_now_ms(const struct owner_incarnation *incarnation,
+                   struct timespec now)
+{
+    return incarnation->clock_ahead_ms -
+           cw_time_diff_ms(incarnation->clock_ahead_at, now) *
+               OWNER_CLOCK_DRIFT_PERCENT / PERCENT;
+}
+
+struct timespec
+owner_incarnation_answer_given(struct owner_target *target, int64_t clock_ms,
+                               struct timespec sent, struct timespec now)
+{
+    struct owner_incarnation *incarnation = &target->incarnation;
+    int64_t ahead_ms = clock_ms - cw_time_diff_ms(cw_time_from_ms(0), now);
+    bool known = incarnation->clock_ahead_at.tv_sec > 0;
+    struct timespec given = sent;
+
+    if (clock_ms <= 0) {
+        return sent;
+    }
+    if (known) {
+        int64_t held_up_ms = clock_ahead_now_ms(incarnation, now) - ahead_ms;
+
+        given = cw_time_add_ms(now, -MAX(0, held_up_ms));
+    }
+    if (!known || ahead_ms >= clock_ahead_now_ms(incarnation, now)) {
+        incarnation->clock_ahead_ms = ahead_ms;
+        incarnation->clock_ahead_at = now;
+    }
+    return cw_time_before(given, sent) ? sent : given;
+}
+
 void
 owner_incarnation_add_tombstone(const struct owner_run *run)
 {
--- a/src/owner/owner_polls.c
+++ b/src/owner/owner_polls.c
@@ -42,9 +42,9 @@
     IDLE_POLLS_PER_S = 150,
     IDLE_POLLS_MAX = 100,
     IDLE_POLL_RETRY_MS = 20,
-    /* Ends are confirmed to a worker only within this time of its last answer.
-     * A worker that crashes takes longer to restart and list ends of its new
-     * incarnation. */
+    /* Ends are confirmed to a worker only within this time after it gave its
+     * last answer.  A worker that crashes takes longer to restart and list
+     * ends of its new incarnation. */
     CONFIRM_WITHIN_MS = 250
 };
 
@@ -452,7 +452,8 @@
     owner_lease_token_received(target, now);
     target->answered = true;
     target->answered_poll_sent_at = call->sent;
-    target->incarnation.poll_answered_at = now;
+    target->incarnation.poll_answered_at = owner_incarnation_answer_given(
+        target, answer->clock_ms, call->sent, now);
     /* While there is a lease note, the short interval is not needed: the
      * worker is polled at once when the note's removal is stored. */
     target->poll_due =
--- a/tests/test_restarts.c
+++ b/tests/test_restarts.c
@@ -23,7 +23,8 @@
     /* The platform carries an order out at most this long after it was sent.
      */
     ORDER_LATE_MAX_MS = 12000,
-    LEASE_MS = 6000
+    LEASE_MS = 6000,
+    HELD_UP_MS = 700
 };
 
 static const struct cw_step_spec one = {.tasks = 1, .accelerators = 4};
@@ -49,14 +50,22 @@
     CU_ASSERT_EQUAL_FATAL(last_order.kind, CW_ORDER_POLL);
 }
 
-/* Answers the last order, a poll; NULL is an empty list. */
+/* Reading of the worker's clock, which runs as fast as this VM's. */
+static int64_t
+worker_clock_ms(struct timespec now)
+{
+    return cw_time_diff_ms(cw_time_from_ms(START_MS), now) + 1;
+}
+
+/* Answers the last order, a poll, with a reading of the worker's clock; NULL
+ * is an empty list. */
 static void
-answer_poll(int64_t boot_ms, const struct cw_running *running,
-            const struct cw_ended *ended)
+answer_poll_at(int64_t clock_ms, int64_t boot_ms,
+               const struct cw_running *running, const struct cw_ended *ended)
 {
     const struct cw_target_answer answer = {
         .status = CW_TARGET_OK,
-        .clock_ms = 1,
+        .clock_ms = clock_ms,
         .boot_ms = boot_ms,
         .running = running,
         .running_count = running != NULL,
@@ -68,6 +77,27 @@
     last_order.done(last_order.context, &answer);
 }
 
+static void
+answer_poll(const struct cluster *cluster, int64_t boot_ms,
+            const struct cw_running *running, const struct cw_ended *ended)
+{
+    answer_poll_at(worker_clock_ms(cluster->clock.now), boot_ms, running,
+                   ended);
+}
+
+/* Lets time pass until the answer to the last order, a poll, arrives that the
+ * first incarnation has given before. */
+static void
+answer_poll_late(struct cluster *cluster, unsigned ms,
+                 const struct cw_ended *ended)
+{
+    int64_t clock_ms = worker_clock_ms(cluster->clock.now);
+
+    cluster->clock.now = cw_time_add_ms(cluster->clock.now, ms);
+    cluster->owner->ownership_confirmed_at = cluster->clock.now;
+    answer_poll_at(clock_ms, FIRST_BOOT_MS, NULL, ended);
+}
+
 /* Marks the applied ends as stored. */
 static void
 store_ends(struct owner_target *target)
@@ -109,12 +139,12 @@
     struct cw_ended ended = end_of(job, number);
 
     await_poll(cluster, target);
-    answer_poll(boot_ms, NULL, &ended);
+    answer_poll(cluster, boot_ms, NULL, &ended);
     CU_ASSERT_EQUAL(job->phase, CW_WORK_COMPLETED);
     store_ends(target);
     await_poll(cluster, target);
     CU_ASSERT_EQUAL(last_order.acked, number);
-    answer_poll(boot_ms, NULL, NULL);
+    answer_poll(cluster, boot_ms, NULL, NULL);
 }
 
 /* Polls are not answered for a while before the next incarnation answers. */
@@ -134,7 +164,7 @@
     answer_last(CW_TARGET_UNKNOWN);
     await_poll(&cluster, target);
     CU_ASSERT_EQUAL(last_order.acked, 0);
-    answer_poll(FIRST_BOOT_MS + 1, NULL, NULL);
+    answer_poll(&cluster, FIRST_BOOT_MS + 1, NULL, NULL);
     job = add_job(&cluster, 0, &one);
     owner_run_create(cluster.owner, &step_of(job)->tasks[0], target, RUN_NEW,
                      1);
@@ -142,7 +172,7 @@
     await_poll(&cluster, target);
     CU_ASSERT_EQUAL(last_order.acked, 0);
     ended = end_of(job, 1);
-    answer_poll(FIRST_BOOT_MS + 1, NULL, &ended);
+    answer_poll(&cluster, FIRST_BOOT_MS + 1, NULL, &ended);
     CU_ASSERT_EQUAL(job->phase, CW_WORK_COMPLETED);
     cluster_end(&cluster);
 }
@@ -170,6 +200,41 @@
     cluster_end(&cluster);
 }
 
+/* Guards against a task that runs twice: an answer of the former incarnation
+ * is held up while the worker restarts.  If the next poll confirmed the end in
+ * it, the next incarnation would discard ends of its own, and their tasks
+ * would be started again. */
+static void
+test_end_in_answer_that_was_held_up_is_not_confirmed(void)
+{
+    struct cluster cluster;
+    struct owner_job *job;
+    struct owner_target *target;
+    struct cw_ended ended;
+
+    cluster_begin(&cluster);
+    job = add_job(&cluster, 0, &one);
+    target = start_job(&cluster, job);
+    await_poll(&cluster, target);
+    answer_poll(&cluster, FIRST_BOOT_MS, NULL, NULL);
+    job = add_job(&cluster, 0, &one);
+    owner_run_create(cluster.owner, &step_of(job)->tasks[0], target, RUN_NEW,
+                     1);
+    confirm_starts(&cluster, job);
+    await_poll(&cluster, target);
+    ended = end_of(job, 1);
+    answer_poll_late(&cluster, HELD_UP_MS, &ended);
+    CU_ASSERT_EQUAL(job->phase, CW_WORK_COMPLETED);
+    store_ends(target);
+    await_poll(&cluster, target);
+    CU_ASSERT_EQUAL(last_order.acked, 0);
+    CU_ASSERT_EQUAL(last_order.wait_ms, 0);
+    answer_poll(&cluster, FIRST_BOOT_MS, NULL, &ended);
+    await_poll(&cluster, target);
+    CU_ASSERT_EQUAL(last_order.acked, 1);
+    cluster_end(&cluster);
+}
+
 /* Polls the worker until it answers as a new incarnation without runs. */
 static void
 crash_and_answer(struct cluster *cluster, struct owner_target *target,
@@ -178,7 +243,7 @@
     await_poll(cluster, target);
     answer_last(CW_TARGET_UNKNOWN);
     await_poll(cluster, target);
-    answer_poll(boot_ms, NULL, NULL);
+    answer_poll(cluster, boot_ms, NULL, NULL);
 }
 
 /* Polls each worker once, so that its first incarnation is known. */
@@ -194,7 +259,7 @@
 
         target->answered = false;
         await_poll(cluster, target);
-        answer_poll(FIRST_BOOT_MS, NULL, NULL);
+        answer_poll(cluster, FIRST_BOOT_MS, NULL, NULL);
     }
 }
 
@@ -280,7 +345,7 @@
     target = owner_target_get(cluster->owner, "w00");
     target->answered = false;
     await_poll(cluster, target);
-    answer_poll(FIRST_BOOT_MS, NULL, NULL);
+    answer_poll(cluster, FIRST_BOOT_MS, NULL, NULL);
     return target;
 }
 
@@ -311,7 +376,7 @@
     tick(&cluster, target, 100); /* the pause between two attempts is over */
     CU_ASSERT_EQUAL(target->orders_in_flight, 0);
     await_poll(&cluster, target);
-    answer_poll(FIRST_BOOT_MS + 1, NULL, NULL);
+    answer_poll(&cluster, FIRST_BOOT_MS + 1, NULL, NULL);
     tick(&cluster, target, 1);
     CU_ASSERT_EQUAL(target->orders_in_flight, 1);
     CU_ASSERT_EQUAL(run->phase, RUN_STARTING);
@@ -353,7 +418,7 @@
     run->stop_confirmed = true;
     run->stop_confirmed_at = cluster.clock.now;
     await_poll(&cluster, target);
-    answer_poll(FIRST_BOOT_MS + 1, NULL, NULL);
+    answer_poll(&cluster, FIRST_BOOT_MS + 1, NULL, NULL);
     CU_ASSERT_PTR_NOT_NULL(step_of(job)->tasks[0].run);
     CU_ASSERT_FALSE(run->stop_confirmed);
     cluster_end(&cluster);
@@ -370,7 +435,7 @@
 
     answer_start();
     await_poll(&cluster, target);
-    answer_poll(FIRST_BOOT_MS + 1, &listed, NULL);
+    answer_poll(&cluster, FIRST_BOOT_MS + 1, &listed, NULL);
     CU_ASSERT_PTR_EQUAL(step_of(job)->tasks[0].run, run);
     CU_ASSERT_EQUAL(step_of(job)->tasks[0].suspicion, 0);
     cluster_end(&cluster);
@@ -402,9 +467,9 @@
     run->unanswered = 1;
     answer_start();
     await_poll(&cluster, target);
-    answer_poll(FIRST_BOOT_MS, &listed, NULL);
+    answer_poll(&cluster, FIRST_BOOT_MS, &listed, NULL);
     await_poll(&cluster, target);
-    answer_poll(FIRST_BOOT_MS + 1, NULL, NULL);
+    answer_poll(&cluster, FIRST_BOOT_MS + 1, NULL, NULL);
     CU_ASSERT_EQUAL(placed(job), 0);
     CU_ASSERT_EQUAL(stops_queued(target), 1);
     cluster_end(&cluster);
@@ -428,7 +493,7 @@
     CU_ASSERT_EQUAL(target->orders_in_flight,
                     0); /* the poll has to be answered first */
     await_poll(&cluster, target);
-    answer_poll(FIRST_BOOT_MS + 1, NULL, NULL);
+    answer_poll(&cluster, FIRST_BOOT_MS + 1, NULL, NULL);
     tick(&cluster, target, 10);
     CU_ASSERT_TRUE(run->stopping);
     cluster_end(&cluster);
@@ -447,9 +512,9 @@
 
     answer_start();
     await_poll(&cluster, target);
-    answer_poll(FIRST_BOOT_MS, &listed, NULL);
+    answer_poll(&cluster, FIRST_BOOT_MS, &listed, NULL);
     await_poll(&cluster, target);
-    answer_poll(FIRST_BOOT_MS, &listed, NULL);
+    answer_poll(&cluster, FIRST_BOOT_MS, &listed, NULL);
     await_poll(&cluster, target);
     answer_last(CW_TARGET_UNKNOWN);
     CU_ASSERT_EQUAL(placed(job), 1);
@@ -551,7 +616,7 @@
         report_before_start(&cluster, target, add_job(&cluster, 0, &one));
 
     await_poll(&cluster, target);
-    answer_poll(FIRST_BOOT_MS + 1, NULL, NULL);
+    answer_poll(&cluster, FIRST_BOOT_MS + 1, NULL, NULL);
     tick(&cluster, target, 10);
     CU_ASSERT_EQUAL(run->phase, RUN_STARTING);
     cluster_end(&cluster);
@@ -567,7 +632,7 @@
         report_before_start(&cluster, target, add_job(&cluster, 0, &one));
 
     await_poll(&cluster, target);
-    answer_poll(FIRST_BOOT_MS, NULL, NULL);
+    answer_poll(&cluster, FIRST_BOOT_MS, NULL, NULL);
     tick(&cluster, target, 10);
     CU_ASSERT_EQUAL(run->phase, RUN_STARTING);
     cluster_end(&cluster);
@@ -609,7 +674,7 @@
     target->answered = false;
     target->lease_end = cw_time_add_ms(cluster->clock.now, 10000);
     await_poll(cluster, target);
-    answer_poll(boot_ms, NULL, NULL);
+    answer_poll(cluster, boot_ms, NULL, NULL);
 }
 
 static void
@@ -644,6 +709,7 @@
 static const struct test tests[] = {
     {"ends of next incarnation", test_ends_of_next_incarnation_are_received},
     {"unknown incarnation", test_end_is_not_confirmed_to_unknown_incarnation},
+    {"answer held up", test_end_in_answer_that_was_held_up_is_not_confirmed},
     {"crash counts", test_crash_under_same_id_counts},
     {"start waits", test_start_is_not_resent_before_poll_is_answered},
     {"unsent start", test_unsent_start_is_placed_elsewhere},
