--- a/src/owner/internal/owner_incarnations.h
+++ b/src/owner/internal/owner_incarnations.h
@@ -10,10 +10,15 @@
 struct owner_run;
 struct owner_target;
 
-/* An order may arrive this long after it was sent: after that it is given up.
- * A late order may reach a worker's next incarnation, whose lease counts from
- * the arrival. */
-enum { OWNER_ORDER_DELAY_MAX_MS = 500 };
+enum {
+    /* An order may arrive this long after it was sent: after that it is given
+     * up.  A late order may reach a worker's next incarnation, whose lease
+     * counts from the arrival. */
+    OWNER_ORDER_DELAY_MAX_MS = 500,
+    /* The platform carries out an order that was given up at most 12 s after
+     * it was sent; one second is added as a margin. */
+    OWNER_ORDER_LATE_MAX_MS = 13000
+};
 
 /* State of one incarnation of a worker.  A worker that crashes may start again
  * under its id without any state, and numbers its ends from 1 again, so all of
@@ -33,7 +38,13 @@
     uint64_t ends_in_batch;
     uint64_t ends_durable;
     uint64_t ends_confirmed;
-    struct timespec poll_answered_at; /* a poll was last answered */
+    /* When it gave the last answer to a poll; the answer may have been held up
+     * on its way. */
+    struct timespec poll_answered_at;
+    /* The most that its clock was ahead of this VM's when an answer arrived,
+     * and when that was; 0: unknown. */
+    int64_t clock_ahead_ms;
+    struct timespec clock_ahead_at;
     unsigned failures;             /* jobs in a row whose tasks failed there */
     unsigned failed_job;           /* last of those jobs: hash of its id */
     struct timespec suspect_until; /* tasks failed or stalled there */
@@ -57,6 +68,13 @@
  * which of them are gone. */
 bool owner_incarnation_answered(struct owner_target *target, int64_t boot_ms);
 
+/* Processes the reading of the worker's clock (0: none) in an answer to a poll
+ * that was sent at `sent`.  Returns when the worker gave the answer; an
+ * earlier time if that isn't known. */
+struct timespec
+owner_incarnation_answer_given(struct owner_target *target, int64_t clock_ms,
+                               struct timespec sent, struct timespec now);
+
 /* Processes the boot time in a report of the worker. */
 void owner_incarnation_reported(struct owner_target *target, int64_t boot_ms);
 
@@ -71,11 +89,17 @@
  * refuses the start. */
 void owner_incarnation_add_tombstone(const struct owner_run *run);
 
-/* Raises the bound on the lease of a worker that becomes unresponsive by the
- * longest delay of an order, if a start is in flight: the start may reach the
- * next incarnation, whose clock differs. */
+/* Raises the bound on the lease of a worker that becomes unresponsive, if a
+ * start is in flight: the start may reach the next incarnation, whose clock
+ * differs.  The bound is raised by the longest delay of an order, and further
+ * if the next incarnation has been reported. */
 void owner_incarnation_unresponsive(struct owner_target *target);
 
+/* True if the worker has reported a newer incarnation and has answered no poll
+ * that was sent since: a start would be sent to that incarnation, with a lease
+ * by the clock of the former one. */
+bool owner_incarnation_unknown(const struct owner_target *target);
+
 /* Processes a poll without an answer.  If the worker has reported a newer boot
  * time, drops the runs that the former incarnation was executing as lost,
  * without waiting until the lease is over. */
--- a/src/owner/owner_incarnations.c
+++ b/src/owner/owner_incarnations.c
@@ -11,6 +11,8 @@
  */
 #include "owner/internal/owner_crashes.h"
 
+enum { PERCENT = 100 };
+
 struct owner_incarnation
 owner_incarnation_new(int64_t boot_ms)
 {
@@ -93,6 +95,41 @@
     return true;
 }
 
+/* Returns how far the worker's clock is expected to be ahead of this VM's; it
+ * may run slow. */
+static int64_t
+clock_ahead_now_ms(const struct owner_incarnation *incarnation,
+                   struct timespec now)
+{
+    return incarnation->clock_ahead_ms -
+           cw_time_diff_ms(incarnation->clock_ahead_at, now) *
+               OWNER_CLOCK_DRIFT_PERCENT / PERCENT;
+}
+
+struct timespec
+owner_incarnation_answer_given(struct owner_target *target, int64_t clock_ms,
+                               struct timespec sent, struct timespec now)
+{
+    struct owner_incarnation *incarnation = &target->incarnation;
+    int64_t ahead_ms = clock_ms - cw_time_diff_ms(cw_time_from_ms(0), now);
+    bool known = incarnation->clock_ahead_at.tv_sec > 0;
+    struct timespec given = sent;
+
+    if (clock_ms <= 0) {
+        return sent;
+    }
+    if (known) {
+        int64_t held_up_ms = clock_ahead_now_ms(incarnation, now) - ahead_ms;
+
+        given = cw_time_add_ms(now, -MAX(0, held_up_ms));
+    }
+    if (!known || ahead_ms >= clock_ahead_now_ms(incarnation, now)) {
+        incarnation->clock_ahead_ms = ahead_ms;
+        incarnation->clock_ahead_at = now;
+    }
+    return cw_time_before(given, sent) ? sent : given;
+}
+
 void
 owner_incarnation_add_tombstone(const struct owner_run *run)
 {
@@ -104,6 +141,48 @@
     }
 }
 
+/* True if the run's start may be held up on its way to a newer incarnation
+ * than the one that it was meant for. */
+static bool
+may_begin_late(const struct owner_run *run)
+{
+    const struct owner_target *target = run->target;
+
+    return run->phase == RUN_STARTING && !run->stop_confirmed &&
+           run->boot_ms > 0 &&
+           run->boot_ms <
+               MAX(target->reported_boot_ms, target->incarnation.boot_ms);
+}
+
+/* Raises the bound on the lease if a start may be held up on its way to a
+ * newer incarnation.  To that one, whose clock may be behind, the start is not
+ * late: it is carried out whenever it arrives, under a lease that counts from
+ * then. */
+static void
+await_late_starts(struct owner_target *target)
+{
+    int64_t late_ms =
+        OWNER_ORDER_LATE_MAX_MS + owner_lease_max_duration_ms(target->owner);
+
+    for (guint i = 0; i < target->runs->len; i++) {
+        const struct owner_run *run = target->runs->pdata[i];
+
+        if (may_begin_late(run)) {
+            owner_lease_raise(target, cw_time_add_ms(run->sent_at, late_ms),
+                              OWNER_LEASE_INCARNATION);
+        }
+    }
+}
+
+bool
+owner_incarnation_unknown(const struct owner_target *target)
+{
+    return target->incarnation.boot_ms > 0 &&
+           target->reported_boot_ms > target->incarnation.boot_ms &&
+           !cw_time_before(target->reported_boot_at,
+                           target->answered_poll_sent_at);
+}
+
 void
 owner_incarnation_unresponsive(struct owner_target *target)
 {
@@ -122,6 +201,7 @@
         target->lease_end =
             cw_time_add_ms(target->lease_end, OWNER_ORDER_DELAY_MAX_MS);
     }
+    await_late_starts(target);
 }
 
 bool
@@ -171,12 +251,14 @@
         return;
     }
     target->reported_boot_ms = boot_ms;
+    target->reported_boot_at = owner_now(owner);
     if (boot_ms <= target->incarnation.boot_ms) {
         return; /* read late: a poll has shown this boot time or a later one */
     }
     target->superseded = false;
     target->poll_due = owner_now(owner);
     owner_target_wake(target);
+    await_late_starts(target);
     if (owner->state == OWNER_ACTIVE && target->unanswered_polls > 0) {
         owner_incarnation_poll_failed(target);
     }
--- a/tests/test_restarts.c
+++ b/tests/test_restarts.c
@@ -19,7 +19,12 @@
     STARTS_TRIED = 12,
     /* For a task that crashes workers: three crash, and the task may be
      * started twice more. */
-    STARTS_MAX = 5
+    STARTS_MAX = 5,
+    /* The platform carries an order out at most this long after it was sent.
+     */
+    ORDER_LATE_MAX_MS = 12000,
+    LEASE_MS = 6000,
+    HELD_UP_MS = 700
 };
 
 static const struct cw_step_spec one = {.tasks = 1, .accelerators = 4};
@@ -45,14 +50,22 @@
     CU_ASSERT_EQUAL_FATAL(last_order.kind, CW_ORDER_POLL);
 }
 
-/* Answers the last order, a poll; NULL is an empty list. */
+/* Reading of the worker's clock, which runs as fast as this VM's. */
+static int64_t
+worker_clock_ms(struct timespec now)
+{
+    return cw_time_diff_ms(cw_time_from_ms(START_MS), now) + 1;
+}
+
+/* Answers the last order, a poll, with a reading of the worker's clock; NULL
+ * is an empty list. */
 static void
-answer_poll(int64_t boot_ms, const struct cw_running *running,
-            const struct cw_ended *ended)
+answer_poll_at(int64_t clock_ms, int64_t boot_ms,
+               const struct cw_running *running, const struct cw_ended *ended)
 {
     const struct cw_target_answer answer = {
         .status = CW_TARGET_OK,
-        .clock_ms = 1,
+        .clock_ms = clock_ms,
         .boot_ms = boot_ms,
         .running = running,
         .running_count = running != NULL,
@@ -64,6 +77,27 @@
     last_order.done(last_order.context, &answer);
 }
 
+static void
+answer_poll(const struct cluster *cluster, int64_t boot_ms,
+            const struct cw_running *running, const struct cw_ended *ended)
+{
+    answer_poll_at(worker_clock_ms(cluster->clock.now), boot_ms, running,
+                   ended);
+}
+
+/* Lets time pass until the answer to the last order, a poll, arrives that the
+ * first incarnation has given before. */
+static void
+answer_poll_late(struct cluster *cluster, unsigned ms,
+                 const struct cw_ended *ended)
+{
+    int64_t clock_ms = worker_clock_ms(cluster->clock.now);
+
+    cluster->clock.now = cw_time_add_ms(cluster->clock.now, ms);
+    cluster->owner->ownership_confirmed_at = cluster->clock.now;
+    answer_poll_at(clock_ms, FIRST_BOOT_MS, NULL, ended);
+}
+
 /* Marks the applied ends as stored. */
 static void
 store_ends(struct owner_target *target)
@@ -105,12 +139,12 @@
     struct cw_ended ended = end_of(job, number);
 
     await_poll(cluster, target);
-    answer_poll(boot_ms, NULL, &ended);
+    answer_poll(cluster, boot_ms, NULL, &ended);
     CU_ASSERT_EQUAL(job->phase, CW_WORK_COMPLETED);
     store_ends(target);
     await_poll(cluster, target);
     CU_ASSERT_EQUAL(last_order.acked, number);
-    answer_poll(boot_ms, NULL, NULL);
+    answer_poll(cluster, boot_ms, NULL, NULL);
 }
 
 /* Polls are not answered for a while before the next incarnation answers. */
@@ -130,7 +164,7 @@
     answer_last(CW_TARGET_UNKNOWN);
     await_poll(&cluster, target);
     CU_ASSERT_EQUAL(last_order.acked, 0);
-    answer_poll(FIRST_BOOT_MS + 1, NULL, NULL);
+    answer_poll(&cluster, FIRST_BOOT_MS + 1, NULL, NULL);
     job = add_job(&cluster, 0, &one);
     owner_run_create(cluster.owner, &step_of(job)->tasks[0], target, RUN_NEW,
                      1);
@@ -138,7 +172,7 @@
     await_poll(&cluster, target);
     CU_ASSERT_EQUAL(last_order.acked, 0);
     ended = end_of(job, 1);
-    answer_poll(FIRST_BOOT_MS + 1, NULL, &ended);
+    answer_poll(&cluster, FIRST_BOOT_MS + 1, NULL, &ended);
     CU_ASSERT_EQUAL(job->phase, CW_WORK_COMPLETED);
     cluster_end(&cluster);
 }
@@ -166,6 +200,41 @@
     cluster_end(&cluster);
 }
 
+/* Guards against a task that runs twice: an answer of the former incarnation
+ * is held up while the worker restarts.  If the next poll confirmed the end in
+ * it, the next incarnation would discard ends of its own, and their tasks
+ * would be started again. */
+static void
+test_end_in_answer_that_was_held_up_is_not_confirmed(void)
+{
+    struct cluster cluster;
+    struct owner_job *job;
+    struct owner_target *target;
+    struct cw_ended ended;
+
+    cluster_begin(&cluster);
+    job = add_job(&cluster, 0, &one);
+    target = start_job(&cluster, job);
+    await_poll(&cluster, target);
+    answer_poll(&cluster, FIRST_BOOT_MS, NULL, NULL);
+    job = add_job(&cluster, 0, &one);
+    owner_run_create(cluster.owner, &step_of(job)->tasks[0], target, RUN_NEW,
+                     1);
+    confirm_starts(&cluster, job);
+    await_poll(&cluster, target);
+    ended = end_of(job, 1);
+    answer_poll_late(&cluster, HELD_UP_MS, &ended);
+    CU_ASSERT_EQUAL(job->phase, CW_WORK_COMPLETED);
+    store_ends(target);
+    await_poll(&cluster, target);
+    CU_ASSERT_EQUAL(last_order.acked, 0);
+    CU_ASSERT_EQUAL(last_order.wait_ms, 0);
+    answer_poll(&cluster, FIRST_BOOT_MS, NULL, &ended);
+    await_poll(&cluster, target);
+    CU_ASSERT_EQUAL(last_order.acked, 1);
+    cluster_end(&cluster);
+}
+
 /* Polls the worker until it answers as a new incarnation without runs. */
 static void
 crash_and_answer(struct cluster *cluster, struct owner_target *target,
@@ -174,7 +243,7 @@
     await_poll(cluster, target);
     answer_last(CW_TARGET_UNKNOWN);
     await_poll(cluster, target);
-    answer_poll(boot_ms, NULL, NULL);
+    answer_poll(cluster, boot_ms, NULL, NULL);
 }
 
 /* Polls each worker once, so that its first incarnation is known. */
@@ -190,7 +259,7 @@
 
         target->answered = false;
         await_poll(cluster, target);
-        answer_poll(FIRST_BOOT_MS, NULL, NULL);
+        answer_poll(cluster, FIRST_BOOT_MS, NULL, NULL);
     }
 }
 
@@ -276,7 +345,7 @@
     target = owner_target_get(cluster->owner, "w00");
     target->answered = false;
     await_poll(cluster, target);
-    answer_poll(FIRST_BOOT_MS, NULL, NULL);
+    answer_poll(cluster, FIRST_BOOT_MS, NULL, NULL);
     return target;
 }
 
@@ -307,7 +376,7 @@
     tick(&cluster, target, 100); /* the pause between two attempts is over */
     CU_ASSERT_EQUAL(target->orders_in_flight, 0);
     await_poll(&cluster, target);
-    answer_poll(FIRST_BOOT_MS + 1, NULL, NULL);
+    answer_poll(&cluster, FIRST_BOOT_MS + 1, NULL, NULL);
     tick(&cluster, target, 1);
     CU_ASSERT_EQUAL(target->orders_in_flight, 1);
     CU_ASSERT_EQUAL(run->phase, RUN_STARTING);
@@ -349,7 +418,7 @@
     run->stop_confirmed = true;
     run->stop_confirmed_at = cluster.clock.now;
     await_poll(&cluster, target);
-    answer_poll(FIRST_BOOT_MS + 1, NULL, NULL);
+    answer_poll(&cluster, FIRST_BOOT_MS + 1, NULL, NULL);
     CU_ASSERT_PTR_NOT_NULL(step_of(job)->tasks[0].run);
     CU_ASSERT_FALSE(run->stop_confirmed);
     cluster_end(&cluster);
@@ -366,7 +435,7 @@
 
     answer_start();
     await_poll(&cluster, target);
-    answer_poll(FIRST_BOOT_MS + 1, &listed, NULL);
+    answer_poll(&cluster, FIRST_BOOT_MS + 1, &listed, NULL);
     CU_ASSERT_PTR_EQUAL(step_of(job)->tasks[0].run, run);
     CU_ASSERT_EQUAL(step_of(job)->tasks[0].suspicion, 0);
     cluster_end(&cluster);
@@ -398,9 +467,9 @@
     run->unanswered = 1;
     answer_start();
     await_poll(&cluster, target);
-    answer_poll(FIRST_BOOT_MS, &listed, NULL);
+    answer_poll(&cluster, FIRST_BOOT_MS, &listed, NULL);
     await_poll(&cluster, target);
-    answer_poll(FIRST_BOOT_MS + 1, NULL, NULL);
+    answer_poll(&cluster, FIRST_BOOT_MS + 1, NULL, NULL);
     CU_ASSERT_EQUAL(placed(job), 0);
     CU_ASSERT_EQUAL(stops_queued(target), 1);
     cluster_end(&cluster);
@@ -424,7 +493,7 @@
     CU_ASSERT_EQUAL(target->orders_in_flight,
                     0); /* the poll has to be answered first */
     await_poll(&cluster, target);
-    answer_poll(FIRST_BOOT_MS + 1, NULL, NULL);
+    answer_poll(&cluster, FIRST_BOOT_MS + 1, NULL, NULL);
     tick(&cluster, target, 10);
     CU_ASSERT_TRUE(run->stopping);
     cluster_end(&cluster);
@@ -443,9 +512,9 @@
 
     answer_start();
     await_poll(&cluster, target);
-    answer_poll(FIRST_BOOT_MS, &listed, NULL);
+    answer_poll(&cluster, FIRST_BOOT_MS, &listed, NULL);
     await_poll(&cluster, target);
-    answer_poll(FIRST_BOOT_MS, &listed, NULL);
+    answer_poll(&cluster, FIRST_BOOT_MS, &listed, NULL);
     await_poll(&cluster, target);
     answer_last(CW_TARGET_UNKNOWN);
     CU_ASSERT_EQUAL(placed(job), 1);
@@ -455,6 +524,120 @@
     cluster_end(&cluster);
 }
 
+/* Lets time pass in which the worker answers nothing. */
+static void
+pass_silently(struct cluster *cluster, struct owner_target *target,
+              unsigned ms)
+{
+    for (unsigned passed = 0; passed < ms; passed += 10) {
+        tick(cluster, target, 10);
+        lose_answers();
+    }
+}
+
+/* Sends a start of a job to a worker that answers nothing from then on and
+ * reports its next incarnation to the store `report_after_ms` later.  Checks
+ * that the task keeps its run while that incarnation may begin it. */
+static void
+check_start_to_reported_incarnation(unsigned report_after_ms)
+{
+    struct cluster cluster;
+    struct owner_target *target = first_worker(&cluster);
+    struct owner_job *job = add_job(&cluster, 0, &one);
+
+    send_start(&cluster, target, job);
+    pass_silently(&cluster, target, report_after_ms);
+    owner_incarnation_reported(target, FIRST_BOOT_MS + 1);
+    pass_silently(&cluster, target,
+                  ORDER_LATE_MAX_MS + LEASE_MS - report_after_ms);
+    CU_ASSERT_EQUAL(placed(job), 1);
+    pass_silently(&cluster, target, 3000);
+    CU_ASSERT_EQUAL(placed(job), 0);
+    cluster_end(&cluster);
+}
+
+/* Guards against a task that runs twice: a start that was sent to the next
+ * incarnation before the owner had read of it is held up by a cut of the link
+ * for longer than a lease.  The incarnation, whose clock is behind, carries it
+ * out when the link is back, while the task runs elsewhere or is done. */
+static void
+test_start_held_up_to_next_incarnation_is_awaited(void)
+{
+    check_start_to_reported_incarnation(0);
+    check_start_to_reported_incarnation(3000);
+}
+
+/* A start that was sent before the next incarnation is reported cannot reach
+ * it late if the former incarnation has confirmed its stop. */
+static void
+test_stopped_start_is_not_awaited(void)
+{
+    struct cluster cluster;
+    struct owner_target *target = first_worker(&cluster);
+    struct owner_job *job = add_job(&cluster, 0, &one);
+    struct owner_run *run = send_start(&cluster, target, job);
+
+    lose_answers();
+    owner_run_stop(cluster.owner, run);
+    run->stop_queued = false;
+    run->stop_confirmed = true;
+    owner_incarnation_reported(target, FIRST_BOOT_MS + 1);
+    pass_silently(&cluster, target, LEASE_MS + 2000);
+    CU_ASSERT_EQUAL(placed(job), 0);
+    cluster_end(&cluster);
+}
+
+/* Queues a start of the job on a worker that has just reported its next
+ * incarnation, and checks that it is not sent. */
+static struct owner_run *
+report_before_start(struct cluster *cluster, struct owner_target *target,
+                    struct owner_job *job)
+{
+    struct owner_task *task = &step_of(job)->tasks[0];
+    struct cw_task_name name = owner_task_name(task);
+    struct owner_run *run =
+        owner_run_create(cluster->owner, task, target, RUN_READY, 1);
+
+    owner_incarnation_reported(target, FIRST_BOOT_MS + 1);
+    owner_order_queue(cluster->owner, target, CW_ORDER_START, &name, 1);
+    tick(cluster, target, 10);
+    CU_ASSERT_EQUAL(run->phase, RUN_READY);
+    return run;
+}
+
+/* Guards against a task that runs twice: a start for the former incarnation is
+ * sent although the worker has reported the next one. */
+static void
+test_start_waits_for_answer_of_reported_incarnation(void)
+{
+    struct cluster cluster;
+    struct owner_target *target = first_worker(&cluster);
+    struct owner_run *run =
+        report_before_start(&cluster, target, add_job(&cluster, 0, &one));
+
+    await_poll(&cluster, target);
+    answer_poll(&cluster, FIRST_BOOT_MS + 1, NULL, NULL);
+    tick(&cluster, target, 10);
+    CU_ASSERT_EQUAL(run->phase, RUN_STARTING);
+    cluster_end(&cluster);
+}
+
+/* A report may name a boot time that no incarnation has. */
+static void
+test_start_waits_for_one_answer_after_wrong_report(void)
+{
+    struct cluster cluster;
+    struct owner_target *target = first_worker(&cluster);
+    struct owner_run *run =
+        report_before_start(&cluster, target, add_job(&cluster, 0, &one));
+
+    await_poll(&cluster, target);
+    answer_poll(&cluster, FIRST_BOOT_MS, NULL, NULL);
+    tick(&cluster, target, 10);
+    CU_ASSERT_EQUAL(run->phase, RUN_STARTING);
+    cluster_end(&cluster);
+}
+
 /* ---- takeover ---- */
 
 /* A job restored from the state of another owner, with a run on the first
@@ -491,7 +674,7 @@
     target->answered = false;
     target->lease_end = cw_time_add_ms(cluster->clock.now, 10000);
     await_poll(cluster, target);
-    answer_poll(boot_ms, NULL, NULL);
+    answer_poll(cluster, boot_ms, NULL, NULL);
 }
 
 static void
@@ -526,6 +709,7 @@
 static const struct test tests[] = {
     {"ends of next incarnation", test_ends_of_next_incarnation_are_received},
     {"unknown incarnation", test_end_is_not_confirmed_to_unknown_incarnation},
+    {"answer held up", test_end_in_answer_that_was_held_up_is_not_confirmed},
     {"crash counts", test_crash_under_same_id_counts},
     {"start waits", test_start_is_not_resent_before_poll_is_answered},
     {"unsent start", test_unsent_start_is_placed_elsewhere},
@@ -535,6 +719,11 @@
     {"at-most-once start",
      test_at_most_once_start_is_not_sent_to_next_incarnation},
     {"report", test_report_of_next_incarnation_ends_wait},
+    {"start held up", test_start_held_up_to_next_incarnation_is_awaited},
+    {"stopped start", test_stopped_start_is_not_awaited},
+    {"start after report",
+     test_start_waits_for_answer_of_reported_incarnation},
+    {"wrong report", test_start_waits_for_one_answer_after_wrong_report},
     {"takeover", test_new_owner_detects_crash_of_worker},
     {"at-most-once",
      test_at_most_once_job_of_former_incarnation_is_not_begun_again},
