--- a/src/owner/internal/owner_leases.h
+++ b/src/owner/internal/owner_leases.h
@@ -79,6 +79,11 @@
 void owner_lease_raise(struct owner_target *target, struct timespec end,
                        enum owner_lease_source source);
 
+/* Raises the bound that applies to runs that the next incarnation may execute.
+ */
+void owner_lease_raise_outer(struct owner_target *target, struct timespec end,
+                             enum owner_lease_source source);
+
 /* Lowers the bounds on the worker's lease, which ends at `end` at the latest.
  */
 void owner_lease_lower(struct owner_target *target, struct timespec end,
--- a/src/owner/owner_incarnations.c
+++ b/src/owner/owner_incarnations.c
@@ -168,8 +168,9 @@
         const struct owner_run *run = target->runs->pdata[i];
 
         if (may_begin_late(run)) {
-            owner_lease_raise(target, cw_time_add_ms(run->sent_at, late_ms),
-                              OWNER_LEASE_INCARNATION);
+            owner_lease_raise_outer(target,
+                                    cw_time_add_ms(run->sent_at, late_ms),
+                                    OWNER_LEASE_INCARNATION);
         }
     }
 }
--- a/src/owner/owner_leases.c
+++ b/src/owner/owner_leases.c
@@ -75,11 +75,9 @@
     return MIN(owner->options.lease_ms, LONG_LEASE_MS);
 }
 
-/* Raises the bound that applies to runs that may be executed by the next
- * incarnation. */
-static void
-raise_outer_bound(struct owner_target *target, struct timespec end,
-                  enum owner_lease_source source)
+void
+owner_lease_raise_outer(struct owner_target *target, struct timespec end,
+                        enum owner_lease_source source)
 {
     if (cw_time_before(target->lease_end, end)) {
         target->lease_end = end;
@@ -109,7 +107,7 @@
 owner_lease_raise(struct owner_target *target, struct timespec end,
                   enum owner_lease_source source)
 {
-    raise_outer_bound(target, end, source);
+    owner_lease_raise_outer(target, end, source);
     raise_incarnation_bound(target, end);
 }
 
@@ -275,8 +273,9 @@
         raise_incarnation_bound(target,
                                 cw_time_add_ms(now, max_duration_ms(left_ms)));
     }
-    raise_outer_bound(target, cw_time_add_ms(now, max_duration_ms(outer_ms)),
-                      OWNER_LEASE_OWN);
+    owner_lease_raise_outer(target,
+                            cw_time_add_ms(now, max_duration_ms(outer_ms)),
+                            OWNER_LEASE_OWN);
     return target->incarnation.lease_sent_ms;
 }
 
