A gang does not wait for a silent worker whose run is proved over

All its members but one had ended; the last one was on a worker that did not answer, and the owner waited for the end of its lease.

Cause: the owner used the end of a member only for that member, and to stop the others. But a member ends as `broken` because another one has ended. If all members but one are heard to have ended so, the other one was the first.

Change: owner_gang_ends.c counts the members of a gang's run that were heard as broken. Once one run is left and its worker does not answer, the run is lost with reason=gang_broken, and the gang is placed by the next pass. It proves nothing unless each member ended at most once: one start, sent by this owner, confirmed where it was sent; nor after a stop of the gang, nor if the worker lists the run as running in answer to a later poll. Other kinds of ends, lost members, members that were not heard and runs of earlier owners leave the count short. At-most-once jobs are excluded. The crash of the worker is suspected as before (owner_crashes_collect).

The unheard end may be a failure, and counts as an attempt if it is listed before the lease has lapsed (rule BUDGET). So the proof is used only if an attempt is left, such a failure is counted when it is listed, and until it can't be listed any more it counts as a possible one. The stored state keeps it in the field `failures` of the gang's task, which was always 0 for gangs; owners of an earlier state ignore it.

--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -15,6 +15,7 @@
 #include "curlewcart/cw_xdr.h"
 #include "owner/internal/owner_due.h"
 #include "owner/internal/owner_epochs.h"
+#include "owner/internal/owner_gang_ends.h"
 #include "owner/internal/owner_idle.h"
 #include "owner/internal/owner_leases.h"
 #include "owner/internal/owner_incarnations.h"
@@ -63,7 +64,11 @@
     struct timespec progress_at;
     struct timespec saved_at; /* newest known checkpoint */
     unsigned percent;
-    unsigned unanswered; /* starts without an answer */
+    unsigned unanswered;  /* starts without an answer */
+    unsigned starts_sent; /* by this owner */
+    /* The ends of other members of its gang prove nothing about it;
+     * owner_gang_ends.c. */
+    bool gang_end_doubtful;
     /* owner_speed.c: percent per second over the last window */
     struct timespec window_at;
     unsigned window_percent;
@@ -83,6 +88,12 @@
     /* A suspect task is not placed before this time. */
     struct timespec delayed_until;
     struct timespec idle_since; /* its last running run was removed */
+    /* Of a gang: number of a run that is over, but whose end was not heard; 0:
+     * none.  Its worker (NULL: not known to this owner), and when the worker's
+     * lease is over; owner_gang_ends.c. */
+    unsigned unheard_run;
+    const struct owner_target *unheard_on;
+    struct timespec unheard_until;
     bool done;
     char *saved;           /* newest checkpoint, or NULL */
     struct owner_run *run; /* or NULL */
@@ -112,6 +123,7 @@
     /* Highest number of a run of the gang that certainly did no work, as a
      * member was not started. */
     unsigned unstarted_run_max;
+    struct owner_gang_ends gang_ends;
 };
 
 /* A worker that has confirmed runs of a job, and how many. */
@@ -215,7 +227,11 @@
     bool lease_note_queued;        /* it is in the owner's lease_notes_due */
     bool ends_new;                 /* it is in the owner's ends_new */
     GPtrArray *tombstones;         /* owner_tombstones.c */
-    GQueue orders;                 /* struct owner_order */
+    bool awaits_ends; /* runs here are over without a heard end; since when,
+                         and when the lease is over */
+    struct timespec ends_awaited_since;
+    struct timespec ends_awaited_until;
+    GQueue orders; /* struct owner_order */
     unsigned orders_in_flight;
     GPtrArray *runs;              /* struct owner_run */
     unsigned lower_priority_runs; /* number of runs of lower-priority work */
@@ -329,6 +345,9 @@
     bool borrowing_headroom;     /* runs are placed in reserved headroom */
     struct owner_order_window order_window;
     struct timespec cordons_read_due; /* owner_cordons.c */
+    /* Until then ends may be listed that an earlier owner has not heard; 0:
+     * none. */
+    struct timespec ends_awaited_until;
     uint64_t capacity_version; /* incremented when capacity may be freed */
     GHashTable *racks;         /* interned name -> number, from 1 */
     /* unsigned, by rack number: its workers with lower-priority work. */
--- a/src/owner/owner.c
+++ b/src/owner/owner.c
@@ -484,6 +484,7 @@
     cw_time_set_earlier(&next, owner_orders_send(owner, target, now));
     cw_time_set_earlier(&next, owner_poll_tick(owner, target, now));
     cw_time_set_earlier(&next, owner_lease_note_tick(owner, target, now));
+    cw_time_set_earlier(&next, owner_gang_ends_tick(target, now));
     return next;
 }
 
@@ -531,6 +532,7 @@
         owner_job_check_deadline(owner, value, now);
         owner_job_open_due(owner, value, now);
     }
+    owner_gang_ends_check_inherited(owner, now);
     owner_residency_enforce(owner);
     owner_idle_tick(owner, now);
 }
--- a/src/owner/owner_crashes.c
+++ b/src/owner/owner_crashes.c
@@ -463,7 +463,7 @@
             return true;
         }
     }
-    return false;
+    return owner_gang_ends_delay(step, now);
 }
 
 unsigned
--- a/src/owner/owner_idle.c
+++ b/src/owner/owner_idle.c
@@ -179,6 +179,9 @@
     if (run != NULL) {
         return owner_run_phase_name(run->phase);
     }
+    if (owner_gang_ends_delay(step, now)) {
+        return "unheard_end";
+    }
     if (owner_step_is_delayed(step, now)) {
         return "suspect";
     }
--- a/src/owner/owner_orders.c
+++ b/src/owner/owner_orders.c
@@ -433,6 +433,7 @@
         run->phase = RUN_STARTING;
         run->boot_ms = target->incarnation.boot_ms;
         run->sent_at = now;
+        run->starts_sent++;
         cw_count_add(owner->options.counters, CW_COUNT_STARTS, 1);
         cw_time_set_earlier(&target->poll_due, now);
     }
--- a/src/owner/owner_polls.c
+++ b/src/owner/owner_polls.c
@@ -264,6 +264,7 @@
             find_listed_run(owner, target, &answer->running[i]);
 
         if (run != NULL) {
+            owner_gang_ends_listed(run, sent);
             apply_progress(run, &answer->running[i], now);
             /* May stop the run's gang, but drops no run that was sent. */
             owner_speed_observe(owner, run, answer->running[i].percent, now);
@@ -284,6 +285,7 @@
         }
     }
     if (answer->ended_count < ENDS_LISTED_MAX) {
+        owner_gang_ends_all_listed(target, sent);
         drop_absent(owner, target, answer, sent);
     }
     if (had_orphans && !has_orphans(target)) {
@@ -397,6 +399,7 @@
     target->unanswered_polls++;
     target->poll_due = cw_time_add_ms(now, POLL_RETRY_MS);
     owner_incarnation_poll_failed(target);
+    owner_gang_ends_check_silent(target->owner, target);
     if (target->unanswered_polls == GIVE_UP_AFTER_POLLS) {
         owner_unsent_runs_give_up(target->owner, target,
                                   log_placement_abandoned);
--- a/src/owner/owner_runs.c
+++ b/src/owner/owner_runs.c
@@ -445,6 +445,10 @@
         if (task != NULL && ended->how == CW_END_KIND_DONE) {
             owner_task_done_late(owner, task);
         }
+        else if (task != NULL &&
+                 owner_gang_ends_heard_late(owner, task, ended)) {
+            task_failed(owner, task, ended);
+        }
         return;
     }
     step = task->step;
@@ -469,8 +473,10 @@
                                     ended->how != CW_END_KIND_GANG_INCOMPLETE,
                                     job_result_of(ended->how));
     }
+    owner_gang_ends_heard(run, ended->how);
     owner_run_drop(owner, run);
     if (step->spec->gang && !step->done) {
         owner_step_stop(owner, step);
+        owner_gang_ends_check(owner, step);
     }
 }
--- a/src/owner/owner_state.c
+++ b/src/owner/owner_state.c
@@ -15,7 +15,12 @@
              struct owner_task *task, const struct cw_task_record *stored)
 {
     task->last_run = stored->run;
-    task->failures = stored->failures;
+    if (task->step->spec->gang) {
+        owner_gang_ends_restore(owner, task, stored->failures);
+    }
+    else {
+        task->failures = stored->failures;
+    }
     if (stored->saved[0] != '\0') {
         task->saved = g_strdup(stored->saved);
     }
@@ -153,7 +158,8 @@
     const struct owner_run *run = task->run;
 
     out->run = task->last_run;
-    out->failures = task->failures;
+    out->failures =
+        task->step->spec->gang ? task->unheard_run : task->failures;
     out->done = task->done;
     out->saved = task->saved != NULL ? task->saved : (char *)"";
     if (run != NULL && run->phase != RUN_RESERVED) {
--- a/src/proto/cw_proto.x
+++ b/src/proto/cw_proto.x
@@ -113,7 +113,9 @@
     unsigned int worker;             /* 1 + index into the record's `workers`;
                                         0: no run can be in progress */
     unsigned int run;                /* highest run number used */
-    unsigned int failures;
+    unsigned int failures;           /* of a gang's task: number of a run that
+                                        is over and whose end was not heard;
+                                        0: none */
     bool done;
     string saved<CW_SAVED_MAX>;
 };
