Only one crash of a worker is counted in full for each run of a gang

Cause: all members of a gang end with the first. A member that had ended so, on a worker that did not answer and crashed later, was suspected in full of that crash, though its own run may have been over by then. Two such crashes are enough to give a job up.

Change: once a member of a run has ended or was lost, the crash of another member's worker counts as if it only had been there, unless the ends of all others show that it was the first to end.

Why it works: a task that crashes its workers ends first in each run, and its suspicion is as before.

--- a/src/owner/internal/owner_gang_ends.h
+++ b/src/owner/internal/owner_gang_ends.h
@@ -19,12 +19,22 @@
     unsigned broken;          /* members that ended because another had */
     struct timespec heard_at; /* when the first of them was heard */
     bool stopped_before;      /* a stop had been requested before */
+    unsigned over_run; /* number of the last run of which a member has ended or
+                          was lost */
+    unsigned heard_broken; /* members of that run that ended as broken */
 };
 
 /* Records a member's end that its worker has listed; to be called before the
  * run is dropped. */
 void owner_gang_ends_heard(struct owner_run *run, enum cw_end_kind how);
 
+/* Records that a run is lost; to be called before it is dropped. */
+void owner_gang_ends_lost(struct owner_run *run);
+
+/* True if the run may have been the first of its gang to end, as far as ends
+ * were heard; always true for other runs. */
+bool owner_gang_ends_may_be_first(const struct owner_run *run);
+
 /* Processes a run that a worker lists as running, in the answer to a poll that
  * was sent at `sent`; to be called before the list is applied to the run. */
 void owner_gang_ends_listed(struct owner_run *run, struct timespec sent);
--- a/src/owner/owner_crashes.c
+++ b/src/owner/owner_crashes.c
@@ -12,7 +12,8 @@
  * if the task had just been started there, showed no progress, and no task of
  * another job was in the same state.  A task that crashes its workers as it
  * starts is given up after two or three crashes, and never after one; a task
- * that only ran there, after four.
+ * that only ran there, after four.  All members of a gang end with the first
+ * one, so only one crash can have been caused by each of its runs.
  *
  * A worker that is unresponsive until its lease is over has either crashed or
  * is cut off from this VM.  That is resolved when it answers again, or when
@@ -173,7 +174,9 @@
     {
         return SUSPICION_MASS_CRASH;
     }
-    if (run->phase != RUN_RUNNING || !shows_no_progress(run)) {
+    if (run->phase != RUN_RUNNING || !shows_no_progress(run) ||
+        !owner_gang_ends_may_be_first(run))
+    {
         return SUSPICION_PRESENT;
     }
     return is_sole_possible_cause(run) ? SUSPICION_SOLE_CAUSE
--- a/src/owner/owner_gang_ends.c
+++ b/src/owner/owner_gang_ends.c
@@ -226,27 +226,62 @@
     }
 }
 
+static void
+mark_over(struct owner_run *run)
+{
+    struct owner_gang_ends *ends = &run->task->step->gang_ends;
+
+    if (ends->over_run != run->number) {
+        ends->over_run = run->number;
+        ends->heard_broken = 0;
+    }
+}
+
 void
 owner_gang_ends_heard(struct owner_run *run, enum cw_end_kind how)
 {
     struct owner_step *step = run->task->step;
     struct owner_gang_ends *ends = &step->gang_ends;
 
-    if (!step->spec->gang || how != CW_END_KIND_GANG_BROKEN ||
-        !began_at_most_once(run))
-    {
+    if (!step->spec->gang) {
+        return;
+    }
+    mark_over(run);
+    if (how != CW_END_KIND_GANG_BROKEN) {
+        return;
+    }
+    ends->heard_broken++;
+    if (!began_at_most_once(run)) {
         return;
     }
     if (ends->run != run->number) {
-        *ends = (struct owner_gang_ends){
-            .run = run->number,
-            .heard_at = owner_now(run->target->owner),
-            .stopped_before = any_member_is_stopping(step)};
+        ends->run = run->number;
+        ends->broken = 0;
+        ends->heard_at = owner_now(run->target->owner);
+        ends->stopped_before = any_member_is_stopping(step);
     }
     ends->broken++;
     mark_runs_beside(run);
 }
 
+void
+owner_gang_ends_lost(struct owner_run *run)
+{
+    if (run->task->step->spec->gang) {
+        mark_over(run);
+    }
+}
+
+bool
+owner_gang_ends_may_be_first(const struct owner_run *run)
+{
+    const struct owner_step *step = run->task->step;
+    const struct owner_gang_ends *ends = &step->gang_ends;
+
+    return !step->spec->gang || ends->over_run != run->number ||
+           ends->heard_broken == step->count - 1;
+}
+
 void
 owner_gang_ends_listed(struct owner_run *run, struct timespec sent)
 {
--- a/src/owner/owner_runs.c
+++ b/src/owner/owner_runs.c
@@ -188,6 +188,7 @@
         owner_task_job(task)->idle.cause = OWNER_IDLE_LOST;
     }
     task->lost_runs++;
+    owner_gang_ends_lost(run);
     owner_at_most_once_run_over(owner, run, worked, CW_END_WORKER_LOST);
     owner_run_drop(owner, run);
     if (step->spec->gang && !gang_done && !step->done) {
--- a/tests/test_gang_ends.c
+++ b/tests/test_gang_ends.c
@@ -865,6 +865,52 @@
     gang_end(&gang);
 }
 
+static void
+crash_worker_of(struct gang *gang, unsigned member)
+{
+    gang->workers[member]->superseded = true;
+    owner_target_lost(gang->cluster.owner, gang->workers[member],
+                      "other_life");
+}
+
+/* Guards against a job that is given up as workers crash on which its members
+ * had ended before: with the first one, whose worker had crashed. */
+static void
+test_only_one_crash_is_caused_by_run_of_gang(void)
+{
+    struct gang gang;
+
+    gang_begin(&gang);
+    crash_worker_of(&gang, 0);
+    crash_worker_of(&gang, 1);
+    CU_ASSERT_EQUAL(task_of(&gang, 0)->suspicion, 6);
+    CU_ASSERT_EQUAL(task_of(&gang, 1)->suspicion, 3);
+    gang_end(&gang);
+
+    gang_begin(&gang);
+    list_end(&gang, 0, 1, CW_END_KIND_GANG_BROKEN);
+    crash_worker_of(&gang, SILENT);
+    CU_ASSERT_EQUAL(task_of(&gang, SILENT)->suspicion, 3);
+    gang_end(&gang);
+}
+
+/* Guards against a member that crashes its workers and is not given up. */
+static void
+test_first_member_to_end_is_suspected(void)
+{
+    struct gang gang;
+
+    gang_begin(&gang);
+    break_others(&gang);
+    crash_worker_of(&gang, SILENT);
+    CU_ASSERT_EQUAL(task_of(&gang, SILENT)->suspicion, 6);
+    CU_ASSERT_TRUE(placed_again(&gang));
+    start_members(&gang);
+    crash_worker_of(&gang, 0);
+    CU_ASSERT_EQUAL(task_of(&gang, 0)->suspicion, 6);
+    gang_end(&gang);
+}
+
 static const struct test tests[] = {
     {"one unheard", test_gang_with_one_unheard_member_is_placed_at_once},
     {"silent later", test_gang_is_placed_once_worker_is_silent},
@@ -899,6 +945,8 @@
     {"inherited end", test_inherited_unheard_end_is_awaited_for_limited_time},
     {"stored", test_unheard_end_is_stored},
     {"crash", test_crash_of_silent_worker_is_suspected},
+    {"two crashes", test_only_one_crash_is_caused_by_run_of_gang},
+    {"first member", test_first_member_to_end_is_suspected},
 };
 
 TEST_MAIN("gang ends", tests)
