Emulator: a gang breaks with a member that lapses or crashes

Cause: the emulated workers ended the other members of a gang as broken when a member was stopped or failed, but not when its worker's lease expired or the worker crashed: the others continued without it. PROTOCOL.md: "broken (another member ended)", and the members work only together.

Change: both end the other members as broken, on all workers, whether an owner reaches them or not.

--- a/emulator/worker_model.c
+++ b/emulator/worker_model.c
@@ -375,28 +375,6 @@
     listener->ended(listener->context, worker->id, &end->task, end->run, how);
 }
 
-static void
-expire_all_runs(struct worker_model *worker)
-{
-    while (worker->runs->len > 0) {
-        end_run(worker, worker->runs->pdata[0], CW_END_KIND_LEASE_EXPIRED);
-    }
-}
-
-void
-worker_model_crash(struct worker_model *worker)
-{
-    struct worker_listener *listener = &worker->fleet->listener;
-
-    for (guint i = 0; i < worker->runs->len; i++) {
-        const struct model_run *run = worker->runs->pdata[i];
-
-        listener->crashed(listener->context, worker->id, &run->task);
-    }
-    worker->is_down = true;
-    expire_all_runs(worker);
-}
-
 /* ---- gangs ---- */
 
 static bool
@@ -462,6 +440,56 @@
     g_free(job);
 }
 
+/* Returns copies of the worker's runs that are members of gangs. */
+static GPtrArray *
+copy_gang_runs(const struct worker_model *worker)
+{
+    GPtrArray *copies = g_ptr_array_new_with_free_func(run_free);
+
+    for (guint i = 0; i < worker->runs->len; i++) {
+        const struct model_run *run = worker->runs->pdata[i];
+
+        if (run->plan.members > 0) {
+            struct model_run *copy = g_new0(struct model_run, 1);
+
+            *copy = *run;
+            copy->job = g_strdup(run->job);
+            copy->task.job = copy->job;
+            g_ptr_array_add(copies, copy);
+        }
+    }
+    return copies;
+}
+
+/* Ends all runs of the worker, and the members of their gangs elsewhere. */
+static void
+expire_all_runs(struct worker_model *worker)
+{
+    GPtrArray *gang_runs = copy_gang_runs(worker);
+
+    while (worker->runs->len > 0) {
+        end_run(worker, worker->runs->pdata[0], CW_END_KIND_LEASE_EXPIRED);
+    }
+    for (guint i = 0; i < gang_runs->len; i++) {
+        end_gang(worker->fleet, gang_runs->pdata[i], CW_END_KIND_GANG_BROKEN);
+    }
+    g_ptr_array_unref(gang_runs);
+}
+
+void
+worker_model_crash(struct worker_model *worker)
+{
+    struct worker_listener *listener = &worker->fleet->listener;
+
+    for (guint i = 0; i < worker->runs->len; i++) {
+        const struct model_run *run = worker->runs->pdata[i];
+
+        listener->crashed(listener->context, worker->id, &run->task);
+    }
+    worker->is_down = true;
+    expire_all_runs(worker);
+}
+
 /* ---- time ---- */
 
 /* Advances a run; true if it has ended. */
