--- a/tests/test_owner_logs.c
+++ b/tests/test_owner_logs.c
@@ -39,6 +39,13 @@
     CU_ASSERT_EQUAL(last_order.kind, CW_ORDER_POLL);
 }
 
+/* The worker's clock, which equals the VM's. */
+static int64_t
+clock_ms(const struct cluster *cluster)
+{
+    return cw_time_diff_ms(cw_time_from_ms(0), cluster->clock.now);
+}
+
 /* Polls the run's worker, which lists it late, and answers nothing after that
  * until its lease is over.  Returns the lines that are logged then. */
 static char *
@@ -51,8 +58,12 @@
         .status = CW_TARGET_OK, .running = &row, .running_count = 1};
     struct log_capture capture;
 
+    /* With a known clock, the answer counts from when the worker gave it. */
+    (void)owner_incarnation_answer_given(
+        target, clock_ms(cluster), cluster->clock.now, cluster->clock.now);
     poll(cluster, target);
     advance(cluster, ANSWERED_AFTER_MS);
+    answer.clock_ms = clock_ms(cluster);
     g_array_set_size(unanswered, unanswered->len - 1);
     last_order.done(last_order.context, &answer);
     advance(cluster, POLL_INTERVAL_MS);
