A run whose stop was confirmed is not suspected of its worker's next crash

What callers saw: a job ended as failed (workers_crashed) after two crashes that it had not caused; emulator, restarts (test_world).

Cause: when a worker restarts, the owner forgets which stops the former incarnation has confirmed, as the next one has to confirm them again. The crash was then counted against a run that had been stopped before.

Change: a stop that any incarnation has confirmed frees the run of suspicion.

--- a/src/owner/owner_crashes.c
+++ b/src/owner/owner_crashes.c
@@ -102,7 +102,8 @@
 static bool
 may_have_been_on_worker(const struct owner_run *run)
 {
-    if (run->gang_done || run->stop_confirmed) {
+    /* A stop that the former incarnation has confirmed counts as well. */
+    if (run->gang_done || run->stop_confirmed_at.tv_sec > 0) {
         return false;
     }
     return run->phase == RUN_RUNNING || run->phase == RUN_INHERITED ||
