Emulator: outages of one topic of the store

The emulator's store was away as a whole, or for one VM. The platform's store may also be away in part: calls to some partitions get no answer, for every VM, while joins and the other partitions are served.

--- a/emulator/emulator_main.c
+++ b/emulator/emulator_main.c
@@ -47,6 +47,7 @@
     unsigned cordons;
     unsigned owner_kills;
     unsigned owner_losses;
+    unsigned topic_outages;
     bool calm;
     bool wide;
 };
@@ -78,6 +79,8 @@
      0},
     {"owner-losses", 'x', "N", 0,
      "Like --owner-kills, but the VM stays down for long", 0},
+    {"topic-outages", 'p', "N", 0,
+     "Times that one topic of the store is unavailable to all VMs", 0},
     {"calm", 'q', NULL, 0, "No random faults", 0},
     {"wide", 'b', NULL, 0,
      "Jobs and gangs larger than a rack, and more of them", 0},
@@ -138,6 +141,9 @@
     case 'x':
         arguments->owner_losses = (unsigned)strtoul(value, NULL, 10);
         break;
+    case 'p':
+        arguments->topic_outages = (unsigned)strtoul(value, NULL, 10);
+        break;
     case 'q':
         arguments->calm = true;
         break;
@@ -180,6 +186,7 @@
     day.cordons = arguments->cordons;
     day.owner_kills = arguments->owner_kills;
     day.owner_losses = arguments->owner_losses;
+    day.topic_outages = arguments->topic_outages;
     if (arguments->calm) {
         day.faults = 0;
     }
--- a/emulator/internal/world_private.h
+++ b/emulator/internal/world_private.h
@@ -76,6 +76,9 @@
     int64_t store_down_until_ms;
     bool store_busy; /* the store, while down, refuses calls at once; otherwise
                         it does not answer */
+    const char *unavailable_topic; /* by the last outage of a topic */
+    int64_t topic_unavailable_until_ms;
+    bool topic_refuses; /* calls to it are refused; otherwise not answered */
     int64_t store_slow_until_ms;
     int64_t append_loss_until_ms;
     unsigned append_loss_percent;
@@ -260,6 +263,14 @@
 /* Does the same as world_owner_kill, but the VM stays down for long. */
 void world_owner_loss(struct world *world, void *unused);
 
+/* ---- world_topic_outages.c ---- */
+
+/* Makes one topic of the store unavailable to all VMs for a while. */
+void world_topic_outage(struct world *world, void *unused);
+
+/* True if the topic is unavailable now; `topic` may be NULL. */
+bool world_topic_unavailable(const struct world *world, const char *topic);
+
 /* ---- world_late.c ---- */
 
 /* Makes some workers answer late for a while. */
--- a/emulator/world.c
+++ b/emulator/world.c
@@ -433,6 +433,8 @@
                    world_owner_kill);
     schedule_times(world, options->owner_losses, FIRST_FAULT_MS,
                    world_owner_loss);
+    schedule_times(world, options->topic_outages, FIRST_FAULT_MS,
+                   world_topic_outage);
     schedule_times(world, options->late_episodes, FIRST_FAULT_MS,
                    world_delay_workers);
     world_schedule(world, options->day_ms + 1000, world_heal_all, NULL);
--- a/emulator/world.h
+++ b/emulator/world.h
@@ -37,6 +37,8 @@
     unsigned owner_kills; /* number of times that workers crash and the VM that
                              owns the jobs is killed soon after */
     unsigned owner_losses; /* as owner_kills, but the VM stays down for long */
+    unsigned topic_outages; /* number of times that one topic of the store is
+                               unavailable to all VMs for a while */
     bool wide;  /* jobs and gangs larger than a rack, and many tasks in a
                    job */
     bool trace; /* print faults, starts and answers with their times */
--- a/emulator/world_faults.c
+++ b/emulator/world_faults.c
@@ -242,6 +242,7 @@
     (void)context;
     world_record_fault(world, "heal");
     world->store_down_until_ms = 0;
+    world->topic_unavailable_until_ms = 0;
     world->append_loss_until_ms = 0;
     world->order_delay_fault_until_ms = 0;
     g_hash_table_remove_all(world->cut_workers);
--- a/emulator/world_net.c
+++ b/emulator/world_net.c
@@ -94,6 +94,14 @@
     return world->store_down_until_ms > world->now_ms;
 }
 
+/* True if calls that the store does not serve are refused; otherwise they are
+ * not answered. */
+static bool
+refuses_at_once(const struct world *world)
+{
+    return store_down(world) ? world->store_busy : world->topic_refuses;
+}
+
 static void
 apply_join(struct world *world, struct call *call)
 {
@@ -162,8 +170,8 @@
     struct call *call = context;
     bool writes = call->kind == CALL_APPEND;
 
-    if (store_down(world)) {
-        if (world->store_busy) {
+    if (store_down(world) || world_topic_unavailable(world, call->topic)) {
+        if (refuses_at_once(world)) {
             schedule_call(world, call, STORE_ONE_WAY_MS, refuse_call);
         }
         world_call_unref(call);
--- a/tests/test_world.c
+++ b/tests/test_world.c
@@ -17,6 +17,9 @@
     RESTARTS_SEED = 960000,
     RESTARTS_DAYS = 100,
     RESTARTS = 6,
+    OUTAGES_SEED = 970000,
+    OUTAGES_DAYS = 60,
+    OUTAGES = 4,
     CALM_SEED = 1000,
     CALM_DAYS = 60,
     WIDE_DAYS = 4,
@@ -254,6 +257,31 @@
     }
 }
 
+/* Guards against an owner that loses track of what is stored while one topic
+ * of the store is unavailable to all VMs and the group and the other topics
+ * are served: it keeps the shard, and no other VM can store either. */
+static void
+test_outages_of_one_topic(void)
+{
+    unsigned clean = 0;
+
+    for (uint32_t i = 0; i < OUTAGES_DAYS; i++) {
+        struct world_options options = day(OUTAGES_SEED + i);
+        struct world_result result;
+
+        options.topic_outages = OUTAGES;
+        world_run(&options, &result);
+        clean += result.violation == NULL;
+        if (result.violation != NULL) {
+            printf("topic outages, seed %u: %s\n", options.seed,
+                   result.violation);
+        }
+        g_free(result.violation);
+        g_free(result.faults);
+    }
+    CU_ASSERT_EQUAL(clean, OUTAGES_DAYS);
+}
+
 static const struct test tests[] = {
     {"standard days", test_standard_days_violate_no_guarantee},
     {"same seed, same day", test_the_same_seed_gives_the_same_day},
@@ -263,6 +291,7 @@
     {"crashing tasks", test_tasks_that_crash_workers_are_given_up},
     {"combined worker faults", test_combined_worker_faults},
     {"restarts", test_workers_that_restart_under_their_ids},
+    {"topic outages", test_outages_of_one_topic},
     {"calm days", test_runnable_jobs_start_on_a_calm_day},
     {"wide days", test_runnable_jobs_start_on_a_wide_day},
 };
