Relay: an append that fits into no datagram does not keep the shard

Cause: a VM that the store turns away sends its calls through other VMs, in datagrams of up to 60,000 bytes. A batch of the owner may be larger (up to 512 kB). It was then never sent, but counted as unanswered, and three other VMs were avoided for 1.5 s each because of it, so that the VM's other calls failed too. Between these times its joins passed: the VM kept the shard and could not store.

Change: an append that does not fit into a datagram is not sent through other VMs, and none is avoided for it; one that the store has refused stays refused (it was reported as unknown). Until the store answers this VM itself again, its joins are not sent through other VMs either, so that its membership ends and a VM that the store serves gets the shard. This VM extends leases until it reads that it was fenced, as before.

It cannot flap: joins by way of other VMs begin again only after the store has answered a call of this VM. If the store is away for all VMs, their joins fail anyway. A store that is away in part (one topic) answers direct calls, so that nothing changes there.

The two new tests of test_relay fail before the change (four assertions).

--- a/src/relay/internal/relay_private.h
+++ b/src/relay/internal/relay_private.h
@@ -126,6 +126,8 @@
     struct timespec unreachable_since;
     struct timespec peers_paused_until; /* until then no call to the store is
                                            sent through another VM */
+    bool joins_only_directly; /* an append could not be sent through another VM
+                                 since the store last answered this one */
     bool join_in_flight;
     struct timespec join_sent;
     bool store_suspect; /* since the store last answered, a call has failed or
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -305,6 +305,27 @@
                    on_peer_answer, call);
 }
 
+/* True if the request can be sent in a datagram.  An append may be too large;
+ * no other VM is to blame for that.  Until the store answers this VM itself
+ * again, its joins are not sent through other VMs either: it cannot write what
+ * an owner has to, and a VM that the store serves can. */
+static bool
+fits_into_datagram(const struct relay_call *call)
+{
+    struct cw_relay *relay = call->relay;
+    unsigned long bytes =
+        xdr_sizeof((xdrproc_t)xdr_cw_relay_request, (void *)&call->request);
+
+    if (bytes == 0 || bytes > CW_RELAY_BYTES_MAX) {
+        cw_log_info("relay_too_large", "topic=%s records=%u bytes=%lu",
+                    call->request.topic, call->request.records.records_len,
+                    bytes);
+        relay->joins_only_directly = true;
+        return false;
+    }
+    return true;
+}
+
 /* True if the call may be sent through another VM, provided that one is not
  * avoided. */
 static bool
@@ -312,9 +333,13 @@
 {
     const struct cw_relay *relay = call->relay;
 
+    if (relay->joins_only_directly && call->request.kind == CW_RELAY_JOIN) {
+        return false;
+    }
     return call->peers_tried < PEERS_TRIED_MAX && relay->peers->len > 0 &&
            relay_rpc_has_key(relay->rpc) &&
-           !cw_time_before(relay_now(relay), relay->peers_paused_until);
+           !cw_time_before(relay_now(relay), relay->peers_paused_until) &&
+           fits_into_datagram(call);
 }
 
 static void
--- a/src/relay/relay_peers.c
+++ b/src/relay/relay_peers.c
@@ -54,6 +54,7 @@
         relay->failures = 0;
         relay->store_reachable = true;
         relay->store_suspect = false;
+        relay->joins_only_directly = false;
         return;
     }
     relay->failures++;
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -94,11 +94,13 @@
     *(int *)context = (int)result->status;
 }
 
-/* Appends a record at VM 0; returns the status. */
+/* Appends a record of this length at VM 0; returns the status. */
 static int
-append(struct pair *pair)
+append_bytes(struct pair *pair, size_t length)
 {
-    struct cw_store_record record = {.key = "k", .value = "v", .length = 1};
+    char *value = g_strnfill(length, 'v');
+    struct cw_store_record record = {
+        .key = "k", .value = value, .length = length};
     struct cw_store *store = cw_relay_store(pair->relays[0]);
     int status = -1;
     struct cw_store_append call = {.topic = "t",
@@ -112,9 +114,17 @@
     for (int i = 0; i < STEPS_MAX && status < 0; i++) {
         step(pair);
     }
+    g_free(value);
     return status;
 }
 
+/* Appends a short record at VM 0; returns the status. */
+static int
+append(struct pair *pair)
+{
+    return append_bytes(pair, 1);
+}
+
 static void
 test_a_vm_that_loses_the_store_uses_another_vm(void)
 {
@@ -219,18 +229,49 @@
     pair_clear(&pair);
 }
 
-struct page_result {
-    unsigned times;
-    enum cw_store_status status;
-};
+/* Guards against calls that fail because an append before them did not fit
+ * into a datagram: the other VM had not received it, and was avoided for it.
+ * The append itself has not been executed, and says so. */
+static void
+test_an_append_too_large_for_a_datagram(void)
+{
+    enum { TOO_LARGE_BYTES = 70000 };
+    struct pair pair;
+
+    pair_init(&pair);
+    pair.stores[0].answer_status = CW_STORE_NOT_EXECUTED;
+    (void)append(&pair);
+    CU_ASSERT_EQUAL(append(&pair), CW_STORE_OK);
+    CU_ASSERT_EQUAL(append_bytes(&pair, TOO_LARGE_BYTES),
+                    CW_STORE_NOT_EXECUTED);
+    CU_ASSERT_EQUAL(append(&pair), CW_STORE_OK);
+    pair_clear(&pair);
+}
 
 static void
-count_page(void *context, const struct cw_store_page *page)
+save_join_status(void *context, const struct cw_store_join_result *result)
 {
-    struct page_result *page_result = context;
+    *(int *)context = (int)result->status;
+}
 
-    page_result->times++;
-    page_result->status = page->status;
+/* Joins at VM 0; returns the status. */
+static int
+join(struct pair *pair)
+{
+    struct cw_store *store = cw_relay_store(pair->relays[0]);
+    int status = -1;
+    struct cw_store_join call = {.group = "g",
+                                 .member = "m",
+                                 .topic = "t",
+                                 .timeout_ms = 100,
+                                 .done = save_join_status,
+                                 .context = &status};
+
+    store->ops->join(store, &call);
+    for (int i = 0; i < STEPS_MAX && status < 0; i++) {
+        step(pair);
+    }
+    return status;
 }
 
 /* Runs long enough for calls through the other VM to be answered or to time
@@ -243,6 +284,46 @@
     }
 }
 
+/* Guards against an owner that keeps the shard and cannot store: the store
+ * turns its VM away, its joins pass through another VM, and its append fits
+ * into no datagram. */
+static void
+test_a_vm_with_an_append_too_large_leaves_the_group(void)
+{
+    enum { TOO_LARGE_BYTES = 70000 };
+    struct pair pair;
+
+    pair_init(&pair);
+    CU_ASSERT_EQUAL(append_bytes(&pair, TOO_LARGE_BYTES), CW_STORE_OK);
+    pair.stores[0].answer_status = CW_STORE_NOT_EXECUTED;
+    (void)append(&pair);
+    CU_ASSERT_EQUAL(append(&pair), CW_STORE_OK);
+    CU_ASSERT_EQUAL(join(&pair), CW_STORE_OK);
+    (void)append_bytes(&pair, TOO_LARGE_BYTES);
+    CU_ASSERT_EQUAL(join(&pair), CW_STORE_NOT_EXECUTED);
+    CU_ASSERT_EQUAL(append(&pair), CW_STORE_OK);
+    run_all_steps(&pair);
+    CU_ASSERT_EQUAL(join(&pair), CW_STORE_NOT_EXECUTED);
+    pair.stores[0].answer_status = CW_STORE_OK;
+    run_all_steps(&pair);
+    CU_ASSERT_EQUAL(join(&pair), CW_STORE_OK);
+    pair_clear(&pair);
+}
+
+struct page_result {
+    unsigned times;
+    enum cw_store_status status;
+};
+
+static void
+count_page(void *context, const struct cw_store_page *page)
+{
+    struct page_result *page_result = context;
+
+    page_result->times++;
+    page_result->status = page->status;
+}
+
 static void
 ignore_join(void *context, const struct cw_store_join_result *result)
 {
@@ -348,6 +429,8 @@
     {"direct again", test_reads_are_direct_again_once_the_store_answers},
     {"diverted, no answer", test_a_diverted_read_without_an_answer_ends_once},
     {"limited reads", test_a_relayed_read_is_limited_in_size},
+    {"too large", test_an_append_too_large_for_a_datagram},
+    {"too large, joins", test_a_vm_with_an_append_too_large_leaves_the_group},
     {"store lost", test_a_vm_that_loses_the_store_uses_another_vm},
     {"outage", test_an_outage_for_all_vms_is_not_isolation},
     {"isolated", test_a_vm_that_gets_no_answer_is_isolated},
