Owner: batches small enough for a datagram

After some seconds in which nothing could be stored the states of all jobs are due, and one batch took up to 512 kB of them, and any number of dropped states.

Change: a batch holds 32 kB and one record. Ends of runs are confirmed once the states that were due when the flush began are stored, and not only when no state is due at the end of a batch: with small batches that might never be the case. States that become due later stand behind them, so that no end waits for more than one flush.

Test: test_takeover, "size of a batch", fails before the change (258,000 bytes); "changing jobs" fails with the limit alone.

--- a/src/owner/internal/owner_log.h
+++ b/src/owner/internal/owner_log.h
@@ -42,6 +42,10 @@
 /* Time when the batch was last sent. */
 struct timespec owner_batch_sent_at(const struct owner_batch *batch);
 
+/* True if the batch is as large as an append may be: the records that the
+ * caller has left go into the next one. */
+bool owner_batch_is_full(const struct owner_batch *batch);
+
 /* Number of records in the batch. */
 unsigned owner_batch_record_count(const struct owner_batch *batch);
 
--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -307,8 +307,10 @@
     GHashTable *jobs;      /* id -> struct owner_job */
     GHashTable *targets;   /* id -> struct owner_target */
     struct owner_due *due; /* when to process each target next */
-    GPtrArray *ends_new;   /* struct owner_target: ends not in a batch yet */
-    GPtrArray *ends_sent;  /* ... with ends in the batch being written */
+    GPtrArray *ends_new;   /* struct owner_target: ends not in a flush yet */
+    GPtrArray *ends_sent;  /* ... with ends in the flush being written */
+    guint flush_jobs_left; /* jobs at the front of `dirty` that belong to the
+                              flush being written */
     GHashTable *targets_by_address; /* the last listed at each address */
     GHashTable *headroom;           /* service -> struct owner_headroom */
     struct owner_log *states_log;   /* CW_STATE_TOPIC */
--- a/src/owner/owner.c
+++ b/src/owner/owner.c
@@ -51,6 +51,7 @@
     g_array_set_size(owner->rack_lower_priority_workers, 0);
     g_hash_table_remove_all(owner->jobs);
     g_ptr_array_set_size(owner->dirty, 0);
+    owner->flush_jobs_left = 0;
     g_ptr_array_set_size(owner->unpublished, 0);
     g_ptr_array_set_size(owner->past_states, 0);
     owner_log_close(owner->states_log);
--- a/src/owner/owner_commit.c
+++ b/src/owner/owner_commit.c
@@ -13,9 +13,6 @@
 
 enum {
     FLUSH_EVERY_MS = 10,
-    /* A batch is closed at this size, which keeps one append far below the
-     * store's limit. */
-    BATCH_BYTES_MAX = 512 * 1024,
     SWEEP_JOBS_MAX = 100,
     /* States of jobs that are over are dropped with the next batch, or in a
      * batch of their own after this. */
@@ -48,23 +45,17 @@
     }
 }
 
-static size_t
+static void
 add_state(struct cw_owner *owner, struct owner_batch *batch,
           struct owner_job *job)
 {
-    GByteArray *value;
-    size_t length;
-
     mark_runs(owner, job);
     job->dirty = false;
     job->final = cw_work_is_over(job->phase);
     owner_job_publish(owner, job);
-    value = owner_job_encode(job);
-    length = value->len;
     owner_batch_add_id(batch, job->spec->id);
     owner_batch_put(batch, cw_work_key(CW_WORK_KEY_RECORD, job->spec->id),
-                    value);
-    return length;
+                    owner_job_encode(job));
 }
 
 /* Queues the starts of runs whose placement is durable now. */
@@ -101,8 +92,8 @@
     g_ptr_array_set_size(owner->ends_sent, 0);
 }
 
-/* Assigns all applied ends to the batch that is sent next, as it includes
- * their effects. */
+/* Assigns all applied ends to the flush that begins, as it includes their
+ * effects. */
 static void
 collect_ends(struct cw_owner *owner)
 {
@@ -125,7 +116,9 @@
     cw_count_latency(
         owner->options.counters, CW_LATENCY_COMMIT,
         cw_time_diff_ms(owner_batch_sent_at(batch), owner_now(owner)));
-    confirm_ends(owner);
+    if (owner->flush_jobs_left == 0) {
+        confirm_ends(owner);
+    }
     for (guint i = 0; i < ids->len; i++) {
         struct owner_job *job =
             g_hash_table_lookup(owner->jobs, ids->pdata[i]);
@@ -136,20 +129,28 @@
     }
 }
 
-/* Moves states of dirty jobs into the batch, up to its size.  Returns true if
- * none is left. */
-static bool
+/* Begins to write the states of all jobs that are dirty now, and with them the
+ * ends applied so far.  Jobs that become dirty later stay behind them, so that
+ * these ends are confirmed however often jobs change. */
+static void
+begin_flush(struct cw_owner *owner)
+{
+    owner->flush_jobs_left = owner->dirty->len;
+    collect_ends(owner);
+}
+
+/* Moves states of the flush into the batch, up to its size. */
+static void
 add_states(struct cw_owner *owner, struct owner_batch *batch)
 {
-    size_t bytes = 0;
     guint taken = 0;
 
-    while (taken < owner->dirty->len && bytes < BATCH_BYTES_MAX) {
-        bytes += add_state(owner, batch, owner->dirty->pdata[taken]);
+    while (taken < owner->flush_jobs_left && !owner_batch_is_full(batch)) {
+        add_state(owner, batch, owner->dirty->pdata[taken]);
         taken++;
     }
     g_ptr_array_remove_range(owner->dirty, 0, taken);
-    return owner->dirty->len == 0;
+    owner->flush_jobs_left -= taken;
 }
 
 void
@@ -161,13 +162,16 @@
 static void
 drop_states(struct cw_owner *owner, struct owner_batch *batch)
 {
-    for (guint i = 0; i < owner->past_states->len; i++) {
+    guint taken = 0;
+
+    while (taken < owner->past_states->len && !owner_batch_is_full(batch)) {
         owner_batch_put(
             batch,
-            cw_work_key(CW_WORK_KEY_RECORD, owner->past_states->pdata[i]),
+            cw_work_key(CW_WORK_KEY_RECORD, owner->past_states->pdata[taken]),
             NULL);
+        taken++;
     }
-    g_ptr_array_set_size(owner->past_states, 0);
+    g_ptr_array_remove_range(owner->past_states, 0, taken);
 }
 
 static struct timespec
@@ -195,9 +199,10 @@
     }
     owner->flush_due = cw_time_add_ms(now, FLUSH_EVERY_MS);
     batch = owner_batch_new(on_states_stored, owner);
-    if (add_states(owner, batch)) {
-        collect_ends(owner);
+    if (owner->flush_jobs_left == 0) {
+        begin_flush(owner);
     }
+    add_states(owner, batch);
     drop_states(owner, batch);
     owner_log_send(log, batch);
     return cw_time_from_ms(INT32_MAX);
@@ -236,30 +241,25 @@
 /* Adds a job's outcome to the batch.  The outcome of a job that is over is
  * written once: its position in the log, before or after a cancellation,
  * decides which of the two counts. */
-static size_t
+static void
 add_outcome(struct owner_batch *batch, struct owner_job *job)
 {
-    GByteArray *value = owner_outcome_encode(job);
-    size_t length = value->len;
-
     job->unpublished = false;
     job->published_phase = job->phase;
     job->published_started = job->started;
     owner_batch_add_id(batch, job->spec->id);
     owner_batch_put(batch, cw_work_key(CW_WORK_KEY_RECORD, job->spec->id),
-                    value);
-    return length;
+                    owner_outcome_encode(job));
 }
 
 static void
 send_outcomes(struct cw_owner *owner)
 {
     struct owner_batch *batch = owner_batch_new(on_outcomes_stored, owner);
-    size_t bytes = 0;
     guint taken = 0;
 
-    while (taken < owner->unpublished->len && bytes < BATCH_BYTES_MAX) {
-        bytes += add_outcome(batch, owner->unpublished->pdata[taken]);
+    while (taken < owner->unpublished->len && !owner_batch_is_full(batch)) {
+        add_outcome(batch, owner->unpublished->pdata[taken]);
         taken++;
     }
     g_ptr_array_remove_range(owner->unpublished, 0, taken);
--- a/src/owner/owner_log.c
+++ b/src/owner/owner_log.c
@@ -2,6 +2,7 @@
 #include "owner/internal/owner_log.h"
 
 #include <inttypes.h>
+#include <string.h>
 
 #include "curlewcart/cw_log.h"
 
@@ -9,7 +10,14 @@
     /* An append takes a few ms, and up to 250 ms while the store is slow; a
      * broken connection is detected after this time. */
     APPEND_TIMEOUT_MS = 900,
-    RETRY_MS = 80
+    RETRY_MS = 80,
+    /* A VM that the store turns away sends its appends through another VM, in
+     * a datagram of at most CW_RELAY_BYTES_MAX.  A batch never shrinks once it
+     * was sent, because it may have been stored.  The rest is left for the
+     * last record. */
+    BATCH_BYTES_MAX = 32 * 1024,
+    /* Lengths, offset and padding of a record in such a datagram. */
+    RECORD_OVERHEAD_BYTES = 24
 };
 
 struct owner_batch {
@@ -19,6 +27,7 @@
     GPtrArray *ids;    /* char *, of jobs or workers */
     GPtrArray *keys;   /* char *, of the records */
     GPtrArray *values; /* GByteArray *, NULL: the key is dropped */
+    size_t bytes;      /* of the records, in a datagram */
     uint64_t sequence;
     bool in_flight;
     bool unconfirmed; /* an attempt had no answer: it may be stored */
@@ -71,6 +80,8 @@
 void
 owner_batch_put(struct owner_batch *batch, char *key, GByteArray *value)
 {
+    batch->bytes +=
+        strlen(key) + (value != NULL ? value->len : 0) + RECORD_OVERHEAD_BYTES;
     g_ptr_array_add(batch->keys, key);
     g_ptr_array_add(batch->values, value);
 }
@@ -93,6 +104,12 @@
     return batch->sent;
 }
 
+bool
+owner_batch_is_full(const struct owner_batch *batch)
+{
+    return batch->bytes >= BATCH_BYTES_MAX;
+}
+
 unsigned
 owner_batch_record_count(const struct owner_batch *batch)
 {
--- a/tests/test_takeover.c
+++ b/tests/test_takeover.c
@@ -259,6 +259,117 @@
     fixture_end(&fixture);
 }
 
+enum { MANY_JOBS = 1200 };
+
+static size_t largest_append_bytes;
+
+/* Stores the append; remembers the size of the largest one, as it would be
+ * sent through another VM. */
+static void
+measure_append(struct cw_store *store, const struct cw_store_append *call)
+{
+    size_t bytes = 0;
+
+    for (size_t i = 0; i < call->count; i++) {
+        /* Two lengths, an offset and padding beside the key and the value. */
+        bytes += strlen(call->records[i].key) + call->records[i].length + 24;
+    }
+    largest_append_bytes = MAX(largest_append_bytes, bytes);
+    fake_store_append(store, call);
+}
+
+static void
+put_many_specs(struct fixture *fixture)
+{
+    for (unsigned i = 0; i < MANY_JOBS; i++) {
+        char id[17];
+        struct work_spec_options options = {.id = id, .accelerators = 1};
+        GByteArray *bytes;
+        char *key;
+
+        g_snprintf(id, sizeof(id), "%016x", i);
+        bytes = work_spec_encode(&options);
+        key = g_strconcat("s", id, NULL);
+        put(fixture, CW_JOBS_TOPIC, key, bytes);
+        g_free(key);
+        g_byte_array_unref(bytes);
+    }
+}
+
+/* Marks the states of all jobs dirty, as while nothing could be stored. */
+static void
+mark_all_dirty(struct fixture *fixture)
+{
+    GHashTableIter iterator;
+    gpointer job;
+
+    g_hash_table_iter_init(&iterator, fixture->owner->jobs);
+    while (g_hash_table_iter_next(&iterator, NULL, &job)) {
+        owner_job_mark_dirty(fixture->owner, job);
+    }
+}
+
+/* Guards against an owner that keeps the shard and cannot store: joins of a VM
+ * that the store turns away pass through other VMs, but a batch that has grown
+ * while nothing could be stored fits into no datagram.  The states of all jobs
+ * and what is dropped with them are stored in parts. */
+static void
+test_a_batch_fits_into_a_datagram(void)
+{
+    struct cw_store_ops ops;
+    struct fixture fixture;
+
+    fixture_begin(&fixture);
+    ops = *fixture.store.base.ops;
+    ops.append = measure_append;
+    fixture.store.base.ops = &ops;
+    put_many_specs(&fixture);
+    take_over(&fixture);
+    CU_ASSERT_EQUAL(g_hash_table_size(fixture.owner->jobs), MANY_JOBS);
+    largest_append_bytes = 0;
+    mark_all_dirty(&fixture);
+    for (unsigned i = 0; i < 2 * MANY_JOBS; i++) {
+        char id[17];
+
+        g_snprintf(id, sizeof(id), "%016x", MANY_JOBS + i);
+        owner_state_drop(fixture.owner, id);
+    }
+    run(&fixture, 5000);
+    CU_ASSERT_EQUAL(fixture.owner->dirty->len, 0);
+    CU_ASSERT_EQUAL(fixture.owner->past_states->len, 0);
+    CU_ASSERT_EQUAL(store_model_end(fixture.store.model, CW_STATE_TOPIC),
+                    3 * MANY_JOBS);
+    CU_ASSERT_TRUE(largest_append_bytes > 0);
+    CU_ASSERT_TRUE(largest_append_bytes < CW_RELAY_BYTES_MAX);
+    fixture_end(&fixture);
+}
+
+/* Guards against ends of runs that are never confirmed to their worker because
+ * more states change than one batch holds. */
+static void
+test_ends_are_confirmed_though_all_jobs_keep_changing(void)
+{
+    enum { STEPS = 60 };
+    struct fixture fixture;
+    struct owner_target *target;
+
+    fixture_begin(&fixture);
+    put_spec(&fixture);
+    put_state(&fixture, CW_STATE_TOPIC, CW_WORK_RUNNING);
+    put_many_specs(&fixture);
+    take_over(&fixture);
+    target = the_worker(&fixture);
+    mark_all_dirty(&fixture);
+    target->incarnation.ends_applied = 1;
+    owner_target_ends_applied(target);
+    for (unsigned i = 0; i < STEPS; i++) {
+        mark_all_dirty(&fixture);
+        run(&fixture, STEP_MS);
+    }
+    CU_ASSERT_EQUAL(target->incarnation.ends_durable, 1);
+    fixture_end(&fixture);
+}
+
 static const struct test tests[] = {
     {"reads no states", test_a_vm_that_is_not_the_owner_reads_no_states},
     {"size of an outcome", test_an_outcome_does_not_grow_with_the_job},
@@ -269,6 +380,8 @@
     {"without a job", test_a_state_without_a_job_is_dropped},
     {"unreadable", test_a_state_that_cannot_be_decoded_is_kept},
     {"growing log", test_a_takeover_ends_though_the_log_grows_faster},
+    {"size of a batch", test_a_batch_fits_into_a_datagram},
+    {"changing jobs", test_ends_are_confirmed_though_all_jobs_keep_changing},
     {"yields", test_a_yielding_owner_is_active_until_it_is_fenced},
     {"yields, no store", test_a_yielding_owner_stops_without_the_store},
     {"bound of the first",
