--- a/src/owner/internal/owner_gang_ends.h
+++ b/src/owner/internal/owner_gang_ends.h
@@ -31,8 +31,9 @@
 /* Records that a run is lost; to be called before it is dropped. */
 void owner_gang_ends_lost(struct owner_run *run);
 
-/* True if the run may have been the first of its gang to end, as far as ends
- * were heard; always true for other runs. */
+/* True if the run, or another one of its gang on its worker, may have been the
+ * first of the gang to end, as far as ends were heard; always true for other
+ * runs. */
 bool owner_gang_ends_may_be_first(const struct owner_run *run);
 
 /* Processes a run that a worker lists as running, in the answer to a poll that
--- a/src/owner/owner_gang_ends.c
+++ b/src/owner/owner_gang_ends.c
@@ -272,6 +272,21 @@
     }
 }
 
+/* Returns the number of runs of the run's gang on its worker. */
+static unsigned
+runs_on_worker(const struct owner_run *run)
+{
+    const struct owner_step *step = run->task->step;
+    unsigned runs = 0;
+
+    for (unsigned i = 0; i < step->count; i++) {
+        const struct owner_run *other = step->tasks[i].run;
+
+        runs += other != NULL && other->target == run->target;
+    }
+    return runs;
+}
+
 bool
 owner_gang_ends_may_be_first(const struct owner_run *run)
 {
@@ -279,7 +294,7 @@
     const struct owner_gang_ends *ends = &step->gang_ends;
 
     return !step->spec->gang || ends->over_run != run->number ||
-           ends->heard_broken == step->count - 1;
+           ends->heard_broken + runs_on_worker(run) == step->count;
 }
 
 void
--- a/tests/test_gang_ends.c
+++ b/tests/test_gang_ends.c
@@ -894,6 +894,31 @@
     gang_end(&gang);
 }
 
+/* Guards against a member that crashes its workers and is not given up: on
+ * 6 workers, as another member was on the worker (emulator: seed 950083,
+ * --crashing 5). */
+static void
+test_members_on_one_worker_are_suspected(void)
+{
+    static const struct cw_step_spec gang_on_two = {
+        .tasks = MEMBERS, .accelerators = ACCELERATORS / 2, .gang = true};
+    struct gang gang;
+
+    gang_place(&gang, &gang_on_two);
+    confirm_starts(&gang.cluster, gang.job);
+    wait_ms(&gang, 10);
+    for (unsigned i = 0; i < MEMBERS; i++) {
+        gang.workers[i] = run_of(&gang, i)->target;
+    }
+    CU_ASSERT_PTR_EQUAL_FATAL(gang.workers[0], gang.workers[1]);
+    CU_ASSERT_PTR_NOT_EQUAL_FATAL(gang.workers[0], gang.workers[SILENT]);
+    list_end(&gang, SILENT, 1, CW_END_KIND_GANG_BROKEN);
+    crash_worker_of(&gang, 0);
+    CU_ASSERT_EQUAL(task_of(&gang, 0)->suspicion, 6);
+    CU_ASSERT_EQUAL(task_of(&gang, 1)->suspicion, 6);
+    gang_end(&gang);
+}
+
 /* Guards against a member that crashes its workers and is not given up. */
 static void
 test_first_member_to_end_is_suspected(void)
@@ -946,6 +971,7 @@
     {"stored", test_unheard_end_is_stored},
     {"crash", test_crash_of_silent_worker_is_suspected},
     {"two crashes", test_only_one_crash_is_caused_by_run_of_gang},
+    {"on one worker", test_members_on_one_worker_are_suspected},
     {"first member", test_first_member_to_end_is_suspected},
 };
 
