--- a/tests/test_lease_lengths.c
+++ b/tests/test_lease_lengths.c
@@ -268,6 +268,143 @@
     CU_ASSERT_TRUE(left_ms[1] <= left_ms[0] - DELAY_MS + TICK_MS);
 }
 
+/* Guards against work that is lost with its worker's lease because a single
+ * poll is lost, in a service of over 1,000 workers, whose polls are longer. */
+static void
+test_lost_poll_of_many_workers_loses_no_lease(void)
+{
+    enum { WORKERS = 1001 };
+    struct worker worker;
+
+    worker_begin(&worker, false, 0);
+    for (unsigned i = 0; i < WORKERS; i++) {
+        char id[16];
+
+        g_snprintf(id, sizeof(id), "m%04u", i);
+        (void)owner_target_get(worker.cluster.owner, id);
+    }
+    worker.lost_poll = 4;
+    for (unsigned passed = 0; passed < 4 * ANSWERING_MS; passed += TICK_MS) {
+        tick(&worker);
+    }
+    CU_ASSERT_TRUE(worker.polls > worker.lost_poll + 2);
+    CU_ASSERT_FALSE(worker.lapsed);
+    worker_end(&worker);
+}
+
+/* Guards against the same while the store is slow, so that ends that the
+ * worker has listed are not durable. */
+static void
+test_lost_poll_before_ends_are_durable_loses_no_lease(void)
+{
+    struct worker worker;
+
+    worker_begin(&worker, false, 0);
+    worker.target->incarnation.ends_applied = 1;
+    worker.target->incarnation.ends_in_batch = 1;
+    worker.lost_poll = 4;
+    for (unsigned passed = 0; passed < ANSWERING_MS; passed += TICK_MS) {
+        tick(&worker);
+    }
+    CU_ASSERT_TRUE(worker.polls > worker.lost_poll + 2);
+    CU_ASSERT_FALSE(worker.lapsed);
+    worker_end(&worker);
+}
+
+/* Sends the start of a job's only task to a worker that never answers again;
+ * returns how long after that the task is placed elsewhere. */
+static int64_t
+ms_until_start_is_placed_elsewhere(int64_t boot_ms)
+{
+    const struct cw_step_spec one = {.tasks = 1, .accelerators = 4};
+    struct worker worker = {.silent = true};
+    struct owner_job *job;
+    int64_t ms = 0;
+
+    cluster_begin(&worker.cluster);
+    job = add_job(&worker.cluster, 1, &one);
+    pass(&worker.cluster, TICK_MS);
+    worker.task = &step_of(job)->tasks[0];
+    worker.target = worker.task->run->target;
+    worker.target->incarnation.boot_ms = boot_ms;
+    worker.target->answered_poll_sent_at = worker.cluster.clock.now;
+    worker.target->incarnation.poll_answered_at = worker.cluster.clock.now;
+    (void)send_job_start(&worker.cluster, job);
+    g_array_set_size(unanswered, 0);
+    while (ms < SILENT_MAX_MS && (worker.task->run == NULL ||
+                                  worker.task->run->target == worker.target))
+    {
+        tick(&worker);
+        ms += TICK_MS;
+    }
+    worker_end(&worker);
+    return ms;
+}
+
+/* Guards against a job that is idle for over 3 s because its only start was
+ * sent to a worker that had just stopped answering. */
+static void
+test_short_wait_for_unconfirmed_start(void)
+{
+    CU_ASSERT_TRUE(ms_until_start_is_placed_elsewhere(0) <=
+                   IDLE_TOLERATED_MS - RESTART_MS);
+}
+
+/* Guards against the same where workers report boot times. */
+static void
+test_short_wait_for_unconfirmed_start_with_boot_time(void)
+{
+    CU_ASSERT_TRUE(ms_until_start_is_placed_elsewhere(BOOT_MS) <=
+                   IDLE_TOLERATED_MS - RESTART_MS);
+}
+
+/* Guards against a job that is idle for over 3 s as its last run was started
+ * by an earlier owner, long ago, on a worker that stops answering this one. */
+static void
+test_short_wait_for_inherited_run(void)
+{
+    struct worker worker;
+    int64_t ms = 0;
+
+    worker_begin(&worker, false, BOOT_MS);
+    worker.task->run->sent_at = cw_time_from_ms(0);
+    for (unsigned passed = 0; passed < 4 * ANSWERING_MS; passed += TICK_MS) {
+        tick(&worker);
+    }
+    CU_ASSERT_PTR_EQUAL_FATAL(worker.task->run->target, worker.target);
+    worker.silent = true;
+    while (ms < SILENT_MAX_MS && (worker.task->run == NULL ||
+                                  worker.task->run->target == worker.target))
+    {
+        tick(&worker);
+        ms = cw_time_diff_ms(worker.answered_at, worker.cluster.clock.now);
+    }
+    CU_ASSERT_TRUE(ms <= IDLE_TOLERATED_MS - RESTART_MS);
+    worker_end(&worker);
+}
+
+/* Guards against a service in use that counts as not busy, so that its workers
+ * get short leases, because the wall clock of the VM that decides is ahead of
+ * the one that accepted the jobs. */
+static void
+test_busy_service_with_wall_clock_ahead(void)
+{
+    enum { AHEAD_MS = 6000 };
+    const struct cw_step_spec wide = {.tasks = 8,
+                                      .accelerators = ACCELERATORS};
+    struct cluster cluster;
+
+    cluster_begin(&cluster);
+    /* Jobs of this fixture are accepted at the wall time 0. */
+    cluster.clock.wall_offset_ms =
+        AHEAD_MS - cw_clock_wall_ms(&cluster.clock.base);
+    (void)run_job(&cluster, 2, &wide);
+    owner_headroom_update(cluster.owner, cluster.clock.now);
+    CU_ASSERT_TRUE(
+        owner_service_is_busy(cluster.owner, "s", cluster.clock.now));
+    cluster_end(&cluster);
+}
+
 static const struct test tests[] = {
     {"mostly idle service", test_short_wait_in_mostly_idle_service},
     {"last arrival", test_short_wait_after_last_arrival},
@@ -275,6 +412,14 @@
     {"busy service", test_wait_in_busy_service},
     {"lost poll", test_lost_poll_loses_no_lease},
     {"last answer", test_lease_counts_from_last_answer},
+    {"lost poll, many workers", test_lost_poll_of_many_workers_loses_no_lease},
+    {"lost poll, slow store",
+     test_lost_poll_before_ends_are_durable_loses_no_lease},
+    {"unconfirmed start", test_short_wait_for_unconfirmed_start},
+    {"unconfirmed start, boot time",
+     test_short_wait_for_unconfirmed_start_with_boot_time},
+    {"wall clock ahead", test_busy_service_with_wall_clock_ahead},
+    {"inherited run", test_short_wait_for_inherited_run},
 };
 
 TEST_MAIN("lease lengths", tests)
