Leases: bounds that cover each order, and runs that may begin late

- TWICE: a start that does not extend the lease was sent with the earlier one and raised no bound, although it may reach the worker's next incarnation and last as long as workers accept there.
Each order that carries a lease raises both bounds now, by what is left of that lease.
- TWICE: the late answer of a former incarnation to a start set the clock of the present one, so that leases lasted longer than the bound.
Orders keep the boot time of the incarnation that they were sent to.
- TWICE: a start without an answer that reaches the next incarnation late extends the lease of all that runs there.
- Inherited runs, and runs whose start was sent again, had the outer bound for the rest of their lives; they have it for that time now.
- A worker whose answers took over 0.7 s lost its lease for good: the shorter limit holds only for polls that wait at the worker.
- One lost poll lost the lease while ends were not stored: such polls are sent each 0.35 s, not 0.7, with short leases.
- "Busy" depended on another VM's wall clock: arrivals count by this VM's.
- A start without an answer was waited for 0.5 s longer although its worker reports no boot time and has no next incarnation.

--- a/src/owner/internal/owner_incarnations.h
+++ b/src/owner/internal/owner_incarnations.h
@@ -32,6 +32,8 @@
     /* Latest end of a lease that it may have, by this VM's clock and with
      * drift; owner_leases.h. */
     struct timespec lease_end;
+    /* This owner noticed that it had replaced another one; 0: it did not. */
+    struct timespec restarted_at;
     /* Highest numbers of its ends that are applied here, in the batch being
      * written, stored, and confirmed to the worker. */
     uint64_t ends_applied;
--- a/src/owner/internal/owner_leases.h
+++ b/src/owner/internal/owner_leases.h
@@ -58,7 +58,7 @@
 /* True if the bound of the worker's incarnation applies to the run: that
  * incarnation was executing it, and no start of it is in flight that the next
  * one could carry out. */
-bool owner_lease_run_is_bound(const struct owner_run *run);
+bool owner_lease_run_ends_with_incarnation(const struct owner_run *run);
 
 /* When the lease expires of the first of the worker's runs, and of the last of
  * them. */
--- a/src/owner/internal/owner_placement.h
+++ b/src/owner/internal/owner_placement.h
@@ -138,6 +138,11 @@
                                      const struct owner_step *step,
                                      const char *service, struct timespec now);
 
+/* Records when a job of the service arrived. */
+void
+owner_headroom_job_arrived(struct cw_owner *owner, const struct owner_job *job,
+                           struct timespec at);
+
 /* True if much of the service's capacity is in use and jobs have arrived
  * lately: tasks that have to run again then take capacity from others. */
 bool owner_service_is_busy(const struct cw_owner *owner, const char *service,
--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -259,7 +259,7 @@
 struct owner_headroom {
     struct cw_headroom forecast; /* of the use by urgent work */
     bool mostly_idle;
-    struct timespec job_accepted_at; /* the newest job was accepted */
+    struct timespec job_arrived_at; /* the newest job */
     /* Limit on the workers that lower-priority work may use. */
     unsigned max_lower_priority_workers;
     unsigned lower_priority_workers; /* workers that such work uses */
@@ -794,6 +794,7 @@
     struct cw_task_name task; /* task.job points to `job` */
     unsigned run;
     struct timespec sent;
+    int64_t boot_ms; /* of the incarnation that it was sent to; 0 unknown */
     struct timespec due; /* of a start: not resent before this time */
 };
 
--- a/src/owner/owner.c
+++ b/src/owner/owner.c
@@ -302,6 +302,11 @@
     job = g_hash_table_lookup(owner->jobs, entry->id);
     if (job == NULL) {
         owner_job_adopt(owner, entry);
+        job = g_hash_table_lookup(owner->jobs, entry->id);
+        if (job != NULL) {
+            /* Not `known_at`, which depends on another VM's wall clock. */
+            owner_headroom_job_arrived(owner, job, owner_now(owner));
+        }
         return;
     }
     if (entry->cancelled && !cw_work_is_over(job->phase)) {
--- a/src/owner/owner_headroom.c
+++ b/src/owner/owner_headroom.c
@@ -121,15 +121,23 @@
             unguaranteed_workers(owner, totals, per_worker));
 }
 
+void
+owner_headroom_job_arrived(struct cw_owner *owner, const struct owner_job *job,
+                           struct timespec at)
+{
+    struct owner_headroom *headroom = headroom_of(owner, job->spec->service);
+
+    if (cw_time_before(headroom->job_arrived_at, at)) {
+        headroom->job_arrived_at = at;
+    }
+}
+
 void
 owner_headroom_job_accepted(struct cw_owner *owner,
                             const struct owner_job *job)
 {
     struct owner_headroom *headroom = headroom_of(owner, job->spec->service);
 
-    if (cw_time_before(headroom->job_accepted_at, job->known_at)) {
-        headroom->job_accepted_at = job->known_at;
-    }
     if (job->spec->priority != 0) {
         return;
     }
@@ -149,7 +157,7 @@
         g_hash_table_lookup(owner->headroom, service);
 
     return headroom != NULL && !headroom->mostly_idle &&
-           cw_time_diff_ms(headroom->job_accepted_at, now) < ARRIVALS_PAUSE_MS;
+           cw_time_diff_ms(headroom->job_arrived_at, now) < ARRIVALS_PAUSE_MS;
 }
 
 static bool
--- a/src/owner/owner_incarnations.c
+++ b/src/owner/owner_incarnations.c
@@ -87,6 +87,7 @@
                 target->incarnation.ends_confirmed, target->draining);
     cw_count_add(owner->options.counters, CW_COUNT_RESTARTS, 1);
     target->incarnation = owner_incarnation_new(boot_ms);
+    target->incarnation.restarted_at = owner_now(owner);
     clear_confirmed_stops(target);
     stop_at_most_once_starts(target);
     raise_lease_bound(target, owner_now(owner));
@@ -189,8 +190,11 @@
 {
     bool start_in_flight = target->orders_in_flight > 0;
 
-    /* The bound on leases of earlier owners covers late orders already. */
-    if (!owner_lease_possibly_granted(target)) {
+    /* The bound on leases of earlier owners covers late orders already, and a
+     * worker that reports no boot time has no next incarnation. */
+    if (!owner_lease_possibly_granted(target) ||
+        MAX(target->incarnation.boot_ms, target->reported_boot_ms) == 0)
+    {
         return;
     }
     for (guint i = 0; !start_in_flight && i < target->runs->len; i++) {
--- a/src/owner/owner_jobs.c
+++ b/src/owner/owner_jobs.c
@@ -281,6 +281,7 @@
         return;
     }
     owner_headroom_job_accepted(owner, job);
+    owner_headroom_job_arrived(owner, job, job->known_at);
     owner_job_open_due(owner, job, now);
     owner->placement_wanted = true;
 }
--- a/src/owner/owner_leases.c
+++ b/src/owner/owner_leases.c
@@ -246,55 +246,104 @@
            owner_may_extend_leases(target->owner, now);
 }
 
-int64_t
-owner_lease_grant(struct owner_target *target, enum cw_order_kind kind,
-                  struct timespec now)
+/* Returns how long the lease that was sent lasts from now on, by the worker's
+ * clock; at most as long as workers accept. */
+static int64_t
+sent_lease_left_ms(const struct owner_target *target, struct timespec now)
+{
+    int64_t clock_ms = cw_time_diff_ms(cw_time_from_ms(0), now) +
+                       target->incarnation.clock_offset_ms -
+                       clock_lag_max_ms(target, now);
+
+    return MIN(target->incarnation.lease_sent_ms - clock_ms,
+               target->owner->options.lease_ms);
+}
+
+/* Raises the bounds for an order that is sent now with the lease that was
+ * sent. */
+static void
+raise_for_order(struct owner_target *target, struct timespec now)
 {
-    struct cw_owner *owner = target->owner;
-    int64_t lease_ms = lease_ms_for(target, now);
-    struct timespec end = cw_time_add_ms(lease_begin(target, now), lease_ms);
-    int64_t left_ms = cw_time_diff_ms(now, end);
+    int64_t left_ms = sent_lease_left_ms(target, now);
     /* If a worker may start again under its id, the order may reach its next
      * incarnation, whose clock differs: the lease may be as long as the
      * longest that workers accept. */
-    int64_t outer_ms =
-        target->incarnation.boot_ms > 0 ? owner->options.lease_ms : left_ms;
-    int64_t until_ms = cw_time_diff_ms(cw_time_from_ms(0), end) +
-                       target->incarnation.clock_offset_ms -
-                       clock_lag_max_ms(target, now);
+    int64_t outer_ms = target->incarnation.boot_ms > 0
+                           ? target->owner->options.lease_ms
+                           : left_ms;
 
-    if (!may_extend(target, kind, now)) {
-        return target->incarnation.lease_sent_ms;
-    }
-    if (until_ms > target->incarnation.lease_sent_ms) {
-        target->incarnation.lease_sent_ms = until_ms;
-        target->lease_granted_at = now;
-        target->lease_granted_ms = left_ms;
-        raise_incarnation_bound(target,
-                                cw_time_add_ms(now, max_duration_ms(left_ms)));
-    }
+    raise_incarnation_bound(target,
+                            cw_time_add_ms(now, max_duration_ms(left_ms)));
     owner_lease_raise_outer(target,
                             cw_time_add_ms(now, max_duration_ms(outer_ms)),
                             OWNER_LEASE_OWN);
+}
+
+int64_t
+owner_lease_grant(struct owner_target *target, enum cw_order_kind kind,
+                  struct timespec now)
+{
+    struct timespec end;
+    int64_t until_ms;
+
+    if (may_extend(target, kind, now)) {
+        end = cw_time_add_ms(lease_begin(target, now),
+                             lease_ms_for(target, now));
+        until_ms = cw_time_diff_ms(cw_time_from_ms(0), end) +
+                   target->incarnation.clock_offset_ms -
+                   clock_lag_max_ms(target, now);
+        if (until_ms > target->incarnation.lease_sent_ms) {
+            target->incarnation.lease_sent_ms = until_ms;
+            target->lease_granted_at = now;
+            target->lease_granted_ms = cw_time_diff_ms(now, end);
+        }
+    }
+    if (target->incarnation.lease_sent_ms > 0 &&
+        target->unanswered_polls == 0 && target->incarnation.clock_known)
+    {
+        raise_for_order(target, now);
+    }
     return target->incarnation.lease_sent_ms;
 }
 
+/* True if a start that was sent at `sent`, or the lease that it grants, may
+ * still begin or last in the next incarnation of the worker. */
+static bool
+may_start_late(const struct cw_owner *owner, struct timespec sent,
+               struct timespec now)
+{
+    return cw_time_diff_ms(sent, now) <=
+           OWNER_ORDER_LATE_MAX_MS + owner_lease_max_duration_ms(owner);
+}
+
 bool
-owner_lease_run_is_bound(const struct owner_run *run)
+owner_lease_run_ends_with_incarnation(const struct owner_run *run)
 {
+    const struct owner_target *target = run->target;
+    const struct cw_owner *owner = target->owner;
+    struct timespec now = owner_now(owner);
+
     if (!owner_incarnation_was_executing(run)) {
         return false;
     }
-    /* Workers that report no boot time never restart under their id. */
-    return run->target->incarnation.boot_ms == 0 ||
-           (run->unanswered == 0 && run->sent_at.tv_sec > 0);
+    if (target->incarnation.boot_ms == 0) {
+        return true; /* such workers never restart under their id */
+    }
+    if (may_start_late(owner, target->incarnation.restarted_at, now)) {
+        return false; /* orders to the former incarnation may arrive */
+    }
+    /* An earlier owner sent the start before the takeover. */
+    if (run->sent_at.tv_sec == 0) {
+        return !may_start_late(owner, owner->takeover_began_at, now);
+    }
+    return run->unanswered == 0 || !may_start_late(owner, run->sent_at, now);
 }
 
 struct timespec
 owner_lease_first_end(const struct owner_target *target)
 {
     for (guint i = 0; i < target->runs->len; i++) {
-        if (owner_lease_run_is_bound(target->runs->pdata[i])) {
+        if (owner_lease_run_ends_with_incarnation(target->runs->pdata[i])) {
             return target->incarnation.lease_end;
         }
     }
@@ -311,7 +360,7 @@
 
         if (run->phase >= RUN_STARTING) {
             any = true;
-            if (!owner_lease_run_is_bound(run)) {
+            if (!owner_lease_run_ends_with_incarnation(run)) {
                 return target->lease_end;
             }
         }
--- a/src/owner/owner_orders.c
+++ b/src/owner/owner_orders.c
@@ -273,7 +273,9 @@
     }
     log_answer(order, answer->status);
     owner_target_answered(target, answer->status, now);
-    owner_target_set_clock(target, answer->clock_ms, now);
+    if (order->boot_ms == target->incarnation.boot_ms) {
+        owner_target_set_clock(target, answer->clock_ms, now);
+    }
     if (answer->status == CW_TARGET_FENCED) {
         owner_order_free(order);
         owner_drop_ownership(owner, "fenced_by_worker");
@@ -442,6 +444,7 @@
         cw_count_add(owner->options.counters, CW_COUNT_STARTS, 1);
         cw_time_set_earlier(&target->poll_due, now);
     }
+    order->boot_ms = target->incarnation.boot_ms;
     target->orders_in_flight++;
     order->sent = now;
     owner->options.targets->ops->order(owner->options.targets, &out);
--- a/src/owner/owner_polls.c
+++ b/src/owner/owner_polls.c
@@ -17,9 +17,9 @@
     POLL_WAIT_MANY_WORKERS_MS = 1900,
     /* Limit on the time for an answer in addition to that delay. */
     POLL_ANSWER_MAX_MS = 900,
-    /* The same for workers with short leases.  A poll may be lost: the next
-     * one, and the one after that, which extends the lease again, have to be
-     * answered before the lease expires. */
+    /* The same for workers with short leases, and polls that wait there.  A
+     * poll may be lost: the next one, and the one after that, which extends
+     * the lease again, have to be answered before the lease expires. */
     POLL_WAIT_SHORT_LEASE_MS = 500,
     POLL_WAIT_SHORT_LEASE_MANY_WORKERS_MS = 1000,
     POLL_ANSWER_SHORT_LEASE_MAX_MS = 700,
@@ -38,6 +38,7 @@
     /* Interval of polls, which extend the lease, while listed ends are not
      * durable yet. */
     POLL_INTERVAL_BLOCKED_MS = 700,
+    POLL_INTERVAL_BLOCKED_SHORT_LEASE_MS = 350,
     ENDS_LISTED_MAX = 500,
     /* Workers that had runs recently, or may have had them under an earlier
      * owner, are polled at this interval, as only a poll shows an order that
@@ -523,10 +524,12 @@
 }
 
 static unsigned
-poll_answer_max_ms(const struct owner_target *target, struct timespec now)
+poll_answer_max_ms(const struct owner_target *target, unsigned wait_ms,
+                   struct timespec now)
 {
-    return owner_lease_is_short(target, now) ? POLL_ANSWER_SHORT_LEASE_MAX_MS
-                                             : POLL_ANSWER_MAX_MS;
+    return wait_ms > 0 && owner_lease_is_short(target, now)
+               ? POLL_ANSWER_SHORT_LEASE_MAX_MS
+               : POLL_ANSWER_MAX_MS;
 }
 
 static bool
@@ -605,7 +608,7 @@
             extends ? owner_lease_grant(target, CW_ORDER_POLL, now) : 0,
         .acked = acked,
         .wait_ms = wait_ms,
-        .timeout_ms = wait_ms + poll_answer_max_ms(target, now),
+        .timeout_ms = wait_ms + poll_answer_max_ms(target, wait_ms, now),
         .done = on_poll,
         .context = call,
     };
@@ -686,12 +689,12 @@
     guint i = 0;
 
     for (guint k = 0; k < target->runs->len; k++) {
-        if (owner_lease_run_is_bound(target->runs->pdata[k])) {
+        if (owner_lease_run_ends_with_incarnation(target->runs->pdata[k])) {
             owner_crashes_collect(target->runs->pdata[k], owner_now(owner));
         }
     }
     while (i < target->runs->len) {
-        if (owner_lease_run_is_bound(target->runs->pdata[i])) {
+        if (owner_lease_run_ends_with_incarnation(target->runs->pdata[i])) {
             owner_run_lost(owner, target->runs->pdata[i], true, "lease_over");
             i = 0; /* other runs of its gang may have been dropped as well */
         }
@@ -750,7 +753,10 @@
     }
     if (target->incarnation.ends_applied > target->incarnation.ends_durable) {
         /* The worker would answer at once with the same ends. */
-        due = cw_time_add_ms(target->poll_sent_at, POLL_INTERVAL_BLOCKED_MS);
+        due = cw_time_add_ms(target->poll_sent_at,
+                             owner_lease_is_short(target, now)
+                                 ? POLL_INTERVAL_BLOCKED_SHORT_LEASE_MS
+                                 : POLL_INTERVAL_BLOCKED_MS);
     }
     if (!cw_time_before(now, due)) {
         send_poll(owner, target, now);
--- a/tests/owner_cluster.h
+++ b/tests/owner_cluster.h
@@ -280,8 +280,7 @@
 static inline void
 arrive_now(struct cluster *cluster, struct owner_job *job)
 {
-    job->known_at = cluster->clock.now;
-    owner_headroom_job_accepted(cluster->owner, job);
+    owner_headroom_job_arrived(cluster->owner, job, cluster->clock.now);
 }
 
 /* Makes the service busy: runs of lower-priority work on eight of the twelve
