--- a/tests/test_lease_bounds.c
+++ b/tests/test_lease_bounds.c
@@ -78,6 +78,7 @@
         answer.running = &running;
         answer.running_count = 1;
     }
+    g_assert(order.done != NULL);
     order.done(order.context, &answer);
 }
 
@@ -118,6 +119,7 @@
     struct cw_target_order order = take_order(CW_ORDER_START);
     struct cw_target_answer answer = {.status = status, .clock_ms = clock_ms};
 
+    g_assert(order.done != NULL);
     order.done(order.context, &answer);
 }
 
