--- a/tests/test_lease_lengths.c
+++ b/tests/test_lease_lengths.c
@@ -57,12 +57,6 @@
     worker->target->incarnation.boot_ms = boot_ms;
 }
 
-static void
-worker_end(struct worker *worker)
-{
-    cluster_end(&worker->cluster);
-}
-
 static void
 answer_poll(struct worker *worker)
 {
@@ -91,6 +85,15 @@
     worker->poll.done(worker->poll.context, &none);
 }
 
+static void
+worker_end(struct worker *worker)
+{
+    if (worker->poll_at.tv_sec > 0) {
+        fail_poll(worker);
+    }
+    cluster_end(&worker->cluster);
+}
+
 /* Takes the poll that the owner has sent, if any. */
 static void
 receive_poll(struct worker *worker)
@@ -317,7 +320,9 @@
 ms_until_start_is_placed_elsewhere(int64_t boot_ms)
 {
     const struct cw_step_spec one = {.tasks = 1, .accelerators = 4};
+    const struct cw_target_answer none = {.status = CW_TARGET_UNKNOWN};
     struct worker worker = {.silent = true};
+    struct cw_target_order start;
     struct owner_job *job;
     int64_t ms = 0;
 
@@ -330,6 +335,7 @@
     worker.target->answered_poll_sent_at = worker.cluster.clock.now;
     worker.target->incarnation.poll_answered_at = worker.cluster.clock.now;
     (void)send_job_start(&worker.cluster, job);
+    start = last_order;
     g_array_set_size(unanswered, 0);
     while (ms < SILENT_MAX_MS && (worker.task->run == NULL ||
                                   worker.task->run->target == worker.target))
@@ -337,6 +343,7 @@
         tick(&worker);
         ms += TICK_MS;
     }
+    start.done(start.context, &none);
     worker_end(&worker);
     return ms;
 }
