--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -587,6 +587,12 @@
 void owner_run_lost(struct cw_owner *owner, struct owner_run *run, bool worked,
                     const char *reason);
 
+/* Drops the runs on the worker for which `is_lost` is true; they may have been
+ * executed. */
+void owner_runs_lost_if(struct owner_target *target,
+                        bool (*is_lost)(const struct owner_run *run),
+                        const char *reason);
+
 /* Name of a phase, for logs.  Borrowed, static. */
 const char *owner_run_phase_name(enum run_phase phase);
 
--- a/src/owner/owner_incarnations.c
+++ b/src/owner/owner_incarnations.c
@@ -223,27 +223,13 @@
 owner_incarnation_poll_failed(struct owner_target *target)
 {
     struct cw_owner *owner = target->owner;
-    guint i = 0;
 
     if (target->incarnation.boot_ms == 0 ||
         target->reported_boot_ms <= target->incarnation.boot_ms)
     {
         return;
     }
-    for (guint k = 0; k < target->runs->len; k++) {
-        if (owner_incarnation_was_executing(target->runs->pdata[k])) {
-            owner_crashes_collect(target->runs->pdata[k], owner_now(owner));
-        }
-    }
-    while (i < target->runs->len) {
-        if (owner_incarnation_was_executing(target->runs->pdata[i])) {
-            owner_run_lost(owner, target->runs->pdata[i], true, "other_life");
-            i = 0; /* other runs of its gang may have been dropped as well */
-        }
-        else {
-            i++;
-        }
-    }
+    owner_runs_lost_if(target, owner_incarnation_was_executing, "other_life");
     owner_crashes_confirmed(owner, target, target->reported_boot_ms);
 }
 
--- a/src/owner/owner_polls.c
+++ b/src/owner/owner_polls.c
@@ -682,28 +682,6 @@
     return MAX(IDLE_POLL_INTERVAL_MS, all_ms);
 }
 
-/* Gives up the runs whose lease ends with that of the worker's incarnation. */
-static void
-lose_bound_runs(struct cw_owner *owner, struct owner_target *target)
-{
-    guint i = 0;
-
-    for (guint k = 0; k < target->runs->len; k++) {
-        if (owner_lease_run_ends_with_incarnation(target->runs->pdata[k])) {
-            owner_crashes_collect(target->runs->pdata[k], owner_now(owner));
-        }
-    }
-    while (i < target->runs->len) {
-        if (owner_lease_run_ends_with_incarnation(target->runs->pdata[i])) {
-            owner_run_lost(owner, target->runs->pdata[i], true, "lease_over");
-            i = 0; /* other runs of its gang may have been dropped as well */
-        }
-        else {
-            i++;
-        }
-    }
-}
-
 /* Handles the end of a lease that was not extended.  A worker that still
  * answers is polled for the state of its runs; the runs on a worker that does
  * not answer are lost. */
@@ -725,7 +703,8 @@
         owner_target_lost(owner, target, "lease_over");
     }
     else {
-        lose_bound_runs(owner, target);
+        owner_runs_lost_if(target, owner_lease_run_ends_with_incarnation,
+                           "lease_over");
     }
 }
 
--- a/src/owner/owner_runs.c
+++ b/src/owner/owner_runs.c
@@ -208,6 +208,30 @@
     }
 }
 
+void
+owner_runs_lost_if(struct owner_target *target,
+                   bool (*is_lost)(const struct owner_run *run),
+                   const char *reason)
+{
+    struct cw_owner *owner = target->owner;
+    guint i = 0;
+
+    for (guint k = 0; k < target->runs->len; k++) {
+        if (is_lost(target->runs->pdata[k])) {
+            owner_crashes_collect(target->runs->pdata[k], owner_now(owner));
+        }
+    }
+    while (i < target->runs->len) {
+        if (is_lost(target->runs->pdata[i])) {
+            owner_run_lost(owner, target->runs->pdata[i], true, reason);
+            i = 0; /* other runs of its gang may have been dropped as well */
+        }
+        else {
+            i++;
+        }
+    }
+}
+
 /* ---- reserved runs ---- */
 
 /* True if the worker has free capacity for the run now. */
