--- a/src/owner/owner_polls.c
+++ b/src/owner/owner_polls.c
@@ -29,8 +29,8 @@
      * leads to up to ten polls until the last attempt of the start, each of
      * which is charged for. */
     POLL_INTERVAL_UNDECIDED_MS = 150,
-    /* Time from a poll without an answer to the next poll; a connection that
-     * is refused fails at once. */
+    /* Minimum time between a poll without an answer and the next one; a
+     * connection that is refused fails at once. */
     POLL_RETRY_MS = 300,
     /* Polls without an answer after which placements on the worker are given
      * up; a single answer may be late. */
