Logs: what keeps a job from capacity comes before its age

Lines that are handed over cut at 200 characters ended in since_takeover and age_ms of job_waits, before fits and what blocks it, and of job_waits_full before fits.

--- a/src/owner/owner_idle_log.c
+++ b/src/owner/owner_idle_log.c
@@ -89,8 +89,8 @@
     return text;
 }
 
-/* Returns the log fields for the step, and what blocks it from using spare
- * capacity.  Owned by the caller. */
+/* Returns the log fields for what blocks the step from using spare capacity,
+ * and for its tasks.  Owned by the caller. */
 static char *
 describe_step(const struct owner_waiting *waiting,
               const struct owner_spare_fit *fit)
@@ -98,9 +98,9 @@
     const struct owner_step *step = waiting->step;
 
     return g_strdup_printf(
-        "fits=%u booked=%u avoided=%u rack=%u urgent=%u step=%u.%u left=%u "
+        "booked=%u avoided=%u rack=%u urgent=%u step=%u.%u left=%u "
         "runs=%u",
-        fit->tasks, fit->by_blocker[OWNER_BLOCKER_UNCONFIRMED],
+        fit->by_blocker[OWNER_BLOCKER_UNCONFIRMED],
         fit->by_blocker[OWNER_BLOCKER_AVOIDED],
         fit->by_blocker[OWNER_BLOCKER_RACK],
         fit->by_blocker[OWNER_BLOCKER_HEADROOM], step->occurrence->number,
@@ -123,13 +123,13 @@
     cw_log_warning(
         "job_waits",
         "id=%s waits_ms=%" PRId64 " room_ms=%" PRId64
-        " reason=%s store_ms=%" PRId64 " after=%s %s %s"
+        " reason=%s store_ms=%" PRId64 " after=%s %s fits=%u %s"
         " stopping=%d unanswered=%u %s orders=%u most=%u",
         job->spec->id, waiting->waited_ms,
         cw_idle_free_ms(&job->idle.clock, now),
         reason_of(owner, step, run, now), owner_append_unstored_ms(owner, now),
-        cause_name(job->idle.cause), worker, age, run != NULL && run->stopping,
-        run != NULL ? run->unanswered : 0, about_step,
+        cause_name(job->idle.cause), worker, fit->tasks, about_step,
+        run != NULL && run->stopping, run != NULL ? run->unanswered : 0, age,
         owner->order_window.outstanding, owner->order_window.max_outstanding);
     g_free(age);
     g_free(about_step);
@@ -159,12 +159,12 @@
     job->idle.full_logged_at = now;
     cw_log_info(
         "job_waits_full",
-        "id=%s waits_ms=%" PRId64 " reason=%s %s used=%" PRId64 ",%" PRId64
-        ",%" PRId64
+        "id=%s waits_ms=%" PRId64 " reason=%s %s fits=%u used=%" PRId64
+        ",%" PRId64 ",%" PRId64
         " silent_workers=%u draining_workers=%u workers=%u store_ms=%" PRId64
         " %s after=%s %s jobs=%u orders=%u most=%u",
         job->spec->id, waiting->waited_ms, reason_of(owner, step, run, now),
-        worker,
+        worker, fit->tasks,
         percent_of(load->used.accelerators, load->capacity.accelerators),
         percent_of(load->used.cpu_milli, load->capacity.cpu_milli),
         percent_of(load->used.memory_mb, load->capacity.memory_mb),
