--- a/src/owner/internal/owner_leases.h
+++ b/src/owner/internal/owner_leases.h
@@ -35,6 +35,10 @@
  * may last. */
 int64_t owner_lease_max_duration_ms(const struct cw_owner *owner);
 
+/* Longest time from the sending of a start until a lease that it grants to the
+ * worker's next incarnation is over. */
+int64_t owner_lease_late_start_max_ms(const struct cw_owner *owner);
+
 /* Longest lease that owners grant, by the worker's clock. */
 int64_t owner_lease_max_granted_ms(const struct cw_owner *owner);
 
--- a/src/owner/owner_incarnations.c
+++ b/src/owner/owner_incarnations.c
@@ -162,8 +162,7 @@
 static void
 await_late_starts(struct owner_target *target)
 {
-    int64_t late_ms =
-        OWNER_ORDER_LATE_MAX_MS + owner_lease_max_duration_ms(target->owner);
+    int64_t late_ms = owner_lease_late_start_max_ms(target->owner);
 
     for (guint i = 0; i < target->runs->len; i++) {
         const struct owner_run *run = target->runs->pdata[i];
--- a/src/owner/owner_leases.c
+++ b/src/owner/owner_leases.c
@@ -306,14 +306,19 @@
     return target->incarnation.lease_sent_ms;
 }
 
+int64_t
+owner_lease_late_start_max_ms(const struct cw_owner *owner)
+{
+    return OWNER_ORDER_LATE_MAX_MS + owner_lease_max_duration_ms(owner);
+}
+
 /* True if a start that was sent at `sent`, or the lease that it grants, may
  * still begin or last in the next incarnation of the worker. */
 static bool
 may_start_late(const struct cw_owner *owner, struct timespec sent,
                struct timespec now)
 {
-    return cw_time_diff_ms(sent, now) <=
-           OWNER_ORDER_LATE_MAX_MS + owner_lease_max_duration_ms(owner);
+    return cw_time_diff_ms(sent, now) <= owner_lease_late_start_max_ms(owner);
 }
 
 bool
