Logs: what shows that a worker's runs are over, and reports that return

New: evidence, sent_ms, moved, listed, address, holder and holder_answered_ms of worker_lost; unlisted_ms, superseded and answered_ms of worker; worker_moved; worker_boot_reported. No change of logic.

--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -182,6 +182,7 @@
     struct cw_owner *owner;
     char *id;
     char *address;       /* "" until a report is read */
+    unsigned addresses;  /* number of changes of that address */
     const char *service; /* interned: compared by pointer */
     const char *dc;      /* interned, as is the rack */
     const char *rack;
@@ -200,8 +201,9 @@
     bool draining;
     /* While draining: it does not shut down before. */
     struct timespec drain_until;
-    bool superseded;      /* another incarnation has its address */
-    bool found_in_reload; /* found while the reports are reloaded */
+    bool superseded;             /* another incarnation has its address */
+    bool found_in_reload;        /* found while the reports are reloaded */
+    struct timespec unlisted_at; /* its report was last removed; 0: never */
     /* Its last report was written after this time. */
     struct timespec reported_at;
     int64_t reported_boot_ms;             /* boot time in the newest report */
@@ -762,9 +764,21 @@
 char *owner_target_describe_lease(const struct owner_target *target,
                                   struct timespec now);
 
+/* Why the runs of a worker are taken to be over, for logs. */
+struct owner_loss {
+    const char *reason;
+    /* What showed it: the kind of the order that was answered, "list" or
+     * "lease". */
+    const char *evidence;
+    /* When the order that was answered was sent; 0: no order. */
+    struct timespec order_sent;
+    /* The worker has reported another address since. */
+    bool address_changed;
+};
+
 /* Drops all runs of the worker as lost. */
 void owner_target_lost(struct cw_owner *owner, struct owner_target *target,
-                       const char *reason);
+                       const struct owner_loss *loss);
 
 /* True if the worker's reported capacity can be relied on: the report is
  * recent, or the worker refuses runs that do not fit. */
@@ -800,7 +814,8 @@
     struct cw_task_name task; /* task.job points to `job` */
     unsigned run;
     struct timespec sent;
-    int64_t boot_ms; /* of the incarnation that it was sent to; 0 unknown */
+    int64_t boot_ms;    /* of the incarnation that it was sent to; 0 unknown */
+    unsigned addresses; /* of its worker, when it was sent */
     struct timespec due; /* of a start: not resent before this time */
 };
 
--- a/src/owner/owner_crashes.c
+++ b/src/owner/owner_crashes.c
@@ -427,7 +427,9 @@
         (before->runs->len > 0 || before->pending_suspicions->len > 0))
     {
         before->superseded = true;
-        owner_target_lost(owner, before, "other_life");
+        owner_target_lost(
+            owner, before,
+            &(struct owner_loss){.reason = "other_life", .evidence = "list"});
     }
 }
 
--- a/src/owner/owner_incarnations.c
+++ b/src/owner/owner_incarnations.c
@@ -240,6 +240,13 @@
     if (boot_ms == 0 || boot_ms == target->reported_boot_ms) {
         return;
     }
+    cw_log(owner->state == OWNER_ACTIVE ? G_LOG_LEVEL_INFO : G_LOG_LEVEL_DEBUG,
+           "worker_boot_reported",
+           "worker=%s born_ms=%" PRId64 " before_ms=%" PRId64
+           " answered_born_ms=%" PRId64 " silent=%u runs=%u",
+           target->id, boot_ms, target->reported_boot_ms,
+           target->incarnation.boot_ms, target->unanswered_polls,
+           target->runs->len);
     target->reported_boot_ms = boot_ms;
     target->reported_boot_at = owner_now(owner);
     if (boot_ms <= target->incarnation.boot_ms) {
--- a/src/owner/owner_orders.c
+++ b/src/owner/owner_orders.c
@@ -283,7 +283,13 @@
     }
     if (answer->status == CW_TARGET_OTHER_INCARNATION) {
         target->superseded = true;
-        owner_target_lost(owner, target, "other_life");
+        owner_target_lost(
+            owner, target,
+            &(struct owner_loss){
+                .reason = "other_life",
+                .evidence = order->kind == CW_ORDER_START ? "start" : "stop",
+                .order_sent = order->sent,
+                .address_changed = order->addresses != target->addresses});
     }
     else if (order->kind == CW_ORDER_START) {
         start_answered(order, answer->status);
@@ -445,6 +451,7 @@
         cw_time_set_earlier(&target->poll_due, now);
     }
     order->boot_ms = target->incarnation.boot_ms;
+    order->addresses = target->addresses;
     target->orders_in_flight++;
     order->sent = now;
     owner->options.targets->ops->order(owner->options.targets, &out);
--- a/src/owner/owner_polls.c
+++ b/src/owner/owner_polls.c
@@ -63,9 +63,10 @@
     unsigned term;
     struct owner_target *target;
     struct timespec sent;
-    bool idle;       /* the worker had no runs */
-    int64_t boot_ms; /* of the incarnation that it was sent to; 0 unknown */
-    uint64_t acked;  /* confirms ends up to this number */
+    bool idle;          /* the worker had no runs */
+    int64_t boot_ms;    /* of the incarnation that it was sent to; 0 unknown */
+    uint64_t acked;     /* confirms ends up to this number */
+    unsigned addresses; /* of the worker, when it was sent */
 };
 
 /* ---- runs that are listed ---- */
@@ -502,7 +503,13 @@
         break;
     case CW_TARGET_OTHER_INCARNATION:
         target->superseded = true;
-        owner_target_lost(owner, target, "other_life");
+        owner_target_lost(
+            owner, target,
+            &(struct owner_loss){.reason = "other_life",
+                                 .evidence = "poll",
+                                 .order_sent = call->sent,
+                                 .address_changed =
+                                     call->addresses != target->addresses});
         break;
     default:
         poll_failed(target, answer->status, now);
@@ -620,6 +627,7 @@
     call->idle = target->runs->len == 0;
     call->boot_ms = target->incarnation.boot_ms;
     call->acked = acked;
+    call->addresses = target->addresses;
     owner->idle_polls_in_flight += call->idle;
     target->poll_in_flight = true;
     target->poll_sent_at = now;
@@ -700,7 +708,9 @@
         }
     }
     else if (cw_time_before(owner_lease_last_end(target), now)) {
-        owner_target_lost(owner, target, "lease_over");
+        owner_target_lost(
+            owner, target,
+            &(struct owner_loss){.reason = "lease_over", .evidence = "lease"});
     }
     else {
         owner_runs_lost_if(target, owner_lease_run_ends_with_incarnation,
--- a/src/owner/owner_targets.c
+++ b/src/owner/owner_targets.c
@@ -134,15 +134,40 @@
     }
 }
 
+/* Returns the milliseconds since `then`; -1 if it is 0. */
+static int64_t
+ms_since(struct timespec then, struct timespec now)
+{
+    return then.tv_sec > 0 ? cw_time_diff_ms(then, now) : -1;
+}
+
 /* ---- reports ---- */
 
-static void
+static bool
 replace_text(char **member, const char *text)
 {
-    if (strcmp(*member, text) != 0) {
-        g_free(*member);
-        *member = g_strdup(text);
+    if (strcmp(*member, text) == 0) {
+        return false;
+    }
+    g_free(*member);
+    *member = g_strdup(text);
+    return true;
+}
+
+static void
+update_address(struct owner_target *target, const char *address)
+{
+    char *before = g_strdup(target->address);
+
+    if (replace_text(&target->address, address)) {
+        target->addresses++;
+        if (before[0] != '\0') {
+            cw_log_info("worker_moved",
+                        "worker=%s address=%s before=%s runs=%u", target->id,
+                        address, before, target->runs->len);
+        }
     }
+    g_free(before);
 }
 
 static void
@@ -177,7 +202,7 @@
     bool draining = report->draining;
     bool newly_listed = !target->listed;
 
-    replace_text(&target->address, report->address);
+    update_address(target, report->address);
     target->service = g_intern_string(report->service);
     target->dc = g_intern_string(report->dc);
     owner_target_set_rack(target, report->rack);
@@ -187,8 +212,13 @@
          * active. */
         cw_log(owner->state == OWNER_ACTIVE ? G_LOG_LEVEL_INFO
                                             : G_LOG_LEVEL_DEBUG,
-               "worker", "worker=%s state=%s address=%s rack=%s", target->id,
-               draining ? "draining" : "ready", target->address, target->rack);
+               "worker",
+               "worker=%s state=%s address=%s rack=%s unlisted_ms=%" PRId64
+               " superseded=%d answered_ms=%" PRId64,
+               target->id, draining ? "draining" : "ready", target->address,
+               target->rack, ms_since(target->unlisted_at, owner_now(owner)),
+               target->superseded,
+               ms_since(target->answered_at, owner_now(owner)));
         owner->capacity_version++;
         owner->placement_wanted = true;
     }
@@ -218,6 +248,7 @@
 {
     if (target->listed) {
         target->listed = false;
+        target->unlisted_at = owner_now(target->owner);
         cw_log_info("worker", "worker=%s state=unlisted runs=%u", target->id,
                     target->runs->len);
         owner_crashes_unlisted(target->owner, target);
@@ -336,13 +367,6 @@
     }
 }
 
-/* Returns the milliseconds since `then`; -1 if it is 0. */
-static int64_t
-ms_since(struct timespec then, struct timespec now)
-{
-    return then.tv_sec > 0 ? cw_time_diff_ms(then, now) : -1;
-}
-
 char *
 owner_target_describe_lease(const struct owner_target *target,
                             struct timespec now)
@@ -356,15 +380,23 @@
 }
 
 static void
-log_lost(const struct owner_target *target, const char *reason,
+log_lost(const struct owner_target *target, const struct owner_loss *loss,
          struct timespec now)
 {
     char *lease = owner_target_describe_lease(target, now);
+    const struct owner_target *holder = g_hash_table_lookup(
+        target->owner->targets_by_address, target->address);
 
     cw_log_info("worker_lost",
-                "worker=%s reason=%s runs=%u %s silent=%u draining=%d "
-                "heard_ms=%" PRId64,
-                target->id, reason, target->runs->len, lease,
+                "worker=%s reason=%s runs=%u evidence=%s sent_ms=%" PRId64
+                " moved=%d %s listed=%d address=%s holder=%s"
+                " holder_answered_ms=%" PRId64
+                " silent=%u draining=%d heard_ms=%" PRId64,
+                target->id, loss->reason, target->runs->len, loss->evidence,
+                ms_since(loss->order_sent, now), loss->address_changed, lease,
+                target->listed, target->address,
+                holder != NULL ? holder->id : "",
+                holder != NULL ? ms_since(holder->answered_at, now) : -1,
                 target->unanswered_polls, target->draining,
                 owner_target_since_answer_ms(target, now));
     g_free(lease);
@@ -372,9 +404,9 @@
 
 void
 owner_target_lost(struct cw_owner *owner, struct owner_target *target,
-                  const char *reason)
+                  const struct owner_loss *loss)
 {
-    log_lost(target, reason, owner_now(owner));
+    log_lost(target, loss, owner_now(owner));
     for (guint i = 0; i < target->runs->len; i++) {
         owner_crashes_collect(target->runs->pdata[i], owner_now(owner));
         if (!target->superseded) {
@@ -383,7 +415,7 @@
     }
     while (target->runs->len > 0) {
         owner_run_lost(owner, target->runs->pdata[target->runs->len - 1], true,
-                       reason);
+                       loss->reason);
     }
     clear_orders(&target->orders);
     owner_tombstone_unqueue(target);
--- a/tests/test_crashes.c
+++ b/tests/test_crashes.c
@@ -25,7 +25,8 @@
 crash(struct cluster *cluster, struct owner_target *target)
 {
     target->superseded = true;
-    owner_target_lost(cluster->owner, target, "other_life");
+    owner_target_lost(cluster->owner, target,
+                      &(struct owner_loss){.reason = "other_life"});
 }
 
 /* Runs placement until the job is placed, for up to 5 s. */
@@ -331,7 +332,8 @@
 {
     target->listed = false;
     target->unanswered_polls = 3;
-    owner_target_lost(cluster->owner, target, "lease_over");
+    owner_target_lost(cluster->owner, target,
+                      &(struct owner_loss){.reason = "lease_over"});
 }
 
 static void
--- a/tests/test_gang_ends.c
+++ b/tests/test_gang_ends.c
@@ -870,7 +870,7 @@
 {
     gang->workers[member]->superseded = true;
     owner_target_lost(gang->cluster.owner, gang->workers[member],
-                      "other_life");
+                      &(struct owner_loss){.reason = "other_life"});
 }
 
 /* Guards against a job that is given up as workers crash on which its members
--- a/tests/test_order_window.c
+++ b/tests/test_order_window.c
@@ -115,7 +115,8 @@
     owner_orders_send(cluster.owner, target, cluster.clock.now);
     answer_last(CW_TARGET_OK);
     CU_ASSERT_EQUAL(cluster.owner->order_window.outstanding, 2);
-    owner_target_lost(cluster.owner, target, "test");
+    owner_target_lost(cluster.owner, target,
+                      &(struct owner_loss){.reason = "test"});
     CU_ASSERT_EQUAL(cluster.owner->order_window.outstanding,
                     1); /* one is in flight */
     cluster_end(&cluster);
