--- a/emulator/internal/world_private.h
+++ b/emulator/internal/world_private.h
@@ -95,9 +95,6 @@
                                       arrive */
 };
 
-/* Writes the name of a rack's data centre; each rack is a data centre. */
-void world_dc_of_rack(const char *rack, char *dc, size_t size);
-
 /* A request of a caller that waits for its answer. */
 struct client_call {
     struct world *world;
@@ -243,6 +240,17 @@
 /* Makes a random job and submits it; some are cancelled later. */
 void world_submit_new_job(struct world *world, void *unused);
 
+/* ---- world_reports.c ---- */
+
+/* Writes the name of a rack's data centre; each rack is a data centre. */
+void world_dc_of_rack(const char *rack, char *dc, size_t size);
+
+/* Codec for the workers' reports and the operators' cordons. */
+const struct cw_codec *world_codec(void);
+
+/* Stores the reports of all workers, now and at each later interval. */
+void world_report_workers(struct world *world, void *unused);
+
 /* ---- world_restarts.c ---- */
 
 /* Crashes some workers, which restart under their ids. */
@@ -349,9 +357,4 @@
  * workers) and the time that a VM or worker is down end by themselves. */
 void world_heal_all(struct world *world, void *unused);
 
-/* ---- world.c ---- */
-
-/* Codec for the workers' reports and the operators' cordons. */
-const struct cw_codec *world_codec(void);
-
 #endif
