Incarnations are ordered by polls, not by the size of boot times

Callers saw: tasks that may run twice (TWICE) and jobs that wait for longer than a lease (LOST), where workers restart under their ids.

Cause: one boot time was kept of a worker's reports, that of the last one read, and compared by size with that of the last answer. - A late report of the present incarnation or of a former one replaced the boot time of the next one: starts were sent to it again, with a lease by the clock of the former. - After the clock was set back the next incarnation has the smaller boot time.

Change: owner_boot_times.c keeps the order that answers to polls prove. An incarnation that answered an earlier poll is over; so is a reported one if another one answers a poll that was sent after the report was read. Every other boot time is unresolved, whatever its size, until a poll is answered. The bound on the lease is raised only while polls have no answer: before, the next poll resolves the boot time or raises the bound. What was resolved is logged (worker_boot_over, order= of worker_boot_reported).

The emulator stores no report late and sets no clock back.

--- a/src/owner/internal/owner_incarnations.h
+++ b/src/owner/internal/owner_incarnations.h
@@ -64,11 +64,12 @@
 bool owner_run_is_of_other_incarnation(const struct owner_run *run,
                                        int64_t boot_ms);
 
-/* Processes the answer to a poll from the incarnation with this boot time (0:
- * unknown).  Returns true for a new incarnation; then the state of the former
- * one is dropped, while its runs stay until the lists in the answer have shown
- * which of them are gone. */
-bool owner_incarnation_answered(struct owner_target *target, int64_t boot_ms);
+/* Processes the answer to a poll that was sent at `sent` from the incarnation
+ * with this boot time (0: unknown).  Returns true for a new incarnation; then
+ * the state of the former one is dropped, while its runs stay until the lists
+ * in the answer have shown which of them are gone. */
+bool owner_incarnation_answered(struct owner_target *target, int64_t boot_ms,
+                                struct timespec sent);
 
 /* Processes the reading of the worker's clock (0: none) in an answer to a poll
  * that was sent at `sent`.  Returns when the worker gave the answer; an
@@ -97,9 +98,10 @@
  * if the next incarnation has been reported. */
 void owner_incarnation_unresponsive(struct owner_target *target);
 
-/* True if the worker has reported a newer incarnation and has answered no poll
- * that was sent since: a start would be sent to that incarnation, with a lease
- * by the clock of the former one. */
+/* True if the worker has reported another incarnation, which may be later than
+ * the one that answered last, and has answered no poll that was sent since: a
+ * start may be sent to that incarnation, with a lease by the clock of the
+ * former one. */
 bool owner_incarnation_unknown(const struct owner_target *target);
 
 #endif
--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -14,6 +14,7 @@
 #include "curlewcart/cw_time.h"
 #include "curlewcart/cw_xdr.h"
 #include "owner/internal/owner_append_watch.h"
+#include "owner/internal/owner_boot_times.h"
 #include "owner/internal/owner_due.h"
 #include "owner/internal/owner_epochs.h"
 #include "owner/internal/owner_gang_ends.h"
@@ -210,7 +211,7 @@
     /* Its last report was written after this time. */
     struct timespec reported_at;
     int64_t reported_boot_ms;             /* boot time in the newest report */
-    struct timespec reported_boot_at;     /* when that boot time was read */
+    struct owner_boot_times boot_times;   /* of other incarnations */
     struct owner_incarnation incarnation; /* the last that answered */
     /* Latest end of a lease that was granted to any incarnation, by this VM's
      * clock and with drift; see also incarnation.lease_end. */
--- a/src/owner/owner_incarnations.c
+++ b/src/owner/owner_incarnations.c
@@ -68,13 +68,33 @@
         OWNER_LEASE_INCARNATION);
 }
 
+/* Determines which of the reported incarnations are over. */
+static void
+resolve_boot_times(struct owner_target *target, int64_t boot_ms,
+                   struct timespec sent)
+{
+    unsigned over = owner_boot_times_answered(
+        &target->boot_times, boot_ms, target->incarnation.boot_ms, sent);
+
+    if (over > 0) {
+        cw_log_info("worker_boot_over",
+                    "worker=%s answered_born_ms=%" PRId64 " over=%u",
+                    target->id, boot_ms, over);
+    }
+}
+
 bool
-owner_incarnation_answered(struct owner_target *target, int64_t boot_ms)
+owner_incarnation_answered(struct owner_target *target, int64_t boot_ms,
+                           struct timespec sent)
 {
     struct cw_owner *owner = target->owner;
     int64_t before_ms = target->incarnation.boot_ms;
 
-    if (boot_ms == 0 || boot_ms == before_ms) {
+    if (boot_ms == 0) {
+        return false;
+    }
+    resolve_boot_times(target, boot_ms, sent);
+    if (boot_ms == before_ms) {
         return false;
     }
     if (before_ms == 0) {
@@ -144,7 +164,7 @@
     }
 }
 
-/* True if the run's start may be held up on its way to a newer incarnation
+/* True if the run's start may be held up on its way to a later incarnation
  * than the one that it was meant for. */
 static bool
 may_begin_late(const struct owner_run *run)
@@ -153,12 +173,13 @@
 
     return run->phase == RUN_STARTING && !run->stop_confirmed &&
            run->boot_ms > 0 &&
-           run->boot_ms <
-               MAX(target->reported_boot_ms, target->incarnation.boot_ms);
+           (run->boot_ms != target->incarnation.boot_ms ||
+            owner_boot_times_unresolved(&target->boot_times,
+                                        cw_time_from_ms(0)));
 }
 
 /* Raises the bound on the lease if a start may be held up on its way to a
- * newer incarnation.  To that one, whose clock may be behind, the start is not
+ * later incarnation.  To that one, whose clock may be behind, the start is not
  * late: it is carried out whenever it arrives, under a lease that counts from
  * then. */
 static void
@@ -181,9 +202,8 @@
 owner_incarnation_unknown(const struct owner_target *target)
 {
     return target->incarnation.boot_ms > 0 &&
-           target->reported_boot_ms > target->incarnation.boot_ms &&
-           !cw_time_before(target->reported_boot_at,
-                           target->answered_poll_sent_at);
+           owner_boot_times_unresolved(&target->boot_times,
+                                       target->answered_poll_sent_at);
 }
 
 void
@@ -220,28 +240,52 @@
            cw_time_before(run->started_at, target->answered_poll_sent_at);
 }
 
+/* Returns what is known of the order of the reported incarnation and the one
+ * that answered last, for the log. */
+static const char *
+order_name(const struct owner_target *target, int64_t boot_ms)
+{
+    if (boot_ms == target->incarnation.boot_ms) {
+        return "present";
+    }
+    return owner_boot_times_is_over(&target->boot_times, boot_ms) ? "over"
+                                                                  : "unknown";
+}
+
+static void
+log_reported(const struct owner_target *target, int64_t boot_ms)
+{
+    cw_log(target->owner->state == OWNER_ACTIVE ? G_LOG_LEVEL_INFO
+                                                : G_LOG_LEVEL_DEBUG,
+           "worker_boot_reported",
+           "worker=%s born_ms=%" PRId64 " before_ms=%" PRId64
+           " answered_born_ms=%" PRId64 " order=%s silent=%u runs=%u",
+           target->id, boot_ms, target->reported_boot_ms,
+           target->incarnation.boot_ms, order_name(target, boot_ms),
+           target->unanswered_polls, target->runs->len);
+}
+
 void
 owner_incarnation_reported(struct owner_target *target, int64_t boot_ms)
 {
-    struct cw_owner *owner = target->owner;
+    struct timespec now = owner_now(target->owner);
 
-    if (boot_ms == 0 || boot_ms == target->reported_boot_ms) {
+    if (boot_ms == 0) {
         return;
     }
-    cw_log(owner->state == OWNER_ACTIVE ? G_LOG_LEVEL_INFO : G_LOG_LEVEL_DEBUG,
-           "worker_boot_reported",
-           "worker=%s born_ms=%" PRId64 " before_ms=%" PRId64
-           " answered_born_ms=%" PRId64 " silent=%u runs=%u",
-           target->id, boot_ms, target->reported_boot_ms,
-           target->incarnation.boot_ms, target->unanswered_polls,
-           target->runs->len);
-    target->reported_boot_ms = boot_ms;
-    target->reported_boot_at = owner_now(owner);
-    if (boot_ms <= target->incarnation.boot_ms) {
-        return; /* read late: a poll has shown this boot time or a later one */
+    if (boot_ms != target->reported_boot_ms) {
+        log_reported(target, boot_ms);
+        target->reported_boot_ms = boot_ms;
+    }
+    if (boot_ms == target->incarnation.boot_ms ||
+        !owner_boot_times_add(&target->boot_times, boot_ms, now))
+    {
+        return;
     }
     target->superseded = false;
-    target->poll_due = owner_now(owner);
+    target->poll_due = now;
     owner_target_wake(target);
-    await_late_starts(target);
+    if (target->unanswered_polls > 0) {
+        await_late_starts(target);
+    }
 }
--- a/src/owner/owner_polls.c
+++ b/src/owner/owner_polls.c
@@ -457,7 +457,7 @@
         target->unanswered_polls = 0;
         owner->placement_wanted = true;
     }
-    if (!owner_incarnation_answered(target, answer->boot_ms)) {
+    if (!owner_incarnation_answered(target, answer->boot_ms, call->sent)) {
         record_confirmed_ends(target, call);
     }
     owner_crashes_answered(owner, target, answer->boot_ms);
--- a/tests/test_boot_reports.c
+++ b/tests/test_boot_reports.c
@@ -21,6 +21,10 @@
     TICK_MS = 10,
     /* The platform tolerates 7 s without a run of a job while faults occur. */
     IDLE_WITH_FAULTS_MS = 7000,
+    /* The platform carries an order out at most this long after it was sent.
+     */
+    ORDER_LATE_MAX_MS = 12000,
+    LEASE_MS = 6000,
     /* Suspicion at which the next crash ends a job. */
     SUSPICION_BELOW_LIMIT = 11
 };
@@ -280,6 +284,139 @@
     cluster_end(&worker.cluster);
 }
 
+/* ---- starts ---- */
+
+/* Guards against a task that runs twice: a start is sent to an incarnation
+ * that has not answered, with a lease by the former one's clock, as a late
+ * report follows that incarnation's report. */
+static void
+test_late_report_releases_no_start(void)
+{
+    static const int64_t late[] = {PRESENT_BOOT_MS, FORMER_BOOT_MS};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(late); i++) {
+        struct worker worker;
+        struct owner_run *run;
+
+        begin(&worker, FORMER_BOOT_MS, PRESENT_BOOT_MS);
+        report(&worker, LATER_BOOT_MS);
+        report(&worker, late[i]);
+        run = queue_start(&worker);
+        CU_ASSERT_EQUAL(run->phase, RUN_READY);
+        poll_as(&worker, LATER_BOOT_MS, NULL);
+        tick(&worker, 1);
+        CU_ASSERT_EQUAL(run->phase, RUN_STARTING);
+        cluster_end(&worker.cluster);
+    }
+}
+
+/* Guards against the same if the clock was set back before the incarnation
+ * began that the worker has reported. */
+static void
+test_start_waits_for_incarnation_with_earlier_boot_time(void)
+{
+    struct worker worker;
+    struct owner_run *run;
+
+    begin(&worker, 0, FORMER_BOOT_MS);
+    report(&worker, PRESENT_BOOT_MS);
+    run = queue_start(&worker);
+    CU_ASSERT_EQUAL(run->phase, RUN_READY);
+    poll_as(&worker, PRESENT_BOOT_MS, NULL);
+    tick(&worker, 1);
+    CU_ASSERT_EQUAL(run->phase, RUN_STARTING);
+    cluster_end(&worker.cluster);
+}
+
+/* Guards against a task that runs twice: a start without an answer is held up
+ * on its way to an incarnation with an earlier boot time, and the task is
+ * started elsewhere before it arrives. */
+static void
+test_start_held_up_to_earlier_boot_time_is_awaited(void)
+{
+    struct worker worker;
+    struct owner_run *run;
+    struct owner_task *task;
+
+    begin(&worker, 0, FORMER_BOOT_MS);
+    run = queue_start(&worker);
+    CU_ASSERT_EQUAL(run->phase, RUN_STARTING);
+    task = run->task;
+    pass_silently(&worker, 3000);
+    report(&worker, PRESENT_BOOT_MS);
+    report(&worker, FORMER_BOOT_MS);
+    pass_silently(&worker, ORDER_LATE_MAX_MS + LEASE_MS - 3000);
+    CU_ASSERT_PTR_NOT_NULL(task->run);
+    pass_silently(&worker, 3000);
+    CU_ASSERT_PTR_NULL(task->run);
+    cluster_end(&worker.cluster);
+}
+
+/* Guards against a job that waits for longer than a lease: a start without an
+ * answer cannot reach an incarnation that is known to be over, however large
+ * its boot time is. */
+static void
+check_start_is_not_awaited(int64_t boot_ms)
+{
+    struct worker worker;
+    struct owner_task *task;
+
+    begin(&worker, FORMER_BOOT_MS, PRESENT_BOOT_MS);
+    report(&worker, LATER_BOOT_MS);
+    worker.target->answered = false;
+    tick(&worker, TICK_MS);
+    poll_as(&worker, PRESENT_BOOT_MS, NULL);
+    task = queue_start(&worker)->task;
+    fail_poll(&worker);
+    report(&worker, boot_ms);
+    pass_silently(&worker, IDLE_WITH_FAULTS_MS);
+    CU_ASSERT_PTR_NULL(task->run);
+    cluster_end(&worker.cluster);
+}
+
+static void
+test_start_to_incarnation_that_is_over_is_not_awaited(void)
+{
+    check_start_is_not_awaited(FORMER_BOOT_MS);
+    check_start_is_not_awaited(LATER_BOOT_MS);
+}
+
+/* Guards against a job that waits for its restarted worker: an incarnation
+ * with an earlier boot time is reported while polls have no answer. */
+static void
+test_incarnation_with_earlier_boot_time_is_polled_at_once(void)
+{
+    struct worker worker;
+
+    begin(&worker, 0, FORMER_BOOT_MS);
+    (void)queue_start(&worker);
+    fail_poll(&worker);
+    tick(&worker, 0);
+    CU_ASSERT_FALSE(worker.target->poll_in_flight);
+    report(&worker, PRESENT_BOOT_MS);
+    tick(&worker, 0);
+    CU_ASSERT_TRUE(worker.target->poll_in_flight);
+    cluster_end(&worker.cluster);
+}
+
+/* Guards against capacity that is lost: a worker for which another one has
+ * refused an order restarts with an earlier boot time.  A late report of an
+ * incarnation that is over is no reason to poll it again. */
+static void
+test_only_unknown_incarnation_is_polled_after_refusal(void)
+{
+    struct worker worker;
+
+    begin(&worker, FORMER_BOOT_MS, PRESENT_BOOT_MS);
+    worker.target->superseded = true;
+    report(&worker, FORMER_BOOT_MS);
+    report(&worker, PRESENT_BOOT_MS);
+    CU_ASSERT_TRUE(worker.target->superseded);
+    report(&worker, PRESENT_BOOT_MS - 1);
+    CU_ASSERT_FALSE(worker.target->superseded);
+    cluster_end(&worker.cluster);
+}
+
 static const struct test tests[] = {
     {"late report of a former incarnation ends no run",
      test_late_report_of_former_incarnation_ends_no_run},
@@ -288,6 +425,17 @@
     {"report before the present incarnation ends no run",
      test_report_before_present_incarnation_ends_no_run},
     {"report confirms no crash", test_report_confirms_no_crash},
+    {"late report releases no start", test_late_report_releases_no_start},
+    {"start waits for an incarnation with an earlier boot time",
+     test_start_waits_for_incarnation_with_earlier_boot_time},
+    {"start held up to an earlier boot time is awaited",
+     test_start_held_up_to_earlier_boot_time_is_awaited},
+    {"start to an incarnation that is over is not awaited",
+     test_start_to_incarnation_that_is_over_is_not_awaited},
+    {"incarnation with an earlier boot time is polled at once",
+     test_incarnation_with_earlier_boot_time_is_polled_at_once},
+    {"only an unknown incarnation is polled after a refusal",
+     test_only_unknown_incarnation_is_polled_after_refusal},
 };
 
 TEST_MAIN("boot_reports", tests)
