--- a/src/owner/owner_polls.c
+++ b/src/owner/owner_polls.c
@@ -409,7 +409,6 @@
     }
     target->unanswered_polls++;
     target->poll_due = cw_time_add_ms(target->poll_sent_at, POLL_RETRY_MS);
-    owner_incarnation_poll_failed(target);
     owner_gang_ends_check_silent(target->owner, target);
     if (target->unanswered_polls == GIVE_UP_AFTER_POLLS) {
         owner_unsent_runs_give_up(target->owner, target,
@@ -458,7 +457,7 @@
         target->unanswered_polls = 0;
         owner->placement_wanted = true;
     }
-    if (!owner_incarnation_answered(target, answer->boot_ms)) {
+    if (!owner_incarnation_answered(target, answer->boot_ms, call->sent)) {
         record_confirmed_ends(target, call);
     }
     owner_crashes_answered(owner, target, answer->boot_ms);
