A refusal ends runs only if it proves that their worker is over

Cause: each refusal (421) of a poll or an order was taken as proof that the worker is over, and its tasks were started elsewhere. Workers that keep their id may restart at another address, so a refusal may come from an address that the worker has left, or that a late report of its former incarnation has told again, also to a new owner. And answers may overtake each other: an order that was sent before the worker's last answer arrived may have been refused before that.

Change: owner_address_refused judges all refusals. One that is not proof counts as an order without an answer: the worker is polled at once, its lease is not extended, and a start is tried again. New line refusal_unproved; worker_lost has no field moved any more, as such refusals lose no worker.

--- a/src/owner/internal/owner_addresses.h
+++ b/src/owner/internal/owner_addresses.h
@@ -1,12 +1,22 @@
-/* Workers that have been listed at the same address. */
+/* Which worker is at an address: workers that have been listed at the same
+ * one, and orders that another worker has refused. */
 #ifndef CURLEWCART_OWNER_ADDRESSES_H
 #define CURLEWCART_OWNER_ADDRESSES_H
 
 #include <stdbool.h>
 #include <time.h>
 
+#include "curlewcart/cw_target.h"
+
 struct owner_target;
 
+/* An order that was answered. */
+struct owner_answered_order {
+    const char *kind; /* for logs */
+    struct timespec sent;
+    unsigned addresses; /* of its worker, when it was sent */
+};
+
 /* To be called when a worker was added to the list: makes a poll of the worker
  * that was listed at its address before due at once, if it is not known which
  * of them is there. */
@@ -17,4 +27,16 @@
 bool owner_address_is_doubtful(const struct owner_target *target,
                                struct timespec now);
 
+/* Records an answer with this status, if it shows that the worker itself is at
+ * the address that the order was sent to. */
+void owner_address_answered(struct owner_target *target,
+                            const struct owner_answered_order *order,
+                            enum cw_target_status status);
+
+/* Handles an order that another worker has refused, by its id: drops all runs
+ * of the worker as lost if that proves that the worker is over.  Returns false
+ * if it does not. */
+bool owner_address_refused(struct owner_target *target,
+                           const struct owner_answered_order *order);
+
 #endif
--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -181,8 +181,13 @@
     struct owner_due_entry due; /* first member: a heap entry is cast to it */
     struct cw_owner *owner;
     char *id;
-    char *address;       /* "" until a report is read */
-    unsigned addresses;  /* number of changes of that address */
+    char *address;           /* "" until a report is read */
+    unsigned addresses;      /* number of changes of that address */
+    int64_t address_boot_ms; /* boot time in the report that gave it */
+    /* Its last answer that shows its own id: when it came, and the value of
+     * `addresses` when the order was sent.  0: none to this owner. */
+    struct timespec identified_at;
+    unsigned identified_addresses;
     const char *service; /* interned: compared by pointer */
     const char *dc;      /* interned, as is the rack */
     const char *rack;
@@ -774,8 +779,6 @@
     const char *evidence;
     /* When the order that was answered was sent; 0: no order. */
     struct timespec order_sent;
-    /* The worker has reported another address since. */
-    bool address_changed;
 };
 
 /* Drops all runs of the worker as lost. */
--- a/src/owner/owner_addresses.c
+++ b/src/owner/owner_addresses.c
@@ -1,11 +1,19 @@
-/* Workers that have been listed at the same address.
+/* Which worker is at an address.
  *
  * A worker that crashes may start again at its address under a new id.  The
  * list of workers does not tell which of the two is the later one: a report
  * may be stored seconds after it was sent, and an entry may return after its
  * removal.  So another worker's entry ends no run.  It is a reason to poll the
  * address: if the worker with the runs is over, the incarnation that is there
- * refuses the poll. */
+ * refuses the poll.
+ *
+ * A refusal proves that the worker is over if the worker's runs can only be at
+ * that address, and if it was given after the worker's last answer.  A worker
+ * that restarts under its id may be at another address by now, which its
+ * report has told, or which a late report of its former incarnation has
+ * replaced by the former one.  Answers may overtake each other, so a refusal
+ * is known to be the later one only if its order was sent after the worker's
+ * last answer had arrived. */
 #include "owner/internal/owner_addresses.h"
 
 #include "owner/internal/owner_private.h"
@@ -16,6 +24,8 @@
     DOUBTFUL_MS = 10000
 };
 
+/* ---- reports ---- */
+
 void
 owner_address_listed(struct owner_target *target)
 {
@@ -40,3 +50,99 @@
     return target->pending_suspicions->len > 0 &&
            cw_time_before(now, target->doubtful_until);
 }
+
+/* ---- answers ---- */
+
+/* True if only the worker that the order was meant for gives such an answer.
+ */
+static bool
+shows_own_id(enum cw_target_status status)
+{
+    switch (status) {
+    case CW_TARGET_OK:
+    case CW_TARGET_OLD_RUN:
+    case CW_TARGET_LATE:
+    case CW_TARGET_NO_CAPACITY:
+    case CW_TARGET_NO_TICKET:
+        return true;
+    default:
+        return false;
+    }
+}
+
+void
+owner_address_answered(struct owner_target *target,
+                       const struct owner_answered_order *order,
+                       enum cw_target_status status)
+{
+    if (shows_own_id(status)) {
+        target->identified_at = owner_now(target->owner);
+        target->identified_addresses = order->addresses;
+    }
+}
+
+/* True if each run that was sent to the worker was sent to the incarnation
+ * that has reported the address. */
+static bool
+runs_are_at_address(const struct owner_target *target)
+{
+    for (guint i = 0; i < target->runs->len; i++) {
+        const struct owner_run *run = target->runs->pdata[i];
+
+        if (run->phase >= RUN_STARTING &&
+            run->boot_ms != target->address_boot_ms) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Returns why a refusal of the order does not prove that the worker is over;
+ * NULL if it does. */
+static const char *
+doubt_about_refusal(const struct owner_target *target,
+                    const struct owner_answered_order *order)
+{
+    bool identified = target->identified_at.tv_sec > 0;
+
+    if (order->addresses != target->addresses) {
+        return "moved";
+    }
+    if (identified && target->identified_addresses != target->addresses) {
+        return "answered_elsewhere";
+    }
+    if (identified && cw_time_before(order->sent, target->identified_at)) {
+        return "answered_since";
+    }
+    if (cw_time_before(order->sent, target->reported_boot_at)) {
+        return "restarted_since";
+    }
+    if (!identified && !runs_are_at_address(target)) {
+        return "runs_of_other_life";
+    }
+    return NULL;
+}
+
+bool
+owner_address_refused(struct owner_target *target,
+                      const struct owner_answered_order *order)
+{
+    const char *doubt = doubt_about_refusal(target, order);
+    struct timespec now = owner_now(target->owner);
+
+    if (doubt != NULL) {
+        cw_log_info("refusal_unproved",
+                    "worker=%s order=%s sent_ms=%" PRId64
+                    " reason=%s address=%s runs=%u",
+                    target->id, order->kind, cw_time_diff_ms(order->sent, now),
+                    doubt, target->address, target->runs->len);
+        cw_time_set_earlier(&target->poll_due, now);
+        return false;
+    }
+    target->superseded = true;
+    owner_target_lost(target->owner, target,
+                      &(struct owner_loss){.reason = "other_life",
+                                           .evidence = order->kind,
+                                           .order_sent = order->sent});
+    return true;
+}
--- a/src/owner/owner_orders.c
+++ b/src/owner/owner_orders.c
@@ -1,4 +1,5 @@
 /* Start and stop orders: queueing and sending them, and handling answers. */
+#include "owner/internal/owner_addresses.h"
 #include "owner/internal/owner_private.h"
 
 #include <string.h>
@@ -187,6 +188,9 @@
         break;
     case CW_TARGET_LATE:
     case CW_TARGET_UNKNOWN:
+    /* The refusal proves nothing of the worker; a start that was sent again on
+     * a new connection may have been carried out before. */
+    case CW_TARGET_OTHER_INCARNATION:
         retry_start(order, run);
         break;
     case CW_TARGET_UNREACHABLE: /* nothing was sent */
@@ -257,6 +261,10 @@
     struct owner_order *order = context;
     struct cw_owner *owner = order->owner;
     struct owner_target *target = order->target;
+    struct owner_answered_order answered = {
+        .kind = order->kind == CW_ORDER_START ? "start" : "stop",
+        .sent = order->sent,
+        .addresses = order->addresses};
     struct timespec now = owner_now(owner);
 
     if (order->term != owner->term) {
@@ -273,6 +281,7 @@
     }
     log_answer(order, answer->status);
     owner_target_answered(target, answer->status, now);
+    owner_address_answered(target, &answered, answer->status);
     if (order->boot_ms == target->incarnation.boot_ms) {
         owner_target_set_clock(target, answer->clock_ms, now);
     }
@@ -281,17 +290,13 @@
         owner_drop_ownership(owner, "fenced_by_worker");
         return;
     }
-    if (answer->status == CW_TARGET_OTHER_INCARNATION) {
-        target->superseded = true;
-        owner_target_lost(
-            owner, target,
-            &(struct owner_loss){
-                .reason = "other_life",
-                .evidence = order->kind == CW_ORDER_START ? "start" : "stop",
-                .order_sent = order->sent,
-                .address_changed = order->addresses != target->addresses});
-    }
-    else if (order->kind == CW_ORDER_START) {
+    if (answer->status == CW_TARGET_OTHER_INCARNATION &&
+        owner_address_refused(target, &answered))
+    {
+        owner_order_free(order);
+        return;
+    }
+    if (order->kind == CW_ORDER_START) {
         start_answered(order, answer->status);
     }
     else {
--- a/src/owner/owner_polls.c
+++ b/src/owner/owner_polls.c
@@ -485,6 +485,8 @@
     struct poll_call *call = context;
     struct cw_owner *owner = call->owner;
     struct owner_target *target = call->target;
+    struct owner_answered_order order = {
+        .kind = "poll", .sent = call->sent, .addresses = call->addresses};
     struct timespec now = owner_now(owner);
 
     if (call->term != owner->term) {
@@ -495,6 +497,7 @@
     owner_target_wake(target);
     owner->idle_polls_in_flight -= call->idle;
     owner_target_answered(target, answer->status, now);
+    owner_address_answered(target, &order, answer->status);
     switch (answer->status) {
     case CW_TARGET_OK:
         poll_answered(owner, call, answer, now);
@@ -503,14 +506,9 @@
         owner_drop_ownership(owner, "fenced_by_worker");
         break;
     case CW_TARGET_OTHER_INCARNATION:
-        target->superseded = true;
-        owner_target_lost(
-            owner, target,
-            &(struct owner_loss){.reason = "other_life",
-                                 .evidence = "poll",
-                                 .order_sent = call->sent,
-                                 .address_changed =
-                                     call->addresses != target->addresses});
+        if (!owner_address_refused(target, &order)) {
+            poll_failed(target, answer->status, now);
+        }
         break;
     default:
         poll_failed(target, answer->status, now);
--- a/src/owner/owner_targets.c
+++ b/src/owner/owner_targets.c
@@ -156,16 +156,18 @@
 }
 
 static void
-update_address(struct owner_target *target, const char *address)
+update_address(struct owner_target *target,
+               const struct cw_target_report *report)
 {
     char *before = g_strdup(target->address);
 
-    if (replace_text(&target->address, address)) {
+    target->address_boot_ms = report->boot_ms;
+    if (replace_text(&target->address, report->address)) {
         target->addresses++;
         if (before[0] != '\0') {
             cw_log_info("worker_moved",
                         "worker=%s address=%s before=%s runs=%u", target->id,
-                        address, before, target->runs->len);
+                        target->address, before, target->runs->len);
         }
     }
     g_free(before);
@@ -203,7 +205,7 @@
     bool draining = report->draining;
     bool newly_listed = !target->listed;
 
-    update_address(target, report->address);
+    update_address(target, report);
     target->service = g_intern_string(report->service);
     target->dc = g_intern_string(report->dc);
     owner_target_set_rack(target, report->rack);
@@ -389,13 +391,12 @@
 
     cw_log_info("worker_lost",
                 "worker=%s reason=%s runs=%u evidence=%s sent_ms=%" PRId64
-                " moved=%d %s listed=%d address=%s holder=%s"
+                " %s listed=%d address=%s holder=%s"
                 " holder_answered_ms=%" PRId64
                 " silent=%u draining=%d heard_ms=%" PRId64,
                 target->id, loss->reason, target->runs->len, loss->evidence,
-                ms_since(loss->order_sent, now), loss->address_changed, lease,
-                target->listed, target->address,
-                holder != NULL ? holder->id : "",
+                ms_since(loss->order_sent, now), lease, target->listed,
+                target->address, holder != NULL ? holder->id : "",
                 holder != NULL ? ms_since(holder->answered_at, now) : -1,
                 target->unanswered_polls, target->draining,
                 owner_target_since_answer_ms(target, now));
