A refusal that is refuted, or came from another address, does not last

Callers saw: nothing yet; found with the refusals that prove nothing.

Cause: a worker that was taken as over after a refusal is never polled again unless its report tells a later boot time. Where workers do not tell one, it is not used any more although it answers an order that was sent after the refused one, or tells another address.

Evidence: two of three tests of test_addresses fail before ("answer after a refusal refutes it", "worker at a new address is polled"); the third guards against an answer that may be older than the refusal.

Change: such an answer, or another address, makes the worker polled again (refusal_refuted). As it may be alive, starts that are given up with it leave tombstones as after the end of a lease: they have to be stopped there before the lease is extended.

--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -207,6 +207,7 @@
     /* While draining: it does not shut down before. */
     struct timespec drain_until;
     bool superseded; /* another incarnation has refused an order for it */
+    struct timespec refused_order_sent; /* that order was sent */
     /* Another worker was listed at its address: without runs it is polled
      * until then to learn which of them is there. */
     struct timespec doubtful_until;
--- a/src/owner/owner_addresses.c
+++ b/src/owner/owner_addresses.c
@@ -75,10 +75,23 @@
                        const struct owner_answered_order *order,
                        enum cw_target_status status)
 {
-    if (shows_own_id(status)) {
-        target->identified_at = owner_now(target->owner);
-        target->identified_addresses = order->addresses;
+    struct cw_owner *owner = target->owner;
+
+    if (!shows_own_id(status)) {
+        return;
+    }
+    target->identified_at = owner_now(owner);
+    target->identified_addresses = order->addresses;
+    if (!target->superseded ||
+        cw_time_before(order->sent, target->refused_order_sent))
+    {
+        return;
     }
+    cw_log_info("refusal_refuted", "worker=%s order=%s address=%s", target->id,
+                order->kind, target->address);
+    target->superseded = false;
+    target->poll_due = target->identified_at;
+    owner_target_wake(target);
 }
 
 /* True if each run that was sent to the worker was sent to the incarnation
@@ -140,6 +153,7 @@
         return false;
     }
     target->superseded = true;
+    target->refused_order_sent = order->sent;
     owner_target_lost(target->owner, target,
                       &(struct owner_loss){.reason = "other_life",
                                            .evidence = order->kind,
--- a/src/owner/owner_targets.c
+++ b/src/owner/owner_targets.c
@@ -164,6 +164,7 @@
     target->address_boot_ms = report->boot_ms;
     if (replace_text(&target->address, report->address)) {
         target->addresses++;
+        target->superseded = false; /* the refusal came from another address */
         if (before[0] != '\0') {
             cw_log_info("worker_moved",
                         "worker=%s address=%s before=%s runs=%u", target->id,
@@ -410,9 +411,8 @@
     log_lost(target, loss, owner_now(owner));
     for (guint i = 0; i < target->runs->len; i++) {
         owner_crashes_collect(target->runs->pdata[i], owner_now(owner));
-        if (!target->superseded) {
-            owner_tombstone_add(target->runs->pdata[i]);
-        }
+        /* Also after a refusal, which an answer may refute. */
+        owner_tombstone_add(target->runs->pdata[i]);
     }
     while (target->runs->len > 0) {
         owner_run_lost(owner, target->runs->pdata[target->runs->len - 1], true,
--- a/tests/test_addresses.c
+++ b/tests/test_addresses.c
@@ -356,6 +356,74 @@
     }
 }
 
+/* Guards against a worker that is never used again although it has answered an
+ * order that was sent after the refused one. */
+static void
+test_answer_after_refusal_refutes_it(void)
+{
+    const struct report report = {FIRST_ADDRESS, 0, 0, false};
+    struct cluster cluster;
+    struct owner_target *target = begin(&cluster, &report);
+    struct cw_target_order refused;
+    struct cw_target_order later;
+    struct owner_job *jobs[2];
+
+    poll_and_answer(&cluster, target, CW_TARGET_OK, 0);
+    refused = send_start(&cluster, target, &jobs[0]);
+    later = send_start(&cluster, target, &jobs[1]);
+    advance(&cluster);
+    answer(&refused, CW_TARGET_OTHER_INCARNATION, 0);
+    CU_ASSERT_TRUE(target->superseded);
+    answer(&later, CW_TARGET_OK, 0);
+    CU_ASSERT_FALSE(target->superseded);
+    poll_and_answer(&cluster, target, CW_TARGET_OK, 0);
+    CU_ASSERT_TRUE(target->answered);
+    /* Starts that were given up may still be carried out there. */
+    CU_ASSERT_TRUE(owner_tombstone_pending(target));
+    cluster_end(&cluster);
+}
+
+/* Guards against a refuted refusal by an answer that may be the older one. */
+static void
+test_answer_to_earlier_order_refutes_nothing(void)
+{
+    const struct report report = {FIRST_ADDRESS, 0, 0, false};
+    struct cluster cluster;
+    struct owner_target *target = begin(&cluster, &report);
+    struct cw_target_order earlier;
+    struct cw_target_order refused;
+    struct owner_job *jobs[2];
+
+    poll_and_answer(&cluster, target, CW_TARGET_OK, 0);
+    earlier = send_start(&cluster, target, &jobs[0]);
+    refused = send_start(&cluster, target, &jobs[1]);
+    advance(&cluster);
+    answer(&refused, CW_TARGET_OTHER_INCARNATION, 0);
+    answer(&earlier, CW_TARGET_OK, 0);
+    CU_ASSERT_TRUE(target->superseded);
+    cluster_end(&cluster);
+}
+
+/* Guards against a worker that stays refused although it has told another
+ * address since, under the same boot time or none. */
+static void
+test_worker_at_new_address_is_polled(void)
+{
+    const struct report first = {FIRST_ADDRESS, 0, 0, false};
+    const struct report second = {SECOND_ADDRESS, 0, 0, false};
+    struct cluster cluster;
+    struct owner_target *target = begin(&cluster, &first);
+
+    poll_and_answer(&cluster, target, CW_TARGET_OK, 0);
+    poll_and_answer(&cluster, target, CW_TARGET_OTHER_INCARNATION, 0);
+    CU_ASSERT_TRUE(target->superseded);
+    put_report(&cluster, &second);
+    poll_and_answer(&cluster, target, CW_TARGET_OK, 0);
+    CU_ASSERT_TRUE(target->answered);
+    CU_ASSERT_STRING_EQUAL(last_order.address, SECOND_ADDRESS);
+    cluster_end(&cluster);
+}
+
 static const struct test tests[] = {
     {"refusal at a former address ends no run",
      test_refusal_at_former_address_ends_no_run},
@@ -372,6 +440,12 @@
     {"refused start ends runs", test_refused_start_ends_runs},
     {"refused poll ends inherited runs",
      test_refused_poll_ends_inherited_runs},
+    {"answer after a refusal refutes it",
+     test_answer_after_refusal_refutes_it},
+    {"answer to an earlier order refutes nothing",
+     test_answer_to_earlier_order_refutes_nothing},
+    {"worker at a new address is polled",
+     test_worker_at_new_address_is_polled},
 };
 
 TEST_MAIN("addresses", tests)
