Reports that are stored late change no state of their worker

Cause: each report replaced the worker's state and address, also one that was sent before a report that was read already.

Evidence: four tests of test_addresses fail before: "report with a lower number changes nothing", "... lists no worker", "reloaded report keeps a worker listed" (it drains no more), "late report of a former incarnation changes nothing".

Change: reports carry the worker's own sequence number (seq), which is decoded and logged in the `worker` line. One with an earlier boot time than the incarnation that answers polls is held and applied only if that incarnation answers the next poll, as a clock may be set back.

--- a/include/curlewcart/cw_target.h
+++ b/include/curlewcart/cw_target.h
@@ -33,6 +33,8 @@
     int64_t clock_ms; /* its clock when it reported; 0 unknown */
     int64_t boot_ms;  /* boot time of this incarnation, by the worker's wall
                          clock; 0 unknown */
+    /* Counts the reports of this incarnation; 0 unknown. */
+    uint64_t sequence;
 };
 
 /* Name of a task, unique within a deployment. */
--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -181,9 +181,15 @@
     struct owner_due_entry due; /* first member: a heap entry is cast to it */
     struct cw_owner *owner;
     char *id;
-    char *address;           /* "" until a report is read */
-    unsigned addresses;      /* number of changes of that address */
-    int64_t address_boot_ms; /* boot time in the report that gave it */
+    char *address;                   /* "" until a report is read */
+    unsigned addresses;              /* number of changes of that address */
+    int64_t address_boot_ms;         /* boot time in the report that gave it */
+    struct timespec address_boot_at; /* that boot time was first read */
+    /* Of the last report that was not stored late. */
+    uint64_t report_sequence;
+    /* A report that seems to be of a former incarnation; boot_ms is 0 if there
+     * is none.  Its texts are interned. */
+    struct cw_target_report held_report;
     /* Its last answer that shows its own id: when it came, and the value of
      * `addresses` when the order was sent.  0: none to this owner. */
     struct timespec identified_at;
@@ -782,6 +788,10 @@
     struct timespec order_sent;
 };
 
+/* Applies the report that seemed to be of a former incarnation if it is of the
+ * one that has answered a poll now. */
+void owner_target_apply_held_report(struct owner_target *target);
+
 /* Drops all runs of the worker as lost. */
 void owner_target_lost(struct cw_owner *owner, struct owner_target *target,
                        const struct owner_loss *loss);
--- a/src/owner/owner_addresses.c
+++ b/src/owner/owner_addresses.c
@@ -127,7 +127,7 @@
     if (identified && cw_time_before(order->sent, target->identified_at)) {
         return "answered_since";
     }
-    if (cw_time_before(order->sent, target->reported_boot_at)) {
+    if (cw_time_before(order->sent, target->address_boot_at)) {
         return "restarted_since";
     }
     if (!identified && !runs_are_at_address(target)) {
--- a/src/owner/owner_polls.c
+++ b/src/owner/owner_polls.c
@@ -461,6 +461,7 @@
     if (!owner_incarnation_answered(target, answer->boot_ms)) {
         record_confirmed_ends(target, call);
     }
+    owner_target_apply_held_report(target);
     owner_crashes_answered(owner, target, answer->boot_ms);
     owner_target_set_clock(target, answer->clock_ms, now);
     owner_lease_token_received(target, now);
--- a/src/owner/owner_targets.c
+++ b/src/owner/owner_targets.c
@@ -161,7 +161,10 @@
 {
     char *before = g_strdup(target->address);
 
-    target->address_boot_ms = report->boot_ms;
+    if (target->address_boot_ms != report->boot_ms) {
+        target->address_boot_ms = report->boot_ms;
+        target->address_boot_at = owner_now(target->owner);
+    }
     if (replace_text(&target->address, report->address)) {
         target->addresses++;
         target->superseded = false; /* the refusal came from another address */
@@ -174,6 +177,63 @@
     g_free(before);
 }
 
+/* True if a later report of the same incarnation was read. */
+static bool
+is_out_of_sequence(const struct owner_target *target,
+                   const struct cw_target_report *report)
+{
+    return report->boot_ms == target->address_boot_ms &&
+           report->sequence > 0 && report->sequence < target->report_sequence;
+}
+
+/* True if the report seems to be of a former incarnation than the one that
+ * answers polls.  It is of the next one if the worker's clock was set back
+ * while it restarted; then that one answers the next poll. */
+static bool
+seems_former(const struct owner_target *target,
+             const struct cw_target_report *report)
+{
+    return report->boot_ms > 0 &&
+           report->boot_ms < target->incarnation.boot_ms &&
+           target->unanswered_polls == 0 && !target->superseded;
+}
+
+/* Keeps the report until the incarnation that has sent it answers a poll. */
+static void
+hold_report(struct owner_target *target, const struct cw_target_report *report)
+{
+    struct cw_target_report *held = &target->held_report;
+
+    *held = *report;
+    held->id = target->id;
+    held->service = g_intern_string(report->service);
+    held->address = g_intern_string(report->address);
+    held->dc = g_intern_string(report->dc);
+    held->rack = g_intern_string(report->rack);
+    held->kind = g_intern_string(report->kind);
+    owner_incarnation_reported(target, report->boot_ms);
+    if (target->runs->len == 0) {
+        target->answered = false; /* it has to answer a poll before a start */
+    }
+    cw_time_set_earlier(&target->poll_due, owner_now(target->owner));
+    owner_target_wake(target);
+}
+
+static void
+log_late(const struct owner_target *target,
+         const struct cw_target_report *report, const char *why)
+{
+    cw_log_info("report_late",
+                "worker=%s reason=%s state=%s seq=%" PRIu64
+                " last_seq=%" PRIu64 " born_ms=%" PRId64
+                " answered_born_ms=%" PRId64 " listed=%d draining=%d"
+                " address=%s reported_address=%s",
+                target->id, why, report->draining ? "draining" : "ready",
+                report->sequence, target->report_sequence, report->boot_ms,
+                target->incarnation.boot_ms, target->listed, target->draining,
+                target->address, report->address);
+}
+
 static void
 update_capacity(struct owner_target *target, const struct cw_resources *now)
 {
@@ -206,7 +266,18 @@
     bool draining = report->draining;
     bool newly_listed = !target->listed;
 
+    target->found_in_reload = true;
+    if (is_out_of_sequence(target, report)) {
+        log_late(target, report, "sequence");
+        return;
+    }
+    if (seems_former(target, report)) {
+        log_late(target, report, "former_life");
+        hold_report(target, report);
+        return;
+    }
     update_address(target, report);
+    target->report_sequence = report->sequence;
     target->service = g_intern_string(report->service);
     target->dc = g_intern_string(report->dc);
     owner_target_set_rack(target, report->rack);
@@ -217,10 +288,11 @@
         cw_log(owner->state == OWNER_ACTIVE ? G_LOG_LEVEL_INFO
                                             : G_LOG_LEVEL_DEBUG,
                "worker",
-               "worker=%s state=%s address=%s rack=%s unlisted_ms=%" PRId64
-               " superseded=%d answered_ms=%" PRId64,
+               "worker=%s state=%s address=%s rack=%s seq=%" PRIu64
+               " unlisted_ms=%" PRId64 " superseded=%d answered_ms=%" PRId64,
                target->id, draining ? "draining" : "ready", target->address,
-               target->rack, ms_since(target->unlisted_at, owner_now(owner)),
+               target->rack, report->sequence,
+               ms_since(target->unlisted_at, owner_now(owner)),
                target->superseded,
                ms_since(target->answered_at, owner_now(owner)));
         owner->capacity_version++;
@@ -236,7 +308,6 @@
         target->reported_at = cw_follower_fresh_as_of(owner->reports);
     }
     target->listed = true;
-    target->found_in_reload = true;
     target->draining = draining;
     owner_incarnation_reported(target, report->boot_ms);
     if (!target->incarnation.clock_known && report->clock_ms > 0) {
@@ -247,9 +318,21 @@
     }
 }
 
+void
+owner_target_apply_held_report(struct owner_target *target)
+{
+    struct cw_target_report held = target->held_report;
+
+    if (held.boot_ms > 0 && held.boot_ms == target->incarnation.boot_ms) {
+        target->held_report = (struct cw_target_report){0};
+        owner_target_apply_report(target->owner, &held);
+    }
+}
+
 static void
 unlist(struct owner_target *target)
 {
+    target->held_report = (struct cw_target_report){0};
     if (target->listed) {
         target->listed = false;
         target->unlisted_at = owner_now(target->owner);
--- a/tests/test_addresses.c
+++ b/tests/test_addresses.c
@@ -1,4 +1,4 @@
-/* Refused orders.
+/* Refused orders, and reports that are stored late.
  *
  * Another worker refuses an order by the id that the order names.  That ends
  * the runs of the worker which the order was meant for only if these runs can
@@ -55,6 +55,14 @@
     g_string_free(text, TRUE);
 }
 
+static void
+remove_report(struct cluster *cluster)
+{
+    struct cw_store_record record = {.key = ID, .offset = 1};
+
+    owner_target_apply_record(cluster->owner, &record);
+}
+
 /* Begins with the worker's report, shortly after a takeover, when idle workers
  * are polled as well; returns the worker. */
 static struct owner_target *
@@ -424,6 +432,159 @@
     cluster_end(&cluster);
 }
 
+/* ---- reports that are stored late ---- */
+
+/* Guards against work for a worker that leaves: an earlier report of it is
+ * stored after the one that tells that it drains. */
+static void
+test_report_with_lower_number_changes_nothing(void)
+{
+    const struct report ready = {FIRST_ADDRESS, 0, 4, false};
+    const struct report draining = {FIRST_ADDRESS, 0, 5, true};
+    struct cluster cluster;
+    struct owner_target *target = begin(&cluster, &draining);
+
+    put_report(&cluster, &ready);
+    CU_ASSERT_TRUE(target->draining);
+    CU_ASSERT_TRUE(target->listed);
+    cluster_end(&cluster);
+}
+
+/* Guards against the same if the report is stored after the worker was removed
+ * from the list. */
+static void
+test_report_with_lower_number_lists_no_worker(void)
+{
+    const struct report ready = {FIRST_ADDRESS, 0, 4, false};
+    const struct report draining = {FIRST_ADDRESS, 0, 5, true};
+    const struct report next = {FIRST_ADDRESS, 0, 6, true};
+    struct cluster cluster;
+    struct owner_target *target = begin(&cluster, &draining);
+
+    remove_report(&cluster);
+    put_report(&cluster, &ready);
+    CU_ASSERT_FALSE(target->listed);
+    put_report(&cluster, &next);
+    CU_ASSERT_TRUE(target->listed);
+    CU_ASSERT_TRUE(target->draining);
+    cluster_end(&cluster);
+}
+
+/* Guards against workers that a reloaded list drops: the store has the report
+ * that was read last, or an earlier one that was stored after it. */
+static void
+test_reloaded_report_keeps_worker_listed(void)
+{
+    const struct report earlier = {FIRST_ADDRESS, 0, 4, false};
+    const struct report last = {FIRST_ADDRESS, 0, 5, true};
+    const struct report *const reloaded[] = {&last, &earlier};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(reloaded); i++) {
+        struct cluster cluster;
+        struct owner_target *target = begin(&cluster, &last);
+
+        owner_targets_reset(cluster.owner);
+        put_report(&cluster, reloaded[i]);
+        owner_targets_loaded(cluster.owner);
+        CU_ASSERT_TRUE(target->listed);
+        CU_ASSERT_TRUE(target->draining);
+        cluster_end(&cluster);
+    }
+}
+
+/* Guards against reports of a restarted worker that are taken for late ones:
+ * their numbers begin anew. */
+static void
+test_numbers_begin_anew_with_each_incarnation(void)
+{
+    const struct report first = {FIRST_ADDRESS, FIRST_BOOT_MS, 5, true};
+    const struct report next = {SECOND_ADDRESS, SECOND_BOOT_MS, 1, false};
+    struct cluster cluster;
+    struct owner_target *target = begin(&cluster, &first);
+
+    put_report(&cluster, &next);
+    CU_ASSERT_FALSE(target->draining);
+    CU_ASSERT_STRING_EQUAL(target->address, SECOND_ADDRESS);
+    cluster_end(&cluster);
+}
+
+/* Guards against a late report of the former incarnation that replaces the
+ * address and the state of the present one, which answers polls. */
+static void
+test_late_report_of_former_incarnation_changes_nothing(void)
+{
+    const struct report former = {FIRST_ADDRESS, FIRST_BOOT_MS, 7, false};
+    const struct report present = {SECOND_ADDRESS, SECOND_BOOT_MS, 2, true};
+    struct cluster cluster;
+    struct owner_target *target = begin(&cluster, &present);
+
+    poll_and_answer(&cluster, target, CW_TARGET_OK, SECOND_BOOT_MS);
+    put_report(&cluster, &former);
+    CU_ASSERT_STRING_EQUAL(target->address, SECOND_ADDRESS);
+    CU_ASSERT_TRUE(target->draining);
+    cluster_end(&cluster);
+}
+
+/* Guards against a report that is dropped although it is the present one: the
+ * worker's clock was set back while it restarted, so that its boot time is the
+ * lower one.  A poll decides. */
+static void
+test_held_report_is_applied_if_its_incarnation_answers(void)
+{
+    const struct report first = {FIRST_ADDRESS, SECOND_BOOT_MS, 7, true};
+    const struct report next = {FIRST_ADDRESS, FIRST_BOOT_MS, 1, false};
+    const struct report third = {FIRST_ADDRESS, FIRST_BOOT_MS, 2, true};
+    struct cluster cluster;
+    struct owner_target *target = begin(&cluster, &first);
+
+    poll_and_answer(&cluster, target, CW_TARGET_OK, SECOND_BOOT_MS);
+    put_report(&cluster, &next);
+    CU_ASSERT_TRUE(target->draining);
+    poll_and_answer(&cluster, target, CW_TARGET_OK, FIRST_BOOT_MS);
+    CU_ASSERT_FALSE(target->draining);
+    put_report(&cluster, &third);
+    CU_ASSERT_TRUE(target->draining);
+    cluster_end(&cluster);
+}
+
+/* Guards against a worker that is listed by a held report although its entry
+ * has been removed. */
+static void
+test_held_report_is_dropped_with_its_entry(void)
+{
+    const struct report first = {FIRST_ADDRESS, SECOND_BOOT_MS, 7, false};
+    const struct report late = {FIRST_ADDRESS, FIRST_BOOT_MS, 1, false};
+    struct cluster cluster;
+    struct owner_target *target = begin(&cluster, &first);
+
+    poll_and_answer(&cluster, target, CW_TARGET_OK, SECOND_BOOT_MS);
+    (void)run_on(&cluster, target);
+    put_report(&cluster, &late);
+    remove_report(&cluster);
+    poll_and_answer(&cluster, target, CW_TARGET_OK, FIRST_BOOT_MS);
+    CU_ASSERT_FALSE(target->listed);
+    cluster_end(&cluster);
+}
+
+/* Guards against a worker that is never found again: its clock was set back
+ * while it restarted, so that its boot time is the lower one. */
+static void
+test_lower_boot_time_of_silent_worker_is_taken(void)
+{
+    const struct report first = {FIRST_ADDRESS, SECOND_BOOT_MS, 7, false};
+    const struct report next = {SECOND_ADDRESS, FIRST_BOOT_MS, 1, false};
+    struct cluster cluster;
+    struct owner_target *target = begin(&cluster, &first);
+
+    poll_and_answer(&cluster, target, CW_TARGET_OK, SECOND_BOOT_MS);
+    poll_and_answer(&cluster, target, CW_TARGET_UNREACHABLE, 0);
+    put_report(&cluster, &next);
+    poll_and_answer(&cluster, target, CW_TARGET_OK, FIRST_BOOT_MS);
+    CU_ASSERT_STRING_EQUAL(target->address, SECOND_ADDRESS);
+    CU_ASSERT_EQUAL(target->unanswered_polls, 0);
+    cluster_end(&cluster);
+}
+
 static const struct test tests[] = {
     {"refusal at a former address ends no run",
      test_refusal_at_former_address_ends_no_run},
@@ -446,6 +607,22 @@
      test_answer_to_earlier_order_refutes_nothing},
     {"worker at a new address is polled",
      test_worker_at_new_address_is_polled},
+    {"report with a lower number changes nothing",
+     test_report_with_lower_number_changes_nothing},
+    {"report with a lower number lists no worker",
+     test_report_with_lower_number_lists_no_worker},
+    {"reloaded report keeps a worker listed",
+     test_reloaded_report_keeps_worker_listed},
+    {"numbers begin anew with each incarnation",
+     test_numbers_begin_anew_with_each_incarnation},
+    {"late report of a former incarnation changes nothing",
+     test_late_report_of_former_incarnation_changes_nothing},
+    {"held report is applied if its incarnation answers",
+     test_held_report_is_applied_if_its_incarnation_answers},
+    {"held report is dropped with its entry",
+     test_held_report_is_dropped_with_its_entry},
+    {"lower boot time of a silent worker is taken",
+     test_lower_boot_time_of_silent_worker_is_taken},
 };
 
 TEST_MAIN("addresses", tests)
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -64,6 +64,7 @@
     CU_ASSERT_TRUE(report->draining);
     CU_ASSERT_EQUAL(report->remaining_ms, 1500);
     CU_ASSERT_EQUAL(report->clock_ms, 482113);
+    CU_ASSERT_EQUAL(report->sequence, 4);
 }
 
 static void
