A late report of an incarnation that is over changes no state

Callers saw: tasks that may run twice (TWICE), work that is moved or placed by the state of a worker that is no longer there.

Cause: each report that was read replaced the worker's address, capacity, draining and age of report, and listed the worker, whichever incarnation it was of. The report of a former incarnation may be stored after the present one's. Orders then go to an address that the worker has left: a worker there refuses them, which ends the runs of the present incarnation.

Change: a report with a boot time that answers to polls have shown to be over is logged (worker_boot_reported order=over) and changes nothing else.

--- a/src/owner/owner_targets.c
+++ b/src/owner/owner_targets.c
@@ -203,6 +203,13 @@
     bool draining = report->draining;
     bool newly_listed = !target->listed;
 
+    if (owner_boot_times_is_over(&target->boot_times, report->boot_ms)) {
+        /* Stored late.  It may have replaced the present one's report, so the
+         * worker stays listed if it was. */
+        target->found_in_reload = true;
+        owner_incarnation_reported(target, report->boot_ms);
+        return;
+    }
     update_address(target, report->address);
     target->service = g_intern_string(report->service);
     target->dc = g_intern_string(report->dc);
--- a/tests/test_boot_reports.c
+++ b/tests/test_boot_reports.c
@@ -12,6 +12,7 @@
 
 #define WORKER "w00"
 #define ADDRESS "10.0.0.9:80"
+#define OTHER_ADDRESS "10.0.0.8:80"
 
 enum {
     /* The clock was set back between the two. */
@@ -37,22 +38,39 @@
     struct owner_target *target;
 };
 
+/* Applies a report with this address, state and number of accelerators. */
 static void
-report(struct worker *worker, int64_t boot_ms)
+report_state(struct worker *worker, int64_t boot_ms, const char *address,
+             const char *state, unsigned accelerators)
 {
     char *text = g_strdup_printf(
-        "{\"service\":\"s\",\"address\":\"" ADDRESS "\",\"zone\":\"z\","
-        "\"state\":\"ready\",\"born\":%" PRId64 ","
-        "\"capacity\":{\"gpus\":8,\"cpu\":32000,\"mem_mb\":65536}}",
-        boot_ms);
+        "{\"service\":\"s\",\"address\":\"%s\",\"zone\":\"z\","
+        "\"state\":\"%s\",\"born\":%" PRId64 ","
+        "\"capacity\":{\"gpus\":%u,\"cpu\":32000,\"mem_mb\":65536}}",
+        address, state, boot_ms, accelerators);
     struct cw_store_record record = {
         .key = WORKER, .value = text, .length = strlen(text), .offset = 1};
 
     owner_target_apply_record(worker->cluster.owner, &record);
-    CU_ASSERT_TRUE(worker->target->listed);
     g_free(text);
 }
 
+static void
+report(struct worker *worker, int64_t boot_ms)
+{
+    report_state(worker, boot_ms, ADDRESS, "ready", ACCELERATORS);
+    CU_ASSERT_TRUE(worker->target->listed);
+}
+
+static void
+remove_report(struct worker *worker)
+{
+    struct cw_store_record record = {.key = WORKER, .offset = 1};
+
+    owner_target_apply_record(worker->cluster.owner, &record);
+    CU_ASSERT_FALSE(worker->target->listed);
+}
+
 /* Lets time pass and the owner process the worker. */
 static void
 tick(struct worker *worker, unsigned ms)
@@ -417,6 +435,86 @@
     cluster_end(&worker.cluster);
 }
 
+/* ---- state in reports ---- */
+
+static void
+check_state_is_kept(const struct owner_target *target)
+{
+    CU_ASSERT_STRING_EQUAL(target->address, ADDRESS);
+    CU_ASSERT_EQUAL(target->capacity.accelerators, ACCELERATORS);
+    CU_ASSERT_FALSE(target->draining);
+}
+
+/* Guards against a task that runs twice: after a late report the present
+ * incarnation is polled at an address that it has left, where another worker
+ * refuses the poll.  Guards as well against work that is moved, and starts
+ * beyond the capacity, by the state of an incarnation that is over. */
+static void
+test_state_of_former_incarnation_is_ignored(void)
+{
+    struct worker worker;
+
+    begin(&worker, FORMER_BOOT_MS, PRESENT_BOOT_MS);
+    report(&worker, PRESENT_BOOT_MS);
+    report_state(&worker, FORMER_BOOT_MS, OTHER_ADDRESS, "draining", 4);
+    check_state_is_kept(worker.target);
+    CU_ASSERT_TRUE(worker.target->listed);
+    cluster_end(&worker.cluster);
+}
+
+/* Guards against the same if the incarnation that is over never answered a
+ * poll: its report was read before the present one answered. */
+static void
+test_state_of_reported_incarnation_that_is_over_is_ignored(void)
+{
+    struct worker worker;
+
+    begin(&worker, 0, PRESENT_BOOT_MS);
+    report(&worker, LATER_BOOT_MS);
+    tick(&worker, TICK_MS);
+    worker.target->answered = false;
+    poll_as(&worker, PRESENT_BOOT_MS, NULL);
+    report(&worker, PRESENT_BOOT_MS);
+    report_state(&worker, LATER_BOOT_MS, OTHER_ADDRESS, "draining", 4);
+    check_state_is_kept(worker.target);
+    cluster_end(&worker.cluster);
+}
+
+/* Guards against starts on a worker that drains: a late report of the former
+ * incarnation says that it does not. */
+static void
+test_late_report_ends_no_drain(void)
+{
+    struct worker worker;
+
+    begin(&worker, FORMER_BOOT_MS, PRESENT_BOOT_MS);
+    report_state(&worker, PRESENT_BOOT_MS, ADDRESS, "draining", ACCELERATORS);
+    report(&worker, FORMER_BOOT_MS);
+    CU_ASSERT_TRUE(worker.target->draining);
+    cluster_end(&worker.cluster);
+}
+
+/* Guards against work for a worker that is not there: only the report of an
+ * incarnation that is over is listed.  If the list is loaded again with that
+ * report, the present one stays as it is: its own may have been replaced. */
+static void
+test_late_report_lists_no_worker(void)
+{
+    struct worker worker;
+
+    begin(&worker, FORMER_BOOT_MS, PRESENT_BOOT_MS);
+    report(&worker, PRESENT_BOOT_MS);
+    owner_targets_reset(worker.cluster.owner);
+    report(&worker, FORMER_BOOT_MS);
+    owner_targets_loaded(worker.cluster.owner);
+    CU_ASSERT_TRUE(worker.target->listed);
+    remove_report(&worker);
+    report_state(&worker, FORMER_BOOT_MS, ADDRESS, "ready", ACCELERATORS);
+    CU_ASSERT_FALSE(worker.target->listed);
+    report(&worker, PRESENT_BOOT_MS);
+    cluster_end(&worker.cluster);
+}
+
 static const struct test tests[] = {
     {"late report of a former incarnation ends no run",
      test_late_report_of_former_incarnation_ends_no_run},
@@ -436,6 +534,12 @@
      test_incarnation_with_earlier_boot_time_is_polled_at_once},
     {"only an unknown incarnation is polled after a refusal",
      test_only_unknown_incarnation_is_polled_after_refusal},
+    {"state of a former incarnation is ignored",
+     test_state_of_former_incarnation_is_ignored},
+    {"state of a reported incarnation that is over is ignored",
+     test_state_of_reported_incarnation_that_is_over_is_ignored},
+    {"late report ends no drain", test_late_report_ends_no_drain},
+    {"late report lists no worker", test_late_report_lists_no_worker},
 };
 
 TEST_MAIN("boot_reports", tests)
