Capacity that another incarnation has reported is not relied on

Cause: the capacity in the last report counted as that of the incarnation that answers polls. A worker may be of another kind after a restart, and its last report may be that of the former incarnation, or of one whose report was read before the present one answered.

Change: owner_target_capacity_known asks as well for a report of the incarnation that answered last. Services that enforce their capacity are not affected.

--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -210,7 +210,7 @@
     struct timespec unlisted_at; /* its report was last removed; 0: never */
     /* Its last report was written after this time. */
     struct timespec reported_at;
-    int64_t reported_boot_ms;             /* boot time in the newest report */
+    int64_t reported_boot_ms; /* in the report that gave the state above */
     struct owner_boot_times boot_times;   /* of other incarnations */
     struct owner_incarnation incarnation; /* the last that answered */
     /* Latest end of a lease that was granted to any incarnation, by this VM's
@@ -784,7 +784,8 @@
                        const struct owner_loss *loss);
 
 /* True if the worker's reported capacity can be relied on: the report is
- * recent, or the worker refuses runs that do not fit. */
+ * recent and of the incarnation that answered last, or the worker refuses runs
+ * that do not fit. */
 bool owner_target_capacity_known(const struct owner_target *target,
                                  struct timespec now);
 
--- a/src/owner/owner_incarnations.c
+++ b/src/owner/owner_incarnations.c
@@ -275,8 +275,11 @@
     }
     if (boot_ms != target->reported_boot_ms) {
         log_reported(target, boot_ms);
-        target->reported_boot_ms = boot_ms;
     }
+    if (owner_boot_times_is_over(&target->boot_times, boot_ms)) {
+        return;
+    }
+    target->reported_boot_ms = boot_ms;
     if (boot_ms == target->incarnation.boot_ms ||
         !owner_boot_times_add(&target->boot_times, boot_ms, now))
     {
--- a/src/owner/owner_targets.c
+++ b/src/owner/owner_targets.c
@@ -445,6 +445,15 @@
     return service == NULL || service->enforces_capacity;
 }
 
+/* True if the newest report is of another incarnation than the one that
+ * answered last; the kind of a worker may change with a restart. */
+static bool
+report_is_of_other_incarnation(const struct owner_target *target)
+{
+    return target->incarnation.boot_ms > 0 && target->reported_boot_ms > 0 &&
+           target->reported_boot_ms != target->incarnation.boot_ms;
+}
+
 bool
 owner_target_capacity_known(const struct owner_target *target,
                             struct timespec now)
@@ -452,7 +461,8 @@
     int64_t report_age_max_ms =
         target->owner->options.report_ms + REPORT_LATE_MS;
 
-    return cw_time_diff_ms(target->reported_at, now) < report_age_max_ms ||
+    return (cw_time_diff_ms(target->reported_at, now) < report_age_max_ms &&
+            !report_is_of_other_incarnation(target)) ||
            enforces_capacity_limit(target);
 }
 
--- a/tests/test_boot_reports.c
+++ b/tests/test_boot_reports.c
@@ -515,6 +515,45 @@
     cluster_end(&worker.cluster);
 }
 
+/* Configures the workers' service: it does not enforce their capacity. */
+static void
+configure_unguarded(struct worker *worker)
+{
+    struct cw_routing *routing = cw_routing_new();
+    struct cw_service *service = cw_routing_add_service(routing);
+
+    service->name = g_strdup("s");
+    service->enforces_capacity = false;
+    cw_routing_finish(routing);
+    cw_owner_configure(worker->cluster.owner, routing);
+    cw_routing_unref(routing);
+}
+
+/* Guards against a worker that is overloaded, as it does not enforce its
+ * capacity: the capacity that was reported last is another incarnation's. */
+static void
+test_capacity_of_other_incarnation_is_not_relied_on(void)
+{
+    struct worker worker;
+    struct timespec now;
+
+    begin(&worker, 0, PRESENT_BOOT_MS);
+    configure_unguarded(&worker);
+    report(&worker, LATER_BOOT_MS);
+    tick(&worker, TICK_MS);
+    worker.target->answered = false;
+    poll_as(&worker, PRESENT_BOOT_MS, NULL);
+    now = worker.cluster.clock.now;
+    worker.target->reported_at = now;
+    CU_ASSERT_FALSE(owner_target_capacity_known(worker.target, now));
+    report(&worker, PRESENT_BOOT_MS);
+    worker.target->reported_at = now;
+    CU_ASSERT_TRUE(owner_target_capacity_known(worker.target, now));
+    report(&worker, LATER_BOOT_MS); /* is over, and changes nothing */
+    CU_ASSERT_TRUE(owner_target_capacity_known(worker.target, now));
+    cluster_end(&worker.cluster);
+}
+
 static const struct test tests[] = {
     {"late report of a former incarnation ends no run",
      test_late_report_of_former_incarnation_ends_no_run},
@@ -540,6 +579,8 @@
      test_state_of_reported_incarnation_that_is_over_is_ignored},
     {"late report ends no drain", test_late_report_ends_no_drain},
     {"late report lists no worker", test_late_report_lists_no_worker},
+    {"capacity of another incarnation is not relied on",
+     test_capacity_of_other_incarnation_is_not_relied_on},
 };
 
 TEST_MAIN("boot_reports", tests)
