--- a/src/owner/owner_targets.c
+++ b/src/owner/owner_targets.c
@@ -266,7 +266,14 @@
     bool draining = report->draining;
     bool newly_listed = !target->listed;
 
+    /* Late reports may have replaced the present one's entry, so the worker
+     * stays listed if it was. */
     target->found_in_reload = true;
+    if (owner_boot_times_is_over(&target->boot_times, report->boot_ms)) {
+        log_late(target, report, "over");
+        owner_incarnation_reported(target, report->boot_ms);
+        return;
+    }
     if (is_out_of_sequence(target, report)) {
         log_late(target, report, "sequence");
         return;
@@ -522,6 +529,15 @@
     return service == NULL || service->enforces_capacity;
 }
 
+/* True if the newest report is of another incarnation than the one that
+ * answered last; the kind of a worker may change with a restart. */
+static bool
+report_is_of_other_incarnation(const struct owner_target *target)
+{
+    return target->incarnation.boot_ms > 0 && target->reported_boot_ms > 0 &&
+           target->reported_boot_ms != target->incarnation.boot_ms;
+}
+
 bool
 owner_target_capacity_known(const struct owner_target *target,
                             struct timespec now)
@@ -529,7 +545,8 @@
     int64_t report_age_max_ms =
         target->owner->options.report_ms + REPORT_LATE_MS;
 
-    return cw_time_diff_ms(target->reported_at, now) < report_age_max_ms ||
+    return (cw_time_diff_ms(target->reported_at, now) < report_age_max_ms &&
+            !report_is_of_other_incarnation(target)) ||
            enforces_capacity_limit(target);
 }
 
