--- a/emulator/emulator_main.c
+++ b/emulator/emulator_main.c
@@ -42,6 +42,7 @@
     unsigned tail_percent;     /* of the tasks */
     unsigned shrinks;
     unsigned restarts;
+    unsigned clock_step_percent; /* of the restarts */
     bool ignores_capacity;
     unsigned late_episodes;
     unsigned cordons;
@@ -70,6 +71,10 @@
      "Times that a worker's capacity shrinks for a while", 0},
     {"restarts", 'a', "N", 0,
      "Times that workers crash and restart under their ids", 0},
+    {"clock-steps", 'z', "PERCENT", 0,
+     "Restarts of workers under their ids before which their wall clocks are "
+     "set, often back",
+     0},
     {"unguarded", 'u', NULL, 0,
      "Workers start tasks that exceed their capacity", 0},
     {"late", 'l', "N", 0,
@@ -139,6 +144,9 @@
     case 'a':
         arguments->restarts = (unsigned)strtoul(value, NULL, 10);
         break;
+    case 'z':
+        arguments->clock_step_percent = (unsigned)strtoul(value, NULL, 10);
+        break;
     case 'u':
         arguments->ignores_capacity = true;
         break;
@@ -203,6 +211,7 @@
     }
     day.shrinks = arguments->shrinks;
     day.restarts = arguments->restarts;
+    day.clock_step_percent = arguments->clock_step_percent;
     day.ignores_capacity = arguments->ignores_capacity;
     day.late_episodes = arguments->late_episodes;
     day.cordons = arguments->cordons;
--- a/emulator/worker_model.c
+++ b/emulator/worker_model.c
@@ -49,7 +49,8 @@
     struct cw_resources capacity_before; /* before the last resize */
     int64_t shrunk_ms; /* time of the last resize; fleet's time */
     int64_t clock_ms;  /* worker's clock at the fleet's time 0 */
-    int64_t boot_ms;   /* wall clock at the start of the incarnation */
+    int64_t boot_ms;   /* its wall clock at the start of the incarnation */
+    int64_t wall_clock_behind_ms; /* behind the fleet's */
     bool is_down;
     double speed;
     uint64_t fence;       /* highest fencing token received */
@@ -180,13 +181,29 @@
     return worker;
 }
 
+void
+worker_model_set_wall_clock_behind(struct worker_model *worker,
+                                   int64_t behind_ms)
+{
+    worker->wall_clock_behind_ms = behind_ms;
+}
+
+static int64_t
+next_boot_ms(const struct worker_model *worker)
+{
+    int64_t boot_ms =
+        boot_time_now_ms(worker->fleet) - worker->wall_clock_behind_ms;
+
+    return boot_ms == worker->boot_ms ? boot_ms + 1 : boot_ms;
+}
+
 void
 worker_model_restart(struct worker_model *worker, int64_t clock_ms)
 {
     g_assert(worker->is_down && worker->runs->len == 0);
     worker->is_down = false;
     worker->clock_ms = clock_ms - worker->fleet->now_ms;
-    worker->boot_ms = boot_time_now_ms(worker->fleet);
+    worker->boot_ms = next_boot_ms(worker);
     worker->fence = 0;
     worker->lease_end_ms = 0;
     worker->lease_active = false;
--- a/emulator/worker_model.h
+++ b/emulator/worker_model.h
@@ -83,6 +83,12 @@
  * `clock_ms` is the present time of its clock. */
 void worker_model_restart(struct worker_model *worker, int64_t clock_ms);
 
+/* Sets how far the worker's wall clock is behind that of the fleet, for the
+ * boot times of its later incarnations.  The caller keeps boot times above
+ * 0. */
+void worker_model_set_wall_clock_behind(struct worker_model *worker,
+                                        int64_t behind_ms);
+
 /* Number of workers, including those that are down. */
 unsigned worker_fleet_size(const struct worker_fleet *fleet);
 
@@ -107,7 +113,8 @@
  * resources that its runs use. */
 struct cw_resources worker_model_free(const struct worker_model *worker);
 
-/* Wall-clock time at which the worker's present incarnation started. */
+/* Time of the worker's wall clock at which its present incarnation started:
+ * differs from that of the incarnation before. */
 int64_t worker_model_boot_ms(const struct worker_model *worker);
 
 /* Number of runs on the worker. */
--- a/emulator/world.c
+++ b/emulator/world.c
@@ -19,6 +19,8 @@
     SHRUNK_MAX_PERCENT = 75,
     SHRUNK_MIN_MS = 2000,
     SHRUNK_MAX_MS = 12000,
+    /* Wall-clock time at the start of a day on which wall clocks are set. */
+    WALL_CLOCK_START_MS = 3600 * CW_MS_PER_S,
     PERCENT = 100,
     FIRST_JOB_MS = 2000,
     FIRST_FAULT_MS = 1500,
@@ -317,6 +319,9 @@
     if (world->options.ignores_capacity) {
         worker_fleet_ignore_capacity(world->fleet);
     }
+    if (world->options.clock_step_percent > 0) {
+        worker_fleet_set_wall_clock(world->fleet, WALL_CLOCK_START_MS);
+    }
     world->vms = g_ptr_array_new_with_free_func(g_free);
     for (unsigned i = 0; i < world->options.vms; i++) {
         struct vm *vm = g_new0(struct vm, 1);
--- a/emulator/world.h
+++ b/emulator/world.h
@@ -26,6 +26,9 @@
                          while */
     unsigned restarts; /* number of times that workers crash and restart under
                           their ids */
+    unsigned clock_step_percent; /* percentage of restarts under an id before
+                                    which the worker's wall clock is set, often
+                                    back */
     bool ignores_capacity; /* workers start tasks that exceed their capacity */
     unsigned late_episodes; /* times that some workers answer late, or reset
                                connections, as overloaded machines do */
--- a/emulator/world_restarts.c
+++ b/emulator/world_restarts.c
@@ -19,7 +19,9 @@
     SECOND_CRASH_MIN_MS = 20,
     SECOND_CRASH_MAX_MS = 2000,
     CRASH_EFFECT_MS = 8000,
-    CLOCK_MAX_MS = 5000
+    CLOCK_MAX_MS = 5000,
+    /* How far a worker's wall clock may be set back. */
+    WALL_CLOCK_STEP_MAX_MS = 20000
 };
 
 void
@@ -57,12 +59,33 @@
     }
 }
 
+/* Sets the worker's wall clock some time behind the others', or to their time
+ * if it was behind, so that the boot time of the next incarnation may be lower
+ * than that of the former one. */
+static void
+step_wall_clock(struct world *world, struct worker_model *worker)
+{
+    unsigned behind_ms =
+        world_random_chance(world, 75)
+            ? world_random_below(world, WALL_CLOCK_STEP_MAX_MS)
+            : 0;
+
+    world_record_fault(world, "wall clock of %s %u behind",
+                       worker_model_id(worker), behind_ms);
+    worker_model_set_wall_clock_behind(worker, behind_ms);
+}
+
 /* The worker's clock starts at a new time, before or after the old one. */
 void
 world_restart_worker(struct world *world, void *context)
 {
     struct worker_model *worker = context;
 
+    if (world->options.clock_step_percent > 0 &&
+        world_random_chance(world, world->options.clock_step_percent))
+    {
+        step_wall_clock(world, worker);
+    }
     world_record_fault(world, "restarted %s", worker_model_id(worker));
     worker_model_restart(worker, world_random_below(world, CLOCK_MAX_MS) + 1);
     g_hash_table_remove(world->draining, worker_model_id(worker));
--- a/tests/test_world.c
+++ b/tests/test_world.c
@@ -342,6 +342,36 @@
     CU_ASSERT_EQUAL(late_reports_days(3, 2), LATE_REPORTS_DAYS);
 }
 
+/* Guards against an owner that takes a worker as started again because a late
+ * report of its former incarnation has the higher boot time, and one poll was
+ * not answered: the worker's wall clock was set back in between. */
+static void
+test_late_reports_with_clocks_set_back(void)
+{
+    static const struct {
+        uint32_t seed;
+        unsigned late_reports;
+        unsigned clock_step_percent;
+    } days[] = {{860080, 4, 50}, {860359, 8, 100}, {860998, 8, 100}};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(days); i++) {
+        struct world_options options = day(days[i].seed);
+        struct world_result result;
+
+        options.late_reports = days[i].late_reports;
+        options.restarts = 3;
+        options.clock_step_percent = days[i].clock_step_percent;
+        world_run(&options, &result);
+        CU_ASSERT_PTR_NULL(result.violation);
+        if (result.violation != NULL) {
+            printf("clocks set back, seed %u: %s\n", options.seed,
+                   result.violation);
+        }
+        g_free(result.violation);
+        g_free(result.faults);
+    }
+}
+
 static const struct test tests[] = {
     {"standard days", test_standard_days_violate_no_guarantee},
     {"same seed, same day", test_the_same_seed_gives_the_same_day},
@@ -356,6 +386,7 @@
     {"wide days", test_runnable_jobs_start_on_a_wide_day},
     {"lasting days", test_days_of_lasting_jobs_violate_no_guarantee},
     {"late reports", test_late_reports_end_no_run},
+    {"late reports, clocks set back", test_late_reports_with_clocks_set_back},
 };
 
 TEST_MAIN("world", tests)
