Stand-in: reports that are stored late, and entries that expire

The stand-in's store listed each worker until its next incarnation had started, so tests with real processes knew no report of a worker that had crashed, and no worker that was missing from the list while it worked.

Change: an entry is removed three report intervals after its last report. The command "crash" crashes a worker that restarts after a time under a new id or the same, and stores its last report again at a later time, when the entry may have been removed and the next incarnation is listed. The command "mute" keeps a worker's reports from the store for a time; it answers orders meanwhile. The faults that were there leave the entries as before. The code for the entries moves to platform_reports.c.

--- /dev/null
+++ b/standins/platform_reports.c
@@ -0,0 +1,138 @@
+/* Entries of the stand-in's workers in its store: reports, which may be stored
+ * late or not at all, and their expiry. */
+#include <inttypes.h>
+#include <stdio.h>
+
+#include "curlewcart/cw_time.h"
+#include "standins/platform_standin.h"
+
+struct late_report {
+    int64_t due_ms;
+    char *id;
+    char *text;
+};
+
+static void
+late_report_free(gpointer data)
+{
+    struct late_report *late = data;
+
+    g_free(late->id);
+    g_free(late->text);
+    g_free(late);
+}
+
+void
+standin_entries_init(struct platform *platform)
+{
+    platform->reported_at =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    platform->late_reports = g_ptr_array_new_with_free_func(late_report_free);
+}
+
+static void
+store_report(struct platform *platform, const char *id, const char *text)
+{
+    int64_t now_ms = standin_now_ms();
+
+    standin_append(platform, "keyed.servers", id, text);
+    g_hash_table_replace(platform->reported_at, g_strdup(id),
+                         g_memdup2(&now_ms, sizeof(now_ms)));
+}
+
+char *
+standin_report_text(struct platform *platform,
+                    const struct worker_server *worker)
+{
+    return g_strdup_printf(
+        "{\"service\":\"service\",\"address\":\"%s\",\"zone\":\"%s\","
+        "\"slots\":8,\"state\":\"ready\",\"capacity\":{\"cpu\":%d,"
+        "\"mem_mb\":%d,\"gpus\":%d},\"labels\":[\"a\",\"%s\"],"
+        "\"clock_ms\":%" PRId64 ",\"born\":%" PRId64 "}",
+        worker->reported_address, worker->dc, WORKER_CPU_MILLI,
+        WORKER_MEMORY_MB, WORKER_ACCELERATORS, worker->rack, standin_now_ms(),
+        worker_model_boot_ms(worker_fleet_find(platform->fleet, worker->id)));
+}
+
+void
+standin_report_workers(struct platform *platform)
+{
+    for (guint i = 0; i < platform->workers->len; i++) {
+        const struct worker_server *worker = platform->workers->pdata[i];
+
+        if (!worker_model_is_down(
+                worker_fleet_find(platform->fleet, worker->id)) &&
+            standin_now_ms() >= worker->muted_until_ms)
+        {
+            char *text = standin_report_text(platform, worker);
+
+            store_report(platform, worker->id, text);
+            g_free(text);
+        }
+    }
+}
+
+void
+standin_store_late(struct platform *platform, const char *id,
+                   const char *report, int64_t late_ms)
+{
+    struct late_report *late = g_new0(struct late_report, 1);
+
+    late->due_ms = standin_now_ms() + late_ms;
+    late->id = g_strdup(id);
+    late->text = g_strdup(report);
+    g_ptr_array_add(platform->late_reports, late);
+}
+
+void
+standin_remove_entry(struct platform *platform, const char *id)
+{
+    standin_append(platform, "keyed.servers", id, NULL);
+    g_hash_table_remove(platform->reported_at, id);
+}
+
+void
+standin_keep_entry(struct platform *platform, const char *id)
+{
+    g_hash_table_remove(platform->reported_at, id);
+}
+
+static void
+store_due_reports(struct platform *platform)
+{
+    for (guint i = platform->late_reports->len; i-- > 0;) {
+        const struct late_report *late = platform->late_reports->pdata[i];
+
+        if (standin_now_ms() >= late->due_ms) {
+            store_report(platform, late->id, late->text);
+            printf("reported_late worker=%s at_ms=%" PRId64 "\n", late->id,
+                   cw_clock_wall_ms(cw_clock_system()));
+            g_ptr_array_remove_index_fast(platform->late_reports, i);
+        }
+    }
+}
+
+static void
+remove_expired_entries(struct platform *platform)
+{
+    GHashTableIter iterator;
+    gpointer id;
+    gpointer reported_at;
+
+    g_hash_table_iter_init(&iterator, platform->reported_at);
+    while (g_hash_table_iter_next(&iterator, &id, &reported_at)) {
+        if (standin_now_ms() - *(int64_t *)reported_at > ENTRY_EXPIRY_MS) {
+            standin_append(platform, "keyed.servers", id, NULL);
+            printf("expired worker=%s at_ms=%" PRId64 "\n", (char *)id,
+                   cw_clock_wall_ms(cw_clock_system()));
+            g_hash_table_iter_remove(&iterator);
+        }
+    }
+}
+
+void
+standin_update_entries(struct platform *platform)
+{
+    store_due_reports(platform);
+    remove_expired_entries(platform);
+}
--- a/standins/platform_standin.c
+++ b/standins/platform_standin.c
@@ -18,7 +18,16 @@
  *
  * SIGUSR1 makes the store refuse all calls, SIGUSR2 makes it serve again.
  * SIGHUP crashes every third worker at once; they restart under their ids.
- * A line "lose WORKER" on standard input crashes a worker permanently. */
+ *
+ * Standard input has one command a line; WORKER is the first id of a worker:
+ *
+ *   lose WORKER             crashes the worker permanently; it stays listed
+ *   mute WORKER MS          its reports do not arrive for so long, so that its
+ *                           entry may expire; it works on and answers orders
+ *   crash WORKER DOWN_MS LATE_MS new|same
+ *                           crashes the worker, which restarts after DOWN_MS
+ *                           under a new id or the same; its last report is
+ *                           stored again LATE_MS after the crash */
 #include <argp.h>
 #include <inttypes.h>
 #include <poll.h>
@@ -77,11 +86,9 @@
     run(deferred_call);
 }
 
-/* ---- start ---- */
-
-static void
-append_record(struct platform *platform, const char *topic, const char *key,
-              const char *value)
+void
+standin_append(struct platform *platform, const char *topic, const char *key,
+               const char *value)
 {
     struct cw_store_record record = {.key = key,
                                      .value = value,
@@ -93,67 +100,61 @@
     store_model_append(platform->store, &append);
 }
 
-/* Restarts a worker whose downtime has ended; false if the worker is still
- * down. */
-static bool
+/* ---- crashes ---- */
+
+/* Restarts a worker whose downtime has ended. */
+static void
 restart_if_due(struct platform *platform, struct worker_server *worker)
 {
     struct worker_model *before =
         worker_fleet_find(platform->fleet, worker->id);
     const struct worker_model *after;
 
-    if (!worker_model_is_down(before)) {
-        return true;
-    }
-    if (standin_now_ms() - worker->crashed_at_ms < worker->downtime_ms) {
-        return false;
+    if (!worker_model_is_down(before) ||
+        standin_now_ms() - worker->crashed_at_ms < worker->downtime_ms)
+    {
+        return;
     }
     if (worker->keeps_id) {
         worker_model_restart(before, 1);
         printf("restarted worker=%s\n", worker->id);
-        return true;
+        return;
     }
     after = worker_fleet_restart_with_new_id(platform->fleet, before, 0);
-    append_record(platform, "keyed.servers", worker->id, NULL);
+    if (!worker->stays_listed) {
+        standin_remove_entry(platform, worker->id);
+    }
     printf("revived worker=%s as=%s\n", worker->id, worker_model_id(after));
     g_free(worker->id);
     worker->id = g_strdup(worker_model_id(after));
-    return true;
 }
 
 static void
-report_workers(struct platform *platform)
+restart_all_due(struct platform *platform)
 {
     for (guint i = 0; i < platform->workers->len; i++) {
-        struct worker_server *worker = platform->workers->pdata[i];
-        char *text;
-
-        if (!restart_if_due(platform, worker)) {
-            continue;
-        }
-        text = g_strdup_printf(
-            "{\"service\":\"service\",\"address\":\"%s\",\"zone\":\"%s\","
-            "\"slots\":8,\"state\":\"ready\",\"capacity\":{\"cpu\":%d,"
-            "\"mem_mb\":%d,\"gpus\":%d},\"labels\":[\"a\",\"%s\"],"
-            "\"clock_ms\":%" PRId64 ",\"born\":%" PRId64 "}",
-            worker->reported_address, worker->dc, WORKER_CPU_MILLI,
-            WORKER_MEMORY_MB, WORKER_ACCELERATORS, worker->rack,
-            standin_now_ms(),
-            worker_model_boot_ms(
-                worker_fleet_find(platform->fleet, worker->id)));
-
-        append_record(platform, "keyed.servers", worker->id, text);
-        g_free(text);
+        restart_if_due(platform, platform->workers->pdata[i]);
     }
 }
 
-/* Restarts workers between reports, which are 1.5 s apart. */
-static void
-restart_all_due(struct platform *platform)
+/* Crashes a worker; false if it is down. */
+static bool
+crash_worker(struct platform *platform, struct worker_server *worker,
+             int64_t downtime_ms, bool keeps_id)
 {
-    for (guint i = 0; i < platform->workers->len; i++) {
-        (void)restart_if_due(platform, platform->workers->pdata[i]);
+    struct worker_model *model =
+        worker_fleet_find(platform->fleet, worker->id);
+
+    if (worker_model_is_down(model)) {
+        return false;
     }
+    worker_model_crash(model);
+    platform->next_crash_keeps_id = false;
+    worker->crashed_at_ms = standin_now_ms();
+    worker->downtime_ms = downtime_ms;
+    worker->keeps_id = keeps_id;
+    worker->stays_listed = false;
+    return true;
 }
 
 /* Crashes every third worker, starting from a different worker each time.
@@ -164,39 +165,84 @@
     for (guint i = platform->crash_rounds++ % CRASH_EVERY_NTH;
          i < platform->workers->len; i += CRASH_EVERY_NTH)
     {
-        struct worker_server *worker = platform->workers->pdata[i];
-        struct worker_model *model =
-            worker_fleet_find(platform->fleet, worker->id);
-
-        if (!worker_model_is_down(model)) {
-            worker_model_crash(model);
-            worker->crashed_at_ms = standin_now_ms();
-            worker->downtime_ms =
-                RESTART_DELAY_MIN_MS +
-                i * RESTART_DELAY_STEP_MS % RESTART_DELAY_SPAN_MS;
-            worker->keeps_id = true;
-        }
+        (void)crash_worker(platform, platform->workers->pdata[i],
+                           RESTART_DELAY_MIN_MS + i * RESTART_DELAY_STEP_MS %
+                                                      RESTART_DELAY_SPAN_MS,
+                           true);
+    }
+}
+
+/* ---- commands ---- */
+
+static void
+lose_worker(struct platform *platform, struct worker_server *worker)
+{
+    if (crash_worker(platform, worker, INT64_MAX, true)) {
+        standin_keep_entry(platform, worker->id);
+        printf("lost worker=%s at_ms=%" PRId64 "\n", worker->id,
+               cw_clock_wall_ms(cw_clock_system()));
     }
-    platform->next_crash_keeps_id = false;
 }
 
 static void
-lose_worker(struct platform *platform, const char *id)
+crash_with_late_report(struct platform *platform, struct worker_server *worker,
+                       int64_t downtime_ms, int64_t late_ms, bool keeps_id)
+{
+    char *report = standin_report_text(platform, worker);
+
+    if (crash_worker(platform, worker, downtime_ms, keeps_id)) {
+        worker->stays_listed = true;
+        standin_store_late(platform, worker->id, report, late_ms);
+        printf("down worker=%s at_ms=%" PRId64 "\n", worker->id,
+               cw_clock_wall_ms(cw_clock_system()));
+    }
+    g_free(report);
+}
+
+static struct worker_server *
+find_worker(const struct platform *platform, const char *name)
 {
     for (guint i = 0; i < platform->workers->len; i++) {
         struct worker_server *worker = platform->workers->pdata[i];
-        struct worker_model *model =
-            worker_fleet_find(platform->fleet, worker->id);
-
-        if (strcmp(worker->id, id) == 0 && !worker_model_is_down(model)) {
-            worker_model_crash(model);
-            worker->downtime_ms = INT64_MAX;
-            printf("lost worker=%s at_ms=%" PRId64 "\n", id,
-                   cw_clock_wall_ms(cw_clock_system()));
-            fflush(stdout);
+
+        if (strcmp(worker->name, name) == 0) {
+            return worker;
         }
     }
-    platform->next_crash_keeps_id = false;
+    return NULL;
+}
+
+static void
+run_command(struct platform *platform, const char *line)
+{
+    char **words = g_strsplit(line, " ", -1);
+    guint count = g_strv_length(words);
+    struct worker_server *worker =
+        count > 1 ? find_worker(platform, words[1]) : NULL;
+
+    if (worker == NULL) {
+        fprintf(stderr, "curlewcart-platform: no worker: %s\n", line);
+    }
+    else if (strcmp(words[0], "lose") == 0) {
+        lose_worker(platform, worker);
+    }
+    else if (strcmp(words[0], "mute") == 0 && count == 3) {
+        worker->muted_until_ms =
+            standin_now_ms() + g_ascii_strtoll(words[2], NULL, 10);
+        printf("muted worker=%s ms=%s at_ms=%" PRId64 "\n", worker->id,
+               words[2], cw_clock_wall_ms(cw_clock_system()));
+    }
+    else if (strcmp(words[0], "crash") == 0 && count == 5) {
+        crash_with_late_report(platform, worker,
+                               g_ascii_strtoll(words[2], NULL, 10),
+                               g_ascii_strtoll(words[3], NULL, 10),
+                               strcmp(words[4], "same") == 0);
+    }
+    else {
+        fprintf(stderr, "curlewcart-platform: unknown command: %s\n", line);
+    }
+    fflush(stdout);
+    g_strfreev(words);
 }
 
 /* Reads standard input without blocking and executes complete lines. */
@@ -215,14 +261,14 @@
     while ((end = strchr(text->str, '\n')) != NULL) {
         char *line = g_strndup(text->str, (gsize)(end - text->str));
 
-        if (g_str_has_prefix(line, "lose ")) {
-            lose_worker(platform, line + strlen("lose "));
-        }
+        run_command(platform, line);
         g_string_erase(text, 0, end - text->str + 1);
         g_free(line);
     }
 }
 
+/* ---- start ---- */
+
 static struct cw_http_server *
 start_server(void (*handle)(void *, struct cw_http_call *),
              int64_t (*tag_connection)(void *), void *context)
@@ -258,7 +304,8 @@
     worker->platform = platform;
     worker->dc = g_strdup(dc);
     worker->rack = g_strdup_printf("%s-r%u", dc, rack);
-    worker->id = g_strdup_printf("%s-w%u", worker->rack, number);
+    worker->name = g_strdup_printf("%s-w%u", worker->rack, number);
+    worker->id = g_strdup(worker->name);
     worker->server = start_server(standin_handle_worker,
                                   standin_connection_boot_ms, worker);
     worker->address =
@@ -332,7 +379,7 @@
                 platform->config_path);
         return false;
     }
-    append_record(platform, "keyed.op", "config", text);
+    standin_append(platform, "keyed.op", "config", text);
     g_free(text);
     return true;
 }
@@ -391,9 +438,10 @@
         pthread_mutex_lock(&platform->lock);
         restart_all_due(platform);
         if (standin_now_ms() >= report_ms) {
-            report_workers(platform);
+            standin_report_workers(platform);
             report_ms = standin_now_ms() + REPORT_INTERVAL_MS;
         }
+        standin_update_entries(platform);
         worker_fleet_advance(platform->fleet, standin_fleet_now_ms());
         pthread_mutex_unlock(&platform->lock);
         signal_number = sigtimedwait(&signals, NULL, &step);
@@ -440,6 +488,7 @@
     platform.store = store_model_create(1);
     platform.fleet = worker_fleet_create(&listener);
     platform.workers = g_ptr_array_new();
+    standin_entries_init(&platform);
     platform.active =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     platform.done =
--- a/standins/platform_standin.h
+++ b/standins/platform_standin.h
@@ -17,6 +17,8 @@
     /* Number of 20 ms steps to wait for the proxy's file: 10 s. */
     PROXY_WAIT_STEPS = 500,
     REPORT_INTERVAL_MS = 1500,
+    /* Time after its last report after which an entry is removed. */
+    ENTRY_EXPIRY_MS = 3 * REPORT_INTERVAL_MS,
     RESTART_CHECK_MS = 20,
     /* Downtime of a worker after a task has crashed it. */
     CRASH_DOWNTIME_MS = 1000,
@@ -42,6 +44,9 @@
     struct worker_fleet *fleet;
     struct cw_http_server *store_server;
     GPtrArray *workers; /* struct worker_server */
+    /* Listed workers whose entries expire: id -> time of the last report. */
+    GHashTable *reported_at;
+    GPtrArray *late_reports; /* struct late_report: still to be stored */
     const char *config_path;
     const char *proxy_path; /* see use_proxy_addresses; or NULL */
     const char *dcs;        /* names, separated by commas */
@@ -59,10 +64,15 @@
 
 struct worker_server {
     struct platform *platform;
+    char *name; /* id of its first incarnation */
     char *id;
     int64_t crashed_at_ms; /* time of the last crash */
     int64_t downtime_ms;   /* time from that crash to its restart */
     bool keeps_id;         /* the next incarnation keeps the id */
+    /* If the next incarnation has a new id, the entry stays until it expires.
+     */
+    bool stays_listed;
+    int64_t muted_until_ms; /* no report is stored before */
     char *dc;
     char *rack;
     char *address;
@@ -96,6 +106,34 @@
                    struct cw_http_call *call, int64_t wait_ms,
                    void *(*run)(void *));
 
+/* Appends a record; without a value, it removes the key. */
+void standin_append(struct platform *platform, const char *topic,
+                    const char *key, const char *value);
+
+/* ---- the workers' entries in the store ---- */
+
+void standin_entries_init(struct platform *platform);
+
+/* Stores the reports of all workers that are up and not muted. */
+void standin_report_workers(struct platform *platform);
+
+/* Stores the late reports that are due, and removes expired entries. */
+void standin_update_entries(struct platform *platform);
+
+/* Text of the worker's present report; released by g_free. */
+char *standin_report_text(struct platform *platform,
+                          const struct worker_server *worker);
+
+/* Stores a report, which may be one of an incarnation that is over, in
+ * `late_ms`. */
+void standin_store_late(struct platform *platform, const char *id,
+                        const char *report, int64_t late_ms);
+
+void standin_remove_entry(struct platform *platform, const char *id);
+
+/* Keeps the entry from expiring. */
+void standin_keep_entry(struct platform *platform, const char *id);
+
 /* Handlers of calls to the store and to a worker. */
 void standin_handle_store(void *platform, struct cw_http_call *call);
 void standin_handle_worker(void *worker, struct cw_http_call *call);
--- a/standins/platform_workers.c
+++ b/standins/platform_workers.c
@@ -360,6 +360,7 @@
             server->crashed_at_ms = standin_now_ms();
             server->downtime_ms = CRASH_DOWNTIME_MS;
             server->keeps_id = platform->next_crash_keeps_id;
+            server->stays_listed = false;
         }
     }
     platform->next_crash_keeps_id = false;
