--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -133,10 +133,13 @@
     done
 }
 
+# A command of the stand-in: as at the head of platform_standin.c.
+platform_command() { echo "$*" >&8; } # COMMAND...
+
 # Ends a worker for good: nothing answers at its address any more.
 lose_worker() { # NAME
     proxy_command "cut worker.$1 both"
-    echo "lose $1" >&8
+    platform_command "lose $1"
 }
 
 make_store_unavailable() { signal_to USR1 platform; }
