--- a/tests/test_gang_ends.c
+++ b/tests/test_gang_ends.c
@@ -296,6 +296,54 @@
     gang_end(&gang);
 }
 
+/* Applies a report of a worker like this one under an id and an address. */
+static void
+report(struct gang *gang, const struct owner_target *like, const char *id,
+       const char *address)
+{
+    const struct cw_target_report report = {.id = id,
+                                            .service = like->service,
+                                            .address = address,
+                                            .dc = like->dc,
+                                            .rack = like->rack,
+                                            .kind = like->kind,
+                                            .capacity = like->capacity};
+
+    owner_target_apply_report(gang->cluster.owner, &report);
+}
+
+/* Guards against a gang that is started while a member may be at work: its
+ * silent worker is removed from the list, another one is listed at its
+ * address and refuses a poll there, and the worker has told another address.
+ */
+static void
+test_reports_of_silent_worker_prove_nothing(void)
+{
+    struct gang gang;
+    struct owner_target *target;
+    char *former;
+
+    gang_begin(&gang);
+    target = gang.workers[SILENT];
+    former = g_strdup(target->address);
+    list_end(&gang, 0, 1, CW_END_KIND_GANG_BROKEN);
+    become_silent(&gang, 1);
+    become_silent(&gang, SILENT);
+    owner_targets_reset(gang.cluster.owner);
+    owner_targets_loaded(gang.cluster.owner);
+    CU_ASSERT_FALSE(target->listed);
+    report(&gang, target, "next", former);
+    CU_ASSERT_FALSE(placed_again(&gang));
+    send_poll_to(&gang, target);
+    report(&gang, target, target->id, "10.0.0.9:80");
+    answer_last(CW_TARGET_OTHER_INCARNATION);
+    CU_ASSERT_FALSE(placed_again(&gang));
+    CU_ASSERT_PTR_NOT_NULL(run_of(&gang, SILENT));
+    g_free(former);
+    check_waits_for_lease(&gang);
+    gang_end(&gang);
+}
+
 /* Another member may have been the first to end. */
 static void
 test_other_kinds_of_ends_prove_nothing(void)
@@ -941,6 +989,7 @@
     {"silent later", test_gang_is_placed_once_worker_is_silent},
     {"stops after", test_stops_after_first_end_change_nothing},
     {"two unheard", test_two_unheard_members_prove_nothing},
+    {"reports", test_reports_of_silent_worker_prove_nothing},
     {"other ends", test_other_kinds_of_ends_prove_nothing},
     {"lost member", test_lost_member_proves_nothing},
     {"earlier run", test_ends_of_earlier_run_prove_nothing},
