Revert "A list without a worker ends no job for its crashes"

Each crash is followed by a takeover, so none of them is confirmed to anyone, and the job has no bound.

Without it such a worker counts as crashed once its lease is over. It has been missing from the list since the takeover then, for 6 s at least; the platform says that an entry still missing 2 s after an outage is gone. It counts 3 of the 12 that end a job, and starts no run early.

--- a/src/owner/owner_crashes.c
+++ b/src/owner/owner_crashes.c
@@ -21,9 +21,8 @@
  * a small suspicion is added in advance to the tasks that had just been
  * started there, so that it survives a takeover, and the suspects among them
  * are delayed for a limited time.  If the worker was known only to an earlier
- * owner and is not in the list that this owner has read, it cannot be asked,
- * and all its runs are suspected in advance.  That list may be late, so this
- * ends no job either. */
+ * owner and is not listed any more, nothing can resolve the question, and it
+ * counts as crashed. */
 #include "owner/internal/owner_crashes.h"
 
 #include <string.h>
@@ -323,40 +322,24 @@
     owner->placement_wanted = true;
 }
 
-/* True if the worker was known only to an earlier owner and is not in the list
- * that this owner has read: without an address it cannot be polled, and no
- * other incarnation can be found at that address. */
-static bool
-cannot_be_asked(const struct owner_target *target)
-{
-    return !target->listed && target->address[0] == '\0';
-}
-
 /* Adds suspicion in advance while it is unknown whether the worker has
- * crashed: for the runs that had just been started there, and for all if the
- * worker cannot be asked.  Their tasks would crash one worker after the other
- * otherwise, if each crash were followed by a takeover. */
+ * crashed. */
 static void
 apply_in_advance(struct cw_owner *owner, const struct owner_target *target,
                  struct timespec now)
 {
-    bool unasked = cannot_be_asked(target);
-
     for (guint i = 0; i < target->pending_suspicions->len; i++) {
         struct pending_suspicion *pending = &g_array_index(
             target->pending_suspicions, struct pending_suspicion, i);
         struct owner_task *task = suspected_task(owner, pending);
 
-        if (task == NULL || !(pending->no_progress || unasked) ||
-            pending->added_in_advance > 0)
-        {
+        if (task == NULL || !pending->no_progress ||
+            pending->added_in_advance > 0) {
             continue;
         }
-        pending->added_in_advance = MIN(pending->weight, SUSPICION_PRESENT);
+        pending->added_in_advance = SUSPICION_PRESENT;
         add_suspicion(owner, task, target, pending, pending->added_in_advance);
-        if (!unasked) {
-            task->delayed_until = cw_time_add_ms(now, SUSPECT_DELAY_MS);
-        }
+        task->delayed_until = cw_time_add_ms(now, SUSPECT_DELAY_MS);
     }
 }
 
@@ -375,11 +358,20 @@
     }
 }
 
+/* True if the worker was known only to an earlier owner and was removed from
+ * the list before this owner read it: without an address it cannot be polled,
+ * and no other incarnation can be found at that address. */
+static bool
+cannot_be_resolved(const struct owner_target *target)
+{
+    return !target->listed && target->address[0] == '\0';
+}
+
 void
 owner_crashes_resolve(struct cw_owner *owner, struct owner_target *target,
                       struct timespec now)
 {
-    if (target->superseded) {
+    if (target->superseded || cannot_be_resolved(target)) {
         owner_crashes_confirmed(owner, target, 0);
     }
     else {
