Emulator: the summary counts long waits

fuzz prints how many waits of jobs that could run lasted 1 s or more, and the longest one, so that the cost of a longer wait for leases shows before it becomes a violation.

--- a/emulator/checker.c
+++ b/emulator/checker.c
@@ -17,6 +17,8 @@
     STARTS_AFTER_CRASHES_MAX = 3,
     /* Maximum time for which a job that could run may have no run. */
     WAIT_MAX_MS = 3000,
+    /* A shorter one is counted for the summary from this time on. */
+    LONG_WAIT_MS = 1000,
     /* Duration of a long task in multiples of the usual duration, and the
      * factors that mix the task's step and index into the hash that selects
      * long tasks. */
@@ -520,6 +522,18 @@
     g_free(what);
 }
 
+static void
+count_wait(struct checker *checker, struct checker_wait *wait, int64_t now_ms)
+{
+    unsigned ms = (unsigned)(now_ms - wait->since_ms);
+
+    checker->counts.longest_wait_ms = MAX(checker->counts.longest_wait_ms, ms);
+    if (ms >= LONG_WAIT_MS && !wait->is_counted) {
+        wait->is_counted = true;
+        checker->counts.long_waits++;
+    }
+}
+
 void
 checker_check_wait(struct checker *checker, struct checker_job *job,
                    enum checker_wait_clause clause, bool runnable,
@@ -534,7 +548,9 @@
     if (wait->since_ms == 0 || wait->started != job->started) {
         wait->since_ms = now_ms;
         wait->started = job->started;
+        wait->is_counted = false;
     }
+    count_wait(checker, wait, now_ms);
     if (now_ms - wait->since_ms < WAIT_MAX_MS) {
         return;
     }
--- a/emulator/checker.h
+++ b/emulator/checker.h
@@ -25,6 +25,7 @@
     int64_t since_ms; /* time since which the job could run and does not; 0: it
                          does not wait */
     unsigned started; /* number of the job's runs started before since_ms */
+    bool is_counted;  /* as a long wait */
 };
 
 /* State of a job as callers observe it, and the planned behaviour of its
@@ -142,6 +143,9 @@
     unsigned wrongly_failed; /* jobs that failed although they crash no worker
                                 and have attempts left */
     unsigned starts;
+    unsigned long_waits; /* of jobs that could run, from 1 s on; one under
+                            both clauses counts twice */
+    unsigned longest_wait_ms;
 };
 struct checker_counts checker_counts(const struct checker *checker);
 
--- a/emulator/emulator_main.c
+++ b/emulator/emulator_main.c
@@ -256,6 +256,9 @@
     state->counts.crashes += result->counts.crashes;
     state->counts.wrongly_failed += result->counts.wrongly_failed;
     state->counts.starts += result->counts.starts;
+    state->counts.long_waits += result->counts.long_waits;
+    state->counts.longest_wait_ms =
+        MAX(state->counts.longest_wait_ms, result->counts.longest_wait_ms);
     state->takeovers += result->takeovers;
 }
 
@@ -315,12 +318,14 @@
     printf(
         "%u days from seed %u: %u violations; %u jobs, %u accepted, %u "
         "completed, %u failed, %u cancelled, %u lost, %u refused, %u starts, "
-        "%u takeovers, %u crashes, %u innocent jobs given up\n",
+        "%u takeovers, %u crashes, %u innocent jobs given up, %u waits of 1 s "
+        "or more beside free capacity, the longest %u ms\n",
         arguments->days, arguments->seed, state.violations, state.counts.jobs,
         state.counts.accepted, state.counts.completed, state.counts.failed,
         state.counts.cancelled, state.counts.lost, state.counts.refused,
         state.counts.starts, state.takeovers, state.counts.crashes,
-        state.counts.wrongly_failed);
+        state.counts.wrongly_failed, state.counts.long_waits,
+        state.counts.longest_wait_ms);
     return state.violations > 0 ? EXIT_VIOLATION : 0;
 }
 
--- a/tests/test_checker.c
+++ b/tests/test_checker.c
@@ -93,11 +93,32 @@
     checker_free(checker);
 }
 
+/* Guards against a summary that leaves out the waits of jobs, or counts each
+ * check of one wait. */
+static void
+test_long_waits_are_counted_once(void)
+{
+    struct checker *checker = checker_create();
+    struct checker_job *job = add_job(checker);
+
+    check_waits(checker, job, true, false, 100, 1000);
+    CU_ASSERT_EQUAL(checker_counts(checker).long_waits, 0);
+    check_waits(checker, job, true, false, 1100, 2500);
+    CU_ASSERT_EQUAL(checker_counts(checker).long_waits, 1);
+    CU_ASSERT_EQUAL(checker_counts(checker).longest_wait_ms, 2400);
+    check_waits(checker, job, false, false, 2600, 2600);
+    check_waits(checker, job, true, false, 2700, 3700);
+    CU_ASSERT_EQUAL(checker_counts(checker).long_waits, 2);
+    CU_ASSERT_EQUAL(checker_counts(checker).longest_wait_ms, 2400);
+    checker_free(checker);
+}
+
 static const struct test tests[] = {
     {"wait of 3 s", test_a_wait_of_3_s_under_either_clause_is_a_violation},
     {"clauses do not add up",
      test_waits_under_different_clauses_do_not_add_up},
     {"start", test_a_start_ends_the_wait},
+    {"long waits", test_long_waits_are_counted_once},
 };
 
 TEST_MAIN("checker", tests)
