--- a/tests/test_boot_reports.c
+++ b/tests/test_boot_reports.c
@@ -83,21 +83,21 @@
     owner_poll_tick(cluster->owner, worker->target, cluster->clock.now);
 }
 
-/* Takes the poll in flight off the list of unanswered orders. */
-static struct cw_target_order
-take_order(enum cw_order_kind kind)
+/* Answers the order of this kind that is in flight. */
+static void
+answer_order(enum cw_order_kind kind, const struct cw_target_answer *answer)
 {
-    struct cw_target_order order = {.done = NULL};
-
     for (guint i = 0; unanswered != NULL && i < unanswered->len; i++) {
-        order = g_array_index(unanswered, struct cw_target_order, i);
+        struct cw_target_order order =
+            g_array_index(unanswered, struct cw_target_order, i);
+
         if (order.kind == kind) {
             g_array_remove_index(unanswered, i);
-            return order;
+            order.done(order.context, answer);
+            return;
         }
     }
-    CU_FAIL_FATAL("no such order is in flight");
-    return order;
+    CU_FAIL("no such order is in flight");
 }
 
 static void
@@ -114,7 +114,6 @@
 answer_poll(struct worker *worker, int64_t boot_ms,
             const struct owner_run *run)
 {
-    struct cw_target_order poll = take_order(CW_ORDER_POLL);
     struct cw_running listed = {.saved = ""};
     struct cw_target_answer answer = {
         .status = CW_TARGET_OK,
@@ -130,7 +129,7 @@
         answer.running = &listed;
         answer.running_count = 1;
     }
-    poll.done(poll.context, &answer);
+    answer_order(CW_ORDER_POLL, &answer);
 }
 
 static void
@@ -144,11 +143,9 @@
 fail_poll(struct worker *worker)
 {
     const struct cw_target_answer none = {.status = CW_TARGET_UNKNOWN};
-    struct cw_target_order poll;
 
     await_poll(worker);
-    poll = take_order(CW_ORDER_POLL);
-    poll.done(poll.context, &none);
+    answer_order(CW_ORDER_POLL, &none);
 }
 
 /* Begins with a worker of which these incarnations have answered, in this
@@ -193,9 +190,8 @@
 {
     const struct cw_target_answer ok = {.status = CW_TARGET_OK};
     struct owner_run *run = queue_start(worker);
-    struct cw_target_order start = take_order(CW_ORDER_START);
 
-    start.done(start.context, &ok);
+    answer_order(CW_ORDER_START, &ok);
     poll_as(worker, PRESENT_BOOT_MS, run);
     poll_as(worker, PRESENT_BOOT_MS, run);
     CU_ASSERT_EQUAL(run->phase, RUN_RUNNING);
