A report of an incarnation that is known to be over changes nothing

Callers saw: nothing yet.

Cause: a late report of a former incarnation was held only while the worker answered. While it was silent the report set the address back, and polls went where the worker was no more, until its next report was read.

Evidence: test_addresses "report of an incarnation that is over changes nothing" fails before.

Change: what answers to polls have shown of the order of incarnations (owner_boot_times) comes first; the size of the boot time only makes a report wait for the next poll.

--- a/src/owner/owner_targets.c
+++ b/src/owner/owner_targets.c
@@ -187,8 +187,9 @@
 }
 
 /* True if the report seems to be of a former incarnation than the one that
- * answers polls.  It is of the next one if the worker's clock was set back
- * while it restarted; then that one answers the next poll. */
+ * answers polls, although that is not known.  It is of the next one if the
+ * worker's clock was set back while it restarted; then that one answers the
+ * next poll. */
 static bool
 seems_former(const struct owner_target *target,
              const struct cw_target_report *report)
@@ -271,6 +272,11 @@
         log_late(target, report, "sequence");
         return;
     }
+    if (owner_boot_times_is_over(&target->boot_times, report->boot_ms)) {
+        log_late(target, report, "former_life");
+        owner_incarnation_reported(target, report->boot_ms);
+        return;
+    }
     if (seems_former(target, report)) {
         log_late(target, report, "former_life");
         hold_report(target, report);
--- a/tests/test_addresses.c
+++ b/tests/test_addresses.c
@@ -525,6 +525,30 @@
     cluster_end(&cluster);
 }
 
+/* Guards against polls that go to an address that the worker has left: it does
+ * not answer for a while, and a late report of its former incarnation, which
+ * is known to be over, is read. */
+static void
+test_report_of_incarnation_that_is_over_changes_nothing(void)
+{
+    const struct report former = {FIRST_ADDRESS, FIRST_BOOT_MS, 7, false};
+    const struct report present = {SECOND_ADDRESS, SECOND_BOOT_MS, 2, true};
+    const struct report late = {FIRST_ADDRESS, FIRST_BOOT_MS, 8, false};
+    struct cluster cluster;
+    struct owner_target *target = begin(&cluster, &former);
+
+    poll_and_answer(&cluster, target, CW_TARGET_OK, FIRST_BOOT_MS);
+    put_report(&cluster, &present);
+    poll_and_answer(&cluster, target, CW_TARGET_OK, SECOND_BOOT_MS);
+    poll_and_answer(&cluster, target, CW_TARGET_UNKNOWN, 0);
+    put_report(&cluster, &late);
+    CU_ASSERT_STRING_EQUAL(target->address, SECOND_ADDRESS);
+    CU_ASSERT_TRUE(target->draining);
+    poll_and_answer(&cluster, target, CW_TARGET_OK, SECOND_BOOT_MS);
+    CU_ASSERT_EQUAL(target->unanswered_polls, 0);
+    cluster_end(&cluster);
+}
+
 /* Guards against a report that is dropped although it is the present one: the
  * worker's clock was set back while it restarted, so that its boot time is the
  * lower one.  A poll decides. */
@@ -617,6 +641,8 @@
      test_numbers_begin_anew_with_each_incarnation},
     {"late report of a former incarnation changes nothing",
      test_late_report_of_former_incarnation_changes_nothing},
+    {"report of an incarnation that is over changes nothing",
+     test_report_of_incarnation_that_is_over_changes_nothing},
     {"held report is applied if its incarnation answers",
      test_held_report_is_applied_if_its_incarnation_answers},
     {"held report is dropped with its entry",
