--- a/src/owner/owner_targets.c
+++ b/src/owner/owner_targets.c
@@ -187,8 +187,9 @@
 }
 
 /* True if the report seems to be of a former incarnation than the one that
- * answers polls.  It is of the next one if the worker's clock was set back
- * while it restarted; then that one answers the next poll. */
+ * answers polls, although that is not known.  It is of the next one if the
+ * worker's clock was set back while it restarted; then that one answers the
+ * next poll. */
 static bool
 seems_former(const struct owner_target *target,
              const struct cw_target_report *report)
