A start after one without an answer extends no lease

Cause: two orders are in flight to a worker at a time. The first two starts time out after 0.5 s, and the starts behind them were sent next, with a lease of 2.4 s from then: 0.5 s, 2.4 s with drift and 0.2 s are more than the 3 s that are borne. The poll that notices the silence fails only then.

The test "several unconfirmed starts" failed before.

Change: after a start without an answer no further start extends the lease until the worker answers something; polls do as before.

--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -221,6 +221,8 @@
     struct timespec lease_granted_at;
     int64_t lease_granted_ms;
     struct timespec answered_at; /* its last answer to any order came */
+    /* A start had no answer in time, and no order has been answered since. */
+    bool start_unanswered;
     /* Has answered a poll since the takeover, or since its runs were given up.
      */
     bool answered;
--- a/src/owner/owner_leases.c
+++ b/src/owner/owner_leases.c
@@ -236,8 +236,11 @@
         return false;
     }
     /* Polls renew the lease of a worker that executes runs.  The worker may
-     * not answer the next poll, so that a start must not extend it. */
-    if (granted && kind == CW_ORDER_START && has_confirmed_run(target)) {
+     * not answer the next poll, so that a start must not extend it; neither
+     * may a start that follows one without an answer. */
+    if (granted && kind == CW_ORDER_START &&
+        (has_confirmed_run(target) || target->start_unanswered))
+    {
         return false;
     }
     return owner_lease_clock_is_fresh(target, now) &&
--- a/src/owner/owner_orders.c
+++ b/src/owner/owner_orders.c
@@ -185,8 +185,11 @@
     case CW_TARGET_OLD_RUN: /* polls report the run's end */
         start_confirmed(run);
         break;
-    case CW_TARGET_LATE:
     case CW_TARGET_UNKNOWN:
+        target->start_unanswered = true;
+        retry_start(order, run);
+        break;
+    case CW_TARGET_LATE:
         retry_start(order, run);
         break;
     case CW_TARGET_UNREACHABLE: /* nothing was sent */
--- a/src/owner/owner_targets.c
+++ b/src/owner/owner_targets.c
@@ -363,6 +363,7 @@
         break;
     default:
         target->answered_at = now;
+        target->start_unanswered = false;
         break;
     }
 }
--- a/tests/test_lease_lengths.c
+++ b/tests/test_lease_lengths.c
@@ -365,6 +365,70 @@
                    IDLE_TOLERATED_MS - RESTART_MS);
 }
 
+/* Lets the answers of all orders in flight be lost, until they time out. */
+static void
+lose_orders(struct cluster *cluster)
+{
+    enum { ORDER_TIMEOUT_MS = 500 };
+
+    cluster->clock.now = cw_time_add_ms(cluster->clock.now, ORDER_TIMEOUT_MS);
+    cluster->owner->ownership_confirmed_at = cluster->clock.now;
+    answer_remaining();
+}
+
+/* Makes the job's runs ready and queues their starts. */
+static void
+queue_starts(struct cluster *cluster, struct owner_job *job)
+{
+    for (unsigned i = 0; i < step_of(job)->count; i++) {
+        struct owner_run *run = step_of(job)->tasks[i].run;
+        struct cw_task_name name = owner_task_name(run->task);
+
+        run->phase = RUN_READY;
+        owner_order_queue(cluster->owner, run->target, CW_ORDER_START, &name,
+                          run->number);
+    }
+}
+
+/* Guards against a gang that is idle for over 3 s because its worker, which
+ * had just stopped answering, was sent further starts once the first had no
+ * answer, and each of them extended the lease. */
+static void
+test_short_wait_for_several_unconfirmed_starts(void)
+{
+    const struct cw_step_spec four = {
+        .tasks = 4, .accelerators = 2, .gang = true};
+    struct cluster cluster;
+    struct owner_target *target;
+    struct owner_job *job;
+    struct timespec sent;
+    int64_t until_ms;
+
+    cluster_begin(&cluster);
+    job = add_job(&cluster, 1, &four);
+    pass(&cluster, TICK_MS);
+    target = step_of(job)->tasks[0].run->target;
+    CU_ASSERT_EQUAL_FATAL(target->runs->len, 4);
+    queue_starts(&cluster, job);
+    sent = cluster.clock.now;
+    (void)owner_orders_send(cluster.owner, target, sent);
+    CU_ASSERT_EQUAL_FATAL(unanswered->len, 2);
+    until_ms = last_order.lease_until_ms;
+    lose_orders(&cluster);
+    (void)owner_orders_send(cluster.owner, target, cluster.clock.now);
+    CU_ASSERT_EQUAL(unanswered->len, 2);
+    CU_ASSERT_EQUAL(last_order.lease_until_ms, until_ms);
+    CU_ASSERT_TRUE(cw_time_diff_ms(sent, target->lease_end) <=
+                   IDLE_TOLERATED_MS - RESTART_MS);
+    /* An answer shows that the worker executes orders, and that the next one
+     * may extend the lease. */
+    lose_orders(&cluster);
+    owner_target_answered(target, CW_TARGET_NO_CAPACITY, cluster.clock.now);
+    CU_ASSERT_TRUE(owner_lease_grant(target, CW_ORDER_START,
+                                     cluster.clock.now) > until_ms);
+    cluster_end(&cluster);
+}
+
 /* Guards against a job that is idle for over 3 s as its last run was started
  * by an earlier owner, long ago, on a worker that stops answering this one. */
 static void
@@ -425,6 +489,8 @@
     {"unconfirmed start", test_short_wait_for_unconfirmed_start},
     {"unconfirmed start, boot time",
      test_short_wait_for_unconfirmed_start_with_boot_time},
+    {"several unconfirmed starts",
+     test_short_wait_for_several_unconfirmed_starts},
     {"wall clock ahead", test_busy_service_with_wall_clock_ahead},
     {"inherited run", test_short_wait_for_inherited_run},
 };
