Tests: held reports, and late ones, that leave a worker unused

Three tests that fail on this commit: a report that seems to be of a former incarnation is held until its incarnation answers a poll, but no poll is sent if the worker is not listed, and none to the address in that report; a late report after a removal does not list a worker that does not drain.

--- a/tests/test_addresses.c
+++ b/tests/test_addresses.c
@@ -18,7 +18,8 @@
     FIRST_BOOT_MS = 1000,
     SECOND_BOOT_MS = 9000,
     STEP_MS = 10,
-    POLL_STEPS_MAX = 300
+    POLL_STEPS_MAX = 300,
+    FAILED_POLLS = 3
 };
 
 static const struct cw_step_spec one = {.tasks = 1, .accelerators = 4};
@@ -585,6 +586,71 @@
     cluster_end(&cluster);
 }
 
+/* Guards against a worker that is never used again: it restarted after its
+ * entry had been removed, with its clock set back, and nothing else is a
+ * reason to poll it. */
+static void
+test_unlisted_worker_with_held_report_is_polled(void)
+{
+    const struct report first = {FIRST_ADDRESS, SECOND_BOOT_MS, 7, false};
+    const struct report next = {FIRST_ADDRESS, FIRST_BOOT_MS, 1, false};
+    struct cluster cluster;
+    struct owner_target *target = begin(&cluster, &first);
+
+    poll_and_answer(&cluster, target, CW_TARGET_OK, SECOND_BOOT_MS);
+    remove_report(&cluster);
+    put_report(&cluster, &next);
+    poll_and_answer(&cluster, target, CW_TARGET_OK, FIRST_BOOT_MS);
+    CU_ASSERT_TRUE(target->listed);
+    cluster_end(&cluster);
+}
+
+/* Guards against the same if the worker restarted at another address: nobody
+ * is at the former one, or another worker. */
+static void
+test_held_report_is_applied_if_former_address_is_left(void)
+{
+    static const enum cw_target_status answers[] = {
+        CW_TARGET_UNREACHABLE, CW_TARGET_OTHER_INCARNATION};
+    const struct report first = {FIRST_ADDRESS, SECOND_BOOT_MS, 7, false};
+    const struct report next = {SECOND_ADDRESS, FIRST_BOOT_MS, 1, false};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(answers); i++) {
+        struct cluster cluster;
+        struct owner_target *target = begin(&cluster, &first);
+
+        poll_and_answer(&cluster, target, CW_TARGET_OK, SECOND_BOOT_MS);
+        put_report(&cluster, &next);
+        for (unsigned k = 0; k < FAILED_POLLS; k++) {
+            if (strcmp(target->address, FIRST_ADDRESS) == 0 &&
+                !target->superseded) {
+                poll_and_answer(&cluster, target, answers[i], 0);
+            }
+        }
+        CU_ASSERT_STRING_EQUAL(target->address, SECOND_ADDRESS);
+        poll_and_answer(&cluster, target, CW_TARGET_OK, FIRST_BOOT_MS);
+        CU_ASSERT_TRUE(owner_target_reachable(target, cluster.clock.now));
+        cluster_end(&cluster);
+    }
+}
+
+/* Guards against a worker that is never used again: its entry returned and was
+ * removed again, and then a report was stored late.  As only `seq` differs
+ * since, the store's entry does not change any more. */
+static void
+test_late_report_lists_worker_that_does_not_drain(void)
+{
+    const struct report last = {FIRST_ADDRESS, 0, 5, false};
+    const struct report late = {FIRST_ADDRESS, 0, 4, false};
+    struct cluster cluster;
+    struct owner_target *target = begin(&cluster, &last);
+
+    remove_report(&cluster);
+    put_report(&cluster, &late);
+    CU_ASSERT_TRUE(target->listed);
+    cluster_end(&cluster);
+}
+
 static const struct test tests[] = {
     {"refusal at a former address ends no run",
      test_refusal_at_former_address_ends_no_run},
@@ -623,6 +689,12 @@
      test_held_report_is_dropped_with_its_entry},
     {"lower boot time of a silent worker is taken",
      test_lower_boot_time_of_silent_worker_is_taken},
+    {"unlisted worker with a held report is polled",
+     test_unlisted_worker_with_held_report_is_polled},
+    {"held report is applied if the former address is left",
+     test_held_report_is_applied_if_former_address_is_left},
+    {"late report lists a worker that does not drain",
+     test_late_report_lists_worker_that_does_not_drain},
 };
 
 TEST_MAIN("addresses", tests)
