Held reports do not leave a worker unused

Callers saw a worker that got no work any more after it had restarted under its id with its clock set back. Its report is held until the incarnation in it answers a poll. No poll was due if the worker was not listed, and if it had restarted at another address, the polls went to the former one.

Change: a held report makes a poll due. It is applied after two polls without an answer, or one that another worker has refused, as a report that is read while the worker is silent is, and dropped if its incarnation is over.

--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -789,8 +789,9 @@
     struct timespec order_sent;
 };
 
-/* Applies the report that seemed to be of a former incarnation if it is of the
- * one that has answered a poll now. */
+/* Applies the report that seemed to be of a former incarnation if that one has
+ * answered a poll, or if the present one does not answer; drops the report if
+ * its incarnation is over. */
 void owner_target_apply_held_report(struct owner_target *target);
 
 /* Drops all runs of the worker as lost. */
--- a/src/owner/owner_addresses.c
+++ b/src/owner/owner_addresses.c
@@ -158,5 +158,6 @@
                       &(struct owner_loss){.reason = "other_life",
                                            .evidence = order->kind,
                                            .order_sent = order->sent});
+    owner_target_apply_held_report(target);
     return true;
 }
--- a/src/owner/owner_polls.c
+++ b/src/owner/owner_polls.c
@@ -411,6 +411,7 @@
     target->poll_due = cw_time_add_ms(target->poll_sent_at, POLL_RETRY_MS);
     owner_gang_ends_check_silent(target->owner, target);
     if (target->unanswered_polls == GIVE_UP_AFTER_POLLS) {
+        owner_target_apply_held_report(target);
         owner_unsent_runs_give_up(target->owner, target,
                                   log_placement_abandoned);
     }
@@ -667,7 +668,8 @@
     {
         return true;
     }
-    return target->runs->len > 0 || owner_address_is_doubtful(target, now) ||
+    return target->runs->len > 0 || target->held_report.boot_ms > 0 ||
+           owner_address_is_doubtful(target, now) ||
            target->incarnation.ends_applied >
                target->incarnation.ends_in_batch ||
            target->incarnation.ends_in_batch >
--- a/src/owner/owner_targets.c
+++ b/src/owner/owner_targets.c
@@ -329,11 +329,21 @@
 owner_target_apply_held_report(struct owner_target *target)
 {
     struct cw_target_report held = target->held_report;
+    bool over = owner_boot_times_is_over(&target->boot_times, held.boot_ms);
 
-    if (held.boot_ms > 0 && held.boot_ms == target->incarnation.boot_ms) {
-        target->held_report = (struct cw_target_report){0};
-        owner_target_apply_report(target->owner, &held);
+    if (held.boot_ms == 0 ||
+        (!over && held.boot_ms != target->incarnation.boot_ms &&
+         target->unanswered_polls == 0 && !target->superseded))
+    {
+        return;
+    }
+    target->held_report = (struct cw_target_report){0};
+    if (over) {
+        return;
     }
+    owner_target_apply_report(target->owner, &held);
+    target->superseded = false; /* its address is polled first */
+    cw_time_set_earlier(&target->poll_due, owner_now(target->owner));
 }
 
 static void
