--- a/tests/test_epochs.c
+++ b/tests/test_epochs.c
@@ -426,6 +426,41 @@
     fixture_end(&fixture);
 }
 
+/* Guards against a task that runs twice after a takeover: a start without an
+ * answer may be held up on its way to the worker's next incarnation, which the
+ * former owner knew of.  The end that it writes tells the new owner less. */
+static void
+test_an_end_covers_a_start_that_may_be_held_up(void)
+{
+    struct fixture fixture;
+    struct owner_target *worker;
+    struct owner_run *start;
+    int64_t left_ms;
+
+    fixture_with_state(&fixture);
+    take_over(&fixture);
+    make_worker_reachable(&fixture);
+    (void)run_answering_polls(&fixture, 1000);
+    worker = the_worker(&fixture);
+    CU_ASSERT_TRUE_FATAL(worker->runs->len > 0);
+    start = worker->runs->pdata[0];
+    start->phase = RUN_STARTING;
+    start->unanswered = 1;
+    start->sent_at = fixture.clock.now;
+    worker->incarnation.boot_ms = 1;
+    start->boot_ms = 1;
+    worker->unanswered_polls = 2;
+    owner_incarnation_reported(worker, 2);
+    left_ms = lease_left_ms(&fixture);
+    CU_ASSERT_TRUE_FATAL(left_ms > 2 * LEASE_MS);
+    owner_drop_ownership(fixture.owner, "test");
+    fixture.owner->join_in_flight = true;
+    run(&fixture, 1000);
+    CU_ASSERT_TRUE(cw_replica_epoch_lease_left_ms(epoch_of(&fixture, "this"),
+                                                  "w") >= left_ms - 1000);
+    fixture_end(&fixture);
+}
+
 /* Guards against the same for a worker whose last run has ended, while the
  * next owner has not received the end, because it was not stored. */
 static void
@@ -987,6 +1022,8 @@
     {"rows", test_an_unresponsive_worker_has_its_own_row},
     {"rows of responsive workers",
      test_a_worker_that_is_not_unresponsive_yet_has_a_row},
+    {"an end covers a start that may be held up",
+     test_an_end_covers_a_start_that_may_be_held_up},
     {"rows of idle workers", test_a_worker_without_runs_has_a_row},
     {"not active", test_an_epoch_without_activity_ends_with_the_one_before},
     {"later epoch", test_an_owner_that_reads_a_later_epoch_drops_ownership},
