--- a/tests/test_boot_reports.c
+++ b/tests/test_boot_reports.c
@@ -554,6 +554,24 @@
     cluster_end(&worker.cluster);
 }
 
+/* Guards against starts that wait for 2 s and longer after each late report:
+ * the poll that decides about the reported incarnation waits at a worker that
+ * has runs. */
+static void
+test_poll_that_decides_about_report_is_answered_at_once(void)
+{
+    struct worker worker;
+    struct cw_target_order poll;
+
+    begin(&worker, FORMER_BOOT_MS, PRESENT_BOOT_MS);
+    (void)run_on_present(&worker);
+    report(&worker, LATER_BOOT_MS);
+    await_poll(&worker);
+    poll = take_order(CW_ORDER_POLL);
+    CU_ASSERT_EQUAL(poll.wait_ms, 0);
+    cluster_end(&worker.cluster);
+}
+
 static const struct test tests[] = {
     {"late report of a former incarnation ends no run",
      test_late_report_of_former_incarnation_ends_no_run},
@@ -581,6 +599,8 @@
     {"late report lists no worker", test_late_report_lists_no_worker},
     {"capacity of another incarnation is not relied on",
      test_capacity_of_other_incarnation_is_not_relied_on},
+    {"poll that decides about a report is answered at once",
+     test_poll_that_decides_about_report_is_answered_at_once},
 };
 
 TEST_MAIN("boot_reports", tests)
