Starts wait for one poll, not for its delay, after a late report

A report of another incarnation withholds starts until a poll is answered that was sent after it was read. A worker with runs delays that answer by up to 1.9 s. Evidence: test_boot_reports, "poll that decides about a report is answered at once", failed before. Change: that poll asks for no delay.

--- a/src/owner/owner_polls.c
+++ b/src/owner/owner_polls.c
@@ -571,9 +571,10 @@
 
 /* Returns how long the worker may delay its answer.  It has to answer at once
  * to a first poll, one after a poll without an answer, one that decides what
- * happens to a run, and one before ends are confirmed.  Otherwise a gang that
- * was stopped would be idle for 1.0 s longer, as the poll would wait at the
- * worker of a member that was never started. */
+ * happens to a run or which incarnation is the present one, and one before
+ * ends are confirmed.  Otherwise a gang that was stopped would be idle for
+ * 1.0 s longer, as the poll would wait at the worker of a member that was
+ * never started. */
 static unsigned
 poll_wait_ms(const struct owner_target *target, uint64_t acked,
              struct timespec now)
@@ -587,7 +588,7 @@
      * worker has to answer at once. */
     return blocked || !target->answered || target->unanswered_polls > 0 ||
                    !waits || target->lease_note != OWNER_LEASE_NOTE_NONE ||
-                   decides_runs(target)
+                   decides_runs(target) || owner_incarnation_unknown(target)
                ? 0
                : poll_wait_max_ms(target, now);
 }
