--- a/src/owner/owner_polls.c
+++ b/src/owner/owner_polls.c
@@ -411,6 +411,7 @@
     target->poll_due = cw_time_add_ms(target->poll_sent_at, POLL_RETRY_MS);
     owner_gang_ends_check_silent(target->owner, target);
     if (target->unanswered_polls == GIVE_UP_AFTER_POLLS) {
+        owner_target_apply_held_report(target);
         owner_unsent_runs_give_up(target->owner, target,
                                   log_placement_abandoned);
     }
@@ -570,9 +571,10 @@
 
 /* Returns how long the worker may delay its answer.  It has to answer at once
  * to a first poll, one after a poll without an answer, one that decides what
- * happens to a run, and one before ends are confirmed.  Otherwise a gang that
- * was stopped would be idle for 1.0 s longer, as the poll would wait at the
- * worker of a member that was never started. */
+ * happens to a run or which incarnation is the present one, and one before
+ * ends are confirmed.  Otherwise a gang that was stopped would be idle for
+ * 1.0 s longer, as the poll would wait at the worker of a member that was
+ * never started. */
 static unsigned
 poll_wait_ms(const struct owner_target *target, uint64_t acked,
              struct timespec now)
@@ -586,7 +588,7 @@
      * worker has to answer at once. */
     return blocked || !target->answered || target->unanswered_polls > 0 ||
                    !waits || target->lease_note != OWNER_LEASE_NOTE_NONE ||
-                   decides_runs(target)
+                   decides_runs(target) || owner_incarnation_unknown(target)
                ? 0
                : poll_wait_max_ms(target, now);
 }
@@ -667,7 +669,8 @@
     {
         return true;
     }
-    return target->runs->len > 0 || owner_address_is_doubtful(target, now) ||
+    return target->runs->len > 0 || target->held_report.boot_ms > 0 ||
+           owner_address_is_doubtful(target, now) ||
            target->incarnation.ends_applied >
                target->incarnation.ends_in_batch ||
            target->incarnation.ends_in_batch >
