--- a/tests/test_boot_reports.c
+++ b/tests/test_boot_reports.c
@@ -557,14 +557,13 @@
 test_poll_that_decides_about_report_is_answered_at_once(void)
 {
     struct worker worker;
-    struct cw_target_order poll;
 
     begin(&worker, FORMER_BOOT_MS, PRESENT_BOOT_MS);
     (void)run_on_present(&worker);
     report(&worker, LATER_BOOT_MS);
     await_poll(&worker);
-    poll = take_order(CW_ORDER_POLL);
-    CU_ASSERT_EQUAL(poll.wait_ms, 0);
+    CU_ASSERT_EQUAL_FATAL(last_order.kind, CW_ORDER_POLL);
+    CU_ASSERT_EQUAL(last_order.wait_ms, 0);
     cluster_end(&worker.cluster);
 }
 
