A late report lists a worker whose entry has returned

Callers saw: nothing yet; found by the review.

Cause: a report with a lower sequence number changes nothing. If the worker's entry had been removed, it returned with that report, and the worker stayed unlisted: the store does not change the entry any more as long as only the sequence number differs.

Evidence: test_addresses "late report lists a worker that does not drain" failed before.

Change: the worker is listed again with the state of its later report, unless that said that it drains. 24 tests of test_addresses pass.

--- a/src/owner/owner_targets.c
+++ b/src/owner/owner_targets.c
@@ -259,6 +259,21 @@
     owner_runs_promote_reserved(owner, target);
 }
 
+/* Lists a worker whose entry has returned with an earlier report than the last
+ * one, which holds.  The store may not change the entry any more as long as
+ * only the sequence number differs. */
+static void
+list_again(struct owner_target *target)
+{
+    if (!target->listed && !target->draining) {
+        target->listed = true;
+        target->owner->capacity_version++;
+        target->owner->placement_wanted = true;
+        owner_target_wake(target);
+        owner_address_listed(target);
+    }
+}
+
 void
 owner_target_apply_report(void *context, const struct cw_target_report *report)
 {
@@ -277,6 +292,7 @@
     }
     if (is_out_of_sequence(target, report)) {
         log_late(target, report, "sequence");
+        list_again(target);
         return;
     }
     if (seems_former(target, report)) {
