An owner's end tells bounds that are later than its leases

Callers saw: nothing yet; found by the review (TWICE after a take-over, where workers restart under their ids).

Cause: the end of an epoch told one latest end of all leases and, by worker, earlier ones. The bound of a worker that may begin a held-up start in its next incarnation is later (13 s and a lease from the start). The next owner waited for 6.6 s and started the task elsewhere, while the start could still arrive.

Evidence: test_epochs "a new owner awaits a start that may be held up" failed before.

Change: the record names such workers first, and a reader takes the time in a worker's row also if it is later. Earlier leases count as settled only once these are over.

--- a/src/owner/owner_epochs.c
+++ b/src/owner/owner_epochs.c
@@ -24,7 +24,7 @@
     APPEND_TIMEOUT_MS = 900,
     RETRY_MS = 300,
     /* Limit on the workers listed in a record, at some 30 bytes each. */
-    SHORTER_LEASES_MAX = 500
+    OTHER_LEASES_MAX = 500
 };
 
 /* An append in flight; it may outlive the owner. */
@@ -39,11 +39,11 @@
      * has read whether an earlier process of it granted leases, it assumes one
      * that was granted just before the present process started. */
     uint64_t granted_epoch;        /* the last of those epochs; 0 none */
-    struct timespec granted_until; /* the latest end of any worker's lease */
-    GHashTable *shorter_leases; /* worker -> struct timespec: end of its lease,
-                                   if earlier than that */
-    bool end_unwritten; /* the end of that epoch is not in the log yet */
-    struct call *call;  /* append that writes the end, or NULL */
+    struct timespec granted_until; /* the latest end of leases */
+    GHashTable *other_leases; /* worker -> struct timespec: when the bound of
+                                 its lease ends, if at another time */
+    bool end_unwritten;       /* the end of that epoch is not in the log yet */
+    struct call *call;        /* append that writes the end, or NULL */
     struct timespec due;
     /* While this VM takes over or is the owner. */
     bool begin_sent;   /* the record of its epoch may be in the log */
@@ -98,7 +98,7 @@
     epochs->vm_started_at = owner_now(owner);
     epochs->granted_until = cw_time_add_ms(
         epochs->vm_started_at, lease_max_duration_ms(owner->options.lease_ms));
-    epochs->shorter_leases =
+    epochs->other_leases =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     return epochs;
 }
@@ -109,7 +109,7 @@
     if (epochs->call != NULL) {
         epochs->call->epochs = NULL;
     }
-    g_hash_table_unref(epochs->shorter_leases);
+    g_hash_table_unref(epochs->other_leases);
     g_free(epochs);
 }
 
@@ -170,7 +170,7 @@
 end_of_own(const struct owner_epochs *epochs, const char *worker)
 {
     const struct timespec *end =
-        worker != NULL ? g_hash_table_lookup(epochs->shorter_leases, worker)
+        worker != NULL ? g_hash_table_lookup(epochs->other_leases, worker)
                        : NULL;
 
     return end != NULL ? *end : epochs->granted_until;
@@ -211,6 +211,26 @@
     return end;
 }
 
+/* Returns when all leases have expired that earlier owners granted, also to
+ * the workers with runs whose own bounds are later. */
+static struct timespec
+end_of_all_earlier(const struct cw_owner *owner)
+{
+    struct timespec end = end_of_earlier(owner, NULL);
+    GHashTableIter iterator;
+    gpointer value;
+
+    g_hash_table_iter_init(&iterator, owner->targets);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const struct owner_target *target = value;
+
+        if (target->runs->len > 0) {
+            raise_to(&end, end_of_earlier(owner, target->id));
+        }
+    }
+    return end;
+}
+
 void
 owner_epochs_bound_leases(struct cw_owner *owner, struct timespec now)
 {
@@ -233,7 +253,7 @@
         }
     }
     /* Without runs it does not matter how long leases last. */
-    epochs->settle_due = any_runs ? end_of_earlier(owner, NULL) : now;
+    epochs->settle_due = any_runs ? end_of_all_earlier(owner) : now;
     cw_log_info("earlier_leases",
                 "shard=%u epoch=%" PRIu64 " settled_below=%" PRIu64
                 " left_ms=%" PRId64,
@@ -251,7 +271,7 @@
     if (strcmp(vm, owner->vm) == 0 || epochs->settled_sent) {
         return;
     }
-    cw_time_set_earlier(&epochs->settle_due, end_of_earlier(owner, NULL));
+    cw_time_set_earlier(&epochs->settle_due, end_of_all_earlier(owner));
     g_hash_table_iter_init(&iterator, owner->targets);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         struct owner_target *target = value;
@@ -363,6 +383,38 @@
                : cw_time_add_ms(target->lease_end, OWNER_ORDER_DELAY_MAX_MS);
 }
 
+static void
+add_other_lease(struct owner_epochs *epochs, const struct owner_target *target,
+                struct timespec end)
+{
+    if (g_hash_table_size(epochs->other_leases) < OTHER_LEASES_MAX) {
+        g_hash_table_replace(epochs->other_leases, g_strdup(target->id),
+                             g_memdup2(&end, sizeof(end)));
+    }
+}
+
+/* Collects the workers whose bound is later than that of all leases: a start
+ * may be held up on its way to their next incarnation. */
+static void
+collect_later_leases(struct cw_owner *owner)
+{
+    struct owner_epochs *epochs = owner->epochs;
+    GHashTableIter iterator;
+    gpointer value;
+
+    g_hash_table_iter_init(&iterator, owner->targets);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const struct owner_target *target = value;
+
+        if (owner_target_has_ordered_run(target) &&
+            cw_time_before(epochs->granted_until,
+                           owner_lease_last_end(target)))
+        {
+            add_other_lease(epochs, target, owner_lease_last_end(target));
+        }
+    }
+}
+
 /* Collects the leases that expire before the latest one, of unresponsive or of
  * other workers.  Workers without runs are included: an end may have been
  * listed to this VM and not be stored, so that the next owner still has the
@@ -375,9 +427,7 @@
     gpointer value;
 
     g_hash_table_iter_init(&iterator, owner->targets);
-    while (g_hash_table_iter_next(&iterator, NULL, &value) &&
-           g_hash_table_size(epochs->shorter_leases) < SHORTER_LEASES_MAX)
-    {
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         const struct owner_target *target = value;
         struct timespec end = end_of_current(target);
 
@@ -385,8 +435,7 @@
             target->lease_end.tv_sec > 0 &&
             cw_time_before(end, epochs->granted_until))
         {
-            g_hash_table_insert(epochs->shorter_leases, g_strdup(target->id),
-                                g_memdup2(&end, sizeof(end)));
+            add_other_lease(epochs, target, end);
         }
     }
 }
@@ -406,7 +455,8 @@
         epochs->granted_until =
             cw_time_add_ms(owner_now(owner),
                            lease_max_duration_ms(longest_granted_ms(owner)));
-        g_hash_table_remove_all(epochs->shorter_leases);
+        g_hash_table_remove_all(epochs->other_leases);
+        collect_later_leases(owner);
         collect_shorter_leases(owner, true);
         collect_shorter_leases(owner, false);
     }
@@ -449,7 +499,7 @@
     gpointer value;
     GByteArray *bytes;
 
-    g_hash_table_iter_init(&iterator, epochs->shorter_leases);
+    g_hash_table_iter_init(&iterator, epochs->other_leases);
     while (g_hash_table_iter_next(&iterator, &worker, &value)) {
         const struct timespec *end = value;
         struct cw_lease_left row = {.worker = worker,
--- a/src/proto/cw_proto.x
+++ b/src/proto/cw_proto.x
@@ -203,7 +203,7 @@
 struct cw_epoch_end_record {
     unsigned hyper epoch;
     unsigned int left_ms;
-    cw_lease_left sooner<CW_TASKS_MAX>; /* workers whose leases end earlier */
+    cw_lease_left sooner<CW_TASKS_MAX>; /* workers whose leases end at another time */
 };
 
 /* The end of a run, as a worker listed it. */
--- a/src/replica/replica_epochs.c
+++ b/src/replica/replica_epochs.c
@@ -127,7 +127,7 @@
     if (worker != NULL &&
         g_hash_table_lookup_extended(epoch->sooner, worker, NULL, &left_ms))
     {
-        return MIN(GPOINTER_TO_UINT(left_ms), epoch->left_ms);
+        return GPOINTER_TO_UINT(left_ms);
     }
     return epoch->left_ms;
 }
