Gangs: an end that was not heard waits for the leases, not for 17 s

What callers saw: a gang with an end that no owner had heard had nothing running for up to 17 s after each takeover (LOST).

Cause: a new owner counts such an end as a possible failure until no lease of an earlier owner can last, and took the longest possible time for that, 17 s from each takeover, where the records of epochs bound it at 6.2 to 12.6 s.

The test "unheard end" failed before.

Change: the wait ends with the bound on the leases of earlier owners, if that is sooner.

--- a/src/owner/internal/owner_epochs.h
+++ b/src/owner/internal/owner_epochs.h
@@ -47,4 +47,8 @@
  * next. */
 struct timespec owner_epochs_tick(struct cw_owner *owner, struct timespec now);
 
+/* Returns when all leases have expired that earlier owners granted to any
+ * worker, as far as is known now. */
+struct timespec owner_epochs_earlier_end(const struct cw_owner *owner);
+
 #endif
--- a/src/owner/owner_epochs.c
+++ b/src/owner/owner_epochs.c
@@ -231,6 +231,12 @@
     return end;
 }
 
+struct timespec
+owner_epochs_earlier_end(const struct cw_owner *owner)
+{
+    return end_of_earlier(owner, NULL);
+}
+
 void
 owner_epochs_bound_leases(struct cw_owner *owner, struct timespec now)
 {
--- a/src/owner/owner_gang_ends.c
+++ b/src/owner/owner_gang_ends.c
@@ -21,7 +21,7 @@
 
 enum {
     /* No lease that an earlier owner granted lasts longer than this after a
-     * takeover. */
+     * takeover; most are known to end sooner. */
     EARLIER_LEASE_MAX_MS = 17000,
     /* A worker that crashes takes longer than this to start again. */
     RESTART_MIN_MS = 250
@@ -180,7 +180,8 @@
 owner_gang_ends_check_inherited(struct cw_owner *owner, struct timespec now)
 {
     if (owner->ends_awaited_until.tv_sec > 0 &&
-        !cw_time_before(now, owner->ends_awaited_until))
+        (!cw_time_before(now, owner->ends_awaited_until) ||
+         !cw_time_before(now, owner_epochs_earlier_end(owner))))
     {
         owner->ends_awaited_until = cw_time_from_ms(0);
         await_no_ends(owner, NULL);
--- a/tests/test_epochs.c
+++ b/tests/test_epochs.c
@@ -1013,6 +1013,31 @@
     fixture_end(&emulation.fixture);
 }
 
+/* Guards against a gang that waits for 17 s from each takeover for an end that
+ * an earlier owner has not heard: the end counts only until the leases of
+ * earlier owners are over. */
+static void
+test_unheard_end_waits_for_earlier_leases(void)
+{
+    struct fixture fixture;
+    struct owner_occurrence *occurrence;
+    struct owner_task *task;
+
+    fixture_begin(&fixture);
+    put_spec(&fixture);
+    put_state(&fixture, CW_STATE_TOPIC, CW_WORK_RUNNING);
+    take_over(&fixture);
+    occurrence = the_job(&fixture)->open->pdata[0];
+    task = &occurrence->steps[0].tasks[0];
+    ((struct cw_step_spec *)occurrence->steps[0].spec)->gang = true;
+    owner_gang_ends_restore(fixture.owner, task, RUN);
+    run(&fixture, FIRST_BOUND_MS - 1000);
+    CU_ASSERT_EQUAL(task->unheard_run, RUN);
+    run(&fixture, 1500);
+    CU_ASSERT_EQUAL(task->unheard_run, 0);
+    fixture_end(&fixture);
+}
+
 static const struct test tests[] = {
     {"again", test_records_read_again_change_nothing},
     {"older", test_older_records_change_nothing},
@@ -1044,6 +1069,7 @@
     {"stop", test_a_stop_to_an_unresponsive_worker_does_not_raise_its_bound},
     {"twice", test_no_task_runs_twice_under_an_earlier_lease},
     {"start", test_a_start_does_not_shorten_an_earlier_lease},
+    {"unheard end", test_unheard_end_waits_for_earlier_leases},
 };
 
 TEST_MAIN("epochs", tests)
