--- a/src/owner/internal/owner_addresses.h
+++ b/src/owner/internal/owner_addresses.h
@@ -14,7 +14,7 @@
 struct owner_answered_order {
     const char *kind; /* for logs */
     struct timespec sent;
-    unsigned addresses; /* of its worker, when it was sent */
+    unsigned address_changes; /* of its worker, when it was sent */
 };
 
 /* To be called when a worker was added to the list: makes a poll of the worker
--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -183,7 +183,7 @@
     struct cw_owner *owner;
     char *id;
     char *address;                   /* "" until a report is read */
-    unsigned addresses;              /* number of changes of that address */
+    unsigned address_changes;        /* number of changes of that address */
     int64_t address_boot_ms;         /* boot time in the report that gave it */
     struct timespec address_boot_at; /* that boot time was first read */
     /* Of the last report that was not stored late. */
@@ -192,9 +192,9 @@
      * is none.  Its texts are interned. */
     struct cw_target_report held_report;
     /* Its last answer that shows its own id: when it came, and the value of
-     * `addresses` when the order was sent.  0: none to this owner. */
+     * `address_changes` when the order was sent.  0: none to this owner. */
     struct timespec identified_at;
-    unsigned identified_addresses;
+    unsigned identified_address_changes;
     const char *service; /* interned: compared by pointer */
     const char *dc;      /* interned, as is the rack */
     const char *rack;
@@ -835,9 +835,9 @@
     struct cw_task_name task; /* task.job points to `job` */
     unsigned run;
     struct timespec sent;
-    int64_t boot_ms;    /* of the incarnation that it was sent to; 0 unknown */
-    unsigned addresses; /* of its worker, when it was sent */
-    struct timespec due; /* of a start: not resent before this time */
+    int64_t boot_ms; /* of the incarnation that it was sent to; 0 unknown */
+    unsigned address_changes; /* of its worker, when it was sent */
+    struct timespec due;      /* of a start: not resent before this time */
 };
 
 /* Frees an order and takes it out of the count of orders in flight. */
--- a/src/owner/owner_addresses.c
+++ b/src/owner/owner_addresses.c
@@ -81,7 +81,7 @@
         return;
     }
     target->identified_at = owner_now(owner);
-    target->identified_addresses = order->addresses;
+    target->identified_address_changes = order->address_changes;
     if (!target->superseded ||
         cw_time_before(order->sent, target->refused_order_sent))
     {
@@ -118,10 +118,12 @@
 {
     bool identified = target->identified_at.tv_sec > 0;
 
-    if (order->addresses != target->addresses) {
+    if (order->address_changes != target->address_changes) {
         return "moved";
     }
-    if (identified && target->identified_addresses != target->addresses) {
+    if (identified &&
+        target->identified_address_changes != target->address_changes)
+    {
         return "answered_elsewhere";
     }
     if (identified && cw_time_before(order->sent, target->identified_at)) {
--- a/src/owner/owner_orders.c
+++ b/src/owner/owner_orders.c
@@ -267,7 +267,7 @@
     struct owner_answered_order answered = {
         .kind = order->kind == CW_ORDER_START ? "start" : "stop",
         .sent = order->sent,
-        .addresses = order->addresses};
+        .address_changes = order->address_changes};
     struct timespec now = owner_now(owner);
 
     if (order->term != owner->term) {
@@ -459,7 +459,7 @@
         cw_time_set_earlier(&target->poll_due, now);
     }
     order->boot_ms = target->incarnation.boot_ms;
-    order->addresses = target->addresses;
+    order->address_changes = target->address_changes;
     target->orders_in_flight++;
     order->sent = now;
     owner->options.targets->ops->order(owner->options.targets, &out);
--- a/src/owner/owner_polls.c
+++ b/src/owner/owner_polls.c
@@ -64,10 +64,10 @@
     unsigned term;
     struct owner_target *target;
     struct timespec sent;
-    bool idle;          /* the worker had no runs */
-    int64_t boot_ms;    /* of the incarnation that it was sent to; 0 unknown */
-    uint64_t acked;     /* confirms ends up to this number */
-    unsigned addresses; /* of the worker, when it was sent */
+    bool idle;       /* the worker had no runs */
+    int64_t boot_ms; /* of the incarnation that it was sent to; 0 unknown */
+    uint64_t acked;  /* confirms ends up to this number */
+    unsigned address_changes; /* of the worker, when it was sent */
 };
 
 /* ---- runs that are listed ---- */
@@ -486,8 +486,10 @@
     struct poll_call *call = context;
     struct cw_owner *owner = call->owner;
     struct owner_target *target = call->target;
-    struct owner_answered_order order = {
-        .kind = "poll", .sent = call->sent, .addresses = call->addresses};
+    struct owner_answered_order order = {.kind = "poll",
+                                         .sent = call->sent,
+                                         .address_changes =
+                                             call->address_changes};
     struct timespec now = owner_now(owner);
 
     if (call->term != owner->term) {
@@ -628,7 +630,7 @@
     call->idle = target->runs->len == 0;
     call->boot_ms = target->incarnation.boot_ms;
     call->acked = acked;
-    call->addresses = target->addresses;
+    call->address_changes = target->address_changes;
     owner->idle_polls_in_flight += call->idle;
     target->poll_in_flight = true;
     target->poll_sent_at = now;
--- a/src/owner/owner_targets.c
+++ b/src/owner/owner_targets.c
@@ -166,7 +166,7 @@
         target->address_boot_at = owner_now(target->owner);
     }
     if (replace_text(&target->address, report->address)) {
-        target->addresses++;
+        target->address_changes++;
         target->superseded = false; /* the refusal came from another address */
         if (before[0] != '\0') {
             cw_log_info("worker_moved",
