--- a/src/owner/owner_targets.c
+++ b/src/owner/owner_targets.c
@@ -291,8 +291,8 @@
         return;
     }
     if (is_out_of_sequence(target, report)) {
-        log_late(target, report, "sequence");
         list_again(target);
+        log_late(target, report, "sequence");
         return;
     }
     if (seems_former(target, report)) {
