--- a/src/owner/owner_epochs.c
+++ b/src/owner/owner_epochs.c
@@ -389,36 +389,43 @@
                : cw_time_add_ms(target->lease_end, OWNER_ORDER_DELAY_MAX_MS);
 }
 
-static void
+/* Returns false if there are too many. */
+static bool
 add_other_lease(struct owner_epochs *epochs, const struct owner_target *target,
                 struct timespec end)
 {
-    if (g_hash_table_size(epochs->other_leases) < OTHER_LEASES_MAX) {
-        g_hash_table_replace(epochs->other_leases, g_strdup(target->id),
-                             g_memdup2(&end, sizeof(end)));
+    if (g_hash_table_size(epochs->other_leases) >= OTHER_LEASES_MAX) {
+        return false;
     }
+    g_hash_table_replace(epochs->other_leases, g_strdup(target->id),
+                         g_memdup2(&end, sizeof(end)));
+    return true;
 }
 
 /* Collects the workers whose bound is later than that of all leases: a start
- * may be held up on its way to their next incarnation. */
+ * may be held up on its way to their next incarnation.  If there are too many
+ * of them, the latest bound is that of all leases. */
 static void
 collect_later_leases(struct cw_owner *owner)
 {
     struct owner_epochs *epochs = owner->epochs;
+    struct timespec latest = epochs->granted_until;
     GHashTableIter iterator;
     gpointer value;
 
     g_hash_table_iter_init(&iterator, owner->targets);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         const struct owner_target *target = value;
+        struct timespec end = owner_lease_last_end(target);
 
         if (owner_target_has_ordered_run(target) &&
-            cw_time_before(epochs->granted_until,
-                           owner_lease_last_end(target)))
+            cw_time_before(epochs->granted_until, end) &&
+            !add_other_lease(epochs, target, end))
         {
-            add_other_lease(epochs, target, owner_lease_last_end(target));
+            raise_to(&latest, end);
         }
     }
+    epochs->granted_until = latest;
 }
 
 /* Collects the leases that expire before the latest one, of unresponsive or of
@@ -441,7 +448,7 @@
             target->lease_end.tv_sec > 0 &&
             cw_time_before(end, epochs->granted_until))
         {
-            add_other_lease(epochs, target, end);
+            (void)add_other_lease(epochs, target, end);
         }
     }
 }
