Reports copy no address that has not changed

Cause: each report that was read copied the worker's address, for a log line that only a changed address needs: once a worker and report interval.

--- a/src/owner/owner_targets.c
+++ b/src/owner/owner_targets.c
@@ -144,37 +144,34 @@
 
 /* ---- reports ---- */
 
-static bool
+static void
 replace_text(char **member, const char *text)
 {
-    if (strcmp(*member, text) == 0) {
-        return false;
+    if (strcmp(*member, text) != 0) {
+        g_free(*member);
+        *member = g_strdup(text);
     }
-    g_free(*member);
-    *member = g_strdup(text);
-    return true;
 }
 
 static void
 update_address(struct owner_target *target,
                const struct cw_target_report *report)
 {
-    char *before = g_strdup(target->address);
-
     if (target->address_boot_ms != report->boot_ms) {
         target->address_boot_ms = report->boot_ms;
         target->address_boot_at = owner_now(target->owner);
     }
-    if (replace_text(&target->address, report->address)) {
-        target->address_changes++;
-        target->superseded = false; /* the refusal came from another address */
-        if (before[0] != '\0') {
-            cw_log_info("worker_moved",
-                        "worker=%s address=%s before=%s runs=%u", target->id,
-                        target->address, before, target->runs->len);
-        }
+    if (strcmp(target->address, report->address) == 0) {
+        return;
+    }
+    if (target->address[0] != '\0') {
+        cw_log_info("worker_moved", "worker=%s address=%s before=%s runs=%u",
+                    target->id, report->address, target->address,
+                    target->runs->len);
     }
-    g_free(before);
+    replace_text(&target->address, report->address);
+    target->address_changes++;
+    target->superseded = false; /* the refusal came from another address */
 }
 
 /* True if a later report of the same incarnation was read. */
