--- a/src/owner/owner_boot_times.c
+++ b/src/owner/owner_boot_times.c
@@ -13,15 +13,16 @@
 
 #include "curlewcart/cw_time.h"
 
-static struct owner_boot_time *
-find(struct owner_boot_times *boot_times, int64_t boot_ms)
+/* Returns the index of the boot time, or `count` if it is not contained. */
+static unsigned
+find(const struct owner_boot_times *boot_times, int64_t boot_ms)
 {
-    for (unsigned i = 0; i < boot_times->count; i++) {
-        if (boot_times->times[i].boot_ms == boot_ms) {
-            return &boot_times->times[i];
-        }
+    unsigned i = 0;
+
+    while (i < boot_times->count && boot_times->times[i].boot_ms != boot_ms) {
+        i++;
     }
-    return NULL;
+    return i;
 }
 
 static void
@@ -57,7 +58,7 @@
 owner_boot_times_add(struct owner_boot_times *boot_times, int64_t boot_ms,
                      struct timespec now)
 {
-    if (find(boot_times, boot_ms) != NULL) {
+    if (find(boot_times, boot_ms) < boot_times->count) {
         return false;
     }
     append(boot_times,
@@ -68,10 +69,10 @@
 static void
 set_over(struct owner_boot_times *boot_times, int64_t boot_ms)
 {
-    struct owner_boot_time *time = find(boot_times, boot_ms);
+    unsigned index = find(boot_times, boot_ms);
 
-    if (time != NULL) {
-        time->over = true;
+    if (index < boot_times->count) {
+        boot_times->times[index].over = true;
         return;
     }
     append(boot_times,
@@ -82,11 +83,11 @@
 owner_boot_times_answered(struct owner_boot_times *boot_times, int64_t boot_ms,
                           int64_t before_ms, struct timespec sent)
 {
-    struct owner_boot_time *present = find(boot_times, boot_ms);
+    unsigned present = find(boot_times, boot_ms);
     unsigned over = 0;
 
-    if (present != NULL) {
-        remove_at(boot_times, (unsigned)(present - boot_times->times));
+    if (present < boot_times->count) {
+        remove_at(boot_times, present);
     }
     for (unsigned i = 0; i < boot_times->count; i++) {
         struct owner_boot_time *time = &boot_times->times[i];
@@ -106,12 +107,9 @@
 owner_boot_times_is_over(const struct owner_boot_times *boot_times,
                          int64_t boot_ms)
 {
-    for (unsigned i = 0; i < boot_times->count; i++) {
-        if (boot_times->times[i].boot_ms == boot_ms) {
-            return boot_times->times[i].over;
-        }
-    }
-    return false;
+    unsigned index = find(boot_times, boot_ms);
+
+    return index < boot_times->count && boot_times->times[index].over;
 }
 
 bool
