--- a/emulator/emulator_main.c
+++ b/emulator/emulator_main.c
@@ -48,6 +48,7 @@
     unsigned cordons;
     unsigned owner_kills;
     unsigned owner_losses;
+    unsigned owner_cuts;
     unsigned topic_outages;
     unsigned silences;
     unsigned outages;
@@ -87,6 +88,10 @@
      0},
     {"owner-losses", 'x', "N", 0,
      "Like --owner-kills, but the VM stays down for long", 0},
+    {"owner-cuts", 'm', "N", 0,
+     "Times that the VM that owns the jobs is disconnected, together with "
+     "workers that only it reaches then",
+     0},
     {"topic-outages", 'p', "N", 0,
      "Times that one topic of the store is unavailable to all VMs", 0},
     {"silences", 'i', "N", 0,
@@ -162,6 +167,9 @@
     case 'x':
         arguments->owner_losses = (unsigned)strtoul(value, NULL, 10);
         break;
+    case 'm':
+        arguments->owner_cuts = (unsigned)strtoul(value, NULL, 10);
+        break;
     case 'p':
         arguments->topic_outages = (unsigned)strtoul(value, NULL, 10);
         break;
@@ -217,11 +225,12 @@
     day.cordons = arguments->cordons;
     day.owner_kills = arguments->owner_kills;
     day.owner_losses = arguments->owner_losses;
+    day.owner_cuts = arguments->owner_cuts;
     day.topic_outages = arguments->topic_outages;
     day.silences = arguments->silences;
     day.outages = arguments->outages;
     day.late_reports = arguments->late_reports;
-    if (day.silences + day.outages > 0) {
+    if (day.silences + day.outages + day.owner_cuts > 0) {
         world_lengthen(&day);
     }
     if (arguments->calm) {
--- a/emulator/internal/world_private.h
+++ b/emulator/internal/world_private.h
@@ -93,6 +93,11 @@
     GHashTable *cordons; /* data centre -> struct world_cordon */
     GHashTable *entries; /* id -> struct world_entry, on days with late
                             reports */
+    struct {
+        struct vm *owner;
+        GHashTable *workers; /* set of ids: on the owner's side */
+        int64_t until_ms;
+    } owner_cut;                   /* the last network partition */
     int64_t last_delayed_order_ms; /* latest time at which a delayed order may
                                       arrive */
 };
@@ -316,6 +321,25 @@
 /* Does the same as world_owner_kill, but the VM stays down for long. */
 void world_owner_loss(struct world *world, void *unused);
 
+/* The VM that owns the jobs, or NULL. */
+struct vm *world_owner_vm(const struct world *world);
+
+/* ---- world_owner_cuts.c ---- */
+
+/* Disconnects the VM that owns the jobs, together with some workers, from the
+ * store, the other VMs and the other workers. */
+void world_cut_owner(struct world *world, void *unused);
+
+/* True while such a network partition lasts. */
+bool world_owner_cut_lasts(const struct world *world);
+
+/* True if the network partition leaves the worker to that VM. */
+bool
+world_worker_is_with_cut_owner(const struct world *world, const char *worker);
+
+/* True if no network partition separates the VM from the worker. */
+bool world_vm_reaches_worker(const struct vm *vm, const char *worker);
+
 /* ---- world_topic_outages.c ---- */
 
 /* Makes one topic of the store unavailable to all VMs for a while. */
--- a/emulator/world.c
+++ b/emulator/world.c
@@ -304,6 +304,7 @@
     world->faults = g_string_new(NULL);
     world->cut_workers = g_hash_table_new(g_str_hash, g_str_equal);
     world->late_workers = g_hash_table_new(g_str_hash, g_str_equal);
+    world->owner_cut.workers = g_hash_table_new(g_str_hash, g_str_equal);
     world->draining = g_hash_table_new(g_str_hash, g_str_equal);
     world->cordons = world_cordons_new();
     world->entries = world_entries_new();
@@ -377,6 +378,8 @@
                    world_owner_kill);
     schedule_times(world, options->owner_losses, FIRST_FAULT_MS,
                    world_owner_loss);
+    schedule_times(world, options->owner_cuts, FIRST_FAULT_MS,
+                   world_cut_owner);
     schedule_times(world, options->topic_outages, FIRST_FAULT_MS,
                    world_topic_outage);
     schedule_times(world, options->late_episodes, FIRST_FAULT_MS,
@@ -498,6 +501,7 @@
     g_ptr_array_unref(world->vms);
     g_hash_table_unref(world->cut_workers);
     g_hash_table_unref(world->late_workers);
+    g_hash_table_unref(world->owner_cut.workers);
     g_hash_table_unref(world->draining);
     g_hash_table_unref(world->cordons);
     g_hash_table_unref(world->entries);
--- a/emulator/world.h
+++ b/emulator/world.h
@@ -40,6 +40,9 @@
     unsigned owner_kills; /* number of times that workers crash and the VM that
                              owns the jobs is killed soon after */
     unsigned owner_losses; /* as owner_kills, but the VM stays down for long */
+    unsigned owner_cuts;   /* number of times that the VM that owns the jobs is
+                              disconnected, with some workers that only it
+                              reaches then */
     unsigned topic_outages; /* number of times that one topic of the store is
                                unavailable to all VMs for a while */
     unsigned silences; /* number of times that some workers do not answer for
--- a/emulator/world_faults.c
+++ b/emulator/world_faults.c
@@ -246,6 +246,7 @@
     world->append_loss_until_ms = 0;
     world->order_delay_fault_until_ms = 0;
     g_hash_table_remove_all(world->cut_workers);
+    world->owner_cut.until_ms = 0;
     world_heal_reports(world);
     world_uncordon_all(world);
     for (guint i = 0; i < world->vms->len; i++) {
--- a/emulator/world_net.c
+++ b/emulator/world_net.c
@@ -332,6 +332,7 @@
 
     if (worker == NULL ||
         world_worker_is_cut(world, worker_model_id(worker)) ||
+        !world_vm_reaches_worker(call->vm, worker_model_id(worker)) ||
         lost_with_incarnation(call, worker))
     {
         world_call_unref(call);
@@ -394,7 +395,9 @@
     call->order.saved = call->saved;
     call->wait_until_ms = world->now_ms + order->wait_ms;
     schedule_call(world, call, call->timeout_at_ms - world->now_ms, time_out);
-    if (world_worker_is_cut(world, call->text)) {
+    if (world_worker_is_cut(world, call->text) ||
+        !world_vm_reaches_worker(vm, call->text))
+    {
         return;
     }
     if (world->order_delay_fault_until_ms > world->now_ms &&
--- a/emulator/world_owner_kills.c
+++ b/emulator/world_owner_kills.c
@@ -14,8 +14,8 @@
     KILL_EFFECTS_MS = 4000
 };
 
-static struct vm *
-find_owner_vm(const struct world *world)
+struct vm *
+world_owner_vm(const struct world *world)
 {
     for (guint i = 0; i < world->vms->len; i++) {
         struct vm *vm = world->vms->pdata[i];
@@ -53,7 +53,7 @@
 void
 world_kill_owner(struct world *world, void *unused)
 {
-    struct vm *vm = find_owner_vm(world);
+    struct vm *vm = world_owner_vm(world);
     unsigned down_ms = world_random_between(world, DOWN_MIN_MS, DOWN_MAX_MS);
 
     (void)unused;
@@ -67,7 +67,7 @@
 static void
 lose_owner(struct world *world, void *unused)
 {
-    struct vm *vm = find_owner_vm(world);
+    struct vm *vm = world_owner_vm(world);
 
     (void)unused;
     if (vm != NULL && count_vms_alive(world) > 2) {
--- a/emulator/world_waits.c
+++ b/emulator/world_waits.c
@@ -43,6 +43,7 @@
     world_dc_of_rack(worker_model_rack(worker), dc, sizeof(dc));
     return world_cordon_age_ms(world, dc) < 0 &&
            !worker_model_is_down(worker) && !world_worker_is_cut(world, id) &&
+           !world_worker_is_with_cut_owner(world, id) &&
            !world_worker_resets(world, id) &&
            world_worker_is_listed(world, id) &&
            !g_hash_table_contains(world->draining, id);
