Owner: leases of this VM that are known to be over are not waited for

A VM that had just started and took over waited 6.6 s from its start for each worker that did not answer, for leases that a former process of it might have granted, also if it had never been the owner, or if a later owner had recorded that those leases are over.

A process records its epoch before it grants a lease, and the record is dropped only once its leases are over. So if the log has records of epochs, and the last one of this VM, if any, is below the settled one, nothing is left.

test_epochs "own settled" fails without the change, "own not settled" guards its limits. "settled holds" let the first owner of its fixture wait for the VM's own former process; it now waits for the earlier owner's lease instead.

--- a/src/owner/owner_epochs.c
+++ b/src/owner/owner_epochs.c
@@ -42,6 +42,8 @@
     struct timespec granted_until; /* the latest end of leases */
     GHashTable *other_leases; /* worker -> struct timespec: when the bound of
                                  its lease ends, if at another time */
+    uint64_t recorded_epoch;  /* the last one of this VM in the log before its
+                                 present one, also of a former process */
     bool end_unwritten;       /* the end of that epoch is not in the log yet */
     struct call *call;        /* append that writes the end, or NULL */
     struct timespec due;
@@ -184,13 +186,26 @@
     }
 }
 
+/* True unless it is recorded that leases which this VM granted before its
+ * present epoch, also those of a former process, have expired. */
+static bool
+own_leases_may_last(const struct cw_owner *owner, uint64_t settled)
+{
+    const struct owner_epochs *epochs = owner->epochs;
+
+    return settled == 0 || epochs->granted_epoch >= settled ||
+           epochs->recorded_epoch >= settled;
+}
+
 /* Returns when all leases have expired that earlier owners granted to the
  * worker; NULL: any worker. */
 static struct timespec
 end_of_earlier(const struct cw_owner *owner, const char *worker)
 {
-    struct timespec end = end_of_own(owner->epochs, worker);
     uint64_t settled = settled_below(owner);
+    struct timespec end = own_leases_may_last(owner, settled)
+                              ? end_of_own(owner->epochs, worker)
+                              : cw_time_from_ms(0);
     GHashTableIter iterator;
     gpointer vm;
     gpointer value;
@@ -484,8 +499,11 @@
     const struct cw_replica_epoch *own = g_hash_table_lookup(
         cw_replica_epochs(owner->options.replica), owner->vm);
 
-    if (own != NULL && !epochs->begin_sent &&
-        !cw_replica_epoch_has_ended(own) && own->epoch > epochs->granted_epoch)
+    if (own == NULL || epochs->begin_sent) {
+        return;
+    }
+    epochs->recorded_epoch = MAX(epochs->recorded_epoch, own->epoch);
+    if (!cw_replica_epoch_has_ended(own) && own->epoch > epochs->granted_epoch)
     {
         epochs->granted_epoch = own->epoch;
         epochs->granted_until = cw_time_add_ms(
--- a/tests/test_epochs.c
+++ b/tests/test_epochs.c
@@ -739,7 +739,7 @@
 
     fixture_with_state(&fixture);
     put_epoch(&fixture, "oa", EARLY_EPOCH, EARLY_EPOCH);
-    put_end(&fixture, "ea", EARLY_EPOCH, 0, NULL);
+    put_end(&fixture, "ea", EARLY_EPOCH, LEFT_MS, NULL);
     take_over(&fixture);
     CU_ASSERT_EQUAL(epoch_of(&fixture, "this")->settled_below, EARLY_EPOCH);
     put_drop(&fixture, "oa");
@@ -748,6 +748,48 @@
     fixture_end(&fixture);
 }
 
+/* Guards against a VM that has just started and waits for leases that it has
+ * not granted, or that are known to be over. */
+static void
+test_own_epochs_that_are_settled_are_not_waited_for(void)
+{
+    for (unsigned was_owner = 0; was_owner <= 1; was_owner++) {
+        struct fixture fixture;
+
+        fixture_with_state(&fixture);
+        if (was_owner == 1) {
+            put_epoch(&fixture, "othis", EARLY_EPOCH, 1);
+        }
+        put_epoch(&fixture, "oa", LATE_EPOCH, LATE_EPOCH);
+        put_end(&fixture, "ea", LATE_EPOCH, LEFT_MS, NULL);
+        take_over(&fixture);
+        CU_ASSERT_TRUE(is_about(lease_left_ms(&fixture), LEFT_MS));
+        fixture_end(&fixture);
+    }
+}
+
+/* Guards against TWICE: leases of a former process of this VM whose epoch is
+ * not settled, also if it has written its end. */
+static void
+test_own_epochs_that_are_not_settled_are_waited_for(void)
+{
+    for (unsigned has_ended = 0; has_ended <= 1; has_ended++) {
+        struct fixture fixture;
+
+        fixture_with_state(&fixture);
+        put_epoch(&fixture, "oa", EARLY_EPOCH, EARLY_EPOCH);
+        put_end(&fixture, "ea", EARLY_EPOCH, 0, NULL);
+        put_epoch(&fixture, "othis", LATE_EPOCH, EARLY_EPOCH);
+        if (has_ended == 1) {
+            put_end(&fixture, "ethis", LATE_EPOCH, LEFT_MS, NULL);
+        }
+        take_over(&fixture);
+        CU_ASSERT_TRUE(lease_left_ms(&fixture) >=
+                       GRANTED_MAX_MS - TOLERANCE_MS);
+        fixture_end(&fixture);
+    }
+}
+
 /* Guards against using the later of a lease note and an end: both hold, so
  * that the earlier one bounds the lease. */
 static void
@@ -1065,6 +1107,8 @@
     {"membership", test_membership_does_not_renew_an_old_confirmation},
     {"settle", test_settled_is_written_when_earlier_leases_have_expired},
     {"settled", test_a_settled_epoch_holds_for_later_owners},
+    {"own settled", test_own_epochs_that_are_settled_are_not_waited_for},
+    {"own not settled", test_own_epochs_that_are_not_settled_are_waited_for},
     {"lease notes", test_the_earlier_of_a_note_and_an_end_holds},
     {"stop", test_a_stop_to_an_unresponsive_worker_does_not_raise_its_bound},
     {"twice", test_no_task_runs_twice_under_an_earlier_lease},
