Relay: VMs support the owner of an epoch

What an owner knows of its own leases ends with it.

cw_voter (pure): a VM supports one epoch at a time, each time for 700 ms, never again a lower one, and tells until when it supported lower epochs; a process that has just started assumes that a former one supported some until it ended. The relay answers such requests (kind CW_RELAY_SUPPORT), also while the store does not answer it, and sends them (cw_peers). A VM that has started requests the group's members at increasing intervals from 1.5 s on, instead of after 1.5 and then every 10 s, so that it knows other VMs earlier.

An older build does not answer requests of this kind. Tests: test_voter, test_relay "support" and "no support".

--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,7 @@
 GENERATED := src/proto/cw_proto_xdr.c
 CORE := $(filter-out $(GENERATED),$(wildcard src/base/*.c src/bundle/*.c \
         src/work/*.c src/routing/*.c src/replica/*.c src/entry/*.c \
-        src/owner/*.c src/placement/*.c src/relay/*.c src/log_analysis/*.c))
+        src/owner/*.c src/quorum/*.c src/placement/*.c src/relay/*.c src/log_analysis/*.c))
 NET := $(wildcard src/http/*.c src/api/*.c platform/*.c)
 PROGRAM := $(wildcard src/settings/*.c src/vm/*.c src/cli/*.c)
 TESTS := $(patsubst tests/%.c,%,$(wildcard tests/test_*.c))
--- a/include/curlewcart/cw_relay.h
+++ b/include/curlewcart/cw_relay.h
@@ -24,6 +24,7 @@
 #include <time.h>
 
 #include "curlewcart/cw_count.h"
+#include "curlewcart/cw_peers.h"
 #include "curlewcart/cw_store.h"
 #include "curlewcart/cw_time.h"
 
@@ -45,6 +46,9 @@
 /* The relay as a store.  Borrowed. */
 struct cw_store *cw_relay_store(struct cw_relay *relay);
 
+/* The relay as the other VMs.  Borrowed. */
+struct cw_peers *cw_relay_peers(struct cw_relay *relay);
+
 /* HOST:PORT that the relay listens on; if the given port was 0, with the port
  * that the kernel chose.  Borrowed. */
 const char *cw_relay_address(const struct cw_relay *relay);
--- a/src/proto/cw_proto.h
+++ b/src/proto/cw_proto.h
@@ -54,6 +54,7 @@
 typedef struct cw_bundle_rec cw_bundle_rec;
 #define CW_STEPS_MAX 64
 #define CW_TASKS_MAX 4096
+#define CW_VOTERS_MAX 16
 #define CW_OCCURRENCES_MAX 4096
 #define CW_SAVED_MAX 1024
 
@@ -210,6 +211,17 @@
 };
 typedef struct cw_epoch_record cw_epoch_record;
 
+struct cw_lease_terms_record {
+	u_quad_t epoch;
+	u_int lease_ms;
+	u_int longer_left_ms;
+	struct {
+		u_int voters_len;
+		cw_name *voters_val;
+	} voters;
+};
+typedef struct cw_lease_terms_record cw_lease_terms_record;
+
 struct cw_lease_left {
 	cw_name worker;
 	u_int left_ms;
@@ -253,6 +265,7 @@
 	CW_RELAY_NEWEST = 3,
 	CW_RELAY_JOIN = 4,
 	CW_RELAY_PING = 5,
+	CW_RELAY_SUPPORT = 6,
 };
 typedef enum cw_relay_kind cw_relay_kind;
 
@@ -351,6 +364,7 @@
 extern  bool_t xdr_cw_beat_record (XDR *, cw_beat_record*);
 extern  bool_t xdr_cw_note_record (XDR *, cw_note_record*);
 extern  bool_t xdr_cw_epoch_record (XDR *, cw_epoch_record*);
+extern  bool_t xdr_cw_lease_terms_record (XDR *, cw_lease_terms_record*);
 extern  bool_t xdr_cw_lease_left (XDR *, cw_lease_left*);
 extern  bool_t xdr_cw_epoch_end_record (XDR *, cw_epoch_end_record*);
 extern  bool_t xdr_cw_hint_end (XDR *, cw_hint_end*);
@@ -377,6 +391,7 @@
 extern bool_t xdr_cw_beat_record ();
 extern bool_t xdr_cw_note_record ();
 extern bool_t xdr_cw_epoch_record ();
+extern bool_t xdr_cw_lease_terms_record ();
 extern bool_t xdr_cw_lease_left ();
 extern bool_t xdr_cw_epoch_end_record ();
 extern bool_t xdr_cw_hint_end ();
--- a/src/proto/cw_proto.x
+++ b/src/proto/cw_proto.x
@@ -52,6 +52,7 @@
 
 const CW_STEPS_MAX = 64;
 const CW_TASKS_MAX = 4096;
+const CW_VOTERS_MAX = 16;
 const CW_OCCURRENCES_MAX = 4096;
 const CW_SAVED_MAX = 1024;
 
@@ -192,6 +193,19 @@
     unsigned int lease_ms;           /* longest lease granted in this epoch */
 };
 
+/* Terms on which the owner grants leases in this epoch, from this record on.
+ * Leases that were granted before it on other terms are over `longer_left_ms`
+ * after it was written. */
+struct cw_lease_terms_record {
+    unsigned hyper epoch;
+    unsigned int lease_ms;           /* longest lease granted */
+    unsigned int longer_left_ms;
+    cw_name voters<CW_VOTERS_MAX>;   /* addresses of VMs; leases are renewed only
+                                        while most of them support the owner;
+                                        none: while the store has confirmed it
+                                        recently */
+};
+
 /* Remaining lease of a worker whose lease ends before the others. */
 struct cw_lease_left {
     cw_name worker;
@@ -233,7 +247,11 @@
     CW_RELAY_READ = 2,
     CW_RELAY_NEWEST = 3,
     CW_RELAY_JOIN = 4,
-    CW_RELAY_PING = 5             /* checks that the VM answers */
+    CW_RELAY_PING = 5,            /* checks that the VM answers */
+    CW_RELAY_SUPPORT = 6          /* requests the VM's support for the owner of
+                                     `epoch`.  If it is granted, support for
+                                     lower epochs ends in `first` ms; it ended
+                                     `end` ms ago if that is not 0 */
 };
 
 struct cw_relay_record {
--- a/src/proto/cw_proto_xdr.c
+++ b/src/proto/cw_proto_xdr.c
@@ -814,6 +814,23 @@
 	return TRUE;
 }
 
+bool_t
+xdr_cw_lease_terms_record (XDR *xdrs, cw_lease_terms_record *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->lease_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->longer_left_ms))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->voters.voters_val, (u_int *) &objp->voters.voters_len, CW_VOTERS_MAX,
+		sizeof (cw_name), (xdrproc_t) xdr_cw_name))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_cw_lease_left (XDR *xdrs, cw_lease_left *objp)
 {
--- a/src/relay/internal/relay_private.h
+++ b/src/relay/internal/relay_private.h
@@ -9,7 +9,9 @@
 #include <time.h>
 #include <glib.h>
 
+#include "curlewcart/cw_peers.h"
 #include "curlewcart/cw_relay.h"
+#include "curlewcart/cw_voter.h"
 #include "proto/cw_proto.h"
 
 /* ---- relay_rpc.c: ONC RPC over UDP without blocking ---- */
@@ -112,8 +114,16 @@
     struct timespec answered_at;
 };
 
+/* The relay as the other VMs. */
+struct relay_peers {
+    struct cw_peers base;
+    struct cw_relay *relay;
+};
+
 struct cw_relay {
     struct cw_store base;
+    struct relay_peers as_peers;
+    struct cw_voter voter; /* of this VM */
     struct cw_relay_options options;
     char *address;
     struct relay_rpc *rpc;
@@ -136,6 +146,7 @@
     struct timespec ping_due;
     bool isolated; /* the store does not answer, nor do more than half of the
                       pinged VMs */
+    struct timespec started_at;
     bool members_request_in_flight;
     struct timespec members_due;
     bool key_request_in_flight;
@@ -171,6 +182,19 @@
  * is isolated. */
 void relay_check_isolation(struct cw_relay *relay, struct timespec now);
 
+/* ---- relay_support.c ---- */
+
+/* Initialises the voter, and the interface through which the owner calls other
+ * VMs. */
+void relay_peers_init(struct cw_relay *relay);
+
+/* Answers a request of another VM for this VM's support. */
+void relay_serve_support(struct cw_relay *relay,
+                         const struct relay_requester *requester,
+                         const struct cw_relay_request *request);
+
+/* ---- relay_peers.c, the key ---- */
+
 /* Reads the key from the store, and stores a new one if there is none. */
 void relay_request_key(struct cw_relay *relay);
 
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -500,7 +500,10 @@
 {
     struct cw_relay *relay = context;
 
-    if (relay->store_reachable) {
+    if (request->kind == CW_RELAY_SUPPORT) {
+        relay_serve_support(relay, requester, request);
+    }
+    else if (relay->store_reachable) {
         relay_serve(&relay->server, requester, request);
     }
     else {
@@ -529,6 +532,7 @@
     relay->peers = g_ptr_array_new_with_free_func(relay_peer_free);
     relay->direct_reads = g_ptr_array_new();
     relay->store_reachable = true;
+    relay->started_at = now;
     relay->members_due = cw_time_add_ms(now, RELAY_NO_PEERS_INTERVAL_MS);
     relay->rpc = relay_rpc_create(&rpc);
     if (relay->rpc == NULL) {
@@ -538,6 +542,7 @@
     relay->address = relay_rpc_address(relay->rpc);
     /* VMs that lose the store at the same time start with different VMs. */
     relay->next_peer = g_str_hash(relay->address);
+    relay_peers_init(relay);
     relay->server.rpc = relay->rpc;
     relay->server.direct = options->direct;
     return relay;
@@ -561,6 +566,12 @@
     return &relay->base;
 }
 
+struct cw_peers *
+cw_relay_peers(struct cw_relay *relay)
+{
+    return &relay->as_peers.base;
+}
+
 const char *
 cw_relay_address(const struct cw_relay *relay)
 {
--- a/src/relay/relay_issue.c
+++ b/src/relay/relay_issue.c
@@ -105,6 +105,7 @@
         issue_join(store, request, timeout_ms, handlers);
         break;
     case CW_RELAY_PING:
+    case CW_RELAY_SUPPORT:
         break; /* not a call to a store */
     }
 }
--- a/src/relay/relay_peers.c
+++ b/src/relay/relay_peers.c
@@ -145,6 +145,15 @@
     g_ptr_array_add(peers, peer);
 }
 
+/* After this VM has started, others may be starting too: the members are
+ * requested at increasing intervals. */
+static int64_t
+members_interval_ms(const struct cw_relay *relay, struct timespec now)
+{
+    return CLAMP(cw_time_diff_ms(relay->started_at, now),
+                 RELAY_NO_PEERS_INTERVAL_MS, MEMBERS_INTERVAL_MS);
+}
+
 static void
 on_members(void *context, const struct cw_store_member_list *result)
 {
@@ -155,7 +164,8 @@
     relay->members_request_in_flight = false;
     relay_record_direct_status(relay, result->status);
     relay->members_due = cw_time_add_ms(
-        now, relay->store_reachable ? MEMBERS_INTERVAL_MS : PROBE_INTERVAL_MS);
+        now, relay->store_reachable ? members_interval_ms(relay, now)
+                                    : PROBE_INTERVAL_MS);
     if (result->status != CW_STORE_OK) {
         return;
     }
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -424,7 +424,90 @@
     pair_clear(&pair);
 }
 
+/* ---- support for an owner ---- */
+
+struct support_answer {
+    unsigned count;
+    struct cw_peers_answer last;
+};
+
+static void
+on_support(void *context, const struct cw_peers_answer *answer)
+{
+    struct support_answer *received = context;
+
+    received->count++;
+    received->last = *answer;
+}
+
+/* Requests support from a VM and waits for the answer or the timeout. */
+static void
+request_support(struct pair *pair, const char *address, unsigned partition,
+                uint64_t epoch, struct support_answer *received)
+{
+    struct cw_peers *peers = cw_relay_peers(pair->relays[0]);
+    struct cw_peers_support request = {.address = address,
+                                       .partition = partition,
+                                       .epoch = epoch,
+                                       .timeout_ms = 300,
+                                       .done = on_support,
+                                       .context = received};
+
+    *received = (struct support_answer){0};
+    pthread_mutex_lock(&pair->engine_lock);
+    peers->ops->support(peers, &request);
+    pthread_mutex_unlock(&pair->engine_lock);
+    for (int i = 0; i < STEPS_MAX && received->count == 0; i++) {
+        step(pair);
+    }
+    CU_ASSERT_EQUAL(received->count, 1);
+}
+
+/* Guards against a VM that supports two owners, and against its own support
+ * that is asked for over the network. */
+static void
+test_support_is_given_to_the_highest_epoch(void)
+{
+    for (int to = 0; to < 2; to++) {
+        struct pair pair;
+        struct support_answer answer;
+        const char *address;
+
+        pair_init(&pair);
+        address = cw_relay_address(pair.relays[to]);
+        request_support(&pair, address, 0, 5, &answer);
+        CU_ASSERT_TRUE(answer.last.supported);
+        CU_ASSERT_TRUE(answer.last.lower_left_ms < 0);
+        request_support(&pair, address, 0, 9, &answer);
+        CU_ASSERT_TRUE(answer.last.supported);
+        CU_ASSERT_TRUE(answer.last.lower_left_ms > 500);
+        request_support(&pair, address, 0, 5, &answer);
+        CU_ASSERT_FALSE(answer.last.supported);
+        pair_clear(&pair);
+    }
+}
+
+/* Guards against support that is taken as given without an answer, or for a
+ * shard that the VM does not know. */
+static void
+test_no_answer_is_no_support(void)
+{
+    struct pair pair;
+    struct support_answer answer;
+
+    pair_init(&pair);
+    request_support(&pair, cw_relay_address(pair.relays[1]), 1, 5, &answer);
+    CU_ASSERT_FALSE(answer.last.supported);
+    request_support(&pair, "127.0.0.1:9", 0, 5, &answer);
+    CU_ASSERT_FALSE(answer.last.supported);
+    request_support(&pair, "no address", 0, 5, &answer);
+    CU_ASSERT_FALSE(answer.last.supported);
+    pair_clear(&pair);
+}
+
 static const struct test tests[] = {
+    {"support", test_support_is_given_to_the_highest_epoch},
+    {"no support", test_no_answer_is_no_support},
     {"waiting read", test_a_waiting_read_is_diverted_in_time},
     {"direct again", test_reads_are_direct_again_once_the_store_answers},
     {"diverted, no answer", test_a_diverted_read_without_an_answer_ends_once},
