--- a/emulator/internal/world_private.h
+++ b/emulator/internal/world_private.h
@@ -8,9 +8,11 @@
 
 #include "curlewcart/cw_codec.h"
 #include "curlewcart/cw_count.h"
+#include "curlewcart/cw_peers.h"
 #include "curlewcart/cw_store.h"
 #include "curlewcart/cw_target.h"
 #include "curlewcart/cw_time.h"
+#include "curlewcart/cw_voter.h"
 #include "emulator/checker.h"
 #include "emulator/store_model.h"
 #include "emulator/worker_model.h"
@@ -37,7 +39,13 @@
         struct cw_targets base;
         struct vm *vm;
     } targets;
+    struct vm_peers {
+        struct cw_peers base;
+        struct vm *vm;
+    } peers;
     struct world *world;
+    char name[16];
+    struct cw_voter voter;
     unsigned index;
     unsigned incarnation;
     bool alive;
@@ -62,7 +70,9 @@
     struct cw_clock_manual clock;
     int64_t now_ms;
     GRand *random;
-    GPtrArray *events; /* struct event, a heap by time */
+    GRand *peer_random; /* for calls between VMs, so that they do not change
+                           the days of existing seeds */
+    GPtrArray *events;  /* struct event, a heap by time */
     uint64_t next_order;
     struct store_model *store;
     struct worker_fleet *fleet;
@@ -117,7 +127,8 @@
     CALL_NEWEST,
     CALL_JOIN,
     CALL_LEAVE,
-    CALL_ORDER
+    CALL_ORDER,
+    CALL_SUPPORT
 };
 
 /* A call in flight from a VM to the store or a worker: a copy of the request,
@@ -145,6 +156,7 @@
     struct cw_store_join join;
     struct cw_store_leave leave;
     struct cw_target_order order;
+    struct cw_peers_support support;
     char *job;
     char *payload;
     char *saved;
@@ -155,6 +167,7 @@
     struct cw_store_join_result joined;
     unsigned partition;
     struct cw_target_answer answer;
+    struct cw_peers_answer supported;
     GArray *running;
     GArray *ended_rows;
 };
@@ -207,9 +220,24 @@
 
 /* ---- world_net.c: calls of VMs and their answers ---- */
 
-/* Operations through which VMs access the store and the workers. */
+/* Operations through which VMs access the store, the workers, and each
+ * other. */
 extern const struct cw_store_ops world_store_ops;
 extern const struct cw_targets_ops world_targets_ops;
+extern const struct cw_peers_ops world_peers_ops;
+
+/* Schedules `run` with the call as context, and adds a reference. */
+void world_call_schedule(struct call *call, int64_t after_ms,
+                         void (*run)(struct world *, void *));
+
+/* Delivers the call's result, once its VM is not frozen; drops a reference. */
+void world_call_deliver(struct world *world, void *call);
+void world_call_time_out(struct world *world, void *call);
+
+/* ---- world_peers.c: calls between VMs ---- */
+
+/* True if `run` is an event of a call between VMs. */
+bool world_peers_is_event(const struct event *event);
 
 /* True if orders do not reach the worker, and its answers do not arrive. */
 bool world_worker_is_cut(const struct world *world, const char *worker);
@@ -337,6 +365,9 @@
 bool
 world_worker_is_with_cut_owner(const struct world *world, const char *worker);
 
+/* True if no network partition separates the two VMs. */
+bool world_vm_reaches_vm(const struct vm *vm, const struct vm *other);
+
 /* True if no network partition separates the VM from the worker. */
 bool world_vm_reaches_worker(const struct vm *vm, const char *worker);
 
--- a/emulator/world.c
+++ b/emulator/world.c
@@ -296,6 +296,7 @@
 
     cw_clock_manual_init(&world->clock);
     world->random = g_rand_new_with_seed(world->options.seed);
+    world->peer_random = g_rand_new_with_seed(~world->options.seed);
     world->events = g_ptr_array_new();
     world->store = store_model_create(1);
     world->fleet = worker_fleet_create(&listener);
@@ -330,6 +331,9 @@
         vm->store.ops = &world_store_ops;
         vm->targets.base.ops = &world_targets_ops;
         vm->targets.vm = vm;
+        vm->peers.base.ops = &world_peers_ops;
+        vm->peers.vm = vm;
+        g_snprintf(vm->name, sizeof(vm->name), "vm-%u", i);
         vm->world = world;
         vm->index = i;
         vm->calls = g_ptr_array_new();
@@ -510,6 +514,7 @@
     checker_free(world->checker);
     cw_routing_unref(world->routing);
     g_rand_free(world->random);
+    g_rand_free(world->peer_random);
 }
 
 struct world_options
--- a/emulator/world_call.c
+++ b/emulator/world_call.c
@@ -49,6 +49,7 @@
     struct cw_store_page page = {.status = status};
     struct cw_store_join_result joined = {.status = status};
     struct cw_target_answer answer = {.status = CW_TARGET_UNKNOWN};
+    struct cw_peers_answer unsupported = {0};
     bool ok = status == CW_STORE_OK;
     double started_s;
 
@@ -75,6 +76,10 @@
     case CALL_LEAVE:
         call->leave.done(call->leave.context, status);
         break;
+    case CALL_SUPPORT:
+        call->support.done(call->support.context,
+                           ok ? &call->supported : &unsupported);
+        break;
     case CALL_ORDER:
         call->order.done(call->order.context, ok ? &call->answer : &answer);
         break;
--- a/emulator/world_owner_cuts.c
+++ b/emulator/world_owner_cuts.c
@@ -35,6 +35,15 @@
     return world_owner_cut_lasts(world) && is_on_owners_side(world, worker);
 }
 
+bool
+world_vm_reaches_vm(const struct vm *vm, const struct vm *other)
+{
+    const struct world *world = vm->world;
+
+    return !world_owner_cut_lasts(world) || vm == other ||
+           (vm != world->owner_cut.owner && other != world->owner_cut.owner);
+}
+
 bool
 world_vm_reaches_worker(const struct vm *vm, const char *worker)
 {
--- a/include/curlewcart/cw_owner.h
+++ b/include/curlewcart/cw_owner.h
@@ -16,6 +16,7 @@
 #include "curlewcart/cw_codec.h"
 #include "curlewcart/cw_cordons.h"
 #include "curlewcart/cw_count.h"
+#include "curlewcart/cw_peers.h"
 #include "curlewcart/cw_replica.h"
 #include "curlewcart/cw_routing.h"
 #include "curlewcart/cw_store.h"
@@ -31,6 +32,8 @@
 struct cw_owner_options {
     struct cw_store *store;
     struct cw_targets *targets;
+    struct cw_peers *peers; /* NULL: leases are renewed without the support of
+                               other VMs */
     const struct cw_codec *codec;
     struct cw_clock *clock;
     struct cw_replica *replica;
--- a/include/curlewcart/cw_replica.h
+++ b/include/curlewcart/cw_replica.h
@@ -77,8 +77,24 @@
                                     leases have expired */
     GHashTable *sooner;          /* worker -> ms: leases that expire before */
     uint64_t end_offset;
+    struct cw_replica_lease_terms {
+        uint64_t epoch;          /* to which they apply; 0: none */
+        unsigned lease_ms;       /* longest lease granted on these terms */
+        unsigned longer_left_ms; /* longer leases have expired this long after
+                                    `read_at` */
+        struct timespec read_at; /* on this VM's clock */
+        GPtrArray *voters;       /* addresses of VMs; leases are renewed only
+                                    while most of them support the owner; empty:
+                                    without support */
+        uint64_t offset;
+    } terms; /* the last ones that the VM has recorded */
 };
 
+/* The terms on which the VM grants leases under its last epoch; NULL if it has
+ * recorded none.  Borrowed. */
+const struct cw_replica_lease_terms *
+cw_replica_epoch_terms(const struct cw_replica_epoch *epoch);
+
 /* True if the VM has recorded the end of the last epoch under which it was the
  * owner. */
 bool cw_replica_epoch_has_ended(const struct cw_replica_epoch *epoch);
--- a/src/owner/internal/owner_epochs.h
+++ b/src/owner/internal/owner_epochs.h
@@ -9,7 +9,11 @@
 
 struct owner_epochs;
 
-/* True if the store confirmed ownership recently enough to renew leases. */
+/* True if the store confirmed ownership recently enough to poll workers. */
+bool owner_may_poll(const struct cw_owner *owner, struct timespec now);
+
+/* True if, besides, the VMs whose support is needed to renew leases give it.
+ */
 bool
 owner_may_extend_leases(const struct cw_owner *owner, struct timespec now);
 
@@ -34,6 +38,10 @@
  * ended; to be called while this VM is the owner. */
 void owner_epochs_on_other_ended(struct cw_owner *owner, const char *vm);
 
+/* Lowers bounds on leases, after more has become known of how long earlier
+ * owners may have granted leases. */
+void owner_epochs_on_earlier_known(struct cw_owner *owner);
+
 /* Once all leases granted by earlier owners have expired, writes a record of
  * that to the log of jobs, which must be idle; false if nothing was written.
  */
@@ -47,6 +55,13 @@
  * next. */
 struct timespec owner_epochs_tick(struct cw_owner *owner, struct timespec now);
 
+/* True if some worker reports when it booted: it may restart under its id, and
+ * an order in flight may reach its next incarnation, whose clock differs. */
+bool owner_epochs_any_worker_reports_boot(const struct cw_owner *owner);
+
+/* Returns the longest lease that this owner may grant on any terms. */
+int64_t owner_epochs_longest_lease_ms(const struct cw_owner *owner);
+
 /* Returns when all leases have expired that earlier owners granted to any
  * worker, as far as is known now. */
 struct timespec owner_epochs_earlier_end(const struct cw_owner *owner);
--- a/src/owner/internal/owner_leases.h
+++ b/src/owner/internal/owner_leases.h
@@ -12,6 +12,10 @@
 struct owner_run;
 struct owner_target;
 
+/* Lease in a service that is not busy, where tasks that are lost can run again
+ * at once, and of a draining worker, whose work will be lost soon. */
+enum { OWNER_SHORT_LEASE_MS = 2400 };
+
 /* Source of the bound on a worker's lease. */
 enum owner_lease_source {
     OWNER_LEASE_OWN,           /* this owner, by a poll or a start */
@@ -31,6 +35,10 @@
 struct timespec
 owner_lease_end_from_record(struct timespec read_at, int64_t left_ms);
 
+/* Longest time by this VM's clock that a lease of `lease_ms` on the worker's
+ * clock lasts. */
+int64_t owner_lease_duration_ms(int64_t lease_ms);
+
 /* Longest time by this VM's clock that the longest lease that workers accept
  * may last. */
 int64_t owner_lease_max_duration_ms(const struct cw_owner *owner);
@@ -42,6 +50,11 @@
 /* Longest lease that owners grant, by the worker's clock. */
 int64_t owner_lease_max_granted_ms(const struct cw_owner *owner);
 
+/* True if this owner may grant the worker a lease: most of the VMs whose
+ * support it needs give it, and the terms that it has recorded allow it. */
+bool owner_lease_may_be_granted(const struct owner_target *target,
+                                struct timespec now);
+
 /* True if the worker's clock was read recently enough to grant it a lease. */
 bool owner_lease_clock_is_fresh(const struct owner_target *target,
                                 struct timespec now);
--- a/src/owner/internal/owner_placement.h
+++ b/src/owner/internal/owner_placement.h
@@ -143,6 +143,10 @@
 owner_headroom_job_arrived(struct cw_owner *owner, const struct owner_job *job,
                            struct timespec at);
 
+/* True if that applies to any service; see owner_service_is_busy. */
+bool
+owner_any_service_is_busy(const struct cw_owner *owner, struct timespec now);
+
 /* True if much of the service's capacity is in use and jobs have arrived
  * lately: tasks that have to run again then take capacity from others. */
 bool owner_service_is_busy(const struct cw_owner *owner, const char *service,
--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -19,9 +19,11 @@
 #include "owner/internal/owner_epochs.h"
 #include "owner/internal/owner_gang_ends.h"
 #include "owner/internal/owner_idle.h"
+#include "owner/internal/owner_lease_terms.h"
 #include "owner/internal/owner_leases.h"
 #include "owner/internal/owner_incarnations.h"
 #include "owner/internal/owner_log.h"
+#include "owner/internal/owner_quorum.h"
 #include "owner/internal/owner_state_reader.h"
 
 struct owner_job;
@@ -391,9 +393,11 @@
     unsigned rack_reservations;    /* racks reserved in this placement pass */
     GHashTable *demand; /* account -> accelerators of its most urgent jobs;
                            owner_demand_update */
-    struct owner_memo *memo;     /* owner_memo.c */
-    struct owner_hints *hints;   /* owner_hints.c; not dropped with a term */
-    struct owner_epochs *epochs; /* owner_epochs.c; not dropped with a term */
+    struct owner_memo *memo;   /* owner_memo.c */
+    struct owner_hints *hints; /* owner_hints.c; not dropped with a term */
+    struct owner_epochs *epochs;
+    struct owner_lease_terms *lease_terms;
+    struct owner_quorum *quorum; /* owner_epochs.c; not dropped with a term */
     struct owner_idle_stats idle_stats;
 };
 
--- a/src/owner/owner.c
+++ b/src/owner/owner.c
@@ -434,6 +434,8 @@
     owner->memo = owner_memo_create();
     owner->hints = owner_hints_create();
     owner->epochs = owner_epochs_create(owner);
+    owner->lease_terms = owner_lease_terms_create();
+    owner->quorum = owner_quorum_create();
     owner_candidacy_init(owner);
     cw_replica_set_listener(options->replica, &listener);
     return owner;
@@ -448,6 +450,8 @@
     drop_state(owner);
     owner_hints_free(owner->hints);
     owner_epochs_free(owner->epochs);
+    owner_lease_terms_free(owner->lease_terms);
+    owner_quorum_free(owner->quorum);
     g_hash_table_unref(owner->targets);
     g_hash_table_unref(owner->jobs);
     g_hash_table_unref(owner->headroom);
@@ -645,6 +649,7 @@
     if (owner->state == OWNER_ACTIVE) {
         cw_time_set_earlier(&next, tick_active(owner, now));
     }
+    cw_time_set_earlier(&next, owner_quorum_tick(owner, now));
     if (owner->state != OWNER_IDLE) {
         owner_append_watch_tick(owner, now);
     }
--- a/src/owner/owner_commit.c
+++ b/src/owner/owner_commit.c
@@ -292,6 +292,7 @@
     struct owner_log *log = owner->jobs_log;
     struct timespec due =
         cw_time_add_ms(owner_log_last_sent_at(log), FLUSH_EVERY_MS);
+    bool terms_due;
 
     if (!owner_log_is_idle(log)) {
         return owner_log_tick(log, now);
@@ -299,14 +300,22 @@
     if (owner_epochs_write_settled(owner, now)) {
         return cw_time_from_ms(INT32_MAX);
     }
-    /* With many unresponsive workers some lease note is always due.  Outcomes,
-     * which callers wait for, are written in turn with the notes. */
-    if ((owner->unpublished->len == 0 || !owner->lease_notes_sent) &&
+    /* With many unresponsive workers some lease note is always due.  Terms of
+     * leases, and outcomes, which callers wait for, are written in turn with
+     * the notes. */
+    terms_due = owner_lease_terms_due(owner, now);
+    if (((owner->unpublished->len == 0 && !terms_due) ||
+         !owner->lease_notes_sent) &&
         owner_lease_notes_send(owner, now))
     {
         owner->lease_notes_sent = true;
         return cw_time_from_ms(INT32_MAX);
     }
+    if (terms_due) {
+        owner->lease_notes_sent = owner->unpublished->len > 0;
+        owner_lease_terms_send(owner, now);
+        return cw_time_from_ms(INT32_MAX);
+    }
     if (owner->unpublished->len > 0 && cw_time_before(now, due)) {
         return due;
     }
--- a/src/owner/owner_epochs.c
+++ b/src/owner/owner_epochs.c
@@ -64,10 +64,8 @@
     return owner_with_drift_ms(lease_ms) + OWNER_ORDER_DELAY_MAX_MS;
 }
 
-/* True if some worker reports when it booted: it may restart under its id, and
- * an order in flight may reach its next incarnation, whose clock differs. */
-static bool
-any_worker_reports_boot(const struct cw_owner *owner)
+bool
+owner_epochs_any_worker_reports_boot(const struct cw_owner *owner)
 {
     GHashTableIter iterator;
     gpointer value;
@@ -83,12 +81,12 @@
     return false;
 }
 
-/* Returns the longest lease that this owner grants. */
-static int64_t
-longest_granted_ms(const struct cw_owner *owner)
+int64_t
+owner_epochs_longest_lease_ms(const struct cw_owner *owner)
 {
-    return any_worker_reports_boot(owner) ? owner->options.lease_ms
-                                          : owner_lease_max_granted_ms(owner);
+    return owner_epochs_any_worker_reports_boot(owner)
+               ? owner->options.lease_ms
+               : owner_lease_max_granted_ms(owner);
 }
 
 struct owner_epochs *
@@ -116,13 +114,19 @@
 }
 
 bool
-owner_may_extend_leases(const struct cw_owner *owner, struct timespec now)
+owner_may_poll(const struct cw_owner *owner, struct timespec now)
 {
     return owner->state == OWNER_ACTIVE &&
            cw_time_diff_ms(owner->ownership_confirmed_at, now) <
                EXTEND_UNCONFIRMED_MAX_MS;
 }
 
+bool
+owner_may_extend_leases(const struct cw_owner *owner, struct timespec now)
+{
+    return owner_may_poll(owner, now) && owner_quorum_allows(owner, now);
+}
+
 /* ---- leases of earlier owners ---- */
 
 /* Returns the highest epoch that was recorded as settled: all leases granted
@@ -144,6 +148,14 @@
     return highest;
 }
 
+static void
+raise_to(struct timespec *end, struct timespec other)
+{
+    if (cw_time_before(*end, other)) {
+        *end = other;
+    }
+}
+
 /* Returns when the leases expire of an earlier owner that may not have
  * detected yet that it was replaced. */
 static struct timespec
@@ -154,17 +166,43 @@
                               lease_max_duration_ms(lease_ms));
 }
 
+/* Returns when a lease expires that was granted at `granted` at the latest.
+ * It was granted as a time on the worker's clock, so that an order in flight
+ * does not extend it, unless the order reaches another incarnation. */
+static struct timespec
+end_of_granted(const struct cw_owner *owner, struct timespec granted,
+               int64_t lease_ms)
+{
+    return cw_time_add_ms(granted, owner_epochs_any_worker_reports_boot(owner)
+                                       ? lease_max_duration_ms(lease_ms)
+                                       : owner_lease_duration_ms(lease_ms));
+}
+
 /* Returns when a lease expires that another VM granted to the worker; NULL:
  * any worker. */
 static struct timespec
 end_of_other(const struct cw_owner *owner,
              const struct cw_replica_epoch *epoch, const char *worker)
 {
-    if (!cw_replica_epoch_has_ended(epoch)) {
-        return end_of_open(owner, epoch->lease_ms);
+    const struct cw_replica_lease_terms *terms = cw_replica_epoch_terms(epoch);
+    int64_t lease_ms = terms != NULL ? terms->lease_ms : epoch->lease_ms;
+    struct timespec end = end_of_open(owner, lease_ms);
+    struct timespec until;
+
+    if (owner_quorum_earlier_until(owner, epoch, &until)) {
+        cw_time_set_earlier(&end, end_of_granted(owner, until, lease_ms));
+    }
+    if (terms != NULL) {
+        raise_to(&end, owner_lease_end_from_record(terms->read_at,
+                                                   terms->longer_left_ms));
+    }
+    if (cw_replica_epoch_has_ended(epoch)) {
+        cw_time_set_earlier(
+            &end, owner_lease_end_from_record(
+                      epoch->end_read_at,
+                      cw_replica_epoch_lease_left_ms(epoch, worker)));
     }
-    return owner_lease_end_from_record(
-        epoch->end_read_at, cw_replica_epoch_lease_left_ms(epoch, worker));
+    return end;
 }
 
 /* Does the same for leases that this VM granted before its present epoch. */
@@ -178,14 +216,6 @@
     return end != NULL ? *end : epochs->granted_until;
 }
 
-static void
-raise_to(struct timespec *end, struct timespec other)
-{
-    if (cw_time_before(*end, other)) {
-        *end = other;
-    }
-}
-
 /* True unless it is recorded that leases which this VM granted before its
  * present epoch, also those of a former process, have expired. */
 static bool
@@ -246,6 +276,41 @@
     return end;
 }
 
+/* Logs what is known of each earlier owner whose leases may last. */
+static void
+log_earlier_epochs(const struct cw_owner *owner, struct timespec now)
+{
+    uint64_t settled = settled_below(owner);
+    GHashTableIter iterator;
+    gpointer vm;
+    gpointer value;
+
+    g_hash_table_iter_init(&iterator,
+                           cw_replica_epochs(owner->options.replica));
+    while (g_hash_table_iter_next(&iterator, &vm, &value)) {
+        const struct cw_replica_epoch *epoch = value;
+        const struct cw_replica_lease_terms *terms =
+            cw_replica_epoch_terms(epoch);
+        struct timespec until = now;
+        bool known = owner_quorum_earlier_until(owner, epoch, &until);
+
+        if (epoch->epoch == 0 || epoch->epoch < settled ||
+            strcmp(vm, owner->vm) == 0) {
+            continue;
+        }
+        cw_log_info("earlier_epoch",
+                    "shard=%u epoch=%" PRIu64 " vm=%s earlier=%" PRIu64
+                    " ended=%d lease_ms=%u voters=%d support_known=%d "
+                    "support_left_ms=%" PRId64 " left_ms=%" PRId64,
+                    owner->options.partition, owner->epoch, (const char *)vm,
+                    epoch->epoch, cw_replica_epoch_has_ended(epoch),
+                    terms != NULL ? terms->lease_ms : epoch->lease_ms,
+                    terms != NULL ? (int)terms->voters->len : -1, known,
+                    cw_time_diff_ms(now, until),
+                    cw_time_diff_ms(now, end_of_other(owner, epoch, NULL)));
+    }
+}
+
 struct timespec
 owner_epochs_earlier_end(const struct cw_owner *owner)
 {
@@ -275,6 +340,7 @@
     }
     /* Without runs it does not matter how long leases last. */
     epochs->settle_due = any_runs ? end_of_all_earlier(owner) : now;
+    log_earlier_epochs(owner, now);
     cw_log_info("earlier_leases",
                 "shard=%u epoch=%" PRIu64 " settled_below=%" PRIu64
                 " left_ms=%" PRId64,
@@ -282,16 +348,14 @@
                 cw_time_diff_ms(now, epochs->settle_due));
 }
 
-void
-owner_epochs_on_other_ended(struct cw_owner *owner, const char *vm)
+/* Lowers the bounds, after more has become known of earlier owners. */
+static void
+lower_bounds(struct cw_owner *owner)
 {
     struct owner_epochs *epochs = owner->epochs;
     GHashTableIter iterator;
     gpointer value;
 
-    if (strcmp(vm, owner->vm) == 0 || epochs->settled_sent) {
-        return;
-    }
     cw_time_set_earlier(&epochs->settle_due, end_of_all_earlier(owner));
     g_hash_table_iter_init(&iterator, owner->targets);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
@@ -303,22 +367,48 @@
             owner_target_wake(target);
         }
     }
+}
+
+void
+owner_epochs_on_other_ended(struct cw_owner *owner, const char *vm)
+{
+    struct owner_epochs *epochs = owner->epochs;
+
+    if (strcmp(vm, owner->vm) == 0 || epochs->settled_sent) {
+        return;
+    }
+    lower_bounds(owner);
     cw_log_info("earlier_leases_end",
                 "shard=%u epoch=%" PRIu64 " vm=%s left_ms=%" PRId64,
                 owner->options.partition, owner->epoch, vm,
                 cw_time_diff_ms(owner_now(owner), epochs->settle_due));
 }
 
+void
+owner_epochs_on_earlier_known(struct cw_owner *owner)
+{
+    struct owner_epochs *epochs = owner->epochs;
+
+    if (owner->state != OWNER_ACTIVE || epochs->settled_sent) {
+        return; /* the bounds are not set yet, or no longer needed */
+    }
+    lower_bounds(owner);
+    cw_log_info("earlier_leases_known",
+                "shard=%u epoch=%" PRIu64 " left_ms=%" PRId64,
+                owner->options.partition, owner->epoch,
+                cw_time_diff_ms(owner_now(owner), epochs->settle_due));
+}
+
 /* ---- while this VM is the owner ---- */
 
 static struct owner_batch *
 epoch_batch(struct cw_owner *owner, uint64_t settled,
             owner_batch_stored stored)
 {
-    struct cw_epoch_record record = {.epoch = owner->epoch,
-                                     .settled_below = settled,
-                                     .lease_ms =
-                                         (unsigned)longest_granted_ms(owner)};
+    struct cw_epoch_record record = {
+        .epoch = owner->epoch,
+        .settled_below = settled,
+        .lease_ms = (unsigned)owner_epochs_longest_lease_ms(owner)};
     struct owner_batch *batch = owner_batch_new(stored, owner);
 
     owner_batch_put(batch, cw_work_key(CW_WORK_KEY_EPOCH, owner->vm),
@@ -333,18 +423,21 @@
 
     (void)batch;
     owner->epochs->begin_stored = true;
+    owner_lease_terms_stored(owner);
 }
 
 void
 owner_epochs_write_begin(struct cw_owner *owner)
 {
     struct owner_epochs *epochs = owner->epochs;
+    struct owner_batch *batch;
 
     epochs->begin_sent = true;
     epochs->begin_stored = false;
     epochs->settled_sent = false;
-    owner_log_send(owner->jobs_log,
-                   epoch_batch(owner, settled_below(owner), on_begin_stored));
+    batch = epoch_batch(owner, settled_below(owner), on_begin_stored);
+    owner_lease_terms_begin(owner, batch);
+    owner_log_send(owner->jobs_log, batch);
 }
 
 bool
@@ -370,6 +463,8 @@
             owner_batch_put(batch, cw_work_key(CW_WORK_KEY_EPOCH, vm), NULL);
             owner_batch_put(batch, cw_work_key(CW_WORK_KEY_EPOCH_END, vm),
                             NULL);
+            owner_batch_put(batch, cw_work_key(CW_WORK_KEY_LEASE_TERMS, vm),
+                            NULL);
         }
     }
 }
@@ -476,13 +571,14 @@
     if (!epochs->begin_sent) {
         return;
     }
+    owner_lease_terms_end(owner);
     epochs->begin_sent = false;
     epochs->granted_epoch = owner->epoch;
     epochs->end_unwritten = true;
     if (owner->state == OWNER_ACTIVE) {
-        epochs->granted_until =
-            cw_time_add_ms(owner_now(owner),
-                           lease_max_duration_ms(longest_granted_ms(owner)));
+        epochs->granted_until = cw_time_add_ms(
+            owner_now(owner),
+            lease_max_duration_ms(owner_epochs_longest_lease_ms(owner)));
         g_hash_table_remove_all(epochs->other_leases);
         collect_later_leases(owner);
         collect_shorter_leases(owner, true);
--- a/src/owner/owner_headroom.c
+++ b/src/owner/owner_headroom.c
@@ -149,6 +149,13 @@
     }
 }
 
+static bool
+is_busy(const struct owner_headroom *headroom, struct timespec now)
+{
+    return !headroom->mostly_idle &&
+           cw_time_diff_ms(headroom->job_arrived_at, now) < ARRIVALS_PAUSE_MS;
+}
+
 bool
 owner_service_is_busy(const struct cw_owner *owner, const char *service,
                       struct timespec now)
@@ -156,8 +163,22 @@
     const struct owner_headroom *headroom =
         g_hash_table_lookup(owner->headroom, service);
 
-    return headroom != NULL && !headroom->mostly_idle &&
-           cw_time_diff_ms(headroom->job_arrived_at, now) < ARRIVALS_PAUSE_MS;
+    return headroom != NULL && is_busy(headroom, now);
+}
+
+bool
+owner_any_service_is_busy(const struct cw_owner *owner, struct timespec now)
+{
+    GHashTableIter iterator;
+    gpointer value;
+
+    g_hash_table_iter_init(&iterator, owner->headroom);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        if (is_busy(value, now)) {
+            return true;
+        }
+    }
+    return false;
 }
 
 static bool
--- /dev/null
+++ b/src/owner/owner_lease_terms.c
@@ -0,0 +1,183 @@
+/* The terms on which an owner grants leases: how long they may be, and which
+ * VMs have to support it (owner_quorum.c).
+ *
+ * The owner records them in the log of jobs, so that a VM that takes over need
+ * not assume the longest lease.  Wider terms, with longer leases, apply once
+ * their record is stored; narrower ones from when their record is written.
+ */
+#include "owner/internal/owner_placement.h"
+
+enum {
+    /* Terms are narrowed once no service has been busy for this long. */
+    NARROW_AFTER_MS = 2000,
+    REVIEW_INTERVAL_MS = 100
+};
+
+struct owner_lease_terms {
+    bool stored_long; /* the stored record allows long leases */
+    bool in_flight;   /* another record may not be stored yet */
+    bool in_flight_long;
+    bool longer_recorded; /* the last record leaves time to longer leases */
+    struct timespec longer_until; /* when they have expired */
+    struct timespec busy_at;      /* when a service was busy last */
+    struct timespec review_due;
+};
+
+/* A VM that finds no record of terms assumes the longest lease. */
+static void
+reset(struct owner_lease_terms *terms)
+{
+    *terms = (struct owner_lease_terms){.stored_long = true};
+}
+
+struct owner_lease_terms *
+owner_lease_terms_create(void)
+{
+    struct owner_lease_terms *terms = g_new0(struct owner_lease_terms, 1);
+
+    reset(terms);
+    return terms;
+}
+
+void
+owner_lease_terms_free(struct owner_lease_terms *terms)
+{
+    g_free(terms);
+}
+
+bool
+owner_lease_terms_allow_long(const struct cw_owner *owner)
+{
+    const struct owner_lease_terms *terms = owner->lease_terms;
+
+    return terms->stored_long && (!terms->in_flight || terms->in_flight_long);
+}
+
+void
+owner_lease_terms_granted(struct cw_owner *owner, struct timespec end)
+{
+    struct owner_lease_terms *terms = owner->lease_terms;
+    struct timespec now = owner_now(owner);
+    int64_t lease_ms = cw_time_diff_ms(now, end);
+    struct timespec until =
+        cw_time_add_ms(now, owner_lease_duration_ms(lease_ms));
+
+    if (lease_ms > OWNER_SHORT_LEASE_MS &&
+        cw_time_before(terms->longer_until, until))
+    {
+        terms->longer_until = until;
+    }
+}
+
+/* True if the terms have to allow long leases. */
+static bool
+needs_long(struct cw_owner *owner, struct timespec now)
+{
+    struct owner_lease_terms *terms = owner->lease_terms;
+
+    if (owner_any_service_is_busy(owner, now)) {
+        terms->busy_at = now;
+    }
+    return cw_time_diff_ms(terms->busy_at, now) < NARROW_AFTER_MS ||
+           owner_epochs_any_worker_reports_boot(owner);
+}
+
+static void
+put_record(struct cw_owner *owner, struct owner_batch *batch, bool allow_long,
+           struct timespec now)
+{
+    struct owner_lease_terms *terms = owner->lease_terms;
+    const GPtrArray *voters = owner_quorum_recorded(owner);
+    int64_t left_ms = cw_time_diff_ms(now, terms->longer_until);
+    struct cw_lease_terms_record record = {
+        .epoch = owner->epoch,
+        .lease_ms = allow_long ? (unsigned)owner_epochs_longest_lease_ms(owner)
+                               : OWNER_SHORT_LEASE_MS,
+        .longer_left_ms = allow_long ? 0 : (unsigned)MAX(left_ms + 1, 0),
+        .voters = {.voters_len = voters->len,
+                   .voters_val = (cw_name *)voters->pdata}};
+
+    terms->in_flight = true;
+    terms->in_flight_long = allow_long;
+    terms->longer_recorded = record.longer_left_ms > 0;
+    owner_batch_put(
+        batch, cw_work_key(CW_WORK_KEY_LEASE_TERMS, owner->vm),
+        cw_xdr_encode((xdrproc_t)xdr_cw_lease_terms_record, &record));
+    cw_log_info("lease_terms",
+                "shard=%u epoch=%" PRIu64
+                " lease_ms=%u longer_left_ms=%u voters=%u",
+                owner->options.partition, owner->epoch, record.lease_ms,
+                record.longer_left_ms, voters->len);
+}
+
+void
+owner_lease_terms_begin(struct cw_owner *owner, struct owner_batch *batch)
+{
+    owner_lease_terms_end(owner);
+    owner_quorum_begin(owner);
+    put_record(owner, batch, owner_epochs_any_worker_reports_boot(owner),
+               owner_now(owner));
+}
+
+void
+owner_lease_terms_stored(struct cw_owner *owner)
+{
+    struct owner_lease_terms *terms = owner->lease_terms;
+
+    terms->stored_long = terms->in_flight_long;
+    terms->in_flight = false;
+    owner_quorum_stored(owner);
+}
+
+void
+owner_lease_terms_end(struct cw_owner *owner)
+{
+    reset(owner->lease_terms);
+    owner_quorum_end(owner);
+}
+
+static void
+on_terms_stored(void *context, struct owner_batch *batch)
+{
+    (void)batch;
+    owner_lease_terms_stored(context);
+}
+
+/* True if the recorded terms have to change to `allow_long`, or otherwise. */
+static bool
+needs_record(const struct cw_owner *owner, bool allow_long,
+             struct timespec now)
+{
+    const struct owner_lease_terms *terms = owner->lease_terms;
+
+    return allow_long != terms->stored_long ||
+           (terms->longer_recorded &&
+            !cw_time_before(now, terms->longer_until)) ||
+           owner_quorum_change_wanted(owner);
+}
+
+bool
+owner_lease_terms_due(struct cw_owner *owner, struct timespec now)
+{
+    struct owner_lease_terms *terms = owner->lease_terms;
+
+    if (terms->in_flight || !owner_may_order(owner, now) ||
+        cw_time_before(now, terms->review_due))
+    {
+        return false;
+    }
+    if (!needs_record(owner, needs_long(owner, now), now)) {
+        terms->review_due = cw_time_add_ms(now, REVIEW_INTERVAL_MS);
+        return false;
+    }
+    return true;
+}
+
+void
+owner_lease_terms_send(struct cw_owner *owner, struct timespec now)
+{
+    struct owner_batch *batch = owner_batch_new(on_terms_stored, owner);
+
+    put_record(owner, batch, needs_long(owner, now), now);
+    owner_log_send(owner->jobs_log, batch);
+}
--- a/src/owner/owner_leases.c
+++ b/src/owner/owner_leases.c
@@ -22,10 +22,6 @@
     /* Lease of a worker without confirmed runs in a busy service: little work
      * can be lost, and tasks wait for less time if the worker fails. */
     UNCONFIRMED_LEASE_MS = 4000,
-    /* Lease in a service that is not busy, where tasks that are lost can run
-     * again at once, and of a draining worker, whose work will be lost soon.
-     */
-    SHORT_LEASE_MS = 2400,
     /* Maximum age of the reading of a worker's clock by which a lease is
      * granted: after a longer time the drift of 2% would be a large part of a
      * short lease. */
@@ -33,7 +29,7 @@
     PERCENT = 100
 };
 
-static_assert(SHORT_LEASE_MS * (PERCENT + OWNER_CLOCK_DRIFT_PERCENT) /
+static_assert(OWNER_SHORT_LEASE_MS * (PERCENT + OWNER_CLOCK_DRIFT_PERCENT) /
                           PERCENT +
                       LEASE_SLACK_MS + RESTART_MAX_MS <=
                   IDLE_TOLERATED_MS,
@@ -63,6 +59,12 @@
     return owner_with_drift_ms(lease_ms) + LEASE_SLACK_MS;
 }
 
+int64_t
+owner_lease_duration_ms(int64_t lease_ms)
+{
+    return max_duration_ms(lease_ms);
+}
+
 int64_t
 owner_lease_max_duration_ms(const struct cw_owner *owner)
 {
@@ -176,7 +178,7 @@
 bool
 owner_lease_is_short(const struct owner_target *target, struct timespec now)
 {
-    return target->draining ||
+    return target->draining || !owner_lease_terms_allow_long(target->owner) ||
            !owner_service_is_busy(target->owner, target->service, now);
 }
 
@@ -187,7 +189,7 @@
     int64_t lease_ms = owner_lease_max_granted_ms(target->owner);
 
     if (owner_lease_is_short(target, now)) {
-        return MIN(lease_ms, SHORT_LEASE_MS);
+        return MIN(lease_ms, OWNER_SHORT_LEASE_MS);
     }
     return has_confirmed_run(target) ? lease_ms
                                      : MIN(lease_ms, UNCONFIRMED_LEASE_MS);
@@ -223,6 +225,17 @@
                CLOCK_FRESH_MS;
 }
 
+bool
+owner_lease_may_be_granted(const struct owner_target *target,
+                           struct timespec now)
+{
+    /* A worker that reports when it booted may restart under its id, and an
+     * order may grant its next incarnation the longest lease. */
+    return owner_may_extend_leases(target->owner, now) &&
+           (target->incarnation.boot_ms == 0 ||
+            owner_lease_terms_allow_long(target->owner));
+}
+
 /* True if an order that is sent now may extend the worker's lease. */
 static bool
 may_extend(const struct owner_target *target, enum cw_order_kind kind,
@@ -246,7 +259,7 @@
     return owner_lease_clock_is_fresh(target, now) &&
            target->lease_note == OWNER_LEASE_NOTE_NONE &&
            !owner_tombstone_pending(target) &&
-           owner_may_extend_leases(target->owner, now);
+           owner_lease_may_be_granted(target, now);
 }
 
 /* Returns how long the lease that was sent lasts from now on, by the worker's
@@ -299,6 +312,7 @@
             target->incarnation.lease_sent_ms = until_ms;
             target->lease_granted_at = now;
             target->lease_granted_ms = cw_time_diff_ms(now, end);
+            owner_lease_terms_granted(target->owner, end);
         }
     }
     if (target->incarnation.lease_sent_ms > 0 &&
--- a/src/owner/owner_orders.c
+++ b/src/owner/owner_orders.c
@@ -400,7 +400,10 @@
         cw_time_set_earlier(&target->poll_due, now);
         return true;
     }
-    if (owner_incarnation_unknown(target) && target->unanswered_polls == 0) {
+    if ((owner_incarnation_unknown(target) ||
+         !owner_lease_may_be_granted(target, now)) &&
+        target->unanswered_polls == 0)
+    {
         return true;
     }
     if (run->phase != RUN_STARTING) {
--- a/src/owner/owner_polls.c
+++ b/src/owner/owner_polls.c
@@ -730,7 +730,7 @@
     struct timespec due = target->poll_due;
 
     if (target->poll_in_flight || !needs_poll(target, now) ||
-        !owner_may_extend_leases(owner, now))
+        !owner_may_poll(owner, now))
     {
         return cw_time_from_ms(INT32_MAX);
     }
--- a/src/replica/internal/replica_epochs.h
+++ b/src/replica/internal/replica_epochs.h
@@ -17,6 +17,11 @@
                          const struct cw_store_record *record,
                          struct timespec now);
 
+/* Applies a record of the terms on which an owner grants leases. */
+void replica_epochs_apply_terms(GHashTable *epochs,
+                                const struct cw_store_record *record,
+                                struct timespec now);
+
 /* Applies a record that deletes a key of the kind CW_WORK_KEY_EPOCH. */
 void replica_epochs_apply_drop(GHashTable *epochs,
                                const struct cw_store_record *record);
--- a/src/replica/replica.c
+++ b/src/replica/replica.c
@@ -312,6 +312,11 @@
     case CW_WORK_KEY_EPOCH_END:
         apply_epoch_end(replica, record);
         break;
+    case CW_WORK_KEY_LEASE_TERMS:
+        replica_epochs_apply_terms(replica->epochs, record,
+                                   cw_clock_now(replica->clock));
+        notify_owner_record(replica);
+        break;
     case CW_WORK_KEY_HINT:
         apply_hint(replica, id, record);
         break;
--- a/src/replica/replica_epochs.c
+++ b/src/replica/replica_epochs.c
@@ -13,6 +13,7 @@
     struct cw_replica_epoch *epoch = data;
 
     g_hash_table_unref(epoch->sooner);
+    g_ptr_array_unref(epoch->terms.voters);
     g_free(epoch);
 }
 
@@ -31,6 +32,7 @@
         epoch = g_new0(struct cw_replica_epoch, 1);
         epoch->sooner =
             g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+        epoch->terms.voters = g_ptr_array_new_with_free_func(g_free);
         g_hash_table_insert(epochs, g_strdup(vm), epoch);
     }
     return epoch;
@@ -100,6 +102,36 @@
     return epoch;
 }
 
+void
+replica_epochs_apply_terms(GHashTable *epochs,
+                           const struct cw_store_record *record,
+                           struct timespec now)
+{
+    const char *vm = record->key + 1;
+    struct cw_replica_lease_terms *terms = &find_or_add(epochs, vm)->terms;
+    struct cw_lease_terms_record value = {0};
+
+    if (terms->epoch > 0 && record->offset <= terms->offset) {
+        return;
+    }
+    if (!cw_xdr_decode((xdrproc_t)xdr_cw_lease_terms_record, &value,
+                       record->value, record->length))
+    {
+        log_invalid(vm, "lease_terms", record->offset);
+        return;
+    }
+    terms->offset = record->offset;
+    terms->epoch = value.epoch;
+    terms->lease_ms = value.lease_ms;
+    terms->longer_left_ms = value.longer_left_ms;
+    terms->read_at = now;
+    g_ptr_array_set_size(terms->voters, 0);
+    for (u_int i = 0; i < value.voters.voters_len; i++) {
+        g_ptr_array_add(terms->voters, g_strdup(value.voters.voters_val[i]));
+    }
+    xdr_free((xdrproc_t)xdr_cw_lease_terms_record, (char *)&value);
+}
+
 void
 replica_epochs_apply_drop(GHashTable *epochs,
                           const struct cw_store_record *record)
@@ -131,3 +163,9 @@
     }
     return epoch->left_ms;
 }
+
+const struct cw_replica_lease_terms *
+cw_replica_epoch_terms(const struct cw_replica_epoch *epoch)
+{
+    return epoch->terms.epoch == epoch->epoch ? &epoch->terms : NULL;
+}
--- a/src/vm/vm.c
+++ b/src/vm/vm.c
@@ -315,6 +315,7 @@
     owner.cordons = vm->cordons;
     owner.store = store;
     owner.targets = vm->targets;
+    owner.peers = cw_relay_peers(vm->relay);
     owner.replica = vm->replica;
     owner.vm = settings->vm;
     owner.member = member;
--- /dev/null
+++ b/tests/test_lease_terms.c
@@ -0,0 +1,384 @@
+/* The support that an owner needs to renew leases, the terms that it records,
+ * and how long the next owner waits for workers that do not answer it. */
+#include "test_main.h"
+
+#include "curlewcart/cw_voter.h"
+#include "owner_fixture.h"
+
+enum {
+    PEERS = 5,
+    GRANTED_MS = 5500,
+    /* Leases by this VM's clock: with drift and slack. */
+    LONG_MAX_MS = GRANTED_MS + GRANTED_MS / 50 + 200,
+    SHORT_MAX_MS = OWNER_SHORT_LEASE_MS + OWNER_SHORT_LEASE_MS / 50 + 200,
+    OPEN_BOUND_MS = 6000 + GRANTED_MS + GRANTED_MS / 50 + 500,
+    OPEN_SHORT_BOUND_MS =
+        6000 + OWNER_SHORT_LEASE_MS + OWNER_SHORT_LEASE_MS / 50 + 500,
+    EARLY_EPOCH = 5,
+    OTHER_EPOCH = 4,
+    LATER_GENERATION = 2, /* epochs above these */
+    ENDED_AGO_MS = 500,
+    LONGER_LEFT_MS = 4000,
+    TOLERANCE_MS = 250
+};
+
+/* Other VMs "a" to "e". */
+struct fake_peers {
+    struct cw_peers base;
+    bool answers[PEERS];
+    bool refuse; /* they support a higher epoch */
+    int64_t lower_left_ms;
+    unsigned requests;
+};
+
+static const char *const names[PEERS] = {"a", "b", "c", "d", "e"};
+
+static void
+answer_support(struct cw_peers *base, const struct cw_peers_support *call)
+{
+    struct fake_peers *peers = (struct fake_peers *)base;
+    struct cw_peers_answer answer = {.lower_left_ms = peers->lower_left_ms};
+    unsigned index = (unsigned)(call->address[0] - 'a');
+
+    peers->requests++;
+    answer.supported = peers->answers[index] && !peers->refuse;
+    call->done(call->context, &answer);
+}
+
+static void
+list_all(struct cw_peers *base, GPtrArray *out)
+{
+    (void)base;
+    for (unsigned i = 0; i < PEERS; i++) {
+        g_ptr_array_add(out, (gpointer)names[i]);
+    }
+}
+
+static void
+set_answering(struct fake_peers *peers, unsigned count)
+{
+    for (unsigned i = 0; i < PEERS; i++) {
+        peers->answers[i] = i < count;
+    }
+}
+
+static void
+begin(struct fixture *fixture, struct fake_peers *peers, unsigned answering)
+{
+    static const struct cw_peers_ops ops = {.support = answer_support,
+                                            .addresses = list_all};
+
+    *peers = (struct fake_peers){.base = {.ops = &ops},
+                                 .lower_left_ms = -ENDED_AGO_MS};
+    set_answering(peers, answering);
+    fixture_begin(fixture);
+    fixture->generation = LATER_GENERATION;
+    fixture->owner->options.peers = &peers->base;
+    put_spec(fixture);
+    put_state(fixture, CW_STATE_TOPIC, CW_WORK_RUNNING);
+}
+
+static void
+put_epoch(struct fixture *fixture)
+{
+    struct cw_epoch_record value = {
+        .epoch = EARLY_EPOCH, .settled_below = 1, .lease_ms = GRANTED_MS};
+    GByteArray *bytes = cw_xdr_encode((xdrproc_t)xdr_cw_epoch_record, &value);
+
+    put(fixture, CW_JOBS_TOPIC, "oother", bytes);
+    g_byte_array_unref(bytes);
+}
+
+/* Records the terms of the earlier owner, with the first VMs as its
+ * electorate. */
+static void
+put_terms(struct fixture *fixture, uint64_t epoch, unsigned voters,
+          unsigned lease_ms, unsigned longer_left_ms)
+{
+    struct cw_lease_terms_record value = {
+        .epoch = epoch,
+        .lease_ms = lease_ms,
+        .longer_left_ms = longer_left_ms,
+        .voters = {.voters_len = voters, .voters_val = (cw_name *)names}};
+    GByteArray *bytes =
+        cw_xdr_encode((xdrproc_t)xdr_cw_lease_terms_record, &value);
+
+    put(fixture, CW_JOBS_TOPIC, "tother", bytes);
+    g_byte_array_unref(bytes);
+}
+
+/* Takes over; returns how long after that the worker, which does not answer,
+ * is waited for. */
+static int64_t
+bound_after_takeover(struct fixture *fixture)
+{
+    struct timespec began = fixture->clock.now;
+
+    take_over(fixture);
+    CU_ASSERT_TRUE_FATAL(cw_owner_active(fixture->owner));
+    return cw_time_diff_ms(began, the_worker(fixture)->lease_end);
+}
+
+static bool
+is_about(int64_t ms, int64_t expected_ms)
+{
+    return ms <= expected_ms + TOLERANCE_MS &&
+           ms >= expected_ms - TOLERANCE_MS;
+}
+
+static const struct cw_replica_lease_terms *
+own_terms(const struct fixture *fixture)
+{
+    return cw_replica_epoch_terms(
+        g_hash_table_lookup(cw_replica_epochs(fixture->replica), fixture->vm));
+}
+
+/* ---- the next owner ---- */
+
+/* Guards against LOST: a new owner that waits for 6 s in which a former owner
+ * that nobody supports may have renewed leases. */
+static void
+test_support_ends_the_wait(void)
+{
+    struct fixture fixture;
+    struct fake_peers peers;
+
+    begin(&fixture, &peers, 2);
+    put_epoch(&fixture);
+    put_terms(&fixture, EARLY_EPOCH, 3, GRANTED_MS, 0);
+    CU_ASSERT_TRUE(
+        is_about(bound_after_takeover(&fixture), LONG_MAX_MS - ENDED_AGO_MS));
+    fixture_end(&fixture);
+}
+
+/* Guards against TWICE: a minority of the electorate, which need not have a VM
+ * in common with the majority that supported the former owner. */
+static void
+test_minority_proves_nothing(void)
+{
+    struct fixture fixture;
+    struct fake_peers peers;
+
+    begin(&fixture, &peers, 2);
+    put_epoch(&fixture);
+    put_terms(&fixture, EARLY_EPOCH, 5, GRANTED_MS, 0);
+    CU_ASSERT_TRUE(is_about(bound_after_takeover(&fixture), OPEN_BOUND_MS));
+    set_answering(&peers, 3);
+    run(&fixture, 200);
+    CU_ASSERT_TRUE(is_about(
+        cw_time_diff_ms(fixture.clock.now, the_worker(&fixture)->lease_end),
+        LONG_MAX_MS - ENDED_AGO_MS));
+    fixture_end(&fixture);
+}
+
+/* Guards against TWICE: answers of VMs that support a higher epoch. */
+static void
+test_refusal_proves_nothing(void)
+{
+    struct fixture fixture;
+    struct fake_peers peers;
+
+    begin(&fixture, &peers, PEERS);
+    peers.refuse = true;
+    put_epoch(&fixture);
+    put_terms(&fixture, EARLY_EPOCH, 3, GRANTED_MS, 0);
+    CU_ASSERT_TRUE(is_about(bound_after_takeover(&fixture), OPEN_BOUND_MS));
+    fixture_end(&fixture);
+}
+
+/* Guards against TWICE: terms of an epoch before the last one. */
+static void
+test_terms_of_another_epoch_do_not_count(void)
+{
+    struct fixture fixture;
+    struct fake_peers peers;
+
+    begin(&fixture, &peers, PEERS);
+    put_epoch(&fixture);
+    put_terms(&fixture, OTHER_EPOCH, 3, OWNER_SHORT_LEASE_MS, 0);
+    CU_ASSERT_TRUE(is_about(bound_after_takeover(&fixture), OPEN_BOUND_MS));
+    fixture_end(&fixture);
+}
+
+/* Guards against LOST: a new owner that waits for the longest lease although
+ * the former one granted shorter ones, with and without support. */
+static void
+test_recorded_lease_length_counts(void)
+{
+    struct fixture fixture;
+    struct fake_peers peers;
+
+    begin(&fixture, &peers, PEERS);
+    put_epoch(&fixture);
+    put_terms(&fixture, EARLY_EPOCH, 3, OWNER_SHORT_LEASE_MS, 0);
+    CU_ASSERT_TRUE(
+        is_about(bound_after_takeover(&fixture), SHORT_MAX_MS - ENDED_AGO_MS));
+    fixture_end(&fixture);
+    begin(&fixture, &peers, PEERS);
+    put_epoch(&fixture);
+    put_terms(&fixture, EARLY_EPOCH, 0, OWNER_SHORT_LEASE_MS, 0);
+    CU_ASSERT_TRUE(
+        is_about(bound_after_takeover(&fixture), OPEN_SHORT_BOUND_MS));
+    fixture_end(&fixture);
+}
+
+/* Guards against TWICE: leases that were granted before the terms were
+ * narrowed. */
+static void
+test_longer_leases_from_before_count(void)
+{
+    struct fixture fixture;
+    struct fake_peers peers;
+
+    begin(&fixture, &peers, PEERS);
+    put_epoch(&fixture);
+    put_terms(&fixture, EARLY_EPOCH, 3, OWNER_SHORT_LEASE_MS, LONGER_LEFT_MS);
+    CU_ASSERT_TRUE(is_about(bound_after_takeover(&fixture), LONGER_LEFT_MS));
+    fixture_end(&fixture);
+}
+
+/* ---- the owner ---- */
+
+static bool
+may_grant(const struct fixture *fixture)
+{
+    return owner_lease_may_be_granted(the_worker(fixture), fixture->clock.now);
+}
+
+/* Guards against TWICE: leases that are renewed while too few VMs support the
+ * owner.  The worker is polled all the same. */
+static void
+test_no_lease_is_renewed_without_a_majority(void)
+{
+    struct fixture fixture;
+    struct fake_peers peers;
+
+    begin(&fixture, &peers, PEERS);
+    take_over(&fixture);
+    CU_ASSERT_EQUAL(own_terms(&fixture)->voters->len, PEERS);
+    make_worker_reachable(&fixture);
+    (void)run_answering_polls(&fixture, 3000);
+    CU_ASSERT_TRUE(may_grant(&fixture));
+    fixture.store.answer_status = CW_STORE_UNKNOWN;
+    set_answering(&peers, 2);
+    (void)run_answering_polls(&fixture, CW_SUPPORT_MS / 2);
+    CU_ASSERT_TRUE(may_grant(&fixture));
+    (void)run_answering_polls(&fixture, CW_SUPPORT_MS / 2);
+    CU_ASSERT_FALSE(may_grant(&fixture));
+    (void)run_answering_polls(&fixture, 1000);
+    CU_ASSERT_FALSE(may_grant(&fixture));
+    CU_ASSERT_TRUE(cw_time_diff_ms(the_worker(&fixture)->poll_sent_at,
+                                   fixture.clock.now) < 1000);
+    set_answering(&peers, 3);
+    (void)run_answering_polls(&fixture, 300);
+    CU_ASSERT_TRUE(may_grant(&fixture));
+    fixture_end(&fixture);
+}
+
+/* Guards against work that ends with its leases because VMs are lost while the
+ * store answers: the owner records that it needs no support. */
+static void
+test_owner_does_without_support_once_that_is_stored(void)
+{
+    struct fixture fixture;
+    struct fake_peers peers;
+
+    begin(&fixture, &peers, PEERS);
+    take_over(&fixture);
+    make_worker_reachable(&fixture);
+    (void)run_answering_polls(&fixture, 3000);
+    set_answering(&peers, 0);
+    (void)run_answering_polls(&fixture, 1500);
+    CU_ASSERT_EQUAL(own_terms(&fixture)->voters->len, 0);
+    CU_ASSERT_TRUE(may_grant(&fixture));
+    set_answering(&peers, PEERS);
+    (void)run_answering_polls(&fixture, 2000);
+    CU_ASSERT_EQUAL(own_terms(&fixture)->voters->len, PEERS);
+    CU_ASSERT_TRUE(may_grant(&fixture));
+    fixture_end(&fixture);
+}
+
+/* Guards against TWICE: a smaller electorate that counts before its record is
+ * stored, while the next owner reads the larger one. */
+static void
+test_both_electorates_count_until_the_record_is_stored(void)
+{
+    struct fixture fixture;
+    struct fake_peers peers;
+
+    begin(&fixture, &peers, PEERS);
+    take_over(&fixture);
+    make_worker_reachable(&fixture);
+    (void)run_answering_polls(&fixture, 3000);
+    fixture.store.answer_status = CW_STORE_UNKNOWN;
+    set_answering(&peers, 1);
+    (void)run_answering_polls(&fixture, 2 * CW_SUPPORT_MS);
+    CU_ASSERT_EQUAL(own_terms(&fixture)->voters->len, PEERS);
+    CU_ASSERT_FALSE(may_grant(&fixture));
+    fixture.store.answer_status = CW_STORE_OK;
+    (void)run_answering_polls(&fixture, 1500);
+    CU_ASSERT_EQUAL(own_terms(&fixture)->voters->len, 1);
+    CU_ASSERT_TRUE(may_grant(&fixture));
+    fixture_end(&fixture);
+}
+
+/* Guards against starts that carry no lease. */
+static void
+test_starts_wait_for_support(void)
+{
+    struct fixture fixture;
+    struct fake_peers peers;
+
+    begin(&fixture, &peers, PEERS);
+    peers.refuse = true;
+    take_over(&fixture);
+    make_worker_reachable(&fixture);
+    (void)run_answering_polls(&fixture, 200);
+    CU_ASSERT_FALSE(
+        owner_lease_may_be_granted(the_worker(&fixture), fixture.clock.now));
+    peers.refuse = false;
+    (void)run_answering_polls(&fixture, 300);
+    CU_ASSERT_TRUE(may_grant(&fixture));
+    fixture_end(&fixture);
+}
+
+/* Guards against leases longer than those that are recorded. */
+static void
+test_no_long_lease_before_it_is_recorded(void)
+{
+    struct fixture fixture;
+    struct fake_peers peers;
+
+    begin(&fixture, &peers, PEERS);
+    take_over(&fixture);
+    CU_ASSERT_EQUAL(own_terms(&fixture)->lease_ms, OWNER_SHORT_LEASE_MS);
+    CU_ASSERT_FALSE(owner_lease_terms_allow_long(fixture.owner));
+    make_worker_reachable(&fixture);
+    fixture.store.answer_status = CW_STORE_UNKNOWN;
+    (void)run_answering_polls(&fixture, 500); /* reports when it booted */
+    CU_ASSERT_FALSE(owner_lease_terms_allow_long(fixture.owner));
+    CU_ASSERT_FALSE(
+        owner_lease_may_be_granted(the_worker(&fixture), fixture.clock.now));
+    fixture.store.answer_status = CW_STORE_OK;
+    (void)run_answering_polls(&fixture, 1500);
+    CU_ASSERT_TRUE(owner_lease_terms_allow_long(fixture.owner));
+    CU_ASSERT_EQUAL(own_terms(&fixture)->lease_ms, LEASE_MS);
+    fixture_end(&fixture);
+}
+
+static const struct test tests[] = {
+    {"support", test_support_ends_the_wait},
+    {"minority", test_minority_proves_nothing},
+    {"refusal", test_refusal_proves_nothing},
+    {"other epoch", test_terms_of_another_epoch_do_not_count},
+    {"lease length", test_recorded_lease_length_counts},
+    {"longer leases", test_longer_leases_from_before_count},
+    {"majority", test_no_lease_is_renewed_without_a_majority},
+    {"no support", test_owner_does_without_support_once_that_is_stored},
+    {"two electorates",
+     test_both_electorates_count_until_the_record_is_stored},
+    {"starts", test_starts_wait_for_support},
+    {"long lease", test_no_long_lease_before_it_is_recorded},
+};
+
+TEST_MAIN("lease terms", tests)
