--- a/emulator/store_model.c
+++ b/emulator/store_model.c
@@ -468,6 +468,18 @@
     assign_partition(model);
 }
 
+void
+store_model_members(struct store_model *model, struct timespec now,
+                    GPtrArray *out)
+{
+    expire(model, now);
+    assign_partition(model);
+    for (guint i = 0; i < model->members->len; i++) {
+        g_ptr_array_add(out,
+                        ((struct member *)model->members->pdata[i])->name);
+    }
+}
+
 void
 store_model_reassign(struct store_model *model, unsigned choice,
                      struct timespec now)
--- a/emulator/store_model.h
+++ b/emulator/store_model.h
@@ -56,6 +56,10 @@
 void store_model_leave(struct store_model *model, const char *member,
                        struct timespec now);
 
+/* Adds the names of the present members.  Borrowed. */
+void store_model_members(struct store_model *model, struct timespec now,
+                         GPtrArray *out);
+
 /* Reassigns partition 0 to a member that `choice` selects, although no member
  * joined or left. */
 void store_model_reassign(struct store_model *model, unsigned choice,
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -109,13 +109,14 @@
 # start_platform WORKERS_PER_RACK RACKS: starts the stand-in with so many racks
 # in each data centre.  It writes the starts and ends of tasks at its workers to
 # $DIR/trace.  If start_proxy was called before, the workers are reached through
-# the proxy.
+# the proxy.  With NO_BOOT_TIMES, they do not tell when they booted.
 start_platform() {
     local dc rack i
     mkfifo "$DIR/platform.in"
     exec 8<>"$DIR/platform.in"
     "$PLATFORM_STANDIN" --dcs "$(IFS=,; echo "${DCS[*]}")" --racks "$2" \
-        --per-rack "$1" ${PID[proxy]:+--proxy "$DIR/worker-links"} \
+        --per-rack "$1" ${NO_BOOT_TIMES:+--no-boot-times} \
+        ${PID[proxy]:+--proxy "$DIR/worker-links"} \
         <"$DIR/platform.in" >"$DIR/trace" 2>"$DIR/platform.err" &
     PID[platform]=$!
     [ -z "${PID[proxy]:-}" ] || link_workers $(($1 * $2 * ${#DCS[@]}))
--- a/standins/platform_reports.c
+++ b/standins/platform_reports.c
@@ -51,7 +51,9 @@
         "\"clock_ms\":%" PRId64 ",\"born\":%" PRId64 "}",
         worker->reported_address, worker->dc, WORKER_CPU_MILLI,
         WORKER_MEMORY_MB, WORKER_ACCELERATORS, worker->rack, standin_now_ms(),
-        worker_model_boot_ms(worker_fleet_find(platform->fleet, worker->id)));
+        platform->hides_boot_times ? (int64_t)0
+                                   : worker_model_boot_ms(worker_fleet_find(
+                                         platform->fleet, worker->id)));
 }
 
 void
--- a/standins/platform_standin.c
+++ b/standins/platform_standin.c
@@ -405,6 +405,9 @@
     case 'p':
         platform->proxy_path = value;
         break;
+    case 'b':
+        platform->hides_boot_times = true;
+        break;
     default:
         return ARGP_ERR_UNKNOWN;
     }
@@ -470,6 +473,8 @@
          0},
         {"proxy", 'p', "FILE", 0,
          "Wait for this file and report workers at the ports in it", 0},
+        {"no-boot-times", 'b', NULL, 0, "Workers do not tell when they booted",
+         0},
         {0},
     };
     static const struct argp argp = {
--- a/standins/platform_standin.h
+++ b/standins/platform_standin.h
@@ -52,6 +52,7 @@
     const char *dcs;        /* names, separated by commas */
     unsigned racks;         /* in each data centre */
     unsigned per_rack;      /* workers in each rack */
+    bool hides_boot_times;  /* workers do not tell when they booted */
     bool store_unavailable; /* the store refuses all calls */
     GHashTable *payloads;   /* job's id -> payload */
     unsigned violations;    /* starts of a task that was running or done */
--- a/standins/platform_store.c
+++ b/standins/platform_store.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "curlewcart/cw_bytes.h"
+#include "curlewcart/cw_replica.h"
 #include "curlewcart/cw_time.h"
 #include "standins/platform_standin.h"
 
@@ -221,6 +222,25 @@
     json_decref(body);
 }
 
+/* Answers as if the topic had enough partitions for each member to hold one,
+ * although only partition 0 is assigned. */
+static void
+handle_owners(struct platform *platform, struct cw_http_call *call)
+{
+    GPtrArray *members = g_ptr_array_new();
+    json_t *rows = json_array();
+
+    store_model_members(platform->store, cw_clock_now(cw_clock_system()),
+                        members);
+    for (guint i = 0; i < members->len; i++) {
+        json_array_append_new(rows,
+                              json_pack("[s, i, s, i]", CW_JOBS_TOPIC, (int)i,
+                                        (const char *)members->pdata[i], 0));
+    }
+    standin_answer(call, 200, json_pack("{s:o}", "parts", rows));
+    g_ptr_array_unref(members);
+}
+
 void
 standin_handle_store(void *context, struct cw_http_call *call)
 {
@@ -256,7 +276,7 @@
         handle_leave(platform, call);
     }
     else if (strcmp(path, "/log-owners") == 0) {
-        standin_answer(call, 200, json_pack("{s:[]}", "parts"));
+        handle_owners(platform, call);
     }
     else {
         standin_answer(call, 404, json_object());
--- a/standins/platform_workers.c
+++ b/standins/platform_workers.c
@@ -59,8 +59,9 @@
     }
     return json_pack("{s:I, s:I, s:o, s:o}", "clock_ms",
                      (json_int_t)answer->clock_ms, "born",
-                     (json_int_t)answer->boot_ms, "running", running, "ended",
-                     ended);
+                     platform->hides_boot_times ? (json_int_t)0
+                                                : (json_int_t)answer->boot_ms,
+                     "running", running, "ended", ended);
 }
 
 static void
