Owner: no electorate where workers report boot times; partitions with VMs on both sides

- Where workers report when they booted, a start may be held up for up to 12 s and reach a worker's next incarnation.
The wait for a former owner that tells nothing (12.6 s) covered most of that; support proves only when its leases end.
There an owner now records that it needs no support, and the next one waits as before. test_lease_terms "boot times".
- test_lease_terms "record of longer leases": what the owner writes of leases from before narrower terms.
- emulator_main.c: options of faults in a function of their own (lint).

--- a/emulator/emulator_main.c
+++ b/emulator/emulator_main.c
@@ -110,78 +110,91 @@
     {0},
 };
 
+/* Sets the number or percentage of the faults that the key names; returns
+ * false if it names none. */
+static bool
+parse_faults(int key, unsigned number, struct arguments *arguments)
+{
+    switch (key) {
+    case 'r':
+        arguments->shrinks = number;
+        break;
+    case 'a':
+        arguments->restarts = number;
+        break;
+    case 'z':
+        arguments->clock_step_percent = number;
+        break;
+    case 'l':
+        arguments->late_episodes = number;
+        break;
+    case 'o':
+        arguments->cordons = number;
+        break;
+    case 'k':
+        arguments->owner_kills = number;
+        break;
+    case 'x':
+        arguments->owner_losses = number;
+        break;
+    case 'm':
+        arguments->owner_cuts = number;
+        break;
+    case 'p':
+        arguments->topic_outages = number;
+        break;
+    case 'i':
+        arguments->silences = number;
+        break;
+    case 'e':
+        arguments->outages = number;
+        break;
+    case 'y':
+        arguments->late_reports = number;
+        break;
+    default:
+        return false;
+    }
+    return true;
+}
+
 static error_t
 parse(int key, char *value, struct argp_state *state)
 {
     struct arguments *arguments = state->input;
+    unsigned number = value != NULL ? (unsigned)strtoul(value, NULL, 10) : 0;
 
     switch (key) {
     case 's':
-        arguments->seed = (unsigned)strtoul(value, NULL, 10);
+        arguments->seed = number;
         break;
     case 'd':
-        arguments->days = (unsigned)strtoul(value, NULL, 10);
+        arguments->days = number;
         break;
     case 'f':
         arguments->stop_at_first = true;
         break;
     case 'j':
-        arguments->threads = (unsigned)strtoul(value, NULL, 10);
+        arguments->threads = number;
         break;
     case 'v':
-        arguments->vms = (unsigned)strtoul(value, NULL, 10);
+        arguments->vms = number;
         break;
     case 'w':
-        arguments->workers = (unsigned)strtoul(value, NULL, 10);
+        arguments->workers = number;
         break;
     case 'n':
-        arguments->jobs = (unsigned)strtoul(value, NULL, 10);
+        arguments->jobs = number;
         break;
     case 'c':
-        arguments->crashing_percent = (unsigned)strtoul(value, NULL, 10);
+        arguments->crashing_percent = number;
         break;
     case 't':
-        arguments->tail_percent = (unsigned)strtoul(value, NULL, 10);
-        break;
-    case 'r':
-        arguments->shrinks = (unsigned)strtoul(value, NULL, 10);
-        break;
-    case 'a':
-        arguments->restarts = (unsigned)strtoul(value, NULL, 10);
-        break;
-    case 'z':
-        arguments->clock_step_percent = (unsigned)strtoul(value, NULL, 10);
+        arguments->tail_percent = number;
         break;
     case 'u':
         arguments->ignores_capacity = true;
         break;
-    case 'l':
-        arguments->late_episodes = (unsigned)strtoul(value, NULL, 10);
-        break;
-    case 'o':
-        arguments->cordons = (unsigned)strtoul(value, NULL, 10);
-        break;
-    case 'k':
-        arguments->owner_kills = (unsigned)strtoul(value, NULL, 10);
-        break;
-    case 'x':
-        arguments->owner_losses = (unsigned)strtoul(value, NULL, 10);
-        break;
-    case 'm':
-        arguments->owner_cuts = (unsigned)strtoul(value, NULL, 10);
-        break;
-    case 'p':
-        arguments->topic_outages = (unsigned)strtoul(value, NULL, 10);
-        break;
-    case 'i':
-        arguments->silences = (unsigned)strtoul(value, NULL, 10);
-        break;
-    case 'e':
-        arguments->outages = (unsigned)strtoul(value, NULL, 10);
-        break;
-    case 'y':
-        arguments->late_reports = (unsigned)strtoul(value, NULL, 10);
-        break;
     case 'q':
         arguments->calm = true;
         break;
@@ -200,7 +213,7 @@
         }
         break;
     default:
-        return ARGP_ERR_UNKNOWN;
+        return parse_faults(key, number, arguments) ? 0 : ARGP_ERR_UNKNOWN;
     }
     return 0;
 }
--- a/emulator/internal/world_private.h
+++ b/emulator/internal/world_private.h
@@ -104,8 +104,9 @@
     GHashTable *entries; /* id -> struct world_entry, on days with late
                             reports */
     struct {
-        struct vm *owner;
+        GHashTable *vms;     /* set of struct vm: on the owner's side */
         GHashTable *workers; /* set of ids: on the owner's side */
+        bool vms_reach_each_other;
         int64_t until_ms;
     } owner_cut;                   /* the last network partition */
     int64_t last_delayed_order_ms; /* latest time at which a delayed order may
@@ -354,8 +355,8 @@
 
 /* ---- world_owner_cuts.c ---- */
 
-/* Disconnects the VM that owns the jobs, together with some workers, from the
- * store, the other VMs and the other workers. */
+/* Disconnects the VM that owns the jobs, together with some other VMs and some
+ * workers, from the store and from the other VMs and workers. */
 void world_cut_owner(struct world *world, void *unused);
 
 /* True while such a network partition lasts. */
--- a/emulator/world.c
+++ b/emulator/world.c
@@ -305,6 +305,7 @@
     world->faults = g_string_new(NULL);
     world->cut_workers = g_hash_table_new(g_str_hash, g_str_equal);
     world->late_workers = g_hash_table_new(g_str_hash, g_str_equal);
+    world->owner_cut.vms = g_hash_table_new(NULL, NULL);
     world->owner_cut.workers = g_hash_table_new(g_str_hash, g_str_equal);
     world->draining = g_hash_table_new(g_str_hash, g_str_equal);
     world->cordons = world_cordons_new();
@@ -505,6 +506,7 @@
     g_ptr_array_unref(world->vms);
     g_hash_table_unref(world->cut_workers);
     g_hash_table_unref(world->late_workers);
+    g_hash_table_unref(world->owner_cut.vms);
     g_hash_table_unref(world->owner_cut.workers);
     g_hash_table_unref(world->draining);
     g_hash_table_unref(world->cordons);
--- a/emulator/world_owner_cuts.c
+++ b/emulator/world_owner_cuts.c
@@ -1,7 +1,8 @@
-/* Network partitions with the owner on the smaller side: the VM that owns the
- * jobs is disconnected from the store and from all other VMs, and it alone
- * reaches the workers of some data centres.  It goes on renewing their leases
- * until it has to stop, while the next owner gets no answer from them. */
+/* Network partitions with the owner on the side without the store: the VM that
+ * owns the jobs, some other VMs and the workers of some data centres reach
+ * neither the store nor the other workers.  The owner goes on renewing leases
+ * until it has to stop, while the next owner gets no answer from these
+ * workers. In some of them the VMs still reach each other. */
 #include "emulator/internal/world_private.h"
 
 #include <stdlib.h>
@@ -13,6 +14,9 @@
     CUT_MAX_MS = 14000,
     /* A data centre's workers are on the owner's side with this chance. */
     DC_ON_OWNERS_SIDE_PERCENT = 40,
+    /* The same for a VM. */
+    VM_ON_OWNERS_SIDE_PERCENT = 30,
+    VMS_REACH_EACH_OTHER_PERCENT = 30,
     DC_SPREAD = 37, /* distributes the data centres over the percentages */
     PERCENT = 100
 };
@@ -35,13 +39,21 @@
     return world_owner_cut_lasts(world) && is_on_owners_side(world, worker);
 }
 
+/* True if the VM is on the owner's side. */
+static bool
+is_vm_on_owners_side(const struct vm *vm)
+{
+    return g_hash_table_contains(vm->world->owner_cut.vms, vm);
+}
+
 bool
 world_vm_reaches_vm(const struct vm *vm, const struct vm *other)
 {
     const struct world *world = vm->world;
 
-    return !world_owner_cut_lasts(world) || vm == other ||
-           (vm != world->owner_cut.owner && other != world->owner_cut.owner);
+    return !world_owner_cut_lasts(world) ||
+           world->owner_cut.vms_reach_each_other ||
+           is_vm_on_owners_side(vm) == is_vm_on_owners_side(other);
 }
 
 bool
@@ -50,7 +62,7 @@
     const struct world *world = vm->world;
 
     return !world_owner_cut_lasts(world) ||
-           (vm == world->owner_cut.owner) == is_on_owners_side(world, worker);
+           is_vm_on_owners_side(vm) == is_on_owners_side(world, worker);
 }
 
 static unsigned
@@ -82,6 +94,24 @@
     }
 }
 
+/* Puts the owner and random other VMs on the owner's side. */
+static void
+choose_vms(struct world *world, const struct vm *owner, unsigned ms)
+{
+    g_hash_table_remove_all(world->owner_cut.vms);
+    for (guint i = 0; i < world->vms->len; i++) {
+        struct vm *vm = world->vms->pdata[i];
+
+        if (vm == owner ||
+            world_random_chance(world, VM_ON_OWNERS_SIDE_PERCENT)) {
+            g_hash_table_add(world->owner_cut.vms, vm);
+            vm->cut_until_ms = MAX(vm->cut_until_ms, world->now_ms + ms);
+        }
+    }
+    world->owner_cut.vms_reach_each_other =
+        world_random_chance(world, VMS_REACH_EACH_OTHER_PERCENT);
+}
+
 void
 world_cut_owner(struct world *world, void *unused)
 {
@@ -93,11 +123,12 @@
         return;
     }
     choose_workers(world);
-    world->owner_cut.owner = vm;
+    choose_vms(world, vm, ms);
     world->owner_cut.until_ms = world->now_ms + ms;
-    vm->cut_until_ms = world->now_ms + ms;
-    world_record_fault(world, "cut owner vm-%u with %u workers for %u",
-                       vm->index, g_hash_table_size(world->owner_cut.workers),
-                       ms);
+    world_record_fault(
+        world, "cut owner vm-%u with %u vms and %u workers for %u, peers %d",
+        vm->index, g_hash_table_size(world->owner_cut.vms),
+        g_hash_table_size(world->owner_cut.workers), ms,
+        world->owner_cut.vms_reach_each_other);
     world_disturb(world, ms, 0);
 }
--- a/src/owner/owner_epochs.c
+++ b/src/owner/owner_epochs.c
@@ -166,18 +166,6 @@
                               lease_max_duration_ms(lease_ms));
 }
 
-/* Returns when a lease expires that was granted at `granted` at the latest.
- * It was granted as a time on the worker's clock, so that an order in flight
- * does not extend it, unless the order reaches another incarnation. */
-static struct timespec
-end_of_granted(const struct cw_owner *owner, struct timespec granted,
-               int64_t lease_ms)
-{
-    return cw_time_add_ms(granted, owner_epochs_any_worker_reports_boot(owner)
-                                       ? lease_max_duration_ms(lease_ms)
-                                       : owner_lease_duration_ms(lease_ms));
-}
-
 /* Returns when a lease expires that another VM granted to the worker; NULL:
  * any worker. */
 static struct timespec
@@ -190,7 +178,10 @@
     struct timespec until;
 
     if (owner_quorum_earlier_until(owner, epoch, &until)) {
-        cw_time_set_earlier(&end, end_of_granted(owner, until, lease_ms));
+        /* It was granted as a time on the worker's clock, so that an order in
+         * flight does not extend it. */
+        cw_time_set_earlier(
+            &end, cw_time_add_ms(until, owner_lease_duration_ms(lease_ms)));
     }
     if (terms != NULL) {
         raise_to(&end, owner_lease_end_from_record(terms->read_at,
--- a/src/owner/owner_quorum.c
+++ b/src/owner/owner_quorum.c
@@ -13,6 +13,9 @@
  * - If too few VMs answer, the owner records that it needs no support.  It
  *   then renews leases while the store has confirmed it recently, and a VM
  *   that takes over waits longer (owner_epochs.c).
+ * - So it does where workers report when they booted: a start may be held up
+ *   for seconds and reach a worker's next incarnation, whatever is known of
+ *   the owner that sent it.
  */
 #include "owner/internal/owner_private.h"
 
@@ -72,6 +75,15 @@
     return g_ptr_array_new_with_free_func(g_free);
 }
 
+static void
+drop_list(GPtrArray **list)
+{
+    if (*list != NULL) {
+        g_ptr_array_unref(*list);
+        *list = NULL;
+    }
+}
+
 struct owner_quorum *
 owner_quorum_create(void)
 {
@@ -93,8 +105,8 @@
     g_ptr_array_unref(quorum->calls);
     g_hash_table_unref(quorum->voters);
     g_ptr_array_unref(quorum->electorate);
-    g_clear_pointer(&quorum->unstored, g_ptr_array_unref);
-    g_clear_pointer(&quorum->wanted, g_ptr_array_unref);
+    drop_list(&quorum->unstored);
+    drop_list(&quorum->wanted);
     g_free(quorum);
 }
 
@@ -366,7 +378,9 @@
     GPtrArray *chosen = address_list_new();
     guint count;
 
-    peers->ops->addresses(peers, all);
+    if (!owner_epochs_any_worker_reports_boot(owner)) {
+        peers->ops->addresses(peers, all);
+    }
     for (guint i = 0; i < all->len; i++) {
         const struct voter_state *voter =
             g_hash_table_lookup(owner->quorum->voters, all->pdata[i]);
@@ -432,8 +446,8 @@
 
     g_hash_table_remove_all(quorum->voters);
     g_ptr_array_set_size(quorum->electorate, 0);
-    g_clear_pointer(&quorum->unstored, g_ptr_array_unref);
-    g_clear_pointer(&quorum->wanted, g_ptr_array_unref);
+    drop_list(&quorum->unstored);
+    drop_list(&quorum->wanted);
     quorum->supported = false;
     quorum->earlier_known = 0;
 }
@@ -454,9 +468,15 @@
 
 /* Returns why the electorate has to be replaced by `other`, or NULL. */
 static const char *
-reason_to_change(const struct owner_quorum *quorum, const GPtrArray *other,
+reason_to_change(const struct cw_owner *owner, const GPtrArray *other,
                  struct timespec now)
 {
+    const struct owner_quorum *quorum = owner->quorum;
+
+    if (quorum->electorate->len > 0 &&
+        owner_epochs_any_worker_reports_boot(owner)) {
+        return "boot_times";
+    }
     if (!is_supported_by(quorum, quorum->electorate, now)) {
         return cw_time_diff_ms(quorum->begun_at, now) >= FIRST_ANSWERS_MS
                    ? "unsupported"
@@ -482,12 +502,12 @@
     GPtrArray *other;
     const char *reason;
 
-    g_clear_pointer(&quorum->wanted, g_ptr_array_unref);
+    drop_list(&quorum->wanted);
     if (owner->state != OWNER_ACTIVE || quorum->unstored != NULL) {
         return;
     }
     other = choose_electorate(owner, true, now);
-    reason = reason_to_change(quorum, other, now);
+    reason = reason_to_change(owner, other, now);
     if (reason != NULL) {
         quorum->wanted = other;
         log_electorate(owner, other, reason);
--- a/tests/test_lease_terms.c
+++ b/tests/test_lease_terms.c
@@ -239,6 +239,35 @@
 
 /* ---- the owner ---- */
 
+/* Lets time pass with a worker that answers, and does not tell when it
+ * booted. */
+static void
+run_answering(struct fixture *fixture, unsigned ms)
+{
+    struct cw_running running[TASKS] = {0};
+    struct cw_target_answer answer = {
+        .status = CW_TARGET_OK, .running = running, .running_count = TASKS};
+
+    for (unsigned i = 0; i < TASKS; i++) {
+        running[i].task.job = ID;
+        running[i].task.index = i;
+        running[i].run = RUN;
+        running[i].saved = "";
+    }
+    for (unsigned passed = 0; passed < ms; passed += STEP_MS) {
+        run(fixture, STEP_MS);
+        answer.clock_ms =
+            cw_time_diff_ms(cw_time_from_ms(0), fixture->clock.now);
+        while (unanswered != NULL && unanswered->len > 0) {
+            struct cw_target_order order =
+                g_array_index(unanswered, struct cw_target_order, 0);
+
+            g_array_remove_index(unanswered, 0);
+            order.done(order.context, &answer);
+        }
+    }
+}
+
 static bool
 may_grant(const struct fixture *fixture)
 {
@@ -257,20 +286,20 @@
     take_over(&fixture);
     CU_ASSERT_EQUAL(own_terms(&fixture)->voters->len, PEERS);
     make_worker_reachable(&fixture);
-    (void)run_answering_polls(&fixture, 3000);
+    run_answering(&fixture, 3000);
     CU_ASSERT_TRUE(may_grant(&fixture));
     fixture.store.answer_status = CW_STORE_UNKNOWN;
     set_answering(&peers, 2);
-    (void)run_answering_polls(&fixture, CW_SUPPORT_MS / 2);
+    run_answering(&fixture, CW_SUPPORT_MS / 2);
     CU_ASSERT_TRUE(may_grant(&fixture));
-    (void)run_answering_polls(&fixture, CW_SUPPORT_MS / 2);
+    run_answering(&fixture, CW_SUPPORT_MS / 2);
     CU_ASSERT_FALSE(may_grant(&fixture));
-    (void)run_answering_polls(&fixture, 1000);
+    run_answering(&fixture, 1000);
     CU_ASSERT_FALSE(may_grant(&fixture));
     CU_ASSERT_TRUE(cw_time_diff_ms(the_worker(&fixture)->poll_sent_at,
                                    fixture.clock.now) < 1000);
     set_answering(&peers, 3);
-    (void)run_answering_polls(&fixture, 300);
+    run_answering(&fixture, 300);
     CU_ASSERT_TRUE(may_grant(&fixture));
     fixture_end(&fixture);
 }
@@ -286,13 +315,13 @@
     begin(&fixture, &peers, PEERS);
     take_over(&fixture);
     make_worker_reachable(&fixture);
-    (void)run_answering_polls(&fixture, 3000);
+    run_answering(&fixture, 3000);
     set_answering(&peers, 0);
-    (void)run_answering_polls(&fixture, 1500);
+    run_answering(&fixture, 1500);
     CU_ASSERT_EQUAL(own_terms(&fixture)->voters->len, 0);
     CU_ASSERT_TRUE(may_grant(&fixture));
     set_answering(&peers, PEERS);
-    (void)run_answering_polls(&fixture, 2000);
+    run_answering(&fixture, 2000);
     CU_ASSERT_EQUAL(own_terms(&fixture)->voters->len, PEERS);
     CU_ASSERT_TRUE(may_grant(&fixture));
     fixture_end(&fixture);
@@ -309,14 +338,14 @@
     begin(&fixture, &peers, PEERS);
     take_over(&fixture);
     make_worker_reachable(&fixture);
-    (void)run_answering_polls(&fixture, 3000);
+    run_answering(&fixture, 3000);
     fixture.store.answer_status = CW_STORE_UNKNOWN;
     set_answering(&peers, 1);
-    (void)run_answering_polls(&fixture, 2 * CW_SUPPORT_MS);
+    run_answering(&fixture, 2 * CW_SUPPORT_MS);
     CU_ASSERT_EQUAL(own_terms(&fixture)->voters->len, PEERS);
     CU_ASSERT_FALSE(may_grant(&fixture));
     fixture.store.answer_status = CW_STORE_OK;
-    (void)run_answering_polls(&fixture, 1500);
+    run_answering(&fixture, 1500);
     CU_ASSERT_EQUAL(own_terms(&fixture)->voters->len, 1);
     CU_ASSERT_TRUE(may_grant(&fixture));
     fixture_end(&fixture);
@@ -333,11 +362,11 @@
     peers.refuse = true;
     take_over(&fixture);
     make_worker_reachable(&fixture);
-    (void)run_answering_polls(&fixture, 200);
+    run_answering(&fixture, 200);
     CU_ASSERT_FALSE(
         owner_lease_may_be_granted(the_worker(&fixture), fixture.clock.now));
     peers.refuse = false;
-    (void)run_answering_polls(&fixture, 300);
+    run_answering(&fixture, 300);
     CU_ASSERT_TRUE(may_grant(&fixture));
     fixture_end(&fixture);
 }
@@ -366,6 +395,49 @@
     fixture_end(&fixture);
 }
 
+/* Guards against TWICE: a start that is held up and reaches the next
+ * incarnation of a worker, after a wait that only regards leases. */
+static void
+test_no_electorate_where_workers_report_boot_times(void)
+{
+    struct fixture fixture;
+    struct fake_peers peers;
+
+    begin(&fixture, &peers, PEERS);
+    take_over(&fixture);
+    CU_ASSERT_EQUAL(own_terms(&fixture)->voters->len, PEERS);
+    make_worker_reachable(&fixture);
+    (void)run_answering_polls(&fixture, 1000); /* reports when it booted */
+    CU_ASSERT_EQUAL(own_terms(&fixture)->voters->len, 0);
+    CU_ASSERT_EQUAL(own_terms(&fixture)->lease_ms, LEASE_MS);
+    fixture_end(&fixture);
+}
+
+/* Guards against TWICE: leases from before the terms were narrowed that the
+ * record does not name. */
+static void
+test_record_names_longer_leases_from_before(void)
+{
+    struct fixture fixture;
+    struct fake_peers peers;
+
+    begin(&fixture, &peers, PEERS);
+    take_over(&fixture);
+    make_worker_reachable(&fixture);
+    (void)run_answering_polls(&fixture, 1000);
+    CU_ASSERT_EQUAL(own_terms(&fixture)->lease_ms, LEASE_MS);
+    owner_lease_terms_granted(
+        fixture.owner, cw_time_add_ms(fixture.clock.now, LONGER_LEFT_MS));
+    the_worker(&fixture)->incarnation.boot_ms = 0; /* it needs no long ones */
+    run(&fixture, 200);
+    CU_ASSERT_EQUAL(own_terms(&fixture)->lease_ms, OWNER_SHORT_LEASE_MS);
+    CU_ASSERT_TRUE(own_terms(&fixture)->longer_left_ms >=
+                   LONGER_LEFT_MS + LONGER_LEFT_MS / 50 - 200);
+    run_answering(&fixture, LONGER_LEFT_MS + 1000);
+    CU_ASSERT_EQUAL(own_terms(&fixture)->longer_left_ms, 0);
+    fixture_end(&fixture);
+}
+
 static const struct test tests[] = {
     {"support", test_support_ends_the_wait},
     {"minority", test_minority_proves_nothing},
@@ -378,6 +450,8 @@
     {"two electorates",
      test_both_electorates_count_until_the_record_is_stored},
     {"starts", test_starts_wait_for_support},
+    {"record of longer leases", test_record_names_longer_leases_from_before},
+    {"boot times", test_no_electorate_where_workers_report_boot_times},
     {"long lease", test_no_long_lease_before_it_is_recorded},
 };
 
