--- a/src/owner/owner_leases.c
+++ b/src/owner/owner_leases.c
@@ -6,6 +6,8 @@
 
 #include <assert.h>
 
+#include "curlewcart/cw_voter.h"
+
 enum {
     LEASE_SLACK_MS = 200,
     /* The platform tolerates 3 s in which nothing of a job runs, from the end
@@ -39,6 +41,14 @@
                   CALM_AFTER_FAULT_MS + IDLE_TOLERATED_MS,
               "tasks of a silent worker have to run elsewhere in time");
 
+static_assert(CW_SUPPORT_MS +
+                      LONG_LEASE_MS * (PERCENT + OWNER_CLOCK_DRIFT_PERCENT) /
+                          PERCENT +
+                      LEASE_SLACK_MS + RESTART_MAX_MS <=
+                  CALM_AFTER_FAULT_MS + IDLE_TOLERATED_MS,
+              "tasks of a worker that is lost with its owner have to run "
+              "elsewhere in time");
+
 int64_t
 owner_with_drift_ms(int64_t ms)
 {
