Owner: the terms of a new epoch name leases of this VM's earlier epochs

Now an owner that dies just after it had taken over again, with short leases recorded, would have been waited for some 3 s only, while long leases of its epoch before may last 5.6 s: TWICE.

The record of the terms now tells until when leases of this VM's earlier epochs, also of a former process, may last, unless they are settled; it is written again once they are over.

test_lease_terms "earlier epochs" fails without the change (longer_left_ms=0).

--- a/include/curlewcart/cw_replica.h
+++ b/include/curlewcart/cw_replica.h
@@ -80,7 +80,8 @@
     struct cw_replica_lease_terms {
         uint64_t epoch;          /* to which they apply; 0: none */
         unsigned lease_ms;       /* longest lease granted on these terms */
-        unsigned longer_left_ms; /* longer leases have expired this long after
+        unsigned longer_left_ms; /* leases of this VM on earlier terms
+                                    have expired this long after
                                     `read_at` */
         struct timespec read_at; /* on this VM's clock */
         GPtrArray *voters;       /* addresses of VMs; leases are renewed only
--- a/src/owner/internal/owner_epochs.h
+++ b/src/owner/internal/owner_epochs.h
@@ -55,6 +55,10 @@
  * next. */
 struct timespec owner_epochs_tick(struct cw_owner *owner, struct timespec now);
 
+/* Returns when all leases have expired that this VM granted under epochs
+ * before the present one; 0: they have. */
+struct timespec owner_epochs_own_leases_end(const struct cw_owner *owner);
+
 /* True if some worker reports when it booted: it may restart under its id, and
  * an order in flight may reach its next incarnation, whose clock differs. */
 bool owner_epochs_any_worker_reports_boot(const struct cw_owner *owner);
--- a/src/owner/owner_epochs.c
+++ b/src/owner/owner_epochs.c
@@ -218,6 +218,16 @@
            epochs->recorded_epoch >= settled;
 }
 
+struct timespec
+owner_epochs_own_leases_end(const struct cw_owner *owner)
+{
+    const struct owner_epochs *epochs = owner->epochs;
+    uint64_t last = MAX(epochs->granted_epoch, epochs->recorded_epoch);
+
+    return last > 0 && last >= settled_below(owner) ? epochs->granted_until
+                                                    : cw_time_from_ms(0);
+}
+
 /* Returns when all leases have expired that earlier owners granted to the
  * worker; NULL: any worker. */
 static struct timespec
--- a/src/owner/owner_lease_terms.c
+++ b/src/owner/owner_lease_terms.c
@@ -17,9 +17,10 @@
     bool stored_long; /* the stored record allows long leases */
     bool in_flight;   /* another record may not be stored yet */
     bool in_flight_long;
-    bool longer_recorded; /* the last record leaves time to longer leases */
-    struct timespec longer_until; /* when they have expired */
-    struct timespec busy_at;      /* when a service was busy last */
+    struct timespec longer_until;   /* when longer leases have expired */
+    struct timespec recorded_until; /* the same for all leases on other terms,
+                                       as in the last record; 0: they have */
+    struct timespec busy_at;        /* when a service was busy last */
     struct timespec review_due;
 };
 
@@ -82,24 +83,39 @@
            owner_epochs_any_worker_reports_boot(owner);
 }
 
+/* Returns when the leases have expired that were granted on other terms than
+ * those that are recorded now: longer ones, and those of earlier epochs of
+ * this VM, whose records the present ones replace. */
+static struct timespec
+end_of_other_leases(const struct cw_owner *owner, bool allow_long)
+{
+    struct timespec end = owner_epochs_own_leases_end(owner);
+
+    return !allow_long && cw_time_before(end, owner->lease_terms->longer_until)
+               ? owner->lease_terms->longer_until
+               : end;
+}
+
 static void
 put_record(struct cw_owner *owner, struct owner_batch *batch, bool allow_long,
            struct timespec now)
 {
     struct owner_lease_terms *terms = owner->lease_terms;
     const GPtrArray *voters = owner_quorum_recorded(owner);
-    int64_t left_ms = cw_time_diff_ms(now, terms->longer_until);
+    struct timespec end = end_of_other_leases(owner, allow_long);
+    bool any_left = cw_time_before(now, end);
     struct cw_lease_terms_record record = {
         .epoch = owner->epoch,
         .lease_ms = allow_long ? (unsigned)owner_epochs_longest_lease_ms(owner)
                                : OWNER_SHORT_LEASE_MS,
-        .longer_left_ms = allow_long ? 0 : (unsigned)MAX(left_ms + 1, 0),
+        .longer_left_ms =
+            any_left ? (unsigned)cw_time_diff_ms(now, end) + 1 : 0,
         .voters = {.voters_len = voters->len,
                    .voters_val = (cw_name *)voters->pdata}};
 
+    terms->recorded_until = any_left ? end : cw_time_from_ms(0);
     terms->in_flight = true;
     terms->in_flight_long = allow_long;
-    terms->longer_recorded = record.longer_left_ms > 0;
     owner_batch_put(
         batch, cw_work_key(CW_WORK_KEY_LEASE_TERMS, owner->vm),
         cw_xdr_encode((xdrproc_t)xdr_cw_lease_terms_record, &record));
@@ -151,8 +167,8 @@
     const struct owner_lease_terms *terms = owner->lease_terms;
 
     return allow_long != terms->stored_long ||
-           (terms->longer_recorded &&
-            !cw_time_before(now, terms->longer_until)) ||
+           (terms->recorded_until.tv_sec > 0 &&
+            !cw_time_before(now, terms->recorded_until)) ||
            owner_quorum_change_wanted(owner);
 }
 
--- a/src/proto/cw_proto.x
+++ b/src/proto/cw_proto.x
@@ -194,8 +194,8 @@
 };
 
 /* Terms on which the owner grants leases in this epoch, from this record on.
- * Leases that were granted before it on other terms are over `longer_left_ms`
- * after it was written. */
+ * Leases that this VM granted before on other terms, also in earlier epochs, are
+ * over `longer_left_ms` after it was written. */
 struct cw_lease_terms_record {
     unsigned hyper epoch;
     unsigned int lease_ms;           /* longest lease granted */
--- a/tests/test_lease_terms.c
+++ b/tests/test_lease_terms.c
@@ -395,6 +395,29 @@
     fixture_end(&fixture);
 }
 
+/* Guards against TWICE: leases that a VM granted under an earlier epoch, whose
+ * records those of its present epoch replace. */
+static void
+test_record_names_leases_of_earlier_epochs(void)
+{
+    struct fixture fixture;
+    struct fake_peers peers;
+
+    begin(&fixture, &peers, PEERS);
+    take_over(&fixture);
+    CU_ASSERT_EQUAL(own_terms(&fixture)->longer_left_ms, 0);
+    owner_drop_ownership(fixture.owner, "test");
+    fixture.generation++;
+    take_over(&fixture);
+    CU_ASSERT_EQUAL(own_terms(&fixture)->epoch, fixture.owner->epoch);
+    CU_ASSERT_EQUAL(own_terms(&fixture)->lease_ms, OWNER_SHORT_LEASE_MS);
+    CU_ASSERT_TRUE(own_terms(&fixture)->longer_left_ms >=
+                   GRANTED_MS + GRANTED_MS / 50);
+    run(&fixture, LONG_MAX_MS + 1000);
+    CU_ASSERT_EQUAL(own_terms(&fixture)->longer_left_ms, 0);
+    fixture_end(&fixture);
+}
+
 /* Guards against TWICE: a start that is held up and reaches the next
  * incarnation of a worker, after a wait that only regards leases. */
 static void
@@ -451,6 +474,7 @@
      test_both_electorates_count_until_the_record_is_stored},
     {"starts", test_starts_wait_for_support},
     {"record of longer leases", test_record_names_longer_leases_from_before},
+    {"earlier epochs", test_record_names_leases_of_earlier_epochs},
     {"boot times", test_no_electorate_where_workers_report_boot_times},
     {"long lease", test_no_long_lease_before_it_is_recorded},
 };
