Owner: an end that an owner has written is not cut short by the bound without one

A written end may name workers with later bounds, as a start may be held up on its way to their next incarnation: those rows were cut to 12.6 s from the take-over (TWICE where workers keep their ids).

test_epochs "later row" fails without the change.

--- a/src/owner/owner_epochs.c
+++ b/src/owner/owner_epochs.c
@@ -175,23 +175,25 @@
     const struct cw_replica_lease_terms *terms = cw_replica_epoch_terms(epoch);
     int64_t lease_ms = terms != NULL ? terms->lease_ms : epoch->lease_ms;
     struct timespec end = end_of_open(owner, lease_ms);
-    struct timespec until;
+    struct timespec on_other_terms = cw_time_from_ms(0);
+    struct timespec supported;
 
-    if (owner_quorum_earlier_until(owner, epoch, &until)) {
-        /* It was granted as a time on the worker's clock, so that an order in
-         * flight does not extend it. */
-        cw_time_set_earlier(
-            &end, cw_time_add_ms(until, owner_lease_duration_ms(lease_ms)));
-    }
     if (terms != NULL) {
-        raise_to(&end, owner_lease_end_from_record(terms->read_at,
-                                                   terms->longer_left_ms));
+        on_other_terms =
+            owner_lease_end_from_record(terms->read_at, terms->longer_left_ms);
     }
+    raise_to(&end, on_other_terms);
     if (cw_replica_epoch_has_ended(epoch)) {
-        cw_time_set_earlier(
-            &end, owner_lease_end_from_record(
-                      epoch->end_read_at,
-                      cw_replica_epoch_lease_left_ms(epoch, worker)));
+        end = owner_lease_end_from_record(
+            epoch->end_read_at, cw_replica_epoch_lease_left_ms(epoch, worker));
+    }
+    if (owner_quorum_earlier_until(owner, epoch, &supported)) {
+        /* A lease is granted as a time on the worker's clock, so that an order
+         * in flight does not extend it. */
+        supported =
+            cw_time_add_ms(supported, owner_lease_duration_ms(lease_ms));
+        raise_to(&supported, on_other_terms);
+        cw_time_set_earlier(&end, supported);
     }
     return end;
 }
--- a/tests/test_epochs.c
+++ b/tests/test_epochs.c
@@ -748,6 +748,31 @@
     fixture_end(&fixture);
 }
 
+/* Guards against TWICE: a start that may be held up for longer than an owner
+ * without an end is waited for. */
+static void
+test_a_later_row_of_an_end_holds(void)
+{
+    struct cw_lease_left row = {.worker = (char *)"w",
+                                .left_ms = OPEN_BOUND_MS + LEFT_MS};
+    struct cw_epoch_end_record value = {
+        .epoch = EARLY_EPOCH,
+        .left_ms = LEFT_MS,
+        .sooner = {.sooner_len = 1, .sooner_val = &row}};
+    GByteArray *bytes =
+        cw_xdr_encode((xdrproc_t)xdr_cw_epoch_end_record, &value);
+    struct fixture fixture;
+
+    fixture_with_state(&fixture);
+    put_epoch(&fixture, "oa", EARLY_EPOCH, 1);
+    put(&fixture, CW_JOBS_TOPIC, "ea", bytes);
+    take_over(&fixture);
+    CU_ASSERT_TRUE(lease_left_ms(&fixture) >=
+                   OPEN_BOUND_MS + LEFT_MS - TOLERANCE_MS);
+    g_byte_array_unref(bytes);
+    fixture_end(&fixture);
+}
+
 /* Guards against a VM that has just started and waits for leases that it has
  * not granted, or that are known to be over. */
 static void
@@ -1107,6 +1132,7 @@
     {"membership", test_membership_does_not_renew_an_old_confirmation},
     {"settle", test_settled_is_written_when_earlier_leases_have_expired},
     {"settled", test_a_settled_epoch_holds_for_later_owners},
+    {"later row", test_a_later_row_of_an_end_holds},
     {"own settled", test_own_epochs_that_are_settled_are_not_waited_for},
     {"own not settled", test_own_epochs_that_are_not_settled_are_waited_for},
     {"lease notes", test_the_earlier_of_a_note_and_an_end_holds},
