Owner: one check of which earlier epochs may have leases

Found by reading the change again. Whether an epoch is another VM's and not settled stood twice, in the bound and in the new log lines; the last epoch of this VM was derived in two places with the same two fields. Each is a function now, and the log of one epoch another.

--- a/src/owner/owner_epochs.c
+++ b/src/owner/owner_epochs.c
@@ -166,6 +166,15 @@
                               lease_max_duration_ms(lease_ms));
 }
 
+/* True if the epoch is one of another VM and is not settled. */
+static bool
+may_have_leases(const struct cw_owner *owner, const char *vm,
+                const struct cw_replica_epoch *epoch, uint64_t settled)
+{
+    return epoch->epoch > 0 && epoch->epoch >= settled &&
+           strcmp(vm, owner->vm) != 0;
+}
+
 /* Returns when a lease expires that another VM granted to the worker; NULL:
  * any worker. */
 static struct timespec
@@ -209,25 +218,22 @@
     return end != NULL ? *end : epochs->granted_until;
 }
 
-/* True unless it is recorded that leases which this VM granted before its
- * present epoch, also those of a former process, have expired. */
-static bool
-own_leases_may_last(const struct cw_owner *owner, uint64_t settled)
+/* Returns this VM's last epoch before its present one, also of a former
+ * process; 0: none is known. */
+static uint64_t
+last_own_epoch(const struct owner_epochs *epochs)
 {
-    const struct owner_epochs *epochs = owner->epochs;
-
-    return settled == 0 || epochs->granted_epoch >= settled ||
-           epochs->recorded_epoch >= settled;
+    return MAX(epochs->granted_epoch, epochs->recorded_epoch);
 }
 
 struct timespec
 owner_epochs_own_leases_end(const struct cw_owner *owner)
 {
-    const struct owner_epochs *epochs = owner->epochs;
-    uint64_t last = MAX(epochs->granted_epoch, epochs->recorded_epoch);
+    uint64_t last = last_own_epoch(owner->epochs);
 
-    return last > 0 && last >= settled_below(owner) ? epochs->granted_until
-                                                    : cw_time_from_ms(0);
+    return last > 0 && last >= settled_below(owner)
+               ? owner->epochs->granted_until
+               : cw_time_from_ms(0);
 }
 
 /* Returns when all leases have expired that earlier owners granted to the
@@ -236,9 +242,12 @@
 end_of_earlier(const struct cw_owner *owner, const char *worker)
 {
     uint64_t settled = settled_below(owner);
-    struct timespec end = own_leases_may_last(owner, settled)
-                              ? end_of_own(owner->epochs, worker)
-                              : cw_time_from_ms(0);
+    /* While nothing is settled, a former process may have granted leases
+     * without a record. */
+    struct timespec end =
+        settled == 0 || last_own_epoch(owner->epochs) >= settled
+            ? end_of_own(owner->epochs, worker)
+            : cw_time_from_ms(0);
     GHashTableIter iterator;
     gpointer vm;
     gpointer value;
@@ -251,8 +260,7 @@
     while (g_hash_table_iter_next(&iterator, &vm, &value)) {
         const struct cw_replica_epoch *epoch = value;
 
-        if (epoch->epoch > 0 && epoch->epoch >= settled &&
-            strcmp(vm, owner->vm) != 0) {
+        if (may_have_leases(owner, vm, epoch, settled)) {
             raise_to(&end, end_of_other(owner, epoch, worker));
         }
     }
@@ -279,6 +287,26 @@
     return end;
 }
 
+static void
+log_earlier_epoch(const struct cw_owner *owner, const char *vm,
+                  const struct cw_replica_epoch *epoch, struct timespec now)
+{
+    const struct cw_replica_lease_terms *terms = cw_replica_epoch_terms(epoch);
+    struct timespec until = now;
+    bool known = owner_quorum_earlier_until(owner, epoch, &until);
+
+    cw_log_info("earlier_epoch",
+                "shard=%u epoch=%" PRIu64 " vm=%s earlier=%" PRIu64
+                " ended=%d lease_ms=%u voters=%d support_known=%d "
+                "support_left_ms=%" PRId64 " left_ms=%" PRId64,
+                owner->options.partition, owner->epoch, vm, epoch->epoch,
+                cw_replica_epoch_has_ended(epoch),
+                terms != NULL ? terms->lease_ms : epoch->lease_ms,
+                terms != NULL ? (int)terms->voters->len : -1, known,
+                cw_time_diff_ms(now, until),
+                cw_time_diff_ms(now, end_of_other(owner, epoch, NULL)));
+}
+
 /* Logs what is known of each earlier owner whose leases may last. */
 static void
 log_earlier_epochs(const struct cw_owner *owner, struct timespec now)
@@ -291,26 +319,9 @@
     g_hash_table_iter_init(&iterator,
                            cw_replica_epochs(owner->options.replica));
     while (g_hash_table_iter_next(&iterator, &vm, &value)) {
-        const struct cw_replica_epoch *epoch = value;
-        const struct cw_replica_lease_terms *terms =
-            cw_replica_epoch_terms(epoch);
-        struct timespec until = now;
-        bool known = owner_quorum_earlier_until(owner, epoch, &until);
-
-        if (epoch->epoch == 0 || epoch->epoch < settled ||
-            strcmp(vm, owner->vm) == 0) {
-            continue;
+        if (may_have_leases(owner, vm, value, settled)) {
+            log_earlier_epoch(owner, vm, value, now);
         }
-        cw_log_info("earlier_epoch",
-                    "shard=%u epoch=%" PRIu64 " vm=%s earlier=%" PRIu64
-                    " ended=%d lease_ms=%u voters=%d support_known=%d "
-                    "support_left_ms=%" PRId64 " left_ms=%" PRId64,
-                    owner->options.partition, owner->epoch, (const char *)vm,
-                    epoch->epoch, cw_replica_epoch_has_ended(epoch),
-                    terms != NULL ? terms->lease_ms : epoch->lease_ms,
-                    terms != NULL ? (int)terms->voters->len : -1, known,
-                    cw_time_diff_ms(now, until),
-                    cw_time_diff_ms(now, end_of_other(owner, epoch, NULL)));
     }
 }
 
