--- a/src/relay/internal/relay_private.h
+++ b/src/relay/internal/relay_private.h
@@ -167,6 +167,9 @@
 struct peer *
 relay_find_peer(const struct cw_relay *relay, const char *address);
 
+/* Records that the VM at the address has answered, if it is known. */
+void relay_peer_answered(struct cw_relay *relay, const char *address);
+
 /* Returns the VM that was chosen last or, if that is avoided, the next one
  * that is not; NULL if all are avoided. */
 struct peer *relay_choose_peer(struct cw_relay *relay, struct timespec now);
--- a/src/relay/relay_peers.c
+++ b/src/relay/relay_peers.c
@@ -84,6 +84,16 @@
     return NULL;
 }
 
+void
+relay_peer_answered(struct cw_relay *relay, const char *address)
+{
+    struct peer *peer = relay_find_peer(relay, address);
+
+    if (peer != NULL) {
+        peer->answered_at = relay_now(relay);
+    }
+}
+
 struct peer *
 relay_choose_peer(struct cw_relay *relay, struct timespec now)
 {
@@ -208,10 +218,9 @@
 on_ping_answer(void *context, const struct cw_relay_answer *answer)
 {
     struct ping *ping = context;
-    struct peer *peer = relay_find_peer(ping->relay, ping->address);
 
-    if (answer != NULL && peer != NULL) {
-        peer->answered_at = relay_now(ping->relay);
+    if (answer != NULL) {
+        relay_peer_answered(ping->relay, ping->address);
     }
     g_free(ping->address);
     g_free(ping);
--- a/src/relay/relay_support.c
+++ b/src/relay/relay_support.c
@@ -58,15 +58,12 @@
 on_support_answer(void *context, const struct cw_relay_answer *message)
 {
     struct support_call *call = context;
-    struct peer *peer = relay_find_peer(call->relay, call->address);
     struct cw_peers_answer answer = {0};
 
     if (message != NULL) {
         answer.supported = message->status == CW_STORE_OK;
         answer.lower_left_ms = (int64_t)message->first - (int64_t)message->end;
-        if (peer != NULL) {
-            peer->answered_at = relay_now(call->relay);
-        }
+        relay_peer_answered(call->relay, call->address);
     }
     call->done(call->context, &answer);
     g_free(call->address);
