Owner: an electorate is logged once, and nobody is asked where none is needed

Where workers report when they booted there is no electorate, but up to seven VMs were asked for support all the same; the list of those who may be asked is one function, which is empty there.

--- a/src/owner/owner_quorum.c
+++ b/src/owner/owner_quorum.c
@@ -60,6 +60,7 @@
     GPtrArray *electorate; /* addresses, as stored; empty: no support needed */
     GPtrArray *unstored;   /* those of a record in flight, or NULL */
     GPtrArray *wanted;     /* those of the next record, or NULL */
+    const char *reason;    /* for that record */
     GPtrArray *calls;      /* struct call */
     struct timespec begun_at;
     struct timespec changed_at;
@@ -366,21 +367,31 @@
            cw_time_diff_ms(voter->unanswered_since, now) < UNRESPONSIVE_MS;
 }
 
+/* Returns the addresses of the other VMs that may be in an electorate: none
+ * where workers report when they booted.  Borrowed texts. */
+static GPtrArray *
+list_candidates(struct cw_owner *owner)
+{
+    struct cw_peers *peers = owner->options.peers;
+    GPtrArray *all = g_ptr_array_new();
+
+    if (!owner_epochs_any_worker_reports_boot(owner)) {
+        peers->ops->addresses(peers, all);
+    }
+    return all;
+}
+
 /* Chooses an electorate from the other VMs that are not unresponsive and, with
  * `supporting`, support this owner.  Sorted addresses tend to be grouped by
  * data centre; the choice is spread over them. */
 static GPtrArray *
 choose_electorate(struct cw_owner *owner, bool supporting, struct timespec now)
 {
-    struct cw_peers *peers = owner->options.peers;
-    GPtrArray *all = g_ptr_array_new();
+    GPtrArray *all = list_candidates(owner);
     GPtrArray *eligible = g_ptr_array_new();
     GPtrArray *chosen = address_list_new();
     guint count;
 
-    if (!owner_epochs_any_worker_reports_boot(owner)) {
-        peers->ops->addresses(peers, all);
-    }
     for (guint i = 0; i < all->len; i++) {
         const struct voter_state *voter =
             g_hash_table_lookup(owner->quorum->voters, all->pdata[i]);
@@ -404,25 +415,6 @@
     return chosen;
 }
 
-static void
-log_electorate(const struct cw_owner *owner, const GPtrArray *electorate,
-               const char *reason)
-{
-    GString *addresses = g_string_new(NULL);
-
-    for (guint i = 0; i < electorate->len; i++) {
-        g_string_append_printf(addresses, "%s%s", i > 0 ? "," : "",
-                               (const char *)electorate->pdata[i]);
-    }
-    cw_log_info("electorate",
-                "shard=%u epoch=%" PRIu64
-                " reason=%s voters=%u before=%u addresses=%s",
-                owner->options.partition, owner->epoch, reason,
-                electorate->len, owner->quorum->electorate->len,
-                addresses->str);
-    g_string_free(addresses, TRUE);
-}
-
 void
 owner_quorum_begin(struct cw_owner *owner)
 {
@@ -436,7 +428,7 @@
     quorum->begun_at = now;
     quorum->request_due = now;
     quorum->wanted = choose_electorate(owner, false, now);
-    log_electorate(owner, quorum->wanted, "begin");
+    quorum->reason = "begin";
 }
 
 void
@@ -510,7 +502,7 @@
     reason = reason_to_change(owner, other, now);
     if (reason != NULL) {
         quorum->wanted = other;
-        log_electorate(owner, other, reason);
+        quorum->reason = reason;
     }
     else {
         g_ptr_array_unref(other);
@@ -523,6 +515,25 @@
     return owner->quorum->wanted != NULL;
 }
 
+static void
+log_unstored(const struct cw_owner *owner)
+{
+    const struct owner_quorum *quorum = owner->quorum;
+    const GPtrArray *electorate = quorum->unstored;
+    GString *addresses = g_string_new(NULL);
+
+    for (guint i = 0; i < electorate->len; i++) {
+        g_string_append_printf(addresses, "%s%s", i > 0 ? "," : "",
+                               (const char *)electorate->pdata[i]);
+    }
+    cw_log_info("electorate",
+                "shard=%u epoch=%" PRIu64
+                " reason=%s voters=%u before=%u addresses=%s",
+                owner->options.partition, owner->epoch, quorum->reason,
+                electorate->len, quorum->electorate->len, addresses->str);
+    g_string_free(addresses, TRUE);
+}
+
 const GPtrArray *
 owner_quorum_recorded(struct cw_owner *owner)
 {
@@ -532,6 +543,7 @@
         quorum->unstored = quorum->wanted;
         quorum->wanted = NULL;
         quorum->changed_at = owner_now(owner);
+        log_unstored(owner);
         return quorum->unstored;
     }
     return quorum->electorate;
@@ -574,10 +586,8 @@
 add_others(struct cw_owner *owner, GPtrArray *list)
 {
     struct owner_quorum *quorum = owner->quorum;
-    struct cw_peers *peers = owner->options.peers;
-    GPtrArray *all = g_ptr_array_new();
+    GPtrArray *all = list_candidates(owner);
 
-    peers->ops->addresses(peers, all);
     for (guint i = 0; i < all->len && list->len < VOTERS_MAX; i++) {
         add_address(list, all->pdata[(quorum->next_other + i) % all->len]);
     }
