--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -31,6 +31,10 @@
     /* Number of connections, beginning with the oldest, that are no longer
      * answered. */
     unsigned unresponsive_count;
+    /* Number of connections, beginning with the oldest, that are closed when a
+     * request was read from them. */
+    unsigned closing_count;
+    unsigned requests;   /* that were read */
     unsigned unanswered; /* requests that were read and not answered yet */
     bool paused;         /* no request is answered */
     bool stop;
@@ -52,6 +56,11 @@
         "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
     if (read_request(server->connections[index])) {
+        server->requests++;
+        if (index < server->closing_count) {
+            shutdown(server->connections[index], SHUT_RDWR);
+            return;
+        }
         has_request[index] = true;
         server->unanswered++;
     }
@@ -153,11 +162,14 @@
 }
 
 static void
-request(struct cw_http_client *client, uint16_t port, struct answers *answers,
-        long timeout_ms)
+request_with_body(struct cw_http_client *client, uint16_t port,
+                  struct answers *answers, long timeout_ms, const char *body)
 {
     char url[64];
     struct cw_http_request request = {.url = url,
+                                      .body = body,
+                                      .length =
+                                          body != NULL ? strlen(body) : 0,
                                       .timeout_ms = timeout_ms,
                                       .done = on_done,
                                       .context = answers};
@@ -166,6 +178,13 @@
     cw_http_client_send(client, &request);
 }
 
+static void
+request(struct cw_http_client *client, uint16_t port, struct answers *answers,
+        long timeout_ms)
+{
+    request_with_body(client, port, answers, timeout_ms, NULL);
+}
+
 /* Sends three requests at a time, so that three connections are open and idle
  * afterwards. */
 static void
@@ -256,10 +275,46 @@
     close(listener);
 }
 
+/* Sends one request, which is answered, and one for which the server closes
+ * the connection that is still open. */
+static void
+break_reused_connection(struct cw_http_client *client, struct server *server,
+                        struct answers *answers, const char *body)
+{
+    request_with_body(client, server->port, answers, LONG_TIMEOUT_MS, body);
+    answers_wait(answers, 1);
+    pthread_mutex_lock(&server->lock);
+    server->closing_count = 1;
+    pthread_mutex_unlock(&server->lock);
+    request_with_body(client, server->port, answers, LONG_TIMEOUT_MS, body);
+    answers_wait(answers, 2);
+}
+
+/* TWICE: the server may execute a request although its connection is closed
+ * before an answer.  If the client sent the request again, the answer to the
+ * second copy, such as a refusal, would be taken for the only one. */
+static void
+test_a_post_without_an_answer_is_not_sent_again(void)
+{
+    struct server server = {0};
+    struct answers answers = {.lock = PTHREAD_MUTEX_INITIALIZER,
+                              .changed = PTHREAD_COND_INITIALIZER};
+    struct cw_http_client *client = cw_http_client_create(NULL);
+
+    server_start(&server);
+    break_reused_connection(client, &server, &answers, "body");
+    CU_ASSERT_EQUAL(answers.ok, 1);
+    CU_ASSERT_EQUAL(answers.unsent, 0);
+    CU_ASSERT_EQUAL(server.requests, 2);
+    cw_http_client_free(client);
+    server_stop(&server);
+}
+
 static const struct test tests[] = {
     {"unresponsive connections",
      test_one_timeout_retires_all_unresponsive_connections},
     {"never sent", test_a_request_never_sent_is_reported_as_unsent},
+    {"sent once", test_a_post_without_an_answer_is_not_sent_again},
 };
 
 TEST_MAIN("http_client", tests)
