--- a/src/http/http_client.c
+++ b/src/http/http_client.c
@@ -16,6 +16,7 @@
 #include <curl/curl.h>
 #include <glib.h>
 
+#include "curlewcart/cw_log.h"
 #include "curlewcart/cw_sanitize.h"
 #include "curlewcart/cw_time.h"
 #include "http/internal/http_watch.h"
@@ -46,6 +47,7 @@
     char *content_type;
     char **extra_headers; /* may be NULL */
     long timeout_ms;
+    unsigned attempts; /* connections that it was, or is to be, sent on */
     cw_http_done done;
     void *context;
     struct lane *lane;
@@ -103,6 +105,27 @@
     return size * n;
 }
 
+/* Called by libcurl each time it is about to send the request.  It sends a
+ * request again by itself if it was sent on a connection that had been used
+ * before, and that connection fails before an answer. */
+static int
+on_connected(void *context, char *peer, char *local, int peer_port,
+             int local_port)
+{
+    struct transfer *transfer = context;
+
+    (void)peer;
+    (void)local;
+    (void)peer_port;
+    (void)local_port;
+    transfer->attempts++;
+    if (transfer->attempts > 1) {
+        cw_log_info("request_resent", "url=%s post=%d attempt=%u",
+                    transfer->url, transfer->post, transfer->attempts);
+    }
+    return CURL_PREREQFUNC_OK;
+}
+
 static void
 set_options(struct transfer *transfer)
 {
@@ -113,6 +136,8 @@
     curl_easy_setopt(easy, CURLOPT_PRIVATE, transfer);
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_body);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer);
+    curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, on_connected);
+    curl_easy_setopt(easy, CURLOPT_PREREQDATA, transfer);
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(easy, CURLOPT_PROXY, "");
     curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http,https");
