HTTP client: a POST is sent once

Cause: libcurl repeats a request by itself, POST or not, when a connection that had been used before fails before an answer. The owner sees only the answer to the last copy. When that is a refusal (503 or 409 room), the run counts as never started and its task is placed again at once, while the worker carries out the first copy, which it had held back. Class of fault: a transport that repeats a request which may be executed twice.

The start of each doubled run that was traced has outcome=unhealthy, after request_resent lines for its address. tests/test_http_client.c "sent once" failed: two copies read, one reported.

Change: a POST of which a part was sent fails instead, as an order or append without an answer, which all callers handle (the outcome is unknown). A GET is repeated as before.

--- a/include/curlewcart/cw_http_client.h
+++ b/include/curlewcart/cw_http_client.h
@@ -11,10 +11,11 @@
 
 struct cw_http_client;
 
-/* Result of a request.  A status of 0 means that there was no answer. */
+/* Result of a request.  A status of 0 means that there was no answer: a POST
+ * may or may not be executed, now or later, unless it is `unsent`. */
 struct cw_http_result {
     long status;
-    bool unsent;      /* no connection was made: the request was never sent */
+    bool unsent;      /* no part of the request was ever sent */
     const char *body; /* borrowed during the callback */
     size_t length;
     size_t bytes; /* sent and received, with headers */
@@ -65,7 +66,8 @@
  * without a callback. */
 void cw_http_client_free(struct cw_http_client *client);
 
-/* Queues a request.  Safe from any thread; never blocks. */
+/* Queues a request.  Safe from any thread; never blocks.  A POST is sent once;
+ * a GET is sent again if a connection that had been used before fails. */
 void cw_http_client_send(struct cw_http_client *client,
                          const struct cw_http_request *request);
 
--- a/src/http/http_client.c
+++ b/src/http/http_client.c
@@ -47,7 +47,6 @@
     char *content_type;
     char **extra_headers; /* may be NULL */
     long timeout_ms;
-    unsigned attempts; /* connections that it was, or is to be, sent on */
     cw_http_done done;
     void *context;
     struct lane *lane;
@@ -105,9 +104,21 @@
     return size * n;
 }
 
-/* Called by libcurl each time it is about to send the request.  It sends a
- * request again by itself if it was sent on a connection that had been used
- * before, and that connection fails before an answer. */
+/* True if a part of the request was passed to a connection. */
+static bool
+was_sent(const struct transfer *transfer)
+{
+    long request_bytes = 0;
+
+    /* 0 as well if the timeout expired before a connection was established. */
+    curl_easy_getinfo(transfer->easy, CURLINFO_REQUEST_SIZE, &request_bytes);
+    return request_bytes > 0;
+}
+
+/* Called by libcurl each time it is about to send the request.  libcurl sends
+ * a request again by itself if a connection that had been used before fails
+ * before an answer.  The peer may execute a POST twice then, also after it has
+ * refused the second copy, so a POST is sent once. */
 static int
 on_connected(void *context, char *peer, char *local, int peer_port,
              int local_port)
@@ -118,12 +129,12 @@
     (void)local;
     (void)peer_port;
     (void)local_port;
-    transfer->attempts++;
-    if (transfer->attempts > 1) {
-        cw_log_info("request_resent", "url=%s post=%d attempt=%u",
-                    transfer->url, transfer->post, transfer->attempts);
+    if (!was_sent(transfer)) {
+        return CURL_PREREQFUNC_OK;
     }
-    return CURL_PREREQFUNC_OK;
+    cw_log_info("request_repeated", "url=%s post=%d outcome=%s", transfer->url,
+                transfer->post, transfer->post ? "no_answer" : "sent");
+    return transfer->post ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
 }
 
 static void
@@ -313,13 +324,7 @@
         result.bytes = wire_bytes(transfer);
     }
     else {
-        long request_bytes = 0;
-
-        /* CURLINFO_REQUEST_SIZE is also 0 if the timeout expired before a
-         * connection was established. */
-        curl_easy_getinfo(transfer->easy, CURLINFO_REQUEST_SIZE,
-                          &request_bytes);
-        result.unsent = request_bytes == 0;
+        result.unsent = !was_sent(transfer);
         if (code == CURLE_OPERATION_TIMEDOUT) {
             suspect_host(client, transfer);
         }
--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -310,11 +310,29 @@
     server_stop(&server);
 }
 
+/* A GET changes nothing, so it need not fail with its connection. */
+static void
+test_a_get_without_an_answer_is_sent_again(void)
+{
+    struct server server = {0};
+    struct answers answers = {.lock = PTHREAD_MUTEX_INITIALIZER,
+                              .changed = PTHREAD_COND_INITIALIZER};
+    struct cw_http_client *client = cw_http_client_create(NULL);
+
+    server_start(&server);
+    break_reused_connection(client, &server, &answers, NULL);
+    CU_ASSERT_EQUAL(answers.ok, 2);
+    CU_ASSERT_EQUAL(server.requests, 3);
+    cw_http_client_free(client);
+    server_stop(&server);
+}
+
 static const struct test tests[] = {
     {"unresponsive connections",
      test_one_timeout_retires_all_unresponsive_connections},
     {"never sent", test_a_request_never_sent_is_reported_as_unsent},
     {"sent once", test_a_post_without_an_answer_is_not_sent_again},
+    {"sent again", test_a_get_without_an_answer_is_sent_again},
 };
 
 TEST_MAIN("http_client", tests)
