Limit per worker: runs that were given up count

A step with `anti_affinity` got another task on a worker on which a run of the step still was.

Cause: the limit counted the runs that the owner wants on the worker. An orphan, a run that was given up and that the worker still lists, took resources there, but did not count against its step's limit until it had ended.

Change: owner_orphans.c keeps the orphans that a worker has listed with their job, occurrence and step, beside the sum of their resources, and the limit counts them. Steps without a limit, and workers without orphans, cost no more than before.

--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -209,9 +209,9 @@
     struct cw_resources used_by_stopping;
     unsigned stopping;            /* number of those runs */
     struct cw_resources reserved; /* for runs in RUN_RESERVED */
-    /* Used by listed runs that are no task's current run. */
-    struct cw_resources orphans;
-    bool listed; /* the store has its report */
+    struct cw_resources orphans;  /* used by orphans; owner_orphans.c */
+    GArray *orphan_runs;          /* struct owner_orphan */
+    bool listed;                  /* the store has its report */
     bool draining;
     /* While draining: it does not shut down before. */
     struct timespec drain_until;
@@ -881,6 +881,28 @@
 owner_poll_tick(struct cw_owner *owner, struct owner_target *target,
                 struct timespec now);
 
+/* ---- owner_orphans.c ---- */
+
+/* Creates an empty array for a worker's orphans. */
+GArray *owner_orphans_new(void);
+
+/* Removes all orphans of the worker: it lists them anew. */
+void owner_orphans_reset(struct owner_target *target);
+
+/* Adds an orphan that the worker has listed. */
+void
+owner_orphan_add(struct owner_target *target, const struct cw_task_name *task);
+
+/* Returns the number of the step's orphans on the worker. */
+unsigned owner_orphans_of_step(const struct owner_target *target,
+                               const struct owner_step *step);
+
+static inline bool
+owner_target_has_orphans(const struct owner_target *target)
+{
+    return target->orphan_runs->len > 0;
+}
+
 /* ---- owner_tombstones.c ---- */
 
 /* Creates an empty array for a worker's tombstones. */
--- a/src/owner/owner_candidates.c
+++ b/src/owner/owner_candidates.c
@@ -36,11 +36,11 @@
 
 /* ---- restrictions of a step ---- */
 
-/* Returns the number of the step's runs on the worker. */
+/* Returns the number of the step's runs and orphans on the worker. */
 static unsigned
 run_count_on(const struct owner_step *step, const struct owner_target *target)
 {
-    unsigned count = 0;
+    unsigned count = owner_orphans_of_step(target, step);
 
     for (unsigned i = 0; i < step->count; i++) {
         if (step->tasks[i].run != NULL && step->tasks[i].run->target == target)
--- a/src/owner/owner_polls.c
+++ b/src/owner/owner_polls.c
@@ -115,17 +115,6 @@
     return task->run;
 }
 
-/* Returns the resources that an orphan uses; the whole worker's if its job is
- * not known any more. */
-static struct cw_resources
-orphan_need(const struct cw_owner *owner, const struct owner_target *target,
-            const struct cw_running *listed)
-{
-    const struct owner_task *task = owner_task_find(owner, &listed->task);
-
-    return task != NULL ? owner_step_need(task->step->spec) : target->capacity;
-}
-
 /* Stops an orphan: a run whose start was carried out late, or that was given
  * up.  Until it has ended it counts as using resources: a worker that does not
  * enforce its capacity would be overloaded otherwise. */
@@ -133,9 +122,7 @@
 stop_orphan(struct cw_owner *owner, struct owner_target *target,
             const struct cw_running *listed)
 {
-    struct cw_resources need = orphan_need(owner, target, listed);
-
-    owner_resources_add(&target->orphans, &need);
+    owner_orphan_add(target, &listed->task);
     cw_log_info("orphan_run", "id=%s task=%u.%u.%u run=%u worker=%s",
                 listed->task.job, listed->task.occurrence, listed->task.step,
                 listed->task.index, listed->run, target->id);
@@ -231,13 +218,6 @@
     owner_crashes_confirmed(owner, target, answer->boot_ms);
 }
 
-static bool
-has_orphans(const struct owner_target *target)
-{
-    return target->orphans.accelerators > 0 || target->orphans.cpu_milli > 0 ||
-           target->orphans.memory_mb > 0;
-}
-
 /* Logs gaps in the numbers of ends, which are consecutive.  An end that was
  * never listed to this owner and is not listed now was confirmed to the worker
  * by an owner that had not received it. */
@@ -267,9 +247,9 @@
             const struct cw_target_answer *answer, struct timespec sent,
             struct timespec now)
 {
-    bool had_orphans = has_orphans(target);
+    bool had_orphans = owner_target_has_orphans(target);
 
-    target->orphans = (struct cw_resources){0};
+    owner_orphans_reset(target);
     for (size_t i = 0; i < answer->running_count; i++) {
         struct owner_run *run =
             find_listed_run(owner, target, &answer->running[i]);
@@ -299,7 +279,7 @@
         owner_gang_ends_all_listed(target, sent);
         drop_absent(owner, target, answer, sent);
     }
-    if (had_orphans && !has_orphans(target)) {
+    if (had_orphans && !owner_target_has_orphans(target)) {
         owner->capacity_version++;
         owner->placement_wanted = true;
         owner_runs_promote_reserved(owner, target);
@@ -584,7 +564,7 @@
     const struct owner_incarnation *incarnation = &target->incarnation;
     bool blocked = incarnation->ends_applied > incarnation->ends_durable ||
                    (has_unconfirmed(target) && acked == 0);
-    bool waits = target->runs->len > 0 || has_orphans(target);
+    bool waits = target->runs->len > 0 || owner_target_has_orphans(target);
 
     /* While there is a lease note, polls don't extend the lease, and the
      * worker has to answer at once. */
@@ -739,7 +719,8 @@
         return cw_time_add_ms(now, IDLE_POLL_RETRY_MS);
     }
     if (target->runs->len == 0 && target->unanswered_polls == 0 &&
-        target->answered && !has_orphans(target) && !has_unconfirmed(target))
+        target->answered && !owner_target_has_orphans(target) &&
+        !has_unconfirmed(target))
     {
         due =
             cw_time_add_ms(target->poll_sent_at, idle_poll_interval_ms(owner));
--- a/src/owner/owner_targets.c
+++ b/src/owner/owner_targets.c
@@ -42,6 +42,7 @@
     g_ptr_array_unref(target->runs);
     g_array_unref(target->pending_suspicions);
     g_ptr_array_unref(target->tombstones);
+    g_array_unref(target->orphan_runs);
     clear_orders(&target->orders);
     g_free(target->id);
     g_free(target->address);
@@ -68,6 +69,7 @@
         target->runs = g_ptr_array_new();
         target->pending_suspicions = owner_pending_suspicions_new();
         target->tombstones = owner_tombstones_new();
+        target->orphan_runs = owner_orphans_new();
         g_queue_init(&target->orders);
         g_hash_table_insert(owner->targets, target->id, target);
         owner_target_wake(target);
