Starts: label and service are checked again when one is sent

Cause: whether a step may use a worker was compared with the worker's report at the placement only. Between that and the sending, which waits for the store, a report may tell another kind, rack, data centre or service of the worker; the start was sent all the same, and sent again if it had no answer.

Evidence: tests "label gone", "label gone, sent again" and "other service" of test_limits failed before (3 of 3).

Change: is_still_needed withdraws a run whose worker its step may not use any more, and logs `start_withheld`; one whose start had no answer is stopped.

--- a/src/owner/owner_orders.c
+++ b/src/owner/owner_orders.c
@@ -1,6 +1,6 @@
 /* Start and stop orders: queueing and sending them, and handling answers. */
 #include "owner/internal/owner_addresses.h"
-#include "owner/internal/owner_private.h"
+#include "owner/internal/owner_placement.h"
 
 #include <string.h>
 
@@ -324,6 +324,23 @@
            owner_target_capacity_known(target, now);
 }
 
+/* True if the run may not start on its worker any more: since the placement
+ * the worker may have reported another kind, rack or service. */
+static bool
+is_disallowed(const struct owner_run *run)
+{
+    struct cw_task_name name = owner_task_name(run->task);
+
+    if (owner_step_allows_target(run->task->step, run->target)) {
+        return false;
+    }
+    cw_log_info("start_withheld",
+                "id=%s task=%u.%u.%u run=%u worker=%s reason=%s phase=%s",
+                name.job, name.occurrence, name.step, name.index, run->number,
+                run->target->id, "worker", owner_run_phase_name(run->phase));
+    return true;
+}
+
 /* False if the order is no longer needed. */
 static bool
 is_still_needed(struct owner_order *order, struct timespec now)
@@ -350,10 +367,11 @@
         withdraw_run(order->owner, run);
         return false;
     }
-    if (!fits_still(run->target, now) ||
+    if (is_disallowed(run) || !fits_still(run->target, now) ||
         (run->phase == RUN_READY && run->target->unanswered_polls > 0))
     {
-        /* The worker would refuse the run, be overloaded, or not answer. */
+        /* The step may not use the worker, or the worker would refuse the run,
+         * be overloaded, or not answer. */
         withdraw_run(order->owner, run);
         return false;
     }
--- a/tests/test_limits.c
+++ b/tests/test_limits.c
@@ -9,6 +9,8 @@
 
 static const struct cw_step_spec apart = {
     .tasks = 2, .accelerators = 1, .most_per_worker = 1};
+static const struct cw_step_spec labelled = {
+    .tasks = 1, .accelerators = 1, .label = (char *)"even"};
 
 /* Leaves only the worker w00, whose kind is "even". */
 static struct owner_target *
@@ -105,10 +107,111 @@
     cluster_end(&cluster);
 }
 
+/* ---- workers that have changed since the placement ---- */
+
+/* Applies a report of the worker w00 by which its kind and service are these.
+ */
+static void
+report(struct cluster *cluster, const char *kind, const char *service)
+{
+    const struct cw_target_report changed = {
+        .id = "w00",
+        .service = service,
+        .address = "w00",
+        .dc = "",
+        .rack = "r0",
+        .kind = kind,
+        .capacity = {.cpu_milli = 32000,
+                     .memory_mb = 65536,
+                     .accelerators = ACCELERATORS}};
+
+    owner_target_apply_report(cluster->owner, &changed);
+}
+
+/* Sends the orders of the worker, with the start of the job's first task. */
+static void
+send_start(struct cluster *cluster, struct owner_target *target,
+           const struct owner_job *job)
+{
+    struct owner_run *run = step_of(job)->tasks[0].run;
+    struct cw_task_name name = owner_task_name(run->task);
+
+    owner_order_queue(cluster->owner, target, CW_ORDER_START, &name,
+                      run->number);
+    last_order = (struct cw_target_order){.kind = CW_ORDER_POLL};
+    cluster->owner->ownership_confirmed_at = cluster->clock.now;
+    (void)owner_orders_send(cluster->owner, target, cluster->clock.now);
+}
+
+/* Places a task that requires a label on a worker, which then has another kind
+ * or service; true if its start is not sent. */
+static bool
+is_withheld_after_report(const char *kind, const char *service)
+{
+    struct cluster cluster;
+    struct owner_target *target;
+    struct owner_job *job;
+    bool is_withheld;
+
+    cluster_begin(&cluster);
+    target = list_only_one(&cluster);
+    job = add_job(&cluster, 1, &labelled);
+    pass(&cluster, 10);
+    CU_ASSERT_PTR_EQUAL_FATAL(worker_of(job, 0), target);
+    report(&cluster, kind, service);
+    step_of(job)->tasks[0].run->phase = RUN_READY;
+    send_start(&cluster, target, job);
+    is_withheld = last_order.kind != CW_ORDER_START && placed(job) == 0;
+    pass(&cluster, 10);
+    CU_ASSERT_EQUAL(placed(job), !is_withheld);
+    cluster_end(&cluster);
+    return is_withheld;
+}
+
+static void
+test_a_start_is_not_sent_if_the_label_is_gone(void)
+{
+    CU_ASSERT_FALSE(is_withheld_after_report("even", "s"));
+    CU_ASSERT_TRUE(is_withheld_after_report("odd", "s"));
+}
+
+static void
+test_a_start_is_not_sent_to_another_service(void)
+{
+    CU_ASSERT_TRUE(is_withheld_after_report("even", "other"));
+}
+
+static void
+test_a_start_is_not_repeated_if_the_label_is_gone(void)
+{
+    struct cluster cluster;
+    struct owner_target *target;
+    struct owner_job *job;
+    struct owner_run *run;
+
+    cluster_begin(&cluster);
+    target = list_only_one(&cluster);
+    job = add_job(&cluster, 1, &labelled);
+    pass(&cluster, 10);
+    run = step_of(job)->tasks[0].run;
+    run->phase = RUN_STARTING;
+    run->unanswered = 1;
+    report(&cluster, "odd", "s");
+    send_start(&cluster, target, job);
+    CU_ASSERT_EQUAL(last_order.kind, CW_ORDER_STOP);
+    CU_ASSERT_PTR_EQUAL(step_of(job)->tasks[0].run, run);
+    CU_ASSERT_TRUE(run->stopping);
+    cluster_end(&cluster);
+}
+
 static const struct test tests[] = {
     {"given up", test_a_run_that_was_given_up_counts_until_it_is_gone},
     {"given up, other step",
      test_a_run_that_was_given_up_counts_for_its_own_step_only},
+    {"label gone", test_a_start_is_not_sent_if_the_label_is_gone},
+    {"label gone, sent again",
+     test_a_start_is_not_repeated_if_the_label_is_gone},
+    {"other service", test_a_start_is_not_sent_to_another_service},
 };
 
 TEST_MAIN("limits", tests)
