--- a/src/http/http_client.c
+++ b/src/http/http_client.c
@@ -16,6 +16,7 @@
 #include <curl/curl.h>
 #include <glib.h>
 
+#include "curlewcart/cw_log.h"
 #include "curlewcart/cw_sanitize.h"
 #include "curlewcart/cw_time.h"
 #include "http/internal/http_watch.h"
@@ -103,6 +104,39 @@
     return size * n;
 }
 
+/* True if a part of the request was passed to a connection. */
+static bool
+was_sent(const struct transfer *transfer)
+{
+    long request_bytes = 0;
+
+    /* 0 as well if the timeout expired before a connection was established. */
+    curl_easy_getinfo(transfer->easy, CURLINFO_REQUEST_SIZE, &request_bytes);
+    return request_bytes > 0;
+}
+
+/* Called by libcurl each time it is about to send the request.  libcurl sends
+ * a request again by itself if a connection that had been used before fails
+ * before an answer.  The peer may execute a POST twice then, also after it has
+ * refused the second copy, so a POST is sent once. */
+static int
+on_connected(void *context, char *peer, char *local, int peer_port,
+             int local_port)
+{
+    struct transfer *transfer = context;
+
+    (void)peer;
+    (void)local;
+    (void)peer_port;
+    (void)local_port;
+    if (!was_sent(transfer)) {
+        return CURL_PREREQFUNC_OK;
+    }
+    cw_log_info("request_repeated", "url=%s post=%d outcome=%s", transfer->url,
+                transfer->post, transfer->post ? "no_answer" : "sent");
+    return transfer->post ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+}
+
 static void
 set_options(struct transfer *transfer)
 {
@@ -113,6 +147,8 @@
     curl_easy_setopt(easy, CURLOPT_PRIVATE, transfer);
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_body);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer);
+    curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, on_connected);
+    curl_easy_setopt(easy, CURLOPT_PREREQDATA, transfer);
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(easy, CURLOPT_PROXY, "");
     curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http,https");
@@ -288,13 +324,7 @@
         result.bytes = wire_bytes(transfer);
     }
     else {
-        long request_bytes = 0;
-
-        /* CURLINFO_REQUEST_SIZE is also 0 if the timeout expired before a
-         * connection was established. */
-        curl_easy_getinfo(transfer->easy, CURLINFO_REQUEST_SIZE,
-                          &request_bytes);
-        result.unsent = request_bytes == 0;
+        result.unsent = !was_sent(transfer);
         if (code == CURLE_OPERATION_TIMEDOUT) {
             suspect_host(client, transfer);
         }
