Tests: a POST that was sent and then refused a connection

Guards the HTTP client: a POST whose used connection fails, and for which no other connection can be made, does not count as never sent (an unreachable worker's run is dropped at once).

--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -87,8 +87,11 @@
 
         pthread_mutex_lock(&server->lock);
         if (waiting && server->count < CONNECTIONS_MAX) {
-            server->connections[server->count++] =
-                accept(server->listener, NULL, NULL);
+            int connection = accept(server->listener, NULL, NULL);
+
+            if (connection >= 0) {
+                server->connections[server->count++] = connection;
+            }
         }
         for (unsigned i = 0; i < server->count; i++) {
             serve_connection(server, i, has_request);
@@ -310,6 +313,32 @@
     server_stop(&server);
 }
 
+/* Guards against a request that counts as never sent because it was sent on a
+ * connection that failed, and no other connection could be made. */
+static void
+test_a_post_is_sent_although_no_connection_follows(void)
+{
+    struct server server = {0};
+    struct answers answers = {.lock = PTHREAD_MUTEX_INITIALIZER,
+                              .changed = PTHREAD_COND_INITIALIZER};
+    struct cw_http_client *client = cw_http_client_create(NULL);
+
+    server_start(&server);
+    request_with_body(client, server.port, &answers, LONG_TIMEOUT_MS, "body");
+    answers_wait(&answers, 1);
+    pthread_mutex_lock(&server.lock);
+    server.closing_count = 1;
+    shutdown(server.listener, SHUT_RDWR); /* connections are refused */
+    pthread_mutex_unlock(&server.lock);
+    request_with_body(client, server.port, &answers, LONG_TIMEOUT_MS, "body");
+    answers_wait(&answers, 2);
+    CU_ASSERT_EQUAL(answers.ok, 1);
+    CU_ASSERT_EQUAL(answers.unsent, 0);
+    CU_ASSERT_EQUAL(server.requests, 2);
+    cw_http_client_free(client);
+    server_stop(&server);
+}
+
 /* A GET changes nothing, so it need not fail with its connection. */
 static void
 test_a_get_without_an_answer_is_sent_again(void)
@@ -332,6 +361,7 @@
      test_one_timeout_retires_all_unresponsive_connections},
     {"never sent", test_a_request_never_sent_is_reported_as_unsent},
     {"sent once", test_a_post_without_an_answer_is_not_sent_again},
+    {"sent, then refused", test_a_post_is_sent_although_no_connection_follows},
     {"sent again", test_a_get_without_an_answer_is_sent_again},
 };
 
