Placement: a gang's rack has to hold it within the limit per worker

What callers saw: nothing yet. A gang that is faster on one rack and has a limit of tasks per worker is never started if no rack has enough workers for that limit (LOST).

Cause: rack_can_hold counts what fits by capacity, and the candidates count what fits within the limit. So the gang waits for a rack that can never hold it, instead of being placed across racks.

Change: rack_can_hold counts no more than the limit on each worker.

--- a/src/owner/owner_place.c
+++ b/src/owner/owner_place.c
@@ -100,7 +100,7 @@
 
 /* ---- steps ---- */
 
-/* True if the total capacity of some rack is enough for the whole gang. */
+/* True if some rack without other work can hold the whole gang. */
 static bool
 rack_can_hold(const struct cw_owner *owner, const struct owner_step *step)
 {
@@ -122,6 +122,9 @@
             continue;
         }
         fits = owner_fit_count(&target->capacity, &need);
+        if (step->spec->most_per_worker > 0) {
+            fits = MIN(fits, step->spec->most_per_worker);
+        }
         fits_by_rack[target->rack_number] += fits;
         can_hold = fits_by_rack[target->rack_number] >= step->count;
     }
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -32,6 +32,26 @@
     cluster_end(&cluster);
 }
 
+/* A rack has four workers. */
+static void
+test_a_gang_that_no_rack_can_hold_within_its_limit_spans_racks(void)
+{
+    const struct cw_step_spec gang = {.tasks = 6,
+                                      .accelerators = 1,
+                                      .gang = true,
+                                      .same_rack = true,
+                                      .most_per_worker = 1};
+    struct cluster cluster;
+    struct owner_job *job;
+
+    cluster_begin(&cluster);
+    set_guarantee(&cluster, 0);
+    job = add_job(&cluster, 1, &gang);
+    pass(&cluster, 10);
+    CU_ASSERT_EQUAL(placed(job), 6);
+    cluster_end(&cluster);
+}
+
 static void
 test_urgent_work_within_its_guarantee_preempts_others(void)
 {
@@ -564,6 +584,8 @@
     {"checkpoint", test_a_lost_run_resumes_from_its_last_checkpoint},
     {"occurrences", test_occurrences_open_when_they_are_due},
     {"one rack", test_a_gang_takes_one_rack_or_waits},
+    {"limit and one rack",
+     test_a_gang_that_no_rack_can_hold_within_its_limit_spans_racks},
     {"guarantee", test_urgent_work_within_its_guarantee_preempts_others},
     {"cheapest", test_the_cheapest_work_is_preempted},
     {"one gang for several tasks", test_preempted_gang_serves_several_tasks},
