--- a/emulator/checker.c
+++ b/emulator/checker.c
@@ -303,6 +303,25 @@
                  task, run);
 }
 
+void
+checker_check_route(struct checker *checker, const struct cw_task_name *task,
+                    unsigned run, const struct worker_model *worker)
+{
+    const struct cw_step_spec *step = step_of(checker, task);
+
+    if (step->label[0] != '\0' &&
+        strcmp(step->label, worker_model_kind(worker)) != 0 &&
+        strcmp(step->label, worker_model_rack(worker)) != 0)
+    {
+        violate_task(checker, "ROUTE the worker lacks the label", task, run);
+    }
+    if (step->most_per_worker > 0 &&
+        worker_model_running_of_step(worker, task) > step->most_per_worker)
+    {
+        violate_task(checker, "ROUTE beyond the limit per worker", task, run);
+    }
+}
+
 void
 checker_started_in_cordon(struct checker *checker,
                           const struct cw_task_name *task, unsigned run,
--- a/emulator/checker.h
+++ b/emulator/checker.h
@@ -80,6 +80,14 @@
 void checker_misplaced(struct checker *checker,
                        const struct cw_task_name *task, unsigned run);
 
+/* Checks a start on a worker that executes the run now: the worker has to be
+ * of the kind, or in the rack, that the step's label names, and may not
+ * execute more tasks of the step than the step's limit, those that are being
+ * stopped included. */
+void
+checker_check_route(struct checker *checker, const struct cw_task_name *task,
+                    unsigned run, const struct worker_model *worker);
+
 /* Records that a task was started in a data centre whose cordon the store
  * acknowledged `age_ms` ago; -1: there is no cordon. */
 void checker_started_in_cordon(struct checker *checker,
--- a/emulator/emulator_main.c
+++ b/emulator/emulator_main.c
@@ -55,6 +55,7 @@
     unsigned late_reports;
     bool calm;
     bool wide;
+    bool restricted;
 };
 
 static const struct argp_option options[] = {
@@ -107,6 +108,10 @@
     {"calm", 'q', NULL, 0, "No random faults", 0},
     {"wide", 'b', NULL, 0,
      "Jobs and gangs larger than a rack, and more of them", 0},
+    {"restricted", 'g', NULL, 0,
+     "Steps have limits of tasks per worker and require kinds or racks of "
+     "workers",
+     0},
     {0},
 };
 
@@ -201,6 +206,9 @@
     case 'b':
         arguments->wide = true;
         break;
+    case 'g':
+        arguments->restricted = true;
+        break;
     case ARGP_KEY_ARG:
         if (arguments->command != NULL) {
             argp_usage(state);
@@ -243,6 +251,7 @@
     day.silences = arguments->silences;
     day.outages = arguments->outages;
     day.late_reports = arguments->late_reports;
+    day.restricted = arguments->restricted;
     if (day.silences + day.outages + day.owner_cuts > 0) {
         world_lengthen(&day);
     }
--- a/emulator/internal/world_private.h
+++ b/emulator/internal/world_private.h
@@ -429,6 +429,25 @@
  * it is of another kind.  Borrowed from `key`. */
 const char *world_cordoned_dc(const char *key);
 
+/* ---- world_restrictions.c ---- */
+
+/* Kind of the worker with this number, on days with restrictions. */
+const char *world_kind_of(unsigned number);
+
+/* Draws the limits per worker and the labels of the job's steps such that the
+ * job can run while no worker is down.  Derived from the job's id, so that the
+ * day's other random numbers do not change. */
+void world_restrict_steps(struct cw_work_spec *spec);
+
+/* Gives a worker that starts under a new id the other kind at times, if enough
+ * workers of its kind remain. */
+void world_change_kind(struct world *world, struct worker_model *worker);
+
+/* True if enough workers of the worker's kind are up and do not drain without
+ * it. */
+bool world_kind_can_spare(const struct world *world,
+                          const struct worker_model *worker);
+
 /* ---- world_waits.c ---- */
 
 /* Checks for jobs that could run and do not; call it regularly. */
--- a/emulator/worker_model.c
+++ b/emulator/worker_model.c
@@ -45,6 +45,7 @@
     char *id;
     char *address;
     char *rack;
+    char *kind;
     struct cw_resources capacity;
     struct cw_resources capacity_before; /* before the last resize */
     int64_t shrunk_ms; /* time of the last resize; fleet's time */
@@ -109,6 +110,7 @@
     g_free(worker->id);
     g_free(worker->address);
     g_free(worker->rack);
+    g_free(worker->kind);
     g_free(worker);
 }
 
@@ -154,6 +156,7 @@
     worker->id = g_strdup(id);
     worker->address = g_strdup(id);
     worker->rack = g_strdup(rack);
+    worker->kind = g_strdup("k");
     worker->capacity = *capacity;
     worker->clock_ms = clock_ms;
     worker->boot_ms = boot_time_now_ms(fleet);
@@ -177,10 +180,20 @@
 
     g_free(worker->address);
     worker->address = g_strdup(before->address);
+    worker_model_set_kind(worker, before->kind);
     g_free(id);
     return worker;
 }
 
+void
+worker_model_set_kind(struct worker_model *worker, const char *kind)
+{
+    char *copy = g_strdup(kind);
+
+    g_free(worker->kind);
+    worker->kind = copy;
+}
+
 void
 worker_model_set_wall_clock_behind(struct worker_model *worker,
                                    int64_t behind_ms)
@@ -269,6 +282,12 @@
     return worker->rack;
 }
 
+const char *
+worker_model_kind(const struct worker_model *worker)
+{
+    return worker->kind;
+}
+
 const struct cw_resources *
 worker_model_capacity(const struct worker_model *worker)
 {
@@ -333,6 +352,22 @@
     return worker->runs->len;
 }
 
+unsigned
+worker_model_running_of_step(const struct worker_model *worker,
+                             const struct cw_task_name *task)
+{
+    unsigned count = 0;
+
+    for (guint i = 0; i < worker->runs->len; i++) {
+        const struct model_run *run = worker->runs->pdata[i];
+
+        count += run->task.step == task->step &&
+                 run->task.occurrence == task->occurrence &&
+                 strcmp(run->job, task->job) == 0;
+    }
+    return count;
+}
+
 bool
 worker_model_is_down(const struct worker_model *worker)
 {
--- a/emulator/worker_model.h
+++ b/emulator/worker_model.h
@@ -78,6 +78,10 @@
                                  const struct worker_model *before,
                                  int64_t clock_ms);
 
+/* Sets the worker's kind; "k" unless set.  An incarnation with a new id has
+ * the kind of the incarnation before. */
+void worker_model_set_kind(struct worker_model *worker, const char *kind);
+
 /* Starts the next incarnation of a worker that is down, under the same id.  It
  * has no state of the previous incarnation, and numbers its ends from 1 again.
  * `clock_ms` is the present time of its clock. */
@@ -105,6 +109,7 @@
 
 const char *worker_model_id(const struct worker_model *worker);
 const char *worker_model_rack(const struct worker_model *worker);
+const char *worker_model_kind(const struct worker_model *worker);
 const char *worker_model_address(const struct worker_model *worker);
 const struct cw_resources *
 worker_model_capacity(const struct worker_model *worker);
@@ -120,6 +125,11 @@
 /* Number of runs on the worker. */
 unsigned worker_model_running(const struct worker_model *worker);
 
+/* Number of runs on the worker that belong to the task's step and
+ * occurrence. */
+unsigned worker_model_running_of_step(const struct worker_model *worker,
+                                      const struct cw_task_name *task);
+
 /* Changes the worker's capacity; its runs continue. */
 void worker_model_resize(struct worker_model *worker,
                          const struct cw_resources *capacity);
--- a/emulator/world.c
+++ b/emulator/world.c
@@ -127,6 +127,8 @@
                           dc)) {
         checker_misplaced(world->checker, task, run);
     }
+    checker_check_route(world->checker, task, run,
+                        worker_fleet_find(world->fleet, worker));
     if (world->now_ms > world->last_delayed_order_ms) {
         checker_started_in_cordon(world->checker, task, run,
                                   world_cordon_age_ms(world, dc));
@@ -318,6 +320,10 @@
         g_snprintf(rack, sizeof(rack), "r%u", i / 4);
         worker_fleet_add(world->fleet, id, rack, &full_capacity,
                          1000 + world_random_below(world, 100000));
+        if (world->options.restricted) {
+            worker_model_set_kind(worker_fleet_at(world->fleet, i),
+                                  world_kind_of(i));
+        }
     }
     if (world->options.ignores_capacity) {
         worker_fleet_ignore_capacity(world->fleet);
--- a/emulator/world.h
+++ b/emulator/world.h
@@ -54,6 +54,8 @@
                               restart, or whose reports stop to arrive */
     bool lasting;          /* jobs of many steps or of long tasks, which go on
                               after day_ms */
+    bool restricted;       /* steps have limits of tasks per worker and require
+                              labels; workers are of two kinds */
     bool wide;  /* jobs and gangs larger than a rack, and many tasks in a
                    job */
     bool trace; /* print faults, starts and answers with their times */
--- a/emulator/world_faults.c
+++ b/emulator/world_faults.c
@@ -190,6 +190,9 @@
     {
         return;
     }
+    if (world->options.restricted && !world_kind_can_spare(world, worker)) {
+        return;
+    }
     world_record_fault(world, "drain %s", id);
     g_hash_table_add(world->draining, (gpointer)id);
 }
--- a/emulator/world_load.c
+++ b/emulator/world_load.c
@@ -290,6 +290,9 @@
         fill_step(world, &spec->steps.steps_val[i], i);
     }
     fill_constraints(spec);
+    if (world->options.restricted) {
+        world_restrict_steps(spec);
+    }
     spec->max_attempts = spec->once ? 1 : 2;
     call->world = world;
     call->job = checker_add_job(world->checker, spec,
--- a/emulator/world_reports.c
+++ b/emulator/world_reports.c
@@ -54,15 +54,16 @@
     char dc[32];
     int draining = 0;
     char address[64];
+    char kind[8];
     struct cw_target_report report = {
-        .id = id, .service = "s", .address = address, .kind = "k"};
+        .id = id, .service = "s", .address = address, .kind = kind};
     bool ok =
         sscanf(copy,
                "%31s %" SCNd64 " %" SCNd64 " %" SCNd64 " %d %" SCNd64
-               " %63s %" SCNd64,
+               " %63s %" SCNd64 " %7s",
                rack, &report.capacity.cpu_milli, &report.capacity.memory_mb,
                &report.capacity.accelerators, &draining, &report.clock_ms,
-               address, &report.boot_ms) == 8;
+               address, &report.boot_ms, kind) == 9;
 
     report.rack = rack;
     world_dc_of_rack(rack, dc, sizeof(dc));
@@ -176,12 +177,14 @@
 {
     const struct cw_resources *has = worker_model_capacity(worker);
 
-    g_snprintf(
-        text, size, "%s %" PRId64 " %" PRId64 " %" PRId64 " %d 0 %s %" PRId64,
-        worker_model_rack(worker), has->cpu_milli, has->memory_mb,
-        has->accelerators,
-        g_hash_table_contains(world->draining, worker_model_id(worker)),
-        worker_model_address(worker), world_reported_boot_ms(world, worker));
+    g_snprintf(text, size,
+               "%s %" PRId64 " %" PRId64 " %" PRId64 " %d 0 %s %" PRId64 " %s",
+               worker_model_rack(worker), has->cpu_milli, has->memory_mb,
+               has->accelerators,
+               g_hash_table_contains(world->draining, worker_model_id(worker)),
+               worker_model_address(worker),
+               world_reported_boot_ms(world, worker),
+               worker_model_kind(worker));
 }
 
 static void
--- a/emulator/world_restarts.c
+++ b/emulator/world_restarts.c
@@ -33,9 +33,11 @@
     world_record_fault(world, "crash %s", worker_model_id(worker));
     world_disturb(world, 0, CRASH_EFFECT_MS);
     worker_model_crash(worker);
-    worker_fleet_add(world->fleet, id, worker_model_rack(worker),
-                     worker_model_capacity(worker),
-                     world_random_below(world, 100000) + 1);
+    worker_model_set_kind(
+        worker_fleet_add(world->fleet, id, worker_model_rack(worker),
+                         worker_model_capacity(worker),
+                         world_random_below(world, 100000) + 1),
+        worker_model_kind(worker));
     g_free(id);
 }
 
@@ -100,8 +102,12 @@
 void
 world_restart_with_new_id(struct world *world, void *context)
 {
-    worker_fleet_restart_with_new_id(world->fleet, context,
-                                     world_random_below(world, 100000) + 1);
+    struct worker_model *worker = worker_fleet_restart_with_new_id(
+        world->fleet, context, world_random_below(world, 100000) + 1);
+
+    if (world->options.restricted) {
+        world_change_kind(world, worker);
+    }
 }
 
 static void
--- a/emulator/world_waits.c
+++ b/emulator/world_waits.c
@@ -4,6 +4,7 @@
 #include "emulator/internal/world_private.h"
 
 #include <inttypes.h>
+#include <limits.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -75,9 +76,34 @@
            2 * left.memory_mb > has.memory_mb;
 }
 
+/* Number of the step's tasks that the worker may execute besides those that it
+ * executes now, whatever its capacity. */
+static unsigned
+count_permitted_on(const struct worker_model *worker,
+                   const struct checker_job *job,
+                   const struct cw_step_spec *step)
+{
+    const struct cw_task_name name = {
+        .job = job->id, .step = (unsigned)(step - job->spec->steps.steps_val)};
+    unsigned running = worker_model_running_of_step(worker, &name);
+
+    if (step->label[0] != '\0' &&
+        strcmp(step->label, worker_model_kind(worker)) != 0 &&
+        strcmp(step->label, worker_model_rack(worker)) != 0)
+    {
+        return 0;
+    }
+    if (step->most_per_worker == 0) {
+        return UINT_MAX;
+    }
+    return running < step->most_per_worker ? step->most_per_worker - running
+                                           : 0;
+}
+
 /* Number of the step's tasks that fit on a worker now. */
 static unsigned
 count_fitting_on(const struct worker_model *worker,
+                 const struct checker_job *job,
                  const struct cw_step_spec *step)
 {
     struct cw_resources free = worker_model_free(worker);
@@ -86,7 +112,8 @@
                             free.cpu_milli / step->cpu_milli),
                         free.memory_mb / step->memory_mb);
 
-    return (unsigned)MAX(0, count); /* negative on a worker that has shrunk */
+    /* negative on a worker that has shrunk */
+    return MIN((unsigned)MAX(0, count), count_permitted_on(worker, job, step));
 }
 
 /* Number of the step's tasks that fit now on workers of the rack; NULL: of any
@@ -106,7 +133,7 @@
         if (accepts_work(world, worker) && world_may_run_in(world, job, dc) &&
             (rack == NULL || strcmp(rack, worker_rack) == 0))
         {
-            count += count_fitting_on(worker, step);
+            count += count_fitting_on(worker, job, step);
         }
     }
     return count;
