Emulator: a check for runs that may begin beside the next one

What callers saw: TWICE, which needs a second run that begins in time to be seen.

Held starts are checked again after each order that a worker carries out, as it may have extended the lease.

--- a/emulator/checker.c
+++ b/emulator/checker.c
@@ -33,7 +33,8 @@
     unsigned running; /* runs on workers now */
     unsigned done;    /* runs that ended as done */
     bool done_confirmed;
-    unsigned last_run; /* highest run that was started */
+    unsigned last_run;  /* highest run that was started */
+    unsigned last_sent; /* highest run whose start was sent */
     unsigned failed_confirmed;
     unsigned crashes;                 /* of workers that ran it */
     unsigned starts_past_crash_limit; /* after CRASHES_MAX crashes */
@@ -333,6 +334,31 @@
     }
 }
 
+void
+checker_start_sent(struct checker *checker, const struct cw_task_name *task,
+                   unsigned run)
+{
+    struct task_history *history = history_of(checker, task);
+
+    history->last_sent = MAX(history->last_sent, run);
+}
+
+unsigned
+checker_last_sent(struct checker *checker, const struct cw_task_name *task)
+{
+    return history_of(checker, task)->last_sent;
+}
+
+void
+checker_near(struct checker *checker, const struct cw_task_name *task,
+             unsigned run, const char *what)
+{
+    char *rule = g_strdup_printf("NEAR %s", what);
+
+    violate_task(checker, rule, task, run);
+    g_free(rule);
+}
+
 void
 checker_started(struct checker *checker, const struct cw_task_name *task,
                 unsigned run, int64_t now_ms, bool calm)
--- a/emulator/checker.h
+++ b/emulator/checker.h
@@ -70,6 +70,19 @@
 bool checker_task_plan(struct checker *checker,
                        const struct cw_task_name *task, struct task_plan *out);
 
+/* Records that a VM has sent the start of a run. */
+void checker_start_sent(struct checker *checker,
+                        const struct cw_task_name *task, unsigned run);
+
+/* The highest run of the task whose start was sent; 0: none. */
+unsigned
+checker_last_sent(struct checker *checker, const struct cw_task_name *task);
+
+/* Records that a later run of the task was sent while this one was at work or
+ * might begin. */
+void checker_near(struct checker *checker, const struct cw_task_name *task,
+                  unsigned run, const char *what);
+
 /* Records that a worker has started a run.  `calm`: no fault has had an effect
  * lately. */
 void checker_started(struct checker *checker, const struct cw_task_name *task,
--- a/emulator/emulator_main.c
+++ b/emulator/emulator_main.c
@@ -56,6 +56,7 @@
     bool calm;
     bool wide;
     bool restricted;
+    bool near;
 };
 
 static const struct argp_option options[] = {
@@ -112,6 +113,10 @@
      "Steps have limits of tasks per worker and require kinds or racks of "
      "workers",
      0},
+    {"near", 'h', NULL, 0,
+     "Reports a start that is sent while an earlier run of its task is at "
+     "work or may still begin",
+     0},
     {0},
 };
 
@@ -209,6 +214,9 @@
     case 'g':
         arguments->restricted = true;
         break;
+    case 'h':
+        arguments->near = true;
+        break;
     case ARGP_KEY_ARG:
         if (arguments->command != NULL) {
             argp_usage(state);
@@ -252,6 +260,7 @@
     day.outages = arguments->outages;
     day.late_reports = arguments->late_reports;
     day.restricted = arguments->restricted;
+    day.near = arguments->near;
     if (day.silences + day.outages + day.owner_cuts > 0) {
         world_lengthen(&day);
     }
--- a/emulator/internal/world_private.h
+++ b/emulator/internal/world_private.h
@@ -243,6 +243,14 @@
 /* True if orders do not reach the worker, and its answers do not arrive. */
 bool world_worker_is_cut(const struct world *world, const char *worker);
 
+/* The same at a later time, as far as is known now. */
+bool world_worker_is_cut_at(const struct world *world, const char *worker,
+                            int64_t at_ms);
+
+/* The call whose start arrives at its worker with the event; NULL if the event
+ * is of another kind.  Borrowed. */
+const struct call *world_net_start_of(const struct event *event);
+
 /* Frees the context of an event of the network; false if the event is of
  * another kind. */
 bool world_net_free_event(const struct event *event);
@@ -429,6 +437,17 @@
  * it is of another kind.  Borrowed from `key`. */
 const char *world_cordoned_dc(const char *key);
 
+/* ---- world_near.c ---- */
+
+/* Checks that no earlier run of the task is at work or may still begin. */
+void
+world_start_is_sent(struct world *world, const struct cw_target_order *order);
+
+/* Checks that no worker would carry out a start that is held up, if a later
+ * run of its task has been sent.  Call it when a worker's lease may have been
+ * extended. */
+void world_check_held_starts(struct world *world);
+
 /* ---- world_restrictions.c ---- */
 
 /* Kind of the worker with this number, on days with restrictions. */
--- a/emulator/worker_model.c
+++ b/emulator/worker_model.c
@@ -701,7 +701,7 @@
 }
 
 static struct model_run *
-find_run(struct worker_model *worker, const struct cw_task_name *task)
+find_run(const struct worker_model *worker, const struct cw_task_name *task)
 {
     for (guint i = 0; i < worker->runs->len; i++) {
         struct model_run *run = worker->runs->pdata[i];
@@ -716,6 +716,41 @@
     return NULL;
 }
 
+unsigned
+worker_model_run_of(const struct worker_model *worker,
+                    const struct cw_task_name *task)
+{
+    const struct model_run *run = find_run(worker, task);
+
+    return run != NULL ? run->run : 0;
+}
+
+static unsigned
+highest_run_of(const struct worker_model *worker,
+               const struct cw_task_name *task)
+{
+    char *name = name_text(task);
+    unsigned run =
+        GPOINTER_TO_UINT(g_hash_table_lookup(worker->highest_run, name));
+
+    g_free(name);
+    return run;
+}
+
+bool
+worker_model_would_start(const struct worker_model *worker,
+                         const struct cw_target_order *order, int64_t at_ms)
+{
+    int64_t granted_ms =
+        MIN(order->lease_until_ms - worker->clock_ms, at_ms + LEASE_MAX_MS);
+
+    return !worker->is_down && strcmp(order->id, worker->id) == 0 &&
+           order->fence >= worker->fence &&
+           find_run(worker, &order->task) == NULL &&
+           order->run > highest_run_of(worker, &order->task) &&
+           MAX(worker->lease_end_ms, granted_ms) > at_ms;
+}
+
 static bool
 fits(const struct worker_model *worker, const struct cw_resources *need,
      const struct cw_resources *capacity)
@@ -751,11 +786,8 @@
     struct worker_listener *listener = &worker->fleet->listener;
     struct model_run *run = find_run(worker, &order->task);
     struct task_plan plan = {0};
-    char *name = name_text(&order->task);
-    unsigned highest_run =
-        GPOINTER_TO_UINT(g_hash_table_lookup(worker->highest_run, name));
+    unsigned highest_run = highest_run_of(worker, &order->task);
 
-    g_free(name);
     if (run != NULL && run->run == order->run) {
         return CW_TARGET_OK;
     }
--- a/emulator/worker_model.h
+++ b/emulator/worker_model.h
@@ -125,6 +125,10 @@
 /* Number of runs on the worker. */
 unsigned worker_model_running(const struct worker_model *worker);
 
+/* Number of the task's run on the worker; 0: none. */
+unsigned worker_model_run_of(const struct worker_model *worker,
+                             const struct cw_task_name *task);
+
 /* Number of runs on the worker that belong to the task's step and
  * occurrence. */
 unsigned worker_model_running_of_step(const struct worker_model *worker,
@@ -148,6 +152,13 @@
                         struct cw_target_answer *answer, GArray *running,
                         GArray *ended, GPtrArray *texts);
 
+/* True if the worker would carry out the start if it arrived at `at_ms`, a
+ * later time, and nothing else arrived until then.  Its room is not
+ * considered. */
+bool
+worker_model_would_start(const struct worker_model *worker,
+                         const struct cw_target_order *order, int64_t at_ms);
+
 /* Advances all workers to `now_ms`. */
 void worker_fleet_advance(struct worker_fleet *fleet, int64_t now_ms);
 
--- a/emulator/world.h
+++ b/emulator/world.h
@@ -56,8 +56,10 @@
                               after day_ms */
     bool restricted;       /* steps have limits of tasks per worker and require
                               labels; workers are of two kinds */
-    bool wide;  /* jobs and gangs larger than a rack, and many tasks in a
-                   job */
+    bool near; /* a start is a violation while an earlier run of its task is at
+                  work or may still begin */
+    bool wide; /* jobs and gangs larger than a rack, and many tasks in a
+                  job */
     bool trace; /* print faults, starts and answers with their times */
 };
 
--- a/emulator/world_net.c
+++ b/emulator/world_net.c
@@ -302,11 +302,18 @@
 /* ---- the workers' side ---- */
 
 bool
-world_worker_is_cut(const struct world *world, const char *worker)
+world_worker_is_cut_at(const struct world *world, const char *worker,
+                       int64_t at_ms)
 {
     gpointer until = g_hash_table_lookup(world->cut_workers, worker);
 
-    return GPOINTER_TO_INT(until) > world->now_ms;
+    return GPOINTER_TO_INT(until) > at_ms;
+}
+
+bool
+world_worker_is_cut(const struct world *world, const char *worker)
+{
+    return world_worker_is_cut_at(world, worker, world->now_ms);
 }
 
 /* True if the order was received by an earlier incarnation of the worker:
@@ -344,6 +351,7 @@
     worker_model_order(worker, &call->order, world->now_ms, &call->answer,
                        call->running, call->ended_rows, call->bytes);
     call->answer.boot_ms = world_reported_boot_ms(world, worker);
+    world_check_held_starts(world);
     if (call->kind == CALL_ORDER && call->order.kind == CW_ORDER_POLL &&
         call->answer.status == CW_TARGET_OK && call->answer.ended_count == 0 &&
         world->now_ms < call->wait_until_ms && !call->ended)
@@ -395,6 +403,9 @@
     call->order.payload = call->payload;
     call->order.saved = call->saved;
     call->wait_until_ms = world->now_ms + order->wait_ms;
+    if (order->kind == CW_ORDER_START) {
+        world_start_is_sent(world, order);
+    }
     world_call_schedule(call, call->timeout_at_ms - world->now_ms,
                         world_call_time_out);
     if (world_worker_is_cut(world, call->text) ||
@@ -427,6 +438,16 @@
 
 const struct cw_targets_ops world_targets_ops = {.order = send_order};
 
+const struct call *
+world_net_start_of(const struct event *event)
+{
+    const struct call *call = event->context;
+
+    return event->run == arrive_at_worker && call->order.kind == CW_ORDER_START
+               ? call
+               : NULL;
+}
+
 bool
 world_net_free_event(const struct event *event)
 {
--- a/tests/test_worker_model.c
+++ b/tests/test_worker_model.c
@@ -1,6 +1,8 @@
 /* The emulator's model of a worker. */
 #include "test_main.h"
 
+#include <stdio.h>
+
 #include "emulator/worker_model.h"
 
 enum { LEASE_END_MS = 3000, WORK_MS = 1000, NUMBER_MAX = 10 };
@@ -102,7 +104,141 @@
     worker_fleet_free(fleet);
 }
 
+/* What a worker has received before a start arrives. */
+struct arrival {
+    const char *what;
+    struct cw_target_order before; /* CW_ORDER_POLL: grants a lease only */
+    struct cw_target_order start;
+    int64_t at_ms;
+    bool starts;
+};
+
+static unsigned starts_seen;
+
+static void
+count_start(void *context, const char *worker, const struct cw_task_name *task,
+            unsigned run)
+{
+    (void)context;
+    (void)worker;
+    (void)task;
+    (void)run;
+    starts_seen++;
+}
+
+static enum cw_target_status
+status_of(struct worker_model *worker, const struct cw_target_order *order,
+          int64_t now_ms)
+{
+    GArray *running = g_array_new(FALSE, TRUE, sizeof(struct cw_running));
+    GArray *ended = g_array_new(FALSE, TRUE, sizeof(struct cw_ended));
+    GPtrArray *texts = g_ptr_array_new_with_free_func(g_free);
+    struct cw_target_answer answer = {0};
+
+    worker_model_order(worker, order, now_ms, &answer, running, ended, texts);
+    g_array_unref(running);
+    g_array_unref(ended);
+    g_ptr_array_unref(texts);
+    return answer.status;
+}
+
+/* Guards against a check for starts that may still begin that does not do what
+ * the model does when they arrive. */
+static void
+test_a_start_is_predicted_as_it_is_carried_out(void)
+{
+    static const struct arrival arrivals[] = {
+        {"the start's lease lasts",
+         {CW_ORDER_POLL},
+         {.run = 1, .lease_until_ms = 900},
+         800,
+         true},
+        {"no lease lasts",
+         {CW_ORDER_POLL},
+         {.run = 1, .lease_until_ms = 700},
+         800,
+         false},
+        {"the worker's lease lasts",
+         {CW_ORDER_POLL, .lease_until_ms = 900},
+         {.run = 1, .lease_until_ms = 700},
+         800,
+         true},
+        {"a lease ends as it arrives",
+         {CW_ORDER_POLL, .lease_until_ms = 800},
+         {.run = 1, .lease_until_ms = 800},
+         800,
+         false},
+        {"lower token",
+         {CW_ORDER_POLL, .fence = 2},
+         {.run = 1, .fence = 1, .lease_until_ms = 900},
+         800,
+         false},
+        {"higher token",
+         {CW_ORDER_POLL, .fence = 2},
+         {.run = 1, .fence = 3, .lease_until_ms = 900},
+         800,
+         true},
+        {"stopped before",
+         {CW_ORDER_STOP, .run = 2},
+         {.run = 2, .lease_until_ms = 900},
+         800,
+         false},
+        {"an earlier run was stopped",
+         {CW_ORDER_STOP, .run = 2},
+         {.run = 3, .lease_until_ms = 900},
+         800,
+         true},
+        {"it has begun",
+         {CW_ORDER_START, .run = 1, .lease_until_ms = 900},
+         {.run = 1, .lease_until_ms = 900},
+         800,
+         false},
+        {"it has ended",
+         {CW_ORDER_START, .run = 1, .lease_until_ms = 9000},
+         {.run = 1, .lease_until_ms = 9000},
+         WORK_MS + 10,
+         false},
+        {"another worker",
+         {CW_ORDER_POLL},
+         {.id = "v", .run = 1, .lease_until_ms = 900},
+         800,
+         false},
+    };
+    const struct worker_listener listener = {.plan = plan,
+                                             .started = count_start,
+                                             .ended = ignore_end,
+                                             .confirmed = record_lapsed};
+    const struct cw_resources capacity = {.accelerators = 8};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(arrivals); i++) {
+        struct worker_fleet *fleet = worker_fleet_create(&listener);
+        struct worker_model *worker =
+            worker_fleet_add(fleet, "w", "r0", &capacity, 0);
+        struct cw_target_order before = arrivals[i].before;
+        struct cw_target_order start = arrivals[i].start;
+
+        before.id = "w";
+        before.task.job = "0000000000000001";
+        start.kind = CW_ORDER_START;
+        start.id = start.id != NULL ? start.id : "w";
+        start.task.job = "0000000000000001";
+        CU_ASSERT_EQUAL(status_of(worker, &before, 1), CW_TARGET_OK);
+        worker_fleet_advance(fleet, arrivals[i].at_ms - 1);
+        starts_seen = 0;
+        CU_ASSERT_EQUAL(
+            worker_model_would_start(worker, &start, arrivals[i].at_ms),
+            arrivals[i].starts);
+        (void)status_of(worker, &start, arrivals[i].at_ms);
+        CU_ASSERT_EQUAL(starts_seen, arrivals[i].starts);
+        if (starts_seen != arrivals[i].starts) {
+            printf("%s\n", arrivals[i].what);
+        }
+        worker_fleet_free(fleet);
+    }
+}
+
 static const struct test tests[] = {
+    {"prediction", test_a_start_is_predicted_as_it_is_carried_out},
     {"lapse", test_lease_lapses_when_it_ends},
 };
 
