--- a/emulator/checker.c
+++ b/emulator/checker.c
@@ -33,7 +33,8 @@
     unsigned running; /* runs on workers now */
     unsigned done;    /* runs that ended as done */
     bool done_confirmed;
-    unsigned last_run; /* highest run that was started */
+    unsigned last_run;  /* highest run that was started */
+    unsigned last_sent; /* highest run whose start was sent */
     unsigned failed_confirmed;
     unsigned crashes;                 /* of workers that ran it */
     unsigned starts_past_crash_limit; /* after CRASHES_MAX crashes */
@@ -303,6 +304,25 @@
                  task, run);
 }
 
+void
+checker_check_route(struct checker *checker, const struct cw_task_name *task,
+                    unsigned run, const struct worker_model *worker)
+{
+    const struct cw_step_spec *step = step_of(checker, task);
+
+    if (step->label[0] != '\0' &&
+        strcmp(step->label, worker_model_kind(worker)) != 0 &&
+        strcmp(step->label, worker_model_rack(worker)) != 0)
+    {
+        violate_task(checker, "ROUTE the worker lacks the label", task, run);
+    }
+    if (step->most_per_worker > 0 &&
+        worker_model_running_of_step(worker, task) > step->most_per_worker)
+    {
+        violate_task(checker, "ROUTE beyond the limit per worker", task, run);
+    }
+}
+
 void
 checker_started_in_cordon(struct checker *checker,
                           const struct cw_task_name *task, unsigned run,
@@ -314,6 +334,31 @@
     }
 }
 
+void
+checker_start_sent(struct checker *checker, const struct cw_task_name *task,
+                   unsigned run)
+{
+    struct task_history *history = history_of(checker, task);
+
+    history->last_sent = MAX(history->last_sent, run);
+}
+
+unsigned
+checker_last_sent(struct checker *checker, const struct cw_task_name *task)
+{
+    return history_of(checker, task)->last_sent;
+}
+
+void
+checker_near(struct checker *checker, const struct cw_task_name *task,
+             unsigned run, const char *what)
+{
+    char *rule = g_strdup_printf("NEAR %s", what);
+
+    violate_task(checker, rule, task, run);
+    g_free(rule);
+}
+
 void
 checker_started(struct checker *checker, const struct cw_task_name *task,
                 unsigned run, int64_t now_ms, bool calm)
--- a/emulator/checker.h
+++ b/emulator/checker.h
@@ -70,6 +70,19 @@
 bool checker_task_plan(struct checker *checker,
                        const struct cw_task_name *task, struct task_plan *out);
 
+/* Records that a VM has sent the start of a run. */
+void checker_start_sent(struct checker *checker,
+                        const struct cw_task_name *task, unsigned run);
+
+/* The highest run of the task whose start was sent; 0: none. */
+unsigned
+checker_last_sent(struct checker *checker, const struct cw_task_name *task);
+
+/* Records that a later run of the task was sent while this one was at work or
+ * might begin. */
+void checker_near(struct checker *checker, const struct cw_task_name *task,
+                  unsigned run, const char *what);
+
 /* Records that a worker has started a run.  `calm`: no fault has had an effect
  * lately. */
 void checker_started(struct checker *checker, const struct cw_task_name *task,
@@ -80,6 +93,14 @@
 void checker_misplaced(struct checker *checker,
                        const struct cw_task_name *task, unsigned run);
 
+/* Checks a start on a worker that executes the run now: the worker has to be
+ * of the kind, or in the rack, that the step's label names, and may not
+ * execute more tasks of the step than the step's limit, those that are being
+ * stopped included. */
+void
+checker_check_route(struct checker *checker, const struct cw_task_name *task,
+                    unsigned run, const struct worker_model *worker);
+
 /* Records that a task was started in a data centre whose cordon the store
  * acknowledged `age_ms` ago; -1: there is no cordon. */
 void checker_started_in_cordon(struct checker *checker,
--- a/emulator/emulator_main.c
+++ b/emulator/emulator_main.c
@@ -55,6 +55,8 @@
     unsigned late_reports;
     bool calm;
     bool wide;
+    bool restricted;
+    bool near;
 };
 
 static const struct argp_option options[] = {
@@ -107,6 +109,14 @@
     {"calm", 'q', NULL, 0, "No random faults", 0},
     {"wide", 'b', NULL, 0,
      "Jobs and gangs larger than a rack, and more of them", 0},
+    {"restricted", 'g', NULL, 0,
+     "Steps have limits of tasks per worker and require kinds or racks of "
+     "workers",
+     0},
+    {"near", 'h', NULL, 0,
+     "Reports a start that is sent while an earlier run of its task is at "
+     "work or may still begin",
+     0},
     {0},
 };
 
@@ -201,6 +211,12 @@
     case 'b':
         arguments->wide = true;
         break;
+    case 'g':
+        arguments->restricted = true;
+        break;
+    case 'h':
+        arguments->near = true;
+        break;
     case ARGP_KEY_ARG:
         if (arguments->command != NULL) {
             argp_usage(state);
@@ -243,6 +259,8 @@
     day.silences = arguments->silences;
     day.outages = arguments->outages;
     day.late_reports = arguments->late_reports;
+    day.restricted = arguments->restricted;
+    day.near = arguments->near;
     if (day.silences + day.outages + day.owner_cuts > 0) {
         world_lengthen(&day);
     }
--- a/emulator/internal/world_private.h
+++ b/emulator/internal/world_private.h
@@ -243,6 +243,14 @@
 /* True if orders do not reach the worker, and its answers do not arrive. */
 bool world_worker_is_cut(const struct world *world, const char *worker);
 
+/* The same at a later time, as far as is known now. */
+bool world_worker_is_cut_at(const struct world *world, const char *worker,
+                            int64_t at_ms);
+
+/* The call whose start arrives at its worker with the event; NULL if the event
+ * is of another kind.  Borrowed. */
+const struct call *world_net_start_of(const struct event *event);
+
 /* Frees the context of an event of the network; false if the event is of
  * another kind. */
 bool world_net_free_event(const struct event *event);
@@ -429,6 +437,36 @@
  * it is of another kind.  Borrowed from `key`. */
 const char *world_cordoned_dc(const char *key);
 
+/* ---- world_near.c ---- */
+
+/* Checks that no earlier run of the task is at work or may still begin. */
+void
+world_start_is_sent(struct world *world, const struct cw_target_order *order);
+
+/* Checks that no worker would carry out a start that is held up, if a later
+ * run of its task has been sent.  Call it when a worker's lease may have been
+ * extended. */
+void world_check_held_starts(struct world *world);
+
+/* ---- world_restrictions.c ---- */
+
+/* Kind of the worker with this number, on days with restrictions. */
+const char *world_kind_of(unsigned number);
+
+/* Draws the limits per worker and the labels of the job's steps such that the
+ * job can run while no worker is down.  Derived from the job's id, so that the
+ * day's other random numbers do not change. */
+void world_restrict_steps(struct cw_work_spec *spec);
+
+/* Gives a worker that starts under a new id the other kind at times, if enough
+ * workers of its kind remain. */
+void world_change_kind(struct world *world, struct worker_model *worker);
+
+/* True if enough workers of the worker's kind are up and do not drain without
+ * it. */
+bool world_kind_can_spare(const struct world *world,
+                          const struct worker_model *worker);
+
 /* ---- world_waits.c ---- */
 
 /* Checks for jobs that could run and do not; call it regularly. */
--- a/emulator/worker_model.c
+++ b/emulator/worker_model.c
@@ -45,6 +45,7 @@
     char *id;
     char *address;
     char *rack;
+    char *kind;
     struct cw_resources capacity;
     struct cw_resources capacity_before; /* before the last resize */
     int64_t shrunk_ms; /* time of the last resize; fleet's time */
@@ -109,6 +110,7 @@
     g_free(worker->id);
     g_free(worker->address);
     g_free(worker->rack);
+    g_free(worker->kind);
     g_free(worker);
 }
 
@@ -154,6 +156,7 @@
     worker->id = g_strdup(id);
     worker->address = g_strdup(id);
     worker->rack = g_strdup(rack);
+    worker->kind = g_strdup("k");
     worker->capacity = *capacity;
     worker->clock_ms = clock_ms;
     worker->boot_ms = boot_time_now_ms(fleet);
@@ -177,10 +180,20 @@
 
     g_free(worker->address);
     worker->address = g_strdup(before->address);
+    worker_model_set_kind(worker, before->kind);
     g_free(id);
     return worker;
 }
 
+void
+worker_model_set_kind(struct worker_model *worker, const char *kind)
+{
+    char *copy = g_strdup(kind);
+
+    g_free(worker->kind);
+    worker->kind = copy;
+}
+
 void
 worker_model_set_wall_clock_behind(struct worker_model *worker,
                                    int64_t behind_ms)
@@ -269,6 +282,12 @@
     return worker->rack;
 }
 
+const char *
+worker_model_kind(const struct worker_model *worker)
+{
+    return worker->kind;
+}
+
 const struct cw_resources *
 worker_model_capacity(const struct worker_model *worker)
 {
@@ -333,6 +352,22 @@
     return worker->runs->len;
 }
 
+unsigned
+worker_model_running_of_step(const struct worker_model *worker,
+                             const struct cw_task_name *task)
+{
+    unsigned count = 0;
+
+    for (guint i = 0; i < worker->runs->len; i++) {
+        const struct model_run *run = worker->runs->pdata[i];
+
+        count += run->task.step == task->step &&
+                 run->task.occurrence == task->occurrence &&
+                 strcmp(run->job, task->job) == 0;
+    }
+    return count;
+}
+
 bool
 worker_model_is_down(const struct worker_model *worker)
 {
@@ -666,7 +701,7 @@
 }
 
 static struct model_run *
-find_run(struct worker_model *worker, const struct cw_task_name *task)
+find_run(const struct worker_model *worker, const struct cw_task_name *task)
 {
     for (guint i = 0; i < worker->runs->len; i++) {
         struct model_run *run = worker->runs->pdata[i];
@@ -681,6 +716,41 @@
     return NULL;
 }
 
+unsigned
+worker_model_run_of(const struct worker_model *worker,
+                    const struct cw_task_name *task)
+{
+    const struct model_run *run = find_run(worker, task);
+
+    return run != NULL ? run->run : 0;
+}
+
+static unsigned
+highest_run_of(const struct worker_model *worker,
+               const struct cw_task_name *task)
+{
+    char *name = name_text(task);
+    unsigned run =
+        GPOINTER_TO_UINT(g_hash_table_lookup(worker->highest_run, name));
+
+    g_free(name);
+    return run;
+}
+
+bool
+worker_model_would_start(const struct worker_model *worker,
+                         const struct cw_target_order *order, int64_t at_ms)
+{
+    int64_t granted_ms =
+        MIN(order->lease_until_ms - worker->clock_ms, at_ms + LEASE_MAX_MS);
+
+    return !worker->is_down && strcmp(order->id, worker->id) == 0 &&
+           order->fence >= worker->fence &&
+           find_run(worker, &order->task) == NULL &&
+           order->run > highest_run_of(worker, &order->task) &&
+           MAX(worker->lease_end_ms, granted_ms) > at_ms;
+}
+
 static bool
 fits(const struct worker_model *worker, const struct cw_resources *need,
      const struct cw_resources *capacity)
@@ -716,11 +786,8 @@
     struct worker_listener *listener = &worker->fleet->listener;
     struct model_run *run = find_run(worker, &order->task);
     struct task_plan plan = {0};
-    char *name = name_text(&order->task);
-    unsigned highest_run =
-        GPOINTER_TO_UINT(g_hash_table_lookup(worker->highest_run, name));
+    unsigned highest_run = highest_run_of(worker, &order->task);
 
-    g_free(name);
     if (run != NULL && run->run == order->run) {
         return CW_TARGET_OK;
     }
