Soak: orders that workers carry out late, beside resets

The soak with real processes reset connections but its workers carried out each order at once, so it could not see it.

Change: the stand-in's workers on command ("late") hold back a share of the starts and stops without an answer, carry them out 2 to 6 s later, and refuse a share of the other starts with 503. Held and refused orders are in the workers' trace.

--- a/standins/platform_standin.c
+++ b/standins/platform_standin.c
@@ -27,7 +27,12 @@
  *   crash WORKER DOWN_MS LATE_MS new|same
  *                           crashes the worker, which restarts after DOWN_MS
  *                           under a new id or the same; its last report is
- *                           stored again LATE_MS after the crash */
+ *                           stored again LATE_MS after the crash
+ *   late WORKER MS HELD REFUSED SEED
+ *                           for so long, it holds back HELD percent of the
+ *                           starts and stops that reach it, and carries them
+ *                           out 2 to 6 s later; of the other starts it refuses
+ *                           REFUSED percent with 503 */
 #include <argp.h>
 #include <inttypes.h>
 #include <poll.h>
@@ -199,6 +204,19 @@
     g_free(report);
 }
 
+static void
+hold_orders(struct worker_server *worker, char **words)
+{
+    worker->late_until_ms =
+        standin_now_ms() + g_ascii_strtoll(words[2], NULL, 10);
+    worker->held_percent = (int)g_ascii_strtoll(words[3], NULL, 10);
+    worker->refused_percent = (int)g_ascii_strtoll(words[4], NULL, 10);
+    g_rand_set_seed(worker->random,
+                    (guint32)g_ascii_strtoull(words[5], NULL, 10));
+    printf("late worker=%s ms=%s at_ms=%" PRId64 "\n", worker->id, words[2],
+           cw_clock_wall_ms(cw_clock_system()));
+}
+
 static struct worker_server *
 find_worker(const struct platform *platform, const char *name)
 {
@@ -238,6 +256,9 @@
                                g_ascii_strtoll(words[3], NULL, 10),
                                strcmp(words[4], "same") == 0);
     }
+    else if (strcmp(words[0], "late") == 0 && count == 6) {
+        hold_orders(worker, words);
+    }
     else {
         fprintf(stderr, "curlewcart-platform: unknown command: %s\n", line);
     }
@@ -306,6 +327,7 @@
     worker->rack = g_strdup_printf("%s-r%u", dc, rack);
     worker->name = g_strdup_printf("%s-w%u", worker->rack, number);
     worker->id = g_strdup(worker->name);
+    worker->random = g_rand_new_with_seed(0);
     worker->server = start_server(standin_handle_worker,
                                   standin_connection_boot_ms, worker);
     worker->address =
--- a/standins/platform_standin.h
+++ b/standins/platform_standin.h
@@ -32,6 +32,11 @@
     CRASH_KEEPS_ID = 2, /* "crash=2" in a payload: restart under the same id */
     COMMAND_BYTES_MAX = 512,
     LENGTH_BYTES = 4,
+    /* An order that a worker holds back is carried out after HELD_MIN_MS +
+     * 0 to HELD_SPAN_MS, later than a daemon waits for an answer. */
+    HELD_MIN_MS = 2000,
+    HELD_SPAN_MS = 4000,
+    PERCENT = 100,
     WORKER_ACCELERATORS = 8,
     WORKER_CPU_MILLI = 32000,
     WORKER_MEMORY_MB = 131072,
@@ -74,6 +79,11 @@
      */
     bool stays_listed;
     int64_t muted_until_ms; /* no report is stored before */
+    /* Until then, percentages of its orders are held back or refused. */
+    int64_t late_until_ms;
+    int held_percent;    /* of the starts and stops */
+    int refused_percent; /* of the starts that are not held back */
+    GRand *random;
     char *dc;
     char *rack;
     char *address;
--- a/standins/platform_workers.c
+++ b/standins/platform_workers.c
@@ -14,6 +14,13 @@
                         task->index);
 }
 
+static char *
+task_name(const struct cw_task_name *task)
+{
+    return g_strdup_printf("%s.%u.%u.%u", task->job, task->occurrence,
+                           task->step, task->index);
+}
+
 /* Text reported with a run's end: "JOB:ECHO" if the run ended as done and the
  * job's payload has echo=, otherwise the run's checkpoint. */
 static char *
@@ -153,6 +160,55 @@
     }
 }
 
+enum order_fate { ORDER_EXECUTED, ORDER_HELD, ORDER_REFUSED };
+
+static void
+print_fate(const struct cw_target_order *order, const char *fate,
+           const char *worker, int64_t delay_ms)
+{
+    char *name = task_name(&order->task);
+
+    printf("%s task=%s run=%u worker=%s order=%s ms=%" PRId64 " at_ms=%" PRId64
+           "\n",
+           fate, name, order->run, worker,
+           order->kind == CW_ORDER_START ? "start" : "stop", delay_ms,
+           cw_clock_wall_ms(cw_clock_system()));
+    fflush(stdout);
+    g_free(name);
+}
+
+/* Decides whether the order is executed at once, or after `delay_ms`. */
+static enum order_fate
+decide_fate(struct worker_server *worker, const struct cw_target_order *order,
+            int64_t *delay_ms)
+{
+    struct platform *platform = worker->platform;
+    enum order_fate fate = ORDER_EXECUTED;
+
+    if (order->kind == CW_ORDER_POLL) {
+        return ORDER_EXECUTED;
+    }
+    pthread_mutex_lock(&platform->lock);
+    if (standin_now_ms() < worker->late_until_ms) {
+        if (g_rand_int_range(worker->random, 0, PERCENT) <
+            worker->held_percent) {
+            fate = ORDER_HELD;
+            *delay_ms = HELD_MIN_MS +
+                        g_rand_int_range(worker->random, 0, HELD_SPAN_MS);
+            print_fate(order, "held", worker->id, *delay_ms);
+        }
+        else if (order->kind == CW_ORDER_START &&
+                 g_rand_int_range(worker->random, 0, PERCENT) <
+                     worker->refused_percent)
+        {
+            fate = ORDER_REFUSED;
+            print_fate(order, "refused", worker->id, 0);
+        }
+    }
+    pthread_mutex_unlock(&platform->lock);
+    return fate;
+}
+
 static void *
 execute_order(void *argument)
 {
@@ -164,6 +220,7 @@
     json_t *body = json_loadb(text, length, 0, NULL);
     struct cw_target_order order = {0};
     char *name = NULL;
+    int64_t delay_ms = 0;
 
     deferred_call->boot_ms = cw_http_call_connection_tag(call);
     if (!decode_order(call, body, &name, &order)) {
@@ -171,6 +228,13 @@
         goto done;
     }
     store_payload(platform, &order, body);
+    if (decide_fate(deferred_call->worker, &order, &delay_ms) == ORDER_REFUSED)
+    {
+        standin_answer(call, 503, json_object());
+        goto done;
+    }
+    /* The daemon has given up waiting before this ends. */
+    g_usleep((gulong)delay_ms * 1000);
     deferred_call->until_ms +=
         order.kind == CW_ORDER_POLL
             ? json_integer_value(json_object_get(body, "wait_ms"))
@@ -272,13 +336,6 @@
     return true;
 }
 
-static char *
-task_name(const struct cw_task_name *task)
-{
-    return g_strdup_printf("%s.%u.%u.%u", task->job, task->occurrence,
-                           task->step, task->index);
-}
-
 static void
 on_started(void *context, const char *worker, const struct cw_task_name *task,
            unsigned run)
