--- a/src/owner/owner_tombstones.c
+++ b/src/owner/owner_tombstones.c
@@ -21,8 +21,8 @@
     char *job;
     struct cw_task_name task; /* task.job points to `job` */
     unsigned run;
-    struct timespec due;     /* no stop is sent before */
-    bool queued;             /* a stop is queued or in flight */
+    struct timespec due; /* no stop is sent before */
+    bool queued;         /* a stop is queued or in flight */
 };
 
 static void
--- a/tests/test_targets.c
+++ b/tests/test_targets.c
@@ -118,9 +118,10 @@
 static void
 test_list_of_runs_is_decoded(void)
 {
-    struct decoded decoded = send_order(
-        CW_ORDER_POLL, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
-                       "{\"clock_ms\":5,\"running\":[[\"a.0.0.0\",1,\"\",9]]}");
+    struct decoded decoded =
+        send_order(CW_ORDER_POLL,
+                   "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
+                   "{\"clock_ms\":5,\"running\":[[\"a.0.0.0\",1,\"\",9]]}");
 
     CU_ASSERT_EQUAL(decoded.status, CW_TARGET_OK);
     CU_ASSERT_EQUAL(decoded.running_count, 1);
