Starts: the limit per worker is checked again when one is sent

Cause: the limit of a step's tasks on one worker was checked at the placement only. If the worker listed a run of the step that was given up, or whose start was carried out late, between the placement and the sending, or before a start without an answer was sent again, the start was sent beyond the limit.

Evidence: tests "limit" and "limit, sent again" of test_limits failed before (2 of 2); "within limit" passed before and passes now.

Change: is_still_needed withdraws such a run (`start_withheld reason=limit`).

--- a/src/owner/internal/owner_placement.h
+++ b/src/owner/internal/owner_placement.h
@@ -64,6 +64,11 @@
 owner_limit_per_worker(const struct owner_step *step,
                        const struct owner_target *target, unsigned fits);
 
+/* True if the worker has more runs and orphans of the step than the step
+ * allows on one worker. */
+bool owner_step_exceeds_limit(const struct owner_step *step,
+                              const struct owner_target *target);
+
 /* A number of a step's tasks that are to be placed on a worker. */
 struct owner_choice {
     struct owner_target *target;
--- a/src/owner/owner_candidates.c
+++ b/src/owner/owner_candidates.c
@@ -82,6 +82,15 @@
     return count >= max_tasks ? 0 : MIN(fits, max_tasks - count);
 }
 
+bool
+owner_step_exceeds_limit(const struct owner_step *step,
+                         const struct owner_target *target)
+{
+    unsigned max_tasks = step->spec->most_per_worker;
+
+    return max_tasks > 0 && run_count_on(step, target) > max_tasks;
+}
+
 /* Returns a negative number if `x` is in a faster class than `y`, a positive
  * one if in a slower class.
  */
--- a/src/owner/owner_orders.c
+++ b/src/owner/owner_orders.c
@@ -324,21 +324,29 @@
            owner_target_capacity_known(target, now);
 }
 
-/* True if the run may not start on its worker any more: since the placement
- * the worker may have reported another kind, rack or service. */
-static bool
-is_disallowed(const struct owner_run *run)
+/* Returns why the run may not start on its worker any more, or NULL.  Since
+ * the placement the worker may have reported another kind, rack or service, or
+ * have listed an orphan of the step. */
+static const char *
+reason_to_withhold(const struct owner_run *run)
 {
-    struct cw_task_name name = owner_task_name(run->task);
+    const struct owner_step *step = run->task->step;
 
-    if (owner_step_allows_target(run->task->step, run->target)) {
-        return false;
+    if (!owner_step_allows_target(step, run->target)) {
+        return "worker";
     }
+    return owner_step_exceeds_limit(step, run->target) ? "limit" : NULL;
+}
+
+static void
+log_withheld(const struct owner_run *run, const char *reason)
+{
+    struct cw_task_name name = owner_task_name(run->task);
+
     cw_log_info("start_withheld",
                 "id=%s task=%u.%u.%u run=%u worker=%s reason=%s phase=%s",
                 name.job, name.occurrence, name.step, name.index, run->number,
-                run->target->id, "worker", owner_run_phase_name(run->phase));
-    return true;
+                run->target->id, reason, owner_run_phase_name(run->phase));
 }
 
 /* False if the order is no longer needed. */
@@ -346,6 +354,7 @@
 is_still_needed(struct owner_order *order, struct timespec now)
 {
     struct owner_run *run = order_run(order);
+    const char *reason;
 
     if (order->kind == CW_ORDER_STOP) {
         return true; /* the run may be an orphan, unknown to this owner */
@@ -367,11 +376,16 @@
         withdraw_run(order->owner, run);
         return false;
     }
-    if (is_disallowed(run) || !fits_still(run->target, now) ||
+    reason = reason_to_withhold(run);
+    if (reason != NULL) {
+        log_withheld(run, reason);
+        withdraw_run(order->owner, run);
+        return false;
+    }
+    if (!fits_still(run->target, now) ||
         (run->phase == RUN_READY && run->target->unanswered_polls > 0))
     {
-        /* The step may not use the worker, or the worker would refuse the run,
-         * be overloaded, or not answer. */
+        /* The worker would refuse the run, be overloaded, or not answer. */
         withdraw_run(order->owner, run);
         return false;
     }
--- a/tests/test_limits.c
+++ b/tests/test_limits.c
@@ -128,19 +128,25 @@
     owner_target_apply_report(cluster->owner, &changed);
 }
 
-/* Sends the orders of the worker, with the start of the job's first task. */
-static void
-send_start(struct cluster *cluster, struct owner_target *target,
-           const struct owner_job *job)
+/* Sends the worker's orders, with the start of the job's first task; true if
+ * that was sent. */
+static bool
+start_is_sent(struct cluster *cluster, struct owner_target *target,
+              const struct owner_job *job)
 {
     struct owner_run *run = step_of(job)->tasks[0].run;
     struct cw_task_name name = owner_task_name(run->task);
+    bool is_sent = false;
 
     owner_order_queue(cluster->owner, target, CW_ORDER_START, &name,
                       run->number);
-    last_order = (struct cw_target_order){.kind = CW_ORDER_POLL};
     cluster->owner->ownership_confirmed_at = cluster->clock.now;
     (void)owner_orders_send(cluster->owner, target, cluster->clock.now);
+    for (guint i = 0; unanswered != NULL && i < unanswered->len; i++) {
+        is_sent |= g_array_index(unanswered, struct cw_target_order, i).kind ==
+                   CW_ORDER_START;
+    }
+    return is_sent;
 }
 
 /* Places a task that requires a label on a worker, which then has another kind
@@ -160,8 +166,7 @@
     CU_ASSERT_PTR_EQUAL_FATAL(worker_of(job, 0), target);
     report(&cluster, kind, service);
     step_of(job)->tasks[0].run->phase = RUN_READY;
-    send_start(&cluster, target, job);
-    is_withheld = last_order.kind != CW_ORDER_START && placed(job) == 0;
+    is_withheld = !start_is_sent(&cluster, target, job) && placed(job) == 0;
     pass(&cluster, 10);
     CU_ASSERT_EQUAL(placed(job), !is_withheld);
     cluster_end(&cluster);
@@ -197,13 +202,84 @@
     run->phase = RUN_STARTING;
     run->unanswered = 1;
     report(&cluster, "odd", "s");
-    send_start(&cluster, target, job);
+    CU_ASSERT_FALSE(start_is_sent(&cluster, target, job));
     CU_ASSERT_EQUAL(last_order.kind, CW_ORDER_STOP);
     CU_ASSERT_PTR_EQUAL(step_of(job)->tasks[0].run, run);
     CU_ASSERT_TRUE(run->stopping);
     cluster_end(&cluster);
 }
 
+/* ---- limits that are exceeded since the placement ---- */
+
+/* Places as many tasks of the job as fit on the only worker, which then lists
+ * a first run of the task `orphan`. */
+static struct owner_job *
+place_beside_orphan(struct cluster *cluster, const struct cw_step_spec *step,
+                    unsigned orphan)
+{
+    struct owner_target *target = list_only_one(cluster);
+    struct owner_job *job = add_job(cluster, 1, step);
+    struct cw_running running;
+
+    pass(cluster, 10);
+    CU_ASSERT_EQUAL(placed(job), step->most_per_worker);
+    running = listed_run(job, orphan);
+    list_runs(cluster, target, &running, 1);
+    return job;
+}
+
+static void
+test_a_start_is_not_sent_beyond_the_limit(void)
+{
+    struct cluster cluster;
+    struct owner_job *job;
+
+    cluster_begin(&cluster);
+    job = place_beside_orphan(&cluster, &apart, 1);
+    step_of(job)->tasks[0].run->phase = RUN_READY;
+    CU_ASSERT_FALSE(
+        start_is_sent(&cluster, owner_target_get(cluster.owner, "w00"), job));
+    CU_ASSERT_EQUAL(placed(job), 0);
+    cluster_end(&cluster);
+}
+
+/* As many starts are withheld as are beyond the limit. */
+static void
+test_a_start_within_the_limit_is_sent(void)
+{
+    static const struct cw_step_spec pairs = {
+        .tasks = 3, .accelerators = 1, .most_per_worker = 2};
+    struct cluster cluster;
+    struct owner_target *target;
+    struct owner_job *job;
+
+    cluster_begin(&cluster);
+    job = place_beside_orphan(&cluster, &pairs, 2);
+    target = owner_target_get(cluster.owner, "w00");
+    owner_run_drop(cluster.owner, step_of(job)->tasks[1].run);
+    step_of(job)->tasks[0].run->phase = RUN_READY;
+    CU_ASSERT_TRUE(start_is_sent(&cluster, target, job));
+    cluster_end(&cluster);
+}
+
+/* The start had no answer; when it is to be sent again, an orphan is there. */
+static void
+test_a_start_is_not_repeated_beyond_the_limit(void)
+{
+    struct cluster cluster;
+    struct owner_job *job;
+    struct owner_run *run;
+
+    cluster_begin(&cluster);
+    job = place_beside_orphan(&cluster, &apart, 1);
+    run = step_of(job)->tasks[0].run;
+    run->phase = RUN_STARTING;
+    run->unanswered = 1;
+    CU_ASSERT_FALSE(start_is_sent(&cluster, run->target, job));
+    CU_ASSERT_TRUE(run->stopping);
+    cluster_end(&cluster);
+}
+
 static const struct test tests[] = {
     {"given up", test_a_run_that_was_given_up_counts_until_it_is_gone},
     {"given up, other step",
@@ -212,6 +288,9 @@
     {"label gone, sent again",
      test_a_start_is_not_repeated_if_the_label_is_gone},
     {"other service", test_a_start_is_not_sent_to_another_service},
+    {"limit", test_a_start_is_not_sent_beyond_the_limit},
+    {"limit, sent again", test_a_start_is_not_repeated_beyond_the_limit},
+    {"within limit", test_a_start_within_the_limit_is_sent},
 };
 
 TEST_MAIN("limits", tests)
