--- a/emulator/emulator_main.c
+++ b/emulator/emulator_main.c
@@ -53,6 +53,8 @@
     unsigned silences;
     unsigned outages;
     unsigned late_reports;
+    unsigned held_orders;
+    bool links_hold;
     bool calm;
     bool wide;
     bool restricted;
@@ -106,6 +108,12 @@
      "Times that workers' reports are stored seconds late, after a crash or "
      "after newer ones, or do not arrive",
      0},
+    {"held-orders", 'G', "N", 0,
+     "Times that orders of some workers are held up for seconds while they "
+     "refuse other starts, are cut off or restart",
+     0},
+    {"held-links", 'L', NULL, 0,
+     "Some held orders may reach the next incarnation of their worker", 0},
     {"calm", 'q', NULL, 0, "No random faults", 0},
     {"wide", 'b', NULL, 0,
      "Jobs and gangs larger than a rack, and more of them", 0},
@@ -162,6 +170,9 @@
     case 'y':
         arguments->late_reports = number;
         break;
+    case 'G':
+        arguments->held_orders = number;
+        break;
     default:
         return false;
     }
@@ -214,6 +225,9 @@
     case 'g':
         arguments->restricted = true;
         break;
+    case 'L':
+        arguments->links_hold = true;
+        break;
     case 'h':
         arguments->near = true;
         break;
@@ -259,6 +273,8 @@
     day.silences = arguments->silences;
     day.outages = arguments->outages;
     day.late_reports = arguments->late_reports;
+    day.held_orders = arguments->held_orders;
+    day.links_hold = arguments->links_hold;
     day.restricted = arguments->restricted;
     day.near = arguments->near;
     if (day.silences + day.outages + day.owner_cuts > 0) {
--- a/emulator/internal/world_private.h
+++ b/emulator/internal/world_private.h
@@ -99,6 +99,7 @@
                                            seconds late */
     GHashTable *cut_workers;            /* id -> disconnected until, in ms */
     GHashTable *late_workers;           /* id -> late until, in ms */
+    GHashTable *holding_workers;        /* id -> orders are held up until */
     GHashTable *draining;               /* set of ids */
     GHashTable *cordons; /* data centre -> struct world_cordon */
     GHashTable *entries; /* id -> struct world_entry, on days with late
@@ -341,6 +342,9 @@
 int64_t world_reported_boot_ms(const struct world *world,
                                const struct worker_model *worker);
 
+/* Crashes a worker, which restarts under its id. */
+void world_crash_worker(struct world *world, struct worker_model *worker);
+
 /* Restarts a worker that is down under its id. */
 void world_restart_worker(struct world *world, void *worker_model);
 
@@ -437,6 +441,24 @@
  * it is of another kind.  Borrowed from `key`. */
 const char *world_cordoned_dc(const char *key);
 
+/* ---- world_held_orders.c ---- */
+
+/* Holds up orders of some workers for a while. */
+void world_hold_orders(struct world *world, void *unused);
+
+/* How an order is held up. */
+struct world_hold {
+    unsigned ms;
+    bool by_worker; /* it is lost if the worker crashes */
+};
+
+/* True if an order that is sent to the worker now is held up. */
+bool world_holds_order(struct world *world, const char *worker,
+                       struct world_hold *hold);
+
+/* True if the worker refuses a start that arrives now. */
+bool world_refuses_start(struct world *world, const char *worker);
+
 /* ---- world_near.c ---- */
 
 /* Checks that no earlier run of the task is at work or may still begin. */
@@ -482,6 +504,10 @@
 /* Any of the workers, also one that is down. */
 struct worker_model *world_random_worker(struct world *world);
 
+/* Cuts a worker off for `ms`. */
+void world_cut_worker(struct world *world, const struct worker_model *worker,
+                      unsigned ms);
+
 /* Injects a random fault. */
 void world_inject_fault(struct world *world, void *unused);
 
--- a/emulator/world.c
+++ b/emulator/world.c
@@ -307,6 +307,7 @@
     world->faults = g_string_new(NULL);
     world->cut_workers = g_hash_table_new(g_str_hash, g_str_equal);
     world->late_workers = g_hash_table_new(g_str_hash, g_str_equal);
+    world->holding_workers = g_hash_table_new(g_str_hash, g_str_equal);
     world->owner_cut.vms = g_hash_table_new(NULL, NULL);
     world->owner_cut.workers = g_hash_table_new(g_str_hash, g_str_equal);
     world->draining = g_hash_table_new(g_str_hash, g_str_equal);
@@ -395,6 +396,8 @@
                    world_topic_outage);
     schedule_times(world, options->late_episodes, FIRST_FAULT_MS,
                    world_delay_workers);
+    schedule_times(world, options->held_orders, FIRST_FAULT_MS,
+                   world_hold_orders);
     schedule_between(world, options->silences, FIRST_FAULT_MS,
                      options->day_ms + SILENCES_AFTER_DAY_MS,
                      world_silence_workers);
@@ -512,6 +515,7 @@
     g_ptr_array_unref(world->vms);
     g_hash_table_unref(world->cut_workers);
     g_hash_table_unref(world->late_workers);
+    g_hash_table_unref(world->holding_workers);
     g_hash_table_unref(world->owner_cut.vms);
     g_hash_table_unref(world->owner_cut.workers);
     g_hash_table_unref(world->draining);
--- a/emulator/world.h
+++ b/emulator/world.h
@@ -52,10 +52,14 @@
     unsigned late_reports; /* number of times that reports of some workers are
                               stored seconds late: of workers that crash and
                               restart, or whose reports stop to arrive */
-    bool lasting;          /* jobs of many steps or of long tasks, which go on
-                              after day_ms */
-    bool restricted;       /* steps have limits of tasks per worker and require
-                              labels; workers are of two kinds */
+    unsigned held_orders;  /* number of times that orders of some workers are
+                              held up for seconds, beside refused starts */
+    bool links_hold; /* some of these orders are held up by links, and may
+                        reach the next incarnation of their worker */
+    bool lasting;    /* jobs of many steps or of long tasks, which go on
+                        after day_ms */
+    bool restricted; /* steps have limits of tasks per worker and require
+                        labels; workers are of two kinds */
     bool near; /* a start is a violation while an earlier run of its task is at
                   work or may still begin */
     bool wide; /* jobs and gangs larger than a rack, and many tasks in a
--- a/emulator/world_faults.c
+++ b/emulator/world_faults.c
@@ -118,18 +118,25 @@
         world_random_below(world, worker_fleet_size(world->fleet)));
 }
 
+void
+world_cut_worker(struct world *world, const struct worker_model *worker,
+                 unsigned ms)
+{
+    const char *id = worker_model_id(worker);
+
+    world_record_fault(world, "cut %s for %u", id, ms);
+    world_disturb(world, ms, 0);
+    g_hash_table_insert(world->cut_workers, (gpointer)id,
+                        GINT_TO_POINTER((gint)(world->now_ms + ms)));
+}
+
 static void
 fault_cut_worker(struct world *world)
 {
     unsigned ms = world_random_between(world, 1000, 12000);
 
-    world_disturb(world, ms, 0);
     for (unsigned i = world_random_between(world, 1, 3); i > 0; i--) {
-        const char *id = worker_model_id(world_random_worker(world));
-
-        world_record_fault(world, "cut %s for %u", id, ms);
-        g_hash_table_insert(world->cut_workers, (gpointer)id,
-                            GINT_TO_POINTER((gint)(world->now_ms + ms)));
+        world_cut_worker(world, world_random_worker(world), ms);
     }
 }
 
--- a/emulator/world_net.c
+++ b/emulator/world_net.c
@@ -346,6 +346,14 @@
         world_call_unref(call);
         return;
     }
+    if (call->order.kind == CW_ORDER_START &&
+        world_refuses_start(world, worker_model_id(worker)))
+    {
+        call->answer.status = CW_TARGET_UNHEALTHY;
+        world_call_schedule(call, WORKER_ONE_WAY_MS, world_call_deliver);
+        world_call_unref(call);
+        return;
+    }
     g_array_set_size(call->running, 0);
     g_array_set_size(call->ended_rows, 0);
     worker_model_order(worker, &call->order, world->now_ms, &call->answer,
@@ -391,6 +399,7 @@
     struct world *world = vm->world;
     struct call *call = world_call_new(vm, CALL_ORDER, order->timeout_ms);
     struct world_worker_delay delay;
+    struct world_hold hold;
 
     call->order = *order;
     call->text = g_strdup(order->id);
@@ -427,6 +436,19 @@
                             arrive_at_worker);
         return;
     }
+    if (world_holds_order(world, call->text, &hold)) {
+        const struct worker_model *worker =
+            worker_fleet_at_address(world->fleet, call->address);
+
+        if (hold.by_worker && worker == NULL) {
+            return; /* no worker at this address */
+        }
+        if (hold.by_worker) {
+            call->boot_ms = worker_model_boot_ms(worker);
+        }
+        world_call_schedule(call, hold.ms, arrive_at_worker);
+        return;
+    }
     delay = world_worker_delay(world, call->text);
     if (delay.resets) {
         world_call_schedule(call, WORKER_ONE_WAY_MS, reset_connection);
--- a/emulator/world_restarts.c
+++ b/emulator/world_restarts.c
@@ -130,6 +130,12 @@
     world_schedule(world, down_ms, world_restart_worker, worker);
 }
 
+void
+world_crash_worker(struct world *world, struct worker_model *worker)
+{
+    crash_worker(world, worker, true);
+}
+
 void
 world_restart_workers(struct world *world, void *context)
 {
