Soak: limits per worker and labels, judged by the workers

No process test drew limits or labels.

The payload tells the workers, and the stand-in reports a start on a worker without the label, or while as many runs of the step are on the worker, orphans included.

--- a/standins/platform_reports.c
+++ b/standins/platform_reports.c
@@ -47,7 +47,7 @@
     return g_strdup_printf(
         "{\"service\":\"service\",\"address\":\"%s\",\"zone\":\"%s\","
         "\"slots\":8,\"state\":\"ready\",\"capacity\":{\"cpu\":%d,"
-        "\"mem_mb\":%d,\"gpus\":%d},\"labels\":[\"a\",\"%s\"],"
+        "\"mem_mb\":%d,\"gpus\":%d},\"labels\":[\"" STANDIN_LABEL "\",\"%s\"],"
         "\"clock_ms\":%" PRId64 ",\"born\":%" PRId64 "}",
         worker->reported_address, worker->dc, WORKER_CPU_MILLI,
         WORKER_MEMORY_MB, WORKER_ACCELERATORS, worker->rack, standin_now_ms(),
--- a/standins/platform_standin.c
+++ b/standins/platform_standin.c
@@ -10,6 +10,9 @@
  *   members=N       the task belongs to a gang of N
  *   accelerators=N  accelerators that a task needs (default 1)
  *   fails=N         the first N runs of a task fail
+ *   label=LABEL     workers that run a task have this label
+ *   most_per_worker=N
+ *                   of a step, a worker runs so many tasks at a time at most
  *   echo=TEXT       a successful run reports the text "JOB:TEXT"
  *   crash=1         the job's first task crashes every worker that starts it;
  *                   the worker doesn't answer for a while and then restarts
@@ -518,6 +521,8 @@
     standin_entries_init(&platform);
     platform.active =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    platform.on_worker =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     platform.done =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     platform.payloads =
--- a/standins/platform_standin.h
+++ b/standins/platform_standin.h
@@ -37,6 +37,7 @@
     HELD_MIN_MS = 2000,
     HELD_SPAN_MS = 4000,
     PERCENT = 100,
+    LABEL_BYTES = 64,
     WORKER_ACCELERATORS = 8,
     WORKER_CPU_MILLI = 32000,
     WORKER_MEMORY_MB = 131072,
@@ -60,10 +61,13 @@
     bool hides_boot_times;  /* workers do not tell when they booted */
     bool store_unavailable; /* the store refuses all calls */
     GHashTable *payloads;   /* job's id -> payload */
-    unsigned violations;    /* starts of a task that was running or done */
-    GHashTable *active;     /* task's name -> number of runs */
-    GHashTable *done;       /* names of tasks with a confirmed end */
-    unsigned crash_rounds;  /* number of simultaneous crashes */
+    /* Starts of a task that was running or done, or on a worker without the
+     * label, or above the step's limit per worker. */
+    unsigned violations;
+    GHashTable *active;    /* task's name -> number of runs */
+    GHashTable *on_worker; /* step's name, "@", worker -> number of runs */
+    GHashTable *done;      /* names of tasks with a confirmed end */
+    unsigned crash_rounds; /* number of simultaneous crashes */
     /* The next worker that a task crashes restarts under the same id. */
     bool next_crash_keeps_id;
 };
@@ -145,6 +149,9 @@
 /* Keeps the entry from expiring. */
 void standin_keep_entry(struct platform *platform, const char *id);
 
+/* The label that all workers have, besides their rack. */
+#define STANDIN_LABEL "a"
+
 /* Handlers of calls to the store and to a worker. */
 void standin_handle_store(void *platform, struct cw_http_call *call);
 void standin_handle_worker(void *worker, struct cw_http_call *call);
--- a/standins/platform_workers.c
+++ b/standins/platform_workers.c
@@ -1,5 +1,6 @@
 /* Workers of the stand-in: the emulator's models served over HTTP. */
 #include <inttypes.h>
+#include <limits.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -336,6 +337,59 @@
     return true;
 }
 
+static void
+report_violation(struct platform *platform, const char *rule, const char *task)
+{
+    printf("violation %s task=%s\n", rule, task);
+    platform->violations++;
+}
+
+/* True if the worker has the label that the payload requires. */
+static bool
+has_label(struct platform *platform, const char *worker, const char *payload)
+{
+    const char *found = strstr(payload, "label=");
+    const struct worker_model *model =
+        worker_fleet_find(platform->fleet, worker);
+    char label[LABEL_BYTES] = "";
+
+    return found == NULL || sscanf(found, "label=%63s", label) != 1 ||
+           strcmp(label, STANDIN_LABEL) == 0 ||
+           strcmp(label, worker_model_rack(model)) == 0;
+}
+
+/* Adds to the number of runs of the task's step on a worker; returns it. */
+static unsigned
+count_on_worker(struct platform *platform, const char *worker,
+                const struct cw_task_name *task, int more)
+{
+    char *key = g_strdup_printf("%s.%u.%u@%s", task->job, task->occurrence,
+                                task->step, worker);
+    int count =
+        GPOINTER_TO_INT(g_hash_table_lookup(platform->on_worker, key)) + more;
+
+    g_hash_table_replace(platform->on_worker, key, GINT_TO_POINTER(count));
+    return (unsigned)count;
+}
+
+static void
+check_route(struct platform *platform, const char *worker,
+            const struct cw_task_name *task, const char *name)
+{
+    const char *payload = g_hash_table_lookup(platform->payloads, task->job);
+    unsigned count = count_on_worker(platform, worker, task, 1);
+
+    if (payload == NULL) {
+        return;
+    }
+    if (!has_label(platform, worker, payload)) {
+        report_violation(platform, "label", name);
+    }
+    if (count > payload_number(payload, "most_per_worker", UINT_MAX)) {
+        report_violation(platform, "limit", name);
+    }
+}
+
 static void
 on_started(void *context, const char *worker, const struct cw_task_name *task,
            unsigned run)
@@ -348,13 +402,12 @@
     printf("started task=%s run=%u worker=%s at_ms=%" PRId64 "\n", name, run,
            worker, cw_clock_wall_ms(cw_clock_system()));
     if (active > 0) {
-        printf("violation twice task=%s\n", name);
-        platform->violations++;
+        report_violation(platform, "twice", name);
     }
     if (g_hash_table_contains(platform->done, name)) {
-        printf("violation done task=%s\n", name);
-        platform->violations++;
+        report_violation(platform, "done", name);
     }
+    check_route(platform, worker, task, name);
     fflush(stdout);
     g_hash_table_insert(platform->active, name, GUINT_TO_POINTER(active + 1));
 }
@@ -371,6 +424,7 @@
            cw_clock_wall_ms(cw_clock_system()));
     fflush(stdout);
     g_hash_table_insert(platform->active, name, GUINT_TO_POINTER(0));
+    (void)count_on_worker(platform, worker, task, -1);
 }
 
 /* Records a task that is done.  If one member of a gang is done, so is the
