Labels: the report has to be of the incarnation that answers

Cause: a worker that restarts under its id may be of another kind. Once the new incarnation answered polls, a step that requires a label was placed and started there by the kind that the former one had reported, until the next report was read, seconds later.

Evidence: test "label, former incarnation" of test_limits failed before.

Change: a required label is compared only with a report of the incarnation that answered last. Other steps are placed as before, and so are all steps on workers that report no boot time.

--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -804,6 +804,11 @@
 void owner_target_lost(struct cw_owner *owner, struct owner_target *target,
                        const struct owner_loss *loss);
 
+/* True if the newest report is of another incarnation than the one that
+ * answered last; the kind of a worker may change with a restart. */
+bool
+owner_target_report_is_of_other_incarnation(const struct owner_target *target);
+
 /* True if the worker's reported capacity can be relied on: the report is
  * recent and of the incarnation that answered last, or the worker refuses runs
  * that do not fit. */
--- a/src/owner/owner_candidates.c
+++ b/src/owner/owner_candidates.c
@@ -64,8 +64,10 @@
     {
         return false;
     }
-    return label[0] == '\0' || strcmp(label, target->kind) == 0 ||
-           strcmp(label, target->rack) == 0;
+    return label[0] == '\0' ||
+           (!owner_target_report_is_of_other_incarnation(target) &&
+            (strcmp(label, target->kind) == 0 ||
+             strcmp(label, target->rack) == 0));
 }
 
 unsigned
--- a/src/owner/owner_targets.c
+++ b/src/owner/owner_targets.c
@@ -556,10 +556,8 @@
     return service == NULL || service->enforces_capacity;
 }
 
-/* True if the newest report is of another incarnation than the one that
- * answered last; the kind of a worker may change with a restart. */
-static bool
-report_is_of_other_incarnation(const struct owner_target *target)
+bool
+owner_target_report_is_of_other_incarnation(const struct owner_target *target)
 {
     return target->incarnation.boot_ms > 0 && target->reported_boot_ms > 0 &&
            target->reported_boot_ms != target->incarnation.boot_ms;
@@ -573,7 +571,7 @@
         target->owner->options.report_ms + REPORT_LATE_MS;
 
     return (cw_time_diff_ms(target->reported_at, now) < report_age_max_ms &&
-            !report_is_of_other_incarnation(target)) ||
+            !owner_target_report_is_of_other_incarnation(target)) ||
            enforces_capacity_limit(target);
 }
 
--- a/tests/test_limits.c
+++ b/tests/test_limits.c
@@ -209,6 +209,30 @@
     cluster_end(&cluster);
 }
 
+/* The incarnation that answers polls has not reported its kind yet. */
+static void
+test_the_label_of_a_former_incarnation_does_not_count(void)
+{
+    static const struct cw_step_spec any = {.tasks = 1, .accelerators = 1};
+    struct cluster cluster;
+    struct owner_target *target;
+    struct owner_job *jobs[2];
+
+    cluster_begin(&cluster);
+    target = list_only_one(&cluster);
+    target->incarnation.boot_ms = START_MS;
+    target->reported_boot_ms = START_MS - 1;
+    jobs[0] = add_job(&cluster, 1, &labelled);
+    jobs[1] = add_job(&cluster, 1, &any);
+    pass(&cluster, 10);
+    CU_ASSERT_EQUAL(placed(jobs[0]), 0);
+    CU_ASSERT_EQUAL(placed(jobs[1]), 1);
+    target->reported_boot_ms = START_MS;
+    pass(&cluster, 1000);
+    CU_ASSERT_EQUAL(placed(jobs[0]), 1);
+    cluster_end(&cluster);
+}
+
 /* ---- limits that are exceeded since the placement ---- */
 
 /* Places as many tasks of the job as fit on the only worker, which then lists
@@ -288,6 +312,8 @@
     {"label gone, sent again",
      test_a_start_is_not_repeated_if_the_label_is_gone},
     {"other service", test_a_start_is_not_sent_to_another_service},
+    {"label, former incarnation",
+     test_the_label_of_a_former_incarnation_does_not_count},
     {"limit", test_a_start_is_not_sent_beyond_the_limit},
     {"limit, sent again", test_a_start_is_not_repeated_beyond_the_limit},
     {"within limit", test_a_start_within_the_limit_is_sent},
