Tombstones and orphans: no worker is held for ever

Callers saw: nothing so far; found by review. Cause: a tombstone's stop that could not be delivered (the worker superseded, yet answering a poll that was sent before) was dropped with the tombstone still marked as queued. Nothing sent it again, and since tombstones don't expire the worker got no lease and no work any more. Stops to a worker that had left after its last idle poll were sent every 300 ms for ever. An orphan that was listed by the last poll of an idle worker kept its resources, and its place in the limit per worker, as no other poll was due.

Change: stops of tombstones are queued only for a listed worker with a usable address; a worker is polled until it lists no orphans.

Measured: tests "shut out at next address", "shut out, unlisted" and "polled for orphans" failed before and pass now.

--- a/src/owner/owner_polls.c
+++ b/src/owner/owner_polls.c
@@ -659,7 +659,7 @@
                target->incarnation.ends_durable ||
            /* An unlisted worker that does not answer is not polled any longer.
             */
-           (has_unconfirmed(target) &&
+           ((has_unconfirmed(target) || owner_target_has_orphans(target)) &&
             (target->listed || target->unanswered_polls == 0)) ||
            (target->unanswered_polls > 0 && may_get_work(target));
 }
--- a/src/owner/owner_tombstones.c
+++ b/src/owner/owner_tombstones.c
@@ -103,23 +103,31 @@
     }
 }
 
+/* False if stops would not reach the worker. */
+static bool
+is_there(const struct owner_target *target)
+{
+    return target->listed && !target->superseded &&
+           target->address[0] != '\0' && target->answered &&
+           target->unanswered_polls == 0;
+}
+
 struct timespec
 owner_tombstone_tick(struct owner_target *target, struct timespec now)
 {
     struct timespec next = cw_time_from_ms(INT32_MAX);
-    bool is_responsive = target->answered && target->unanswered_polls == 0;
+    bool reachable = is_there(target);
 
     for (guint i = 0; i < target->tombstones->len; i++) {
         struct owner_tombstone *tombstone = target->tombstones->pdata[i];
 
-        if (is_responsive && !tombstone->queued &&
-            !cw_time_before(now, tombstone->due))
-        {
+        if (reachable && !tombstone->queued &&
+            !cw_time_before(now, tombstone->due)) {
             tombstone->queued = true;
             owner_order_queue(target->owner, target, CW_ORDER_STOP,
                               &tombstone->task, tombstone->run);
         }
-        else if (is_responsive && !tombstone->queued) {
+        else if (reachable && !tombstone->queued) {
             cw_time_set_earlier(&next, tombstone->due);
         }
     }
--- a/tests/test_limits.c
+++ b/tests/test_limits.c
@@ -280,7 +280,31 @@
     cluster_end(&cluster);
 }
 
+/* Guards against an orphan that takes its worker for ever: one that was listed
+ * by the last poll of an idle worker is polled for until it has ended. */
+static void
+test_worker_is_polled_until_its_orphans_are_gone(void)
+{
+    struct cluster cluster;
+    struct owner_target *target;
+    struct cw_running running;
+
+    cluster_begin(&cluster);
+    target = list_only_one(&cluster);
+    running = listed_run(add_job(&cluster, 1, &apart), 0);
+    target->last_busy_at = cluster.clock.now;
+    cluster.clock.now = cw_time_add_ms(cluster.clock.now, 13900);
+    list_runs(&cluster, target, &running, 1);
+    cluster.clock.now = cw_time_add_ms(cluster.clock.now, 200);
+    cluster.owner->ownership_confirmed_at = cluster.clock.now;
+    CU_ASSERT_FALSE(target->poll_in_flight);
+    (void)owner_poll_tick(cluster.owner, target, cluster.clock.now);
+    CU_ASSERT_TRUE(target->poll_in_flight);
+    cluster_end(&cluster);
+}
+
 static const struct test tests[] = {
+    {"polled for orphans", test_worker_is_polled_until_its_orphans_are_gone},
     {"given up", test_a_run_that_was_given_up_counts_until_it_is_gone},
     {"given up, other step",
      test_a_run_that_was_given_up_counts_for_its_own_step_only},
--- a/tests/test_orders.c
+++ b/tests/test_orders.c
@@ -285,7 +285,88 @@
     cluster_end(&cluster);
 }
 
+/* Adds a job whose start is refused by another worker at the address, after a
+ * poll that was sent before and that is answered later; returns its worker. */
+static struct owner_target *
+lose_worker_before_its_answer(struct cluster *cluster)
+{
+    const struct cw_step_spec one = {.tasks = 1, .accelerators = 8};
+    struct owner_job *job = add_job(cluster, 1, &one);
+    struct owner_target *target;
+    struct cw_target_order poll;
+
+    pass(cluster, 10);
+    target = step_of(job)->tasks[0].run->target;
+    (void)owner_poll_tick(cluster->owner, target, cluster->clock.now);
+    CU_ASSERT_EQUAL_FATAL(last_order.kind, CW_ORDER_POLL);
+    poll = last_order;
+    pass(cluster, 10);
+    (void)send_job_start(cluster, job);
+    CU_ASSERT_EQUAL_FATAL(last_order.kind, CW_ORDER_START);
+    answer_last(CW_TARGET_OTHER_INCARNATION);
+    CU_ASSERT_TRUE(target->superseded);
+    CU_ASSERT_TRUE(owner_tombstone_pending(target));
+    last_order = poll;
+    answer_last(CW_TARGET_OK);
+    (void)owner_orders_send(cluster->owner, target, cluster->clock.now);
+    return target;
+}
+
+/* Guards against a worker that gets no work for ever: a stop that could not
+ * be sent is sent once the worker has an address again. */
+static void
+test_given_up_start_is_shut_out_at_next_address(void)
+{
+    struct cluster cluster;
+    struct owner_target *target;
+    struct cw_target_report moved = {
+        .service = "s", .address = "moved", .dc = "", .rack = "", .kind = ""};
+
+    cluster_begin(&cluster);
+    target = lose_worker_before_its_answer(&cluster);
+    moved.id = target->id;
+    moved.capacity = target->capacity;
+    owner_target_apply_report(cluster.owner, &moved);
+    CU_ASSERT_FALSE(target->superseded);
+    poll_and_answer(&cluster, target, CW_TARGET_OK, 3000);
+    CU_ASSERT_EQUAL(last_order.kind, CW_ORDER_STOP);
+    if (last_order.kind == CW_ORDER_STOP) {
+        answer_last(CW_TARGET_OK);
+    }
+    CU_ASSERT_FALSE(owner_tombstone_pending(target));
+    cluster_end(&cluster);
+}
+
+/* Guards against stops that are sent for ever to a worker that is gone. */
+static void
+test_given_up_start_is_not_shut_out_of_unlisted_worker(void)
+{
+    struct cluster cluster;
+    struct owner_job *job;
+    struct owner_target *target;
+
+    cluster_begin(&cluster);
+    job = start_job(&cluster);
+    target = step_of(job)->tasks[0].run->target;
+    answer_last(CW_TARGET_UNKNOWN);
+    owner_target_lost(
+        cluster.owner, target,
+        &(struct owner_loss){.reason = "lease_over", .evidence = "lease"});
+    poll_and_answer(&cluster, target, CW_TARGET_OK, 1000);
+    CU_ASSERT_EQUAL_FATAL(last_order.kind, CW_ORDER_STOP);
+    answer_last(CW_TARGET_UNREACHABLE);
+    target->listed = false;
+    CU_ASSERT_EQUAL(stops_sent_in(&cluster, target, 1000), 0);
+    target->listed = true;
+    CU_ASSERT_TRUE(stops_sent_in(&cluster, target, 1000) > 0);
+    cluster_end(&cluster);
+}
+
 static const struct test tests[] = {
+    {"shut out at next address",
+     test_given_up_start_is_shut_out_at_next_address},
+    {"shut out, unlisted",
+     test_given_up_start_is_not_shut_out_of_unlisted_worker},
     {"shut out", test_given_up_start_is_shut_out_after_long_silence},
     {"connections", test_orders_in_flight_fit_connections},
     {"stop interval", test_failing_stop_is_retried_at_intervals},
