--- a/src/owner/owner_orders.c
+++ b/src/owner/owner_orders.c
@@ -328,7 +328,7 @@
  * the placement the worker may have reported another kind, rack or service, or
  * have listed an orphan of the step. */
 static const char *
-reason_to_withhold(const struct owner_run *run)
+reason_to_disallow(const struct owner_run *run)
 {
     const struct owner_step *step = run->task->step;
 
@@ -339,11 +339,11 @@
 }
 
 static void
-log_withheld(const struct owner_run *run, const char *reason)
+log_disallowed(const struct owner_run *run, const char *reason)
 {
     struct cw_task_name name = owner_task_name(run->task);
 
-    cw_log_info("start_withheld",
+    cw_log_info("start_disallowed",
                 "id=%s task=%u.%u.%u run=%u worker=%s reason=%s phase=%s",
                 name.job, name.occurrence, name.step, name.index, run->number,
                 run->target->id, reason, owner_run_phase_name(run->phase));
@@ -376,9 +376,9 @@
         withdraw_run(order->owner, run);
         return false;
     }
-    reason = reason_to_withhold(run);
+    reason = reason_to_disallow(run);
     if (reason != NULL) {
-        log_withheld(run, reason);
+        log_disallowed(run, reason);
         withdraw_run(order->owner, run);
         return false;
     }
