Tests: a handle that was aborted starts anew

The client reuses its handles. After a POST that was not sent again, the next request on the same handle, of which no part is sent, is reported as unsent.

--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -335,6 +335,11 @@
     CU_ASSERT_EQUAL(answers.ok, 1);
     CU_ASSERT_EQUAL(answers.unsent, 0);
     CU_ASSERT_EQUAL(server.requests, 2);
+    /* The same handle sends the next request, of which no part is sent. */
+    request_with_body(client, server.port, &answers, LONG_TIMEOUT_MS, "body");
+    answers_wait(&answers, 3);
+    CU_ASSERT_EQUAL(answers.unsent, 1);
+    CU_ASSERT_EQUAL(server.requests, 2);
     cw_http_client_free(client);
     server_stop(&server);
 }
