Orphans: a start that its stop may have followed counts until the next poll

Cause: a worker where a start may still arrive gets no other work until it has confirmed a stop of that run. If the start was carried out shortly before the stop, the run takes up to `stop_ms` to end; until the next poll listed it, its resources were counted as free, and a second task of its step could be placed beside it.

Evidence: test "stopped" of test_limits failed before.

Change: when the stop is confirmed the run counts as an orphan until the worker has answered a poll that was sent after that; this poll is sent at once and does not wait at the worker.

--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -891,8 +891,18 @@
 /* Creates an empty array for a worker's orphans. */
 GArray *owner_orphans_new(void);
 
-/* Removes all orphans of the worker: it lists them anew. */
-void owner_orphans_reset(struct owner_target *target);
+/* Removes the worker's orphans when it has answered a poll, and so lists them
+ * anew; but not those that were presumed after the poll was sent. */
+void owner_orphans_reset(struct owner_target *target, struct timespec sent);
+
+/* Adds a run as an orphan that the worker has stopped and may have begun
+ * before. */
+void
+owner_orphan_presume(struct owner_target *target,
+                     const struct cw_task_name *task, struct timespec now);
+
+/* True if there are orphans that the worker has not listed. */
+bool owner_orphans_presumed(const struct owner_target *target);
 
 /* Adds an orphan that the worker has listed. */
 void
--- a/src/owner/owner_polls.c
+++ b/src/owner/owner_polls.c
@@ -249,7 +249,7 @@
 {
     bool had_orphans = owner_target_has_orphans(target);
 
-    owner_orphans_reset(target);
+    owner_orphans_reset(target, sent);
     for (size_t i = 0; i < answer->running_count; i++) {
         struct owner_run *run =
             find_listed_run(owner, target, &answer->running[i]);
@@ -570,7 +570,8 @@
      * worker has to answer at once. */
     return blocked || !target->answered || target->unanswered_polls > 0 ||
                    !waits || target->lease_note != OWNER_LEASE_NOTE_NONE ||
-                   decides_runs(target) || owner_incarnation_unknown(target)
+                   decides_runs(target) || owner_incarnation_unknown(target) ||
+                   owner_orphans_presumed(target)
                ? 0
                : poll_wait_max_ms(target, now);
 }
--- a/src/owner/owner_tombstones.c
+++ b/src/owner/owner_tombstones.c
@@ -91,6 +91,8 @@
             continue;
         }
         if (confirmed) {
+            owner_orphan_presume(target, task, now);
+            target->poll_due = now;
             g_ptr_array_remove_index_fast(target->tombstones, i);
             target->owner->placement_wanted = true;
         }
--- a/tests/test_limits.c
+++ b/tests/test_limits.c
@@ -107,6 +107,62 @@
     cluster_end(&cluster);
 }
 
+/* Sends the stop of a run whose start may still arrive, and confirms it. */
+static void
+confirm_stop(struct cluster *cluster, struct owner_target *target)
+{
+    last_order = (struct cw_target_order){.kind = CW_ORDER_POLL};
+    (void)owner_orders_send(cluster->owner, target, cluster->clock.now);
+    CU_ASSERT_EQUAL_FATAL(last_order.kind, CW_ORDER_STOP);
+    answer_last(CW_TARGET_OK);
+}
+
+/* Loses the worker while a start there has no answer; then it answers a poll,
+ * and confirms the stop of the run, which may have begun in between.  Returns
+ * the run as the worker would list it. */
+static struct cw_running
+lose_start(struct cluster *cluster, struct owner_job *job)
+{
+    const struct owner_loss loss = {.reason = "other_life",
+                                    .evidence = "start"};
+    struct owner_run *run = step_of(job)->tasks[0].run;
+    struct owner_target *target = run->target;
+
+    run->phase = RUN_STARTING;
+    run->unanswered = 1;
+    run->sent_at = cluster->clock.now;
+    owner_target_lost(cluster->owner, target, &loss);
+    list_runs(cluster, target, NULL, 0);
+    pass(cluster, 10);
+    CU_ASSERT_EQUAL(placed(job), 0);
+    confirm_stop(cluster, target);
+    return listed_run(job, 0);
+}
+
+static void
+test_a_stopped_run_counts_until_a_poll_has_shown_its_end(void)
+{
+    struct cluster cluster;
+    struct owner_target *target;
+    struct owner_job *job;
+    struct cw_running running;
+
+    cluster_begin(&cluster);
+    target = list_only_one(&cluster);
+    job = add_job(&cluster, 1, &apart);
+    pass(&cluster, 10);
+    running = lose_start(&cluster, job);
+    pass(&cluster, 300); /* a step is tried again after 250 ms */
+    CU_ASSERT_EQUAL(placed(job), 0);
+    list_runs(&cluster, target, &running, 1);
+    pass(&cluster, 10);
+    CU_ASSERT_EQUAL(placed(job), 0);
+    list_runs(&cluster, target, NULL, 0);
+    pass(&cluster, 10);
+    CU_ASSERT_EQUAL(placed(job), 1);
+    cluster_end(&cluster);
+}
+
 /* ---- workers that have changed since the placement ---- */
 
 /* Applies a report of the worker w00 by which its kind and service are these.
@@ -308,6 +364,7 @@
     {"given up", test_a_run_that_was_given_up_counts_until_it_is_gone},
     {"given up, other step",
      test_a_run_that_was_given_up_counts_for_its_own_step_only},
+    {"stopped", test_a_stopped_run_counts_until_a_poll_has_shown_its_end},
     {"label gone", test_a_start_is_not_sent_if_the_label_is_gone},
     {"label gone, sent again",
      test_a_start_is_not_repeated_if_the_label_is_gone},
