Starts: what does not fit beside orphans is not sent

What callers saw: nothing; found by reading beside the limits per worker (rule LIMIT).

Cause: before a start is sent, the owner checks that its runs fit the worker. An orphan that the worker has listed since the placement was not counted, so a worker that does not enforce its capacity could be overloaded.

Evidence: test "before an orphan" of test_capacity failed before.

Change: fits_still counts the resources of orphans, as the placement does.

--- a/src/owner/owner_orders.c
+++ b/src/owner/owner_orders.c
@@ -310,15 +310,16 @@
 
 /* ---- sending ---- */
 
-/* True if the worker has enough capacity for all its runs, and its report is
- * reliable.  Since the placement the worker may have shrunk, or the store may
- * have been unavailable. */
+/* True if the worker has enough capacity for all its runs and orphans, and its
+ * report is reliable.  Since the placement the worker may have shrunk or
+ * listed orphans, or the store may have been unavailable. */
 static bool
 fits_still(const struct owner_target *target, struct timespec now)
 {
     struct cw_resources free_capacity = target->capacity;
 
     owner_resources_subtract(&free_capacity, &target->used);
+    owner_resources_subtract(&free_capacity, &target->orphans);
     return free_capacity.cpu_milli >= 0 && free_capacity.memory_mb >= 0 &&
            free_capacity.accelerators >= 0 &&
            owner_target_capacity_known(target, now);
--- a/tests/test_capacity.c
+++ b/tests/test_capacity.c
@@ -161,6 +161,29 @@
     cluster_end(&cluster);
 }
 
+/* Guards against a worker that is overloaded as a run that was given up, and
+ * that it lists after the placement, takes part of its capacity. */
+static void
+test_a_start_decided_before_an_orphan_was_listed_is_not_sent(void)
+{
+    struct cluster cluster;
+    struct owner_target *target;
+    struct owner_job *unwanted;
+    struct owner_job *job;
+
+    cluster_begin(&cluster);
+    target = list_only_one(&cluster);
+    job = add_job(&cluster, 0, &whole);
+    pass(&cluster, 10);
+    unwanted = add_job(&cluster, 0, &half);
+    list_unwanted_run(&cluster, target, unwanted);
+    (void)owner_orders_send(cluster.owner, target, cluster.clock.now);
+    CU_ASSERT_EQUAL(last_order.kind, CW_ORDER_STOP);
+    answer_last(CW_TARGET_OK);
+    CU_ASSERT_TRUE(withholds_start(&cluster, target, job));
+    cluster_end(&cluster);
+}
+
 /* The run is placed when the store becomes unavailable and would be sent when
  * it returns, as with seed 900032. */
 static void
@@ -250,6 +273,8 @@
     {"stopping", test_a_run_that_is_stopping_still_takes_capacity},
     {"before it shrank",
      test_a_start_decided_before_the_worker_shrank_is_not_sent},
+    {"before an orphan",
+     test_a_start_decided_before_an_orphan_was_listed_is_not_sent},
     {"sent again", test_a_start_is_not_repeated_to_a_worker_that_has_shrunk},
     {"before an outage", test_a_start_decided_before_an_outage_is_not_sent},
 };
