Tombstones: a start that was given up is shut out, however late

What callers could see: a task that runs twice.

Cause: the stop that shuts a start out, after its run was given up with its worker's lease, was dropped 13 s after the start had been sent, also if the worker had been silent all that time. The sequence: start sent, link cut for 13 s, lease over, task placed elsewhere; the worker answers, its lease is extended for other work without a stop; the start is carried out.

Evidence: tests/test_orders.c "shut out" failed before: no tombstone is left after 15 s of silence, and no stop is sent.

Change: only a confirmed stop ends a tombstone. It is sent when the worker answers; the worker's lease waits for it as before.

--- a/src/owner/owner_tombstones.c
+++ b/src/owner/owner_tombstones.c
@@ -7,6 +7,9 @@
  * would run at the same time as, or after, its next run.  So before the lease
  * is extended again, a stop of the old run has to be confirmed by the worker,
  * which then refuses the start.  Until then the worker gets no other work.
+ *
+ * No time is long enough to do without the stop: a start may be held up by a
+ * cut of the link first, and by the worker after that.
  */
 #include "owner/internal/owner_private.h"
 
@@ -18,9 +21,8 @@
     char *job;
     struct cw_task_name task; /* task.job points to `job` */
     unsigned run;
-    struct timespec sent_at; /* the start was last sent */
-    struct timespec due;     /* no stop is sent before */
-    bool queued;             /* a stop is queued or in flight */
+    struct timespec due; /* no stop is sent before */
+    bool queued;         /* a stop is queued or in flight */
 };
 
 static void
@@ -52,7 +54,6 @@
     tombstone->task = name;
     tombstone->task.job = tombstone->job;
     tombstone->run = run->number;
-    tombstone->sent_at = run->sent_at;
     g_ptr_array_add(run->target->tombstones, tombstone);
     cw_log_info("start_tombstoned", "id=%s task=%u.%u.%u run=%u worker=%s",
                 name.job, name.occurrence, name.step, name.index, run->number,
@@ -107,16 +108,10 @@
 {
     struct timespec next = cw_time_from_ms(INT32_MAX);
     bool is_responsive = target->answered && target->unanswered_polls == 0;
-    guint i = 0;
 
-    while (i < target->tombstones->len) {
+    for (guint i = 0; i < target->tombstones->len; i++) {
         struct owner_tombstone *tombstone = target->tombstones->pdata[i];
 
-        if (cw_time_diff_ms(tombstone->sent_at, now) > OWNER_ORDER_LATE_MAX_MS)
-        {
-            g_ptr_array_remove_index_fast(target->tombstones, i);
-            continue;
-        }
         if (is_responsive && !tombstone->queued &&
             !cw_time_before(now, tombstone->due))
         {
@@ -127,7 +122,6 @@
         else if (is_responsive && !tombstone->queued) {
             cw_time_set_earlier(&next, tombstone->due);
         }
-        i++;
     }
     return next;
 }
--- a/tests/test_orders.c
+++ b/tests/test_orders.c
@@ -243,7 +243,50 @@
     }
 }
 
+/* Lets the owner poll the worker, which answers in this way. */
+static void
+poll_and_answer(struct cluster *cluster, struct owner_target *target,
+                enum cw_target_status status, unsigned ms)
+{
+    cluster->clock.now = cw_time_add_ms(cluster->clock.now, ms);
+    cluster->owner->ownership_confirmed_at = cluster->clock.now;
+    (void)owner_poll_tick(cluster->owner, target, cluster->clock.now);
+    CU_ASSERT_EQUAL_FATAL(last_order.kind, CW_ORDER_POLL);
+    answer_last(status);
+    (void)owner_orders_send(cluster->owner, target, cluster->clock.now);
+}
+
+/* TWICE: a start may reach its worker after a cut of the link, and be carried
+ * out seconds later still.  The lease of a worker that was silent is not
+ * extended before the start that was given up is shut out. */
+static void
+test_given_up_start_is_shut_out_after_long_silence(void)
+{
+    struct cluster cluster;
+    struct owner_job *job;
+    struct owner_target *target;
+
+    cluster_begin(&cluster);
+    job = start_job(&cluster);
+    target = step_of(job)->tasks[0].run->target;
+    answer_last(CW_TARGET_UNKNOWN);
+    for (unsigned passed = 0; passed < 15000; passed += 1000) {
+        poll_and_answer(&cluster, target, CW_TARGET_UNKNOWN, 1000);
+    }
+    CU_ASSERT_EQUAL(placed(job), 0);
+    CU_ASSERT_TRUE(owner_tombstone_pending(target));
+    poll_and_answer(&cluster, target, CW_TARGET_OK, 1000);
+    CU_ASSERT_EQUAL(last_order.kind, CW_ORDER_STOP);
+    CU_ASSERT_EQUAL(last_order.run, 1);
+    if (last_order.kind == CW_ORDER_STOP) {
+        answer_last(CW_TARGET_OK);
+    }
+    CU_ASSERT_FALSE(owner_tombstone_pending(target));
+    cluster_end(&cluster);
+}
+
 static const struct test tests[] = {
+    {"shut out", test_given_up_start_is_shut_out_after_long_silence},
     {"connections", test_orders_in_flight_fit_connections},
     {"stop interval", test_failing_stop_is_retried_at_intervals},
     {"repeated stop", test_repeated_stop_keeps_retry_interval},
