Store: an incomplete answer to an append or a join tells nothing

What callers could see: tasks that run twice after a take-over.

Cause: an append or join that is answered with status 200 counts as done whatever the body is. A VM that takes over reads the logs up to the end that its first append under the new epoch returned; without a body that is 0, so the VM becomes active before it has read what the former owner wrote last, and places tasks whose runs it does not know. A join without its partitions makes the owner yield. The same class of fault as an incomplete list of runs.

--- /dev/null
+++ b/tests/test_store.c
@@ -0,0 +1,137 @@
+/* Tests of the client of the platform's store. */
+#include "test_main.h"
+
+#include "curlewcart/cw_store.h"
+#include "one_answer_server.h"
+#include "platform/platform.h"
+
+enum { TIMEOUT_MS = 5000 };
+
+/* What an answer was decoded to. */
+struct decoded {
+    pthread_mutex_t lock;
+    pthread_cond_t changed;
+    bool answered;
+    enum cw_store_status status;
+    uint64_t end;
+};
+
+static void
+set_decoded(struct decoded *decoded, enum cw_store_status status, uint64_t end)
+{
+    pthread_mutex_lock(&decoded->lock);
+    decoded->answered = true;
+    decoded->status = status;
+    decoded->end = end;
+    pthread_cond_broadcast(&decoded->changed);
+    pthread_mutex_unlock(&decoded->lock);
+}
+
+static void
+on_appended(void *context, const struct cw_store_append_result *result)
+{
+    set_decoded(context, result->status, result->end);
+}
+
+static void
+on_joined(void *context, const struct cw_store_join_result *result)
+{
+    set_decoded(context, result->status, result->generation);
+}
+
+static void
+append(struct cw_store *store, struct decoded *decoded)
+{
+    struct cw_store_append call = {.topic = "t",
+                                   .writer = "w",
+                                   .epoch = 1,
+                                   .timeout_ms = TIMEOUT_MS,
+                                   .done = on_appended,
+                                   .context = decoded};
+
+    store->ops->append(store, &call);
+}
+
+static void
+join(struct cw_store *store, struct decoded *decoded)
+{
+    struct cw_store_join call = {.group = "g",
+                                 .member = "m",
+                                 .topic = "t",
+                                 .ttl_ms = 1000,
+                                 .timeout_ms = TIMEOUT_MS,
+                                 .done = on_joined,
+                                 .context = decoded};
+
+    store->ops->join(store, &call);
+}
+
+/* Makes a call to a store that gives this answer. */
+static struct decoded
+make_call(void (*call)(struct cw_store *, struct decoded *), const char *body)
+{
+    pthread_mutex_t engine_lock = PTHREAD_MUTEX_INITIALIZER;
+    struct decoded decoded = {.lock = PTHREAD_MUTEX_INITIALIZER,
+                              .changed = PTHREAD_COND_INITIALIZER};
+    struct platform_options options = {.client = cw_http_client_create(NULL),
+                                       .engine_lock = &engine_lock};
+    char *text = g_strdup_printf(
+        "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n%s", body);
+    struct one_answer_server server;
+    struct cw_store *store;
+
+    one_answer_server_start(&server, text);
+    options.store_address = server.address;
+    store = platform_store_new(&options);
+    call(store, &decoded);
+    pthread_mutex_lock(&decoded.lock);
+    while (!decoded.answered) {
+        pthread_cond_wait(&decoded.changed, &decoded.lock);
+    }
+    pthread_mutex_unlock(&decoded.lock);
+    one_answer_server_stop(&server);
+    cw_http_client_free(options.client);
+    platform_store_free(store);
+    g_free(text);
+    return decoded;
+}
+
+static void
+test_append_is_decoded(void)
+{
+    struct decoded decoded = make_call(append, "{\"offset\":6,\"end\":7}");
+
+    CU_ASSERT_EQUAL(decoded.status, CW_STORE_OK);
+    CU_ASSERT_EQUAL(decoded.end, 7);
+}
+
+/* TWICE: a VM that takes over reads the log up to the end that its first
+ * append returned.  From an incomplete answer it would take the log for empty,
+ * and start tasks whose runs it has not read. */
+static void
+test_incomplete_append_is_unknown(void)
+{
+    static const char *const bodies[] = {"", "{\"offset\":6,\"en", "7"};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(bodies); i++) {
+        CU_ASSERT_EQUAL(make_call(append, bodies[i]).status, CW_STORE_UNKNOWN);
+    }
+}
+
+/* Guards against an owner that gives the shard up for an answer without its
+ * partitions. */
+static void
+test_incomplete_join_is_unknown(void)
+{
+    CU_ASSERT_EQUAL(make_call(join, "{\"generation\":5}").status, CW_STORE_OK);
+    CU_ASSERT_EQUAL(make_call(join, "{\"generation\":5,\"pa").status,
+                    CW_STORE_UNKNOWN);
+}
+
+static const struct test tests[] = {
+    {"append", test_append_is_decoded},
+    {"incomplete append", test_incomplete_append_is_unknown},
+    {"incomplete join", test_incomplete_join_is_unknown},
+};
+
+TEST_MAIN("store", tests)
--- a/tests/test_targets.c
+++ b/tests/test_targets.c
@@ -1,62 +1,10 @@
 /* Tests of orders to workers over HTTP. */
 #include "test_main.h"
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
-#include <string.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
 #include "platform/platform.h"
+#include "one_answer_server.h"
 
-enum { TIMEOUT_MS = 5000, REQUEST_BYTES_MAX = 4096 };
-
-/* A worker that gives one answer and closes the connection. */
-struct worker {
-    int listener;
-    char address[32];
-    const char *answer; /* as sent */
-    pthread_t thread;
-};
-
-static void *
-worker_main(void *argument)
-{
-    struct worker *worker = argument;
-    char request[REQUEST_BYTES_MAX];
-    int connection = accept(worker->listener, NULL, NULL);
-
-    (void)recv(connection, request, sizeof(request), 0);
-    (void)send(connection, worker->answer, strlen(worker->answer),
-               MSG_NOSIGNAL);
-    close(connection);
-    return NULL;
-}
-
-static void
-worker_start(struct worker *worker, const char *answer)
-{
-    struct sockaddr_in address = {.sin_family = AF_INET,
-                                  .sin_addr = {htonl(INADDR_LOOPBACK)}};
-    socklen_t length = sizeof(address);
-
-    worker->answer = answer;
-    worker->listener = socket(AF_INET, SOCK_STREAM, 0);
-    g_assert(bind(worker->listener, (struct sockaddr *)&address,
-                  sizeof(address)) == 0);
-    g_assert(listen(worker->listener, 1) == 0);
-    getsockname(worker->listener, (struct sockaddr *)&address, &length);
-    g_snprintf(worker->address, sizeof(worker->address), "127.0.0.1:%u",
-               ntohs(address.sin_port));
-    g_assert(pthread_create(&worker->thread, NULL, worker_main, worker) == 0);
-}
-
-static void
-worker_stop(struct worker *worker)
-{
-    pthread_join(worker->thread, NULL);
-    close(worker->listener);
-}
+enum { TIMEOUT_MS = 5000 };
 
 /* What an answer was decoded to. */
 struct decoded {
@@ -90,7 +38,7 @@
     struct platform_options options = {.client = cw_http_client_create(NULL),
                                        .engine_lock = &engine_lock};
     struct cw_targets *targets = platform_targets_new(&options);
-    struct worker worker;
+    struct one_answer_server worker;
     struct cw_target_order order = {.kind = kind,
                                     .address = worker.address,
                                     .id = "i-1",
@@ -102,14 +50,14 @@
                                     .done = on_answer,
                                     .context = &decoded};
 
-    worker_start(&worker, text);
+    one_answer_server_start(&worker, text);
     targets->ops->order(targets, &order);
     pthread_mutex_lock(&decoded.lock);
     while (!decoded.answered) {
         pthread_cond_wait(&decoded.changed, &decoded.lock);
     }
     pthread_mutex_unlock(&decoded.lock);
-    worker_stop(&worker);
+    one_answer_server_stop(&worker);
     cw_http_client_free(options.client);
     platform_targets_free(targets);
     return decoded;
@@ -118,9 +66,10 @@
 static void
 test_list_of_runs_is_decoded(void)
 {
-    struct decoded decoded = send_order(
-        CW_ORDER_POLL, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
-                       "{\"clock_ms\":5,\"running\":[[\"a.0.0.0\",1,\"\",9]]}");
+    struct decoded decoded =
+        send_order(CW_ORDER_POLL,
+                   "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
+                   "{\"clock_ms\":5,\"running\":[[\"a.0.0.0\",1,\"\",9]]}");
 
     CU_ASSERT_EQUAL(decoded.status, CW_TARGET_OK);
     CU_ASSERT_EQUAL(decoded.running_count, 1);
@@ -150,7 +99,7 @@
 test_start_needs_no_body(void)
 {
     struct decoded decoded =
-        send_order(CW_ORDER_START, "HTTP/1.1 200 OK\r\n"
+        send_order(CW_ORDER_START, "HTTP/1.1 200 OK\r\nConnection: close\r\n"
                                    "Content-Length: 0\r\n\r\n");
 
     CU_ASSERT_EQUAL(decoded.status, CW_TARGET_OK);
