--- a/src/http/http_client.c
+++ b/src/http/http_client.c
@@ -120,8 +120,8 @@
  * before an answer.  The peer may execute a POST twice then, also after it has
  * refused the second copy, so a POST is sent once. */
 static int
-on_connected(void *context, char *peer, char *local, int peer_port,
-             int local_port)
+before_send(void *context, char *peer, char *local, int peer_port,
+            int local_port)
 {
     struct transfer *transfer = context;
 
@@ -147,7 +147,7 @@
     curl_easy_setopt(easy, CURLOPT_PRIVATE, transfer);
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_body);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer);
-    curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, on_connected);
+    curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, before_send);
     curl_easy_setopt(easy, CURLOPT_PREREQDATA, transfer);
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(easy, CURLOPT_PROXY, "");
--- a/src/owner/owner_tombstones.c
+++ b/src/owner/owner_tombstones.c
@@ -107,7 +107,7 @@
 
 /* False if stops would not reach the worker. */
 static bool
-is_there(const struct owner_target *target)
+accepts_stops(const struct owner_target *target)
 {
     return target->listed && !target->superseded &&
            target->address[0] != '\0' && target->answered &&
@@ -118,20 +118,24 @@
 owner_tombstone_tick(struct owner_target *target, struct timespec now)
 {
     struct timespec next = cw_time_from_ms(INT32_MAX);
-    bool reachable = is_there(target);
 
+    if (!accepts_stops(target)) {
+        return next;
+    }
     for (guint i = 0; i < target->tombstones->len; i++) {
         struct owner_tombstone *tombstone = target->tombstones->pdata[i];
 
-        if (reachable && !tombstone->queued &&
-            !cw_time_before(now, tombstone->due)) {
+        if (tombstone->queued) {
+            continue;
+        }
+        if (cw_time_before(now, tombstone->due)) {
+            cw_time_set_earlier(&next, tombstone->due);
+        }
+        else {
             tombstone->queued = true;
             owner_order_queue(target->owner, target, CW_ORDER_STOP,
                               &tombstone->task, tombstone->run);
         }
-        else if (reachable && !tombstone->queued) {
-            cw_time_set_earlier(&next, tombstone->due);
-        }
     }
     return next;
 }
