--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -23,6 +23,7 @@
 #include "owner/internal/owner_leases.h"
 #include "owner/internal/owner_incarnations.h"
 #include "owner/internal/owner_log.h"
+#include "owner/internal/owner_orphans.h"
 #include "owner/internal/owner_quorum.h"
 #include "owner/internal/owner_state_reader.h"
 
@@ -886,38 +887,6 @@
 owner_poll_tick(struct cw_owner *owner, struct owner_target *target,
                 struct timespec now);
 
-/* ---- owner_orphans.c ---- */
-
-/* Creates an empty array for a worker's orphans. */
-GArray *owner_orphans_new(void);
-
-/* Removes the worker's orphans when it has answered a poll, and so lists them
- * anew; but not those that were presumed after the poll was sent. */
-void owner_orphans_reset(struct owner_target *target, struct timespec sent);
-
-/* Adds a run as an orphan that the worker has stopped and may have begun
- * before. */
-void
-owner_orphan_presume(struct owner_target *target,
-                     const struct cw_task_name *task, struct timespec now);
-
-/* True if there are orphans that the worker has not listed. */
-bool owner_orphans_presumed(const struct owner_target *target);
-
-/* Adds an orphan that the worker has listed. */
-void
-owner_orphan_add(struct owner_target *target, const struct cw_task_name *task);
-
-/* Returns the number of the step's orphans on the worker. */
-unsigned owner_orphans_of_step(const struct owner_target *target,
-                               const struct owner_step *step);
-
-static inline bool
-owner_target_has_orphans(const struct owner_target *target)
-{
-    return target->orphan_runs->len > 0;
-}
-
 /* ---- owner_tombstones.c ---- */
 
 /* Creates an empty array for a worker's tombstones. */
--- a/src/owner/owner_orphans.c
+++ b/src/owner/owner_orphans.c
@@ -6,6 +6,8 @@
  * A run whose start may have been carried out shortly before its stop, which
  * the worker has confirmed, counts as an orphan until the worker has answered
  * a poll that was sent after that. */
+#include "owner/internal/owner_orphans.h"
+
 #include "owner/internal/owner_private.h"
 
 #include <string.h>
@@ -108,3 +110,9 @@
     }
     return count;
 }
+
+bool
+owner_target_has_orphans(const struct owner_target *target)
+{
+    return target->orphan_runs->len > 0;
+}
