--- a/tests/owner_cluster.h
+++ b/tests/owner_cluster.h
@@ -35,13 +35,19 @@
     g_array_append_val(unanswered, *order);
 }
 
+static inline void
+answer_last_with(const struct cw_target_answer *answer)
+{
+    g_array_set_size(unanswered, unanswered->len - 1);
+    last_order.done(last_order.context, answer);
+}
+
 static inline void
 answer_last(enum cw_target_status status)
 {
     const struct cw_target_answer answer = {.status = status};
 
-    g_array_set_size(unanswered, unanswered->len - 1);
-    last_order.done(last_order.context, &answer);
+    answer_last_with(&answer);
 }
 
 /* Answers the orders that are still in flight when a test ends. */
--- a/tests/test_capacity.c
+++ b/tests/test_capacity.c
@@ -12,26 +12,11 @@
  * - A start that was decided before its worker shrank is sent afterwards. */
 #include "test_main.h"
 
-#include "owner_cluster.h"
+#include "one_worker.h"
 
 static const struct cw_step_spec half = {.tasks = 1, .accelerators = 4};
 static const struct cw_step_spec whole = {.tasks = 1, .accelerators = 8};
 
-/* Leaves only the worker w00 to place work on. */
-static struct owner_target *
-list_only_one(struct cluster *cluster)
-{
-    struct owner_target *only = owner_target_get(cluster->owner, "w00");
-    GHashTableIter iterator;
-    gpointer value;
-
-    g_hash_table_iter_init(&iterator, cluster->owner->targets);
-    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        ((struct owner_target *)value)->listed = value == only;
-    }
-    return only;
-}
-
 static void
 configure(struct cluster *cluster, bool is_enforced)
 {
@@ -92,20 +77,9 @@
 list_unwanted_run(struct cluster *cluster, struct owner_target *target,
                   const struct owner_job *job)
 {
-    struct cw_running running = {.task =
-                                     owner_task_name(&step_of(job)->tasks[0]),
-                                 .run = 1,
-                                 .saved = ""};
-    struct cw_target_answer answer = {
-        .status = CW_TARGET_OK, .running = &running, .running_count = 1};
+    const struct cw_running running = listed_run(job, 0);
 
-    target->poll_due = cluster->clock.now;
-    target->answered = false;
-    cluster->owner->ownership_confirmed_at = cluster->clock.now;
-    (void)owner_poll_tick(cluster->owner, target, cluster->clock.now);
-    CU_ASSERT_EQUAL(last_order.kind, CW_ORDER_POLL);
-    g_array_set_size(unanswered, unanswered->len - 1);
-    last_order.done(last_order.context, &answer);
+    list_runs(cluster, target, &running, 1);
 }
 
 static void
@@ -134,14 +108,8 @@
 withholds_start(struct cluster *cluster, struct owner_target *target,
                 const struct owner_job *job)
 {
-    struct owner_run *run = step_of(job)->tasks[0].run;
-    struct cw_task_name name = owner_task_name(run->task);
-
-    run->phase = RUN_READY;
-    owner_order_queue(cluster->owner, target, CW_ORDER_START, &name,
-                      run->number);
-    cluster->owner->ownership_confirmed_at = cluster->clock.now;
-    (void)owner_orders_send(cluster->owner, target, cluster->clock.now);
+    step_of(job)->tasks[0].run->phase = RUN_READY;
+    send_first_start(cluster, target, job);
     return (unanswered == NULL || unanswered->len == 0) && placed(job) == 0;
 }
 
--- a/tests/test_late_reports.c
+++ b/tests/test_late_reports.c
@@ -68,8 +68,7 @@
     cluster->owner->ownership_confirmed_at = cluster->clock.now;
     owner_poll_tick(cluster->owner, target, cluster->clock.now);
     CU_ASSERT_TRUE_FATAL(target->poll_in_flight);
-    g_array_set_size(unanswered, unanswered->len - 1);
-    last_order.done(last_order.context, &answer);
+    answer_last_with(&answer);
 }
 
 /* The former incarnation is known to be over, and the later one, which has
--- a/tests/test_limits.c
+++ b/tests/test_limits.c
@@ -5,57 +5,13 @@
  * given up, and that the worker still lists, count until they have ended. */
 #include "test_main.h"
 
-#include "owner_cluster.h"
+#include "one_worker.h"
 
 static const struct cw_step_spec apart = {
     .tasks = 2, .accelerators = 1, .most_per_worker = 1};
 static const struct cw_step_spec labelled = {
     .tasks = 1, .accelerators = 1, .label = (char *)"even"};
 
-/* Leaves only the worker w00, whose kind is "even". */
-static struct owner_target *
-list_only_one(struct cluster *cluster)
-{
-    struct owner_target *only = owner_target_get(cluster->owner, "w00");
-    GHashTableIter iterator;
-    gpointer value;
-
-    g_hash_table_iter_init(&iterator, cluster->owner->targets);
-    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        ((struct owner_target *)value)->listed = value == only;
-    }
-    return only;
-}
-
-/* Polls the worker, which lists the first `count` of the runs. */
-static void
-list_runs(struct cluster *cluster, struct owner_target *target,
-          const struct cw_running *running, size_t count)
-{
-    struct cw_target_answer answer = {
-        .status = CW_TARGET_OK, .running = running, .running_count = count};
-
-    target->poll_due = cluster->clock.now;
-    target->answered = false;
-    cluster->owner->ownership_confirmed_at = cluster->clock.now;
-    (void)owner_poll_tick(cluster->owner, target, cluster->clock.now);
-    CU_ASSERT_EQUAL_FATAL(last_order.kind, CW_ORDER_POLL);
-    g_array_set_size(unanswered, unanswered->len - 1);
-    last_order.done(last_order.context, &answer);
-}
-
-/* First run of a task of the job, as a worker lists it. */
-static struct cw_running
-listed_run(const struct owner_job *job, unsigned task)
-{
-    struct cw_running running = {
-        .task = owner_task_name(&step_of(job)->tasks[task]),
-        .run = 1,
-        .saved = ""};
-
-    return running;
-}
-
 /* ---- runs that were given up ---- */
 
 static void
@@ -190,14 +146,9 @@
 start_is_sent(struct cluster *cluster, struct owner_target *target,
               const struct owner_job *job)
 {
-    struct owner_run *run = step_of(job)->tasks[0].run;
-    struct cw_task_name name = owner_task_name(run->task);
     bool is_sent = false;
 
-    owner_order_queue(cluster->owner, target, CW_ORDER_START, &name,
-                      run->number);
-    cluster->owner->ownership_confirmed_at = cluster->clock.now;
-    (void)owner_orders_send(cluster->owner, target, cluster->clock.now);
+    send_first_start(cluster, target, job);
     for (guint i = 0; unanswered != NULL && i < unanswered->len; i++) {
         is_sent |= g_array_index(unanswered, struct cw_target_order, i).kind ==
                    CW_ORDER_START;
--- a/tests/test_owner_logs.c
+++ b/tests/test_owner_logs.c
@@ -64,8 +64,7 @@
     poll(cluster, target);
     advance(cluster, ANSWERED_AFTER_MS);
     answer.clock_ms = clock_ms(cluster);
-    g_array_set_size(unanswered, unanswered->len - 1);
-    last_order.done(last_order.context, &answer);
+    answer_last_with(&answer);
     advance(cluster, POLL_INTERVAL_MS);
     poll(cluster, target);
     answer_last(CW_TARGET_UNKNOWN);
--- a/tests/test_restarts.c
+++ b/tests/test_restarts.c
@@ -73,8 +73,7 @@
         .ended_count = ended != NULL,
     };
 
-    g_array_set_size(unanswered, unanswered->len - 1);
-    last_order.done(last_order.context, &answer);
+    answer_last_with(&answer);
 }
 
 static void
