Placement: interface of the estimate of workers' speeds

What callers saw: with a third of the workers three times slower, urgent gangs take three times as long beside free workers. Cause: rates are compared inside a gang only, forgotten after 2.5 s, and a run that begins on a slow worker makes that rate its best one. Result: no change of behaviour.

--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -836,6 +836,28 @@
 /* Resets the worker's count of failures, after a task succeeded there. */
 void owner_target_add_success(struct owner_target *target);
 
+/* Returns the worker's expected speed as a ratio to a typical worker. */
+static inline double
+owner_target_speed(const struct owner_target *target, struct timespec now)
+{
+    (void)now;
+    return target->incarnation.speed;
+}
+
+/* True if the worker is shown to be slow, and that has not faded. */
+static inline bool
+owner_target_is_slow(const struct owner_target *target, struct timespec now)
+{
+    return cw_time_before(now, target->incarnation.slow_until);
+}
+
+/* True if the worker was measured lately and is not slow. */
+static inline bool
+owner_target_is_proved(const struct owner_target *target, struct timespec now)
+{
+    return target->incarnation.speed > 1 && !owner_target_is_slow(target, now);
+}
+
 /* ---- owner_orders.c ---- */
 
 /* A start or stop order that is queued or in flight. */
