Speed: what is known of a worker is an estimate, kept and weighed

What callers saw: with a third of the workers three times slower, urgent gangs ran whole at the slow members' speed, for as long as that lasted. Cause: a run that begins on a slow worker had that rate as its best one and acquitted the worker; what was seen was forgotten after 2.5 s; one slow member needed a second job; speeds below a half were not learnt. Change: each run has its rate on a typical worker by its gang, its step and its declared length; each worker an estimate with a variance that grows with time; a change of a run's own rate shows its worker at once; a long task among normal ones does not. A run is moved only where it would end late and a restart ends in time or much earlier.

--- a/include/curlewcart/cw_stragglers.h
+++ b/include/curlewcart/cw_stragglers.h
@@ -3,9 +3,8 @@
  *
  * Service times are heavy-tailed: some tasks take several times as long as
  * others of their kind on any worker, and restarting one only discards its
- * work and that of its gang.  So the low rate of one run is no evidence that
- * its worker is faulty.  A worker is considered faulty if the run was faster
- * there before, or if runs of other jobs are slow there as well.
+ * work and that of its gang.  Whether the worker is the cause is estimated in
+ * cw_worker_speed.h.
  *
  * Pure: no I/O and no clock of its own.
  */
@@ -30,30 +29,6 @@
  * not stalled while it waits for others. */
 bool cw_progress_stalled(const struct cw_progress *progress);
 
-/* Rates of progress of a run, in percent per second. */
-struct cw_rates {
-    double rate;  /* in the last window */
-    double best;  /* highest rate of the run before; 0 unknown */
-    double peers; /* rate of its gang's other members, scaled to the speed
-                     of its worker; 0 unknown */
-    bool slow_in_other_job; /* a run of another job was slow on its worker, and
-                         no run has had a normal rate there since */
-};
-
-enum cw_rate_verdict {
-    CW_RATE_UNKNOWN, /* there is no rate to compare with */
-    CW_RATE_NORMAL,
-    CW_RATE_LONG_TASK, /* slower than its peers, and nothing else indicates
-                          that its worker is slow */
-    CW_RATE_SLOW_WORKER
-};
-
-/* Compares the run's rate with its best one and that of its peers. */
-enum cw_rate_verdict cw_rates_classify(const struct cw_rates *rates);
-
-/* Returns the rate that the run should have on a healthy worker; 0 unknown. */
-double cw_rates_expected(const struct cw_rates *rates);
-
 /* A run on a slow worker that could be restarted on another one. */
 struct cw_restart {
     unsigned percent;
@@ -61,10 +36,12 @@
     bool urgent;
     double rate;     /* percent per second on this worker */
     double expected; /* percent per second on another one; above 0 */
+    int64_t
+        objective_ms; /* time left until the job is late; may be negative */
 };
 
-/* True if a restart on another worker, with its cost, would end earlier than
- * the run on its present worker. */
+/* True if the run would end late on its present worker, and a restart on
+ * another one, with its cost, would end in time or much earlier. */
 bool cw_restart_is_worthwhile(const struct cw_restart *restart);
 
 #endif
--- a/include/curlewcart/cw_worker_speed.h
+++ b/include/curlewcart/cw_worker_speed.h
@@ -14,9 +14,9 @@
 #include <stdbool.h>
 #include <time.h>
 
-/* A worker below this ratio to a typical one is slow: urgent work on it takes
- * more than the usual 1.5 times its length that callers accept. */
-#define CW_SPEED_SLOW_BELOW 0.6
+/* A worker below this ratio to a typical one is slow: work on it takes longer
+ * than callers of urgent work accept, and a restart elsewhere may pay. */
+#define CW_SPEED_SLOW_BELOW 0.5
 
 /* Estimate for one incarnation of a worker. */
 struct cw_worker_speed {
@@ -24,16 +24,20 @@
     double variance;             /* of `log_speed` at `measured_at` */
     struct timespec measured_at; /* 0: never */
     unsigned run;   /* of the last measurement; struct cw_speed_sample */
-    bool confirmed; /* more than one run, or a change, shows `log_speed` */
+    bool confirmed; /* not only one run shows `log_speed` */
 };
 
 /* One measurement of a worker. */
 struct cw_speed_sample {
     double log_speed;
     double variance;
-    /* Identifies the run that was measured; 0: the change of a run's rate,
-     * which shows the worker alone. */
-    unsigned run;
+    unsigned run; /* identifies the run that was measured; not 0 */
+    /* The run cannot be what is slow: its own rate has changed, or so many
+     * workers are slow that this is the likelier cause. */
+    bool shows_worker;
+    /* The run's length is known from others that have equal work, so that a
+     * large deviation is no long task. */
+    bool equal_work;
 };
 
 /* A worker of unknown speed. */
@@ -48,6 +52,10 @@
 double cw_worker_speed_expected(const struct cw_worker_speed *speed,
                                 struct timespec now);
 
+/* Returns the variance of the estimate. */
+double cw_worker_speed_variance(const struct cw_worker_speed *speed,
+                                struct timespec now);
+
 /* True if the worker is shown to be slow, and that has not faded. */
 bool cw_worker_speed_is_slow(const struct cw_worker_speed *speed,
                              struct timespec now);
--- a/src/owner/internal/owner_incarnations.h
+++ b/src/owner/internal/owner_incarnations.h
@@ -7,6 +7,8 @@
 #include <stdint.h>
 #include <time.h>
 
+#include "curlewcart/cw_worker_speed.h"
+
 struct owner_run;
 struct owner_target;
 
@@ -50,10 +52,7 @@
     unsigned failures;             /* jobs in a row whose tasks failed there */
     unsigned failed_job;           /* last of those jobs: hash of its id */
     struct timespec suspect_until; /* tasks failed or stalled there */
-    struct timespec slow_until;    /* its tasks make slow progress */
-    unsigned slow_job; /* of the last slow run: hash of the job's id; 0: none,
-                          or a run has made normal progress since */
-    double speed;      /* relative to other workers; 1 while unknown */
+    struct cw_worker_speed speed;
 };
 
 /* Initial state of an incarnation. */
--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -81,6 +81,9 @@
     bool rate_known;
     double rate;
     double best_rate;
+    /* Its rate on a typical worker, as a logarithm with its variance. */
+    bool typical_rate_known;
+    struct cw_rate_vote typical_rate;
 };
 
 struct owner_task {
@@ -403,6 +406,8 @@
     struct owner_lease_terms *lease_terms;
     struct owner_quorum *quorum; /* owner_epochs.c; not dropped with a term */
     struct owner_idle_stats idle_stats;
+    double slow_share; /* of the workers that are slow; owner_speed.c */
+    struct timespec slow_share_at;
 };
 
 /* ---- owner.c ---- */
@@ -840,22 +845,21 @@
 static inline double
 owner_target_speed(const struct owner_target *target, struct timespec now)
 {
-    (void)now;
-    return target->incarnation.speed;
+    return cw_worker_speed_expected(&target->incarnation.speed, now);
 }
 
 /* True if the worker is shown to be slow, and that has not faded. */
 static inline bool
 owner_target_is_slow(const struct owner_target *target, struct timespec now)
 {
-    return cw_time_before(now, target->incarnation.slow_until);
+    return cw_worker_speed_is_slow(&target->incarnation.speed, now);
 }
 
 /* True if the worker was measured lately and is not slow. */
 static inline bool
 owner_target_is_proved(const struct owner_target *target, struct timespec now)
 {
-    return target->incarnation.speed > 1 && !owner_target_is_slow(target, now);
+    return cw_worker_speed_is_proved(&target->incarnation.speed, now);
 }
 
 /* ---- owner_orders.c ---- */
--- a/src/owner/owner_candidates.c
+++ b/src/owner/owner_candidates.c
@@ -99,8 +99,9 @@
 static int
 compare_speed(const struct owner_target *x, const struct owner_target *y)
 {
-    int a = (int)(x->incarnation.speed / OWNER_SPEED_STEP);
-    int b = (int)(y->incarnation.speed / OWNER_SPEED_STEP);
+    struct timespec now = owner_now(x->owner);
+    int a = (int)(owner_target_speed(x, now) / OWNER_SPEED_STEP);
+    int b = (int)(owner_target_speed(y, now) / OWNER_SPEED_STEP);
 
     return b - a;
 }
--- a/src/owner/owner_incarnations.c
+++ b/src/owner/owner_incarnations.c
@@ -18,7 +18,8 @@
 struct owner_incarnation
 owner_incarnation_new(int64_t boot_ms)
 {
-    struct owner_incarnation incarnation = {.boot_ms = boot_ms, .speed = 1};
+    struct owner_incarnation incarnation = {.boot_ms = boot_ms,
+                                            .speed = cw_worker_speed_new()};
 
     return incarnation;
 }
--- a/src/owner/owner_racks.c
+++ b/src/owner/owner_racks.c
@@ -21,7 +21,9 @@
 static void
 offer_add(struct rack_offer *offer, const struct owner_candidate *candidate)
 {
-    int speed = (int)(candidate->target->incarnation.speed / OWNER_SPEED_STEP);
+    struct timespec now = owner_now(candidate->target->owner);
+    int speed =
+        (int)(owner_target_speed(candidate->target, now) / OWNER_SPEED_STEP);
 
     offer->fits += candidate->fits;
     if (offer->unassigned > 0) {
--- a/src/owner/owner_speed.c
+++ b/src/owner/owner_speed.c
@@ -1,12 +1,13 @@
-/* Speed of workers, estimated from the progress of their tasks.
+/* Measures the rates of runs from their progress, and estimates the speed of
+ * workers from them.
  *
- * Members of a gang mostly have equal work, so that their rates compare the
- * workers that they run on.  This shows permanent differences between workers,
- * which placement uses, and workers that delay their work, which are avoided
- * and from which runs are moved where that is worthwhile.  A task that is just
- * longer than others can look like a slow worker; see cw_stragglers.h. */
+ * Members of a gang have equal work, so that their rates compare the workers
+ * that they run on.  Other tasks of a step, and the declared length, compare
+ * them roughly.  Once a run has been measured, a change of its rate shows a
+ * change of its worker.  See cw_worker_speed.h. */
 #include "owner/internal/owner_private.h"
 
+#include <math.h>
 #include <string.h>
 
 #include "curlewcart/cw_stragglers.h"
@@ -17,76 +18,219 @@
     /* The window also covers at least this many percent, done or expected, as
      * progress is reported in whole percent. */
     WINDOW_MIN_PERCENT = 5,
-    /* An older rate of a member is not used for comparison. */
+    /* An older rate of another run is not used for comparison. */
     RATE_MAX_AGE_MS = 2500,
-    SLOW_AVOID_MS = 2500,
+    /* The same for a run that has done its work and waits for its gang. */
+    DONE_RATE_MAX_AGE_MS = 5000,
+    SLOW_SHARE_INTERVAL_MS = 500,
     /* Limit on the restarts of a step because of slow workers. */
-    MOVES_MAX = 2
+    MOVES_MAX = 2,
+    MILLI = 1000
 };
 
-/* Weight of a new comparison in a worker's moving average. */
-#define SPEED_WEIGHT 0.3
-#define SPEED_MIN 0.5
-#define SPEED_MAX 2.0
+/* Lower bound of a rate, in percent per second, for its logarithm. */
+#define RATE_MIN 0.5
+/* Difference of a rate's logarithm, from one window to the next, from which on
+ * the worker has changed. */
+#define CHANGE_MIN 0.5
+/* Variances of logarithms: of a measured rate, besides the rounding of
+ * percents; of the lengths of a step's tasks that are no gang; of declared
+ * lengths, which are off by a factor of two. */
+#define RATE_VARIANCE 0.0025
+#define TASK_VARIANCE 0.12
+#define ESTIMATE_VARIANCE 0.36
+/* Share of slow workers from which on a slow run shows a slow worker. */
+#define SLOW_SHARE_LIKELY 0.05
+
+/* ---- rates on a typical worker ---- */
 
 static bool
 rate_is_fresh(const struct owner_run *run, struct timespec now)
 {
-    return run->rate_known && run->percent < CW_PERCENT_DONE &&
-           cw_time_diff_ms(run->rate_at, now) < RATE_MAX_AGE_MS;
+    int64_t max_age_ms = run->percent < CW_PERCENT_DONE ? RATE_MAX_AGE_MS
+                                                        : DONE_RATE_MAX_AGE_MS;
+
+    return run->rate_known && cw_time_diff_ms(run->rate_at, now) < max_age_ms;
 }
 
-static int
-compare_rates(gconstpointer a, gconstpointer b)
+static double
+log_rate(double rate)
 {
-    double x = *(const double *)a;
-    double y = *(const double *)b;
+    return log(MAX(rate, RATE_MIN));
+}
 
-    return x < y ? -1 : x > y;
+/* Returns the rate that another run of the step would have on a typical
+ * worker. */
+static struct cw_rate_vote
+vote_of(const struct owner_run *run, struct timespec now)
+{
+    const struct cw_worker_speed *speed = &run->target->incarnation.speed;
+    bool gang = run->task->step->spec->gang;
+    struct cw_rate_vote vote = {
+        .log_rate =
+            log_rate(run->rate) - log(cw_worker_speed_expected(speed, now)),
+        .variance = cw_worker_speed_variance(speed, now) + RATE_VARIANCE +
+                    (gang ? 0 : TASK_VARIANCE),
+    };
+
+    return vote;
 }
 
-/* Returns the median rate of the gang's members on other workers, scaled to a
- * worker of speed 1; 0 if there are none to compare with. */
-static double
-peer_rate(const struct owner_run *run, struct timespec now)
+static struct cw_rate_vote
+vote_of_estimate(const struct cw_step_spec *spec)
+{
+    struct cw_rate_vote vote = {
+        .log_rate =
+            log(CW_PERCENT_DONE * (double)CW_MS_PER_S / spec->estimate_ms),
+        .variance = ESTIMATE_VARIANCE,
+    };
+
+    return vote;
+}
+
+/* Lists in `out` the rate that the run would have on a typical worker, by the
+ * step's runs on other workers and by its declared length; false if unknown.
+ */
+static bool
+typical_rate_by_others(const struct owner_run *run, struct timespec now,
+                       struct cw_rate_vote *out)
 {
     const struct owner_step *step = run->task->step;
-    GArray *rates = g_array_new(FALSE, FALSE, sizeof(double));
-    double median = 0;
+    GArray *votes = g_array_new(FALSE, FALSE, sizeof(struct cw_rate_vote));
+    struct cw_rate_vote vote;
+    bool known;
 
     for (unsigned i = 0; i < step->count; i++) {
         const struct owner_run *other = step->tasks[i].run;
 
-        if (other != NULL && other != run && other->target != run->target &&
-            rate_is_fresh(other, now))
-        {
-            double rate = other->rate / other->target->incarnation.speed;
-
-            g_array_append_val(rates, rate);
+        if (other != NULL && other->target != run->target &&
+            rate_is_fresh(other, now)) {
+            vote = vote_of(other, now);
+            g_array_append_val(votes, vote);
         }
     }
-    if (rates->len > 0) {
-        g_array_sort(rates, compare_rates);
-        median = g_array_index(rates, double, rates->len / 2);
+    if (step->spec->estimate_ms > 0) {
+        vote = vote_of_estimate(step->spec);
+        g_array_append_val(votes, vote);
     }
-    g_array_unref(rates);
-    return median;
+    known = cw_rate_votes_combine((struct cw_rate_vote *)(void *)votes->data,
+                                  votes->len, out);
+    g_array_unref(votes);
+    return known;
+}
+
+/* ---- speeds of workers ---- */
+
+/* Returns the share of the workers that are slow. */
+static double
+slow_share(struct cw_owner *owner, struct timespec now)
+{
+    GHashTableIter iterator;
+    gpointer value;
+    unsigned slow = 0;
+
+    if (owner->slow_share_at.tv_sec != 0 &&
+        cw_time_diff_ms(owner->slow_share_at, now) < SLOW_SHARE_INTERVAL_MS)
+    {
+        return owner->slow_share;
+    }
+    g_hash_table_iter_init(&iterator, owner->targets);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        slow += owner_target_is_slow(value, now);
+    }
+    owner->slow_share_at = now;
+    owner->slow_share =
+        (double)slow / MAX(g_hash_table_size(owner->targets), 1);
+    return owner->slow_share;
+}
+
+/* Identifies the run among those that its worker executes. */
+static unsigned
+run_key(const struct owner_run *run)
+{
+    const struct owner_task *task = run->task;
+    unsigned key = g_str_hash(owner_task_job(task)->spec->id);
+
+    key = key * 31 + task->step->number;
+    key = key * 31 + task->index;
+    return MAX(key * 31 + run->number, 1);
 }
 
 static void
-update_speed(struct owner_target *target, double ratio)
+update_speed(struct owner_run *run, const struct cw_speed_sample *sample,
+             struct timespec now)
 {
-    double measured = target->incarnation.speed * ratio;
+    struct owner_target *target = run->target;
+    bool was_slow = owner_target_is_slow(target, now);
+    bool is_slow;
 
-    target->incarnation.speed +=
-        SPEED_WEIGHT * (measured - target->incarnation.speed);
-    target->incarnation.speed =
-        CLAMP(target->incarnation.speed, SPEED_MIN, SPEED_MAX);
+    cw_worker_speed_observe(&target->incarnation.speed, sample, now);
+    is_slow = owner_target_is_slow(target, now);
+    if (is_slow != was_slow) {
+        cw_log_info(is_slow ? "worker_slow" : "worker_recovered",
+                    "worker=%s speed=%.2f measured=%.2f rate=%.1f id=%s "
+                    "shows_worker=%d",
+                    target->id, owner_target_speed(target, now),
+                    exp(sample->log_speed), run->rate,
+                    owner_task_job(run->task)->spec->id, sample->shows_worker);
+    }
+}
+
+/* Measures the worker by the run's rate; `variance` is that of the rate. */
+static void
+measure_worker(struct cw_owner *owner, struct owner_run *run, double variance,
+               bool changed, struct timespec now)
+{
+    struct cw_speed_sample sample = {.run = run_key(run)};
+    struct cw_rate_vote by_others;
+    bool gang = run->task->step->spec->gang;
+
+    if (changed) {
+        sample.log_speed = log_rate(run->rate) - run->typical_rate.log_rate;
+        sample.variance = variance + run->typical_rate.variance;
+        sample.shows_worker = true;
+        update_speed(run, &sample, now);
+        return;
+    }
+    if ((run->typical_rate_known && !gang) ||
+        !typical_rate_by_others(run, now, &by_others))
+    {
+        return;
+    }
+    if (!gang) {
+        by_others.variance += TASK_VARIANCE;
+    }
+    sample.log_speed = log_rate(run->rate) - by_others.log_rate;
+    sample.variance = variance + by_others.variance;
+    sample.equal_work = gang;
+    sample.shows_worker = gang && slow_share(owner, now) > SLOW_SHARE_LIKELY;
+    update_speed(run, &sample, now);
+    run->typical_rate_known = true;
+    run->typical_rate = by_others;
+}
+
+/* ---- runs on slow workers ---- */
+
+/* Returns how much time is left until the run's job is late. */
+static int64_t
+objective_ms(const struct owner_run *run, struct timespec now)
+{
+    const struct owner_job *job = owner_task_job(run->task);
+    int64_t left_ms = cw_time_diff_ms(now, job->objective_at);
+    double length_ms = CW_PERCENT_DONE * (double)CW_MS_PER_S /
+                       exp(run->typical_rate.log_rate);
+    struct timespec by_length = cw_time_add_ms(
+        job->known_at, (int64_t)(length_ms * job->spec->stretch_milli / MILLI +
+                                 job->spec->target_latency_ms));
+
+    /* The declared length may be off. */
+    return job->spec->steps.steps_len == 1 ? cw_time_diff_ms(now, by_length)
+                                           : left_ms;
 }
 
 static void
 move_from_slow_worker(struct cw_owner *owner, struct owner_run *run,
-                      double expected, struct timespec now)
+                      struct timespec now)
 {
     struct owner_step *step = run->task->step;
     struct cw_restart restart = {
@@ -94,7 +238,8 @@
         .checkpoints = step->spec->checkpoints,
         .urgent = step->occurrence->job->spec->priority == 0,
         .rate = run->rate,
-        .expected = expected,
+        .expected = exp(run->typical_rate.log_rate),
+        .objective_ms = objective_ms(run, now),
     };
 
     if (run->stopping || run->gang_done || step->spec->endless ||
@@ -107,24 +252,14 @@
     step->moves++;
     cw_log_info("run_moved",
                 "id=%s step=%u run=%u worker=%s percent=%u rate=%.1f "
-                "expected=%.1f",
+                "expected=%.1f objective_ms=%" PRId64,
                 step->occurrence->job->spec->id, step->number, run->number,
-                run->target->id, run->percent, run->rate, expected);
+                run->target->id, run->percent, run->rate, restart.expected,
+                restart.objective_ms);
     owner_run_evict_for(owner, run, OWNER_IDLE_MOVED);
 }
 
-static void
-avoid_slow_worker(struct owner_run *run, double expected, struct timespec now)
-{
-    struct owner_target *target = run->target;
-
-    if (cw_time_before(target->incarnation.slow_until, now)) {
-        cw_log_info("worker_slow", "worker=%s rate=%.1f expected=%.1f id=%s",
-                    target->id, run->rate, expected,
-                    owner_task_job(run->task)->spec->id);
-    }
-    target->incarnation.slow_until = cw_time_add_ms(now, SLOW_AVOID_MS);
-}
+/* ---- windows ---- */
 
 /* Returns how many percent a run does in this time at this rate. */
 static double
@@ -135,72 +270,95 @@
 
 /* Evaluates the rate of the window that has just ended. */
 static void
-evaluate_rate(struct cw_owner *owner, struct owner_run *run, double peers,
-              int64_t passed_ms, struct timespec now)
-{
-    struct owner_incarnation *incarnation = &run->target->incarnation;
-    unsigned job = g_str_hash(owner_task_job(run->task)->spec->id);
-    bool best_is_usable =
-        percent_done_in(run->best_rate, passed_ms) >= WINDOW_MIN_PERCENT;
-    struct cw_rates rates = {
-        .rate = run->rate,
-        .best = best_is_usable ? run->best_rate : 0,
-        .peers = peers,
-        .slow_in_other_job =
-            incarnation->slow_job != 0 && incarnation->slow_job != job,
-    };
+evaluate_rate(struct cw_owner *owner, struct owner_run *run, double previous,
+              unsigned advance, struct timespec now)
+{
+    double rounding = 1.0 / (2 * MAX(advance, 1));
+    double change = log_rate(run->rate) - log_rate(previous);
+    bool changed =
+        run->typical_rate_known && previous > 0 && fabs(change) > CHANGE_MIN;
 
-    switch (cw_rates_classify(&rates)) {
-    case CW_RATE_SLOW_WORKER:
-        avoid_slow_worker(run, cw_rates_expected(&rates), now);
-        move_from_slow_worker(owner, run, cw_rates_expected(&rates), now);
-        break;
-    case CW_RATE_LONG_TASK:
-        incarnation->slow_job = job;
-        break;
-    case CW_RATE_NORMAL:
-        incarnation->slow_until = cw_time_from_ms(0);
-        incarnation->slow_job = 0;
-        if (peers > 0) {
-            update_speed(run->target, run->rate / peers);
-        }
-        break;
-    default:
-        break;
+    measure_worker(owner, run, RATE_VARIANCE + rounding * rounding, changed,
+                   now);
+    if (run->typical_rate_known && owner_target_is_slow(run->target, now) &&
+        log_rate(run->rate) <
+            run->typical_rate.log_rate + log(CW_SPEED_SLOW_BELOW))
+    {
+        move_from_slow_worker(owner, run, now);
     }
 }
 
 /* True if the window is long enough to measure the run's rate. */
 static bool
-window_is_full(const struct owner_run *run, unsigned advance, double peers,
+window_is_full(const struct owner_run *run, unsigned advance,
                int64_t passed_ms)
 {
-    double rate = MAX(run->best_rate, peers);
+    double rate = run->best_rate;
 
+    if (run->typical_rate_known) {
+        rate = MAX(rate, exp(run->typical_rate.log_rate));
+    }
     return advance >= WINDOW_MIN_PERCENT ||
            percent_done_in(rate, passed_ms) >= WINDOW_MIN_PERCENT;
 }
 
+/* Returns when the run began to work, which a gang does with the last start of
+ * its members; 0: unknown. */
+static struct timespec
+work_began_at(const struct owner_run *run)
+{
+    const struct owner_step *step = run->task->step;
+    struct timespec began_at = run->started_at;
+
+    if (run->phase != RUN_RUNNING || run->starts_sent != 1 ||
+        run->task->saved != NULL)
+    {
+        return cw_time_from_ms(0);
+    }
+    for (unsigned i = 0; step->spec->gang && i < step->count; i++) {
+        const struct owner_run *other = step->tasks[i].run;
+
+        if (other == NULL || other->phase != RUN_RUNNING ||
+            other->starts_sent != 1) {
+            return cw_time_from_ms(0);
+        }
+        if (cw_time_before(began_at, other->started_at)) {
+            began_at = other->started_at;
+        }
+    }
+    return began_at;
+}
+
+/* Begins the run's first window: with its work, if that is known. */
+static void
+begin_first_window(struct owner_run *run, unsigned percent,
+                   struct timespec now)
+{
+    struct timespec began_at = work_began_at(run);
+    bool known = began_at.tv_sec != 0;
+
+    run->window_at = known ? began_at : now;
+    run->window_percent = known ? 0 : percent;
+}
+
 void
 owner_speed_observe(struct cw_owner *owner, struct owner_run *run,
                     unsigned percent, struct timespec now)
 {
-    int64_t passed_ms = cw_time_diff_ms(run->window_at, now);
-    unsigned advance = percent - run->window_percent;
-    double peers = 0;
+    int64_t passed_ms;
+    unsigned advance;
+    double previous = run->rate_known ? run->rate : 0;
 
-    if (run->window_at.tv_sec == 0 || percent < run->window_percent) {
-        run->window_at = now;
-        run->window_percent = percent;
-        return;
-    }
-    if (passed_ms < WINDOW_MIN_MS) {
-        return;
+    if (percent >= CW_PERCENT_DONE) {
+        return; /* when it got there is not known */
     }
-    if (run->task->step->spec->gang) {
-        peers = peer_rate(run, now) * run->target->incarnation.speed;
+    if (run->window_at.tv_sec == 0 || percent < run->window_percent) {
+        begin_first_window(run, percent, now);
     }
-    if (!window_is_full(run, advance, peers, passed_ms)) {
+    passed_ms = cw_time_diff_ms(run->window_at, now);
+    advance = percent - MIN(percent, run->window_percent);
+    if (passed_ms < WINDOW_MIN_MS || !window_is_full(run, advance, passed_ms))
+    {
         return;
     }
     run->rate = (double)advance * CW_MS_PER_S / (double)passed_ms;
@@ -208,8 +366,8 @@
     run->rate_at = now;
     run->window_at = now;
     run->window_percent = percent;
-    if (percent < CW_PERCENT_DONE && run->rate_known) {
-        evaluate_rate(owner, run, peers, passed_ms, now);
+    if (run->rate_known) {
+        evaluate_rate(owner, run, previous, advance, now);
     }
     if (advance >= WINDOW_MIN_PERCENT) {
         run->best_rate = MAX(run->best_rate, run->rate);
--- a/src/owner/owner_targets.c
+++ b/src/owner/owner_targets.c
@@ -592,7 +592,7 @@
 {
     return owner_target_reachable(target, now) &&
            !cw_time_before(now, target->incarnation.suspect_until) &&
-           !cw_time_before(now, target->incarnation.slow_until);
+           !owner_target_is_slow(target, now);
 }
 
 void
--- a/src/placement/stragglers.c
+++ b/src/placement/stragglers.c
@@ -11,12 +11,14 @@
      * while that is unknown, by its estimate. */
     STALLED_MS = 4500,
     STALLED_MIN_EXPECTED_PERCENT = 3,
-    /* A rate below this percentage of the expected one is slow. */
-    SLOW_BELOW_PERCENT = 40,
     /* Time that a restart takes in addition to the repeated work. */
     RESTART_COST_MS = 1200
 };
 
+/* A restart that ends late, too, has to be this much quicker: the work that it
+ * repeats takes capacity from others. */
+#define LATE_GAIN_MIN 1.5
+
 /* Lower bound of a run's rate, against division by zero. */
 #define RATE_MIN_PERCENT_PER_S 1.0
 
@@ -32,34 +34,6 @@
     return (double)progress->unchanged_ms >= bound_ms;
 }
 
-static bool
-is_slow(double rate, double expected)
-{
-    return rate * CW_PERCENT_DONE < expected * SLOW_BELOW_PERCENT;
-}
-
-enum cw_rate_verdict
-cw_rates_classify(const struct cw_rates *rates)
-{
-    if (rates->best <= 0 && rates->peers <= 0) {
-        return CW_RATE_UNKNOWN;
-    }
-    if (is_slow(rates->rate, rates->best)) {
-        return CW_RATE_SLOW_WORKER;
-    }
-    if (is_slow(rates->rate, rates->peers)) {
-        return rates->slow_in_other_job ? CW_RATE_SLOW_WORKER
-                                        : CW_RATE_LONG_TASK;
-    }
-    return CW_RATE_NORMAL;
-}
-
-double
-cw_rates_expected(const struct cw_rates *rates)
-{
-    return rates->peers > 0 ? rates->peers : rates->best;
-}
-
 bool
 cw_restart_is_worthwhile(const struct cw_restart *restart)
 {
@@ -74,5 +48,10 @@
         restart_ms +=
             RESTART_COST_MS; /* a delay costs less than the work lost */
     }
-    return stay_ms > restart_ms;
+    if (stay_ms <= (double)restart->objective_ms) {
+        return false;
+    }
+    return stay_ms > restart_ms &&
+           (restart_ms <= (double)restart->objective_ms ||
+            stay_ms > LATE_GAIN_MIN * restart_ms);
 }
--- a/src/placement/worker_speed.c
+++ b/src/placement/worker_speed.c
@@ -12,8 +12,7 @@
 /* Variance of an unknown worker: lasting differences within a service are
  * mostly below a factor of two. */
 #define UNKNOWN_VARIANCE 0.09
-/* Successive measurements of a run are not independent, so that they do not
- * raise the certainty without limit. */
+/* Limit on the certainty, as measurements are not fully independent. */
 #define VARIANCE_MIN 0.01
 /* How fast certainty is lost, per second. */
 #define VARIANCE_PER_S 0.005
@@ -61,8 +60,9 @@
                : 0;
 }
 
-static double
-variance_at(const struct cw_worker_speed *speed, struct timespec now)
+double
+cw_worker_speed_variance(const struct cw_worker_speed *speed,
+                         struct timespec now)
 {
     return is_measured(speed)
                ? speed->variance +
@@ -76,28 +76,34 @@
                         struct timespec now)
 {
     double mean = log_speed_at(speed, now);
-    double variance = variance_at(speed, now);
+    double variance = cw_worker_speed_variance(speed, now);
     double off = sample->log_speed - mean;
-    bool other_run =
-        sample->run == 0 || (is_measured(speed) && sample->run != speed->run);
+    bool same_run = is_measured(speed) && sample->run == speed->run;
+    double noise = sample->variance;
     bool is_noise = off * off <= NOISE_MAX_DEVIATIONS * NOISE_MAX_DEVIATIONS *
                                      (variance + sample->variance);
 
+    if (!is_noise && !sample->equal_work && !sample->shows_worker) {
+        noise += off * off; /* it may well be a long task */
+        is_noise = true;
+    }
     if (is_noise) {
-        double gain = variance / (variance + sample->variance);
+        double gain = variance / (variance + noise);
+        double min = same_run ? MIN(variance, noise) : VARIANCE_MIN;
 
         speed->log_speed = mean + gain * off;
-        speed->variance = MAX((1 - gain) * variance, VARIANCE_MIN);
-        speed->confirmed = speed->confirmed || other_run;
+        speed->variance = MAX(MAX((1 - gain) * variance, min), VARIANCE_MIN);
+        speed->confirmed = speed->confirmed || sample->shows_worker ||
+                           (is_measured(speed) && !same_run);
     }
     else {
         speed->log_speed = sample->log_speed;
         speed->variance = MAX(sample->variance, VARIANCE_MIN);
-        speed->confirmed = sample->run == 0;
+        speed->confirmed = sample->shows_worker;
     }
     speed->log_speed = CLAMP(speed->log_speed, LOG_SPEED_MIN, LOG_SPEED_MAX);
     speed->measured_at = now;
-    speed->run = sample->run != 0 ? sample->run : speed->run;
+    speed->run = sample->run;
 }
 
 double
@@ -121,7 +127,7 @@
 {
     return is_measured(speed) &&
            log_speed_at(speed, now) >= log(CW_SPEED_SLOW_BELOW) &&
-           variance_at(speed, now) <= PROVED_VARIANCE_MAX;
+           cw_worker_speed_variance(speed, now) <= PROVED_VARIANCE_MAX;
 }
 
 static int
--- a/tests/owner_cluster.h
+++ b/tests/owner_cluster.h
@@ -318,4 +318,21 @@
     return run;
 }
 
+/* Makes the owner know the worker's speed, as a ratio to a typical one. */
+static inline void
+set_worker_speed(struct owner_target *target, double ratio,
+                 struct timespec now)
+{
+    struct cw_speed_sample sample = {.log_speed = log(ratio),
+                                     .variance = 0.01,
+                                     .run = 1,
+                                     .shows_worker = true,
+                                     .equal_work = true};
+
+    target->incarnation.speed = cw_worker_speed_new();
+    for (unsigned i = 0; i < 2; i++) {
+        cw_worker_speed_observe(&target->incarnation.speed, &sample, now);
+    }
+}
+
 #endif
