Bench: place no longer corrupts the heap

The measurement crashed with 350 and 6,000 workers: it freed the cluster's first workers while the owner's heap of due times still referred to them. It now keeps them and adds the others.

--- a/tools/bench/bench_place.c
+++ b/tools/bench/bench_place.c
@@ -16,10 +16,10 @@
     WORKERS_PER_RACK = 8
 };
 
+/* Adds workers to those that the cluster begins with. */
 static void
 fill_workers(struct cluster *cluster, unsigned workers)
 {
-    g_hash_table_remove_all(cluster->owner->targets);
     for (unsigned i = 0; i < workers; i++) {
         char name[16];
         struct owner_target *target;
