Placement: gangs go where their slowest member is fastest

What callers saw: with a third of the workers at a third of their speed, while there was free room, urgent gangs took three times their length; callers accept 1.5 times. For some seconds after a worker was shown to be slow it was shut out, so that a third of the room was missing at once.

Cause: a rack that held the gang was taken even if it had slow workers and faster ones were free across racks; the choice of data centres ignored speed; a slow worker got no work at all.

The narrowest of rack, data centre, several data centres is taken whose slowest member is fast enough, or as fast as in any set. Slow workers are no longer shut out: urgent work and gangs take them last, single tasks of lower priority first. An urgent gang that would get slow members preempts lower-priority work on other workers if it ends sooner that way. gang_placed logs the choice.

--- a/src/owner/internal/owner_candidates.h
+++ b/src/owner/internal/owner_candidates.h
@@ -3,17 +3,16 @@
 #ifndef CURLEWCART_OWNER_CANDIDATES_H
 #define CURLEWCART_OWNER_CANDIDATES_H
 
+#include "curlewcart/cw_gang_choice.h"
 #include "owner/internal/owner_placement.h"
 
-/* Width of the classes in which workers' relative speeds are compared: workers
- * of one class count as equally fast. */
-#define OWNER_SPEED_STEP 0.12
-
 /* A worker with free capacity, while a step is placed. */
 struct owner_candidate {
     struct owner_target *target;
     struct cw_resources available;
     unsigned fits; /* tasks of the step that fit on the worker */
+    int speed_rank;
+    int slow_order; /* lower-priority work uses a lower one first */
     /* Workers of its rack with lower-priority runs. */
     unsigned rack_lower_priority_workers;
     /* Result of owner_target_neighbour_weight if the step has tasks that are
@@ -34,8 +33,8 @@
 
 /* Like owner_candidates, but among the workers given and with those that are
  * withheld from the step: workers in the headroom for urgent work come first,
- * then racks that are reserved for gangs, and workers that failed or are slow
- * last. */
+ * then racks that are reserved for gangs, and workers that failed last, as do
+ * slow ones for urgent work and gangs. */
 GArray *owner_candidates_with_reserved(const GPtrArray *targets,
                                        const struct owner_step *step,
                                        struct timespec now);
@@ -48,8 +47,11 @@
 GArray *owner_choose_targets(const GArray *candidates, const char *rack,
                              unsigned tasks);
 
-/* Does the same with as few data centres as can hold the tasks. */
-GArray *owner_choose_by_dc(const GArray *candidates, unsigned tasks);
+/* Chooses workers for the step's gang, as struct owner_choice, owned by the
+ * caller; NULL if it does not fit.  `choice` tells why. */
+GArray *owner_choose_gang(struct cw_owner *owner, const GArray *candidates,
+                          struct owner_step *step, struct timespec now,
+                          struct cw_gang_choice *choice);
 
 /* True if the worker's rack is reserved for another step's gang, which has a
  * higher priority. */
@@ -60,10 +62,8 @@
 /* True if the worker has no runs. */
 bool owner_candidate_is_idle(const struct owner_candidate *candidate);
 
-/* Returns a rack that can hold `tasks` tasks, or NULL.  The rack of the step's
- * data is preferred to all others.  For urgent work it is the fastest one, and
- * of equally fast ones the one in which the fewest idle workers would be used;
- * then the one with the least free capacity. */
+/* Returns the rack that is best for the step's gang, or NULL if none can hold
+ * it. */
 const char *
 owner_best_rack(const struct cw_owner *owner, const GArray *candidates,
                 const struct owner_step *step, unsigned tasks);
--- a/src/owner/internal/owner_placement.h
+++ b/src/owner/internal/owner_placement.h
@@ -192,6 +192,11 @@
 bool owner_preempt(struct cw_owner *owner, struct owner_step *step,
                    struct timespec now);
 
+/* Does the same on workers that are not slow, and stops only lower-priority
+ * work. */
+bool owner_preempt_for_speed(struct cw_owner *owner, struct owner_step *step,
+                             struct timespec now);
+
 /* Counts the accelerators that each account requests in its most urgent jobs.
  * The accounts' names are borrowed from jobs, so that this has to be called
  * again in each pass before owner_job_is_guaranteed. */
--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -824,7 +824,7 @@
 owner_target_reachable(const struct owner_target *target, struct timespec now);
 
 /* True if new tasks may be placed on the worker: it is reachable and was not
- * recently suspected of failing tasks or of being slow. */
+ * recently suspected of failing tasks. */
 bool
 owner_target_usable(const struct owner_target *target, struct timespec now);
 
--- a/src/owner/owner_candidates.c
+++ b/src/owner/owner_candidates.c
@@ -93,18 +93,6 @@
     return max_tasks > 0 && run_count_on(step, target) > max_tasks;
 }
 
-/* Returns a negative number if `x` is in a faster class than `y`, a positive
- * one if in a slower class.
- */
-static int
-compare_speed(const struct owner_target *x, const struct owner_target *y)
-{
-    int a = (int)(x->incarnation.speed / OWNER_SPEED_STEP);
-    int b = (int)(y->incarnation.speed / OWNER_SPEED_STEP);
-
-    return b - a;
-}
-
 /* Orders the fullest workers first, so that idle ones stay whole for tasks
  * that need a whole worker. */
 static gint
@@ -136,10 +124,9 @@
 {
     const struct owner_candidate *x = a;
     const struct owner_candidate *y = b;
-    int speed = compare_speed(x->target, y->target);
 
-    if (speed != 0) {
-        return speed;
+    if (x->speed_rank != y->speed_rank) {
+        return x->speed_rank > y->speed_rank ? -1 : 1;
     }
     if (owner_candidate_is_idle(x) != owner_candidate_is_idle(y)) {
         return owner_candidate_is_idle(x) ? 1 : -1;
@@ -147,14 +134,18 @@
     return by_fullness(a, b);
 }
 
-/* Orders workers for lower-priority work: racks and workers that have such
- * runs first, so that it occupies as few as possible, then the slowest. */
+/* Orders workers for lower-priority work: those that were shown to be slow
+ * first or last, then racks and workers that have such runs first, so that it
+ * occupies as few as possible, then the slowest. */
 static gint
 by_lower_priority_runs(gconstpointer a, gconstpointer b)
 {
     const struct owner_candidate *x = a;
     const struct owner_candidate *y = b;
 
+    if (x->slow_order != y->slow_order) {
+        return x->slow_order < y->slow_order ? -1 : 1;
+    }
     if (x->rack_lower_priority_workers != y->rack_lower_priority_workers) {
         return x->rack_lower_priority_workers > y->rack_lower_priority_workers
                    ? -1
@@ -165,8 +156,8 @@
     {
         return x->target->lower_priority_runs > 0 ? -1 : 1;
     }
-    if (compare_speed(x->target, y->target) != 0) {
-        return -compare_speed(x->target, y->target);
+    if (x->speed_rank != y->speed_rank) {
+        return x->speed_rank < y->speed_rank ? -1 : 1;
     }
     return by_fullness(a, b);
 }
@@ -195,6 +186,28 @@
                                                      : by_speed;
 }
 
+/* Returns the place of a slow worker in the order for lower-priority work; 0
+ * is that of the others.  Single tasks use slow workers first: their callers
+ * accept three times the length, and their progress shows whether the worker
+ * has recovered.  A gang uses them last, as one of them delays it all. */
+static int
+slow_order(const struct owner_step *step)
+{
+    return step->spec->gang ? 1 : -1;
+}
+
+static int
+speed_rank(const struct owner_target *target, struct timespec now)
+{
+    struct cw_speed_view view = {
+        .speed = owner_target_speed(target, now),
+        .slow = owner_target_is_slow(target, now),
+        .proved = owner_target_is_proved(target, now),
+    };
+
+    return cw_speed_rank(&view);
+}
+
 bool
 owner_target_is_reserved(const struct owner_target *target,
                          const struct owner_step *step, struct timespec now)
@@ -248,7 +261,7 @@
 /* Adds the worker if a task of the step fits there. */
 static void
 add_candidate(GArray *out, const struct owner_step *step,
-              struct owner_target *target)
+              struct owner_target *target, struct timespec now)
 {
     struct cw_resources need = owner_step_need(step->spec);
     struct owner_candidate candidate = {.target = target};
@@ -267,6 +280,9 @@
         g_array_index(target->owner->rack_lower_priority_workers, unsigned,
                       target->rack_number);
     if (candidate.fits > 0) {
+        candidate.speed_rank = speed_rank(target, now);
+        candidate.slow_order =
+            cw_speed_rank_is_slow(candidate.speed_rank) ? slow_order(step) : 0;
         g_array_append_val(out, candidate);
     }
 }
@@ -289,7 +305,7 @@
         if ((may_add_workers || target->lower_priority_runs > 0) &&
             !owner_target_is_reserved(target, step, now))
         {
-            add_candidate(out, step, target);
+            add_candidate(out, step, target, now);
         }
     }
     g_array_sort(out, order_for(step));
@@ -325,7 +341,12 @@
 withheld_level(const struct owner_target *target,
                const struct owner_step *step, struct timespec now)
 {
-    if (!owner_target_usable(target, now)) {
+    bool bears_slow_workers =
+        step->occurrence->job->spec->priority > 0 && !step->spec->gang;
+
+    if (!owner_target_usable(target, now) ||
+        (!bears_slow_workers && owner_target_is_slow(target, now)))
+    {
         return 2;
     }
     return owner_target_is_reserved(target, step, now) ? 1 : 0;
@@ -345,7 +366,7 @@
 
         for (guint i = 0; i < targets->len; i++) {
             if (withheld_level(targets->pdata[i], step, now) == level) {
-                add_candidate(part, step, targets->pdata[i]);
+                add_candidate(part, step, targets->pdata[i], now);
             }
         }
         g_array_sort(part, order_for(step));
--- a/src/owner/owner_place.c
+++ b/src/owner/owner_place.c
@@ -150,28 +150,61 @@
     return step->rack_can_hold;
 }
 
+static double
+slowest_speed(const GArray *choices, struct timespec now)
+{
+    double speed = G_MAXDOUBLE;
+
+    for (guint i = 0; i < choices->len; i++) {
+        speed = MIN(
+            speed,
+            owner_target_speed(
+                g_array_index(choices, struct owner_choice, i).target, now));
+    }
+    return speed;
+}
+
+/* Preempts runs on workers that are not slow, for an urgent gang that would
+ * have slow members in the free place, if it ends sooner that way. */
+static bool
+preempt_for_speed(struct cw_owner *owner, struct owner_step *step,
+                  double speed, struct timespec now)
+{
+    struct cw_gang_wait wait = {.length_ms = step->spec->estimate_ms,
+                                .speed = speed,
+                                .speed_after = 1,
+                                .wait_max_ms = RESERVED_MAX_MS};
+
+    return step->occurrence->job->spec->priority == 0 &&
+           cw_gang_should_preempt(&wait) &&
+           owner_preempt_for_speed(owner, step, now);
+}
+
 static bool
 place_gang(struct cw_owner *owner, struct owner_step *step,
            struct timespec now)
 {
     GArray *candidates = owner_candidates(owner, step, now);
-    const char *rack = owner_best_rack(owner, candidates, step, step->count);
-    GArray *choices = NULL;
-    bool may_span_racks = !owner_step_needs_rack(owner, step, now);
+    struct cw_gang_choice choice;
+    GArray *choices = owner_choose_gang(owner, candidates, step, now, &choice);
 
-    if (rack != NULL) {
-        choices = owner_choose_targets(candidates, rack, step->count);
-    }
-    else if (may_span_racks &&
-             owner_total_fit_count(candidates) >= step->count) {
-        choices = owner_choose_by_dc(candidates, step->count);
+    g_array_unref(candidates);
+    if (choices == NULL) {
+        return false;
     }
-    if (choices != NULL) {
+    if (choice.slow == 0 ||
+        !preempt_for_speed(owner, step, slowest_speed(choices, now), now))
+    {
+        cw_log_info("gang_placed",
+                    "id=%s step=%u.%u tasks=%u within=%s slow=%u speed=%.2f",
+                    step->occurrence->job->spec->id, step->occurrence->number,
+                    step->number, step->count,
+                    cw_gang_scope_name(choice.scope), choice.slow,
+                    slowest_speed(choices, now));
         owner_assign(owner, step, choices, RUN_NEW);
-        g_array_unref(choices);
     }
-    g_array_unref(candidates);
-    return choices != NULL;
+    g_array_unref(choices);
+    return true;
 }
 
 /* True if all waiting tasks that are not delayed were placed. */
--- a/src/owner/owner_preempt.c
+++ b/src/owner/owner_preempt.c
@@ -510,11 +510,17 @@
     }
 }
 
+/* Which workers and runs a plan may use. */
+struct plan_limits {
+    bool with_slow;  /* also slow workers */
+    bool lower_only; /* stops no run of the step's own priority */
+};
+
 /* Returns the usable workers that the step may use, by rack; the key "" has
  * all of them. */
 static GHashTable *
 targets_by_rack(struct cw_owner *owner, const struct owner_step *step,
-                struct timespec now)
+                bool with_slow, struct timespec now)
 {
     GHashTable *racks = g_hash_table_new_full(
         g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_ptr_array_unref);
@@ -529,6 +535,7 @@
         GPtrArray *rack;
 
         if (!owner_target_usable(target, now) ||
+            (!with_slow && owner_target_is_slow(target, now)) ||
             !owner_step_allows_target(step, target))
         {
             continue;
@@ -551,7 +558,8 @@
  * cost, or NULL if there is none. */
 static GPtrArray *
 cheapest_rack(struct cw_owner *owner, const struct owner_step *step,
-              GHashTable *racks, unsigned tasks, struct timespec now)
+              GHashTable *racks, unsigned tasks,
+              const struct plan_limits *limits, struct timespec now)
 {
     GHashTableIter iterator;
     gpointer key;
@@ -567,6 +575,7 @@
             continue;
         }
         plan_init(&plan, owner, step);
+        plan.guaranteed = plan.guaranteed && !limits->lower_only;
         if (make_plan(&plan, value, tasks, now) &&
             (best == NULL || plan.cost < best_cost))
         {
@@ -578,23 +587,24 @@
     return best;
 }
 
-bool
-owner_preempt(struct cw_owner *owner, struct owner_step *step,
-              struct timespec now)
+static bool
+preempt(struct cw_owner *owner, struct owner_step *step,
+        const struct plan_limits *limits, struct timespec now)
 {
-    GHashTable *racks = targets_by_rack(owner, step, now);
+    GHashTable *racks = targets_by_rack(owner, step, limits->with_slow, now);
     unsigned tasks = owner_step_placeable_tasks(step, now);
     GPtrArray *targets = NULL;
     struct plan plan;
     bool ok;
 
     if (step->spec->gang && step->spec->same_rack) {
-        targets = cheapest_rack(owner, step, racks, tasks, now);
+        targets = cheapest_rack(owner, step, racks, tasks, limits, now);
     }
     if (targets == NULL) {
         targets = g_hash_table_lookup(racks, "");
     }
     plan_init(&plan, owner, step);
+    plan.guaranteed = plan.guaranteed && !limits->lower_only;
     ok = make_plan(&plan, targets, tasks, now);
     if (ok) {
         execute_plan(owner, step, &plan, targets, tasks);
@@ -603,3 +613,39 @@
     g_hash_table_unref(racks);
     return ok;
 }
+
+static bool
+some_target_is_slow(const struct cw_owner *owner, struct timespec now)
+{
+    GHashTableIter iterator;
+    gpointer value;
+
+    g_hash_table_iter_init(&iterator, owner->targets);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        if (owner_target_is_slow(value, now)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool
+owner_preempt(struct cw_owner *owner, struct owner_step *step,
+              struct timespec now)
+{
+    const struct plan_limits normal = {.with_slow = false};
+    const struct plan_limits any = {.with_slow = true};
+
+    return preempt(owner, step, &normal, now) ||
+           (some_target_is_slow(owner, now) &&
+            preempt(owner, step, &any, now));
+}
+
+bool
+owner_preempt_for_speed(struct cw_owner *owner, struct owner_step *step,
+                        struct timespec now)
+{
+    const struct plan_limits limits = {.with_slow = false, .lower_only = true};
+
+    return preempt(owner, step, &limits, now);
+}
--- a/src/owner/owner_targets.c
+++ b/src/owner/owner_targets.c
@@ -591,8 +591,7 @@
 owner_target_usable(const struct owner_target *target, struct timespec now)
 {
     return owner_target_reachable(target, now) &&
-           !cw_time_before(now, target->incarnation.suspect_until) &&
-           !cw_time_before(now, target->incarnation.slow_until);
+           !cw_time_before(now, target->incarnation.suspect_until);
 }
 
 void
--- a/src/owner/owner_view.c
+++ b/src/owner/owner_view.c
@@ -17,7 +17,10 @@
     if (!owner_target_accepts_work(target)) {
         return "cordoned";
     }
-    return owner_target_usable(target, now) ? "ready" : "avoided";
+    return owner_target_usable(target, now) &&
+                   !owner_target_is_slow(target, now)
+               ? "ready"
+               : "avoided";
 }
 
 void
