--- a/src/owner/owner_moves.c
+++ b/src/owner/owner_moves.c
@@ -26,7 +26,8 @@
 }
 
 /* Returns how many tasks of the step could be placed on the worker if the run,
- * with its gang, were evicted.  The run's own worker does not count. */
+ * with its gang, were evicted.  The run's own worker does not count, nor do
+ * slow ones, on which it would be as late. */
 static unsigned
 fits_if_evicted(struct cw_owner *owner, const struct owner_run *run,
                 struct owner_target *target, struct timespec now)
@@ -34,6 +35,7 @@
     const struct owner_step *step = run->task->step;
 
     if (target == run->target || !owner_target_usable(target, now) ||
+        owner_target_is_slow(target, now) ||
         owner_target_is_reserved(target, step, now) ||
         !owner_step_allows_target(step, target) ||
         !owner_headroom_allows(owner, step, target, now))
--- a/tests/test_moves.c
+++ b/tests/test_moves.c
@@ -2,6 +2,7 @@
 #include "test_main.h"
 
 #include "owner_cluster.h"
+#include "worker_speeds.h"
 
 enum { SLOW_PERCENT = 31, WINDOW_MS = 1000, MEMBERS = 9 };
 
@@ -149,6 +150,30 @@
     cluster_end(&cluster);
 }
 
+/* Guards against a gang that is stopped on one slow worker and placed on
+ * another. */
+static void
+test_a_gang_is_not_moved_to_slow_workers(void)
+{
+    static const struct cw_step_spec member = {
+        .tasks = 1, .accelerators = ACCELERATORS, .gang = true};
+    struct cluster cluster;
+    struct owner_job *job;
+
+    cluster_begin(&cluster);
+    set_guarantee(&cluster, 0);
+    job = run_job(&cluster, 1, &member);
+    for (unsigned i = 0; i < RACKS * PER_RACK; i++) {
+        char name[16];
+
+        g_snprintf(name, sizeof(name), "w%02u", i);
+        show_slow(&cluster, name, 60000);
+    }
+    make_slow(&cluster, step_of(job)->tasks[0].run);
+    CU_ASSERT_EQUAL(stopping(job), 0);
+    cluster_end(&cluster);
+}
+
 static const struct test tests[] = {
     {"no capacity elsewhere",
      test_a_gang_without_capacity_elsewhere_is_not_stopped},
@@ -156,6 +181,7 @@
     {"headroom", test_a_gang_is_not_stopped_for_headroom},
     {"single", test_a_task_is_moved_only_to_another_free_worker},
     {"rack", test_a_gang_that_needs_a_rack_is_moved_only_into_one},
+    {"slow elsewhere", test_a_gang_is_not_moved_to_slow_workers},
 };
 
 TEST_MAIN("moves", tests)
