--- a/src/owner/internal/owner_candidates.h
+++ b/src/owner/internal/owner_candidates.h
@@ -12,6 +12,7 @@
     struct cw_resources available;
     unsigned fits; /* tasks of the step that fit on the worker */
     int speed_rank;
+    int slow_order; /* lower-priority work uses a lower one first */
     /* Workers of its rack with lower-priority runs. */
     unsigned rack_lower_priority_workers;
     /* Result of owner_target_neighbour_weight if the step has tasks that are
--- a/src/owner/owner_candidates.c
+++ b/src/owner/owner_candidates.c
@@ -134,14 +134,18 @@
     return by_fullness(a, b);
 }
 
-/* Orders workers for lower-priority work: racks and workers that have such
- * runs first, so that it occupies as few as possible, then the slowest. */
+/* Orders workers for lower-priority work: those that were shown to be slow
+ * first or last, then racks and workers that have such runs first, so that it
+ * occupies as few as possible, then the slowest. */
 static gint
 by_lower_priority_runs(gconstpointer a, gconstpointer b)
 {
     const struct owner_candidate *x = a;
     const struct owner_candidate *y = b;
 
+    if (x->slow_order != y->slow_order) {
+        return x->slow_order < y->slow_order ? -1 : 1;
+    }
     if (x->rack_lower_priority_workers != y->rack_lower_priority_workers) {
         return x->rack_lower_priority_workers > y->rack_lower_priority_workers
                    ? -1
@@ -158,35 +162,6 @@
     return by_fullness(a, b);
 }
 
-static bool
-is_slow(const struct owner_candidate *candidate)
-{
-    return cw_speed_rank_is_slow(candidate->speed_rank);
-}
-
-/* Orders workers for single tasks of lower priority: slow ones first.  Their
- * callers accept three times the length, and their progress shows whether the
- * worker has recovered. */
-static gint
-for_lower_priority_tasks(gconstpointer a, gconstpointer b)
-{
-    if (is_slow(a) != is_slow(b)) {
-        return is_slow(a) ? -1 : 1;
-    }
-    return by_lower_priority_runs(a, b);
-}
-
-/* Orders workers for gangs of lower priority: slow ones last, as one of them
- * delays the whole gang. */
-static gint
-for_lower_priority_gangs(gconstpointer a, gconstpointer b)
-{
-    if (is_slow(a) != is_slow(b)) {
-        return is_slow(a) ? 1 : -1;
-    }
-    return by_lower_priority_runs(a, b);
-}
-
 /* Orders workers for suspects, which may crash their worker: those with the
  * lowest neighbour weight first, as a crash there loses the least. */
 static gint
@@ -207,11 +182,18 @@
     if (step->suspects > 0) {
         return by_neighbour_weight;
     }
-    if (step->occurrence->job->spec->priority == 0) {
-        return by_speed;
-    }
-    return step->spec->gang ? for_lower_priority_gangs
-                            : for_lower_priority_tasks;
+    return step->occurrence->job->spec->priority > 0 ? by_lower_priority_runs
+                                                     : by_speed;
+}
+
+/* Returns the place of a slow worker in the order for lower-priority work; 0
+ * is that of the others.  Single tasks use slow workers first: their callers
+ * accept three times the length, and their progress shows whether the worker
+ * has recovered.  A gang uses them last, as one of them delays it all. */
+static int
+slow_order(const struct owner_step *step)
+{
+    return step->spec->gang ? 1 : -1;
 }
 
 static int
@@ -299,6 +281,8 @@
                       target->rack_number);
     if (candidate.fits > 0) {
         candidate.speed_rank = speed_rank(target, now);
+        candidate.slow_order =
+            cw_speed_rank_is_slow(candidate.speed_rank) ? slow_order(step) : 0;
         g_array_append_val(out, candidate);
     }
 }
--- a/src/owner/owner_gang_choice.c
+++ b/src/owner/owner_gang_choice.c
@@ -13,10 +13,12 @@
 static unsigned
 dc_number(GPtrArray *dcs, const char *dc)
 {
-    guint index;
+    unsigned index = 0;
 
-    if (!g_ptr_array_find(dcs, dc, &index)) {
-        index = dcs->len;
+    while (index < dcs->len && dcs->pdata[index] != dc) {
+        index++;
+    }
+    if (index == dcs->len) {
         g_ptr_array_add(dcs, (gpointer)dc);
     }
     return index;
