Emulator: slow and uneven workers, and the stretch of urgent jobs

Cause: the emulator's workers all had the same speed. The summary ends with the stretch of urgent jobs (from the answer that accepts them to the end of their last step, against their length at speed 1; jobs that are planned to fail or to crash workers are left out) and the number of urgent tasks that were started on slow workers from 5 s after these became slow. Figures only: nothing is judged by them, and no bound is set.

--- a/emulator/checker.c
+++ b/emulator/checker.c
@@ -193,11 +193,13 @@
  * runs have the same duration and the day's other random numbers do not
  * change. */
 static bool
-is_long(const struct checker_job *job, const struct cw_task_name *task)
+is_long(const struct checker_job *job, const struct cw_step_spec *step,
+        const struct cw_task_name *task)
 {
+    unsigned index = step->gang && job->plan_equal_members ? 0 : task->index;
     unsigned hash = g_str_hash(task->job) +
                     (task->step + 1) * HASH_STEP_FACTOR +
-                    task->index * HASH_INDEX_FACTOR;
+                    index * HASH_INDEX_FACTOR;
 
     return hash % PERCENT < job->plan_tail_percent;
 }
@@ -214,7 +216,7 @@
         return false;
     }
     out->work_ms = job->plan_work_ms;
-    if (is_long(job, task)) {
+    if (is_long(job, step, task)) {
         out->work_ms *= LONG_TASK_FACTOR;
     }
     out->fails = job->plan_fails;
@@ -522,9 +524,8 @@
     return false;
 }
 
-/* True if every step of the job is done. */
-static bool
-all_done(struct checker *checker, const struct checker_job *job)
+bool
+checker_all_done(struct checker *checker, const struct checker_job *job)
 {
     for (unsigned i = 0; i < job->spec->steps.steps_len; i++) {
         if (!step_done(checker, job, 0, i)) {
@@ -549,7 +550,7 @@
         }
         job->shown_final_phase = phase;
     }
-    if (phase == CW_WORK_COMPLETED && !all_done(checker, job)) {
+    if (phase == CW_WORK_COMPLETED && !checker_all_done(checker, job)) {
         violate(checker, "MIXED completed too early", id);
     }
     if (phase == CW_WORK_CANCELLED && !job->cancel_sent) {
--- a/emulator/checker.h
+++ b/emulator/checker.h
@@ -38,6 +38,7 @@
     struct cw_work_spec *spec; /* owned */
     unsigned plan_work_ms;
     unsigned plan_tail_percent; /* percentage of tasks that are long */
+    bool plan_equal_members;    /* members of a gang are equally long */
     unsigned plan_fails;        /* number of runs of each task that fail */
     int plan_crashing_task;     /* task of the first step that crashes each
                                    worker that starts it; -1: none */
@@ -47,6 +48,8 @@
     bool cancel_sent;
     bool cancel_done; /* acknowledged */
     int64_t cancel_ms;
+    int64_t accepted_ms; /* when acceptance was first reported */
+    int64_t done_ms;     /* when its last step was done; 0: not yet */
     unsigned started;
     unsigned running;  /* the job's runs that workers execute now */
     unsigned repeated; /* those of them whose task had ended as done before */
@@ -75,6 +78,9 @@
 bool checker_task_plan(struct checker *checker,
                        const struct cw_task_name *task, struct task_plan *out);
 
+/* True if every step of the job is done. */
+bool checker_all_done(struct checker *checker, const struct checker_job *job);
+
 /* Records that a VM has sent the start of a run. */
 void checker_start_sent(struct checker *checker,
                         const struct cw_task_name *task, unsigned run);
--- a/emulator/emulator_main.c
+++ b/emulator/emulator_main.c
@@ -26,7 +26,8 @@
     EXIT_VIOLATION = 1,
     EXIT_USAGE = 2,
     /* Long enough for two long steps in sequence, each of which fails once. */
-    LONG_TASK_QUIET_FACTOR = 3
+    LONG_TASK_QUIET_FACTOR = 3,
+    SLOW_WORKER_QUIET_FACTOR = 2
 };
 
 struct arguments {
@@ -40,6 +41,9 @@
     unsigned jobs;
     unsigned crashing_percent; /* of the jobs */
     unsigned tail_percent;     /* of the tasks */
+    unsigned slow_percent;     /* of the workers */
+    bool uneven;
+    bool without_slow;
     unsigned shrinks;
     unsigned restarts;
     unsigned clock_step_percent; /* of the restarts */
@@ -75,6 +79,12 @@
     {"crashing", 'c', "PERCENT", 0, "Jobs that crash workers", 0},
     {"tails", 't', "PERCENT", 0,
      "Tasks that take several times as long as others", 0},
+    {"slow-workers", 'S', "PERCENT", 0,
+     "Workers that take three times as long for part of the day, at once", 0},
+    {"uneven", 'E', NULL, 0, "Workers have lasting speeds of 0.6, 1.0 and 1.6",
+     0},
+    {"without-slow", 'W', NULL, 0,
+     "The workers of --slow-workers are absent all day instead", 0},
     {"shrinks", 'r', "N", 0,
      "Times that a worker's capacity shrinks for a while", 0},
     {"restarts", 'a', "N", 0,
@@ -234,6 +244,15 @@
     case 't':
         arguments->tail_percent = number;
         break;
+    case 'S':
+        arguments->slow_percent = MIN(number, PERCENT);
+        break;
+    case 'E':
+        arguments->uneven = true;
+        break;
+    case 'W':
+        arguments->without_slow = true;
+        break;
     case 'u':
         arguments->ignores_capacity = true;
         break;
@@ -284,6 +303,12 @@
     if (day.tail_percent > 0) {
         day.quiet_ms *= LONG_TASK_QUIET_FACTOR;
     }
+    day.slow_percent = arguments->slow_percent;
+    day.uneven = arguments->uneven;
+    day.without_slow = arguments->without_slow;
+    if (day.slow_percent > 0 || day.uneven) {
+        day.quiet_ms *= SLOW_WORKER_QUIET_FACTOR;
+    }
     day.shrinks = arguments->shrinks;
     day.restarts = arguments->restarts;
     day.clock_step_percent = arguments->clock_step_percent;
@@ -325,6 +350,8 @@
     unsigned next_day; /* next day to simulate; atomic */
     unsigned violations;
     struct checker_counts counts;
+    struct stretch_figures stretch;
+    unsigned urgent_starts_on_slow;
     unsigned takeovers;
     pthread_mutex_t lock;
 };
@@ -348,6 +375,8 @@
     state->counts.unheard_waits += result->counts.unheard_waits;
     state->counts.avoidable_unheard_waits +=
         result->counts.avoidable_unheard_waits;
+    stretch_figures_add(&state->stretch, &result->stretch);
+    state->urgent_starts_on_slow += result->urgent_starts_on_slow;
     state->takeovers += result->takeovers;
 }
 
@@ -409,14 +438,20 @@
         "completed, %u failed, %u cancelled, %u lost, %u refused, %u starts, "
         "%u takeovers, %u crashes, %u innocent jobs given up, %u waits of 1 s "
         "or more beside free capacity, the longest %u ms; %u of 3 s for ends "
-        "that nobody heard, %u of them avoidable\n",
+        "that nobody heard, %u of them avoidable; %u urgent jobs done, mean "
+        "stretch %.3f, %.1f%% over 1.5, %u urgent tasks started on slow "
+        "workers from 5 s on\n",
         arguments->days, arguments->seed, state.violations, state.counts.jobs,
         state.counts.accepted, state.counts.completed, state.counts.failed,
         state.counts.cancelled, state.counts.lost, state.counts.refused,
         state.counts.starts, state.takeovers, state.counts.crashes,
         state.counts.wrongly_failed, state.counts.long_waits,
         state.counts.longest_wait_ms, state.counts.unheard_waits,
-        state.counts.avoidable_unheard_waits);
+        state.counts.avoidable_unheard_waits, state.stretch.jobs,
+        state.stretch.total / MAX(1, state.stretch.jobs),
+        (double)state.stretch.over_limit * PERCENT /
+            MAX(1, state.stretch.jobs),
+        state.urgent_starts_on_slow);
     return state.violations > 0 ? EXIT_VIOLATION : 0;
 }
 
--- a/emulator/internal/world_private.h
+++ b/emulator/internal/world_private.h
@@ -109,9 +109,11 @@
         GHashTable *workers; /* set of ids: on the owner's side */
         bool vms_reach_each_other;
         int64_t until_ms;
-    } owner_cut;                   /* the last network partition */
-    int64_t last_delayed_order_ms; /* latest time at which a delayed order may
-                                      arrive */
+    } owner_cut;           /* the last network partition */
+    int64_t slow_since_ms; /* time at which workers became slow; 0: not yet */
+    unsigned urgent_starts_on_slow; /* from some time after that on */
+    int64_t last_delayed_order_ms;  /* latest time at which a delayed order may
+                                       arrive */
 };
 
 /* A request of a caller that waits for its answer. */
@@ -396,6 +398,22 @@
 /* True if the topic is unavailable now; `topic` may be NULL. */
 bool world_topic_unavailable(const struct world *world, const char *topic);
 
+/* ---- world_speeds.c ---- */
+
+/* True if workers differ in speed on this day, or on the day that it is
+ * compared with. */
+bool world_has_speeds(const struct world *world);
+
+/* Sets the workers' lasting speeds, and schedules the time in which some of
+ * them are slow, or takes these down for the day.  Has random numbers of its
+ * own, so that the day's others do not change. */
+void world_schedule_speeds(struct world *world);
+
+/* Counts the start of an urgent task on a slow worker. */
+void
+world_speeds_started(struct world *world, const struct worker_model *worker,
+                     const struct checker_job *job);
+
 /* ---- world_silences.c ---- */
 
 /* Cuts some workers off; their runs go on. */
--- a/emulator/worker_model.c
+++ b/emulator/worker_model.c
@@ -54,6 +54,8 @@
     int64_t wall_clock_behind_ms; /* behind the fleet's */
     bool is_down;
     double speed;
+    double lasting_speed; /* of its machine */
+    double slowdown;      /* factor of its runs' durations */
     uint64_t fence;       /* highest fencing token received */
     int64_t lease_end_ms; /* fleet's time */
     bool lease_active;
@@ -161,6 +163,8 @@
     worker->clock_ms = clock_ms;
     worker->boot_ms = boot_time_now_ms(fleet);
     worker->speed = 1;
+    worker->lasting_speed = 1;
+    worker->slowdown = 1;
     worker->runs = g_ptr_array_new_with_free_func(run_free);
     worker->ends = g_ptr_array_new_with_free_func(end_free);
     worker->highest_run =
@@ -181,6 +185,8 @@
     g_free(worker->address);
     worker->address = g_strdup(before->address);
     worker_model_set_kind(worker, before->kind);
+    worker->lasting_speed = before->lasting_speed;
+    worker->slowdown = before->slowdown;
     g_free(id);
     return worker;
 }
@@ -386,6 +392,24 @@
     worker->speed = speed;
 }
 
+void
+worker_model_set_lasting_speed(struct worker_model *worker, double speed)
+{
+    worker->lasting_speed = speed;
+}
+
+void
+worker_model_set_slowdown(struct worker_model *worker, double factor)
+{
+    worker->slowdown = factor;
+}
+
+bool
+worker_model_is_slowed(const struct worker_model *worker)
+{
+    return worker->slowdown > 1;
+}
+
 /* ---- ends ---- */
 
 static char *
@@ -581,7 +605,8 @@
         }
         return false;
     }
-    run->work_done_ms += (double)passed_ms * worker->speed;
+    run->work_done_ms += (double)passed_ms * worker->speed *
+                         worker->lasting_speed / worker->slowdown;
     if (run->work_done_ms < run->plan.work_ms) {
         return false;
     }
--- a/emulator/worker_model.h
+++ b/emulator/worker_model.h
@@ -148,6 +148,15 @@
 /* Sets the speed of the worker's runs: 1 as planned, 0 stalled. */
 void worker_model_set_speed(struct worker_model *worker, double speed);
 
+/* Sets the speed of the worker's machine relative to a typical one, 1 unless
+ * set.  An incarnation at the same address keeps it. */
+void worker_model_set_lasting_speed(struct worker_model *worker, double speed);
+
+/* Makes the worker's runs take `factor` times as long; 1 ends that.  An
+ * incarnation at the same address is as slow. */
+void worker_model_set_slowdown(struct worker_model *worker, double factor);
+bool worker_model_is_slowed(const struct worker_model *worker);
+
 /* Executes an order at `now_ms`.  Rows of a poll's answer are added to
  * `running` and `ended`, and copies of their strings to `texts`. */
 void worker_model_order(struct worker_model *worker,
--- a/emulator/world.c
+++ b/emulator/world.c
@@ -131,6 +131,8 @@
     }
     checker_check_route(world->checker, task, run,
                         worker_fleet_find(world->fleet, worker));
+    world_speeds_started(world, worker_fleet_find(world->fleet, worker),
+                         checker_find_job(world->checker, task->job));
     if (world->now_ms > world->last_delayed_order_ms) {
         checker_started_in_cordon(world->checker, task, run,
                                   world_cordon_age_ms(world, dc));
@@ -164,6 +166,7 @@
          unsigned run, enum cw_end_kind how)
 {
     struct world *world = context;
+    struct checker_job *job = checker_find_job(world->checker, task->job);
 
     if (world->options.trace) {
         printf("t=%" PRId64 " ended %s.%u.%u.%u run=%u on %s %s\n",
@@ -173,6 +176,9 @@
     checker_ended(world->checker, task, run, how, world_is_calm(world));
     if (how == CW_END_KIND_DONE) {
         record_done(world, worker, task);
+        if (job->done_ms == 0 && checker_all_done(world->checker, job)) {
+            job->done_ms = world->now_ms;
+        }
     }
 }
 
@@ -405,6 +411,7 @@
     const struct world_options *options = &world->options;
     unsigned faults = world_random_below(world, options->faults + 1);
 
+    world_schedule_speeds(world);
     world_schedule(world, 0, world_report_workers, NULL);
     world_schedule(world, CHECK_INTERVAL_MS, check_jobs, NULL);
     schedule_times(world, options->jobs, FIRST_JOB_MS, world_submit_new_job);
@@ -616,6 +623,8 @@
     }
     result->violation = g_strdup(checker_violation(world.checker));
     result->counts = checker_counts(world.checker);
+    stretch_figures_collect(&result->stretch, world.checker);
+    result->urgent_starts_on_slow = world.urgent_starts_on_slow;
     for (guint i = 0; i < world.vms->len; i++) {
         const struct vm *vm = world.vms->pdata[i];
 
--- a/emulator/world.h
+++ b/emulator/world.h
@@ -9,6 +9,7 @@
 #include <stdint.h>
 
 #include "emulator/checker.h"
+#include "emulator/stretch.h"
 
 struct world_options {
     uint32_t seed;
@@ -22,6 +23,11 @@
     unsigned faults;   /* maximum number */
     unsigned crashing_percent; /* percentage of jobs that crash workers */
     unsigned tail_percent;     /* percentage of tasks that are long */
+    unsigned slow_percent; /* percentage of workers that become slow at once,
+                              and recover */
+    bool uneven;           /* workers have unequal lasting speeds */
+    bool without_slow;     /* the workers that would become slow are absent all
+                              day instead */
     unsigned shrinks; /* number of times that a worker's capacity shrinks for a
                          while */
     unsigned restarts; /* number of times that workers crash and restart under
@@ -78,6 +84,8 @@
     char *violation; /* or NULL; owned by the caller */
     char *faults;    /* the faults that occurred; owned by the caller */
     struct checker_counts counts;
+    struct stretch_figures stretch; /* of urgent jobs */
+    unsigned urgent_starts_on_slow; /* some time after workers became slow */
     unsigned takeovers;
     double busiest_vm_cpu_s; /* processor time of the scheduler's code in the
                                 busiest VM */
--- a/emulator/world_load.c
+++ b/emulator/world_load.c
@@ -53,6 +53,9 @@
         }
     }
     else {
+        if (outcome == CW_ENTRY_STORED && !job->accepted) {
+            job->accepted_ms = world->now_ms;
+        }
         job->accepted = job->accepted || outcome == CW_ENTRY_STORED;
         job->refused = job->refused && outcome == CW_ENTRY_NOT_DONE;
         job->outcome_unknown =
@@ -298,6 +301,7 @@
     call->job = checker_add_job(world->checker, spec,
                                 draw_work_ms(world, steps), fails);
     call->job->plan_tail_percent = world->options.tail_percent;
+    call->job->plan_equal_members = world_has_speeds(world);
     if (g_str_hash(id) % PERCENT < world->options.crashing_percent) {
         call->job->plan_crashing_task =
             (int)(g_str_hash(id) / PERCENT % spec->steps.steps_val[0].tasks);
--- a/tests/test_worker_model.c
+++ b/tests/test_worker_model.c
@@ -1,6 +1,7 @@
 /* The emulator's model of a worker. */
 #include "test_main.h"
 
+#include <limits.h>
 #include <stdio.h>
 
 #include "emulator/worker_model.h"
@@ -237,8 +238,112 @@
     }
 }
 
+/* A gang of two equal members. */
+static bool
+plan_gang(void *context, const struct cw_task_name *task,
+          struct task_plan *out)
+{
+    (void)plan(context, task, out);
+    out->members = 2;
+    return true;
+}
+
+static unsigned
+percent_of(struct worker_model *worker, const struct cw_target_order *poll,
+           int64_t now_ms)
+{
+    GArray *running = g_array_new(FALSE, TRUE, sizeof(struct cw_running));
+    GArray *ended = g_array_new(FALSE, TRUE, sizeof(struct cw_ended));
+    GPtrArray *texts = g_ptr_array_new_with_free_func(g_free);
+    struct cw_target_answer answer = {0};
+    unsigned percent = UINT_MAX;
+
+    worker_model_order(worker, poll, now_ms, &answer, running, ended, texts);
+    if (running->len == 1) {
+        percent = g_array_index(running, struct cw_running, 0).percent;
+    }
+    g_array_unref(running);
+    g_array_unref(ended);
+    g_ptr_array_unref(texts);
+    return percent;
+}
+
+/* Percents of a gang's members at WORK_MS / 2, at 2 * WORK_MS, and when the
+ * second worker has recovered for WORK_MS / 10. */
+static void
+test_members_rise_at_the_speeds_of_their_workers(void)
+{
+    const struct worker_listener listener = {.plan = plan_gang,
+                                             .started = ignore_start,
+                                             .ended = ignore_end,
+                                             .confirmed = record_lapsed};
+    const struct cw_resources capacity = {.accelerators = 8};
+    struct worker_fleet *fleet = worker_fleet_create(&listener);
+    struct worker_model *workers[] = {
+        worker_fleet_add(fleet, "v", "r0", &capacity, 0),
+        worker_fleet_add(fleet, "w", "r0", &capacity, 0)};
+    struct cw_target_order order = {.kind = CW_ORDER_START,
+                                    .fence = 1,
+                                    .task = {.job = "0000000000000001"},
+                                    .run = 1,
+                                    .lease_until_ms = 2 * LEASE_END_MS};
+
+    worker_model_set_lasting_speed(workers[0], 1.6);
+    worker_model_set_slowdown(workers[1], 4);
+    for (unsigned i = 0; i < G_N_ELEMENTS(workers); i++) {
+        order.id = worker_model_id(workers[i]);
+        order.task.index = i;
+        CU_ASSERT_EQUAL(status_of(workers[i], &order, 0), CW_TARGET_OK);
+    }
+    worker_fleet_advance(fleet, 1); /* the gang is complete */
+    order.kind = CW_ORDER_POLL;
+    order.id = "v";
+    CU_ASSERT_EQUAL(percent_of(workers[0], &order, 1 + WORK_MS / 2), 80);
+    CU_ASSERT_EQUAL(percent_of(workers[0], &order, 1 + 2 * WORK_MS), 100);
+    order.id = "w";
+    CU_ASSERT_EQUAL(percent_of(workers[1], &order, 1 + 2 * WORK_MS), 50);
+    worker_model_set_slowdown(workers[1], 1);
+    CU_ASSERT_EQUAL(percent_of(workers[1], &order, 1 + WORK_MS / 10 * 21), 60);
+    worker_fleet_advance(fleet, 1 + 3 * WORK_MS);
+    CU_ASSERT_EQUAL(worker_model_running(workers[0]), 0);
+    CU_ASSERT_EQUAL(worker_model_running(workers[1]), 0);
+    worker_fleet_free(fleet);
+}
+
+/* An incarnation with a new id is on the same machine. */
+static void
+test_next_incarnation_is_as_slow(void)
+{
+    const struct worker_listener listener = {.plan = plan,
+                                             .started = ignore_start,
+                                             .ended = ignore_end,
+                                             .confirmed = record_lapsed};
+    const struct cw_resources capacity = {.accelerators = 8};
+    struct worker_fleet *fleet = worker_fleet_create(&listener);
+    struct worker_model *worker =
+        worker_fleet_add(fleet, "w", "r0", &capacity, 0);
+    struct cw_target_order order = {.kind = CW_ORDER_START,
+                                    .fence = 1,
+                                    .task = {.job = "0000000000000001"},
+                                    .run = 1,
+                                    .lease_until_ms = LEASE_END_MS};
+
+    worker_model_set_lasting_speed(worker, 0.8);
+    worker_model_set_slowdown(worker, 2);
+    worker_model_crash(worker);
+    worker = worker_fleet_restart_with_new_id(fleet, worker, 0);
+    order.id = worker_model_id(worker);
+    CU_ASSERT_EQUAL(status_of(worker, &order, 0), CW_TARGET_OK);
+    order.kind = CW_ORDER_POLL;
+    CU_ASSERT_EQUAL(percent_of(worker, &order, WORK_MS), 40);
+    worker_fleet_free(fleet);
+}
+
 static const struct test tests[] = {
     {"prediction", test_a_start_is_predicted_as_it_is_carried_out},
+    {"speeds of a gang's workers",
+     test_members_rise_at_the_speeds_of_their_workers},
+    {"speed of the next incarnation", test_next_incarnation_is_as_slow},
     {"lapse", test_lease_lapses_when_it_ends},
 };
 
