Time: cw_time_set_later, next to cw_time_set_earlier

Cause: owner_epochs.c had its own `raise_to`, and owner_leases.c, owner_lease_terms.c and owner_quorum.c wrote the same comparison out. Change: one inline function in cw_time.h; no change of behaviour.

--- a/include/curlewcart/cw_time.h
+++ b/include/curlewcart/cw_time.h
@@ -113,4 +113,13 @@
     }
 }
 
+/* Sets `end` to `other` if `other` is later. */
+static inline void
+cw_time_set_later(struct timespec *end, struct timespec other)
+{
+    if (cw_time_before(*end, other)) {
+        *end = other;
+    }
+}
+
 #endif
--- a/src/owner/owner_epochs.c
+++ b/src/owner/owner_epochs.c
@@ -150,14 +150,6 @@
     return highest;
 }
 
-static void
-raise_to(struct timespec *end, struct timespec other)
-{
-    if (cw_time_before(*end, other)) {
-        *end = other;
-    }
-}
-
 /* Returns when the leases expire of an earlier owner that may not have
  * detected yet that it was replaced. */
 static struct timespec
@@ -193,7 +185,7 @@
         on_other_terms =
             owner_lease_end_from_record(terms->read_at, terms->longer_left_ms);
     }
-    raise_to(&end, on_other_terms);
+    cw_time_set_later(&end, on_other_terms);
     if (cw_replica_epoch_has_ended(epoch)) {
         end = owner_lease_end_from_record(
             epoch->end_read_at, cw_replica_epoch_lease_left_ms(epoch, worker));
@@ -204,7 +196,7 @@
         struct timespec last_end =
             cw_time_add_ms(start, owner_lease_duration_ms(lease_ms));
 
-        raise_to(&last_end, on_other_terms);
+        cw_time_set_later(&last_end, on_other_terms);
         cw_time_set_earlier(&end, last_end);
     }
     return end;
@@ -256,7 +248,7 @@
     gpointer value;
 
     if (settled == 0) {
-        raise_to(&end, end_of_open(owner, owner->options.lease_ms));
+        cw_time_set_later(&end, end_of_open(owner, owner->options.lease_ms));
     }
     g_hash_table_iter_init(&iterator,
                            cw_replica_epochs(owner->options.replica));
@@ -264,7 +256,7 @@
         const struct cw_replica_epoch *epoch = value;
 
         if (may_have_leases(owner, vm, epoch, settled)) {
-            raise_to(&end, end_of_other(owner, epoch, worker));
+            cw_time_set_later(&end, end_of_other(owner, epoch, worker));
         }
     }
     return end;
@@ -284,7 +276,7 @@
         const struct owner_target *target = value;
 
         if (target->runs->len > 0) {
-            raise_to(&end, end_of_earlier(owner, target->id));
+            cw_time_set_later(&end, end_of_earlier(owner, target->id));
         }
     }
     return end;
@@ -342,7 +334,7 @@
 
     /* Epochs count as settled, and their records are dropped, once no run
      * depends on their leases. */
-    raise_to(&end, owner->epochs->earlier_end);
+    cw_time_set_later(&end, owner->epochs->earlier_end);
     return end;
 }
 
@@ -389,7 +381,8 @@
     if (target->incarnation.boot_ms > 0 || target->reported_boot_ms > 0) {
         return;
     }
-    raise_to(&end, owner_epochs_worker_end(target->owner, target->id));
+    cw_time_set_later(&end,
+                      owner_epochs_worker_end(target->owner, target->id));
     owner_lease_lower(target, end, OWNER_LEASE_EARLIER_OWNER);
     owner_target_wake(target);
 }
@@ -491,8 +484,9 @@
 
     if (terms != NULL) {
         /* The record was written before this process started. */
-        raise_to(&end, owner_lease_end_from_record(epochs->vm_started_at,
-                                                   terms->longer_left_ms));
+        cw_time_set_later(&end,
+                          owner_lease_end_from_record(epochs->vm_started_at,
+                                                      terms->longer_left_ms));
         cw_log_info("former_leases",
                     "epoch=%" PRIu64 " lease_ms=%u longer_left_ms=%u "
                     "left_ms=%" PRId64,
@@ -523,7 +517,7 @@
 
         if (epochs->granted_epoch > 0) {
             /* The record of this epoch was stored late. */
-            raise_to(&end, epochs->granted_until);
+            cw_time_set_later(&end, epochs->granted_until);
         }
         epochs->granted_epoch = own->epoch;
         epochs->granted_until = end;
@@ -640,7 +634,7 @@
             cw_time_before(epochs->granted_until, end) &&
             !add_other_lease(epochs, target, end))
         {
-            raise_to(&latest, end);
+            cw_time_set_later(&latest, end);
         }
     }
     epochs->granted_until = latest;
--- a/src/owner/owner_lease_terms.c
+++ b/src/owner/owner_lease_terms.c
@@ -67,14 +67,10 @@
     struct timespec until =
         cw_time_add_ms(now, owner_lease_duration_ms(lease_ms));
 
-    if (lease_ms > OWNER_SHORT_LEASE_MS &&
-        cw_time_before(terms->longer_until, until))
-    {
-        terms->longer_until = until;
-    }
-    if (cw_time_before(terms->granted_until, until)) {
-        terms->granted_until = until;
+    if (lease_ms > OWNER_SHORT_LEASE_MS) {
+        cw_time_set_later(&terms->longer_until, until);
     }
+    cw_time_set_later(&terms->granted_until, until);
 }
 
 /* True if the terms have to allow long leases. */
@@ -100,12 +96,11 @@
     const struct owner_lease_terms *terms = owner->lease_terms;
     struct timespec end = owner_epochs_own_leases_end(owner);
 
-    if (!allow_long && cw_time_before(end, terms->longer_until)) {
-        end = terms->longer_until;
+    if (!allow_long) {
+        cw_time_set_later(&end, terms->longer_until);
     }
-    return cw_time_before(end, terms->other_support_until)
-               ? terms->other_support_until
-               : end;
+    cw_time_set_later(&end, terms->other_support_until);
+    return end;
 }
 
 static void
--- a/src/owner/owner_leases.c
+++ b/src/owner/owner_leases.c
@@ -101,9 +101,7 @@
 static void
 raise_incarnation_bound(struct owner_target *target, struct timespec end)
 {
-    if (cw_time_before(target->incarnation.lease_end, end)) {
-        target->incarnation.lease_end = end;
-    }
+    cw_time_set_later(&target->incarnation.lease_end, end);
 }
 
 void
@@ -131,9 +129,7 @@
         target->lease_end = end;
         target->lease_source = source;
     }
-    if (cw_time_before(end, target->incarnation.lease_end)) {
-        target->incarnation.lease_end = end;
-    }
+    cw_time_set_earlier(&target->incarnation.lease_end, end);
 }
 
 /* From now on the worker refuses orders of earlier owners, so leases that they
@@ -316,9 +312,7 @@
                             cw_time_add_ms(now, max_duration_ms(left_ms)));
     end = cw_time_add_ms(now, max_duration_ms(outer_ms));
     owner_lease_raise_outer(target, end, OWNER_LEASE_OWN);
-    if (cw_time_before(target->own_leases_end, end)) {
-        target->own_leases_end = end;
-    }
+    cw_time_set_later(&target->own_leases_end, end);
 }
 
 int64_t
--- a/src/owner/owner_quorum.c
+++ b/src/owner/owner_quorum.c
@@ -324,10 +324,8 @@
 static void
 count_proven(const struct cw_owner *owner, struct voter_state *voter)
 {
-    if (!cw_time_before(owner->ownership_confirmed_at, voter->restarted_by) &&
-        cw_time_before(voter->supported_at, voter->unproven_at))
-    {
-        voter->supported_at = voter->unproven_at;
+    if (!cw_time_before(owner->ownership_confirmed_at, voter->restarted_by)) {
+        cw_time_set_later(&voter->supported_at, voter->unproven_at);
     }
 }
 
