Owner: a task that made progress does not crash its workers as it starts

Cause, traced: run 1 of a task showed 18 percent, ended unheard, and its worker crashed later (3 of 12). Run 2 was started on a worker whose reports and answers stopped; it ended with its lease, no poll had listed its percent, and the worker's next incarnation was found: counted in full as a crash by its start (6). Run 4 showed 87 percent as its worker crashed (3), which is the limit. Change: a crash counts as one by the start of a task only if no run of the task has shown progress to this owner; otherwise as one in which the task was on the worker, so that four such crashes end the job. A task that crashes its workers as it starts shows no progress and is given up as before. What is new is not stored: after a take-over a crash counts as before.

--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -88,8 +88,9 @@
     unsigned index;
     unsigned last_run; /* highest run number used */
     unsigned failures;
-    unsigned lost_runs; /* in a row, without an end; owner_idle.c */
-    unsigned suspicion; /* of crashing its workers; owner_crashes.c */
+    unsigned lost_runs;  /* in a row, without an end; owner_idle.c */
+    unsigned suspicion;  /* of crashing its workers; owner_crashes.c */
+    bool shown_progress; /* by a run, to this owner */
     /* A suspect task is not placed before this time. */
     struct timespec delayed_until;
     struct timespec idle_since; /* its last running run was removed */
--- a/src/owner/owner_crashes.c
+++ b/src/owner/owner_crashes.c
@@ -9,11 +9,11 @@
  * Most tasks on a crashed worker are not the cause of the crash, and a task
  * may by chance have run on two crashed workers in a row.  So the suspicion
  * that a crash adds depends on how likely the task is the cause: it is highest
- * if the task had just been started there, showed no progress, and no task of
- * another job was in the same state.  A task that crashes its workers as it
- * starts is given up after two or three crashes, and never after one; a task
- * that only ran there, after four.  All members of a gang end with the first
- * one, so only one crash can have been caused by each of its runs.
+ * if the task had just been started there, none of its runs showed progress,
+ * and no task of another job was in the same state.  A task that crashes its
+ * workers as it starts is given up after two or three crashes, and never after
+ * one; a task that only ran there, after four.  All members of a gang end with
+ * the first one, so only one crash can have been caused by each of its runs.
  *
  * A worker that is unresponsive until its lease is over has either crashed or
  * is cut off from this VM.  That is resolved when it answers again, or when
@@ -186,8 +186,10 @@
     {
         return SUSPICION_MASS_CRASH;
     }
+    /* A task that has made progress does not crash its workers as it
+     * starts. */
     if (run->phase != RUN_RUNNING || !shows_no_progress(run) ||
-        !owner_gang_ends_may_be_first(run))
+        run->task->shown_progress || !owner_gang_ends_may_be_first(run))
     {
         return SUSPICION_PRESENT;
     }
@@ -581,6 +583,7 @@
 {
     struct cw_owner *owner = run->target->owner;
 
+    run->task->shown_progress |= run->percent > 0;
     if (run->on_probation && run->percent > 0) {
         owner_probation_end(run);
         owner->capacity_version++; /* the worker accepts other runs again */
--- a/tests/test_crashes.c
+++ b/tests/test_crashes.c
@@ -193,6 +193,28 @@
     cluster_end(&cluster);
 }
 
+/* Guards against LOST: a task that made progress, and whose next runs ended
+ * with their workers' leases before these crashed, as if it crashed its
+ * workers by its start. */
+static void
+test_start_is_no_cause_after_progress(void)
+{
+    struct cluster cluster;
+    struct owner_job *job;
+
+    cluster_begin(&cluster);
+    job = add_job(&cluster, 0, &one);
+    await_placement(&cluster, job);
+    confirm_starts(&cluster, job);
+    step_of(job)->tasks[0].run->percent = 18;
+    owner_crashes_observe(step_of(job)->tasks[0].run, cluster.clock.now);
+    CU_ASSERT_EQUAL(crash_until_over(&cluster, job, 3), 3);
+    CU_ASSERT_FALSE(cw_work_is_over(job->phase));
+    (void)crash_until_over(&cluster, job, 1);
+    CU_ASSERT_EQUAL(job->phase, CW_WORK_FAILED);
+    cluster_end(&cluster);
+}
+
 static void
 test_draining_worker_adds_no_suspicion(void)
 {
@@ -735,6 +757,7 @@
     {"new owner", test_suspicion_survives_change_of_owner},
     {"neighbour", test_neighbour_of_crashing_task_is_not_given_up},
     {"after progress", test_crashes_after_progress_are_limited},
+    {"start after progress", test_start_is_no_cause_after_progress},
     {"draining worker", test_draining_worker_adds_no_suspicion},
     {"other incarnation",
      test_start_answered_by_other_incarnation_adds_no_suspicion},
