--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -419,6 +419,29 @@
     cluster_end(&cluster);
 }
 
+/* Guards against a take-over after which slow workers count as typical ones:
+ * the runs were started by the former owner, at a time that is not known. */
+static void
+test_a_new_owner_learns_speeds_from_reports(void)
+{
+    struct cluster cluster;
+    struct owner_job *job;
+
+    cluster_begin(&cluster);
+    set_guarantee(&cluster, 0);
+    job = run_job(&cluster, 1, &whole_workers);
+    for (unsigned i = 0; i < step_of(job)->count; i++) {
+        step_of(job)->tasks[i].run->starts_sent = 0;
+        step_of(job)->tasks[i].run->percent = 25;
+    }
+    report_progress(&cluster, step_of(job), 15, 5);
+    CU_ASSERT_TRUE(owner_target_speed(worker_of(job, 0), cluster.clock.now) <
+                   CW_SPEED_SLOW_BELOW);
+    CU_ASSERT_TRUE(owner_target_speed(worker_of(job, 1), cluster.clock.now) >
+                   0.8);
+    cluster_end(&cluster);
+}
+
 /* Guards against urgent work that is late because it runs on slow workers
  * while faster ones are idle.  Lower-priority work does not use the fastest.
  */
@@ -604,6 +627,7 @@
     {"long member", test_a_long_member_does_not_show_a_slow_worker},
     {"slow in two jobs", test_slow_members_of_two_jobs_show_a_slow_worker},
     {"permanent difference", test_a_permanent_speed_difference_is_measured},
+    {"new owner", test_a_new_owner_learns_speeds_from_reports},
     {"fastest", test_urgent_work_gets_the_fastest_workers},
 };
 
