Speed: a comparison needs two other workers, or all that the step has

What callers would see: gangs restarted, and workers used last, as the first member that was polled was compared with a declared length that was off by five, or with one other member alone. Cause: the declared length was a vote beside measured rates, and a large deviation from it moved the estimate as equal work does; after a window without progress no change of the rate was recognised. Evidence: test_place 'new owner' (a declared length three times too short), 'becomes slow'. Change: the declared length only for steps on one worker; two votes, or as many as there are other workers; rates known within 0.45 count as equal work.

--- a/src/owner/owner_speed.c
+++ b/src/owner/owner_speed.c
@@ -23,6 +23,9 @@
     /* The same for a run that has done its work and waits for its gang. */
     DONE_RATE_MAX_AGE_MS = 5000,
     SLOW_SHARE_INTERVAL_MS = 500,
+    /* Runs on other workers that are needed for a comparison, if the step has
+     * so many: one alone does not show which of two workers is unusual. */
+    VOTES_MIN = 2,
     /* Limit on the restarts of a step because of slow workers. */
     MOVES_MAX = 2,
     MILLI = 1000
@@ -39,6 +42,8 @@
 #define RATE_VARIANCE 0.0025
 #define TASK_VARIANCE 0.12
 #define ESTIMATE_VARIANCE 0.36
+/* Up to this variance a gang's rate is known from its members. */
+#define EQUAL_WORK_VARIANCE_MAX 0.2
 /* Share of slow workers from which on a slow run shows a slow worker. */
 #define SLOW_SHARE_LIKELY 0.05
 
@@ -89,8 +94,8 @@
 }
 
 /* Lists in `out` the rate that the run would have on a typical worker, by the
- * step's runs on other workers and by its declared length; false if unknown.
- */
+ * step's runs on other workers or, if there are none, by its declared length;
+ * false if unknown. */
 static bool
 typical_rate_by_others(const struct owner_run *run, struct timespec now,
                        struct cw_rate_vote *out)
@@ -98,22 +103,27 @@
     const struct owner_step *step = run->task->step;
     GArray *votes = g_array_new(FALSE, FALSE, sizeof(struct cw_rate_vote));
     struct cw_rate_vote vote;
+    unsigned others = 0;
     bool known;
 
     for (unsigned i = 0; i < step->count; i++) {
         const struct owner_run *other = step->tasks[i].run;
 
-        if (other != NULL && other->target != run->target &&
-            rate_is_fresh(other, now)) {
+        if (other == NULL || other->target == run->target) {
+            continue;
+        }
+        others++;
+        if (rate_is_fresh(other, now)) {
             vote = vote_of(other, now);
             g_array_append_val(votes, vote);
         }
     }
-    if (step->spec->estimate_ms > 0) {
+    if (others == 0 && step->spec->estimate_ms > 0) {
         vote = vote_of_estimate(step->spec);
         g_array_append_val(votes, vote);
     }
-    known = cw_rate_votes_combine((struct cw_rate_vote *)(void *)votes->data,
+    known = votes->len >= MIN(others, VOTES_MIN) &&
+            cw_rate_votes_combine((struct cw_rate_vote *)(void *)votes->data,
                                   votes->len, out);
     g_array_unref(votes);
     return known;
@@ -202,8 +212,9 @@
     }
     sample.log_speed = log_rate(run->rate) - by_others.log_rate;
     sample.variance = variance + by_others.variance;
-    sample.equal_work = gang;
-    sample.shows_worker = gang && slow_share(owner, now) > SLOW_SHARE_LIKELY;
+    sample.equal_work = gang && by_others.variance < EQUAL_WORK_VARIANCE_MAX;
+    sample.shows_worker =
+        sample.equal_work && slow_share(owner, now) > SLOW_SHARE_LIKELY;
     update_speed(run, &sample, now);
     run->typical_rate_known = true;
     run->typical_rate = by_others;
@@ -268,15 +279,16 @@
     return rate * (double)passed_ms / CW_MS_PER_S;
 }
 
-/* Evaluates the rate of the window that has just ended. */
+/* Evaluates the rate of the window that has just ended; `previous` is the rate
+ * of the one before, or NULL. */
 static void
-evaluate_rate(struct cw_owner *owner, struct owner_run *run, double previous,
-              unsigned advance, struct timespec now)
+evaluate_rate(struct cw_owner *owner, struct owner_run *run,
+              const double *previous, unsigned advance, struct timespec now)
 {
     double rounding = 1.0 / (2 * MAX(advance, 1));
-    double change = log_rate(run->rate) - log_rate(previous);
     bool changed =
-        run->typical_rate_known && previous > 0 && fabs(change) > CHANGE_MIN;
+        run->typical_rate_known && previous != NULL &&
+        fabs(log_rate(run->rate) - log_rate(*previous)) > CHANGE_MIN;
 
     measure_worker(owner, run, RATE_VARIANCE + rounding * rounding, changed,
                    now);
@@ -347,7 +359,8 @@
 {
     int64_t passed_ms;
     unsigned advance;
-    double previous = run->rate_known ? run->rate : 0;
+    double previous = run->rate;
+    bool previous_known = run->rate_known;
 
     if (percent >= CW_PERCENT_DONE) {
         return; /* when it got there is not known */
@@ -367,7 +380,8 @@
     run->window_at = now;
     run->window_percent = percent;
     if (run->rate_known) {
-        evaluate_rate(owner, run, previous, advance, now);
+        evaluate_rate(owner, run, previous_known ? &previous : NULL, advance,
+                      now);
     }
     if (advance >= WINDOW_MIN_PERCENT) {
         run->best_rate = MAX(run->best_rate, run->rate);
