Owner: a shard that has just settled stays with its owner

The VM that is assigned the shard now decides (cw_handover_decide), on gaining it and again before it fences: it waits while another VM, which took over less than 6 s ago, goes on writing. An owner that leaves says so in a heartbeat, one that has replaced another writes each 0.4 s for 6 s, and a VM whose last read is over 2 s old reads before it fences.

--- a/include/curlewcart/cw_replica.h
+++ b/include/curlewcart/cw_replica.h
@@ -131,6 +131,8 @@
     void (*epoch_ended)(void *context, const char *vm);
     /* A record written by an owner was read. */
     void (*owner_record_received)(void *context);
+    /* The owner of the epoch has told that it leaves. */
+    void (*owner_left)(void *context, uint64_t epoch);
     void *context;
 };
 
--- a/include/curlewcart/cw_work.h
+++ b/include/curlewcart/cw_work.h
@@ -33,6 +33,11 @@
 /* Name of a phase.  Borrowed, static. */
 const char *cw_work_phase_name(unsigned phase);
 
+/* Ids of heartbeats: of an owner that goes on, and of one that leaves, so that
+ * another VM is to take over at once. */
+#define CW_WORK_BEAT_OWNER "owner"
+#define CW_WORK_BEAT_LEAVES "leaves"
+
 /* Kind of a record in the store; the first byte of its key.  The rest of the
  * key is the id of the job, or the name of the VM or the worker. */
 enum cw_work_key {
--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -318,6 +318,10 @@
     struct timespec owner_record_read_at;
     /* Reads have been answered since this time. */
     struct timespec reading_since;
+    /* The latest epoch of an owner, and when its beginning was read. */
+    uint64_t owner_epoch;
+    struct timespec owner_epoch_read_at;
+    uint64_t left_epoch; /* its owner has told that it leaves; 0: none */
 };
 
 /* Limit on outstanding orders; owner_order_window.c. */
@@ -337,7 +341,12 @@
     bool joined;  /* this VM is a member of the group, as far as known */
     bool partition_assigned;
     bool yielding;       /* the group has assigned the partition elsewhere */
-    uint64_t generation; /* of the group, last received */
+    bool takeover_waits; /* the partition is assigned to this VM, and another
+                            one goes on as the owner */
+    bool takeover_may_wait; /* the takeover gives way to an owner that this VM
+                               reads of before it fences */
+    bool leave_unwritten;   /* this owner leaves, and has not written so */
+    uint64_t generation;    /* of the group, last received */
     bool join_in_flight;
     struct timespec join_sent;
     struct timespec join_due;
@@ -434,6 +443,10 @@
 
 /* Joins or leaves the group when that is due; returns when it has to be called
  * next at the latest. */
+/* True if this VM, which is assigned the shard, lets another one go on as the
+ * owner for now. */
+bool owner_group_takeover_waits(struct cw_owner *owner, struct timespec now);
+
 struct timespec owner_group_tick(struct cw_owner *owner, struct timespec now);
 
 /* ---- owner_candidacy.c ---- */
--- a/src/owner/owner.c
+++ b/src/owner/owner.c
@@ -12,6 +12,8 @@
      * appends to can be reached.  A takeover with 147 VMs takes 70 to 80 ms,
      * about a twentieth of this time. */
     READ_BEFORE_FENCING_MAX_MS = 1500,
+    /* A read waits for records for up to a second, twice with the interval. */
+    READ_AGE_MAX_MS = 2000,
     /* Starts and stops require a confirmation of ownership by the store that
      * is younger than the member's time to live minus this. */
     ORDER_CONFIRMATION_SLACK_MS = 150,
@@ -75,6 +77,8 @@
     drop_state(owner);
     owner->partition_assigned = false;
     owner->yielding = false;
+    owner->takeover_may_wait = false;
+    owner->leave_unwritten = false;
     owner->join_due = cw_time_from_ms(0);
     cw_follower_set_read_interval(cw_replica_follower(owner->options.replica),
                                   owner->options.standby_read_interval_ms);
@@ -248,7 +252,11 @@
     }
 }
 
-/* An earlier owner is active until it is fenced; from then on no owner is
+/* Whether this VM has read the logs to their ends lately: a VM whose
+ * connection to the store was broken has not, and does not know that another
+ * one has taken over meanwhile.
+ *
+ * An earlier owner is active until it is fenced; from then on no owner is
  * active until this VM has read the logs to their ends.  A VM whose connection
  * to the store was broken may be seconds behind: if it fenced the owner first,
  * 350 workers would be without an owner for 0.6 s.  After reading first they
@@ -266,7 +274,9 @@
     {
         return false;
     }
-    return (cw_follower_at_end(jobs) && cw_follower_at_end(states)) ||
+    return (cw_follower_at_end(jobs) && cw_follower_at_end(states) &&
+            cw_time_diff_ms(cw_follower_fresh_as_of(jobs), now) <
+                READ_AGE_MAX_MS) ||
            cw_time_diff_ms(owner->takeover_began_at, now) >
                READ_BEFORE_FENCING_MAX_MS;
 }
@@ -333,6 +343,10 @@
 {
     struct cw_owner *owner = context;
 
+    if (epoch > owner->candidacy.owner_epoch) {
+        owner->candidacy.owner_epoch = epoch;
+        owner->candidacy.owner_epoch_read_at = owner_now(owner);
+    }
     if (owner->state == OWNER_ACTIVE && epoch > owner->epoch) {
         owner_drop_ownership(owner, "later_epoch");
     }
@@ -382,6 +396,14 @@
     owner->candidacy.owner_record_read_at = owner_now(owner);
 }
 
+static void
+on_owner_left(void *context, uint64_t epoch)
+{
+    struct cw_owner *owner = context;
+
+    owner->candidacy.left_epoch = MAX(owner->candidacy.left_epoch, epoch);
+}
+
 /* ---- public ---- */
 
 struct cw_owner *
@@ -395,6 +417,7 @@
                                            .epoch_ended = on_epoch_ended,
                                            .owner_record_received =
                                                on_owner_record_received,
+                                           .owner_left = on_owner_left,
                                            .context = owner};
 
     owner->options = *options;
@@ -607,6 +630,17 @@
     return next;
 }
 
+/* Stops a takeover that has fenced nobody yet. */
+static void
+suspend_takeover(struct cw_owner *owner)
+{
+    owner->takeover_may_wait = false;
+    cw_follower_free(owner->reports);
+    owner->reports = NULL;
+    free_state_reader(owner);
+    owner->state = OWNER_IDLE;
+}
+
 /* Continues a takeover; returns when it has to be called next. */
 static struct timespec
 tick_takeover(struct cw_owner *owner, struct timespec now)
@@ -618,6 +652,13 @@
     owner_log_tick(owner->states_log, now);
     owner_log_tick(owner->jobs_log, now);
     if (owner->state == OWNER_READING && has_read_to_end(owner, now)) {
+        /* A VM that was behind reads only now that another one has taken the
+         * shard over. */
+        if (owner->takeover_may_wait && owner_group_takeover_waits(owner, now))
+        {
+            suspend_takeover(owner);
+            return next;
+        }
         fence_earlier_owners(owner);
     }
     if (owner->state == OWNER_FENCING &&
--- a/src/owner/owner_commit.c
+++ b/src/owner/owner_commit.c
@@ -11,6 +11,8 @@
 
 #include <string.h>
 
+#include "curlewcart/cw_handover.h"
+
 enum {
     FLUSH_EVERY_MS = 10,
     SWEEP_JOBS_MAX = 100,
@@ -19,8 +21,10 @@
     DROP_ALONE_MS = 1000,
     /* An owner that is yielding, or whose last confirmation is old, continues
      * until it is fenced; at this interval it appends to find out whether it
-     * has been.  A third of the age that a confirmation may have, 1,150 ms
-     * with the shortest time to live. */
+     * has been, and to tell the VM that is assigned the shard that it goes on.
+     * An owner that has just taken over does the same.  A third of the age
+     * that a confirmation may have, 1,150 ms with the shortest time to
+     * live. */
     YIELD_CONFIRM_INTERVAL_MS = 400
 };
 
@@ -271,17 +275,32 @@
 {
     struct cw_beat_record heartbeat = {.vm = owner->vm, .epoch = owner->epoch};
     struct owner_batch *batch = owner_batch_new(NULL, NULL);
+    const char *id =
+        owner->leave_unwritten ? CW_WORK_BEAT_LEAVES : CW_WORK_BEAT_OWNER;
 
-    owner_batch_put(batch, cw_work_key(CW_WORK_KEY_HEARTBEAT, "owner"),
+    owner->leave_unwritten = false;
+    owner_batch_put(batch, cw_work_key(CW_WORK_KEY_HEARTBEAT, id),
                     cw_xdr_encode((xdrproc_t)xdr_cw_beat_record, &heartbeat));
     owner_log_send(owner->jobs_log, batch);
 }
 
+/* True if this owner has lately replaced another one, so that the shard is to
+ * stay here for now. */
+static bool
+is_settling(const struct cw_owner *owner, struct timespec now)
+{
+    GHashTable *epochs = cw_replica_epochs(owner->options.replica);
+
+    return g_hash_table_size(epochs) > 1 &&
+           cw_time_diff_ms(owner->fenced_at, now) < CW_HANDOVER_SETTLE_MS;
+}
+
 /* True if the owner has to find out by an append whether it was fenced. */
 static bool
 append_confirmation_due(const struct cw_owner *owner, struct timespec now)
 {
-    return (owner->yielding || !owner_may_order(owner, now)) &&
+    return (owner->yielding || is_settling(owner, now) ||
+            !owner_may_order(owner, now)) &&
            cw_time_diff_ms(owner_log_last_sent_at(owner->jobs_log), now) >=
                YIELD_CONFIRM_INTERVAL_MS;
 }
@@ -300,6 +319,10 @@
     if (owner_epochs_write_settled(owner, now)) {
         return cw_time_from_ms(INT32_MAX);
     }
+    if (owner->leave_unwritten) {
+        send_heartbeat(owner);
+        return cw_time_from_ms(INT32_MAX);
+    }
     /* With many unresponsive workers some lease note is always due.  Terms of
      * leases, and outcomes, which callers wait for, are written in turn with
      * the notes. */
--- a/src/replica/replica.c
+++ b/src/replica/replica.c
@@ -200,6 +200,28 @@
     }
 }
 
+static void
+apply_heartbeat(struct cw_replica *replica, const char *id,
+                const struct cw_store_record *record)
+{
+    struct cw_beat_record value = {0};
+
+    if (!cw_xdr_decode((xdrproc_t)xdr_cw_beat_record, &value, record->value,
+                       record->length))
+    {
+        cw_log_error("record_invalid", "id=%s kind=beat offset=%" PRIu64, id,
+                     record->offset);
+        return;
+    }
+    if (strcmp(id, CW_WORK_BEAT_LEAVES) == 0 &&
+        replica->listener.owner_left != NULL)
+    {
+        replica->listener.owner_left(replica->listener.context, value.epoch);
+    }
+    notify_owner_record(replica);
+    xdr_free((xdrproc_t)xdr_cw_beat_record, (char *)&value);
+}
+
 static void
 drop_lease_note(struct cw_replica *replica,
                 const struct cw_store_record *record)
@@ -304,7 +326,7 @@
         apply_vm(replica, record);
         break;
     case CW_WORK_KEY_HEARTBEAT:
-        notify_owner_record(replica);
+        apply_heartbeat(replica, id, record);
         break;
     case CW_WORK_KEY_EPOCH:
         apply_epoch(replica, record);
--- a/tests/test_group.c
+++ b/tests/test_group.c
@@ -21,6 +21,7 @@
     unsigned joins;
     unsigned leaves;
     unsigned fences;
+    bool assigned; /* the group has assigned the shard to this VM */
 };
 
 static struct vm *current;
@@ -33,7 +34,7 @@
         .status = CW_STORE_OK,
         .generation = 1,
         .partitions = &shard,
-        .count = current->owner->partition_assigned};
+        .count = current->owner->partition_assigned || current->assigned};
 
     (void)store;
     current->joins++;
@@ -120,12 +121,29 @@
 }
 
 static void
-heartbeat(struct vm *vm)
+beat(struct vm *vm, const char *key)
 {
     struct cw_beat_record value = {.vm = (char *)"other", .epoch = 1};
     GByteArray *bytes = cw_xdr_encode((xdrproc_t)xdr_cw_beat_record, &value);
 
-    put(vm, "bowner", bytes);
+    put(vm, key, bytes);
+    g_byte_array_unref(bytes);
+}
+
+static void
+heartbeat(struct vm *vm)
+{
+    beat(vm, "bowner");
+}
+
+/* Another VM becomes the owner. */
+static void
+begin_epoch(struct vm *vm)
+{
+    struct cw_epoch_record value = {.epoch = 1, .lease_ms = 6000};
+    GByteArray *bytes = cw_xdr_encode((xdrproc_t)xdr_cw_epoch_record, &value);
+
+    put(vm, "oother", bytes);
     g_byte_array_unref(bytes);
 }
 
@@ -340,7 +358,63 @@
     vm_end(&vm);
 }
 
+/* Begins with a VM that the group assigns the shard 500 ms after another VM
+ * has taken it over. */
+static void
+begin_beside_new_owner(struct vm *vm)
+{
+    vm_begin(vm, STRONG_MILLI);
+    begin_epoch(vm);
+    run(vm, 500, true);
+    vm->assigned = true;
+    run(vm, 500, true);
+    CU_ASSERT_EQUAL(vm->owner->state, OWNER_IDLE);
+}
+
+/* Guards against two takeovers in a row after an outage of the store. */
+static void
+test_a_shard_that_has_just_settled_stays(void)
+{
+    struct vm vm;
+
+    begin_beside_new_owner(&vm);
+    run(&vm, 4000, true);
+    CU_ASSERT_EQUAL(vm.owner->state, OWNER_IDLE);
+    run(&vm, 2000, true);
+    CU_ASSERT_NOT_EQUAL(vm.owner->state, OWNER_IDLE);
+    vm_end(&vm);
+}
+
+/* Guards against a shard without an owner while a VM waits for one that was
+ * lost. */
+static void
+test_an_owner_that_falls_silent_is_replaced(void)
+{
+    struct vm vm;
+
+    begin_beside_new_owner(&vm);
+    run(&vm, 1300, false);
+    CU_ASSERT_NOT_EQUAL(vm.owner->state, OWNER_IDLE);
+    vm_end(&vm);
+}
+
+/* Guards against a VM that shuts down and is waited for. */
+static void
+test_an_owner_that_leaves_is_replaced_at_once(void)
+{
+    struct vm vm;
+
+    begin_beside_new_owner(&vm);
+    beat(&vm, "bleaves");
+    run(&vm, 300, false);
+    CU_ASSERT_NOT_EQUAL(vm.owner->state, OWNER_IDLE);
+    vm_end(&vm);
+}
+
 static const struct test tests[] = {
+    {"settled", test_a_shard_that_has_just_settled_stays},
+    {"falls silent", test_an_owner_that_falls_silent_is_replaced},
+    {"leaves", test_an_owner_that_leaves_is_replaced_at_once},
     {"reads first", test_a_vm_that_is_behind_reads_before_it_fences_the_owner},
     {"equal", test_equal_vms_join_once_they_have_read},
     {"stays out", test_a_weak_vm_stays_out_while_an_owner_writes},
