Emulator: the store returns beside a cut and a rolling restart

--store-returns: the store is away, the owner and other VMs are cut off, the rest restart, and each return assigns the shard anew.

--- a/emulator/checker.c
+++ b/emulator/checker.c
@@ -109,6 +109,15 @@
     }
 }
 
+void
+checker_too_many_owners(struct checker *checker, unsigned count)
+{
+    char what[64];
+
+    snprintf(what, sizeof(what), "%u since the store's return", count);
+    violate(checker, "OWNERS", what);
+}
+
 static void
 violate_task(struct checker *checker, const char *rule,
              const struct cw_task_name *task, unsigned run)
--- a/emulator/checker.h
+++ b/emulator/checker.h
@@ -83,6 +83,10 @@
 unsigned
 checker_last_sent(struct checker *checker, const struct cw_task_name *task);
 
+/* A VM has become the owner of the jobs, the `count`th since the store's
+ * return. */
+void checker_too_many_owners(struct checker *checker, unsigned count);
+
 /* Records that a later run of the task was sent while this one was at work or
  * might begin. */
 void checker_near(struct checker *checker, const struct cw_task_name *task,
--- a/emulator/emulator_main.c
+++ b/emulator/emulator_main.c
@@ -50,6 +50,7 @@
     unsigned owner_losses;
     unsigned owner_cuts;
     unsigned voter_restarts;
+    unsigned store_returns;
     unsigned topic_outages;
     unsigned silences;
     unsigned owner_freezes;
@@ -103,6 +104,10 @@
      "Like --owner-cuts, but the VMs reach each other, and all but the former "
      "and the next owner start again",
      0},
+    {"store-returns", 'R', "N", 0,
+     "Times that the store is unavailable, the VM that owns the jobs is "
+     "disconnected, and other VMs restart as the store returns",
+     0},
     {"topic-outages", 'p', "N", 0,
      "Times that one topic of the store is unavailable to all VMs", 0},
     {"silences", 'i', "N", 0,
@@ -176,6 +181,9 @@
     case 'V':
         arguments->voter_restarts = number;
         break;
+    case 'R':
+        arguments->store_returns = number;
+        break;
     case 'p':
         arguments->topic_outages = number;
         break;
@@ -294,6 +302,7 @@
     day.owner_losses = arguments->owner_losses;
     day.owner_cuts = arguments->owner_cuts;
     day.voter_restarts = arguments->voter_restarts;
+    day.store_returns = arguments->store_returns;
     day.topic_outages = arguments->topic_outages;
     day.silences = arguments->silences;
     day.owner_freezes = arguments->owner_freezes;
--- a/emulator/internal/world_private.h
+++ b/emulator/internal/world_private.h
@@ -85,6 +85,9 @@
     int64_t faults_until_ms;    /* faults themselves last until then */
     /* current state of the network */
     int64_t store_down_until_ms;
+    int64_t store_returned_ms;    /* end of the last outage whose owners are
+                                     counted; 0: none */
+    unsigned owners_since_return; /* VMs that have become the owner since */
     bool store_busy; /* the store, while down, refuses calls at once; otherwise
                         it does not answer */
     const char *unavailable_topic; /* by the last outage of a topic */
@@ -388,6 +391,16 @@
 /* True if no network partition separates the VM from the worker. */
 bool world_vm_reaches_worker(const struct vm *vm, const char *worker);
 
+/* ---- world_store_returns.c ---- */
+
+/* Makes the store unavailable, disconnects the VM that owns the jobs and some
+ * others, and restarts the remaining ones, until about the store's return. */
+void world_store_returns(struct world *world, void *unused);
+
+/* A VM has become the owner: a violation if another one has since the store's
+ * return, a few seconds ago. */
+void world_owner_began(struct world *world, const struct vm *vm);
+
 /* ---- world_topic_outages.c ---- */
 
 /* Makes one topic of the store unavailable to all VMs for a while. */
--- a/emulator/world.c
+++ b/emulator/world.c
@@ -423,6 +423,8 @@
                    world_cut_owner_and_restart_voters);
     schedule_times(world, options->topic_outages, FIRST_FAULT_MS,
                    world_topic_outage);
+    schedule_times(world, options->store_returns, FIRST_FAULT_MS,
+                   world_store_returns);
     schedule_times(world, options->late_episodes, FIRST_FAULT_MS,
                    world_delay_workers);
     schedule_times(world, options->held_orders, FIRST_FAULT_MS,
--- a/emulator/world.h
+++ b/emulator/world.h
@@ -45,6 +45,9 @@
                               reaches then */
     unsigned voter_restarts; /* as owner_cuts, but all VMs reach each other,
                                 and those that decide nothing start again */
+    unsigned store_returns;  /* number of times that the store is unavailable,
+                                the VM that owns the jobs is disconnected, and
+                                other VMs restart as the store returns */
     unsigned topic_outages;  /* number of times that one topic of the store is
                                 unavailable to all VMs for a while */
     unsigned silences; /* number of times that some workers do not answer for
--- a/emulator/world_vms.c
+++ b/emulator/world_vms.c
@@ -46,7 +46,10 @@
     cw_time_set_earlier(&next, cw_owner_tick(vm->owner, now));
     cw_time_set_earlier(&next,
                         cw_follower_due(cw_replica_follower(vm->replica)));
-    vm->takeovers += !active && cw_owner_active(vm->owner);
+    if (!active && cw_owner_active(vm->owner)) {
+        vm->takeovers++;
+        world_owner_began(vm->world, vm);
+    }
     vm->due_ms =
         MAX(vm->world->now_ms + 1, cw_time_diff_ms(cw_time_from_ms(0), next));
     vm->cpu_s += world_processor_s() - started_s;
