--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -447,12 +447,12 @@
 
 /* ---- owner_group.c ---- */
 
-/* Joins or leaves the group when that is due; returns when it has to be called
- * next at the latest. */
 /* True if this VM, which is assigned the shard, lets another one go on as the
  * owner for now. */
 bool owner_group_takeover_waits(struct cw_owner *owner, struct timespec now);
 
+/* Joins or leaves the group when that is due; returns when it has to be called
+ * next at the latest. */
 struct timespec owner_group_tick(struct cw_owner *owner, struct timespec now);
 
 /* ---- owner_candidacy.c ---- */
