Speed: progress that cannot be right changes no estimate

Callers saw: one wrong report made a worker count as slow. Progress that fell let the run's first window begin anew at its start, so that the fall was measured as a low rate; an answer of another incarnation was measured as if the run had continued; a value above 100 was stored as progress; one that is no number was read as 0.

Such reports are now counted (`progress_invalid`) and logged once a worker. A value above 100, or that is unreadable, is ignored. A lower one, or one of another incarnation, is taken as the run's progress, as it shows that the run is not stalled, but the run is not measured any more: which of its reports is wrong is unknown.

--- a/include/curlewcart/cw_count.h
+++ b/include/curlewcart/cw_count.h
@@ -26,7 +26,9 @@
     X(RESTARTS, "worker_restarts",                                            \
       "workers that started again under their id")                            \
     X(ENDS_MISSING, "ends_missing",                                           \
-      "ends of runs that workers forgot before they were seen")
+      "ends of runs that workers forgot before they were seen")               \
+    X(PROGRESS_INVALID, "progress_invalid",                                   \
+      "reports of progress that cannot be right")
 
 /* X(symbol, name with its unit, what it measures) */
 #define CW_LATENCY_TABLE(X)                                                   \
--- a/include/curlewcart/cw_target.h
+++ b/include/curlewcart/cw_target.h
@@ -78,12 +78,15 @@
 /* Name of a kind of end, for logs.  Borrowed, static. */
 const char *cw_end_kind_name(enum cw_end_kind kind);
 
+/* Progress that is no number, or none in its range. */
+#define CW_PERCENT_UNREADABLE UINT32_MAX
+
 /* A run that a worker reports as running. */
 struct cw_running {
     struct cw_task_name task;
     unsigned run;
     const char *saved; /* newest checkpoint, "" none */
-    unsigned percent;  /* progress */
+    unsigned percent;  /* progress; CW_PERCENT_UNREADABLE */
 };
 
 /* A run that a worker reports as ended. */
--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -79,6 +79,7 @@
     unsigned window_percent;
     struct timespec rate_at;
     bool rate_known;
+    bool unmeasurable; /* an invalid report leaves its progress unknown */
     double rate;
     double best_rate;
     /* Its rate on a typical worker, as a logarithm with its variance. */
@@ -231,6 +232,7 @@
     int64_t reported_boot_ms; /* in the report that gave the state above */
     struct owner_boot_times boot_times;   /* of other incarnations */
     struct owner_incarnation incarnation; /* the last that answered */
+    bool progress_invalid_logged;
     /* Latest end of a lease that was granted to any incarnation, by this VM's
      * clock and with drift; see also incarnation.lease_end. */
     struct timespec lease_end;
@@ -959,6 +961,12 @@
 
 /* ---- owner_speed.c ---- */
 
+/* Checks the progress of a run as reported by its worker; called before the
+ * report is applied.  False if the value is impossible.  Progress that falls,
+ * or that is of another incarnation, is possible for a run that has begun
+ * anew, but not measured. */
+bool owner_progress_check(struct owner_run *run, unsigned percent);
+
 /* Processes a run's progress as reported by its worker. */
 void owner_speed_observe(struct cw_owner *owner, struct owner_run *run,
                          unsigned percent, struct timespec now);
--- a/src/owner/owner_polls.c
+++ b/src/owner/owner_polls.c
@@ -77,6 +77,8 @@
 apply_progress(struct owner_run *run, const struct cw_running *listed,
                struct timespec now)
 {
+    bool is_valid = owner_progress_check(run, listed->percent);
+
     if (run->phase == RUN_STARTING || run->phase == RUN_INHERITED) {
         run->phase = RUN_RUNNING;
         run->started_at = now;
@@ -87,7 +89,7 @@
     }
     owner_idle_end(run->target->owner, owner_task_job(run->task));
     run->boot_ms = run->target->incarnation.boot_ms;
-    if (listed->percent != run->percent) {
+    if (is_valid && listed->percent != run->percent) {
         run->percent = listed->percent;
         run->progress_at = now;
     }
--- a/src/owner/owner_speed.c
+++ b/src/owner/owner_speed.c
@@ -259,6 +259,55 @@
     owner_run_evict_for(owner, run, OWNER_IDLE_MOVED);
 }
 
+/* ---- invalid reports ---- */
+
+/* Returns why the reported progress cannot be right; NULL if it may be. */
+static const char *
+progress_fault(const struct owner_run *run, unsigned percent)
+{
+    if (percent == CW_PERCENT_UNREADABLE) {
+        return "unreadable";
+    }
+    if (percent > CW_PERCENT_DONE) {
+        return "over_100";
+    }
+    if (run->phase != RUN_RUNNING) {
+        return NULL; /* its first report */
+    }
+    if (owner_run_is_of_other_incarnation(run,
+                                          run->target->incarnation.boot_ms)) {
+        return "other_life";
+    }
+    return percent < run->percent ? "falling" : NULL;
+}
+
+bool
+owner_progress_check(struct owner_run *run, unsigned percent)
+{
+    struct owner_target *target = run->target;
+    const char *fault = progress_fault(run, percent);
+
+    if (fault == NULL) {
+        return true;
+    }
+    cw_count_add(target->owner->options.counters, CW_COUNT_PROGRESS_INVALID,
+                 1);
+    if (!target->progress_invalid_logged) {
+        target->progress_invalid_logged = true;
+        cw_log_warning("progress_invalid",
+                       "worker=%s reason=%s id=%s run=%u before=%u percent=%u",
+                       target->id, fault, owner_task_job(run->task)->spec->id,
+                       run->number, run->percent, percent);
+    }
+    if (percent > CW_PERCENT_DONE) {
+        return false;
+    }
+    /* Which of the reports is wrong is unknown, and so is any rate. */
+    run->unmeasurable = true;
+    run->rate_known = false;
+    return true;
+}
+
 /* ---- windows ---- */
 
 /* Returns how many percent a run does in this time at this rate. */
@@ -349,6 +398,9 @@
     unsigned advance;
     double previous = run->rate_known ? run->rate : 0;
 
+    if (run->unmeasurable) {
+        return;
+    }
     if (percent >= CW_PERCENT_DONE) {
         return; /* when it got there is not known */
     }
--- /dev/null
+++ b/tests/test_speed_reports.c
@@ -0,0 +1,153 @@
+/* Progress that workers report and that cannot be right: it changes no
+ * estimate. */
+#include "test_main.h"
+
+#include "log_capture.h"
+#include "owner_cluster.h"
+
+enum { MEMBERS = 3, POLL_MS = 500, BOOT_MS = 1000 };
+
+/* Lists the run with this progress, in an answer of this incarnation. */
+static void
+report_from(struct cluster *cluster, const struct owner_run *run,
+            unsigned percent, int64_t boot_ms)
+{
+    struct cw_running row = {.task = owner_task_name(run->task),
+                             .run = run->number,
+                             .saved = "",
+                             .percent = percent};
+    struct cw_target_answer answer = {.status = CW_TARGET_OK,
+                                      .boot_ms = boot_ms,
+                                      .running = &row,
+                                      .running_count = 1};
+
+    cluster->owner->ownership_confirmed_at = cluster->clock.now;
+    run->target->poll_due = cluster->clock.now;
+    owner_poll_tick(cluster->owner, run->target, cluster->clock.now);
+    CU_ASSERT_EQUAL_FATAL(last_order.kind, CW_ORDER_POLL);
+    answer_last_with(&answer);
+}
+
+static void
+report(struct cluster *cluster, const struct owner_run *run, unsigned percent)
+{
+    report_from(cluster, run, percent, BOOT_MS);
+}
+
+/* Begins with a gang whose members were measured at equal rates; returns its
+ * first run. */
+static struct owner_run *
+begin_measured(struct cluster *cluster)
+{
+    static const struct cw_step_spec whole_workers = {
+        .tasks = MEMBERS, .accelerators = ACCELERATORS, .gang = true};
+    struct owner_step *step;
+
+    cluster_begin(cluster);
+    set_guarantee(cluster, 0);
+    step = step_of(run_job(cluster, 1, &whole_workers));
+    for (unsigned turn = 1; turn <= 3; turn++) {
+        pass(cluster, POLL_MS);
+        for (unsigned i = 0; i < MEMBERS; i++) {
+            step->tasks[i].run->boot_ms = BOOT_MS;
+            report(cluster, step->tasks[i].run, 10 * turn);
+        }
+    }
+    pass(cluster, POLL_MS);
+    return step->tasks[0].run;
+}
+
+/* True if the estimate is one of the same measurement. */
+static bool
+is_unchanged(const struct cw_worker_speed *before, const struct owner_run *run)
+{
+    const struct cw_worker_speed *speed = &run->target->incarnation.speed;
+
+    return speed->log_speed == before->log_speed &&
+           cw_time_diff_ms(speed->measured_at, before->measured_at) == 0;
+}
+
+static uint64_t
+counted(const struct cluster *cluster)
+{
+    return cluster->counters.named[CW_COUNT_PROGRESS_INVALID];
+}
+
+static void
+test_progress_above_100_is_ignored(void)
+{
+    struct cluster cluster;
+    struct owner_run *run = begin_measured(&cluster);
+    struct cw_worker_speed before = run->target->incarnation.speed;
+
+    report(&cluster, run, 101);
+    report(&cluster, run, CW_PERCENT_UNREADABLE);
+    CU_ASSERT_EQUAL(run->percent, 30);
+    CU_ASSERT_TRUE(is_unchanged(&before, run));
+    CU_ASSERT_EQUAL(counted(&cluster), 2);
+    report(&cluster, run, 40); /* is measured again */
+    CU_ASSERT_FALSE(is_unchanged(&before, run));
+    CU_ASSERT_EQUAL(counted(&cluster), 2);
+    cluster_end(&cluster);
+}
+
+/* Guards against a worker that counts as slow, or as fast, because one of two
+ * reports was wrong. */
+static void
+test_falling_progress_ends_the_measurement(void)
+{
+    struct cluster cluster;
+    struct owner_run *run = begin_measured(&cluster);
+    struct cw_worker_speed before = run->target->incarnation.speed;
+
+    report(&cluster, run, 5);
+    CU_ASSERT_TRUE(is_unchanged(&before, run));
+    CU_ASSERT_EQUAL(run->percent, 5); /* is no stall */
+    pass(&cluster, POLL_MS);
+    report(&cluster, run, 50);
+    CU_ASSERT_TRUE(is_unchanged(&before, run));
+    CU_ASSERT_FALSE(run->rate_known);
+    CU_ASSERT_EQUAL(counted(&cluster), 1);
+    cluster_end(&cluster);
+}
+
+static void
+test_progress_from_another_incarnation_is_not_measured(void)
+{
+    struct cluster cluster;
+    struct owner_run *run = begin_measured(&cluster);
+
+    report_from(&cluster, run, 60, BOOT_MS + 1);
+    pass(&cluster, POLL_MS);
+    report_from(&cluster, run, 70, BOOT_MS + 1);
+    CU_ASSERT_EQUAL(run->target->incarnation.speed.measured_at.tv_sec, 0);
+    CU_ASSERT_EQUAL(counted(&cluster), 1);
+    cluster_end(&cluster);
+}
+
+static void
+test_invalid_progress_is_logged_once_a_worker(void)
+{
+    struct cluster cluster;
+    struct log_capture capture;
+    struct owner_run *run = begin_measured(&cluster);
+    char *lines;
+
+    log_capture_begin(&capture);
+    report(&cluster, run, 101);
+    report(&cluster, run, 5);
+    lines = log_capture_end(&capture);
+    CU_ASSERT_EQUAL(count_lines(lines, "progress_invalid"), 1);
+    g_free(lines);
+    cluster_end(&cluster);
+}
+
+static const struct test tests[] = {
+    {"above 100", test_progress_above_100_is_ignored},
+    {"falling", test_falling_progress_ends_the_measurement},
+    {"other incarnation",
+     test_progress_from_another_incarnation_is_not_measured},
+    {"logged once", test_invalid_progress_is_logged_once_a_worker},
+};
+
+TEST_MAIN("speed_reports", tests)
--- a/tests/test_targets.c
+++ b/tests/test_targets.c
@@ -13,6 +13,7 @@
     bool answered;
     enum cw_target_status status;
     size_t running_count;
+    unsigned percent; /* of the first run */
 };
 
 static void
@@ -24,6 +25,9 @@
     decoded->answered = true;
     decoded->status = answer->status;
     decoded->running_count = answer->running_count;
+    if (answer->running_count > 0) {
+        decoded->percent = answer->running[0].percent;
+    }
     pthread_cond_broadcast(&decoded->changed);
     pthread_mutex_unlock(&decoded->lock);
 }
@@ -73,6 +77,25 @@
 
     CU_ASSERT_EQUAL(decoded.status, CW_TARGET_OK);
     CU_ASSERT_EQUAL(decoded.running_count, 1);
+    CU_ASSERT_EQUAL(decoded.percent, 9);
+}
+
+static void
+test_unreadable_progress_is_told_apart(void)
+{
+    static const char *const values[] = {"null", "\"9\"", "-1", "1e300"};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(values); i++) {
+        char *text = g_strdup_printf(
+            "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
+            "{\"clock_ms\":5,\"running\":[[\"a.0.0.0\",1,\"\",%s]]}",
+            values[i]);
+        struct decoded decoded = send_order(CW_ORDER_POLL, text);
+
+        CU_ASSERT_EQUAL(decoded.running_count, 1);
+        CU_ASSERT_EQUAL(decoded.percent, CW_PERCENT_UNREADABLE);
+        g_free(text);
+    }
 }
 
 /* TWICE: a run that a list lacks counts as over, and its task is placed again.
@@ -107,6 +130,7 @@
 
 static const struct test tests[] = {
     {"list", test_list_of_runs_is_decoded},
+    {"unreadable progress", test_unreadable_progress_is_told_apart},
     {"incomplete list", test_incomplete_list_of_runs_is_no_answer},
     {"start", test_start_needs_no_body},
 };
