Speed: no worker is less certain than an unknown one

Callers saw: a worker that was idle for a minute or more counted as slow after one long task. The variance now grows up to that of an unknown worker.

Evidence: test_worker_speed "pause" fails without the change, for pauses of 100 s and 1000 s.

--- a/src/placement/worker_speed.c
+++ b/src/placement/worker_speed.c
@@ -64,9 +64,11 @@
 cw_worker_speed_variance(const struct cw_worker_speed *speed,
                          struct timespec now)
 {
+    double faded =
+        speed->variance + VARIANCE_PER_S * age_ms(speed, now) / CW_MS_PER_S;
+
     return is_measured(speed)
-               ? speed->variance +
-                     VARIANCE_PER_S * age_ms(speed, now) / CW_MS_PER_S
+               ? MIN(faded, MAX(speed->variance, UNKNOWN_VARIANCE))
                : UNKNOWN_VARIANCE;
 }
 
--- a/tests/test_worker_speed.c
+++ b/tests/test_worker_speed.c
@@ -158,6 +158,21 @@
     CU_ASSERT_FALSE(cw_worker_speed_is_slow(&speed, at_ms(5 * SECOND)));
 }
 
+/* Guards against one long task that blames a worker which has been idle: no
+ * worker is less certain than an unknown one. */
+static void
+test_a_long_task_after_a_pause_is_no_slow_worker(void)
+{
+    for (int64_t pause_ms = SECOND; pause_ms <= 1000 * SECOND; pause_ms *= 10)
+    {
+        struct cw_worker_speed speed = cw_worker_speed_new();
+
+        measure(&speed, 1, 1, 0);
+        measure_task(&speed, LONG_FACTOR, 2, pause_ms);
+        CU_ASSERT_FALSE(cw_worker_speed_is_slow(&speed, at_ms(pause_ms)));
+    }
+}
+
 /* ---- the rate of a gang on a typical worker ---- */
 
 /* Returns the combined rate, as a ratio to the normal one, of a gang of which
@@ -219,6 +234,7 @@
     {"recovers", test_a_worker_recovers},
     {"fades", test_what_is_known_fades},
     {"lasting", test_a_lasting_difference_is_learnt_and_is_not_slow},
+    {"pause", test_a_long_task_after_a_pause_is_no_slow_worker},
     {"slow members", test_slow_members_do_not_shift_the_reference},
     {"all slow", test_equally_slow_members_are_the_reference},
     {"known workers", test_known_workers_weigh_more},
