Placement: a task that was moved is not placed on a slow worker again

Callers saw: lower-priority single tasks begin on slow workers first. One that was stopped there, because other workers had room, was placed on the next slow worker, or the same one, and had lost its work for nothing. A step that was moved now uses slow workers last.

Evidence: test_moves "moved" fails without the change.

--- a/src/owner/owner_candidates.c
+++ b/src/owner/owner_candidates.c
@@ -189,11 +189,12 @@
 /* Returns the place of a slow worker in the order for lower-priority work; 0
  * is that of the others.  Single tasks use slow workers first: their callers
  * accept three times the length, and their progress shows whether the worker
- * has recovered.  A gang uses them last, as one of them delays it all. */
+ * has recovered.  A gang uses them last, as one of them delays it all, and so
+ * does a step that was moved from slow workers. */
 static int
 slow_order(const struct owner_step *step)
 {
-    return step->spec->gang ? 1 : -1;
+    return step->spec->gang || step->moves > 0 ? 1 : -1;
 }
 
 static int
--- a/tests/test_moves.c
+++ b/tests/test_moves.c
@@ -2,6 +2,7 @@
 #include "test_main.h"
 
 #include <math.h>
+#include <string.h>
 
 #include "owner_cluster.h"
 #include "worker_speeds.h"
@@ -180,6 +181,27 @@
     cluster_end(&cluster);
 }
 
+/* Guards against a task that is stopped on one slow worker and placed on
+ * another, though other work of its priority begins there. */
+static void
+test_a_moved_task_is_not_placed_on_a_slow_worker(void)
+{
+    static const struct cw_step_spec one = {.tasks = 1, .accelerators = 1};
+    struct cluster cluster;
+
+    cluster_begin(&cluster);
+    set_guarantee(&cluster, 0);
+    show_slow(&cluster, "w05");
+    for (unsigned moves = 0; moves <= 1; moves++) {
+        struct owner_job *job = add_job(&cluster, 1, &one);
+
+        step_of(job)->moves = moves;
+        pass(&cluster, 10);
+        CU_ASSERT_EQUAL(strcmp(worker_of(job, 0)->id, "w05") == 0, moves == 0);
+    }
+    cluster_end(&cluster);
+}
+
 static const struct test tests[] = {
     {"no capacity elsewhere",
      test_a_gang_without_capacity_elsewhere_is_not_stopped},
@@ -187,6 +209,7 @@
     {"headroom", test_a_gang_is_not_stopped_for_headroom},
     {"single", test_a_task_is_moved_only_to_another_free_worker},
     {"rack", test_a_gang_that_needs_a_rack_is_moved_only_into_one},
+    {"moved", test_a_moved_task_is_not_placed_on_a_slow_worker},
     {"slow elsewhere", test_a_gang_is_not_moved_to_slow_workers},
 };
 
