Speed: a run confirms a slow worker only if it is slow, too

Callers saw: a worker that one run had shown as slow was confirmed as such by any later run on it within the noise, also by one at normal speed, and runs were moved from it. The later run now has to be slow itself, and the estimate before it.

Evidence: test_worker_speed "contradiction" fails without the change.

--- a/src/placement/worker_speed.c
+++ b/src/placement/worker_speed.c
@@ -72,6 +72,16 @@
                : UNKNOWN_VARIANCE;
 }
 
+/* True if another run has shown the same worker to be slow as the sample. */
+static bool
+is_second_slow_run(const struct cw_worker_speed *speed,
+                   const struct cw_speed_sample *sample, double mean)
+{
+    return is_measured(speed) && sample->run != speed->run &&
+           mean < log(CW_SPEED_SLOW_BELOW) &&
+           sample->log_speed < log(CW_SPEED_SLOW_BELOW);
+}
+
 void
 cw_worker_speed_observe(struct cw_worker_speed *speed,
                         const struct cw_speed_sample *sample,
@@ -96,7 +106,7 @@
         speed->log_speed = mean + gain * off;
         speed->variance = MAX(MAX((1 - gain) * variance, min), VARIANCE_MIN);
         speed->confirmed = speed->confirmed || sample->shows_worker ||
-                           (is_measured(speed) && !same_run);
+                           is_second_slow_run(speed, sample, mean);
     }
     else {
         speed->log_speed = sample->log_speed;
--- a/tests/test_worker_speed.c
+++ b/tests/test_worker_speed.c
@@ -173,6 +173,17 @@
     }
 }
 
+/* Guards against a run that confirms what it contradicts. */
+static void
+test_a_run_of_normal_speed_confirms_no_slow_one(void)
+{
+    struct cw_worker_speed speed = cw_worker_speed_new();
+
+    measure(&speed, SLOW_FACTOR, 1, 0);
+    measure_task(&speed, 1, 2, SECOND);
+    CU_ASSERT_FALSE(cw_worker_speed_is_slow(&speed, at_ms(SECOND)));
+}
+
 /* ---- the rate of a gang on a typical worker ---- */
 
 /* Returns the combined rate, as a ratio to the normal one, of a gang of which
@@ -235,6 +246,7 @@
     {"fades", test_what_is_known_fades},
     {"lasting", test_a_lasting_difference_is_learnt_and_is_not_slow},
     {"pause", test_a_long_task_after_a_pause_is_no_slow_worker},
+    {"contradiction", test_a_run_of_normal_speed_confirms_no_slow_one},
     {"slow members", test_slow_members_do_not_shift_the_reference},
     {"all slow", test_equally_slow_members_are_the_reference},
     {"known workers", test_known_workers_weigh_more},
