Speed: rounding of a long task's progress shows no change of its worker

Callers saw: a single task that takes seven times as long as others of its step, on a normal worker, made that worker count as slow, and was stopped. Its window is as long as others need for five percent, in which it does one or two; the step from one to two whole percent counted as a change of its rate, which shows the worker. A change now also has to exceed what rounding explains.

Evidence: test_speed_reports "rounding" fails without the change.

--- a/src/owner/owner_speed.c
+++ b/src/owner/owner_speed.c
@@ -33,6 +33,9 @@
 /* Difference of a rate's logarithm, from one window to the next, from which on
  * the worker has changed. */
 #define CHANGE_MIN 0.5
+/* Difference in percent done over a window that rounding does not explain: the
+ * ends of both windows are off by up to one. */
+#define CHANGE_MIN_PERCENT 2.5
 /* Variances of logarithms: of a measured rate, besides the rounding of
  * percents; of the lengths of a step's tasks that are no gang; of declared
  * lengths, which are off by a factor of two. */
@@ -317,15 +320,27 @@
     return rate * (double)passed_ms / CW_MS_PER_S;
 }
 
+/* True if the rate of the window that has just ended differs from the previous
+ * one by more than noise. */
+static bool
+rate_has_changed(const struct owner_run *run, double previous,
+                 unsigned advance, int64_t passed_ms)
+{
+    double change = log_rate(run->rate) - log_rate(previous);
+    double percent = advance - percent_done_in(previous, passed_ms);
+
+    return previous > 0 && fabs(change) > CHANGE_MIN &&
+           fabs(percent) > CHANGE_MIN_PERCENT;
+}
+
 /* Evaluates the rate of the window that has just ended. */
 static void
 evaluate_rate(struct cw_owner *owner, struct owner_run *run, double previous,
-              unsigned advance, struct timespec now)
+              unsigned advance, int64_t passed_ms, struct timespec now)
 {
     double rounding = 1.0 / (2 * MAX(advance, 1));
-    double change = log_rate(run->rate) - log_rate(previous);
-    bool changed =
-        run->typical_rate_known && previous > 0 && fabs(change) > CHANGE_MIN;
+    bool changed = run->typical_rate_known &&
+                   rate_has_changed(run, previous, advance, passed_ms);
 
     measure_worker(owner, run, RATE_VARIANCE + rounding * rounding, changed,
                    now);
@@ -419,7 +434,7 @@
     run->window_at = now;
     run->window_percent = percent;
     if (run->rate_known) {
-        evaluate_rate(owner, run, previous, advance, now);
+        evaluate_rate(owner, run, previous, advance, passed_ms, now);
     }
     if (advance >= WINDOW_MIN_PERCENT) {
         run->best_rate = MAX(run->best_rate, run->rate);
--- a/tests/test_speed_reports.c
+++ b/tests/test_speed_reports.c
@@ -142,11 +142,49 @@
     cluster_end(&cluster);
 }
 
+/* Reports the progress of a step's single tasks each second, for `turns`
+ * seconds: 10 percent a second, and of the first one 10 in seven seconds. */
+static void
+report_long_task(struct cluster *cluster, const struct owner_step *step,
+                 unsigned turns)
+{
+    enum { RATE = 10, LONG_FACTOR = 7 };
+
+    for (unsigned turn = 1; turn <= turns; turn++) {
+        pass(cluster, CW_MS_PER_S);
+        for (unsigned i = step->count; i-- > 0;) {
+            report(cluster, step->tasks[i].run,
+                   RATE * turn / (i == 0 ? LONG_FACTOR : 1));
+        }
+    }
+}
+
+/* Guards against a long task whose whole percents are taken for changes of its
+ * worker. */
+static void
+test_rounding_of_a_long_task_shows_no_slow_worker(void)
+{
+    static const struct cw_step_spec whole_workers = {
+        .tasks = 9, .accelerators = ACCELERATORS};
+    struct cluster cluster;
+    struct owner_step *step;
+
+    cluster_begin(&cluster);
+    set_guarantee(&cluster, 0);
+    step = step_of(run_job(&cluster, 1, &whole_workers));
+    report_long_task(&cluster, step, 9);
+    CU_ASSERT_FALSE(
+        owner_target_is_slow(step->tasks[0].run->target, cluster.clock.now));
+    CU_ASSERT_FALSE(step->tasks[0].run->stopping);
+    cluster_end(&cluster);
+}
+
 static const struct test tests[] = {
     {"above 100", test_progress_above_100_is_ignored},
     {"falling", test_falling_progress_ends_the_measurement},
     {"other incarnation",
      test_progress_from_another_incarnation_is_not_measured},
+    {"rounding", test_rounding_of_a_long_task_shows_no_slow_worker},
     {"logged once", test_invalid_progress_is_logged_once_a_worker},
 };
 
