Speed: a task that runs again is no second witness against its worker

Callers saw: a worker counts as slow once a second run agrees; two runs of one long task on a worker, as after a preemption, agreed. Samples are now told apart by task. Occurrences of a step are not told apart either.

Evidence: test_speed_reports "second witness" fails without the change.

--- a/include/curlewcart/cw_worker_speed.h
+++ b/include/curlewcart/cw_worker_speed.h
@@ -31,7 +31,7 @@
 struct cw_speed_sample {
     double log_speed;
     double variance;
-    unsigned run; /* identifies the run that was measured; not 0 */
+    unsigned run; /* identifies the task that was measured; not 0 */
     /* The run cannot be what is slow: its own rate has changed, or so many
      * workers are slow that this is the likelier cause. */
     bool shows_worker;
--- a/src/owner/owner_speed.c
+++ b/src/owner/owner_speed.c
@@ -147,7 +147,8 @@
     return owner->slow_share;
 }
 
-/* Identifies the run among those that its worker executes. */
+/* Identifies the run's work among what its worker executes.  Other runs of a
+ * task do not count as others, as a long task is long each time. */
 static unsigned
 run_key(const struct owner_run *run)
 {
@@ -155,8 +156,7 @@
     unsigned key = g_str_hash(owner_task_job(task)->spec->id);
 
     key = key * 31 + task->step->number;
-    key = key * 31 + task->index;
-    return MAX(key * 31 + run->number, 1);
+    return MAX(key * 31 + task->index, 1);
 }
 
 static void
--- a/tests/test_speed_reports.c
+++ b/tests/test_speed_reports.c
@@ -179,12 +179,29 @@
     cluster_end(&cluster);
 }
 
+/* Guards against a long task that blames a worker by being run there twice. */
+static void
+test_a_task_that_runs_again_is_no_second_witness(void)
+{
+    struct cluster cluster;
+    struct owner_run *run = begin_measured(&cluster);
+    unsigned key = run->target->incarnation.speed.run;
+
+    CU_ASSERT_NOT_EQUAL_FATAL(key, 0);
+    run->number++;
+    pass(&cluster, POLL_MS);
+    report(&cluster, run, 40);
+    CU_ASSERT_EQUAL(run->target->incarnation.speed.run, key);
+    cluster_end(&cluster);
+}
+
 static const struct test tests[] = {
     {"above 100", test_progress_above_100_is_ignored},
     {"falling", test_falling_progress_ends_the_measurement},
     {"other incarnation",
      test_progress_from_another_incarnation_is_not_measured},
     {"rounding", test_rounding_of_a_long_task_shows_no_slow_worker},
+    {"second witness", test_a_task_that_runs_again_is_no_second_witness},
     {"logged once", test_invalid_progress_is_logged_once_a_worker},
 };
 
