Preemption: a gang that needs a rack is not spread to avoid a slow worker

Callers saw: an urgent gang of which one rack was free, with a slow worker, stopped lower-priority runs and was placed across racks, where its work takes remote_factor times as long, if no rack had enough workers that are not slow. It now takes the free rack.

Evidence: test_gang_choice "preempts in a rack" fails without the change.

--- a/src/owner/owner_preempt.c
+++ b/src/owner/owner_preempt.c
@@ -599,6 +599,12 @@
 
     if (step->spec->gang && step->spec->same_rack) {
         targets = cheapest_rack(owner, step, racks, tasks, limits, now);
+        if (targets == NULL && limits->lower_only &&
+            owner_step_needs_rack(owner, step, now))
+        {
+            g_hash_table_unref(racks);
+            return false; /* it would be slower across racks */
+        }
     }
     if (targets == NULL) {
         targets = g_hash_table_lookup(racks, "");
--- a/tests/test_gang_choice.c
+++ b/tests/test_gang_choice.c
@@ -259,6 +259,38 @@
     cluster_end(&cluster);
 }
 
+/* Guards against a gang that needs a rack and is spread over several, with
+ * lower-priority runs stopped for it, to avoid one slow worker. */
+static void
+test_a_gang_that_needs_a_rack_preempts_for_speed_only_in_one(void)
+{
+    static const struct cw_step_spec wide = {.tasks = 8,
+                                             .accelerators = ACCELERATORS};
+    static const struct cw_step_spec gang = {.tasks = PER_RACK,
+                                             .accelerators = ACCELERATORS,
+                                             .gang = true,
+                                             .same_rack = true};
+    struct cluster cluster;
+    struct owner_job *job;
+    struct owner_job *lower;
+
+    cluster_begin(&cluster);
+    set_guarantee(&cluster, 0);
+    lower = run_job(&cluster, 2, &wide);
+    CU_ASSERT_EQUAL(placed(lower), 8);
+    show_slow(&cluster, "w00");
+    show_slow(&cluster, "w04");
+    show_slow(&cluster, "w08");
+    job = add_job(&cluster, 0, &gang);
+    pass(&cluster, 10);
+    CU_ASSERT_EQUAL_FATAL(placed(job), PER_RACK);
+    for (unsigned i = 1; i < PER_RACK; i++) {
+        CU_ASSERT_STRING_EQUAL(worker_of(job, i)->rack,
+                               worker_of(job, 0)->rack);
+    }
+    cluster_end(&cluster);
+}
+
 /* Guards against an urgent gang that waits, as the owner knows that the only
  * free workers are slow and nothing can be stopped. */
 static void
@@ -291,6 +323,8 @@
     {"measured", test_measured_workers_come_before_others},
     {"sooner", test_preemption_has_to_end_sooner},
     {"tasks", test_slow_workers_get_lower_priority_tasks_first},
+    {"preempts in a rack",
+     test_a_gang_that_needs_a_rack_preempts_for_speed_only_in_one},
     {"preempts", test_an_urgent_gang_preempts_rather_than_be_slow},
     {"nothing else", test_slow_workers_are_used_if_nothing_else_is_free},
 };
