Speed: a run that a poll has found is measured from that poll on

Callers saw: if the answer to a start was lost, a poll confirmed the run, and its first window began with that poll at 0 percent, though it had done up to a second's work. Its rate, and its worker, were measured as too fast by several times, and the next window showed a slower one.

Evidence: test_speed_reports "found by a poll" fails without the change.

--- a/src/owner/owner_speed.c
+++ b/src/owner/owner_speed.c
@@ -393,13 +393,14 @@
     return began_at;
 }
 
-/* Begins the run's first window: with its work, if that is known. */
+/* Begins the run's first window: with its work, if that is known.  A run whose
+ * start the present poll has confirmed began at some time before. */
 static void
 begin_first_window(struct owner_run *run, unsigned percent,
                    struct timespec now)
 {
     struct timespec began_at = work_began_at(run);
-    bool known = began_at.tv_sec != 0;
+    bool known = began_at.tv_sec != 0 && cw_time_before(began_at, now);
 
     run->window_at = known ? began_at : now;
     run->window_percent = known ? 0 : percent;
--- a/tests/test_speed_reports.c
+++ b/tests/test_speed_reports.c
@@ -195,6 +195,28 @@
     cluster_end(&cluster);
 }
 
+/* Guards against a worker that counts as fast as its run had begun before the
+ * poll that showed it. */
+static void
+test_a_run_found_by_a_poll_is_measured_from_there(void)
+{
+    static const struct cw_step_spec one = {.tasks = 1,
+                                            .accelerators = ACCELERATORS};
+    struct cluster cluster;
+    struct owner_run *run;
+
+    cluster_begin(&cluster);
+    set_guarantee(&cluster, 0);
+    run = step_of(run_job(&cluster, 1, &one))->tasks[0].run;
+    run->phase = RUN_STARTING;
+    run->starts_sent = 1;
+    report(&cluster, run, 50);
+    pass(&cluster, CW_MS_PER_S);
+    report(&cluster, run, 60);
+    CU_ASSERT_DOUBLE_EQUAL(run->rate, 10, 0.01);
+    cluster_end(&cluster);
+}
+
 static const struct test tests[] = {
     {"above 100", test_progress_above_100_is_ignored},
     {"falling", test_falling_progress_ends_the_measurement},
@@ -202,6 +224,7 @@
      test_progress_from_another_incarnation_is_not_measured},
     {"rounding", test_rounding_of_a_long_task_shows_no_slow_worker},
     {"second witness", test_a_task_that_runs_again_is_no_second_witness},
+    {"found by a poll", test_a_run_found_by_a_poll_is_measured_from_there},
     {"logged once", test_invalid_progress_is_logged_once_a_worker},
 };
 
