Speed: an answer that is held up on its way shows no slow worker

Callers saw: progress was dated by the arrival of the answer. If one was held up, the run's rate over that window was low by as much, a change of the rate that shows the worker. Progress is now dated by when the worker gave the answer, by its clock, where that is known.

Evidence: test_speed_reports "held up" fails without the change.

--- a/src/owner/owner_polls.c
+++ b/src/owner/owner_polls.c
@@ -244,6 +244,21 @@
                  first - target->incarnation.ends_applied - 1);
 }
 
+/* Returns when the worker read its runs' progress, as far as known: an answer
+ * that was held up on its way would show a low rate. */
+static struct timespec
+progress_read_at(const struct owner_target *target,
+                 const struct cw_target_answer *answer, struct timespec now)
+{
+    const struct owner_incarnation *incarnation = &target->incarnation;
+
+    /* A clock that was first compared with this answer shows no delay. */
+    return answer->clock_ms > 0 &&
+                   cw_time_before(incarnation->clock_ahead_at, now)
+               ? incarnation->poll_answered_at
+               : now;
+}
+
 static void
 apply_lists(struct cw_owner *owner, struct owner_target *target,
             const struct cw_target_answer *answer, struct timespec sent,
@@ -260,7 +275,8 @@
             owner_gang_ends_listed(run, sent);
             apply_progress(run, &answer->running[i], now);
             /* May stop the run's gang, but drops no run that was sent. */
-            owner_speed_observe(owner, run, answer->running[i].percent, now);
+            owner_speed_observe(owner, run, answer->running[i].percent,
+                                progress_read_at(target, answer, now));
         }
         else {
             stop_orphan(owner, target, &answer->running[i]);
--- a/tests/test_speed_reports.c
+++ b/tests/test_speed_reports.c
@@ -7,27 +7,39 @@
 
 enum { MEMBERS = 3, POLL_MS = 500, BOOT_MS = 1000 };
 
-/* Lists the run with this progress, in an answer of this incarnation. */
+/* Lists the run with this progress, in an answer of this incarnation that is
+ * held up on its way. */
 static void
-report_from(struct cluster *cluster, const struct owner_run *run,
-            unsigned percent, int64_t boot_ms)
+report_late(struct cluster *cluster, const struct owner_run *run,
+            unsigned percent, int64_t boot_ms, int64_t held_up_ms)
 {
     struct cw_running row = {.task = owner_task_name(run->task),
                              .run = run->number,
                              .saved = "",
                              .percent = percent};
-    struct cw_target_answer answer = {.status = CW_TARGET_OK,
-                                      .boot_ms = boot_ms,
-                                      .running = &row,
-                                      .running_count = 1};
+    struct cw_target_answer answer = {
+        .status = CW_TARGET_OK,
+        .boot_ms = boot_ms,
+        .clock_ms = cw_time_diff_ms(cw_time_from_ms(0), cluster->clock.now),
+        .running = &row,
+        .running_count = 1};
 
     cluster->owner->ownership_confirmed_at = cluster->clock.now;
     run->target->poll_due = cluster->clock.now;
     owner_poll_tick(cluster->owner, run->target, cluster->clock.now);
     CU_ASSERT_EQUAL_FATAL(last_order.kind, CW_ORDER_POLL);
+    cluster->clock.now = cw_time_add_ms(cluster->clock.now, held_up_ms);
+    cluster->owner->ownership_confirmed_at = cluster->clock.now;
     answer_last_with(&answer);
 }
 
+static void
+report_from(struct cluster *cluster, const struct owner_run *run,
+            unsigned percent, int64_t boot_ms)
+{
+    report_late(cluster, run, percent, boot_ms, 0);
+}
+
 static void
 report(struct cluster *cluster, const struct owner_run *run, unsigned percent)
 {
@@ -217,6 +229,20 @@
     cluster_end(&cluster);
 }
 
+/* Guards against a worker that counts as slow because its answer was late. */
+static void
+test_an_answer_that_is_held_up_shows_no_slow_worker(void)
+{
+    enum { HELD_UP_MS = 800 };
+    struct cluster cluster;
+    struct owner_run *run = begin_measured(&cluster);
+
+    report_late(&cluster, run, 40, BOOT_MS, HELD_UP_MS);
+    CU_ASSERT_DOUBLE_EQUAL(run->rate, 20, 1);
+    CU_ASSERT_FALSE(run->stopping);
+    cluster_end(&cluster);
+}
+
 static const struct test tests[] = {
     {"above 100", test_progress_above_100_is_ignored},
     {"falling", test_falling_progress_ends_the_measurement},
@@ -225,6 +251,7 @@
     {"rounding", test_rounding_of_a_long_task_shows_no_slow_worker},
     {"second witness", test_a_task_that_runs_again_is_no_second_witness},
     {"found by a poll", test_a_run_found_by_a_poll_is_measured_from_there},
+    {"held up", test_an_answer_that_is_held_up_shows_no_slow_worker},
     {"logged once", test_invalid_progress_is_logged_once_a_worker},
 };
 
