--- a/src/owner/owner_polls.c
+++ b/src/owner/owner_polls.c
@@ -77,6 +77,8 @@
 apply_progress(struct owner_run *run, const struct cw_running *listed,
                struct timespec now)
 {
+    bool is_valid = owner_progress_check(run, listed->percent);
+
     if (run->phase == RUN_STARTING || run->phase == RUN_INHERITED) {
         run->phase = RUN_RUNNING;
         run->started_at = now;
@@ -87,7 +89,7 @@
     }
     owner_idle_end(run->target->owner, owner_task_job(run->task));
     run->boot_ms = run->target->incarnation.boot_ms;
-    if (listed->percent != run->percent) {
+    if (is_valid && listed->percent != run->percent) {
         run->percent = listed->percent;
         run->progress_at = now;
     }
@@ -242,6 +244,21 @@
                  first - target->incarnation.ends_applied - 1);
 }
 
+/* Returns when the worker read its runs' progress, as far as known: an answer
+ * that was held up on its way would show a low rate. */
+static struct timespec
+progress_read_at(const struct owner_target *target,
+                 const struct cw_target_answer *answer, struct timespec now)
+{
+    const struct owner_incarnation *incarnation = &target->incarnation;
+
+    /* A clock that was first compared with this answer shows no delay. */
+    return answer->clock_ms > 0 &&
+                   cw_time_before(incarnation->clock_ahead_at, now)
+               ? incarnation->poll_answered_at
+               : now;
+}
+
 static void
 apply_lists(struct cw_owner *owner, struct owner_target *target,
             const struct cw_target_answer *answer, struct timespec sent,
@@ -258,7 +275,8 @@
             owner_gang_ends_listed(run, sent);
             apply_progress(run, &answer->running[i], now);
             /* May stop the run's gang, but drops no run that was sent. */
-            owner_speed_observe(owner, run, answer->running[i].percent, now);
+            owner_speed_observe(owner, run, answer->running[i].percent,
+                                progress_read_at(target, answer, now));
         }
         else {
             stop_orphan(owner, target, &answer->running[i]);
--- a/src/owner/owner_speed.c
+++ b/src/owner/owner_speed.c
@@ -36,6 +36,9 @@
 /* Difference of a rate's logarithm, from one window to the next, from which on
  * the worker has changed. */
 #define CHANGE_MIN 0.5
+/* Difference in percent done over a window that rounding does not explain: the
+ * ends of both windows are off by up to one. */
+#define CHANGE_MIN_PERCENT 2.5
 /* Variances of logarithms: of a measured rate, besides the rounding of
  * percents; of the lengths of a step's tasks that are no gang; of declared
  * lengths, which are off by a factor of two. */
@@ -154,7 +157,8 @@
     return owner->slow_share;
 }
 
-/* Identifies the run among those that its worker executes. */
+/* Identifies the run's work among what its worker executes.  Other runs of a
+ * task do not count as others, as a long task is long each time. */
 static unsigned
 run_key(const struct owner_run *run)
 {
@@ -162,8 +166,7 @@
     unsigned key = g_str_hash(owner_task_job(task)->spec->id);
 
     key = key * 31 + task->step->number;
-    key = key * 31 + task->index;
-    return MAX(key * 31 + run->number, 1);
+    return MAX(key * 31 + task->index, 1);
 }
 
 static void
@@ -270,6 +273,55 @@
     owner_run_evict_for(owner, run, OWNER_IDLE_MOVED);
 }
 
+/* ---- invalid reports ---- */
+
+/* Returns why the reported progress cannot be right; NULL if it may be. */
+static const char *
+progress_fault(const struct owner_run *run, unsigned percent)
+{
+    if (percent == CW_PERCENT_UNREADABLE) {
+        return "unreadable";
+    }
+    if (percent > CW_PERCENT_DONE) {
+        return "over_100";
+    }
+    if (run->phase != RUN_RUNNING) {
+        return NULL; /* its first report */
+    }
+    if (owner_run_is_of_other_incarnation(run,
+                                          run->target->incarnation.boot_ms)) {
+        return "other_life";
+    }
+    return percent < run->percent ? "falling" : NULL;
+}
+
+bool
+owner_progress_check(struct owner_run *run, unsigned percent)
+{
+    struct owner_target *target = run->target;
+    const char *fault = progress_fault(run, percent);
+
+    if (fault == NULL) {
+        return true;
+    }
+    cw_count_add(target->owner->options.counters, CW_COUNT_PROGRESS_INVALID,
+                 1);
+    if (!target->progress_invalid_logged) {
+        target->progress_invalid_logged = true;
+        cw_log_warning("progress_invalid",
+                       "worker=%s reason=%s id=%s run=%u before=%u percent=%u",
+                       target->id, fault, owner_task_job(run->task)->spec->id,
+                       run->number, run->percent, percent);
+    }
+    if (percent > CW_PERCENT_DONE) {
+        return false;
+    }
+    /* Which of the reports is wrong is unknown, and so is any rate. */
+    run->unmeasurable = true;
+    run->rate_known = false;
+    return true;
+}
+
 /* ---- windows ---- */
 
 /* Returns how many percent a run does in this time at this rate. */
@@ -279,16 +331,27 @@
     return rate * (double)passed_ms / CW_MS_PER_S;
 }
 
-/* Evaluates the rate of the window that has just ended; `previous` is the rate
- * of the one before, or NULL. */
+/* True if the rate of the window that has just ended differs from that of the
+ * one before (negative: there is none) by more than noise. */
+static bool
+rate_has_changed(const struct owner_run *run, double previous,
+                 unsigned advance, int64_t passed_ms)
+{
+    double change = log_rate(run->rate) - log_rate(previous);
+    double percent = advance - percent_done_in(previous, passed_ms);
+
+    return previous >= 0 && fabs(change) > CHANGE_MIN &&
+           fabs(percent) > CHANGE_MIN_PERCENT;
+}
+
+/* Evaluates the rate of the window that has just ended. */
 static void
-evaluate_rate(struct cw_owner *owner, struct owner_run *run,
-              const double *previous, unsigned advance, struct timespec now)
+evaluate_rate(struct cw_owner *owner, struct owner_run *run, double previous,
+              unsigned advance, int64_t passed_ms, struct timespec now)
 {
     double rounding = 1.0 / (2 * MAX(advance, 1));
-    bool changed =
-        run->typical_rate_known && previous != NULL &&
-        fabs(log_rate(run->rate) - log_rate(*previous)) > CHANGE_MIN;
+    bool changed = run->typical_rate_known &&
+                   rate_has_changed(run, previous, advance, passed_ms);
 
     measure_worker(owner, run, RATE_VARIANCE + rounding * rounding, changed,
                    now);
@@ -341,13 +404,14 @@
     return began_at;
 }
 
-/* Begins the run's first window: with its work, if that is known. */
+/* Begins the run's first window: with its work, if that is known.  A run whose
+ * start the present poll has confirmed began at some time before. */
 static void
 begin_first_window(struct owner_run *run, unsigned percent,
                    struct timespec now)
 {
     struct timespec began_at = work_began_at(run);
-    bool known = began_at.tv_sec != 0;
+    bool known = began_at.tv_sec != 0 && cw_time_before(began_at, now);
 
     run->window_at = known ? began_at : now;
     run->window_percent = known ? 0 : percent;
@@ -359,9 +423,11 @@
 {
     int64_t passed_ms;
     unsigned advance;
-    double previous = run->rate;
-    bool previous_known = run->rate_known;
+    double previous = run->rate_known ? run->rate : -1;
 
+    if (run->unmeasurable) {
+        return;
+    }
     if (percent >= CW_PERCENT_DONE) {
         return; /* when it got there is not known */
     }
@@ -380,8 +446,7 @@
     run->window_at = now;
     run->window_percent = percent;
     if (run->rate_known) {
-        evaluate_rate(owner, run, previous_known ? &previous : NULL, advance,
-                      now);
+        evaluate_rate(owner, run, previous, advance, passed_ms, now);
     }
     if (advance >= WINDOW_MIN_PERCENT) {
         run->best_rate = MAX(run->best_rate, run->rate);
