Owner: the group asks the replica whether an epoch has ended

What callers see: no change. Cause: is_owned_elsewhere compared the fields of an epoch as cw_replica_epoch_has_ended does. Change: it calls that function; the condition is the same. Result: format check; test_group 13, test_handover 5, test_epochs 33 pass.

--- a/src/owner/owner_group.c
+++ b/src/owner/owner_group.c
@@ -69,7 +69,7 @@
 
         if (other->epoch > 0 && other->epoch == candidacy->owner_epoch) {
             return strcmp(vm, owner->vm) != 0 &&
-                   other->end_epoch < other->epoch &&
+                   !cw_replica_epoch_has_ended(other) &&
                    candidacy->left_epoch < other->epoch;
         }
     }
