Test: a gang that fits twice across racks and into none is placed in time

A gang of three whole workers that asks for one rack, beside six free workers, two in each rack, is not placed within 2.5 s, nor at any later time.

--- a/tests/test_starvation.c
+++ b/tests/test_starvation.c
@@ -380,6 +380,49 @@
     cluster_end(&cluster);
 }
 
+/* Begins a cluster in which urgent work uses two of the four workers in each
+ * rack: a gang of three whole workers fits twice, but into no rack. */
+static void
+cluster_begin_without_free_rack(struct cluster *cluster)
+{
+    static const struct cw_step_spec six = {.tasks = 6,
+                                            .accelerators = ACCELERATORS};
+    static const char *const full[] = {"w00", "w01", "w04",
+                                       "w05", "w08", "w09"};
+    struct owner_job *urgent;
+
+    cluster_begin(cluster);
+    set_guarantee(cluster, 0);
+    urgent = add_job(cluster, 0, &six);
+    for (unsigned i = 0; i < G_N_ELEMENTS(full); i++) {
+        owner_run_create(cluster->owner, &step_of(urgent)->tasks[i],
+                         owner_target_get(cluster->owner, full[i]),
+                         RUN_RUNNING, 1);
+    }
+}
+
+/* Guards against a gang that stands idle beside free capacity because no
+ * single rack has enough of it: across racks it is slower, but it runs. */
+static void
+test_a_gang_is_spread_if_no_rack_has_capacity(void)
+{
+    static const struct cw_step_spec three_in_a_rack = {.tasks = 3,
+                                                        .accelerators =
+                                                            ACCELERATORS,
+                                                        .gang = true,
+                                                        .same_rack = true};
+    struct cluster cluster;
+    struct owner_job *job;
+
+    cluster_begin_without_free_rack(&cluster);
+    job = add_job(&cluster, 1, &three_in_a_rack);
+    run_passes(&cluster, 1000);
+    CU_ASSERT_EQUAL(placed(job), 0);
+    run_passes(&cluster, PLACED_WITHIN_MS - 1000);
+    CU_ASSERT_EQUAL(placed(job), 3);
+    cluster_end(&cluster);
+}
+
 static const struct test tests[] = {
     {"unconfirmed run", test_an_unconfirmed_run_does_not_hide_idle_tasks},
     {"counted again", test_borrowed_headroom_is_counted_again},
@@ -393,6 +436,7 @@
     {"endless tasks", test_all_endless_tasks_are_placed},
     {"reserved runs",
      test_urgent_work_does_not_wait_for_reserved_runs_for_ever},
+    {"spread gang", test_a_gang_is_spread_if_no_rack_has_capacity},
     {"limit per pass", test_a_pass_places_a_limited_number},
 };
 
