Starvation: a gang that waits for a rack is spread once its job is overdue

Cause: a gang with same_rack takes longer across racks, but can run there. The limit on idle time, the warning job_waits and the metric all counted only capacity in one rack, so that nothing limited the wait for a rack. Change: capacity for a job counts in whatever racks; an overdue gang takes a rack if one holds it, and is otherwise spread over as few data centres as possible. Before that it waits for a rack as before.

--- a/src/owner/internal/owner_candidates.h
+++ b/src/owner/internal/owner_candidates.h
@@ -53,6 +53,11 @@
                           struct owner_step *step, struct timespec now,
                           struct cw_gang_choice *choice);
 
+/* The same, but the gang may be spread over racks, whatever that costs. */
+GArray *owner_spread_gang(struct cw_owner *owner, const GArray *candidates,
+                          const struct owner_step *step,
+                          struct cw_gang_choice *choice);
+
 /* True if the worker's rack is reserved for another step's gang, which has a
  * higher priority. */
 bool
--- a/src/owner/internal/owner_spare.h
+++ b/src/owner/internal/owner_spare.h
@@ -22,8 +22,8 @@
 struct owner_spare_fit {
     unsigned tasks; /* in all */
     unsigned by_blocker[OWNER_BLOCKERS];
-    bool twice; /* a single task, or the whole gang, fits twice; if the gang
-                   needs a rack, it also fits once within a rack */
+    bool twice; /* a single task, or the whole gang, fits twice, in whatever
+                   racks */
 };
 
 struct owner_spare;
@@ -39,10 +39,10 @@
  * with 1,100 workers that all have spare capacity and 4,000 waiting jobs,
  * owner_spare_fit for all of them took 0.19 s. */
 bool owner_spare_fits_twice(const struct owner_spare *spare,
-                            struct owner_step *step);
+                            const struct owner_step *step);
 
 /* Returns how much of the step would fit, by blocker. */
-struct owner_spare_fit
-owner_spare_fit(const struct owner_spare *spare, struct owner_step *step);
+struct owner_spare_fit owner_spare_fit(const struct owner_spare *spare,
+                                       const struct owner_step *step);
 
 #endif
--- a/src/owner/owner_gang_choice.c
+++ b/src/owner/owner_gang_choice.c
@@ -79,14 +79,13 @@
     return choice;
 }
 
-GArray *
-owner_choose_gang(struct cw_owner *owner, const GArray *candidates,
-                  struct owner_step *step, struct timespec now,
-                  struct cw_gang_choice *choice)
+static GArray *
+choose_members(struct cw_owner *owner, const GArray *candidates,
+               const struct owner_step *step, bool needs_rack,
+               struct cw_gang_choice *choice)
 {
     struct cw_gang_shape shape = {.members = step->count,
-                                  .needs_rack =
-                                      owner_step_needs_rack(owner, step, now)};
+                                  .needs_rack = needs_rack};
     unsigned *members = g_new(unsigned, candidates->len);
     GArray *choices = NULL;
 
@@ -108,6 +107,22 @@
     return choices;
 }
 
+GArray *
+owner_choose_gang(struct cw_owner *owner, const GArray *candidates,
+                  struct owner_step *step, struct timespec now,
+                  struct cw_gang_choice *choice)
+{
+    return choose_members(owner, candidates, step,
+                          owner_step_needs_rack(owner, step, now), choice);
+}
+
+GArray *
+owner_spread_gang(struct cw_owner *owner, const GArray *candidates,
+                  const struct owner_step *step, struct cw_gang_choice *choice)
+{
+    return choose_members(owner, candidates, step, false, choice);
+}
+
 const char *
 owner_best_rack(const struct cw_owner *owner, const GArray *candidates,
                 const struct owner_step *step, unsigned tasks)
--- a/src/owner/owner_spare.c
+++ b/src/owner/owner_spare.c
@@ -144,33 +144,22 @@
 
 bool
 owner_spare_fits_twice(const struct owner_spare *spare,
-                       struct owner_step *step)
+                       const struct owner_step *step)
 {
-    unsigned *fits_by_rack =
-        g_new0(unsigned, spare->owner->rack_lower_priority_workers->len);
-    bool rack_fits = !owner_step_needs_rack(spare->owner, step, spare->now);
     unsigned tasks = 0;
 
     for (guint i = 0;
-         i < spare->workers->len &&
-         !(rack_fits && tasks >= FIT_TIMES * tasks_together(step));
+         i < spare->workers->len && tasks < FIT_TIMES * tasks_together(step);
          i++)
     {
-        const struct spare_worker *row =
-            &g_array_index(spare->workers, struct spare_worker, i);
-        unsigned fits = fits_on(row, step);
-
-        tasks += fits;
-        fits_by_rack[row->target->rack_number] += fits;
-        rack_fits = rack_fits || fits_by_rack[row->target->rack_number] >=
-                                     tasks_together(step);
+        tasks += fits_on(
+            &g_array_index(spare->workers, struct spare_worker, i), step);
     }
-    g_free(fits_by_rack);
-    return rack_fits && tasks >= FIT_TIMES * tasks_together(step);
+    return tasks >= FIT_TIMES * tasks_together(step);
 }
 
 struct owner_spare_fit
-owner_spare_fit(const struct owner_spare *spare, struct owner_step *step)
+owner_spare_fit(const struct owner_spare *spare, const struct owner_step *step)
 {
     struct owner_spare_fit fit = {.twice =
                                       owner_spare_fits_twice(spare, step)};
--- a/src/owner/owner_starvation.c
+++ b/src/owner/owner_starvation.c
@@ -2,8 +2,9 @@
  * withheld from them.
  *
  * Headroom is reserved for urgent work, racks are reserved for gangs, workers
- * that failed or were slow are avoided for seconds, and lower-priority work
- * waits while the owner is behind.  Once cw_idle_is_overdue returns true, the
+ * that failed or were slow are avoided for seconds, lower-priority work waits
+ * while the owner is behind, and a gang that is slower across racks waits for
+ * a rack.  Once cw_idle_is_overdue returns true, the
  * smallest part of a job that can run, one task or its gang, is placed in free
  * capacity even if that is reserved.  Runs that borrow headroom are stopped
  * before urgent work needs it (owner_headroom_reclaim.c). */
@@ -81,31 +82,42 @@
                : FIT_TIMES * tasks_together;
 }
 
+/* Chooses workers for the gang: in one rack if it fits there, otherwise, for a
+ * starved job, in as few data centres as possible, even if its work takes
+ * longer across racks. */
+static GArray *
+choose_gang(struct cw_owner *owner, struct owner_step *step,
+            const GArray *candidates, struct timespec now)
+{
+    const char *rack = owner_best_rack(owner, candidates, step, step->count);
+    struct cw_gang_choice choice;
+
+    if (rack != NULL) {
+        return owner_choose_targets(candidates, rack, step->count);
+    }
+    return job_is_starved(step->occurrence->job, now)
+               ? owner_spread_gang(owner, candidates, step, &choice)
+               : NULL;
+}
+
 /* Chooses workers for the gang, for one task, or for the starved endless
- * tasks.  NULL if there is not enough free capacity, or not in the one rack
- * that the gang needs. */
+ * tasks.  NULL if there is not enough free capacity. */
 static GArray *
 choose_workers(struct cw_owner *owner, struct owner_step *step,
                const GArray *candidates, struct timespec now)
 {
     unsigned tasks_together = step->spec->gang ? step->count : 1;
     unsigned fits = owner_total_fit_count(candidates);
-    const char *rack = NULL;
 
     if (fits < min_fits(step, tasks_together, now)) {
         return NULL;
     }
     if (step->spec->gang) {
-        rack = owner_best_rack(owner, candidates, step, tasks_together);
-    }
-    else {
-        tasks_together =
-            CLAMP(starved_endless_tasks(step, now), 1, MAX(1, fits - 1));
-    }
-    if (rack == NULL && owner_step_needs_rack(owner, step, now)) {
-        return NULL;
+        return choose_gang(owner, step, candidates, now);
     }
-    return owner_choose_targets(candidates, rack, tasks_together);
+    return owner_choose_targets(
+        candidates, NULL,
+        CLAMP(starved_endless_tasks(step, now), 1, MAX(1, fits - 1)));
 }
 
 static bool
