Idle jobs: a takeover does not restart the idle time of a job that never began

Not reproduced. Cause, by reading: a new owner started the clock of every job at its takeover, so that a job may wait 2.3 s with each owner in turn, without a fault that callers would count. Change: a job of which no run was ever placed has been idle since it was accepted, which the replica tells. For a job that has begun it is not known, and the time starts at the takeover as before (since_takeover=1). test_takeover 'idle time' failed before.

--- a/src/owner/internal/owner_idle.h
+++ b/src/owner/internal/owner_idle.h
@@ -50,6 +50,10 @@
  * adopted. */
 void owner_idle_begin(struct cw_owner *owner, struct owner_job *job);
 
+/* Starts the idle time of a job that was taken over.  If no run of it has ever
+ * been placed, it has been idle since it was accepted. */
+void owner_idle_take_over(struct owner_job *job);
+
 /* Ends the job's idle time, after a worker has listed a run of it. */
 void owner_idle_end(struct cw_owner *owner, struct owner_job *job);
 
--- a/src/owner/owner.c
+++ b/src/owner/owner.c
@@ -139,7 +139,7 @@
     }
     g_hash_table_iter_init(&iterator, owner->jobs);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        ((struct owner_job *)value)->idle.since_takeover = true;
+        owner_idle_take_over(value);
     }
 }
 
--- a/src/owner/owner_idle.c
+++ b/src/owner/owner_idle.c
@@ -61,6 +61,17 @@
     job->idle.since_takeover = false;
 }
 
+void
+owner_idle_take_over(struct owner_job *job)
+{
+    bool never_placed = !job->started && job->spec->repeats == 0;
+
+    job->idle.since_takeover = !never_placed;
+    if (never_placed) {
+        job->idle.clock.since = job->known_at;
+    }
+}
+
 void
 owner_idle_end(struct cw_owner *owner, struct owner_job *job)
 {
--- a/tests/owner_fixture.h
+++ b/tests/owner_fixture.h
@@ -180,19 +180,26 @@
 }
 
 static inline void
-put_spec(struct fixture *fixture)
+put_spec_accepted_at(struct fixture *fixture, int64_t accepted_ms)
 {
     const struct work_spec_options options = {.id = ID,
                                               .tasks = TASKS,
                                               .accelerators = 1,
                                               .max_attempts = 2,
-                                              .stretch_milli = 2000};
+                                              .stretch_milli = 2000,
+                                              .accepted_ms = accepted_ms};
     GByteArray *bytes = work_spec_encode(&options);
 
     put(fixture, CW_JOBS_TOPIC, "s" ID, bytes);
     g_byte_array_unref(bytes);
 }
 
+static inline void
+put_spec(struct fixture *fixture)
+{
+    put_spec_accepted_at(fixture, 0);
+}
+
 /* Stores a state in which each task has a run on the worker "w". */
 static inline void
 put_state(struct fixture *fixture, const char *topic, unsigned phase)
--- a/tests/test_takeover.c
+++ b/tests/test_takeover.c
@@ -370,7 +370,28 @@
     fixture_end(&fixture);
 }
 
+/* Guards against a takeover that starts the idle time of a waiting job anew,
+ * so that it may wait for its limit once with each owner. */
+static void
+test_a_waiting_job_keeps_its_idle_time(void)
+{
+    struct fixture fixture;
+    struct timespec accepted_at;
+
+    fixture_begin(&fixture);
+    put_spec_accepted_at(&fixture, cw_clock_wall_ms(&fixture.clock.base));
+    accepted_at = fixture.clock.now;
+    take_over(&fixture);
+    fixture.clock.now = cw_time_add_ms(fixture.clock.now, 2000);
+    replace_owner(&fixture, "other");
+    CU_ASSERT_PTR_NOT_NULL_FATAL(the_job(&fixture));
+    CU_ASSERT_EQUAL(
+        cw_time_diff_ms(accepted_at, the_job(&fixture)->idle.clock.since), 0);
+    fixture_end(&fixture);
+}
+
 static const struct test tests[] = {
+    {"idle time", test_a_waiting_job_keeps_its_idle_time},
     {"reads no states", test_a_vm_that_is_not_the_owner_reads_no_states},
     {"size of an outcome", test_an_outcome_does_not_grow_with_the_job},
     {"taken over", test_a_state_is_taken_over_with_its_runs},
--- a/tests/work_spec.h
+++ b/tests/work_spec.h
@@ -17,6 +17,7 @@
     unsigned max_attempts;
     unsigned stretch_milli;
     uint64_t body_hash;
+    int64_t accepted_ms;
 };
 
 /* Encodes the specification.  The caller owns the result. */
@@ -37,7 +38,8 @@
                                 .payload = (char *)"",
                                 .max_attempts = options->max_attempts,
                                 .stretch_milli = options->stretch_milli,
-                                .body_hash = options->body_hash};
+                                .body_hash = options->body_hash,
+                                .accepted_ms = options->accepted_ms};
 
     spec.steps.steps_len = 1;
     spec.steps.steps_val = &step;
