Emulator: capacity counts in whatever racks, and beside waiting urgent work

What callers saw: LOST on a busy service without faults. Change: both readings are dropped; the unit that starts together has to fit twice on workers that accept work, and nothing else matters.

--- a/emulator/world_waits.c
+++ b/emulator/world_waits.c
@@ -116,89 +116,35 @@
     return MIN((unsigned)MAX(0, count), count_permitted_on(worker, job, step));
 }
 
-/* Number of the step's tasks that fit now on workers of the rack; NULL: of any
- * rack. */
+/* Number of the step's tasks that fit now on all workers together. */
 static unsigned
 count_fitting(struct world *world, const struct checker_job *job,
-              const struct cw_step_spec *step, const char *rack)
+              const struct cw_step_spec *step)
 {
     unsigned count = 0;
     char dc[32];
 
     for (unsigned i = 0; i < worker_fleet_size(world->fleet); i++) {
         const struct worker_model *worker = worker_fleet_at(world->fleet, i);
-        const char *worker_rack = worker_model_rack(worker);
 
-        world_dc_of_rack(worker_rack, dc, sizeof(dc));
-        if (accepts_work(world, worker) && world_may_run_in(world, job, dc) &&
-            (rack == NULL || strcmp(rack, worker_rack) == 0))
-        {
+        world_dc_of_rack(worker_model_rack(worker), dc, sizeof(dc));
+        if (accepts_work(world, worker) && world_may_run_in(world, job, dc)) {
             count += count_fitting_on(worker, job, step);
         }
     }
     return count;
 }
 
-static bool
-some_rack_has_capacity(struct world *world, const struct checker_job *job,
-                       const struct cw_step_spec *step)
-{
-    for (unsigned i = 0; i < worker_fleet_size(world->fleet); i++) {
-        const char *rack = worker_model_rack(worker_fleet_at(world->fleet, i));
-
-        if (count_fitting(world, job, step, rack) >= step->tasks) {
-            return true;
-        }
-    }
-    return false;
-}
-
-/* Number of accelerators that jobs of the highest priority wait for. */
-static unsigned
-urgent_need(const struct world *world)
-{
-    GPtrArray *jobs = checker_jobs(world->checker);
-    unsigned need = 0;
-
-    for (guint i = 0; i < jobs->len; i++) {
-        const struct checker_job *job = jobs->pdata[i];
-        const struct cw_step_spec *step =
-            job->spec->priority == 0 ? checker_ready_step(world->checker, job)
-                                     : NULL;
-
-        if (step != NULL && job->running < step->tasks) {
-            need += (step->tasks - job->running) * step->accelerators;
-        }
-    }
-    return need;
-}
-
-/* Number of the step's tasks whose capacity goes to urgent work first.  Urgent
- * work is placed before others and may preempt them; while the preempted runs
- * stop, the capacity that urgent work waits for is still free.  With most of
- * the service free, there is enough capacity for urgent and other work. */
-static unsigned
-reserved_for_urgent(struct world *world, const struct checker_job *job,
-                    const struct cw_step_spec *step)
-{
-    if (job->spec->priority == 0 || is_mostly_free(world)) {
-        return 0;
-    }
-    return urgent_need(world) / MAX(1, step->accelerators);
-}
-
 /* True if the unit that has to start together, a task or a gang, fits twice.
- * A gang that needs a single rack may wait until a rack has capacity. */
+ * Capacity counts for any job, whatever other jobs wait for it, and for a gang
+ * that is slower across racks, it counts in whatever racks. */
 static bool
 has_capacity(struct world *world, const struct checker_job *job,
              const struct cw_step_spec *step)
 {
     unsigned together = step->gang ? step->tasks : 1;
 
-    return count_fitting(world, job, step, NULL) >=
-               FREE_CAPACITY_FACTOR * together +
-                   reserved_for_urgent(world, job, step) &&
-           (!step->same_rack || some_rack_has_capacity(world, job, step));
+    return count_fitting(world, job, step) >= FREE_CAPACITY_FACTOR * together;
 }
 
 /* At-most-once jobs are not counted: they may have to wait because of a
