Racks: a gang that is slower across racks and one that requires a rack differ

The cause was that a cost was taken for a condition; looked for elsewhere, the same field carried both. The platform's same_rack is a cost. adjacency 'rack' of the project's own interface is a condition ('how near they must be'), and with the limit on idle time spreading gangs it would no longer hold. In the other direction, the own interface refused a step with same_rack (104, no rack) that several racks can hold. Change: cw_step_spec.same_rack is an enum: any, faster, required. A bool has the same encoding, so that records of earlier versions are read, and an earlier version takes both for true. A gang that requires a rack is never spread, neither at the idle limit nor by preemption, nor when no rack can hold it for now; room across racks does not count for it.

--- a/include/curlewcart/cw_work.h
+++ b/include/curlewcart/cw_work.h
@@ -23,6 +23,13 @@
     CW_WORK_REFUSED = 7  /* never started, and never will be */
 };
 
+/* Whether the tasks of a step belong into one rack. */
+enum cw_same_rack {
+    CW_SAME_RACK_ANY = 0,
+    CW_SAME_RACK_FASTER = 1,  /* they take longer across racks */
+    CW_SAME_RACK_REQUIRED = 2 /* they do not run across racks */
+};
+
 /* True if the phase is final. */
 static inline bool
 cw_work_is_over(unsigned phase)
--- a/src/bundle/bundle.c
+++ b/src/bundle/bundle.c
@@ -8,6 +8,7 @@
 #include "bundle/internal/bundle_check.h"
 #include "bundle/internal/bundle_schema.h"
 #include "curlewcart/cw_request.h"
+#include "curlewcart/cw_work.h"
 #include "curlewcart/cw_yaml.h"
 
 enum {
@@ -230,7 +231,8 @@
     if (capacity->max_per_worker == 0) {
         return CW_REF_WORKER;
     }
-    if (step->gang && step->same_rack && step->tasks > capacity->max_per_rack)
+    if (step->gang && step->same_rack == CW_SAME_RACK_REQUIRED &&
+        step->tasks > capacity->max_per_rack)
     {
         return CW_REF_RACK;
     }
--- a/src/owner/internal/owner_placement.h
+++ b/src/owner/internal/owner_placement.h
@@ -36,9 +36,9 @@
 /* True if the step is not done and the steps that it depends on are. */
 bool owner_step_is_unblocked(const struct owner_step *step);
 
-/* True if the step's gang is slower across racks, and the total capacity of
- * some rack is enough for it: it waits for a rack until its job has been idle
- * for too long.  If no rack can hold it, it is placed across racks at once. */
+/* True if the step's gang waits for a rack: it does not run across racks, or
+ * it is slower there, and the total capacity of some rack is enough for it.
+ * The latter waits only until its job has been idle for too long. */
 bool owner_step_needs_rack(const struct cw_owner *owner,
                            struct owner_step *step, struct timespec now);
 
--- a/src/owner/internal/owner_spare.h
+++ b/src/owner/internal/owner_spare.h
@@ -23,7 +23,8 @@
     unsigned tasks; /* in all */
     unsigned by_blocker[OWNER_BLOCKERS];
     bool twice; /* a single task, or the whole gang, fits twice, in whatever
-                   racks */
+                   racks; if it runs in one rack only, it also fits once
+                   within a rack */
 };
 
 struct owner_spare;
--- a/src/owner/owner_jobs.c
+++ b/src/owner/owner_jobs.c
@@ -148,7 +148,7 @@
 
     cw_log_info("job_taken",
                 "id=%s queue=%s account=%s priority=%u steps=%u tasks=%u "
-                "accelerators=%u cpu=%u memory=%u gang=%d same_rack=%d "
+                "accelerators=%u cpu=%u memory=%u gang=%d same_rack=%u "
                 "checkpoints=%d estimate_ms=%u offset=%" PRIu64
                 " record=%" PRIu64 " cancelled=%d age_ms=%" PRId64,
                 entry->id, job->spec->queue, job->spec->account,
--- a/src/owner/owner_place.c
+++ b/src/owner/owner_place.c
@@ -138,8 +138,8 @@
 owner_step_needs_rack(const struct cw_owner *owner, struct owner_step *step,
                       struct timespec now)
 {
-    if (!step->spec->same_rack) {
-        return false;
+    if (step->spec->same_rack != CW_SAME_RACK_FASTER) {
+        return step->spec->same_rack == CW_SAME_RACK_REQUIRED;
     }
     if (step->rack_checked_at.tv_sec == 0 ||
         cw_time_diff_ms(step->rack_checked_at, now) > RACK_CHECK_INTERVAL_MS)
--- a/src/owner/owner_preempt.c
+++ b/src/owner/owner_preempt.c
@@ -597,13 +597,15 @@
     struct plan plan;
     bool ok;
 
-    if (step->spec->gang && step->spec->same_rack) {
+    if (step->spec->gang && step->spec->same_rack != CW_SAME_RACK_ANY) {
         targets = cheapest_rack(owner, step, racks, tasks, limits, now);
-        if (targets == NULL && limits->lower_only &&
+        if (targets == NULL &&
+            (limits->lower_only ||
+             step->spec->same_rack == CW_SAME_RACK_REQUIRED) &&
             owner_step_needs_rack(owner, step, now))
         {
             g_hash_table_unref(racks);
-            return false; /* it would be slower across racks */
+            return false; /* it would be slower across racks, or not run */
         }
     }
     if (targets == NULL) {
--- a/src/owner/owner_spare.c
+++ b/src/owner/owner_spare.c
@@ -146,16 +146,27 @@
 owner_spare_fits_twice(const struct owner_spare *spare,
                        const struct owner_step *step)
 {
+    unsigned *fits_by_rack =
+        g_new0(unsigned, spare->owner->rack_lower_priority_workers->len);
+    bool rack_fits = step->spec->same_rack != CW_SAME_RACK_REQUIRED;
     unsigned tasks = 0;
 
     for (guint i = 0;
-         i < spare->workers->len && tasks < FIT_TIMES * tasks_together(step);
+         i < spare->workers->len &&
+         !(rack_fits && tasks >= FIT_TIMES * tasks_together(step));
          i++)
     {
-        tasks += fits_on(
-            &g_array_index(spare->workers, struct spare_worker, i), step);
+        const struct spare_worker *row =
+            &g_array_index(spare->workers, struct spare_worker, i);
+        unsigned fits = fits_on(row, step);
+
+        tasks += fits;
+        fits_by_rack[row->target->rack_number] += fits;
+        rack_fits = rack_fits || fits_by_rack[row->target->rack_number] >=
+                                     tasks_together(step);
     }
-    return tasks >= FIT_TIMES * tasks_together(step);
+    g_free(fits_by_rack);
+    return rack_fits && tasks >= FIT_TIMES * tasks_together(step);
 }
 
 struct owner_spare_fit
--- a/src/owner/owner_starvation.c
+++ b/src/owner/owner_starvation.c
@@ -95,7 +95,8 @@
     if (rack != NULL) {
         return owner_choose_targets(candidates, rack, step->count);
     }
-    return job_is_starved(step->occurrence->job, now)
+    return job_is_starved(step->occurrence->job, now) &&
+                   step->spec->same_rack != CW_SAME_RACK_REQUIRED
                ? owner_spread_gang(owner, candidates, step, &choice)
                : NULL;
 }
--- a/src/proto/cw_proto.h
+++ b/src/proto/cw_proto.h
@@ -69,7 +69,7 @@
 		u_int *after_val;
 	} after;
 	bool_t gang;
-	bool_t same_rack;
+	u_int same_rack;
 	bool_t checkpoints;
 	bool_t duplicates_allowed;
 	bool_t endless;
--- a/src/proto/cw_proto.x
+++ b/src/proto/cw_proto.x
@@ -67,7 +67,8 @@
     unsigned int after<CW_STEPS_MAX>;
     bool gang;                       /* its tasks run all at once or not at
                                         all */
-    bool same_rack;                  /* its tasks are slower across racks */
+    unsigned int same_rack;          /* enum cw_same_rack; earlier versions
+                                        have a bool, with the same encoding */
     bool checkpoints;
     bool duplicates_allowed;
     bool endless;                    /* runs until its job is cancelled */
--- a/src/proto/cw_proto_xdr.c
+++ b/src/proto/cw_proto_xdr.c
@@ -185,7 +185,7 @@
 		if (buf == NULL) {
 			 if (!xdr_bool (xdrs, &objp->gang))
 				 return FALSE;
-			 if (!xdr_bool (xdrs, &objp->same_rack))
+			 if (!xdr_u_int (xdrs, &objp->same_rack))
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->checkpoints))
 				 return FALSE;
@@ -204,7 +204,7 @@
 
 		} else {
 		IXDR_PUT_BOOL(buf, objp->gang);
-		IXDR_PUT_BOOL(buf, objp->same_rack);
+		IXDR_PUT_U_LONG(buf, objp->same_rack);
 		IXDR_PUT_BOOL(buf, objp->checkpoints);
 		IXDR_PUT_BOOL(buf, objp->duplicates_allowed);
 		IXDR_PUT_BOOL(buf, objp->endless);
@@ -248,7 +248,7 @@
 		if (buf == NULL) {
 			 if (!xdr_bool (xdrs, &objp->gang))
 				 return FALSE;
-			 if (!xdr_bool (xdrs, &objp->same_rack))
+			 if (!xdr_u_int (xdrs, &objp->same_rack))
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->checkpoints))
 				 return FALSE;
@@ -267,7 +267,7 @@
 
 		} else {
 		objp->gang = IXDR_GET_BOOL(buf);
-		objp->same_rack = IXDR_GET_BOOL(buf);
+		objp->same_rack = IXDR_GET_U_LONG(buf);
 		objp->checkpoints = IXDR_GET_BOOL(buf);
 		objp->duplicates_allowed = IXDR_GET_BOOL(buf);
 		objp->endless = IXDR_GET_BOOL(buf);
@@ -300,7 +300,7 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->gang))
 		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->same_rack))
+	 if (!xdr_u_int (xdrs, &objp->same_rack))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->checkpoints))
 		 return FALSE;
--- a/src/work/request.c
+++ b/src/work/request.c
@@ -265,7 +265,8 @@
     step->cpu_milli = cores * MILLI * share;
     step->memory_mb = memory * share;
     step->gang = step->tasks > 1;
-    step->same_rack = strcmp(adjacency, "rack") == 0;
+    step->same_rack = strcmp(adjacency, "rack") == 0 ? CW_SAME_RACK_REQUIRED
+                                                     : CW_SAME_RACK_ANY;
     step->estimate_ms =
         read_unsigned(reader, "declared_ms", 0, 0, DURATION_MS_MAX);
     step->checkpoints = read_bool(reader, "checkpointable", false);
@@ -307,7 +308,9 @@
     check_fields(reader, step_fields, NULL);
     step->tasks = read_unsigned(reader, "tasks", 1, 1, CW_TASKS_MAX);
     step->gang = read_bool(reader, "gang", false);
-    step->same_rack = read_bool(reader, "same_rack", false);
+    step->same_rack = read_bool(reader, "same_rack", false)
+                          ? CW_SAME_RACK_FASTER
+                          : CW_SAME_RACK_ANY;
     step->accelerators =
         read_unsigned(reader, "accelerators", 1, 0, ACCELERATORS_MAX);
     step->cpu_milli = read_unsigned(reader, "cores", 1, 0, CORES_MAX) * MILLI;
--- a/tests/test_starvation.c
+++ b/tests/test_starvation.c
@@ -423,6 +423,27 @@
     cluster_end(&cluster);
 }
 
+/* Guards against spreading a gang that was submitted as one that does not run
+ * across racks. */
+static void
+test_a_gang_that_requires_a_rack_is_not_spread(void)
+{
+    static const struct cw_step_spec three = {.tasks = 3,
+                                              .accelerators = ACCELERATORS,
+                                              .gang = true,
+                                              .same_rack =
+                                                  CW_SAME_RACK_REQUIRED};
+    struct cluster cluster;
+    struct owner_job *job;
+
+    cluster_begin_without_free_rack(&cluster);
+    job = add_job(&cluster, 1, &three);
+    run_passes(&cluster, 10000);
+    CU_ASSERT_EQUAL(placed(job), 0);
+    CU_ASSERT_FALSE(cw_idle_is_overdue(&job->idle.clock, cluster.clock.now));
+    cluster_end(&cluster);
+}
+
 static const struct test tests[] = {
     {"unconfirmed run", test_an_unconfirmed_run_does_not_hide_idle_tasks},
     {"counted again", test_borrowed_headroom_is_counted_again},
@@ -437,6 +458,7 @@
     {"reserved runs",
      test_urgent_work_does_not_wait_for_reserved_runs_for_ever},
     {"spread gang", test_a_gang_is_spread_if_no_rack_has_capacity},
+    {"required rack", test_a_gang_that_requires_a_rack_is_not_spread},
     {"limit per pass", test_a_pass_places_a_limited_number},
 };
 
