--- a/emulator/emulator_main.c
+++ b/emulator/emulator_main.c
@@ -67,6 +67,8 @@
     bool wide;
     bool restricted;
     bool near;
+    bool busy;
+    unsigned link_ms;
 };
 
 static const struct argp_option options[] = {
@@ -147,6 +149,14 @@
     {"calm", 'q', NULL, 0, "No random faults", 0},
     {"wide", 'b', NULL, 0,
      "Jobs and gangs larger than a rack, and more of them", 0},
+    {"busy", 'B', NULL, 0,
+     "Racks of twelve workers, kept busy by urgent work, and gangs of lower "
+     "priority that ask for one rack",
+     0},
+    {"link-ms", 'K', "N", 0,
+     "Delay between data centres, one way, besides the usual delays; within "
+     "one, a quarter of it",
+     0},
     {"restricted", 'g', NULL, 0,
      "Steps have limits of tasks per worker and require kinds or racks of "
      "workers",
@@ -270,6 +280,12 @@
     case 'b':
         arguments->wide = true;
         break;
+    case 'B':
+        arguments->busy = true;
+        break;
+    case 'K':
+        arguments->link_ms = number;
+        break;
     case 'g':
         arguments->restricted = true;
         break;
@@ -338,6 +354,7 @@
     day.links_hold = arguments->links_hold;
     day.restricted = arguments->restricted;
     day.near = arguments->near;
+    day.link_ms = arguments->link_ms;
     if (day.silences + day.outages + day.owner_cuts + day.owner_freezes +
             day.voter_restarts >
         0)
@@ -350,6 +367,9 @@
     if (arguments->wide) {
         world_widen(&day);
     }
+    if (arguments->busy) {
+        world_make_busy(&day);
+    }
     return day;
 }
 
--- a/emulator/internal/world_private.h
+++ b/emulator/internal/world_private.h
@@ -241,6 +241,13 @@
 void world_call_deliver(struct world *world, void *call);
 void world_call_time_out(struct world *world, void *call);
 
+/* ---- world_links.c ---- */
+
+/* Delay of the link from the VM, one way, besides the usual delay. */
+unsigned world_link_to_store_ms(const struct vm *vm);
+unsigned world_link_to_vm_ms(const struct vm *vm, const struct vm *other);
+unsigned world_link_to_worker_ms(const struct vm *vm, const char *worker);
+
 /* ---- world_peers.c: calls between VMs ---- */
 
 /* True if `run` is an event of a call between VMs. */
--- a/emulator/world.c
+++ b/emulator/world.c
@@ -31,6 +31,12 @@
      * while jobs are submitted. */
     WIDE_WORKERS = 48,
     WIDE_JOBS = 260,
+    /* Four racks of workers, about 80% busy with urgent jobs and overfull
+     * with the others while jobs are submitted. */
+    RACK_WORKERS = 4,
+    BUSY_RACK_WORKERS = 12,
+    BUSY_WORKERS = 48,
+    BUSY_JOBS = 260,
     /* Six racks of workers, less than half busy when the last jobs run, and
      * time for a job of the most steps whose tasks all fail once. */
     LASTING_WORKERS = 24,
@@ -328,6 +334,8 @@
                                        .down = on_down,
                                        .over_capacity = on_over_capacity,
                                        .context = world};
+    unsigned rack_workers =
+        world->options.busy ? BUSY_RACK_WORKERS : RACK_WORKERS;
 
     cw_clock_manual_init(&world->clock);
     world->random = g_rand_new_with_seed(world->options.seed);
@@ -351,7 +359,7 @@
         char rack[32];
 
         g_snprintf(id, sizeof(id), "w-%u", i);
-        g_snprintf(rack, sizeof(rack), "r%u", i / 4);
+        g_snprintf(rack, sizeof(rack), "r%u", i / rack_workers);
         worker_fleet_add(world->fleet, id, rack, &full_capacity,
                          1000 + world_random_below(world, 100000));
         if (world->options.restricted) {
@@ -596,6 +604,14 @@
     day->jobs = WIDE_JOBS;
 }
 
+void
+world_make_busy(struct world_options *day)
+{
+    day->busy = true;
+    day->workers = BUSY_WORKERS;
+    day->jobs = BUSY_JOBS;
+}
+
 void
 world_lengthen(struct world_options *day)
 {
--- a/emulator/world.h
+++ b/emulator/world.h
@@ -80,7 +80,11 @@
                   work or may still begin */
     bool wide; /* jobs and gangs larger than a rack, and many tasks in a
                   job */
-    bool trace; /* print faults, starts and answers with their times */
+    bool busy; /* racks of twelve workers, kept busy by urgent work, and gangs
+                  of lower priority that ask for one rack */
+    unsigned link_ms; /* delay between data centres, one way, besides the usual
+                         delays; within one, a quarter of it */
+    bool trace;       /* print faults, starts and answers with their times */
 };
 
 struct world_result {
@@ -103,6 +107,10 @@
  * full for much of the day. */
 void world_widen(struct world_options *day);
 
+/* Makes the day busy: larger racks, and enough urgent jobs to use most of
+ * them, beside gangs of lower priority. */
+void world_make_busy(struct world_options *day);
+
 /* Adds lasting jobs, workers for them, and time for them to end. */
 void world_lengthen(struct world_options *day);
 
--- a/emulator/world_load.c
+++ b/emulator/world_load.c
@@ -16,6 +16,11 @@
     WIDE_PERCENT = 33,
     WIDE_TASKS_MIN = 12,
     WIDE_TASKS_MAX = 48,
+    /* Gangs of a busy day, of which a rack holds 96 accelerators. */
+    BUSY_GANG_PERCENT = 10,
+    BUSY_GANG_TASKS_MIN = 9,
+    BUSY_GANG_TASKS_MAX = 30,
+    BUSY_RACK_ACCELERATORS = 96,
     /* Jobs of a day of lasting jobs: of one step of long tasks, or of many
      * steps. */
     LASTING_SINGLE_PERCENT = 40,
@@ -187,6 +192,30 @@
     }
 }
 
+/* On busy days, most jobs are urgent. */
+static unsigned
+draw_priority(struct world *world)
+{
+    if (world->options.busy && !world_random_chance(world, BUSY_GANG_PERCENT))
+    {
+        return 0;
+    }
+    return world->options.busy ? world_random_between(world, 1, 2)
+                               : world_random_below(world, 3);
+}
+
+/* Makes the step a gang that asks for one rack, and fits into one. */
+static void
+make_rack_gang(struct world *world, struct cw_step_spec *step)
+{
+    step->gang = true;
+    step->same_rack = true;
+    step->accelerators = 1U << world_random_below(world, 3);
+    step->tasks = MIN(
+        world_random_between(world, BUSY_GANG_TASKS_MIN, BUSY_GANG_TASKS_MAX),
+        BUSY_RACK_ACCELERATORS / step->accelerators);
+}
+
 static void
 fill_step(struct world *world, struct cw_step_spec *step, unsigned number)
 {
@@ -280,7 +309,7 @@
     g_snprintf(id, sizeof(id), "%08x%08x", world->options.seed,
                g_rand_int(world->random));
     spec->id = copy_text(id);
-    spec->priority = world_random_below(world, 3);
+    spec->priority = draw_priority(world);
     spec->queue = g_strdup_printf("q%u", spec->priority);
     spec->service = copy_text("s");
     spec->payload = copy_text("work");
@@ -291,6 +320,9 @@
     spec->steps.steps_val = calloc(steps, sizeof(struct cw_step_spec));
     for (unsigned i = 0; i < steps; i++) {
         fill_step(world, &spec->steps.steps_val[i], i);
+        if (world->options.busy && spec->priority > 0) {
+            make_rack_gang(world, &spec->steps.steps_val[i]);
+        }
     }
     fill_constraints(spec);
     if (world->options.restricted) {
--- a/emulator/world_net.c
+++ b/emulator/world_net.c
@@ -79,7 +79,7 @@
 /* ---- the store's side ---- */
 
 static unsigned
-store_delay(struct world *world)
+usual_store_delay(struct world *world)
 {
     if (world->store_slow_until_ms > world->now_ms) {
         return world_random_between(world, STORE_ONE_WAY_MS,
@@ -88,6 +88,12 @@
     return world_random_between(world, 1, 2 * STORE_ONE_WAY_MS);
 }
 
+static unsigned
+store_delay(const struct vm *vm)
+{
+    return usual_store_delay(vm->world) + world_link_to_store_ms(vm);
+}
+
 static bool
 store_down(const struct world *world)
 {
@@ -172,7 +178,9 @@
 
     if (store_down(world) || world_topic_unavailable(world, call->topic)) {
         if (refuses_at_once(world)) {
-            world_call_schedule(call, STORE_ONE_WAY_MS, refuse_call);
+            world_call_schedule(
+                call, STORE_ONE_WAY_MS + world_link_to_store_ms(call->vm),
+                refuse_call);
         }
         world_call_unref(call);
         return;
@@ -200,7 +208,7 @@
         return;
     }
     if (call->vm->cut_until_ms <= world->now_ms) {
-        world_call_schedule(call, store_delay(world), world_call_deliver);
+        world_call_schedule(call, store_delay(call->vm), world_call_deliver);
     }
     world_call_unref(call);
 }
@@ -216,7 +224,7 @@
     if (vm->cut_until_ms > world->now_ms) {
         return; /* neither the call nor an answer arrives */
     }
-    world_call_schedule(call, store_delay(world), arrive_at_store);
+    world_call_schedule(call, store_delay(vm), arrive_at_store);
 }
 
 static void
@@ -350,7 +358,10 @@
         world_refuses_start(world, worker_model_id(worker)))
     {
         call->answer.status = CW_TARGET_UNHEALTHY;
-        world_call_schedule(call, WORKER_ONE_WAY_MS, world_call_deliver);
+        world_call_schedule(call,
+                            WORKER_ONE_WAY_MS +
+                                world_link_to_worker_ms(call->vm, call->text),
+                            world_call_deliver);
         world_call_unref(call);
         return;
     }
@@ -375,7 +386,8 @@
         world_call_schedule(
             call,
             world_random_between(world, 1, 2 * WORKER_ONE_WAY_MS) +
-                world_worker_delay(world, call->text).added_one_way_ms,
+                world_worker_delay(world, call->text).added_one_way_ms +
+                world_link_to_worker_ms(call->vm, call->text),
             world_call_deliver);
     }
     world_call_unref(call);
@@ -400,6 +412,7 @@
     struct call *call = world_call_new(vm, CALL_ORDER, order->timeout_ms);
     struct world_worker_delay delay;
     struct world_hold hold;
+    unsigned link_ms = world_link_to_worker_ms(vm, order->id);
 
     call->order = *order;
     call->text = g_strdup(order->id);
@@ -451,10 +464,12 @@
     }
     delay = world_worker_delay(world, call->text);
     if (delay.resets) {
-        world_call_schedule(call, WORKER_ONE_WAY_MS, reset_connection);
+        world_call_schedule(call, WORKER_ONE_WAY_MS + 2 * link_ms,
+                            reset_connection);
         return;
     }
-    world_call_schedule(call, order_delay(world) + delay.added_one_way_ms,
+    world_call_schedule(call,
+                        order_delay(world) + delay.added_one_way_ms + link_ms,
                         arrive_at_worker);
 }
 
--- a/emulator/world_peers.c
+++ b/emulator/world_peers.c
@@ -58,7 +58,9 @@
     else if (vm != NULL && vm->alive && world_vm_reaches_vm(call->vm, vm)) {
         request_support_of(vm, call);
         if (!call->ended && !is_lost(world)) {
-            world_call_schedule(call, one_way_ms(world), world_call_deliver);
+            world_call_schedule(
+                call, one_way_ms(world) + world_link_to_vm_ms(vm, call->vm),
+                world_call_deliver);
         }
     }
     world_call_unref(call);
@@ -77,7 +79,9 @@
     call->support.address = call->text;
     world_call_schedule(call, request->timeout_ms, world_call_time_out);
     if (to != NULL && world_vm_reaches_vm(vm, to) && !is_lost(world)) {
-        world_call_schedule(call, one_way_ms(world), arrive_at_vm);
+        world_call_schedule(call,
+                            one_way_ms(world) + world_link_to_vm_ms(vm, to),
+                            arrive_at_vm);
     }
 }
 
--- a/tests/test_world.c
+++ b/tests/test_world.c
@@ -204,6 +204,48 @@
     CU_ASSERT_EQUAL(calm_days(WIDE_DAYS, true, LATE_EPISODES), WIDE_DAYS);
 }
 
+/* The same property where urgent work keeps the service busy, gangs of lower
+ * priority ask for one rack, and links are slow or not.  Regression test:
+ * gangs waited longer than 3 s beside room across racks, on 24 of 192 such
+ * days. */
+static void
+test_runnable_jobs_start_on_a_busy_day(void)
+{
+    static const struct {
+        uint32_t seed;
+        unsigned link_ms;
+    } days[] = {{2002, 0}, {2024, 5}, {2010, 20}, {2002, 40}};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(days); i++) {
+        struct world_options options = day(days[i].seed);
+
+        options.faults = 0;
+        options.link_ms = days[i].link_ms;
+        world_make_busy(&options);
+        CU_ASSERT_TRUE(day_is_clean(&options));
+    }
+}
+
+static double
+mean_stretch(unsigned link_ms)
+{
+    struct world_options options = day(CALM_SEED);
+    struct world_result result;
+
+    options.faults = 0;
+    options.link_ms = link_ms;
+    world_run(&options, &result);
+    g_free(result.violation);
+    g_free(result.faults);
+    return result.stretch.total / MAX(1, result.stretch.jobs);
+}
+
+static void
+test_links_delay_starts(void)
+{
+    CU_ASSERT_TRUE(mean_stretch(40) > mean_stretch(0));
+}
+
 /* Days of lasting jobs have no violation by themselves, so that those of days
  * with silences are due to the silences. */
 static void
@@ -372,6 +414,8 @@
     {"topic outages", test_outages_of_one_topic},
     {"calm days", test_runnable_jobs_start_on_a_calm_day},
     {"wide days", test_runnable_jobs_start_on_a_wide_day},
+    {"busy days", test_runnable_jobs_start_on_a_busy_day},
+    {"links", test_links_delay_starts},
     {"lasting days", test_days_of_lasting_jobs_violate_no_guarantee},
     {"voters that start again", test_voters_that_start_again},
     {"owner that freezes", test_owner_that_freezes_beside_silent_workers},
