Idle jobs: lines and metrics tell which kind of capacity is kept from a job

What callers saw: LOST on a busy service without faults; the record's job_waits_full line had fits=28 and broke off before booked=, rack= and urgent=, and job_taken broke off before gang= and same_rack=. Cause: lines are cut at 200 characters, and what decides came last; nothing told how much of a gang fits into one rack. Change: job_waits and job_waits_full tell refused= (the kind that applies to most of the capacity: booked, avoided, rack, urgent, one_rack, free; once, no_room), unit=, fits= and best_rack= first, or the worker first if the job has a run; overdue= tells whether the limit on idle time acts. job_resumed and headroom_borrowed tell refused=, and the latter within= (rack, dc, dcs). job_taken tells the shape first. owner_refused_wait_ms{refused=} is the longest wait by kind. What is refused is determined for 16 jobs in a check from 2 s on, and with each line, so that the cost stays bounded. Measured: only the tests; test_owner_logs 'one rack' and 'booked', test_log_analysis 'one rack' are new. No decision changes.

--- a/include/curlewcart/cw_owner.h
+++ b/include/curlewcart/cw_owner.h
@@ -80,6 +80,24 @@
 bool cw_owner_active(const struct cw_owner *owner);
 
 /* Values for metrics. */
+/* What keeps a waiting job from the spare capacity that workers report.  Of
+ * several kinds, the one that applies to most of the capacity. */
+enum cw_owner_refusal {
+    CW_OWNER_REFUSAL_UNKNOWN,  /* not determined yet */
+    CW_OWNER_REFUSAL_NO_ROOM,  /* its unit, a task or a gang, does not fit */
+    CW_OWNER_REFUSAL_ONCE,     /* its unit fits, but not twice */
+    CW_OWNER_REFUSAL_BOOKED,   /* assigned to runs that are not confirmed */
+    CW_OWNER_REFUSAL_AVOIDED,  /* workers that failed, were late or are slow */
+    CW_OWNER_REFUSAL_RACK,     /* racks that are reserved for gangs */
+    CW_OWNER_REFUSAL_URGENT,   /* headroom for urgent work */
+    CW_OWNER_REFUSAL_ONE_RACK, /* it asks for one rack, and none has room */
+    CW_OWNER_REFUSAL_FREE,     /* none: the next placement pass may use it */
+    CW_OWNER_REFUSALS
+};
+
+/* Returns the name for logs and metrics. */
+const char *cw_owner_refusal_name(enum cw_owner_refusal refusal);
+
 struct cw_owner_stats {
     unsigned jobs;
     unsigned targets;
@@ -88,7 +106,9 @@
                          while most of their workers' capacity, or twice the
                          capacity that they need, is free */
     int64_t longest_wait_ms; /* of those jobs */
-    unsigned repeating;      /* tasks that have lost three runs in a row */
+    /* Of all jobs that have waited for 3 s or more, also without capacity. */
+    int64_t longest_by_refusal_ms[CW_OWNER_REFUSALS];
+    unsigned repeating; /* tasks that have lost three runs in a row */
 };
 void cw_owner_stats(const struct cw_owner *owner, struct cw_owner_stats *out);
 
--- a/src/log_analysis/log_analysis.c
+++ b/src/log_analysis/log_analysis.c
@@ -366,6 +366,20 @@
     }
 }
 
+/* Explains what kept the job from capacity that workers reported as free. */
+static void
+explain_room(const struct line *line, GString *out)
+{
+    if (get_field(line, "refused")[0] != '\0') {
+        g_string_append_printf(
+            out,
+            "; room for %s tasks (%s start together, %s in "
+            "the best rack) was refused: %s",
+            get_field(line, "fits"), get_field(line, "unit"),
+            get_field(line, "best_rack"), get_field(line, "refused"));
+    }
+}
+
 /* True if the job's placement could not be stored in time. */
 static bool
 waits_for_store(const struct line *line)
@@ -396,6 +410,7 @@
                                get_field(line, "waits_ms"),
                                get_field(line, "reason"));
         explain_worker(line, out);
+        explain_room(line, out);
     }
     else if (request->inherited != NULL) {
         line = request->inherited;
@@ -413,6 +428,7 @@
             get_field(line, "used"), get_field(line, "silent_workers"),
             get_field(line, "workers"));
         explain_worker(line, out);
+        explain_room(line, out);
     }
     else {
         return false;
--- a/src/owner/internal/owner_idle.h
+++ b/src/owner/internal/owner_idle.h
@@ -8,6 +8,7 @@
 #include <time.h>
 
 #include "curlewcart/cw_idle.h"
+#include "curlewcart/cw_owner.h"
 
 struct cw_owner;
 struct owner_job;
@@ -31,6 +32,7 @@
     struct timespec logged_at; /* when "job_waits" was logged last */
     struct timespec full_logged_at; /* the same of "job_waits_full" */
     enum owner_idle_cause cause;
+    enum cw_owner_refusal refusal; /* when it was determined last */
     /* `clock` began with this owner's takeover. */
     bool since_takeover;
     bool inherited_logged; /* "job_waits_inherited" was logged */
@@ -41,6 +43,7 @@
     struct timespec due; /* the next check */
     unsigned jobs;
     int64_t longest_ms;
+    int64_t longest_by_refusal_ms[CW_OWNER_REFUSALS];
     unsigned repeating; /* tasks that have lost several runs in a row */
 };
 
--- a/src/owner/internal/owner_spare.h
+++ b/src/owner/internal/owner_spare.h
@@ -20,11 +20,11 @@
 
 /* How much of a step would fit into the spare capacity. */
 struct owner_spare_fit {
-    unsigned tasks; /* in all */
+    unsigned tasks; /* in all, in whatever racks */
     unsigned by_blocker[OWNER_BLOCKERS];
-    bool twice; /* a single task, or the whole gang, fits twice, in whatever
-                   racks; if it runs in one rack only, it also fits once
-                   within a rack */
+    unsigned together;  /* tasks that can only start together */
+    unsigned best_rack; /* tasks in the rack in which most fit */
+    enum cw_owner_refusal refusal;
 };
 
 struct owner_spare;
@@ -36,9 +36,10 @@
                    struct timespec now);
 void owner_spare_free(struct owner_spare *spare);
 
-/* Returns only the member `twice` of owner_spare_fit, as this takes less time:
- * with 1,100 workers that all have spare capacity and 4,000 waiting jobs,
- * owner_spare_fit for all of them took 0.19 s. */
+/* True if a single task, or the whole gang, fits twice, in whatever racks; if
+ * it runs in one rack only, it also has to fit once within a rack.  Takes less
+ * time than owner_spare_fit: with 1,100 workers that all have spare capacity
+ * and 4,000 waiting jobs, owner_spare_fit for all of them took 0.19 s. */
 bool owner_spare_fits_twice(const struct owner_spare *spare,
                             const struct owner_step *step);
 
--- a/src/owner/owner.c
+++ b/src/owner/owner.c
@@ -709,6 +709,8 @@
     out->targets = g_hash_table_size(owner->targets);
     out->waiting = owner->idle_stats.jobs;
     out->longest_wait_ms = owner->idle_stats.longest_ms;
+    memcpy(out->longest_by_refusal_ms, owner->idle_stats.longest_by_refusal_ms,
+           sizeof(out->longest_by_refusal_ms));
     out->repeating = owner->idle_stats.repeating;
     g_hash_table_iter_init(&iterator, owner->targets);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
--- a/src/owner/owner_idle.c
+++ b/src/owner/owner_idle.c
@@ -30,6 +30,10 @@
     /* The same for jobs without free capacity: in a full service there may be
      * thousands.  With the interval of checks, at most 16 lines a second. */
     FULL_LOGGED_MAX = 4,
+    /* From this idle time on, before the job is overdue, what keeps it from
+     * spare capacity is determined, for at most so many jobs in one check. */
+    REFUSAL_FROM_MS = 2000,
+    REFUSALS_MAX = 16,
     /* A task that has lost this many runs in a row counts as repeating; two
      * may be a coincidence. */
     REPEATING_FROM = 3
@@ -41,6 +45,7 @@
     struct timespec now;
     unsigned logged; /* jobs logged */
     unsigned inherited_logged;
+    unsigned refusals;   /* jobs for which a refusal was determined */
     const char *service; /* that `load` was computed for */
     struct owner_service_load load;
     GArray *waiting; /* struct owner_waiting */
@@ -58,6 +63,7 @@
 {
     cw_idle_begin(&job->idle.clock, owner_now(owner));
     job->idle.cause = OWNER_IDLE_NONE;
+    job->idle.refusal = CW_OWNER_REFUSAL_UNKNOWN;
     job->idle.since_takeover = false;
 }
 
@@ -81,6 +87,7 @@
         owner_idle_log_resumed(job, now);
     }
     job->idle.since_takeover = false;
+    job->idle.refusal = CW_OWNER_REFUSAL_UNKNOWN;
     cw_idle_begin(&job->idle.clock, now);
 }
 
@@ -307,6 +314,31 @@
     g_ptr_array_unref(inherited);
 }
 
+/* Determines what keeps the job from spare capacity, unless that is known or
+ * too many jobs precede it: for all of thousands of jobs it takes too long. */
+static void
+determine_refusal(struct check *check, const struct owner_waiting *waiting)
+{
+    struct owner_idle *idle = idle_of(waiting);
+
+    if (idle->refusal == CW_OWNER_REFUSAL_UNKNOWN &&
+        waiting->waited_ms > REFUSAL_FROM_MS && check->refusals < REFUSALS_MAX)
+    {
+        idle->refusal = owner_spare_fit(check->spare, waiting->step).refusal;
+        check->refusals++;
+    }
+}
+
+static void
+count_by_refusal(struct owner_idle_stats *stats,
+                 const struct owner_waiting *waiting)
+{
+    int64_t *longest_ms =
+        &stats->longest_by_refusal_ms[idle_of(waiting)->refusal];
+
+    *longest_ms = MAX(*longest_ms, waiting->waited_ms);
+}
+
 static void
 check_job(struct check *check, const struct owner_waiting *waiting)
 {
@@ -318,10 +350,14 @@
 
     check_inherited(check, job);
     cw_idle_check(&job->idle.clock, has_capacity, check->now);
+    if (has_capacity) {
+        determine_refusal(check, waiting);
+    }
     if (!waiting->too_long) {
         return;
     }
     if (!has_capacity) {
+        count_by_refusal(stats, waiting);
         add_full(check, waiting);
         return;
     }
@@ -336,6 +372,7 @@
         owner_idle_log_waits(check->owner, waiting, &fit, check->now);
         check->logged++;
     }
+    count_by_refusal(stats, waiting);
 }
 
 /* Returns the lowest number of accelerators that a task of the waiting steps
--- a/src/owner/owner_idle_log.c
+++ b/src/owner/owner_idle_log.c
@@ -1,7 +1,8 @@
 /* Log lines about idle jobs.
  *
  * Readers often get only the first 200 characters of a line, so the fields
- * that tell what a job waits for come first. */
+ * that tell what a job waits for come first: the worker of its first run, or
+ * what keeps a job without runs from spare capacity. */
 #include "owner/internal/owner_idle_log.h"
 
 #include "owner/internal/owner_crashes.h"
@@ -26,6 +27,24 @@
     return names[cause];
 }
 
+const char *
+cw_owner_refusal_name(enum cw_owner_refusal refusal)
+{
+    static const char *const names[] = {
+        [CW_OWNER_REFUSAL_UNKNOWN] = "unknown",
+        [CW_OWNER_REFUSAL_NO_ROOM] = "no_room",
+        [CW_OWNER_REFUSAL_ONCE] = "once",
+        [CW_OWNER_REFUSAL_BOOKED] = "booked",
+        [CW_OWNER_REFUSAL_AVOIDED] = "avoided",
+        [CW_OWNER_REFUSAL_RACK] = "rack",
+        [CW_OWNER_REFUSAL_URGENT] = "urgent",
+        [CW_OWNER_REFUSAL_ONE_RACK] = "one_rack",
+        [CW_OWNER_REFUSAL_FREE] = "free",
+    };
+
+    return names[refusal];
+}
+
 /* Returns the log fields for how long the job may have been idle before this
  * owner's takeover: since it was accepted, unless it has begun.  Owned by the
  * caller. */
@@ -89,8 +108,40 @@
     return text;
 }
 
-/* Returns the log fields for what blocks the step from using spare capacity,
- * and for its tasks.  Owned by the caller. */
+/* Returns the log fields for what keeps the step from spare capacity.  Owned
+ * by the caller. */
+static char *
+describe_room(const struct owner_step *step, const struct owner_spare_fit *fit)
+{
+    const char *kind = "";
+
+    if (step->spec->gang) {
+        kind = step->spec->same_rack == CW_SAME_RACK_ANY        ? ",gang"
+               : step->spec->same_rack == CW_SAME_RACK_REQUIRED ? ",rack_only"
+                                                                : ",rack";
+    }
+    return g_strdup_printf("refused=%s unit=%u%s fits=%u best_rack=%u",
+                           cw_owner_refusal_name(fit->refusal), fit->together,
+                           kind, fit->tasks, fit->best_rack);
+}
+
+/* Returns both, in the order in which they matter.  Owned by the caller. */
+static char *
+describe_cause(const struct owner_step *step, const struct owner_run *run,
+               const struct owner_spare_fit *fit, struct timespec now)
+{
+    char *worker = describe_worker(run != NULL ? run->target : NULL, now);
+    char *room = describe_room(step, fit);
+    char *text = run != NULL ? g_strdup_printf("%s %s", worker, room)
+                             : g_strdup_printf("%s %s", room, worker);
+
+    g_free(room);
+    g_free(worker);
+    return text;
+}
+
+/* Returns the log fields for the blockers of spare capacity, and for the
+ * step's tasks.  Owned by the caller. */
 static char *
 describe_step(const struct owner_waiting *waiting,
               const struct owner_spare_fit *fit)
@@ -115,25 +166,28 @@
     const struct owner_step *step = waiting->step;
     struct owner_job *job = step->occurrence->job;
     const struct owner_run *run = first_run(step);
-    char *worker = describe_worker(run != NULL ? run->target : NULL, now);
+    char *cause = describe_cause(step, run, fit, now);
     char *about_step = describe_step(waiting, fit);
     char *age = describe_age(owner, job, now);
 
     job->idle.logged_at = now;
+    job->idle.refusal = fit->refusal;
     cw_log_warning(
         "job_waits",
         "id=%s waits_ms=%" PRId64 " room_ms=%" PRId64
-        " reason=%s store_ms=%" PRId64 " after=%s %s fits=%u %s"
+        " reason=%s %s overdue=%d store_ms=%" PRId64 " after=%s %s"
         " stopping=%d unanswered=%u %s orders=%u most=%u",
         job->spec->id, waiting->waited_ms,
         cw_idle_free_ms(&job->idle.clock, now),
-        reason_of(owner, step, run, now), owner_append_unstored_ms(owner, now),
-        cause_name(job->idle.cause), worker, fit->tasks, about_step,
-        run != NULL && run->stopping, run != NULL ? run->unanswered : 0, age,
+        reason_of(owner, step, run, now), cause,
+        cw_idle_is_overdue(&job->idle.clock, now),
+        owner_append_unstored_ms(owner, now), cause_name(job->idle.cause),
+        about_step, run != NULL && run->stopping,
+        run != NULL ? run->unanswered : 0, age,
         owner->order_window.outstanding, owner->order_window.max_outstanding);
     g_free(age);
     g_free(about_step);
-    g_free(worker);
+    g_free(cause);
 }
 
 static int64_t
@@ -152,19 +206,20 @@
     const struct owner_step *step = waiting->step;
     struct owner_job *job = step->occurrence->job;
     const struct owner_run *run = first_run(step);
-    char *worker = describe_worker(run != NULL ? run->target : NULL, now);
+    char *cause = describe_cause(step, run, fit, now);
     char *about_step = describe_step(waiting, fit);
     char *age = describe_age(owner, job, now);
 
     job->idle.full_logged_at = now;
+    job->idle.refusal = fit->refusal;
     cw_log_info(
         "job_waits_full",
-        "id=%s waits_ms=%" PRId64 " reason=%s %s fits=%u used=%" PRId64
-        ",%" PRId64 ",%" PRId64
+        "id=%s waits_ms=%" PRId64 " reason=%s %s used=%" PRId64 ",%" PRId64
+        ",%" PRId64
         " silent_workers=%u draining_workers=%u workers=%u store_ms=%" PRId64
         " %s after=%s %s jobs=%u orders=%u most=%u",
         job->spec->id, waiting->waited_ms, reason_of(owner, step, run, now),
-        worker, fit->tasks,
+        cause,
         percent_of(load->used.accelerators, load->capacity.accelerators),
         percent_of(load->used.cpu_milli, load->capacity.cpu_milli),
         percent_of(load->used.memory_mb, load->capacity.memory_mb),
@@ -174,7 +229,7 @@
         owner->order_window.outstanding, owner->order_window.max_outstanding);
     g_free(age);
     g_free(about_step);
-    g_free(worker);
+    g_free(cause);
 }
 
 /* Returns the run whose worker's lease ends first: the job's first task that
@@ -218,9 +273,10 @@
 {
     cw_log_info("job_resumed",
                 "id=%s idle_ms=%" PRId64 " room_ms=%" PRId64
-                " after=%s runs=%u since_takeover=%d",
+                " refused=%s after=%s runs=%u since_takeover=%d",
                 job->spec->id, cw_time_diff_ms(job->idle.clock.since, now),
                 cw_idle_free_ms(&job->idle.clock, now),
+                cw_owner_refusal_name(job->idle.refusal),
                 cause_name(job->idle.cause), job->runs,
                 job->idle.since_takeover);
 }
--- a/src/owner/owner_jobs.c
+++ b/src/owner/owner_jobs.c
@@ -146,17 +146,17 @@
     const struct cw_replica_job *entry = job->entry;
     const struct cw_step_spec *first = &job->spec->steps.steps_val[0];
 
-    cw_log_info("job_taken",
-                "id=%s queue=%s account=%s priority=%u steps=%u tasks=%u "
-                "accelerators=%u cpu=%u memory=%u gang=%d same_rack=%u "
-                "checkpoints=%d estimate_ms=%u offset=%" PRIu64
-                " record=%" PRIu64 " cancelled=%d age_ms=%" PRId64,
-                entry->id, job->spec->queue, job->spec->account,
-                job->spec->priority, job->spec->steps.steps_len, first->tasks,
-                first->accelerators, first->cpu_milli, first->memory_mb,
-                first->gang, first->same_rack, first->checkpoints,
-                first->estimate_ms, entry->spec_offset, entry->record_offset,
-                entry->cancelled, age_ms);
+    cw_log_info(
+        "job_taken",
+        "id=%s age_ms=%" PRId64
+        " priority=%u gang=%d same_rack=%u tasks=%u accelerators=%u "
+        "cpu=%u memory=%u steps=%u cancelled=%d queue=%s account=%s "
+        "checkpoints=%d estimate_ms=%u offset=%" PRIu64 " record=%" PRIu64,
+        entry->id, age_ms, job->spec->priority, first->gang, first->same_rack,
+        first->tasks, first->accelerators, first->cpu_milli, first->memory_mb,
+        job->spec->steps.steps_len, entry->cancelled, job->spec->queue,
+        job->spec->account, first->checkpoints, first->estimate_ms,
+        entry->spec_offset, entry->record_offset);
 }
 
 /* True if runs of an ended job may still be on workers. */
--- a/src/owner/owner_spare.c
+++ b/src/owner/owner_spare.c
@@ -169,11 +169,51 @@
     return rack_fits && tasks >= FIT_TIMES * tasks_together(step);
 }
 
+/* Returns the blocker that applies to most of the capacity. */
+static enum owner_blocker
+main_blocker(const struct owner_spare_fit *fit)
+{
+    enum owner_blocker main = OWNER_BLOCKER_UNCONFIRMED;
+
+    for (enum owner_blocker i = main; i < OWNER_BLOCKERS; i++) {
+        if (fit->by_blocker[i] > fit->by_blocker[main]) {
+            main = i;
+        }
+    }
+    return main;
+}
+
+static enum cw_owner_refusal
+refusal_of(const struct owner_spare_fit *fit, const struct owner_step *step)
+{
+    static const enum cw_owner_refusal by_blocker[] = {
+        [OWNER_BLOCKER_UNCONFIRMED] = CW_OWNER_REFUSAL_BOOKED,
+        [OWNER_BLOCKER_AVOIDED] = CW_OWNER_REFUSAL_AVOIDED,
+        [OWNER_BLOCKER_RACK] = CW_OWNER_REFUSAL_RACK,
+        [OWNER_BLOCKER_HEADROOM] = CW_OWNER_REFUSAL_URGENT,
+    };
+
+    if (fit->tasks < fit->together) {
+        return CW_OWNER_REFUSAL_NO_ROOM;
+    }
+    if (fit->tasks < FIT_TIMES * fit->together) {
+        return CW_OWNER_REFUSAL_ONCE;
+    }
+    if (fit->by_blocker[OWNER_BLOCKER_NONE] < fit->together) {
+        return by_blocker[main_blocker(fit)];
+    }
+    return step->spec->gang && step->spec->same_rack != CW_SAME_RACK_ANY &&
+                   fit->best_rack < fit->together
+               ? CW_OWNER_REFUSAL_ONE_RACK
+               : CW_OWNER_REFUSAL_FREE;
+}
+
 struct owner_spare_fit
 owner_spare_fit(const struct owner_spare *spare, const struct owner_step *step)
 {
-    struct owner_spare_fit fit = {.twice =
-                                      owner_spare_fits_twice(spare, step)};
+    struct owner_spare_fit fit = {.together = tasks_together(step)};
+    unsigned *by_rack =
+        g_new0(unsigned, spare->owner->rack_lower_priority_workers->len);
     unsigned workers_left = owner_headroom_workers_left(
         spare->owner, step, step->occurrence->job->spec->service, spare->now);
 
@@ -186,7 +226,12 @@
             fit.tasks += fits;
             fit.by_blocker[blocker_of(spare, step, row->target,
                                       &workers_left)] += fits;
+            by_rack[row->target->rack_number] += fits;
+            fit.best_rack =
+                MAX(fit.best_rack, by_rack[row->target->rack_number]);
         }
     }
+    g_free(by_rack);
+    fit.refusal = refusal_of(&fit, step);
     return fit;
 }
--- a/src/owner/owner_starvation.c
+++ b/src/owner/owner_starvation.c
@@ -84,28 +84,36 @@
 
 /* Chooses workers for the gang: in one rack if it fits there, otherwise, for a
  * starved job, in as few data centres as possible, even if its work takes
- * longer across racks. */
+ * longer across racks.  `scope` is set to the place's. */
 static GArray *
 choose_gang(struct cw_owner *owner, struct owner_step *step,
-            const GArray *candidates, struct timespec now)
+            const GArray *candidates, struct timespec now,
+            enum cw_gang_scope *scope)
 {
     const char *rack = owner_best_rack(owner, candidates, step, step->count);
     struct cw_gang_choice choice;
+    GArray *choices;
 
     if (rack != NULL) {
+        *scope = CW_GANG_IN_RACK;
         return owner_choose_targets(candidates, rack, step->count);
     }
-    return job_is_starved(step->occurrence->job, now) &&
-                   step->spec->same_rack != CW_SAME_RACK_REQUIRED
-               ? owner_spread_gang(owner, candidates, step, &choice)
-               : NULL;
+    if (!job_is_starved(step->occurrence->job, now) ||
+        step->spec->same_rack == CW_SAME_RACK_REQUIRED)
+    {
+        return NULL;
+    }
+    choices = owner_spread_gang(owner, candidates, step, &choice);
+    *scope = choice.scope;
+    return choices;
 }
 
 /* Chooses workers for the gang, for one task, or for the starved endless
  * tasks.  NULL if there is not enough free capacity. */
 static GArray *
 choose_workers(struct cw_owner *owner, struct owner_step *step,
-               const GArray *candidates, struct timespec now)
+               const GArray *candidates, struct timespec now,
+               enum cw_gang_scope *scope)
 {
     unsigned tasks_together = step->spec->gang ? step->count : 1;
     unsigned fits = owner_total_fit_count(candidates);
@@ -114,31 +122,47 @@
         return NULL;
     }
     if (step->spec->gang) {
-        return choose_gang(owner, step, candidates, now);
+        return choose_gang(owner, step, candidates, now, scope);
     }
     return owner_choose_targets(
         candidates, NULL,
         CLAMP(starved_endless_tasks(step, now), 1, MAX(1, fits - 1)));
 }
 
+/* `scope`: CW_GANG_NOWHERE if the step is not a gang. */
+static void
+log_placed(const struct owner_step *step, unsigned fits,
+           enum cw_gang_scope scope, struct timespec now)
+{
+    const struct owner_job *job = step->occurrence->job;
+
+    cw_log_info("headroom_borrowed",
+                "id=%s waits_ms=%" PRId64 " room_ms=%" PRId64
+                " within=%s unit=%u fits=%u refused=%s step=%u.%u runs=%u",
+                job->spec->id, cw_time_diff_ms(job->idle.clock.since, now),
+                cw_idle_free_ms(&job->idle.clock, now),
+                scope == CW_GANG_NOWHERE ? "worker"
+                                         : cw_gang_scope_name(scope),
+                step->spec->gang ? step->count : 1, fits,
+                cw_owner_refusal_name(job->idle.refusal),
+                step->occurrence->number, step->number, step->runs);
+}
+
 static bool
 place_step_on(struct cw_owner *owner, struct owner_step *step,
               const GPtrArray *targets, struct timespec now)
 {
     const struct owner_job *job = step->occurrence->job;
     GArray *candidates = owner_candidates_with_reserved(targets, step, now);
+    enum cw_gang_scope scope = CW_GANG_NOWHERE;
     GArray *choices;
 
     owner->borrowing_headroom =
         job->spec->priority > 0 &&
         owner_headroom_workers_left(owner, step, job->service, now) == 0;
-    choices = choose_workers(owner, step, candidates, now);
+    choices = choose_workers(owner, step, candidates, now, &scope);
     if (choices != NULL) {
-        cw_log_info("headroom_borrowed",
-                    "id=%s step=%u.%u waits_ms=%" PRId64 " fits=%u runs=%u",
-                    job->spec->id, step->occurrence->number, step->number,
-                    cw_time_diff_ms(job->idle.clock.since, now),
-                    owner_total_fit_count(candidates), step->runs);
+        log_placed(step, owner_total_fit_count(candidates), scope, now);
         owner_assign(owner, step, choices, RUN_NEW);
         g_array_unref(choices);
     }
--- a/src/vm/vm_listen.c
+++ b/src/vm/vm_listen.c
@@ -40,6 +40,17 @@
     cw_http_answer(call, ready ? 200 : 503, "text/plain", "", 0, false);
 }
 
+static void
+print_refusals(const struct cw_owner_stats *stats, GString *out)
+{
+    for (unsigned i = 0; i < CW_OWNER_REFUSALS; i++) {
+        g_string_append_printf(
+            out,
+            "curlewcart_owner_refused_wait_ms{refused=\"%s\"} %" PRId64 "\n",
+            cw_owner_refusal_name(i), stats->longest_by_refusal_ms[i]);
+    }
+}
+
 static void
 handle_metrics(void *context, struct cw_http_call *call)
 {
@@ -74,6 +85,7 @@
                            stats.waiting, stats.longest_wait_ms,
                            stats.repeating, cordons, contracts, waiting,
                            cw_log_buffered_bytes());
+    print_refusals(&stats, out);
     cw_http_answer(call, 200, "text/plain; version=0.0.4", out->str, out->len,
                    false);
     g_string_free(out, TRUE);
--- a/tests/test_log_analysis.c
+++ b/tests/test_log_analysis.c
@@ -215,6 +215,21 @@
                        "an answer, lease by own)\n");
 }
 
+static void
+test_wait_for_one_rack(void)
+{
+    static const char *const lines[] = {
+        STORED_AND_TAKEN,
+        AT("4.000") "event=job_waits id=a1 waits_ms=3100 room_ms=3000 "
+                    "reason=no_place refused=one_rack unit=22,rack fits=96 "
+                    "best_rack=12 worker= overdue=1",
+        NULL};
+
+    check_cause(lines,
+                "(no_place); room for 96 tasks (22,rack start together, "
+                "12 in the best rack) was refused: one_rack\n");
+}
+
 static void
 test_wait_for_runs_of_an_earlier_owner(void)
 {
@@ -258,6 +273,7 @@
     {"never placed", test_job_that_was_never_placed_was_not_started_at_once},
     {"no free capacity", test_wait_without_free_capacity},
     {"free capacity", test_wait_with_free_capacity},
+    {"one rack", test_wait_for_one_rack},
     {"earlier owner's runs", test_wait_for_runs_of_an_earlier_owner},
     {"store", test_wait_for_the_store},
 };
--- a/tests/test_owner_logs.c
+++ b/tests/test_owner_logs.c
@@ -18,7 +18,9 @@
     /* Limit on lines about jobs without free capacity. */
     FULL_LINES_PER_S = 16,
     SOME_JOBS = 40, /* fewer than are logged in 3 s */
-    MANY_JOBS = 200
+    MANY_JOBS = 200,
+    LINE_READ = 200,
+    LINE_HEAD = 85
 };
 
 static const struct cw_step_spec one = {.tasks = 1, .accelerators = 8};
@@ -289,6 +291,95 @@
     cluster_end(&cluster);
 }
 
+/* ---- what keeps jobs from spare capacity ---- */
+
+/* Begins a cluster in which two of the four workers in each rack are free, and
+ * a gang of three that asks for one rack waits. */
+static struct owner_job *
+begin_without_free_rack(struct cluster *cluster, struct owner_job **running)
+{
+    static const struct cw_step_spec six = {.tasks = 6,
+                                            .accelerators = ACCELERATORS};
+    static const struct cw_step_spec three = {.tasks = 3,
+                                              .accelerators = ACCELERATORS,
+                                              .gang = true,
+                                              .same_rack =
+                                                  CW_SAME_RACK_FASTER};
+    char name[8];
+
+    cluster_begin(cluster);
+    set_guarantee(cluster, 0);
+    *running = add_job(cluster, 1, &six);
+    for (unsigned i = 0; i < six.tasks; i++) {
+        g_snprintf(name, sizeof(name), "w%02u", i / 2 * PER_RACK + i % 2);
+        owner_run_create(cluster->owner, &step_of(*running)->tasks[i],
+                         owner_target_get(cluster->owner, name), RUN_RUNNING,
+                         1);
+    }
+    return add_job(cluster, 0, &three);
+}
+
+/* Guards against waits whose cause is cut off: readers get 200 characters of a
+ * line, 85 of them for its time, level, VM, event and the longest numbers. */
+static void
+check_first_fields(const char *lines, const char *event, const char *fields)
+{
+    char *line = last_line(lines, event);
+    char *found = strstr(line, fields);
+
+    CU_ASSERT_PTR_NOT_NULL_FATAL(found);
+    CU_ASSERT_TRUE(found + strlen(fields) - strstr(line, " id=") <=
+                   LINE_READ - LINE_HEAD);
+    g_free(line);
+}
+
+static void
+test_a_wait_for_one_rack_is_told_first(void)
+{
+    struct cluster cluster;
+    struct owner_job *running;
+    struct owner_job *job = begin_without_free_rack(&cluster, &running);
+    char *lines = check_for(&cluster, running, 3500);
+    struct cw_owner_stats stats;
+
+    check_first_fields(lines, "job_waits",
+                       "refused=one_rack unit=3,rack fits=6 best_rack=2");
+    cw_owner_stats(cluster.owner, &stats);
+    CU_ASSERT_EQUAL(stats.longest_by_refusal_ms[CW_OWNER_REFUSAL_ONE_RACK],
+                    stats.longest_wait_ms);
+    CU_ASSERT_EQUAL(job->idle.refusal, CW_OWNER_REFUSAL_ONE_RACK);
+    g_free(lines);
+    cluster_end(&cluster);
+}
+
+/* Runs that are placed and not confirmed use all but one of the free workers.
+ */
+static void
+test_a_wait_beside_booked_capacity_is_told_first(void)
+{
+    static const struct cw_step_spec five = {.tasks = 5,
+                                             .accelerators = ACCELERATORS};
+    struct cluster cluster;
+    struct owner_job *running;
+    struct owner_job *booked;
+    char *lines;
+
+    begin_without_free_rack(&cluster, &running);
+    booked = add_job(&cluster, 0, &five);
+    for (unsigned i = 0; i < five.tasks; i++) {
+        char *name = g_strdup_printf("w%02u", i / 2 * PER_RACK + 2 + i % 2);
+
+        owner_run_create(cluster.owner, &step_of(booked)->tasks[i],
+                         owner_target_get(cluster.owner, name), RUN_NEW, 1);
+        g_free(name);
+    }
+    lines = check_for(&cluster, running, 3500);
+    CU_ASSERT_PTR_NOT_NULL(
+        strstr(lines, "refused=booked unit=3,rack fits=6 best_rack=2"));
+    g_free(lines);
+    cluster_end(&cluster);
+}
+
 /* ---- take-overs ---- */
 
 /* Lets a new owner take over a job with runs on one worker, and returns the
@@ -526,6 +617,8 @@
     {"many jobs", test_lines_of_many_jobs_are_limited},
     {"jobs with runs", test_jobs_with_runs_are_logged_first},
     {"several jobs", test_each_of_several_jobs_is_logged},
+    {"one rack", test_a_wait_for_one_rack_is_told_first},
+    {"booked", test_a_wait_beside_booked_capacity_is_told_first},
     {"inherited", test_inherited_runs_on_silent_workers_are_logged},
     {"inherited and listed",
      test_inherited_runs_that_are_listed_are_not_logged},
