--- a/src/owner/internal/owner_spare.h
+++ b/src/owner/internal/owner_spare.h
@@ -36,11 +36,10 @@
                    struct timespec now);
 void owner_spare_free(struct owner_spare *spare);
 
-/* True if a single task, or the whole gang, fits twice, in whatever racks; a
- * gang that requires a rack also has to fit once within one.
- * Takes less time than owner_spare_fit: with 1,100 workers that all have spare
- * capacity and 4,000 waiting jobs, owner_spare_fit for all of them took 0.19
- * s. */
+/* True if a single task, or the whole gang, fits twice, in whatever racks; if
+ * it runs in one rack only, it also has to fit once within a rack.  Takes less
+ * time than owner_spare_fit: with 1,100 workers that all have spare capacity
+ * and 4,000 waiting jobs, owner_spare_fit for all of them took 0.19 s. */
 bool owner_spare_fits_twice(const struct owner_spare *spare,
                             const struct owner_step *step);
 
--- a/src/owner/owner_idle_log.c
+++ b/src/owner/owner_idle_log.c
@@ -113,12 +113,16 @@
 static char *
 describe_room(const struct owner_step *step, const struct owner_spare_fit *fit)
 {
+    const char *kind = "";
+
+    if (step->spec->gang) {
+        kind = step->spec->same_rack == CW_SAME_RACK_ANY        ? ",gang"
+               : step->spec->same_rack == CW_SAME_RACK_REQUIRED ? ",rack_only"
+                                                                : ",rack";
+    }
     return g_strdup_printf("refused=%s unit=%u%s fits=%u best_rack=%u",
                            cw_owner_refusal_name(fit->refusal), fit->together,
-                           !step->spec->gang       ? ""
-                           : step->spec->same_rack ? ",rack"
-                                                   : ",gang",
-                           fit->tasks, fit->best_rack);
+                           kind, fit->tasks, fit->best_rack);
 }
 
 /* Returns both, in the order in which they matter.  Owned by the caller. */
--- a/src/owner/owner_spare.c
+++ b/src/owner/owner_spare.c
@@ -202,7 +202,7 @@
     if (fit->by_blocker[OWNER_BLOCKER_NONE] < fit->together) {
         return by_blocker[main_blocker(fit)];
     }
-    return step->spec->gang && step->spec->same_rack &&
+    return step->spec->gang && step->spec->same_rack != CW_SAME_RACK_ANY &&
                    fit->best_rack < fit->together
                ? CW_OWNER_REFUSAL_ONE_RACK
                : CW_OWNER_REFUSAL_FREE;
@@ -213,7 +213,7 @@
 {
     struct owner_spare_fit fit = {.together = tasks_together(step)};
     unsigned *by_rack =
-        g_new0(unsigned, spare->owner->rack_lower_priority_workers->len + 1);
+        g_new0(unsigned, spare->owner->rack_lower_priority_workers->len);
     unsigned workers_left = owner_headroom_workers_left(
         spare->owner, step, step->occurrence->job->spec->service, spare->now);
 
--- a/tests/test_owner_logs.c
+++ b/tests/test_owner_logs.c
@@ -303,7 +303,8 @@
     static const struct cw_step_spec three = {.tasks = 3,
                                               .accelerators = ACCELERATORS,
                                               .gang = true,
-                                              .same_rack = true};
+                                              .same_rack =
+                                                  CW_SAME_RACK_FASTER};
     char name[8];
 
     cluster_begin(cluster);
