Idle jobs: any step whose turn has come counts, not only the first

Cause: a job's clock of free capacity looked at its first unblocked step only. A job whose first step is a gang that does not fit, and of which another step could run at the same time, was never overdue, and neither the warning nor the metric saw it. Change: capacity counts if any unblocked step of any open occurrence fits twice; the log lines name that step.

--- a/src/owner/owner_idle.c
+++ b/src/owner/owner_idle.c
@@ -140,17 +140,24 @@
 
 /* ---- jobs ---- */
 
-/* Returns the first unblocked step, or NULL. */
+/* Returns the first unblocked step after `previous`, in any open occurrence,
+ * or NULL.  Starts with the first one if `previous` is NULL. */
 static struct owner_step *
-first_unblocked_step(const struct owner_job *job)
+next_unblocked_step(const struct owner_job *job,
+                    const struct owner_step *previous)
 {
+    bool passed = previous == NULL;
+
     for (guint i = 0; i < job->open->len; i++) {
         struct owner_occurrence *occurrence = job->open->pdata[i];
 
         for (unsigned k = 0; k < occurrence->count; k++) {
-            if (owner_step_is_unblocked(&occurrence->steps[k])) {
-                return &occurrence->steps[k];
+            struct owner_step *step = &occurrence->steps[k];
+
+            if (passed && owner_step_is_unblocked(step)) {
+                return step;
             }
+            passed = passed || step == previous;
         }
     }
     return NULL;
@@ -201,7 +208,7 @@
 add_if_waiting(struct check *check, struct owner_job *job)
 {
     struct owner_waiting waiting = {
-        .step = first_unblocked_step(job),
+        .step = next_unblocked_step(job, NULL),
         .waited_ms = cw_time_diff_ms(job->idle.clock.since, check->now)};
     int64_t tolerated_ms = IDLE_MAX_MS;
 
@@ -307,15 +314,30 @@
     g_ptr_array_unref(inherited);
 }
 
+/* Returns the first unblocked step that fits twice, or NULL: any step whose
+ * turn has come could run, not only the first one. */
+static struct owner_step *
+step_that_fits(const struct check *check, const struct owner_job *job)
+{
+    struct owner_step *step = next_unblocked_step(job, NULL);
+
+    while (step != NULL && !owner_spare_fits_twice(check->spare, step)) {
+        step = next_unblocked_step(job, step);
+    }
+    return step;
+}
+
 static void
-check_job(struct check *check, const struct owner_waiting *waiting)
+check_job(struct check *check, struct owner_waiting *waiting)
 {
     struct owner_idle_stats *stats = &check->owner->idle_stats;
     struct owner_job *job = waiting->step->occurrence->job;
+    struct owner_step *fitting = step_that_fits(check, job);
+    bool has_capacity = fitting != NULL || is_mostly_free(check, job->service);
 
-    bool has_capacity = owner_spare_fits_twice(check->spare, waiting->step) ||
-                        is_mostly_free(check, job->service);
-
+    if (fitting != NULL) {
+        waiting->step = fitting;
+    }
     check_inherited(check, job);
     cw_idle_check(&job->idle.clock, has_capacity, check->now);
     if (!waiting->too_long) {
@@ -346,10 +368,13 @@
     uint32_t min = UINT32_MAX;
 
     for (guint i = 0; i < waiting->len; i++) {
-        const struct owner_waiting *row =
-            &g_array_index(waiting, struct owner_waiting, i);
+        struct owner_step *step =
+            g_array_index(waiting, struct owner_waiting, i).step;
 
-        min = MIN(min, row->step->spec->accelerators);
+        for (; step != NULL;
+             step = next_unblocked_step(step->occurrence->job, step)) {
+            min = MIN(min, step->spec->accelerators);
+        }
     }
     return min;
 }
--- a/tests/owner_cluster.h
+++ b/tests/owner_cluster.h
@@ -175,14 +175,17 @@
     owner_placement_pass(cluster->owner, cluster->clock.now);
 }
 
-/* Submits a job of one step for an account; the step is copied. */
+enum { CLUSTER_STEPS_MAX = 4 };
+
+/* Submits a job for an account; the steps are copied. */
 static inline struct owner_job *
-add_job_for_account(struct cluster *cluster, const char *account,
-                    unsigned priority, const struct cw_step_spec *step_spec)
+add_job_of_steps(struct cluster *cluster, const char *account,
+                 unsigned priority, const struct cw_step_spec *step_specs,
+                 unsigned count)
 {
     char id[32];
     char key[40];
-    struct cw_step_spec step = *step_spec;
+    struct cw_step_spec steps[CLUSTER_STEPS_MAX];
     struct cw_work_spec spec = {.queue = (char *)"q",
                                 .account = (char *)account,
                                 .service = (char *)"s",
@@ -197,14 +200,20 @@
     g_snprintf(id, sizeof(id), "%016x", ++cluster->jobs);
     g_snprintf(key, sizeof(key), "s%s", id);
     spec.id = id;
-    step.cpu_milli = 1000;
-    step.memory_mb = 100;
-    step.estimate_ms = 1000;
-    step.label = step.label != NULL ? step.label : (char *)"";
-    step.data_rack = step.data_rack != NULL ? step.data_rack : (char *)"";
-    step.image = (char *)"";
-    spec.steps.steps_len = 1;
-    spec.steps.steps_val = &step;
+    for (unsigned i = 0; i < count; i++) {
+        struct cw_step_spec *step = &steps[i];
+
+        *step = step_specs[i];
+        step->cpu_milli = 1000;
+        step->memory_mb = 100;
+        step->estimate_ms = 1000;
+        step->label = step->label != NULL ? step->label : (char *)"";
+        step->data_rack =
+            step->data_rack != NULL ? step->data_rack : (char *)"";
+        step->image = (char *)"";
+    }
+    spec.steps.steps_len = count;
+    spec.steps.steps_val = steps;
     bytes = cw_xdr_encode((xdrproc_t)xdr_cw_work_spec, &spec);
     record.value = bytes->data;
     record.length = bytes->len;
@@ -214,6 +223,13 @@
     return g_hash_table_lookup(cluster->owner->jobs, id);
 }
 
+static inline struct owner_job *
+add_job_for_account(struct cluster *cluster, const char *account,
+                    unsigned priority, const struct cw_step_spec *step)
+{
+    return add_job_of_steps(cluster, account, priority, step, 1);
+}
+
 static inline struct owner_job *
 add_job(struct cluster *cluster, unsigned priority,
         const struct cw_step_spec *step_spec)
--- a/tests/test_starvation.c
+++ b/tests/test_starvation.c
@@ -444,7 +444,26 @@
     cluster_end(&cluster);
 }
 
+/* Guards against a job that stands idle because the first of its steps does
+ * not fit, although another one that could run at the same time does. */
+static void
+test_each_step_that_could_run_counts(void)
+{
+    static const struct cw_step_spec steps[] = {
+        {.tasks = 9, .accelerators = ACCELERATORS, .gang = true},
+        {.tasks = 1, .accelerators = 1}};
+    struct cluster cluster;
+    struct owner_job *job;
+
+    cluster_begin_all_reserved(&cluster);
+    job = add_job_of_steps(&cluster, "a", 2, steps, G_N_ELEMENTS(steps));
+    run_passes(&cluster, PLACED_WITHIN_MS);
+    CU_ASSERT_EQUAL(job->runs, 1);
+    cluster_end(&cluster);
+}
+
 static const struct test tests[] = {
+    {"each step", test_each_step_that_could_run_counts},
     {"unconfirmed run", test_an_unconfirmed_run_does_not_hide_idle_tasks},
     {"counted again", test_borrowed_headroom_is_counted_again},
     {"one task", test_a_confirmed_job_borrows_for_one_task_only},
