--- a/src/owner/owner_idle.c
+++ b/src/owner/owner_idle.c
@@ -147,22 +147,40 @@
 
 /* ---- jobs ---- */
 
-/* Returns the first unblocked step, or NULL. */
+/* Position among the steps of a job's open occurrences. */
+struct step_cursor {
+    guint occurrence;
+    unsigned step;
+};
+
+/* Returns the next unblocked step, from the cursor on, or NULL. */
 static struct owner_step *
-first_unblocked_step(const struct owner_job *job)
+next_unblocked_step(const struct owner_job *job, struct step_cursor *cursor)
 {
-    for (guint i = 0; i < job->open->len; i++) {
-        struct owner_occurrence *occurrence = job->open->pdata[i];
+    for (; cursor->occurrence < job->open->len; cursor->occurrence++) {
+        struct owner_occurrence *occurrence =
+            job->open->pdata[cursor->occurrence];
 
-        for (unsigned k = 0; k < occurrence->count; k++) {
-            if (owner_step_is_unblocked(&occurrence->steps[k])) {
-                return &occurrence->steps[k];
+        while (cursor->step < occurrence->count) {
+            struct owner_step *step = &occurrence->steps[cursor->step++];
+
+            if (owner_step_is_unblocked(step)) {
+                return step;
             }
         }
+        cursor->step = 0;
     }
     return NULL;
 }
 
+static struct owner_step *
+first_unblocked_step(const struct owner_job *job)
+{
+    struct step_cursor cursor = {0};
+
+    return next_unblocked_step(job, &cursor);
+}
+
 static void
 count_repeating(struct owner_idle_stats *stats, const struct owner_job *job)
 {
@@ -339,15 +357,31 @@
     *longest_ms = MAX(*longest_ms, waiting->waited_ms);
 }
 
+/* Returns the first unblocked step that fits twice, or NULL: any step whose
+ * turn has come could run, not only the first one. */
+static struct owner_step *
+step_that_fits(const struct check *check, const struct owner_job *job)
+{
+    struct step_cursor cursor = {0};
+    struct owner_step *step = next_unblocked_step(job, &cursor);
+
+    while (step != NULL && !owner_spare_fits_twice(check->spare, step)) {
+        step = next_unblocked_step(job, &cursor);
+    }
+    return step;
+}
+
 static void
-check_job(struct check *check, const struct owner_waiting *waiting)
+check_job(struct check *check, struct owner_waiting *waiting)
 {
     struct owner_idle_stats *stats = &check->owner->idle_stats;
     struct owner_job *job = waiting->step->occurrence->job;
+    struct owner_step *fitting = step_that_fits(check, job);
+    bool has_capacity = fitting != NULL || is_mostly_free(check, job->service);
 
-    bool has_capacity = owner_spare_fits_twice(check->spare, waiting->step) ||
-                        is_mostly_free(check, job->service);
-
+    if (fitting != NULL) {
+        waiting->step = fitting;
+    }
     check_inherited(check, job);
     cw_idle_check(&job->idle.clock, has_capacity, check->now);
     if (has_capacity) {
@@ -375,18 +409,23 @@
     count_by_refusal(stats, waiting);
 }
 
-/* Returns the lowest number of accelerators that a task of the waiting steps
- * requires. */
+/* Returns the lowest number of accelerators that a task of a waiting job's
+ * unblocked steps requires. */
 static uint32_t
 min_accelerators(const GArray *waiting)
 {
     uint32_t min = UINT32_MAX;
 
     for (guint i = 0; i < waiting->len; i++) {
-        const struct owner_waiting *row =
-            &g_array_index(waiting, struct owner_waiting, i);
-
-        min = MIN(min, row->step->spec->accelerators);
+        const struct owner_job *job =
+            g_array_index(waiting, struct owner_waiting, i)
+                .step->occurrence->job;
+        struct step_cursor cursor = {0};
+        struct owner_step *step;
+
+        while ((step = next_unblocked_step(job, &cursor)) != NULL) {
+            min = MIN(min, step->spec->accelerators);
+        }
     }
     return min;
 }
