Emulator: the check of waits counts what it left out

Kept, as no owner can use it: workers that are down, cut off, draining, not listed or in a cordoned data centre, and places that residency, labels and limits forbid. The emulator has no endless tasks, so their clause is not checked.

--- a/emulator/checker.c
+++ b/emulator/checker.c
@@ -583,9 +583,10 @@
 /* ---- jobs that could run and do not ---- */
 
 const struct cw_step_spec *
-checker_ready_step(struct checker *checker, const struct checker_job *job)
+checker_ready_step(struct checker *checker, const struct checker_job *job,
+                   unsigned from)
 {
-    struct cw_task_name name = {.job = job->id};
+    struct cw_task_name name = {.job = job->id, .step = from};
 
     if (!job->accepted || job->cancel_sent || job->shown_final_phase != 0) {
         return NULL;
@@ -600,10 +601,31 @@
     return NULL;
 }
 
+bool
+checker_only_crashing_task_left(struct checker *checker,
+                                const struct checker_job *job)
+{
+    const struct cw_step_spec *first = &job->spec->steps.steps_val[0];
+    struct cw_task_name name = {.job = job->id};
+    bool crashing_left = false;
+
+    for (; job->plan_crashing_task >= 0 && name.index < first->tasks;
+         name.index++) {
+        if (task_done(checker, &name)) {
+            continue;
+        }
+        if (!first->gang && !crashes_workers(job, &name)) {
+            return false;
+        }
+        crashing_left = true;
+    }
+    return crashing_left;
+}
+
 static void
 violate_wait_at_finish(struct checker *checker, const struct checker_job *job)
 {
-    const struct cw_step_spec *step = checker_ready_step(checker, job);
+    const struct cw_step_spec *step = checker_ready_step(checker, job, 0);
     char *what = g_strdup_printf("%s.0.%u of %u steps, %u tasks%s", job->id,
                                  (unsigned)(step - job->spec->steps.steps_val),
                                  job->spec->steps.steps_len, step->tasks,
@@ -652,7 +674,7 @@
 is_avoidable(struct checker *checker, const struct checker_job *job,
              int64_t now_ms)
 {
-    const struct cw_step_spec *step = checker_ready_step(checker, job);
+    const struct cw_step_spec *step = checker_ready_step(checker, job, 0);
 
     for (u_int i = 0; i < step->after.after_len; i++) {
         if (step_known_ms(checker, job, step->after.after_val[i]) +
--- a/emulator/checker.h
+++ b/emulator/checker.h
@@ -154,11 +154,17 @@
 void checker_phase_reported(struct checker *checker, const char *id,
                             unsigned phase);
 
-/* Returns the first step of the job that is not done and whose preceding steps
- * are done.  NULL if there is none, or if the job is not accepted, has ended,
- * or is cancelled.  Borrowed. */
+/* Returns the first step of the job, from number `from` on, that is not done
+ * and whose preceding steps are done.  NULL if there is none, or if the job is
+ * not accepted, has ended, or is cancelled.  Borrowed. */
 const struct cw_step_spec *
-checker_ready_step(struct checker *checker, const struct checker_job *job);
+checker_ready_step(struct checker *checker, const struct checker_job *job,
+                   unsigned from);
+
+/* True if the only task of the first step that is not done crashes each worker
+ * that starts it, or is a gang with such a member. */
+bool checker_only_crashing_task_left(struct checker *checker,
+                                     const struct checker_job *job);
 
 /* Checks how long the job has waited under the clause; call it regularly for
  * each job.  `runnable`: the clause holds, and a step of the job is ready and
--- a/emulator/internal/world_private.h
+++ b/emulator/internal/world_private.h
@@ -456,13 +456,13 @@
     unsigned added_one_way_ms; /* added to the usual delay */
 };
 
+/* Guarantee of the account "a"; others have none. */
+enum { WORLD_GUARANTEED_ACCELERATORS = 64 };
+
 /* How the worker treats an order now; all 0 if it is not late. */
 struct world_worker_delay
 world_worker_delay(struct world *world, const char *worker);
 
-/* True if the worker resets connections now. */
-bool world_worker_resets(const struct world *world, const char *worker);
-
 /* ---- world_cordons.c ---- */
 
 /* An empty table of cordons. */
--- a/emulator/world.c
+++ b/emulator/world.c
@@ -299,7 +299,7 @@
 
     routing->version = 1;
     routing->enforces_residency = true;
-    account->guaranteed_accelerators = 64;
+    account->guaranteed_accelerators = WORLD_GUARANTEED_ACCELERATORS;
     account = add_account(routing, "confined");
     g_ptr_array_add(account->dcs, g_strdup("d0"));
     g_ptr_array_add(account->dcs, g_strdup("d1"));
--- a/emulator/world_late.c
+++ b/emulator/world_late.c
@@ -51,12 +51,6 @@
     return GPOINTER_TO_INT(until) > world->now_ms;
 }
 
-bool
-world_worker_resets(const struct world *world, const char *worker)
-{
-    return is_late(world, worker) && is_resetting(world, worker);
-}
-
 struct world_worker_delay
 world_worker_delay(struct world *world, const char *worker)
 {
--- a/emulator/world_waits.c
+++ b/emulator/world_waits.c
@@ -34,7 +34,8 @@
 }
 
 /* True if the worker accepts new tasks: it is up, listed and not cut off, not
- * draining, doesn't reset connections, and its data centre is not cordoned. */
+ * draining, and its data centre is not cordoned.  One that answers late or
+ * resets connections for a while accepts them. */
 static bool
 accepts_work(struct world *world, const struct worker_model *worker)
 {
@@ -45,12 +46,12 @@
     return world_cordon_age_ms(world, dc) < 0 &&
            !worker_model_is_down(worker) && !world_worker_is_cut(world, id) &&
            !world_worker_is_with_cut_owner(world, id) &&
-           !world_worker_resets(world, id) &&
            world_worker_is_listed(world, id) &&
            !g_hash_table_contains(world->draining, id);
 }
 
-/* True if more than half of the service's capacity is free. */
+/* True if more than half of the capacity of the workers that are up is free,
+ * whether these accept new tasks or not. */
 static bool
 is_mostly_free(struct world *world)
 {
@@ -62,7 +63,7 @@
         const struct cw_resources *all = worker_model_capacity(worker);
         struct cw_resources free = worker_model_free(worker);
 
-        if (accepts_work(world, worker)) {
+        if (!worker_model_is_down(worker)) {
             has.cpu_milli += all->cpu_milli;
             has.memory_mb += all->memory_mb;
             has.accelerators += all->accelerators;
@@ -147,23 +148,75 @@
     return count_fitting(world, job, step) >= FREE_CAPACITY_FACTOR * together;
 }
 
-/* At-most-once jobs are not counted: they may have to wait because of a
- * guarantee. */
+/* Number of accelerators of workers that accept new tasks. */
+static int64_t
+count_accelerators(struct world *world)
+{
+    int64_t count = 0;
+
+    for (unsigned i = 0; i < worker_fleet_size(world->fleet); i++) {
+        const struct worker_model *worker = worker_fleet_at(world->fleet, i);
+
+        if (accepts_work(world, worker)) {
+            count += worker_model_capacity(worker)->accelerators;
+        }
+    }
+    return count;
+}
+
+/* True if the job is at-most-once, so that it cannot be preempted, and with it
+ * such work would use accelerators that belong to another account's guarantee:
+ * only then it has to wait beside free capacity. */
 static bool
-is_runnable(struct world *world, const struct checker_job *job)
+exceeds_guarantee(struct world *world, const struct checker_job *job,
+                  const struct cw_step_spec *step)
 {
-    const struct cw_step_spec *step = checker_ready_step(world->checker, job);
+    GPtrArray *jobs = checker_jobs(world->checker);
+    int64_t guaranteed_account = 0;
+    int64_t others = 0;
+    int64_t beyond;
+
+    if (!job->spec->once) {
+        return false;
+    }
+    for (guint i = 0; i < jobs->len; i++) {
+        const struct checker_job *other = jobs->pdata[i];
+        const struct cw_step_spec *running =
+            other->spec->once ? checker_ready_step(world->checker, other, 0)
+                              : NULL;
+        int64_t taken = 0;
 
-    return step != NULL && !job->spec->once && has_capacity(world, job, step);
+        if (running != NULL) {
+            taken = (int64_t)other->running * running->accelerators;
+        }
+        if (other == job) {
+            taken = (int64_t)step->tasks * step->accelerators;
+        }
+        *(strcmp(other->spec->account, "a") == 0 ? &guaranteed_account
+                                                 : &others) += taken;
+    }
+    beyond =
+        others + MAX(0, guaranteed_account - WORLD_GUARANTEED_ACCELERATORS);
+    return beyond > 0 &&
+           beyond + WORLD_GUARANTEED_ACCELERATORS > count_accelerators(world);
 }
 
-/* True if a task of the job crashes each worker that starts it.  Such a job is
- * not counted at the end of the day: it fails by itself, time and again, and
- * its starts are delayed to find that out. */
+/* True if the turn of a step has come and it has capacity. */
 static bool
-crashes_its_workers(const struct checker_job *job)
+is_runnable(struct world *world, const struct checker_job *job)
 {
-    return job->plan_crashing_task >= 0;
+    const struct cw_step_spec *step =
+        checker_ready_step(world->checker, job, 0);
+    bool runnable = false;
+
+    while (step != NULL && !runnable) {
+        runnable = has_capacity(world, job, step) &&
+                   !exceeds_guarantee(world, job, step);
+        step = checker_ready_step(
+            world->checker, job,
+            (unsigned)(step - job->spec->steps.steps_val) + 1);
+    }
+    return runnable;
 }
 
 /* Prints when a job's wait at the end of the day begins or ends. */
@@ -191,7 +244,10 @@
     for (guint i = 0; i < jobs->len; i++) {
         struct checker_job *job = jobs->pdata[i];
         int64_t before_ms = job->waits[CHECKER_WAIT_FINISH].since_ms;
-        bool finishes = finish && !crashes_its_workers(job);
+        /* The rules do not excuse such a task; its starts are delayed on
+         * purpose, as docs/design/crashes.md tells. */
+        bool finishes =
+            finish && !checker_only_crashing_task_left(world->checker, job);
         bool runnable = (calm || finishes) && job->running == job->repeated &&
                         is_runnable(world, job);
 
