Moves: a gang that was spread over racks is gathered in a free one

Cause: a gang was never moved because of where it runs. Change: after the waiting steps were placed, one such gang at a time is stopped if a rack holds it without what is reserved for others, and less than half of its work is lost, or it has checkpoints; twice a step at most. The rack is reserved for it against lower priorities meanwhile.

--- a/include/curlewcart/cw_gang_choice.h
+++ b/include/curlewcart/cw_gang_choice.h
@@ -92,4 +92,9 @@
  * the gang end sooner. */
 bool cw_gang_should_preempt(const struct cw_gang_wait *wait);
 
+/* True if a gang that takes longer across racks, and was spread over several,
+ * ends sooner if it starts again in one.  `percent`: done; with checkpoints
+ * that much is kept. */
+bool cw_gang_should_gather(unsigned percent, bool checkpoints);
+
 #endif
--- a/src/owner/internal/owner_placement.h
+++ b/src/owner/internal/owner_placement.h
@@ -21,6 +21,12 @@
 bool owner_place_starved_step(struct cw_owner *owner, struct owner_step *step,
                               struct timespec now);
 
+/* ---- owner_moves.c ---- */
+
+/* Stops a gang that was spread over racks if one rack has come free for it and
+ * it ends sooner there.  Call this after the waiting steps were placed. */
+void owner_gather_gangs(struct cw_owner *owner, struct timespec now);
+
 /* ---- owner_headroom_reclaim.c ---- */
 
 /* Stops runs that borrow headroom, as far as urgent work will soon need the
--- a/src/owner/owner_moves.c
+++ b/src/owner/owner_moves.c
@@ -6,6 +6,14 @@
 #include "owner/internal/owner_candidates.h"
 #include "owner/internal/owner_placement.h"
 
+enum {
+    /* Interval at which a gang that was spread over racks is gathered in one,
+     * at most one at a time: the rack is free until its runs have ended. */
+    GATHER_INTERVAL_MS = 500,
+    /* Limit on the moves of a step. */
+    MOVES_MAX = 2
+};
+
 /* Returns how many tasks of the step would fit on the worker, for a gang once
  * its own members there have ended. */
 static unsigned
@@ -91,3 +99,109 @@
     owner_task_job(run->task)->idle.cause = cause;
     owner_run_evict(owner, run);
 }
+
+/* ---- gangs that were spread over racks ---- */
+
+/* True if all members run and they are in more than one rack; lists how much
+ * the first of them has done. */
+static bool
+runs_across_racks(const struct owner_step *step, unsigned *percent)
+{
+    bool across = false;
+
+    for (unsigned i = 0; i < step->count; i++) {
+        const struct owner_run *run = step->tasks[i].run;
+
+        if (run == NULL || run->phase != RUN_RUNNING || run->stopping ||
+            run->gang_done)
+        {
+            return false;
+        }
+        across = across || run->target->rack_number !=
+                               step->tasks[0].run->target->rack_number;
+    }
+    *percent = step->tasks[0].run->percent;
+    return across;
+}
+
+/* True if the gang would end sooner in one rack. */
+static bool
+should_gather(const struct owner_step *step)
+{
+    unsigned percent = 0;
+
+    return step->spec->gang && step->spec->same_rack == CW_SAME_RACK_FASTER &&
+           !step->spec->endless && step->moves < MOVES_MAX &&
+           step->runs == step->count && !step->occurrence->job->spec->once &&
+           runs_across_racks(step, &percent) &&
+           cw_gang_should_gather(percent, step->spec->checkpoints);
+}
+
+static void
+add_spread_gangs(const struct owner_job *job, GPtrArray *out)
+{
+    for (guint i = 0; i < job->open->len; i++) {
+        struct owner_occurrence *occurrence = job->open->pdata[i];
+
+        for (unsigned k = 0; k < occurrence->count; k++) {
+            if (should_gather(&occurrence->steps[k])) {
+                g_ptr_array_add(out, &occurrence->steps[k]);
+            }
+        }
+    }
+}
+
+/* True if a rack holds the gang, without what is reserved for others. */
+static bool
+fits_in_rack(struct cw_owner *owner, const struct owner_step *step,
+             struct timespec now)
+{
+    GArray *candidates = owner_candidates(owner, step, now);
+    bool fits = owner_best_rack(owner, candidates, step, step->count) != NULL;
+
+    g_array_unref(candidates);
+    return fits;
+}
+
+static void
+gather(struct cw_owner *owner, struct owner_step *step, struct timespec now)
+{
+    step->moves++;
+    cw_log_info(
+        "gang_gathered", "id=%s step=%u.%u tasks=%u percent=%u moves=%u",
+        step->occurrence->job->spec->id, step->occurrence->number,
+        step->number, step->count, step->tasks[0].run->percent, step->moves);
+    owner_reserve_rack(owner, step, now);
+    owner_run_evict_for(owner, step->tasks[0].run, OWNER_IDLE_MOVED);
+}
+
+void
+owner_gather_gangs(struct cw_owner *owner, struct timespec now)
+{
+    GPtrArray *gangs;
+    GHashTableIter iterator;
+    gpointer value;
+    guint i = 0;
+
+    if (cw_time_before(now, owner->gather_due)) {
+        return;
+    }
+    owner->gather_due = cw_time_add_ms(now, GATHER_INTERVAL_MS);
+    gangs = g_ptr_array_new();
+    g_hash_table_iter_init(&iterator, owner->jobs);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const struct owner_job *job = value;
+
+        if (!cw_work_is_over(job->phase)) {
+            add_spread_gangs(job, gangs);
+        }
+    }
+    owner_available_reset(owner->available, gangs);
+    while (i < gangs->len && !fits_in_rack(owner, gangs->pdata[i], now)) {
+        i++;
+    }
+    if (i < gangs->len) {
+        gather(owner, gangs->pdata[i], now);
+    }
+    g_ptr_array_unref(gangs);
+}
--- a/src/owner/owner_place.c
+++ b/src/owner/owner_place.c
@@ -421,5 +421,6 @@
     for (; next < steps->len; next++) {
         place_step(owner, steps->pdata[next], now);
     }
+    owner_gather_gangs(owner, now);
     g_ptr_array_unref(steps);
 }
--- a/src/placement/gang_choice.c
+++ b/src/placement/gang_choice.c
@@ -18,7 +18,14 @@
 enum {
     SPEED_CLASS_MAX = 99,
     /* Rank of the slowest worker that is not slow. */
-    RANK_NORMAL = SPEED_CLASS_MAX + 1
+    RANK_NORMAL = SPEED_CLASS_MAX + 1,
+    /* How many times as long a gang takes across racks is not known; it is
+     * worth a rack from 2 on. */
+    ACROSS_RACKS_FACTOR = 2,
+    PERCENT = 100,
+    /* Of a gang with checkpoints this much has to be left: it is not at work
+     * while it starts again. */
+    GATHER_LEFT_MIN_PERCENT = 20
 };
 
 /* Members that are assigned within a rack, within a data centre, or
@@ -279,3 +286,12 @@
            (double)wait->wait_max_ms + length_ms / wait->speed_after <
                length_ms / wait->speed;
 }
+
+bool
+cw_gang_should_gather(unsigned percent, bool checkpoints)
+{
+    unsigned left = PERCENT - MIN(percent, PERCENT);
+
+    return checkpoints ? left >= GATHER_LEFT_MIN_PERCENT
+                       : left * ACROSS_RACKS_FACTOR > PERCENT;
+}
--- a/tests/test_moves.c
+++ b/tests/test_moves.c
@@ -202,6 +202,88 @@
     cluster_end(&cluster);
 }
 
+/* Begins a cluster in which a gang of two whole workers runs in two racks. */
+static struct owner_job *
+begin_with_spread_gang(struct cluster *cluster, bool checkpoints,
+                       unsigned percent)
+{
+    const struct cw_step_spec pair = {.tasks = 2,
+                                      .accelerators = ACCELERATORS,
+                                      .gang = true,
+                                      .same_rack = CW_SAME_RACK_FASTER,
+                                      .checkpoints = checkpoints};
+    static const char *const workers[] = {"w00", "w04"};
+    struct owner_job *job;
+
+    cluster_begin(cluster);
+    set_guarantee(cluster, 0);
+    job = add_job(cluster, 1, &pair);
+    for (unsigned i = 0; i < G_N_ELEMENTS(workers); i++) {
+        owner_run_create(cluster->owner, &step_of(job)->tasks[i],
+                         owner_target_get(cluster->owner, workers[i]),
+                         RUN_RUNNING, 1)
+            ->percent = percent;
+    }
+    return job;
+}
+
+/* Guards against a gang that goes on across racks, which takes several times
+ * as long, beside a free rack. */
+static void
+test_a_spread_gang_is_gathered_in_a_free_rack(void)
+{
+    struct cluster cluster;
+    struct owner_job *job = begin_with_spread_gang(&cluster, false, 40);
+
+    pass(&cluster, 10);
+    CU_ASSERT_EQUAL(stopping(job), 2);
+    cluster_end(&cluster);
+}
+
+/* Work that would be lost counts, unless the gang has checkpoints. */
+static void
+test_a_spread_gang_that_is_half_done_goes_on(void)
+{
+    struct cluster cluster;
+    struct owner_job *job = begin_with_spread_gang(&cluster, false, 60);
+
+    pass(&cluster, 10);
+    CU_ASSERT_EQUAL(stopping(job), 0);
+    cluster_end(&cluster);
+    job = begin_with_spread_gang(&cluster, true, 60);
+    pass(&cluster, 10);
+    CU_ASSERT_EQUAL(stopping(job), 2);
+    cluster_end(&cluster);
+}
+
+/* Guards against a gang that is stopped although no rack holds it, and against
+ * one that is stopped time and again. */
+static void
+test_a_spread_gang_is_not_stopped_in_vain(void)
+{
+    static const struct cw_step_spec nine = {
+        .tasks = 9, .accelerators = ACCELERATORS, .most_per_worker = 1};
+    static const char *const used[] = {"w01", "w02", "w03", "w05", "w06",
+                                       "w07", "w08", "w09", "w10"};
+    struct cluster cluster;
+    struct owner_job *job = begin_with_spread_gang(&cluster, false, 0);
+    struct owner_job *other = add_job(&cluster, 1, &nine);
+
+    for (unsigned i = 0; i < G_N_ELEMENTS(used); i++) {
+        owner_run_create(cluster.owner, &step_of(other)->tasks[i],
+                         owner_target_get(cluster.owner, used[i]), RUN_RUNNING,
+                         1);
+    }
+    pass(&cluster, 10);
+    CU_ASSERT_EQUAL(stopping(job), 0);
+    cluster_end(&cluster);
+    job = begin_with_spread_gang(&cluster, false, 0);
+    step_of(job)->moves = 2;
+    pass(&cluster, 10);
+    CU_ASSERT_EQUAL(stopping(job), 0);
+    cluster_end(&cluster);
+}
+
 static const struct test tests[] = {
     {"no capacity elsewhere",
      test_a_gang_without_capacity_elsewhere_is_not_stopped},
@@ -211,6 +293,9 @@
     {"rack", test_a_gang_that_needs_a_rack_is_moved_only_into_one},
     {"moved", test_a_moved_task_is_not_placed_on_a_slow_worker},
     {"slow elsewhere", test_a_gang_is_not_moved_to_slow_workers},
+    {"gathered", test_a_spread_gang_is_gathered_in_a_free_rack},
+    {"half done", test_a_spread_gang_that_is_half_done_goes_on},
+    {"in vain", test_a_spread_gang_is_not_stopped_in_vain},
 };
 
 TEST_MAIN("moves", tests)
