Starvation: a gang is spread at the limit for endless tasks, too

Found by review. Cause: spreads a gang only if its whole job is idle. Change: choose_workers is called for starved steps only, so every gang there may be spread, except one that requires a rack. Test: test_starvation 'endless gang' (fails before: not placed within 6 s).

--- a/src/owner/owner_starvation.c
+++ b/src/owner/owner_starvation.c
@@ -82,13 +82,12 @@
                : FIT_TIMES * tasks_together;
 }
 
-/* Chooses workers for the gang: in one rack if it fits there, otherwise, for a
- * starved job, in as few data centres as possible, even if its work takes
- * longer across racks.  `scope` is set to the place's. */
+/* Chooses workers for the gang: in one rack if it fits there, otherwise in as
+ * few data centres as possible, even if its work takes longer across racks.
+ * `scope` is set to the place's. */
 static GArray *
-choose_gang(struct cw_owner *owner, struct owner_step *step,
-            const GArray *candidates, struct timespec now,
-            enum cw_gang_scope *scope)
+choose_gang(struct cw_owner *owner, const struct owner_step *step,
+            const GArray *candidates, enum cw_gang_scope *scope)
 {
     const char *rack = owner_best_rack(owner, candidates, step, step->count);
     struct cw_gang_choice choice;
@@ -98,9 +97,7 @@
         *scope = CW_GANG_IN_RACK;
         return owner_choose_targets(candidates, rack, step->count);
     }
-    if (!job_is_starved(step->occurrence->job, now) ||
-        step->spec->same_rack == CW_SAME_RACK_REQUIRED)
-    {
+    if (step->spec->same_rack == CW_SAME_RACK_REQUIRED) {
         return NULL;
     }
     choices = owner_spread_gang(owner, candidates, step, &choice);
@@ -122,7 +119,7 @@
         return NULL;
     }
     if (step->spec->gang) {
-        return choose_gang(owner, step, candidates, now, scope);
+        return choose_gang(owner, step, candidates, scope);
     }
     return owner_choose_targets(
         candidates, NULL,
--- a/tests/test_starvation.c
+++ b/tests/test_starvation.c
@@ -462,7 +462,41 @@
     cluster_end(&cluster);
 }
 
+/* Guards against an endless gang that waits for a rack without limit while
+ * other tasks of its job run. */
+static void
+test_an_endless_gang_is_spread(void)
+{
+    static const struct cw_step_spec steps[] = {
+        {.tasks = 3,
+         .accelerators = ACCELERATORS,
+         .gang = true,
+         .same_rack = CW_SAME_RACK_FASTER,
+         .endless = true},
+        {.tasks = 1, .accelerators = 1, .endless = true}};
+    struct cluster cluster;
+    struct owner_job *job;
+    struct owner_step *other;
+
+    cluster_begin_without_free_rack(&cluster);
+    add_worker(&cluster, RACKS * PER_RACK);
+    job = add_job_of_steps(&cluster, "a", 1, steps, G_N_ELEMENTS(steps));
+    other = step_of(job) + 1;
+    for (unsigned i = 0; i < step_of(job)->count; i++) {
+        step_of(job)->tasks[i].idle_since = cluster.clock.now;
+    }
+    owner_run_create(cluster.owner, &other->tasks[0],
+                     owner_target_get(cluster.owner, "w12"), RUN_RUNNING, 1);
+    for (unsigned ms = 0; ms < 6000; ms += STEP_MS) {
+        owner_idle_end(cluster.owner, job); /* the other one is listed */
+        pass(&cluster, STEP_MS);
+    }
+    CU_ASSERT_EQUAL(placed(job), 3);
+    cluster_end(&cluster);
+}
+
 static const struct test tests[] = {
+    {"endless gang", test_an_endless_gang_is_spread},
     {"each step", test_each_step_that_could_run_counts},
     {"unconfirmed run", test_an_unconfirmed_run_does_not_hide_idle_tasks},
     {"counted again", test_borrowed_headroom_is_counted_again},
