Starvation: the failure of a step that needs more does not stand for others

What callers would see: LOST: an idle job is not tried in free capacity. Found by review; the second fault came with. Cause: the memo of a pass takes the failure of one step for that of all that are as hard to place. Two properties were missing. For tasks that last, two have to fit, for an idle job one; so one waiting endless task kept idle jobs from the last free worker. And a gang that requires a rack counted as one that is slower across racks, which the limit on idle time spreads. Change: the memo's shape has the number of tasks that have to fit, and the kind of the need for a rack as it applies in the attempt. Tests: test_starvation 'beside endless' and 'beside required' (both fail before: not placed).

--- a/src/owner/internal/owner_placement.h
+++ b/src/owner/internal/owner_placement.h
@@ -21,6 +21,11 @@
 bool owner_place_starved_step(struct cw_owner *owner, struct owner_step *step,
                               struct timespec now);
 
+/* Returns how many tasks of the starved step have to fit, so that one task, or
+ * its gang, is placed. */
+unsigned
+owner_starved_min_fits(const struct owner_step *step, struct timespec now);
+
 /* ---- owner_headroom_reclaim.c ---- */
 
 /* Stops runs that borrow headroom, as far as urgent work will soon need the
--- a/src/owner/owner_memo.c
+++ b/src/owner/owner_memo.c
@@ -17,7 +17,8 @@
     struct cw_resources need;
     unsigned priority;
     unsigned gang; /* members; 0: tasks that are placed one by one */
-    bool needs_rack;
+    unsigned fits; /* tasks that have to fit; 0: as many as are placed */
+    enum cw_same_rack same_rack;
     bool exempt;     /* may use the headroom reserved for urgent work */
     bool guaranteed; /* may preempt equally urgent work */
 };
@@ -49,6 +50,20 @@
     g_array_set_size(memo->failed, 0);
 }
 
+/* Returns whether the attempt places the step in one rack only. */
+static enum cw_same_rack
+same_rack_of(struct cw_owner *owner, struct owner_step *step,
+             enum owner_attempt attempt, struct timespec now)
+{
+    if (step->spec->same_rack == CW_SAME_RACK_FASTER &&
+        (attempt == OWNER_ATTEMPT_STARVED ||
+         !owner_step_needs_rack(owner, step, now)))
+    {
+        return CW_SAME_RACK_ANY; /* it is spread over racks */
+    }
+    return step->spec->same_rack;
+}
+
 static struct shape
 shape_of(struct cw_owner *owner, struct owner_step *step,
          enum owner_attempt attempt, struct timespec now)
@@ -64,7 +79,10 @@
         .need = owner_step_need(step->spec),
         .priority = job->spec->priority,
         .gang = step->spec->gang ? step->count : 0,
-        .needs_rack = owner_step_needs_rack(owner, step, now),
+        .fits = attempt == OWNER_ATTEMPT_STARVED
+                    ? owner_starved_min_fits(step, now)
+                    : 0,
+        .same_rack = same_rack_of(owner, step, attempt, now),
         .exempt = owner_headroom_exempts(owner, step, now),
         .guaranteed = attempt == OWNER_ATTEMPT_PREEMPT &&
                       owner_job_is_guaranteed(owner, job),
@@ -88,11 +106,11 @@
            step->priority >= failed->priority &&
            (!step->exempt || failed->exempt) &&
            (!step->guaranteed || failed->guaranteed) &&
-           step->gang >= failed->gang &&
-           /* A gang that no rack can hold is spread over racks.  The failure
-            * of a gang that needs a rack does not apply to such a gang,
-            * however small the failed one is. */
-           (failed->gang == 0 || step->needs_rack == failed->needs_rack) &&
+           step->gang >= failed->gang && step->fits >= failed->fits &&
+           /* The failure of a gang that needs a rack does not apply to one
+            * that may be spread over racks, however small the failed one is.
+            * Whether it is spread later depends on the kind of need. */
+           (failed->gang == 0 || step->same_rack == failed->same_rack) &&
            needs_at_least(&step->need, &failed->need) &&
            step->service == failed->service &&
            strcmp(step->account, failed->account) == 0 &&
--- a/src/owner/owner_starvation.c
+++ b/src/owner/owner_starvation.c
@@ -70,13 +70,14 @@
            starved_endless_tasks(step, now) > 0;
 }
 
-/* Returns how many tasks have to fit.  For a starved job workers have reported
- * free capacity for twice as many; some of it may be used by runs that are not
- * confirmed yet. */
-static unsigned
-min_fits(const struct owner_step *step, unsigned tasks_together,
-         struct timespec now)
+/* For a starved job workers have reported free capacity for twice as many
+ * tasks as have to fit; some of it may be used by runs that are not confirmed
+ * yet. */
+unsigned
+owner_starved_min_fits(const struct owner_step *step, struct timespec now)
 {
+    unsigned tasks_together = step->spec->gang ? step->count : 1;
+
     return job_is_starved(step->occurrence->job, now)
                ? tasks_together
                : FIT_TIMES * tasks_together;
@@ -112,10 +113,9 @@
                const GArray *candidates, struct timespec now,
                enum cw_gang_scope *scope)
 {
-    unsigned tasks_together = step->spec->gang ? step->count : 1;
     unsigned fits = owner_total_fit_count(candidates);
 
-    if (fits < min_fits(step, tasks_together, now)) {
+    if (fits < owner_starved_min_fits(step, now)) {
         return NULL;
     }
     if (step->spec->gang) {
--- a/tests/test_starvation.c
+++ b/tests/test_starvation.c
@@ -462,6 +462,45 @@
     cluster_end(&cluster);
 }
 
+/* Begins a cluster in which a gang of three workers that requires a rack fits
+ * by what workers have reported, but not beside a run without an answer:
+ * across racks there is free capacity for such a gang. */
+static void
+cluster_begin_with_unconfirmed_run(struct cluster *cluster)
+{
+    struct owner_job *unconfirmed;
+
+    cluster_begin_without_free_rack(cluster);
+    add_worker(cluster, RACKS * PER_RACK);
+    set_rack(owner_target_get(cluster->owner, "w12"), RACKS - 1);
+    unconfirmed = add_job(cluster, 0, &whole_worker);
+    owner_run_create(cluster->owner, &step_of(unconfirmed)->tasks[0],
+                     owner_target_get(cluster->owner, "w11"), RUN_STARTING, 1);
+}
+
+/* Guards against a gang that is not spread because one that requires a rack
+ * has failed in the same pass. */
+static void
+test_a_gang_is_spread_beside_one_that_requires_a_rack(void)
+{
+    struct cw_step_spec three = {.tasks = 3,
+                                 .accelerators = ACCELERATORS,
+                                 .gang = true,
+                                 .same_rack = CW_SAME_RACK_REQUIRED};
+    struct cluster cluster;
+    struct owner_job *required;
+    struct owner_job *job;
+
+    cluster_begin_with_unconfirmed_run(&cluster);
+    required = add_job(&cluster, 1, &three);
+    three.same_rack = CW_SAME_RACK_FASTER;
+    job = add_job(&cluster, 2, &three);
+    run_passes(&cluster, PLACED_WITHIN_MS);
+    CU_ASSERT_EQUAL(placed(required), 0);
+    CU_ASSERT_EQUAL(placed(job), 3);
+    cluster_end(&cluster);
+}
+
 /* Guards against an endless gang that waits for a rack without limit while
  * other tasks of its job run. */
 static void
@@ -495,8 +534,48 @@
     cluster_end(&cluster);
 }
 
+/* Guards against an idle job that is not tried because a task of another job
+ * has failed, for which more capacity has to be free. */
+static void
+test_a_job_is_placed_beside_endless_tasks(void)
+{
+    static const struct cw_step_spec steps[] = {
+        {.tasks = 1, .accelerators = ACCELERATORS, .endless = true},
+        {.tasks = 1, .accelerators = 1, .endless = true}};
+    static const struct cw_step_spec ten = {.tasks = 10,
+                                            .accelerators = ACCELERATORS};
+    struct cluster cluster;
+    struct owner_job *endless;
+    struct owner_job *job;
+
+    cluster_begin(&cluster);
+    set_guarantee(&cluster, 0);
+    run_job(&cluster, 0, &ten);
+    endless = add_job_of_steps(&cluster, "a", 1, steps, G_N_ELEMENTS(steps));
+    step_of(endless)->tasks[0].idle_since = cluster.clock.now;
+    add_worker(&cluster, RACKS * PER_RACK);
+    owner_run_create(cluster.owner, &step_of(endless)[1].tasks[0],
+                     owner_target_get(cluster.owner, "w12"), RUN_RUNNING, 1);
+    job = add_job(&cluster, 0, &whole_worker);
+    owner_run_create(cluster.owner, &step_of(job)->tasks[0],
+                     owner_target_get(cluster.owner, "w10"), RUN_STARTING, 1);
+    job = add_job(&cluster, 2, &whole_worker);
+    for (unsigned ms = 0; ms < 6500; ms += STEP_MS) {
+        for_each_target(&cluster, make_suspect);
+        owner_idle_end(cluster.owner, endless); /* the other one is listed */
+        if (ms < 3500) {
+            owner_idle_end(cluster.owner, job);
+        }
+        pass(&cluster, STEP_MS);
+    }
+    CU_ASSERT_EQUAL(placed(job), 1);
+    cluster_end(&cluster);
+}
+
 static const struct test tests[] = {
     {"endless gang", test_an_endless_gang_is_spread},
+    {"beside endless", test_a_job_is_placed_beside_endless_tasks},
+    {"beside required", test_a_gang_is_spread_beside_one_that_requires_a_rack},
     {"each step", test_each_step_that_could_run_counts},
     {"unconfirmed run", test_an_unconfirmed_run_does_not_hide_idle_tasks},
     {"counted again", test_borrowed_headroom_is_counted_again},
