Placement: an urgent gang does not wait for faster workers without limit

What callers would see: LOST, and urgent work that is late without end. Found by review. Cause: an urgent gang that only fits on slow workers preempts runs on others. If these do not end within 1.5 s, the reservation is dropped, and the next pass preempts for speed again, before the limit on idle time is looked at. Change: a job that has been idle for too long takes the free place. Test: test_starvation 'gang for speed', four slow workers free for a gang of two: not placed within 20 s before, after two reservations now.

--- a/src/owner/owner_place.c
+++ b/src/owner/owner_place.c
@@ -165,7 +165,8 @@
 }
 
 /* Preempts runs on workers that are not slow, for an urgent gang that would
- * have slow members in the free place, if it ends sooner that way. */
+ * have slow members in the free place, if it ends sooner that way.  The runs
+ * may not end in time, so a job that has been idle for too long is placed. */
 static bool
 preempt_for_speed(struct cw_owner *owner, struct owner_step *step,
                   double speed, struct timespec now)
@@ -174,8 +175,10 @@
                                 .speed = speed,
                                 .speed_after = 1,
                                 .wait_max_ms = RESERVED_MAX_MS};
+    const struct owner_job *job = step->occurrence->job;
 
-    return step->occurrence->job->spec->priority == 0 &&
+    return job->spec->priority == 0 &&
+           !cw_idle_is_overdue(&job->idle.clock, now) &&
            cw_gang_should_preempt(&wait) &&
            owner_preempt_for_speed(owner, step, now);
 }
--- a/tests/test_starvation.c
+++ b/tests/test_starvation.c
@@ -4,6 +4,7 @@
 #include "test_main.h"
 
 #include "owner_cluster.h"
+#include "worker_speeds.h"
 
 enum {
     STEP_MS = 50,
@@ -349,6 +350,37 @@
     cluster_end(&cluster);
 }
 
+/* Guards against an urgent gang that waits without limit for faster workers
+ * whose runs do not end, while slow ones are free. */
+static void
+test_an_urgent_gang_does_not_wait_for_speed_for_ever(void)
+{
+    static const char *const slow[] = {"w08", "w09", "w10", "w11"};
+    static const struct cw_step_spec eight = {.tasks = 8,
+                                              .accelerators = ACCELERATORS};
+    static const struct cw_step_spec two = {
+        .tasks = 2, .accelerators = ACCELERATORS, .gang = true};
+    struct cluster cluster;
+    struct owner_job *job;
+    unsigned ms = 0;
+
+    cluster_begin(&cluster);
+    set_guarantee(&cluster, 0);
+    run_job(&cluster, 1, &eight);
+    for (unsigned i = 0; i < G_N_ELEMENTS(slow); i++) {
+        prove_speed(&cluster, slow[i], 0.2);
+    }
+    job = add_job(&cluster, 0, &two);
+    for (; ms < 20000; ms += STEP_MS) {
+        pass(&cluster, STEP_MS);
+        if (first_run(job) != NULL && first_run(job)->phase == RUN_NEW) {
+            break;
+        }
+    }
+    CU_ASSERT_TRUE(ms <= 3100);
+    cluster_end(&cluster);
+}
+
 /* Guards against many placements at once: for an owner that is behind, all
  * waiting jobs are starved. */
 static void
@@ -589,6 +621,7 @@
     {"endless tasks", test_all_endless_tasks_are_placed},
     {"reserved runs",
      test_urgent_work_does_not_wait_for_reserved_runs_for_ever},
+    {"gang for speed", test_an_urgent_gang_does_not_wait_for_speed_for_ever},
     {"spread gang", test_a_gang_is_spread_if_no_rack_has_capacity},
     {"required rack", test_a_gang_that_requires_a_rack_is_not_spread},
     {"limit per pass", test_a_pass_places_a_limited_number},
