Starvation: a scan that reaches its limit of failures goes on there next time

What callers would see: LOST, in a service with hundreds of idle jobs. Found by review. Cause: a scan for starved steps gives up after 256 failures, and each scan began with the most urgent step. Jobs behind as many that fit by the workers' word, but not in the books, were never tried. The memo does not help for steps with limits of their own (tasks apart, data centres). Change: after such a scan the next one begins with the step that follows.

--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -395,6 +395,7 @@
     bool placement_wanted; /* a placement pass is wanted */
     struct timespec placement_due;
     struct timespec starved_due; /* owner_starvation.c */
+    guint starved_first;         /* the step that the next scan begins with */
     bool borrowing_headroom;     /* runs are placed in reserved headroom */
     struct owner_order_window order_window;
     struct timespec cordons_read_due; /* owner_cordons.c */
--- a/src/owner/owner_starvation.c
+++ b/src/owner/owner_starvation.c
@@ -27,8 +27,7 @@
      * behind, all waiting jobs are starved. */
     PLACED_MAX = 16,
     /* Limit on the failed attempts in one scan, in addition to those that the
-     * memo avoids: high enough that a few gangs that don't fit don't prevent
-     * all other steps from being tried. */
+     * memo avoids.  The next scan goes on after them. */
     FAILED_MAX = 256,
     /* How often an endless task has to fit, unless its whole job is starved.
      */
@@ -225,16 +224,18 @@
     GPtrArray *targets = NULL;
     unsigned placed = 0;
     unsigned failed = 0;
+    guint first = owner->starved_first < steps->len ? owner->starved_first : 0;
+    guint tried = 0;
 
     if (cw_time_before(now, owner->starved_due)) {
         return;
     }
     owner->starved_due = cw_time_add_ms(now, SCAN_INTERVAL_MS);
     owner_headroom_reclaim(owner, now);
-    for (guint i = 0;
-         i < steps->len && placed < PLACED_MAX && failed < FAILED_MAX; i++)
+    for (; tried < steps->len && placed < PLACED_MAX && failed < FAILED_MAX;
+         tried++)
     {
-        struct owner_step *step = steps->pdata[i];
+        struct owner_step *step = steps->pdata[(first + tried) % steps->len];
 
         if (!should_try(owner, step, now)) {
             continue;
@@ -250,6 +251,7 @@
             failed++;
         }
     }
+    owner->starved_first = failed == FAILED_MAX ? first + tried : 0;
     if (targets != NULL) {
         g_ptr_array_unref(targets);
     }
--- a/tests/test_starvation.c
+++ b/tests/test_starvation.c
@@ -412,6 +412,40 @@
     cluster_end(&cluster);
 }
 
+/* Guards against idle jobs that are never tried, since those before them use
+ * up the attempts of each scan. */
+static void
+test_all_steps_are_tried_in_turn(void)
+{
+    static const struct cw_step_spec eleven = {.tasks = 11,
+                                               .accelerators = ACCELERATORS};
+    static const struct cw_step_spec seven = {
+        .tasks = 1, .accelerators = ACCELERATORS - 1};
+    static const struct cw_step_spec apart = {
+        .tasks = 1, .accelerators = ACCELERATORS, .most_per_worker = 1};
+    struct cluster cluster;
+    struct owner_job *unconfirmed;
+    struct owner_job *job;
+
+    cluster_begin(&cluster);
+    set_guarantee(&cluster, 0);
+    unconfirmed = run_job(&cluster, 0, &eleven);
+    (void)run_job(&cluster, 0, &seven);
+    for (unsigned i = 0; i < 2; i++) {
+        step_of(unconfirmed)->tasks[i].run->phase = RUN_STARTING;
+    }
+    for (unsigned i = 0; i < 300; i++) {
+        (void)add_job(&cluster, 1, &apart);
+    }
+    job = add_job(&cluster, 2, &one_accelerator);
+    for (unsigned ms = 0; ms < PLACED_WITHIN_MS; ms += STEP_MS) {
+        for_each_target(&cluster, make_suspect);
+        pass(&cluster, STEP_MS);
+    }
+    CU_ASSERT_EQUAL(placed(job), 1);
+    cluster_end(&cluster);
+}
+
 /* Begins a cluster in which urgent work uses two of the four workers in each
  * rack: a gang of three whole workers fits twice, but into no rack. */
 static void
@@ -624,6 +658,7 @@
     {"gang for speed", test_an_urgent_gang_does_not_wait_for_speed_for_ever},
     {"spread gang", test_a_gang_is_spread_if_no_rack_has_capacity},
     {"required rack", test_a_gang_that_requires_a_rack_is_not_spread},
+    {"in turn", test_all_steps_are_tried_in_turn},
     {"limit per pass", test_a_pass_places_a_limited_number},
 };
 
