--- a/src/owner/owner_starvation.c
+++ b/src/owner/owner_starvation.c
@@ -27,8 +27,7 @@
      * behind, all waiting jobs are starved. */
     PLACED_MAX = 16,
     /* Limit on the failed attempts in one scan, in addition to those that the
-     * memo avoids: high enough that a few gangs that don't fit don't prevent
-     * all other steps from being tried. */
+     * memo avoids.  The next scan goes on after them. */
     FAILED_MAX = 256,
     /* How often an endless task has to fit, unless its whole job is starved.
      */
@@ -70,25 +69,25 @@
            starved_endless_tasks(step, now) > 0;
 }
 
-/* Returns how many tasks have to fit.  For a starved job workers have reported
- * free capacity for twice as many; some of it may be used by runs that are not
- * confirmed yet. */
-static unsigned
-min_fits(const struct owner_step *step, unsigned tasks_together,
-         struct timespec now)
+/* For a starved job workers have reported free capacity for twice as many
+ * tasks as have to fit; some of it may be used by runs that are not confirmed
+ * yet. */
+unsigned
+owner_starved_min_fits(const struct owner_step *step, struct timespec now)
 {
+    unsigned tasks_together = step->spec->gang ? step->count : 1;
+
     return job_is_starved(step->occurrence->job, now)
                ? tasks_together
                : FIT_TIMES * tasks_together;
 }
 
-/* Chooses workers for the gang: in one rack if it fits there, otherwise, for a
- * starved job, in as few data centres as possible, even if its work takes
- * longer across racks.  `scope` is set to the place's. */
+/* Chooses workers for the gang: in one rack if it fits there, otherwise in as
+ * few data centres as possible, even if its work takes longer across racks.
+ * `scope` is set to the place's. */
 static GArray *
-choose_gang(struct cw_owner *owner, struct owner_step *step,
-            const GArray *candidates, struct timespec now,
-            enum cw_gang_scope *scope)
+choose_gang(struct cw_owner *owner, const struct owner_step *step,
+            const GArray *candidates, enum cw_gang_scope *scope)
 {
     const char *rack = owner_best_rack(owner, candidates, step, step->count);
     struct cw_gang_choice choice;
@@ -98,9 +97,7 @@
         *scope = CW_GANG_IN_RACK;
         return owner_choose_targets(candidates, rack, step->count);
     }
-    if (!job_is_starved(step->occurrence->job, now) ||
-        step->spec->same_rack == CW_SAME_RACK_REQUIRED)
-    {
+    if (step->spec->same_rack == CW_SAME_RACK_REQUIRED) {
         return NULL;
     }
     choices = owner_spread_gang(owner, candidates, step, &choice);
@@ -115,14 +112,13 @@
                const GArray *candidates, struct timespec now,
                enum cw_gang_scope *scope)
 {
-    unsigned tasks_together = step->spec->gang ? step->count : 1;
     unsigned fits = owner_total_fit_count(candidates);
 
-    if (fits < min_fits(step, tasks_together, now)) {
+    if (fits < owner_starved_min_fits(step, now)) {
         return NULL;
     }
     if (step->spec->gang) {
-        return choose_gang(owner, step, candidates, now, scope);
+        return choose_gang(owner, step, candidates, scope);
     }
     return owner_choose_targets(
         candidates, NULL,
@@ -228,16 +224,18 @@
     GPtrArray *targets = NULL;
     unsigned placed = 0;
     unsigned failed = 0;
+    guint first = owner->starved_first < steps->len ? owner->starved_first : 0;
+    guint tried = 0;
 
     if (cw_time_before(now, owner->starved_due)) {
         return;
     }
     owner->starved_due = cw_time_add_ms(now, SCAN_INTERVAL_MS);
     owner_headroom_reclaim(owner, now);
-    for (guint i = 0;
-         i < steps->len && placed < PLACED_MAX && failed < FAILED_MAX; i++)
+    for (; tried < steps->len && placed < PLACED_MAX && failed < FAILED_MAX;
+         tried++)
     {
-        struct owner_step *step = steps->pdata[i];
+        struct owner_step *step = steps->pdata[(first + tried) % steps->len];
 
         if (!should_try(owner, step, now)) {
             continue;
@@ -253,6 +251,7 @@
             failed++;
         }
     }
+    owner->starved_first = failed == FAILED_MAX ? first + tried : 0;
     if (targets != NULL) {
         g_ptr_array_unref(targets);
     }
--- a/tests/test_starvation.c
+++ b/tests/test_starvation.c
@@ -4,6 +4,7 @@
 #include "test_main.h"
 
 #include "owner_cluster.h"
+#include "worker_speeds.h"
 
 enum {
     STEP_MS = 50,
@@ -349,6 +350,37 @@
     cluster_end(&cluster);
 }
 
+/* Guards against an urgent gang that waits without limit for faster workers
+ * whose runs do not end, while slow ones are free. */
+static void
+test_an_urgent_gang_does_not_wait_for_speed_for_ever(void)
+{
+    static const char *const slow[] = {"w08", "w09", "w10", "w11"};
+    static const struct cw_step_spec eight = {.tasks = 8,
+                                              .accelerators = ACCELERATORS};
+    static const struct cw_step_spec two = {
+        .tasks = 2, .accelerators = ACCELERATORS, .gang = true};
+    struct cluster cluster;
+    struct owner_job *job;
+    unsigned ms = 0;
+
+    cluster_begin(&cluster);
+    set_guarantee(&cluster, 0);
+    run_job(&cluster, 1, &eight);
+    for (unsigned i = 0; i < G_N_ELEMENTS(slow); i++) {
+        prove_speed(&cluster, slow[i], 0.2);
+    }
+    job = add_job(&cluster, 0, &two);
+    for (; ms < 20000; ms += STEP_MS) {
+        pass(&cluster, STEP_MS);
+        if (first_run(job) != NULL && first_run(job)->phase == RUN_NEW) {
+            break;
+        }
+    }
+    CU_ASSERT_TRUE(ms <= 3100);
+    cluster_end(&cluster);
+}
+
 /* Guards against many placements at once: for an owner that is behind, all
  * waiting jobs are starved. */
 static void
@@ -380,6 +412,40 @@
     cluster_end(&cluster);
 }
 
+/* Guards against idle jobs that are never tried, since those before them use
+ * up the attempts of each scan. */
+static void
+test_all_steps_are_tried_in_turn(void)
+{
+    static const struct cw_step_spec eleven = {.tasks = 11,
+                                               .accelerators = ACCELERATORS};
+    static const struct cw_step_spec seven = {
+        .tasks = 1, .accelerators = ACCELERATORS - 1};
+    static const struct cw_step_spec apart = {
+        .tasks = 1, .accelerators = ACCELERATORS, .most_per_worker = 1};
+    struct cluster cluster;
+    struct owner_job *unconfirmed;
+    struct owner_job *job;
+
+    cluster_begin(&cluster);
+    set_guarantee(&cluster, 0);
+    unconfirmed = run_job(&cluster, 0, &eleven);
+    (void)run_job(&cluster, 0, &seven);
+    for (unsigned i = 0; i < 2; i++) {
+        step_of(unconfirmed)->tasks[i].run->phase = RUN_STARTING;
+    }
+    for (unsigned i = 0; i < 300; i++) {
+        (void)add_job(&cluster, 1, &apart);
+    }
+    job = add_job(&cluster, 2, &one_accelerator);
+    for (unsigned ms = 0; ms < PLACED_WITHIN_MS; ms += STEP_MS) {
+        for_each_target(&cluster, make_suspect);
+        pass(&cluster, STEP_MS);
+    }
+    CU_ASSERT_EQUAL(placed(job), 1);
+    cluster_end(&cluster);
+}
+
 /* Begins a cluster in which urgent work uses two of the four workers in each
  * rack: a gang of three whole workers fits twice, but into no rack. */
 static void
@@ -462,7 +528,120 @@
     cluster_end(&cluster);
 }
 
+/* Begins a cluster in which a gang of three workers that requires a rack fits
+ * by what workers have reported, but not beside a run without an answer:
+ * across racks there is free capacity for such a gang. */
+static void
+cluster_begin_with_unconfirmed_run(struct cluster *cluster)
+{
+    struct owner_job *unconfirmed;
+
+    cluster_begin_without_free_rack(cluster);
+    add_worker(cluster, RACKS * PER_RACK);
+    set_rack(owner_target_get(cluster->owner, "w12"), RACKS - 1);
+    unconfirmed = add_job(cluster, 0, &whole_worker);
+    owner_run_create(cluster->owner, &step_of(unconfirmed)->tasks[0],
+                     owner_target_get(cluster->owner, "w11"), RUN_STARTING, 1);
+}
+
+/* Guards against a gang that is not spread because one that requires a rack
+ * has failed in the same pass. */
+static void
+test_a_gang_is_spread_beside_one_that_requires_a_rack(void)
+{
+    struct cw_step_spec three = {.tasks = 3,
+                                 .accelerators = ACCELERATORS,
+                                 .gang = true,
+                                 .same_rack = CW_SAME_RACK_REQUIRED};
+    struct cluster cluster;
+    struct owner_job *required;
+    struct owner_job *job;
+
+    cluster_begin_with_unconfirmed_run(&cluster);
+    required = add_job(&cluster, 1, &three);
+    three.same_rack = CW_SAME_RACK_FASTER;
+    job = add_job(&cluster, 2, &three);
+    run_passes(&cluster, PLACED_WITHIN_MS);
+    CU_ASSERT_EQUAL(placed(required), 0);
+    CU_ASSERT_EQUAL(placed(job), 3);
+    cluster_end(&cluster);
+}
+
+/* Guards against an endless gang that waits for a rack without limit while
+ * other tasks of its job run. */
+static void
+test_an_endless_gang_is_spread(void)
+{
+    static const struct cw_step_spec steps[] = {
+        {.tasks = 3,
+         .accelerators = ACCELERATORS,
+         .gang = true,
+         .same_rack = CW_SAME_RACK_FASTER,
+         .endless = true},
+        {.tasks = 1, .accelerators = 1, .endless = true}};
+    struct cluster cluster;
+    struct owner_job *job;
+    struct owner_step *other;
+
+    cluster_begin_without_free_rack(&cluster);
+    add_worker(&cluster, RACKS * PER_RACK);
+    job = add_job_of_steps(&cluster, "a", 1, steps, G_N_ELEMENTS(steps));
+    other = step_of(job) + 1;
+    for (unsigned i = 0; i < step_of(job)->count; i++) {
+        step_of(job)->tasks[i].idle_since = cluster.clock.now;
+    }
+    owner_run_create(cluster.owner, &other->tasks[0],
+                     owner_target_get(cluster.owner, "w12"), RUN_RUNNING, 1);
+    for (unsigned ms = 0; ms < 6000; ms += STEP_MS) {
+        owner_idle_end(cluster.owner, job); /* the other one is listed */
+        pass(&cluster, STEP_MS);
+    }
+    CU_ASSERT_EQUAL(placed(job), 3);
+    cluster_end(&cluster);
+}
+
+/* Guards against an idle job that is not tried because a task of another job
+ * has failed, for which more capacity has to be free. */
+static void
+test_a_job_is_placed_beside_endless_tasks(void)
+{
+    static const struct cw_step_spec steps[] = {
+        {.tasks = 1, .accelerators = ACCELERATORS, .endless = true},
+        {.tasks = 1, .accelerators = 1, .endless = true}};
+    static const struct cw_step_spec ten = {.tasks = 10,
+                                            .accelerators = ACCELERATORS};
+    struct cluster cluster;
+    struct owner_job *endless;
+    struct owner_job *job;
+
+    cluster_begin(&cluster);
+    set_guarantee(&cluster, 0);
+    run_job(&cluster, 0, &ten);
+    endless = add_job_of_steps(&cluster, "a", 1, steps, G_N_ELEMENTS(steps));
+    step_of(endless)->tasks[0].idle_since = cluster.clock.now;
+    add_worker(&cluster, RACKS * PER_RACK);
+    owner_run_create(cluster.owner, &step_of(endless)[1].tasks[0],
+                     owner_target_get(cluster.owner, "w12"), RUN_RUNNING, 1);
+    job = add_job(&cluster, 0, &whole_worker);
+    owner_run_create(cluster.owner, &step_of(job)->tasks[0],
+                     owner_target_get(cluster.owner, "w10"), RUN_STARTING, 1);
+    job = add_job(&cluster, 2, &whole_worker);
+    for (unsigned ms = 0; ms < 6500; ms += STEP_MS) {
+        for_each_target(&cluster, make_suspect);
+        owner_idle_end(cluster.owner, endless); /* the other one is listed */
+        if (ms < 3500) {
+            owner_idle_end(cluster.owner, job);
+        }
+        pass(&cluster, STEP_MS);
+    }
+    CU_ASSERT_EQUAL(placed(job), 1);
+    cluster_end(&cluster);
+}
+
 static const struct test tests[] = {
+    {"endless gang", test_an_endless_gang_is_spread},
+    {"beside endless", test_a_job_is_placed_beside_endless_tasks},
+    {"beside required", test_a_gang_is_spread_beside_one_that_requires_a_rack},
     {"each step", test_each_step_that_could_run_counts},
     {"unconfirmed run", test_an_unconfirmed_run_does_not_hide_idle_tasks},
     {"counted again", test_borrowed_headroom_is_counted_again},
@@ -476,8 +655,10 @@
     {"endless tasks", test_all_endless_tasks_are_placed},
     {"reserved runs",
      test_urgent_work_does_not_wait_for_reserved_runs_for_ever},
+    {"gang for speed", test_an_urgent_gang_does_not_wait_for_speed_for_ever},
     {"spread gang", test_a_gang_is_spread_if_no_rack_has_capacity},
     {"required rack", test_a_gang_that_requires_a_rack_is_not_spread},
+    {"in turn", test_all_steps_are_tried_in_turn},
     {"limit per pass", test_a_pass_places_a_limited_number},
 };
 
