--- a/emulator/emulator_main.c
+++ b/emulator/emulator_main.c
@@ -69,6 +69,7 @@
     bool near;
     bool busy;
     unsigned link_ms;
+    unsigned check_ms;
 };
 
 static const struct argp_option options[] = {
@@ -157,6 +158,10 @@
      "Delay between data centres, one way, besides the usual delays; within "
      "one, a quarter of it",
      0},
+    {"check-ms", 'C', "N", 0,
+     "Time between two checks for jobs that could run and do not; usually 500 "
+     "ms, and 100 ms on days with silences",
+     0},
     {"restricted", 'g', NULL, 0,
      "Steps have limits of tasks per worker and require kinds or racks of "
      "workers",
@@ -286,6 +291,9 @@
     case 'K':
         arguments->link_ms = number;
         break;
+    case 'C':
+        arguments->check_ms = number;
+        break;
     case 'g':
         arguments->restricted = true;
         break;
@@ -355,6 +363,7 @@
     day.restricted = arguments->restricted;
     day.near = arguments->near;
     day.link_ms = arguments->link_ms;
+    day.check_ms = arguments->check_ms;
     if (day.silences + day.outages + day.owner_cuts + day.owner_freezes +
             day.voter_restarts >
         0)
--- a/emulator/world.c
+++ b/emulator/world.c
@@ -55,6 +55,9 @@
 static unsigned
 check_interval_ms(const struct world *world)
 {
+    if (world->options.check_ms > 0) {
+        return world->options.check_ms;
+    }
     return world->options.silences + world->options.outages +
                        world->options.owner_freezes >
                    0
--- a/emulator/world.h
+++ b/emulator/world.h
@@ -84,7 +84,9 @@
                   of lower priority that ask for one rack */
     unsigned link_ms; /* delay between data centres, one way, besides the usual
                          delays; within one, a quarter of it */
-    bool trace;       /* print faults, starts and answers with their times */
+    unsigned check_ms; /* time between two checks for jobs that could run; 0:
+                          the usual one, 500 ms or 100 ms */
+    bool trace;        /* print faults, starts and answers with their times */
 };
 
 struct world_result {
