Orders: the answer to a start tells how long its placement was stored

Callers of slow links saw starts 0.37 s after their placement, and the log did not tell where the time went: in the append, in the worker's queue or in the answer. The lines start and stop now have answer_ms, and a start whose run still exists store_ms and queue_ms, three fields on lines that are written anyway.

--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -64,6 +64,8 @@
     struct timespec stop_due; /* no stop is sent before this time */
     struct timespec stop_confirmed_at;
     struct timespec created_at;
+    struct timespec durable_at; /* its placement was stored */
+    struct timespec first_sent_at;
     struct timespec sent_at;    /* its start was last sent */
     struct timespec started_at; /* its start was confirmed */
     struct timespec progress_at;
--- a/src/owner/owner_commit.c
+++ b/src/owner/owner_commit.c
@@ -73,6 +73,7 @@
         struct cw_task_name name = owner_task_name(run->task);
 
         run->phase = RUN_READY;
+        run->durable_at = owner_now(owner);
         if (run->stopping) {
             owner_run_drop(owner, run);
             continue;
--- a/src/owner/owner_orders.c
+++ b/src/owner/owner_orders.c
@@ -247,15 +247,28 @@
     }
 }
 
+/* Logs the answer, and for the start of a run that still exists how long its
+ * placement took to be stored, and the start then waited to be sent. */
 static void
-log_answer(const struct owner_order *order, enum cw_target_status status)
+log_answer(const struct owner_order *order, enum cw_target_status status,
+           struct timespec now)
 {
+    const struct owner_run *run = order_run(order);
+    char delays[80] = "";
+
+    if (order->kind == CW_ORDER_START && run != NULL) {
+        g_snprintf(delays, sizeof(delays),
+                   " store_ms=%" PRId64 " queue_ms=%" PRId64,
+                   cw_time_diff_ms(run->created_at, run->durable_at),
+                   cw_time_diff_ms(run->durable_at, run->first_sent_at));
+    }
     cw_log_info(order->kind == CW_ORDER_START ? "start" : "stop",
                 "id=%s task=%u.%u.%u run=%u worker=%s fence=%" PRIu64
-                " outcome=%s",
+                " outcome=%s answer_ms=%" PRId64 "%s",
                 order->job, order->task.occurrence, order->task.step,
                 order->task.index, order->run, order->target->id,
-                order->owner->epoch, cw_target_status_name(status));
+                order->owner->epoch, cw_target_status_name(status),
+                cw_time_diff_ms(order->sent, now), delays);
 }
 
 static void
@@ -282,7 +295,7 @@
         owner_order_window_answered(&owner->order_window,
                                     cw_time_diff_ms(order->sent, now));
     }
-    log_answer(order, answer->status);
+    log_answer(order, answer->status, now);
     owner_target_answered(target, answer->status, now);
     owner_address_answered(target, &answered, answer->status);
     if (order->boot_ms == target->incarnation.boot_ms) {
@@ -487,6 +500,9 @@
         out.lease_until_ms = start_lease_until_ms(target, run, now);
         out.payload = owner_task_job(run->task)->spec->payload;
         out.saved = run->task->saved;
+        if (run->phase == RUN_READY) {
+            run->first_sent_at = now;
+        }
         run->phase = RUN_STARTING;
         run->boot_ms = target->incarnation.boot_ms;
         run->sent_at = now;
