--- a/emulator/emulator_main.c
+++ b/emulator/emulator_main.c
@@ -70,6 +70,7 @@
     bool busy;
     unsigned link_ms;
     unsigned check_ms;
+    bool far_store;
 };
 
 static const struct argp_option options[] = {
@@ -170,6 +171,8 @@
      "Reports a start that is sent while an earlier run of its task is at "
      "work or may still begin",
      0},
+    {"far-store", 'Y', NULL, 0,
+     "The store is 1 to 80 ms away, so that appends overtake each other", 0},
     {0},
 };
 
@@ -306,6 +309,9 @@
     case 'h':
         arguments->near = true;
         break;
+    case 'Y':
+        arguments->far_store = true;
+        break;
     case ARGP_KEY_ARG:
         if (arguments->command != NULL) {
             argp_usage(state);
@@ -364,6 +370,7 @@
     day.near = arguments->near;
     day.link_ms = arguments->link_ms;
     day.check_ms = arguments->check_ms;
+    day.far_store = arguments->far_store;
     if (day.silences + day.outages + day.owner_cuts + day.owner_freezes +
             day.voter_restarts >
         0)
--- a/emulator/world.h
+++ b/emulator/world.h
@@ -87,6 +87,7 @@
     unsigned check_ms; /* time between two checks for jobs that could run; 0:
                           the usual one, 500 ms or 100 ms */
     bool trace;        /* print faults, starts and answers with their times */
+    bool far_store;    /* the store is tens of milliseconds away */
 };
 
 struct world_result {
--- a/emulator/world_net.c
+++ b/emulator/world_net.c
@@ -13,6 +13,7 @@
      * answered. */
     UNANSWERED_PERCENT = 2,
     STORE_ONE_WAY_MS = 2, /* usual mean delay, one way */
+    FAR_STORE_ONE_WAY_MS = 40,
     SLOW_STORE_ONE_WAY_MAX_MS = 120,
     WORKER_ONE_WAY_MS = 1,
     LONG_POLL_CHECK_MS = 25 /* time between two checks of a long poll */
@@ -85,7 +86,10 @@
         return world_random_between(world, STORE_ONE_WAY_MS,
                                     SLOW_STORE_ONE_WAY_MAX_MS);
     }
-    return world_random_between(world, 1, 2 * STORE_ONE_WAY_MS);
+    return world_random_between(world, 1,
+                                2 * (world->options.far_store
+                                         ? FAR_STORE_ONE_WAY_MS
+                                         : STORE_ONE_WAY_MS));
 }
 
 static unsigned
