--- a/src/owner/internal/owner_log.h
+++ b/src/owner/internal/owner_log.h
@@ -1,6 +1,5 @@
-/* A topic that the owner of a shard writes to under its epoch, in batches.
- * Each is retried until it is known to be stored, and counts as stored only
- * when all before it are.
+/* A topic that the owner of a shard writes to under its epoch: one append in
+ * flight at a time, each retried until it is known to be stored.
  *
  * Opening a log fences every writer with a lower epoch.  All functions are
  * called with the engine's lock held.
@@ -20,7 +19,7 @@
 /* Records for one append, and a callback for when they are stored. */
 struct owner_batch;
 
-/* Called once the batch, and all that were sent before it, are stored. */
+/* Called once the batch is stored; the log is idle again then. */
 typedef void (*owner_batch_stored)(void *context, struct owner_batch *batch);
 
 /* Creates an empty batch; `stored` may be NULL. */
@@ -74,7 +73,7 @@
 /* Fences earlier writers; the log is open once that is stored. */
 void owner_log_open(struct owner_log *log, uint64_t epoch);
 
-/* Abandons the batches that are not stored; their callbacks are not called. */
+/* Abandons the append in flight; its callbacks are not called. */
 void owner_log_close(struct owner_log *log);
 
 /* True once the append that opens the log is stored. */
@@ -86,22 +85,13 @@
 /* True if the log is open and no batch is in flight. */
 bool owner_log_is_idle(const struct owner_log *log);
 
-/* True if another batch may be sent before those in flight are stored: no more
- * than the store answers again are, and none was refused or got no answer. */
-bool owner_log_may_send(const struct owner_log *log);
-
-/* The interval of batches that spreads those in flight over the time that the
- * store takes; 0 if it answers at once. */
-int64_t owner_log_interval_ms(const struct owner_log *log);
-
-/* Sends a batch on a log that is idle, or that another batch may be sent on;
- * takes ownership of it. */
+/* Sends a batch on an idle log; takes ownership of it. */
 void owner_log_send(struct owner_log *log, struct owner_batch *batch);
 
 /* Time when the last batch was first sent, without its retries. */
 struct timespec owner_log_last_sent_at(const struct owner_log *log);
 
-/* The oldest batch that was sent and is not stored, as far as known. */
+/* A batch that was sent and is not stored, as far as known. */
 struct owner_log_unstored {
     struct timespec sent; /* first, without its retries */
     unsigned attempts;
--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -40,7 +40,7 @@
 enum run_phase {
     RUN_RESERVED,   /* waits until other runs have freed its capacity */
     RUN_NEW,        /* placed; not in the store yet */
-    RUN_COMMITTING, /* in a batch that is being written to the store */
+    RUN_COMMITTING, /* in the batch that is being written to the store */
     RUN_READY,      /* durable; its start order is queued */
     RUN_STARTING,   /* the start order was sent */
     RUN_RUNNING,    /* the worker has confirmed it */
@@ -63,7 +63,6 @@
     bool headroom_borrowed;
     struct timespec stop_due; /* no stop is sent before this time */
     struct timespec stop_confirmed_at;
-    uint64_t batch; /* of states, that its placement was first written with */
     struct timespec created_at;
     struct timespec durable_at; /* its placement was stored */
     struct timespec first_sent_at;
@@ -379,12 +378,6 @@
     GPtrArray *ends_sent;  /* ... with ends in the flush being written */
     guint flush_jobs_left; /* jobs at the front of `dirty` that belong to the
                               flush being written */
-    /* Batches of states that this owner has sent, and those of them that are
-     * stored, in their order.  With the batch `ends_batch` the ends in
-     * ends_sent are durable; 0: not all of their flush was sent. */
-    uint64_t state_batches_sent;
-    uint64_t state_batches_stored;
-    uint64_t ends_batch;
     GHashTable *targets_by_address; /* the last listed at each address */
     GHashTable *headroom;           /* service -> struct owner_headroom */
     struct owner_log *states_log;   /* CW_STATE_TOPIC */
@@ -399,6 +392,7 @@
     /* Lease notes were written after the last outcomes: outcomes are written
      * next. */
     bool lease_notes_sent;
+    struct timespec flush_due;
     struct owner_candidacy candidacy;
     bool placement_wanted; /* a placement pass is wanted */
     struct timespec placement_due;
--- a/src/owner/owner.c
+++ b/src/owner/owner.c
@@ -54,9 +54,6 @@
     g_hash_table_remove_all(owner->jobs);
     g_ptr_array_set_size(owner->dirty, 0);
     owner->flush_jobs_left = 0;
-    owner->state_batches_sent = 0;
-    owner->state_batches_stored = 0;
-    owner->ends_batch = 0;
     g_ptr_array_set_size(owner->unpublished, 0);
     g_ptr_array_set_size(owner->past_states, 0);
     owner_log_close(owner->states_log);
--- a/src/owner/owner_commit.c
+++ b/src/owner/owner_commit.c
@@ -30,17 +30,14 @@
 
 /* ---- states ---- */
 
-/* Marks the job's new runs: they become durable with the next batch. */
+/* Marks the job's new runs: they become durable with this batch. */
 static void
 mark_runs(const struct cw_owner *owner, struct owner_job *job)
 {
     GPtrArray *runs = owner_job_runs(job, RUN_NEW);
 
     for (guint i = 0; i < runs->len; i++) {
-        struct owner_run *run = runs->pdata[i];
-
-        run->phase = RUN_COMMITTING;
-        run->batch = owner->state_batches_sent + 1;
+        ((struct owner_run *)runs->pdata[i])->phase = RUN_COMMITTING;
         job->started = true;
         if (job->config == 0 && owner->routing != NULL) {
             job->config = owner->routing->version;
@@ -75,9 +72,6 @@
         struct owner_run *run = runs->pdata[i];
         struct cw_task_name name = owner_task_name(run->task);
 
-        if (run->batch > owner->state_batches_stored) {
-            continue; /* it was placed after the batch was sent */
-        }
         run->phase = RUN_READY;
         run->durable_at = owner_now(owner);
         if (run->stopping) {
@@ -101,7 +95,6 @@
         owner_target_wake(target);
     }
     g_ptr_array_set_size(owner->ends_sent, 0);
-    owner->ends_batch = 0;
 }
 
 /* Assigns all applied ends to the flush that begins, as it includes their
@@ -128,8 +121,7 @@
     cw_count_latency(
         owner->options.counters, CW_LATENCY_COMMIT,
         cw_time_diff_ms(owner_batch_sent_at(batch), owner_now(owner)));
-    owner->state_batches_stored++;
-    if (owner->ends_batch == owner->state_batches_stored) {
+    if (owner->flush_jobs_left == 0) {
         confirm_ends(owner);
     }
     for (guint i = 0; i < ids->len; i++) {
@@ -144,16 +136,12 @@
 
 /* Begins to write the states of all jobs that are dirty now, and with them the
  * ends applied so far.  Jobs that become dirty later stay behind them, so that
- * these ends are confirmed however often jobs change.  While ends of an
- * earlier flush are not confirmed, newer ones are left for a later flush: a
- * worker's ends_in_batch is that of one flush. */
+ * these ends are confirmed however often jobs change. */
 static void
 begin_flush(struct cw_owner *owner)
 {
     owner->flush_jobs_left = owner->dirty->len;
-    if (owner->ends_sent->len == 0) {
-        collect_ends(owner);
-    }
+    collect_ends(owner);
 }
 
 /* Moves states of the flush into the batch, up to its size. */
@@ -191,37 +179,18 @@
     g_ptr_array_remove_range(owner->past_states, 0, taken);
 }
 
-/* Returns when the next batch of states may be sent.  The batches in flight
- * are spread over the time that the store takes, so that a change waits for
- * about as long whenever it comes.  The rest of a flush that exceeds one batch
- * has waited already. */
-static struct timespec
-flush_due(const struct cw_owner *owner)
-{
-    const struct owner_log *log = owner->states_log;
-    int64_t interval_ms =
-        owner_log_is_idle(log) ? 0 : owner_log_interval_ms(log);
-
-    return cw_time_add_ms(
-        owner_log_last_sent_at(log),
-        owner->flush_jobs_left > 0 ? 0 : MAX(FLUSH_EVERY_MS, interval_ms));
-}
-
 static struct timespec
 write_states(struct cw_owner *owner, struct timespec now)
 {
     struct owner_log *log = owner->states_log;
     struct owner_batch *batch;
-    struct timespec due;
 
-    if (!owner_log_may_send(log) ||
-        (owner->dirty->len == 0 && !owner_log_is_idle(log)))
-    {
+    if (!owner_log_is_idle(log)) {
         return owner_log_tick(log, now);
     }
     if (owner->dirty->len == 0) {
-        /* Nothing is dirty or in flight: what the applied ends have changed is
-         * stored, and they are confirmed without a record. */
+        /* Nothing is dirty: the applied ends concern no job known here, and
+         * are confirmed without a record. */
         collect_ends(owner);
         confirm_ends(owner);
         if (owner->past_states->len == 0 ||
@@ -230,25 +199,18 @@
             return cw_time_from_ms(INT32_MAX);
         }
     }
-    due = flush_due(owner);
-    if (cw_time_before(now, due)) {
-        return due;
+    if (cw_time_before(now, owner->flush_due)) {
+        return owner->flush_due;
     }
+    owner->flush_due = cw_time_add_ms(now, FLUSH_EVERY_MS);
     batch = owner_batch_new(on_states_stored, owner);
     if (owner->flush_jobs_left == 0) {
         begin_flush(owner);
     }
     add_states(owner, batch);
     drop_states(owner, batch);
-    owner->state_batches_sent++;
-    if (owner->flush_jobs_left == 0 && owner->ends_sent->len > 0 &&
-        owner->ends_batch == 0)
-    {
-        owner->ends_batch = owner->state_batches_sent;
-    }
     owner_log_send(log, batch);
-    return owner->dirty->len > 0 ? flush_due(owner)
-                                 : cw_time_from_ms(INT32_MAX);
+    return cw_time_from_ms(INT32_MAX);
 }
 
 /* ---- outcomes, which all VMs read ---- */
--- a/src/owner/owner_log.c
+++ b/src/owner/owner_log.c
@@ -1,11 +1,4 @@
-/* Fenced appends to one topic, each retried until stored.
- *
- * Appends that are in flight at the same time may overtake each other.  The
- * store accepts them in the order of their sequence numbers only, so a batch
- * that it has accepted proves that all earlier ones are stored, and a batch
- * that arrives before an earlier one is refused and does nothing.  A batch
- * keeps its number and its records as long as an attempt without an answer may
- * still be carried out. */
+/* Fenced appends to one topic, one at a time, each retried until stored. */
 #include "owner/internal/owner_log.h"
 
 #include <inttypes.h>
@@ -14,10 +7,6 @@
 #include "curlewcart/cw_log.h"
 
 enum {
-    /* The store answers a repetition of one of a writer's last five appends as
-     * it answered the first time.  A batch is sent again while at most this
-     * many appends, with itself, may have been stored. */
-    IN_FLIGHT_MAX = 4,
     /* An append takes a few ms, and up to 250 ms while the store is slow; a
      * broken connection is detected after this time. */
     APPEND_TIMEOUT_MS = 900,
@@ -41,12 +30,9 @@
     size_t bytes;      /* of the records, in a datagram */
     uint64_t sequence;
     bool in_flight;
-    bool held;        /* not sent again until the oldest batch is stored */
-    bool sent_first;  /* all batches before it were stored when it was sent */
     bool unconfirmed; /* an attempt had no answer: it may be stored */
     unsigned attempts;
     enum cw_store_status status; /* of the last attempt that failed */
-    struct timespec first_sent;
     struct timespec sent;
     struct timespec due;
 };
@@ -57,10 +43,8 @@
     uint64_t sequence; /* of the next batch */
     bool open;
     uint64_t opened_at;
-    GQueue batches;       /* struct owner_batch: sent, not known to be stored;
-                             oldest first */
-    struct timespec sent; /* the last batch, for the first time */
-    int64_t append_ms;    /* how long the last stored batch took */
+    struct owner_batch *batch; /* in flight, or NULL */
+    struct timespec sent;
 };
 
 /* ---- batches ---- */
@@ -142,55 +126,16 @@
     return cw_clock_now(log->options.clock);
 }
 
-static struct owner_batch *
-oldest_batch(const struct owner_log *log)
-{
-    return g_queue_peek_head((GQueue *)&log->batches);
-}
-
-/* Abandons a batch that is not in the queue any more.  One in flight is freed
- * with its answer. */
-static void
-discard(struct owner_batch *batch)
-{
-    batch->log = NULL;
-    if (!batch->in_flight) {
-        owner_batch_free(batch);
-    }
-}
-
-/* Handles that the batch with this number is stored, and with it all before
- * it. */
 static void
-batches_stored(struct owner_log *log, uint64_t sequence)
+batch_stored(struct owner_log *log, struct owner_batch *batch)
 {
-    struct owner_batch *batch;
-
-    while ((batch = oldest_batch(log)) != NULL && batch->sequence <= sequence)
-    {
-        g_queue_pop_head(&log->batches);
-        log->append_ms = cw_time_diff_ms(batch->first_sent, log_now(log));
-        if (batch->stored != NULL) {
-            batch->stored(batch->context, batch);
-        }
-        discard(batch);
-    }
-    for (const GList *l = log->batches.head; l != NULL; l = l->next) {
-        batch = l->data;
-        batch->held = false;
-        if (batch->status == CW_STORE_OUT_OF_SEQUENCE) {
-            batch->due = log_now(log);
-        }
-    }
-}
-
-static void
-batch_accepted(struct owner_log *log, const struct owner_batch *batch)
-{
-    uint64_t sequence = batch->sequence;
-
+    log->sequence = batch->sequence + 1;
+    log->batch = NULL;
     log->options.confirmed(log->options.context, batch->sent);
-    batches_stored(log, sequence);
+    if (batch->stored != NULL) {
+        batch->stored(batch->context, batch);
+    }
+    owner_batch_free(batch);
 }
 
 static void
@@ -205,7 +150,6 @@
           enum cw_store_status status)
 {
     batch->status = status;
-    batch->held = batch != oldest_batch(log);
     cw_count_code(log->options.counters, CW_RETRY_APPEND);
     cw_log_info("append_again",
                 "topic=%s sequence=%" PRIu64 " status=%s records=%u",
@@ -214,33 +158,20 @@
     batch->due = cw_time_add_ms(log_now(log), RETRY_MS);
 }
 
-/* Handles that the store expects another sequence number than the batch's:
- * - an earlier one: the batch has overtaken an earlier batch, which may be
- *   stored meanwhile, and is sent again after that one;
- * - a later one that this log has used: an attempt without an answer was
- *   stored.
- * The first batch of a log that is opened again continues the sequence. */
+/* Handles that the store expects another sequence number than the batch's.  If
+ * it expects the next one, an attempt without an answer was stored. */
 static void
 out_of_sequence(struct owner_log *log, struct owner_batch *batch,
                 uint64_t expected)
 {
-    if (expected < batch->sequence && !batch->sent_first) {
-        try_again(log, batch, CW_STORE_OUT_OF_SEQUENCE);
-        if (!batch->held) {
-            batch->due = log_now(log);
-        }
-    }
-    else if (batch->unconfirmed && expected > batch->sequence &&
-             expected <= log->sequence)
-    {
-        batch_accepted(log, batch);
+    if (batch->unconfirmed && expected == batch->sequence + 1) {
+        batch_stored(log, batch);
     }
-    else if (log->open || batch->unconfirmed) {
+    else if (batch->unconfirmed) {
         lose(log, "sequence");
     }
     else {
         batch->sequence = expected;
-        log->sequence = expected + 1;
         try_again(log, batch, CW_STORE_OUT_OF_SEQUENCE);
     }
 }
@@ -262,7 +193,7 @@
             log->open = true;
             log->opened_at = result->end;
         }
-        batch_accepted(log, batch);
+        batch_stored(log, batch);
         break;
     case CW_STORE_FENCED:
         lose(log, "higher_epoch");
@@ -306,7 +237,6 @@
         records[i].length = value != NULL ? value->len : 0;
     }
     batch->in_flight = true;
-    batch->sent_first = batch == oldest_batch(log);
     batch->attempts++;
     batch->sent = log_now(log);
     cw_count_add(log->options.counters, CW_COUNT_APPENDS, 1);
@@ -336,12 +266,11 @@
 void
 owner_log_send(struct owner_log *log, struct owner_batch *batch)
 {
-    g_assert(log->batches.length < IN_FLIGHT_MAX);
+    g_assert(log->batch == NULL);
     batch->log = log;
-    batch->sequence = log->sequence++;
-    batch->first_sent = log_now(log);
-    log->sent = batch->first_sent;
-    g_queue_push_tail(&log->batches, batch);
+    batch->sequence = log->sequence;
+    log->batch = batch;
+    log->sent = log_now(log);
     append(log, batch);
 }
 
@@ -358,11 +287,16 @@
 void
 owner_log_close(struct owner_log *log)
 {
-    struct owner_batch *batch;
+    struct owner_batch *batch = log->batch;
 
     log->open = false;
-    while ((batch = g_queue_pop_head(&log->batches)) != NULL) {
-        discard(batch);
+    log->batch = NULL;
+    if (batch == NULL) {
+        return;
+    }
+    batch->log = NULL;
+    if (!batch->in_flight) {
+        owner_batch_free(batch);
     }
 }
 
@@ -381,32 +315,7 @@
 bool
 owner_log_is_idle(const struct owner_log *log)
 {
-    return log->open && log->batches.length == 0;
-}
-
-bool
-owner_log_may_send(const struct owner_log *log)
-{
-    size_t bytes = 0;
-
-    for (const GList *l = log->batches.head; l != NULL; l = l->next) {
-        const struct owner_batch *batch = l->data;
-
-        if (!batch->in_flight || batch->attempts > 1) {
-            return false;
-        }
-        bytes += batch->bytes;
-    }
-    /* Several large datagrams would occupy a slow link for longer than another
-     * VM has for its answer. */
-    return log->open && log->batches.length < IN_FLIGHT_MAX &&
-           bytes < BATCH_BYTES_MAX;
-}
-
-int64_t
-owner_log_interval_ms(const struct owner_log *log)
-{
-    return log->append_ms / IN_FLIGHT_MAX;
+    return log->open && log->batch == NULL;
 }
 
 struct timespec
@@ -419,12 +328,12 @@
 owner_log_get_unstored(const struct owner_log *log,
                        struct owner_log_unstored *out)
 {
-    const struct owner_batch *batch = oldest_batch(log);
+    const struct owner_batch *batch = log->batch;
 
     if (batch == NULL) {
         return false;
     }
-    out->sent = batch->first_sent;
+    out->sent = log->sent;
     out->attempts = batch->attempts;
     out->in_flight = batch->in_flight;
     out->status = batch->status;
@@ -441,22 +350,14 @@
 struct timespec
 owner_log_tick(struct owner_log *log, struct timespec now)
 {
-    struct timespec next = cw_time_from_ms(INT32_MAX);
-    const GList *l = log->batches.head;
-
-    while (l != NULL) {
-        struct owner_batch *batch = l->data;
+    struct owner_batch *batch = log->batch;
 
-        l = l->next;
-        if (batch->in_flight || batch->held) {
-            continue;
-        }
-        if (cw_time_before(now, batch->due)) {
-            cw_time_set_earlier(&next, batch->due);
-            continue;
-        }
+    if (batch == NULL || batch->in_flight) {
+        return cw_time_from_ms(INT32_MAX);
+    }
+    if (!cw_time_before(now, batch->due)) {
         append(log, batch);
-        l = log->batches.head; /* the answer may have come at once */
+        return cw_time_from_ms(INT32_MAX);
     }
-    return next;
+    return batch->due;
 }
