Test: workers with suspects are withheld from idle jobs

A run of a suspect keeps its worker from all other work until it shows progress, and the limit on idle time does not overrule that, as it does all other reasons: with one such run on each worker that has free capacity, a job waits without end.

--- a/tests/test_starvation.c
+++ b/tests/test_starvation.c
@@ -3,6 +3,7 @@
  * that unconfirmed runs don't count as work. */
 #include "test_main.h"
 
+#include "owner/internal/owner_crashes.h"
 #include "owner_cluster.h"
 #include "worker_speeds.h"
 
@@ -638,7 +639,48 @@
     cluster_end(&cluster);
 }
 
+/* Begins a cluster in which three workers have a run on probation each, and
+ * all others are full. */
+static void
+cluster_begin_with_probation(struct cluster *cluster)
+{
+    static const struct cw_step_spec three = {.tasks = 3, .accelerators = 1};
+    struct owner_job *suspects;
+
+    cluster_begin(cluster);
+    set_guarantee(cluster, 0);
+    run_job(cluster, 0, &nine_workers);
+    suspects = add_job(cluster, 0, &three);
+    for (unsigned i = 0; i < three.tasks; i++) {
+        char name[16];
+
+        g_snprintf(name, sizeof(name), "w%02u", 9 + i);
+        owner_task_set_suspicion(&step_of(suspects)->tasks[i], 4);
+        owner_run_create(cluster->owner, &step_of(suspects)->tasks[i],
+                         owner_target_get(cluster->owner, name), RUN_RUNNING,
+                         1);
+    }
+}
+
+/* Guards against workers on which a suspect shows no progress yet, and that
+ * are withheld from idle jobs for as long as that takes. */
+static void
+test_workers_with_suspects_are_used_last(void)
+{
+    struct cluster cluster;
+    struct owner_job *job;
+
+    cluster_begin_with_probation(&cluster);
+    job = add_job(&cluster, 1, &one_accelerator);
+    run_passes(&cluster, 1000);
+    CU_ASSERT_EQUAL(placed(job), 0);
+    run_passes(&cluster, PLACED_WITHIN_MS - 1000);
+    CU_ASSERT_EQUAL(placed(job), 1);
+    cluster_end(&cluster);
+}
+
 static const struct test tests[] = {
+    {"suspects", test_workers_with_suspects_are_used_last},
     {"endless gang", test_an_endless_gang_is_spread},
     {"beside endless", test_a_job_is_placed_beside_endless_tasks},
     {"beside required", test_a_gang_is_spread_beside_one_that_requires_a_rack},
