Moves: the rack that was found free is the one reserved for a gathered gang

What callers would see: gangs that are stopped to be gathered in one rack and find it taken. Cause: the gang was stopped for a rack that is free, and then the rack was reserved that would have most capacity once lower-priority runs had ended. Change: gather reserves the free rack. Test: test_moves 'free rack' (fails before).

--- a/src/owner/internal/owner_candidates.h
+++ b/src/owner/internal/owner_candidates.h
@@ -78,4 +78,8 @@
 void owner_reserve_rack(struct cw_owner *owner, struct owner_step *step,
                         struct timespec now);
 
+/* Does the same for the rack given, one of the workers' names. */
+void owner_reserve_this_rack(struct cw_owner *owner, struct owner_step *step,
+                             const char *rack, struct timespec now);
+
 #endif
--- a/src/owner/owner_moves.c
+++ b/src/owner/owner_moves.c
@@ -151,27 +151,29 @@
     }
 }
 
-/* True if a rack holds the gang, without what is reserved for others. */
-static bool
-fits_in_rack(struct cw_owner *owner, const struct owner_step *step,
-             struct timespec now)
+/* Returns a rack that holds the gang without what is reserved for others, or
+ * NULL. */
+static const char *
+free_rack(struct cw_owner *owner, const struct owner_step *step,
+          struct timespec now)
 {
     GArray *candidates = owner_candidates(owner, step, now);
-    bool fits = owner_best_rack(owner, candidates, step, step->count) != NULL;
+    const char *rack = owner_best_rack(owner, candidates, step, step->count);
 
     g_array_unref(candidates);
-    return fits;
+    return rack;
 }
 
 static void
-gather(struct cw_owner *owner, struct owner_step *step, struct timespec now)
+gather(struct cw_owner *owner, struct owner_step *step, const char *rack,
+       struct timespec now)
 {
     step->moves++;
     cw_log_info(
         "gang_gathered", "id=%s step=%u.%u tasks=%u percent=%u moves=%u",
         step->occurrence->job->spec->id, step->occurrence->number,
         step->number, step->count, step->tasks[0].run->percent, step->moves);
-    owner_reserve_rack(owner, step, now);
+    owner_reserve_this_rack(owner, step, rack, now);
     owner_run_evict_for(owner, step->tasks[0].run, OWNER_IDLE_MOVED);
 }
 
@@ -181,7 +183,7 @@
     GPtrArray *gangs;
     GHashTableIter iterator;
     gpointer value;
-    guint i = 0;
+    const char *rack = NULL;
 
     if (cw_time_before(now, owner->gather_due)) {
         return;
@@ -197,11 +199,11 @@
         }
     }
     owner_available_reset(owner->available, gangs);
-    while (i < gangs->len && !fits_in_rack(owner, gangs->pdata[i], now)) {
-        i++;
-    }
-    if (i < gangs->len) {
-        gather(owner, gangs->pdata[i], now);
+    for (guint i = 0; rack == NULL && i < gangs->len; i++) {
+        rack = free_rack(owner, gangs->pdata[i], now);
+        if (rack != NULL) {
+            gather(owner, gangs->pdata[i], rack, now);
+        }
     }
     g_ptr_array_unref(gangs);
 }
--- a/src/owner/owner_racks.c
+++ b/src/owner/owner_racks.c
@@ -65,24 +65,12 @@
 }
 
 void
-owner_reserve_rack(struct cw_owner *owner, struct owner_step *step,
-                   struct timespec now)
+owner_reserve_this_rack(struct cw_owner *owner, struct owner_step *step,
+                        const char *rack, struct timespec now)
 {
     GHashTableIter iterator;
     gpointer value;
-    const char *rack;
 
-    if (owner_memo_has_failed(owner, step, OWNER_ATTEMPT_RESERVE_RACK, now)) {
-        return;
-    }
-    rack = rack_to_reserve(owner, step, false, now);
-    if (rack == NULL) {
-        rack = rack_to_reserve(owner, step, true, now);
-    }
-    if (rack == NULL) {
-        owner_memo_add_failure(owner, step, OWNER_ATTEMPT_RESERVE_RACK, now);
-        return;
-    }
     owner->rack_reservations++;
     step->rack_reservation_until = cw_time_add_ms(now, RESERVATION_MS);
     g_hash_table_iter_init(&iterator, owner->targets);
@@ -97,3 +85,23 @@
         }
     }
 }
+
+void
+owner_reserve_rack(struct cw_owner *owner, struct owner_step *step,
+                   struct timespec now)
+{
+    const char *rack;
+
+    if (owner_memo_has_failed(owner, step, OWNER_ATTEMPT_RESERVE_RACK, now)) {
+        return;
+    }
+    rack = rack_to_reserve(owner, step, false, now);
+    if (rack == NULL) {
+        rack = rack_to_reserve(owner, step, true, now);
+    }
+    if (rack == NULL) {
+        owner_memo_add_failure(owner, step, OWNER_ATTEMPT_RESERVE_RACK, now);
+        return;
+    }
+    owner_reserve_this_rack(owner, step, rack, now);
+}
--- a/tests/test_moves.c
+++ b/tests/test_moves.c
@@ -256,6 +256,42 @@
     cluster_end(&cluster);
 }
 
+/* Guards against a gang that is stopped for a free rack while another rack is
+ * reserved for it, which more lower-priority work could leave. */
+static void
+test_the_free_rack_is_reserved_for_a_gang(void)
+{
+    static const struct cw_step_spec two = {.tasks = 2,
+                                            .accelerators = ACCELERATORS};
+    static const struct cw_step_spec three = {.tasks = 3,
+                                              .accelerators = ACCELERATORS};
+    static const char *const used[] = {"w08", "w09", "w05", "w06", "w07"};
+    struct cluster cluster;
+    struct owner_job *job = begin_with_spread_gang(&cluster, false, 0);
+    struct owner_job *urgent = add_job(&cluster, 0, &two);
+    struct owner_job *lower = add_job(&cluster, 2, &three);
+
+    for (unsigned i = 0; i < G_N_ELEMENTS(used); i++) {
+        owner_run_create(cluster.owner,
+                         i < two.tasks ? &step_of(urgent)->tasks[i]
+                                       : &step_of(lower)->tasks[i - two.tasks],
+                         owner_target_get(cluster.owner, used[i]), RUN_RUNNING,
+                         1);
+    }
+    for (unsigned i = 1; i < PER_RACK; i++) {
+        char name[16];
+
+        g_snprintf(name, sizeof(name), "w%02u", i);
+        owner_target_get(cluster.owner, name)->draining = true;
+    }
+    pass(&cluster, 10);
+    CU_ASSERT_EQUAL(stopping(job), 2);
+    CU_ASSERT_PTR_EQUAL(
+        owner_target_get(cluster.owner, "w10")->rack_reserved_for,
+        step_of(job));
+    cluster_end(&cluster);
+}
+
 /* Guards against a gang that is stopped although no rack holds it, and against
  * one that is stopped time and again. */
 static void
@@ -294,6 +330,7 @@
     {"moved", test_a_moved_task_is_not_placed_on_a_slow_worker},
     {"slow elsewhere", test_a_gang_is_not_moved_to_slow_workers},
     {"gathered", test_a_spread_gang_is_gathered_in_a_free_rack},
+    {"free rack", test_the_free_rack_is_reserved_for_a_gang},
     {"half done", test_a_spread_gang_that_is_half_done_goes_on},
     {"in vain", test_a_spread_gang_is_not_stopped_in_vain},
 };
