--- a/emulator/world.c
+++ b/emulator/world.c
@@ -611,6 +611,7 @@
 world_make_busy(struct world_options *day)
 {
     day->busy = true;
+    day->lasting = false; /* urgent tasks last seconds */
     day->workers = BUSY_WORKERS;
     day->jobs = BUSY_JOBS;
 }
