--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -35,6 +35,10 @@
  * longer there than granted. */
 enum { OWNER_CLOCK_DRIFT_PERCENT = 2 };
 
+/* Limit on the restarts of a step because of slow workers, or because it is
+ * spread over racks. */
+enum { OWNER_MOVES_MAX = 2 };
+
 /* Phase of a run: the execution of a task on a worker, from its placement
  * until the worker is known not to execute it and not to start it later. */
 enum run_phase {
@@ -128,7 +132,7 @@
     /* capacity_version at the last attempt that failed. */
     uint64_t tried_capacity_version;
     struct timespec tried_at;
-    unsigned moves; /* restarts because of slow workers */
+    unsigned moves; /* restarts that were useful and not necessary */
     struct timespec rack_reservation_until; /* a rack is reserved for it */
     struct timespec rack_checked_at;        /* owner_step_needs_rack */
     bool rack_can_hold;
--- a/src/owner/owner_moves.c
+++ b/src/owner/owner_moves.c
@@ -9,9 +9,7 @@
 enum {
     /* Interval at which a gang that was spread over racks is gathered in one,
      * at most one at a time: the rack is free until its runs have ended. */
-    GATHER_INTERVAL_MS = 500,
-    /* Limit on the moves of a step. */
-    MOVES_MAX = 2
+    GATHER_INTERVAL_MS = 500
 };
 
 /* Returns how many tasks of the step would fit on the worker, for a gang once
@@ -131,7 +129,7 @@
     unsigned percent = 0;
 
     return step->spec->gang && step->spec->same_rack == CW_SAME_RACK_FASTER &&
-           !step->spec->endless && step->moves < MOVES_MAX &&
+           !step->spec->endless && step->moves < OWNER_MOVES_MAX &&
            step->runs == step->count && !step->occurrence->job->spec->once &&
            runs_across_racks(step, &percent) &&
            cw_gang_should_gather(percent, step->spec->checkpoints);
--- a/src/owner/owner_speed.c
+++ b/src/owner/owner_speed.c
@@ -26,8 +26,6 @@
     /* Runs on other workers that are needed for a comparison, if the step has
      * so many: one alone does not show which of two workers is unusual. */
     VOTES_MIN = 2,
-    /* Limit on the restarts of a step because of slow workers. */
-    MOVES_MAX = 2,
     MILLI = 1000
 };
 
@@ -257,7 +255,7 @@
     };
 
     if (run->stopping || run->gang_done || step->spec->endless ||
-        owner_at_most_once_protects(run) || step->moves >= MOVES_MAX ||
+        owner_at_most_once_protects(run) || step->moves >= OWNER_MOVES_MAX ||
         !cw_restart_is_worthwhile(&restart) ||
         !owner_run_may_move(owner, run, now))
     {
--- a/src/owner/owner_starvation.c
+++ b/src/owner/owner_starvation.c
@@ -4,10 +4,10 @@
  * Headroom is reserved for urgent work, racks are reserved for gangs, workers
  * that failed or were slow are avoided for seconds, lower-priority work waits
  * while the owner is behind, and a gang that is slower across racks waits for
- * a rack.  Once cw_idle_is_overdue returns true, the
- * smallest part of a job that can run, one task or its gang, is placed in free
- * capacity even if that is reserved.  Runs that borrow headroom are stopped
- * before urgent work needs it (owner_headroom_reclaim.c). */
+ * a rack.  Once cw_idle_is_overdue returns true, the smallest part of a job
+ * that can run, one task or its gang, is placed in free capacity even if that
+ * is reserved.  Runs that borrow headroom are stopped before urgent work needs
+ * it (owner_headroom_reclaim.c). */
 #include "owner/internal/owner_candidates.h"
 #include "owner/internal/owner_crashes.h"
 #include "owner/internal/owner_placement.h"
