Owner: one function for the tasks that can only start together

Found by reading the whole change once more: the rule 'the gang, or one task' stood in owner_spare.c, owner_moves.c and twice in owner_starvation.c, where the change had written it again. runs_across_racks handed out the progress of the first member, which its caller can read, and the count of runs was checked beside the check of each run.

--- a/src/owner/internal/owner_placement.h
+++ b/src/owner/internal/owner_placement.h
@@ -81,6 +81,13 @@
 bool owner_step_exceeds_limit(const struct owner_step *step,
                               const struct owner_target *target);
 
+/* Returns how many tasks of the step can only start together. */
+static inline unsigned
+owner_tasks_together(const struct owner_step *step)
+{
+    return step->spec->gang ? step->count : 1;
+}
+
 /* A number of a step's tasks that are to be placed on a worker. */
 struct owner_choice {
     struct owner_target *target;
--- a/src/owner/owner_moves.c
+++ b/src/owner/owner_moves.c
@@ -58,7 +58,7 @@
                struct timespec now)
 {
     struct owner_step *step = run->task->step;
-    unsigned tasks_together = step->spec->gang ? step->count : 1;
+    unsigned tasks_together = owner_tasks_together(step);
     bool needs_rack = owner_step_needs_rack(owner, step, now);
     unsigned *fits_by_rack =
         g_new0(unsigned, owner->rack_lower_priority_workers->len);
@@ -100,10 +100,9 @@
 
 /* ---- gangs that were spread over racks ---- */
 
-/* True if all members run and they are in more than one rack; lists how much
- * the first of them has done. */
+/* True if all members run and they are in more than one rack. */
 static bool
-runs_across_racks(const struct owner_step *step, unsigned *percent)
+runs_across_racks(const struct owner_step *step)
 {
     bool across = false;
 
@@ -118,7 +117,6 @@
         across = across || run->target->rack_number !=
                                step->tasks[0].run->target->rack_number;
     }
-    *percent = step->tasks[0].run->percent;
     return across;
 }
 
@@ -126,13 +124,11 @@
 static bool
 should_gather(const struct owner_step *step)
 {
-    unsigned percent = 0;
-
     return step->spec->gang && step->spec->same_rack == CW_SAME_RACK_FASTER &&
            !step->spec->endless && step->moves < OWNER_MOVES_MAX &&
-           step->runs == step->count && !step->occurrence->job->spec->once &&
-           runs_across_racks(step, &percent) &&
-           cw_gang_should_gather(percent, step->spec->checkpoints);
+           !step->occurrence->job->spec->once && runs_across_racks(step) &&
+           cw_gang_should_gather(step->tasks[0].run->percent,
+                                 step->spec->checkpoints);
 }
 
 static void
--- a/src/owner/owner_spare.c
+++ b/src/owner/owner_spare.c
@@ -122,13 +122,6 @@
                                                    : OWNER_BLOCKER_NONE;
 }
 
-/* Returns how many tasks can only start together. */
-static unsigned
-tasks_together(const struct owner_step *step)
-{
-    return step->spec->gang ? step->count : 1;
-}
-
 /* Returns how many tasks of the step fit into the worker's spare capacity. */
 static unsigned
 fits_on(const struct spare_worker *row, const struct owner_step *step)
@@ -153,7 +146,7 @@
 
     for (guint i = 0;
          i < spare->workers->len &&
-         !(rack_fits && tasks >= FIT_TIMES * tasks_together(step));
+         !(rack_fits && tasks >= FIT_TIMES * owner_tasks_together(step));
          i++)
     {
         const struct spare_worker *row =
@@ -163,10 +156,10 @@
         tasks += fits;
         fits_by_rack[row->target->rack_number] += fits;
         rack_fits = rack_fits || fits_by_rack[row->target->rack_number] >=
-                                     tasks_together(step);
+                                     owner_tasks_together(step);
     }
     g_free(fits_by_rack);
-    return rack_fits && tasks >= FIT_TIMES * tasks_together(step);
+    return rack_fits && tasks >= FIT_TIMES * owner_tasks_together(step);
 }
 
 /* Returns the blocker that applies to most of the capacity. */
@@ -211,7 +204,7 @@
 struct owner_spare_fit
 owner_spare_fit(const struct owner_spare *spare, const struct owner_step *step)
 {
-    struct owner_spare_fit fit = {.together = tasks_together(step)};
+    struct owner_spare_fit fit = {.together = owner_tasks_together(step)};
     unsigned *by_rack =
         g_new0(unsigned, spare->owner->rack_lower_priority_workers->len);
     unsigned workers_left = owner_headroom_workers_left(
--- a/src/owner/owner_starvation.c
+++ b/src/owner/owner_starvation.c
@@ -75,7 +75,7 @@
 unsigned
 owner_starved_min_fits(const struct owner_step *step, struct timespec now)
 {
-    unsigned tasks_together = step->spec->gang ? step->count : 1;
+    unsigned tasks_together = owner_tasks_together(step);
 
     return job_is_starved(step->occurrence->job, now)
                ? tasks_together
@@ -139,7 +139,7 @@
                 cw_idle_free_ms(&job->idle.clock, now),
                 scope == CW_GANG_NOWHERE ? "worker"
                                          : cw_gang_scope_name(scope),
-                step->spec->gang ? step->count : 1, fits,
+                owner_tasks_together(step), fits,
                 cw_owner_refusal_name(job->idle.refusal),
                 step->occurrence->number, step->number, step->runs);
 }
