Owner: remove occurrences that are done from a job's state

Cause: owner_job_open_due added each occurrence to the state, nothing removed one, and the list of occurrences in the job's record has a limit. A backlog of occurrences was opened in one loop.

Change: done occurrences leave the state; further ones are opened as earlier ones are placed, and while the state takes less than half of a record. The record's form stays.

--- a/include/curlewcart/cw_owner.h
+++ b/include/curlewcart/cw_owner.h
@@ -47,7 +47,8 @@
     unsigned standby_read_interval_ms; /* between reads of the log of jobs
                                  while another VM is the owner; 0:
                                  CW_STANDBY_READ_INTERVAL_MS */
-    unsigned retain_ms; /* minimum time for which ended jobs are retained */
+    unsigned retain_ms;  /* minimum time for which ended jobs are retained */
+    size_t record_bytes; /* limit of a record in the store; 0: the default */
     unsigned capacity_milli;    /* this VM's processor, thousandths of a core;
                                    0: unknown, taken as one core */
     bool exposes_placements;    /* callers may query where their jobs ran */
--- a/include/curlewcart/cw_store.h
+++ b/include/curlewcart/cw_store.h
@@ -12,6 +12,12 @@
 #include <stddef.h>
 #include <stdint.h>
 
+/* Limit of a record in a partition, in bytes, where the settings name none. */
+#define CW_STORE_RECORD_BYTES_DEFAULT (256 * 1024)
+
+/* Limit of a key in bytes: a record holds the key's length in one byte. */
+#define CW_STORE_KEY_BYTES_MAX 255
+
 enum cw_store_status {
     CW_STORE_OK,
     CW_STORE_NOT_EXECUTED, /* not executed: busy, rate limit, unreachable */
@@ -26,6 +32,19 @@
 /* Name of a status, for logs.  Borrowed, static. */
 const char *cw_store_status_name(enum cw_store_status status);
 
+/* Limit of a value, with any key, in records of at most `record_bytes`; 0: of
+ * CW_STORE_RECORD_BYTES_DEFAULT. */
+static inline size_t
+cw_store_value_bytes_max(size_t record_bytes)
+{
+    size_t overhead = 1 + CW_STORE_KEY_BYTES_MAX;
+
+    if (record_bytes == 0) {
+        record_bytes = CW_STORE_RECORD_BYTES_DEFAULT;
+    }
+    return record_bytes > overhead ? record_bytes - overhead : 0;
+}
+
 /* One keyed record.  A NULL `value` deletes the key. */
 struct cw_store_record {
     const char *key;
--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -175,7 +175,10 @@
     char *result;          /* text of the last end that had one, or NULL */
     GArray *places;        /* struct owner_job_placement: where it has run */
     unsigned next_occurrence;
-    GPtrArray *open;          /* struct owner_occurrence, the open ones */
+    GPtrArray *open;          /* struct owner_occurrence, the open ones: of a
+                                 scheduled job, those below next_occurrence that
+                                 are not here are done */
+    size_t state_bytes;       /* size of the last encoded state */
     struct timespec known_at; /* when it was accepted, by this VM's clock */
     struct timespec objective_at; /* when it becomes late, as far as known */
     struct owner_idle idle;
@@ -514,13 +517,31 @@
 void owner_job_adopt(struct cw_owner *owner, struct cw_replica_job *entry);
 void owner_job_free(gpointer job);
 
+/* Adds `runs` runs on a worker to the job's placements. */
+void owner_job_add_placement(struct owner_job *job, const char *worker,
+                             const char *dc, unsigned runs);
+
+/* ---- owner_occurrences.c ---- */
+
 /* Creates an occurrence of the job, with all its tasks waiting. */
 struct owner_occurrence *
 owner_occurrence_open(struct owner_job *job, unsigned number);
+void owner_occurrence_free(gpointer occurrence);
 
-/* Adds `runs` runs on a worker to the job's placements. */
-void owner_job_add_placement(struct owner_job *job, const char *worker,
-                             const char *dc, unsigned runs);
+/* True if all steps of the occurrence are done. */
+bool owner_occurrence_is_done(const struct owner_occurrence *occurrence);
+
+/* True if the step is as it was when its occurrence was opened. */
+bool owner_step_is_untouched(const struct owner_step *step);
+
+/* Number of the job's occurrences: 1 for a job that is not scheduled. */
+unsigned owner_job_occurrence_count(const struct owner_job *job);
+
+/* Removes occurrences of a scheduled job that are done, and opens those that
+ * are due; some of the latter only once earlier ones are placed, or the job's
+ * state has become smaller.  Returns when the next one is due. */
+struct timespec owner_job_open_due(struct cw_owner *owner,
+                                   struct owner_job *job, struct timespec now);
 
 /* ---- owner_state.c ---- */
 
@@ -558,10 +579,6 @@
  * the job if it is complete. */
 void owner_step_done(struct cw_owner *owner, struct owner_step *step);
 
-/* Opens occurrences that are due; returns when the next one is. */
-struct timespec owner_job_open_due(struct cw_owner *owner,
-                                   struct owner_job *job, struct timespec now);
-
 /* True if the job is over, its end is stored, and it has no runs: it can be
  * removed from memory. */
 bool owner_job_is_removable(const struct owner_job *job);
--- a/src/owner/owner.c
+++ b/src/owner/owner.c
@@ -427,6 +427,9 @@
     if (options->report_ms == 0) {
         owner->options.report_ms = REPORT_INTERVAL_DEFAULT_MS;
     }
+    if (options->record_bytes == 0) {
+        owner->options.record_bytes = CW_STORE_RECORD_BYTES_DEFAULT;
+    }
     if (options->standby_read_interval_ms == 0) {
         owner->options.standby_read_interval_ms = CW_STANDBY_READ_INTERVAL_MS;
     }
--- a/src/owner/owner_commit.c
+++ b/src/owner/owner_commit.c
@@ -53,13 +53,17 @@
 add_state(struct cw_owner *owner, struct owner_batch *batch,
           struct owner_job *job)
 {
+    GByteArray *state;
+
     mark_runs(owner, job);
+    state = owner_job_encode(job);
+    job->state_bytes = state->len;
     job->dirty = false;
     job->final = cw_work_is_over(job->phase);
     owner_job_publish(owner, job);
     owner_batch_add_id(batch, job->spec->id);
     owner_batch_put(batch, cw_work_key(CW_WORK_KEY_RECORD, job->spec->id),
-                    owner_job_encode(job));
+                    state);
 }
 
 /* Queues the starts of runs whose placement is durable now. */
--- a/src/owner/owner_jobs.c
+++ b/src/owner/owner_jobs.c
@@ -4,35 +4,9 @@
 #include <stdlib.h>
 #include <string.h>
 
-enum {
-    /* Occurrences are opened this late, as the clocks of two VMs differ by a
-     * few milliseconds, and none may be opened early. */
-    DUE_DELAY_MS = 30,
-    MILLI = 1000
-};
+enum { MILLI = 1000 };
 
-/* ---- creating and freeing ---- */
-
-static void
-step_clear(struct owner_step *step)
-{
-    for (unsigned i = 0; i < step->count; i++) {
-        g_free(step->tasks[i].saved);
-    }
-    g_free(step->tasks);
-}
-
-static void
-occurrence_free(gpointer data)
-{
-    struct owner_occurrence *occurrence = data;
-
-    for (unsigned i = 0; i < occurrence->count; i++) {
-        step_clear(&occurrence->steps[i]);
-    }
-    g_free(occurrence->steps);
-    g_free(occurrence);
-}
+/* ---- freeing ---- */
 
 static void
 placement_clear(gpointer data)
@@ -54,39 +28,6 @@
     g_free(job);
 }
 
-static void
-step_init(struct owner_occurrence *occurrence, unsigned number)
-{
-    struct owner_step *step = &occurrence->steps[number];
-
-    step->occurrence = occurrence;
-    step->number = number;
-    step->spec = &occurrence->job->spec->steps.steps_val[number];
-    step->count = step->spec->tasks;
-    step->left = step->count;
-    step->tasks = g_new0(struct owner_task, step->count);
-    for (unsigned i = 0; i < step->count; i++) {
-        step->tasks[i].step = step;
-        step->tasks[i].index = i;
-    }
-}
-
-struct owner_occurrence *
-owner_occurrence_open(struct owner_job *job, unsigned number)
-{
-    struct owner_occurrence *occurrence = g_new0(struct owner_occurrence, 1);
-
-    occurrence->job = job;
-    occurrence->number = number;
-    occurrence->count = job->spec->steps.steps_len;
-    occurrence->steps = g_new0(struct owner_step, occurrence->count);
-    for (unsigned i = 0; i < occurrence->count; i++) {
-        step_init(occurrence, i);
-    }
-    g_ptr_array_add(job->open, occurrence);
-    return occurrence;
-}
-
 /* ---- placements ---- */
 
 void
@@ -226,6 +167,7 @@
     if (state != NULL && !owner_job_restore(owner, job, state)) {
         return false;
     }
+    job->state_bytes = state != NULL ? g_bytes_get_size(state) : 0;
     job->published_phase =
         entry->record != NULL ? entry->recorded_phase : CW_WORK_WAITING;
     job->published_started = entry->started;
@@ -257,7 +199,7 @@
     job->entry = entry;
     job->spec = entry->spec;
     job->service = g_intern_string(entry->spec->service);
-    job->open = g_ptr_array_new_with_free_func(occurrence_free);
+    job->open = g_ptr_array_new_with_free_func(owner_occurrence_free);
     job->places =
         g_array_new(FALSE, FALSE, sizeof(struct owner_job_placement));
     g_array_set_clear_func(job->places, placement_clear);
@@ -327,31 +269,14 @@
     stop_all_runs(owner, job);
 }
 
-static bool
-occurrence_is_done(const struct owner_occurrence *occurrence)
-{
-    for (unsigned i = 0; i < occurrence->count; i++) {
-        if (!occurrence->steps[i].done) {
-            return false;
-        }
-    }
-    return true;
-}
-
-static unsigned
-occurrence_count(const struct owner_job *job)
-{
-    return MAX(1, job->spec->repeats);
-}
-
 static bool
 job_is_done(const struct owner_job *job)
 {
-    if (job->next_occurrence < occurrence_count(job)) {
+    if (job->next_occurrence < owner_job_occurrence_count(job)) {
         return false;
     }
     for (guint i = 0; i < job->open->len; i++) {
-        if (!occurrence_is_done(job->open->pdata[i])) {
+        if (!owner_occurrence_is_done(job->open->pdata[i])) {
             return false;
         }
     }
@@ -385,27 +310,6 @@
     }
 }
 
-struct timespec
-owner_job_open_due(struct cw_owner *owner, struct owner_job *job,
-                   struct timespec now)
-{
-    int64_t wall_ms = cw_clock_wall_ms(owner->options.clock);
-    unsigned total = occurrence_count(job);
-
-    while (!cw_work_is_over(job->phase) && job->next_occurrence < total) {
-        int64_t due_ms = job->spec->first_due_ms + DUE_DELAY_MS +
-                         job->next_occurrence * job->spec->interval_ms;
-
-        if (job->spec->repeats > 0 && due_ms > wall_ms) {
-            return cw_time_add_ms(now, due_ms - wall_ms);
-        }
-        owner_occurrence_open(job, job->next_occurrence++);
-        owner_idle_begin(owner, job);
-        owner->placement_wanted = true;
-    }
-    return cw_time_from_ms(INT32_MAX);
-}
-
 bool
 owner_job_is_removable(const struct owner_job *job)
 {
--- a/src/proto/cw_proto.h
+++ b/src/proto/cw_proto.h
@@ -55,7 +55,7 @@
 #define CW_STEPS_MAX 64
 #define CW_TASKS_MAX 4096
 #define CW_VOTERS_MAX 16
-#define CW_OCCURRENCES_MAX 4096
+#define CW_OCCURRENCES_MAX 65536
 #define CW_SAVED_MAX 1024
 
 struct cw_step_spec {
--- a/src/proto/cw_proto.x
+++ b/src/proto/cw_proto.x
@@ -53,7 +53,7 @@
 const CW_STEPS_MAX = 64;
 const CW_TASKS_MAX = 4096;
 const CW_VOTERS_MAX = 16;
-const CW_OCCURRENCES_MAX = 4096;
+const CW_OCCURRENCES_MAX = 65536; /* open at the same time */
 const CW_SAVED_MAX = 1024;
 
 /* One step of a job: `tasks` identical tasks that may start once the steps in
