Owner: store states with checkpoints of any length

Cause: XDR limits of 1,024 bytes on texts that workers write, checked nowhere before the encoding, whose failure was asserted away. Behind them the store's limit of a record, at which an append would have been refused for ever.

Change: no limit on texts in records but the decoder's; a state is encoded within bounds.record_bytes, without the longest checkpoints if they do not fit; hints in appends of 32 KB; a state that never fits ends its job (408). The models of the store refuse records that the platform refuses.

--- a/emulator/store_model.c
+++ b/emulator/store_model.c
@@ -232,6 +232,23 @@
     g_ptr_array_add(topic->records, stored);
 }
 
+/* True if no record is too large for the store. */
+static bool
+records_fit(const struct cw_store_append *call)
+{
+    for (size_t i = 0; i < call->count; i++) {
+        const struct cw_store_record *record = &call->records[i];
+        size_t key_bytes = strlen(record->key);
+
+        if (key_bytes > CW_STORE_KEY_BYTES_MAX ||
+            1 + key_bytes + record->length > CW_STORE_RECORD_BYTES_DEFAULT)
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
 struct cw_store_append_result
 store_model_append(struct store_model *model,
                    const struct cw_store_append *call)
@@ -241,6 +258,10 @@
         call->writer != NULL ? writer_of(topic, call->writer) : NULL;
     struct cw_store_append_result result = {.status = CW_STORE_OK};
 
+    if (!records_fit(call)) {
+        result.status = CW_STORE_INVALID;
+        return result;
+    }
     if (writer != NULL && !check_writer(writer, call, &result)) {
         return result;
     }
--- a/emulator/store_model.h
+++ b/emulator/store_model.h
@@ -16,7 +16,8 @@
 struct store_model *store_model_create(unsigned partitions);
 void store_model_free(struct store_model *model);
 
-/* Appends records; the state changes only if the status is CW_STORE_OK. */
+/* Appends records; the state changes only if the status is CW_STORE_OK.
+ * CW_STORE_INVALID: a record exceeds CW_STORE_RECORD_BYTES_DEFAULT. */
 struct cw_store_append_result
 store_model_append(struct store_model *model,
                    const struct cw_store_append *call);
--- a/include/curlewcart/cw_record.h
+++ b/include/curlewcart/cw_record.h
@@ -27,10 +27,11 @@
 };
 
 /* Encodes a record for the store.  Owned by the caller; NULL if the record
- * exceeds a limit of cw_proto.x. */
+ * exceeds a limit of cw_proto.x, or 16 MiB before it is deflated. */
 GByteArray *cw_record_encode(const struct cw_work_record *record);
 
-/* Decodes only the head; false if the bytes are truncated. */
+/* Decodes only the head; false if the bytes are truncated or the phase is not
+ * one of enum cw_work_phase. */
 bool cw_record_read_head(const void *bytes, size_t length,
                          struct cw_record_head *head);
 
--- a/include/curlewcart/cw_result.h
+++ b/include/curlewcart/cw_result.h
@@ -76,7 +76,9 @@
     X(END_MOVED, 406, "stopped_by_configuration",                             \
       "a newer configuration forbids the place; it was stopped")              \
     X(END_CRASHES, 407, "workers_crashed",                                    \
-      "one worker after the other crashed under a task of it")
+      "one worker after the other crashed under a task of it")                \
+    X(END_TOO_LARGE, 408, "state_too_large",                                  \
+      "its state does not fit into a record of the store")
 
 enum cw_result {
 #define CW_RESULT_SYMBOL(symbol, number, name, text) CW_##symbol = (number),
--- a/include/curlewcart/cw_settings.h
+++ b/include/curlewcart/cw_settings.h
@@ -28,13 +28,15 @@
     unsigned connections;   /* 0: the default */
 };
 
-/* Times that the platform prescribes. */
+/* Times and sizes that the platform prescribes. */
 struct cw_settings_bounds {
     unsigned lease_ms;      /* longest lease that workers grant */
     unsigned grace_s;       /* from SIGTERM to SIGKILL */
     unsigned retain_s;      /* ended jobs can be queried for this long */
     unsigned member_ttl_ms; /* shortest time to live of a group member */
     unsigned report_ms;     /* interval of workers' reports; 0: the default */
+    unsigned record_bytes;  /* limit of a record in the store; 0: the default
+                             */
     unsigned cordon_ms;     /* longest time from a data centre's cordon to a
                                start there; 0: no limit */
 };
--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -175,11 +175,12 @@
     char *result;          /* text of the last end that had one, or NULL */
     GArray *places;        /* struct owner_job_placement: where it has run */
     unsigned next_occurrence;
-    GPtrArray *open;          /* struct owner_occurrence, the open ones: of a
-                                 scheduled job, those below next_occurrence that
-                                 are not here are done */
-    size_t state_bytes;       /* size of the last encoded state */
-    struct timespec known_at; /* when it was accepted, by this VM's clock */
+    GPtrArray *open;    /* struct owner_occurrence, the open ones: of a
+                           scheduled job, those below next_occurrence that
+                           are not here are done */
+    size_t state_bytes; /* size of the last encoded state */
+    size_t checkpoints_left_out; /* of that state, as they did not fit */
+    struct timespec known_at;    /* when it was accepted, by this VM's clock */
     struct timespec objective_at; /* when it becomes late, as far as known */
     struct owner_idle idle;
     struct timespec placed_at; /* a run of it was last placed */
@@ -550,12 +551,16 @@
 bool owner_job_restore(struct cw_owner *owner, struct owner_job *job,
                        GBytes *state);
 
-/* Encodes the job's state for the store.  Owned by the caller. */
-GByteArray *owner_job_encode(const struct owner_job *job);
+/* Encodes the job's state for the store, in at most `bytes_max` bytes.  Leaves
+ * out the longest checkpoints if they do not fit: this owner still has them, a
+ * later one gets them from the workers.  NULL if the state does not fit even
+ * without checkpoints.  Owned by the caller. */
+GByteArray *owner_job_encode(struct owner_job *job, size_t bytes_max);
 
-/* Encodes the job's outcome for all VMs: its state without its tasks.  Owned
- * by the caller. */
-GByteArray *owner_outcome_encode(const struct owner_job *job);
+/* Encodes the job's outcome for all VMs: its state without its tasks, and
+ * without its result and places if these do not fit.  Owned by the caller. */
+GByteArray *
+owner_outcome_encode(const struct owner_job *job, size_t bytes_max);
 
 /* ---- owner_jobs.c ---- */
 
--- a/src/owner/owner_commit.c
+++ b/src/owner/owner_commit.c
@@ -49,6 +49,30 @@
     }
 }
 
+static size_t
+value_bytes_max(const struct cw_owner *owner)
+{
+    return cw_store_value_bytes_max(owner->options.record_bytes);
+}
+
+/* Encodes the job's state.  A job whose state does not fit into a record is
+ * ended, as no later owner could continue it. */
+static GByteArray *
+encode_state(struct cw_owner *owner, struct owner_job *job)
+{
+    GByteArray *state = owner_job_encode(job, value_bytes_max(owner));
+
+    if (state != NULL) {
+        return state;
+    }
+    cw_log_error("state_too_large", "id=%s open=%u bytes_max=%zu",
+                 job->spec->id, job->open->len, value_bytes_max(owner));
+    if (!cw_work_is_over(job->phase)) {
+        owner_job_end(owner, job, CW_WORK_FAILED, CW_END_TOO_LARGE);
+    }
+    return owner_outcome_encode(job, value_bytes_max(owner));
+}
+
 static void
 add_state(struct cw_owner *owner, struct owner_batch *batch,
           struct owner_job *job)
@@ -56,7 +80,7 @@
     GByteArray *state;
 
     mark_runs(owner, job);
-    state = owner_job_encode(job);
+    state = encode_state(owner, job);
     job->state_bytes = state->len;
     job->dirty = false;
     job->final = cw_work_is_over(job->phase);
@@ -251,14 +275,15 @@
  * written once: its position in the log, before or after a cancellation,
  * decides which of the two counts. */
 static void
-add_outcome(struct owner_batch *batch, struct owner_job *job)
+add_outcome(struct cw_owner *owner, struct owner_batch *batch,
+            struct owner_job *job)
 {
     job->unpublished = false;
     job->published_phase = job->phase;
     job->published_started = job->started;
     owner_batch_add_id(batch, job->spec->id);
     owner_batch_put(batch, cw_work_key(CW_WORK_KEY_RECORD, job->spec->id),
-                    owner_outcome_encode(job));
+                    owner_outcome_encode(job, value_bytes_max(owner)));
 }
 
 static void
@@ -268,7 +293,7 @@
     guint taken = 0;
 
     while (taken < owner->unpublished->len && !owner_batch_is_full(batch)) {
-        add_outcome(batch, owner->unpublished->pdata[taken]);
+        add_outcome(owner, batch, owner->unpublished->pdata[taken]);
         taken++;
     }
     g_ptr_array_remove_range(owner->unpublished, 0, taken);
--- a/src/owner/owner_hints.c
+++ b/src/owner/owner_hints.c
@@ -17,8 +17,15 @@
      * any worker's lease lasts and the hint would come too late. */
     END_AGE_MAX_MS = 30000,
     ENDS_MAX = 4096,
-    /* An end takes some 60 bytes of an append. */
     JOBS_PER_APPEND_MAX = 256,
+    /* An append of this size, and one end more, fits into a datagram, in which
+     * a VM that the store refuses sends it through another VM. */
+    APPEND_BYTES_MAX = 32 * 1024,
+    /* A longer checkpoint is left out of its hint. */
+    CHECKPOINT_BYTES_MAX = 16 * 1024,
+    /* Size of an end without its texts, and of its record without ends. */
+    END_BYTES = 64,
+    RECORD_BYTES = 64,
     RETRY_MS = 300,
     APPEND_TIMEOUT_MS = 1500
 };
@@ -148,9 +155,11 @@
 
 /* ---- appending hints ---- */
 
-static void
+/* Adds the end to those of its job; returns its size in the append. */
+static size_t
 add_end(GArray *ends, const struct end *end)
 {
+    bool fits = strlen(end->saved) <= CHECKPOINT_BYTES_MAX;
     struct cw_hint_end row = {
         .worker = end->worker,
         .occurrence = end->ended.task.occurrence,
@@ -158,12 +167,11 @@
         .index = end->ended.task.index,
         .run = end->ended.run,
         .how = end->ended.how,
-        .saved = end->saved,
+        .saved = fits ? end->saved : (char *)"",
     };
 
-    if (ends->len < CW_TASKS_MAX) {
-        g_array_append_val(ends, row);
-    }
+    g_array_append_val(ends, row);
+    return END_BYTES + strlen(row.worker) + strlen(row.saved);
 }
 
 static void
@@ -179,9 +187,12 @@
 {
     GHashTable *jobs =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_ends);
+    size_t bytes = 0;
 
     *taken = 0;
-    for (GList *link = hints->unsent.head; link != NULL; link = link->next) {
+    for (GList *link = hints->unsent.head;
+         link != NULL && bytes < APPEND_BYTES_MAX; link = link->next)
+    {
         const struct end *end = link->data;
         GArray *ends = g_hash_table_lookup(jobs, end->job);
 
@@ -191,8 +202,9 @@
             }
             ends = g_array_new(FALSE, FALSE, sizeof(struct cw_hint_end));
             g_hash_table_insert(jobs, end->job, ends);
+            bytes += RECORD_BYTES;
         }
-        add_end(ends, end);
+        bytes += add_end(ends, end);
         (*taken)++;
     }
     return jobs;
--- a/src/owner/owner_runs.c
+++ b/src/owner/owner_runs.c
@@ -4,6 +4,9 @@
 
 #include <string.h>
 
+/* A result may take one part in this many of a record. */
+enum { RESULT_SHARE_OF_RECORD = 8 };
+
 /* Returns the worker's total in which the run's resources are counted. */
 static struct cw_resources *
 resources_total_of(struct owner_run *run)
@@ -443,13 +446,26 @@
     }
 }
 
+/* Keeps the text of an end for the callers of the project's own interface.
+ * All VMs read it with the outcome. */
 static void
-save_result(struct owner_job *job, const struct cw_ended *ended)
+save_result(const struct cw_owner *owner, struct owner_job *job,
+            const struct cw_ended *ended)
 {
-    if (ended->how == CW_END_KIND_DONE && ended->saved[0] != '\0') {
-        g_free(job->result);
-        job->result = g_strdup(ended->saved);
+    size_t bytes = strlen(ended->saved);
+
+    if (ended->how != CW_END_KIND_DONE || bytes == 0 ||
+        job->spec->request[0] == '\0')
+    {
+        return;
+    }
+    if (bytes > owner->options.record_bytes / RESULT_SHARE_OF_RECORD) {
+        cw_log_warning("result_too_large", "id=%s bytes=%zu", job->spec->id,
+                       bytes);
+        return;
     }
+    g_free(job->result);
+    job->result = g_strdup(ended->saved);
 }
 
 /* Returns the reason with which an end other than done or failed ends an
@@ -494,7 +510,7 @@
         owner_job_start_confirmed(owner, owner_task_job(task), target);
     }
     owner_task_save_checkpoint(task, ended->saved);
-    save_result(owner_task_job(task), ended);
+    save_result(owner, owner_task_job(task), ended);
     if (ended->how == CW_END_KIND_DONE) {
         owner_target_add_success(target);
         if (!step->spec->endless) {
--- a/src/owner/owner_state.c
+++ b/src/owner/owner_state.c
@@ -128,73 +128,85 @@
 
 /* ---- encoding ---- */
 
-/* The workers that a record lists, with a row for each incarnation. */
-struct worker_list {
+/* What the rows of tasks have in common. */
+struct encoding {
+    /* The workers that the record lists, with a row for each incarnation. */
     GHashTable *index;     /* "ID BOOT_MS" -> row, from 1 */
     GPtrArray *names;      /* borrowed */
     GArray *boot_times_ms; /* int64_t */
+    /* Longer checkpoints are left out. */
+    size_t checkpoint_bytes_max;
 };
 
 /* Row of the run's worker in the list, from 1; added if it is new. */
 static unsigned
-worker_row(struct worker_list *workers, const struct owner_run *run)
+worker_row(struct encoding *encoding, const struct owner_run *run)
 {
     char *key = g_strdup_printf("%s %" PRId64, run->target->id, run->boot_ms);
-    gpointer found = g_hash_table_lookup(workers->index, key);
+    gpointer found = g_hash_table_lookup(encoding->index, key);
 
     if (found != NULL) {
         g_free(key);
         return GPOINTER_TO_UINT(found);
     }
-    g_ptr_array_add(workers->names, run->target->id);
-    g_array_append_val(workers->boot_times_ms, run->boot_ms);
-    g_hash_table_insert(workers->index, key,
-                        GUINT_TO_POINTER(workers->names->len));
-    return workers->names->len;
+    g_ptr_array_add(encoding->names, run->target->id);
+    g_array_append_val(encoding->boot_times_ms, run->boot_ms);
+    g_hash_table_insert(encoding->index, key,
+                        GUINT_TO_POINTER(encoding->names->len));
+    return encoding->names->len;
+}
+
+/* Length of the checkpoint that a later run of the task needs; 0: none. */
+static size_t
+checkpoint_bytes(const struct owner_task *task)
+{
+    return task->saved != NULL && !task->done ? strlen(task->saved) : 0;
 }
 
 static void
 encode_task(const struct owner_task *task, struct cw_task_record *out,
-            struct worker_list *workers)
+            struct encoding *encoding)
 {
     const struct owner_run *run = task->run;
+    size_t bytes = checkpoint_bytes(task);
 
     out->run = task->last_run;
     out->failures =
         task->step->spec->gang ? task->unheard_run : task->failures;
     out->done = task->done;
-    out->saved = task->saved != NULL ? task->saved : (char *)"";
+    out->saved = bytes > 0 && bytes <= encoding->checkpoint_bytes_max
+                     ? task->saved
+                     : (char *)"";
     if (run != NULL && run->phase != RUN_RESERVED) {
-        out->worker = worker_row(workers, run);
+        out->worker = worker_row(encoding, run);
     }
 }
 
 static void
 encode_step(const struct owner_step *step, struct cw_step_record *out,
-            struct worker_list *workers)
+            struct encoding *encoding)
 {
     out->done = step->done;
     out->failures = step->failures;
-    if (step->done && step->runs == 0) {
+    if ((step->done && step->runs == 0) || owner_step_is_untouched(step)) {
         return;
     }
     out->tasks.tasks_len = step->count;
     out->tasks.tasks_val = g_new0(struct cw_task_record, step->count);
     for (unsigned i = 0; i < step->count; i++) {
-        encode_task(&step->tasks[i], &out->tasks.tasks_val[i], workers);
+        encode_task(&step->tasks[i], &out->tasks.tasks_val[i], encoding);
     }
 }
 
 static void
 encode_occurrence(const struct owner_occurrence *occurrence,
-                  struct cw_occurrence_record *out,
-                  struct worker_list *workers)
+                  struct cw_occurrence_record *out, struct encoding *encoding)
 {
     out->number = occurrence->number;
     out->steps.steps_len = occurrence->count;
     out->steps.steps_val = g_new0(struct cw_step_record, occurrence->count);
     for (unsigned i = 0; i < occurrence->count; i++) {
-        encode_step(&occurrence->steps[i], &out->steps.steps_val[i], workers);
+        encode_step(&occurrence->steps[i], &out->steps.steps_val[i], encoding);
     }
 }
 
@@ -284,13 +296,29 @@
     return record;
 }
 
+/* True if the encoded record fits into a record of the store. */
+static bool
+fits(const GByteArray *bytes, size_t bytes_max)
+{
+    return bytes != NULL && bytes->len <= bytes_max;
+}
+
 GByteArray *
-owner_outcome_encode(const struct owner_job *job)
+owner_outcome_encode(const struct owner_job *job, size_t bytes_max)
 {
     struct cw_work_record record = outcome_of(job);
     GByteArray *bytes = cw_record_encode(&record);
 
-    g_assert(bytes != NULL);
+    if (!fits(bytes, bytes_max)) {
+        g_clear_pointer(&bytes, g_byte_array_unref);
+        cw_log_error("outcome_cut_short", "id=%s places=%u result_bytes=%zu",
+                     job->spec->id, record.places.places_len,
+                     strlen(record.result));
+        record.places.places_len = 0;
+        record.result = (char *)"";
+        bytes = cw_record_encode(&record);
+        g_assert(bytes != NULL); /* its size is fixed */
+    }
     record_clear(&record);
     return bytes;
 }
@@ -306,13 +334,15 @@
     return false;
 }
 
-GByteArray *
-owner_job_encode(const struct owner_job *job)
+/* Encodes the job without the checkpoints that are longer than a limit. */
+static GByteArray *
+encode_with(const struct owner_job *job, size_t checkpoint_bytes_max)
 {
-    struct worker_list workers = {
+    struct encoding encoding = {
         .index = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL),
         .names = g_ptr_array_new(),
         .boot_times_ms = g_array_new(FALSE, FALSE, sizeof(int64_t)),
+        .checkpoint_bytes_max = checkpoint_bytes_max,
     };
     struct cw_work_record record = outcome_of(job);
     GByteArray *bytes;
@@ -322,20 +352,107 @@
     record.open.open_val = g_new0(struct cw_occurrence_record, job->open->len);
     for (guint i = 0; i < job->open->len; i++) {
         encode_occurrence(job->open->pdata[i], &record.open.open_val[i],
-                          &workers);
+                          &encoding);
     }
     encode_crashes(job, &record);
-    record.workers.workers_len = workers.names->len;
-    record.workers.workers_val = (cw_name *)workers.names->pdata;
-    if (any_boot_time_known(workers.boot_times_ms)) {
-        record.lives.lives_len = workers.boot_times_ms->len;
-        record.lives.lives_val = (quad_t *)workers.boot_times_ms->data;
+    record.workers.workers_len = encoding.names->len;
+    record.workers.workers_val = (cw_name *)encoding.names->pdata;
+    if (any_boot_time_known(encoding.boot_times_ms)) {
+        record.lives.lives_len = encoding.boot_times_ms->len;
+        record.lives.lives_val = (quad_t *)encoding.boot_times_ms->data;
     }
     bytes = cw_record_encode(&record);
-    g_assert(bytes != NULL);
     record_clear(&record);
-    g_ptr_array_unref(workers.names);
-    g_array_unref(workers.boot_times_ms);
-    g_hash_table_unref(workers.index);
+    g_ptr_array_unref(encoding.names);
+    g_array_unref(encoding.boot_times_ms);
+    g_hash_table_unref(encoding.index);
     return bytes;
 }
+
+/* ---- checkpoints that do not fit ---- */
+
+/* The checkpoints of a job's tasks up to a length. */
+struct checkpoints {
+    size_t count;
+    size_t bytes;
+    size_t longest;
+};
+
+static void
+count_checkpoints(const struct owner_step *step, size_t bytes_max,
+                  struct checkpoints *out)
+{
+    for (unsigned i = 0; !step->done && i < step->count; i++) {
+        size_t bytes = checkpoint_bytes(&step->tasks[i]);
+
+        if (bytes > 0 && bytes <= bytes_max) {
+            out->count++;
+            out->bytes += bytes;
+            out->longest = MAX(out->longest, bytes);
+        }
+    }
+}
+
+static struct checkpoints
+checkpoints_up_to(const struct owner_job *job, size_t bytes_max)
+{
+    struct checkpoints found = {0};
+
+    for (guint i = 0; i < job->open->len; i++) {
+        const struct owner_occurrence *occurrence = job->open->pdata[i];
+
+        for (unsigned k = 0; k < occurrence->count; k++) {
+            count_checkpoints(&occurrence->steps[k], bytes_max, &found);
+        }
+    }
+    return found;
+}
+
+/* Returns a length up to which all checkpoints together take at most `sum_max`
+ * bytes. */
+static size_t
+checkpoint_limit(const struct owner_job *job, size_t sum_max)
+{
+    struct checkpoints found = checkpoints_up_to(job, SIZE_MAX);
+    size_t limit = found.longest;
+
+    while (found.bytes > sum_max) {
+        limit /= 2;
+        found = checkpoints_up_to(job, limit);
+    }
+    return limit;
+}
+
+/* Logs how many checkpoints the stored state lacks, if that has changed. */
+static void
+log_left_out(struct owner_job *job, size_t limit)
+{
+    struct checkpoints all = checkpoints_up_to(job, SIZE_MAX);
+    size_t left_out = all.count - checkpoints_up_to(job, limit).count;
+
+    if (left_out != job->checkpoints_left_out) {
+        cw_log_warning("checkpoints_left_out",
+                       "id=%s count=%zu of=%zu longest=%zu stored_up_to=%zu",
+                       job->spec->id, left_out, all.count, all.longest, limit);
+        job->checkpoints_left_out = left_out;
+    }
+}
+
+GByteArray *
+owner_job_encode(struct owner_job *job, size_t bytes_max)
+{
+    /* Texts may be deflated to a fraction, or not at all. */
+    const size_t sums_max[] = {2 * bytes_max, bytes_max / 2, 0};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(sums_max); i++) {
+        size_t limit = checkpoint_limit(job, sums_max[i]);
+        GByteArray *bytes = encode_with(job, limit);
+
+        if (fits(bytes, bytes_max)) {
+            log_left_out(job, limit);
+            return bytes;
+        }
+        g_clear_pointer(&bytes, g_byte_array_unref);
+    }
+    return NULL;
+}
--- a/src/proto/cw_proto.h
+++ b/src/proto/cw_proto.h
@@ -16,6 +16,7 @@
 
 #include <stdint.h>
 #define CW_NAME_MAX 64
+#define CW_TEXT_MAX 16777216
 #define CW_KEY_MAX 200
 #define CW_PAYLOAD_MAX 65536
 #define CW_DCS_MAX 64
@@ -56,7 +57,6 @@
 #define CW_TASKS_MAX 4096
 #define CW_VOTERS_MAX 16
 #define CW_OCCURRENCES_MAX 65536
-#define CW_SAVED_MAX 1024
 
 struct cw_step_spec {
 	u_int tasks;
--- a/src/proto/cw_proto.x
+++ b/src/proto/cw_proto.x
@@ -11,7 +11,8 @@
 %#include <stdint.h>
 #endif
 
-const CW_NAME_MAX = 64;
+const CW_NAME_MAX = 64;             /* of names in the project's own interface */
+const CW_TEXT_MAX = 16777216;       /* of any text or name in a record */
 const CW_KEY_MAX = 200;
 const CW_PAYLOAD_MAX = 65536;
 const CW_DCS_MAX = 64;
@@ -19,7 +20,7 @@
 const CW_MAC_BYTES = 32;
 const CW_BLOB_MAX = 16777216;
 
-typedef string cw_name<CW_NAME_MAX>;
+typedef string cw_name<CW_TEXT_MAX>;
 
 /* ---- bundle stream ---- */
 
@@ -54,7 +55,6 @@
 const CW_TASKS_MAX = 4096;
 const CW_VOTERS_MAX = 16;
 const CW_OCCURRENCES_MAX = 65536; /* open at the same time */
-const CW_SAVED_MAX = 1024;
 
 /* One step of a job: `tasks` identical tasks that may start once the steps in
  * `after` are done. */
@@ -119,7 +119,7 @@
                                         is over and whose end was not heard;
                                         0: none */
     bool done;
-    string saved<CW_SAVED_MAX>;
+    string saved<CW_TEXT_MAX>;
 };
 
 struct cw_step_record {
@@ -162,7 +162,7 @@
     unsigned hyper config;           /* configuration version in force at its
                                         first start */
     cw_place_record places<CW_TASKS_MAX>; /* workers that it has run on */
-    string result<CW_SAVED_MAX>;     /* text of the last end that had a text */
+    string result<CW_TEXT_MAX>;      /* text of the last end that had a text */
     cw_name workers<CW_TASKS_MAX>;
     cw_occurrence_record open<CW_OCCURRENCES_MAX>;
     cw_crash_record crashes<CW_TASKS_MAX>;
@@ -235,7 +235,7 @@
     unsigned int index;
     unsigned int run;
     unsigned int how;                /* enum cw_end_kind */
-    string saved<CW_SAVED_MAX>;
+    string saved<CW_TEXT_MAX>;
 };
 
 /* Ends of a job's runs that a VM received while it was the owner and could
--- a/src/proto/cw_proto_xdr.c
+++ b/src/proto/cw_proto_xdr.c
@@ -10,7 +10,7 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_string (xdrs, objp, CW_NAME_MAX))
+	 if (!xdr_string (xdrs, objp, CW_TEXT_MAX))
 		 return FALSE;
 	return TRUE;
 }
@@ -508,7 +508,7 @@
 		IXDR_PUT_U_LONG(buf, objp->failures);
 		IXDR_PUT_BOOL(buf, objp->done);
 		}
-		 if (!xdr_string (xdrs, &objp->saved, CW_SAVED_MAX))
+		 if (!xdr_string (xdrs, &objp->saved, CW_TEXT_MAX))
 			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
@@ -529,7 +529,7 @@
 		objp->failures = IXDR_GET_U_LONG(buf);
 		objp->done = IXDR_GET_BOOL(buf);
 		}
-		 if (!xdr_string (xdrs, &objp->saved, CW_SAVED_MAX))
+		 if (!xdr_string (xdrs, &objp->saved, CW_TEXT_MAX))
 			 return FALSE;
 	 return TRUE;
 	}
@@ -542,7 +542,7 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->done))
 		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->saved, CW_SAVED_MAX))
+	 if (!xdr_string (xdrs, &objp->saved, CW_TEXT_MAX))
 		 return FALSE;
 	return TRUE;
 }
@@ -676,7 +676,7 @@
 		 if (!xdr_array (xdrs, (char **)&objp->places.places_val, (u_int *) &objp->places.places_len, CW_TASKS_MAX,
 			sizeof (cw_place_record), (xdrproc_t) xdr_cw_place_record))
 			 return FALSE;
-		 if (!xdr_string (xdrs, &objp->result, CW_SAVED_MAX))
+		 if (!xdr_string (xdrs, &objp->result, CW_TEXT_MAX))
 			 return FALSE;
 		 if (!xdr_array (xdrs, (char **)&objp->workers.workers_val, (u_int *) &objp->workers.workers_len, CW_TASKS_MAX,
 			sizeof (cw_name), (xdrproc_t) xdr_cw_name))
@@ -717,7 +717,7 @@
 		 if (!xdr_array (xdrs, (char **)&objp->places.places_val, (u_int *) &objp->places.places_len, CW_TASKS_MAX,
 			sizeof (cw_place_record), (xdrproc_t) xdr_cw_place_record))
 			 return FALSE;
-		 if (!xdr_string (xdrs, &objp->result, CW_SAVED_MAX))
+		 if (!xdr_string (xdrs, &objp->result, CW_TEXT_MAX))
 			 return FALSE;
 		 if (!xdr_array (xdrs, (char **)&objp->workers.workers_val, (u_int *) &objp->workers.workers_len, CW_TASKS_MAX,
 			sizeof (cw_name), (xdrproc_t) xdr_cw_name))
@@ -751,7 +751,7 @@
 	 if (!xdr_array (xdrs, (char **)&objp->places.places_val, (u_int *) &objp->places.places_len, CW_TASKS_MAX,
 		sizeof (cw_place_record), (xdrproc_t) xdr_cw_place_record))
 		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->result, CW_SAVED_MAX))
+	 if (!xdr_string (xdrs, &objp->result, CW_TEXT_MAX))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->workers.workers_val, (u_int *) &objp->workers.workers_len, CW_TASKS_MAX,
 		sizeof (cw_name), (xdrproc_t) xdr_cw_name))
@@ -897,7 +897,7 @@
 		IXDR_PUT_U_LONG(buf, objp->run);
 		IXDR_PUT_U_LONG(buf, objp->how);
 		}
-		 if (!xdr_string (xdrs, &objp->saved, CW_SAVED_MAX))
+		 if (!xdr_string (xdrs, &objp->saved, CW_TEXT_MAX))
 			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
@@ -923,7 +923,7 @@
 		objp->run = IXDR_GET_U_LONG(buf);
 		objp->how = IXDR_GET_U_LONG(buf);
 		}
-		 if (!xdr_string (xdrs, &objp->saved, CW_SAVED_MAX))
+		 if (!xdr_string (xdrs, &objp->saved, CW_TEXT_MAX))
 			 return FALSE;
 	 return TRUE;
 	}
@@ -940,7 +940,7 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->how))
 		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->saved, CW_SAVED_MAX))
+	 if (!xdr_string (xdrs, &objp->saved, CW_TEXT_MAX))
 		 return FALSE;
 	return TRUE;
 }
--- a/src/settings/settings.c
+++ b/src/settings/settings.c
@@ -39,6 +39,8 @@
     NUMBER("member_ttl_ms", struct cw_settings_bounds, member_ttl_ms),
     CYAML_FIELD_UINT("report_ms", CYAML_FLAG_OPTIONAL,
                      struct cw_settings_bounds, report_ms),
+    CYAML_FIELD_UINT("record_bytes", CYAML_FLAG_OPTIONAL,
+                     struct cw_settings_bounds, record_bytes),
     CYAML_FIELD_UINT("cordon_ms", CYAML_FLAG_OPTIONAL,
                      struct cw_settings_bounds, cordon_ms),
     CYAML_FIELD_END,
--- a/src/vm/vm.c
+++ b/src/vm/vm.c
@@ -275,6 +275,7 @@
         .standby_read_interval_ms = standby_read_interval_ms(settings),
         .exposes_placements = settings->api != NULL,
         .connections_max = pool_connections_max(settings),
+        .record_bytes = settings->bounds.record_bytes,
         .retain_ms =
             (settings->bounds.retain_s + RETAIN_EXTRA_S) * CW_MS_PER_S,
     };
--- a/src/work/record.c
+++ b/src/work/record.c
@@ -10,6 +10,7 @@
 #include <zlib.h>
 
 #include "curlewcart/cw_bytes.h"
+#include "curlewcart/cw_work.h"
 #include "curlewcart/cw_xdr.h"
 
 enum {
@@ -17,8 +18,7 @@
     SIZE_BYTES = 4, /* size of the rest before it was deflated */
     /* For shorter records, deflating costs more than it saves. */
     DEFLATE_MIN_BYTES = 160,
-    /* Limit of the inflated size.  A record of 4,096 tasks with a checkpoint
-     * each is smaller. */
+    /* Limit of the inflated size. */
     INFLATED_BYTES_MAX = 16 * 1024 * 1024,
     /* Size of an empty list in XDR, and the number of lists at the end of a
      * record that are left out if they are empty. */
@@ -78,7 +78,8 @@
     GByteArray *plain = cw_xdr_encode((xdrproc_t)xdr_cw_work_record, record);
     GByteArray *packed;
 
-    if (plain == NULL) {
+    if (plain == NULL || plain->len > INFLATED_BYTES_MAX) {
+        g_clear_pointer(&plain, g_byte_array_unref);
         return NULL;
     }
     g_byte_array_set_size(plain, plain->len - count_empty_at_end(record) *
@@ -104,6 +105,9 @@
         return false;
     }
     head->phase = at[3];
+    if (head->phase > CW_WORK_REFUSED) {
+        return false;
+    }
     head->started = at[7] != 0;
     head->ended_ms = (int64_t)cw_bytes_read_be(at + 8, 8);
     return true;
--- a/standins/platform_store.c
+++ b/standins/platform_store.c
@@ -82,6 +82,9 @@
         standin_answer(call, 412,
                        json_pack("{s:I}", "end", (json_int_t)result.end));
         break;
+    case CW_STORE_INVALID:
+        standin_answer(call, 400, json_object());
+        break;
     default:
         standin_answer(call, 200,
                        json_pack("{s:I, s:I}", "offset",
--- a/tests/test_crashes.c
+++ b/tests/test_crashes.c
@@ -114,7 +114,7 @@
         if (state != NULL) {
             g_byte_array_unref(state);
         }
-        state = owner_job_encode(job);
+        state = owner_job_encode(job, cw_store_value_bytes_max(0));
         cluster_end(&cluster);
     }
     g_byte_array_unref(state);
@@ -492,7 +492,7 @@
     lose_unresponsive(&cluster, target);
     pass(&cluster, 3900);
     CU_ASSERT_EQUAL(placed(job), 0);
-    state = owner_job_encode(job);
+    state = owner_job_encode(job, cw_store_value_bytes_max(0));
     pass(&cluster, 150);
     CU_ASSERT_EQUAL(placed(job), 1);
     cluster_end(&cluster);
--- a/tests/test_gang_ends.c
+++ b/tests/test_gang_ends.c
@@ -843,7 +843,7 @@
         owner_run_drop(gang.cluster.owner, run_of(&gang, i));
     }
     step_of(gang.job)->failures = 1;
-    bytes = owner_job_encode(gang.job);
+    bytes = owner_job_encode(gang.job, cw_store_value_bytes_max(0));
     g_ptr_array_set_size(gang.job->open, 0);
     CU_ASSERT_TRUE_FATAL(owner_job_restore(gang.cluster.owner, gang.job,
                                            g_byte_array_free_to_bytes(bytes)));
--- a/tests/test_occurrences.c
+++ b/tests/test_occurrences.c
@@ -60,7 +60,7 @@
 static size_t
 encoded_bytes(struct owner_job *job)
 {
-    GByteArray *state = owner_job_encode(job);
+    GByteArray *state = owner_job_encode(job, cw_store_value_bytes_max(0));
     struct cw_work_record record = {0};
     size_t bytes = 0;
 
--- a/tests/test_restarts.c
+++ b/tests/test_restarts.c
@@ -659,7 +659,7 @@
 
     owner_run_create(before.owner, &step_of(job)->tasks[0], target, RUN_NEW,
                      1);
-    state = owner_job_encode(job);
+    state = owner_job_encode(job, cw_store_value_bytes_max(0));
     cluster_end(&before);
     cluster_begin(cluster);
     job = add_job(cluster, 0, &one);
--- a/tests/test_takeover.c
+++ b/tests/test_takeover.c
@@ -36,8 +36,8 @@
 
     cluster_begin(&cluster);
     job = run_job(&cluster, 1, &wide);
-    state = owner_job_encode(job);
-    outcome = owner_outcome_encode(job);
+    state = owner_job_encode(job, cw_store_value_bytes_max(0));
+    outcome = owner_outcome_encode(job, cw_store_value_bytes_max(0));
     CU_ASSERT_TRUE(outcome->len <= 52);
     CU_ASSERT_TRUE(state->len > 2 * outcome->len);
     g_byte_array_unref(state);
