Entry, adapter: bound what callers write by what can be stored

Cause: limits of the records' own, some of them checked nowhere; the result of the encoder was not looked at.

A stored job that is not valid is ignored, a worker's id of 255 bytes gets no lease note, a long VM name is shortened.

--- a/include/curlewcart/cw_entry.h
+++ b/include/curlewcart/cw_entry.h
@@ -18,6 +18,7 @@
     struct cw_clock *clock;
     struct cw_replica *replica;   /* borrowed */
     struct cw_counters *counters; /* borrowed */
+    size_t record_bytes; /* limit of a record in the store; 0: the default */
 };
 
 struct cw_entry;
@@ -55,11 +56,19 @@
                            */
     CW_ENTRY_NO_JOB,      /* a cancellation: no such job, or it has ended */
     CW_ENTRY_OTHER_JOB,   /* the id belongs to another job */
+    CW_ENTRY_TOO_LARGE,   /* the job does not fit into a record of the store:
+                             it was not stored and never will be */
 };
 
 /* Receives the outcome of a submission or cancellation. */
 typedef void (*cw_entry_done)(void *context, enum cw_entry_outcome outcome);
 
+/* Logs and counts a submission that is refused because of its content.
+ * `code`: CW_REF_MALFORMED or CW_REF_TOO_LARGE. */
+void
+cw_entry_refused(struct cw_entry *entry, const struct cw_entry_route *route,
+                 enum cw_result code, const char *detail);
+
 /* Stores a job.  Takes ownership of `spec` (freed by xdr_free and g_free).
  * `done` is called within `budget_ms`. */
 void cw_entry_submit(struct cw_entry *entry, struct cw_work_spec *spec,
--- a/include/curlewcart/cw_settings.h
+++ b/include/curlewcart/cw_settings.h
@@ -49,7 +49,7 @@
 
 /* All settings.  Members have the names of the file's keys. */
 struct cw_settings {
-    char *vm;
+    char *vm; /* at most 128 bytes: the end of a longer one is a hash */
     char *dc;
     struct cw_settings_listen listen;
     char *store; /* HOST:PORT */
--- a/include/curlewcart/cw_work.h
+++ b/include/curlewcart/cw_work.h
@@ -81,7 +81,8 @@
 cw_work_check(const struct cw_work_spec *spec, char *detail, size_t size);
 
 /* Length of the critical path through the steps, that is, the largest sum of
- * their declared estimates along a chain of dependencies. */
+ * their declared estimates along a chain of dependencies; INT32_MAX if it is
+ * longer.  The specification must have passed cw_work_check. */
 unsigned cw_work_critical_path_ms(const struct cw_work_spec *spec);
 
 #endif
--- a/src/api/api_jobs.c
+++ b/src/api/api_jobs.c
@@ -116,6 +116,9 @@
     case CW_ENTRY_NOT_DONE:
         refuse(context, CW_REF_LOG_AWAY);
         break;
+    case CW_ENTRY_TOO_LARGE:
+        refuse(context, CW_REF_TOO_LARGE);
+        break;
     default:
         refuse(context, CW_REF_UNSURE);
         break;
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -160,8 +160,8 @@
 static void
 conclude(struct change *change, enum cw_entry_outcome outcome)
 {
-    static const char *const names[] = {"stored", "not_done", "unsure",
-                                        "no_job", "other_job"};
+    static const char *const names[] = {"stored", "not_done",  "unsure",
+                                        "no_job", "other_job", "too_large"};
     struct cw_entry *entry = change->entry;
     struct timespec now = cw_clock_now(entry->options.clock);
 
@@ -333,6 +333,33 @@
     g_free(spec);
 }
 
+void
+cw_entry_refused(struct cw_entry *entry, const struct cw_entry_route *route,
+                 enum cw_result code, const char *detail)
+{
+    cw_count_code(entry->options.counters, code);
+    cw_log_info("submit", "id=%s queue=%s outcome=%s detail=\"%s\"", route->id,
+                route->queue->name, cw_result_name(code), detail);
+}
+
+/* Encodes the specification; NULL if it does not fit into a record. */
+static GByteArray *
+encode_spec(const struct cw_entry *entry, const struct cw_work_spec *spec)
+{
+    size_t bytes_max = cw_store_value_bytes_max(entry->options.record_bytes);
+    GByteArray *bytes = cw_xdr_encode((xdrproc_t)xdr_cw_work_spec, spec);
+
+    if (bytes == NULL || bytes->len > bytes_max) {
+        cw_count_code(entry->options.counters, CW_REF_TOO_LARGE);
+        cw_log_info("submit",
+                    "id=%s queue=%s outcome=too_large bytes=%u bytes_max=%zu",
+                    spec->id, spec->queue, bytes != NULL ? bytes->len : 0,
+                    bytes_max);
+        g_clear_pointer(&bytes, g_byte_array_unref);
+    }
+    return bytes;
+}
+
 void
 cw_entry_submit(struct cw_entry *entry, struct cw_work_spec *spec,
                 unsigned budget_ms, cw_entry_done done, void *context)
@@ -340,6 +367,7 @@
     const struct cw_replica_job *known =
         cw_replica_find_job(entry->options.replica, spec->id);
     struct change *change;
+    GByteArray *value;
 
     cw_count_add(entry->options.counters, CW_COUNT_SUBMITTED, 1);
     if (known != NULL && known->spec != NULL) {
@@ -363,9 +391,15 @@
         done(context, CW_ENTRY_NOT_DONE);
         return;
     }
+    value = encode_spec(entry, spec);
+    if (value == NULL) {
+        spec_free(spec);
+        done(context, CW_ENTRY_TOO_LARGE);
+        return;
+    }
     change =
         change_new(entry, CW_WORK_KEY_SPEC, spec->id, spec->queue, budget_ms);
-    change->value = cw_xdr_encode((xdrproc_t)xdr_cw_work_spec, spec);
+    change->value = value;
     change->done = done;
     change->context = context;
     spec_free(spec);
--- a/src/owner/owner_jobs.c
+++ b/src/owner/owner_jobs.c
@@ -75,6 +75,7 @@
 static struct timespec
 objective_time(const struct cw_work_spec *spec, struct timespec accepted)
 {
+    /* At most INT32_MAX, so that the product does not overflow. */
     int64_t chain = cw_work_critical_path_ms(spec);
 
     return cw_time_add_ms(accepted, chain * spec->stretch_milli / MILLI +
--- a/src/owner/owner_lease_notes.c
+++ b/src/owner/owner_lease_notes.c
@@ -21,6 +21,8 @@
  */
 #include "owner/internal/owner_private.h"
 
+#include <string.h>
+
 enum {
     /* A note is written for a worker whose polls have had no answer for this
      * long: about three polls that fail immediately.  Most late workers answer
@@ -29,7 +31,9 @@
     NOTE_RENEW_MS = 2000,
     /* Limit of a batch.  A record takes about 40 bytes with its key, so a
      * batch takes 20 kB, which a 2 Mbit/s link transfers in 80 ms. */
-    NOTES_PER_BATCH_MAX = 500
+    NOTES_PER_BATCH_MAX = 500,
+    /* The key of a note is one byte longer than the worker's id. */
+    NOTE_ID_BYTES_MAX = CW_STORE_KEY_BYTES_MAX - 1
 };
 
 static bool
@@ -60,7 +64,9 @@
                   !is_responsive(target) &&
                   cw_time_diff_ms(target->lease_note_at, now) >= NOTE_RENEW_MS;
 
-    return due && owner_target_has_ordered_run(target) &&
+    /* Without a note a later owner waits for a full lease. */
+    return due && strlen(target->id) <= NOTE_ID_BYTES_MAX &&
+           owner_target_has_ordered_run(target) &&
            cw_time_before(now, owner_lease_last_end(target)) &&
            owner_may_order(owner, now);
 }
--- a/src/proto/cw_proto.h
+++ b/src/proto/cw_proto.h
@@ -53,8 +53,8 @@
 	char seal[CW_MAC_BYTES];
 };
 typedef struct cw_bundle_rec cw_bundle_rec;
-#define CW_STEPS_MAX 64
-#define CW_TASKS_MAX 4096
+#define CW_STEPS_MAX 65536
+#define CW_TASKS_MAX 262144
 #define CW_VOTERS_MAX 16
 #define CW_OCCURRENCES_MAX 65536
 
--- a/src/proto/cw_proto.x
+++ b/src/proto/cw_proto.x
@@ -51,8 +51,8 @@
 
 /* ---- records of jobs in the platform's store ---- */
 
-const CW_STEPS_MAX = 64;
-const CW_TASKS_MAX = 4096;
+const CW_STEPS_MAX = 65536;
+const CW_TASKS_MAX = 262144;         /* of all steps of a job */
 const CW_VOTERS_MAX = 16;
 const CW_OCCURRENCES_MAX = 65536; /* open at the same time */
 
--- a/src/replica/replica.c
+++ b/src/replica/replica.c
@@ -81,6 +81,7 @@
 {
     struct cw_replica_job *job;
     struct cw_work_spec *spec;
+    char detail[128] = "";
 
     job = find_or_add(replica, id);
     if (job->spec != NULL) {
@@ -95,6 +96,15 @@
         g_free(spec);
         return;
     }
+    if (strcmp(spec->id, id) != 0 ||
+        cw_work_check(spec, detail, sizeof(detail)) != CW_OK)
+    {
+        cw_log_error("record_invalid",
+                     "id=%s kind=spec offset=%" PRIu64 " detail=\"%s\"", id,
+                     record->offset, detail);
+        spec_free(spec);
+        return;
+    }
     job->spec = spec;
     job->spec_offset = record->offset;
     notify_job_changed(replica, job);
--- a/src/settings/settings.c
+++ b/src/settings/settings.c
@@ -1,11 +1,14 @@
 /* Loads the settings of a VM: schema and checks. */
 #include "curlewcart/cw_settings.h"
 
+#include <inttypes.h>
 #include <stdbool.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/stat.h>
 #include <sodium.h>
+#include <xxhash.h>
 
 #include "curlewcart/cw_yaml.h"
 
@@ -14,7 +17,11 @@
     PORT_MAX = 65535,
     TRUSTED_OPERATORS_MAX = 256,
     CONTRACTS_MAX = 256,
-    PROCESSOR_CORES_MAX = 4096
+    PROCESSOR_CORES_MAX = 4096,
+    /* A VM's name is part of keys in the store, and of its name as a member of
+     * a group, which each have 255 bytes. */
+    VM_NAME_BYTES_MAX = 128,
+    VM_NAME_PREFIX_BYTES = 111
 };
 
 #define TEXT(key, flags, type, member)                                        \
@@ -274,6 +281,20 @@
     }
 }
 
+/* Replaces the end of a long VM name by a hash of the whole name. */
+static void
+shorten_vm_name(struct cw_settings *settings)
+{
+    char *name = settings->vm;
+    size_t length = strlen(name);
+
+    if (length > VM_NAME_BYTES_MAX) {
+        snprintf(name + VM_NAME_PREFIX_BYTES,
+                 length + 1 - VM_NAME_PREFIX_BYTES, "~%016" PRIx64,
+                 (uint64_t)XXH3_64bits(name, length));
+    }
+}
+
 struct cw_settings *
 cw_settings_load(const char *path, GString *problems)
 {
@@ -293,6 +314,7 @@
         goto done;
     }
     settings = loaded;
+    shorten_vm_name(settings);
     check_settings(settings, problems);
     if (problems->len > 0) {
         cw_settings_free(settings);
--- a/src/vm/vm.c
+++ b/src/vm/vm.c
@@ -261,7 +261,9 @@
         .clock = vm->clock,
         .read_interval_ms = standby_read_interval_ms(settings)};
     struct cw_entry_options entry = {.clock = vm->clock,
-                                     .counters = &vm->counters};
+                                     .counters = &vm->counters,
+                                     .record_bytes =
+                                         settings->bounds.record_bytes};
     struct cw_owner_options owner = {
         .codec = platform_codec(),
         .clock = vm->clock,
--- a/src/work/request.c
+++ b/src/work/request.c
@@ -13,6 +13,8 @@
 enum {
     REQUEST_ID_MAX = 128,
     KIND_MAX = 64,
+    STEPS_MAX = 64,
+    TASKS_MAX = 4096, /* of a step */
     CORES_MAX = 4096,
     MEMORY_MB_MAX = 16 * 1024 * 1024,
     ACCELERATORS_MAX = 256,
@@ -280,10 +282,10 @@
     json_t *item;
     size_t i;
 
-    step->after.after_val = calloc(CW_STEPS_MAX, sizeof(u_int));
+    step->after.after_val = calloc(json_array_size(list) + 1, sizeof(u_int));
     g_assert(step->after.after_val != NULL);
     if (list != NULL &&
-        (!json_is_array(list) || json_array_size(list) > CW_STEPS_MAX))
+        (!json_is_array(list) || json_array_size(list) > STEPS_MAX))
     {
         reader_fail(reader, "after", "a list of earlier steps");
         return;
@@ -306,7 +308,7 @@
           const char *kind)
 {
     check_fields(reader, step_fields, NULL);
-    step->tasks = read_unsigned(reader, "tasks", 1, 1, CW_TASKS_MAX);
+    step->tasks = read_unsigned(reader, "tasks", 1, 1, TASKS_MAX);
     step->gang = read_bool(reader, "gang", false);
     step->same_rack = read_bool(reader, "same_rack", false)
                           ? CW_SAME_RACK_FASTER
@@ -319,7 +321,7 @@
         read_unsigned(reader, "declared_ms", 0, 0, DURATION_MS_MAX);
     step->checkpoints = read_bool(reader, "checkpointable", false);
     step->most_per_worker =
-        read_unsigned(reader, "most_per_worker", 0, 0, CW_TASKS_MAX);
+        read_unsigned(reader, "most_per_worker", 0, 0, TASKS_MAX);
     read_after(reader, step, number);
     set_step_texts(step, read_name(reader, "label", "", CW_NAME_MAX), kind);
 }
@@ -330,7 +332,7 @@
     json_t *list = json_object_get(reader->root, "steps");
     size_t count = list == NULL ? 1 : json_array_size(list);
 
-    if (count == 0 || count > CW_STEPS_MAX) {
+    if (count == 0 || count > STEPS_MAX) {
         reader_fail(reader, "steps", "a list of 1 to 64 steps");
         return;
     }
--- a/src/work/work.c
+++ b/src/work/work.c
@@ -1,6 +1,7 @@
 /* Names of phases, keys of records and checks of specifications. */
 #include "curlewcart/cw_work.h"
 
+#include <inttypes.h>
 #include <string.h>
 
 enum { ID_LENGTH = 16 };
@@ -39,8 +40,8 @@
 check_step(const struct cw_step_spec *step, unsigned number, char *detail,
            size_t size)
 {
-    if (step->tasks == 0 || step->tasks > CW_TASKS_MAX) {
-        g_snprintf(detail, size, "step %u: count of tasks", number);
+    if (step->tasks == 0) {
+        g_snprintf(detail, size, "step %u has no tasks", number);
         return CW_REF_MALFORMED;
     }
     for (u_int i = 0; i < step->after.after_len; i++) {
@@ -52,15 +53,33 @@
     return CW_OK;
 }
 
+/* Checks the number of tasks of all steps. */
+static enum cw_result
+check_size(const struct cw_work_spec *spec, char *detail, size_t size)
+{
+    uint64_t tasks = 0;
+
+    for (u_int i = 0; i < spec->steps.steps_len; i++) {
+        tasks += spec->steps.steps_val[i].tasks;
+    }
+    if (tasks > CW_TASKS_MAX) {
+        g_snprintf(detail, size, "%" PRIu64 " tasks, at most %d", tasks,
+                   CW_TASKS_MAX);
+        return CW_REF_TOO_LARGE;
+    }
+    return CW_OK;
+}
+
 enum cw_result
 cw_work_check(const struct cw_work_spec *spec, char *detail, size_t size)
 {
-    enum cw_result result = CW_OK;
+    enum cw_result result;
 
     if (spec->steps.steps_len == 0) {
         g_snprintf(detail, size, "no steps");
         return CW_REF_MALFORMED;
     }
+    result = check_size(spec, detail, size);
     for (u_int i = 0; i < spec->steps.steps_len && result == CW_OK; i++) {
         result = check_step(&spec->steps.steps_val[i], i, detail, size);
     }
@@ -70,12 +89,12 @@
 unsigned
 cw_work_critical_path_ms(const struct cw_work_spec *spec)
 {
-    unsigned finish[CW_STEPS_MAX] = {0};
-    unsigned longest = 0;
+    uint64_t *finish = g_new0(uint64_t, spec->steps.steps_len);
+    uint64_t longest = 0;
 
     for (u_int i = 0; i < spec->steps.steps_len; i++) {
         const struct cw_step_spec *step = &spec->steps.steps_val[i];
-        unsigned begin = 0;
+        uint64_t begin = 0;
 
         for (u_int k = 0; k < step->after.after_len; k++) {
             begin = MAX(begin, finish[step->after.after_val[k]]);
@@ -83,5 +102,6 @@
         finish[i] = begin + step->estimate_ms;
         longest = MAX(longest, finish[i]);
     }
-    return longest;
+    g_free(finish);
+    return (unsigned)MIN(longest, G_MAXINT32);
 }
