Entry: store the cancellation of a job that is not known

Cause: the writes that hand the job in had no answer and took effect seconds later; "no such job" was true when it was answered, and no record kept the cancelling.

Change: the request is stored under the job's id, with the caller's queue and account, before 410 is answered; a job of theirs that is stored later is cancelled. The record is dropped like an ended job.

--- a/include/curlewcart/cw_replica.h
+++ b/include/curlewcart/cw_replica.h
@@ -9,7 +9,9 @@
  * Three kinds of records make up a job: its specification (written by any VM),
  * a cancellation (by any VM) and its state (by the owner of the shard, with
  * fencing).  Their order in the log counts: a cancellation takes effect if it
- * comes before the record that ends the job.  What else an owner has to store
+ * comes before the record that ends the job.  It may come before the
+ * specification: a VM that does not find a job cannot know whether a write of
+ * the job is still in flight.  What else an owner has to store
  * about a job goes into another log (CW_STATE_TOPIC).
  */
 #ifndef CURLEWCART_CW_REPLICA_H
@@ -34,9 +36,17 @@
 #define CW_STANDBY_READ_INTERVAL_MS 150
 #define CW_ON_DEMAND_READ_INTERVAL_MS 500
 
+/* A request to cancel a job that its writer had not found. */
+struct cw_replica_cancel {
+    uint64_t offset;
+    char *queue;
+    char *account; /* NULL: any */
+};
+
 /* A job, built from those of its records that were read. */
 struct cw_replica_job {
     char *id;
+    struct timespec first_read_at; /* of any of its records */
     struct cw_work_spec *spec; /* NULL while only other records were read */
     GBytes *record;            /* its state: struct cw_work_record without
                                   its tasks, encoded; or NULL */
@@ -46,10 +56,12 @@
     bool cancelled;
     uint64_t spec_offset;
     uint64_t record_offset;
-    uint64_t cancel_offset; /* of the earliest attempt to cancel */
-    GPtrArray *cancel_keys; /* char *, of all attempts to cancel */
-    GPtrArray *hints;       /* struct cw_hint_record */
-    GPtrArray *hint_keys;   /* char *, of `hints` */
+    uint64_t cancel_offset;  /* of the earliest attempt to cancel */
+    GPtrArray *cancel_keys;  /* char *, of all attempts to cancel */
+    GArray *unknown_cancels; /* struct cw_replica_cancel; `cancelled` says
+                                whether one of them applies */
+    GPtrArray *hints;        /* struct cw_hint_record */
+    GPtrArray *hint_keys;    /* char *, of `hints` */
 };
 
 /* Note that neither the owner that wrote it nor a later one extends a worker's
@@ -169,6 +181,11 @@
 /* All epochs: VM -> struct cw_replica_epoch.  Borrowed. */
 GHashTable *cw_replica_epochs(const struct cw_replica *replica);
 
+/* True if a request to cancel the job, made while it was not known, has been
+ * read for this queue and account (NULL: any). */
+bool cw_replica_cancels_unknown(const struct cw_replica_job *job,
+                                const char *queue, const char *account);
+
 /* The job's phase by the order of its records (enum cw_work_phase). */
 unsigned cw_replica_phase(const struct cw_replica_job *job);
 
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -49,6 +49,8 @@
     uint64_t stored_offset;
     bool awaits_read; /* the cancelled job is not in the replica, which first
                          has to read newer records */
+    bool job_unknown; /* a cancellation: the job was not in the replica after
+                         that either */
     struct timespec awaits_read_since;
     enum cw_store_status last_status;
 };
@@ -210,7 +212,9 @@
         return;
     }
     job = cw_replica_find_job(replica, change->id);
-    if (job != NULL && cw_replica_phase(job) == CW_WORK_CANCELLED) {
+    if (job != NULL && job->spec != NULL &&
+        cw_replica_phase(job) == CW_WORK_CANCELLED)
+    {
         conclude(change, CW_ENTRY_STORED);
     }
     else {
@@ -272,7 +276,9 @@
 static char *
 change_key(const struct change *change)
 {
-    char *key = cw_work_key(change->kind, change->id);
+    char *key = cw_work_key(change->job_unknown ? CW_WORK_KEY_CANCEL_UNKNOWN
+                                                : change->kind,
+                            change->id);
     char *attempt;
 
     if (change->kind != CW_WORK_KEY_CANCEL) {
@@ -477,6 +483,40 @@
     }
 }
 
+/* Stores the cancellation of a job that is not known.  A write of the job may
+ * be in flight, and take effect after the caller was told that there is no
+ * such job. */
+static void
+cancel_unknown(struct change *change, struct timespec now)
+{
+    struct cw_cancel_record record = {
+        .queue = change->queue,
+        .any_account = change->account == NULL,
+        .account = change->account != NULL ? change->account : (char *)""};
+
+    g_byte_array_unref(change->value);
+    change->value = cw_xdr_encode((xdrproc_t)xdr_cw_cancel_record, &record);
+    g_assert(change->value !=
+             NULL); /* its texts are names of a configuration */
+    change->job_unknown = true;
+    change->awaits_read = false;
+    send_change(change, now);
+}
+
+/* True if no record has to be stored for a cancellation whose job is not
+ * known: the id belongs to another caller's job, or an earlier request was the
+ * same. */
+static bool
+is_settled(const struct change *change)
+{
+    const struct cw_replica_job *other =
+        cw_replica_find_job(change->entry->options.replica, change->id);
+
+    return other != NULL &&
+           (other->spec != NULL ||
+            cw_replica_cancels_unknown(other, change->queue, change->account));
+}
+
 /* Looks up the job of a cancellation again, if the job was not known before.
  */
 static void
@@ -495,7 +535,12 @@
         }
     }
     else if (!cw_time_before(fresh, change->awaits_read_since)) {
-        conclude(change, CW_ENTRY_NO_JOB);
+        if (is_settled(change)) {
+            conclude(change, CW_ENTRY_NO_JOB);
+        }
+        else {
+            cancel_unknown(change, now);
+        }
     }
     else if (!cw_time_before(now, change->deadline)) {
         give_up(change);
--- a/src/owner/owner_commit.c
+++ b/src/owner/owner_commit.c
@@ -410,11 +410,25 @@
     owner_batch_put(batch, cw_work_key(CW_WORK_KEY_RECORD, job->id), NULL);
 }
 
+/* True if the job's records may be dropped: it ended long ago, or it was
+ * cancelled and never stored, and no write of it can be in flight any more. */
+static bool
+is_past(const struct cw_owner *owner, const struct cw_replica_job *job)
+{
+    int64_t retain_ms = owner->options.retain_ms;
+
+    if (job->spec == NULL && job->record == NULL && job->cancel_keys->len > 0)
+    {
+        return cw_time_diff_ms(job->first_read_at, owner_now(owner)) >
+               retain_ms;
+    }
+    return job->ended_ms != 0 &&
+           job->ended_ms <= cw_clock_wall_ms(owner->options.clock) - retain_ms;
+}
+
 void
 owner_drop_old_records(struct cw_owner *owner)
 {
-    int64_t before_ms = cw_clock_wall_ms(owner->options.clock) -
-                        (int64_t)owner->options.retain_ms;
     GHashTable *jobs = cw_replica_jobs(owner->options.replica);
     struct owner_batch *batch;
     GHashTableIter iterator;
@@ -431,7 +445,7 @@
     {
         const struct cw_replica_job *job = value;
 
-        if (job->ended_ms == 0 || job->ended_ms > before_ms) {
+        if (!is_past(owner, job)) {
             continue;
         }
         drop_keys(batch, job);
--- a/src/proto/cw_proto.h
+++ b/src/proto/cw_proto.h
@@ -188,6 +188,13 @@
 };
 typedef struct cw_work_record cw_work_record;
 
+struct cw_cancel_record {
+	cw_name queue;
+	bool_t any_account;
+	cw_name account;
+};
+typedef struct cw_cancel_record cw_cancel_record;
+
 struct cw_vm_record {
 	u_int capacity_milli;
 };
@@ -365,6 +372,7 @@
 extern  bool_t xdr_cw_place_record (XDR *, cw_place_record*);
 extern  bool_t xdr_cw_crash_record (XDR *, cw_crash_record*);
 extern  bool_t xdr_cw_work_record (XDR *, cw_work_record*);
+extern  bool_t xdr_cw_cancel_record (XDR *, cw_cancel_record*);
 extern  bool_t xdr_cw_vm_record (XDR *, cw_vm_record*);
 extern  bool_t xdr_cw_beat_record (XDR *, cw_beat_record*);
 extern  bool_t xdr_cw_note_record (XDR *, cw_note_record*);
@@ -393,6 +401,7 @@
 extern bool_t xdr_cw_place_record ();
 extern bool_t xdr_cw_crash_record ();
 extern bool_t xdr_cw_work_record ();
+extern bool_t xdr_cw_cancel_record ();
 extern bool_t xdr_cw_vm_record ();
 extern bool_t xdr_cw_beat_record ();
 extern bool_t xdr_cw_note_record ();
--- a/src/proto/cw_proto.x
+++ b/src/proto/cw_proto.x
@@ -169,6 +169,15 @@
     hyper lives<CW_TASKS_MAX>;       /* boot times of `workers`, or empty */
 };
 
+/* Request to cancel a job that its writer has not found.  It applies to a job
+ * with the id in its key, of that queue and account, whether that was stored
+ * before or is stored later. */
+struct cw_cancel_record {
+    cw_name queue;
+    bool any_account;
+    cw_name account;                 /* "" if any_account is set */
+};
+
 /* A VM's report of itself in the shard's log. */
 struct cw_vm_record {
     unsigned int capacity_milli;     /* processor, thousandths of a core */
--- a/src/proto/cw_proto_xdr.c
+++ b/src/proto/cw_proto_xdr.c
@@ -768,6 +768,20 @@
 	return TRUE;
 }
 
+bool_t
+xdr_cw_cancel_record (XDR *xdrs, cw_cancel_record *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_cw_name (xdrs, &objp->queue))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->any_account))
+		 return FALSE;
+	 if (!xdr_cw_name (xdrs, &objp->account))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_cw_vm_record (XDR *xdrs, cw_vm_record *objp)
 {
--- a/src/replica/replica.c
+++ b/src/replica/replica.c
@@ -45,12 +45,22 @@
         g_bytes_unref(job->record);
     }
     g_ptr_array_unref(job->cancel_keys);
+    g_array_unref(job->unknown_cancels);
     g_ptr_array_unref(job->hints);
     g_ptr_array_unref(job->hint_keys);
     g_free(job->id);
     g_free(job);
 }
 
+static void
+cancel_clear(gpointer data)
+{
+    struct cw_replica_cancel *cancel = data;
+
+    g_free(cancel->queue);
+    g_free(cancel->account);
+}
+
 static struct cw_replica_job *
 find_or_add(struct cw_replica *replica, const char *id)
 {
@@ -59,6 +69,10 @@
     if (job == NULL) {
         job = g_new0(struct cw_replica_job, 1);
         job->id = g_strdup(id);
+        job->first_read_at = cw_clock_now(replica->clock);
+        job->unknown_cancels =
+            g_array_new(FALSE, FALSE, sizeof(struct cw_replica_cancel));
+        g_array_set_clear_func(job->unknown_cancels, cancel_clear);
         job->cancel_keys = g_ptr_array_new_with_free_func(g_free);
         job->hints = g_ptr_array_new_with_free_func(hint_free);
         job->hint_keys = g_ptr_array_new_with_free_func(g_free);
@@ -75,6 +89,46 @@
     }
 }
 
+/* ---- cancellations ---- */
+
+/* Returns false if the key was known. */
+static bool
+add_cancel_key(struct cw_replica_job *job, const char *key)
+{
+    if (g_ptr_array_find_with_equal_func(job->cancel_keys, key, g_str_equal,
+                                         NULL)) {
+        return false;
+    }
+    g_ptr_array_add(job->cancel_keys, g_strdup(key));
+    return true;
+}
+
+/* Returns true if the job was not cancelled, or only later in the log. */
+static bool
+set_cancelled(struct cw_replica_job *job, uint64_t offset)
+{
+    if (job->cancelled && offset >= job->cancel_offset) {
+        return false;
+    }
+    job->cancelled = true;
+    job->cancel_offset = offset;
+    return true;
+}
+
+/* Cancels the job, whose specification is known, if the request is for a job
+ * of its queue and account; returns true if that changes the job. */
+static bool
+apply_unknown_cancel(struct cw_replica_job *job,
+                     const struct cw_replica_cancel *cancel)
+{
+    return strcmp(job->spec->queue, cancel->queue) == 0 &&
+           (cancel->account == NULL ||
+            strcmp(job->spec->account, cancel->account) == 0) &&
+           set_cancelled(job, cancel->offset);
+}
+
+/* ---- records ---- */
+
 static void
 apply_spec(struct cw_replica *replica, const char *id,
            const struct cw_store_record *record)
@@ -107,6 +161,10 @@
     }
     job->spec = spec;
     job->spec_offset = record->offset;
+    for (guint i = 0; i < job->unknown_cancels->len; i++) {
+        apply_unknown_cancel(job, &g_array_index(job->unknown_cancels,
+                                                 struct cw_replica_cancel, i));
+    }
     notify_job_changed(replica, job);
 }
 
@@ -118,14 +176,35 @@
 {
     struct cw_replica_job *job = find_or_add(replica, id);
 
-    if (!g_ptr_array_find_with_equal_func(job->cancel_keys, record->key,
-                                          g_str_equal, NULL))
+    (void)add_cancel_key(job, record->key);
+    if (set_cancelled(job, record->offset)) {
+        notify_job_changed(replica, job);
+    }
+}
+
+static void
+apply_cancel_unknown(struct cw_replica *replica, const char *id,
+                     const struct cw_store_record *record)
+{
+    struct cw_replica_job *job = find_or_add(replica, id);
+    struct cw_cancel_record value = {0};
+    struct cw_replica_cancel cancel = {.offset = record->offset};
+
+    if (!add_cancel_key(job, record->key)) {
+        return; /* delivered again */
+    }
+    if (!cw_xdr_decode((xdrproc_t)xdr_cw_cancel_record, &value, record->value,
+                       record->length))
     {
-        g_ptr_array_add(job->cancel_keys, g_strdup(record->key));
+        cw_log_error("record_invalid", "id=%s kind=cancel offset=%" PRIu64, id,
+                     record->offset);
+        return;
     }
-    if (!job->cancelled || record->offset < job->cancel_offset) {
-        job->cancelled = true;
-        job->cancel_offset = record->offset;
+    cancel.queue = g_strdup(value.queue);
+    cancel.account = value.any_account ? NULL : g_strdup(value.account);
+    xdr_free((xdrproc_t)xdr_cw_cancel_record, (char *)&value);
+    g_array_append_val(job->unknown_cancels, cancel);
+    if (job->spec != NULL && apply_unknown_cancel(job, &cancel)) {
         notify_job_changed(replica, job);
     }
 }
@@ -328,6 +407,9 @@
     case CW_WORK_KEY_CANCEL:
         apply_cancel(replica, id, record);
         break;
+    case CW_WORK_KEY_CANCEL_UNKNOWN:
+        apply_cancel_unknown(replica, id, record);
+        break;
     case CW_WORK_KEY_RECORD:
         apply_state(replica, id, record);
         notify_owner_record(replica);
@@ -485,6 +567,23 @@
     return replica->epochs;
 }
 
+bool
+cw_replica_cancels_unknown(const struct cw_replica_job *job, const char *queue,
+                           const char *account)
+{
+    for (guint i = 0; i < job->unknown_cancels->len; i++) {
+        const struct cw_replica_cancel *cancel =
+            &g_array_index(job->unknown_cancels, struct cw_replica_cancel, i);
+
+        if (strcmp(cancel->queue, queue) == 0 &&
+            g_strcmp0(cancel->account, account) == 0)
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
 unsigned
 cw_replica_phase(const struct cw_replica_job *job)
 {
--- /dev/null
+++ b/tests/test_cancellations.c
@@ -0,0 +1,112 @@
+/* Tests of jobs that are stored after they were cancelled: no owner starts
+ * them, and what is kept for that purpose is dropped later. */
+#include "test_main.h"
+
+#include "owner_fixture.h"
+
+enum { WAIT_MS = 300, SWEEP_MS = 6000, RETAIN_MS = 100000 };
+
+static void
+put_cancellation(struct fixture *fixture, const char *account)
+{
+    struct cw_cancel_record record = {.queue = (char *)"q",
+                                      .account = (char *)account};
+
+    put_record(fixture, "x" ID ".1", (xdrproc_t)xdr_cw_cancel_record, &record);
+}
+
+static unsigned
+phase_of_job(const struct fixture *fixture)
+{
+    const struct cw_replica_job *job =
+        cw_replica_find_job(fixture->replica, ID);
+
+    CU_ASSERT_PTR_NOT_NULL_FATAL(job);
+    return cw_replica_phase(job);
+}
+
+/* Guards against an owner that starts a job whose write took effect after its
+ * cancellation. */
+static void
+test_an_owner_does_not_start_a_job_that_was_cancelled_before(void)
+{
+    struct fixture fixture;
+
+    fixture_begin(&fixture);
+    take_over(&fixture);
+    put_cancellation(&fixture, "a");
+    run(&fixture, WAIT_MS);
+    put_spec(&fixture);
+    run(&fixture, WAIT_MS);
+    CU_ASSERT_EQUAL(phase_of_job(&fixture), CW_WORK_CANCELLED);
+    CU_ASSERT_TRUE(cw_replica_find_job(fixture.replica, ID)->record != NULL);
+    CU_ASSERT_PTR_NULL(the_job(&fixture));
+    fixture_end(&fixture);
+}
+
+/* Guards against the same after a takeover, for either order of the records:
+ * a load delivers them in the order of their keys. */
+static void
+test_a_later_owner_does_not_start_it_either(void)
+{
+    for (unsigned late = 0; late < 2; late++) {
+        struct fixture fixture;
+
+        fixture_begin(&fixture);
+        if (late == 0) {
+            put_spec(&fixture);
+        }
+        put_cancellation(&fixture, "a");
+        take_over(&fixture);
+        replace_owner(&fixture, "next");
+        if (late == 1) {
+            put_spec(&fixture);
+        }
+        run(&fixture, WAIT_MS);
+        CU_ASSERT_EQUAL(phase_of_job(&fixture), CW_WORK_CANCELLED);
+        fixture_end(&fixture);
+    }
+}
+
+/* Guards against a job that is cancelled by another account's request. */
+static void
+test_another_account_s_request_does_not_apply(void)
+{
+    struct fixture fixture;
+
+    fixture_begin(&fixture);
+    put_cancellation(&fixture, "other");
+    take_over(&fixture);
+    put_spec(&fixture);
+    run(&fixture, WAIT_MS);
+    CU_ASSERT_EQUAL(phase_of_job(&fixture), CW_WORK_WAITING);
+    CU_ASSERT_PTR_NOT_NULL(the_job(&fixture));
+    fixture_end(&fixture);
+}
+
+/* Guards against a store that fills up with requests to cancel nothing. */
+static void
+test_a_request_without_a_job_is_dropped_after_a_time(void)
+{
+    struct fixture fixture;
+
+    fixture_begin(&fixture);
+    put_cancellation(&fixture, "a");
+    take_over(&fixture);
+    run(&fixture, SWEEP_MS);
+    CU_ASSERT_PTR_NOT_NULL(cw_replica_find_job(fixture.replica, ID));
+    run(&fixture, RETAIN_MS + SWEEP_MS);
+    CU_ASSERT_PTR_NULL(cw_replica_find_job(fixture.replica, ID));
+    replace_owner(&fixture, "next");
+    CU_ASSERT_PTR_NULL(cw_replica_find_job(fixture.replica, ID));
+    fixture_end(&fixture);
+}
+
+static const struct test tests[] = {
+    {"owner", test_an_owner_does_not_start_a_job_that_was_cancelled_before},
+    {"later owner", test_a_later_owner_does_not_start_it_either},
+    {"another account", test_another_account_s_request_does_not_apply},
+    {"dropped", test_a_request_without_a_job_is_dropped_after_a_time},
+};
+
+TEST_MAIN("cancellations", tests)
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -192,6 +192,79 @@
     fixture_end(&fixture);
 }
 
+static unsigned
+phase_of_job(const struct fixture *fixture)
+{
+    const struct cw_replica_job *job =
+        cw_replica_find_job(fixture->replica, ID);
+
+    CU_ASSERT_PTR_NOT_NULL_FATAL(job);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(job->spec);
+    return cw_replica_phase(job);
+}
+
+/* Guards against a job that runs although its cancellation was acknowledged:
+ * the write of the job had no answer and takes effect after the cancellation.
+ */
+static void
+test_a_job_that_is_stored_late_stays_cancelled(void)
+{
+    struct fixture fixture;
+
+    fixture_begin(&fixture);
+    run_steps(&fixture);
+    cancel(&fixture, "/jobs/" ID, "k1");
+    run_steps(&fixture);
+    CU_ASSERT_EQUAL(fixture.outcome, CW_ENTRY_NO_JOB);
+    store_job(&fixture);
+    run_steps(&fixture);
+    CU_ASSERT_EQUAL(phase_of_job(&fixture), CW_WORK_CANCELLED);
+    fixture_end(&fixture);
+}
+
+/* Guards against a caller who cancels jobs of others by their ids, before they
+ * are stored. */
+static void
+test_another_caller_s_late_job_is_not_cancelled(void)
+{
+    static const char *const paths[] = {"/jobs/" ID, "/rest/" ID};
+    static const char *const keys[] = {"k2", "k1"};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(paths); i++) {
+        struct fixture fixture;
+
+        fixture_begin(&fixture);
+        run_steps(&fixture);
+        cancel(&fixture, paths[i], keys[i]);
+        run_steps(&fixture);
+        CU_ASSERT_EQUAL(fixture.outcome, CW_ENTRY_NO_JOB);
+        store_job(&fixture);
+        run_steps(&fixture);
+        CU_ASSERT_EQUAL(phase_of_job(&fixture), CW_WORK_WAITING);
+        fixture_end(&fixture);
+    }
+}
+
+/* Guards against records that pile up: a repeated request stores nothing. */
+static void
+test_a_repeated_cancellation_is_stored_once(void)
+{
+    struct fixture fixture;
+
+    fixture_begin(&fixture);
+    for (unsigned i = 0; i < 3; i++) {
+        fixture.outcome = -1;
+        cancel(&fixture, "/jobs/" ID, "k1");
+        run_steps(&fixture);
+        CU_ASSERT_EQUAL(fixture.outcome, CW_ENTRY_NO_JOB);
+    }
+    CU_ASSERT_EQUAL(fixture.fake.appends, 1);
+    cancel(&fixture, "/jobs/" ID, "k2");
+    run_steps(&fixture);
+    CU_ASSERT_EQUAL(fixture.fake.appends, 2);
+    fixture_end(&fixture);
+}
+
 static void
 submit(struct fixture *fixture, const char *account, uint64_t body_hash)
 {
@@ -301,6 +374,10 @@
      test_another_accounts_new_job_is_not_cancelled},
     {"another queue's job", test_another_queues_job_is_not_cancelled},
     {"own new job", test_an_own_new_job_is_cancelled},
+    {"late job", test_a_job_that_is_stored_late_stays_cancelled},
+    {"another caller's late job",
+     test_another_caller_s_late_job_is_not_cancelled},
+    {"repeated", test_a_repeated_cancellation_is_stored_once},
 };
 
 TEST_MAIN("entry", tests)
