Adapter, follower: odd entries of workers concern no other entry

Cause here: a key with a NUL character made the page of a load unreadable, and a record without a key that of a read, again and again, so that a VM that takes over never becomes the owner.

Deep nesting and numbers beyond 64 bits were harmless already; tests hold them.

--- a/include/curlewcart/cw_store.h
+++ b/include/curlewcart/cw_store.h
@@ -45,7 +45,8 @@
     return record_bytes > overhead ? record_bytes - overhead : 0;
 }
 
-/* One keyed record.  A NULL `value` deletes the key. */
+/* One keyed record.  A NULL `value` deletes the key.  In a page, a record
+ * whose key is not a text has the key "", and is to be ignored. */
 struct cw_store_record {
     const char *key;
     const void *value;
--- a/src/replica/follower.c
+++ b/src/replica/follower.c
@@ -143,8 +143,28 @@
     const struct cw_follower_handler *handler = &follower->options.handler;
 
     for (size_t i = 0; i < page->count; i++) {
-        handler->record(handler->context, &page->records[i]);
+        if (page->records[i].key[0] != '\0') {
+            handler->record(handler->context, &page->records[i]);
+        }
+        else {
+            cw_log_warning("record_without_key",
+                           "what=%s offset=%" G_GUINT64_FORMAT,
+                           follower->options.name, page->records[i].offset);
+        }
+    }
+}
+
+/* The last key of a page of newest records, after which the next page starts;
+ * NULL if there is none. */
+static const char *
+last_key_of(const struct cw_store_page *page)
+{
+    for (size_t i = page->count; i > 0; i--) {
+        if (page->records[i - 1].key[0] != '\0') {
+            return page->records[i - 1].key;
+        }
     }
+    return NULL;
 }
 
 static void
@@ -175,6 +195,7 @@
 {
     struct cw_follower *follower = context;
     struct timespec now = cw_clock_now(follower->options.clock);
+    const char *last_key;
 
     follower->in_flight = false;
     if (follower->freed) {
@@ -198,9 +219,10 @@
     follower->load_records += (unsigned)page->count;
     deliver_records(follower, page);
     follower->due = now;
-    if (page->more && page->count > 0) {
+    last_key = last_key_of(page);
+    if (page->more && last_key != NULL) {
         g_free(follower->after);
-        follower->after = g_strdup(page->records[page->count - 1].key);
+        follower->after = g_strdup(last_key);
         return;
     }
     end_load(follower);
--- a/tests/one_answer_server.h
+++ b/tests/one_answer_server.h
@@ -16,6 +16,7 @@
     int listener;
     char address[32];
     const char *answer; /* as sent */
+    size_t length;
     pthread_t thread;
 };
 
@@ -27,8 +28,7 @@
     int connection = accept(server->listener, NULL, NULL);
 
     (void)recv(connection, request, sizeof(request), 0);
-    (void)send(connection, server->answer, strlen(server->answer),
-               MSG_NOSIGNAL);
+    (void)send(connection, server->answer, server->length, MSG_NOSIGNAL);
     shutdown(connection, SHUT_WR);
     /* Closing a connection with unread data would reset it. */
     while (recv(connection, request, sizeof(request), 0) > 0) {
@@ -38,13 +38,15 @@
 }
 
 static inline void
-one_answer_server_start(struct one_answer_server *server, const char *answer)
+one_answer_server_start_bytes(struct one_answer_server *server,
+                              const void *answer, size_t answer_length)
 {
     struct sockaddr_in address = {.sin_family = AF_INET,
                                   .sin_addr = {htonl(INADDR_LOOPBACK)}};
     socklen_t length = sizeof(address);
 
     server->answer = answer;
+    server->length = answer_length;
     server->listener = socket(AF_INET, SOCK_STREAM, 0);
     g_assert(bind(server->listener, (struct sockaddr *)&address,
                   sizeof(address)) == 0);
@@ -56,6 +58,12 @@
                             server) == 0);
 }
 
+static inline void
+one_answer_server_start(struct one_answer_server *server, const char *answer)
+{
+    one_answer_server_start_bytes(server, answer, strlen(answer));
+}
+
 static inline void
 one_answer_server_stop(struct one_answer_server *server)
 {
--- a/tests/test_follower.c
+++ b/tests/test_follower.c
@@ -73,6 +73,30 @@
     g_string_free(fixture->delivered, TRUE);
 }
 
+/* Guards against a load that begins again and again: a page that ends with a
+ * record without a key goes on after the last key. */
+static void
+test_records_without_a_key_are_passed_over(void)
+{
+    struct fixture fixture;
+
+    fixture_begin(&fixture);
+    fixture.fake.page_records_max = 2;
+    append_record(&fixture, "");
+    append_record(&fixture, "a");
+    append_record(&fixture, "b");
+    append_record(&fixture, "c");
+    advance_ms(&fixture, 50);
+    CU_ASSERT_TRUE(cw_follower_loaded(fixture.follower));
+    CU_ASSERT_STRING_EQUAL(fixture.delivered->str, "abc");
+    append_record(&fixture, "");
+    append_record(&fixture, "d");
+    advance_ms(&fixture, 300);
+    CU_ASSERT_STRING_EQUAL(fixture.delivered->str, "abcd");
+    CU_ASSERT_EQUAL(cw_follower_position(fixture.follower), 6);
+    fixture_end(&fixture);
+}
+
 static void
 test_loads_and_then_reads(void)
 {
@@ -258,6 +282,7 @@
 }
 
 static const struct test tests[] = {
+    {"without a key", test_records_without_a_key_are_passed_over},
     {"truncated read", test_a_truncated_read_is_not_fresh_and_is_continued},
     {"load", test_a_load_is_as_fresh_as_its_first_page},
     {"load and read", test_loads_and_then_reads},
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -117,6 +117,18 @@
         {"\"gpus\":8", "\"gpus\":-8"},
         {"}}", "}"},
         {"{\"service\"", "\xff\xfe{\"service\""},
+        {"10.0.0.1:80", "10.0.0.1:80000"},
+        {"10.0.0.1:80", "10.0.0.1:4294967376"},
+        {"10.0.0.1:80", "10.0.0.1:0"},
+        {"10.0.0.1:80", "10.0.0.1:-80"},
+        {"10.0.0.1:80", "10.0.0.1:80/x"},
+        {"10.0.0.1:80", "10.0.0.1:80\\r\\nX: y"},
+        {"10.0.0.1:80", "host:80"},
+        {"10.0.0.1:80", "a@10.0.0.1:80"},
+        {"32000", "1e300"},
+        {"32000", "9223372036854775807"},
+        {"32000", "99999999999999999999"},
+        {"\"gpus\":8", "\"gpus\":4294967296"},
     };
     const struct cw_codec *codec = platform_codec();
     unsigned count = 0;
@@ -137,6 +149,68 @@
     CU_ASSERT_EQUAL(count, 1);
 }
 
+static void
+keep_report(void *context, const struct cw_target_report *report)
+{
+    *(struct cw_target_report *)context = *report;
+}
+
+/* Guards against numbers of a report that overflow when a time is added to
+ * them: they count as unknown, and the worker as present. */
+static void
+test_odd_numbers_of_a_report_are_unknown(void)
+{
+    static const char *const odd[] = {
+        "1e300", "-1e300", "9223372036854775807", "-9223372036854775808",
+        "-1",    "\"7\""};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(odd); i++) {
+        char *text = g_strdup_printf(
+            "{\"service\":\"s\",\"address\":\"10.0.0.1:80\","
+            "\"zone\":\"z\",\"state\":\"ready\",\"capacity\":{},"
+            "\"labels\":[7,[\"r\"]],\"remaining_ms\":%s,\"clock_ms\":%s,"
+            "\"born\":%s,\"seq\":%s}",
+            odd[i], odd[i], odd[i], odd[i]);
+        struct cw_target_report report = {0};
+
+        CU_ASSERT_TRUE(platform_codec()->decode_target(
+            "i-1", text, strlen(text), keep_report, &report));
+        CU_ASSERT_EQUAL(report.remaining_ms, 0);
+        CU_ASSERT_EQUAL(report.clock_ms, 0);
+        CU_ASSERT_EQUAL(report.boot_ms, 0);
+        CU_ASSERT_EQUAL(report.sequence, 0);
+        g_free(text);
+    }
+}
+
+/* Guards against an entry that is nested so deeply that reading it takes all
+ * of the stack, and against ids that cannot be sent in an order. */
+static void
+test_odd_entries_are_refused(void)
+{
+    enum { DEPTH = 1000000 };
+    static const char *const ids[] = {"", "i-1\r\nX: y", "i\t1", "\x7f"};
+    static const char whole[] =
+        "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+        "\"state\":\"ready\",\"capacity\":{}}";
+    char *nested = g_malloc(DEPTH);
+    struct cw_target_report report = {0};
+
+    for (size_t depth = 10; depth <= DEPTH; depth *= 10) {
+        memset(nested, '[', depth);
+        CU_ASSERT_FALSE(platform_codec()->decode_target("i-1", nested, depth,
+                                                        keep_report, &report));
+        memset(nested + depth / 2, ']', depth - depth / 2);
+        CU_ASSERT_FALSE(platform_codec()->decode_target("i-1", nested, depth,
+                                                        keep_report, &report));
+    }
+    for (size_t i = 0; i < G_N_ELEMENTS(ids); i++) {
+        CU_ASSERT_FALSE(platform_codec()->decode_target(
+            ids[i], whole, strlen(whole), keep_report, &report));
+    }
+    g_free(nested);
+}
+
 static bool
 decode(const char *text, struct cw_work_spec *spec)
 {
@@ -215,6 +289,8 @@
     {"invalid configuration", test_an_invalid_configuration_is_refused},
     {"report", test_a_worker_s_report_is_decoded},
     {"other writer", test_an_entry_of_another_writer_is_ignored},
+    {"odd numbers", test_odd_numbers_of_a_report_are_unknown},
+    {"odd entries", test_odd_entries_are_refused},
     {"job", test_a_job_is_decoded_with_its_steps},
     {"invalid job", test_an_invalid_job_is_refused},
     {"numbers", test_numbers_out_of_range_are_bounded},
--- a/tests/test_reports.c
+++ b/tests/test_reports.c
@@ -87,7 +87,51 @@
     cluster_end(&cluster);
 }
 
+/* Guards against an owner that ends, or stops following the list, by one odd
+ * entry among those of the workers. */
+static void
+test_odd_entries_leave_other_workers_alone(void)
+{
+    static const char *const odd[] = {
+        "{\"service\":\"s\",\"address\":\"10.0.0.9:99999\",\"zone\":\"z\","
+        "\"state\":\"ready\",\"capacity\":{\"gpus\":8}}",
+        "{\"service\":\"s\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\","
+        "\"state\":\"ready\",\"capacity\":{\"gpus\":9223372036854775807}}",
+        "{\"service\":\"s\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\","
+        "\"state\":\"ready\",\"capacity\":{\"cpu\":1e300}}",
+    };
+    struct cluster cluster;
+    char id[256];
+
+    begin_with_codec(&cluster);
+    for (size_t i = 0; i < G_N_ELEMENTS(odd); i++) {
+        put_entry(&cluster, i == 0 ? "o0" : i == 1 ? "o1" : "o2", odd[i]);
+    }
+    put_entry(&cluster, "a\nb",
+              "{\"service\":\"s\",\"address\":\"10.0.0.9:80\","
+              "\"zone\":\"z\",\"state\":\"ready\",\"capacity\":{}}");
+    CU_ASSERT_EQUAL(cw_count_get_code(&cluster.counters, CW_DROP_REPORT),
+                    G_N_ELEMENTS(odd) + 1);
+    CU_ASSERT_EQUAL(g_hash_table_size(cluster.owner->targets),
+                    RACKS * PER_RACK);
+    /* Odd in members that are not needed: it is a worker. */
+    memset(id, 'i', sizeof(id) - 1);
+    id[sizeof(id) - 1] = '\0';
+    put_entry(&cluster, id,
+              "{\"service\":\"s\",\"address\":\"10.0.0.9:81\","
+              "\"zone\":\"z\",\"state\":\"draining\","
+              "\"remaining_ms\":9223372036854775807,\"clock_ms\":1e300,"
+              "\"seq\":-1e300,\"capacity\":{\"gpus\":8}}");
+    CU_ASSERT_EQUAL(g_hash_table_size(cluster.owner->targets),
+                    RACKS * PER_RACK + 1);
+    pass(&cluster, 10);
+    CU_ASSERT_TRUE(owner_target_usable(owner_target_get(cluster.owner, "w00"),
+                                       cluster.clock.now));
+    cluster_end(&cluster);
+}
+
 static const struct test tests[] = {
+    {"odd entries", test_odd_entries_leave_other_workers_alone},
     {"invalid", test_invalid_entry_adds_no_worker},
     {"overwritten", test_worker_with_overwritten_entry_gets_no_work},
     {"unknown service", test_worker_of_unknown_service_is_not_polled},
