--- a/emulator/checker.c
+++ b/emulator/checker.c
@@ -5,6 +5,7 @@
 
 enum {
     CANCEL_EFFECT_MS = 3000,
+    EARLY_MAX_MS = 250, /* of a start before its occurrence is due */
     /* Maximum time from the store's acknowledgement of a cordon until it takes
      * effect. */
     CORDON_EFFECT_MAX_MS = 5000,
@@ -184,6 +185,7 @@
     const struct checker_job *job = checker_find_job(checker, task->job);
 
     if (job == NULL || task->step >= job->spec->steps.steps_len ||
+        task->occurrence >= MAX(1, job->spec->repeats) ||
         task->index >= job->spec->steps.steps_val[task->step].tasks)
     {
         return NULL;
@@ -231,6 +233,7 @@
     out->fails = job->plan_fails;
     out->members = step->gang ? step->tasks : 0;
     out->checkpoints = step->checkpoints;
+    out->text_bytes = job->plan_text_bytes;
     out->crashes = crashes_workers(job, task);
     out->need.cpu_milli = step->cpu_milli;
     out->need.memory_mb = step->memory_mb;
@@ -420,6 +423,12 @@
     if (!preceding_steps_done(checker, task)) {
         violate_task(checker, "ORDER", task, run);
     }
+    if (job->spec->repeats > 0 &&
+        now_ms + EARLY_MAX_MS <
+            job->due_ms + task->occurrence * job->spec->interval_ms)
+    {
+        violate_task(checker, "ORDER before it is due", task, run);
+    }
     if (calm && job->cancel_done && now_ms > job->cancel_ms + CANCEL_EFFECT_MS)
     {
         violate_task(checker, "UNASKED after its cancellation", task, run);
@@ -536,9 +545,11 @@
 bool
 checker_all_done(struct checker *checker, const struct checker_job *job)
 {
-    for (unsigned i = 0; i < job->spec->steps.steps_len; i++) {
-        if (!step_done(checker, job, 0, i)) {
-            return false;
+    for (unsigned k = 0; k < MAX(1, job->spec->repeats); k++) {
+        for (unsigned i = 0; i < job->spec->steps.steps_len; i++) {
+            if (!step_done(checker, job, k, i)) {
+                return false;
+            }
         }
     }
     return true;
@@ -588,7 +599,9 @@
 {
     struct cw_task_name name = {.job = job->id, .step = from};
 
-    if (!job->accepted || job->cancel_sent || job->shown_final_phase != 0) {
+    if (!job->accepted || job->cancel_sent || job->shown_final_phase != 0 ||
+        job->spec->repeats > 0)
+    {
         return NULL;
     }
     for (; name.step < job->spec->steps.steps_len; name.step++) {
--- a/emulator/checker.h
+++ b/emulator/checker.h
@@ -39,12 +39,14 @@
     unsigned plan_work_ms;
     unsigned plan_tail_percent; /* percentage of tasks that are long */
     bool plan_equal_members;    /* members of a gang are equally long */
-    unsigned plan_fails;        /* number of runs of each task that fail */
-    int plan_crashing_task;     /* task of the first step that crashes each
-                                   worker that starts it; -1: none */
-    bool accepted;              /* acceptance was reported to a caller */
-    bool outcome_unknown;       /* an attempt had no definite answer */
-    bool refused;               /* each attempt was answered as not executed */
+    unsigned plan_text_bytes;   /* of each checkpoint, at least */
+    int64_t due_ms; /* of a scheduled job: when its first occurrence is due */
+    unsigned plan_fails;    /* number of runs of each task that fail */
+    int plan_crashing_task; /* task of the first step that crashes each
+                               worker that starts it; -1: none */
+    bool accepted;          /* acceptance was reported to a caller */
+    bool outcome_unknown;   /* an attempt had no definite answer */
+    bool refused;           /* each attempt was answered as not executed */
     bool cancel_sent;
     bool cancel_done; /* acknowledged */
     int64_t cancel_ms;
@@ -156,7 +158,7 @@
 
 /* Returns the first step of the job, from number `from` on, that is not done
  * and whose preceding steps are done.  NULL if there is none, or if the job is
- * not accepted, has ended, or is cancelled.  Borrowed. */
+ * not accepted, has ended, is cancelled, or is scheduled.  Borrowed. */
 const struct cw_step_spec *
 checker_ready_step(struct checker *checker, const struct checker_job *job,
                    unsigned from);
--- a/emulator/emulator_main.c
+++ b/emulator/emulator_main.c
@@ -39,9 +39,11 @@
     unsigned vms;
     unsigned workers;
     unsigned jobs;
-    unsigned crashing_percent; /* of the jobs */
-    unsigned tail_percent;     /* of the tasks */
-    unsigned slow_percent;     /* of the workers */
+    unsigned crashing_percent;  /* of the jobs */
+    unsigned tail_percent;      /* of the tasks */
+    unsigned scheduled_percent; /* of the jobs */
+    bool long_texts;
+    unsigned slow_percent; /* of the workers */
     bool uneven;
     bool without_slow;
     unsigned shrinks;
@@ -84,6 +86,9 @@
     {"crashing", 'c', "PERCENT", 0, "Jobs that crash workers", 0},
     {"tails", 't', "PERCENT", 0,
      "Tasks that take several times as long as others", 0},
+    {"scheduled", 'D', "PERCENT", 0, "Jobs that are due many times", 0},
+    {"long-texts", 'T', NULL, 0,
+     "Checkpoints of up to 300,000 bytes, more than a record of the store", 0},
     {"slow-workers", 'S', "PERCENT", 0,
      "Workers that take three times as long for part of the day, at once", 0},
     {"uneven", 'E', NULL, 0, "Workers have lasting speeds of 0.6, 1.0 and 1.6",
@@ -236,6 +241,57 @@
     return true;
 }
 
+/* Sets the property of the days that the key names; returns false if it names
+ * none. */
+static bool
+parse_flag(int key, struct arguments *arguments)
+{
+    switch (key) {
+    case 'f':
+        arguments->stop_at_first = true;
+        break;
+    case 'E':
+        arguments->uneven = true;
+        break;
+    case 'W':
+        arguments->without_slow = true;
+        break;
+    case 'u':
+        arguments->ignores_capacity = true;
+        break;
+    case 'q':
+        arguments->calm = true;
+        break;
+    case 'b':
+        arguments->wide = true;
+        break;
+    case 'B':
+        arguments->busy = true;
+        break;
+    case 'g':
+        arguments->restricted = true;
+        break;
+    case 'U':
+        arguments->unheard_ends = true;
+        break;
+    case 'L':
+        arguments->links_hold = true;
+        break;
+    case 'h':
+        arguments->near = true;
+        break;
+    case 'Y':
+        arguments->far_store = true;
+        break;
+    case 'T':
+        arguments->long_texts = true;
+        break;
+    default:
+        return false;
+    }
+    return true;
+}
+
 static error_t
 parse(int key, char *value, struct argp_state *state)
 {
@@ -249,9 +305,6 @@
     case 'd':
         arguments->days = number;
         break;
-    case 'f':
-        arguments->stop_at_first = true;
-        break;
     case 'j':
         arguments->threads = number;
         break;
@@ -270,48 +323,18 @@
     case 't':
         arguments->tail_percent = number;
         break;
+    case 'D':
+        arguments->scheduled_percent = MIN(number, PERCENT);
+        break;
     case 'S':
         arguments->slow_percent = MIN(number, PERCENT);
         break;
-    case 'E':
-        arguments->uneven = true;
-        break;
-    case 'W':
-        arguments->without_slow = true;
-        break;
-    case 'u':
-        arguments->ignores_capacity = true;
-        break;
-    case 'q':
-        arguments->calm = true;
-        break;
-    case 'b':
-        arguments->wide = true;
-        break;
-    case 'B':
-        arguments->busy = true;
-        break;
     case 'K':
         arguments->link_ms = number;
         break;
     case 'C':
         arguments->check_ms = number;
         break;
-    case 'g':
-        arguments->restricted = true;
-        break;
-    case 'U':
-        arguments->unheard_ends = true;
-        break;
-    case 'L':
-        arguments->links_hold = true;
-        break;
-    case 'h':
-        arguments->near = true;
-        break;
-    case 'Y':
-        arguments->far_store = true;
-        break;
     case ARGP_KEY_ARG:
         if (arguments->command != NULL) {
             argp_usage(state);
@@ -324,7 +347,10 @@
         }
         break;
     default:
-        return parse_faults(key, number, arguments) ? 0 : ARGP_ERR_UNKNOWN;
+        return parse_faults(key, number, arguments) ||
+                       parse_flag(key, arguments)
+                   ? 0
+                   : ARGP_ERR_UNKNOWN;
     }
     return 0;
 }
@@ -338,6 +364,8 @@
 
     day.crashing_percent = arguments->crashing_percent;
     day.tail_percent = arguments->tail_percent;
+    day.scheduled_percent = arguments->scheduled_percent;
+    day.long_texts = arguments->long_texts;
     if (day.tail_percent > 0) {
         day.quiet_ms *= LONG_TASK_QUIET_FACTOR;
     }
--- a/emulator/worker_model.c
+++ b/emulator/worker_model.c
@@ -412,6 +412,25 @@
 
 /* ---- ends ---- */
 
+/* A checkpoint at this point of the work, of at least `bytes` bytes that
+ * deflating shortens to half at most. */
+static char *
+long_text(int64_t done_ms, unsigned index, unsigned bytes)
+{
+    GString *text = g_string_sized_new(bytes + 1);
+    uint64_t state = (uint64_t)done_ms * 31 + index;
+
+    g_string_printf(text, "ck-%" G_GINT64_FORMAT, done_ms);
+    if (text->len < bytes) {
+        g_string_append_c(text, '.');
+    }
+    while (text->len < bytes) {
+        state = state * 6364136223846793005U + 1442695040888963407U;
+        g_string_append_c(text, "0123456789abcdef"[state >> 60]);
+    }
+    return g_string_free(text, FALSE);
+}
+
 static char *
 saved_of(const struct model_run *run)
 {
@@ -420,8 +439,8 @@
     if (!run->plan.checkpoints || done < CHECKPOINT_MS) {
         return g_strdup("");
     }
-    return g_strdup_printf("ck-%" G_GINT64_FORMAT,
-                           done / CHECKPOINT_MS * CHECKPOINT_MS);
+    return long_text(done / CHECKPOINT_MS * CHECKPOINT_MS, run->task.index,
+                     run->plan.text_bytes);
 }
 
 static void
--- a/emulator/worker_model.h
+++ b/emulator/worker_model.h
@@ -22,6 +22,7 @@
     unsigned fails;   /* number of first runs that fail */
     unsigned members; /* size of its gang; 0: no gang */
     bool checkpoints;
+    unsigned text_bytes; /* of a checkpoint, at least */
     bool crashes; /* crashes each worker that starts the task, soon after the
                      start */
     struct cw_resources need;
--- a/emulator/world.h
+++ b/emulator/world.h
@@ -23,6 +23,10 @@
     unsigned faults;   /* maximum number */
     unsigned crashing_percent; /* percentage of jobs that crash workers */
     unsigned tail_percent;     /* percentage of tasks that are long */
+    unsigned
+        scheduled_percent; /* percentage of jobs that are due many times */
+    bool long_texts; /* checkpoints of some jobs are thousands of bytes long,
+                        or longer than a record of the store */
     unsigned slow_percent; /* percentage of workers that become slow at once,
                               and recover */
     bool uneven;           /* workers have unequal lasting speeds */
--- a/emulator/world_load.c
+++ b/emulator/world_load.c
@@ -26,6 +26,14 @@
     LASTING_SINGLE_PERCENT = 40,
     LASTING_SINGLE_FACTOR = 8,
     LASTING_STEPS_MAX = 12,
+    /* Scheduled jobs: their occurrences overlap, and some are due before the
+     * job is submitted. */
+    OCCURRENCES_MIN = 2,
+    OCCURRENCES_SPAN = 60,
+    INTERVAL_MAX_MS = 400,
+    FIRST_DUE_SPAN_MS = 4000,
+    OVERDUE_MAX_MS = 2000,
+    SCHEDULED_WORK_PARTS = 4, /* their tasks take one part of the usual time */
     /* Half a data centre of four workers: fits while two workers are down. */
     CONFINED_ACCELERATORS_MAX = 16,
     /* Jobs that cannot be preempted wait while their start would leave less
@@ -280,6 +288,42 @@
     }
 }
 
+/* Makes some jobs scheduled ones.  Derived from the id, as in
+ * fill_constraints.  Returns the time at which the job is due first. */
+static int64_t
+schedule_job(struct world *world, struct cw_work_spec *spec)
+{
+    unsigned hash = g_str_hash(spec->id);
+    int64_t ahead_ms;
+
+    if (hash / 3 % PERCENT >= world->options.scheduled_percent) {
+        return 0;
+    }
+    ahead_ms = (int64_t)(hash / 7 % FIRST_DUE_SPAN_MS) - OVERDUE_MAX_MS;
+    spec->repeats = OCCURRENCES_MIN + hash / 11 % OCCURRENCES_SPAN;
+    spec->interval_ms = hash / 13 % INTERVAL_MAX_MS;
+    spec->first_due_ms = cw_clock_wall_ms(&world->clock.base) + ahead_ms;
+    spec->once = false;
+    spec->deadline_ms = 0;
+    for (u_int i = 0; i < spec->steps.steps_len; i++) {
+        spec->steps.steps_val[i].tasks =
+            MIN(2, spec->steps.steps_val[i].tasks);
+        spec->steps.steps_val[i].accelerators = 1;
+    }
+    return world->now_ms + ahead_ms;
+}
+
+/* Length of the job's checkpoints, at least. */
+static unsigned
+text_bytes(const struct world *world, const char *id)
+{
+    static const unsigned lengths[] = {0, 40, 1500, 2000, 20000, 300000};
+
+    return world->options.long_texts
+               ? lengths[g_str_hash(id) / 17 % G_N_ELEMENTS(lengths)]
+               : 0;
+}
+
 static unsigned
 draw_step_count(struct world *world)
 {
@@ -309,6 +353,8 @@
     unsigned steps = draw_step_count(world);
     unsigned fails =
         world_random_chance(world, 15) ? world_random_below(world, 4) : 0;
+    unsigned work_ms;
+    int64_t due_ms;
     char id[32];
 
     (void)context;
@@ -334,10 +380,15 @@
     if (world->options.restricted) {
         world_restrict_steps(spec);
     }
+    due_ms = schedule_job(world, spec);
     spec->max_attempts = spec->once ? 1 : 2;
     call->world = world;
-    call->job = checker_add_job(world->checker, spec,
-                                draw_work_ms(world, steps), fails);
+    work_ms = draw_work_ms(world, steps);
+    call->job = checker_add_job(
+        world->checker, spec,
+        spec->repeats > 0 ? work_ms / SCHEDULED_WORK_PARTS : work_ms, fails);
+    call->job->due_ms = due_ms;
+    call->job->plan_text_bytes = text_bytes(world, id);
     call->job->plan_tail_percent = world->options.tail_percent;
     call->job->plan_equal_members = world_has_speeds(world);
     if (g_str_hash(id) % PERCENT < world->options.crashing_percent) {
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -361,7 +361,10 @@
                     "id=%s queue=%s outcome=too_large bytes=%u bytes_max=%zu",
                     spec->id, spec->queue, bytes != NULL ? bytes->len : 0,
                     bytes_max);
-        g_clear_pointer(&bytes, g_byte_array_unref);
+        if (bytes != NULL) {
+            g_byte_array_unref(bytes);
+        }
+        return NULL;
     }
     return bytes;
 }
--- a/src/owner/owner_state.c
+++ b/src/owner/owner_state.c
@@ -296,21 +296,25 @@
     return record;
 }
 
-/* True if the encoded record fits into a record of the store. */
-static bool
-fits(const GByteArray *bytes, size_t bytes_max)
+/* Returns the bytes if they are not more than `bytes_max`; otherwise frees
+ * them and returns NULL. */
+static GByteArray *
+if_they_fit(GByteArray *bytes, size_t bytes_max)
 {
-    return bytes != NULL && bytes->len <= bytes_max;
+    if (bytes != NULL && bytes->len > bytes_max) {
+        g_byte_array_unref(bytes);
+        return NULL;
+    }
+    return bytes;
 }
 
 GByteArray *
 owner_outcome_encode(const struct owner_job *job, size_t bytes_max)
 {
     struct cw_work_record record = outcome_of(job);
-    GByteArray *bytes = cw_record_encode(&record);
+    GByteArray *bytes = if_they_fit(cw_record_encode(&record), bytes_max);
 
-    if (!fits(bytes, bytes_max)) {
-        g_clear_pointer(&bytes, g_byte_array_unref);
+    if (bytes == NULL) {
         cw_log_error("outcome_cut_short", "id=%s places=%u result_bytes=%zu",
                      job->spec->id, record.places.places_len,
                      strlen(record.result));
@@ -446,13 +450,12 @@
 
     for (size_t i = 0; i < G_N_ELEMENTS(sums_max); i++) {
         size_t limit = checkpoint_limit(job, sums_max[i]);
-        GByteArray *bytes = encode_with(job, limit);
+        GByteArray *bytes = if_they_fit(encode_with(job, limit), bytes_max);
 
-        if (fits(bytes, bytes_max)) {
+        if (bytes != NULL) {
             log_left_out(job, limit);
             return bytes;
         }
-        g_clear_pointer(&bytes, g_byte_array_unref);
     }
     return NULL;
 }
--- a/src/work/record.c
+++ b/src/work/record.c
@@ -78,8 +78,11 @@
     GByteArray *plain = cw_xdr_encode((xdrproc_t)xdr_cw_work_record, record);
     GByteArray *packed;
 
-    if (plain == NULL || plain->len > INFLATED_BYTES_MAX) {
-        g_clear_pointer(&plain, g_byte_array_unref);
+    if (plain == NULL) {
+        return NULL;
+    }
+    if (plain->len > INFLATED_BYTES_MAX) {
+        g_byte_array_unref(plain);
         return NULL;
     }
     g_byte_array_set_size(plain, plain->len - count_empty_at_end(record) *
--- a/standins/platform_reports.c
+++ b/standins/platform_reports.c
@@ -6,6 +6,8 @@
 #include "curlewcart/cw_time.h"
 #include "standins/platform_standin.h"
 
+enum { ODD_DEPTH = 100000 };
+
 struct late_report {
     int64_t due_ms;
     char *id;
@@ -86,6 +88,40 @@
     g_ptr_array_add(platform->late_reports, late);
 }
 
+void
+standin_append_odd_entries(struct platform *platform)
+{
+    static const char *const odd[][2] = {
+        {"odd-text", "\xff\xfe"},
+        {"odd-number", "{\"seq\":99999999999999999999}"},
+        {"odd-port",
+         "{\"service\":\"service\",\"address\":\"127.0.0.1:99999\","
+         "\"zone\":\"z\",\"state\":\"ready\",\"capacity\":{\"gpus\":8}}"},
+        {"odd-capacity",
+         "{\"service\":\"service\",\"address\":\"127.0.0.1:1\",\"zone\":\"z\","
+         "\"state\":\"ready\",\"capacity\":{\"gpus\":1e300,"
+         "\"cpu\":9223372036854775807}}"},
+        {"odd-id\nX: y",
+         "{\"service\":\"service\",\"address\":\"127.0.0.1:1\",\"zone\":\"z\","
+         "\"state\":\"ready\",\"capacity\":{\"gpus\":8}}"},
+    };
+    char *nested = g_strnfill(ODD_DEPTH, '[');
+    char *id = g_strnfill(CW_STORE_KEY_BYTES_MAX, 'i');
+
+    for (size_t i = 0; i < G_N_ELEMENTS(odd); i++) {
+        standin_append(platform, "keyed.servers", odd[i][0], odd[i][1]);
+    }
+    standin_append(platform, "keyed.servers", "odd-depth", nested);
+    standin_append(
+        platform, "keyed.servers", id,
+        "{\"service\":\"service\",\"address\":\"127.0.0.1:1\",\"zone\":\"z\","
+        "\"state\":\"ready\",\"remaining_ms\":1e300,\"clock_ms\":-1e300,"
+        "\"seq\":9223372036854775807,\"capacity\":{\"gpus\":8,\"cpu\":1000,"
+        "\"mem_mb\":1000}}");
+    g_free(nested);
+    g_free(id);
+}
+
 void
 standin_remove_entry(struct platform *platform, const char *id)
 {
--- a/standins/platform_standin.c
+++ b/standins/platform_standin.c
@@ -22,8 +22,14 @@
  * SIGUSR1 makes the store refuse all calls, SIGUSR2 makes it serve again.
  * SIGHUP crashes every third worker at once; they restart under their ids.
  *
+ *   saved_bytes=N   tasks save checkpoints of at least N bytes
+ *
  * Standard input has one command a line; WORKER is the first id of a worker:
  *
+ *   odd                     appends odd entries to those of the workers
+ *   late-appends KEY MS N   the next N appends of a record whose key begins
+ *                           with KEY have no answer in time, and are carried
+ *                           out MS later
  *   lose WORKER             crashes the worker permanently; it stays listed
  *   mute WORKER MS          its reports do not arrive for so long, so that its
  *                           entry may expire; it works on and answers orders
@@ -233,6 +239,15 @@
     return NULL;
 }
 
+static void
+set_late_appends(struct platform *platform, char **words)
+{
+    g_free(platform->late_key);
+    platform->late_key = g_strdup(words[1]);
+    platform->late_ms = g_ascii_strtoll(words[2], NULL, 10);
+    platform->late_count = (unsigned)g_ascii_strtoull(words[3], NULL, 10);
+}
+
 static void
 run_command(struct platform *platform, const char *line)
 {
@@ -241,7 +256,13 @@
     struct worker_server *worker =
         count > 1 ? find_worker(platform, words[1]) : NULL;
 
-    if (worker == NULL) {
+    if (strcmp(line, "odd") == 0) {
+        standin_append_odd_entries(platform);
+    }
+    else if (count == 4 && strcmp(words[0], "late-appends") == 0) {
+        set_late_appends(platform, words);
+    }
+    else if (worker == NULL) {
         fprintf(stderr, "curlewcart-platform: no worker: %s\n", line);
     }
     else if (strcmp(words[0], "lose") == 0) {
--- a/standins/platform_standin.h
+++ b/standins/platform_standin.h
@@ -60,7 +60,12 @@
     unsigned per_rack;      /* workers in each rack */
     bool hides_boot_times;  /* workers do not tell when they booted */
     bool store_unavailable; /* the store refuses all calls */
-    GHashTable *payloads;   /* job's id -> payload */
+    /* The next appends with a record whose key begins so have no answer in
+     * time and are carried out later; NULL: none. */
+    char *late_key;
+    unsigned late_count;
+    int64_t late_ms;
+    GHashTable *payloads; /* job's id -> payload */
     /* Starts of a task that was running or done, or on a worker without the
      * label, or above the step's limit per worker. */
     unsigned violations;
@@ -144,6 +149,10 @@
 void standin_store_late(struct platform *platform, const char *id,
                         const char *report, int64_t late_ms);
 
+/* Appends entries that no worker writes, and one of a worker that cannot be
+ * reached, with the longest id. */
+void standin_append_odd_entries(struct platform *platform);
+
 void standin_remove_entry(struct platform *platform, const char *id);
 
 /* Keeps the entry from expiring. */
--- a/standins/platform_store.c
+++ b/standins/platform_store.c
@@ -244,6 +244,40 @@
     g_ptr_array_unref(members);
 }
 
+/* Carries an append out after its daemon has given up waiting. */
+static void *
+append_late(void *argument)
+{
+    struct deferred_call *deferred_call = argument;
+    struct platform *platform = deferred_call->platform;
+
+    g_usleep((gulong)(deferred_call->until_ms - standin_now_ms()) * 1000);
+    pthread_mutex_lock(&platform->lock);
+    handle_append(platform, deferred_call->call);
+    pthread_mutex_unlock(&platform->lock);
+    g_free(deferred_call);
+    return NULL;
+}
+
+/* True if the append is one of those that are to be carried out late. */
+static bool
+is_late(struct platform *platform, struct cw_http_call *call)
+{
+    size_t length = 0;
+    const char *body = cw_http_call_body(call, &length);
+    GPtrArray *keys = g_ptr_array_new_with_free_func(g_free);
+    GArray *records = split_records((const unsigned char *)body, length, keys);
+    bool late = false;
+
+    for (guint i = 0; i < keys->len && platform->late_count > 0; i++) {
+        late = late || g_str_has_prefix(keys->pdata[i], platform->late_key);
+    }
+    platform->late_count -= late;
+    g_array_unref(records);
+    g_ptr_array_unref(keys);
+    return late;
+}
+
 void
 standin_handle_store(void *context, struct cw_http_call *call)
 {
@@ -266,7 +300,11 @@
         return;
     }
     pthread_mutex_lock(&platform->lock);
-    if (strcmp(path, "/log-append") == 0) {
+    if (strcmp(path, "/log-append") == 0 && is_late(platform, call)) {
+        standin_defer_call(platform, NULL, call, platform->late_ms,
+                           append_late);
+    }
+    else if (strcmp(path, "/log-append") == 0) {
         handle_append(platform, call);
     }
     else if (strcmp(path, "/log-newest") == 0) {
--- a/standins/platform_workers.c
+++ b/standins/platform_workers.c
@@ -331,6 +331,8 @@
     out->work_ms = payload_number(payload, "run_ms", DEFAULT_TASK_MS);
     out->members = payload_number(payload, "members", 0);
     out->fails = payload_number(payload, "fails", 0);
+    out->text_bytes = payload_number(payload, "saved_bytes", 0);
+    out->checkpoints = out->text_bytes > 0;
     out->crashes = payload_number(payload, "crash", 0) > 0 &&
                    task->step == 0 && task->index == 0;
     out->need.accelerators = payload_number(payload, "accelerators", 1);
--- a/tools/parsers/parsers_fuzz.c
+++ b/tools/parsers/parsers_fuzz.c
@@ -1,5 +1,6 @@
 /* A libFuzzer target for every parser of external input: the first byte
  * selects the parser.  Built with clang by `make parsers`. */
+#include <stdlib.h>
 #include <string.h>
 #include <sodium.h>
 
@@ -7,6 +8,7 @@
 #include "curlewcart/cw_chain.h"
 #include "curlewcart/cw_record.h"
 #include "curlewcart/cw_request.h"
+#include "curlewcart/cw_work.h"
 #include "curlewcart/cw_xdr.h"
 #include "platform/platform.h"
 
@@ -14,13 +16,40 @@
 /* NOLINTNEXTLINE(readability-identifier-naming) */
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
 
+/* Whatever a parser and the check of specifications accept can be stored and
+ * read again. */
+static void
+check_accepted(const struct cw_work_spec *spec)
+{
+    GByteArray *bytes = cw_xdr_encode((xdrproc_t)xdr_cw_work_spec, spec);
+    struct cw_work_spec stored;
+    GByteArray *again;
+
+    g_assert(bytes != NULL);
+    memset(&stored, 0, sizeof(stored));
+    g_assert(cw_xdr_decode((xdrproc_t)xdr_cw_work_spec, &stored, bytes->data,
+                           bytes->len));
+    again = cw_xdr_encode((xdrproc_t)xdr_cw_work_spec, &stored);
+    g_assert(again != NULL && again->len == bytes->len &&
+             memcmp(again->data, bytes->data, bytes->len) == 0);
+    g_assert(cw_work_critical_path_ms(&stored) <= G_MAXINT32);
+    xdr_free((xdrproc_t)xdr_cw_work_spec, (char *)&stored);
+    g_byte_array_unref(bytes);
+    g_byte_array_unref(again);
+}
+
 static void
 parse_request(const char *text, size_t size)
 {
     struct cw_work_spec *spec = NULL;
     char detail[128];
 
-    cw_request_from_json(text, size, "account", &spec, detail, sizeof(detail));
+    if (cw_request_from_json(text, size, "account", &spec, detail,
+                             sizeof(detail)) == CW_OK &&
+        cw_work_check(spec, detail, sizeof(detail)) == CW_OK)
+    {
+        check_accepted(spec);
+    }
     cw_request_free(spec);
 }
 
@@ -36,7 +65,16 @@
     struct cw_work_record record;
 
     memset(&record, 0, sizeof(record));
+    struct cw_record_head head;
+    GByteArray *bytes;
+
+    if (cw_record_read_head(text, size, &head)) {
+        g_assert(strcmp(cw_work_phase_name(head.phase), "unknown") != 0);
+    }
     if (cw_record_decode(text, size, &record)) {
+        bytes = cw_record_encode(&record);
+        g_assert(bytes != NULL);
+        g_byte_array_unref(bytes);
         xdr_free((xdrproc_t)xdr_cw_work_record, (char *)&record);
     }
 }
@@ -60,7 +98,17 @@
     struct cw_work_spec *spec = g_new0(struct cw_work_spec, 1);
     char problem[128];
 
-    platform_decode_job(text, size, spec, problem, sizeof(problem));
+    if (platform_decode_job(text, size, spec, problem, sizeof(problem)) ==
+            CW_OK &&
+        cw_work_check(spec, problem, sizeof(problem)) == CW_OK)
+    {
+        spec->id = strdup("5c0e7a21d94b36f8");
+        spec->queue = strdup("q");
+        spec->account = strdup("a");
+        spec->service = strdup("s");
+        spec->request = strdup("");
+        check_accepted(spec);
+    }
     cw_request_free(spec);
 }
 
@@ -73,17 +121,25 @@
                                                       sizeof(problem)));
 }
 
+/* Thousands of a report's quantities can be added without an overflow. */
 static void
-ignore_report(void *context, const struct cw_target_report *report)
+check_report(void *context, const struct cw_target_report *report)
 {
     (void)context;
-    (void)report;
+    g_assert(report->capacity.cpu_milli >= 0 &&
+             report->capacity.cpu_milli <= G_MAXINT32);
+    g_assert(report->capacity.memory_mb >= 0 &&
+             report->capacity.memory_mb <= G_MAXINT32);
+    g_assert(report->capacity.accelerators >= 0 &&
+             report->capacity.accelerators <= G_MAXINT32);
+    g_assert(report->remaining_ms >= 0 && report->remaining_ms <= G_MAXINT32);
+    g_assert(report->clock_ms >= 0 && report->boot_ms >= 0);
 }
 
 static void
 parse_platform_report(const char *text, size_t size)
 {
-    platform_codec()->decode_target("id", text, size, ignore_report, NULL);
+    platform_codec()->decode_target("id", text, size, check_report, NULL);
 }
 
 static void
