Owner: bound open occurrences by the rows of the state, not by its size

A reader of the change found: a long checkpoint of one running occurrence filled more than half of the stored state, and so kept later occurrences of the job from being opened, although checkpoints are left out if need be. The limit is the number of rows now (test_occurrences: a checkpoint as large as a record holds nothing up). Jobs that are not scheduled are no longer looked through at each check, and a state without long checkpoints is encoded after one pass over them.

--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -175,11 +175,10 @@
     char *result;          /* text of the last end that had one, or NULL */
     GArray *places;        /* struct owner_job_placement: where it has run */
     unsigned next_occurrence;
-    GPtrArray *open;    /* struct owner_occurrence, the open ones: of a
-                           scheduled job, those below next_occurrence that
-                           are not here are done */
-    size_t state_bytes; /* size of the last encoded state */
-    size_t checkpoints_left_out; /* of that state, as they did not fit */
+    GPtrArray *open; /* struct owner_occurrence, the open ones: of a
+                        scheduled job, those below next_occurrence that
+                        are not here are done */
+    size_t checkpoints_left_out; /* of the last state, as they did not fit */
     struct timespec known_at;    /* when it was accepted, by this VM's clock */
     struct timespec objective_at; /* when it becomes late, as far as known */
     struct owner_idle idle;
@@ -1027,7 +1026,8 @@
 /* Removes the job's state from the store in a later batch. */
 void owner_state_drop(struct cw_owner *owner, const char *job);
 
-/* Removes the records of jobs that ended long ago. */
-void owner_drop_old_records(struct cw_owner *owner);
+/* Removes the records of jobs that ended long ago, up to a number; returns
+ * true if there may be more. */
+bool owner_drop_old_records(struct cw_owner *owner);
 
 #endif
--- a/src/owner/owner_commit.c
+++ b/src/owner/owner_commit.c
@@ -81,7 +81,6 @@
 
     mark_runs(owner, job);
     state = encode_state(owner, job);
-    job->state_bytes = state->len;
     job->dirty = false;
     job->final = cw_work_is_over(job->phase);
     owner_job_publish(owner, job);
@@ -426,7 +425,7 @@
            job->ended_ms <= cw_clock_wall_ms(owner->options.clock) - retain_ms;
 }
 
-void
+bool
 owner_drop_old_records(struct cw_owner *owner)
 {
     GHashTable *jobs = cw_replica_jobs(owner->options.replica);
@@ -436,7 +435,7 @@
     unsigned count = 0;
 
     if (!owner_log_is_idle(owner->jobs_log)) {
-        return; /* until the next sweep */
+        return true;
     }
     batch = owner_batch_new(NULL, NULL);
     g_hash_table_iter_init(&iterator, jobs);
@@ -453,8 +452,9 @@
     }
     if (count == 0) {
         owner_batch_free(batch);
-        return;
+        return false;
     }
     cw_log_info("jobs_dropped", "count=%u", count);
     owner_log_send(owner->jobs_log, batch);
+    return count == SWEEP_JOBS_MAX;
 }
--- a/src/owner/owner_jobs.c
+++ b/src/owner/owner_jobs.c
@@ -168,7 +168,6 @@
     if (state != NULL && !owner_job_restore(owner, job, state)) {
         return false;
     }
-    job->state_bytes = state != NULL ? g_bytes_get_size(state) : 0;
     job->published_phase =
         entry->record != NULL ? entry->recorded_phase : CW_WORK_WAITING;
     job->published_started = entry->started;
--- a/src/owner/owner_occurrences.c
+++ b/src/owner/owner_occurrences.c
@@ -11,11 +11,12 @@
      * further one could not be placed before these are. */
     UNPLACED_MAX = 64,
     UNPLACED_TASKS_MAX = 4096,
-    /* No further occurrence is opened while the job's stored state takes more
-     * than this percentage of a record: the rest is for the occurrences that
-     * are open and not placed yet. */
-    STATE_PERCENT_MAX = 50,
-    PERCENT = 100
+    /* Size of a row of the job's stored state, deflated, with its part of the
+     * list of workers.  No further occurrence is opened while the rows take
+     * half of a record: the rest is for the occurrences that are open and not
+     * placed yet, and for checkpoints. */
+    ROW_BYTES = 8,
+    ROWS_SHARE_OF_RECORD = 2
 };
 
 /* ---- creating and freeing ---- */
@@ -116,16 +117,25 @@
     return true;
 }
 
-/* True if no task of the occurrence was ever placed. */
-static bool
-is_unplaced(const struct owner_occurrence *occurrence)
+/* Number of rows for the occurrence in the job's stored state: for itself, its
+ * steps and the tasks of steps that have begun.  0 if no task of it was ever
+ * placed. */
+static size_t
+stored_rows(const struct owner_occurrence *occurrence)
 {
+    size_t rows = 0;
+
     for (unsigned i = 0; i < occurrence->count; i++) {
-        if (!owner_step_is_untouched(&occurrence->steps[i])) {
-            return false;
+        const struct owner_step *step = &occurrence->steps[i];
+
+        if (step->done && step->runs == 0) {
+            rows++;
+        }
+        else if (!owner_step_is_untouched(step)) {
+            rows += step->count;
         }
     }
-    return true;
+    return rows > 0 ? rows + 1 + occurrence->count : 0;
 }
 
 unsigned
@@ -186,41 +196,32 @@
     return due_ms;
 }
 
-/* Returns how many more occurrences may be open. */
+/* Returns how many more occurrences may be open; `rows` becomes the number of
+ * rows in the job's state. */
 static unsigned
-open_allowance(const struct cw_owner *owner, const struct owner_job *job)
+open_allowance(const struct cw_owner *owner, const struct owner_job *job,
+               size_t *rows)
 {
-    size_t state_bytes_max = cw_store_value_bytes_max(
-        owner->options.record_bytes * STATE_PERCENT_MAX / PERCENT);
+    size_t rows_max =
+        owner->options.record_bytes / ROWS_SHARE_OF_RECORD / ROW_BYTES;
     unsigned most = (unsigned)CLAMP(
         UNPLACED_TASKS_MAX / MAX(1, tasks_per_occurrence(job->spec)), 1,
         UNPLACED_MAX);
     unsigned unplaced = 0;
 
-    if (job->open->len == 0) {
-        return most;
+    *rows = 0;
+    for (guint i = 0; i < job->open->len; i++) {
+        size_t added = stored_rows(job->open->pdata[i]);
+
+        *rows += added;
+        unplaced += added == 0;
     }
-    if (job->state_bytes > state_bytes_max ||
-        job->open->len + most > CW_OCCURRENCES_MAX)
+    if (job->open->len > 0 &&
+        (*rows > rows_max || job->open->len + most > CW_OCCURRENCES_MAX))
     {
         return 0;
     }
-    for (guint i = job->open->len; i > 0 && unplaced < most; i--) {
-        unplaced += is_unplaced(job->open->pdata[i - 1]);
-    }
-    return most - unplaced;
-}
-
-static void
-log_opened(const struct owner_job *job, unsigned first, unsigned allowance)
-{
-    if (job->spec->repeats > 0 && job->next_occurrence > first) {
-        cw_log_info("occurrences_opened",
-                    "id=%s first=%u count=%u open=%u allowed=%u "
-                    "state_bytes=%zu",
-                    job->spec->id, first, job->next_occurrence - first,
-                    job->open->len, allowance, job->state_bytes);
-    }
+    return most - MIN(most, unplaced);
 }
 
 struct timespec
@@ -232,12 +233,17 @@
     unsigned total = owner_job_occurrence_count(job);
     unsigned first = job->next_occurrence;
     unsigned allowance;
+    size_t rows;
 
-    if (cw_work_is_over(job->phase)) {
+    if (cw_work_is_over(job->phase) || (job->spec->repeats == 0 && first > 0))
+    {
         return due;
     }
     remove_done(job);
-    allowance = open_allowance(owner, job);
+    if (first >= total) {
+        return due;
+    }
+    allowance = open_allowance(owner, job, &rows);
     while (job->next_occurrence < total &&
            job->next_occurrence - first < allowance)
     {
@@ -251,6 +257,11 @@
         owner_idle_begin(owner, job);
         owner->placement_wanted = true;
     }
-    log_opened(job, first, allowance);
+    if (job->spec->repeats > 0 && job->next_occurrence > first) {
+        cw_log_info("occurrences_opened",
+                    "id=%s first=%u count=%u open=%u allowed=%u rows=%zu",
+                    job->spec->id, first, job->next_occurrence - first,
+                    job->open->len, allowance, rows);
+    }
     return due;
 }
--- a/src/owner/owner_state.c
+++ b/src/owner/owner_state.c
@@ -415,10 +415,11 @@
 /* Returns a length up to which all checkpoints together take at most `sum_max`
  * bytes. */
 static size_t
-checkpoint_limit(const struct owner_job *job, size_t sum_max)
+checkpoint_limit(const struct owner_job *job, const struct checkpoints *all,
+                 size_t sum_max)
 {
-    struct checkpoints found = checkpoints_up_to(job, SIZE_MAX);
-    size_t limit = found.longest;
+    struct checkpoints found = *all;
+    size_t limit = all->longest;
 
     while (found.bytes > sum_max) {
         limit /= 2;
@@ -429,15 +430,18 @@
 
 /* Logs how many checkpoints the stored state lacks, if that has changed. */
 static void
-log_left_out(struct owner_job *job, size_t limit)
+log_left_out(struct owner_job *job, const struct checkpoints *all,
+             size_t limit)
 {
-    struct checkpoints all = checkpoints_up_to(job, SIZE_MAX);
-    size_t left_out = all.count - checkpoints_up_to(job, limit).count;
+    size_t left_out = limit < all->longest
+                          ? all->count - checkpoints_up_to(job, limit).count
+                          : 0;
 
     if (left_out != job->checkpoints_left_out) {
         cw_log_warning("checkpoints_left_out",
                        "id=%s count=%zu of=%zu longest=%zu stored_up_to=%zu",
-                       job->spec->id, left_out, all.count, all.longest, limit);
+                       job->spec->id, left_out, all->count, all->longest,
+                       limit);
         job->checkpoints_left_out = left_out;
     }
 }
@@ -447,13 +451,14 @@
 {
     /* Texts may be deflated to a fraction, or not at all. */
     const size_t sums_max[] = {2 * bytes_max, bytes_max / 2, 0};
+    struct checkpoints all = checkpoints_up_to(job, SIZE_MAX);
 
     for (size_t i = 0; i < G_N_ELEMENTS(sums_max); i++) {
-        size_t limit = checkpoint_limit(job, sums_max[i]);
+        size_t limit = checkpoint_limit(job, &all, sums_max[i]);
         GByteArray *bytes = if_they_fit(encode_with(job, limit), bytes_max);
 
         if (bytes != NULL) {
-            log_left_out(job, limit);
+            log_left_out(job, &all, limit);
             return bytes;
         }
     }
--- a/tests/test_occurrences.c
+++ b/tests/test_occurrences.c
@@ -130,15 +130,19 @@
     guint open;
 
     cluster_begin(&cluster);
+    cluster.owner->options.record_bytes = 1000;
     job = add_scheduled_job(&cluster, BACKLOG, 0, 0);
     pass(&cluster, 10);
     open = job->open->len;
-    job->state_bytes = CW_STORE_RECORD_BYTES_DEFAULT;
+    CU_ASSERT_TRUE(job->runs * 20 > 500);
     (void)owner_job_open_due(cluster.owner, job, cluster.clock.now);
     CU_ASSERT_EQUAL(job->open->len, open);
-    job->state_bytes = 1000;
+    /* A checkpoint leaves less room for others, not for occurrences. */
+    cluster.owner->options.record_bytes = CW_STORE_RECORD_BYTES_DEFAULT;
+    step_of_open(job, 0)->tasks[0].saved =
+        g_strnfill(CW_STORE_RECORD_BYTES_DEFAULT, 's');
     (void)owner_job_open_due(cluster.owner, job, cluster.clock.now);
-    CU_ASSERT_TRUE(job->open->len > open);
+    CU_ASSERT_EQUAL(job->open->len, open + job->runs);
     cluster_end(&cluster);
 }
 
