Owner: drop old records as fast as they come

Ended jobs, and now requests to cancel a job that does not exist, were dropped at 20 jobs a second at most: where more came, each VM's copy grew without end.

--- a/src/owner/owner.c
+++ b/src/owner/owner.c
@@ -25,6 +25,9 @@
     PLACE_INTERVAL_FACTOR = 4,
     CHECK_INTERVAL_MS = 100,
     SWEEP_INTERVAL_MS = 5000,
+    /* After a sweep that was not complete: by then this VM has read what the
+     * last one dropped. */
+    SWEEP_AGAIN_MS = 500,
     EPOCHS_PER_GENERATION = 256,
     TAKEOVER_STEP_MS = 10
 };
@@ -627,8 +630,9 @@
     }
     cw_time_set_earlier(&next, tick_targets(owner, now));
     if (!cw_time_before(now, owner->sweep_due)) {
-        owner->sweep_due = cw_time_add_ms(now, SWEEP_INTERVAL_MS);
-        owner_drop_old_records(owner);
+        owner->sweep_due = cw_time_add_ms(now, owner_drop_old_records(owner)
+                                                   ? SWEEP_AGAIN_MS
+                                                   : SWEEP_INTERVAL_MS);
     }
     return next;
 }
--- a/tests/test_cancellations.c
+++ b/tests/test_cancellations.c
@@ -102,11 +102,36 @@
     fixture_end(&fixture);
 }
 
+/* Guards against records that come faster than they are dropped. */
+static void
+test_records_are_dropped_as_fast_as_they_come(void)
+{
+    enum { REQUESTS = 1000 };
+    struct fixture fixture;
+
+    fixture_begin(&fixture);
+    for (unsigned i = 0; i < REQUESTS; i++) {
+        struct cw_cancel_record record = {.queue = (char *)"q",
+                                          .account = (char *)"a"};
+        char key[32];
+
+        g_snprintf(key, sizeof(key), "x%016x.1", i);
+        put_record(&fixture, key, (xdrproc_t)xdr_cw_cancel_record, &record);
+    }
+    take_over(&fixture);
+    CU_ASSERT_EQUAL(g_hash_table_size(cw_replica_jobs(fixture.replica)),
+                    REQUESTS);
+    run(&fixture, RETAIN_MS + 2 * SWEEP_MS);
+    CU_ASSERT_EQUAL(g_hash_table_size(cw_replica_jobs(fixture.replica)), 0);
+    fixture_end(&fixture);
+}
+
 static const struct test tests[] = {
     {"owner", test_an_owner_does_not_start_a_job_that_was_cancelled_before},
     {"later owner", test_a_later_owner_does_not_start_it_either},
     {"another account", test_another_account_s_request_does_not_apply},
     {"dropped", test_a_request_without_a_job_is_dropped_after_a_time},
+    {"dropped in time", test_records_are_dropped_as_fast_as_they_come},
 };
 
 TEST_MAIN("cancellations", tests)
