Follower: read records that are larger than the limit of a read

A read asks for 128 KB, records may be of 256 KB, and the pages do not say whether a store answers with a record above the limit. If it does not, a VM took the place before that record for the end, and one that took over waited there for ever. Such a read is repeated without the limit.

--- a/src/replica/follower.c
+++ b/src/replica/follower.c
@@ -39,6 +39,7 @@
     bool freed;
     bool failing; /* the last call failed, which was logged */
     bool at_end;
+    bool read_without_limit; /* the next record is larger than READ_MAX_KB */
     bool long_poll; /* the last read sent waits at the store for a record */
     char *after;    /* key after which the load's next page starts; NULL: first
                        page */
@@ -259,17 +260,19 @@
         follower->position = page->records[page->count - 1].offset + 1;
     }
     /* The size of an answer is limited, most of all through another VM: more
-     * records may be left to read. */
-    behind = page->count > 0 && follower->position < page->end;
+     * records may be left to read, or the next one is larger than the limit.
+     */
+    behind = follower->position < page->end;
+    follower->read_without_limit = behind && page->count == 0;
     follower->at_end = !behind;
     if (!behind) {
         follower->fresh_as_of = follower->sent_at;
     }
-    follower->due =
-        cw_time_add_ms(now, follower->read_immediately || behind
-                                ? 0
-                                : MAX(follower->options.read_interval_ms,
-                                      follower->refused_interval_ms));
+    follower->due = cw_time_add_ms(
+        now, follower->read_immediately || (behind && page->count > 0)
+                 ? 0
+                 : MAX(follower->options.read_interval_ms,
+                       follower->refused_interval_ms));
     if (handler->advanced != NULL) {
         handler->advanced(handler->context);
     }
@@ -303,7 +306,7 @@
         .partition = follower->options.partition,
         .from = follower->position,
         .wait_ms = wait_ms,
-        .most_kb = READ_MAX_KB,
+        .most_kb = follower->read_without_limit ? 0 : READ_MAX_KB,
         .timeout_ms = wait_ms + CALL_TIMEOUT_MS,
         .done = on_read,
         .context = follower,
--- a/tests/fake_store.h
+++ b/tests/fake_store.h
@@ -17,6 +17,7 @@
     unsigned most_kb;              /* most_kb of the last read */
     unsigned last_load_timeout_ms; /* timeout of the last load */
     unsigned page_records_max;     /* limit of records in an answer; 0: none */
+    bool limit_hides_all;          /* a read with most_kb returns no record */
     bool withhold_answers;         /* reads and joins get no answer */
     struct cw_store_read pending_read; /* the last read without an answer */
     struct cw_store_join pending_join; /* the last join without an answer */
@@ -86,6 +87,9 @@
     }
     store_model_read(fake->model, call->topic, call->from, &page);
     fake_store_truncate_page(fake, &page.page);
+    if (fake->limit_hides_all && call->most_kb > 0) {
+        page.page.count = 0;
+    }
     call->done(call->context, &page.page);
     store_model_page_clear(&page);
 }
--- a/tests/test_follower.c
+++ b/tests/test_follower.c
@@ -73,6 +73,32 @@
     g_string_free(fixture->delivered, TRUE);
 }
 
+/* Guards against a VM that never reads beyond a record that is larger than the
+ * limit of its reads, and takes that for the end. */
+static void
+test_a_record_larger_than_a_read_is_read(void)
+{
+    struct fixture fixture;
+
+    fixture_begin(&fixture);
+    advance_ms(&fixture, 50);
+    CU_ASSERT_TRUE(cw_follower_at_end(fixture.follower));
+    append_record(&fixture, "a");
+    fixture.fake.limit_hides_all = true;
+    for (unsigned ms = 0; ms < 1000 && fixture.delivered->len == 0; ms++) {
+        advance_ms(&fixture, 1);
+        CU_ASSERT_TRUE(fixture.delivered->len > 0 ||
+                       !cw_follower_at_end(fixture.follower) || ms < 600);
+    }
+    CU_ASSERT_STRING_EQUAL(fixture.delivered->str, "a");
+    fixture.fake.limit_hides_all = false;
+    append_record(&fixture, "b");
+    advance_ms(&fixture, 700);
+    CU_ASSERT_STRING_EQUAL(fixture.delivered->str, "ab");
+    CU_ASSERT_TRUE(fixture.fake.most_kb > 0);
+    fixture_end(&fixture);
+}
+
 /* Guards against a load that begins again and again: a page that ends with a
  * record without a key goes on after the last key. */
 static void
@@ -283,6 +309,7 @@
 
 static const struct test tests[] = {
     {"without a key", test_records_without_a_key_are_passed_over},
+    {"large record", test_a_record_larger_than_a_read_is_read},
     {"truncated read", test_a_truncated_read_is_not_fresh_and_is_continued},
     {"load", test_a_load_is_as_fresh_as_its_first_page},
     {"load and read", test_loads_and_then_reads},
