--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -175,9 +175,9 @@
     char *result;          /* text of the last end that had one, or NULL */
     GArray *places;        /* struct owner_job_placement: where it has run */
     unsigned next_occurrence;
-    GPtrArray *open; /* struct owner_occurrence, the open ones: of a
-                        scheduled job, those below next_occurrence that
-                        are not here are done */
+    GPtrArray *open;             /* struct owner_occurrence, the open ones, by
+                                    number: of a scheduled job, those below next_occurrence
+                           that             are not here are done */
     size_t checkpoints_left_out; /* of the last state, as they did not fit */
     struct timespec known_at;    /* when it was accepted, by this VM's clock */
     struct timespec objective_at; /* when it becomes late, as far as known */
@@ -528,6 +528,10 @@
 owner_occurrence_open(struct owner_job *job, unsigned number);
 void owner_occurrence_free(gpointer occurrence);
 
+/* The open occurrence with this number, or NULL. */
+struct owner_occurrence *
+owner_occurrence_find(const struct owner_job *job, unsigned number);
+
 /* True if all steps of the occurrence are done. */
 bool owner_occurrence_is_done(const struct owner_occurrence *occurrence);
 
--- a/src/owner/owner_jobs.c
+++ b/src/owner/owner_jobs.c
@@ -352,17 +352,15 @@
 struct owner_task *
 owner_job_task(const struct owner_job *job, const struct cw_task_name *name)
 {
-    for (guint i = 0; i < job->open->len; i++) {
-        struct owner_occurrence *occurrence = job->open->pdata[i];
+    struct owner_occurrence *occurrence =
+        owner_occurrence_find(job, name->occurrence);
 
-        if (occurrence->number == name->occurrence &&
-            name->step < occurrence->count &&
-            name->index < occurrence->steps[name->step].count)
-        {
-            return &occurrence->steps[name->step].tasks[name->index];
-        }
+    if (occurrence == NULL || name->step >= occurrence->count ||
+        name->index >= occurrence->steps[name->step].count)
+    {
+        return NULL;
     }
-    return NULL;
+    return &occurrence->steps[name->step].tasks[name->index];
 }
 
 struct owner_task *
--- a/src/owner/owner_occurrences.c
+++ b/src/owner/owner_occurrences.c
@@ -2,6 +2,8 @@
  * done, so that the state of a job that runs for years stays small. */
 #include "owner/internal/owner_private.h"
 
+#include <stdlib.h>
+
 enum {
     /* Occurrences are opened this late, as the clocks of two VMs differ by a
      * few milliseconds, and none may be opened early. */
@@ -77,6 +79,27 @@
 
 /* ---- state ---- */
 
+static gint
+compare_number(gconstpointer key, gconstpointer entry)
+{
+    unsigned number = *(const unsigned *)key;
+    const struct owner_occurrence *occurrence =
+        *(struct owner_occurrence *const *)entry;
+
+    return number < occurrence->number ? -1 : number > occurrence->number;
+}
+
+struct owner_occurrence *
+owner_occurrence_find(const struct owner_job *job, unsigned number)
+{
+    struct owner_occurrence **found =
+        job->open->len > 0 ? bsearch(&number, job->open->pdata, job->open->len,
+                                     sizeof(*job->open->pdata), compare_number)
+                           : NULL;
+
+    return found != NULL ? *found : NULL;
+}
+
 bool
 owner_occurrence_is_done(const struct owner_occurrence *occurrence)
 {
--- a/src/owner/owner_state.c
+++ b/src/owner/owner_state.c
@@ -97,9 +97,17 @@
     }
     for (u_int i = 0; i < record->open.open_len; i++) {
         const struct cw_occurrence_record *stored = &record->open.open_val[i];
-        struct owner_occurrence *occurrence =
-            owner_occurrence_open(job, stored->number);
-        u_int count = MIN(stored->steps.steps_len, occurrence->count);
+        struct owner_occurrence *occurrence;
+        u_int count;
+
+        if (i > 0 && stored->number <= stored[-1].number) {
+            cw_log_error("record_invalid",
+                         "id=%s kind=state occurrence=%u after=%u",
+                         job->spec->id, stored->number, stored[-1].number);
+            continue;
+        }
+        occurrence = owner_occurrence_open(job, stored->number);
+        count = MIN(stored->steps.steps_len, occurrence->count);
 
         for (u_int k = 0; k < count; k++) {
             restore_step(owner, record, &occurrence->steps[k],
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -37,6 +37,27 @@
     cw_routing_unref(routing);
 }
 
+/* Guards against a configuration that is ignored, or taken for another one, as
+ * its version is beyond the integers that a real can hold. */
+static void
+test_large_versions_are_told_apart(void)
+{
+    static const char *const texts[] = {"{\"version\":1796432045165000001}",
+                                        "{\"version\":1796432045165000002}"};
+    uint64_t versions[G_N_ELEMENTS(texts)];
+    char problem[64] = "";
+
+    for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
+        struct cw_routing *routing = platform_codec()->decode_routing(
+            texts[i], strlen(texts[i]), problem, sizeof(problem));
+
+        CU_ASSERT_PTR_NOT_NULL_FATAL(routing);
+        versions[i] = routing->version;
+        cw_routing_unref(routing);
+    }
+    CU_ASSERT_EQUAL(versions[0] + 1, versions[1]);
+}
+
 static void
 test_an_invalid_configuration_is_refused(void)
 {
@@ -286,6 +307,7 @@
 
 static const struct test tests[] = {
     {"configuration", test_a_configuration_is_decoded_completely},
+    {"large versions", test_large_versions_are_told_apart},
     {"invalid configuration", test_an_invalid_configuration_is_refused},
     {"report", test_a_worker_s_report_is_decoded},
     {"other writer", test_an_entry_of_another_writer_is_ignored},
