--- a/include/curlewcart/cw_work.h
+++ b/include/curlewcart/cw_work.h
@@ -48,17 +48,16 @@
 /* Kind of a record in the store; the first byte of its key.  The rest of the
  * key is the id of the job, or the name of the VM or the worker. */
 enum cw_work_key {
-    CW_WORK_KEY_SPEC = 's',   /* struct cw_work_spec, by any VM */
-    CW_WORK_KEY_CANCEL = 'c', /* request to cancel, by any VM; the id is
-                                 followed by "." and a name of the
-                                 attempt */
-    CW_WORK_KEY_CANCEL_UNKNOWN = 'x', /* struct cw_cancel_record, by any VM;
-                                      the id is followed as in
-                                      CW_WORK_KEY_CANCEL */
-    CW_WORK_KEY_RECORD = 'r',         /* struct cw_work_record, by the owner */
-    CW_WORK_KEY_VM = 'v',             /* struct cw_vm_record, by that VM */
-    CW_WORK_KEY_HEARTBEAT = 'b',      /* struct cw_beat_record, by the owner */
-    CW_WORK_KEY_LEASE_NOTE = 'n',     /* struct cw_note_record, by the owner */
+    CW_WORK_KEY_SPEC = 's',        /* struct cw_work_spec, by any VM */
+    CW_WORK_KEY_CANCEL = 'c',      /* request to cancel, by any VM; the id is
+                                      followed by "." and a name of the
+                                      attempt */
+    CW_WORK_KEY_UNKNOWN = 'x',     /* the same, of a job that the VM has not
+                                      found: struct cw_cancel_record */
+    CW_WORK_KEY_RECORD = 'r',      /* struct cw_work_record, by the owner */
+    CW_WORK_KEY_VM = 'v',          /* struct cw_vm_record, by that VM */
+    CW_WORK_KEY_HEARTBEAT = 'b',   /* struct cw_beat_record, by the owner */
+    CW_WORK_KEY_LEASE_NOTE = 'n',  /* struct cw_note_record, by the owner */
     CW_WORK_KEY_EPOCH = 'o',       /* struct cw_epoch_record, by that VM while
                                       it is the owner */
     CW_WORK_KEY_EPOCH_END = 'e',   /* struct cw_epoch_end_record, by that VM */
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -276,9 +276,8 @@
 static char *
 change_key(const struct change *change)
 {
-    char *key = cw_work_key(change->job_unknown ? CW_WORK_KEY_CANCEL_UNKNOWN
-                                                : change->kind,
-                            change->id);
+    char *key = cw_work_key(
+        change->job_unknown ? CW_WORK_KEY_UNKNOWN : change->kind, change->id);
     char *attempt;
 
     if (change->kind != CW_WORK_KEY_CANCEL) {
@@ -499,8 +498,7 @@
 
     g_byte_array_unref(change->value);
     change->value = cw_xdr_encode((xdrproc_t)xdr_cw_cancel_record, &record);
-    g_assert(change->value !=
-             NULL); /* its texts are names of a configuration */
+    g_assert(change->value != NULL);
     change->job_unknown = true;
     change->awaits_read = false;
     send_change(change, now);
--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -175,9 +175,9 @@
     char *result;          /* text of the last end that had one, or NULL */
     GArray *places;        /* struct owner_job_placement: where it has run */
     unsigned next_occurrence;
-    GPtrArray *open;             /* struct owner_occurrence, the open ones, by
-                                    number: of a scheduled job, those below next_occurrence
-                           that             are not here are done */
+    /* struct owner_occurrence, the open ones, by number.  Those below
+     * next_occurrence that are not here are done. */
+    GPtrArray *open;
     size_t checkpoints_left_out; /* of the last state, as they did not fit */
     struct timespec known_at;    /* when it was accepted, by this VM's clock */
     struct timespec objective_at; /* when it becomes late, as far as known */
--- a/src/replica/replica.c
+++ b/src/replica/replica.c
@@ -407,7 +407,7 @@
     case CW_WORK_KEY_CANCEL:
         apply_cancel(replica, id, record);
         break;
-    case CW_WORK_KEY_CANCEL_UNKNOWN:
+    case CW_WORK_KEY_UNKNOWN:
         apply_cancel_unknown(replica, id, record);
         break;
     case CW_WORK_KEY_RECORD:
