Logs, metrics: input read late, late passes, urgent jobs that wait

The logs of an owner that is short of processor did not tell the hypotheses apart: nothing said how long answers had lain unread, how long a placement pass took, or why an urgent job inside its account's guarantee had not begun.

`input_late` (one line a second at most) and the histogram `input_ms`: the longest time without a read of the input, and how many sockets were read after it. `placement_late` and `placement_ms`: passes of 100 ms and more. `urgent_waits`, once a job of priority 0 that has not begun after 1 s: reason, demand and guarantee of its account.

--- a/include/curlewcart/cw_count.h
+++ b/include/curlewcart/cw_count.h
@@ -36,7 +36,9 @@
     X(BEGUN, "begun_ms", "from taking a job to its first confirmed start")    \
     X(COMMIT, "commit_ms", "from sending a batch to its being durable")       \
     X(ORDER, "order_ms", "from sending an order to a worker to its answer")   \
-    X(TAKEOVER, "takeover_ms", "from gaining a shard to deciding")
+    X(TAKEOVER, "takeover_ms", "from gaining a shard to deciding")            \
+    X(INPUT, "input_ms", "for which answers may have lain unread")            \
+    X(PLACEMENT, "placement_ms", "that a placement pass took")
 
 enum cw_latency {
 #define CW_LATENCY_SYMBOL(symbol, name, help) CW_LATENCY_##symbol,
--- a/include/curlewcart/cw_http_client.h
+++ b/include/curlewcart/cw_http_client.h
@@ -5,6 +5,7 @@
 
 #include <stdbool.h>
 #include <stddef.h>
+#include <stdint.h>
 
 /* Connections that a client keeps open by default. */
 #define CW_HTTP_POOL_CONNECTIONS_DEFAULT 1024
@@ -48,6 +49,9 @@
      * is readable.  NULL: none. */
     int descriptor;
     void (*readable)(void *context);
+    /* `events` sockets were read after the thread was busy for `busy_ms`:
+     * their input may have arrived that long before.  NULL: none. */
+    void (*input_read)(void *context, int64_t busy_ms, unsigned events);
     void *context;
     /* Limit of the connections that are kept open; 0:
      * CW_HTTP_POOL_CONNECTIONS_DEFAULT. */
--- a/src/http/http_client.c
+++ b/src/http/http_client.c
@@ -74,6 +74,7 @@
     unsigned stop;
     GPtrArray *idle;       /* CURL easy handles for reuse */
     GHashTable *in_flight; /* set of struct transfer in flight */
+    struct timespec read_at; /* input that arrived before was read */
     /* HOST:PORT -> struct timespec: when a request on a reused connection last
      * timed out.  The host's other connections made before that may be
      * stale, too. */
@@ -472,11 +473,17 @@
 wait_for_events(struct cw_http_client *client, unsigned wait_ms)
 {
     struct http_watch_event ready[HTTP_WATCH_EVENTS_MAX];
+    int64_t busy_ms =
+        cw_time_diff_ms(client->read_at, cw_clock_now(cw_clock_system()));
     unsigned count = http_watch_wait(client->watch, wait_ms, ready);
 
+    client->read_at = cw_clock_now(cw_clock_system());
     for (unsigned i = 0; i < count; i++) {
         handle_event(client, &ready[i]);
     }
+    if (client->options.input_read != NULL && count > 0) {
+        client->options.input_read(client->options.context, busy_ms, count);
+    }
 }
 
 static void *
@@ -484,6 +491,7 @@
 {
     struct cw_http_client *client = argument;
 
+    client->read_at = cw_clock_now(cw_clock_system());
     while (ck_pr_load_uint(&client->stop) == 0) {
         unsigned wait_ms = run_tick(client);
 
--- a/src/owner/internal/owner_idle.h
+++ b/src/owner/internal/owner_idle.h
@@ -36,6 +36,7 @@
     /* `clock` began with this owner's takeover. */
     bool since_takeover;
     bool inherited_logged; /* "job_waits_inherited" was logged */
+    bool urgent_logged;    /* "urgent_waits" was logged */
 };
 
 /* Jobs that could run and do not, as of the last check. */
--- a/src/owner/owner.c
+++ b/src/owner/owner.c
@@ -23,6 +23,8 @@
     /* Interval from the start of a placement pass to the next, in durations of
      * the pass: placement takes at most a quarter of the time. */
     PLACE_INTERVAL_FACTOR = 4,
+    /* Passes that take longer are logged. */
+    PLACE_LATE_MS = 100,
     CHECK_INTERVAL_MS = 100,
     SWEEP_INTERVAL_MS = 5000,
     /* After a sweep that was not complete: by then this VM has read what the
@@ -600,6 +602,14 @@
     owner->placement_wanted = false;
     owner_placement_pass(owner, now);
     took_ms = cw_time_diff_ms(now, owner_now(owner));
+    cw_count_latency(owner->options.counters, CW_LATENCY_PLACEMENT, took_ms);
+    if (took_ms >= PLACE_LATE_MS) {
+        cw_log_info("placement_late",
+                    "took_ms=%" PRId64 " jobs=%u targets=%u orders=%u", took_ms,
+                    g_hash_table_size(owner->jobs),
+                    g_hash_table_size(owner->targets),
+                    owner->order_window.outstanding);
+    }
     owner->placement_due = cw_time_add_ms(
         now, MAX(PLACE_INTERVAL_MIN_MS, took_ms * PLACE_INTERVAL_FACTOR));
 }
--- a/src/owner/owner_idle.c
+++ b/src/owner/owner_idle.c
@@ -25,6 +25,9 @@
     /* Jobs that are idle for this long after a takeover are logged, once, if
      * they have runs on workers that do not answer the new owner. */
     INHERITED_IDLE_MS = 1000,
+    /* Jobs of priority 0 that have not begun after this time are logged,
+     * once. */
+    URGENT_IDLE_MS = 1000,
     /* Limit on the jobs that one check logs; the statistics cover all jobs. */
     LOGGED_MAX = 8,
     /* The same for jobs without free capacity: in a full service there may be
@@ -45,6 +48,7 @@
     struct timespec now;
     unsigned logged; /* jobs logged */
     unsigned inherited_logged;
+    unsigned urgent_logged;
     unsigned refusals;   /* jobs for which a refusal was determined */
     const char *service; /* that `load` was computed for */
     struct owner_service_load load;
@@ -332,6 +336,24 @@
     g_ptr_array_unref(inherited);
 }
 
+/* Logs an urgent job that has not begun, and whether its account is within its
+ * guarantee, long before it is late. */
+static void
+check_urgent(struct check *check, const struct owner_waiting *waiting)
+{
+    struct owner_job *job = waiting->step->occurrence->job;
+
+    if (job->spec->priority != 0 || job->idle.urgent_logged ||
+        job->start_confirmed || waiting->waited_ms <= URGENT_IDLE_MS ||
+        check->urgent_logged == LOGGED_MAX)
+    {
+        return;
+    }
+    job->idle.urgent_logged = true;
+    check->urgent_logged++;
+    owner_idle_log_urgent(check->owner, waiting, check->now);
+}
+
 /* Determines what keeps the job from spare capacity, unless that is known or
  * too many jobs precede it: for all of thousands of jobs it takes too long. */
 static void
@@ -383,6 +405,7 @@
         waiting->step = fitting;
     }
     check_inherited(check, job);
+    check_urgent(check, waiting);
     cw_idle_check(&job->idle.clock, has_capacity, check->now);
     if (has_capacity) {
         determine_refusal(check, waiting);
--- a/src/vm/internal/vm_private.h
+++ b/src/vm/internal/vm_private.h
@@ -18,6 +18,13 @@
 #include "curlewcart/cw_vm.h"
 #include "platform/platform.h"
 
+/* Input that was read late, since the last line about it. */
+struct vm_late_input {
+    int64_t oldest_ms;
+    unsigned events;
+    struct timespec logged_at;
+};
+
 struct cw_vm {
     struct cw_settings *settings;
     const char *settings_path;
@@ -38,6 +45,7 @@
     struct cw_entry *entry;
     struct cw_owner *owner;
     struct cw_counters counters;
+    struct vm_late_input late_input; /* of the client's thread */
     unsigned contracts_unsupported; /* in force at the platform */
     struct platform_call_handler handler;
     struct cw_settings_secrets *secrets; /* NULL if `api` is */
--- a/src/vm/vm.c
+++ b/src/vm/vm.c
@@ -40,6 +40,10 @@
      * their own, see CALLER_CONNECTIONS_MAX in vm_listen.c. */
     CLIENT_SHARE_NUMERATOR = 7,
     CLIENT_SHARE_DENOMINATOR = 8,
+    /* Input that may have waited this long is late: the orders and polls that
+     * it answers have timeouts of 500 ms and more. */
+    INPUT_LATE_MS = 100,
+    INPUT_LATE_LOG_INTERVAL_MS = 1000,
     /* Ended jobs are kept for longer than the platform requires, so that
      * repeated calls still find them. */
     RETAIN_EXTRA_S = 60
@@ -141,6 +145,28 @@
     cw_relay_receive(vm->relay);
 }
 
+/* Counts how long input may have lain unread, and logs it if that was long. */
+static void
+on_input_read(void *context, int64_t busy_ms, unsigned events)
+{
+    struct cw_vm *vm = context;
+    struct vm_late_input *late = &vm->late_input;
+    struct timespec now = cw_clock_now(vm->clock);
+
+    cw_count_latency(&vm->counters, CW_LATENCY_INPUT, busy_ms);
+    if (busy_ms < INPUT_LATE_MS) {
+        return;
+    }
+    late->oldest_ms = MAX(late->oldest_ms, busy_ms);
+    late->events += events;
+    if (cw_time_diff_ms(late->logged_at, now) < INPUT_LATE_LOG_INTERVAL_MS) {
+        return;
+    }
+    cw_log_warning("input_late", "queue=answers oldest_ms=%" PRId64 " count=%u",
+                   late->oldest_ms, late->events);
+    *late = (struct vm_late_input){.logged_at = now};
+}
+
 /* Continues to read the log of jobs; returns the time of the next call.  The
  * load gate applies only to the platform's interface: with the project's own,
  * the configuration comes through the API, and all VMs read the log at once.
@@ -366,6 +392,7 @@
     struct cw_http_client_options client = {
         .tick = on_tick,
         .readable = on_relay_readable,
+        .input_read = on_input_read,
         .context = vm,
         .pool_connections_max = pool_connections_max(vm->settings)};
 
