--- a/emulator/emulator_main.c
+++ b/emulator/emulator_main.c
@@ -64,6 +64,7 @@
     unsigned outages;
     unsigned late_reports;
     unsigned held_orders;
+    unsigned slow_vms;
     bool links_hold;
     bool calm;
     bool wide;
@@ -151,6 +152,11 @@
      "Times that orders of some workers are held up for seconds while they "
      "refuse other starts, are cut off or restart",
      0},
+    {"slow-vms", 'P', "N", 0,
+     "Times that the VM that owns the jobs, the others, or all compute "
+     "slowly, "
+     "so that answers wait to be read",
+     0},
     {"held-links", 'L', NULL, 0,
      "Some held orders may reach the next incarnation of their worker", 0},
     {"calm", 'q', NULL, 0, "No random faults", 0},
@@ -235,6 +241,9 @@
     case 'G':
         arguments->held_orders = number;
         break;
+    case 'P':
+        arguments->slow_vms = number;
+        break;
     default:
         return false;
     }
@@ -393,6 +402,7 @@
     day.outages = arguments->outages;
     day.late_reports = arguments->late_reports;
     day.held_orders = arguments->held_orders;
+    day.slow_vms = arguments->slow_vms;
     day.links_hold = arguments->links_hold;
     day.restricted = arguments->restricted;
     day.near = arguments->near;
--- a/emulator/internal/world_private.h
+++ b/emulator/internal/world_private.h
@@ -51,8 +51,13 @@
     bool alive;
     bool shutting_down;
     int64_t frozen_until_ms;
-    int64_t cut_until_ms; /* disconnected from the store */
-    int64_t due_ms;       /* of its next tick */
+    /* world_slow_vms.c */
+    int64_t slow_until_ms; /* it computes with `speed_percent` of a core */
+    unsigned speed_percent;
+    int64_t busy_until_us; /* what it computes now takes until then */
+    uint64_t passes;       /* placement passes, at its last tick */
+    int64_t cut_until_ms;  /* disconnected from the store */
+    int64_t due_ms;        /* of its next tick */
     struct cw_replica *replica;
     struct cw_follower *commands; /* operator commands; or NULL */
     struct cw_cordons *cordons;   /* or NULL */
@@ -288,6 +293,23 @@
 /* Any of the VMs, also one that is down. */
 struct vm *world_random_vm(struct world *world);
 
+/* ---- world_slow_vms.c ---- */
+
+/* Makes the VM that owns the jobs, the others, or all compute slowly for a
+ * while. */
+void world_slow_vms(struct world *world, void *unused);
+
+/* Ends this for all VMs; what they compute now still takes its time. */
+void world_end_slow_vms(struct world *world);
+
+/* The VM has handled an answer, or a tick: if it is slow, it is busy with that
+ * for a while. */
+void world_vm_compute_answer(struct vm *vm);
+void world_vm_compute_tick(struct vm *vm);
+
+/* Time until which the VM is frozen or busy. */
+int64_t world_vm_idle_at_ms(const struct vm *vm);
+
 /* ---- world_load.c: callers ---- */
 
 /* Submits the job of a call, or sends its cancellation, to any VM. */
--- a/emulator/world.c
+++ b/emulator/world.c
@@ -447,6 +447,7 @@
                    world_delay_workers);
     schedule_times(world, options->held_orders, FIRST_FAULT_MS,
                    world_hold_orders);
+    schedule_times(world, options->slow_vms, FIRST_FAULT_MS, world_slow_vms);
     schedule_between(world, options->silences, FIRST_FAULT_MS,
                      options->day_ms + SILENCES_AFTER_DAY_MS,
                      world_silence_workers);
@@ -472,7 +473,7 @@
 
     for (guint i = 0; i < world->vms->len; i++) {
         struct vm *vm = world->vms->pdata[i];
-        int64_t due_ms = MAX(vm->due_ms, vm->frozen_until_ms);
+        int64_t due_ms = MAX(vm->due_ms, world_vm_idle_at_ms(vm));
 
         if (vm->alive && (best == NULL || due_ms < *at_ms)) {
             best = vm;
--- a/emulator/world.h
+++ b/emulator/world.h
@@ -74,12 +74,14 @@
                               restart, or whose reports stop to arrive */
     unsigned held_orders;  /* number of times that orders of some workers are
                               held up for seconds, beside refused starts */
-    bool links_hold; /* some of these orders are held up by links, and may
-                        reach the next incarnation of their worker */
-    bool lasting;    /* jobs of many steps or of long tasks, which go on
-                        after day_ms */
-    bool restricted; /* steps have limits of tasks per worker and require
-                        labels; workers are of two kinds */
+    unsigned slow_vms; /* number of times that the VM that owns the jobs, the
+                          others, or all compute slowly for a while */
+    bool links_hold;   /* some of these orders are held up by links, and may
+                          reach the next incarnation of their worker */
+    bool lasting;      /* jobs of many steps or of long tasks, which go on
+                          after day_ms */
+    bool restricted;   /* steps have limits of tasks per worker and require
+                          labels; workers are of two kinds */
     bool near; /* a start is a violation while an earlier run of its task is at
                   work or may still begin */
     bool wide; /* jobs and gangs larger than a rack, and many tasks in a
--- a/emulator/world_call.c
+++ b/emulator/world_call.c
@@ -85,6 +85,7 @@
         break;
     }
     call->vm->cpu_s += world_processor_s() - started_s;
+    world_vm_compute_answer(call->vm);
     call->vm->due_ms = call->vm->world->now_ms;
     world_call_unref(call);
 }
--- a/emulator/world_faults.c
+++ b/emulator/world_faults.c
@@ -259,6 +259,7 @@
     world->owner_cut.until_ms = 0;
     world_heal_reports(world);
     world_uncordon_all(world);
+    world_end_slow_vms(world);
     for (guint i = 0; i < world->vms->len; i++) {
         struct vm *vm = world->vms->pdata[i];
 
--- a/emulator/world_net.c
+++ b/emulator/world_net.c
@@ -23,10 +23,10 @@
 world_call_deliver(struct world *world, void *context)
 {
     struct call *call = context;
-    struct vm *vm = call->vm;
+    int64_t idle_at_ms = world_vm_idle_at_ms(call->vm);
 
-    if (!call->ended && vm->frozen_until_ms > world->now_ms) {
-        world_schedule(world, vm->frozen_until_ms - world->now_ms + 1,
+    if (!call->ended && idle_at_ms > world->now_ms) {
+        world_schedule(world, idle_at_ms - world->now_ms + 1,
                        world_call_deliver, call);
         return;
     }
@@ -38,9 +38,10 @@
 world_call_time_out(struct world *world, void *context)
 {
     struct call *call = context;
+    int64_t idle_at_ms = world_vm_idle_at_ms(call->vm);
 
-    if (!call->ended && call->vm->frozen_until_ms > world->now_ms) {
-        world_schedule(world, call->vm->frozen_until_ms - world->now_ms + 1,
+    if (!call->ended && idle_at_ms > world->now_ms) {
+        world_schedule(world, idle_at_ms - world->now_ms + 1,
                        world_call_time_out, call);
         return;
     }
--- a/emulator/world_peers.c
+++ b/emulator/world_peers.c
@@ -51,8 +51,8 @@
     struct call *call = context;
     struct vm *vm = find_vm(world, call->text);
 
-    if (vm != NULL && vm->alive && vm->frozen_until_ms > world->now_ms) {
-        world_call_schedule(call, vm->frozen_until_ms - world->now_ms + 1,
+    if (vm != NULL && vm->alive && world_vm_idle_at_ms(vm) > world->now_ms) {
+        world_call_schedule(call, world_vm_idle_at_ms(vm) - world->now_ms + 1,
                             arrive_at_vm);
     }
     else if (vm != NULL && vm->alive && world_vm_reaches_vm(call->vm, vm)) {
--- a/emulator/world_vms.c
+++ b/emulator/world_vms.c
@@ -53,6 +53,7 @@
     vm->due_ms =
         MAX(vm->world->now_ms + 1, cw_time_diff_ms(cw_time_from_ms(0), next));
     vm->cpu_s += world_processor_s() - started_s;
+    world_vm_compute_tick(vm);
 }
 
 static void
@@ -177,6 +178,7 @@
     cw_replica_free(vm->replica);
     vm->cut_until_ms = 0;
     vm->frozen_until_ms = 0;
+    vm->busy_until_us = 0;
     vm->incarnation++;
 }
 
