HTTP client: read what has arrived before a call is timed out

Cause: lateness of our own was taken for another's silence. libcurl checks its timeouts before it reads, in each call for any socket of a handle, and the client's thread handled 64 sockets a turn and then ran a whole tick. An answer that had arrived in time was thrown away with its connection as soon as the thread was busy for as long as the call might take. A start was then sent again on a new connection, a poll counted as a silent worker, its lease ended, and its runs were started again: more work for the same processor.

Change: the client has the timeouts itself. A turn handles all sockets that are ready, for 50 ms at most, and a call is ended only after its own socket was looked at once more. The time for an answer counts from when the request is sent; to connect, there is the same time, at most 1 s, as before.

Result: test_http_client/read late fails before (3 of 3) and passes.

--- a/include/curlewcart/cw_http_client.h
+++ b/include/curlewcart/cw_http_client.h
@@ -35,7 +35,10 @@
     const char *content_type;
     const char *const *headers; /* lines "Name: value", terminated by NULL;
                                    may be NULL */
-    long timeout_ms;
+    long timeout_ms; /* for the answer, from when the request is sent; the
+                        connection has the same time, at most 1 s.  An answer
+                        that has arrived when the thread reads it is never too
+                        late, however late the thread is. */
     cw_http_done done;
     void *context;
 };
--- a/src/http/http_client.c
+++ b/src/http/http_client.c
@@ -8,6 +8,7 @@
  * its own table. */
 #include "curlewcart/cw_http_client.h"
 
+#include <poll.h>
 #include <pthread.h>
 #include <stdbool.h>
 #include <string.h>
@@ -24,6 +25,8 @@
 enum {
     CONNECT_TIMEOUT_MS = 1000,
     POLL_MAX_MS = 1000,
+    /* Limit on the time for which events are handled before the next tick. */
+    EVENTS_MAX_MS = 50,
     /* With 3,000 workers a bucket of a lane's table holds one host on
      * average. */
     LANES = 32,
@@ -53,6 +56,9 @@
     CURL *easy;
     struct curl_slist *headers;
     GByteArray *answer;
+    int descriptor;              /* of its connection; -1: none */
+    struct timespec deadline;    /* of the connection, then of the answer */
+    GSequenceIter *deadline_pos; /* in `deadlines` of the client */
 };
 
 /* A multi handle and its timer. */
@@ -72,8 +78,9 @@
     struct http_watch *watch;
     pthread_t thread;
     unsigned stop;
-    GPtrArray *idle;       /* CURL easy handles for reuse */
-    GHashTable *in_flight; /* set of struct transfer in flight */
+    GPtrArray *idle;         /* CURL easy handles for reuse */
+    GHashTable *in_flight;   /* set of struct transfer in flight */
+    GSequence *deadlines;    /* the same, earliest deadline first */
     struct timespec read_at; /* input that arrived before was read */
     /* HOST:PORT -> struct timespec: when a request on a reused connection last
      * timed out.  The host's other connections made before that may be
@@ -116,6 +123,27 @@
     return request_bytes > 0;
 }
 
+static gint
+by_deadline(gconstpointer a, gconstpointer b, gpointer unused)
+{
+    const struct transfer *x = a;
+    const struct transfer *y = b;
+
+    (void)unused;
+    if (cw_time_before(x->deadline, y->deadline)) {
+        return -1;
+    }
+    return cw_time_before(y->deadline, x->deadline) ? 1 : 0;
+}
+
+static void
+set_deadline(struct transfer *transfer, int64_t after_ms)
+{
+    transfer->deadline =
+        cw_time_add_ms(cw_clock_now(cw_clock_system()), after_ms);
+    g_sequence_sort_changed(transfer->deadline_pos, by_deadline, NULL);
+}
+
 /* Called by libcurl each time it is about to send the request.  libcurl sends
  * a request again by itself if a connection that had been used before fails
  * before an answer.  The peer may execute a POST twice then, also after it has
@@ -131,6 +159,7 @@
     (void)peer_port;
     (void)local_port;
     if (!was_sent(transfer)) {
+        set_deadline(transfer, transfer->timeout_ms);
         return CURL_PREREQFUNC_OK;
     }
     cw_log_info("request_repeated", "url=%s post=%d outcome=%s", transfer->url,
@@ -153,9 +182,9 @@
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(easy, CURLOPT_PROXY, "");
     curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http,https");
-    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, transfer->timeout_ms);
-    curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
-                     (long)CONNECT_TIMEOUT_MS);
+    /* libcurl checks its timeouts before it reads, so that an answer that
+     * arrived in time is lost if this thread was busy; end_overdue has them
+     * instead.  The default for connections, 300 s, is never reached. */
     if (transfer->post) {
         char type[128];
 
@@ -270,6 +299,9 @@
     set_options(transfer);
     avoid_suspect_connections(client, transfer);
     g_hash_table_add(client->in_flight, transfer);
+    transfer->descriptor = -1;
+    transfer->deadline_pos = g_sequence_append(client->deadlines, transfer);
+    set_deadline(transfer, MIN(CONNECT_TIMEOUT_MS, transfer->timeout_ms));
     transfer->lane = lane_for(client, transfer->url);
     curl_multi_add_handle(transfer->lane->multi, transfer->easy);
 }
@@ -331,18 +363,20 @@
         }
     }
     curl_multi_remove_handle(transfer->lane->multi, transfer->easy);
+    curl_easy_setopt(transfer->easy, CURLOPT_PRIVATE, NULL);
     g_ptr_array_add(client->idle, transfer->easy);
     g_hash_table_remove(client->in_flight, transfer);
+    g_sequence_remove(transfer->deadline_pos);
     transfer->done(transfer->context, &result);
     transfer_free(transfer);
 }
 
-/* Ends the lane's completed transfers; true if there was any. */
-static bool
+/* Ends the lane's completed transfers; returns their number. */
+static unsigned
 end_completed_in_lane(struct cw_http_client *client, struct lane *lane)
 {
     CURLMsg *message;
-    bool any = false;
+    unsigned count = 0;
     int left;
 
     lane->may_have_ended = false;
@@ -355,23 +389,31 @@
         curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE,
                           (char **)&transfer);
         end_transfer(client, transfer, message->data.result);
-        any = true;
+        count++;
     }
-    return any;
+    return count;
 }
 
-/* Ends completed transfers; true if there was any. */
-static bool
+/* Ends completed transfers; returns their number. */
+static unsigned
 end_completed(struct cw_http_client *client)
 {
-    bool any = false;
+    unsigned count = 0;
 
     for (unsigned i = 0; i < LANES; i++) {
         if (client->lanes[i].may_have_ended) {
-            any = end_completed_in_lane(client, &client->lanes[i]) || any;
+            count += end_completed_in_lane(client, &client->lanes[i]);
         }
     }
-    return any;
+    return count;
+}
+
+static struct transfer *
+first_deadline(const struct cw_http_client *client)
+{
+    GSequenceIter *first = g_sequence_get_begin_iter(client->deadlines);
+
+    return g_sequence_iter_is_end(first) ? NULL : g_sequence_get(first);
 }
 
 static unsigned
@@ -393,9 +435,13 @@
 {
     struct lane *lane = context;
     struct cw_http_client *client = lane->client;
+    struct transfer *transfer = NULL;
 
-    (void)easy;
     (void)unused;
+    curl_easy_getinfo(easy, CURLINFO_PRIVATE, (char **)&transfer);
+    if (transfer != NULL) {
+        transfer->descriptor = what == CURL_POLL_REMOVE ? -1 : socket;
+    }
     if (client->lane_by_descriptor->len <= (guint)socket) {
         g_array_set_size(client->lane_by_descriptor, (guint)socket + 1);
     }
@@ -420,13 +466,20 @@
     return 0;
 }
 
-/* Calls libcurl for timers that have expired; libcurl then starts transfers
- * or times them out.  Returns the time in milliseconds until the next timer,
- * at most `wait_ms`. */
+static unsigned
+ms_until(struct timespec now, struct timespec at, unsigned max_ms)
+{
+    return (unsigned)CLAMP(cw_time_diff_ms(now, at) + 1, 0, (int64_t)max_ms);
+}
+
+/* Calls libcurl for timers that have expired; libcurl then starts transfers.
+ * Returns the time in milliseconds until the next timer or deadline, at most
+ * `wait_ms`. */
 static unsigned
 run_timers(struct cw_http_client *client, unsigned wait_ms)
 {
     struct timespec now = cw_clock_now(cw_clock_system());
+    const struct transfer *transfer;
     int running;
 
     for (unsigned i = 0; i < LANES; i++) {
@@ -439,12 +492,12 @@
                                      &running);
         }
         if (lane->timer_set) {
-            int64_t left = cw_time_diff_ms(now, lane->timer) + 1;
-
-            wait_ms = (unsigned)CLAMP(left, 0, (int64_t)wait_ms);
+            wait_ms = ms_until(now, lane->timer, wait_ms);
         }
     }
-    return wait_ms;
+    transfer = first_deadline(client);
+    return transfer != NULL ? ms_until(now, transfer->deadline, wait_ms)
+                            : wait_ms;
 }
 
 static void
@@ -469,21 +522,81 @@
     curl_multi_socket_action(lane->multi, event->descriptor, flags, &running);
 }
 
+/* Handles the transfer's socket if it is ready. */
 static void
-wait_for_events(struct cw_http_client *client, unsigned wait_ms)
+handle_socket_of(struct cw_http_client *client, struct transfer *transfer)
 {
-    struct http_watch_event ready[HTTP_WATCH_EVENTS_MAX];
-    int64_t busy_ms =
-        cw_time_diff_ms(client->read_at, cw_clock_now(cw_clock_system()));
-    unsigned count = http_watch_wait(client->watch, wait_ms, ready);
+    struct pollfd ready = {.fd = transfer->descriptor,
+                           .events = POLLIN | POLLOUT};
+    struct lane *lane = transfer->lane;
 
-    client->read_at = cw_clock_now(cw_clock_system());
-    for (unsigned i = 0; i < count; i++) {
-        handle_event(client, &ready[i]);
+    if (transfer->descriptor < 0 || poll(&ready, 1, 0) <= 0) {
+        return;
     }
-    if (client->options.input_read != NULL && count > 0) {
-        client->options.input_read(client->options.context, busy_ms, count);
+    handle_event(client,
+                 &(struct http_watch_event){
+                     .descriptor = transfer->descriptor,
+                     .readable = (ready.revents & POLLIN) != 0,
+                     .writable = (ready.revents & POLLOUT) != 0,
+                     .broken = (ready.revents & (POLLERR | POLLHUP)) != 0});
+    (void)end_completed_in_lane(client, lane);
+}
+
+/* Ends the transfers whose deadline has passed.  Their sockets are read first,
+ * so that only a peer that was late is timed out, however late this thread
+ * is. */
+static void
+end_overdue(struct cw_http_client *client, struct timespec now)
+{
+    struct transfer *transfer;
+
+    while ((transfer = first_deadline(client)) != NULL &&
+           cw_time_before(transfer->deadline, now))
+    {
+        handle_socket_of(client, transfer);
+        /* The request may have been answered, or sent only now. */
+        if (first_deadline(client) == transfer &&
+            cw_time_before(transfer->deadline, now))
+        {
+            end_transfer(client, transfer, CURLE_OPERATION_TIMEDOUT);
+        }
+    }
+}
+
+/* Waits for events and handles them until no socket is ready, or for
+ * EVENTS_MAX_MS.  libcurl has read `completed` answers before, when it was
+ * called for its timers. */
+static void
+handle_events(struct cw_http_client *client, unsigned wait_ms,
+              unsigned completed)
+{
+    struct http_watch_event ready[HTTP_WATCH_EVENTS_MAX];
+    struct timespec began_at = cw_clock_now(cw_clock_system());
+    int64_t busy_ms = cw_time_diff_ms(client->read_at, began_at);
+    struct timespec now;
+    unsigned handled = completed;
+    unsigned count;
+
+    do {
+        count = http_watch_wait(client->watch, wait_ms, ready);
+        now = cw_clock_now(cw_clock_system());
+        if (wait_ms > 0) {
+            began_at = now;
+            wait_ms = 0;
+        }
+        for (unsigned i = 0; i < count; i++) {
+            handle_event(client, &ready[i]);
+        }
+        handled += count;
+        /* A wake-up takes the place of an event. */
+    } while (count + 1 >= HTTP_WATCH_EVENTS_MAX &&
+             cw_time_diff_ms(began_at, now) < EVENTS_MAX_MS);
+    client->read_at = now;
+    if (client->options.input_read != NULL && handled > 0) {
+        client->options.input_read(client->options.context, busy_ms, handled);
     }
+    (void)end_completed(client);
+    end_overdue(client, now);
 }
 
 static void *
@@ -494,12 +607,12 @@
     client->read_at = cw_clock_now(cw_clock_system());
     while (ck_pr_load_uint(&client->stop) == 0) {
         unsigned wait_ms = run_tick(client);
+        unsigned completed;
 
         start_queued(client);
         wait_ms = run_timers(client, wait_ms);
-        if (!end_completed(client)) {
-            wait_for_events(client, wait_ms);
-        }
+        completed = end_completed(client);
+        handle_events(client, completed > 0 ? 0 : wait_ms, completed);
     }
     return NULL;
 }
@@ -576,6 +689,7 @@
     watch_extra_descriptor(client);
     client->idle = g_ptr_array_new();
     client->in_flight = g_hash_table_new(NULL, NULL);
+    client->deadlines = g_sequence_new(NULL);
     client->suspects =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     if (pthread_create(&client->thread, NULL, client_main, client) != 0) {
@@ -586,6 +700,7 @@
 error_tables:
     g_ptr_array_unref(client->idle);
     g_hash_table_unref(client->in_flight);
+    g_sequence_free(client->deadlines);
     g_hash_table_unref(client->suspects);
     close_lanes(client);
 error_watch:
@@ -634,6 +749,7 @@
     }
     g_ptr_array_unref(client->idle);
     g_hash_table_unref(client->in_flight);
+    g_sequence_free(client->deadlines);
     g_hash_table_unref(client->suspects);
     close_lanes(client);
     http_watch_free(client->watch);
--- a/src/owner/owner.c
+++ b/src/owner/owner.c
@@ -605,8 +605,8 @@
     cw_count_latency(owner->options.counters, CW_LATENCY_PLACEMENT, took_ms);
     if (took_ms >= PLACE_LATE_MS) {
         cw_log_info("placement_late",
-                    "took_ms=%" PRId64 " jobs=%u targets=%u orders=%u", took_ms,
-                    g_hash_table_size(owner->jobs),
+                    "took_ms=%" PRId64 " jobs=%u targets=%u orders=%u",
+                    took_ms, g_hash_table_size(owner->jobs),
                     g_hash_table_size(owner->targets),
                     owner->order_window.outstanding);
     }
--- a/src/owner/owner_idle_log.c
+++ b/src/owner/owner_idle_log.c
@@ -270,8 +270,7 @@
 
 void
 owner_idle_log_urgent(const struct cw_owner *owner,
-                      const struct owner_waiting *waiting,
-                      struct timespec now)
+                      const struct owner_waiting *waiting, struct timespec now)
 {
     const struct owner_step *step = waiting->step;
     const struct owner_job *job = step->occurrence->job;
@@ -280,21 +279,19 @@
             ? cw_routing_account_by_name(owner->routing, job->spec->account)
             : NULL;
 
-    cw_log_info("urgent_waits",
-                "id=%s waits_ms=%" PRId64 " reason=%s account=%s demand=%zu"
-                " guaranteed=%u tasks=%u accelerators=%u age_ms=%" PRId64
-                " store_ms=%" PRId64 " orders=%u most=%u",
-                job->spec->id, waiting->waited_ms,
-                reason_of(owner, step, first_run(step), now),
-                job->spec->account,
-                GPOINTER_TO_SIZE(
-                    g_hash_table_lookup(owner->demand, job->spec->account)),
-                account != NULL ? account->guaranteed_accelerators : 0,
-                step->count, step->spec->accelerators,
-                cw_time_diff_ms(job->known_at, now),
-                owner_append_unstored_ms(owner, now),
-                owner->order_window.outstanding,
-                owner->order_window.max_outstanding);
+    cw_log_info(
+        "urgent_waits",
+        "id=%s waits_ms=%" PRId64 " reason=%s account=%s demand=%zu"
+        " guaranteed=%u tasks=%u accelerators=%u age_ms=%" PRId64
+        " store_ms=%" PRId64 " orders=%u most=%u",
+        job->spec->id, waiting->waited_ms,
+        reason_of(owner, step, first_run(step), now), job->spec->account,
+        GPOINTER_TO_SIZE(
+            g_hash_table_lookup(owner->demand, job->spec->account)),
+        account != NULL ? account->guaranteed_accelerators : 0, step->count,
+        step->spec->accelerators, cw_time_diff_ms(job->known_at, now),
+        owner_append_unstored_ms(owner, now), owner->order_window.outstanding,
+        owner->order_window.max_outstanding);
 }
 
 void
--- a/src/vm/vm.c
+++ b/src/vm/vm.c
@@ -162,7 +162,8 @@
     if (cw_time_diff_ms(late->logged_at, now) < INPUT_LATE_LOG_INTERVAL_MS) {
         return;
     }
-    cw_log_warning("input_late", "queue=answers oldest_ms=%" PRId64 " count=%u",
+    cw_log_warning("input_late",
+                   "queue=answers oldest_ms=%" PRId64 " count=%u",
                    late->oldest_ms, late->events);
     *late = (struct vm_late_input){.logged_at = now};
 }
--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -9,6 +9,7 @@
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
+#include <ck_pr.h>
 
 #include "curlewcart/cw_http_client.h"
 
@@ -361,6 +362,103 @@
     server_stop(&server);
 }
 
+/* A thread that is busy once, for longer than a request may take. */
+struct busy_thread {
+    unsigned busy_ms; /* of the next tick; atomic */
+    unsigned ticks;   /* that were busy; atomic */
+    int64_t read_late_ms;
+};
+
+static unsigned
+busy_tick(void *context)
+{
+    struct busy_thread *thread = context;
+    unsigned ms = ck_pr_fas_uint(&thread->busy_ms, 0);
+
+    if (ms > 0) {
+        ck_pr_inc_uint(&thread->ticks);
+        usleep(ms * 1000);
+    }
+    return POLL_MS;
+}
+
+static void
+on_input_read(void *context, int64_t busy_ms, unsigned events)
+{
+    struct busy_thread *thread = context;
+
+    if (events > 0) {
+        thread->read_late_ms = MAX(thread->read_late_ms, busy_ms);
+    }
+}
+
+static void
+wait_for_requests(struct server *server, unsigned count)
+{
+    unsigned requests = 0;
+
+    while (requests < count) {
+        usleep(1000);
+        pthread_mutex_lock(&server->lock);
+        requests = server->requests;
+        pthread_mutex_unlock(&server->lock);
+    }
+}
+
+/* Guards against a peer that answered in time and counts as silent: the client
+ * was busy, and looked at its timeouts before it read the answer. */
+static void
+test_an_answer_read_late_is_no_timeout(void)
+{
+    struct server server = {.paused = true};
+    struct busy_thread thread = {0};
+    struct answers answers = {.lock = PTHREAD_MUTEX_INITIALIZER,
+                              .changed = PTHREAD_COND_INITIALIZER};
+    struct cw_http_client_options options = {
+        .tick = busy_tick, .input_read = on_input_read, .context = &thread};
+    struct cw_http_client *client = cw_http_client_create(&options);
+
+    server_start(&server);
+    request_with_body(client, server.port, &answers, CALL_TIMEOUT_MS, "body");
+    request(client, server.port, &answers, CALL_TIMEOUT_MS);
+    wait_for_requests(&server, 2);
+    ck_pr_store_uint(&thread.busy_ms, 2 * CALL_TIMEOUT_MS);
+    while (ck_pr_load_uint(&thread.ticks) == 0) {
+        usleep(1000);
+    }
+    pthread_mutex_lock(&server.lock);
+    server.paused = false;
+    pthread_mutex_unlock(&server.lock);
+    answers_wait(&answers, 2);
+    CU_ASSERT_EQUAL(answers.ok, 2);
+    cw_http_client_free(client);
+    CU_ASSERT(thread.read_late_ms >= CALL_TIMEOUT_MS);
+    server_stop(&server);
+}
+
+/* A peer that does not answer is timed out although the client was busy. */
+static void
+test_a_silent_peer_is_timed_out_by_a_busy_client(void)
+{
+    struct server server = {.paused = true};
+    struct busy_thread thread = {0};
+    struct answers answers = {.lock = PTHREAD_MUTEX_INITIALIZER,
+                              .changed = PTHREAD_COND_INITIALIZER};
+    struct cw_http_client_options options = {.tick = busy_tick,
+                                             .context = &thread};
+    struct cw_http_client *client = cw_http_client_create(&options);
+
+    server_start(&server);
+    request(client, server.port, &answers, CALL_TIMEOUT_MS);
+    wait_for_requests(&server, 1);
+    ck_pr_store_uint(&thread.busy_ms, 2 * CALL_TIMEOUT_MS);
+    answers_wait(&answers, 1);
+    CU_ASSERT_EQUAL(answers.ok, 0);
+    CU_ASSERT_EQUAL(answers.unsent, 0);
+    cw_http_client_free(client);
+    server_stop(&server);
+}
+
 static const struct test tests[] = {
     {"unresponsive connections",
      test_one_timeout_retires_all_unresponsive_connections},
@@ -368,6 +466,8 @@
     {"sent once", test_a_post_without_an_answer_is_not_sent_again},
     {"sent, then refused", test_a_post_is_sent_although_no_connection_follows},
     {"sent again", test_a_get_without_an_answer_is_sent_again},
+    {"read late", test_an_answer_read_late_is_no_timeout},
+    {"silent", test_a_silent_peer_is_timed_out_by_a_busy_client},
 };
 
 TEST_MAIN("http_client", tests)
