--- a/src/owner/internal/owner_candidates.h
+++ b/src/owner/internal/owner_candidates.h
@@ -25,6 +25,12 @@
 GArray *owner_candidates(struct cw_owner *owner, const struct owner_step *step,
                          struct timespec now);
 
+/* The first of these, as many as have room for `tasks` tasks: of a thousand
+ * workers few are needed, and sorting all takes most of a placement pass. */
+GArray *
+owner_first_candidates(struct cw_owner *owner, const struct owner_step *step,
+                       unsigned tasks, struct timespec now);
+
 /* Returns the workers that accept orders and have at least `min` free,
  * reserved or not, as struct owner_target.  Owned by the caller. */
 GPtrArray *
--- a/src/owner/internal/owner_idle_log.h
+++ b/src/owner/internal/owner_idle_log.h
@@ -44,10 +44,9 @@
                          const GPtrArray *inherited, struct timespec now);
 
 /* Logs an urgent job that has not begun. */
-void
-owner_idle_log_urgent(const struct cw_owner *owner,
-                      const struct owner_waiting *waiting,
-                      struct timespec now);
+void owner_idle_log_urgent(const struct cw_owner *owner,
+                           const struct owner_waiting *waiting,
+                           struct timespec now);
 
 /* Logs a job whose idle time of more than 3 s ends now. */
 void owner_idle_log_resumed(const struct owner_job *job, struct timespec now);
--- a/src/owner/internal/owner_placement.h
+++ b/src/owner/internal/owner_placement.h
@@ -100,15 +100,30 @@
 void owner_assign(struct cw_owner *owner, struct owner_step *step,
                   const GArray *choices, enum run_phase phase);
 
-/* ---- owner_available.c: workers with free capacity, in this pass ---- */
+/* ---- owner_available.c: workers listed once for a placement pass ---- */
 
 struct owner_available *owner_available_create(void);
 void owner_available_free(struct owner_available *available);
 
-/* Resets the list at the start of a placement pass for the steps given. */
+/* Usable workers are listed once from the beginning to the end of a placement
+ * pass. */
+void owner_available_begin_pass(struct owner_available *available);
+void owner_available_end_pass(struct owner_available *available);
+
+/* Resets the list of those with free capacity, for the steps given. */
 void owner_available_reset(struct owner_available *available,
                            const GPtrArray *steps);
 
+/* Returns all usable workers, as struct owner_target.  Borrowed until the end
+ * of the pass; outside of a pass, until the next call. */
+const GPtrArray *
+owner_usable_targets(struct cw_owner *owner, struct timespec now);
+
+/* Returns what owner_target_usable does, without a computation in a pass that
+ * has listed the usable workers. */
+bool owner_target_is_usable_in_pass(const struct owner_target *target,
+                                    struct timespec now);
+
 /* Returns the workers that are usable and have at least the free resources
  * that the least demanding of the steps requires, as struct owner_target.
  * Borrowed until the next call. */
--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -156,6 +156,19 @@
     unsigned count;
 };
 
+enum { OWNER_PERMISSIONS_MAX = 8 };
+
+/* Data centres for which a job's permission was computed; owner_residency.c.
+ */
+struct owner_permissions {
+    bool valid;
+    bool all;        /* all data centres are permitted */
+    unsigned config; /* `config_number` of the owner */
+    unsigned count;
+    const char *dcs[OWNER_PERMISSIONS_MAX]; /* interned */
+    bool permitted[OWNER_PERMISSIONS_MAX];
+};
+
 struct owner_job {
     const struct cw_replica_job *entry; /* borrowed from the replica */
     const struct cw_work_spec *spec;    /* borrowed */
@@ -182,6 +195,7 @@
     struct timespec known_at;    /* when it was accepted, by this VM's clock */
     struct timespec objective_at; /* when it becomes late, as far as known */
     struct owner_idle idle;
+    struct owner_permissions permissions;
     struct timespec placed_at; /* a run of it was last placed */
     unsigned runs;
 };
@@ -212,6 +226,7 @@
      * `address_changes` when the order was sent.  0: none to this owner. */
     struct timespec identified_at;
     unsigned identified_address_changes;
+    unsigned usable_in;  /* the last placement pass in which it was usable */
     const char *service; /* interned: compared by pointer */
     const char *dc;      /* interned, as is the rack */
     const char *rack;
@@ -351,6 +366,7 @@
     char *vm;
     char *member;
     struct cw_routing *routing;
+    unsigned config_number; /* incremented when `routing` is replaced */
     enum owner_state state;
     bool leaving; /* this VM is to leave the group */
     bool joined;  /* this VM is a member of the group, as far as known */
@@ -421,8 +437,9 @@
     struct timespec check_due;
     unsigned idle_polls_in_flight; /* to workers without runs */
     unsigned rack_reservations;    /* racks reserved in this placement pass */
-    GHashTable *demand; /* account -> accelerators of its most urgent jobs;
-                           owner_demand_update */
+    GHashTable *demand;    /* account -> accelerators of its most urgent jobs;
+                              owner_demand_update */
+    GArray *unpreemptible; /* owner_at_most_once.c */
     struct owner_memo *memo;   /* owner_memo.c */
     struct owner_hints *hints; /* owner_hints.c; not dropped with a term */
     struct owner_epochs *epochs;
@@ -738,6 +755,13 @@
  * at-most-once, and it may have begun to work. */
 bool owner_at_most_once_protects(const struct owner_run *run);
 
+/* Creates the table of accelerators, by service and account, of runs that
+ * cannot be preempted.  A run is counted while it exists: `sign` is 1 when it
+ * was created, -1 before it is dropped. */
+GArray *owner_unpreemptible_new(void);
+void owner_at_most_once_count(struct cw_owner *owner,
+                              const struct owner_run *run, int sign);
+
 /* True if the step's waiting tasks, once started, would leave every other
  * account's guarantee reclaimable. */
 bool owner_at_most_once_may_start(const struct cw_owner *owner,
@@ -754,8 +778,8 @@
 
 /* True if the job may run in the data centre, under the configuration in
  * force. */
-bool owner_dc_permitted(const struct cw_owner *owner,
-                        const struct owner_job *job, const char *dc);
+bool owner_dc_permitted(const struct cw_owner *owner, struct owner_job *job,
+                        const char *dc);
 
 /* Stops runs in data centres that their accounts no longer permit. */
 void owner_residency_enforce(struct cw_owner *owner);
--- a/src/owner/owner.c
+++ b/src/owner/owner.c
@@ -57,6 +57,7 @@
     g_hash_table_remove_all(owner->racks);
     g_array_set_size(owner->rack_lower_priority_workers, 0);
     g_hash_table_remove_all(owner->jobs);
+    g_array_set_size(owner->unpreemptible, 0);
     g_ptr_array_set_size(owner->dirty, 0);
     owner->flush_jobs_left = 0;
     g_ptr_array_set_size(owner->unpublished, 0);
@@ -463,6 +464,7 @@
     owner->lease_notes_due = g_ptr_array_new();
     owner->past_states = g_ptr_array_new_with_free_func(g_free);
     owner->demand = g_hash_table_new(g_str_hash, g_str_equal);
+    owner->unpreemptible = owner_unpreemptible_new();
     owner->memo = owner_memo_create();
     owner->hints = owner_hints_create();
     owner->epochs = owner_epochs_create(owner);
@@ -502,6 +504,7 @@
     g_ptr_array_unref(owner->past_states);
     g_hash_table_unref(owner->demand);
     owner_candidacy_clear(owner);
+    g_array_unref(owner->unpreemptible);
     owner_memo_free(owner->memo);
     cw_routing_unref(owner->routing);
     g_free(owner->member);
@@ -514,6 +517,7 @@
 {
     cw_routing_unref(owner->routing);
     owner->routing = cw_routing_ref(routing);
+    owner->config_number++;
     owner->placement_wanted = true;
 }
 
--- a/src/owner/owner_at_most_once.c
+++ b/src/owner/owner_at_most_once.c
@@ -19,22 +19,58 @@
 
 /* ---- guarantees ---- */
 
+/* Accelerators of an account's runs that cannot be preempted, on the workers
+ * of a service. */
+struct unpreemptible {
+    const char *service; /* interned */
+    char *account;
+    int64_t accelerators;
+};
+
 static void
-add_unpreemptible(GHashTable *unpreemptible, const char *account,
-                  int64_t accelerators)
+unpreemptible_clear(gpointer row)
+{
+    g_free(((struct unpreemptible *)row)->account);
+}
+
+GArray *
+owner_unpreemptible_new(void)
 {
-    int64_t before =
-        GPOINTER_TO_SIZE(g_hash_table_lookup(unpreemptible, account));
+    GArray *rows = g_array_new(FALSE, FALSE, sizeof(struct unpreemptible));
 
-    g_hash_table_insert(unpreemptible, (gpointer)account,
-                        GSIZE_TO_POINTER(before + accelerators));
+    g_array_set_clear_func(rows, unpreemptible_clear);
+    return rows;
 }
 
-/* Number of accelerators of the service's workers; adds to `unpreemptible`, by
- * account, those of runs that cannot be preempted. */
+void
+owner_at_most_once_count(struct cw_owner *owner, const struct owner_run *run,
+                         int sign)
+{
+    const struct owner_job *job = owner_task_job(run->task);
+    struct unpreemptible row = {.service = job->service};
+
+    if (!job->spec->once) {
+        return;
+    }
+    row.accelerators = sign * (int64_t)run->task->step->spec->accelerators;
+    for (guint i = 0; i < owner->unpreemptible->len; i++) {
+        struct unpreemptible *known =
+            &g_array_index(owner->unpreemptible, struct unpreemptible, i);
+
+        if (known->service == row.service &&
+            strcmp(known->account, job->spec->account) == 0)
+        {
+            known->accelerators += row.accelerators;
+            return;
+        }
+    }
+    row.account = g_strdup(job->spec->account);
+    g_array_append_val(owner->unpreemptible, row);
+}
+
+/* Number of accelerators of the service's workers. */
 static int64_t
-count_accelerators(const struct cw_owner *owner, const char *service,
-                   GHashTable *unpreemptible)
+count_accelerators(const struct cw_owner *owner, const char *service)
 {
     int64_t total = 0;
     GHashTableIter iterator;
@@ -44,45 +80,49 @@
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         const struct owner_target *target = value;
 
-        if (strcmp(target->service, service) != 0) {
-            continue;
-        }
-        if (target->listed && !target->draining && !target->superseded &&
+        if (target->service == service && target->listed &&
+            !target->draining && !target->superseded &&
             owner_target_accepts_work(target))
         {
             total += target->capacity.accelerators;
         }
-        for (guint i = 0; i < target->runs->len; i++) {
-            const struct owner_run *run = target->runs->pdata[i];
-            const struct cw_work_spec *spec = owner_task_job(run->task)->spec;
-
-            if (spec->once) {
-                add_unpreemptible(unpreemptible, spec->account,
-                                  run->task->step->spec->accelerators);
-            }
-        }
     }
     return total;
 }
 
 static int64_t
-beyond_guarantees(const struct cw_routing *routing, GHashTable *unpreemptible)
+guarantee_of(const struct cw_routing *routing, const char *name)
+{
+    const struct cw_account *account =
+        cw_routing_account_by_name(routing, name);
+
+    return account != NULL ? account->guaranteed_accelerators : 0;
+}
+
+/* Returns the accelerators of the service that work which cannot be preempted
+ * uses beyond its accounts' guarantees, with `more` for the job's account. */
+static int64_t
+beyond_guarantees(const struct cw_owner *owner, const struct owner_job *job,
+                  int64_t more)
 {
     int64_t excess = 0;
-    GHashTableIter iterator;
-    gpointer key;
-    gpointer value;
 
-    g_hash_table_iter_init(&iterator, unpreemptible);
-    while (g_hash_table_iter_next(&iterator, &key, &value)) {
-        const struct cw_account *account =
-            cw_routing_account_by_name(routing, key);
-        int64_t guaranteed =
-            account != NULL ? account->guaranteed_accelerators : 0;
+    for (guint i = 0; i < owner->unpreemptible->len; i++) {
+        const struct unpreemptible *row =
+            &g_array_index(owner->unpreemptible, struct unpreemptible, i);
+        int64_t used = row->accelerators;
 
-        excess += MAX(0, (int64_t)GPOINTER_TO_SIZE(value) - guaranteed);
+        if (row->service != job->service) {
+            continue;
+        }
+        if (strcmp(row->account, job->spec->account) == 0) {
+            used += more;
+            more = 0;
+        }
+        excess += MAX(0, used - guarantee_of(owner->routing, row->account));
     }
-    return excess;
+    return excess +
+           MAX(0, more - guarantee_of(owner->routing, job->spec->account));
 }
 
 static int64_t
@@ -98,6 +138,44 @@
     return sum;
 }
 
+#ifdef __SANITIZE_ADDRESS__
+/* Computes the table's entry for the job's account anew. */
+static void
+check_unpreemptible(const struct cw_owner *owner, const struct owner_job *job)
+{
+    int64_t counted = 0;
+    GHashTableIter iterator;
+    gpointer value;
+
+    g_hash_table_iter_init(&iterator, owner->targets);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const struct owner_target *target = value;
+
+        for (guint i = 0; i < target->runs->len; i++) {
+            const struct owner_run *run = target->runs->pdata[i];
+            const struct owner_job *other = owner_task_job(run->task);
+
+            if (other->spec->once && other->service == job->service &&
+                strcmp(other->spec->account, job->spec->account) == 0)
+            {
+                counted += run->task->step->spec->accelerators;
+            }
+        }
+    }
+    for (guint i = 0; i < owner->unpreemptible->len; i++) {
+        const struct unpreemptible *row =
+            &g_array_index(owner->unpreemptible, struct unpreemptible, i);
+
+        if (row->service == job->service &&
+            strcmp(row->account, job->spec->account) == 0)
+        {
+            counted -= row->accelerators;
+        }
+    }
+    g_assert(counted == 0);
+}
+#endif
+
 /* Work that cannot be preempted may use its account's guarantee, and beyond
  * that only accelerators that no guarantee covers: the others have to stay
  * reclaimable. */
@@ -105,22 +183,20 @@
 owner_at_most_once_may_start(const struct cw_owner *owner,
                              const struct owner_step *step)
 {
-    const struct cw_work_spec *spec = step->occurrence->job->spec;
-    GHashTable *unpreemptible;
-    int64_t total;
+    const struct owner_job *job = step->occurrence->job;
     int64_t excess;
 
-    if (!spec->once || owner->routing == NULL) {
+    if (!job->spec->once || owner->routing == NULL) {
         return true;
     }
-    unpreemptible = g_hash_table_new(g_str_hash, g_str_equal);
-    total = count_accelerators(owner, spec->service, unpreemptible);
-    add_unpreemptible(unpreemptible, spec->account,
-                      (int64_t)owner_step_waiting_tasks(step) *
-                          step->spec->accelerators);
-    excess = beyond_guarantees(owner->routing, unpreemptible);
-    g_hash_table_unref(unpreemptible);
-    return excess == 0 || excess + sum_of_guarantees(owner->routing) <= total;
+#ifdef __SANITIZE_ADDRESS__
+    check_unpreemptible(owner, job);
+#endif
+    excess = beyond_guarantees(owner, job,
+                               (int64_t)owner_step_waiting_tasks(step) *
+                                   step->spec->accelerators);
+    return excess == 0 || excess + sum_of_guarantees(owner->routing) <=
+                              count_accelerators(owner, job->service);
 }
 
 /* ---- ends ---- */
--- a/src/owner/owner_available.c
+++ b/src/owner/owner_available.c
@@ -1,5 +1,8 @@
-/* The workers with free capacity, listed once for all steps of a placement
- * pass.
+/* The workers that accept work, and those with free capacity, listed once for
+ * all steps of a placement pass.
+ *
+ * Whether a worker accepts work depends on its answers, its report and its
+ * lease note, none of which changes within a pass.
  *
  * Under load most workers are full.  A scan of all workers for each step would
  * be about half of the cost of placement with 3,000 workers.  Within a pass
@@ -8,7 +11,11 @@
 #include "owner/internal/owner_placement.h"
 
 struct owner_available {
-    GPtrArray *targets; /* struct owner_target */
+    bool in_pass;
+    bool usable_listed;
+    unsigned pass;      /* number of the pass; see owner_target.usable_in */
+    GPtrArray *usable;  /* struct owner_target: all that are usable */
+    GPtrArray *targets; /* struct owner_target: those with free capacity */
     bool listed;
     uint64_t capacity_version;    /* of the owner, when they were listed */
     struct cw_resources min_need; /* lower bound of the steps' needs */
@@ -19,6 +26,7 @@
 {
     struct owner_available *available = g_new0(struct owner_available, 1);
 
+    available->usable = g_ptr_array_new();
     available->targets = g_ptr_array_new();
     return available;
 }
@@ -26,10 +34,26 @@
 void
 owner_available_free(struct owner_available *available)
 {
+    g_ptr_array_unref(available->usable);
     g_ptr_array_unref(available->targets);
     g_free(available);
 }
 
+void
+owner_available_begin_pass(struct owner_available *available)
+{
+    available->in_pass = true;
+    available->usable_listed = false;
+    available->pass++;
+}
+
+void
+owner_available_end_pass(struct owner_available *available)
+{
+    available->in_pass = false;
+    available->usable_listed = false;
+}
+
 void
 owner_available_reset(struct owner_available *available,
                       const GPtrArray *steps)
@@ -51,6 +75,47 @@
     }
 }
 
+const GPtrArray *
+owner_usable_targets(struct cw_owner *owner, struct timespec now)
+{
+    struct owner_available *available = owner->available;
+    GHashTableIter iterator;
+    gpointer value;
+
+    if (available->usable_listed) {
+        return available->usable;
+    }
+    available->usable_listed = available->in_pass;
+    g_ptr_array_set_size(available->usable, 0);
+    g_hash_table_iter_init(&iterator, owner->targets);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        struct owner_target *target = value;
+
+        if (owner_target_usable(target, now)) {
+            target->usable_in = available->pass;
+            g_ptr_array_add(available->usable, target);
+        }
+    }
+    return available->usable;
+}
+
+bool
+owner_target_is_usable_in_pass(const struct owner_target *target,
+                               struct timespec now)
+{
+    const struct owner_available *available = target->owner->available;
+    bool usable;
+
+    if (!available->usable_listed) {
+        return owner_target_usable(target, now);
+    }
+    usable = target->usable_in == available->pass;
+#ifdef __SANITIZE_ADDRESS__
+    g_assert(usable == owner_target_usable(target, now));
+#endif
+    return usable;
+}
+
 static bool
 fits_min_need(const struct owner_available *available,
               const struct owner_target *target)
@@ -64,8 +129,7 @@
 owner_available_targets(struct cw_owner *owner, struct timespec now)
 {
     struct owner_available *available = owner->available;
-    GHashTableIter iterator;
-    gpointer value;
+    const GPtrArray *usable;
 
     if (available->listed &&
         available->capacity_version == owner->capacity_version)
@@ -75,11 +139,10 @@
     available->listed = true;
     available->capacity_version = owner->capacity_version;
     g_ptr_array_set_size(available->targets, 0);
-    g_hash_table_iter_init(&iterator, owner->targets);
-    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        if (fits_min_need(available, value) && owner_target_usable(value, now))
-        {
-            g_ptr_array_add(available->targets, value);
+    usable = owner_usable_targets(owner, now);
+    for (guint i = 0; i < usable->len; i++) {
+        if (fits_min_need(available, usable->pdata[i])) {
+            g_ptr_array_add(available->targets, usable->pdata[i]);
         }
     }
     return available->targets;
--- a/src/owner/owner_candidates.c
+++ b/src/owner/owner_candidates.c
@@ -220,32 +220,32 @@
                step->occurrence->job->spec->priority;
 }
 
-/* Removes the candidates beyond the number of workers that lower-priority work
- * may still get.  Each of them could be used alone, but one wide step must not
- * use them all. */
-static void
-limit_workers(struct cw_owner *owner, const struct owner_step *step,
-              GArray *candidates, struct timespec now)
+/* Number of workers without lower-priority runs that the step may use. */
+static unsigned
+new_workers_max(struct cw_owner *owner, const struct owner_step *step,
+                struct timespec now)
 {
-    unsigned left = owner_headroom_workers_left(
-        owner, step, step->occurrence->job->spec->service, now);
-    guint i = 0;
+    const struct owner_job *job = step->occurrence->job;
 
-    while (i < candidates->len) {
-        const struct owner_candidate *c =
-            &g_array_index(candidates, struct owner_candidate, i);
+    return job->spec->priority > 0
+               ? owner_headroom_workers_left(owner, step, job->service, now)
+               : G_MAXUINT;
+}
 
-        if (c->target->lower_priority_runs > 0) {
-            i++;
-        }
-        else if (left > 0) {
-            left--;
-            i++;
-        }
-        else {
-            g_array_remove_index(candidates, i);
-        }
+/* True if the step may use the candidate; counts down `new_workers_left`.
+ * Each worker could be used alone, but one wide step must not use them all. */
+static bool
+is_within_limit(const struct owner_candidate *candidate, bool lower,
+                unsigned *new_workers_left)
+{
+    if (!lower || candidate->target->lower_priority_runs > 0) {
+        return true;
+    }
+    if (*new_workers_left == 0) {
+        return false;
     }
+    (*new_workers_left)--;
+    return true;
 }
 
 unsigned
@@ -288,17 +288,16 @@
     }
 }
 
-GArray *
-owner_candidates(struct cw_owner *owner, const struct owner_step *step,
-                 struct timespec now)
+/* Returns the workers with free capacity for a task of the step, in no order.
+ */
+static GArray *
+collect_candidates(struct cw_owner *owner, const struct owner_step *step,
+                   struct timespec now)
 {
     GArray *out = g_array_new(FALSE, FALSE, sizeof(struct owner_candidate));
     const GPtrArray *usable = owner_available_targets(owner, now);
-    const struct owner_job *job = step->occurrence->job;
-    bool lower = job->spec->priority > 0;
     /* If false, only workers with lower-priority runs may be used. */
-    bool may_add_workers = !lower || owner_headroom_workers_left(
-                                         owner, step, job->service, now) > 0;
+    bool may_add_workers = new_workers_max(owner, step, now) > 0;
 
     for (guint i = 0; i < usable->len; i++) {
         struct owner_target *target = usable->pdata[i];
@@ -309,10 +308,83 @@
             add_candidate(out, step, target, now);
         }
     }
+    return out;
+}
+
+GArray *
+owner_candidates(struct cw_owner *owner, const struct owner_step *step,
+                 struct timespec now)
+{
+    GArray *out = collect_candidates(owner, step, now);
+    bool lower = step->occurrence->job->spec->priority > 0;
+    unsigned left = new_workers_max(owner, step, now);
+    guint kept = 0;
+
     g_array_sort(out, order_for(step));
-    if (lower) {
-        limit_workers(owner, step, out, now);
+    for (guint i = 0; i < out->len; i++) {
+        struct owner_candidate *candidate =
+            &g_array_index(out, struct owner_candidate, i);
+
+        if (is_within_limit(candidate, lower, &left)) {
+            g_array_index(out, struct owner_candidate, kept++) = *candidate;
+        }
     }
+    g_array_set_size(out, kept);
+    return out;
+}
+
+/* Moves the candidate at the position down to its place in a heap, in which
+ * the best one is first. */
+static void
+sift_down(struct owner_candidate **heap, guint length, guint position,
+          GCompareFunc order)
+{
+    struct owner_candidate *moved = heap[position];
+
+    for (;;) {
+        guint child = 2 * position + 1;
+
+        if (child + 1 < length && order(heap[child + 1], heap[child]) < 0) {
+            child++;
+        }
+        if (child >= length || order(moved, heap[child]) <= 0) {
+            break;
+        }
+        heap[position] = heap[child];
+        position = child;
+    }
+    heap[position] = moved;
+}
+
+GArray *
+owner_first_candidates(struct cw_owner *owner, const struct owner_step *step,
+                       unsigned tasks, struct timespec now)
+{
+    GArray *all = collect_candidates(owner, step, now);
+    GArray *out = g_array_new(FALSE, FALSE, sizeof(struct owner_candidate));
+    struct owner_candidate **heap = g_new(struct owner_candidate *, all->len);
+    GCompareFunc order = order_for(step);
+    bool lower = step->occurrence->job->spec->priority > 0;
+    unsigned new_workers_left = new_workers_max(owner, step, now);
+    guint length = all->len;
+    unsigned fits = 0;
+
+    for (guint i = 0; i < length; i++) {
+        heap[i] = &g_array_index(all, struct owner_candidate, i);
+    }
+    for (guint i = length / 2; i > 0; i--) {
+        sift_down(heap, length, i - 1, order);
+    }
+    while (length > 0 && fits < tasks) {
+        if (is_within_limit(heap[0], lower, &new_workers_left)) {
+            g_array_append_val(out, *heap[0]);
+            fits += heap[0]->fits;
+        }
+        heap[0] = heap[--length];
+        sift_down(heap, length, 0, order);
+    }
+    g_free(heap);
+    g_array_unref(all);
     return out;
 }
 
@@ -345,7 +417,7 @@
     bool bears_slow_workers =
         step->occurrence->job->spec->priority > 0 && !step->spec->gang;
 
-    if (!owner_target_usable(target, now) ||
+    if (!owner_target_is_usable_in_pass(target, now) ||
         (!bears_slow_workers && owner_target_is_slow(target, now)))
     {
         return 2;
@@ -360,19 +432,20 @@
 {
     enum { WITHHELD_LEVELS = 3 };
     GArray *out = g_array_new(FALSE, FALSE, sizeof(struct owner_candidate));
+    GArray *by_level[WITHHELD_LEVELS];
 
-    for (unsigned level = 0; level < WITHHELD_LEVELS; level++) {
-        GArray *part =
+    for (unsigned i = 0; i < WITHHELD_LEVELS; i++) {
+        by_level[i] =
             g_array_new(FALSE, FALSE, sizeof(struct owner_candidate));
-
-        for (guint i = 0; i < targets->len; i++) {
-            if (withheld_level(targets->pdata[i], step, now) == level) {
-                add_candidate(part, step, targets->pdata[i], now);
-            }
-        }
-        g_array_sort(part, order_for(step));
-        g_array_append_vals(out, part->data, part->len);
-        g_array_unref(part);
+    }
+    for (guint i = 0; i < targets->len; i++) {
+        add_candidate(by_level[withheld_level(targets->pdata[i], step, now)],
+                      step, targets->pdata[i], now);
+    }
+    for (unsigned i = 0; i < WITHHELD_LEVELS; i++) {
+        g_array_sort(by_level[i], order_for(step));
+        g_array_append_vals(out, by_level[i]->data, by_level[i]->len);
+        g_array_unref(by_level[i]);
     }
     return out;
 }
--- a/src/owner/owner_place.c
+++ b/src/owner/owner_place.c
@@ -215,13 +215,16 @@
 place_tasks(struct cw_owner *owner, struct owner_step *step,
             struct timespec now)
 {
-    GArray *candidates = owner_candidates(owner, step, now);
     unsigned waiting = owner_step_placeable_tasks(step, now);
+    GArray *candidates;
     GArray *choices;
     unsigned placed = 0;
 
     if (step->spec->data_rack[0] != '\0') {
-        GArray *near =
+        GArray *near;
+
+        candidates = owner_candidates(owner, step, now);
+        near =
             owner_choose_targets(candidates, step->spec->data_rack, waiting);
 
         owner_assign(owner, step, near, RUN_NEW);
@@ -231,8 +234,8 @@
         if (waiting == 0) {
             return true;
         }
-        candidates = owner_candidates(owner, step, now);
     }
+    candidates = owner_first_candidates(owner, step, waiting, now);
     choices = owner_choose_targets(candidates, NULL, waiting);
     for (guint i = 0; i < choices->len; i++) {
         placed += g_array_index(choices, struct owner_choice, i).tasks;
@@ -414,6 +417,7 @@
     g_ptr_array_sort(steps, by_urgency);
     owner->rack_reservations = 0;
     owner_memo_reset(owner->memo);
+    owner_available_begin_pass(owner->available);
     owner_available_reset(owner->available, steps);
     owner_demand_update(owner);
     owner_headroom_update(owner, now);
@@ -425,5 +429,6 @@
         place_step(owner, steps->pdata[next], now);
     }
     owner_gather_gangs(owner, now);
+    owner_available_end_pass(owner->available);
     g_ptr_array_unref(steps);
 }
--- a/src/owner/owner_preempt.c
+++ b/src/owner/owner_preempt.c
@@ -525,17 +525,14 @@
     GHashTable *racks = g_hash_table_new_full(
         g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_ptr_array_unref);
     GPtrArray *all = g_ptr_array_new();
-    GHashTableIter iterator;
-    gpointer value;
+    const GPtrArray *usable = owner_usable_targets(owner, now);
 
     g_hash_table_insert(racks, g_strdup(""), all);
-    g_hash_table_iter_init(&iterator, owner->targets);
-    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        struct owner_target *target = value;
+    for (guint i = 0; i < usable->len; i++) {
+        struct owner_target *target = usable->pdata[i];
         GPtrArray *rack;
 
-        if (!owner_target_usable(target, now) ||
-            (!with_slow && owner_target_is_slow(target, now)) ||
+        if ((!with_slow && owner_target_is_slow(target, now)) ||
             !owner_step_allows_target(step, target))
         {
             continue;
--- a/src/owner/owner_racks.c
+++ b/src/owner/owner_racks.c
@@ -37,16 +37,13 @@
         g_new0(unsigned, owner->rack_lower_priority_workers->len);
     const char *best = NULL;
     unsigned best_fits = step->count - 1;
-    GHashTableIter iterator;
-    gpointer value;
+    const GPtrArray *usable = owner_usable_targets(owner, now);
 
-    g_hash_table_iter_init(&iterator, owner->targets);
-    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        struct owner_target *target = value;
+    for (guint i = 0; i < usable->len; i++) {
+        struct owner_target *target = usable->pdata[i];
         unsigned fits;
 
-        if (!owner_target_usable(target, now) ||
-            (!with_slow && owner_target_is_slow(target, now)) ||
+        if ((!with_slow && owner_target_is_slow(target, now)) ||
             !owner_step_allows_target(step, target) ||
             owner_target_is_reserved(target, step, now) ||
             !owner_headroom_allows(owner, step, target, now))
--- a/src/owner/owner_residency.c
+++ b/src/owner/owner_residency.c
@@ -3,8 +3,8 @@
 
 #include <string.h>
 
-bool
-owner_dc_permitted(const struct cw_owner *owner, const struct owner_job *job,
+static bool
+compute_permission(const struct cw_owner *owner, const struct owner_job *job,
                    const char *dc)
 {
     const struct cw_work_spec *spec = job->spec;
@@ -18,6 +18,53 @@
             cw_routing_account_permits_dc(owner->routing, spec->account, dc));
 }
 
+/* True if neither the job nor its account is restricted to data centres. */
+static bool
+is_unrestricted(const struct cw_owner *owner, const struct owner_job *job)
+{
+    const struct cw_routing *routing = owner->routing;
+    const struct cw_account *account;
+
+    if (job->spec->dcs.dcs_len > 0) {
+        return false;
+    }
+    if (routing == NULL || !routing->enforces_residency) {
+        return true;
+    }
+    account = cw_routing_account_by_name(routing, job->spec->account);
+    return account != NULL && account->dcs->len == 0;
+}
+
+bool
+owner_dc_permitted(const struct cw_owner *owner, struct owner_job *job,
+                   const char *dc)
+{
+    struct owner_permissions *known = &job->permissions;
+    bool permitted;
+
+    if (!known->valid || known->config != owner->config_number) {
+        known->valid = true;
+        known->config = owner->config_number;
+        known->count = 0;
+        known->all = is_unrestricted(owner, job);
+    }
+    if (known->all) {
+        return true;
+    }
+    for (unsigned i = 0; i < known->count; i++) {
+        if (known->dcs[i] == dc) {
+            return known->permitted[i];
+        }
+    }
+    permitted = compute_permission(owner, job, dc);
+    if (known->count < OWNER_PERMISSIONS_MAX) {
+        known->dcs[known->count] = dc;
+        known->permitted[known->count] = permitted;
+        known->count++;
+    }
+    return permitted;
+}
+
 /* Handles a run in a data centre that its job may not use any more.  The run
  * is evicted; an at-most-once job that may have begun ends. */
 static void
--- a/src/owner/owner_runs.c
+++ b/src/owner/owner_runs.c
@@ -51,6 +51,7 @@
     }
     owner_resources_add(resources_total_of(run), &need);
     owner_probation_begin(run);
+    owner_at_most_once_count(owner, run, 1);
     return run;
 }
 
@@ -62,6 +63,7 @@
     struct owner_job *job = owner_task_job(task);
     struct cw_resources need = owner_step_need(task->step->spec);
 
+    owner_at_most_once_count(owner, run, -1);
     owner_resources_subtract(resources_total_of(run), &need);
     if (run->stopping) {
         owner_resources_subtract(&target->used_by_stopping, &need);
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -3,6 +3,7 @@
 
 #include <string.h>
 
+#include "owner/internal/owner_candidates.h"
 #include "owner_cluster.h"
 #include "worker_speeds.h"
 
@@ -612,6 +613,54 @@
     cluster_end(&cluster);
 }
 
+/* Places tasks here and there, and lists the first candidates of a step. */
+static void
+check_first_candidates(unsigned seed, unsigned priority)
+{
+    struct cluster cluster;
+    struct owner_job *job;
+    GArray *all;
+
+    cluster_begin(&cluster);
+    set_guarantee(&cluster, seed % 3 * 16);
+    for (unsigned i = 0; i < 6; i++) {
+        run_job(
+            &cluster, (seed + i) % 3,
+            &(struct cw_step_spec){.tasks = 1 + (seed * 7 + i) % 3,
+                                   .accelerators = 1 + (seed + i * 5) % 7});
+    }
+    job = add_job(&cluster, priority,
+                  &(struct cw_step_spec){.tasks = 9, .accelerators = 2});
+    owner_available_reset(
+        cluster.owner->available,
+        &(GPtrArray){.pdata = (gpointer[]){step_of(job)}, .len = 1});
+    all = owner_candidates(cluster.owner, step_of(job), cluster.clock.now);
+    for (unsigned tasks = 1; tasks <= 9; tasks++) {
+        GArray *first = owner_first_candidates(cluster.owner, step_of(job),
+                                               tasks, cluster.clock.now);
+
+        CU_ASSERT_TRUE(owner_total_fit_count(first) >= tasks ||
+                       first->len == all->len);
+        for (guint i = 0; i < first->len; i++) {
+            CU_ASSERT_PTR_EQUAL(
+                g_array_index(first, struct owner_candidate, i).target,
+                g_array_index(all, struct owner_candidate, i).target);
+        }
+        g_array_unref(first);
+    }
+    g_array_unref(all);
+    cluster_end(&cluster);
+}
+
+/* Guards against a choice of workers that depends on how many are needed. */
+static void
+test_first_candidates_are_the_best_ones(void)
+{
+    for (unsigned seed = 0; seed < 30; seed++) {
+        check_first_candidates(seed, seed % 3);
+    }
+}
+
 static const struct test tests[] = {
     {"equally urgent", test_a_guarantee_preempts_equally_urgent_work},
     {"gang that loses members",
@@ -637,6 +686,7 @@
     {"permanent difference", test_a_permanent_speed_difference_is_measured},
     {"new owner", test_a_new_owner_learns_speeds_from_reports},
     {"fastest", test_urgent_work_gets_the_fastest_workers},
+    {"first candidates", test_first_candidates_are_the_best_ones},
 };
 
 TEST_MAIN("place", tests)
