Owner: bound the time of a placement pass

Change: a pass places urgent work, then work of lower priority for as long as 50 ms have not passed; the next pass goes on with the step that comes next. After a pass the time is read anew, so that what is sent after it is judged by the present: the age of the confirmation of ownership, of clocks and of cancellations.

Result: test_place/long pass fails without the bound and passes with it.

--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -422,7 +422,9 @@
     struct timespec starved_due; /* owner_starvation.c */
     struct timespec gather_due;  /* owner_moves.c */
     guint starved_first;         /* the step that the next scan begins with */
-    bool borrowing_headroom;     /* runs are placed in reserved headroom */
+    guint lower_first; /* the step of lower priority that the next pass begins
+                          with */
+    bool borrowing_headroom; /* runs are placed in reserved headroom */
     struct owner_order_window order_window;
     struct timespec cordons_read_due; /* owner_cordons.c */
     /* Until then ends may be listed that an earlier owner has not heard; 0:
--- a/src/owner/owner.c
+++ b/src/owner/owner.c
@@ -633,6 +633,7 @@
     if (owner->placement_wanted && owner_may_order(owner, now)) {
         if (!cw_time_before(now, owner->placement_due)) {
             place(owner, now);
+            now = owner_now(owner); /* a pass may take long */
         }
         else {
             cw_time_set_earlier(&next, owner->placement_due);
--- a/src/owner/owner_place.c
+++ b/src/owner/owner_place.c
@@ -22,7 +22,10 @@
      * pass would iterate over all workers. */
     RACK_CHECK_INTERVAL_MS = 500,
     /* Limit on the racks that are reserved in one pass. */
-    RACK_RESERVATIONS_MAX = 2
+    RACK_RESERVATIONS_MAX = 2,
+    /* After this time a pass leaves the steps of lower priority to the next
+     * one: answers, leases and the membership wait meanwhile. */
+    PASS_MAX_MS = 50
 };
 
 /* ---- assignment ---- */
@@ -402,6 +405,27 @@
     }
 }
 
+/* Places the steps of lower priority, those from number `first` on, for what
+ * is left of the pass's time.  The next pass begins after the last one that
+ * was tried. */
+static void
+place_lower_steps(struct cw_owner *owner, const GPtrArray *steps, guint first,
+                  struct timespec now)
+{
+    guint count = steps->len - first;
+    guint offset = owner->lower_first < count ? owner->lower_first : 0;
+
+    for (guint i = 0; i < count; i++) {
+        if (cw_time_diff_ms(now, owner_now(owner)) >= PASS_MAX_MS) {
+            owner->lower_first = (offset + i) % count;
+            owner->placement_wanted = true;
+            return;
+        }
+        place_step(owner, steps->pdata[first + (offset + i) % count], now);
+    }
+    owner->lower_first = 0;
+}
+
 void
 owner_placement_pass(struct cw_owner *owner, struct timespec now)
 {
@@ -425,9 +449,7 @@
         place_step(owner, steps->pdata[next], now);
     }
     owner_place_starved_steps(owner, steps, now);
-    for (; next < steps->len; next++) {
-        place_step(owner, steps->pdata[next], now);
-    }
+    place_lower_steps(owner, steps, next, now);
     owner_gather_gangs(owner, now);
     owner_available_end_pass(owner->available);
     g_ptr_array_unref(steps);
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -613,6 +613,82 @@
     cluster_end(&cluster);
 }
 
+/* ---- passes of an owner that is short of processor ---- */
+
+/* A clock by which some time passes between two reads. */
+struct slow_clock {
+    struct cw_clock base;
+    struct cw_clock_ops ops;
+    struct timespec now;
+    unsigned step_ms;
+};
+
+static struct timespec
+slow_clock_now(struct cw_clock *base)
+{
+    struct slow_clock *clock = (struct slow_clock *)base;
+
+    clock->now = cw_time_add_ms(clock->now, clock->step_ms);
+    return clock->now;
+}
+
+static void
+slow_clock_init(struct slow_clock *clock, struct cluster *cluster)
+{
+    clock->ops = *cluster->clock.base.ops;
+    clock->ops.monotonic = slow_clock_now;
+    clock->base.ops = &clock->ops;
+    clock->now = cluster->clock.now;
+    clock->step_ms = 5;
+    cluster->owner->options.clock = &clock->base;
+}
+
+/* RECLAIM: guards against a pass in which the owner neither reads answers nor
+ * renews its membership for as long as all waiting work takes: a pass leaves
+ * work of lower priority, and no urgent work, to the next ones. */
+static void
+test_a_long_pass_leaves_lower_work_to_the_next(void)
+{
+    enum { URGENT = 10, LOWER = 40, PASSES_MAX = 20 };
+    const struct cw_step_spec one = {.tasks = 1, .accelerators = 1};
+    struct cluster cluster;
+    struct slow_clock clock;
+    struct owner_job *urgent[URGENT];
+    struct owner_job *lower[LOWER];
+    unsigned placed_lower = 0;
+    unsigned passes = 0;
+
+    cluster_begin(&cluster);
+    set_guarantee(&cluster, 0);
+    for (unsigned i = 0; i < LOWER; i++) {
+        lower[i] = add_job(&cluster, 1, &one);
+    }
+    for (unsigned i = 0; i < URGENT; i++) {
+        urgent[i] = add_job(&cluster, 0, &one);
+    }
+    slow_clock_init(&clock, &cluster);
+    owner_placement_pass(cluster.owner, clock.now);
+    for (unsigned i = 0; i < URGENT; i++) {
+        CU_ASSERT_EQUAL(placed(urgent[i]), 1);
+    }
+    for (unsigned i = 0; i < LOWER; i++) {
+        placed_lower += placed(lower[i]);
+    }
+    CU_ASSERT_TRUE(placed_lower < LOWER);
+    CU_ASSERT_TRUE(cluster.owner->placement_wanted);
+    while (placed_lower < LOWER && passes < PASSES_MAX) {
+        owner_placement_pass(cluster.owner, clock.now);
+        passes++;
+        placed_lower = 0;
+        for (unsigned i = 0; i < LOWER; i++) {
+            placed_lower += placed(lower[i]);
+        }
+    }
+    CU_ASSERT_EQUAL(placed_lower, LOWER);
+    cluster.owner->options.clock = &cluster.clock.base;
+    cluster_end(&cluster);
+}
+
 /* Places tasks here and there, and lists the first candidates of a step. */
 static void
 check_first_candidates(unsigned seed, unsigned priority)
@@ -686,6 +762,7 @@
     {"permanent difference", test_a_permanent_speed_difference_is_measured},
     {"new owner", test_a_new_owner_learns_speeds_from_reports},
     {"fastest", test_urgent_work_gets_the_fastest_workers},
+    {"long pass", test_a_long_pass_leaves_lower_work_to_the_next},
     {"first candidates", test_first_candidates_are_the_best_ones},
 };
 
