Owner: no start while a cancellation may be unknown

Cause: cancellations come with the log of jobs, and nothing asked how old this VM's copy of it is when a start is sent. Orders of operators had that check (owner_cordons.c); cancellations had not, so a late owner went on with what it knew.

A late owner serves less.

Result: test_cancellations/log not read and /start waits; the latter fails without the check.

--- a/emulator/world_vms.c
+++ b/emulator/world_vms.c
@@ -12,6 +12,7 @@
     MEMBER_TTL_MS = 1300,
     COMMANDS_WAIT_MS = 1000,
     CORDON_EFFECT_MAX_MS = 5000,
+    CANCEL_EFFECT_MAX_MS = 4000,
     LEASE_MS = 6000,
     /* Processors of VMs, in thousandths of a core; strong VMs have about four
      * times as much. */
@@ -116,6 +117,7 @@
         .lease_ms = LEASE_MS,
         .retain_ms = 600000,
         .cordon_ms = CORDON_EFFECT_MAX_MS,
+        .cancel_ms = CANCEL_EFFECT_MAX_MS,
         .capacity_milli = strong ? STRONG_VM_CPU_MILLI : WEAK_VM_CPU_MILLI};
 
     if (world->options.reads_commands || world->options.cordons > 0) {
--- a/include/curlewcart/cw_owner.h
+++ b/include/curlewcart/cw_owner.h
@@ -55,6 +55,8 @@
     unsigned connections_max;   /* limit on open connections; 0: none */
     unsigned report_ms;         /* interval of workers' reports; 0: 1.5 s */
     struct cw_cordons *cordons; /* operator commands; NULL: none */
+    unsigned cancel_ms; /* limit on the time from a cancellation's being stored
+                           to the last start of its job; 0: no limit */
     unsigned cordon_ms; /* limit on the time from a data centre's cordon to the
                            last start of a run there; 0: no limit */
 };
--- a/include/curlewcart/cw_settings.h
+++ b/include/curlewcart/cw_settings.h
@@ -39,6 +39,8 @@
                              */
     unsigned cordon_ms;     /* longest time from a data centre's cordon to a
                                start there; 0: no limit */
+    unsigned cancel_ms;     /* longest time from a cancellation's being stored
+                               to a start of its job; 0: no limit */
 };
 
 /* The processor capacity of the VM: the product of both members. */
--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -427,6 +427,7 @@
     bool borrowing_headroom; /* runs are placed in reserved headroom */
     struct owner_order_window order_window;
     struct timespec cordons_read_due; /* owner_cordons.c */
+    struct timespec cancels_read_due; /* owner_cancels.c */
     /* Until then ends may be listed that an earlier owner has not heard; 0:
      * none. */
     struct timespec ends_awaited_until;
@@ -800,6 +801,18 @@
                                       const struct owner_run *run,
                                       struct timespec now));
 
+/* Time for a start in flight, as part of the time that a cordon or a
+ * cancellation may take to become effective: the start's timeout, and the same
+ * again for a slow worker. */
+enum { OWNER_START_IN_FLIGHT_MS = 1000 };
+
+/* ---- owner_cancels.c ---- */
+
+/* True if cancellations are known recently enough for a start.  Otherwise
+ * reads them, and sets `next` to an earlier time if that is due. */
+bool owner_cancels_known(struct cw_owner *owner, struct timespec now,
+                         struct timespec *next);
+
 /* ---- owner_cordons.c ---- */
 
 /* True if the configuration and the operators' commands allow starting work in
--- a/src/owner/owner_cordons.c
+++ b/src/owner/owner_cordons.c
@@ -11,11 +11,6 @@
 #include "owner/internal/owner_private.h"
 
 enum {
-    /* Time for a start in flight, as part of the time that a cordon may take
-     * to become effective: the start's timeout, and the same again for a slow
-     * worker.
-     */
-    START_IN_FLIGHT_MS = 1000,
     /* Interval of reads of the commands while starts wait. */
     READ_RETRY_MS = 100
 };
@@ -42,7 +37,8 @@
         return true;
     }
     staleness_ms = cw_cordons_staleness_ms(options->cordons, now);
-    if (staleness_ms <= (int64_t)options->cordon_ms - START_IN_FLIGHT_MS) {
+    if (staleness_ms <= (int64_t)options->cordon_ms - OWNER_START_IN_FLIGHT_MS)
+    {
         return true;
     }
     if (!cw_time_before(now, owner->cordons_read_due)) {
--- a/src/owner/owner_orders.c
+++ b/src/owner/owner_orders.c
@@ -416,9 +416,9 @@
  * the former incarnation may have begun the job.  A worker that has reported
  * another incarnation has to answer a poll first as well.
  *
- * No start is sent while operators may have commanded cordons that this owner
- * has not read, or if the worker's clock was not read recently, as the lease
- * is computed from it.
+ * No start is sent while operators may have commanded cordons, or callers
+ * cancellations, that this owner has not read, or if the worker's clock was
+ * not read recently, as the lease is computed from it.
  *
  * A start extends the lease, so a worker that answers again gets none until
  * the removal of its lease note is stored and its tombstones are resolved. */
@@ -432,7 +432,9 @@
     if (order->kind != CW_ORDER_START || run == NULL || run->stopping) {
         return false;
     }
-    if (!owner_cordons_known(target->owner, now, next)) {
+    if (!owner_cordons_known(target->owner, now, next) ||
+        !owner_cancels_known(target->owner, now, next))
+    {
         return true;
     }
     if ((target->lease_note != OWNER_LEASE_NOTE_NONE ||
--- a/src/settings/settings.c
+++ b/src/settings/settings.c
@@ -50,6 +50,8 @@
                      struct cw_settings_bounds, record_bytes),
     CYAML_FIELD_UINT("cordon_ms", CYAML_FLAG_OPTIONAL,
                      struct cw_settings_bounds, cordon_ms),
+    CYAML_FIELD_UINT("cancel_ms", CYAML_FLAG_OPTIONAL,
+                     struct cw_settings_bounds, cancel_ms),
     CYAML_FIELD_END,
 };
 
--- a/src/vm/internal/vm_private.h
+++ b/src/vm/internal/vm_private.h
@@ -46,7 +46,7 @@
     struct cw_owner *owner;
     struct cw_counters counters;
     struct vm_late_input late_input; /* of the client's thread */
-    unsigned contracts_unsupported; /* in force at the platform */
+    unsigned contracts_unsupported;  /* in force at the platform */
     struct platform_call_handler handler;
     struct cw_settings_secrets *secrets; /* NULL if `api` is */
     struct cw_api *api; /* the project's own interface, or NULL */
--- a/src/vm/vm.c
+++ b/src/vm/vm.c
@@ -300,6 +300,7 @@
         .lease_ms = settings->bounds.lease_ms,
         .report_ms = settings->bounds.report_ms,
         .cordon_ms = settings->bounds.cordon_ms,
+        .cancel_ms = settings->bounds.cancel_ms,
         .capacity_milli = processor_capacity_milli(&settings->processor),
         .standby_read_interval_ms = standby_read_interval_ms(settings),
         .exposes_placements = settings->api != NULL,
--- a/tests/test_cancellations.c
+++ b/tests/test_cancellations.c
@@ -4,7 +4,7 @@
 
 #include "owner_fixture.h"
 
-enum { WAIT_MS = 300, SWEEP_MS = 6000, RETAIN_MS = 100000 };
+enum { WAIT_MS = 300, SWEEP_MS = 6000, RETAIN_MS = 100000, CANCEL_MS = 3000 };
 
 static void
 put_cancellation(struct fixture *fixture, const char *account)
@@ -126,12 +126,65 @@
     fixture_end(&fixture);
 }
 
+/* ---- cancellations that this VM has not read ---- */
+
+/* UNASKED: guards against starts of a job whose cancellation was stored
+ * seconds ago, by an owner that has not read the log of jobs since. */
+static void
+test_cancellations_are_unknown_while_the_log_is_not_read(void)
+{
+    struct timespec never = cw_time_from_ms(INT32_MAX);
+    struct timespec next = never;
+    struct fixture fixture;
+
+    fixture_begin(&fixture);
+    fixture.owner->options.cancel_ms = CANCEL_MS;
+    take_over(&fixture);
+    run(&fixture, WAIT_MS);
+    CU_ASSERT_TRUE(
+        owner_cancels_known(fixture.owner, fixture.clock.now, &next));
+    fixture.job_reads_unanswered = true;
+    run(&fixture, CANCEL_MS - OWNER_START_IN_FLIGHT_MS + WAIT_MS);
+    CU_ASSERT_FALSE(
+        owner_cancels_known(fixture.owner, fixture.clock.now, &next));
+    CU_ASSERT_TRUE(cw_time_before(next, never));
+    fixture.job_reads_unanswered = false;
+    run(&fixture, 2 * WAIT_MS);
+    CU_ASSERT_TRUE(
+        owner_cancels_known(fixture.owner, fixture.clock.now, &next));
+    fixture_end(&fixture);
+}
+
+/* The same for what is done with it. */
+static void
+test_a_start_waits_while_cancellations_are_unknown(void)
+{
+    const struct cw_step_spec one = {.tasks = 1, .accelerators = 8};
+    struct cluster cluster;
+    struct owner_job *job;
+    struct owner_run *start;
+
+    cluster_begin(&cluster);
+    job = add_job(&cluster, 0, &one);
+    pass(&cluster, STEP_MS);
+    CU_ASSERT_EQUAL_FATAL(placed(job), 1);
+    cluster.owner->options.cancel_ms = CANCEL_MS;
+    start = send_job_start(&cluster, job);
+    CU_ASSERT_EQUAL(start->phase, RUN_READY);
+    cluster.owner->options.cancel_ms = 0;
+    owner_orders_send(cluster.owner, start->target, cluster.clock.now);
+    CU_ASSERT_EQUAL(start->phase, RUN_STARTING);
+    cluster_end(&cluster);
+}
+
 static const struct test tests[] = {
     {"owner", test_an_owner_does_not_start_a_job_that_was_cancelled_before},
     {"later owner", test_a_later_owner_does_not_start_it_either},
     {"another account", test_another_account_s_request_does_not_apply},
     {"dropped", test_a_request_without_a_job_is_dropped_after_a_time},
     {"dropped in time", test_records_are_dropped_as_fast_as_they_come},
+    {"log not read", test_cancellations_are_unknown_while_the_log_is_not_read},
+    {"start waits", test_a_start_waits_while_cancellations_are_unknown},
 };
 
 TEST_MAIN("cancellations", tests)
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -72,12 +72,14 @@
     GString *problems = g_string_new(NULL);
     char *text =
         with_replacement("log_level", "    cordon_ms: 5000\n"
+                                      "    cancel_ms: 3000\n"
                                       "contracts: [\"base\",\"advice\"]\n"
                                       "log_level");
     struct cw_settings *settings = load_text(text, problems);
 
     CU_ASSERT_PTR_NOT_NULL_FATAL(settings);
     CU_ASSERT_EQUAL(settings->bounds.cordon_ms, 5000);
+    CU_ASSERT_EQUAL(settings->bounds.cancel_ms, 3000);
     CU_ASSERT_EQUAL_FATAL(settings->contracts_count, 2);
     CU_ASSERT_TRUE(platform_supports_contract(settings->contracts[0]));
     CU_ASSERT_FALSE(platform_supports_contract(settings->contracts[1]));
@@ -93,6 +95,7 @@
     settings = load_text(valid_settings, problems);
     CU_ASSERT_EQUAL(settings->contracts_count, 0);
     CU_ASSERT_EQUAL(settings->bounds.cordon_ms, 0);
+    CU_ASSERT_EQUAL(settings->bounds.cancel_ms, 0);
     cw_settings_free(settings);
     g_string_free(problems, TRUE);
 }
