Relay: read what has arrived before a call to a VM is ended

A majority that supports the owner then seemed silent, leases were not renewed, and a VM counted itself as isolated.

Change: if a call is overdue, the socket is read first.

Result: test_relay/read late fails before and passes.

--- a/src/relay/relay_rpc.c
+++ b/src/relay/relay_rpc.c
@@ -332,6 +332,23 @@
     g_free(bytes);
 }
 
+static bool
+some_call_is_overdue(const struct relay_rpc *rpc, struct timespec now)
+{
+    GHashTableIter iterator;
+    gpointer value;
+
+    g_hash_table_iter_init(&iterator, rpc->waiting);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const struct waiting_call *call = value;
+
+        if (!cw_time_before(now, call->deadline)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 struct timespec
 relay_rpc_expire(struct relay_rpc *rpc, struct timespec now)
 {
@@ -340,6 +357,10 @@
     GHashTableIter iterator;
     gpointer value;
 
+    /* This VM may be late, with the answers unread in its socket. */
+    if (some_call_is_overdue(rpc, now)) {
+        relay_rpc_receive(rpc);
+    }
     g_hash_table_iter_init(&iterator, rpc->waiting);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         struct waiting_call *call = value;
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -505,6 +505,40 @@
     pair_clear(&pair);
 }
 
+/* Guards against a VM that answered in time and counts as silent: the VM that
+ * asked was busy, and ended the call before it read the answer. */
+static void
+test_an_answer_read_late_is_no_timeout(void)
+{
+    struct pair pair;
+    struct support_answer received = {0};
+    struct cw_peers *peers;
+    struct cw_peers_support request = {.epoch = 7,
+                                       .timeout_ms = 100,
+                                       .done = on_support,
+                                       .context = &received};
+    struct pollfd wait = {.events = POLLIN};
+
+    pair_init(&pair);
+    peers = cw_relay_peers(pair.relays[0]);
+    request.address = cw_relay_address(pair.relays[1]);
+    pthread_mutex_lock(&pair.engine_lock);
+    peers->ops->support(peers, &request);
+    pthread_mutex_unlock(&pair.engine_lock);
+    wait.fd = cw_relay_descriptor(pair.relays[1]);
+    CU_ASSERT_EQUAL(poll(&wait, 1, 1000), 1);
+    cw_relay_receive(pair.relays[1]); /* which answers */
+    wait.fd = cw_relay_descriptor(pair.relays[0]);
+    CU_ASSERT_EQUAL(poll(&wait, 1, 1000), 1);
+    pair.clock.now = cw_time_add_ms(pair.clock.now, 500);
+    pthread_mutex_lock(&pair.engine_lock);
+    cw_relay_tick(pair.relays[0], pair.clock.now);
+    pthread_mutex_unlock(&pair.engine_lock);
+    CU_ASSERT_EQUAL(received.count, 1);
+    CU_ASSERT_TRUE(received.last.supported);
+    pair_clear(&pair);
+}
+
 static const struct test tests[] = {
     {"support", test_support_is_given_to_the_highest_epoch},
     {"no support", test_no_answer_is_no_support},
@@ -517,6 +551,7 @@
     {"store lost", test_a_vm_that_loses_the_store_uses_another_vm},
     {"outage", test_an_outage_for_all_vms_is_not_isolation},
     {"isolated", test_a_vm_that_gets_no_answer_is_isolated},
+    {"read late", test_an_answer_read_late_is_no_timeout},
 };
 
 TEST_MAIN("relay", tests)
