--- a/emulator/emulator_main.c
+++ b/emulator/emulator_main.c
@@ -154,8 +154,7 @@
      0},
     {"slow-vms", 'P', "N", 0,
      "Times that the VM that owns the jobs, the others, or all compute "
-     "slowly, "
-     "so that answers wait to be read",
+     "slowly, so that answers wait to be read",
      0},
     {"held-links", 'L', NULL, 0,
      "Some held orders may reach the next incarnation of their worker", 0},
