Logs: what counted against a task that ends its job

Callers see a failed job; the log told neither both counts nor, for each count, by which evidence, of which incarnation and by which owner.

task_suspect: evidence, born_ms, epoch, listed, heard_ms. New task_given_up: which limit was reached, and the counts of both. No decision changes.

Test: test_crashes/given up in the log.

--- a/src/owner/internal/owner_crashes.h
+++ b/src/owner/internal/owner_crashes.h
@@ -43,6 +43,11 @@
 void owner_task_restore_suspicion(struct owner_task *task, unsigned suspicion,
                                   struct timespec now);
 
+/* Logs that the task ends its job, with what counts towards either limit: of
+ * failed attempts, or of suspicion.  `limit` names the one reached. */
+void
+owner_task_log_given_up(const struct owner_task *task, const char *limit);
+
 /* True if the task is a suspect and is delayed until its last worker has
  * answered, or for a limited time. */
 bool owner_task_is_delayed(const struct owner_task *task, struct timespec now);
--- a/src/owner/owner_crashes.c
+++ b/src/owner/owner_crashes.c
@@ -267,16 +267,36 @@
 static void
 add_suspicion(struct cw_owner *owner, struct owner_task *task,
               const struct owner_target *target,
-              const struct pending_suspicion *pending, unsigned weight)
+              const struct pending_suspicion *pending, unsigned weight,
+              const char *evidence)
 {
     owner_task_set_suspicion(task, task->suspicion + weight);
     owner_job_mark_dirty(owner, owner_task_job(task));
     cw_log_info("task_suspect",
                 "id=%s task=%u.%u.%u run=%u worker=%s crashed=%d counts=%u "
-                "suspicion=%u limit=%d",
+                "suspicion=%u limit=%d evidence=%s born_ms=%" PRId64
+                " epoch=%" PRIu64 " listed=%d heard_ms=%" PRId64,
                 pending->job, pending->task.occurrence, pending->task.step,
                 pending->task.index, pending->run, target->id,
-                target->superseded, weight, task->suspicion, SUSPICION_LIMIT);
+                target->superseded, weight, task->suspicion, SUSPICION_LIMIT,
+                evidence, pending->boot_ms, owner->epoch, target->listed,
+                owner_target_since_answer_ms(target, owner_now(owner)));
+}
+
+void
+owner_task_log_given_up(const struct owner_task *task, const char *limit)
+{
+    const struct owner_step *step = task->step;
+    const struct owner_job *job = owner_task_job(task);
+
+    cw_log_info("task_given_up",
+                "id=%s task=%u.%u.%u limit=%s failures=%u attempts=%u "
+                "suspicion=%u suspicion_limit=%d run=%u",
+                job->spec->id, step->occurrence->number, step->number,
+                task->index, limit,
+                step->spec->gang ? step->failures : task->failures,
+                job->spec->max_attempts, task->suspicion, SUSPICION_LIMIT,
+                task->last_run);
 }
 
 /* Suspicion that counts if the worker's next incarnation has this boot time
@@ -296,7 +316,7 @@
  * for no reason if its workers were only cut off. */
 static void
 apply_confirmed(struct cw_owner *owner, const struct owner_target *target,
-                const struct pending_suspicion *pending)
+                const struct pending_suspicion *pending, const char *evidence)
 {
     struct owner_task *task = suspected_task(owner, pending);
 
@@ -305,8 +325,9 @@
     }
     task->delayed_until = cw_time_from_ms(0);
     add_suspicion(owner, task, target, pending,
-                  pending->weight - pending->added_in_advance);
+                  pending->weight - pending->added_in_advance, evidence);
     if (task->suspicion >= SUSPICION_LIMIT) {
+        owner_task_log_given_up(task, "crashes");
         owner_job_end(owner, owner_task_job(task), CW_WORK_FAILED,
                       CW_END_CRASHES);
     }
@@ -317,6 +338,9 @@
                         int64_t boot_ms)
 {
     GArray *pending_suspicions = target->pending_suspicions;
+    const char *evidence =
+        target->superseded || boot_ms > 0 ? "other_incarnation"
+                                          : "unresolvable";
 
     if (pending_suspicions->len == 0) {
         return;
@@ -328,7 +352,7 @@
             &g_array_index(pending_suspicions, struct pending_suspicion, i);
 
         pending->weight = weight_if_booted(pending, boot_ms);
-        apply_confirmed(owner, target, pending);
+        apply_confirmed(owner, target, pending, evidence);
     }
     g_array_unref(pending_suspicions);
     owner->placement_wanted = true;
@@ -430,7 +454,8 @@
             continue;
         }
         pending->added_in_advance = SUSPICION_PRESENT;
-        add_suspicion(owner, task, target, pending, pending->added_in_advance);
+        add_suspicion(owner, task, target, pending, pending->added_in_advance,
+                      "provisional");
         if (!has_other_cause(target, owner_task_job(task))) {
             delay_suspect(task, target, pending, now);
         }
--- a/src/owner/owner_runs.c
+++ b/src/owner/owner_runs.c
@@ -443,6 +443,7 @@
     if (!step->spec->endless && failures >= job->spec->max_attempts &&
         !cw_work_is_over(job->phase))
     {
+        owner_task_log_given_up(task, "attempts");
         owner_job_end(owner, job, CW_WORK_FAILED,
                       job->spec->once ? CW_END_FAILED : CW_END_RETRIES);
     }
--- a/tests/test_crashes.c
+++ b/tests/test_crashes.c
@@ -689,6 +689,38 @@
     cluster_end(&cluster);
 }
 
+/* Guards against a failed job of which no log tells what counted against it.
+ */
+static void
+test_given_up_task_logs_both_limits(void)
+{
+    struct cluster cluster;
+    struct log_capture capture;
+    struct owner_job *job;
+    char *lines;
+    char *line;
+
+    cluster_begin(&cluster);
+    cluster.owner->epoch = 7;
+    job = add_job(&cluster, 0, &one);
+    log_capture_begin(&capture);
+    (void)crash_until_over(&cluster, job, STARTS_TRIED);
+    lines = log_capture_end(&capture);
+    line = last_line(lines, "task_suspect");
+    CU_ASSERT_TRUE(has_field(line, "evidence", "other_incarnation"));
+    CU_ASSERT_EQUAL(field_number(line, "epoch"), 7);
+    g_free(line);
+    line = last_line(lines, "task_given_up");
+    CU_ASSERT_TRUE(has_field(line, "id", job->spec->id));
+    CU_ASSERT_TRUE(has_field(line, "limit", "crashes"));
+    CU_ASSERT_EQUAL(field_number(line, "failures"), 0);
+    CU_ASSERT_EQUAL(field_number(line, "attempts"), 2);
+    CU_ASSERT_EQUAL(field_number(line, "suspicion"), 12);
+    g_free(line);
+    g_free(lines);
+    cluster_end(&cluster);
+}
+
 /* ---- suspects start apart from other runs ---- */
 
 static void
@@ -776,6 +808,7 @@
      test_nothing_is_preempted_for_delayed_suspect},
     {"gang of a delayed suspect", test_gang_waits_for_delayed_member},
     {"delay in the log", test_delay_is_logged_once},
+    {"given up in the log", test_given_up_task_logs_both_limits},
     {"mass silence", test_suspect_is_not_delayed_by_mass_silence},
     {"no other cause", test_suspect_is_delayed_without_other_cause},
     {"idle worker", test_suspect_is_started_on_idle_worker},
