Emulator: outages of the store in which entries of workers expire

Callers saw jobs shown as failed that had not failed. No test of ours removed the entry of a worker that works on because the store was unavailable, and the outages that were drawn did not follow each other within a job's life.

--- a/emulator/emulator_main.c
+++ b/emulator/emulator_main.c
@@ -27,7 +27,9 @@
     EXIT_USAGE = 2,
     /* Long enough for two long steps in sequence, each of which fails once. */
     LONG_TASK_QUIET_FACTOR = 3,
-    SLOW_WORKER_QUIET_FACTOR = 2
+    SLOW_WORKER_QUIET_FACTOR = 2,
+    /* Longest time from one outage of a series to the next. */
+    LAPSE_MS = 19000
 };
 
 struct arguments {
@@ -57,6 +59,7 @@
     unsigned owner_cuts;
     unsigned voter_restarts;
     unsigned store_returns;
+    unsigned store_lapses;
     unsigned topic_outages;
     unsigned silences;
     unsigned owner_freezes;
@@ -128,6 +131,11 @@
      "Times that the store is unavailable, the VM that owns the jobs is "
      "disconnected, and other VMs restart as the store returns",
      0},
+    {"store-lapses", 'A', "N", 0,
+     "Times that the store is unavailable, mostly for longer than a lease, "
+     "and "
+     "entries of workers that work on expire",
+     0},
     {"topic-outages", 'p', "N", 0,
      "Times that one topic of the store is unavailable to all VMs", 0},
     {"silences", 'i', "N", 0,
@@ -222,6 +230,9 @@
     case 'R':
         arguments->store_returns = number;
         break;
+    case 'A':
+        arguments->store_lapses = number;
+        break;
     case 'p':
         arguments->topic_outages = number;
         break;
@@ -394,6 +405,7 @@
     day.owner_cuts = arguments->owner_cuts;
     day.voter_restarts = arguments->voter_restarts;
     day.store_returns = arguments->store_returns;
+    day.store_lapses = arguments->store_lapses;
     day.topic_outages = arguments->topic_outages;
     day.silences = arguments->silences;
     day.owner_freezes = arguments->owner_freezes;
@@ -409,11 +421,14 @@
     day.check_ms = arguments->check_ms;
     day.far_store = arguments->far_store;
     if (day.silences + day.outages + day.owner_cuts + day.owner_freezes +
-            day.voter_restarts >
+            day.voter_restarts + day.store_lapses >
         0)
     {
         world_lengthen(&day);
     }
+    if (day.store_lapses > 0) {
+        day.day_ms += day.store_lapses * LAPSE_MS;
+    }
     if (arguments->calm) {
         day.faults = 0;
     }
--- a/emulator/internal/world_private.h
+++ b/emulator/internal/world_private.h
@@ -90,6 +90,7 @@
     int64_t faults_until_ms;    /* faults themselves last until then */
     /* current state of the network */
     int64_t store_down_until_ms;
+    unsigned store_lapses_begun;
     int64_t store_returned_ms;    /* end of the last outage whose owners are
                                      counted; 0: none */
     unsigned owners_since_return; /* VMs that have become the owner since */
@@ -346,6 +347,10 @@
 void world_cut_reports(struct world *world, const struct worker_model *worker,
                        unsigned ms);
 
+/* Removes the worker's entry.  The worker reports again after `ms`. */
+void world_expire_entry(struct world *world, const struct worker_model *worker,
+                        unsigned ms);
+
 /* Ends all cuts of reports. */
 void world_heal_reports(struct world *world);
 
@@ -432,6 +437,13 @@
  * return, a few seconds ago. */
 void world_owner_began(struct world *world, const struct vm *vm);
 
+/* ---- world_store_lapses.c ---- */
+
+/* Makes the store unavailable for a while, after which entries of workers that
+ * are up are missing; again until that has happened options.store_lapses
+ * times. */
+void world_store_lapse(struct world *world, void *unused);
+
 /* ---- world_topic_outages.c ---- */
 
 /* Makes one topic of the store unavailable to all VMs for a while. */
--- a/emulator/world.c
+++ b/emulator/world.c
@@ -45,6 +45,7 @@
     /* A traced day goes on for this long after a violation. */
     TRACE_AFTER_VIOLATION_MS = 10000,
     /* Silences begin until this long after day_ms. */
+    FIRST_LAPSE_MAX_MS = 12000,
     SILENCES_AFTER_DAY_MS = 30000,
     /* One of this many standard days has VMs with unequal processors. */
     UNEQUAL_VMS_ONE_IN = 4
@@ -441,6 +442,8 @@
                    world_cut_owner_and_restart_voters);
     schedule_times(world, options->topic_outages, FIRST_FAULT_MS,
                    world_topic_outage);
+    schedule_between(world, MIN(options->store_lapses, 1), FIRST_FAULT_MS,
+                     FIRST_LAPSE_MAX_MS, world_store_lapse);
     schedule_times(world, options->store_returns, FIRST_FAULT_MS,
                    world_store_returns);
     schedule_times(world, options->late_episodes, FIRST_FAULT_MS,
--- a/emulator/world.h
+++ b/emulator/world.h
@@ -58,6 +58,8 @@
     unsigned store_returns;  /* number of times that the store is unavailable,
                                 the VM that owns the jobs is disconnected, and
                                 other VMs restart as the store returns */
+    unsigned store_lapses;   /* number of times that the store is unavailable
+                                and entries of workers that are up expire */
     unsigned topic_outages;  /* number of times that one topic of the store is
                                 unavailable to all VMs for a while */
     unsigned silences; /* number of times that some workers do not answer for
--- a/emulator/world_reports.c
+++ b/emulator/world_reports.c
@@ -26,8 +26,9 @@
 struct world_entry {
     char *id;
     bool is_listed;
-    int64_t stored_ms;    /* when its last report was stored */
-    int64_t cut_until_ms; /* its reports do not arrive until then */
+    int64_t stored_ms;        /* when its last report was stored */
+    int64_t cut_until_ms;     /* its reports do not arrive until then */
+    int64_t expired_until_ms; /* it expired, and is back then */
 };
 
 /* A report on its way to the store. */
@@ -131,6 +132,9 @@
     const struct world_entry *entry =
         g_hash_table_lookup(world->entries, worker);
 
+    if (entry != NULL && entry->expired_until_ms > world->now_ms) {
+        return false;
+    }
     return !entries_expire(world) || (entry != NULL && entry->is_listed);
 }
 
@@ -270,19 +274,45 @@
                 worker_model_is_down(worker) ? NULL : text);
 }
 
+static void
+report(struct world *world, const struct worker_model *worker)
+{
+    if (entry_of(world, worker_model_id(worker))->expired_until_ms >
+        world->now_ms) {
+        return;
+    }
+    if (!entries_expire(world)) {
+        update_entry(world, worker);
+    }
+    else if (!worker_model_is_down(worker)) {
+        send_report(world, worker);
+    }
+}
+
+static void
+report_again(struct world *world, void *worker)
+{
+    report(world, worker);
+}
+
+void
+world_expire_entry(struct world *world, const struct worker_model *worker,
+                   unsigned ms)
+{
+    struct world_entry *entry = entry_of(world, worker_model_id(worker));
+
+    entry->is_listed = false;
+    entry->expired_until_ms = world->now_ms + ms;
+    write_entry(world, entry->id, NULL);
+    world_schedule(world, ms, report_again, (void *)worker);
+}
+
 void
 world_report_workers(struct world *world, void *context)
 {
     (void)context;
     for (unsigned i = 0; i < worker_fleet_size(world->fleet); i++) {
-        const struct worker_model *worker = worker_fleet_at(world->fleet, i);
-
-        if (!entries_expire(world)) {
-            update_entry(world, worker);
-        }
-        else if (!worker_model_is_down(worker)) {
-            send_report(world, worker);
-        }
+        report(world, worker_fleet_at(world->fleet, i));
     }
     world_schedule(world, REPORT_INTERVAL_MS, world_report_workers, NULL);
 }
