Owner: absence from the list of workers is no crash

Cause: not being able to know was stored as knowledge. A new owner that did not find a worker in the list had no address for it, and counted the runs there as lost in a crash (cannot_be_resolved). Entries also expire while the store is unavailable, and are back within 2 s of its return; the owner begins after 0.25 s. After four such takeovers the job was ended.

Change: the address of each worker that a run was sent to is stored with the run, so a new owner polls a worker that is missing from the list; it lists the run or tells how it ended, or its next incarnation refuses the poll, which is proof. A run that is lost before that is known is pending, and stored as such with the job; any later owner confirms or revokes it, and after 60 s it expires. A suspect that is given up once its pending losses are confirmed is delayed by 2.5 s.

--- a/include/curlewcart/cw_record.h
+++ b/include/curlewcart/cw_record.h
@@ -10,7 +10,10 @@
  * The crashes that tasks are suspected of, and the boot times of workers, come
  * last and are left out if there are none.  Such a record has the format of
  * versions that count no crashes, and a record written by such a version is
- * decoded with empty lists. */
+ * decoded with empty lists.
+ *
+ * The extension follows the deflated rest, deflated by itself.  Versions that
+ * have none ignore what follows the rest.  An empty extension is left out. */
 #ifndef CURLEWCART_CW_RECORD_H
 #define CURLEWCART_CW_RECORD_H
 
--- a/src/owner/internal/owner_crashes.h
+++ b/src/owner/internal/owner_crashes.h
@@ -22,9 +22,9 @@
                            struct timespec now);
 
 /* To be called when a worker that was given up answers, as the incarnation
- * with this boot time (0: unknown).  Another incarnation than before confirms
- * the crash; the same one refutes it, and the suspicion that was added is
- * revoked. */
+ * with this boot time (0: unknown).  Another incarnation than a run was sent
+ * to confirms the crash; the same one refutes it, and the suspicion that was
+ * added is revoked. */
 void owner_crashes_answered(struct cw_owner *owner,
                             struct owner_target *target, int64_t boot_ms);
 
@@ -33,7 +33,21 @@
 void owner_crashes_observe(struct owner_run *run, struct timespec now);
 
 /* Creates an empty array for a worker's pending suspicions. */
-GArray *owner_pending_suspicions_new(void);
+GPtrArray *owner_pending_suspicions_new(void);
+
+/* Adds the pending suspicions about the job's tasks to its stored state.  The
+ * caller frees the array; its texts are borrowed. */
+void owner_crashes_encode(const struct owner_job *job,
+                          struct cw_work_extension *out);
+
+/* Restores a pending suspicion that an earlier owner has stored, after the
+ * suspicion of the job's tasks.  Its worker is polled. */
+void owner_crashes_restore(struct cw_owner *owner, struct owner_job *job,
+                           const struct cw_unresolved_record *record);
+
+/* Drops pending suspicions that nobody has resolved for long, and revokes what
+ * was added in advance. */
+void owner_crashes_expire(struct cw_owner *owner);
 
 /* Sets the task's suspicion and updates the count of suspects. */
 void owner_task_set_suspicion(struct owner_task *task, unsigned suspicion);
@@ -45,8 +59,7 @@
 
 /* Logs that the task ends its job, with what counts towards either limit: of
  * failed attempts, or of suspicion.  `limit` names the one reached. */
-void
-owner_task_log_given_up(const struct owner_task *task, const char *limit);
+void owner_task_log_given_up(const struct owner_task *task, const char *limit);
 
 /* True if the task is a suspect and is delayed until its last worker has
  * answered, or for a limited time. */
--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -191,6 +191,8 @@
     /* struct owner_occurrence, the open ones, by number.  Those below
      * next_occurrence that are not here are done. */
     GPtrArray *open;
+    /* Those about its tasks; borrowed from the workers' lists. */
+    GPtrArray *pending_suspicions;
     size_t checkpoints_left_out; /* of the last state, as they did not fit */
     struct timespec known_at;    /* when it was accepted, by this VM's clock */
     struct timespec objective_at; /* when it becomes late, as far as known */
@@ -247,8 +249,8 @@
     struct timespec drain_until;
     bool superseded; /* another incarnation has refused an order for it */
     struct timespec refused_order_sent; /* that order was sent */
-    /* Another worker was listed at its address: without runs it is polled
-     * until then to learn which of them is there. */
+    /* Without runs it is polled until then to learn whether it has crashed;
+     * owner_address_is_doubtful. */
     struct timespec doubtful_until;
     bool found_in_reload;        /* found while the reports are reloaded */
     struct timespec unlisted_at; /* its report was last removed; 0: never */
@@ -302,7 +304,7 @@
      * here. */
     unsigned probation_runs;
     /* owner_crashes.c: counted if a crash of the worker is confirmed. */
-    GArray *pending_suspicions;
+    GPtrArray *pending_suspicions;
     struct timespec avoid_until;
     /* Step that the rack is reserved for; never dereferenced, as it may have
      * been freed. */
--- a/src/owner/owner.c
+++ b/src/owner/owner.c
@@ -1,5 +1,6 @@
 /* How a VM becomes the owner of a shard, what an owner does at each tick, and
  * how it loses ownership. */
+#include "owner/internal/owner_crashes.h"
 #include "owner/internal/owner_placement.h"
 
 #include <string.h>
@@ -645,6 +646,7 @@
     }
     cw_time_set_earlier(&next, tick_targets(owner, now));
     if (!cw_time_before(now, owner->sweep_due)) {
+        owner_crashes_expire(owner);
         owner->sweep_due = cw_time_add_ms(now, owner_drop_old_records(owner)
                                                    ? SWEEP_AGAIN_MS
                                                    : SWEEP_INTERVAL_MS);
--- a/src/owner/owner_addresses.c
+++ b/src/owner/owner_addresses.c
@@ -24,20 +24,54 @@
     DOUBTFUL_MS = 10000
 };
 
-/* ---- reports ---- */
+/* ---- addresses ---- */
+
+const char *
+owner_address_of_run(const struct owner_run *run)
+{
+    const struct owner_target *target = run->target;
+
+    return target->address_boot_ms == run->boot_ms ? target->address : "";
+}
+
+void
+owner_address_doubt(struct owner_target *target)
+{
+    struct timespec now = owner_now(target->owner);
+
+    target->doubtful_until = cw_time_add_ms(now, DOUBTFUL_MS);
+    target->poll_due = now;
+    owner_target_wake(target);
+}
+
+void
+owner_address_restore(struct owner_target *target, const char *address,
+                      int64_t boot_ms)
+{
+    struct cw_owner *owner = target->owner;
+
+    if (address[0] == '\0' || target->address[0] != '\0') {
+        return;
+    }
+    g_free(target->address);
+    target->address = g_strdup(address);
+    target->address_boot_ms = boot_ms;
+    target->address_boot_at = owner_now(owner);
+    if (!g_hash_table_contains(owner->targets_by_address, address)) {
+        g_hash_table_insert(owner->targets_by_address, g_strdup(address),
+                            target);
+    }
+}
 
 void
 owner_address_listed(struct owner_target *target)
 {
     struct cw_owner *owner = target->owner;
-    struct timespec now = owner_now(owner);
     struct owner_target *before =
         g_hash_table_lookup(owner->targets_by_address, target->address);
 
     if (before != NULL && before != target && !before->superseded) {
-        before->doubtful_until = cw_time_add_ms(now, DOUBTFUL_MS);
-        before->poll_due = now;
-        owner_target_wake(before);
+        owner_address_doubt(before);
     }
     g_hash_table_replace(owner->targets_by_address, g_strdup(target->address),
                          target);
--- a/src/owner/owner_crashes.c
+++ b/src/owner/owner_crashes.c
@@ -18,13 +18,17 @@
  * A worker that is unresponsive until its lease is over has either crashed or
  * is cut off from this VM.  That is resolved when it answers again, or when
  * another incarnation answers at its address (owner_addresses.c).  Until then
- * a small suspicion is added in advance to the tasks that had just been
- * started there, so that it survives a takeover, and the suspects among them
- * are delayed for a limited time.  If the worker was known only to an earlier
- * owner and is not listed any more, nothing can resolve the question, and it
- * counts as crashed. */
+ * the suspicion is pending, and is stored with the job, with the address at
+ * which the worker can be asked: a later owner resolves it.  A small part of
+ * it is added in advance to the tasks that had just been started there, and
+ * the suspects among them are delayed for a limited time.  That a worker is
+ * not listed proves nothing: its entry is also removed because the store was
+ * unavailable.  What nobody resolves expires, and what was added in advance is
+ * revoked. */
 #include "owner/internal/owner_crashes.h"
 
+#include "owner/internal/owner_addresses.h"
+
 #include <string.h>
 
 enum {
@@ -60,12 +64,19 @@
     CRASH_CERTAIN_MS = 4000,
     /* Delay of a task at the limit: a further proof ends its job, and until
      * then each start may crash another worker. */
-    AT_LIMIT_DELAY_MS = CRASH_CERTAIN_MS
+    AT_LIMIT_DELAY_MS = CRASH_CERTAIN_MS,
+    /* Age at which a pending suspicion expires: workers are back, or have been
+     * reached again, long before. */
+    PENDING_MAX_MS = 60000,
+    /* Limit on those that are stored with a job. */
+    PENDING_STORED_MAX = 64
 };
 
 /* Suspicion that counts against a task once its worker is known to have
  * crashed. */
 struct pending_suspicion {
+    struct owner_target *target;
+    char *address; /* of that incarnation; "": not known */
     char *job;
     struct cw_task_name task; /* task.job points to `job` */
     unsigned run;
@@ -78,19 +89,62 @@
 };
 
 static void
-pending_suspicion_clear(gpointer data)
+pending_suspicion_free(gpointer data)
 {
-    g_free(((struct pending_suspicion *)data)->job);
+    struct pending_suspicion *pending = data;
+
+    g_free(pending->address);
+    g_free(pending->job);
+    g_free(pending);
 }
 
-GArray *
+GPtrArray *
 owner_pending_suspicions_new(void)
 {
-    GArray *pending_suspicions =
-        g_array_new(FALSE, FALSE, sizeof(struct pending_suspicion));
+    return g_ptr_array_new_with_free_func(pending_suspicion_free);
+}
+
+/* Adds a pending suspicion about a task of the job to the lists of the job and
+ * of its worker, which owns it. */
+static void
+add_pending(struct owner_job *job, const struct pending_suspicion *values,
+            const char *address)
+{
+    struct pending_suspicion *pending = g_new(struct pending_suspicion, 1);
 
-    g_array_set_clear_func(pending_suspicions, pending_suspicion_clear);
-    return pending_suspicions;
+    *pending = *values;
+    pending->address = g_strdup(address);
+    pending->job = g_strdup(job->spec->id);
+    pending->task.job = pending->job;
+    g_ptr_array_add(pending->target->pending_suspicions, pending);
+    g_ptr_array_add(job->pending_suspicions, pending);
+}
+
+/* Removes the pending suspicion from its job's list, and has the job stored
+ * without it. */
+static void
+unlink_from_job(struct cw_owner *owner, struct pending_suspicion *pending)
+{
+    struct owner_job *job = g_hash_table_lookup(owner->jobs, pending->job);
+
+    if (job != NULL &&
+        g_ptr_array_remove_fast(job->pending_suspicions, pending)) {
+        owner_job_mark_dirty(owner, job);
+    }
+}
+
+/* Takes the pending suspicions off a worker's list and off the lists of their
+ * jobs.  Owned by the caller. */
+static GPtrArray *
+take_pending(struct cw_owner *owner, struct owner_target *target)
+{
+    GPtrArray *taken = target->pending_suspicions;
+
+    target->pending_suspicions = owner_pending_suspicions_new();
+    for (guint i = 0; i < taken->len; i++) {
+        unlink_from_job(owner, taken->pdata[i]);
+    }
+    return taken;
 }
 
 /* ---- weight of a crash ---- */
@@ -216,7 +270,8 @@
 owner_crashes_collect(const struct owner_run *run, struct timespec now)
 {
     struct owner_target *target = run->target;
-    struct pending_suspicion pending = {.task = owner_task_name(run->task),
+    struct pending_suspicion pending = {.target = target,
+                                        .task = owner_task_name(run->task),
                                         .run = run->number,
                                         .boot_ms = run->boot_ms,
                                         .weight = suspicion_weight(run, now),
@@ -226,9 +281,8 @@
 
     /* A draining worker has shut down, not crashed. */
     if (pending.weight > 0 && !target->draining) {
-        pending.job = g_strdup(pending.task.job);
-        pending.task.job = pending.job;
-        g_array_append_val(target->pending_suspicions, pending);
+        add_pending(owner_task_job(run->task), &pending,
+                    owner_address_of_run(run));
     }
 }
 
@@ -266,10 +320,11 @@
 
 static void
 add_suspicion(struct cw_owner *owner, struct owner_task *task,
-              const struct owner_target *target,
               const struct pending_suspicion *pending, unsigned weight,
               const char *evidence)
 {
+    const struct owner_target *target = pending->target;
+
     owner_task_set_suspicion(task, task->suspicion + weight);
     owner_job_mark_dirty(owner, owner_task_job(task));
     cw_log_info("task_suspect",
@@ -306,17 +361,19 @@
 static unsigned
 weight_if_booted(const struct pending_suspicion *pending, int64_t boot_ms)
 {
-    return boot_ms - pending->unresponsive_at_ms > CRASH_CERTAIN_MS
-               ? MIN(pending->weight, SUSPICION_PRESENT)
-               : pending->weight;
+    unsigned weight = boot_ms - pending->unresponsive_at_ms > CRASH_CERTAIN_MS
+                          ? MIN(pending->weight, SUSPICION_PRESENT)
+                          : pending->weight;
+
+    return MAX(weight, pending->added_in_advance);
 }
 
 /* Adds the suspicion for a confirmed crash in full, which may end the task's
  * job.  Suspicion that is added in advance must not end a job: it would end
  * for no reason if its workers were only cut off. */
 static void
-apply_confirmed(struct cw_owner *owner, const struct owner_target *target,
-                const struct pending_suspicion *pending, const char *evidence)
+apply_confirmed(struct cw_owner *owner,
+                const struct pending_suspicion *pending, int64_t boot_ms)
 {
     struct owner_task *task = suspected_task(owner, pending);
 
@@ -324,8 +381,10 @@
         return;
     }
     task->delayed_until = cw_time_from_ms(0);
-    add_suspicion(owner, task, target, pending,
-                  pending->weight - pending->added_in_advance, evidence);
+    add_suspicion(owner, task, pending,
+                  weight_if_booted(pending, boot_ms) -
+                      pending->added_in_advance,
+                  "other_incarnation");
     if (task->suspicion >= SUSPICION_LIMIT) {
         owner_task_log_given_up(task, "crashes");
         owner_job_end(owner, owner_task_job(task), CW_WORK_FAILED,
@@ -337,27 +396,39 @@
 owner_crashes_confirmed(struct cw_owner *owner, struct owner_target *target,
                         int64_t boot_ms)
 {
-    GArray *pending_suspicions = target->pending_suspicions;
-    const char *evidence =
-        target->superseded || boot_ms > 0 ? "other_incarnation"
-                                          : "unresolvable";
+    GPtrArray *taken;
 
-    if (pending_suspicions->len == 0) {
+    if (target->pending_suspicions->len == 0) {
         return;
     }
-    target->pending_suspicions = owner_pending_suspicions_new();
+    taken = take_pending(owner, target);
     cw_count_add(owner->options.counters, CW_COUNT_CRASHES, 1);
-    for (guint i = 0; i < pending_suspicions->len; i++) {
-        struct pending_suspicion *pending =
-            &g_array_index(pending_suspicions, struct pending_suspicion, i);
-
-        pending->weight = weight_if_booted(pending, boot_ms);
-        apply_confirmed(owner, target, pending, evidence);
+    for (guint i = 0; i < taken->len; i++) {
+        apply_confirmed(owner, taken->pdata[i], boot_ms);
     }
-    g_array_unref(pending_suspicions);
+    g_ptr_array_unref(taken);
     owner->placement_wanted = true;
 }
 
+/* True if the task is given up once all its pending suspicions are confirmed.
+ */
+static bool
+may_reach_limit(const struct owner_task *task)
+{
+    const struct owner_job *job = owner_task_job(task);
+    unsigned suspicion = task->suspicion;
+
+    for (guint i = 0; i < job->pending_suspicions->len; i++) {
+        const struct pending_suspicion *pending =
+            job->pending_suspicions->pdata[i];
+
+        if (owner_job_task(job, &pending->task) == task) {
+            suspicion += pending->weight - pending->added_in_advance;
+        }
+    }
+    return suspicion >= SUSPICION_LIMIT;
+}
+
 static int64_t
 delay_ms(const struct owner_task *task)
 {
@@ -365,14 +436,22 @@
                                               : SUSPECT_DELAY_MS;
 }
 
+/* Delays a task that a confirmed crash would end, although it is not known
+ * what an earlier owner has waited for. */
+static void
+delay_restored(struct owner_task *task, struct timespec now)
+{
+    if (may_reach_limit(task)) {
+        task->delayed_until = cw_time_add_ms(now, delay_ms(task));
+    }
+}
+
 void
 owner_task_restore_suspicion(struct owner_task *task, unsigned suspicion,
                              struct timespec now)
 {
     owner_task_set_suspicion(task, suspicion);
-    if (suspicion >= SUSPICION_LIMIT) {
-        task->delayed_until = cw_time_add_ms(now, delay_ms(task));
-    }
+    delay_restored(task, now);
 }
 
 /* Delays the task, if it is a suspect, until its last worker may have
@@ -406,8 +485,8 @@
         }
     }
     for (guint i = 0; i < target->pending_suspicions->len; i++) {
-        const struct pending_suspicion *pending = &g_array_index(
-            target->pending_suspicions, struct pending_suspicion, i);
+        const struct pending_suspicion *pending =
+            target->pending_suspicions->pdata[i];
 
         if (pending->no_progress && strcmp(pending->job, job->spec->id) == 0) {
             return true;
@@ -445,16 +524,21 @@
                  struct timespec now)
 {
     for (guint i = 0; i < target->pending_suspicions->len; i++) {
-        struct pending_suspicion *pending = &g_array_index(
-            target->pending_suspicions, struct pending_suspicion, i);
+        struct pending_suspicion *pending =
+            target->pending_suspicions->pdata[i];
         struct owner_task *task = suspected_task(owner, pending);
 
-        if (task == NULL || !pending->no_progress ||
-            pending->added_in_advance > 0) {
+        if (task == NULL || pending->added_in_advance > 0) {
+            continue;
+        }
+        if (!pending->no_progress) {
+            if (may_reach_limit(task)) {
+                delay_suspect(task, target, pending, now);
+            }
             continue;
         }
         pending->added_in_advance = SUSPICION_PRESENT;
-        add_suspicion(owner, task, target, pending, pending->added_in_advance,
+        add_suspicion(owner, task, pending, pending->added_in_advance,
                       "provisional");
         if (!has_other_cause(target, owner_task_job(task))) {
             delay_suspect(task, target, pending, now);
@@ -477,59 +561,144 @@
     }
 }
 
-/* True if the worker was known only to an earlier owner and was removed from
- * the list before this owner read it: without an address it cannot be polled,
- * and no other incarnation can be found at that address. */
-static bool
-cannot_be_resolved(const struct owner_target *target)
-{
-    return !target->listed && target->address[0] == '\0';
-}
-
 void
 owner_crashes_resolve(struct cw_owner *owner, struct owner_target *target,
                       struct timespec now)
 {
-    if (target->superseded || cannot_be_resolved(target)) {
+    if (target->superseded) {
         owner_crashes_confirmed(owner, target, 0);
+        return;
     }
-    else {
-        apply_in_advance(owner, target, now);
-    }
-}
-
-/* Refutes the crash after the same incarnation has answered: it was only
- * unresponsive. */
-static void
-refute_crash(struct cw_owner *owner, struct owner_target *target)
-{
-    cw_log_info("crash_refuted", "worker=%s runs=%u", target->id,
-                target->pending_suspicions->len);
-    for (guint i = 0; i < target->pending_suspicions->len; i++) {
-        revoke_suspicion(owner, &g_array_index(target->pending_suspicions,
-                                               struct pending_suspicion, i));
+    apply_in_advance(owner, target, now);
+    if (!target->listed && target->pending_suspicions->len > 0) {
+        owner_address_doubt(target);
     }
-    g_array_set_size(target->pending_suspicions, 0);
-    owner->placement_wanted = true;
 }
 
 void
 owner_crashes_answered(struct cw_owner *owner, struct owner_target *target,
                        int64_t boot_ms)
 {
-    const struct pending_suspicion *first;
+    unsigned confirmed = 0;
+    GPtrArray *taken;
 
     if (target->pending_suspicions->len == 0) {
         return;
     }
-    /* All entries are of the incarnation that was lost last. */
-    first = &g_array_index(target->pending_suspicions,
-                           struct pending_suspicion, 0);
-    if (first->boot_ms > 0 && boot_ms > 0 && first->boot_ms != boot_ms) {
-        owner_crashes_confirmed(owner, target, boot_ms);
+    taken = take_pending(owner, target);
+    for (guint i = 0; i < taken->len; i++) {
+        const struct pending_suspicion *pending = taken->pdata[i];
+
+        if (pending->boot_ms > 0 && boot_ms > 0 && pending->boot_ms != boot_ms)
+        {
+            apply_confirmed(owner, pending, boot_ms);
+            confirmed++;
+        }
+        else {
+            revoke_suspicion(owner, pending);
+        }
+    }
+    if (confirmed > 0) {
+        cw_count_add(owner->options.counters, CW_COUNT_CRASHES, 1);
     }
-    else {
-        refute_crash(owner, target);
+    if (confirmed < taken->len) {
+        cw_log_info("crash_refuted", "worker=%s runs=%u", target->id,
+                    taken->len - confirmed);
+    }
+    g_ptr_array_unref(taken);
+    owner->placement_wanted = true;
+}
+
+/* ---- pending suspicion that is stored ---- */
+
+void
+owner_crashes_encode(const struct owner_job *job,
+                     struct cw_work_extension *out)
+{
+    guint count = MIN(job->pending_suspicions->len, PENDING_STORED_MAX);
+
+    out->unresolved.unresolved_len = count;
+    out->unresolved.unresolved_val =
+        g_new0(struct cw_unresolved_record, count);
+    for (guint i = 0; i < count; i++) {
+        const struct pending_suspicion *pending =
+            job->pending_suspicions
+                ->pdata[job->pending_suspicions->len - count + i];
+
+        out->unresolved.unresolved_val[i] = (struct cw_unresolved_record){
+            .occurrence = pending->task.occurrence,
+            .step = pending->task.step,
+            .task = pending->task.index,
+            .run = pending->run,
+            .worker = pending->target->id,
+            .address = pending->address,
+            .boot_ms = pending->boot_ms,
+            .weight = pending->weight,
+            .added_in_advance = pending->added_in_advance,
+            .no_progress = pending->no_progress,
+            .unresponsive_at_ms = pending->unresponsive_at_ms};
+    }
+}
+
+void
+owner_crashes_restore(struct cw_owner *owner, struct owner_job *job,
+                      const struct cw_unresolved_record *record)
+{
+    struct pending_suspicion pending = {
+        .target = owner_target_get(owner, record->worker),
+        .task = {.occurrence = record->occurrence,
+                 .step = record->step,
+                 .index = record->task},
+        .run = record->run,
+        .boot_ms = record->boot_ms,
+        .weight = MIN(record->weight, SUSPICION_SOLE_CAUSE),
+        .added_in_advance = MIN(record->added_in_advance, SUSPICION_PRESENT),
+        .no_progress = record->no_progress,
+        .unresponsive_at_ms = record->unresponsive_at_ms};
+    struct owner_task *task = owner_job_task(job, &pending.task);
+
+    if (task == NULL) {
+        return;
+    }
+    owner_address_restore(pending.target, record->address, record->boot_ms);
+    owner_address_doubt(pending.target);
+    add_pending(job, &pending, record->address);
+    delay_restored(task, owner_now(owner));
+}
+
+static bool
+is_expired(const struct pending_suspicion *pending, int64_t wall_ms)
+{
+    return ABS(wall_ms - pending->unresponsive_at_ms) > PENDING_MAX_MS;
+}
+
+void
+owner_crashes_expire(struct cw_owner *owner)
+{
+    int64_t wall_ms = cw_clock_wall_ms(owner->options.clock);
+    GHashTableIter iterator;
+    gpointer value;
+
+    g_hash_table_iter_init(&iterator, owner->targets);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        GPtrArray *list = ((struct owner_target *)value)->pending_suspicions;
+
+        for (guint i = list->len; i > 0; i--) {
+            struct pending_suspicion *pending = list->pdata[i - 1];
+
+            if (is_expired(pending, wall_ms)) {
+                cw_log_info(
+                    "suspicion_expired",
+                    "id=%s task=%u.%u.%u run=%u worker=%s counted=%u "
+                    "listed=%d",
+                    pending->job, pending->task.occurrence, pending->task.step,
+                    pending->task.index, pending->run, pending->target->id,
+                    pending->added_in_advance, pending->target->listed);
+                revoke_suspicion(owner, pending);
+                unlink_from_job(owner, pending);
+                g_ptr_array_remove_index_fast(list, i - 1);
+            }
+        }
     }
 }
 
--- a/src/owner/owner_jobs.c
+++ b/src/owner/owner_jobs.c
@@ -23,6 +23,7 @@
     struct owner_job *job = data;
 
     g_ptr_array_unref(job->open);
+    g_ptr_array_unref(job->pending_suspicions);
     g_array_unref(job->places);
     g_free(job->result);
     g_free(job);
@@ -200,6 +201,7 @@
     job->spec = entry->spec;
     job->service = g_intern_string(entry->spec->service);
     job->open = g_ptr_array_new_with_free_func(owner_occurrence_free);
+    job->pending_suspicions = g_ptr_array_new();
     job->places =
         g_array_new(FALSE, FALSE, sizeof(struct owner_job_placement));
     g_array_set_clear_func(job->places, placement_clear);
--- a/src/owner/owner_state.c
+++ b/src/owner/owner_state.c
@@ -1,5 +1,6 @@
 /* Encodes the state of a job for the store, and restores a job from a state
  * that an earlier owner stored. */
+#include "owner/internal/owner_addresses.h"
 #include "owner/internal/owner_crashes.h"
 #include "owner/internal/owner_placement.h"
 
@@ -38,6 +39,11 @@
         run->boot_ms = which < record->lives.lives_len
                            ? record->lives.lives_val[which]
                            : 0;
+        if (which < record->extension.addresses.addresses_len) {
+            owner_address_restore(
+                run->target, record->extension.addresses.addresses_val[which],
+                run->boot_ms);
+        }
     }
 }
 
@@ -115,6 +121,10 @@
         }
     }
     restore_crashes(owner, job, record);
+    for (u_int i = 0; i < record->extension.unresolved.unresolved_len; i++) {
+        owner_crashes_restore(owner, job,
+                              &record->extension.unresolved.unresolved_val[i]);
+    }
 }
 
 bool
@@ -142,6 +152,7 @@
     GHashTable *index;     /* "ID BOOT_MS" -> row, from 1 */
     GPtrArray *names;      /* borrowed */
     GArray *boot_times_ms; /* int64_t */
+    GPtrArray *addresses;  /* borrowed */
     /* Longer checkpoints are left out. */
     size_t checkpoint_bytes_max;
 };
@@ -159,6 +170,7 @@
     }
     g_ptr_array_add(encoding->names, run->target->id);
     g_array_append_val(encoding->boot_times_ms, run->boot_ms);
+    g_ptr_array_add(encoding->addresses, (gpointer)owner_address_of_run(run));
     g_hash_table_insert(encoding->index, key,
                         GUINT_TO_POINTER(encoding->names->len));
     return encoding->names->len;
@@ -268,6 +280,7 @@
     g_free(record->open.open_val);
     g_free(record->crashes.crashes_val);
     g_free(record->places.places_val);
+    g_free(record->extension.unresolved.unresolved_val);
 }
 
 /* Fills in where the job has run.  Borrows the texts of the job. */
@@ -335,6 +348,17 @@
     return bytes;
 }
 
+static bool
+any_address_known(const GPtrArray *addresses)
+{
+    for (guint i = 0; i < addresses->len; i++) {
+        if (((const char *)addresses->pdata[i])[0] != '\0') {
+            return true;
+        }
+    }
+    return false;
+}
+
 static bool
 any_boot_time_known(const GArray *boot_times_ms)
 {
@@ -346,14 +370,17 @@
     return false;
 }
 
-/* Encodes the job without the checkpoints that are longer than a limit. */
+/* Encodes the job without the checkpoints that are longer than a limit, and
+ * without the extension if that is left out. */
 static GByteArray *
-encode_with(const struct owner_job *job, size_t checkpoint_bytes_max)
+encode_with(const struct owner_job *job, size_t checkpoint_bytes_max,
+            bool extended)
 {
     struct encoding encoding = {
         .index = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL),
         .names = g_ptr_array_new(),
         .boot_times_ms = g_array_new(FALSE, FALSE, sizeof(int64_t)),
+        .addresses = g_ptr_array_new(),
         .checkpoint_bytes_max = checkpoint_bytes_max,
     };
     struct cw_work_record record = outcome_of(job);
@@ -373,8 +400,17 @@
         record.lives.lives_len = encoding.boot_times_ms->len;
         record.lives.lives_val = (quad_t *)encoding.boot_times_ms->data;
     }
+    if (extended && any_address_known(encoding.addresses)) {
+        record.extension.addresses.addresses_len = encoding.addresses->len;
+        record.extension.addresses.addresses_val =
+            (cw_name *)encoding.addresses->pdata;
+    }
+    if (extended) {
+        owner_crashes_encode(job, &record.extension);
+    }
     bytes = cw_record_encode(&record);
     record_clear(&record);
+    g_ptr_array_unref(encoding.addresses);
     g_ptr_array_unref(encoding.names);
     g_array_unref(encoding.boot_times_ms);
     g_hash_table_unref(encoding.index);
@@ -458,12 +494,14 @@
 owner_job_encode(struct owner_job *job, size_t bytes_max)
 {
     /* Texts may be deflated to a fraction, or not at all. */
-    const size_t sums_max[] = {2 * bytes_max, bytes_max / 2, 0};
+    const size_t sums_max[] = {2 * bytes_max, bytes_max / 2, 0, 0};
     struct checkpoints all = checkpoints_up_to(job, SIZE_MAX);
 
     for (size_t i = 0; i < G_N_ELEMENTS(sums_max); i++) {
         size_t limit = checkpoint_limit(job, &all, sums_max[i]);
-        GByteArray *bytes = if_they_fit(encode_with(job, limit), bytes_max);
+        bool extended = i + 1 < G_N_ELEMENTS(sums_max);
+        GByteArray *bytes =
+            if_they_fit(encode_with(job, limit, extended), bytes_max);
 
         if (bytes != NULL) {
             log_left_out(job, &all, limit);
--- a/src/owner/owner_targets.c
+++ b/src/owner/owner_targets.c
@@ -40,7 +40,7 @@
         g_free(target->runs->pdata[i]);
     }
     g_ptr_array_unref(target->runs);
-    g_array_unref(target->pending_suspicions);
+    g_ptr_array_unref(target->pending_suspicions);
     g_ptr_array_unref(target->tombstones);
     g_array_unref(target->orphan_runs);
     clear_orders(&target->orders);
--- a/src/proto/cw_proto.h
+++ b/src/proto/cw_proto.h
@@ -156,6 +156,33 @@
 };
 typedef struct cw_crash_record cw_crash_record;
 
+struct cw_unresolved_record {
+	u_int occurrence;
+	u_int step;
+	u_int task;
+	u_int run;
+	cw_name worker;
+	cw_name address;
+	quad_t boot_ms;
+	u_int weight;
+	u_int added_in_advance;
+	bool_t no_progress;
+	quad_t unresponsive_at_ms;
+};
+typedef struct cw_unresolved_record cw_unresolved_record;
+
+struct cw_work_extension {
+	struct {
+		u_int addresses_len;
+		cw_name *addresses_val;
+	} addresses;
+	struct {
+		u_int unresolved_len;
+		cw_unresolved_record *unresolved_val;
+	} unresolved;
+};
+typedef struct cw_work_extension cw_work_extension;
+
 struct cw_work_record {
 	u_int phase;
 	bool_t started;
@@ -185,6 +212,7 @@
 		u_int lives_len;
 		quad_t *lives_val;
 	} lives;
+	cw_work_extension extension;
 };
 typedef struct cw_work_record cw_work_record;
 
@@ -371,6 +399,8 @@
 extern  bool_t xdr_cw_occurrence_record (XDR *, cw_occurrence_record*);
 extern  bool_t xdr_cw_place_record (XDR *, cw_place_record*);
 extern  bool_t xdr_cw_crash_record (XDR *, cw_crash_record*);
+extern  bool_t xdr_cw_unresolved_record (XDR *, cw_unresolved_record*);
+extern  bool_t xdr_cw_work_extension (XDR *, cw_work_extension*);
 extern  bool_t xdr_cw_work_record (XDR *, cw_work_record*);
 extern  bool_t xdr_cw_cancel_record (XDR *, cw_cancel_record*);
 extern  bool_t xdr_cw_vm_record (XDR *, cw_vm_record*);
@@ -400,6 +430,8 @@
 extern bool_t xdr_cw_occurrence_record ();
 extern bool_t xdr_cw_place_record ();
 extern bool_t xdr_cw_crash_record ();
+extern bool_t xdr_cw_unresolved_record ();
+extern bool_t xdr_cw_work_extension ();
 extern bool_t xdr_cw_work_record ();
 extern bool_t xdr_cw_cancel_record ();
 extern bool_t xdr_cw_vm_record ();
--- a/src/proto/cw_proto.x
+++ b/src/proto/cw_proto.x
@@ -148,10 +148,33 @@
     unsigned int suspicion;
 };
 
+/* A run that was lost with its worker, while it is not known whether the
+ * worker has crashed. */
+struct cw_unresolved_record {
+    unsigned int occurrence;
+    unsigned int step;
+    unsigned int task;
+    unsigned int run;
+    cw_name worker;
+    cw_name address;                 /* "": not known */
+    hyper boot_ms;                   /* of the worker's incarnation; 0:
+                                        unknown */
+    unsigned int weight;             /* suspicion that a crash adds */
+    unsigned int added_in_advance;   /* part of it that was added already */
+    bool no_progress;
+    hyper unresponsive_at_ms;        /* wall-clock time */
+};
+
+/* What a job's state tells of workers beyond their ids. */
+struct cw_work_extension {
+    cw_name addresses<CW_TASKS_MAX>; /* of `workers`, or empty */
+    cw_unresolved_record unresolved<CW_TASKS_MAX>;
+};
+
 /* The state of a job.  `phase` and `started` come first, as every VM reads
  * them.  Only the next owner reads the whole record; the record for all VMs
- * has neither `next_occurrence` nor the members after `result`.  `crashes` is
- * left out of the stored form while it is empty, see cw_record.h. */
+ * has neither `next_occurrence` nor the members after `result`.  What is empty
+ * at its end is left out of the stored form, see cw_record.h. */
 struct cw_work_record {
     unsigned int phase;              /* enum cw_work_phase */
     bool started;                    /* a task of the job has been started */
@@ -167,6 +190,7 @@
     cw_occurrence_record open<CW_OCCURRENCES_MAX>;
     cw_crash_record crashes<CW_TASKS_MAX>;
     hyper lives<CW_TASKS_MAX>;       /* boot times of `workers`, or empty */
+    cw_work_extension extension;
 };
 
 /* Request to cancel a job that its writer has not found.  It applies to a job
--- a/src/proto/cw_proto_xdr.c
+++ b/src/proto/cw_proto_xdr.c
@@ -644,6 +644,135 @@
 	return TRUE;
 }
 
+bool_t
+xdr_cw_unresolved_record (XDR *xdrs, cw_unresolved_record *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->occurrence))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->step))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->task))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->run))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->occurrence);
+		IXDR_PUT_U_LONG(buf, objp->step);
+		IXDR_PUT_U_LONG(buf, objp->task);
+		IXDR_PUT_U_LONG(buf, objp->run);
+		}
+		 if (!xdr_cw_name (xdrs, &objp->worker))
+			 return FALSE;
+		 if (!xdr_cw_name (xdrs, &objp->address))
+			 return FALSE;
+		 if (!xdr_quad_t (xdrs, &objp->boot_ms))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->weight))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->added_in_advance))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->no_progress))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->weight);
+		IXDR_PUT_U_LONG(buf, objp->added_in_advance);
+		IXDR_PUT_BOOL(buf, objp->no_progress);
+		}
+		 if (!xdr_quad_t (xdrs, &objp->unresponsive_at_ms))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->occurrence))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->step))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->task))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->run))
+				 return FALSE;
+
+		} else {
+		objp->occurrence = IXDR_GET_U_LONG(buf);
+		objp->step = IXDR_GET_U_LONG(buf);
+		objp->task = IXDR_GET_U_LONG(buf);
+		objp->run = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_cw_name (xdrs, &objp->worker))
+			 return FALSE;
+		 if (!xdr_cw_name (xdrs, &objp->address))
+			 return FALSE;
+		 if (!xdr_quad_t (xdrs, &objp->boot_ms))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->weight))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->added_in_advance))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->no_progress))
+				 return FALSE;
+
+		} else {
+		objp->weight = IXDR_GET_U_LONG(buf);
+		objp->added_in_advance = IXDR_GET_U_LONG(buf);
+		objp->no_progress = IXDR_GET_BOOL(buf);
+		}
+		 if (!xdr_quad_t (xdrs, &objp->unresponsive_at_ms))
+			 return FALSE;
+	 return TRUE;
+	}
+
+	 if (!xdr_u_int (xdrs, &objp->occurrence))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->step))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->task))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->run))
+		 return FALSE;
+	 if (!xdr_cw_name (xdrs, &objp->worker))
+		 return FALSE;
+	 if (!xdr_cw_name (xdrs, &objp->address))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->boot_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->weight))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->added_in_advance))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->no_progress))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->unresponsive_at_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_cw_work_extension (XDR *xdrs, cw_work_extension *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->addresses.addresses_val, (u_int *) &objp->addresses.addresses_len, CW_TASKS_MAX,
+		sizeof (cw_name), (xdrproc_t) xdr_cw_name))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->unresolved.unresolved_val, (u_int *) &objp->unresolved.unresolved_len, CW_TASKS_MAX,
+		sizeof (cw_unresolved_record), (xdrproc_t) xdr_cw_unresolved_record))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_cw_work_record (XDR *xdrs, cw_work_record *objp)
 {
@@ -690,6 +819,8 @@
 		 if (!xdr_array (xdrs, (char **)&objp->lives.lives_val, (u_int *) &objp->lives.lives_len, CW_TASKS_MAX,
 			sizeof (quad_t), (xdrproc_t) xdr_quad_t))
 			 return FALSE;
+		 if (!xdr_cw_work_extension (xdrs, &objp->extension))
+			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_u_int (xdrs, &objp->phase))
@@ -731,6 +862,8 @@
 		 if (!xdr_array (xdrs, (char **)&objp->lives.lives_val, (u_int *) &objp->lives.lives_len, CW_TASKS_MAX,
 			sizeof (quad_t), (xdrproc_t) xdr_quad_t))
 			 return FALSE;
+		 if (!xdr_cw_work_extension (xdrs, &objp->extension))
+			 return FALSE;
 	 return TRUE;
 	}
 
@@ -765,6 +898,8 @@
 	 if (!xdr_array (xdrs, (char **)&objp->lives.lives_val, (u_int *) &objp->lives.lives_len, CW_TASKS_MAX,
 		sizeof (quad_t), (xdrproc_t) xdr_quad_t))
 		 return FALSE;
+	 if (!xdr_cw_work_extension (xdrs, &objp->extension))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/tests/test_crashes.c
+++ b/tests/test_crashes.c
@@ -721,6 +721,178 @@
     cluster_end(&cluster);
 }
 
+/* ---- workers that are not listed ---- */
+
+/* Replaces the owner by another one that has read the job's state and, of the
+ * list of workers, all but this one. */
+static struct owner_job *
+take_over_without(struct cluster *cluster, struct owner_job *job,
+                  const struct owner_target *missing)
+{
+    GByteArray *state = owner_job_encode(job, cw_store_value_bytes_max(0));
+    char *id = g_strdup(missing->id);
+    struct owner_target *target;
+
+    cluster_end(cluster);
+    cluster_begin(cluster);
+    target = owner_target_get(cluster->owner, id);
+    target->listed = false;
+    target->answered = false;
+    g_free(target->address);
+    target->address = g_strdup("");
+    job = take_over(cluster, state);
+    g_byte_array_unref(state);
+    g_free(id);
+    return job;
+}
+
+/* Guards against LOST: a job shown as failed as four owners in a row did not
+ * find its workers in the list, which had lost their entries while the store
+ * was unavailable. */
+static void
+test_worker_missing_from_list_adds_no_suspicion(void)
+{
+    struct cluster cluster;
+    struct owner_job *job;
+
+    cluster_begin(&cluster);
+    job = add_job(&cluster, 0, &one);
+    for (unsigned i = 0; i < 2 * STARTS_MAX; i++) {
+        struct owner_target *target;
+
+        await_placement(&cluster, job);
+        CU_ASSERT_EQUAL_FATAL(placed(job), 1);
+        confirm_starts(&cluster, job);
+        target = (struct owner_target *)worker_of(job, 0);
+        g_free(target->address);
+        target->address = g_strdup(""); /* as in earlier versions' states */
+        job = take_over_without(&cluster, job, target);
+        target = (struct owner_target *)worker_of(job, 0);
+        CU_ASSERT_PTR_NOT_NULL_FATAL(target);
+        owner_target_lost(cluster.owner, target,
+                          &(struct owner_loss){.reason = "lease_over"});
+    }
+    CU_ASSERT_EQUAL(step_of(job)->tasks[0].suspicion, 0);
+    CU_ASSERT_FALSE(cw_work_is_over(job->phase));
+    cluster_end(&cluster);
+}
+
+/* Guards against runs that a new owner gives up, although their worker, which
+ * the list has lost, works on and could be asked. */
+static void
+test_worker_missing_from_list_is_asked_at_its_address(void)
+{
+    struct cluster cluster;
+    struct owner_job *job;
+    struct owner_target *target;
+
+    cluster_begin(&cluster);
+    job = add_job(&cluster, 0, &one);
+    await_placement(&cluster, job);
+    confirm_starts(&cluster, job);
+    job = take_over_without(&cluster, job, worker_of(job, 0));
+    target = (struct owner_target *)worker_of(job, 0);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(target);
+    cluster.owner->ownership_confirmed_at = cluster.clock.now;
+    owner_poll_tick(cluster.owner, target, cluster.clock.now);
+    CU_ASSERT_TRUE_FATAL(target->poll_in_flight);
+    CU_ASSERT_STRING_EQUAL(last_order.address, target->id);
+    answer_last(CW_TARGET_OTHER_INCARNATION);
+    CU_ASSERT_EQUAL(step_of(job)->tasks[0].suspicion, 3);
+    cluster_end(&cluster);
+}
+
+/* Loses the job's worker without an answer, and replaces the owner.  Returns
+ * the worker. */
+static struct owner_target *
+lose_and_take_over(struct cluster *cluster, struct owner_job **job)
+{
+    struct owner_target *target;
+    char *id;
+
+    *job = add_job(cluster, 0, &one);
+    await_placement(cluster, *job);
+    confirm_starts(cluster, *job);
+    target = (struct owner_target *)worker_of(*job, 0);
+    id = g_strdup(target->id);
+    lose_unresponsive(cluster, target);
+    *job = take_over_without(cluster, *job, target);
+    CU_ASSERT_EQUAL(step_of(*job)->tasks[0].suspicion, 3);
+    target = owner_target_get(cluster->owner, id);
+    g_free(id);
+    return target;
+}
+
+/* Guards against suspicion that only the owner which added it could revoke,
+ * and against a crash that a new owner counts for less than it proves. */
+static void
+test_pending_suspicion_is_resolved_by_next_owner(void)
+{
+    struct cluster cluster;
+    struct owner_job *job;
+    struct owner_target *target;
+
+    cluster_begin(&cluster);
+    target = lose_and_take_over(&cluster, &job);
+    CU_ASSERT_EQUAL(job->pending_suspicions->len, 1);
+    owner_crashes_answered(cluster.owner, target, 0);
+    CU_ASSERT_EQUAL(step_of(job)->tasks[0].suspicion, 0);
+    CU_ASSERT_EQUAL(job->pending_suspicions->len, 0);
+    cluster_end(&cluster);
+
+    cluster_begin(&cluster);
+    target = lose_and_take_over(&cluster, &job);
+    cluster.owner->ownership_confirmed_at = cluster.clock.now;
+    owner_poll_tick(cluster.owner, target, cluster.clock.now);
+    CU_ASSERT_TRUE_FATAL(target->poll_in_flight);
+    answer_last(CW_TARGET_OTHER_INCARNATION);
+    CU_ASSERT_EQUAL(step_of(job)->tasks[0].suspicion, 6);
+    cluster_end(&cluster);
+}
+
+/* Guards against BUDGET: a sixth start of a task that crashes its workers,
+ * while it was not known yet that the worker of its inherited run had crashed,
+ * which ends the job. */
+static void
+test_inherited_loss_near_the_limit_delays_the_task(void)
+{
+    struct cluster cluster;
+    struct owner_job *job;
+
+    cluster_begin(&cluster);
+    job = add_job(&cluster, 0, &one);
+    await_placement(&cluster, job);
+    confirm_starts(&cluster, job);
+    owner_task_set_suspicion(&step_of(job)->tasks[0], 9);
+    job = take_over_without(&cluster, job, worker_of(job, 0));
+    lose_unresponsive(&cluster, (struct owner_target *)worker_of(job, 0));
+    CU_ASSERT_EQUAL(step_of(job)->tasks[0].suspicion, 9);
+    pass(&cluster, 2400);
+    CU_ASSERT_EQUAL(placed(job), 0);
+    pass(&cluster, 150);
+    CU_ASSERT_EQUAL(placed(job), 1);
+    cluster_end(&cluster);
+}
+
+/* Guards against suspicion that nobody resolves and that lasts for months. */
+static void
+test_pending_suspicion_expires(void)
+{
+    struct cluster cluster;
+    struct owner_job *job;
+
+    cluster_begin(&cluster);
+    (void)lose_and_take_over(&cluster, &job);
+    cluster.clock.wall_offset_ms += 50000;
+    owner_crashes_expire(cluster.owner);
+    CU_ASSERT_EQUAL(step_of(job)->tasks[0].suspicion, 3);
+    cluster.clock.wall_offset_ms += 20000;
+    owner_crashes_expire(cluster.owner);
+    CU_ASSERT_EQUAL(step_of(job)->tasks[0].suspicion, 0);
+    CU_ASSERT_EQUAL(job->pending_suspicions->len, 0);
+    cluster_end(&cluster);
+}
+
 /* ---- suspects start apart from other runs ---- */
 
 static void
@@ -811,6 +983,15 @@
     {"given up in the log", test_given_up_task_logs_both_limits},
     {"mass silence", test_suspect_is_not_delayed_by_mass_silence},
     {"no other cause", test_suspect_is_delayed_without_other_cause},
+    {"worker missing from the list",
+     test_worker_missing_from_list_adds_no_suspicion},
+    {"missing worker asked",
+     test_worker_missing_from_list_is_asked_at_its_address},
+    {"pending suspicion, next owner",
+     test_pending_suspicion_is_resolved_by_next_owner},
+    {"inherited loss near the limit",
+     test_inherited_loss_near_the_limit_delays_the_task},
+    {"pending suspicion expires", test_pending_suspicion_expires},
     {"idle worker", test_suspect_is_started_on_idle_worker},
     {"beside a suspect",
      test_nothing_is_placed_beside_suspect_without_progress},
--- a/tests/test_record.c
+++ b/tests/test_record.c
@@ -97,6 +97,40 @@
     check_crashes(TASKS);
 }
 
+/* Guards against states of jobs that an earlier version, which stops reading
+ * after the deflated rest, cannot decode. */
+static void
+test_extension_follows_the_earlier_format(void)
+{
+    cw_name addresses[] = {(char *)"127.0.0.1:7000"};
+    struct cw_unresolved_record unresolved = {
+        .task = 1, .worker = (char *)"w", .address = (char *)"a", .weight = 6};
+    struct sample sample;
+    struct cw_work_record out = {0};
+    GByteArray *without;
+    GByteArray *with;
+
+    sample_init(&sample, TASKS);
+    without = cw_record_encode(&sample.record);
+    sample.record.extension.addresses.addresses_len = 1;
+    sample.record.extension.addresses.addresses_val = addresses;
+    sample.record.extension.unresolved.unresolved_len = 1;
+    sample.record.extension.unresolved.unresolved_val = &unresolved;
+    with = cw_record_encode(&sample.record);
+    CU_ASSERT_EQUAL(with->data[0], without->data[0]);
+    CU_ASSERT_TRUE_FATAL(cw_record_decode(with->data, with->len, &out));
+    CU_ASSERT_EQUAL(out.open.open_len, 1);
+    CU_ASSERT_EQUAL_FATAL(out.extension.addresses.addresses_len, 1);
+    CU_ASSERT_STRING_EQUAL(out.extension.addresses.addresses_val[0],
+                           addresses[0]);
+    CU_ASSERT_EQUAL_FATAL(out.extension.unresolved.unresolved_len, 1);
+    CU_ASSERT_EQUAL(out.extension.unresolved.unresolved_val[0].weight, 6);
+    xdr_free((xdrproc_t)xdr_cw_work_record, (char *)&out);
+    CU_ASSERT_FALSE(cw_record_decode(with->data, with->len - 1, &out));
+    g_byte_array_unref(without);
+    g_byte_array_unref(with);
+}
+
 static void
 test_round_trip_of_small_and_large_records(void)
 {
@@ -140,6 +174,7 @@
 
 static const struct test tests[] = {
     {"crashes", test_crashes_are_encoded_after_the_earlier_format},
+    {"extension", test_extension_follows_the_earlier_format},
     {"round trip", test_round_trip_of_small_and_large_records},
     {"size", test_wide_job_is_deflated_to_a_quarter},
     {"damage", test_damaged_bytes_are_rejected},
