Owner: a crash of many unrelated workers is not caused by a start

Cause: workers that become unresponsive at the same moment lessened the suspicion only of tasks that had shown progress. A task that had just been started counted 6 of 12, as if it alone could be the cause; twice ends its job.

Change: with 3 or more workers that the job cannot have crashed, and that became unresponsive within 0.5 s, a start counts 3 of 12; with 8 or more, 1.

Failing before: test_crashes/restart of many workers (6, 6 and 6).

--- a/src/owner/owner_crashes.c
+++ b/src/owner/owner_crashes.c
@@ -59,6 +59,9 @@
      * each, 361 are given up without this rule and 316 with it. */
     MASS_CRASH_WINDOW_MS = 500,
     MASS_CRASH_WORKERS_MIN = 3,
+    /* If this many others do that a job cannot have crashed, none of its
+     * starts is the cause. */
+    UNRELATED_WORKERS_CERTAIN = 8,
     /* A worker whose next incarnation starts within this time was unresponsive
      * because it crashed: crashed workers are unavailable for up to 3.4 s. */
     CRASH_CERTAIN_MS = 4000,
@@ -229,9 +232,57 @@
     return count >= MASS_CRASH_WORKERS_MIN;
 }
 
+/* True if the worker, or a run that was lost with it, may have been crashed by
+ * a start of the job. */
+static bool
+may_be_crashed_by(const struct owner_target *target,
+                  const struct owner_job *job)
+{
+    for (guint i = 0; i < target->runs->len; i++) {
+        const struct owner_run *run = target->runs->pdata[i];
+
+        if (may_be_cause(run) && owner_task_job(run->task) == job) {
+            return true;
+        }
+    }
+    for (guint i = 0; i < target->pending_suspicions->len; i++) {
+        const struct pending_suspicion *pending =
+            target->pending_suspicions->pdata[i];
+
+        if (pending->no_progress && strcmp(pending->job, job->spec->id) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Number, up to `limit`, of workers that became unresponsive at the same time,
+ * still are, and cannot have been crashed by the job: if there are many, the
+ * cause is another one. */
+static unsigned
+count_unrelated(const struct owner_target *target, const struct owner_job *job,
+                unsigned limit)
+{
+    GHashTableIter iterator;
+    gpointer value;
+    unsigned count = 0;
+
+    g_hash_table_iter_init(&iterator, target->owner->targets);
+    while (count < limit && g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const struct owner_target *other = value;
+
+        count += other != target && other->unanswered_polls > 0 &&
+                 is_unresponsive_since_same_time(target, other) &&
+                 !may_be_crashed_by(other, job);
+    }
+    return count;
+}
+
 static unsigned
 suspicion_weight(const struct owner_run *run, struct timespec now)
 {
+    unsigned unrelated;
+
     if (!may_have_been_on_worker(run) || is_steady(run, now)) {
         return 0;
     }
@@ -240,10 +291,16 @@
     {
         return SUSPICION_MASS_CRASH;
     }
+    unrelated = count_unrelated(run->target, owner_task_job(run->task),
+                                UNRELATED_WORKERS_CERTAIN);
+    if (run->phase == RUN_RUNNING && unrelated >= UNRELATED_WORKERS_CERTAIN) {
+        return SUSPICION_MASS_CRASH;
+    }
     /* A task that has made progress does not crash its workers as it
      * starts. */
     if (run->phase != RUN_RUNNING || !shows_no_progress(run) ||
-        run->task->shown_progress || !owner_gang_ends_may_be_first(run))
+        run->task->shown_progress || !owner_gang_ends_may_be_first(run) ||
+        unrelated >= MASS_CRASH_WORKERS_MIN)
     {
         return SUSPICION_PRESENT;
     }
@@ -320,15 +377,16 @@
 
 static void
 add_suspicion(struct cw_owner *owner, struct owner_task *task,
-              const struct pending_suspicion *pending, unsigned weight,
+              const struct pending_suspicion *pending, int weight,
               const char *evidence)
 {
     const struct owner_target *target = pending->target;
 
-    owner_task_set_suspicion(task, task->suspicion + weight);
+    owner_task_set_suspicion(task,
+                             (unsigned)MAX(0, (int)task->suspicion + weight));
     owner_job_mark_dirty(owner, owner_task_job(task));
     cw_log_info("task_suspect",
-                "id=%s task=%u.%u.%u run=%u worker=%s crashed=%d counts=%u "
+                "id=%s task=%u.%u.%u run=%u worker=%s crashed=%d counts=%d "
                 "suspicion=%u limit=%d evidence=%s born_ms=%" PRId64
                 " epoch=%" PRIu64 " listed=%d heard_ms=%" PRId64,
                 pending->job, pending->task.occurrence, pending->task.step,
@@ -354,18 +412,19 @@
                 task->last_run);
 }
 
-/* Suspicion that counts if the worker's next incarnation has this boot time
- * (0: unknown).  A worker that was unresponsive for long before may have been
- * cut off: the run may have ended there without this VM receiving its end, and
- * the worker may have crashed later. */
-static unsigned
-weight_if_booted(const struct pending_suspicion *pending, int64_t boot_ms)
+/* Suspicion that is added if the worker's next incarnation has this boot time
+ * (0: unknown); negative if more was added in advance.  A worker that was
+ * unresponsive for long before may have been cut off: the run may have ended
+ * there without this VM receiving its end, and the worker may have crashed
+ * later. */
+static int
+to_add_if_booted(const struct pending_suspicion *pending, int64_t boot_ms)
 {
     unsigned weight = boot_ms - pending->unresponsive_at_ms > CRASH_CERTAIN_MS
                           ? MIN(pending->weight, SUSPICION_PRESENT)
                           : pending->weight;
 
-    return MAX(weight, pending->added_in_advance);
+    return (int)weight - (int)pending->added_in_advance;
 }
 
 /* Adds the suspicion for a confirmed crash in full, which may end the task's
@@ -381,9 +440,7 @@
         return;
     }
     task->delayed_until = cw_time_from_ms(0);
-    add_suspicion(owner, task, pending,
-                  weight_if_booted(pending, boot_ms) -
-                      pending->added_in_advance,
+    add_suspicion(owner, task, pending, to_add_if_booted(pending, boot_ms),
                   "other_incarnation");
     if (task->suspicion >= SUSPICION_LIMIT) {
         owner_task_log_given_up(task, "crashes");
@@ -416,14 +473,14 @@
 may_reach_limit(const struct owner_task *task)
 {
     const struct owner_job *job = owner_task_job(task);
-    unsigned suspicion = task->suspicion;
+    int suspicion = (int)task->suspicion;
 
     for (guint i = 0; i < job->pending_suspicions->len; i++) {
         const struct pending_suspicion *pending =
             job->pending_suspicions->pdata[i];
 
         if (owner_job_task(job, &pending->task) == task) {
-            suspicion += pending->weight - pending->added_in_advance;
+            suspicion += to_add_if_booted(pending, 0);
         }
     }
     return suspicion >= SUSPICION_LIMIT;
@@ -471,52 +528,6 @@
     }
 }
 
-/* True if the worker, or a run that was lost with it, may have been crashed by
- * a start of the job. */
-static bool
-may_be_crashed_by(const struct owner_target *target,
-                  const struct owner_job *job)
-{
-    for (guint i = 0; i < target->runs->len; i++) {
-        const struct owner_run *run = target->runs->pdata[i];
-
-        if (may_be_cause(run) && owner_task_job(run->task) == job) {
-            return true;
-        }
-    }
-    for (guint i = 0; i < target->pending_suspicions->len; i++) {
-        const struct pending_suspicion *pending =
-            target->pending_suspicions->pdata[i];
-
-        if (pending->no_progress && strcmp(pending->job, job->spec->id) == 0) {
-            return true;
-        }
-    }
-    return false;
-}
-
-/* True if workers that the job cannot have crashed became unresponsive at the
- * same time and still are, so that the cause is probably another one. */
-static bool
-has_other_cause(const struct owner_target *target, const struct owner_job *job)
-{
-    GHashTableIter iterator;
-    gpointer value;
-    unsigned count = 0;
-
-    g_hash_table_iter_init(&iterator, target->owner->targets);
-    while (count < MASS_CRASH_WORKERS_MIN &&
-           g_hash_table_iter_next(&iterator, NULL, &value))
-    {
-        const struct owner_target *other = value;
-
-        count += other != target && other->unanswered_polls > 0 &&
-                 is_unresponsive_since_same_time(target, other) &&
-                 !may_be_crashed_by(other, job);
-    }
-    return count >= MASS_CRASH_WORKERS_MIN;
-}
-
 /* Adds suspicion in advance while it is unknown whether the worker has
  * crashed. */
 static void
@@ -538,9 +549,11 @@
             continue;
         }
         pending->added_in_advance = SUSPICION_PRESENT;
-        add_suspicion(owner, task, pending, pending->added_in_advance,
+        add_suspicion(owner, task, pending, (int)pending->added_in_advance,
                       "provisional");
-        if (!has_other_cause(target, owner_task_job(task))) {
+        if (count_unrelated(target, owner_task_job(task),
+                            MASS_CRASH_WORKERS_MIN) < MASS_CRASH_WORKERS_MIN)
+        {
             delay_suspect(task, target, pending, now);
         }
     }
--- a/tests/test_crashes.c
+++ b/tests/test_crashes.c
@@ -505,20 +505,14 @@
     cluster_end(&cluster);
 }
 
-/* Makes this many workers unresponsive, beside that of the job, and then the
- * job a suspect whose worker is given up. */
+/* Makes the worker and this many others unresponsive. */
 static void
-lose_with_others(struct cluster *cluster, struct owner_job *job,
-                 unsigned others)
+make_unresponsive(struct cluster *cluster, struct owner_target *target,
+                  unsigned others)
 {
-    struct owner_target *target;
     GHashTableIter iterator;
     gpointer value;
 
-    CU_ASSERT_EQUAL(crash_until_over(cluster, job, 1), 1);
-    pass(cluster, 10);
-    confirm_starts(cluster, job);
-    target = (struct owner_target *)worker_of(job, 0);
     target->unanswered_since = cluster->clock.now;
     g_hash_table_iter_init(&iterator, cluster->owner->targets);
     while (others > 0 && g_hash_table_iter_next(&iterator, NULL, &value)) {
@@ -530,10 +524,57 @@
             others--;
         }
     }
+}
+
+/* Makes this many workers unresponsive, beside that of the job, and then the
+ * job a suspect whose worker is given up. */
+static void
+lose_with_others(struct cluster *cluster, struct owner_job *job,
+                 unsigned others)
+{
+    struct owner_target *target;
+
+    CU_ASSERT_EQUAL(crash_until_over(cluster, job, 1), 1);
+    pass(cluster, 10);
+    confirm_starts(cluster, job);
+    target = (struct owner_target *)worker_of(job, 0);
+    make_unresponsive(cluster, target, others);
     lose_unresponsive(cluster, target);
     pass(cluster, 10);
 }
 
+/* Suspicion of a task that had just been started on a worker which crashes
+ * together with others. */
+static unsigned
+suspicion_after_crash_with(unsigned others)
+{
+    struct cluster cluster;
+    struct owner_job *job;
+    struct owner_target *target;
+    unsigned suspicion;
+
+    cluster_begin(&cluster);
+    job = add_job(&cluster, 0, &one);
+    pass(&cluster, 10);
+    confirm_starts(&cluster, job);
+    target = (struct owner_target *)worker_of(job, 0);
+    make_unresponsive(&cluster, target, others);
+    crash(&cluster, target);
+    suspicion = step_of(job)->tasks[0].suspicion;
+    cluster_end(&cluster);
+    return suspicion;
+}
+
+/* Guards against jobs that are given up because many workers restarted at
+ * once, twice, just after a task had been started on one of them. */
+static void
+test_restart_of_many_workers_counts_little(void)
+{
+    CU_ASSERT_EQUAL(suspicion_after_crash_with(2), 6);
+    CU_ASSERT_EQUAL(suspicion_after_crash_with(3), 3);
+    CU_ASSERT_EQUAL(suspicion_after_crash_with(8), 1);
+}
+
 /* Guards against a delay of 2.5 s for each task that had just been started
  * behind a cut, and against suspicion that a new owner could not know. */
 static void
@@ -981,6 +1022,7 @@
     {"gang of a delayed suspect", test_gang_waits_for_delayed_member},
     {"delay in the log", test_delay_is_logged_once},
     {"given up in the log", test_given_up_task_logs_both_limits},
+    {"restart of many workers", test_restart_of_many_workers_counts_little},
     {"mass silence", test_suspect_is_not_delayed_by_mass_silence},
     {"no other cause", test_suspect_is_delayed_without_other_cause},
     {"worker missing from the list",
