Replica: jobs that were deleted in dropped history do not exist

Cause: not being able to know was stored as knowledge. A load brings the newest record of each key and no deletions, and the replica kept all that it knew.

Change: a load is read aside and compared at its end. Jobs whose specification or outcome is older than the load's first page and is missing, whose attempts to cancel are missing, or whose id was used again are removed; an owner that holds one drops ownership. What was read is added to the others. Until then known jobs can be queried.

--- a/include/curlewcart/cw_replica.h
+++ b/include/curlewcart/cw_replica.h
@@ -11,8 +11,13 @@
  * fencing).  Their order in the log counts: a cancellation takes effect if it
  * comes before the record that ends the job.  It may come before the
  * specification: a VM that does not find a job cannot know whether a write of
- * the job is still in flight.  What else an owner has to store
- * about a job goes into another log (CW_STATE_TOPIC).
+ * the job is still in flight.
+ *
+ * If the store has dropped records that were not read yet, the newest record
+ * of each key is loaded.  What such a load does not contain, and what the log
+ * does not bring from the load's first page on, does not exist any more.  What
+ * else an owner has to store about a job goes into another log
+ * (CW_STATE_TOPIC).
  */
 #ifndef CURLEWCART_CW_REPLICA_H
 #define CURLEWCART_CW_REPLICA_H
@@ -130,6 +135,9 @@
 struct cw_replica_listener {
     /* A job's specification or cancellation was read. */
     void (*job_changed)(void *context, struct cw_replica_job *job);
+    /* A job does not exist any more: its records were deleted in a part of the
+     * log that this VM has not read.  It is freed after the call. */
+    void (*job_removed)(void *context, const struct cw_replica_job *job);
     /* A hint was read: ends of runs that a former owner could not store. */
     void (*hint_received)(void *context, const struct cw_replica_job *job,
                           const struct cw_hint_record *hint);
--- a/src/owner/owner.c
+++ b/src/owner/owner.c
@@ -332,6 +332,18 @@
     }
 }
 
+/* An owner that holds a job which does not exist any more was replaced by
+ * another one, which has deleted it. */
+static void
+on_job_removed(void *context, const struct cw_replica_job *entry)
+{
+    struct cw_owner *owner = context;
+
+    if (g_hash_table_contains(owner->jobs, entry->id)) {
+        owner_drop_ownership(owner, "job_deleted");
+    }
+}
+
 static void
 on_hint_received(void *context, const struct cw_replica_job *entry,
                  const struct cw_hint_record *hint)
@@ -418,6 +430,7 @@
 {
     struct cw_owner *owner = g_new0(struct cw_owner, 1);
     struct cw_replica_listener listener = {.job_changed = on_job_changed,
+                                           .job_removed = on_job_removed,
                                            .hint_received = on_hint_received,
                                            .vm_announced = on_vm_announced,
                                            .epoch_began = on_epoch_began,
--- a/src/replica/replica.c
+++ b/src/replica/replica.c
@@ -8,13 +8,22 @@
 #include "curlewcart/cw_record.h"
 #include "curlewcart/cw_xdr.h"
 
-enum { READ_WAIT_MS = 1000 };
+enum {
+    READ_WAIT_MS = 1000,
+    /* Jobs are kept for at least this long after their end: until then their
+     * ids cannot be used for other jobs. */
+    ID_KEPT_MS = 60000
+};
 
 struct cw_replica {
     struct cw_follower *follower;
     struct cw_replica_listener listener;
     struct cw_clock *clock;
     GHashTable *jobs;
+    /* The jobs as a load has read them so far; NULL: no load is in progress
+     * that may replace jobs. */
+    GHashTable *loaded_jobs;
+    bool loaded;             /* a load has ended */
     GHashTable *lease_notes; /* worker -> struct cw_replica_lease_note */
     GHashTable *epochs;      /* VM -> struct cw_replica_epoch */
 };
@@ -31,6 +40,9 @@
 static void
 hint_free(gpointer hint)
 {
+    if (hint == NULL) {
+        return; /* it was moved to another job */
+    }
     xdr_free((xdrproc_t)xdr_cw_hint_record, hint);
     g_free(hint);
 }
@@ -61,10 +73,18 @@
     g_free(cancel->account);
 }
 
+/* The jobs that the records read now belong to. */
+static GHashTable *
+jobs_being_read(struct cw_replica *replica)
+{
+    return replica->loaded_jobs != NULL ? replica->loaded_jobs : replica->jobs;
+}
+
 static struct cw_replica_job *
 find_or_add(struct cw_replica *replica, const char *id)
 {
-    struct cw_replica_job *job = g_hash_table_lookup(replica->jobs, id);
+    GHashTable *jobs = jobs_being_read(replica);
+    struct cw_replica_job *job = g_hash_table_lookup(jobs, id);
 
     if (job == NULL) {
         job = g_new0(struct cw_replica_job, 1);
@@ -76,7 +96,7 @@
         job->cancel_keys = g_ptr_array_new_with_free_func(g_free);
         job->hints = g_ptr_array_new_with_free_func(hint_free);
         job->hint_keys = g_ptr_array_new_with_free_func(g_free);
-        g_hash_table_insert(replica->jobs, job->id, job);
+        g_hash_table_insert(jobs, job->id, job);
     }
     return job;
 }
@@ -84,11 +104,37 @@
 static void
 notify_job_changed(struct cw_replica *replica, struct cw_replica_job *job)
 {
-    if (replica->listener.job_changed != NULL && job->spec != NULL) {
+    if (replica->listener.job_changed != NULL && job->spec != NULL &&
+        replica->loaded_jobs == NULL)
+    {
         replica->listener.job_changed(replica->listener.context, job);
     }
 }
 
+static void
+notify_hint(struct cw_replica *replica, const struct cw_replica_job *job,
+            const struct cw_hint_record *hint)
+{
+    if (replica->listener.hint_received != NULL &&
+        replica->loaded_jobs == NULL) {
+        replica->listener.hint_received(replica->listener.context, job, hint);
+    }
+}
+
+static void
+notify_job_removed(struct cw_replica *replica,
+                   const struct cw_replica_job *job)
+{
+    cw_log_info("job_removed",
+                "id=%s spec_offset=%" PRIu64 " record_offset=%" PRIu64
+                " position=%" PRIu64,
+                job->id, job->spec_offset, job->record_offset,
+                cw_follower_position(replica->follower));
+    if (replica->listener.job_removed != NULL) {
+        replica->listener.job_removed(replica->listener.context, job);
+    }
+}
+
 /* ---- cancellations ---- */
 
 /* Returns false if the key was known. */
@@ -232,9 +278,7 @@
         return;
     }
     g_ptr_array_add(job->hints, hint);
-    if (replica->listener.hint_received != NULL) {
-        replica->listener.hint_received(replica->listener.context, job, hint);
-    }
+    notify_hint(replica, job, hint);
 }
 
 static void
@@ -379,6 +423,21 @@
     }
 }
 
+/* Removes the job, unless the deletion is of an earlier job with that id:
+ * after a load the log is read again from its first page on. */
+static void
+delete_job(struct cw_replica *replica, const char *id,
+           const struct cw_store_record *record)
+{
+    GHashTable *jobs = jobs_being_read(replica);
+    const struct cw_replica_job *job = g_hash_table_lookup(jobs, id);
+
+    if (job != NULL &&
+        (job->spec == NULL || job->spec_offset < record->offset)) {
+        g_hash_table_remove(jobs, id);
+    }
+}
+
 /* Applies a record according to the kind in its key; if it is a job's record,
  * `id` is the job's id. */
 static void
@@ -390,7 +449,7 @@
          * keys of a job in one batch, its CW_WORK_KEY_RECORD last: only then
          * is the job removed. */
         if (record->key[0] == CW_WORK_KEY_RECORD) {
-            g_hash_table_remove(replica->jobs, id);
+            delete_job(replica, id, record);
         }
         else if (record->key[0] == CW_WORK_KEY_LEASE_NOTE) {
             drop_lease_note(replica, record);
@@ -468,15 +527,199 @@
     cw_replica_apply(context, record);
 }
 
-/* Removes all lease notes before a load.  Records that the store no longer
- * retains may include one that dropped a note; the load delivers all notes
- * that are in force. */
+/* ---- loads ---- */
+
+static GHashTable *
+new_jobs(void)
+{
+    return g_hash_table_new_full(g_str_hash, g_str_equal, NULL, job_free);
+}
+
+/* Prepares for a load.  Records that the store no longer retains may include
+ * one that dropped a lease note, or that deleted a job; the load delivers all
+ * that exist.  Until it has ended the jobs known before are kept, so that
+ * callers can query them. */
 static void
 on_reset(void *context)
 {
     struct cw_replica *replica = context;
 
     g_hash_table_remove_all(replica->lease_notes);
+    g_clear_pointer(&replica->loaded_jobs, g_hash_table_unref);
+    if (replica->loaded) {
+        replica->loaded_jobs = new_jobs();
+    }
+}
+
+/* True if the load has read another job that was submitted under the id later.
+ * Two VMs may store submissions of one id before either has read the other's:
+ * the first one counts, and the load has only the second one. */
+static bool
+id_was_used_again(const struct cw_replica_job *job,
+                  const struct cw_replica_job *loaded)
+{
+    return job->spec != NULL && loaded->spec != NULL &&
+           loaded->spec->body_hash != job->spec->body_hash &&
+           loaded->spec->accepted_ms - job->spec->accepted_ms > ID_KEPT_MS;
+}
+
+/* True if an attempt to cancel the job is missing from what the load has read
+ * of its id.  Attempts are deleted with their job. */
+static bool
+cancel_missing(const struct cw_replica_job *job,
+               const struct cw_replica_job *loaded)
+{
+    for (guint i = 0; i < job->cancel_keys->len; i++) {
+        if (!g_ptr_array_find_with_equal_func(loaded->cancel_keys,
+                                              job->cancel_keys->pdata[i],
+                                              g_str_equal, NULL))
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* True if a load shows that the job, or the one that had its id, was deleted.
+ * `loaded` is what the load has read of its id, or NULL.  A record that was
+ * written after the load's first page may be missing from the load. */
+static bool
+was_deleted(const struct cw_replica_job *job,
+            const struct cw_replica_job *loaded, uint64_t position)
+{
+    bool spec_missing = job->spec != NULL && job->spec_offset < position &&
+                        (loaded == NULL || loaded->spec == NULL);
+    bool record_missing = job->record != NULL &&
+                          job->record_offset < position &&
+                          (loaded == NULL || loaded->record == NULL);
+
+    if (loaded == NULL) {
+        return spec_missing || record_missing ||
+               (job->spec == NULL && job->record == NULL);
+    }
+    return spec_missing || record_missing || id_was_used_again(job, loaded) ||
+           cancel_missing(job, loaded);
+}
+
+static void
+merge_record(struct cw_replica_job *job, struct cw_replica_job *loaded)
+{
+    if (loaded->record == NULL ||
+        (job->record != NULL && job->record_offset >= loaded->record_offset))
+    {
+        return;
+    }
+    g_clear_pointer(&job->record, g_bytes_unref);
+    job->record = g_steal_pointer(&loaded->record);
+    job->record_offset = loaded->record_offset;
+    job->recorded_phase = loaded->recorded_phase;
+    job->started = loaded->started;
+    job->ended_ms = loaded->ended_ms;
+}
+
+static void
+merge_hints(struct cw_replica *replica, struct cw_replica_job *job,
+            struct cw_replica_job *loaded)
+{
+    /* An invalid hint has only a key. */
+    bool paired = loaded->hints->len == loaded->hint_keys->len;
+
+    for (guint i = 0; i < loaded->hint_keys->len; i++) {
+        const char *key = loaded->hint_keys->pdata[i];
+
+        if (g_ptr_array_find_with_equal_func(job->hint_keys, key, g_str_equal,
+                                             NULL)) {
+            continue;
+        }
+        g_ptr_array_add(job->hint_keys, g_strdup(key));
+        if (paired) {
+            g_ptr_array_add(job->hints,
+                            g_steal_pointer(&loaded->hints->pdata[i]));
+            notify_hint(replica, job, job->hints->pdata[job->hints->len - 1]);
+        }
+    }
+}
+
+static void
+merge_cancels(struct cw_replica_job *job, struct cw_replica_job *loaded)
+{
+    for (guint i = 0; i < loaded->cancel_keys->len; i++) {
+        (void)add_cancel_key(job, loaded->cancel_keys->pdata[i]);
+    }
+    for (guint i = 0; i < loaded->unknown_cancels->len; i++) {
+        struct cw_replica_cancel *cancel = &g_array_index(
+            loaded->unknown_cancels, struct cw_replica_cancel, i);
+
+        g_array_append_val(job->unknown_cancels, *cancel);
+        cancel->queue = NULL;
+        cancel->account = NULL;
+    }
+    if (loaded->cancelled) {
+        (void)set_cancelled(job, loaded->cancel_offset);
+    }
+}
+
+/* Adds to a job that still exists what the load has read of it. */
+static void
+merge_job(struct cw_replica *replica, struct cw_replica_job *job,
+          struct cw_replica_job *loaded)
+{
+    bool was_cancelled = job->cancelled;
+    bool had_spec = job->spec != NULL;
+
+    merge_record(job, loaded);
+    if (!had_spec) {
+        job->spec = g_steal_pointer(&loaded->spec);
+        job->spec_offset = loaded->spec_offset;
+    }
+    merge_cancels(job, loaded);
+    merge_hints(replica, job, loaded);
+    if (job->cancelled != was_cancelled || !had_spec) {
+        notify_job_changed(replica, job);
+    }
+}
+
+static void
+remove_deleted(struct cw_replica *replica, GHashTable *loaded,
+               uint64_t position)
+{
+    GHashTableIter iterator;
+    gpointer value;
+
+    g_hash_table_iter_init(&iterator, replica->jobs);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        struct cw_replica_job *job = value;
+
+        if (was_deleted(job, g_hash_table_lookup(loaded, job->id), position)) {
+            notify_job_removed(replica, job);
+            g_hash_table_iter_remove(&iterator);
+        }
+    }
+}
+
+static void
+merge_loaded(struct cw_replica *replica, GHashTable *loaded)
+{
+    GHashTableIter iterator;
+    gpointer value;
+
+    g_hash_table_iter_init(&iterator, loaded);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        struct cw_replica_job *read = value;
+        struct cw_replica_job *job =
+            g_hash_table_lookup(replica->jobs, read->id);
+
+        if (job != NULL) {
+            merge_job(replica, job, read);
+            continue;
+        }
+        g_hash_table_iter_steal(&iterator);
+        g_hash_table_insert(replica->jobs, read->id, read);
+        notify_job_changed(replica, read);
+        for (guint i = 0; i < read->hints->len; i++) {
+            notify_hint(replica, read, read->hints->pdata[i]);
+        }
+    }
 }
 
 static void
@@ -489,6 +732,22 @@
     }
 }
 
+static void
+on_loaded(void *context)
+{
+    struct cw_replica *replica = context;
+    GHashTable *loaded = g_steal_pointer(&replica->loaded_jobs);
+
+    replica->loaded = true;
+    if (loaded != NULL) {
+        remove_deleted(replica, loaded,
+                       cw_follower_position(replica->follower));
+        merge_loaded(replica, loaded);
+        g_hash_table_unref(loaded);
+    }
+    on_advanced(replica);
+}
+
 struct cw_replica *
 cw_replica_create(const struct cw_replica_options *options)
 {
@@ -502,14 +761,13 @@
         .wait_ms = READ_WAIT_MS,
         .read_interval_ms = options->read_interval_ms,
         .handler = {.reset = on_reset,
-                    .loaded = on_advanced,
+                    .loaded = on_loaded,
                     .record = on_record,
                     .advanced = on_advanced,
                     .context = replica},
     };
 
-    replica->jobs =
-        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, job_free);
+    replica->jobs = new_jobs();
     replica->lease_notes =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     replica->epochs = replica_epochs_new();
@@ -523,6 +781,7 @@
 {
     if (replica != NULL) {
         cw_follower_free(replica->follower);
+        g_clear_pointer(&replica->loaded_jobs, g_hash_table_unref);
         g_hash_table_unref(replica->jobs);
         g_hash_table_unref(replica->lease_notes);
         g_hash_table_unref(replica->epochs);
