Owner: what proves a crash, after review

Found by a review of the changes to crashes, each with a test that failed on them; callers would see jobs shown as failed, or tasks that crash their workers started without a bound.

- A refusal at a former address of a worker proved a crash once the run's lease was over.
The runs that were lost with the worker are looked at, too. test_addresses/refusal at a former address proves no crash.
- A state told of 64 pending suspicions of a job, so that later owners could not revoke the others. test_crashes/pending suspicions of a wide job.

--- a/src/owner/internal/owner_crashes.h
+++ b/src/owner/internal/owner_crashes.h
@@ -45,6 +45,11 @@
 void owner_crashes_restore(struct cw_owner *owner, struct owner_job *job,
                            const struct cw_unresolved_record *record);
 
+/* True if all pending suspicions of the worker are about the incarnation with
+ * this boot time. */
+bool
+owner_crashes_pending_at(const struct owner_target *target, int64_t boot_ms);
+
 /* Drops pending suspicions that nobody has resolved for long, and revokes what
  * was added in advance. */
 void owner_crashes_expire(struct cw_owner *owner);
--- a/src/owner/owner_addresses.c
+++ b/src/owner/owner_addresses.c
@@ -16,6 +16,7 @@
  * last answer had arrived. */
 #include "owner/internal/owner_addresses.h"
 
+#include "owner/internal/owner_crashes.h"
 #include "owner/internal/owner_private.h"
 
 enum {
@@ -128,8 +129,8 @@
     owner_target_wake(target);
 }
 
-/* True if each run that was sent to the worker was sent to the incarnation
- * that has reported the address. */
+/* True if each run that was sent to the worker, or was lost with it, was sent
+ * to the incarnation that has reported the address. */
 static bool
 runs_are_at_address(const struct owner_target *target)
 {
@@ -141,7 +142,7 @@
             return false;
         }
     }
-    return true;
+    return owner_crashes_pending_at(target, target->address_boot_ms);
 }
 
 /* Returns why a refusal of the order does not prove that the worker is over;
--- a/src/owner/owner_crashes.c
+++ b/src/owner/owner_crashes.c
@@ -70,9 +70,7 @@
     AT_LIMIT_DELAY_MS = CRASH_CERTAIN_MS,
     /* Age at which a pending suspicion expires: workers are back, or have been
      * reached again, long before. */
-    PENDING_MAX_MS = 60000,
-    /* Limit on those that are stored with a job. */
-    PENDING_STORED_MAX = 64
+    PENDING_MAX_MS = 60000
 };
 
 /* Suspicion that counts against a task once its worker is known to have
@@ -233,7 +231,7 @@
 }
 
 /* True if the worker, or a run that was lost with it, may have been crashed by
- * a start of the job. */
+ * a start of the job; with NULL, of any job. */
 static bool
 may_be_crashed_by(const struct owner_target *target,
                   const struct owner_job *job)
@@ -241,7 +239,8 @@
     for (guint i = 0; i < target->runs->len; i++) {
         const struct owner_run *run = target->runs->pdata[i];
 
-        if (may_be_cause(run) && owner_task_job(run->task) == job) {
+        if (may_be_cause(run) &&
+            (job == NULL || owner_task_job(run->task) == job)) {
             return true;
         }
     }
@@ -249,7 +248,9 @@
         const struct pending_suspicion *pending =
             target->pending_suspicions->pdata[i];
 
-        if (pending->no_progress && strcmp(pending->job, job->spec->id) == 0) {
+        if (pending->no_progress &&
+            (job == NULL || strcmp(pending->job, job->spec->id) == 0))
+        {
             return true;
         }
     }
@@ -257,8 +258,8 @@
 }
 
 /* Number, up to `limit`, of workers that became unresponsive at the same time,
- * still are, and cannot have been crashed by the job: if there are many, the
- * cause is another one. */
+ * still are, and cannot have been crashed by a start of the job (NULL: of any
+ * job): if there are many, the cause is another one. */
 static unsigned
 count_unrelated(const struct owner_target *target, const struct owner_job *job,
                 unsigned limit)
@@ -291,8 +292,8 @@
     {
         return SUSPICION_MASS_CRASH;
     }
-    unrelated = count_unrelated(run->target, owner_task_job(run->task),
-                                UNRELATED_WORKERS_CERTAIN);
+    /* Jobs that crash their workers together must not excuse each other. */
+    unrelated = count_unrelated(run->target, NULL, UNRELATED_WORKERS_CERTAIN);
     if (run->phase == RUN_RUNNING && unrelated >= UNRELATED_WORKERS_CERTAIN) {
         return SUSPICION_MASS_CRASH;
     }
@@ -628,15 +629,14 @@
 owner_crashes_encode(const struct owner_job *job,
                      struct cw_work_extension *out)
 {
-    guint count = MIN(job->pending_suspicions->len, PENDING_STORED_MAX);
+    guint count = MIN(job->pending_suspicions->len, CW_TASKS_MAX);
 
     out->unresolved.unresolved_len = count;
     out->unresolved.unresolved_val =
         g_new0(struct cw_unresolved_record, count);
     for (guint i = 0; i < count; i++) {
         const struct pending_suspicion *pending =
-            job->pending_suspicions
-                ->pdata[job->pending_suspicions->len - count + i];
+            job->pending_suspicions->pdata[i];
 
         out->unresolved.unresolved_val[i] = (struct cw_unresolved_record){
             .occurrence = pending->task.occurrence,
@@ -679,6 +679,20 @@
     delay_restored(task, owner_now(owner));
 }
 
+bool
+owner_crashes_pending_at(const struct owner_target *target, int64_t boot_ms)
+{
+    for (guint i = 0; i < target->pending_suspicions->len; i++) {
+        const struct pending_suspicion *pending =
+            target->pending_suspicions->pdata[i];
+
+        if (pending->boot_ms != boot_ms) {
+            return false;
+        }
+    }
+    return true;
+}
+
 static bool
 is_expired(const struct pending_suspicion *pending, int64_t wall_ms)
 {
--- a/tests/test_addresses.c
+++ b/tests/test_addresses.c
@@ -675,7 +675,30 @@
     cluster_end(&cluster);
 }
 
+/* Guards against LOST: a refusal at a former address that is taken for the
+ * proof of a crash once the run's lease is over. */
+static void
+test_refusal_at_former_address_proves_no_crash(void)
+{
+    const struct report late = {FIRST_ADDRESS, FIRST_BOOT_MS, 0, false};
+    struct cluster cluster;
+    struct owner_target *target = begin(&cluster, &late);
+    struct owner_job *job = inherit_run(&cluster, target, SECOND_BOOT_MS);
+
+    remove_report(&cluster);
+    poll_and_answer(&cluster, target, CW_TARGET_OTHER_INCARNATION, 0);
+    CU_ASSERT_EQUAL(placed(job), 1);
+    owner_target_lost(cluster.owner, target,
+                      &(struct owner_loss){.reason = "lease_over"});
+    poll_and_answer(&cluster, target, CW_TARGET_OTHER_INCARNATION, 0);
+    CU_ASSERT_FALSE(target->superseded);
+    CU_ASSERT_EQUAL(step_of(job)->tasks[0].suspicion, 0);
+    cluster_end(&cluster);
+}
+
 static const struct test tests[] = {
+    {"refusal at a former address proves no crash",
+     test_refusal_at_former_address_proves_no_crash},
     {"refusal at a former address ends no run",
      test_refusal_at_former_address_ends_no_run},
     {"refusal at the address of a late report ends no inherited run",
--- a/tests/test_crashes.c
+++ b/tests/test_crashes.c
@@ -565,6 +565,69 @@
     return suspicion;
 }
 
+enum { JOBS_IN_STEP_MAX = 18 };
+
+/* Crashes the workers of the jobs at the same time, each once. */
+static void
+crash_in_step(struct cluster *cluster, struct owner_job **jobs, unsigned count)
+{
+    struct owner_target *targets[JOBS_IN_STEP_MAX] = {NULL};
+
+    for (unsigned i = 0; i < count; i++) {
+        targets[i] = (struct owner_target *)worker_of(jobs[i], 0);
+        if (targets[i] != NULL) {
+            confirm_starts(cluster, jobs[i]);
+            targets[i]->unanswered_since = cluster->clock.now;
+            targets[i]->unanswered_polls = 2;
+        }
+    }
+    for (unsigned i = 0; i < count; i++) {
+        if (targets[i] != NULL && !targets[i]->superseded) {
+            crash(cluster, targets[i]);
+            add_worker(cluster, RACKS * PER_RACK + cluster->added_workers++);
+        }
+    }
+}
+
+/* Returns how often the first of these jobs is started, all of which crash
+ * their workers in step. */
+static unsigned
+starts_beside_jobs_in_step(unsigned count)
+{
+    struct cluster cluster;
+    struct owner_job *jobs[JOBS_IN_STEP_MAX];
+    unsigned starts = 0;
+
+    cluster_begin(&cluster);
+    for (unsigned i = 0; i < count; i++) {
+        jobs[i] = add_job(&cluster, 0, &one);
+    }
+    for (unsigned n = 0; n < 2 * STARTS_TRIED; n++) {
+        for (unsigned i = 0; i < count; i++) {
+            await_placement(&cluster, jobs[i]);
+        }
+        starts += placed(jobs[0]);
+        crash_in_step(&cluster, jobs, count);
+        if (cw_work_is_over(jobs[0]->phase)) {
+            break;
+        }
+        pass(&cluster, 3000);
+    }
+    CU_ASSERT_EQUAL(jobs[0]->phase, CW_WORK_FAILED);
+    cluster_end(&cluster);
+    return starts;
+}
+
+/* Guards against BUDGET: jobs that crash their workers at the same moment
+ * count as the cause of one another's crashes, and none is given up. */
+static void
+test_jobs_that_crash_in_step_are_given_up(void)
+{
+    CU_ASSERT_TRUE(starts_beside_jobs_in_step(5) <= STARTS_MAX);
+    CU_ASSERT_TRUE(starts_beside_jobs_in_step(9) <= STARTS_MAX);
+    CU_ASSERT_TRUE(starts_beside_jobs_in_step(JOBS_IN_STEP_MAX) <= STARTS_MAX);
+}
+
 /* Guards against jobs that are given up because many workers restarted at
  * once, twice, just after a task had been started on one of them. */
 static void
@@ -915,6 +978,31 @@
     cluster_end(&cluster);
 }
 
+/* Guards against suspicion that was added in advance and that no later owner
+ * can revoke, as the state of a wide job does not tell of it. */
+static void
+test_all_pending_suspicions_are_stored(void)
+{
+    const struct cw_step_spec wide = {.tasks = 80, .accelerators = 4};
+    struct cluster cluster;
+    struct cw_work_extension out = {0};
+    struct owner_job *job;
+    struct owner_target *target;
+
+    cluster_begin(&cluster);
+    job = add_job(&cluster, 0, &wide);
+    target = owner_target_get(cluster.owner, "w00");
+    for (unsigned i = 0; i < wide.tasks; i++) {
+        (void)owner_run_create(cluster.owner, &step_of(job)->tasks[i], target,
+                               RUN_RUNNING, 1);
+    }
+    lose_unresponsive(&cluster, target);
+    owner_crashes_encode(job, &out);
+    CU_ASSERT_EQUAL(out.unresolved.unresolved_len, wide.tasks);
+    g_free(out.unresolved.unresolved_val);
+    cluster_end(&cluster);
+}
+
 /* Guards against suspicion that nobody resolves and that lasts for months. */
 static void
 test_pending_suspicion_expires(void)
@@ -1022,6 +1110,7 @@
     {"gang of a delayed suspect", test_gang_waits_for_delayed_member},
     {"delay in the log", test_delay_is_logged_once},
     {"given up in the log", test_given_up_task_logs_both_limits},
+    {"jobs that crash in step", test_jobs_that_crash_in_step_are_given_up},
     {"restart of many workers", test_restart_of_many_workers_counts_little},
     {"mass silence", test_suspect_is_not_delayed_by_mass_silence},
     {"no other cause", test_suspect_is_delayed_without_other_cause},
@@ -1033,6 +1122,8 @@
      test_pending_suspicion_is_resolved_by_next_owner},
     {"inherited loss near the limit",
      test_inherited_loss_near_the_limit_delays_the_task},
+    {"pending suspicions of a wide job",
+     test_all_pending_suspicions_are_stored},
     {"pending suspicion expires", test_pending_suspicion_expires},
     {"idle worker", test_suspect_is_started_on_idle_worker},
     {"beside a suspect",
