--- a/include/curlewcart/cw_record.h
+++ b/include/curlewcart/cw_record.h
@@ -13,7 +13,7 @@
  * decoded with empty lists.
  *
  * The extension follows the deflated rest, deflated by itself.  Versions that
- * have none ignore what follows the rest.  An empty extension is left out.  The
+ * have none ignore what follows the rest.  An empty extension is left out. The
  * lists of crashes and boot times are present if an extension is. */
 #ifndef CURLEWCART_CW_RECORD_H
 #define CURLEWCART_CW_RECORD_H
--- a/src/replica/replica.c
+++ b/src/replica/replica.c
@@ -535,6 +535,16 @@
     return g_hash_table_new_full(g_str_hash, g_str_equal, NULL, job_free);
 }
 
+/* Drops what an unfinished load has read. */
+static void
+drop_loaded_jobs(struct cw_replica *replica)
+{
+    if (replica->loaded_jobs != NULL) {
+        g_hash_table_unref(replica->loaded_jobs);
+        replica->loaded_jobs = NULL;
+    }
+}
+
 /* Prepares for a load.  Records that the store no longer retains may include
  * one that dropped a lease note, or that deleted a job; the load delivers all
  * that exist.  Until it has ended the jobs known before are kept, so that
@@ -545,7 +555,7 @@
     struct cw_replica *replica = context;
 
     g_hash_table_remove_all(replica->lease_notes);
-    g_clear_pointer(&replica->loaded_jobs, g_hash_table_unref);
+    drop_loaded_jobs(replica);
     if (replica->loaded) {
         replica->loaded_jobs = new_jobs();
     }
@@ -609,7 +619,9 @@
     {
         return;
     }
-    g_clear_pointer(&job->record, g_bytes_unref);
+    if (job->record != NULL) {
+        g_bytes_unref(job->record);
+    }
     job->record = g_steal_pointer(&loaded->record);
     job->record_offset = loaded->record_offset;
     job->recorded_phase = loaded->recorded_phase;
@@ -781,7 +793,7 @@
 {
     if (replica != NULL) {
         cw_follower_free(replica->follower);
-        g_clear_pointer(&replica->loaded_jobs, g_hash_table_unref);
+        drop_loaded_jobs(replica);
         g_hash_table_unref(replica->jobs);
         g_hash_table_unref(replica->lease_notes);
         g_hash_table_unref(replica->epochs);
--- a/src/work/record.c
+++ b/src/work/record.c
@@ -127,12 +127,14 @@
     if (length >= DEFLATE_MIN_BYTES) {
         packed = deflate_rest(plain->data, length);
     }
-    if (packed == NULL || packed->len >= plain->len) {
-        g_clear_pointer(&packed, g_byte_array_unref);
-        return plain;
+    if (packed != NULL && packed->len < plain->len) {
+        g_byte_array_unref(plain);
+        return packed;
+    }
+    if (packed != NULL) {
+        g_byte_array_unref(packed);
     }
-    g_byte_array_unref(plain);
-    return packed;
+    return plain;
 }
 
 bool
