--- a/emulator/checker.h
+++ b/emulator/checker.h
@@ -58,7 +58,8 @@
     unsigned repeated_starts; /* of such runs, over the day */
     struct checker_wait waits[CHECKER_WAIT_CLAUSES];
     unsigned
-        shown_final_phase; /* final phase that a VM has reported; 0: none */
+        shown_final_phase;  /* final phase that a VM has reported; 0: none */
+    int64_t shown_final_ms; /* when it was reported first */
 };
 
 struct checker *checker_create(void);
--- a/emulator/emulator_main.c
+++ b/emulator/emulator_main.c
@@ -60,6 +60,7 @@
     unsigned voter_restarts;
     unsigned store_returns;
     unsigned store_lapses;
+    unsigned long_cuts;
     unsigned topic_outages;
     unsigned silences;
     unsigned owner_freezes;
@@ -136,6 +137,10 @@
      "and "
      "entries of workers that work on expire",
      0},
+    {"long-cuts", 'O', "N", 0,
+     "Times that VMs are cut off for longer than ended jobs are retained, "
+     "while the store drops its history",
+     0},
     {"topic-outages", 'p', "N", 0,
      "Times that one topic of the store is unavailable to all VMs", 0},
     {"silences", 'i', "N", 0,
@@ -233,6 +238,9 @@
     case 'A':
         arguments->store_lapses = number;
         break;
+    case 'O':
+        arguments->long_cuts = number;
+        break;
     case 'p':
         arguments->topic_outages = number;
         break;
@@ -406,6 +414,7 @@
     day.voter_restarts = arguments->voter_restarts;
     day.store_returns = arguments->store_returns;
     day.store_lapses = arguments->store_lapses;
+    day.long_cuts = arguments->long_cuts;
     day.topic_outages = arguments->topic_outages;
     day.silences = arguments->silences;
     day.owner_freezes = arguments->owner_freezes;
@@ -429,6 +438,7 @@
     if (day.store_lapses > 0) {
         day.day_ms += day.store_lapses * LAPSE_MS;
     }
+    world_make_room_for_long_cuts(&day);
     if (arguments->calm) {
         day.faults = 0;
     }
--- a/emulator/internal/world_private.h
+++ b/emulator/internal/world_private.h
@@ -54,10 +54,11 @@
     /* world_slow_vms.c */
     int64_t slow_until_ms; /* it computes with `speed_percent` of a core */
     unsigned speed_percent;
-    int64_t busy_until_us; /* what it computes now takes until then */
-    uint64_t passes;       /* placement passes, at its last tick */
-    int64_t cut_until_ms;  /* disconnected from the store */
-    int64_t due_ms;        /* of its next tick */
+    int64_t busy_until_us;     /* what it computes now takes until then */
+    uint64_t passes;           /* placement passes, at its last tick */
+    int64_t cut_until_ms;      /* disconnected from the store */
+    int64_t long_cut_until_ms; /* disconnected from everything */
+    int64_t due_ms;            /* of its next tick */
     struct cw_replica *replica;
     struct cw_follower *commands; /* operator commands; or NULL */
     struct cw_cordons *cordons;   /* or NULL */
@@ -91,6 +92,7 @@
     /* current state of the network */
     int64_t store_down_until_ms;
     unsigned store_lapses_begun;
+    unsigned long_cuts_begun;
     int64_t store_returned_ms;    /* end of the last outage whose owners are
                                      counted; 0: none */
     unsigned owners_since_return; /* VMs that have become the owner since */
@@ -444,6 +446,20 @@
  * times. */
 void world_store_lapse(struct world *world, void *unused);
 
+/* ---- world_long_cuts.c ---- */
+
+/* Time for which ended jobs are retained on days with long cuts: longer than a
+ * delayed append or a caller's attempts last. */
+enum { WORLD_SHORT_RETAIN_MS = 15000 };
+
+/* Cuts off one or several VMs for longer than ended jobs are retained, and
+ * drops the store's history meanwhile; again until that has happened
+ * options.long_cuts times. */
+void world_long_cut(struct world *world, void *unused);
+
+/* True if the VM is cut off now. */
+bool world_vm_is_long_cut(const struct vm *vm);
+
 /* ---- world_topic_outages.c ---- */
 
 /* Makes one topic of the store unavailable to all VMs for a while. */
@@ -587,6 +603,9 @@
 void world_cut_worker(struct world *world, const struct worker_model *worker,
                       unsigned ms);
 
+/* Drops the history of all topics; the newest records remain. */
+void world_drop_history(struct world *world, void *unused);
+
 /* Injects a random fault. */
 void world_inject_fault(struct world *world, void *unused);
 
--- a/emulator/world.h
+++ b/emulator/world.h
@@ -60,8 +60,10 @@
                                 other VMs restart as the store returns */
     unsigned store_lapses;   /* number of times that the store is unavailable
                                 and entries of workers that are up expire */
-    unsigned topic_outages;  /* number of times that one topic of the store is
-                                unavailable to all VMs for a while */
+    unsigned long_cuts; /* number of times that VMs are cut off for longer than
+                           ended jobs are retained, and history is dropped */
+    unsigned topic_outages; /* number of times that one topic of the store is
+                               unavailable to all VMs for a while */
     unsigned silences; /* number of times that some workers do not answer for
                           9 s, while their runs go on; also after day_ms */
     unsigned owner_freezes; /* as silences, and the VM that owns the jobs
@@ -122,6 +124,9 @@
  * them, beside gangs of lower priority. */
 void world_make_busy(struct world_options *day);
 
+/* Lengthens the day for its long cuts, and adds jobs. */
+void world_make_room_for_long_cuts(struct world_options *day);
+
 /* Adds lasting jobs, workers for them, and time for them to end. */
 void world_lengthen(struct world_options *day);
 
--- a/emulator/world_faults.c
+++ b/emulator/world_faults.c
@@ -91,9 +91,10 @@
     world->append_loss_until_ms = world->now_ms + 4000;
 }
 
-static void
-fault_compact(struct world *world)
+void
+world_drop_history(struct world *world, void *unused)
 {
+    (void)unused;
     world_record_fault(world, "compact");
     store_model_compact(world->store, CW_JOBS_TOPIC);
     store_model_compact(world->store, CW_STATE_TOPIC);
@@ -101,6 +102,12 @@
     store_model_compact(world->store, COMMANDS_TOPIC);
 }
 
+static void
+fault_compact(struct world *world)
+{
+    world_drop_history(world, NULL);
+}
+
 static void
 fault_reassign_partition(struct world *world)
 {
@@ -264,6 +271,7 @@
         struct vm *vm = world->vms->pdata[i];
 
         vm->cut_until_ms = 0;
+        vm->long_cut_until_ms = 0;
         vm->frozen_until_ms = 0;
     }
     for (unsigned i = 0; i < worker_fleet_size(world->fleet); i++) {
--- a/emulator/world_owner_cuts.c
+++ b/emulator/world_owner_cuts.c
@@ -55,6 +55,9 @@
 {
     const struct world *world = vm->world;
 
+    if (world_vm_is_long_cut(vm) != world_vm_is_long_cut(other)) {
+        return false;
+    }
     return !world_owner_cut_lasts(world) ||
            world->owner_cut.vms_reach_each_other ||
            is_vm_on_owners_side(vm) == is_vm_on_owners_side(other);
@@ -65,6 +68,9 @@
 {
     const struct world *world = vm->world;
 
+    if (world_vm_is_long_cut(vm)) {
+        return false;
+    }
     return !world_owner_cut_lasts(world) ||
            is_vm_on_owners_side(vm) == is_on_owners_side(world, worker);
 }
