Owner: records of a job that it still has runs of are not dropped

Callers of a VM that decides would see it end (SIGSEGV), and another take over.

Cause: the owner dropped the records of a job by the time of its end alone. The replica then frees the job, whose specification the owner's run borrows, if the run's stop is not confirmed by then. It takes takeovers for longer than ended jobs are kept.

Change: a job that the owner holds stays until it has left its table.

--- a/emulator/world.c
+++ b/emulator/world.c
@@ -44,12 +44,12 @@
     LASTING_QUIET_MS = 180000,
     /* A traced day goes on for this long after a violation. */
     TRACE_AFTER_VIOLATION_MS = 10000,
-    /* Silences begin until this long after day_ms. */
     FIRST_LAPSE_MAX_MS = 12000,
     FIRST_LONG_CUT_MAX_MS = 8000,
     /* Longest time from one long cut to the next, and jobs submitted in it. */
     LONG_CUT_MS = 38000,
     LONG_CUT_JOBS = 40,
+    /* Silences begin until this long after day_ms. */
     SILENCES_AFTER_DAY_MS = 30000,
     /* One of this many standard days has VMs with unequal processors. */
     UNEQUAL_VMS_ONE_IN = 4
--- a/src/owner/owner_commit.c
+++ b/src/owner/owner_commit.c
@@ -410,12 +410,16 @@
 }
 
 /* True if the job's records may be dropped: it ended long ago, or it was
- * cancelled and never stored, and no write of it can be in flight any more. */
+ * cancelled and never stored, no write of it can be in flight any more, and
+ * this owner has no runs of it left, which would borrow its specification. */
 static bool
 is_past(const struct cw_owner *owner, const struct cw_replica_job *job)
 {
     int64_t retain_ms = owner->options.retain_ms;
 
+    if (g_hash_table_contains(owner->jobs, job->id)) {
+        return false;
+    }
     if (job->spec == NULL && job->record == NULL && job->cancel_keys->len > 0)
     {
         return cw_time_diff_ms(job->first_read_at, owner_now(owner)) >
