--- a/standins/platform_reports.c
+++ b/standins/platform_reports.c
@@ -58,20 +58,50 @@
                                          platform->fleet, worker->id)));
 }
 
+/* Stores a worker's report if it is up and not muted; false if not. */
+static bool
+report_worker(struct platform *platform, const struct worker_server *worker)
+{
+    char *text;
+
+    if (worker_model_is_down(worker_fleet_find(platform->fleet, worker->id)) ||
+        standin_now_ms() < worker->muted_until_ms)
+    {
+        return false;
+    }
+    text = standin_report_text(platform, worker);
+    store_report(platform, worker->id, text);
+    g_free(text);
+    return true;
+}
+
 void
 standin_report_workers(struct platform *platform)
 {
     for (guint i = 0; i < platform->workers->len; i++) {
         const struct worker_server *worker = platform->workers->pdata[i];
 
-        if (!worker_model_is_down(
-                worker_fleet_find(platform->fleet, worker->id)) &&
-            standin_now_ms() >= worker->muted_until_ms)
-        {
-            char *text = standin_report_text(platform, worker);
+        if (worker->relisted_at_ms == 0) {
+            (void)report_worker(platform, worker);
+        }
+    }
+}
 
-            store_report(platform, worker->id, text);
-            g_free(text);
+/* Lists workers again whose entries were removed until now. */
+static void
+relist_due(struct platform *platform)
+{
+    for (guint i = 0; i < platform->workers->len; i++) {
+        struct worker_server *worker = platform->workers->pdata[i];
+
+        if (worker->relisted_at_ms == 0 ||
+            standin_now_ms() < worker->relisted_at_ms) {
+            continue;
+        }
+        worker->relisted_at_ms = 0;
+        if (report_worker(platform, worker)) {
+            printf("relisted worker=%s at_ms=%" PRId64 "\n", worker->id,
+                   cw_clock_wall_ms(cw_clock_system()));
         }
     }
 }
@@ -172,5 +202,6 @@
 standin_update_entries(struct platform *platform)
 {
     store_due_reports(platform);
+    relist_due(platform);
     remove_expired_entries(platform);
 }
--- a/standins/platform_standin.c
+++ b/standins/platform_standin.c
@@ -33,6 +33,8 @@
  *   lose WORKER             crashes the worker permanently; it stays listed
  *   mute WORKER MS          its reports do not arrive for so long, so that its
  *                           entry may expire; it works on and answers orders
+ *   expire WORKER MS        removes its entry now; its next report is stored
+ *                           MS later; it works on and answers orders
  *   crash WORKER DOWN_MS LATE_MS new|same
  *                           crashes the worker, which restarts after DOWN_MS
  *                           under a new id or the same; its last report is
@@ -213,6 +215,16 @@
     g_free(report);
 }
 
+static void
+expire_entry(struct platform *platform, struct worker_server *worker,
+             int64_t relisted_ms)
+{
+    worker->relisted_at_ms = standin_now_ms() + relisted_ms;
+    standin_remove_entry(platform, worker->id);
+    printf("expired worker=%s at_ms=%" PRId64 "\n", worker->id,
+           cw_clock_wall_ms(cw_clock_system()));
+}
+
 static void
 hold_orders(struct worker_server *worker, char **words)
 {
@@ -274,6 +286,9 @@
         printf("muted worker=%s ms=%s at_ms=%" PRId64 "\n", worker->id,
                words[2], cw_clock_wall_ms(cw_clock_system()));
     }
+    else if (strcmp(words[0], "expire") == 0 && count == 3) {
+        expire_entry(platform, worker, g_ascii_strtoll(words[2], NULL, 10));
+    }
     else if (strcmp(words[0], "crash") == 0 && count == 5) {
         crash_with_late_report(platform, worker,
                                g_ascii_strtoll(words[2], NULL, 10),
--- a/standins/platform_standin.h
+++ b/standins/platform_standin.h
@@ -88,6 +88,9 @@
      */
     bool stays_listed;
     int64_t muted_until_ms; /* no report is stored before */
+    /* Its entry was removed, and its next report is stored then; 0: neither.
+     */
+    int64_t relisted_at_ms;
     /* Until then, percentages of its orders are held back or refused. */
     int64_t late_until_ms;
     int held_percent;    /* of the starts and stops */
@@ -134,10 +137,12 @@
 
 void standin_entries_init(struct platform *platform);
 
-/* Stores the reports of all workers that are up and not muted. */
+/* Stores the reports of all workers that are up and not muted, except of those
+ * whose entry was removed until later. */
 void standin_report_workers(struct platform *platform);
 
-/* Stores the late reports that are due, and removes expired entries. */
+/* Stores the late reports that are due, and those of workers that are to be
+ * listed again, and removes expired entries. */
 void standin_update_entries(struct platform *platform);
 
 /* Text of the worker's present report; released by g_free. */
