--- a/review/lib-2.sh
+++ b/review/lib-2.sh
@@ -50,11 +50,12 @@
     status=${status:-000}
 }
 
-# The platform's store, with 12 workers of the service "service".
+# The platform's store, with 12 workers of the service "service", or as many as
+# PER_RACK times three.
 start_platform() {
     mkfifo "$dir/platform.in"
     exec 8<>"$dir/platform.in"
-    $STANDINS/curlewcart-platform --no-boot-times --config "$dir/config.json" \
+    $STANDINS/curlewcart-platform --no-boot-times --per-rack "${PER_RACK:-4}" --config "$dir/config.json" \
         >"$dir/platform.log" 2>&1 <&8 &
     children+=($!)
     for _ in $(seq 100); do
--- a/review/standins-2/worker.c
+++ b/review/standins-2/worker.c
@@ -12,7 +12,8 @@
  *   mute MS    write no reports for so long
  * Options: work=MS of each task (1000), room=N tasks at a time (1), label=TEXT,
  * hang_on_start=MS (from the first start that is received on), drain_on_start=MS
- * (so long after that start), remaining=MS, stop=MS that a stop takes (100), port=N to listen at (any).
+ * (so long after that start), remaining=MS, stop=MS that a stop takes (100), port=N to listen at (any),
+ * fail=N: the first N runs end as failed.
  */
 #define _GNU_SOURCE
 #include <arpa/inet.h>
@@ -69,7 +70,7 @@
 static int64_t mute_until;
 static long work_ms = 1000, room = 1, hang_on_start, drain_on_start = -1,
             remaining_ms = 4000, stop_ms = 100,
-            listen_port;
+            listen_port, fail_count;
 static const char *label = "a";
 
 static int64_t
@@ -250,7 +251,8 @@
             end_run(task, "stopped");
         }
         else if (task->phase == RUNS && now >= task->begun + work_ms) {
-            end_run(task, "done");
+            end_run(task, fail_count > 0 ? "failed" : "done");
+            fail_count -= fail_count > 0;
         }
     }
 }
@@ -654,6 +656,9 @@
         else if (strncmp(argv[i], "stop=", 5) == 0) {
             stop_ms = number;
         }
+        else if (strncmp(argv[i], "fail=", 5) == 0) {
+            fail_count = number;
+        }
         else if (strncmp(argv[i], "port=", 5) == 0) {
             listen_port = number;
         }
