--- a/emulator/checker.c
+++ b/emulator/checker.c
@@ -235,6 +235,7 @@
     out->checkpoints = step->checkpoints;
     out->text_bytes = job->plan_text_bytes;
     out->crashes = crashes_workers(job, task);
+    out->members_fail = job->plan_members_fail;
     out->need.cpu_milli = step->cpu_milli;
     out->need.memory_mb = step->memory_mb;
     out->need.accelerators = step->accelerators;
@@ -373,6 +374,13 @@
     history->last_sent = MAX(history->last_sent, run);
 }
 
+void
+checker_start_sent_to_draining(struct checker *checker,
+                               const struct cw_task_name *task, unsigned run)
+{
+    violate_task(checker, "DRAIN sent to a worker that drains", task, run);
+}
+
 unsigned
 checker_last_sent(struct checker *checker, const struct cw_task_name *task)
 {
--- a/emulator/checker.h
+++ b/emulator/checker.h
@@ -42,6 +42,7 @@
     unsigned plan_text_bytes;   /* of each checkpoint, at least */
     int64_t due_ms; /* of a scheduled job: when its first occurrence is due */
     unsigned plan_fails;    /* number of runs of each task that fail */
+    bool plan_members_fail; /* several members of a gang may fail in a run */
     int plan_crashing_task; /* task of the first step that crashes each
                                worker that starts it; -1: none */
     bool accepted;          /* acceptance was reported to a caller */
@@ -88,6 +89,12 @@
 void checker_start_sent(struct checker *checker,
                         const struct cw_task_name *task, unsigned run);
 
+/* Records that a VM has sent the start of a run to a worker that had reported
+ * long before that it drains. */
+void
+checker_start_sent_to_draining(struct checker *checker,
+                               const struct cw_task_name *task, unsigned run);
+
 /* The highest run of the task whose start was sent; 0: none. */
 unsigned
 checker_last_sent(struct checker *checker, const struct cw_task_name *task);
--- a/emulator/emulator_main.c
+++ b/emulator/emulator_main.c
@@ -29,7 +29,9 @@
     LONG_TASK_QUIET_FACTOR = 3,
     SLOW_WORKER_QUIET_FACTOR = 2,
     /* Longest time from one outage of a series to the next. */
-    LAPSE_MS = 19000
+    LAPSE_MS = 19000,
+    /* Time by which a day is longer for each time that workers leave. */
+    LEAVING_MS = 5000
 };
 
 struct arguments {
@@ -50,6 +52,8 @@
     bool without_slow;
     unsigned shrinks;
     unsigned restarts;
+    unsigned leaving;
+    bool members_fail;
     unsigned clock_step_percent; /* of the restarts */
     bool ignores_capacity;
     unsigned late_episodes;
@@ -104,6 +108,13 @@
      "Times that a worker's capacity shrinks for a while", 0},
     {"restarts", 'a', "N", 0,
      "Times that workers crash and restart under their ids", 0},
+    {"leaving", 'N', "N", 0,
+     "Times that workers drain, shut down and are replaced at their "
+     "addresses, "
+     "while the VM that owns the jobs may be killed",
+     0},
+    {"members-fail", 'M', NULL, 0,
+     "Several members of a gang may fail in one run", 0},
     {"clock-steps", 'z', "PERCENT", 0,
      "Restarts of workers under their ids before which their wall clocks are "
      "set, often back",
@@ -262,6 +273,9 @@
     case 'P':
         arguments->slow_vms = number;
         break;
+    case 'N':
+        arguments->leaving = number;
+        break;
     default:
         return false;
     }
@@ -313,6 +327,9 @@
     case 'T':
         arguments->long_texts = true;
         break;
+    case 'M':
+        arguments->members_fail = true;
+        break;
     default:
         return false;
     }
@@ -404,6 +421,8 @@
     }
     day.shrinks = arguments->shrinks;
     day.restarts = arguments->restarts;
+    day.leaving = arguments->leaving;
+    day.members_fail = arguments->members_fail;
     day.clock_step_percent = arguments->clock_step_percent;
     day.ignores_capacity = arguments->ignores_capacity;
     day.late_episodes = arguments->late_episodes;
@@ -430,7 +449,7 @@
     day.check_ms = arguments->check_ms;
     day.far_store = arguments->far_store;
     if (day.silences + day.outages + day.owner_cuts + day.owner_freezes +
-            day.voter_restarts + day.store_lapses >
+            day.voter_restarts + day.store_lapses + day.leaving >
         0)
     {
         world_lengthen(&day);
@@ -438,6 +457,7 @@
     if (day.store_lapses > 0) {
         day.day_ms += day.store_lapses * LAPSE_MS;
     }
+    day.day_ms += day.leaving * LEAVING_MS;
     world_make_room_for_long_cuts(&day);
     if (arguments->calm) {
         day.faults = 0;
--- a/emulator/internal/world_private.h
+++ b/emulator/internal/world_private.h
@@ -89,6 +89,7 @@
     bool violated;              /* a guarantee has been violated */
     int64_t disturbed_until_ms; /* faults or their effects last until then */
     int64_t faults_until_ms;    /* faults themselves last until then */
+    int64_t healed_ms;          /* all of them ended then; 0: not yet */
     /* current state of the network */
     int64_t store_down_until_ms;
     unsigned store_lapses_begun;
@@ -112,9 +113,11 @@
     GHashTable *late_workers;           /* id -> late until, in ms */
     GHashTable *holding_workers;        /* id -> orders are held up until */
     GHashTable *draining;               /* set of ids */
-    GHashTable *cordons; /* data centre -> struct world_cordon */
-    GHashTable *entries; /* id -> struct world_entry, on days with late
-                            reports */
+    GHashTable *drains_stored; /* id -> when the store accepted that the worker
+                                  drains, in ms */
+    GHashTable *cordons;       /* data centre -> struct world_cordon */
+    GHashTable *entries;       /* id -> struct world_entry, on days with late
+                                  reports */
     struct {
         GHashTable *vms;     /* set of struct vm: on the owner's side */
         GHashTable *workers; /* set of ids: on the owner's side */
@@ -364,6 +367,33 @@
  * another kind. */
 bool world_reports_free_event(const struct event *event);
 
+/* Stores the worker's present report at once. */
+void
+world_store_report(struct world *world, const struct worker_model *worker);
+
+/* Removes the entry of a worker that is down. */
+void
+world_remove_entry(struct world *world, const struct worker_model *worker);
+
+/* ---- world_leaving.c ---- */
+
+/* Has some workers drain, shut down, and be replaced; the owner may be killed
+ * meanwhile. */
+void world_leave(struct world *world, void *unused);
+
+/* An empty table of the reports of draining workers. */
+GHashTable *world_drains_new(void);
+
+/* Records that the store has accepted a report that the worker drains, and
+ * that the worker has started again, without that. */
+void world_drain_stored(struct world *world, const char *worker);
+void world_drain_ended(struct world *world, const char *worker);
+
+/* Checks the worker that a VM sends a start to: it may not have reported long
+ * before that it drains. */
+void
+world_check_drain(const struct vm *vm, const struct cw_target_order *order);
+
 /* ---- world_late_reports.c ---- */
 
 /* Makes reports of some workers late: of workers that crash behind a cut and
@@ -596,6 +626,11 @@
 
 /* ---- world_faults.c ---- */
 
+/* True if the rack keeps enough workers that do not drain without the worker.
+ */
+bool world_rack_can_spare(const struct world *world,
+                          const struct worker_model *worker);
+
 /* Any of the workers, also one that is down. */
 struct worker_model *world_random_worker(struct world *world);
 
--- a/emulator/worker_model.c
+++ b/emulator/worker_model.c
@@ -53,6 +53,7 @@
     int64_t boot_ms;   /* its wall clock at the start of the incarnation */
     int64_t wall_clock_behind_ms; /* behind the fleet's */
     bool is_down;
+    bool has_left; /* it is down for good, as planned */
     double speed;
     double lasting_speed; /* of its machine */
     double slowdown;      /* factor of its runs' durations */
@@ -386,6 +387,12 @@
     return worker->is_down;
 }
 
+bool
+worker_model_has_left(const struct worker_model *worker)
+{
+    return worker->has_left;
+}
+
 void
 worker_model_set_speed(struct worker_model *worker, double speed)
 {
@@ -520,6 +527,15 @@
     return true;
 }
 
+/* How a member ends after another one has ended, or failed. */
+static enum cw_end_kind
+end_of_member(const struct model_run *member, enum cw_end_kind how)
+{
+    bool fails = member->plan.members_fail && member->task.index % 2 == 0;
+
+    return how == CW_END_KIND_FAILED && !fails ? CW_END_KIND_GANG_BROKEN : how;
+}
+
 /* Ends every other member of the gang. */
 static void
 end_gang(struct worker_fleet *fleet, const struct model_run *ended,
@@ -534,7 +550,8 @@
 
         for (guint i = worker->runs->len; i > 0; i--) {
             if (same_gang(worker->runs->pdata[i - 1], &key)) {
-                end_run(worker, worker->runs->pdata[i - 1], how);
+                end_run(worker, worker->runs->pdata[i - 1],
+                        end_of_member(worker->runs->pdata[i - 1], how));
             }
         }
     }
@@ -591,6 +608,14 @@
     expire_all_runs(worker);
 }
 
+void
+worker_model_shut_down(struct worker_model *worker)
+{
+    worker->is_down = true;
+    worker->has_left = true;
+    expire_all_runs(worker);
+}
+
 /* ---- time ---- */
 
 /* Advances a run; true if it has ended. */
@@ -641,7 +666,7 @@
 
         copy.job = job;
         end_run(worker, run, how);
-        end_gang(fleet, &copy, CW_END_KIND_GANG_BROKEN);
+        end_gang(fleet, &copy, how);
         g_free(job);
     }
     else {
--- a/emulator/worker_model.h
+++ b/emulator/worker_model.h
@@ -22,6 +22,8 @@
     unsigned fails;   /* number of first runs that fail */
     unsigned members; /* size of its gang; 0: no gang */
     bool checkpoints;
+    bool members_fail;   /* if a run of a gang fails, every other member fails,
+                            and not only the first */
     unsigned text_bytes; /* of a checkpoint, at least */
     bool crashes; /* crashes each worker that starts the task, soon after the
                      start */
@@ -146,6 +148,11 @@
 void worker_model_crash(struct worker_model *worker);
 bool worker_model_is_down(const struct worker_model *worker);
 
+/* Shuts the worker down as planned: its runs end with it, and it no longer
+ * answers. */
+void worker_model_shut_down(struct worker_model *worker);
+bool worker_model_has_left(const struct worker_model *worker);
+
 /* Sets the speed of the worker's runs: 1 as planned, 0 stalled. */
 void worker_model_set_speed(struct worker_model *worker, double speed);
 
--- a/emulator/world.c
+++ b/emulator/world.c
@@ -383,6 +383,7 @@
     world->owner_cut.vms = g_hash_table_new(NULL, NULL);
     world->owner_cut.workers = g_hash_table_new(g_str_hash, g_str_equal);
     world->draining = g_hash_table_new(g_str_hash, g_str_equal);
+    world->drains_stored = world_drains_new();
     world->cordons = world_cordons_new();
     world->entries = world_entries_new();
     for (unsigned i = 0; i < world->options.workers; i++) {
@@ -458,6 +459,7 @@
     schedule_times(world, options->shrinks, FIRST_FAULT_MS, shrink_worker);
     schedule_times(world, options->restarts, FIRST_FAULT_MS,
                    world_restart_workers);
+    schedule_times(world, options->leaving, FIRST_FAULT_MS, world_leave);
     schedule_times(world, options->cordons, FIRST_FAULT_MS, world_cordon);
     schedule_times(world, options->owner_kills, FIRST_FAULT_MS,
                    world_owner_kill);
@@ -604,6 +606,7 @@
     g_hash_table_unref(world->owner_cut.vms);
     g_hash_table_unref(world->owner_cut.workers);
     g_hash_table_unref(world->draining);
+    g_hash_table_unref(world->drains_stored);
     g_hash_table_unref(world->cordons);
     g_hash_table_unref(world->entries);
     worker_fleet_free(world->fleet);
--- a/emulator/world.h
+++ b/emulator/world.h
@@ -36,6 +36,9 @@
                          while */
     unsigned restarts; /* number of times that workers crash and restart under
                           their ids */
+    unsigned leaving;  /* number of times that workers drain, shut down and are
+                          replaced at their addresses */
+    bool members_fail; /* several members of a gang may fail in one run */
     unsigned clock_step_percent; /* percentage of restarts under an id before
                                     which the worker's wall clock is set, often
                                     back */
--- a/emulator/world_faults.c
+++ b/emulator/world_faults.c
@@ -172,7 +172,8 @@
     worker_model_set_speed(worker, 0);
 }
 
-/* Number of workers of the rack that drain; a drain never ends. */
+/* Number of workers of the rack that drain and are up; a drain never ends,
+ * except by world_leave. */
 static unsigned
 count_draining_in_rack(const struct world *world, const char *rack)
 {
@@ -185,11 +186,20 @@
         const struct worker_model *worker =
             worker_fleet_find(world->fleet, id);
 
-        draining_count += strcmp(rack, worker_model_rack(worker)) == 0;
+        draining_count += !worker_model_has_left(worker) &&
+                          strcmp(rack, worker_model_rack(worker)) == 0;
     }
     return draining_count;
 }
 
+bool
+world_rack_can_spare(const struct world *world,
+                     const struct worker_model *worker)
+{
+    return count_draining_in_rack(world, worker_model_rack(worker)) <
+           RACK_DRAINING_MAX;
+}
+
 static void
 fault_drain(struct world *world)
 {
@@ -199,9 +209,7 @@
     /* Each rack is a data centre.  With one worker left, a gang that may run
      * only in this data centre would not fit anywhere (regression seed
      * 950258). */
-    if (count_draining_in_rack(world, worker_model_rack(worker)) >=
-        RACK_DRAINING_MAX)
-    {
+    if (!world_rack_can_spare(world, worker)) {
         return;
     }
     if (world->options.restricted && !world_kind_can_spare(world, worker)) {
@@ -258,6 +266,7 @@
 {
     (void)context;
     world_record_fault(world, "heal");
+    world->healed_ms = world->now_ms;
     world->store_down_until_ms = 0;
     world->topic_unavailable_until_ms = 0;
     world->append_loss_until_ms = 0;
--- a/emulator/world_load.c
+++ b/emulator/world_load.c
@@ -388,6 +388,10 @@
         world->checker, spec,
         spec->repeats > 0 ? work_ms / SCHEDULED_WORK_PARTS : work_ms, fails);
     call->job->due_ms = due_ms;
+    if (world->options.members_fail) {
+        call->job->plan_members_fail = true;
+        call->job->plan_fails = g_str_hash(id) / PERCENT % 2;
+    }
     call->job->plan_text_bytes = text_bytes(world, id);
     call->job->plan_tail_percent = world->options.tail_percent;
     call->job->plan_equal_members = world_has_speeds(world);
--- a/emulator/world_reports.c
+++ b/emulator/world_reports.c
@@ -148,6 +148,9 @@
         .topic = TARGETS_TOPIC, .records = &record, .count = 1};
 
     store_model_append(world->store, &append);
+    if (text != NULL && g_hash_table_contains(world->draining, id)) {
+        world_drain_stored(world, id);
+    }
 }
 
 static void
@@ -263,6 +266,27 @@
     }
 }
 
+void
+world_store_report(struct world *world, const struct worker_model *worker)
+{
+    char text[REPORT_MAX_BYTES];
+
+    write_report(world, worker, text, sizeof(text));
+    if (entries_expire(world)) {
+        store_report(world, worker_model_id(worker), text);
+    }
+    else {
+        write_entry(world, worker_model_id(worker), text);
+    }
+}
+
+void
+world_remove_entry(struct world *world, const struct worker_model *worker)
+{
+    entry_of(world, worker_model_id(worker))->is_listed = false;
+    write_entry(world, worker_model_id(worker), NULL);
+}
+
 /* Stores the worker's report, or removes the entry of one that is down. */
 static void
 update_entry(struct world *world, const struct worker_model *worker)
--- a/emulator/world_restarts.c
+++ b/emulator/world_restarts.c
@@ -90,7 +90,7 @@
     }
     world_record_fault(world, "restarted %s", worker_model_id(worker));
     worker_model_restart(worker, world_random_below(world, CLOCK_MAX_MS) + 1);
-    g_hash_table_remove(world->draining, worker_model_id(worker));
+    world_drain_ended(world, worker_model_id(worker));
     if (world_random_chance(world, SECOND_CRASH_PERCENT)) {
         world_schedule(world,
                        world_random_between(world, SECOND_CRASH_MIN_MS,
--- a/standins/platform_reports.c
+++ b/standins/platform_reports.c
@@ -48,10 +48,11 @@
 {
     return g_strdup_printf(
         "{\"service\":\"service\",\"address\":\"%s\",\"zone\":\"%s\","
-        "\"slots\":8,\"state\":\"ready\",\"capacity\":{\"cpu\":%d,"
+        "\"slots\":8,\"state\":\"%s\",\"capacity\":{\"cpu\":%d,"
         "\"mem_mb\":%d,\"gpus\":%d},\"labels\":[\"" STANDIN_LABEL "\",\"%s\"],"
         "\"clock_ms\":%" PRId64 ",\"born\":%" PRId64 "}",
-        worker->reported_address, worker->dc, WORKER_CPU_MILLI,
+        worker->reported_address, worker->dc,
+        worker->leaves_at_ms > 0 ? "draining" : "ready", WORKER_CPU_MILLI,
         WORKER_MEMORY_MB, WORKER_ACCELERATORS, worker->rack, standin_now_ms(),
         platform->hides_boot_times ? (int64_t)0
                                    : worker_model_boot_ms(worker_fleet_find(
--- a/standins/platform_standin.c
+++ b/standins/platform_standin.c
@@ -39,6 +39,10 @@
  *                           crashes the worker, which restarts after DOWN_MS
  *                           under a new id or the same; its last report is
  *                           stored again LATE_MS after the crash
+ *   leave WORKER STAYS_MS DOWN_MS
+ *                           the worker reports that it drains, shuts down
+ *                           after STAYS_MS, and starts DOWN_MS later at its
+ *                           address under a new id
  *   late WORKER MS HELD REFUSED SEED
  *                           for so long, it holds back HELD percent of the
  *                           starts and stops that reach it, and carries them
@@ -145,10 +149,28 @@
     worker->id = g_strdup(worker_model_id(after));
 }
 
+/* Shuts down a worker that has drained for long enough. */
 static void
-restart_all_due(struct platform *platform)
+shut_down_if_due(struct platform *platform, struct worker_server *worker)
+{
+    if (worker->leaves_at_ms == 0 || standin_now_ms() < worker->leaves_at_ms) {
+        return;
+    }
+    worker->leaves_at_ms = 0;
+    worker_model_shut_down(worker_fleet_find(platform->fleet, worker->id));
+    worker->crashed_at_ms = standin_now_ms();
+    worker->keeps_id = false;
+    worker->stays_listed = true;
+    standin_remove_entry(platform, worker->id);
+    printf("left worker=%s at_ms=%" PRId64 "\n", worker->id,
+           cw_clock_wall_ms(cw_clock_system()));
+}
+
+static void
+process_all_due(struct platform *platform)
 {
     for (guint i = 0; i < platform->workers->len; i++) {
+        shut_down_if_due(platform, platform->workers->pdata[i]);
         restart_if_due(platform, platform->workers->pdata[i]);
     }
 }
@@ -170,6 +192,7 @@
     worker->downtime_ms = downtime_ms;
     worker->keeps_id = keeps_id;
     worker->stays_listed = false;
+    worker->leaves_at_ms = 0;
     return true;
 }
 
@@ -238,6 +261,22 @@
            cw_clock_wall_ms(cw_clock_system()));
 }
 
+static void
+leave(struct platform *platform, struct worker_server *worker,
+      int64_t stays_ms, int64_t downtime_ms)
+{
+    if (worker_model_is_down(worker_fleet_find(platform->fleet, worker->id)) ||
+        worker->leaves_at_ms > 0)
+    {
+        return;
+    }
+    worker->leaves_at_ms = standin_now_ms() + stays_ms;
+    worker->downtime_ms = downtime_ms;
+    standin_report_workers(platform);
+    printf("draining worker=%s at_ms=%" PRId64 "\n", worker->id,
+           cw_clock_wall_ms(cw_clock_system()));
+}
+
 static struct worker_server *
 find_worker(const struct platform *platform, const char *name)
 {
@@ -295,6 +334,10 @@
                                g_ascii_strtoll(words[3], NULL, 10),
                                strcmp(words[4], "same") == 0);
     }
+    else if (strcmp(words[0], "leave") == 0 && count == 4) {
+        leave(platform, worker, g_ascii_strtoll(words[2], NULL, 10),
+              g_ascii_strtoll(words[3], NULL, 10));
+    }
     else if (strcmp(words[0], "late") == 0 && count == 6) {
         hold_orders(worker, words);
     }
@@ -500,7 +543,7 @@
 
     do {
         pthread_mutex_lock(&platform->lock);
-        restart_all_due(platform);
+        process_all_due(platform);
         if (standin_now_ms() >= report_ms) {
             standin_report_workers(platform);
             report_ms = standin_now_ms() + REPORT_INTERVAL_MS;
--- a/standins/platform_standin.h
+++ b/standins/platform_standin.h
@@ -87,6 +87,7 @@
     /* If the next incarnation has a new id, the entry stays until it expires.
      */
     bool stays_listed;
+    int64_t leaves_at_ms;   /* it drains, and shuts down then; 0: neither */
     int64_t muted_until_ms; /* no report is stored before */
     /* Its entry was removed, and its next report is stored then; 0: neither.
      */
--- a/standins/platform_workers.c
+++ b/standins/platform_workers.c
@@ -475,6 +475,7 @@
             server->downtime_ms = CRASH_DOWNTIME_MS;
             server->keeps_id = platform->next_crash_keeps_id;
             server->stays_listed = false;
+            server->leaves_at_ms = 0;
         }
     }
     platform->next_crash_keeps_id = false;
