Fix: a worker that drained and left is no crash for the next owner

Cause: only the owner that had read the worker's last report knew that it drained. The next one found no entry, polled the address that is stored with the run, and took the successor's refusal for a crash: 3 of 12 each time.

Change: that an incarnation is over and that it has crashed are two things (owner_departures.c). A crash needs reports of the incarnation, none of which says that it drains, read up to shortly before its end. An owner that found no entry reads the last records of the log of reports. While they are not read the suspicion is pending; if the store does not retain them it counts in advance and expires. A job ends only if two crashes under one of its tasks are proved. A task at the limit whose second crash is not proved is delayed.

Why it works: the platform's store has what every owner needs, whichever owner was alive to read it, and nothing final rests on what it does not have.

Tests: owner_cluster.h records that its workers have reported, as workers do; no assertion of an existing test changed.

--- a/include/curlewcart/cw_follower.h
+++ b/include/curlewcart/cw_follower.h
@@ -17,7 +17,8 @@
 
 /* Callbacks of a follower; all but `record` may be NULL. */
 struct cw_follower_handler {
-    /* A load begins: all keys will be delivered again. */
+    /* A load begins: all keys will be delivered again.  With `history_only`:
+     * records were skipped that the store does not retain. */
     void (*reset)(void *context);
     /* The load is complete: the newest record of each key was delivered. */
     void (*loaded)(void *context);
@@ -36,6 +37,10 @@
     unsigned wait_ms; /* how long a read waits at the store for a record; 0:
                          does not wait */
     unsigned read_interval_ms; /* minimum, from an answer to the next read */
+    /* Reads the records from `from` on, or from the oldest that the store
+     * retains, and never loads the newest of each key. */
+    bool history_only;
+    uint64_t from;
     struct cw_follower_handler handler;
 };
 
--- a/src/owner/internal/owner_crashes.h
+++ b/src/owner/internal/owner_crashes.h
@@ -9,22 +9,26 @@
  * first is dropped. */
 void owner_crashes_collect(const struct owner_run *run, struct timespec now);
 
-/* Counts the pending suspicions of a worker that has crashed, which may end
- * jobs.  Its next incarnation has this boot time (by its wall clock; 0:
- * unknown). */
-void owner_crashes_confirmed(struct cw_owner *owner,
-                             struct owner_target *target, int64_t boot_ms);
-
-/* To be called when the worker's runs were dropped.  Counts the pending
- * suspicions if it is certain that the worker has crashed, which may end jobs;
- * else leaves them pending. */
+/* Settles the pending suspicions of a worker whose incarnation is over: counts
+ * them if it has crashed, which may end jobs; drops them if it has shut down,
+ * or if nothing tells which of both; leaves them pending until that is read.
+ * The next incarnation has this boot time (by its wall clock; 0: unknown). */
+void owner_crashes_over(struct cw_owner *owner, struct owner_target *target,
+                        int64_t boot_ms);
+
+/* Settles the suspicions that have waited for reports of their workers. */
+void owner_crashes_settle_all(struct cw_owner *owner);
+
+/* To be called when the worker's runs were dropped.  Settles the pending
+ * suspicions if it is certain that the worker is over; else leaves them
+ * pending. */
 void owner_crashes_resolve(struct cw_owner *owner, struct owner_target *target,
                            struct timespec now);
 
 /* To be called when a worker that was given up answers, as the incarnation
  * with this boot time (0: unknown).  Another incarnation than a run was sent
- * to confirms the crash; the same one refutes it, and the suspicion that was
- * added is revoked. */
+ * to shows that this one is over; the same one refutes a crash, and the
+ * suspicion that was added is revoked. */
 void owner_crashes_answered(struct cw_owner *owner,
                             struct owner_target *target, int64_t boot_ms);
 
--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -15,6 +15,7 @@
 #include "curlewcart/cw_xdr.h"
 #include "owner/internal/owner_append_watch.h"
 #include "owner/internal/owner_boot_times.h"
+#include "owner/internal/owner_departures.h"
 #include "owner/internal/owner_due.h"
 #include "owner/internal/owner_epochs.h"
 #include "owner/internal/owner_gang_ends.h"
@@ -258,6 +259,7 @@
     struct timespec reported_at;
     int64_t reported_boot_ms; /* in the report that gave the state above */
     struct owner_boot_times boot_times;   /* of other incarnations */
+    struct owner_reported_list reported;  /* owner_departures.c */
     struct owner_incarnation incarnation; /* the last that answered */
     bool progress_invalid_logged;
     /* Latest end of a lease that was granted to any incarnation, by this VM's
@@ -394,6 +396,12 @@
     struct timespec fencing_at; /* fencing of earlier owners began */
     struct timespec fenced_at;  /* earlier owners were fenced */
     struct cw_follower *reports;
+    /* Reads reports of workers up to an offset that are older than those which
+     * `reports` has loaded; NULL: none; owner_departures.c. */
+    struct cw_follower *reports_history;
+    uint64_t reports_history_end;
+    bool departures_awaited; /* suspicions wait for reports */
+    struct timespec departures_due;
     /* States of jobs, during a takeover. */
     struct owner_state_reader *state_reader;
     GHashTable *jobs;      /* id -> struct owner_job */
--- a/src/owner/owner.c
+++ b/src/owner/owner.c
@@ -65,6 +65,7 @@
     g_ptr_array_set_size(owner->past_states, 0);
     owner_log_close(owner->states_log);
     owner_log_close(owner->jobs_log);
+    owner_departures_clear(owner);
     cw_follower_free(owner->reports);
     owner->reports = NULL;
     free_state_reader(owner);
@@ -643,6 +644,7 @@
     }
     cw_follower_tick(owner->reports, now);
     cw_time_set_earlier(&next, cw_follower_due(owner->reports));
+    cw_time_set_earlier(&next, owner_departures_tick(owner, now));
     tick_jobs(owner, now);
     if (owner->placement_wanted && owner_may_order(owner, now)) {
         if (!cw_time_before(now, owner->placement_due)) {
--- a/src/owner/owner_crashes.c
+++ b/src/owner/owner_crashes.c
@@ -87,6 +87,10 @@
     bool no_progress;
     int64_t unresponsive_at_ms; /* wall-clock time when its worker became
                                    unresponsive */
+    /* When the worker's incarnation was known to be over (0: not yet), and the
+     * boot time of the next one (0: unknown). */
+    struct timespec over_at;
+    int64_t next_boot_ms;
 };
 
 static void
@@ -134,20 +138,6 @@
     }
 }
 
-/* Takes the pending suspicions off a worker's list and off the lists of their
- * jobs.  Owned by the caller. */
-static GPtrArray *
-take_pending(struct cw_owner *owner, struct owner_target *target)
-{
-    GPtrArray *taken = target->pending_suspicions;
-
-    target->pending_suspicions = owner_pending_suspicions_new();
-    for (guint i = 0; i < taken->len; i++) {
-        unlink_from_job(owner, taken->pdata[i]);
-    }
-    return taken;
-}
-
 /* ---- weight of a crash ---- */
 
 static bool
@@ -338,7 +328,8 @@
                                             unresponsive_from_ms(run, now)};
 
     /* A draining worker has shut down, not crashed. */
-    if (pending.weight > 0 && !target->draining) {
+    if (pending.weight > 0 && !owner_departures_drained(target, run->boot_ms))
+    {
         add_pending(owner_task_job(run->task), &pending,
                     owner_address_of_run(run));
     }
@@ -428,44 +419,183 @@
     return (int)weight - (int)pending->added_in_advance;
 }
 
+/* Part of the task's suspicion that is not revoked, whatever is learned. */
+static unsigned
+confirmed_suspicion(const struct owner_task *task)
+{
+    const struct owner_job *job = owner_task_job(task);
+    unsigned in_advance = 0;
+
+    for (guint i = 0; i < job->pending_suspicions->len; i++) {
+        const struct pending_suspicion *pending =
+            job->pending_suspicions->pdata[i];
+
+        if (owner_job_task(job, &pending->task) == task) {
+            in_advance += pending->added_in_advance;
+        }
+    }
+    return task->suspicion - MIN(task->suspicion, in_advance);
+}
+
 /* Adds the suspicion for a confirmed crash in full, which may end the task's
  * job.  Suspicion that is added in advance must not end a job: it would end
- * for no reason if its workers were only cut off. */
+ * for no reason if its workers were only cut off, or had shut down.  So an
+ * earlier crash has to be confirmed as well. */
 static void
 apply_confirmed(struct cw_owner *owner,
                 const struct pending_suspicion *pending, int64_t boot_ms)
 {
     struct owner_task *task = suspected_task(owner, pending);
+    int to_add = to_add_if_booted(pending, boot_ms);
 
     if (task == NULL) {
         return;
     }
     task->delayed_until = cw_time_from_ms(0);
-    add_suspicion(owner, task, pending, to_add_if_booted(pending, boot_ms),
-                  "other_incarnation");
-    if (task->suspicion >= SUSPICION_LIMIT) {
+    add_suspicion(owner, task, pending, to_add, "other_incarnation");
+    if (task->suspicion < SUSPICION_LIMIT) {
+        return;
+    }
+    if ((int)confirmed_suspicion(task) >
+        to_add + (int)pending->added_in_advance) {
         owner_task_log_given_up(task, "crashes");
         owner_job_end(owner, owner_task_job(task), CW_WORK_FAILED,
                       CW_END_CRASHES);
+        return;
+    }
+    task->delayed_until = cw_time_add_ms(owner_now(owner), AT_LIMIT_DELAY_MS);
+}
+
+/* Revokes what was added in advance. */
+static void
+revoke_suspicion(struct cw_owner *owner,
+                 const struct pending_suspicion *pending)
+{
+    struct owner_task *task = suspected_task(owner, pending);
+
+    if (task != NULL && pending->added_in_advance > 0) {
+        owner_task_set_suspicion(
+            task,
+            task->suspicion - MIN(task->suspicion, pending->added_in_advance));
+        task->delayed_until = cw_time_from_ms(0);
+        owner_job_mark_dirty(owner, owner_task_job(task));
+    }
+}
+
+/* Adds suspicion in advance for a worker of which it is not known whether it
+ * has crashed or shut down.  It is revoked when it expires. */
+static void
+add_unknown(struct cw_owner *owner, struct pending_suspicion *pending)
+{
+    struct owner_task *task = suspected_task(owner, pending);
+
+    if (task != NULL && pending->added_in_advance == 0) {
+        pending->added_in_advance = MIN(pending->weight, SUSPICION_PRESENT);
+        add_suspicion(owner, task, pending, (int)pending->added_in_advance,
+                      "unknown");
+    }
+}
+
+static void
+exclude_crash(struct cw_owner *owner, const struct pending_suspicion *pending)
+{
+    cw_log_info("crash_excluded",
+                "id=%s task=%u.%u.%u run=%u worker=%s counted=%u "
+                "born_ms=%" PRId64,
+                pending->job, pending->task.occurrence, pending->task.step,
+                pending->task.index, pending->run, pending->target->id,
+                pending->added_in_advance, pending->boot_ms);
+    revoke_suspicion(owner, pending);
+}
+
+/* Settles a suspicion about an incarnation that has ended in this way; false
+ * if it stays pending. */
+static bool
+settle(struct cw_owner *owner, struct pending_suspicion *pending,
+       enum owner_departure departure)
+{
+    switch (departure) {
+    case OWNER_DEPARTURE_CRASHED:
+        unlink_from_job(owner, pending);
+        apply_confirmed(owner, pending, pending->next_boot_ms);
+        return true;
+    case OWNER_DEPARTURE_DRAINED:
+        unlink_from_job(owner, pending);
+        exclude_crash(owner, pending);
+        return true;
+    case OWNER_DEPARTURE_PENDING:
+        owner_departures_await(owner);
+        return false;
+    default:
+        add_unknown(owner, pending);
+        return false;
+    }
+}
+
+/* Settles those pending suspicions of the worker whose incarnation is over, if
+ * it is known how that has ended. */
+static void
+settle_over(struct cw_owner *owner, struct owner_target *target)
+{
+    GPtrArray *list = target->pending_suspicions;
+    bool crashed = false;
+    guint i = 0;
+
+    while (i < list->len) {
+        struct pending_suspicion *pending = list->pdata[i];
+        enum owner_departure departure;
+
+        if (pending->over_at.tv_sec == 0) {
+            i++;
+            continue;
+        }
+        departure =
+            owner_departures_find(target, pending->boot_ms, pending->over_at);
+        if (!settle(owner, pending, departure)) {
+            i++;
+            continue;
+        }
+        crashed = crashed || departure == OWNER_DEPARTURE_CRASHED;
+        g_ptr_array_remove_index(list, i);
+        owner->placement_wanted = true;
+    }
+    if (crashed) {
+        cw_count_add(owner->options.counters, CW_COUNT_CRASHES, 1);
+    }
+}
+
+static void
+mark_over(struct pending_suspicion *pending, int64_t next_boot_ms,
+          struct timespec now)
+{
+    if (pending->over_at.tv_sec == 0) {
+        pending->over_at = now;
+        pending->next_boot_ms = next_boot_ms;
     }
 }
 
 void
-owner_crashes_confirmed(struct cw_owner *owner, struct owner_target *target,
-                        int64_t boot_ms)
+owner_crashes_over(struct cw_owner *owner, struct owner_target *target,
+                   int64_t boot_ms)
 {
-    GPtrArray *taken;
+    struct timespec now = owner_now(owner);
 
-    if (target->pending_suspicions->len == 0) {
-        return;
+    for (guint i = 0; i < target->pending_suspicions->len; i++) {
+        mark_over(target->pending_suspicions->pdata[i], boot_ms, now);
     }
-    taken = take_pending(owner, target);
-    cw_count_add(owner->options.counters, CW_COUNT_CRASHES, 1);
-    for (guint i = 0; i < taken->len; i++) {
-        apply_confirmed(owner, taken->pdata[i], boot_ms);
+    settle_over(owner, target);
+}
+
+void
+owner_crashes_settle_all(struct cw_owner *owner)
+{
+    GHashTableIter iterator;
+    gpointer value;
+
+    g_hash_table_iter_init(&iterator, owner->targets);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        settle_over(owner, value);
     }
-    g_ptr_array_unref(taken);
-    owner->placement_wanted = true;
 }
 
 /* True if the task is given up once all its pending suspicions are confirmed.
@@ -560,31 +690,17 @@
     }
 }
 
-static void
-revoke_suspicion(struct cw_owner *owner,
-                 const struct pending_suspicion *pending)
-{
-    struct owner_task *task = suspected_task(owner, pending);
-
-    if (task != NULL && pending->added_in_advance > 0) {
-        owner_task_set_suspicion(
-            task,
-            task->suspicion - MIN(task->suspicion, pending->added_in_advance));
-        task->delayed_until = cw_time_from_ms(0);
-        owner_job_mark_dirty(owner, owner_task_job(task));
-    }
-}
-
 void
 owner_crashes_resolve(struct cw_owner *owner, struct owner_target *target,
                       struct timespec now)
 {
     if (target->superseded) {
-        owner_crashes_confirmed(owner, target, 0);
-        return;
+        owner_crashes_over(owner, target, 0);
     }
     apply_in_advance(owner, target, now);
-    if (!target->listed && target->pending_suspicions->len > 0) {
+    if (!target->superseded && !target->listed &&
+        target->pending_suspicions->len > 0)
+    {
         owner_address_doubt(target);
     }
 }
@@ -593,34 +709,28 @@
 owner_crashes_answered(struct cw_owner *owner, struct owner_target *target,
                        int64_t boot_ms)
 {
-    unsigned confirmed = 0;
-    GPtrArray *taken;
+    struct timespec now = owner_now(owner);
+    GPtrArray *list = target->pending_suspicions;
+    unsigned refuted = 0;
 
-    if (target->pending_suspicions->len == 0) {
-        return;
-    }
-    taken = take_pending(owner, target);
-    for (guint i = 0; i < taken->len; i++) {
-        const struct pending_suspicion *pending = taken->pdata[i];
+    for (guint i = list->len; i > 0; i--) {
+        struct pending_suspicion *pending = list->pdata[i - 1];
 
         if (pending->boot_ms > 0 && boot_ms > 0 && pending->boot_ms != boot_ms)
         {
-            apply_confirmed(owner, pending, boot_ms);
-            confirmed++;
-        }
-        else {
-            revoke_suspicion(owner, pending);
+            mark_over(pending, boot_ms, now);
+            continue;
         }
+        revoke_suspicion(owner, pending);
+        unlink_from_job(owner, pending);
+        g_ptr_array_remove_index(list, i - 1);
+        refuted++;
     }
-    if (confirmed > 0) {
-        cw_count_add(owner->options.counters, CW_COUNT_CRASHES, 1);
-    }
-    if (confirmed < taken->len) {
-        cw_log_info("crash_refuted", "worker=%s runs=%u", target->id,
-                    taken->len - confirmed);
+    if (refuted > 0) {
+        cw_log_info("crash_refuted", "worker=%s runs=%u", target->id, refuted);
+        owner->placement_wanted = true;
     }
-    g_ptr_array_unref(taken);
-    owner->placement_wanted = true;
+    settle_over(owner, target);
 }
 
 /* ---- pending suspicion that is stored ---- */
--- a/src/owner/owner_polls.c
+++ b/src/owner/owner_polls.c
@@ -217,7 +217,7 @@
         }
     }
     g_ptr_array_unref(absent);
-    owner_crashes_confirmed(owner, target, answer->boot_ms);
+    owner_crashes_over(owner, target, answer->boot_ms);
 }
 
 /* Logs gaps in the numbers of ends, which are consecutive.  An end that was
--- a/src/owner/owner_targets.c
+++ b/src/owner/owner_targets.c
@@ -284,6 +284,7 @@
     /* Late reports may have replaced the present one's entry, so the worker
      * stays listed if it was. */
     target->found_in_reload = true;
+    owner_departures_reported(target, report->boot_ms, draining);
     if (owner_boot_times_is_over(&target->boot_times, report->boot_ms)) {
         log_late(target, report, "over");
         owner_incarnation_reported(target, report->boot_ms);
@@ -411,6 +412,7 @@
     GHashTableIter iterator;
     gpointer value;
 
+    owner_departures_reports_missed(owner);
     g_hash_table_iter_init(&iterator, owner->targets);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         ((struct owner_target *)value)->found_in_reload = false;
--- a/src/replica/follower.c
+++ b/src/replica/follower.c
@@ -63,7 +63,9 @@
     struct cw_follower *follower = g_new0(struct cw_follower, 1);
 
     follower->options = *options;
-    follower->loading = true;
+    follower->loading = !options->history_only;
+    follower->loaded = options->history_only;
+    follower->position = options->from;
     follower->load_timeout_ms = LOAD_TIMEOUT_FIRST_MS;
     return follower;
 }
@@ -229,6 +231,24 @@
     end_load(follower);
 }
 
+/* Goes on at the oldest record that the store retains. */
+static void
+skip_expired(struct cw_follower *follower, const struct cw_store_page *page,
+             struct timespec now)
+{
+    const struct cw_follower_handler *handler = &follower->options.handler;
+
+    if (page->first <= follower->position) {
+        record_failure(follower, page->status, now);
+        return;
+    }
+    follower->position = page->first;
+    follower->due = now;
+    if (handler->reset != NULL) {
+        handler->reset(handler->context);
+    }
+}
+
 static void
 on_read(void *context, const struct cw_store_page *page)
 {
@@ -247,7 +267,12 @@
                     "what=%s position=%" G_GUINT64_FORMAT
                     " first=%" G_GUINT64_FORMAT,
                     follower->options.name, follower->position, page->first);
-        begin_load(follower, now);
+        if (follower->options.history_only) {
+            skip_expired(follower, page, now);
+        }
+        else {
+            begin_load(follower, now);
+        }
         return;
     }
     if (page->status != CW_STORE_OK) {
--- a/tests/owner_cluster.h
+++ b/tests/owner_cluster.h
@@ -93,6 +93,7 @@
     target->capacity.cpu_milli = 32000;
     target->capacity.memory_mb = 65536;
     target->listed = true;
+    owner_departures_reported(target, 0, false);
     target->incarnation.clock_known = true;
     target->incarnation.clock_at = cluster->clock.now;
     target->answered = true;
@@ -237,6 +238,21 @@
     return add_job_for_account(cluster, "a", priority, step_spec);
 }
 
+/* Returns a job that is restored from the state that another owner has stored,
+ * as the first job of the cluster. */
+static inline struct owner_job *
+restore_job(struct cluster *cluster, unsigned priority,
+            const struct cw_step_spec *step, const GByteArray *state)
+{
+    struct owner_job *job = add_job(cluster, priority, step);
+    GBytes *bytes = g_bytes_new(state->data, state->len);
+
+    g_ptr_array_set_size(job->open, 0);
+    g_assert(owner_job_restore(cluster->owner, job, bytes));
+    g_bytes_unref(bytes);
+    return job;
+}
+
 static inline struct owner_step *
 step_of(const struct owner_job *job)
 {
--- a/tests/owner_fixture.h
+++ b/tests/owner_fixture.h
@@ -200,11 +200,14 @@
     put_spec_accepted_at(fixture, 0);
 }
 
-/* Stores a state in which each task has a run on the worker "w". */
+/* Stores a state in which each task has a run on the worker "w", which has
+ * this address ("": not known). */
 static inline void
-put_state(struct fixture *fixture, const char *topic, unsigned phase)
+put_state_at(struct fixture *fixture, const char *topic, unsigned phase,
+             const char *address)
 {
     static char *workers[] = {(char *)"w"};
+    char *addresses[] = {(char *)address};
     struct cw_task_record tasks[TASKS] = {0};
     struct cw_step_record step = {0};
     struct cw_occurrence_record occurrence = {0};
@@ -228,12 +231,20 @@
     record.open.open_val = &occurrence;
     record.workers.workers_len = 1;
     record.workers.workers_val = workers;
+    record.extension.addresses.addresses_len = address[0] != '\0';
+    record.extension.addresses.addresses_val = addresses;
     record.ended_ms = cw_work_is_over(phase) ? START_MS : 0;
     bytes = cw_record_encode(&record);
     put(fixture, topic, "r" ID, bytes);
     g_byte_array_unref(bytes);
 }
 
+static inline void
+put_state(struct fixture *fixture, const char *topic, unsigned phase)
+{
+    put_state_at(fixture, topic, phase, "");
+}
+
 /* Begins with the state of a job that another owner has started, and in a
  * later generation than that owner's. */
 static inline void
--- a/tests/test_crashes.c
+++ b/tests/test_crashes.c
@@ -84,13 +84,7 @@
 static struct owner_job *
 take_over(struct cluster *cluster, GByteArray *state)
 {
-    struct owner_job *job = add_job(cluster, 0, &one);
-    GBytes *bytes = g_bytes_new(state->data, state->len);
-
-    g_ptr_array_set_size(job->open, 0);
-    CU_ASSERT_TRUE(owner_job_restore(cluster->owner, job, bytes));
-    g_bytes_unref(bytes);
-    return job;
+    return restore_job(cluster, 0, &one, state);
 }
 
 /* Each owner detects one crash of a worker and is then replaced by another
@@ -452,6 +446,30 @@
     cluster_end(&cluster);
 }
 
+/* Guards against LOST: a job that ends by one proved crash, as workers that
+ * may only have been cut off count in advance. */
+static void
+test_one_proved_crash_ends_no_job(void)
+{
+    struct cluster cluster;
+    struct owner_job *job;
+
+    cluster_begin(&cluster);
+    job = add_job(&cluster, 0, &one);
+    for (unsigned i = 0; i < 2; i++) {
+        await_placement(&cluster, job);
+        confirm_starts(&cluster, job);
+        lose_unresponsive(&cluster, (struct owner_target *)worker_of(job, 0));
+    }
+    CU_ASSERT_EQUAL(step_of(job)->tasks[0].suspicion, 6);
+    CU_ASSERT_EQUAL(crash_until_over(&cluster, job, 1), 1);
+    CU_ASSERT_EQUAL(step_of(job)->tasks[0].suspicion, 12);
+    CU_ASSERT_FALSE(cw_work_is_over(job->phase));
+    CU_ASSERT_EQUAL(crash_until_over(&cluster, job, 1), 1);
+    CU_ASSERT_EQUAL(job->phase, CW_WORK_FAILED);
+    cluster_end(&cluster);
+}
+
 /* If nothing confirms the crash, the task continues within the time that
  * callers tolerate. */
 static void
@@ -1100,6 +1118,7 @@
     {"cut off", test_suspicion_is_revoked_after_cut},
     {"confirmed late", test_crash_confirmed_late_counts},
     {"unresponsive", test_unresponsive_workers_alone_end_no_job},
+    {"one proved crash", test_one_proved_crash_ends_no_job},
     {"start in flight", test_start_in_flight_makes_cause_unclear},
     {"delay of suspect", test_delay_of_suspect_is_limited},
     {"delay at the limit", test_task_at_the_limit_waits_longer},
