Fix: a gang's failed run counts once, whichever owner hears its ends

Cause: the state had the number of the gang's failed runs, and not which; the owner told them apart by the run that it had counted last, in its memory. Without a takeover that was wrong as well: the late end of an earlier run replaced that number.

The tests "one failed run, takeovers" and "late failure of an earlier run" fail on the old code.

Change: each run of a member that is outstanding, and each run whose end was not heard, knows whether the gang's failure in it was counted.

A gang that fails in two runs ends after exactly two, with takeovers between its members' ends (test "two failed runs, takeovers").

--- a/src/owner/internal/owner_gang_ends.h
+++ b/src/owner/internal/owner_gang_ends.h
@@ -4,6 +4,7 @@
 
 #include <stdbool.h>
 #include <time.h>
+#include <glib.h>
 
 #include "curlewcart/cw_target.h"
 
@@ -73,6 +74,14 @@
 void
 owner_gang_ends_check_inherited(struct cw_owner *owner, struct timespec now);
 
+/* Records that the gang's run with this number is counted as failed: ends of
+ * other members in it are not counted again. */
+void owner_gang_ends_failure_counted(struct owner_step *step, unsigned run);
+
+/* Adds rows, struct cw_crash_record, for the runs that were counted as failed
+ * and of which the ends of other members are outstanding. */
+void owner_gang_ends_encode(const struct owner_step *step, GArray *rows);
+
 /* Restores the run whose end an earlier owner has not heard; 0: none. */
 void owner_gang_ends_restore(struct cw_owner *owner, struct owner_task *task,
                              unsigned run);
--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -81,6 +81,9 @@
     /* The ends of other members of its gang prove nothing about it;
      * owner_gang_ends.c. */
     bool gang_end_doubtful;
+    /* Another member of its gang has failed in the same run, which was counted.
+     */
+    bool gang_failure_counted;
     /* owner_speed.c: percent per second over the last window */
     struct timespec window_at;
     unsigned window_percent;
@@ -109,6 +112,7 @@
      * none.  Its worker (NULL: not known to this owner), and when the worker's
      * lease is over; owner_gang_ends.c. */
     unsigned unheard_run;
+    bool unheard_counted; /* that run was counted as failed */
     const struct owner_target *unheard_on;
     struct timespec unheard_until;
     bool done;
@@ -121,9 +125,8 @@
     unsigned number;
     const struct cw_step_spec *spec; /* borrowed from the job's spec */
     bool done;
-    unsigned failures;   /* of the gang */
-    unsigned failed_run; /* the gang's run that was last counted as failed */
-    unsigned runs;       /* number of tasks that have a run */
+    unsigned failures; /* of the gang: number of its runs that failed */
+    unsigned runs;     /* number of tasks that have a run */
     struct owner_task *tasks;
     unsigned count;
     unsigned left;     /* number of tasks that are not done */
--- a/src/owner/owner_gang_ends.c
+++ b/src/owner/owner_gang_ends.c
@@ -16,7 +16,12 @@
  *
  * The end that was not heard may have been a failure.  It counts as an attempt
  * if the worker lists it before its lease has lapsed.  Until that is known the
- * gang is not started in a way that would exceed its attempts. */
+ * gang is not started in a way that would exceed its attempts.
+ *
+ * Several members may fail in one run, and their ends may be heard seconds
+ * apart, after a later run has failed or by another owner.  So each run of a
+ * member that is outstanding knows whether the gang's failure in it was
+ * counted, and the state that is stored tells it. */
 #include "owner/internal/owner_crashes.h"
 
 enum {
@@ -45,7 +50,8 @@
     unsigned failures = step->failures;
 
     for (unsigned i = 0; i < step->count; i++) {
-        failures += awaits_end(&step->tasks[i], now);
+        failures += !step->tasks[i].unheard_counted &&
+                    awaits_end(&step->tasks[i], now);
     }
     return failures;
 }
@@ -76,6 +82,7 @@
     struct owner_target *target = run->target;
 
     run->task->unheard_run = run->number;
+    run->task->unheard_counted = run->gang_failure_counted;
     run->task->unheard_on = target;
     run->task->unheard_until = target->lease_end;
     target->awaits_ends = true;
@@ -87,6 +94,7 @@
 await_no_end(struct cw_owner *owner, struct owner_task *task)
 {
     task->unheard_run = 0;
+    task->unheard_counted = false;
     owner->placement_wanted = true;
     owner_job_mark_dirty(owner, owner_task_job(task));
 }
@@ -95,8 +103,8 @@
 owner_gang_ends_heard_late(struct cw_owner *owner, struct owner_task *task,
                            const struct cw_ended *ended)
 {
-    bool counts =
-        ended->how == CW_END_KIND_FAILED && awaits_end(task, owner_now(owner));
+    bool counts = ended->how == CW_END_KIND_FAILED &&
+                  awaits_end(task, owner_now(owner)) && !task->unheard_counted;
 
     if (!task->step->spec->gang || task->unheard_run != ended->run) {
         return false;
@@ -105,6 +113,58 @@
     return counts;
 }
 
+void
+owner_gang_ends_failure_counted(struct owner_step *step, unsigned run)
+{
+    for (unsigned i = 0; i < step->count; i++) {
+        struct owner_task *task = &step->tasks[i];
+
+        if (task->run != NULL && task->run->number == run) {
+            task->run->gang_failure_counted = true;
+        }
+        if (task->unheard_run > 0 && task->unheard_run == run) {
+            task->unheard_counted = true;
+        }
+    }
+}
+
+/* Adds a row for the number of a run unless the step has one. */
+static void
+encode_failed_run(const struct owner_step *step, unsigned run, GArray *rows,
+                  guint first_row)
+{
+    struct cw_crash_record row = {.occurrence = step->occurrence->number,
+                                  .step = step->number,
+                                  .task = CW_CRASH_TASK_GANG,
+                                  .suspicion = run};
+
+    for (guint i = first_row; i < rows->len; i++) {
+        if (g_array_index(rows, struct cw_crash_record, i).suspicion == run) {
+            return;
+        }
+    }
+    if (rows->len < CW_TASKS_MAX) {
+        g_array_append_val(rows, row);
+    }
+}
+
+void
+owner_gang_ends_encode(const struct owner_step *step, GArray *rows)
+{
+    guint first_row = rows->len;
+
+    for (unsigned i = 0; step->spec->gang && i < step->count; i++) {
+        const struct owner_task *task = &step->tasks[i];
+
+        if (task->run != NULL && task->run->gang_failure_counted) {
+            encode_failed_run(step, task->run->number, rows, first_row);
+        }
+        if (task->unheard_counted) {
+            encode_failed_run(step, task->unheard_run, rows, first_row);
+        }
+    }
+}
+
 void
 owner_gang_ends_restore(struct cw_owner *owner, struct owner_task *task,
                         unsigned run)
--- a/src/owner/owner_runs.c
+++ b/src/owner/owner_runs.c
@@ -417,9 +417,11 @@
     owner_job_mark_dirty(owner, owner_task_job(task));
 }
 
+/* Counts a failed run of the task.  `counted`: it is a run of a gang of which
+ * another member has failed before, and counts once. */
 static void
-task_failed(struct cw_owner *owner, struct owner_task *task,
-            const struct cw_ended *ended)
+task_failed(struct cw_owner *owner, struct owner_task *task, unsigned run,
+            bool counted)
 {
     struct owner_step *step = task->step;
     struct owner_job *job = owner_task_job(task);
@@ -431,11 +433,11 @@
     if (!step->spec->gang) {
         failures = ++task->failures;
     }
-    else if (step->failed_run != ended->run) {
-        step->failed_run = ended->run;
-        failures = ++step->failures;
-    }
     else {
+        if (!counted) {
+            step->failures++;
+            owner_gang_ends_failure_counted(step, run);
+        }
         failures = step->failures;
     }
     cw_count_code(owner->options.counters, CW_RETRY_FAILED);
@@ -503,7 +505,7 @@
         }
         else if (task != NULL &&
                  owner_gang_ends_heard_late(owner, task, ended)) {
-            task_failed(owner, task, ended);
+            task_failed(owner, task, ended->run, false);
         }
         return;
     }
@@ -522,7 +524,7 @@
     }
     else if (ended->how == CW_END_KIND_FAILED) {
         owner_target_add_failure(target, task, owner_now(owner));
-        task_failed(owner, task, ended);
+        task_failed(owner, task, ended->run, run->gang_failure_counted);
     }
     else {
         owner_at_most_once_run_over(owner, run,
--- a/src/owner/owner_state.c
+++ b/src/owner/owner_state.c
@@ -70,12 +70,16 @@
 {
     for (u_int i = 0; i < record->crashes.crashes_len; i++) {
         const struct cw_crash_record *crash = &record->crashes.crashes_val[i];
+        bool of_gang = crash->task == CW_CRASH_TASK_GANG;
         struct cw_task_name name = {.occurrence = crash->occurrence,
                                     .step = crash->step,
-                                    .index = crash->task};
+                                    .index = of_gang ? 0 : crash->task};
         struct owner_task *task = owner_job_task(job, &name);
 
-        if (task != NULL) {
+        if (task != NULL && of_gang) {
+            owner_gang_ends_failure_counted(task->step, crash->suspicion);
+        }
+        else if (task != NULL) {
             owner_task_restore_suspicion(task, crash->suspicion,
                                          owner_now(owner));
         }
@@ -257,6 +261,7 @@
         for (unsigned k = 0; k < occurrence->count; k++) {
             if (!occurrence->steps[k].done) {
                 encode_crashes_of(&occurrence->steps[k], crashes);
+                owner_gang_ends_encode(&occurrence->steps[k], crashes);
             }
         }
     }
--- a/src/proto/cw_proto.h
+++ b/src/proto/cw_proto.h
@@ -147,6 +147,7 @@
 	u_int runs;
 };
 typedef struct cw_place_record cw_place_record;
+#define CW_CRASH_TASK_GANG 4294967295
 
 struct cw_crash_record {
 	u_int occurrence;
--- a/src/proto/cw_proto.x
+++ b/src/proto/cw_proto.x
@@ -140,7 +140,12 @@
     unsigned int runs;
 };
 
-/* Suspicion that a task causes crashes of workers. */
+/* No index of a task: earlier versions ignore a row with it. */
+const CW_CRASH_TASK_GANG = 4294967295;
+
+/* Suspicion that a task causes crashes of workers.  With CW_CRASH_TASK_GANG,
+ * the number of a run of the step's gang that is counted in its `failures`,
+ * while ends of members in that run are outstanding. */
 struct cw_crash_record {
     unsigned int occurrence;
     unsigned int step;
--- a/tests/test_gang_ends.c
+++ b/tests/test_gang_ends.c
@@ -984,6 +984,98 @@
     gang_end(&gang);
 }
 
+/* ---- several members fail in one run ---- */
+
+/* Applies a member's failure in a run. */
+static void
+fail_member(struct gang *gang, unsigned member, unsigned run)
+{
+    struct cw_ended ended = end_of(gang, member, run, CW_END_KIND_FAILED);
+    struct owner_target *target = gang->workers[member];
+
+    if (run_of(gang, member) != NULL) {
+        target = run_of(gang, member)->target;
+    }
+    owner_run_ended(gang->cluster.owner, target, &ended);
+}
+
+/* Replaces the owner by one that has read the state of the job. */
+static void
+take_over_gang(struct gang *gang)
+{
+    GByteArray *state =
+        owner_job_encode(gang->job, cw_store_value_bytes_max(0));
+
+    cluster_end(&gang->cluster);
+    cluster_begin(&gang->cluster);
+    gang->job = restore_job(&gang->cluster, 1, &gang_of_three, state);
+    g_byte_array_unref(state);
+}
+
+/* Guards against LOST: a job shown as failed with an attempt left, as a second
+ * member's failure in one run was counted again by the next owner. */
+static void
+test_failure_of_run_counts_once_across_takeovers(void)
+{
+    struct gang gang;
+
+    gang_begin(&gang);
+    fail_member(&gang, 0, 1);
+    for (unsigned i = 1; i < MEMBERS; i++) {
+        take_over_gang(&gang);
+        fail_member(&gang, i, 1);
+        CU_ASSERT_EQUAL(step_of(gang.job)->failures, 1);
+        CU_ASSERT_FALSE(cw_work_is_over(gang.job->phase));
+    }
+    CU_ASSERT_TRUE(placed_again(&gang));
+    gang_end(&gang);
+}
+
+/* Guards against BUDGET: a gang that fails in two runs, and is started a third
+ * time as the next owner took a failure for one that was counted. */
+static void
+test_second_failed_run_ends_job_across_takeovers(void)
+{
+    struct gang gang;
+
+    gang_begin(&gang);
+    fail_member(&gang, 0, 1);
+    take_over_gang(&gang);
+    fail_member(&gang, 1, 1);
+    fail_member(&gang, 2, 1);
+    CU_ASSERT_TRUE(placed_again(&gang));
+    set_running(&gang.cluster, gang.job);
+    take_over_gang(&gang);
+    CU_ASSERT_FALSE(cw_work_is_over(gang.job->phase));
+    fail_member(&gang, 1, 2);
+    CU_ASSERT_EQUAL(step_of(gang.job)->failures, 2);
+    CU_ASSERT_EQUAL(gang.job->phase, CW_WORK_FAILED);
+    gang_end(&gang);
+}
+
+/* Guards against LOST: after the late end of an earlier run, a second member's
+ * failure in the present run was counted again. */
+static void
+test_late_failure_of_earlier_run_recounts_no_later_one(void)
+{
+    struct gang gang;
+
+    gang_begin(&gang);
+    ((struct cw_work_spec *)gang.job->spec)->max_attempts = 3;
+    become_silent(&gang, SILENT);
+    break_others(&gang);
+    CU_ASSERT_TRUE(placed_again(&gang));
+    set_running(&gang.cluster, gang.job);
+    fail_member(&gang, 0, 2);
+    CU_ASSERT_EQUAL(step_of(gang.job)->failures, 1);
+    list_end(&gang, SILENT, 1, CW_END_KIND_FAILED);
+    CU_ASSERT_EQUAL(step_of(gang.job)->failures, 2);
+    fail_member(&gang, 1, 2);
+    CU_ASSERT_EQUAL(step_of(gang.job)->failures, 2);
+    CU_ASSERT_FALSE(cw_work_is_over(gang.job->phase));
+    gang_end(&gang);
+}
+
 static const struct test tests[] = {
     {"one unheard", test_gang_with_one_unheard_member_is_placed_at_once},
     {"silent later", test_gang_is_placed_once_worker_is_silent},
@@ -1022,6 +1114,12 @@
     {"two crashes", test_only_one_crash_is_caused_by_run_of_gang},
     {"on one worker", test_members_on_one_worker_are_suspected},
     {"first member", test_first_member_to_end_is_suspected},
+    {"one failed run, takeovers",
+     test_failure_of_run_counts_once_across_takeovers},
+    {"two failed runs, takeovers",
+     test_second_failed_run_ends_job_across_takeovers},
+    {"late failure of an earlier run",
+     test_late_failure_of_earlier_run_recounts_no_later_one},
 };
 
 TEST_MAIN("gang ends", tests)
