Fix: no start goes to a worker that has reported that it drains

Cause: only the choice of workers looked at whether they drain. A start that waits, for an answer, a lease note or its turn, is checked for cordons, labels, limits and room before it is sent, and not for that.

Change: a start that waits is withdrawn as soon as its worker is known to drain, whatever it waits for; runs that wait for room, or are not stored yet, are given up as the report is read. A run that may have begun is stopped first.

Why it works: first and repeated starts pass one place, and the condition comes before the reasons to wait, so nothing is held for such a worker.

--- a/emulator/world_net.c
+++ b/emulator/world_net.c
@@ -433,6 +433,7 @@
     call->wait_until_ms = world->now_ms + order->wait_ms;
     if (order->kind == CW_ORDER_START) {
         world_start_is_sent(world, order);
+        world_check_drain(vm, order);
     }
     world_call_schedule(call, call->timeout_at_ms - world->now_ms,
                         world_call_time_out);
--- a/src/owner/internal/owner_private.h
+++ b/src/owner/internal/owner_private.h
@@ -81,7 +81,8 @@
     /* The ends of other members of its gang prove nothing about it;
      * owner_gang_ends.c. */
     bool gang_end_doubtful;
-    /* Another member of its gang has failed in the same run, which was counted.
+    /* Another member of its gang has failed in the same run, which was
+     * counted.
      */
     bool gang_failure_counted;
     /* owner_speed.c: percent per second over the last window */
@@ -540,6 +541,11 @@
 void owner_drain_announced(struct owner_target *target, int64_t remaining_ms,
                            struct timespec now);
 
+/* Evicts the draining worker's runs whose placement is not being stored yet;
+ * others are withdrawn when their start would be sent. */
+void owner_drain_give_up_unsent(struct cw_owner *owner,
+                                struct owner_target *target);
+
 /* Evicts work that would be lost when a draining worker shuts down. */
 void owner_drain_tick(struct cw_owner *owner, struct owner_target *target,
                       struct timespec now);
@@ -980,6 +986,10 @@
     struct timespec due;      /* of a start: not resent before this time */
 };
 
+/* Logs that a start is not sent, or not sent again, to the run's worker. */
+void
+owner_start_log_disallowed(const struct owner_run *run, const char *reason);
+
 /* Frees an order and takes it out of the count of orders in flight. */
 void owner_order_free(struct owner_order *order);
 
--- a/src/owner/owner_drain.c
+++ b/src/owner/owner_drain.c
@@ -22,6 +22,21 @@
         cw_time_add_ms(now, remaining_ms - REPORT_MAX_AGE_MS);
 }
 
+static void
+log_given_up(const struct cw_owner *owner, const struct owner_run *run,
+             struct timespec now)
+{
+    (void)owner;
+    (void)now;
+    owner_start_log_disallowed(run, "draining");
+}
+
+void
+owner_drain_give_up_unsent(struct cw_owner *owner, struct owner_target *target)
+{
+    owner_unsent_runs_give_up(owner, target, log_given_up);
+}
+
 /* Returns how many milliseconds the run's own work still takes; -1 unknown. */
 static int64_t
 own_time_to_end_ms(const struct owner_run *run)
--- a/src/owner/owner_orders.c
+++ b/src/owner/owner_orders.c
@@ -352,8 +352,8 @@
     return owner_step_exceeds_limit(step, run->target) ? "limit" : NULL;
 }
 
-static void
-log_disallowed(const struct owner_run *run, const char *reason)
+void
+owner_start_log_disallowed(const struct owner_run *run, const char *reason)
 {
     struct cw_task_name name = owner_task_name(run->task);
 
@@ -363,6 +363,24 @@
                 run->target->id, reason, owner_run_phase_name(run->phase));
 }
 
+/* Withdraws a run whose start waits to be sent, for the first time or again,
+ * to a worker that drains: it would be lost when the worker shuts down.
+ * Returns true if the order is to be dropped. */
+static bool
+withdraw_from_draining(const struct owner_order *order)
+{
+    struct owner_run *run = order_run(order);
+
+    if (order->kind != CW_ORDER_START || run == NULL || run->stopping ||
+        run->phase == RUN_RUNNING || !run->target->draining)
+    {
+        return false;
+    }
+    owner_start_log_disallowed(run, "draining");
+    withdraw_run(order->owner, run);
+    return true;
+}
+
 /* False if the order is no longer needed. */
 static bool
 is_still_needed(struct owner_order *order, struct timespec now)
@@ -392,7 +410,7 @@
     }
     reason = reason_to_disallow(run);
     if (reason != NULL) {
-        log_disallowed(run, reason);
+        owner_start_log_disallowed(run, reason);
         withdraw_run(order->owner, run);
         return false;
     }
@@ -587,6 +605,11 @@
     {
         struct owner_order *order = g_queue_pop_head(&target->orders);
 
+        /* What such a start waits for does not matter. */
+        if (withdraw_from_draining(order)) {
+            owner_order_free(order);
+            continue;
+        }
         if (must_wait(order, now, &next)) {
             /* Orders behind it need not wait: a start that was never sent to
              * an unresponsive worker is placed elsewhere. */
--- a/src/owner/owner_targets.c
+++ b/src/owner/owner_targets.c
@@ -333,6 +333,9 @@
     }
     target->listed = true;
     target->draining = draining;
+    if (draining) {
+        owner_drain_give_up_unsent(owner, target);
+    }
     owner_incarnation_reported(target, report->boot_ms);
     if (!target->incarnation.clock_known && report->clock_ms > 0) {
         owner_target_set_clock(target, report->clock_ms, owner_now(owner));
--- a/tests/test_drain.c
+++ b/tests/test_drain.c
@@ -150,12 +150,118 @@
     cluster_end(&cluster);
 }
 
+/* ---- starts ---- */
+
+static void
+send_orders(struct cluster *cluster, struct owner_target *target,
+            unsigned after_ms)
+{
+    cluster->clock.now = cw_time_add_ms(cluster->clock.now, after_ms);
+    cluster->owner->ownership_confirmed_at = cluster->clock.now;
+    owner_orders_send(cluster->owner, target, cluster->clock.now);
+}
+
+/* Guards against DRAIN: a start without an answer was sent again, seconds
+ * after its worker had reported that it drains, and its run ended with the
+ * worker. */
+static void
+test_unanswered_start_is_not_sent_again_to_a_draining_worker(void)
+{
+    const struct cw_step_spec one = {.tasks = 1, .accelerators = 8};
+    struct cluster cluster;
+    struct owner_job *job;
+    struct owner_target *target;
+
+    cluster_begin(&cluster);
+    job = add_job(&cluster, 1, &one);
+    pass(&cluster, 10);
+    target = send_job_start(&cluster, job)->target;
+    CU_ASSERT_EQUAL(last_order.kind, CW_ORDER_START);
+    answer_last(CW_TARGET_UNKNOWN);
+    target->draining = true;
+    send_orders(&cluster, target, 100);
+    CU_ASSERT_TRUE(step_of(job)->tasks[0].run->stopping);
+    send_orders(&cluster, target, 1);
+    CU_ASSERT_EQUAL(last_order.kind, CW_ORDER_STOP);
+    answer_last(CW_TARGET_OK);
+    pass(&cluster, 10);
+    owner_poll_tick(cluster.owner, target, cluster.clock.now);
+    CU_ASSERT_EQUAL(last_order.kind, CW_ORDER_POLL);
+    answer_last(CW_TARGET_OK);
+    pass(&cluster, 10);
+    CU_ASSERT_EQUAL(placed(job), 1);
+    CU_ASSERT_PTR_NOT_EQUAL(worker_of(job, 0), target);
+    cluster_end(&cluster);
+}
+
+/* Guards against DRAIN, and against a task that waits: a start that waited for
+ * another reason was kept for its worker, and sent once that was over. */
+static void
+test_waiting_start_leaves_a_draining_worker(void)
+{
+    const struct cw_step_spec one = {.tasks = 1, .accelerators = 8};
+    struct cluster cluster;
+    struct owner_job *job;
+    struct owner_target *target;
+
+    cluster_begin(&cluster);
+    job = add_job(&cluster, 1, &one);
+    pass(&cluster, 10);
+    target = step_of(job)->tasks[0].run->target;
+    target->lease_note = OWNER_LEASE_NOTE_WRITTEN;
+    (void)send_job_start(&cluster, job);
+    CU_ASSERT_EQUAL(step_of(job)->tasks[0].run->phase, RUN_READY);
+    target->draining = true;
+    send_orders(&cluster, target, 10);
+    CU_ASSERT_EQUAL(placed(job), 0);
+    pass(&cluster, 10);
+    CU_ASSERT_EQUAL(placed(job), 1);
+    CU_ASSERT_PTR_NOT_EQUAL(worker_of(job, 0), target);
+    cluster_end(&cluster);
+}
+
+/* Guards against DRAIN: a run that waited for room on its worker was started
+ * there once that was free, however long ago the worker had begun to drain. */
+static void
+test_reserved_run_leaves_a_draining_worker(void)
+{
+    const struct cw_step_spec one = {.tasks = 1, .accelerators = 8};
+    struct cluster cluster;
+    struct cw_target_report report = {.service = "s",
+                                      .dc = "",
+                                      .rack = "r0",
+                                      .kind = "even",
+                                      .capacity = {32000, 65536, 8},
+                                      .draining = true,
+                                      .remaining_ms = REMAINING_MS};
+    struct owner_job *job;
+    struct owner_run *run;
+
+    cluster_begin(&cluster);
+    job = add_job(&cluster, 1, &one);
+    run = owner_run_create(cluster.owner, &step_of(job)->tasks[0],
+                           owner_target_get(cluster.owner, "w00"),
+                           RUN_RESERVED, 1);
+    report.id = run->target->id;
+    report.address = run->target->address;
+    owner_target_apply_report(cluster.owner, &report);
+    CU_ASSERT_EQUAL(placed(job), 0);
+    pass(&cluster, 10);
+    CU_ASSERT_EQUAL(placed(job), 1);
+    CU_ASSERT_STRING_NOT_EQUAL(worker_of(job, 0)->id, "w00");
+    cluster_end(&cluster);
+}
+
 static const struct test tests[] = {
     {"checkpoints", test_work_with_checkpoints_moves_unless_it_ends_in_time},
     {"no checkpoints", test_work_without_checkpoints_stays},
     {"short leases", test_a_draining_worker_gets_short_leases},
     {"gang", test_a_gang_moves_as_a_whole},
     {"longest member", test_a_gang_is_moved_for_its_longest_member},
+    {"unanswered start",
+     test_unanswered_start_is_not_sent_again_to_a_draining_worker},
+    {"waiting start", test_waiting_start_leaves_a_draining_worker},
+    {"reserved run", test_reserved_run_leaves_a_draining_worker},
 };
 
 TEST_MAIN("drain", tests)
