--- a/emulator/world_leaving.c
+++ b/emulator/world_leaving.c
@@ -1,7 +1,7 @@
 /* Workers that leave: they drain, shut down, and are replaced at their
  * addresses under new ids.  Some are cut off as they begin to drain, so that
  * starts that were sent to them have no answer.  The VM that owns the jobs may
- * be killed or shut down at any point of this: before it has read that the
+ * be killed at any point of this: before it has read that the
  * worker drains, or after the worker's entry is gone. */
 #include "emulator/internal/world_private.h"
 
@@ -63,12 +63,6 @@
     return stored_ms > 0 ? world->now_ms - stored_ms : -1;
 }
 
-static void
-replace(struct world *world, void *context)
-{
-    world_restart_with_new_id(world, context);
-}
-
 static void
 shut_down(struct world *world, void *context)
 {
@@ -87,7 +81,7 @@
     world_schedule(world,
                    world_random_between(world, ADDRESS_REUSE_MIN_MS,
                                         ADDRESS_REUSE_MAX_MS),
-                   replace, worker);
+                   world_restart_with_new_id, worker);
 }
 
 static void
--- a/src/owner/internal/owner_crashes.h
+++ b/src/owner/internal/owner_crashes.h
@@ -10,9 +10,10 @@
 void owner_crashes_collect(const struct owner_run *run, struct timespec now);
 
 /* Settles the pending suspicions of a worker whose incarnation is over: counts
- * them if it has crashed, which may end jobs; drops them if it has shut down,
- * or if nothing tells which of both; leaves them pending until that is read.
- * The next incarnation has this boot time (by its wall clock; 0: unknown). */
+ * them if it has crashed, which may end jobs; drops them if it has shut down.
+ * They stay pending until the reports that tell it are read; if the store does
+ * not retain these, part of them counts in advance until it expires.  The next
+ * incarnation has this boot time (by its wall clock; 0: unknown). */
 void owner_crashes_over(struct cw_owner *owner, struct owner_target *target,
                         int64_t boot_ms);
 
--- a/src/owner/owner_crashes.c
+++ b/src/owner/owner_crashes.c
@@ -17,7 +17,8 @@
  *
  * A worker that is unresponsive until its lease is over has either crashed or
  * is cut off from this VM.  That is resolved when it answers again, or when
- * another incarnation answers at its address (owner_addresses.c).  Until then
+ * another incarnation answers at its address (owner_addresses.c) and the
+ * worker had not shut down as planned (owner_departures.c).  Until then
  * the suspicion is pending, and is stored with the job, with the address at
  * which the worker can be asked: a later owner resolves it.  A small part of
  * it is added in advance to the tasks that had just been started there, and
--- a/src/owner/owner_departures.c
+++ b/src/owner/owner_departures.c
@@ -148,14 +148,20 @@
     }
 }
 
+static void
+stop_reading(struct cw_owner *owner)
+{
+    cw_follower_free(owner->reports_history);
+    owner->reports_history = NULL;
+}
+
 void
 owner_departures_reports_missed(struct cw_owner *owner)
 {
     GHashTableIter iterator;
     gpointer value;
 
-    cw_follower_free(owner->reports_history);
-    owner->reports_history = NULL;
+    stop_reading(owner);
     g_hash_table_iter_init(&iterator, owner->targets);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         struct owner_target *target = value;
@@ -273,8 +279,7 @@
         owner->reports_history_end) {
         return cw_follower_due(owner->reports_history);
     }
-    cw_follower_free(owner->reports_history);
-    owner->reports_history = NULL;
+    stop_reading(owner);
     (void)change_history(owner, OWNER_HISTORY_READING, OWNER_HISTORY_READ);
     owner->departures_due = now;
     return now;
@@ -309,7 +314,6 @@
 void
 owner_departures_clear(struct cw_owner *owner)
 {
-    cw_follower_free(owner->reports_history);
-    owner->reports_history = NULL;
+    stop_reading(owner);
     owner->departures_awaited = false;
 }
