--- a/review/lib-3.sh
+++ b/review/lib-3.sh
@@ -123,3 +123,29 @@
         await 8000 is_ready "$name" || cannot_run "$name is not ready"
     done
 }
+
+# Starts the stand-in with at_work.py before its workers.
+start_with_at_work() { # STARTUP_MS JOBS OPTIONS...
+    local startup=$1 jobs=$2
+    shift 2
+    cat >"$DIR/config.json"
+    mkfifo "$DIR/platform.in"
+    exec 8<>"$DIR/platform.in"
+    "$PLATFORM" --config "$DIR/config.json" --no-boot-times \
+        --proxy "$DIR/ports" "$@" <&8 >"$DIR/platform.log" 2>&1 &
+    PID[platform]=$!
+    has_addresses() { [ "$(grep -c '^worker=' "$DIR/platform.log")" -gt 0 ]; }
+    await 5000 has_addresses || cannot_run "the stand-in prints no addresses"
+    sleep 0.3
+    grep '^worker=' "$DIR/platform.log" >"$DIR/addresses"
+    python3 "$ROOT/review/at_work.py" "$startup" "$jobs" <"$DIR/addresses" \
+        >"$DIR/at_work.ports" 2>"$DIR/at_work.log" &
+    PID[at_work]=$!
+    await 5000 grep -q '^ready' "$DIR/at_work.ports" ||
+        cannot_run "at_work.py does not listen"
+    grep -v '^ready' "$DIR/at_work.ports" >"$DIR/ports.new"
+    mv "$DIR/ports.new" "$DIR/ports"
+    await 5000 grep -q '^store=' "$DIR/platform.log" ||
+        cannot_run "the stand-in does not listen"
+    STORE=$(sed -n 's/^store=//p' "$DIR/platform.log")
+}
