--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -1,57 +1,58 @@
 #!/usr/bin/env bash
-# RECLAIM: a guaranteed job does not begin, as guaranteed work of others lies
-# across the workers and is not brought together.  See claim.txt.
+# MIXED: the count of a queue's waiting jobs beside a worker that refuses
+# starts.  One of twelve workers (0.083) is of the kind that the jobs require.
+# For 6.5 s it answers each start with 503 and all else well.
 HERE=$(cd "$(dirname "$0")" && pwd)
 source "$HERE/../lib-3.sh"
-RECLAIM_MS=2700
-WATCHED_MS=30000
+JOBS=4
+GREY_MS=6500
 
-start_with_at_work 300 '^00000000000000b' --racks 2 --per-rack 1 <<'JSON'
+start_platform --racks 12 --per-rack 1 <<'JSON'
 {"version":1,"routes":[
- {"name":"urgent","host":"","path_prefix":"/urgent/","priority":0,
-  "service":"service","max_attempts":2,"stretch":1.5,"target_latency_ms":250}],
+ {"name":"batch","host":"","path_prefix":"/batch/","priority":1,
+  "service":"service","max_attempts":2,"stretch":3,"target_latency_ms":1000}],
  "services":[{"name":"service","enforces_capacity":true}],"limits":{},
- "tenants":[{"name":"desk","api_keys":["key"],"guaranteed":{"gpus":8}},
-            {"name":"shop","api_keys":["key2"],"guaranteed":{"gpus":4}},
-            {"name":"school","api_keys":["key3"],"guaranteed":{"gpus":4}}]}
+ "tenants":[{"name":"desk","api_keys":["key"],"guaranteed":{"gpus":16}}]}
 JSON
 start_vms vm1 vm2 vm3
 sleep 3
-submit() { # ID ACCELERATORS RUN_MS KEY [FIELD]
-    local body
-    body="{\"spec\":\"run_ms=$3 accelerators=$2\",\"steps\":[{\"count\":1,\"cpu\":100,\"mem_mb\":10,\"gpus\":$2,\"estimate_ms\":3000${5:-}}]}"
-    call vm1 POST "/urgent/00000000000000$1" "$body" "$4"
-    note "POST /urgent/00000000000000$1 ($4): $body: $STATUS $BODY"
-    [ "$STATUS" = 200 ] || cannot_run "job $1 was answered $STATUS"
-}
-has_begun() { grep -q "^started task=00000000000000$1[.]" "$DIR/platform.log"; }
-is_over() { grep -q "^ended task=00000000000000$1[.].*how=done" "$DIR/platform.log"; }
 
-# The guarantees of the three tenants are all the accelerators that there are,
-# and none of them requests more than its own at any time.
-if [ "$TROUBLE" != 0 ]; then
-    submit a1 4 3000 key
-    await 3000 has_begun a1 || cannot_run "job a1 does not begin"
-fi
-sleep 0.5
-submit b1 4 600000 key2 ',"long_running":true'
-sleep 0.5
-submit b2 4 600000 key3 ',"long_running":true'
-begun_b() { has_begun b1 && has_begun b2; }
-await 5000 begun_b || cannot_run "the jobs of the other tenants do not begin"
-[ "$TROUBLE" = 0 ] || await 8000 is_over a1 || cannot_run "job a1 does not end"
-sleep 4
-submit a2 8 3000 key
-sent=$(now_ms)
-if await "$WATCHED_MS" has_begun a2; then
-    took=$(($(now_ms) - sent))
-else
-    took=$WATCHED_MS
-fi
-for vm in vm1 vm2 vm3; do
-    call "$vm" GET /urgent/00000000000000a2
-    note "GET /urgent/00000000000000a2 at $vm: $STATUS $BODY"
+job='{"spec":"run_ms=500","steps":[{"count":1,"cpu":1000,"mem_mb":100,"gpus":1,"estimate_ms":500,"required_labels":"z-r1"}]}'
+[ "$TROUBLE" = 0 ] || platform_command "late z-r1-w1 $GREY_MS 0 100 1"
+sleep 0.1
+for n in $(seq "$JOBS"); do
+    call vm$((n % 3 + 1)) POST "/batch/00000000000000a$n" "$job"
+    note "POST /batch/00000000000000a$n: $STATUS $BODY"
+    [ "$STATUS" = 200 ] || cannot_run "job $n was answered $STATUS"
 done
-grep -E '^(started|ended) ' "$DIR/platform.log" >>"$RECORD"
-[ "$took" -le "$RECLAIM_MS" ] || broken "the guaranteed job had not begun after $took ms"
-held "the guaranteed job began within $took ms"
+accepted=$(now_ms)
+
+begun() { grep '^started task=00000000000000a' "$DIR/platform.log" | cut -d. -f1 | sort -u | wc -l; }
+# From visible_ms + 2 s after the acknowledgement of the last job on.
+while [ "$(now_ms)" -lt $((accepted + 5100)) ]; do sleep 0.02; done
+wrong=""
+for round in 1 2 3 4; do
+    for vm in vm1 vm2 vm3; do
+        before=$(begun)
+        call "$vm" GET /batch/
+        after=$(begun)
+        note "GET /batch/ at $vm, $(($(now_ms) - accepted)) ms after the last acknowledgement: $STATUS $BODY; jobs that have begun: $before before, $after after"
+        count=${BODY//[^0-9]/}
+        [ "$STATUS" = 200 ] || continue
+        # Jobs that have not begun when the answer has come.
+        waiting=$((JOBS - after))
+        [ $((2 * count)) -lt "$waiting" ] && wrong="$vm says $count, $waiting of $JOBS jobs have not begun"
+    done
+    sleep 0.1
+done
+for n in $(seq "$JOBS"); do
+    call vm1 GET "/batch/00000000000000a$n"
+    note "GET /batch/00000000000000a$n: $STATUS $BODY"
+done
+completed() { call vm1 GET "/batch/00000000000000a$1"; [[ $BODY == *completed* ]]; }
+for n in $(seq "$JOBS"); do
+    await 10000 completed "$n" || note "job $n is not completed: $STATUS $BODY"
+done
+grep -E '^(refused|started|ended|late)' "$DIR/platform.log" >>"$RECORD"
+[ -z "$wrong" ] || broken "$wrong"
+held "each answer counted at least half of the jobs that had not begun"
