--- a/review/lib-3.sh
+++ b/review/lib-3.sh
@@ -87,7 +87,7 @@
     share: 0.25
     cores: 1
 descriptors: 4100
-contracts: ["base", "drain", "config", "cost", "recover", "sched", "tenants", "platform"]
+contracts: ["base", "drain", "config", "cost", "recover", "sched", "tenants", "platform", "advice", "upkeep", "sharing"]
 ports_file: $DIR/$1.ports
 log_level: info
 YAML
